--- /dev/null
+++ b/components/fleet/src/lib.rs
@@ -0,0 +1,7 @@
+//! Which VMs to hold, and how work moves before a reclaim lands. Pure.
+
+mod holding;
+mod moves;
+
+pub use holding::{plan_holding, Bid, Change, HallOffer, Holding, HoldingPlanner, PoolNeed};
+pub use moves::{plan_moves, Move, MoveRates, Plan, Stream, Target};
--- /dev/null
+++ b/components/limits/src/lib.rs
@@ -0,0 +1,15 @@
+//! Who may run now: priority classes, team limits held fleet-wide, and retry budgets.
+//!
+//! Pure: time comes in as a value. A refusal always says when to come back.
+
+mod bucket;
+mod budget;
+mod gate;
+mod quota;
+mod team;
+
+pub use bucket::Bucket;
+pub use budget::Budget;
+pub use gate::{Gate, Verdict, Waiter};
+pub use quota::{Demand, Quota, FLOOR_MILLI};
+pub use team::{Limits, Refused, TeamMeter};
--- /dev/null
+++ b/components/limits/src/quota.rs
@@ -0,0 +1,129 @@
+//! How nodes share a fleet-wide limit without a call per request.
+//!
+//! Each node takes a part of the limit that follows its share of the demand. A smaller part is
+//! taken at once; a larger one only after it was justified for as long as news needs to reach
+//! everyone, so that the others have shrunk by then. Nodes that vanish may run on behind a cut,
+//! so their part of the limit stays unused until the platform's list confirms that they are gone
+//! or the fleet's former size is forgotten: two sides of a cut never sum to more than the limit.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+/// Part of a limit that is shared equally, whatever the demand, in thousandths.
+pub const FLOOR_MILLI: u64 = 200;
+/// How long a larger part must be justified before it is taken: the time news needs to spread.
+const RAISE_AFTER: Duration = Duration::from_secs(4);
+/// How long the demand of a silent peer is kept in the sum.
+const KEEP_SILENT: Duration = Duration::from_secs(30);
+/// How long the size of the fleet is remembered.
+const REMEMBER_SIZE: Duration = Duration::from_secs(600);
+
+/// The demand of one peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Demand {
+    /// Counter of the peer's reports; a higher one is newer.
+    pub round: u64,
+    /// Requests a second asked for, in thousandths.
+    pub rate_milli: u64,
+    /// When it was heard, on this node's clock.
+    pub heard: Duration,
+}
+
+/// One node's part of one team's limits, in thousandths of the whole.
+#[derive(Clone, Debug)]
+pub struct Quota {
+    own_milli: u64,
+    peers: BTreeMap<String, Demand>,
+    sizes: VecDeque<(Duration, u64)>,
+    part_milli: u64,
+    raise: Option<(Duration, u64)>,
+}
+
+impl Quota {
+    /// A node that knows of `fleet` nodes, itself included: it starts with the equal share of the
+    /// floor, and grows from there.
+    pub fn new(now: Duration, fleet: u64) -> Self {
+        Quota {
+            own_milli: 0,
+            peers: BTreeMap::new(),
+            sizes: VecDeque::from([(now, fleet.max(1))]),
+            part_milli: FLOOR_MILLI / fleet.max(1),
+            raise: None,
+        }
+    }
+
+    /// Sets this node's own demand.
+    pub fn set_own(&mut self, rate_milli: u64) {
+        self.own_milli = rate_milli;
+    }
+
+    /// Takes the demand of a peer; old and doubled reports change nothing.
+    pub fn hear(&mut self, peer: &str, demand: Demand) {
+        let known = self.peers.get(peer);
+        if known.is_none_or(|k| demand.round > k.round) {
+            self.peers.insert(peer.to_string(), demand);
+        }
+    }
+
+    /// Drops a peer that left or was found dead.
+    pub fn drop_peer(&mut self, peer: &str) {
+        self.peers.remove(peer);
+    }
+
+    /// Takes the platform's word that the fleet has this size: vanished nodes are gone.
+    pub fn confirm_fleet(&mut self, now: Duration, fleet: u64) {
+        self.sizes = VecDeque::from([(now, fleet.max(1))]);
+    }
+
+    /// This node's part of the limit in thousandths, after taking `fleet`, the number of nodes
+    /// known to live, this one included.
+    pub fn part_milli(&mut self, now: Duration, fleet: u64) -> u64 {
+        let largest = self.remember(now, fleet.max(1));
+        let justified = self.justified(now, fleet.max(1), largest);
+        if justified <= self.part_milli {
+            self.part_milli = justified;
+            self.raise = None;
+            return self.part_milli;
+        }
+        self.consider_raise(now, justified);
+        self.part_milli
+    }
+
+    fn consider_raise(&mut self, now: Duration, justified: u64) {
+        let (since, least) = self.raise.unwrap_or((now, justified));
+        let least = least.min(justified);
+        if now.saturating_sub(since) < RAISE_AFTER {
+            self.raise = Some((since, least));
+            return;
+        }
+        self.part_milli = least;
+        self.raise = None;
+    }
+
+    fn justified(&self, now: Duration, fleet: u64, largest: u64) -> u64 {
+        let heard = |d: &&Demand| now.saturating_sub(d.heard) < KEEP_SILENT;
+        let known: Vec<&Demand> = self.peers.values().filter(heard).collect();
+        let known_nodes = known.len() as u64 + 1;
+        if known_nodes < fleet.min(largest) {
+            // Too few are heard to know the demand: the equal share is safe.
+            return 1000 / largest;
+        }
+        // Nodes that vanished may run on behind a cut: their part stays theirs.
+        let whole = 1000 * known_nodes.min(largest) / largest;
+        let others: u64 = known.iter().map(|d| d.rate_milli).sum();
+        let equal = whole * FLOOR_MILLI / 1000 / known_nodes;
+        let by_demand = whole * (1000 - FLOOR_MILLI) / 1000 * self.own_milli;
+        equal + by_demand.checked_div(others + self.own_milli).unwrap_or(0)
+    }
+
+    fn remember(&mut self, now: Duration, fleet: u64) -> u64 {
+        while self.sizes.back().is_some_and(|(_, size)| *size <= fleet) {
+            self.sizes.pop_back();
+        }
+        self.sizes.push_back((now, fleet));
+        while self.sizes.len() > 1 && now.saturating_sub(self.sizes[0].0) > REMEMBER_SIZE {
+            self.sizes.pop_front();
+        }
+        self.sizes[0].1
+    }
+}
--- /dev/null
+++ b/components/limits/src/team.rs
@@ -0,0 +1,116 @@
+//! The limits of one team at one node: rate, concurrency and spending.
+
+use std::time::Duration;
+
+use crate::bucket::Bucket;
+
+/// Time to come back when the team's concurrency is used up.
+const CONCURRENCY_RETRY: Duration = Duration::from_millis(200);
+const SECONDS_AN_HOUR: u64 = 3600;
+
+/// A node's part of a team's limits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Requests a second, in thousandths.
+    pub rate_milli: u64,
+    /// Requests at once.
+    pub concurrency: u64,
+    /// Spending an hour, in thousandths of the currency unit.
+    pub budget_milli: u64,
+}
+
+/// Which limit refused a request, and when to come back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refused {
+    /// The rate.
+    Rate(Duration),
+    /// The concurrency.
+    Concurrency(Duration),
+    /// The spending.
+    Budget(Duration),
+}
+
+impl Refused {
+    /// When to come back.
+    pub fn retry_after(self) -> Duration {
+        match self {
+            Refused::Rate(d) | Refused::Concurrency(d) | Refused::Budget(d) => d,
+        }
+    }
+
+    /// Name of the limit.
+    pub fn limit(self) -> &'static str {
+        match self {
+            Refused::Rate(_) => "rate",
+            Refused::Concurrency(_) => "concurrency",
+            Refused::Budget(_) => "budget",
+        }
+    }
+}
+
+/// What a team uses at one node.
+#[derive(Clone, Debug)]
+pub struct TeamMeter {
+    limits: Limits,
+    rate: Bucket,
+    spending: Bucket,
+    running: u64,
+    asked: u64,
+}
+
+impl TeamMeter {
+    /// A meter with full buckets.
+    pub fn new(now: Duration, limits: Limits) -> Self {
+        TeamMeter {
+            limits,
+            rate: Bucket::new(now, limits.rate_milli),
+            spending: Bucket::new(now, spending_rate(limits)),
+            running: 0,
+            asked: 0,
+        }
+    }
+
+    /// Sets this node's part of the limits.
+    pub fn set_limits(&mut self, now: Duration, limits: Limits) {
+        if limits == self.limits {
+            return;
+        }
+        self.limits = limits;
+        self.rate.set_rate(now, limits.rate_milli);
+        self.spending.set_rate(now, spending_rate(limits));
+    }
+
+    /// Admits a request that will cost about `cost_milli`, or says which limit refuses it.
+    pub fn admit(&mut self, now: Duration, cost_milli: u64) -> Result<(), Refused> {
+        self.asked += 1;
+        if self.running >= self.limits.concurrency.max(1) {
+            return Err(Refused::Concurrency(CONCURRENCY_RETRY));
+        }
+        self.rate.take(now, 1).map_err(Refused::Rate)?;
+        self.spending
+            .take(now, cost_milli)
+            .map_err(Refused::Budget)?;
+        self.running += 1;
+        Ok(())
+    }
+
+    /// Notes that an admitted request ended.
+    pub fn release(&mut self) {
+        self.running = self.running.saturating_sub(1);
+    }
+
+    /// Requests asked for since the last call, admitted or not: the demand told to other nodes.
+    pub fn take_asked(&mut self) -> u64 {
+        std::mem::take(&mut self.asked)
+    }
+
+    /// Requests running.
+    pub fn running(&self) -> u64 {
+        self.running
+    }
+}
+
+// Thousandths of a thousandth of the currency unit a second.
+fn spending_rate(limits: Limits) -> u64 {
+    limits.budget_milli * 1000 / SECONDS_AN_HOUR
+}
--- /dev/null
+++ b/components/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/components/node/src/lib.rs
@@ -0,0 +1,29 @@
+//! One entry node: the daemon as a library.
+//!
+//! A control thread owns the control state; each request has a thread of its own. Traffic threads
+//! read the configuration from an immutable snapshot and share the routing and admission state
+//! behind one mutex that is held for microseconds.
+
+// The control thread is not wired to all of this yet.
+#![allow(dead_code)]
+
+mod admission;
+mod attempt;
+mod call;
+mod caller;
+mod chat;
+mod chat_run;
+mod control;
+mod explain;
+mod node;
+mod operator;
+mod outcome;
+mod output;
+mod reply;
+mod service;
+mod shared;
+mod snapshot;
+mod traffic;
+
+pub use explain::DecisionRecord;
+pub use node::{Node, NodeError, Platform};
--- /dev/null
+++ b/components/node/src/shared.rs
@@ -0,0 +1,138 @@
+//! What all threads of a node share.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use arc_swap::ArcSwap;
+use flume::Sender;
+use platform::{Cloud, Objects, Table};
+use schema::settings::NodeSettings;
+use slog::Logger;
+use telemetry::{Metrics, Traces};
+use transport::{Engine, Key};
+
+use crate::control::ControlEvent;
+use crate::explain::Records;
+use crate::snapshot::Snapshot;
+use crate::traffic::Traffic;
+
+/// Shared by the control thread and all traffic threads.
+pub struct Shared {
+    pub settings: NodeSettings,
+    pub resume_key: Key,
+    pub metrics: Metrics,
+    pub traces: Traces,
+    pub log: Logger,
+    pub engine: Box<dyn Engine>,
+    pub table: Box<dyn Table>,
+    pub objects: Box<dyn Objects>,
+    pub cloud: Box<dyn Cloud>,
+    pub snapshot: ArcSwap<Snapshot>,
+    pub records: Mutex<Records>,
+    pub control: Sender<ControlEvent>,
+    traffic: Mutex<Traffic>,
+    status: ArcSwap<serde_json::Value>,
+    started: Instant,
+    incarnation: i64,
+    next_id: AtomicU64,
+    ready: AtomicBool,
+    stopping: AtomicBool,
+}
+
+/// The parts of [`Shared`] that the outside gives.
+pub struct Parts {
+    pub settings: NodeSettings,
+    pub metrics: Metrics,
+    pub traces: Traces,
+    pub log: Logger,
+    pub engine: Box<dyn Engine>,
+    pub table: Box<dyn Table>,
+    pub objects: Box<dyn Objects>,
+    pub cloud: Box<dyn Cloud>,
+    pub control: Sender<ControlEvent>,
+}
+
+impl Shared {
+    /// A node that is not ready yet.
+    pub fn new(parts: Parts) -> Self {
+        let seed: u64 = rand::random();
+        Shared {
+            resume_key: Key::new(&parts.settings.resume_key),
+            settings: parts.settings,
+            metrics: parts.metrics,
+            traces: parts.traces,
+            log: parts.log,
+            engine: parts.engine,
+            table: parts.table,
+            objects: parts.objects,
+            cloud: parts.cloud,
+            snapshot: ArcSwap::from_pointee(Snapshot::empty()),
+            records: Mutex::new(Records::default()),
+            control: parts.control,
+            traffic: Mutex::new(Traffic::new(seed)),
+            status: ArcSwap::from_pointee(serde_json::Value::Null),
+            started: Instant::now(),
+            incarnation: unix_millis(),
+            next_id: AtomicU64::new(1),
+            ready: AtomicBool::new(false),
+            stopping: AtomicBool::new(false),
+        }
+    }
+
+    /// Time since the node started: the only clock that decisions see.
+    pub fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Grows with each start of the node.
+    pub fn incarnation(&self) -> i64 {
+        self.incarnation
+    }
+
+    /// A number for a request, unique at this node.
+    pub fn next_id(&self) -> u64 {
+        self.next_id.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// The traffic state; hold it for microseconds.
+    pub fn traffic(&self) -> MutexGuard<'_, Traffic> {
+        self.traffic.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether the balancer should send requests here.
+    pub fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::Acquire) && !self.is_stopping()
+    }
+
+    /// Marks the node as ready.
+    pub fn set_ready(&self) {
+        self.ready.store(true, Ordering::Release);
+    }
+
+    /// Whether a planned stop is under way.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    /// Starts a planned stop.
+    pub fn set_stopping(&self) {
+        self.stopping.store(true, Ordering::Release);
+    }
+
+    /// What the control thread shows in `status`.
+    pub fn control_status(&self) -> serde_json::Value {
+        serde_json::Value::clone(&self.status.load())
+    }
+
+    /// Sets what the control thread shows in `status`.
+    pub fn set_control_status(&self, status: serde_json::Value) {
+        self.status.store(status.into());
+    }
+}
+
+/// Unix time in milliseconds.
+pub fn unix_millis() -> i64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |d| d.as_millis() as i64)
+}
--- /dev/null
+++ b/components/platform/src/lib.rs
@@ -0,0 +1,12 @@
+//! Clients of the platform: table, object store, cloud API and VM list, each behind a trait.
+
+mod cloud;
+mod http;
+mod objects;
+mod table;
+mod wire;
+
+pub use cloud::{Cloud, HttpCloud};
+pub use objects::{body_hash, HttpObjects, Objects};
+pub use table::{HttpTable, Table};
+pub use wire::{Notice, RowBody, TransactBody, Vm, VmOrder, WriteBody};
--- /dev/null
+++ b/components/platform/src/table.rs
@@ -0,0 +1,87 @@
+//! The transactional table.
+
+use base64::engine::general_purpose::STANDARD;
+use base64::Engine as _;
+use state::{Reply, Row, TableCall, Write};
+
+use crate::http::{send, TOO_MANY};
+use crate::wire::{RowBody, TransactBody, WriteBody};
+
+/// What croftpond asks of the table. A call blocks for at most a few seconds.
+pub trait Table: Send + Sync {
+    /// Makes one call.
+    fn call(&self, call: &TableCall) -> Reply;
+}
+
+/// The table protocol of docs/interfaces.md.
+#[derive(Clone, Debug)]
+pub struct HttpTable {
+    url: String,
+}
+
+impl HttpTable {
+    /// A client of the table at a base URL.
+    pub fn new(url: &str) -> Self {
+        HttpTable {
+            url: url.to_string(),
+        }
+    }
+
+    fn read(&self, key: &str) -> Reply {
+        let request = minreq::get(format!("{}/row", self.url)).with_param("key", key);
+        let Some(response) = send(request) else {
+            return Reply::Unanswered;
+        };
+        match response.status_code {
+            200 => row_of(response.as_bytes()),
+            404 => Reply::Row(None),
+            TOO_MANY => Reply::Refused,
+            _ => Reply::Unanswered,
+        }
+    }
+
+    fn transact(&self, writes: &[Write]) -> Reply {
+        let body = TransactBody {
+            writes: writes.iter().map(body_of).collect(),
+        };
+        let Ok(json) = serde_json::to_string(&body) else {
+            return Reply::Refused;
+        };
+        let request = minreq::post(format!("{}/transact", self.url)).with_body(json);
+        match send(request).map(|r| r.status_code) {
+            Some(200) => Reply::Committed,
+            Some(409) => Reply::Conflict,
+            Some(TOO_MANY) => Reply::Refused,
+            _ => Reply::Unanswered,
+        }
+    }
+}
+
+impl Table for HttpTable {
+    fn call(&self, call: &TableCall) -> Reply {
+        match call {
+            TableCall::Read(key) => self.read(key),
+            TableCall::Transact(writes) => self.transact(writes),
+        }
+    }
+}
+
+fn body_of(write: &Write) -> WriteBody {
+    WriteBody {
+        key: write.key.clone(),
+        expect: write.expect,
+        value: STANDARD.encode(&write.value),
+    }
+}
+
+fn row_of(bytes: &[u8]) -> Reply {
+    let row = serde_json::from_slice::<RowBody>(bytes).ok();
+    let value = row.as_ref().and_then(|r| STANDARD.decode(&r.value).ok());
+    match (row, value) {
+        (Some(row), Some(value)) => Reply::Row(Some(Row {
+            version: row.version,
+            value,
+        })),
+        _ => Reply::Unanswered,
+    }
+}
--- /dev/null
+++ b/components/routing/src/belief.rs
@@ -0,0 +1,203 @@
+//! Which endpoint is believed to have which prefix cached.
+//!
+//! What this node sent is believed at once; the engines' cache events, late, doubled and with
+//! gaps, only correct it. A gap drops all that was believed of the endpoint.
+
+use std::collections::HashMap;
+use std::num::NonZeroUsize;
+
+use lru::LruCache;
+
+/// Blocks kept over all endpoints; about 4 MB.
+const MAX_BLOCKS: usize = 32_768;
+/// Endpoints remembered for one block.
+const MAX_HOLDERS: usize = 8;
+
+/// A change of an endpoint's cache.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CacheNews {
+    /// Blocks were stored.
+    Stored(Vec<u64>),
+    /// Blocks were evicted.
+    Evicted(Vec<u64>),
+    /// Everything was dropped.
+    Cleared,
+}
+
+/// A numbered cache event of one endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CacheEvent {
+    /// Counter of the endpoint, without holes at the source.
+    pub sequence: u64,
+    /// What changed.
+    pub news: CacheNews,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Holder {
+    endpoint: u32,
+    generation: u32,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Progress {
+    generation: u32,
+    next_sequence: Option<u64>,
+}
+
+/// Beliefs about all endpoints of a node, bounded in size.
+#[derive(Debug)]
+pub struct Belief {
+    blocks: LruCache<u64, Vec<Holder>>,
+    progress: HashMap<u32, Progress>,
+}
+
+impl Default for Belief {
+    fn default() -> Self {
+        let capacity = NonZeroUsize::new(MAX_BLOCKS).unwrap_or(NonZeroUsize::MIN);
+        Belief {
+            blocks: LruCache::new(capacity),
+            progress: HashMap::new(),
+        }
+    }
+}
+
+impl Belief {
+    /// Believes that the endpoint has these blocks.
+    pub fn store(&mut self, endpoint: u32, blocks: &[u64]) {
+        let generation = self.generation(endpoint);
+        let holder = Holder {
+            endpoint,
+            generation,
+        };
+        for block in blocks {
+            let holders = self.blocks.get_or_insert_mut(*block, Vec::new);
+            holders.retain(|h| h.endpoint != endpoint);
+            if holders.len() == MAX_HOLDERS {
+                holders.remove(0);
+            }
+            holders.push(holder);
+        }
+    }
+
+    /// Drops all that is believed of the endpoint.
+    pub fn forget(&mut self, endpoint: u32) {
+        self.progress.entry(endpoint).or_default().generation += 1;
+    }
+
+    /// Takes one cache event; old and doubled ones change nothing.
+    pub fn take_event(&mut self, endpoint: u32, event: &CacheEvent) {
+        let expected = self.progress.entry(endpoint).or_default().next_sequence;
+        if expected.is_some_and(|next| event.sequence < next) {
+            return;
+        }
+        if expected.is_some_and(|next| event.sequence > next) {
+            self.forget(endpoint);
+        }
+        self.progress.entry(endpoint).or_default().next_sequence = Some(event.sequence + 1);
+        match &event.news {
+            CacheNews::Stored(blocks) => self.store(endpoint, blocks),
+            CacheNews::Evicted(blocks) => self.evict(endpoint, blocks),
+            CacheNews::Cleared => self.forget(endpoint),
+        }
+    }
+
+    /// Calls `found(endpoint, blocks)` with the number of leading blocks each endpoint holds.
+    pub fn holders(&self, blocks: &[u64], mut found: impl FnMut(u32, usize)) {
+        let mut level: Vec<u32> = Vec::new();
+        for (depth, block) in blocks.iter().enumerate() {
+            let Some(holders) = self.blocks.peek(block) else {
+                return;
+            };
+            let known = holders.iter().filter(|h| self.is_current(h));
+            let mut here: Vec<u32> = known.map(|h| h.endpoint).collect();
+            // A prefix is of use only without holes.
+            here.retain(|e| depth == 0 || level.contains(e));
+            if here.is_empty() {
+                return;
+            }
+            here.iter().for_each(|e| found(*e, depth + 1));
+            level = here;
+        }
+    }
+
+    /// Number of blocks kept.
+    pub fn len(&self) -> usize {
+        self.blocks.len()
+    }
+
+    /// Whether nothing is believed.
+    pub fn is_empty(&self) -> bool {
+        self.blocks.is_empty()
+    }
+
+    fn evict(&mut self, endpoint: u32, blocks: &[u64]) {
+        for block in blocks {
+            if let Some(holders) = self.blocks.peek_mut(block) {
+                holders.retain(|h| h.endpoint != endpoint);
+            }
+        }
+    }
+
+    fn generation(&self, endpoint: u32) -> u32 {
+        self.progress.get(&endpoint).map_or(0, |p| p.generation)
+    }
+
+    fn is_current(&self, holder: &Holder) -> bool {
+        holder.generation == self.generation(holder.endpoint)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn depth(belief: &Belief, endpoint: u32, blocks: &[u64]) -> usize {
+        let mut best = 0;
+        belief.holders(blocks, |e, depth| {
+            if e == endpoint {
+                best = depth;
+            }
+        });
+        best
+    }
+
+    fn event(sequence: u64, news: CacheNews) -> CacheEvent {
+        CacheEvent { sequence, news }
+    }
+
+    #[test]
+    fn can_find_the_longest_prefix_without_holes() {
+        let mut belief = Belief::default();
+        belief.store(1, &[10, 20, 30]);
+        belief.store(2, &[10, 30]);
+        assert_eq!(depth(&belief, 1, &[10, 20, 30, 40]), 3);
+        assert_eq!(depth(&belief, 2, &[10, 20, 30]), 1);
+    }
+
+    #[test]
+    fn a_gap_drops_what_was_believed() {
+        let mut belief = Belief::default();
+        belief.take_event(1, &event(5, CacheNews::Stored(vec![10])));
+        belief.take_event(1, &event(7, CacheNews::Stored(vec![11])));
+        assert_eq!(depth(&belief, 1, &[10]), 0);
+        assert_eq!(depth(&belief, 1, &[11]), 1);
+    }
+
+    #[test]
+    fn late_and_doubled_events_change_nothing() {
+        let mut belief = Belief::default();
+        belief.take_event(1, &event(5, CacheNews::Stored(vec![10])));
+        belief.take_event(1, &event(6, CacheNews::Evicted(vec![10])));
+        belief.take_event(1, &event(5, CacheNews::Stored(vec![10])));
+        assert_eq!(depth(&belief, 1, &[10]), 0);
+    }
+
+    #[test]
+    fn stays_within_its_bound() {
+        let mut belief = Belief::default();
+        let blocks: Vec<u64> = (0..MAX_BLOCKS as u64 * 2).collect();
+        belief.store(1, &blocks);
+        assert_eq!(belief.len(), MAX_BLOCKS);
+    }
+}
--- /dev/null
+++ b/components/routing/src/lib.rs
@@ -0,0 +1,22 @@
+//! Where a request runs: prefix affinity, load, price and reclaim risk, as a pure library.
+//!
+//! Time and randomness come in as values. Baselines stand beside the router so that every
+//! measurement shows both.
+
+mod baseline;
+mod belief;
+mod decision;
+mod endpoint;
+mod prompt;
+mod rendezvous;
+mod router;
+mod score;
+
+pub use baseline::Policy;
+pub use belief::{Belief, CacheEvent, CacheNews};
+pub use decision::{Ask, Candidate, Decision};
+pub use endpoint::{EndpointState, Reading};
+pub use prompt::{Prompt, BLOCK_BYTES, BYTES_PER_TOKEN};
+pub use rendezvous::{rank, weight};
+pub use router::Router;
+pub use score::{Estimate, Rates};
--- /dev/null
+++ b/components/routing/tests/promises.rs
@@ -0,0 +1,185 @@
+//! What routing must never do, over random news and requests.
+
+use std::time::Duration;
+
+use quickcheck::{Gen, QuickCheck, Testable};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use routing::{Ask, Prompt, Reading, Router};
+use schema::settings::{Endpoint, PriceClass, Priority};
+
+const SEED: u64 = 20261202;
+const ENDPOINTS: u32 = 6;
+
+fn check<A: Testable>(property: A) {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(100, SEED))
+        .tests(1000)
+        .quickcheck(property);
+}
+
+fn endpoint(number: u32, price_milli: i64) -> Endpoint {
+    Endpoint {
+        name: format!("w{number}"),
+        pool: "chat".into(),
+        address: format!("127.0.0.1:{}", 9000 + number),
+        hall: format!("h{}", number % 3),
+        price_class: PriceClass::RECLAIMABLE,
+        price_milli,
+        slots: 4,
+    }
+}
+
+fn router() -> Router {
+    let mut router = Router::default();
+    let endpoints: Vec<Endpoint> = (0..ENDPOINTS).map(|n| endpoint(n, 1000)).collect();
+    router.configure(&endpoints);
+    router
+}
+
+fn ask<'a>(prompt: &'a Prompt, exclude: &'a [String]) -> Ask<'a> {
+    Ask {
+        pool: "chat",
+        prompt,
+        priority: Priority::STANDARD,
+        target: Duration::from_millis(520),
+        latency_weight: 50,
+        exclude,
+    }
+}
+
+fn conversation(id: u64) -> Prompt {
+    Prompt::of_messages(&["system ".repeat(200), format!("hello {id} ").repeat(100)])
+}
+
+#[test]
+fn a_leaving_endpoint_gets_nothing_whatever_is_heard_later() {
+    fn property(seed: u64) -> bool {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut router = router();
+        let gone = format!("w{}", rng.random_range(0..ENDPOINTS));
+        router.leave(&gone, Duration::from_secs(30));
+        (0..60).all(|step| {
+            let now = Duration::from_millis(step * 100);
+            let reading = Reading {
+                running: 0,
+                queued: 0,
+                at: now,
+            };
+            router.read(&gone, reading);
+            router.answered(&gone);
+            router.leave(&gone, Duration::from_secs(90));
+            let prompt = conversation(rng.random_range(0..9));
+            let ask = ask(&prompt, &[]);
+            let chosen = router.choose(now, &ask, &mut rng).unwrap().chosen.endpoint;
+            router.sent(&chosen, &ask);
+            chosen != gone
+        })
+    }
+    check(property as fn(u64) -> bool);
+}
+
+#[test]
+fn an_excluded_endpoint_is_not_chosen() {
+    fn property(seed: u64) -> bool {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let router = router();
+        let exclude: Vec<String> = (0..ENDPOINTS - 1).map(|n| format!("w{n}")).collect();
+        let prompt = conversation(seed);
+        let decision = router
+            .choose(Duration::ZERO, &ask(&prompt, &exclude), &mut rng)
+            .unwrap();
+        decision.chosen.endpoint == "w5" && decision.passed_over == ENDPOINTS - 1
+    }
+    check(property as fn(u64) -> bool);
+}
+
+#[test]
+fn no_endpoint_is_named_when_all_leave() {
+    let mut router = router();
+    (0..ENDPOINTS).for_each(|n| router.leave(&format!("w{n}"), Duration::ZERO));
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    assert_eq!(
+        router.choose(Duration::ZERO, &ask(&conversation(1), &[]), &mut rng),
+        None
+    );
+}
+
+#[test]
+fn turns_of_a_conversation_meet_at_one_endpoint_from_different_nodes() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let (first, second) = (router(), router());
+    let mut same = 0;
+    for id in 0..200 {
+        let opening = ["system ".repeat(200), format!("hello {id} ").repeat(100)];
+        let mut later = opening.to_vec();
+        later.extend(["answer ".repeat(100), "and then ".repeat(9)]);
+        let later = Prompt::of_messages(&later);
+        let a = first
+            .choose(Duration::ZERO, &ask(&later, &[]), &mut rng)
+            .unwrap();
+        let b = second
+            .choose(Duration::ZERO, &ask(&later, &[]), &mut rng)
+            .unwrap();
+        same += usize::from(a.chosen.endpoint == b.chosen.endpoint);
+    }
+    assert_eq!(same, 200);
+}
+
+#[test]
+fn a_full_home_does_not_hold_a_conversation() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut router = router();
+    let prompt = conversation(7);
+    let home = router
+        .choose(Duration::ZERO, &ask(&prompt, &[]), &mut rng)
+        .unwrap()
+        .chosen
+        .endpoint;
+    router.sent(&home, &ask(&prompt, &[]));
+    router.read(
+        &home,
+        Reading {
+            running: 4,
+            queued: 9,
+            at: Duration::ZERO,
+        },
+    );
+    let next = router
+        .choose(Duration::ZERO, &ask(&prompt, &[]), &mut rng)
+        .unwrap();
+    assert_ne!(next.chosen.endpoint, home);
+}
+
+#[test]
+fn a_low_latency_weight_prefers_the_cheaper_endpoint() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut router = Router::default();
+    router.configure(&[endpoint(0, 3000), endpoint(1, 1000)]);
+    let prompt = conversation(3);
+    let cheap = Ask {
+        latency_weight: 0,
+        ..ask(&prompt, &[])
+    };
+    let chosen = router
+        .choose(Duration::ZERO, &cheap, &mut rng)
+        .unwrap()
+        .chosen
+        .endpoint;
+    assert_eq!(chosen, "w1");
+}
+
+#[test]
+fn an_endpoint_that_fails_is_passed_over_and_tried_again() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut router = Router::default();
+    router.configure(&[endpoint(0, 1000)]);
+    let prompt = conversation(3);
+    router.failed(Duration::ZERO, "w0");
+    assert!(router
+        .choose(Duration::from_millis(100), &ask(&prompt, &[]), &mut rng)
+        .is_none());
+    assert!(router
+        .choose(Duration::from_millis(300), &ask(&prompt, &[]), &mut rng)
+        .is_some());
+}
--- /dev/null
+++ b/components/schema/thrift/messages.thrift
@@ -0,0 +1,152 @@
+/** Messages between nodes, resume tokens, and rows kept in the platform's table. */
+
+/** What a datagram asks of its receiver. */
+enum Kind {
+  PING = 1,
+  ACK = 2,
+  PING_REQUEST = 3,
+  SUMMARY = 4,
+}
+
+/** State of a member as the sender knows it; a later state wins within an incarnation. */
+enum MemberState {
+  ALIVE = 0,
+  SUSPECT = 1,
+  LEAVING = 2,
+  DEAD = 3,
+}
+
+/** News of one node. */
+struct MemberNews {
+  1: required string name,
+  2: required string hall,
+  3: required string address,
+  4: required i64 incarnation,
+  5: required MemberState state,
+}
+
+/** A reading of one endpoint's load, or news that it leaves. */
+struct EndpointNews {
+  1: required string name,
+  /** Incarnation of the endpoint: it grows when its VM is replaced. */
+  2: required i64 incarnation,
+  /** Counter of the reader's readings; a higher one is newer. */
+  3: required i64 reading,
+  /** Requests running. */
+  4: required i32 running,
+  /** Requests waiting. */
+  5: required i32 queued,
+  /** Age of the reading when sent, in milliseconds. */
+  6: required i32 age_ms,
+  /** Set when the endpoint leaves: milliseconds left when sent. */
+  7: optional i32 leaving_in_ms,
+  /** Whether the endpoint did not answer the last reading. */
+  8: required bool silent,
+}
+
+/** Load of one pool in one data hall, told by a speaker of that hall. */
+struct HallSummary {
+  1: required string hall,
+  2: required string pool,
+  /** Counter of the speaker's summaries; a higher one is newer. */
+  3: required i64 round,
+  4: required i32 endpoints,
+  5: required i32 free_slots,
+  6: required i32 queued,
+  /** Endpoints that are leaving. */
+  7: required list<string> leaving,
+}
+
+/** Demand of one team at one node, the input of quota sharing. */
+struct TeamDemand {
+  1: required string team,
+  2: required string node,
+  /** Counter of the node's reports; a higher one is newer. */
+  3: required i64 round,
+  /** Requests a second asked for, in thousandths. */
+  4: required i64 rate_milli,
+}
+
+/** One datagram between nodes. */
+struct Packet {
+  1: required i32 schema_version,
+  2: required string sender,
+  3: required i64 incarnation,
+  /** Grows with every datagram of an incarnation; receivers drop what they have seen. */
+  4: required i64 sequence,
+  5: required Kind kind,
+  /** Number of the probe that a ping starts and an ack answers. */
+  6: optional i64 probe,
+  /** Node that a ping request asks to be probed. */
+  7: optional string subject,
+  8: optional list<MemberNews> members,
+  9: optional list<EndpointNews> endpoints,
+  10: optional list<HallSummary> summaries,
+  11: optional list<TeamDemand> demands,
+  12: optional i64 config_version,
+  13: optional string config_hash,
+}
+
+/** What a resume token carries, signed and opaque to the caller. */
+struct ResumeToken {
+  1: required string request,
+  2: required string team,
+  3: required string endpoint,
+  4: required string stream,
+  5: required i32 attempt,
+  6: required i64 offset,
+  /** SHA-256 of the request body. */
+  7: required string body_sha256,
+  /** Expiry in seconds of Unix time. */
+  8: required i64 expires,
+}
+
+/** State of a claim on an idempotency key. */
+enum ClaimState {
+  CLAIMED = 1,
+  DONE = 2,
+  NOT_RUN = 3,
+}
+
+/** Row that makes a non-repeatable request run at most once. */
+struct ClaimRow {
+  /** Unique id of the claim. */
+  1: required string claim,
+  2: required string node,
+  3: required ClaimState state,
+  /** SHA-256 of the request. */
+  4: required string request_sha256,
+  /** Status and body of the stored outcome. */
+  5: optional i32 status,
+  6: optional string body,
+}
+
+/** Row of the lease on a region's fleet work. */
+struct LeaseRow {
+  1: required string holder,
+  /** Grows with each change of holder; the fence of every order. */
+  2: required i64 epoch,
+  /** Unique id of the write, to recognise one's own after a lost answer. */
+  3: required string write,
+}
+
+/** Row that names the newest configuration. */
+struct HeadRow {
+  1: required i64 version,
+  2: required string hash,
+  /** Unique id of the put, to recognise one's own after a lost answer. */
+  3: required string put,
+  4: required string author,
+  5: required string note,
+}
+
+/** Row written before a VM is bought or given back. */
+struct IntentRow {
+  1: required string intent,
+  2: required i64 epoch,
+  3: required string hall,
+  4: required string pool,
+  5: required bool on_demand,
+  /** Name the VM is bought under; the cloud API refuses a second one of that name. */
+  6: required string vm,
+}
--- /dev/null
+++ b/components/schema/thrift/settings.thrift
@@ -0,0 +1,129 @@
+/** Settings of one node and the fleet configuration that operators edit. */
+
+/** Priority classes, the most urgent first. */
+enum Priority {
+  INTERACTIVE = 0,
+  STANDARD = 1,
+  BATCH = 2,
+}
+
+/** What the endpoints of a pool run. */
+enum PoolKind {
+  MODEL = 0,
+  SERVICE = 1,
+}
+
+/** How a VM is bought. */
+enum PriceClass {
+  RECLAIMABLE = 0,
+  ON_DEMAND = 1,
+}
+
+/** Who this node is and where it listens. */
+struct NodeSettings {
+  /** Name of the node, unique in the fleet. */
+  1: required string name,
+  /** Region the node runs in. */
+  2: required string region,
+  /** Data hall the node runs in. */
+  3: required string hall,
+  /** Address for callers and operators, IP:PORT. */
+  4: required string listen,
+  /** UDP and TCP address for other nodes, IP:PORT. */
+  5: required string peer_listen,
+  /** Peer addresses tried first at start, IP:PORT. */
+  6: required list<string> seeds,
+  /** Key that authenticates datagrams between nodes, at least 16 characters. */
+  7: required string peer_key,
+  /** Key that signs resume tokens, at least 16 characters. */
+  8: required string resume_key,
+  /** Credential that operators present, at least 16 characters. */
+  9: required string operator_key,
+  /** Base URL of the transactional table. */
+  10: required string table_url,
+  /** Base URL of the object store. */
+  11: required string objects_url,
+  /** Base URL of the cloud API and VM list. */
+  12: required string cloud_url,
+  /** Address of the statsd server; empty sends no metrics. */
+  13: required string statsd,
+  /** Log format, terminal or json. */
+  14: required string log_format,
+  /** File that finished spans are appended to as JSON lines; empty keeps no spans. */
+  15: required string trace_file,
+  /** Largest accepted request body in bytes. */
+  16: required i64 max_body_bytes,
+  /** Most requests held at once, waiting or running. */
+  17: required i32 max_in_flight,
+  /** Longest pause of a sender inside one request, in milliseconds. */
+  18: required i64 read_timeout_ms,
+  /** Time a planned stop waits for streams in flight, in milliseconds. */
+  19: required i64 stop_grace_ms,
+  /** Fleet configuration file used until the table holds a version; empty waits for the table. */
+  20: required string bootstrap,
+  /** Calls a second this node may make to the platform. */
+  21: required i32 platform_rate,
+}
+
+/** A set of interchangeable endpoints. */
+struct Pool {
+  /** Name of the pool. */
+  1: required string name,
+  /** Whether the endpoints run a model or a plain service. */
+  2: required PoolKind kind,
+  /** Model name that callers ask for, or path prefix of the service. */
+  3: required string route,
+  /** Whether the endpoints check the fence of an order. */
+  4: required bool checks_fence,
+}
+
+/** One endpoint: a model worker or an instance of a service. */
+struct Endpoint {
+  /** Name of the endpoint. */
+  1: required string name,
+  /** Pool the endpoint serves. */
+  2: required string pool,
+  /** Address of the endpoint, IP:PORT. */
+  3: required string address,
+  /** Data hall of its VM. */
+  4: required string hall,
+  /** How its VM is bought. */
+  5: required PriceClass price_class,
+  /** Price of its VM in thousandths of the currency unit an hour. */
+  6: required i64 price_milli,
+  /** Requests it runs at once. */
+  7: required i32 slots,
+}
+
+/** What a template sets and a team may override. */
+struct Team {
+  /** Name of the team. */
+  1: required string name,
+  /** SHA-256 of the team's credential, in hexadecimal. */
+  2: required string credential_sha256,
+  /** Most urgent class the team may ask for, and its default. */
+  3: required Priority priority,
+  /** Target time to the first token or to the answer of a service, in milliseconds. */
+  4: required i64 target_ms,
+  /** Longest time a request may take, in milliseconds. */
+  5: required i64 deadline_ms,
+  /** Pools that serve the team. */
+  6: required list<string> pools,
+  /** Requests a second, fleet-wide. */
+  7: required i64 rate,
+  /** Requests at once, fleet-wide. */
+  8: required i64 concurrency,
+  /** Spending an hour in thousandths of the currency unit, fleet-wide. */
+  9: required i64 budget_milli,
+  /** Weight of latency against cost, 0 (cost only) to 100 (latency only). */
+  10: required i32 latency_weight,
+  /** Price of a thousand generated tokens in thousandths of the currency unit. */
+  11: required i64 token_price_milli,
+}
+
+/** The fleet configuration: what operators edit and every node applies whole. */
+struct Configuration {
+  1: required list<Pool> pools,
+  2: required list<Endpoint> endpoints,
+  3: required list<Team> teams,
+}
--- /dev/null
+++ b/components/settings/src/lib.rs
@@ -0,0 +1,12 @@
+//! Reads INI settings into the checked types of the schema.
+//!
+//! Every fault of a file is reported at once, each with its line and its remedy.
+
+mod configuration;
+mod fault;
+mod node;
+mod reader;
+
+pub use configuration::{credential_hash, read_configuration};
+pub use fault::{Fault, Faults};
+pub use node::read_node;
--- /dev/null
+++ b/components/state/src/lease.rs
@@ -0,0 +1,332 @@
+//! A lease on fleet work, with an epoch that only grows.
+//!
+//! Clocks of different nodes are never compared. A holder counts its lease from the moment before
+//! it sent the write that renewed it; everyone else counts from the moment they first saw the
+//! row's version, which is later. A holder stops ordering a margin before its lease ends, and a
+//! new holder starts ordering a margin after it took the lease, so that the last order of one
+//! reaches an endpoint before the first order of the next, also where fences are not checked.
+
+use std::time::Duration;
+
+use schema::messages::LeaseRow;
+
+use crate::table::{Reply, Row, TableCall, Write, ABSENT};
+
+/// Fixed terms of a lease.
+#[derive(Clone, Debug)]
+pub struct LeaseTerms {
+    /// Key of its row.
+    pub key: String,
+    /// Name of this node.
+    pub node: String,
+    /// Time that a renewal holds.
+    pub duration: Duration,
+    /// Longest time an order takes to reach its endpoint and end there.
+    pub margin: Duration,
+    /// Pause between renewals of a holder and between looks of the others.
+    pub interval: Duration,
+}
+
+/// What happens to a lease.
+#[derive(Clone, Debug)]
+pub enum LeaseEvent {
+    /// Time passed. `write` is a unique id for a write that may follow.
+    Tick {
+        /// Unique id.
+        write: String,
+        /// Whether this node may try for the lease.
+        candidate: bool,
+    },
+    /// A table call came back; only the one asked for last counts.
+    Replied {
+        /// Number of the call.
+        call: u32,
+        /// Its reply.
+        reply: Reply,
+    },
+    /// The node stops: give the lease up.
+    Release {
+        /// Unique id.
+        write: String,
+    },
+}
+
+/// What a lease asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LeaseAction {
+    /// Make a table call and hand in its reply.
+    Call {
+        /// Number of the call.
+        call: u32,
+        /// The call.
+        table: TableCall,
+    },
+    /// The lease is held with this epoch.
+    Gained(i64),
+    /// The lease is not held any more.
+    Lost,
+}
+
+#[derive(Clone, Debug)]
+struct Pending {
+    sent_at: Duration,
+    row: Option<LeaseRow>,
+}
+
+#[derive(Clone, Debug)]
+struct Held {
+    epoch: i64,
+    until: Duration,
+    orders_from: Duration,
+}
+
+/// One node's view of one lease.
+#[derive(Debug)]
+pub struct Lease {
+    terms: LeaseTerms,
+    seen_version: u64,
+    seen_row: Option<LeaseRow>,
+    seen_at: Option<Duration>,
+    pending: Option<Pending>,
+    // A write whose answer was lost and which may yet take effect.
+    unsettled: Option<Pending>,
+    held: Option<Held>,
+    next_call: Duration,
+    call: u32,
+}
+
+impl Lease {
+    /// A lease of which nothing is known yet.
+    pub fn new(terms: LeaseTerms) -> Self {
+        Lease {
+            terms,
+            seen_version: ABSENT,
+            seen_row: None,
+            seen_at: None,
+            pending: None,
+            unsettled: None,
+            held: None,
+            next_call: Duration::ZERO,
+            call: 0,
+        }
+    }
+
+    /// The epoch to put on an order sent now, or `None` if no order may be sent. Ask right before
+    /// each order.
+    pub fn may_order(&self, now: Duration) -> Option<i64> {
+        let held = self.held.as_ref()?;
+        let inside = now >= held.orders_from && now + self.terms.margin < held.until;
+        inside.then_some(held.epoch)
+    }
+
+    /// The holder named by the row last read, for `status`.
+    pub fn holder(&self) -> Option<(&str, i64)> {
+        let row = self.seen_row.as_ref()?;
+        Some((row.holder.as_str(), row.epoch))
+    }
+
+    /// Takes one event and returns what is to be done, in order.
+    pub fn step(&mut self, now: Duration, event: LeaseEvent) -> Vec<LeaseAction> {
+        let mut actions = self.lapse(now);
+        match event {
+            LeaseEvent::Tick { write, candidate } => {
+                actions.extend(self.tick(now, write, candidate))
+            }
+            LeaseEvent::Replied { call, .. } if call != self.call => {}
+            LeaseEvent::Replied { reply, .. } => actions.extend(self.take_reply(now, reply)),
+            LeaseEvent::Release { write } => actions.extend(self.release(now, write)),
+        }
+        actions
+    }
+
+    fn lapse(&mut self, now: Duration) -> Vec<LeaseAction> {
+        match &self.held {
+            Some(held) if now >= held.until => {
+                self.held = None;
+                vec![LeaseAction::Lost]
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn tick(&mut self, now: Duration, write: String, candidate: bool) -> Vec<LeaseAction> {
+        let stuck = self
+            .pending
+            .as_ref()
+            .is_some_and(|p| now > p.sent_at + self.terms.duration);
+        if stuck {
+            self.unsettled = self.pending.take().filter(|p| p.row.is_some());
+        }
+        if self.pending.is_some() || now < self.next_call {
+            return Vec::new();
+        }
+        self.next_call = now + self.terms.interval;
+        if self.unsettled.is_some() || !self.may_write(now, candidate) {
+            return self.read(now);
+        }
+        let epoch = match (&self.held, &self.seen_row) {
+            (Some(held), _) => held.epoch,
+            (None, Some(row)) => row.epoch + 1,
+            (None, None) => 1,
+        };
+        let holder = self.terms.node.clone();
+        self.write(
+            now,
+            LeaseRow {
+                holder,
+                epoch,
+                write,
+            },
+        )
+    }
+
+    // A holder renews; a candidate writes once the row has not changed for a whole lease.
+    fn may_write(&self, now: Duration, candidate: bool) -> bool {
+        if self.held.is_some() {
+            return true;
+        }
+        let Some(seen_at) = self.seen_at else {
+            return false;
+        };
+        let free = self
+            .seen_row
+            .as_ref()
+            .is_none_or(|row| row.holder.is_empty());
+        candidate && (free || now >= seen_at + self.terms.duration + self.terms.margin)
+    }
+
+    fn read(&mut self, now: Duration) -> Vec<LeaseAction> {
+        self.pending = Some(Pending {
+            sent_at: now,
+            row: None,
+        });
+        self.number(TableCall::Read(self.terms.key.clone()))
+    }
+
+    fn write(&mut self, now: Duration, row: LeaseRow) -> Vec<LeaseAction> {
+        let value = schema::encode(&row).unwrap_or_default();
+        self.pending = Some(Pending {
+            sent_at: now,
+            row: Some(row),
+        });
+        self.number(TableCall::Transact(vec![Write {
+            key: self.terms.key.clone(),
+            expect: self.seen_version,
+            value,
+        }]))
+    }
+
+    fn number(&mut self, table: TableCall) -> Vec<LeaseAction> {
+        self.call += 1;
+        vec![LeaseAction::Call {
+            call: self.call,
+            table,
+        }]
+    }
+
+    fn take_reply(&mut self, now: Duration, reply: Reply) -> Vec<LeaseAction> {
+        let Some(pending) = self.pending.take() else {
+            return Vec::new();
+        };
+        match reply {
+            Reply::Row(row) => self.take_row(now, row),
+            Reply::Committed => self.take_commit(now, pending),
+            Reply::Conflict => {
+                self.next_call = now;
+                Vec::new()
+            }
+            Reply::Unanswered => {
+                if pending.row.is_some() {
+                    self.unsettled = Some(pending);
+                    self.next_call = now;
+                }
+                Vec::new()
+            }
+            Reply::Refused => Vec::new(),
+        }
+    }
+
+    fn take_commit(&mut self, now: Duration, pending: Pending) -> Vec<LeaseAction> {
+        let Some(row) = pending.row else {
+            return Vec::new();
+        };
+        self.see(now, self.seen_version + 1, Some(row.clone()));
+        self.take_hold(now, pending.sent_at, &row)
+    }
+
+    fn take_row(&mut self, now: Duration, row: Option<Row>) -> Vec<LeaseAction> {
+        let version = row.as_ref().map_or(ABSENT, |r| r.version);
+        let decoded = row.and_then(|r| schema::decode::<LeaseRow>(&r.value).ok());
+        if self.seen_at.is_none() || version != self.seen_version {
+            self.see(now, version, decoded.clone());
+        }
+        let unsettled = self.unsettled.take();
+        let found = decoded.unwrap_or(LeaseRow {
+            holder: String::new(),
+            epoch: 0,
+            write: String::new(),
+        });
+        if let Some(Pending {
+            sent_at,
+            row: Some(ours),
+        }) = unsettled
+        {
+            if ours.write == found.write {
+                return self.take_hold(now, sent_at, &ours);
+            }
+        }
+        self.drop_if_taken(&found)
+    }
+
+    fn see(&mut self, now: Duration, version: u64, row: Option<LeaseRow>) {
+        self.seen_version = version;
+        self.seen_row = row;
+        self.seen_at = Some(now);
+    }
+
+    fn drop_if_taken(&mut self, found: &LeaseRow) -> Vec<LeaseAction> {
+        match &self.held {
+            Some(held) if held.epoch < found.epoch => {
+                self.held = None;
+                vec![LeaseAction::Lost]
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    // The lease counts from before the write was sent: others can see it only later.
+    fn take_hold(&mut self, now: Duration, sent_at: Duration, row: &LeaseRow) -> Vec<LeaseAction> {
+        if row.holder != self.terms.node {
+            self.held = None;
+            return vec![LeaseAction::Lost];
+        }
+        let until = sent_at + self.terms.duration;
+        if now >= until {
+            return Vec::new();
+        }
+        if let Some(held) = self.held.as_mut().filter(|h| h.epoch == row.epoch) {
+            held.until = held.until.max(until);
+            return Vec::new();
+        }
+        self.held = Some(Held {
+            epoch: row.epoch,
+            until,
+            orders_from: now + self.terms.margin,
+        });
+        vec![LeaseAction::Gained(row.epoch)]
+    }
+
+    fn release(&mut self, now: Duration, write: String) -> Vec<LeaseAction> {
+        let Some(held) = self.held.take() else {
+            return Vec::new();
+        };
+        let row = LeaseRow {
+            holder: String::new(),
+            epoch: held.epoch,
+            write,
+        };
+        let mut actions = vec![LeaseAction::Lost];
+        actions.extend(self.write(now, row));
+        actions
+    }
+}
--- /dev/null
+++ b/components/telemetry/src/lib.rs
@@ -0,0 +1,9 @@
+//! What a node shows of itself: counters first, log lines for changes of state, a span a hop.
+
+mod log;
+mod metrics;
+mod trace;
+
+pub use log::{discard, logger};
+pub use metrics::{Counter, Metrics, Timer};
+pub use trace::{Hop, Traces};
--- /dev/null
+++ b/components/telemetry/src/log.rs
@@ -0,0 +1,30 @@
+//! Log lines on standard error, for changes of state only.
+
+use slog::{o, Drain, Logger};
+
+/// Lines kept while standard error is slow; later ones are dropped and counted by slog.
+const QUEUE: usize = 1024;
+
+/// A logger in the format `json` or, for anything else, for a terminal.
+pub fn logger(format: &str, node: &str) -> Logger {
+    let drain = match format {
+        "json" => queue(slog_json::Json::default(std::io::stderr()).fuse()),
+        _ => {
+            let decorator = slog_term::TermDecorator::new().stderr().build();
+            queue(slog_term::FullFormat::new(decorator).build().fuse())
+        }
+    };
+    Logger::root(drain.fuse(), o!("node" => node.to_string()))
+}
+
+/// A logger that writes nothing, for tests and embedded use.
+pub fn discard() -> Logger {
+    Logger::root(slog::Discard, o!())
+}
+
+fn queue<D>(drain: D) -> slog_async::Async
+where
+    D: Drain<Err = slog::Never, Ok = ()> + Send + 'static,
+{
+    slog_async::Async::new(drain).chan_size(QUEUE).build()
+}
--- /dev/null
+++ b/components/telemetry/src/metrics.rs
@@ -0,0 +1,166 @@
+//! Counters and timers, sent to statsd and kept for `status`.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use cadence::{Counted, NopMetricSink, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink};
+
+/// Prefix of every name.
+const PREFIX: &str = "croftpond";
+
+macro_rules! named {
+    ($(#[$outer:meta])* $kind:ident { $($(#[$doc:meta])* $variant:ident => $name:literal,)* }) => {
+        $(#[$outer])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+        pub enum $kind { $($(#[$doc])* $variant,)* }
+
+        impl $kind {
+            /// All of them, in the order of the documentation.
+            pub const ALL: &'static [$kind] = &[$($kind::$variant,)*];
+
+            /// Name sent to statsd.
+            pub fn name(self) -> &'static str {
+                match self { $($kind::$variant => $name,)* }
+            }
+        }
+    };
+}
+
+named! {
+    /// Counters; docs/operations.md lists them.
+    Counter {
+        /// Requests accepted for work.
+        Accepted => "request.accepted",
+        /// Requests answered whole.
+        Done => "request.done",
+        /// Requests refused as not run.
+        Refused => "request.refused",
+        /// Requests that may have run and have no whole answer.
+        Failed => "request.failed",
+        /// Requests whose caller hung up.
+        Abandoned => "request.abandoned",
+        /// Attempts sent to endpoints.
+        Attempts => "attempt.sent",
+        /// Attempts after a failure.
+        Retries => "attempt.retry",
+        /// Attempts beside a slow one.
+        Hedges => "attempt.hedge",
+        /// Streams moved off a leaving endpoint.
+        Moves => "attempt.move",
+        /// Batch streams that made room.
+        Yields => "attempt.yield",
+        /// Retries refused for lack of budget.
+        RetryBudget => "attempt.no_budget",
+        /// Streams taken up from a resume token.
+        Resumed => "request.resumed",
+        /// Tokens given to callers.
+        Tokens => "token.sent",
+        /// Tokens of prompt and answer computed again after a move or resume.
+        Recomputed => "token.recomputed",
+        /// Claims made.
+        Claims => "claim.made",
+        /// Duplicates answered from a stored outcome.
+        ClaimStored => "claim.stored",
+        /// Calls to the table.
+        TableCalls => "platform.table",
+        /// Calls to the platform without an answer.
+        PlatformUnanswered => "platform.unanswered",
+        /// Datagrams sent to other nodes.
+        PacketsSent => "peer.sent",
+        /// Bytes of those datagrams.
+        BytesSent => "peer.bytes_sent",
+        /// Datagrams taken from other nodes.
+        PacketsTaken => "peer.taken",
+        /// Datagrams dropped as malformed, foreign, oversized or replayed.
+        PacketsDropped => "peer.dropped",
+        /// Configurations put in force.
+        Applied => "config.applied",
+        /// Orders sent to endpoints.
+        Orders => "fleet.order",
+        /// Listener restarts after a failed accept.
+        ListenerRestarts => "listener.restart",
+    }
+}
+
+named! {
+    /// Timers; docs/operations.md lists them.
+    Timer {
+        /// From a request's arrival to its first token or service answer.
+        FirstToken => "time.first_token",
+        /// From a request's arrival to its end.
+        Whole => "time.whole",
+        /// One routing decision.
+        Decision => "time.decision",
+    }
+}
+
+/// The counters and timers of one node.
+pub struct Metrics {
+    client: StatsdClient,
+    counts: BTreeMap<Counter, AtomicU64>,
+}
+
+impl std::fmt::Debug for Metrics {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Metrics")
+            .field("counts", &self.counts)
+            .finish()
+    }
+}
+
+impl Metrics {
+    /// Metrics sent to a statsd address, or only kept when there is none.
+    pub fn new(statsd: Option<SocketAddr>) -> std::io::Result<Self> {
+        let client = match statsd {
+            None => StatsdClient::from_sink(PREFIX, NopMetricSink),
+            Some(address) => StatsdClient::from_sink(PREFIX, sink(address)?),
+        };
+        let counts = Counter::ALL
+            .iter()
+            .map(|c| (*c, AtomicU64::new(0)))
+            .collect();
+        Ok(Metrics { client, counts })
+    }
+
+    /// Adds one.
+    pub fn count(&self, counter: Counter) {
+        self.add(counter, 1);
+    }
+
+    /// Adds `n`.
+    pub fn add(&self, counter: Counter, n: u64) {
+        if let Some(count) = self.counts.get(&counter) {
+            count.fetch_add(n, Ordering::Relaxed);
+        }
+        let _ = self.client.count(counter.name(), n as i64);
+    }
+
+    /// Notes a duration.
+    pub fn time(&self, timer: Timer, duration: Duration) {
+        let _ = self.client.time(timer.name(), duration);
+    }
+
+    /// What was counted so far.
+    pub fn get(&self, counter: Counter) -> u64 {
+        self.counts
+            .get(&counter)
+            .map_or(0, |c| c.load(Ordering::Relaxed))
+    }
+
+    /// All counters by name.
+    pub fn all(&self) -> BTreeMap<&'static str, u64> {
+        Counter::ALL
+            .iter()
+            .map(|c| (c.name(), self.get(*c)))
+            .collect()
+    }
+}
+
+// A queue of its own keeps a slow network off the traffic threads.
+fn sink(address: SocketAddr) -> std::io::Result<QueuingMetricSink> {
+    let socket = UdpSocket::bind("0.0.0.0:0")?;
+    let udp = UdpMetricSink::from(address, socket).map_err(std::io::Error::other)?;
+    Ok(QueuingMetricSink::from(udp))
+}
--- /dev/null
+++ b/components/transport/src/engine.rs
@@ -0,0 +1,186 @@
+//! Client of a model engine.
+//!
+//! The [`Engine`] trait is all that the rest of croftpond sees; another engine's protocol is
+//! another implementation of it.
+
+use std::io::{BufRead, BufReader, ErrorKind};
+
+use crate::wire::{ChunkLine, GenerateBody, LoadBody, OrderBody};
+
+/// Longest line of an engine's answer, in bytes.
+const MAX_LINE_BYTES: usize = 64 * 1024;
+/// Time for short calls, in seconds.
+const SHORT_CALL_SECS: u64 = 2;
+
+/// Request for a generation.
+pub type Generate = GenerateBody;
+/// An endpoint's load.
+pub type LoadReport = LoadBody;
+
+/// An engine and stream that KV cache can be imported from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KvSource {
+    /// Address of the engine.
+    pub address: String,
+    /// Stream there.
+    pub stream: String,
+}
+
+/// A piece of an engine's answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Piece {
+    /// The engine started and names its stream.
+    Stream(String),
+    /// A token.
+    Token {
+        /// Offset in the answer.
+        offset: u64,
+        /// Text.
+        text: String,
+    },
+    /// The whole answer has this many tokens.
+    End(u64),
+}
+
+/// How a generation ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// The answer came to its end, or the receiver asked to stop.
+    Complete,
+    /// The engine proved that it did not start.
+    NotStarted,
+    /// The connection broke or the engine failed after it may have started.
+    Broken,
+}
+
+/// A short call that failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EngineError(pub String);
+
+impl std::fmt::Display for EngineError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "the endpoint did not answer as expected: {}", self.0)
+    }
+}
+
+impl std::error::Error for EngineError {}
+
+/// What croftpond asks of a model engine.
+pub trait Engine: Send + Sync {
+    /// Runs a generation and hands over its pieces until the receiver returns `false`.
+    fn generate(
+        &self,
+        address: &str,
+        request: &Generate,
+        receive: &mut dyn FnMut(Piece) -> bool,
+    ) -> AttemptEnd;
+
+    /// Cancels a stream; cancelling one that is over does nothing.
+    fn cancel(&self, address: &str, stream: &str) -> Result<(), EngineError>;
+
+    /// Reads the load.
+    fn load(&self, address: &str) -> Result<LoadReport, EngineError>;
+
+    /// Orders the endpoint to serve a model. Repeating an order does nothing.
+    fn order(&self, address: &str, order: &OrderBody) -> Result<(), EngineError>;
+}
+
+/// The engine protocol of docs/interfaces.md.
+#[derive(Clone, Debug, Default)]
+pub struct HttpEngine;
+
+impl Engine for HttpEngine {
+    fn generate(
+        &self,
+        address: &str,
+        request: &Generate,
+        receive: &mut dyn FnMut(Piece) -> bool,
+    ) -> AttemptEnd {
+        let body = match serde_json::to_string(request) {
+            Ok(body) => body,
+            Err(_) => return AttemptEnd::NotStarted,
+        };
+        let sent = minreq::post(format!("http://{address}/generate"))
+            .with_header("Content-Type", "application/json")
+            .with_header("Connection", "close")
+            .with_follow_redirects(false)
+            .with_body(body)
+            .send_lazy();
+        match sent {
+            Ok(response) if response.status_code == 200 => read_lines(response, receive),
+            // The protocol answers 503 and 409 only before a start.
+            Ok(response) if matches!(response.status_code, 409 | 503) => AttemptEnd::NotStarted,
+            Ok(_) => AttemptEnd::Broken,
+            Err(error) => end_of(&error),
+        }
+    }
+
+    fn cancel(&self, address: &str, stream: &str) -> Result<(), EngineError> {
+        let body = serde_json::json!({ "stream": stream }).to_string();
+        post(address, "/cancel", body)
+    }
+
+    fn load(&self, address: &str) -> Result<LoadReport, EngineError> {
+        let response = minreq::get(format!("http://{address}/load"))
+            .with_timeout(SHORT_CALL_SECS)
+            .send()
+            .map_err(|e| EngineError(e.to_string()))?;
+        serde_json::from_slice(response.as_bytes()).map_err(|e| EngineError(e.to_string()))
+    }
+
+    fn order(&self, address: &str, order: &OrderBody) -> Result<(), EngineError> {
+        let body = serde_json::to_string(order).map_err(|e| EngineError(e.to_string()))?;
+        post(address, "/orders", body)
+    }
+}
+
+/// How an attempt ended whose call failed: only a refused connection proves that nothing started.
+pub(crate) fn end_of(error: &minreq::Error) -> AttemptEnd {
+    match error {
+        minreq::Error::IoError(e) if e.kind() == ErrorKind::ConnectionRefused => {
+            AttemptEnd::NotStarted
+        }
+        _ => AttemptEnd::Broken,
+    }
+}
+
+fn post(address: &str, path: &str, body: String) -> Result<(), EngineError> {
+    let response = minreq::post(format!("http://{address}{path}"))
+        .with_header("Content-Type", "application/json")
+        .with_timeout(SHORT_CALL_SECS)
+        .with_body(body)
+        .send()
+        .map_err(|e| EngineError(e.to_string()))?;
+    match response.status_code {
+        200 | 204 => Ok(()),
+        status => Err(EngineError(format!("status {status} on {path}"))),
+    }
+}
+
+fn read_lines(
+    response: minreq::ResponseLazy,
+    receive: &mut dyn FnMut(Piece) -> bool,
+) -> AttemptEnd {
+    let mut reader = BufReader::new(response);
+    let mut line = String::new();
+    loop {
+        line.clear();
+        let limited = &mut std::io::Read::take(&mut reader, MAX_LINE_BYTES as u64);
+        match limited.read_line(&mut line) {
+            Ok(n) if n > 0 && line.ends_with('\n') => {}
+            _ => return AttemptEnd::Broken,
+        }
+        let Ok(parsed) = serde_json::from_str::<ChunkLine>(&line) else {
+            return AttemptEnd::Broken;
+        };
+        let piece = match parsed {
+            ChunkLine::Stream(stream) => Piece::Stream(stream),
+            ChunkLine::Token { offset, text } => Piece::Token { offset, text },
+            ChunkLine::End(total) => Piece::End(total),
+        };
+        let last = matches!(piece, Piece::End(_));
+        if !receive(piece) || last {
+            return AttemptEnd::Complete;
+        }
+    }
+}
--- /dev/null
+++ b/components/transport/src/lib.rs
@@ -0,0 +1,19 @@
+//! Sockets: callers and endpoints over HTTP, other nodes over UDP, and the signing of both.
+
+mod auth;
+mod engine;
+mod listener;
+mod peer;
+mod resume;
+mod service;
+mod wire;
+
+pub use auth::{sign, verify, Key, TAG_BYTES};
+pub use engine::{
+    AttemptEnd, Engine, EngineError, Generate, HttpEngine, KvSource, LoadReport, Piece,
+};
+pub use listener::{bind_http, read_body, BodyError, Bounds};
+pub use peer::{open_packet, seal_packet, PacketError, ReplayGuard, MAX_DATAGRAM};
+pub use resume::{issue, redeem, ResumeError};
+pub use service::{call_service, ServiceCall, ServiceReply};
+pub use wire::{ChatMessage, ChatRequest, ChunkLine, GenerateBody, LoadBody, OrderBody};
--- /dev/null
+++ b/src/cmd/serve.rs
@@ -0,0 +1,33 @@
+//! `croftpond serve`: one entry node until it is asked to stop.
+
+use std::process::ExitCode;
+
+use error_stack::ResultExt;
+use node::{Node, Platform};
+
+use super::signals::StopSignals;
+use super::{read_file, CommandError, Outcome, EXIT_FAULTS};
+use crate::cli::Serve;
+
+/// Runs the command.
+pub fn run(args: &Serve) -> Outcome {
+    let text = read_file(&args.node)?;
+    let settings = match settings::read_node(&args.node, &text) {
+        Ok(settings) => settings,
+        Err(faults) => {
+            eprint!("{faults}");
+            return Ok(ExitCode::from(EXIT_FAULTS));
+        }
+    };
+    let mut signals = StopSignals::new()?;
+    let log = telemetry::logger(&settings.log_format, &settings.name);
+    let platform = Platform::of(&settings);
+    let node = Node::start(settings, platform, log)
+        .change_context(CommandError("the node could not start"))?;
+    println!("listening on {}", node.address());
+    signals.wait();
+    match node.finish_stop() {
+        true => Ok(ExitCode::SUCCESS),
+        false => Ok(ExitCode::from(super::EXIT_FAILED)),
+    }
+}
--- /dev/null
+++ b/standins/src/fleet.rs
@@ -0,0 +1,258 @@
+//! A whole small fleet in one process: entry nodes, engines, an application and the platform.
+
+use std::io::{BufRead, BufReader};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use error_stack::{Report, ResultExt};
+use node::{Node, NodeError, Platform};
+use slog::Logger;
+
+use crate::{Application, EngineOptions, ModelEngine, PlatformService};
+
+/// Credential of the fleet's team `desk`.
+pub const CREDENTIAL: &str = "desk-credential";
+/// Credential of the fleet's team `drafts`, which runs in the batch class.
+pub const DRAFTS_CREDENTIAL: &str = "drafts-credential";
+/// Key of all nodes, for every purpose.
+pub const KEY: &str = "fleet-key-0123456789";
+
+/// Size and parts of a fleet.
+#[derive(Clone, Debug)]
+pub struct FleetOptions {
+    /// Entry nodes.
+    pub nodes: usize,
+    /// Model engines; engine n stands in data hall `hall-{n % halls}`.
+    pub engines: Vec<EngineOptions>,
+    /// Data halls.
+    pub halls: usize,
+    /// Lines added to the settings of each node.
+    pub settings: String,
+    /// Lines added to the configuration.
+    pub configuration: String,
+    /// Keys of team `desk` that replace those of its template.
+    pub desk: String,
+}
+
+impl Default for FleetOptions {
+    fn default() -> Self {
+        FleetOptions {
+            nodes: 2,
+            engines: vec![EngineOptions::default(); 3],
+            halls: 2,
+            settings: String::new(),
+            configuration: String::new(),
+            desk: String::new(),
+        }
+    }
+}
+
+/// A running fleet; everything stops when it is dropped.
+pub struct Fleet {
+    /// Entry nodes.
+    pub nodes: Vec<Node>,
+    /// Model engines.
+    pub engines: Vec<ModelEngine>,
+    /// The application behind `/holds/`.
+    pub application: Application,
+    /// The platform.
+    pub platform: PlatformService,
+    /// Text of the first configuration.
+    pub configuration: String,
+    bootstrap: PathBuf,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.bootstrap);
+    }
+}
+
+impl Fleet {
+    /// Starts a fleet and waits until its nodes are ready.
+    pub fn start(options: &FleetOptions, log: &Logger) -> Result<Self, Report<NodeError>> {
+        let start = |o: &EngineOptions| ModelEngine::start(o.clone());
+        let engines: Vec<ModelEngine> = options
+            .engines
+            .iter()
+            .map(start)
+            .collect::<Result<_, _>>()
+            .change_context(NodeError)?;
+        let application = Application::start().change_context(NodeError)?;
+        let platform = PlatformService::start(1).change_context(NodeError)?;
+        let configuration = configuration(options, &engines, &application);
+        let bootstrap = temporary_file();
+        std::fs::write(&bootstrap, &configuration).change_context(NodeError)?;
+        let mut fleet = Fleet {
+            nodes: Vec::new(),
+            engines,
+            application,
+            platform,
+            configuration,
+            bootstrap,
+        };
+        for number in 0..options.nodes {
+            let node = fleet.start_node(number, options, log)?;
+            fleet.nodes.push(node);
+        }
+        while !fleet.nodes.iter().all(Node::is_ready) {
+            std::thread::yield_now();
+        }
+        Ok(fleet)
+    }
+
+    /// Starts one more node.
+    pub fn start_node(
+        &self,
+        number: usize,
+        options: &FleetOptions,
+        log: &Logger,
+    ) -> Result<Node, Report<NodeError>> {
+        let text = self.node_settings(number, options);
+        let settings = settings::read_node("fleet", &text).change_context(NodeError)?;
+        let platform = Platform::of(&settings);
+        Node::start(settings, platform, log.clone())
+    }
+
+    fn node_settings(&self, number: usize, options: &FleetOptions) -> String {
+        let url = format!("http://{}", self.platform.address());
+        let hall = number % options.halls.max(1);
+        format!(
+            "[node]\nname = entry-{number}\nregion = home\nhall = hall-{hall}\n\
+             listen = 127.0.0.1:0\npeer_listen = 127.0.0.1:0\nbootstrap = {}\n\
+             [keys]\npeer_key = {KEY}\nresume_key = {KEY}\noperator_key = {KEY}\n\
+             [platform]\ntable_url = {url}\nobjects_url = {url}\ncloud_url = {url}\n{}",
+            self.bootstrap.display(),
+            options.settings,
+        )
+    }
+
+    /// A call of a node as team `desk`.
+    pub fn request(&self, node: usize, method: minreq::Method, path: &str) -> minreq::Request {
+        let address = self.nodes[node].address();
+        minreq::Request::new(method, format!("http://{address}{path}"))
+            .with_header("Authorization", format!("Bearer {CREDENTIAL}"))
+    }
+
+    /// Starts a streamed completion.
+    pub fn chat(&self, node: usize, content: &str, max_tokens: u32) -> Events {
+        self.chat_with(node, content, max_tokens, &[])
+    }
+
+    /// Starts a streamed completion with more headers.
+    pub fn chat_with(
+        &self,
+        node: usize,
+        content: &str,
+        max_tokens: u32,
+        headers: &[(&str, &str)],
+    ) -> Events {
+        let mut request = self
+            .request(node, minreq::Method::Post, "/v1/chat/completions")
+            .with_body(chat_body(content, max_tokens, true));
+        for (name, value) in headers {
+            request = request.with_header(*name, *value);
+        }
+        let response = request.send_lazy().expect("the node answers");
+        Events {
+            status: response.status_code,
+            reader: BufReader::new(response),
+        }
+    }
+
+    /// Makes a hold, with an idempotency key or without.
+    pub fn hold(&self, node: usize, path: &str, key: Option<&str>) -> minreq::Response {
+        let mut request = self
+            .request(node, minreq::Method::Post, path)
+            .with_body("{}");
+        if let Some(key) = key {
+            request = request.with_header("Idempotency-Key", key);
+        }
+        request.send().expect("the node answers")
+    }
+}
+
+/// Body of a completion request with one message.
+pub fn chat_body(content: &str, max_tokens: u32, stream: bool) -> String {
+    serde_json::json!({
+        "model": "story",
+        "stream": stream,
+        "max_tokens": max_tokens,
+        "messages": [{ "role": "user", "content": content }],
+    })
+    .to_string()
+}
+
+/// The events of a streamed answer.
+pub struct Events {
+    /// Status of the answer.
+    pub status: u16,
+    reader: BufReader<minreq::ResponseLazy>,
+}
+
+impl Iterator for Events {
+    type Item = String;
+
+    /// The data of the next event; comments are skipped.
+    fn next(&mut self) -> Option<String> {
+        let mut line = String::new();
+        loop {
+            line.clear();
+            match self.reader.read_line(&mut line) {
+                Ok(0) | Err(_) => return None,
+                Ok(_) => {}
+            }
+            if let Some(data) = line.trim_end().strip_prefix("data: ") {
+                return Some(data.to_string());
+            }
+            if self.status != 200 && !line.trim().is_empty() {
+                return Some(line.trim().to_string());
+            }
+        }
+    }
+}
+
+/// Text of one event, if it has any.
+pub fn event_text(event: &str) -> Option<String> {
+    let event: serde_json::Value = serde_json::from_str(event).ok()?;
+    event["choices"][0]["delta"]["content"]
+        .as_str()
+        .map(str::to_string)
+}
+
+fn temporary_file() -> PathBuf {
+    static COUNT: AtomicU64 = AtomicU64::new(0);
+    let count = COUNT.fetch_add(1, Ordering::Relaxed);
+    std::env::temp_dir().join(format!("croftpond-{}-{count}.ini", std::process::id()))
+}
+
+fn configuration(
+    options: &FleetOptions,
+    engines: &[ModelEngine],
+    application: &Application,
+) -> String {
+    let hash = settings::credential_hash(CREDENTIAL);
+    let drafts = settings::credential_hash(DRAFTS_CREDENTIAL);
+    let mut text = format!(
+        "[pool story]\nkind = model\nroute = story\n\
+         [pool holds]\nkind = service\nroute = /holds/\n\
+         [template standard]\npriority = interactive\ntarget = 520ms\ndeadline = 30000ms\n\
+         pools = story,holds\nrate = 500/s\nconcurrency = 200\nbudget = 100/h\n\
+         latency_weight = 70\ntoken_price = 0.02\n\
+         [team desk]\ntemplate = standard\ncredential_sha256 = {hash}\n{}\n\
+         [team drafts]\ntemplate = standard\npriority = batch\ncredential_sha256 = {drafts}\n\
+         [endpoint holds-1]\npool = holds\naddress = {}\nhall = hall-0\nprice = 0.2/h\nslots = 32\n",
+        options.desk,
+        application.address(),
+    );
+    for (n, engine) in engines.iter().enumerate() {
+        text += &format!(
+            "[endpoint engine-{n}]\npool = story\naddress = {}\nhall = hall-{}\nprice = 1.2/h\n\
+             slots = {}\n",
+            engine.address(),
+            n % options.halls.max(1),
+            options.engines[n].slots,
+        );
+    }
+    text + &options.configuration
+}
