--- a/components/schema/src/messages.rs
+++ b/components/schema/src/messages.rs
@@ -32,9 +32,9 @@
     pub const PING: Kind = Kind(1);
     pub const ACK: Kind = Kind(2);
     pub const PING_REQUEST: Kind = Kind(3);
-    pub const SUMMARY: Kind = Kind(4);
+    pub const NEWS: Kind = Kind(4);
     pub const ENUM_VALUES: &'static [Self] =
-        &[Self::PING, Self::ACK, Self::PING_REQUEST, Self::SUMMARY];
+        &[Self::PING, Self::ACK, Self::PING_REQUEST, Self::NEWS];
 }
 
 impl TSerializable for Kind {
@@ -54,7 +54,7 @@
             1 => Kind::PING,
             2 => Kind::ACK,
             3 => Kind::PING_REQUEST,
-            4 => Kind::SUMMARY,
+            4 => Kind::NEWS,
             _ => Kind(i),
         }
     }
@@ -191,7 +191,8 @@
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct MemberNews {
     pub name: String,
-    pub hall: String,
+    /// Cell the node belongs to: the nodes that tell each other everything.
+    pub cell: String,
     pub address: String,
     pub incarnation: i64,
     pub state: MemberState,
@@ -200,14 +201,14 @@
 impl MemberNews {
     pub fn new(
         name: String,
-        hall: String,
+        cell: String,
         address: String,
         incarnation: i64,
         state: MemberState,
     ) -> MemberNews {
         MemberNews {
             name,
-            hall,
+            cell,
             address,
             incarnation,
             state,
@@ -258,14 +259,14 @@
         }
         i_prot.read_struct_end()?;
         verify_required_field_exists("MemberNews.name", &f_1)?;
-        verify_required_field_exists("MemberNews.hall", &f_2)?;
+        verify_required_field_exists("MemberNews.cell", &f_2)?;
         verify_required_field_exists("MemberNews.address", &f_3)?;
         verify_required_field_exists("MemberNews.incarnation", &f_4)?;
         verify_required_field_exists("MemberNews.state", &f_5)?;
         let ret = MemberNews {
             name: f_1
                 .expect("auto-generated code should have checked for presence of required fields"),
-            hall: f_2
+            cell: f_2
                 .expect("auto-generated code should have checked for presence of required fields"),
             address: f_3
                 .expect("auto-generated code should have checked for presence of required fields"),
@@ -282,8 +283,8 @@
         o_prot.write_field_begin(&TFieldIdentifier::new("name", TType::String, 1))?;
         o_prot.write_string(&self.name)?;
         o_prot.write_field_end()?;
-        o_prot.write_field_begin(&TFieldIdentifier::new("hall", TType::String, 2))?;
-        o_prot.write_string(&self.hall)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("cell", TType::String, 2))?;
+        o_prot.write_string(&self.cell)?;
         o_prot.write_field_end()?;
         o_prot.write_field_begin(&TFieldIdentifier::new("address", TType::String, 3))?;
         o_prot.write_string(&self.address)?;
@@ -468,13 +469,13 @@
 }
 
 //
-// HallSummary
+// Summary
 //
 
-/// Load of one pool in one data hall, told by a speaker of that hall.
+/// Load of one pool in one cell, told by a speaker of that cell.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct HallSummary {
-    pub hall: String,
+pub struct Summary {
+    pub cell: String,
     pub pool: String,
     /// Counter of the speaker's summaries; a higher one is newer.
     pub round: i64,
@@ -483,32 +484,36 @@
     pub queued: i32,
     /// Endpoints that are leaving.
     pub leaving: Vec<String>,
+    /// Node that made the summary.
+    pub speaker: String,
 }
 
-impl HallSummary {
+impl Summary {
     pub fn new(
-        hall: String,
+        cell: String,
         pool: String,
         round: i64,
         endpoints: i32,
         free_slots: i32,
         queued: i32,
         leaving: Vec<String>,
-    ) -> HallSummary {
-        HallSummary {
-            hall,
+        speaker: String,
+    ) -> Summary {
+        Summary {
+            cell,
             pool,
             round,
             endpoints,
             free_slots,
             queued,
             leaving,
+            speaker,
         }
     }
 }
 
-impl TSerializable for HallSummary {
-    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<HallSummary> {
+impl TSerializable for Summary {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Summary> {
         i_prot.read_struct_begin()?;
         let mut f_1: Option<String> = None;
         let mut f_2: Option<String> = None;
@@ -517,6 +522,7 @@
         let mut f_5: Option<i32> = None;
         let mut f_6: Option<i32> = None;
         let mut f_7: Option<Vec<String>> = None;
+        let mut f_8: Option<String> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -558,6 +564,10 @@
                     i_prot.read_list_end()?;
                     f_7 = Some(val);
                 }
+                8 => {
+                    let val = i_prot.read_string()?;
+                    f_8 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -565,15 +575,16 @@
             i_prot.read_field_end()?;
         }
         i_prot.read_struct_end()?;
-        verify_required_field_exists("HallSummary.hall", &f_1)?;
-        verify_required_field_exists("HallSummary.pool", &f_2)?;
-        verify_required_field_exists("HallSummary.round", &f_3)?;
-        verify_required_field_exists("HallSummary.endpoints", &f_4)?;
-        verify_required_field_exists("HallSummary.free_slots", &f_5)?;
-        verify_required_field_exists("HallSummary.queued", &f_6)?;
-        verify_required_field_exists("HallSummary.leaving", &f_7)?;
-        let ret = HallSummary {
-            hall: f_1
+        verify_required_field_exists("Summary.cell", &f_1)?;
+        verify_required_field_exists("Summary.pool", &f_2)?;
+        verify_required_field_exists("Summary.round", &f_3)?;
+        verify_required_field_exists("Summary.endpoints", &f_4)?;
+        verify_required_field_exists("Summary.free_slots", &f_5)?;
+        verify_required_field_exists("Summary.queued", &f_6)?;
+        verify_required_field_exists("Summary.leaving", &f_7)?;
+        verify_required_field_exists("Summary.speaker", &f_8)?;
+        let ret = Summary {
+            cell: f_1
                 .expect("auto-generated code should have checked for presence of required fields"),
             pool: f_2
                 .expect("auto-generated code should have checked for presence of required fields"),
@@ -587,14 +598,16 @@
                 .expect("auto-generated code should have checked for presence of required fields"),
             leaving: f_7
                 .expect("auto-generated code should have checked for presence of required fields"),
+            speaker: f_8
+                .expect("auto-generated code should have checked for presence of required fields"),
         };
         Ok(ret)
     }
     fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
-        let struct_ident = TStructIdentifier::new("HallSummary");
+        let struct_ident = TStructIdentifier::new("Summary");
         o_prot.write_struct_begin(&struct_ident)?;
-        o_prot.write_field_begin(&TFieldIdentifier::new("hall", TType::String, 1))?;
-        o_prot.write_string(&self.hall)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("cell", TType::String, 1))?;
+        o_prot.write_string(&self.cell)?;
         o_prot.write_field_end()?;
         o_prot.write_field_begin(&TFieldIdentifier::new("pool", TType::String, 2))?;
         o_prot.write_string(&self.pool)?;
@@ -621,6 +634,9 @@
         }
         o_prot.write_list_end()?;
         o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("speaker", TType::String, 8))?;
+        o_prot.write_string(&self.speaker)?;
+        o_prot.write_field_end()?;
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -630,11 +646,12 @@
 // TeamDemand
 //
 
-/// Demand of one team at one node, the input of quota sharing.
+/// Demand of one team at one node, or summed over one cell: the input of quota sharing.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct TeamDemand {
     pub team: String,
-    pub node: String,
+    /// Name of the node or of the cell.
+    pub source: String,
     /// Counter of the node's reports; a higher one is newer.
     pub round: i64,
     /// Requests a second asked for, in thousandths.
@@ -642,10 +659,10 @@
 }
 
 impl TeamDemand {
-    pub fn new(team: String, node: String, round: i64, rate_milli: i64) -> TeamDemand {
+    pub fn new(team: String, source: String, round: i64, rate_milli: i64) -> TeamDemand {
         TeamDemand {
             team,
-            node,
+            source,
             round,
             rate_milli,
         }
@@ -690,13 +707,13 @@
         }
         i_prot.read_struct_end()?;
         verify_required_field_exists("TeamDemand.team", &f_1)?;
-        verify_required_field_exists("TeamDemand.node", &f_2)?;
+        verify_required_field_exists("TeamDemand.source", &f_2)?;
         verify_required_field_exists("TeamDemand.round", &f_3)?;
         verify_required_field_exists("TeamDemand.rate_milli", &f_4)?;
         let ret = TeamDemand {
             team: f_1
                 .expect("auto-generated code should have checked for presence of required fields"),
-            node: f_2
+            source: f_2
                 .expect("auto-generated code should have checked for presence of required fields"),
             round: f_3
                 .expect("auto-generated code should have checked for presence of required fields"),
@@ -711,8 +728,8 @@
         o_prot.write_field_begin(&TFieldIdentifier::new("team", TType::String, 1))?;
         o_prot.write_string(&self.team)?;
         o_prot.write_field_end()?;
-        o_prot.write_field_begin(&TFieldIdentifier::new("node", TType::String, 2))?;
-        o_prot.write_string(&self.node)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("source", TType::String, 2))?;
+        o_prot.write_string(&self.source)?;
         o_prot.write_field_end()?;
         o_prot.write_field_begin(&TFieldIdentifier::new("round", TType::I64, 3))?;
         o_prot.write_i64(self.round)?;
@@ -744,9 +761,10 @@
     pub subject: Option<String>,
     pub members: Option<Vec<MemberNews>>,
     pub endpoints: Option<Vec<EndpointNews>>,
-    pub summaries: Option<Vec<HallSummary>>,
+    pub summaries: Option<Vec<Summary>>,
     pub demands: Option<Vec<TeamDemand>>,
     pub config_version: Option<i64>,
+    /// Sent while some receiver may lack the version.
     pub config_hash: Option<String>,
 }
 
@@ -771,7 +789,7 @@
         F7: Into<Option<String>>,
         F8: Into<Option<Vec<MemberNews>>>,
         F9: Into<Option<Vec<EndpointNews>>>,
-        F10: Into<Option<Vec<HallSummary>>>,
+        F10: Into<Option<Vec<Summary>>>,
         F11: Into<Option<Vec<TeamDemand>>>,
         F12: Into<Option<i64>>,
         F13: Into<Option<String>>,
@@ -806,7 +824,7 @@
         let mut f_7: Option<String> = None;
         let mut f_8: Option<Vec<MemberNews>> = None;
         let mut f_9: Option<Vec<EndpointNews>> = None;
-        let mut f_10: Option<Vec<HallSummary>> = None;
+        let mut f_10: Option<Vec<Summary>> = None;
         let mut f_11: Option<Vec<TeamDemand>> = None;
         let mut f_12: Option<i64> = None;
         let mut f_13: Option<String> = None;
@@ -867,9 +885,9 @@
                 }
                 10 => {
                     let list_ident = i_prot.read_list_begin()?;
-                    let mut val: Vec<HallSummary> = Vec::with_capacity(list_ident.size as usize);
+                    let mut val: Vec<Summary> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_3 = HallSummary::read_from_in_protocol(i_prot)?;
+                        let list_elem_3 = Summary::read_from_in_protocol(i_prot)?;
                         val.push(list_elem_3);
                     }
                     i_prot.read_list_end()?;
@@ -1006,6 +1024,62 @@
     }
 }
 
+//
+// BodyRequest
+//
+
+/// Asks a node for the body of a configuration, over TCP.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct BodyRequest {
+    pub hash: String,
+}
+
+impl BodyRequest {
+    pub fn new(hash: String) -> BodyRequest {
+        BodyRequest { hash }
+    }
+}
+
+impl TSerializable for BodyRequest {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<BodyRequest> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<String> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = i_prot.read_string()?;
+                    f_1 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("BodyRequest.hash", &f_1)?;
+        let ret = BodyRequest {
+            hash: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("BodyRequest");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("hash", TType::String, 1))?;
+        o_prot.write_string(&self.hash)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
 //
 // ResumeToken
 //
--- a/components/schema/src/settings.rs
+++ b/components/schema/src/settings.rs
@@ -222,6 +222,10 @@
     pub bootstrap: String,
     /// Calls a second this node may make to the platform.
     pub platform_rate: i32,
+    /// Cell of the node: the nodes that tell each other every load, at most about 32.
+    pub cell: String,
+    /// Data halls whose endpoints the nodes of the cell read.
+    pub cell_halls: Vec<String>,
 }
 
 impl NodeSettings {
@@ -247,6 +251,8 @@
         stop_grace_ms: i64,
         bootstrap: String,
         platform_rate: i32,
+        cell: String,
+        cell_halls: Vec<String>,
     ) -> NodeSettings {
         NodeSettings {
             name,
@@ -270,6 +276,8 @@
             stop_grace_ms,
             bootstrap,
             platform_rate,
+            cell,
+            cell_halls,
         }
     }
 }
@@ -298,6 +306,8 @@
         let mut f_19: Option<i64> = None;
         let mut f_20: Option<String> = None;
         let mut f_21: Option<i32> = None;
+        let mut f_22: Option<String> = None;
+        let mut f_23: Option<Vec<String>> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -395,6 +405,20 @@
                     let val = i_prot.read_i32()?;
                     f_21 = Some(val);
                 }
+                22 => {
+                    let val = i_prot.read_string()?;
+                    f_22 = Some(val);
+                }
+                23 => {
+                    let list_ident = i_prot.read_list_begin()?;
+                    let mut val: Vec<String> = Vec::with_capacity(list_ident.size as usize);
+                    for _ in 0..list_ident.size {
+                        let list_elem_1 = i_prot.read_string()?;
+                        val.push(list_elem_1);
+                    }
+                    i_prot.read_list_end()?;
+                    f_23 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -423,6 +447,8 @@
         verify_required_field_exists("NodeSettings.stop_grace_ms", &f_19)?;
         verify_required_field_exists("NodeSettings.bootstrap", &f_20)?;
         verify_required_field_exists("NodeSettings.platform_rate", &f_21)?;
+        verify_required_field_exists("NodeSettings.cell", &f_22)?;
+        verify_required_field_exists("NodeSettings.cell_halls", &f_23)?;
         let ret = NodeSettings {
             name: f_1
                 .expect("auto-generated code should have checked for presence of required fields"),
@@ -466,6 +492,10 @@
                 .expect("auto-generated code should have checked for presence of required fields"),
             platform_rate: f_21
                 .expect("auto-generated code should have checked for presence of required fields"),
+            cell: f_22
+                .expect("auto-generated code should have checked for presence of required fields"),
+            cell_halls: f_23
+                .expect("auto-generated code should have checked for presence of required fields"),
         };
         Ok(ret)
     }
@@ -542,6 +572,19 @@
         o_prot.write_field_begin(&TFieldIdentifier::new("platform_rate", TType::I32, 21))?;
         o_prot.write_i32(self.platform_rate)?;
         o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("cell", TType::String, 22))?;
+        o_prot.write_string(&self.cell)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("cell_halls", TType::List, 23))?;
+        o_prot.write_list_begin(&TListIdentifier::new(
+            TType::String,
+            self.cell_halls.len() as i32,
+        ))?;
+        for e in &self.cell_halls {
+            o_prot.write_string(e)?;
+        }
+        o_prot.write_list_end()?;
+        o_prot.write_field_end()?;
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -905,8 +948,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<String> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_1 = i_prot.read_string()?;
-                        val.push(list_elem_1);
+                        let list_elem_2 = i_prot.read_string()?;
+                        val.push(list_elem_2);
                     }
                     i_prot.read_list_end()?;
                     f_6 = Some(val);
@@ -1066,8 +1109,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<Pool> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_2 = Pool::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_2);
+                        let list_elem_3 = Pool::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_3);
                     }
                     i_prot.read_list_end()?;
                     f_1 = Some(val);
@@ -1076,8 +1119,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<Endpoint> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_3 = Endpoint::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_3);
+                        let list_elem_4 = Endpoint::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_4);
                     }
                     i_prot.read_list_end()?;
                     f_2 = Some(val);
@@ -1086,8 +1129,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<Team> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_4 = Team::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_4);
+                        let list_elem_5 = Team::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_5);
                     }
                     i_prot.read_list_end()?;
                     f_3 = Some(val);
--- a/components/schema/thrift/messages.thrift
+++ b/components/schema/thrift/messages.thrift
@@ -5,7 +5,7 @@
   PING = 1,
   ACK = 2,
   PING_REQUEST = 3,
-  SUMMARY = 4,
+  NEWS = 4,
 }
 
 /** State of a member as the sender knows it; a later state wins within an incarnation. */
@@ -19,7 +19,8 @@
 /** News of one node. */
 struct MemberNews {
   1: required string name,
-  2: required string hall,
+  /** Cell the node belongs to: the nodes that tell each other everything. */
+  2: required string cell,
   3: required string address,
   4: required i64 incarnation,
   5: required MemberState state,
@@ -44,9 +45,9 @@
   8: required bool silent,
 }
 
-/** Load of one pool in one data hall, told by a speaker of that hall. */
-struct HallSummary {
-  1: required string hall,
+/** Load of one pool in one cell, told by a speaker of that cell. */
+struct Summary {
+  1: required string cell,
   2: required string pool,
   /** Counter of the speaker's summaries; a higher one is newer. */
   3: required i64 round,
@@ -55,12 +56,15 @@
   6: required i32 queued,
   /** Endpoints that are leaving. */
   7: required list<string> leaving,
+  /** Node that made the summary. */
+  8: required string speaker,
 }
 
-/** Demand of one team at one node, the input of quota sharing. */
+/** Demand of one team at one node, or summed over one cell: the input of quota sharing. */
 struct TeamDemand {
   1: required string team,
-  2: required string node,
+  /** Name of the node or of the cell. */
+  2: required string source,
   /** Counter of the node's reports; a higher one is newer. */
   3: required i64 round,
   /** Requests a second asked for, in thousandths. */
@@ -81,12 +85,18 @@
   7: optional string subject,
   8: optional list<MemberNews> members,
   9: optional list<EndpointNews> endpoints,
-  10: optional list<HallSummary> summaries,
+  10: optional list<Summary> summaries,
   11: optional list<TeamDemand> demands,
   12: optional i64 config_version,
+  /** Sent while some receiver may lack the version. */
   13: optional string config_hash,
 }
 
+/** Asks a node for the body of a configuration, over TCP. */
+struct BodyRequest {
+  1: required string hash,
+}
+
 /** What a resume token carries, signed and opaque to the caller. */
 struct ResumeToken {
   1: required string request,
--- a/components/settings/src/node.rs
+++ b/components/settings/src/node.rs
@@ -21,6 +21,8 @@
         listen: r.address("node", "listen", None),
         peer_listen: r.address("node", "peer_listen", None),
         seeds: read_seeds(&mut r),
+        cell: r.text("node", "cell", Some("")),
+        cell_halls: r.list("node", "cell_halls", Some("")),
         bootstrap: r.text("node", "bootstrap", Some("")),
         peer_key: r.secret("keys", "peer_key", LEAST_SECRET),
         resume_key: r.secret("keys", "resume_key", LEAST_SECRET),
@@ -43,7 +45,18 @@
         read_timeout_ms: r.number(("bounds", "read_timeout"), Some("10000ms"), PAUSE),
         stop_grace_ms: r.number(("bounds", "stop_grace"), Some("20000ms"), PAUSE),
     };
-    r.finish(settings)
+    r.finish(with_own_cell(settings))
+}
+
+// A node that names no cell shares one with the nodes of its data hall.
+fn with_own_cell(mut settings: NodeSettings) -> NodeSettings {
+    if settings.cell.is_empty() {
+        settings.cell = settings.hall.clone();
+    }
+    if settings.cell_halls.is_empty() {
+        settings.cell_halls = vec![settings.hall.clone()];
+    }
+    settings
 }
 
 fn read_seeds(r: &mut Reader<'_>) -> Vec<String> {
