Wire the control state into the node: peers, moves, configuration, orders

Cause: the node ran alone, from a bootstrap file. Change: a control thread that owns the control state and carries out its actions; datagrams and bodies between nodes; streams of a reclaim wave planned at once; put, get and history of the configuration; orders under the lease; halls with their regions in the configuration. Behaviour under failure over sockets is not tested yet; that is next.

--- a/components/node/src/caller.rs
+++ b/components/node/src/caller.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use errors::{Kind, Problem};
-use slog::{info, warn};
+use slog::warn;
 use telemetry::Counter;
 use tiny_http::{Method, Request, Server};
 use transport::{read_body, BodyError};
@@ -24,29 +24,27 @@
 /// Time to come back when the node holds too many requests.
 const FULL_RETRY_MS: u64 = 250;
 
-/// Accepts requests until the node has stopped. tiny_http ends its listener after one failed
-/// accept, so a new one is started on the same socket then.
-pub fn accept(shared: &Arc<Shared>, listener: &TcpListener, done: &flume::Receiver<()>) {
-    while done.try_recv() != Err(flume::TryRecvError::Disconnected) {
+/// Accepts requests until the node ends. tiny_http ends its listener after one failed accept, so a
+/// new one is started on the same socket then.
+pub fn accept(shared: &Arc<Shared>, listener: &TcpListener) {
+    while !shared.has_ended() {
         let server = listener.try_clone().map_err(|e| e.to_string());
         let server = server.and_then(|l| Server::from_listener(l, None).map_err(|e| e.to_string()));
         match server {
-            Ok(server) => accept_from(shared, &server, done),
+            Ok(server) => accept_from(shared, &server),
             Err(error) => warn!(shared.log, "listener not started"; "error" => error),
         }
-        if done.try_recv() != Err(flume::TryRecvError::Disconnected) {
+        if !shared.has_ended() {
             shared.metrics.count(Counter::ListenerRestarts);
             std::thread::sleep(ACCEPT_PAUSE);
         }
     }
-    info!(shared.log, "listener closed");
 }
 
-fn accept_from(shared: &Arc<Shared>, server: &Server, done: &flume::Receiver<()>) {
-    loop {
+fn accept_from(shared: &Arc<Shared>, server: &Server) {
+    while !shared.has_ended() {
         match server.recv_timeout(ACCEPT_PAUSE) {
             Ok(Some(request)) => hand_on(shared, request),
-            Ok(None) if done.try_recv() == Err(flume::TryRecvError::Disconnected) => return,
             Ok(None) => {}
             Err(_) => return,
         }
@@ -54,7 +52,7 @@
 }
 
 fn hand_on(shared: &Arc<Shared>, request: Request) {
-    if is_health(shared, &request) {
+    if is_health(&request) {
         return serve_health(shared, request);
     }
     let most = shared.settings.max_in_flight as usize;
@@ -78,7 +76,7 @@
     }
 }
 
-fn is_health(_shared: &Shared, request: &Request) -> bool {
+fn is_health(request: &Request) -> bool {
     matches!(request.url(), "/healthz" | "/readyz")
 }
 
@@ -96,7 +94,7 @@
         Err(error) => return send_problem(request, &body_problem(error, most)),
     };
     if is_operator_path(request.url()) {
-        return serve_operator(shared, request, &body);
+        return serve_operator(shared, request, body);
     }
     if shared.is_stopping() {
         let problem = Problem::not_run(Kind::Stopping, "the node is stopping");
--- a/components/node/src/chat_run.rs
+++ b/components/node/src/chat_run.rs
@@ -582,7 +582,17 @@
             streams: true,
             events: self.sender.clone(),
         };
-        self.shared.traffic().live.insert(self.id, live);
+        let mut traffic = self.shared.traffic();
+        traffic.live.insert(self.id, live);
+        // A leave that came between the choice and this line has not seen the request.
+        let state = traffic.router.state(endpoint);
+        if state.is_some_and(|s| s.leaving_at.is_some()) {
+            let event = RunEvent::Leaving {
+                attempt: pending.attempt,
+                plan: Move::Requeue,
+            };
+            let _ = self.sender.send(event);
+        }
     }
 
     // A request that was accepted and has begun looks again until its deadline; one that has not
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -1,113 +1,395 @@
-//! The control thread: owns the control state and publishes what traffic threads read.
+//! The control thread: owns the control state, carries out its actions and publishes what traffic
+//! threads read.
 
+use std::collections::BTreeMap;
+use std::net::UdpSocket;
 use std::sync::Arc;
 use std::time::Duration;
 
-use flume::{Receiver, RecvTimeoutError};
-use platform::body_hash;
+use control::{Action, Core, CoreTerms, Event};
+use flume::{Receiver, RecvTimeoutError, Sender};
+use membership::{CellTerms, Contact, EndpointSpec};
+use platform::{body_hash, Notice};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use routing::Reading;
-use slog::{error, info};
+use schema::messages::{Packet, Summary};
+use schema::settings::Configuration;
+use slog::{error, info, warn};
 use state::Version;
 use telemetry::Counter;
+use transport::{seal_packet, Key};
 
-use crate::attempt::spawn;
-use crate::shared::Shared;
+use crate::jobs::{Job, Jobs};
+use crate::moves::plan_wave;
+use crate::orders::Orders;
+use crate::shared::{unix_millis, Shared};
 use crate::snapshot::Snapshot;
 
-const TICK: Duration = Duration::from_millis(100);
+const TICK: Duration = Duration::from_millis(50);
+/// Time over which the demand of teams is measured.
+const DEMAND_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two updates of what `status` shows.
+const STATUS_INTERVAL: Duration = Duration::from_millis(500);
 
 /// What the control thread is told.
 #[derive(Debug)]
 pub enum ControlEvent {
-    /// A load reading came back.
-    Read {
+    /// Something for the control state.
+    Core(Event),
+    /// The cloud answered with notices, or did not answer.
+    Notices(Option<Vec<Notice>>),
+    /// The cloud answered with its list, or did not answer.
+    Listed(Option<Vec<Contact>>),
+    /// An order was carried out, or failed.
+    Ordered {
+        /// Endpoint.
         endpoint: String,
-        load: Option<transport::LoadReport>,
+        /// Epoch of the order.
+        epoch: i64,
+        /// Whether the endpoint took it.
+        done: bool,
     },
+    /// The node stops as planned.
+    BeginStop,
     /// End the thread.
-    Stop,
+    End,
 }
 
-/// Runs until [`ControlEvent::Stop`].
-pub fn run(shared: &Arc<Shared>, events: &Receiver<ControlEvent>) {
-    bootstrap(shared);
-    loop {
-        match events.recv_timeout(TICK) {
-            Ok(ControlEvent::Stop) | Err(RecvTimeoutError::Disconnected) => return,
-            Ok(event) => take(shared, event),
-            Err(RecvTimeoutError::Timeout) => tick(shared),
+/// The control state and all that its actions need.
+pub struct Control {
+    shared: Arc<Shared>,
+    core: Core,
+    rng: ChaCha8Rng,
+    socket: UdpSocket,
+    key: Key,
+    jobs: Jobs,
+    orders: Orders,
+    demand_at: Duration,
+    status_at: Duration,
+    last_notice: u64,
+}
+
+impl Control {
+    /// The control state of a node that listens for datagrams at `socket`.
+    pub fn new(shared: &Arc<Shared>, socket: UdpSocket, events: Sender<ControlEvent>) -> Self {
+        let settings = &shared.settings;
+        let address = socket.local_addr().map(|a| a.to_string());
+        let terms = CoreTerms {
+            cell: CellTerms {
+                name: settings.name.clone(),
+                cell: settings.cell.clone(),
+                address: address.unwrap_or_else(|_| settings.peer_listen.clone()),
+                incarnation: unix_millis(),
+            },
+            region: settings.region.clone(),
+            platform_rate: settings.platform_rate as u64,
+        };
+        Control {
+            core: Core::new(shared.now(), terms),
+            rng: ChaCha8Rng::seed_from_u64(rand::random()),
+            key: Key::new(&settings.peer_key),
+            jobs: Jobs::start(shared, events),
+            orders: Orders::default(),
+            demand_at: Duration::ZERO,
+            status_at: Duration::ZERO,
+            last_notice: 0,
+            shared: Arc::clone(shared),
+            socket,
         }
     }
-}
 
-fn bootstrap(shared: &Shared) {
-    let file = &shared.settings.bootstrap;
-    if file.is_empty() {
-        return;
-    }
-    let body = match std::fs::read_to_string(file) {
-        Ok(body) => body,
-        Err(e) => return error!(shared.log, "bootstrap not read"; "error" => e.to_string()),
-    };
-    let version = Version {
-        number: 0,
-        hash: body_hash(&body),
-    };
-    apply(shared, version, &body);
-}
+    /// Runs until [`ControlEvent::End`].
+    pub fn run(&mut self, events: &Receiver<ControlEvent>) {
+        self.bootstrap();
+        self.list_seeds();
+        let mut next_tick = self.shared.now();
+        loop {
+            let wait = next_tick.saturating_sub(self.shared.now());
+            match events.recv_timeout(wait) {
+                Ok(ControlEvent::End) | Err(RecvTimeoutError::Disconnected) => return,
+                Ok(event) => self.take(event),
+                Err(RecvTimeoutError::Timeout) => {}
+            }
+            if self.shared.now() >= next_tick {
+                next_tick = self.shared.now() + TICK;
+                self.tick();
+            }
+        }
+    }
 
-fn apply(shared: &Shared, version: Version, body: &str) {
-    match settings::read_configuration("configuration", body) {
-        Ok(configuration) => {
-            shared.traffic().configure(shared.now(), &configuration);
-            info!(shared.log, "configuration in force"; "version" => version.number);
-            shared.metrics.count(Counter::Applied);
-            shared.snapshot.store(Arc::new(Snapshot {
-                version,
-                configuration,
-            }));
-            shared.set_ready();
+    fn bootstrap(&mut self) {
+        let file = self.shared.settings.bootstrap.clone();
+        if file.is_empty() {
+            return;
         }
-        Err(faults) => {
-            error!(shared.log, "configuration not usable"; "faults" => faults.to_string())
+        let body = match std::fs::read_to_string(&file) {
+            Ok(body) => body,
+            Err(e) => return error!(self.shared.log, "bootstrap not read"; "error" => %e),
+        };
+        let version = Version {
+            number: 0,
+            hash: body_hash(&body),
+        };
+        self.core.bootstrap(self.shared.now(), version.hash.clone());
+        self.apply(version, body);
+    }
+
+    fn list_seeds(&mut self) {
+        let seeds = self.shared.settings.seeds.iter();
+        let contact = |address: &String| Contact {
+            name: address.clone(),
+            cell: String::new(),
+            address: address.clone(),
+        };
+        let contacts = seeds.map(contact).collect();
+        self.step(Event::Listed(contacts));
+    }
+
+    fn take(&mut self, event: ControlEvent) {
+        match event {
+            ControlEvent::Core(event) => self.step(event),
+            ControlEvent::Notices(notices) => self.take_notices(notices),
+            ControlEvent::Listed(contacts) => {
+                self.core.gate().note(contacts.is_some());
+                if let Some(contacts) = contacts {
+                    self.step(Event::Listed(contacts));
+                }
+            }
+            ControlEvent::Ordered {
+                endpoint,
+                epoch,
+                done,
+            } => {
+                self.orders.ended(self.shared.now(), &endpoint, epoch, done);
+            }
+            ControlEvent::BeginStop => self.begin_stop(),
+            ControlEvent::End => {}
         }
     }
-}
 
-fn take(shared: &Shared, event: ControlEvent) {
-    if let ControlEvent::Read {
-        endpoint,
-        load: Some(load),
-    } = event
-    {
-        let at = shared.now();
-        let reading = Reading {
-            running: load.running,
-            queued: load.queued,
-            at,
+    fn take_notices(&mut self, notices: Option<Vec<Notice>>) {
+        self.core.gate().note(notices.is_some());
+        for notice in notices.into_iter().flatten() {
+            if notice.sequence <= self.last_notice {
+                continue;
+            }
+            self.last_notice = notice.sequence;
+            let left = Duration::from_millis(notice.leaving_in_ms);
+            if notice.vm == self.shared.settings.name {
+                warn!(self.shared.log, "this VM is reclaimed"; "left_ms" => notice.leaving_in_ms);
+                self.shared.set_stopping();
+                self.begin_stop();
+            } else {
+                self.step(Event::Notice(notice.vm, left));
+            }
+        }
+    }
+
+    fn begin_stop(&mut self) {
+        self.step(Event::Stop);
+    }
+
+    fn tick(&mut self) {
+        let now = self.shared.now();
+        let demand = self.demand(now);
+        self.step(Event::Tick { demand });
+        self.shared.traffic().release_waiters(now);
+        if self.core.is_current() && !self.shared.is_ready() {
+            self.shared.set_ready();
+        }
+        self.send_orders(now);
+        if now >= self.status_at {
+            self.status_at = now + STATUS_INTERVAL;
+            self.shared
+                .set_control_status(crate::status::control_status(&self.core, now));
+        }
+    }
+
+    fn demand(&mut self, now: Duration) -> Vec<(String, u64)> {
+        let passed = now.saturating_sub(self.demand_at);
+        if passed < DEMAND_INTERVAL {
+            return Vec::new();
+        }
+        self.demand_at = now;
+        let asked = self.shared.traffic().take_demand();
+        let rate = |count: u64| count * 1_000_000 / passed.as_millis().max(1) as u64;
+        asked
+            .into_iter()
+            .map(|(team, count)| (team, rate(count)))
+            .collect()
+    }
+
+    fn step(&mut self, event: Event) {
+        let now = self.shared.now();
+        let actions = self.core.step(now, event, &mut self.rng);
+        let mut leaving = BTreeMap::new();
+        for action in actions {
+            match action {
+                Action::Leave(name, left) => drop(leaving.insert(name, left)),
+                action => self.act(now, action),
+            }
+        }
+        if !leaving.is_empty() {
+            self.leave(now, &leaving);
+        }
+    }
+
+    fn act(&mut self, now: Duration, action: Action) {
+        match action {
+            Action::Send { to, packet } => self.send(&to, &packet),
+            Action::ReadLoads(names) => self.read_loads(names),
+            Action::ReadNotices => self.jobs.give(Job::Notices(self.last_notice)),
+            Action::ListVms => self.jobs.give(Job::ListVms),
+            Action::Table(id, call) => self.jobs.give(Job::Table(id, call)),
+            Action::FetchFromPeer { address, hash } => {
+                self.jobs.give(Job::FetchFromPeer { address, hash });
+            }
+            Action::FetchFromStore { hash } => self.jobs.give(Job::FetchFromStore { hash }),
+            Action::Apply { version, body } => self.apply(version, body),
+            Action::UseLoad(name, load, age) => {
+                let at = now.saturating_sub(age);
+                let reading = Reading {
+                    running: load.running,
+                    queued: load.queued,
+                    at,
+                };
+                self.shared.traffic().router.read(&name, reading);
+            }
+            Action::UseSummary(summary) => self.use_summary(now, &summary),
+            Action::Leave(..) => {}
+            Action::Return(name) => {
+                info!(self.shared.log, "endpoint replaced"; "endpoint" => &name);
+                self.shared.traffic().router.replaced(&name);
+                self.orders.forget(&name);
+            }
+            Action::Suspect(name) => self.shared.traffic().router.failed(now, &name),
+            Action::SetPart(team, part) => self.set_part(now, &team, part),
+            Action::LeaseGained(epoch) => {
+                info!(self.shared.log, "lease gained"; "epoch" => epoch);
+            }
+            Action::LeaseLost => info!(self.shared.log, "lease lost"),
+        }
+    }
+
+    fn send(&self, to: &str, packet: &Packet) {
+        let Ok(bytes) = seal_packet(&self.key, packet) else {
+            return self.shared.metrics.count(Counter::PacketsDropped);
         };
-        let mut traffic = shared.traffic();
-        traffic.router.read(&endpoint, reading);
-        if let Some(left) = load.leaving_in_ms {
-            traffic
-                .router
-                .leave(&endpoint, at + Duration::from_millis(left));
+        if self.socket.send_to(&bytes, to).is_ok() {
+            self.shared.metrics.count(Counter::PacketsSent);
+            self.shared
+                .metrics
+                .add(Counter::BytesSent, bytes.len() as u64);
         }
-        traffic.release_waiters(at);
     }
-}
 
-fn tick(shared: &Arc<Shared>) {
-    let snapshot = shared.snapshot.load();
-    for endpoint in &snapshot.configuration.endpoints {
-        let (shared, endpoint) = (Arc::clone(shared), endpoint.clone());
-        spawn(move || {
-            let load = shared.engine.load(&endpoint.address).ok();
-            let event = ControlEvent::Read {
-                endpoint: endpoint.name,
-                load,
-            };
-            let _ = shared.control.send(event);
-        });
+    fn read_loads(&self, names: Vec<String>) {
+        let traffic = self.shared.traffic();
+        let address = |name: &String| traffic.router.state(name).map(|s| s.spec.address.clone());
+        let known = names
+            .into_iter()
+            .filter_map(|name| address(&name).map(|a| (name, a)));
+        let jobs: Vec<(String, String)> = known.collect();
+        drop(traffic);
+        for (endpoint, address) in jobs {
+            self.jobs.read_load(endpoint, address);
+        }
+    }
+
+    // The mean of another cell stands for each of its endpoints.
+    fn use_summary(&self, now: Duration, summary: &Summary) {
+        if summary.endpoints <= 0 {
+            return;
+        }
+        let mut traffic = self.shared.traffic();
+        let of_cell: Vec<(String, u32)> = traffic
+            .router
+            .states()
+            .iter()
+            .filter(|s| s.spec.pool == summary.pool && s.spec.hall == summary.cell)
+            .map(|s| (s.spec.name.clone(), s.spec.slots.max(0) as u32))
+            .collect();
+        let free = (summary.free_slots / summary.endpoints).max(0) as u32;
+        let queued = (summary.queued / summary.endpoints).max(0) as u32;
+        for (name, slots) in of_cell {
+            let running = slots.saturating_sub(free);
+            traffic.router.read(
+                &name,
+                Reading {
+                    running,
+                    queued,
+                    at: now,
+                },
+            );
+        }
+    }
+
+    fn set_part(&self, now: Duration, team: &str, part: u64) {
+        let snapshot = self.shared.snapshot.load();
+        let team = snapshot.configuration.teams.iter().find(|t| t.name == team);
+        if let Some(team) = team {
+            self.shared.traffic().set_part(now, team, part);
+        }
+    }
+
+    fn leave(&self, now: Duration, leaving: &BTreeMap<String, Duration>) {
+        let names: Vec<&String> = leaving.keys().collect();
+        info!(self.shared.log, "endpoints leave"; "endpoints" => ?names);
+        let mut traffic = self.shared.traffic();
+        for (name, left) in leaving {
+            traffic.router.leave(name, now + *left);
+        }
+        plan_wave(now, &traffic, leaving);
+    }
+
+    fn apply(&mut self, version: Version, body: String) {
+        let configuration = match settings::read_configuration("configuration", &body) {
+            Ok(configuration) => configuration,
+            // It was checked before it was accepted: this node is older than whoever did.
+            Err(faults) => {
+                return error!(self.shared.log, "configuration not usable; upgrade this node";
+                    "version" => version.number, "faults" => %faults);
+            }
+        };
+        let now = self.shared.now();
+        self.shared.traffic().configure(now, &configuration);
+        info!(self.shared.log, "configuration in force"; "version" => version.number);
+        self.shared.metrics.count(Counter::Applied);
+        let event = self.configured(&configuration);
+        self.shared.snapshot.store(Arc::new(Snapshot {
+            version,
+            body,
+            configuration,
+        }));
+        self.step(event);
+    }
+
+    fn configured(&self, configuration: &Configuration) -> Event {
+        let halls = &self.shared.settings.cell_halls;
+        let of_cell = configuration
+            .endpoints
+            .iter()
+            .filter(|e| halls.contains(&e.hall));
+        let spec = |e: &schema::settings::Endpoint| EndpointSpec {
+            name: e.name.clone(),
+            pool: e.pool.clone(),
+            slots: e.slots.max(0) as u32,
+        };
+        Event::Configured {
+            endpoints: of_cell.map(spec).collect(),
+            teams: configuration.teams.iter().map(|t| t.name.clone()).collect(),
+        }
+    }
+
+    fn send_orders(&mut self, now: Duration) {
+        let Some((epoch, until)) = self.core.order_window(now) else {
+            return;
+        };
+        let snapshot = self.shared.snapshot.load();
+        let region = &self.shared.settings.region;
+        for order in self.orders.due(now, epoch, &snapshot.configuration, region) {
+            self.jobs.give(Job::Order { order, until });
+        }
     }
 }
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -4,25 +4,28 @@
 //! read the configuration from an immutable snapshot and share the routing and admission state
 //! behind one mutex that is held for microseconds.
 
-// The control thread is not wired to all of this yet.
-#![allow(dead_code)]
-
 mod admission;
 mod attempt;
 mod call;
 mod caller;
 mod chat;
 mod chat_run;
+mod configure;
 mod control;
 mod explain;
+mod jobs;
+mod moves;
 mod node;
 mod operator;
+mod orders;
 mod outcome;
 mod output;
+mod peers;
 mod reply;
 mod service;
 mod shared;
 mod snapshot;
+mod status;
 mod traffic;
 
 pub use explain::DecisionRecord;
--- a/components/node/src/node.rs
+++ b/components/node/src/node.rs
@@ -1,7 +1,8 @@
 //! Starting and stopping a node.
 
+use std::collections::BTreeMap;
 use std::fmt;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
@@ -12,15 +13,21 @@
 use schema::settings::NodeSettings;
 use slog::{info, Logger};
 use telemetry::{Metrics, Traces};
-use transport::{bind_http, Bounds, Engine, HttpEngine};
+use transport::{bind_bodies, bind_http, Bounds, Engine, HttpEngine};
 
 use crate::caller::accept;
-use crate::control::{self, ControlEvent};
+use crate::control::{Control, ControlEvent};
+use crate::peers::{receive, serve_bodies};
 use crate::shared::{Parts, Shared};
 
 /// How often a stopping node looks whether its last request ended.
 const STOP_LOOK: Duration = Duration::from_millis(20);
 
+/// How often the thread that takes datagrams looks whether the node has ended.
+const RECEIVE_PAUSE: Duration = Duration::from_millis(200);
+/// Tries to find a port number free for datagrams and connections alike.
+const PORT_TRIES: u32 = 20;
+
 /// A node that could not be started.
 #[derive(Debug)]
 pub struct NodeError;
@@ -61,9 +68,8 @@
 pub struct Node {
     shared: Arc<Shared>,
     address: SocketAddr,
-    accepting: Option<JoinHandle<()>>,
-    controlling: Option<JoinHandle<()>>,
-    done: Option<Sender<()>>,
+    peer_address: SocketAddr,
+    threads: Vec<JoinHandle<()>>,
 }
 
 impl Node {
@@ -74,41 +80,95 @@
         log: Logger,
     ) -> Result<Self, Report<NodeError>> {
         let listener = listen(&settings)?;
+        let peers = PeerSockets::bind(&settings)?;
         let address = listener.local_addr().change_context(NodeError)?;
+        let peer_address = peers.datagrams.local_addr().change_context(NodeError)?;
         let (control, events) = flume::unbounded();
-        let shared = Arc::new(share(settings, platform, log, control)?);
-        let controlling = start_control(&shared, events)?;
-        let (done, done_receiver) = flume::bounded(0);
-        let accepting = start_accepting(&shared, listener, done_receiver)?;
-        info!(shared.log, "node started"; "address" => address.to_string());
-        Ok(Node {
-            shared,
+        let shared = Arc::new(share(settings, platform, log, control.clone())?);
+        let mut node = Node {
+            shared: Arc::clone(&shared),
             address,
-            accepting: Some(accepting),
-            controlling: Some(controlling),
-            done: Some(done),
+            peer_address,
+            threads: Vec::new(),
+        };
+        node.start_control(&peers, control, events)?;
+        node.start_peers(peers)?;
+        node.start_thread("accept", move |shared| accept(&shared, &listener))?;
+        info!(shared.log, "node started"; "address" => %address, "peer_address" => %peer_address);
+        Ok(node)
+    }
+
+    fn start_control(
+        &mut self,
+        peers: &PeerSockets,
+        control: Sender<ControlEvent>,
+        events: Receiver<ControlEvent>,
+    ) -> Result<(), Report<NodeError>> {
+        let socket = peers.datagrams.try_clone().change_context(NodeError)?;
+        self.start_thread("control", move |shared| {
+            Control::new(&shared, socket, control).run(&events);
         })
     }
 
+    fn start_peers(&mut self, peers: PeerSockets) -> Result<(), Report<NodeError>> {
+        let PeerSockets { datagrams, bodies } = peers;
+        self.start_thread("peers", move |shared| receive(&shared, &datagrams))?;
+        self.start_thread("bodies", move |shared| serve_bodies(&shared, &bodies))
+    }
+
+    fn start_thread(
+        &mut self,
+        name: &str,
+        work: impl FnOnce(Arc<Shared>) + Send + 'static,
+    ) -> Result<(), Report<NodeError>> {
+        let shared = Arc::clone(&self.shared);
+        let thread = thread::Builder::new()
+            .name(name.into())
+            .spawn(move || work(shared));
+        self.threads.push(thread.change_context(NodeError)?);
+        Ok(())
+    }
+
     /// Address for callers.
     pub fn address(&self) -> SocketAddr {
         self.address
     }
 
+    /// Address for other nodes.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
     /// Whether the node is ready for requests.
     pub fn is_ready(&self) -> bool {
         self.shared.is_ready()
     }
 
+    /// Whether a planned stop is under way: it was asked for, or the node's VM is reclaimed.
+    pub fn is_stopping(&self) -> bool {
+        self.shared.is_stopping()
+    }
+
+    /// Version of the configuration in force.
+    pub fn config_version(&self) -> i64 {
+        self.shared.snapshot.load().version.number
+    }
+
+    /// What was counted, by name.
+    pub fn counters(&self) -> BTreeMap<&'static str, u64> {
+        self.shared.metrics.all()
+    }
+
     /// Starts a planned stop: readiness fails, nothing new is taken, what runs goes on.
     pub fn begin_stop(&self) {
         self.shared.set_stopping();
+        let _ = self.shared.control.send(ControlEvent::BeginStop);
         info!(self.shared.log, "planned stop");
     }
 
     /// Waits until every request has ended, at most for the grace of the settings. Returns whether
     /// all of them ended.
-    pub fn finish_stop(mut self) -> bool {
+    pub fn finish_stop(self) -> bool {
         self.begin_stop();
         let grace = Duration::from_millis(self.shared.settings.stop_grace_ms as u64);
         let until = Instant::now() + grace;
@@ -117,26 +177,55 @@
         }
         let left = self.shared.traffic().in_flight();
         info!(self.shared.log, "node stopped"; "requests_left" => left);
-        self.end_threads();
-        self.shared.traces.flush();
         left == 0
     }
+}
 
-    fn end_threads(&mut self) {
-        let _ = self.shared.control.send(ControlEvent::Stop);
-        self.done.take();
-        for thread in [self.accepting.take(), self.controlling.take()]
-            .into_iter()
-            .flatten()
-        {
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.shared.set_ended();
+        let _ = self.shared.control.send(ControlEvent::End);
+        // A connection lets the thread that accepts them look whether the node has ended.
+        let _ = TcpStream::connect(self.peer_address);
+        for thread in self.threads.drain(..) {
             let _ = thread.join();
         }
+        self.shared.traces.flush();
     }
 }
 
-impl Drop for Node {
-    fn drop(&mut self) {
-        self.end_threads();
+struct PeerSockets {
+    datagrams: UdpSocket,
+    bodies: TcpListener,
+}
+
+impl PeerSockets {
+    // Datagrams and bodies share one port number; port 0 is tried until both are free.
+    fn bind(settings: &NodeSettings) -> Result<Self, Report<NodeError>> {
+        let named = || format!("peer_listen = {}", settings.peer_listen);
+        let address: SocketAddr = settings
+            .peer_listen
+            .parse()
+            .change_context(NodeError)
+            .attach_with(named)?;
+        let mut tries = if address.port() == 0 { PORT_TRIES } else { 1 };
+        loop {
+            tries -= 1;
+            match Self::bind_at(address) {
+                Ok(sockets) => return Ok(sockets),
+                Err(_) if tries > 0 => {}
+                Err(error) => {
+                    return Err(Report::new(error).change_context(NodeError).attach(named()));
+                }
+            }
+        }
+    }
+
+    fn bind_at(address: SocketAddr) -> std::io::Result<Self> {
+        let datagrams = UdpSocket::bind(address)?;
+        datagrams.set_read_timeout(Some(RECEIVE_PAUSE))?;
+        let bodies = bind_bodies(datagrams.local_addr()?)?;
+        Ok(PeerSockets { datagrams, bodies })
     }
 }
 
@@ -180,26 +269,3 @@
         control,
     }))
 }
-
-fn start_control(
-    shared: &Arc<Shared>,
-    events: Receiver<ControlEvent>,
-) -> Result<JoinHandle<()>, Report<NodeError>> {
-    let shared = Arc::clone(shared);
-    thread::Builder::new()
-        .name("control".into())
-        .spawn(move || control::run(&shared, &events))
-        .change_context(NodeError)
-}
-
-fn start_accepting(
-    shared: &Arc<Shared>,
-    listener: TcpListener,
-    done: Receiver<()>,
-) -> Result<JoinHandle<()>, Report<NodeError>> {
-    let shared = Arc::clone(shared);
-    thread::Builder::new()
-        .name("accept".into())
-        .spawn(move || accept(&shared, &listener, &done))
-        .change_context(NodeError)
-}
--- a/components/node/src/operator.rs
+++ b/components/node/src/operator.rs
@@ -3,15 +3,19 @@
 use std::sync::Arc;
 
 use errors::{Kind, Problem};
-use serde_json::json;
+use serde_json::{json, Value};
 use subtle::ConstantTimeEq;
 use tiny_http::{Method, Request};
 
-use crate::call::credential;
+use crate::call::{credential, header};
+use crate::configure::{get, history, put, Put};
 use crate::reply::{send_json, send_problem};
 use crate::shared::Shared;
+use crate::status::status;
 
 const PREFIX: &str = "/operator/";
+const AUTHOR: &str = "Croftpond-Author";
+const NOTE: &str = "Croftpond-Note";
 
 /// Whether a path belongs to operators.
 pub fn is_operator_path(url: &str) -> bool {
@@ -19,62 +23,49 @@
 }
 
 /// Serves one operator call.
-pub fn serve_operator(shared: &Arc<Shared>, request: Request, _body: &[u8]) {
+pub fn serve_operator(shared: &Arc<Shared>, request: Request, body: Vec<u8>) {
     let key = shared.settings.operator_key.as_bytes();
     if !bool::from(credential(&request).as_bytes().ct_eq(key)) {
         let problem = Problem::not_run(Kind::NotOperator, "the operator credential is wrong");
         return send_problem(request, &problem);
     }
-    let path = request.url()[PREFIX.len()..].to_string();
-    match (request.method().clone(), path.as_str()) {
-        (Method::Get, "status") => send_json(request, 200, status(shared).to_string()),
-        (Method::Get, path) if path.starts_with("explain/") => {
-            let id = &path["explain/".len()..];
-            send_json(request, 200, explain(shared, id).to_string());
-        }
-        _ => send_problem(
-            request,
-            &Problem::not_run(Kind::NotFound, "no such operator call"),
-        ),
+    match answer(shared, &request, body) {
+        Ok(value) => send_json(request, 200, value.to_string()),
+        Err(problem) => send_problem(request, &problem),
     }
 }
 
-fn explain(shared: &Shared, id: &str) -> serde_json::Value {
-    let records = shared.records.lock().map(|r| r.of(id)).unwrap_or_default();
-    json!({ "request": id, "node": shared.settings.name, "records": records })
+fn answer(shared: &Arc<Shared>, request: &Request, body: Vec<u8>) -> Result<Value, Problem> {
+    let path = &request.url()[PREFIX.len()..];
+    let parts: Vec<&str> = path.split('/').collect();
+    match (request.method(), parts.as_slice()) {
+        (Method::Get, ["status"]) => Ok(status(shared)),
+        (Method::Get, ["explain", id]) => Ok(explain(shared, id)),
+        (Method::Get, ["config"]) => get(shared, None),
+        (Method::Get, ["config", version]) => get(shared, Some(number(version)?)),
+        (Method::Get, ["history"]) => history(shared),
+        (Method::Post, ["config", based_on]) => put(shared, read_put(request, based_on, body)?),
+        _ => Err(Problem::not_run(Kind::NotFound, "no such operator call")),
+    }
+}
+
+fn number(text: &str) -> Result<i64, Problem> {
+    let bad = |_| Problem::not_run(Kind::NotFound, format!("`{text}` is no version"));
+    text.parse().map_err(bad)
 }
 
-fn status(shared: &Shared) -> serde_json::Value {
-    let snapshot = shared.snapshot.load();
-    let now = shared.now();
-    let traffic = shared.traffic();
-    let endpoints: Vec<serde_json::Value> = traffic
-        .router
-        .states()
-        .iter()
-        .map(|s| {
-            json!({
-                "name": s.spec.name,
-                "pool": s.spec.pool,
-                "hall": s.spec.hall,
-                "load": s.load(),
-                "slots": s.spec.slots,
-                "leaving": s.leaving_at.is_some(),
-                "usable": s.is_usable(now),
-            })
-        })
-        .collect();
-    let in_flight = traffic.in_flight();
-    drop(traffic);
-    json!({
-        "node": shared.settings.name,
-        "hall": shared.settings.hall,
-        "ready": shared.is_ready(),
-        "stopping": shared.is_stopping(),
-        "config_version": snapshot.version.number,
-        "in_flight": in_flight,
-        "endpoints": endpoints,
-        "counters": shared.metrics.all(),
-        "control": shared.control_status(),
+fn read_put(request: &Request, based_on: &str, body: Vec<u8>) -> Result<Put, Problem> {
+    let body = String::from_utf8(body)
+        .map_err(|_| Problem::not_run(Kind::MalformedBody, "the configuration is not UTF-8"))?;
+    Ok(Put {
+        based_on: number(based_on)?,
+        author: header(request, AUTHOR).unwrap_or("unnamed").to_string(),
+        note: header(request, NOTE).unwrap_or_default().to_string(),
+        body,
     })
 }
+
+fn explain(shared: &Shared, id: &str) -> Value {
+    let records = shared.records.lock().map(|r| r.of(id)).unwrap_or_default();
+    json!({ "request": id, "node": shared.settings.name, "records": records })
+}
--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -34,10 +34,10 @@
     traffic: Mutex<Traffic>,
     status: ArcSwap<serde_json::Value>,
     started: Instant,
-    incarnation: i64,
     next_id: AtomicU64,
     ready: AtomicBool,
     stopping: AtomicBool,
+    ended: AtomicBool,
 }
 
 /// The parts of [`Shared`] that the outside gives.
@@ -73,10 +73,10 @@
             traffic: Mutex::new(Traffic::new(seed)),
             status: ArcSwap::from_pointee(serde_json::Value::Null),
             started: Instant::now(),
-            incarnation: unix_millis(),
             next_id: AtomicU64::new(1),
             ready: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
+            ended: AtomicBool::new(false),
         }
     }
 
@@ -85,11 +85,6 @@
         self.started.elapsed()
     }
 
-    /// Grows with each start of the node.
-    pub fn incarnation(&self) -> i64 {
-        self.incarnation
-    }
-
     /// A number for a request, unique at this node.
     pub fn next_id(&self) -> u64 {
         self.next_id.fetch_add(1, Ordering::Relaxed)
@@ -120,6 +115,16 @@
         self.stopping.store(true, Ordering::Release);
     }
 
+    /// Whether the node's threads should end.
+    pub fn has_ended(&self) -> bool {
+        self.ended.load(Ordering::Acquire)
+    }
+
+    /// Ends the node's threads.
+    pub fn set_ended(&self) {
+        self.ended.store(true, Ordering::Release);
+    }
+
     /// What the control thread shows in `status`.
     pub fn control_status(&self) -> serde_json::Value {
         serde_json::Value::clone(&self.status.load())
--- a/components/node/src/snapshot.rs
+++ b/components/node/src/snapshot.rs
@@ -9,6 +9,8 @@
 pub struct Snapshot {
     /// Version in force.
     pub version: Version,
+    /// The text of the configuration, for nodes that ask for it.
+    pub body: String,
     /// The configuration.
     pub configuration: Configuration,
 }
@@ -18,7 +20,8 @@
     pub fn empty() -> Self {
         Snapshot {
             version: Version::default(),
-            configuration: Configuration::new(Vec::new(), Vec::new(), Vec::new()),
+            body: String::new(),
+            configuration: Configuration::new(Vec::new(), Vec::new(), Vec::new(), Vec::new()),
         }
     }
 
--- a/components/schema/src/settings.rs
+++ b/components/schema/src/settings.rs
@@ -590,6 +590,76 @@
     }
 }
 
+//
+// Hall
+//
+
+/// A data hall and the region it stands in.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Hall {
+    /// Name of the data hall.
+    pub name: String,
+    /// Region whose lease holder does the fleet work there.
+    pub region: String,
+}
+
+impl Hall {
+    pub fn new(name: String, region: String) -> Hall {
+        Hall { name, region }
+    }
+}
+
+impl TSerializable for Hall {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Hall> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<String> = None;
+        let mut f_2: Option<String> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = i_prot.read_string()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = i_prot.read_string()?;
+                    f_2 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("Hall.name", &f_1)?;
+        verify_required_field_exists("Hall.region", &f_2)?;
+        let ret = Hall {
+            name: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            region: f_2
+                .expect("auto-generated code should have checked for presence of required fields"),
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("Hall");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("name", TType::String, 1))?;
+        o_prot.write_string(&self.name)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("region", TType::String, 2))?;
+        o_prot.write_string(&self.region)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
 //
 // Pool
 //
@@ -1080,14 +1150,21 @@
     pub pools: Vec<Pool>,
     pub endpoints: Vec<Endpoint>,
     pub teams: Vec<Team>,
+    pub halls: Vec<Hall>,
 }
 
 impl Configuration {
-    pub fn new(pools: Vec<Pool>, endpoints: Vec<Endpoint>, teams: Vec<Team>) -> Configuration {
+    pub fn new(
+        pools: Vec<Pool>,
+        endpoints: Vec<Endpoint>,
+        teams: Vec<Team>,
+        halls: Vec<Hall>,
+    ) -> Configuration {
         Configuration {
             pools,
             endpoints,
             teams,
+            halls,
         }
     }
 }
@@ -1098,6 +1175,7 @@
         let mut f_1: Option<Vec<Pool>> = None;
         let mut f_2: Option<Vec<Endpoint>> = None;
         let mut f_3: Option<Vec<Team>> = None;
+        let mut f_4: Option<Vec<Hall>> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -1135,6 +1213,16 @@
                     i_prot.read_list_end()?;
                     f_3 = Some(val);
                 }
+                4 => {
+                    let list_ident = i_prot.read_list_begin()?;
+                    let mut val: Vec<Hall> = Vec::with_capacity(list_ident.size as usize);
+                    for _ in 0..list_ident.size {
+                        let list_elem_6 = Hall::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_6);
+                    }
+                    i_prot.read_list_end()?;
+                    f_4 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -1145,6 +1233,7 @@
         verify_required_field_exists("Configuration.pools", &f_1)?;
         verify_required_field_exists("Configuration.endpoints", &f_2)?;
         verify_required_field_exists("Configuration.teams", &f_3)?;
+        verify_required_field_exists("Configuration.halls", &f_4)?;
         let ret = Configuration {
             pools: f_1
                 .expect("auto-generated code should have checked for presence of required fields"),
@@ -1152,6 +1241,8 @@
                 .expect("auto-generated code should have checked for presence of required fields"),
             teams: f_3
                 .expect("auto-generated code should have checked for presence of required fields"),
+            halls: f_4
+                .expect("auto-generated code should have checked for presence of required fields"),
         };
         Ok(ret)
     }
@@ -1188,6 +1279,16 @@
         }
         o_prot.write_list_end()?;
         o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("halls", TType::List, 4))?;
+        o_prot.write_list_begin(&TListIdentifier::new(
+            TType::Struct,
+            self.halls.len() as i32,
+        ))?;
+        for e in &self.halls {
+            e.write_to_out_protocol(o_prot)?;
+        }
+        o_prot.write_list_end()?;
+        o_prot.write_field_end()?;
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
--- a/components/schema/thrift/settings.thrift
+++ b/components/schema/thrift/settings.thrift
@@ -69,6 +69,14 @@
   23: required list<string> cell_halls,
 }
 
+/** A data hall and the region it stands in. */
+struct Hall {
+  /** Name of the data hall. */
+  1: required string name,
+  /** Region whose lease holder does the fleet work there. */
+  2: required string region,
+}
+
 /** A set of interchangeable endpoints. */
 struct Pool {
   /** Name of the pool. */
@@ -130,4 +138,5 @@
   1: required list<Pool> pools,
   2: required list<Endpoint> endpoints,
   3: required list<Team> teams,
+  4: required list<Hall> halls,
 }
--- a/components/settings/src/configuration.rs
+++ b/components/settings/src/configuration.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeSet;
 
-use schema::settings::{Configuration, Endpoint, Pool, PoolKind, PriceClass, Priority, Team};
+use schema::settings::{Configuration, Endpoint, Hall, Pool, PoolKind, PriceClass, Priority, Team};
 use sha2::{Digest, Sha256};
 
 use crate::fault::Faults;
@@ -53,10 +53,16 @@
         .map(|n| read_pool(&mut r, n))
         .collect();
     let names: BTreeSet<String> = pools.iter().map(|p| p.name.clone()).collect();
+    let halls: Vec<Hall> = r
+        .names("hall")
+        .iter()
+        .map(|n| read_hall(&mut r, n))
+        .collect();
+    let hall_names: BTreeSet<String> = halls.iter().map(|h| h.name.clone()).collect();
     let endpoints = r.names("endpoint");
     let endpoints = endpoints
         .iter()
-        .map(|n| read_endpoint(&mut r, n, &names))
+        .map(|n| read_endpoint(&mut r, n, &names, &hall_names))
         .collect();
     let templates: BTreeSet<String> = r.names("template").into_iter().collect();
     templates
@@ -71,6 +77,7 @@
         pools,
         endpoints,
         teams,
+        halls,
     };
     check_credentials(&mut r, &configuration);
     check_routes(&mut r, &configuration);
@@ -97,15 +104,30 @@
     }
 }
 
-fn read_endpoint(r: &mut Reader<'_>, name: &str, pools: &BTreeSet<String>) -> Endpoint {
+fn read_hall(r: &mut Reader<'_>, name: &str) -> Hall {
+    let section = format!("hall {name}");
+    Hall {
+        name: name.to_string(),
+        region: r.text(&section, "region", None),
+    }
+}
+
+fn read_endpoint(
+    r: &mut Reader<'_>,
+    name: &str,
+    pools: &BTreeSet<String>,
+    halls: &BTreeSet<String>,
+) -> Endpoint {
     let section = format!("endpoint {name}");
     let pool = r.text(&section, "pool", None);
     check_reference(r, (&section, "pool"), &pool, pools);
+    let hall = r.text(&section, "hall", None);
+    check_reference(r, (&section, "hall"), &hall, halls);
     Endpoint {
         name: name.to_string(),
         pool,
         address: r.address(&section, "address", None),
-        hall: r.text(&section, "hall", None),
+        hall,
         price_class: r.choice(
             (&section, "price_class"),
             Some("reclaimable"),
@@ -235,6 +257,7 @@
     use super::*;
 
     const GOOD: &str = "[pool chat]\nkind = model\nroute = m\n\
+        [hall h]\nregion = r\n\
         [endpoint w1]\npool = chat\naddress = 127.0.0.1:1\nhall = h\nprice = 1.25/h\nslots = 4\n\
         [template t]\npriority = standard\ntarget = 520ms\ndeadline = 9000ms\npools = chat\n\
         rate = 5/s\nconcurrency = 9\nbudget = 20/h\nlatency_weight = 70\ntoken_price = 0.02\n\
@@ -255,7 +278,7 @@
             .replace("pool = chat\n", "pool = cat\n")
             .replace("520ms", "520s");
         let faults = read_configuration("c.ini", &text).unwrap_err();
-        assert_eq!(faults.list.iter().map(|f| f.line).collect::<Vec<_>>()[0], 5);
+        assert_eq!(faults.list.iter().map(|f| f.line).collect::<Vec<_>>()[0], 7);
         assert!(faults.list.iter().any(|f| f.place == "template t: target"));
     }
 
--- /dev/null
+++ b/components/transport/src/fetch.rs
@@ -0,0 +1,117 @@
+//! Fetching a configuration body from another node, framed over TCP.
+//!
+//! A frame is a length in four bytes, big-endian, then the bytes. The request is a signed
+//! [`BodyRequest`]; the answer is the body, which its hash proves, or an empty frame.
+
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::Duration;
+
+use schema::messages::BodyRequest;
+
+use crate::auth::{sign, verify, Key, TAG_BYTES};
+
+/// Largest frame, in bytes.
+const MAX_FRAME: usize = 4 << 20;
+/// Largest request, in bytes.
+const MAX_REQUEST: usize = 512;
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Asks the node at `address` for the body of a hash; `None` if it has not got it.
+pub fn fetch_body(address: SocketAddr, key: &Key, hash: &str) -> io::Result<Option<String>> {
+    let mut stream = TcpStream::connect_timeout(&address, TIMEOUT)?;
+    bound(&stream)?;
+    let request = BodyRequest {
+        hash: hash.to_string(),
+    };
+    let mut bytes = schema::encode(&request).map_err(io::Error::other)?;
+    let tag = sign(key, &bytes);
+    bytes.extend_from_slice(&tag);
+    write_frame(&mut stream, &bytes)?;
+    let body = read_frame(&mut stream, MAX_FRAME)?;
+    let body = String::from_utf8(body).map_err(io::Error::other)?;
+    Ok(Some(body).filter(|b| !b.is_empty()))
+}
+
+/// Answers one request on a connection; `find` gives the body of a hash.
+pub fn answer_body(
+    mut stream: TcpStream,
+    key: &Key,
+    find: impl FnOnce(&str) -> Option<String>,
+) -> io::Result<()> {
+    bound(&stream)?;
+    let bytes = read_frame(&mut stream, MAX_REQUEST)?;
+    let split = bytes.len().saturating_sub(TAG_BYTES);
+    let (value, tag) = bytes.split_at(split);
+    if !verify(key, value, tag) {
+        return Err(io::Error::other("foreign request"));
+    }
+    let request: BodyRequest = schema::decode(value).map_err(io::Error::other)?;
+    write_frame(
+        &mut stream,
+        find(&request.hash).unwrap_or_default().as_bytes(),
+    )
+}
+
+/// A listener on the address that datagrams come to.
+pub fn bind_bodies(address: SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::bind(address)
+}
+
+fn bound(stream: &TcpStream) -> io::Result<()> {
+    stream.set_read_timeout(Some(TIMEOUT))?;
+    stream.set_write_timeout(Some(TIMEOUT))
+}
+
+fn write_frame(stream: &mut impl Write, bytes: &[u8]) -> io::Result<()> {
+    let length = u32::try_from(bytes.len()).map_err(io::Error::other)?;
+    stream.write_all(&length.to_be_bytes())?;
+    stream.write_all(bytes)
+}
+
+fn read_frame(stream: &mut impl Read, most: usize) -> io::Result<Vec<u8>> {
+    let mut length = [0; 4];
+    stream.read_exact(&mut length)?;
+    let length = u32::from_be_bytes(length) as usize;
+    if length > most {
+        return Err(io::Error::other("frame too large"));
+    }
+    let mut bytes = vec![0; length];
+    stream.read_exact(&mut bytes)?;
+    Ok(bytes)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn serve(key: &'static str) -> SocketAddr {
+        let listener = bind_bodies(([127, 0, 0, 1], 0).into()).unwrap();
+        let address = listener.local_addr().unwrap();
+        std::thread::spawn(move || {
+            let (stream, _) = listener.accept().unwrap();
+            let find = |hash: &str| (hash == "h").then(|| "body".to_string());
+            let _ = answer_body(stream, &Key::new(key), find);
+        });
+        address
+    }
+
+    #[test]
+    fn can_fetch_a_body_that_is_there() {
+        let key = Key::new("0123456789abcdef");
+        assert_eq!(
+            fetch_body(serve("0123456789abcdef"), &key, "h").unwrap(),
+            Some("body".into())
+        );
+        assert_eq!(
+            fetch_body(serve("0123456789abcdef"), &key, "i").unwrap(),
+            None
+        );
+    }
+
+    #[test]
+    fn errors_on_a_foreign_key() {
+        let key = Key::new("0123456789abcdef");
+        assert!(fetch_body(serve("another key 1234"), &key, "h").is_err());
+    }
+}
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod auth;
 mod engine;
+mod fetch;
 mod listener;
 mod peer;
 mod resume;
@@ -12,6 +13,7 @@
 pub use engine::{
     AttemptEnd, Engine, EngineError, Generate, HttpEngine, KvSource, LoadReport, Piece,
 };
+pub use fetch::{answer_body, bind_bodies, fetch_body};
 pub use listener::{bind_http, read_body, BodyError, Bounds};
 pub use peer::{open_packet, seal_packet, PacketError, ReplayGuard, MAX_DATAGRAM};
 pub use resume::{issue, redeem, ResumeError};
--- a/components/transport/src/peer.rs
+++ b/components/transport/src/peer.rs
@@ -1,6 +1,7 @@
 //! Datagrams between nodes: signed, bounded, and each taken once.
 
-use std::collections::HashMap;
+use std::cmp::Ordering;
+use std::collections::hash_map::{Entry, HashMap};
 use std::fmt;
 
 use schema::messages::Packet;
@@ -15,7 +16,7 @@
 const MAX_SENDERS: usize = 4096;
 
 /// Why a datagram was dropped.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PacketError {
     /// It is larger than [`MAX_DATAGRAM`] or too short.
     Size,
@@ -25,6 +26,8 @@
     Malformed,
     /// It was seen before or is too old.
     Replayed,
+    /// It is of an older incarnation of its sender: a node that started again with a slow clock.
+    OldIncarnation(Box<Packet>),
 }
 
 impl fmt::Display for PacketError {
@@ -64,11 +67,18 @@
     }
     let packet: Packet = schema::decode(value).map_err(|_| PacketError::Malformed)?;
     match guard.admit(&packet) {
-        true => Ok(packet),
-        false => Err(PacketError::Replayed),
+        Fresh::New => Ok(packet),
+        Fresh::Seen => Err(PacketError::Replayed),
+        Fresh::Old => Err(PacketError::OldIncarnation(Box::new(packet))),
     }
 }
 
+enum Fresh {
+    New,
+    Seen,
+    Old,
+}
+
 #[derive(Debug)]
 struct Seen {
     incarnation: i64,
@@ -84,27 +94,32 @@
 }
 
 impl ReplayGuard {
-    fn admit(&mut self, packet: &Packet) -> bool {
+    fn admit(&mut self, packet: &Packet) -> Fresh {
         let fresh = Seen {
             incarnation: packet.incarnation,
             newest: packet.sequence,
             window: 1,
         };
-        let Some(seen) = self.senders.get_mut(&packet.sender) else {
-            if self.senders.len() >= MAX_SENDERS {
-                self.senders.clear();
+        if self.senders.len() >= MAX_SENDERS && !self.senders.contains_key(&packet.sender) {
+            self.senders.clear();
+        }
+        let seen = self.senders.entry(packet.sender.clone());
+        let seen = match seen {
+            Entry::Vacant(vacant) => {
+                vacant.insert(fresh);
+                return Fresh::New;
             }
-            self.senders.insert(packet.sender.clone(), fresh);
-            return true;
+            Entry::Occupied(occupied) => occupied.into_mut(),
         };
-        if packet.incarnation != seen.incarnation {
-            let newer = packet.incarnation > seen.incarnation;
-            if newer {
+        match packet.incarnation.cmp(&seen.incarnation) {
+            Ordering::Less => Fresh::Old,
+            Ordering::Greater => {
                 *seen = fresh;
+                Fresh::New
             }
-            return newer;
+            Ordering::Equal if seen.admit(packet.sequence) => Fresh::New,
+            Ordering::Equal => Fresh::Seen,
         }
-        seen.admit(packet.sequence)
     }
 }
 
@@ -169,8 +184,8 @@
     #[test]
     fn errors_on_an_older_incarnation() {
         let mut guard = ReplayGuard::default();
-        assert!(guard.admit(&packet(2, 1)));
-        assert!(!guard.admit(&packet(1, 9)));
+        assert!(matches!(guard.admit(&packet(2, 1)), Fresh::New));
+        assert!(matches!(guard.admit(&packet(1, 9)), Fresh::Old));
     }
 
     #[test]
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -117,9 +117,20 @@
     fn node_settings(&self, number: usize, options: &FleetOptions) -> String {
         let url = format!("http://{}", self.platform.address());
         let hall = number % options.halls.max(1);
+        let halls: Vec<String> = (0..options.halls.max(1))
+            .map(|n| format!("hall-{n}"))
+            .collect();
+        let halls = halls.join(",");
+        let seeds: Vec<String> = self
+            .nodes
+            .iter()
+            .map(|n| n.peer_address().to_string())
+            .collect();
+        let seeds = seeds.join(",");
         format!(
             "[node]\nname = entry-{number}\nregion = home\nhall = hall-{hall}\n\
              listen = 127.0.0.1:0\npeer_listen = 127.0.0.1:0\nbootstrap = {}\n\
+             cell = home\ncell_halls = {halls}\nseeds = {seeds}\n\
              [keys]\npeer_key = {KEY}\nresume_key = {KEY}\noperator_key = {KEY}\n\
              [platform]\ntable_url = {url}\nobjects_url = {url}\ncloud_url = {url}\n{}",
             self.bootstrap.display(),
@@ -245,6 +256,9 @@
         options.desk,
         application.address(),
     );
+    for hall in 0..options.halls.max(1) {
+        text += &format!("[hall hall-{hall}]\nregion = home\n");
+    }
     for (n, engine) in engines.iter().enumerate() {
         text += &format!(
             "[endpoint engine-{n}]\npool = story\naddress = {}\nhall = hall-{}\nprice = 1.2/h\n\
