Prove sessions over sockets; never take a lost answer for a refusal

Cause: nothing showed the promises over real sockets. A lost answer of an endpoint then passed for its proof that nothing had started: "not run" would have been said of a call that ran, and the call repeated.

--- a/components/limits/src/bucket.rs
+++ b/components/limits/src/bucket.rs
@@ -5,20 +5,28 @@
 /// Units of a bucket are thousandths, so that a node's small share of a limit is not rounded away.
 const MILLI: u64 = 1000;
 
-/// A bucket that fills at a rate and holds one second's worth, but at least one whole unit.
+/// A bucket that fills at a rate and holds so many seconds' worth, but at least one whole unit.
 #[derive(Clone, Debug)]
 pub struct Bucket {
     rate_milli: u64,
+    burst_secs: u64,
     level_milli: u64,
     filled_at: Duration,
 }
 
 impl Bucket {
-    /// A full bucket. `rate_milli` is in thousandths of a unit a second.
+    /// A full bucket that holds one second's worth. `rate_milli` is in thousandths of a unit a
+    /// second.
     pub fn new(now: Duration, rate_milli: u64) -> Self {
+        Self::with_burst(now, rate_milli, 1)
+    }
+
+    /// A full bucket that holds so many seconds' worth.
+    pub fn with_burst(now: Duration, rate_milli: u64, burst_secs: u64) -> Self {
         Bucket {
             rate_milli,
-            level_milli: rate_milli.max(MILLI),
+            burst_secs,
+            level_milli: (rate_milli * burst_secs).max(MILLI),
             filled_at: now,
         }
     }
@@ -46,7 +54,7 @@
     }
 
     fn size(&self) -> u64 {
-        self.rate_milli.max(MILLI)
+        (self.rate_milli * self.burst_secs).max(MILLI)
     }
 
     fn fill(&mut self, now: Duration) {
--- a/components/limits/src/team.rs
+++ b/components/limits/src/team.rs
@@ -7,6 +7,8 @@
 /// Time to come back when the team's concurrency is used up.
 const CONCURRENCY_RETRY: Duration = Duration::from_millis(200);
 const SECONDS_AN_HOUR: u64 = 3600;
+/// A team may spend this many seconds' worth of its budget at once.
+const SPENDING_BURST_SECS: u64 = 60;
 
 /// A node's part of a team's limits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -64,7 +66,7 @@
         TeamMeter {
             limits,
             rate: Bucket::new(now, limits.rate_milli),
-            spending: Bucket::new(now, spending_rate(limits)),
+            spending: Bucket::with_burst(now, spending_rate(limits), SPENDING_BURST_SECS),
             running: 0,
             asked: 0,
         }
--- a/components/transport/src/engine.rs
+++ b/components/transport/src/engine.rs
@@ -3,9 +3,9 @@
 //! The [`Engine`] trait is all that the rest of croftpond sees; another engine's protocol is
 //! another implementation of it.
 
-use std::io::{BufRead, BufReader, ErrorKind};
+use std::io::{BufRead, BufReader, ErrorKind, Read};
 
-use crate::wire::{ChunkLine, GenerateBody, LoadBody, OrderBody};
+use crate::wire::{ChunkLine, GenerateBody, LoadBody, OrderBody, Refusal};
 
 /// Longest line of an engine's answer, in bytes.
 const MAX_LINE_BYTES: usize = 64 * 1024;
@@ -107,10 +107,9 @@
             .with_body(body)
             .send_lazy();
         match sent {
+            Ok(response) if !is_answer(&response) => AttemptEnd::Broken,
             Ok(response) if response.status_code == 200 => read_lines(response, receive),
-            // The protocol answers 503 and 409 only before a start.
-            Ok(response) if matches!(response.status_code, 409 | 503) => AttemptEnd::NotStarted,
-            Ok(_) => AttemptEnd::Broken,
+            Ok(response) => end_of_refusal(response),
             Err(error) => end_of(&error),
         }
     }
@@ -144,6 +143,26 @@
     }
 }
 
+/// minreq gives a connection that closed without an answer this reason, with status 503.
+const NO_STATUS_LINE: &str = "Server did not provide a status line";
+
+/// Whether the endpoint answered at all. A lost answer must never pass for a refusal: it would be
+/// said that the request was not run, and a call that must not be repeated would be.
+pub(crate) fn is_answer(response: &minreq::ResponseLazy) -> bool {
+    response.reason_phrase != NO_STATUS_LINE
+}
+
+// Only the engine's own word proves that nothing started; a status alone may be anybody's.
+fn end_of_refusal(response: minreq::ResponseLazy) -> AttemptEnd {
+    let mut body = Vec::new();
+    let read = response.take(MAX_LINE_BYTES as u64).read_to_end(&mut body);
+    let refusal = serde_json::from_slice::<Refusal>(&body).ok();
+    match (read, refusal) {
+        (Ok(_), Some(Refusal { started: false })) => AttemptEnd::NotStarted,
+        _ => AttemptEnd::Broken,
+    }
+}
+
 fn post(address: &str, path: &str, body: String) -> Result<(), EngineError> {
     let response = minreq::post(format!("http://{address}{path}"))
         .with_header("Content-Type", "application/json")
--- a/components/transport/src/service.rs
+++ b/components/transport/src/service.rs
@@ -2,7 +2,7 @@
 
 use std::io::Read;
 
-use crate::engine::{end_of, AttemptEnd};
+use crate::engine::{end_of, is_answer, AttemptEnd};
 
 /// Headers that belong to one connection and are not passed on.
 const HOP_BY_HOP: &[&str] = &[
@@ -61,7 +61,10 @@
         request = request.with_header(name, value);
     }
     let response = request.send_lazy().map_err(|e| end_of(&e))?;
-    read_reply(response, call.max_answer)
+    match is_answer(&response) {
+        true => read_reply(response, call.max_answer),
+        false => Err(AttemptEnd::Broken),
+    }
 }
 
 fn read_reply(response: minreq::ResponseLazy, most: usize) -> Result<ServiceReply, AttemptEnd> {
--- a/components/transport/src/wire.rs
+++ b/components/transport/src/wire.rs
@@ -73,6 +73,13 @@
     End(u64),
 }
 
+/// Body of a refusal of `POST /generate`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refusal {
+    /// `false` proves that nothing was started.
+    pub started: bool,
+}
+
 /// Body of `GET /load` of an endpoint.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadBody {
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -224,7 +224,7 @@
         return answer(request, 400, "bad body".into());
     };
     if shared.lock().refusing {
-        return answer(request, 503, "not started".into());
+        return answer(request, 503, "{\"started\":false}".into());
     }
     let stream = enter(shared, &body);
     let mut writer = request.into_writer();
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -158,9 +158,12 @@
         max_tokens: u32,
         headers: &[(&str, &str)],
     ) -> Events {
-        let mut request = self
-            .request(node, minreq::Method::Post, "/v1/chat/completions")
+        let address = self.nodes[node].address();
+        let mut request = minreq::post(format!("http://{address}/v1/chat/completions"))
             .with_body(chat_body(content, max_tokens, true));
+        if !headers.iter().any(|(name, _)| *name == "Authorization") {
+            request = request.with_header("Authorization", format!("Bearer {CREDENTIAL}"));
+        }
         for (name, value) in headers {
             request = request.with_header(*name, *value);
         }
@@ -171,6 +174,63 @@
         }
     }
 
+    /// Goes on with a stream that another node began.
+    pub fn resume(
+        &self,
+        node: usize,
+        content: &str,
+        max_tokens: u32,
+        received: &[String],
+        token: &str,
+    ) -> Events {
+        let body = chat_body(content, max_tokens, true);
+        let mut body: serde_json::Value = serde_json::from_str(&body).unwrap_or_default();
+        body["croftpond_received"] = serde_json::json!(received);
+        let response = self
+            .request(node, minreq::Method::Post, "/v1/chat/completions")
+            .with_header("Croftpond-Resume", token)
+            .with_body(body.to_string())
+            .send_lazy()
+            .expect("the node answers");
+        Events {
+            status: response.status_code,
+            reader: BufReader::new(response),
+        }
+    }
+
+    /// What an operator's call answers.
+    pub fn operator(&self, node: usize, path: &str) -> serde_json::Value {
+        let address = self.nodes[node].address();
+        let response = minreq::get(format!("http://{address}/operator/{path}"))
+            .with_header("Authorization", format!("Bearer {KEY}"))
+            .send()
+            .expect("the node answers");
+        serde_json::from_slice(response.as_bytes()).unwrap_or_default()
+    }
+
+    /// What `croftpond status` shows.
+    pub fn status(&self, node: usize) -> serde_json::Value {
+        self.operator(node, "status")
+    }
+
+    /// Puts a configuration.
+    pub fn put_config(
+        &self,
+        node: usize,
+        based_on: i64,
+        body: &str,
+        author: &str,
+    ) -> minreq::Response {
+        let address = self.nodes[node].address();
+        minreq::post(format!("http://{address}/operator/config/{based_on}"))
+            .with_header("Authorization", format!("Bearer {KEY}"))
+            .with_header("Croftpond-Author", author)
+            .with_header("Croftpond-Note", "a trial")
+            .with_body(body)
+            .send()
+            .expect("the node answers")
+    }
+
     /// Makes a hold, with an idempotency key or without.
     pub fn hold(&self, node: usize, path: &str, key: Option<&str>) -> minreq::Response {
         let mut request = self
