--- /dev/null
+++ b/bench/src/main.rs
@@ -0,0 +1,29 @@
+//! Measurements: the decisions beside their baselines, the time a node adds, and the slopes that
+//! docs/CAPACITY.md is worked out from. Speeds belong here, never in tests.
+
+mod decisions;
+mod traces;
+
+use argh::FromArgs;
+
+/// Measures croftpond; run it with `cargo run --release -p bench -- COMMAND`.
+#[derive(FromArgs)]
+struct Cli {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Decisions(decisions::Decisions),
+    Traces(traces::Traces),
+}
+
+fn main() {
+    let cli: Cli = argh::from_env();
+    match cli.command {
+        Command::Decisions(args) => decisions::run(&args),
+        Command::Traces(args) => traces::run(&args),
+    }
+}
