Expect a wait before the last slot is taken

Cause: the score charged a wait only from the last slot on, but the load a node knows lags and other nodes send as well, so with a low weight of latency warm endpoints were filled past it. Change: the expected queue is a smooth function of the load, with a scatter of 2 requests.

--- a/components/routing/src/score.rs
+++ b/components/routing/src/score.rs
@@ -11,6 +11,9 @@
 const LATE_WEIGHT: f64 = 3.0;
 /// Cost of sharing an endpoint that still has a free slot, at the last slot.
 const SHARING_MS: f64 = 30.0;
+/// How far an endpoint's true load scatters around the load known here, in requests: other nodes
+/// send there too, and readings lag.
+const LOAD_SCATTER: f64 = 2.0;
 /// Age at which a reading says nothing more than the mean of the pool does.
 const READING_LIFE: Duration = Duration::from_secs(15);
 
@@ -86,8 +89,13 @@
     let load = f64::from(state.load());
     let load = load + (view.mean_load - load).max(0.0) * staleness;
     let sharing = (load / slots).min(1.0) * SHARING_MS;
-    let ahead = (load - slots + 1.0).max(0.0);
-    sharing + ahead * rates.hold_ms / slots
+    sharing + ahead(load - slots + 1.0) * rates.hold_ms / slots
+}
+
+// Requests expected ahead in the queue, given how far the load known here is past the last free
+// slot. The true load scatters around it, so a wait is expected before the slots are all taken.
+fn ahead(past_last_slot: f64) -> f64 {
+    LOAD_SCATTER * (past_last_slot / LOAD_SCATTER).exp().ln_1p()
 }
 
 fn price_ratio(state: &EndpointState, view: PoolView) -> f64 {
