State outcomes in five traces and replay them; config and replay commands

Cause: the traces stated nothing, and operators could not change the configuration from the shell. The traces are generated from seeds; no recording of the users has come.

--- a/bench/src/decisions.rs
+++ b/bench/src/decisions.rs
@@ -15,6 +15,7 @@
     ("least load", Policy::LeastLoad),
     ("two choices", Policy::TwoChoices),
 ];
+const TRACE_SECS: u64 = 120;
 const DECISIONS: u32 = 20_000;
 const WORKERS: [usize; 3] = [9, 76, 840];
 
@@ -94,7 +95,7 @@
         };
         add(
             &mut total,
-            &replay(&generate(deployment, story, seed), options),
+            &replay(&generate(deployment, story, TRACE_SECS, seed), options),
         );
     }
     total
--- a/components/replay/src/generate.rs
+++ b/components/replay/src/generate.rs
@@ -5,7 +5,7 @@
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::trace::{EndpointLine, Expect, Line, NoticeLine, RequestLine};
+use crate::trace::{EndpointLine, Line, NoticeLine, RequestLine};
 
 /// Whose fleet it is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,7 +31,6 @@
     HallTwice,
 }
 
-const LENGTH_MS: u64 = 120_000;
 const HALLS: usize = 4;
 const SLOTS: i32 = 16;
 const SYSTEM_TOKENS: u32 = 640;
@@ -73,32 +72,20 @@
     shape
 }
 
-/// Generates a trace with its endpoints; outcomes are stated by whoever records it.
-pub fn generate(deployment: Deployment, story: Story, seed: u64) -> Vec<Line> {
+/// Generates a trace of so many seconds with its endpoints; whoever records it states outcomes.
+pub fn generate(deployment: Deployment, story: Story, secs: u64, seed: u64) -> Vec<Line> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let shape = shape(deployment, story);
+    let length_ms = secs * 1000;
     let mut lines = endpoints(&shape, &mut rng);
-    let mut timed = requests(&shape, &mut rng);
-    timed.extend(services(&shape, &mut rng));
-    timed.extend(faults(story));
+    let mut timed = requests(&shape, length_ms, &mut rng);
+    timed.extend(services(&shape, length_ms, &mut rng));
+    timed.extend(faults(story, length_ms));
     timed.sort_by_key(|(at, _)| *at);
     lines.extend(timed.into_iter().map(|(_, line)| line));
-    lines.push(Line::Expect(promises()));
     lines
 }
 
-// What holds in every trace.
-fn promises() -> Expect {
-    Expect {
-        lost: Some(0),
-        wrong_parts: Some(0),
-        run_twice: Some(0),
-        false_not_run: Some(0),
-        late_starts: Some(0),
-        ..Expect::default()
-    }
-}
-
 fn endpoints(shape: &Shape, rng: &mut impl Rng) -> Vec<Line> {
     let endpoint = |name: String, pool: &str, hall: usize, price_milli: i64, slots| {
         Line::Endpoint(EndpointLine {
@@ -127,14 +114,14 @@
     class: usize,
 }
 
-fn requests(shape: &Shape, rng: &mut impl Rng) -> Vec<(u64, Line)> {
+fn requests(shape: &Shape, length_ms: u64, rng: &mut impl Rng) -> Vec<(u64, Line)> {
     let mut open: BTreeMap<u64, Conversation> = BTreeMap::new();
     let mut lines = Vec::new();
     let mut at = 0.0;
     let mut next = 0;
     loop {
         at += -rng.random_range(f64::MIN_POSITIVE..1.0).ln() / shape.rate * 1000.0;
-        if at >= LENGTH_MS as f64 {
+        if at >= length_ms as f64 {
             return lines;
         }
         // Two in three requests go on with a conversation.
@@ -211,13 +198,13 @@
     }
 }
 
-fn services(shape: &Shape, rng: &mut impl Rng) -> Vec<(u64, Line)> {
+fn services(shape: &Shape, length_ms: u64, rng: &mut impl Rng) -> Vec<(u64, Line)> {
     let mut lines = Vec::new();
     let mut at = 0.0;
     let mut id = 1 << 40;
     loop {
         at += -rng.random_range(f64::MIN_POSITIVE..1.0).ln() / shape.service_rate * 1000.0;
-        if at >= LENGTH_MS as f64 {
+        if at >= length_ms as f64 {
             return lines;
         }
         id += 1;
@@ -240,7 +227,7 @@
     }
 }
 
-fn faults(story: Story) -> Vec<(u64, Line)> {
+fn faults(story: Story, length_ms: u64) -> Vec<(u64, Line)> {
     let hall = |at: u64, hall: usize| {
         let notice = NoticeLine {
             at,
@@ -252,15 +239,18 @@
     };
     match story {
         Story::Calm | Story::Rush => Vec::new(),
-        Story::Drafts => vec![hall(40_000, 2)],
+        Story::Drafts => vec![hall(length_ms / 3, 2)],
         Story::Stalled => {
-            let stall = Line::Stall {
-                at: 50_000,
-                pool: "service".into(),
-                for_ms: 15_000,
-            };
-            vec![(50_000, stall)]
+            let (at, for_ms) = (length_ms * 5 / 12, length_ms / 8);
+            vec![(
+                at,
+                Line::Stall {
+                    at,
+                    pool: "service".into(),
+                    for_ms,
+                },
+            )]
         }
-        Story::HallTwice => vec![hall(30_000, 0), hall(70_000, 1)],
+        Story::HallTwice => vec![hall(length_ms / 4, 0), hall(length_ms * 7 / 12, 1)],
     }
 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -22,6 +22,8 @@
     Check(Check),
     Status(Status),
     Explain(Explain),
+    Config(Config),
+    Replay(Replay),
 }
 
 /// run an entry node until SIGTERM or SIGINT, then stop as planned
@@ -86,3 +88,104 @@
     #[argh(switch)]
     pub json: bool,
 }
+
+/// read and change the fleet configuration
+#[derive(FromArgs)]
+#[argh(subcommand, name = "config")]
+pub struct Config {
+    #[argh(subcommand)]
+    pub command: ConfigCommand,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub enum ConfigCommand {
+    Get(ConfigGet),
+    Put(ConfigPut),
+    History(ConfigHistory),
+    Diff(ConfigDiff),
+}
+
+/// print the configuration in force at a node, or an older version
+#[derive(FromArgs)]
+#[argh(subcommand, name = "get")]
+pub struct ConfigGet {
+    /// address of a node, IP:PORT
+    #[argh(option)]
+    pub address: String,
+    /// file that holds the operator key
+    #[argh(option)]
+    pub key_file: String,
+    /// version to print; the one in force if not given
+    #[argh(option)]
+    pub version: Option<i64>,
+}
+
+/// check a configuration and put it in force everywhere
+#[derive(FromArgs)]
+#[argh(subcommand, name = "put")]
+pub struct ConfigPut {
+    /// configuration file
+    #[argh(positional)]
+    pub file: String,
+    /// address of a node, IP:PORT
+    #[argh(option)]
+    pub address: String,
+    /// file that holds the operator key
+    #[argh(option)]
+    pub key_file: String,
+    /// version that the file is an edit of; another edit in between is a conflict
+    #[argh(option)]
+    pub based_on: i64,
+    /// who makes the edit
+    #[argh(option)]
+    pub author: String,
+    /// what the edit is for
+    #[argh(option)]
+    pub note: String,
+}
+
+/// list the newest versions with their authors and notes
+#[derive(FromArgs)]
+#[argh(subcommand, name = "history")]
+pub struct ConfigHistory {
+    /// address of a node, IP:PORT
+    #[argh(option)]
+    pub address: String,
+    /// file that holds the operator key
+    #[argh(option)]
+    pub key_file: String,
+    /// print the JSON as it comes
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// show the lines that differ between two versions
+#[derive(FromArgs)]
+#[argh(subcommand, name = "diff")]
+pub struct ConfigDiff {
+    /// older version
+    #[argh(positional)]
+    pub from: i64,
+    /// newer version
+    #[argh(positional)]
+    pub to: i64,
+    /// address of a node, IP:PORT
+    #[argh(option)]
+    pub address: String,
+    /// file that holds the operator key
+    #[argh(option)]
+    pub key_file: String,
+}
+
+/// replay recorded traces through the decisions and compare with the outcomes they state
+#[derive(FromArgs)]
+#[argh(subcommand, name = "replay")]
+pub struct Replay {
+    /// trace files
+    #[argh(positional)]
+    pub files: Vec<String>,
+    /// entry nodes to replay with
+    #[argh(option, default = "8")]
+    pub nodes: usize,
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,9 +1,11 @@
 //! One module per subcommand.
 
 mod check;
+mod config;
 mod explain;
 mod operator;
 mod quickstart;
+mod replay;
 mod serve;
 mod signals;
 mod status;
@@ -20,6 +22,11 @@
 /// Settings or configuration have faults.
 pub const EXIT_FAULTS: u8 = 2;
 
+/// Another edit of the configuration came first.
+pub const EXIT_CONFLICT: u8 = 3;
+/// A replay missed a stated outcome.
+pub const EXIT_MISSED: u8 = 4;
+
 /// A command that failed; what is attached says why.
 #[derive(Debug)]
 pub struct CommandError(pub &'static str);
@@ -43,6 +50,8 @@
         Command::Check(args) => check::run(&args),
         Command::Status(args) => status::run(&args),
         Command::Explain(args) => explain::run(&args),
+        Command::Config(args) => config::run(&args.command),
+        Command::Replay(args) => replay::run(&args),
     }
 }
 
