--- a/components/node/src/node.rs
+++ b/components/node/src/node.rs
@@ -84,7 +84,13 @@
         let address = listener.local_addr().change_context(NodeError)?;
         let peer_address = peers.datagrams.local_addr().change_context(NodeError)?;
         let (control, events) = flume::unbounded();
-        let shared = Arc::new(share(settings, platform, log, control.clone())?);
+        let shared = Arc::new(share(
+            settings,
+            platform,
+            log,
+            control.clone(),
+            peer_address,
+        )?);
         let mut node = Node {
             shared: Arc::clone(&shared),
             address,
@@ -250,6 +256,7 @@
     platform: Platform,
     log: Logger,
     control: Sender<ControlEvent>,
+    peer_address: SocketAddr,
 ) -> Result<Shared, Report<NodeError>> {
     let metrics = Metrics::new(settings.statsd.parse().ok())
         .change_context(NodeError)
@@ -267,5 +274,6 @@
         objects: platform.objects,
         cloud: platform.cloud,
         control,
+        peer_address: peer_address.to_string(),
     }))
 }
--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -33,6 +33,7 @@
     pub control: Sender<ControlEvent>,
     traffic: Mutex<Traffic>,
     status: ArcSwap<serde_json::Value>,
+    peer_address: String,
     started: Instant,
     next_id: AtomicU64,
     ready: AtomicBool,
@@ -51,6 +52,7 @@
     pub objects: Box<dyn Objects>,
     pub cloud: Box<dyn Cloud>,
     pub control: Sender<ControlEvent>,
+    pub peer_address: String,
 }
 
 impl Shared {
@@ -70,6 +72,7 @@
             snapshot: ArcSwap::from_pointee(Snapshot::empty()),
             records: Mutex::new(Records::default()),
             control: parts.control,
+            peer_address: parts.peer_address,
             traffic: Mutex::new(Traffic::new(seed)),
             status: ArcSwap::from_pointee(serde_json::Value::Null),
             started: Instant::now(),
@@ -125,6 +128,11 @@
         self.ended.store(true, Ordering::Release);
     }
 
+    /// Address for other nodes.
+    pub fn peer_address(&self) -> &str {
+        &self.peer_address
+    }
+
     /// What the control thread shows in `status`.
     pub fn control_status(&self) -> serde_json::Value {
         serde_json::Value::clone(&self.status.load())
--- a/components/node/src/status.rs
+++ b/components/node/src/status.rs
@@ -69,6 +69,7 @@
     json!({
         "node": shared.settings.name,
         "hall": shared.settings.hall,
+        "peer_address": shared.peer_address(),
         "ready": shared.is_ready(),
         "stopping": shared.is_stopping(),
         "config_version": snapshot.version.number,
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -1,6 +1,7 @@
 //! `croftpond serve`: one entry node until it is asked to stop.
 
 use std::process::ExitCode;
+use std::time::Duration;
 
 use error_stack::ResultExt;
 use node::{Node, Platform};
@@ -9,6 +10,9 @@
 use super::{read_file, CommandError, Outcome, EXIT_FAULTS};
 use crate::cli::Serve;
 
+/// How often signals, and a reclaim of the node's own VM, are looked for.
+const SIGNAL_PAUSE: Duration = Duration::from_millis(50);
+
 /// Runs the command.
 pub fn run(args: &Serve) -> Outcome {
     let text = read_file(&args.node)?;
@@ -25,7 +29,9 @@
     let node = Node::start(settings, platform, log)
         .change_context(CommandError("the node could not start"))?;
     println!("listening on {}", node.address());
-    signals.wait();
+    while !signals.pending() && !node.is_stopping() {
+        std::thread::sleep(SIGNAL_PAUSE);
+    }
     match node.finish_stop() {
         true => Ok(ExitCode::SUCCESS),
         false => Ok(ExitCode::from(super::EXIT_FAILED)),
--- a/src/cmd/signals.rs
+++ b/src/cmd/signals.rs
@@ -17,6 +17,11 @@
             .change_context(CommandError("signals could not be listened to"))
     }
 
+    /// Whether one came.
+    pub fn pending(&mut self) -> bool {
+        self.0.pending().next().is_some()
+    }
+
     /// Blocks until one comes.
     pub fn wait(&mut self) {
         self.0.forever().next();
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -108,32 +108,39 @@
         options: &FleetOptions,
         log: &Logger,
     ) -> Result<Node, Report<NodeError>> {
-        let text = self.node_settings(number, options);
+        let seeds: Vec<String> = self
+            .nodes
+            .iter()
+            .map(|n| n.peer_address().to_string())
+            .collect();
+        let bootstrap = self.bootstrap.display().to_string();
+        let text = self.node_settings(number, options, &bootstrap, &seeds);
         let settings = settings::read_node("fleet", &text).change_context(NodeError)?;
         let platform = Platform::of(&settings);
         Node::start(settings, platform, log.clone())
     }
 
-    fn node_settings(&self, number: usize, options: &FleetOptions) -> String {
+    /// Settings of a node of this fleet.
+    pub fn node_settings(
+        &self,
+        number: usize,
+        options: &FleetOptions,
+        bootstrap: &str,
+        seeds: &[String],
+    ) -> String {
         let url = format!("http://{}", self.platform.address());
         let hall = number % options.halls.max(1);
         let halls: Vec<String> = (0..options.halls.max(1))
             .map(|n| format!("hall-{n}"))
             .collect();
-        let halls = halls.join(",");
-        let seeds: Vec<String> = self
-            .nodes
-            .iter()
-            .map(|n| n.peer_address().to_string())
-            .collect();
-        let seeds = seeds.join(",");
         format!(
             "[node]\nname = entry-{number}\nregion = home\nhall = hall-{hall}\n\
-             listen = 127.0.0.1:0\npeer_listen = 127.0.0.1:0\nbootstrap = {}\n\
-             cell = home\ncell_halls = {halls}\nseeds = {seeds}\n\
+             listen = 127.0.0.1:0\npeer_listen = 127.0.0.1:0\nbootstrap = {bootstrap}\n\
+             cell = home\ncell_halls = {}\nseeds = {}\n\
              [keys]\npeer_key = {KEY}\nresume_key = {KEY}\noperator_key = {KEY}\n\
              [platform]\ntable_url = {url}\nobjects_url = {url}\ncloud_url = {url}\n{}",
-            self.bootstrap.display(),
+            halls.join(","),
+            seeds.join(","),
             options.settings,
         )
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,4 +1,6 @@
-//! What the session tests share.
+//! What the session tests share; each of them uses a part.
+
+#![allow(dead_code)]
 
 use std::time::{Duration, Instant};
 
