--- a/components/client/src/chat.rs
+++ b/components/client/src/chat.rs
@@ -103,7 +103,7 @@
             if let Some(problem) = Problem::from_json(data) {
                 return Read::Refused(problem);
             }
-            if let Some(part) = self.take(&data.to_string()) {
+            if let Some(part) = self.take(data) {
                 return Read::Part(part);
             }
             return self.read();
