Join the parts that a cell starts in

Parts that never knew each other stayed apart. Each had its own speakers and pollers, which also explains the 18 to 20 KB/s of a speaker and four times the platform calls expected. Ruled out: the size of summaries (1 to 2 KB/s).

--- a/components/control/tests/promises.rs
+++ b/components/control/tests/promises.rs
@@ -88,6 +88,25 @@
     });
 }
 
+#[test]
+fn cells_that_start_at_once_come_together_whole() {
+    check(2, |seed| {
+        let terms = FleetTerms {
+            seed,
+            cells: vec![30, 12, 30, 8, 20],
+            endpoints: 4,
+            teams: 2,
+        };
+        let mut fleet = CoreFleet::start(terms, CALM);
+        fleet.run(secs(60));
+        let sizes = [30, 12, 30, 8, 20];
+        fleet
+            .peers
+            .iter()
+            .all(|p| p.core.cell().size() == sizes[p.cell])
+    });
+}
+
 #[test]
 fn a_leave_reaches_the_cell_in_time_and_the_other_cells_soon_after() {
     check(40, |seed| {
--- a/components/membership/src/cell.rs
+++ b/components/membership/src/cell.rs
@@ -367,35 +367,45 @@
     }
 
     // A node that knows no member pings contacts until one answers; one that does looks now and
-    // then for members it lost, since they may live on behind a cut.
+    // then for nodes of its cell that it does not know: members it lost, since they may live on
+    // behind a cut, and contacts, since a cell that starts at once starts in several parts.
     fn join(&mut self, now: Duration, rng: &mut impl Rng) -> Vec<Output> {
         if now < self.next_join {
             return Vec::new();
         }
-        if self.members.active().next().is_some() {
-            self.next_join = now + REJOIN_INTERVAL;
-            let lost = self.members.pick_lost(rng);
-            return lost
-                .into_iter()
-                .map(|news| self.join_ping(now, &news.address, Some(&news)))
-                .collect();
-        }
-        self.next_join = now + JOIN_INTERVAL;
+        let alone = self.members.active().next().is_none();
+        self.next_join = now
+            + if alone {
+                JOIN_INTERVAL
+            } else {
+                REJOIN_INTERVAL
+            };
         let lost = self.members.pick_lost(rng);
-        let mut outputs: Vec<Output> = lost
-            .into_iter()
-            .map(|news| self.join_ping(now, &news.address, Some(&news)))
-            .collect();
-        let mut contacts = self.contacts.any(JOIN_CONTACTS, rng);
-        contacts.retain(|c| c.cell.is_empty() || c.cell == self.terms.cell);
-        outputs.extend(
-            contacts
-                .iter()
-                .map(|c| self.join_ping(now, &c.address, None)),
-        );
+        let strangers = self.strangers(if alone { JOIN_CONTACTS } else { 1 }, rng);
+        let mut outputs = Vec::new();
+        if let Some(news) = lost {
+            outputs.push(self.join_ping(now, &news.address, Some(&news)));
+        }
+        for contact in strangers {
+            outputs.push(self.join_ping(now, &contact.address, None));
+        }
         outputs
     }
 
+    // Contacts that are, or may be, of this cell and are no members as far as is known.
+    fn strangers(&self, count: usize, rng: &mut impl Rng) -> Vec<Contact> {
+        let known: Vec<&str> = self
+            .members
+            .active()
+            .map(|m| m.news.address.as_str())
+            .collect();
+        let stranger = |c: &Contact| {
+            let of_cell = c.cell.is_empty() || c.cell == self.terms.cell;
+            of_cell && !known.contains(&c.address.as_str())
+        };
+        self.contacts.pick(count, stranger, rng)
+    }
+
     // A ping that introduces this node, and tells the other what it is taken for.
     fn join_ping(&mut self, now: Duration, to: &str, about: Option<&MemberNews>) -> Output {
         let mut packet = self.packet(now, Kind::PING);
--- a/components/membership/src/contacts.rs
+++ b/components/membership/src/contacts.rs
@@ -71,13 +71,22 @@
             .collect()
     }
 
-    /// Some contacts of any cell.
-    pub fn any(&self, count: usize, rng: &mut impl Rng) -> Vec<Contact> {
-        let mut all: Vec<&Known> = self.cells.values().flatten().collect();
+    /// Some of the contacts that fit.
+    pub fn pick(
+        &self,
+        count: usize,
+        fits: impl Fn(&Contact) -> bool,
+        rng: &mut impl Rng,
+    ) -> Vec<Contact> {
+        let all = self.cells.values().flatten().map(|known| &known.contact);
+        let mut fitting: Vec<&Contact> = all.filter(|c| fits(c)).collect();
         let mut picked = Vec::new();
-        while picked.len() < count && !all.is_empty() {
-            let known = all.swap_remove(rng.random_range(0..all.len()));
-            picked.push(known.contact.clone());
+        while picked.len() < count && !fitting.is_empty() {
+            picked.push(
+                fitting
+                    .swap_remove(rng.random_range(0..fitting.len()))
+                    .clone(),
+            );
         }
         picked
     }
