--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -4,6 +4,7 @@
 mod capacity;
 mod decisions;
 mod loopback;
+mod overhead;
 mod process;
 mod traces;
 
@@ -21,6 +22,7 @@
 enum Command {
     Capacity(capacity::Capacity),
     Decisions(decisions::Decisions),
+    Overhead(overhead::Overhead),
     Traces(traces::Traces),
 }
 
@@ -29,6 +31,7 @@
     match cli.command {
         Command::Capacity(args) => capacity::run(&args),
         Command::Decisions(args) => decisions::run(&args),
+        Command::Overhead(args) => overhead::run(&args),
         Command::Traces(args) => traces::run(&args),
     }
 }
