Move streams as late as the notice allows; keep claims within the platform budget

Change: streams of a leaving endpoint run on until the time that their exports and a lead of 1.5 s need; only then the wave is planned. A second notice counts when it is sooner. Claims share a budget of table calls a node, with pauses of at most 1 s in an outage. The replay's caches are smaller now (1,500 blocks), which is harder. A sixth trace has 3 s notices.

--- a/bench/src/decisions.rs
+++ b/bench/src/decisions.rs
@@ -15,6 +15,12 @@
     ("least load", Policy::LeastLoad),
     ("two choices", Policy::TwoChoices),
 ];
+const DEPLOYMENTS: [(&str, Deployment); 2] = [
+    ("Waitematā", Deployment::Waitemata),
+    ("Habi Loom", Deployment::Habi),
+];
+/// Two data halls reclaimed one after the other, with three seconds of notice each.
+const HALLS_RECLAIMED: Story = Story::HallTwice { notice_ms: 3000 };
 const TRACE_SECS: u64 = 120;
 const DECISIONS: u32 = 20_000;
 const WORKERS: [usize; 3] = [9, 76, 840];
@@ -30,14 +36,11 @@
 
 /// Runs the command.
 pub fn run(args: &Decisions) {
-    for (name, deployment) in [
-        ("Waitematā", Deployment::Waitemata),
-        ("Habi Loom", Deployment::Habi),
-    ] {
+    for (name, deployment) in DEPLOYMENTS {
         for (what, story) in [
             ("calm", Story::Calm),
             ("rush", Story::Rush),
-            ("two halls reclaimed", Story::HallTwice),
+            ("two halls reclaimed", HALLS_RECLAIMED),
         ] {
             println!("\n{name}, {what}, {} seeds of 120 s:", args.seeds);
             println!(
@@ -59,12 +62,32 @@
             }
         }
     }
+    compare_moves(args.seeds);
     println!("\ntime of one decision:");
     for workers in WORKERS {
         println!("{workers:>5} workers: {:.2} us", decision_us(workers));
     }
 }
 
+fn compare_moves(seeds: u64) {
+    println!("\nstreams moved at a notice, or broken with their VM and retried:");
+    for (name, deployment) in DEPLOYMENTS {
+        for (what, moves) in [("moved", true), ("broken", false)] {
+            let mut total = Report::default();
+            for seed in 1..=seeds {
+                let options = Options {
+                    seed,
+                    moves,
+                    ..Options::default()
+                };
+                let lines = generate(deployment, HALLS_RECLAIMED, TRACE_SECS, seed);
+                add(&mut total, &replay(&lines, options));
+            }
+            println!("{}", row(&format!("{name} {what}"), &total));
+        }
+    }
+}
+
 fn row(name: &str, r: &Report) -> String {
     let past: Vec<String> = r
         .classes
--- a/bench/src/traces.rs
+++ b/bench/src/traces.rs
@@ -12,7 +12,7 @@
     past_target_milli: [u64; 3],
 }
 
-const RECORDINGS: [Recording; 5] = [
+const RECORDINGS: [Recording; 6] = [
     Recording {
         name: "waitemata-boarding-rush",
         deployment: Deployment::Waitemata,
@@ -24,7 +24,7 @@
     Recording {
         name: "waitemata-halls-reclaimed-twice",
         deployment: Deployment::Waitemata,
-        story: Story::HallTwice,
+        story: Story::HallTwice { notice_ms: 8000 },
         lost: 0,
         past_target_milli: [30, 200, 200],
     },
@@ -50,6 +50,14 @@
         lost: 30,
         past_target_milli: [25, 5, 5],
     },
+    // Three seconds of notice: hardly a stream ends before its VM goes.
+    Recording {
+        name: "waitemata-halls-reclaimed-in-three-seconds",
+        deployment: Deployment::Waitemata,
+        story: Story::HallTwice { notice_ms: 3000 },
+        lost: 0,
+        past_target_milli: [20, 150, 300],
+    },
 ];
 
 const TRACE_SECS: u64 = 45;
--- a/components/control/src/core.rs
+++ b/components/control/src/core.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::event::{Action, CallId, Event};
-use crate::gate::{Admitted, PlatformGate};
+use crate::gate::{Admitted, PlatformGate, CONTROL_PAUSE};
 use crate::shares::Shares;
 
 /// Nodes of a cell that read the table's head row, the notices and the VM list.
@@ -83,7 +83,7 @@
         let name = &terms.cell.name;
         Core {
             shares: Shares::new(name, &terms.cell.cell, terms.cell.incarnation),
-            gate: PlatformGate::new(now, terms.platform_rate),
+            gate: PlatformGate::new(now, terms.platform_rate, CONTROL_PAUSE),
             follower: ConfigFollower::default(),
             lease: Lease::new(lease),
             cell: Cell::new(terms.cell),
--- a/components/control/src/gate.rs
+++ b/components/control/src/gate.rs
@@ -7,8 +7,11 @@
 
 /// First pause after a call without an answer; it doubles with each one.
 const FIRST_PAUSE: Duration = Duration::from_millis(500);
-/// Longest pause; short enough that a configuration still comes into force in time on the return.
-const MAX_PAUSE: Duration = Duration::from_secs(8);
+/// Longest pause of the control state; short enough that a configuration still comes into force in
+/// time on the return.
+pub const CONTROL_PAUSE: Duration = Duration::from_secs(8);
+/// Longest pause of claims, whose callers wait.
+pub const CLAIM_PAUSE: Duration = Duration::from_secs(1);
 /// Calls without an answer in a row that count as an outage; single losses are no outage.
 const OUTAGE_FROM: u32 = 3;
 
@@ -28,16 +31,18 @@
     unanswered: u32,
     closed_until: Duration,
     pause: Duration,
+    max_pause: Duration,
 }
 
 impl PlatformGate {
-    /// A budget of so many calls a second.
-    pub fn new(now: Duration, calls_a_second: u64) -> Self {
+    /// A budget of so many calls a second, with at most this pause while the platform is down.
+    pub fn new(now: Duration, calls_a_second: u64, max_pause: Duration) -> Self {
         PlatformGate {
             rate: Bucket::new(now, calls_a_second * 1000),
             unanswered: 0,
             closed_until: Duration::ZERO,
-            pause: FIRST_PAUSE,
+            pause: FIRST_PAUSE.min(max_pause),
+            max_pause,
         }
     }
 
@@ -57,7 +62,7 @@
         if answered {
             self.unanswered = 0;
             self.closed_until = Duration::ZERO;
-            self.pause = FIRST_PAUSE;
+            self.pause = FIRST_PAUSE.min(self.max_pause);
         } else {
             self.unanswered = self.unanswered.saturating_add(1);
         }
@@ -68,6 +73,6 @@
         let half = self.pause / 2;
         let jitter = half * rng.random_range(0..=1000) / 1000;
         self.closed_until = now + half + jitter;
-        self.pause = (self.pause * 2).min(MAX_PAUSE);
+        self.pause = (self.pause * 2).min(self.max_pause);
     }
 }
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -10,4 +10,4 @@
 
 pub use self::core::{Core, CoreStatus, CoreTerms};
 pub use event::{Action, CallId, Event};
-pub use gate::{Admitted, PlatformGate};
+pub use gate::{Admitted, PlatformGate, CLAIM_PAUSE, CONTROL_PAUSE};
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -4,4 +4,4 @@
 mod moves;
 
 pub use holding::{plan_holding, Bid, Change, HallOffer, Holding, HoldingPlanner, PoolNeed};
-pub use moves::{plan_moves, Move, MoveRates, Plan, Stream, Target};
+pub use moves::{plan_moves, wait_before_moves, Move, MoveRates, Plan, Stream, Target};
--- a/components/fleet/src/moves.rs
+++ b/components/fleet/src/moves.rs
@@ -9,6 +9,8 @@
 
 /// Time kept free at the end of a notice.
 const MARGIN: Duration = Duration::from_millis(500);
+/// Time before the end of a notice that moves need beside the export of KV cache.
+const LEAD: Duration = Duration::from_millis(1500);
 /// Weight of a target in a data hall that is in the same wave, in thousandths.
 const SAME_WAVE_MILLI: u64 = 50;
 
@@ -63,6 +65,13 @@
     }
 }
 
+impl MoveRates {
+    fn export_time(&self, stream: &Stream) -> Duration {
+        let bytes = stream.context_tokens * self.kv_bytes_per_token;
+        Duration::from_millis(bytes * 1000 / self.link_bytes_per_sec.max(1))
+    }
+}
+
 /// What becomes of one stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Move {
@@ -85,6 +94,13 @@
 /// The plan for a wave: each stream with its move, in the order to carry them out.
 pub type Plan = Vec<(u64, Move)>;
 
+/// How long to let the streams of one leaving endpoint run on before they are moved. Until then they
+/// give tokens where they are, and those that end need no move at all.
+pub fn wait_before_moves(streams: &[Stream], left: Duration, rates: MoveRates) -> Duration {
+    let exports: Duration = streams.iter().map(|s| rates.export_time(s)).sum();
+    left.saturating_sub(exports + LEAD)
+}
+
 /// Plans a whole wave. `left` gives the time left to each leaving endpoint.
 pub fn plan_moves(
     now: Duration,
@@ -123,7 +139,7 @@
         if !stream.repeatable || whole <= usable {
             return Move::Finish;
         }
-        let export = self.export_time(stream);
+        let export = self.rates.export_time(stream);
         let busy = self
             .link_busy
             .get(&stream.endpoint)
@@ -141,11 +157,6 @@
         Move::Import { target }
     }
 
-    fn export_time(&self, stream: &Stream) -> Duration {
-        let bytes = stream.context_tokens * self.rates.kv_bytes_per_token;
-        Duration::from_millis(bytes * 1000 / self.rates.link_bytes_per_sec.max(1))
-    }
-
     // Weighted rendezvous: nodes that plan the same wave without a message spread alike, and no
     // target gets a herd.
     fn take_target(&mut self, id: u64) -> Option<String> {
--- a/components/membership/src/cell.rs
+++ b/components/membership/src/cell.rs
@@ -31,7 +31,7 @@
 /// the cell twice as often.
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(4);
 /// Members named in a summary packet, so that other cells know whom to send to.
-const INTRODUCED: usize = 2;
+const INTRODUCED: usize = 3;
 /// Time between two tries to join.
 const JOIN_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between two looks for lost members.
@@ -546,13 +546,10 @@
         outputs
     }
 
+    // Packets between cells name members of the sender's cell.
     fn is_of_other_cell(&self, packet: &Packet) -> bool {
-        let sender = packet
-            .members
-            .iter()
-            .flatten()
-            .find(|m| m.name == packet.sender);
-        sender.is_some_and(|m| m.cell != self.terms.cell)
+        let mut named = packet.members.iter().flatten();
+        named.any(|m| m.cell != self.terms.cell)
     }
 
     // What another cell tells of its leaving endpoints holds until it tells otherwise.
@@ -740,33 +737,36 @@
             packet.members = Some(members.clone());
             packet.summaries = Some(summaries.clone());
             outputs.push(Self::send(&contact.address, packet));
-            outputs.extend(self.tell_demands(now, &contact.address));
+            outputs.extend(self.tell_demands(now, &contact.address, &members));
         }
         outputs
     }
 
-    fn tell_demands(&mut self, now: Duration, to: &str) -> Vec<Output> {
+    fn tell_demands(&mut self, now: Duration, to: &str, members: &[MemberNews]) -> Vec<Output> {
         let demands = self.cell_demands.clone();
-        let own = self.own_news();
         demands
             .chunks(DEMANDS_PER_PACKET)
             .map(|part| {
                 let mut packet = self.packet(now, Kind::NEWS);
-                packet.members = Some(vec![own.clone()]);
+                packet.members = Some(members[..1].to_vec());
                 packet.demands = Some(part.to_vec());
                 Self::send(to, packet)
             })
             .collect()
     }
 
-    // This node and some other members: what is sent to a cell should not all go to its speakers.
+    // Other members than this speaker, for the other cells to send to: what they tell is told on to
+    // the whole cell, and that work should not fall to the speakers as well.
     fn introduced(&self, rng: &mut impl Rng) -> Vec<MemberNews> {
         let mut others: Vec<&Member> = self.members.active().collect();
-        let mut introduced = vec![self.own_news()];
-        while introduced.len() <= INTRODUCED && !others.is_empty() {
+        let mut introduced = Vec::new();
+        while introduced.len() < INTRODUCED && !others.is_empty() {
             let member = others.swap_remove(rng.random_range(0..others.len()));
             introduced.push(member.news.clone());
         }
+        if introduced.is_empty() {
+            introduced.push(self.own_news());
+        }
         introduced
     }
 
--- a/components/membership/src/endpoints.rs
+++ b/components/membership/src/endpoints.rs
@@ -13,6 +13,8 @@
 pub const READERS: usize = 2;
 /// Rounds in which news of a leave is told by each node that has heard it.
 const LEAVE_ROUNDS: u32 = 4;
+/// A second notice counts when it is sooner than the first by more than this.
+const SOONER: Duration = Duration::from_millis(500);
 /// Age in milliseconds that stands for any greater one.
 const MAX_AGE_MS: i32 = 600_000;
 
@@ -245,11 +247,13 @@
     }
 
     fn leave(&mut self, now: Duration, incarnation: i64, left: Duration) -> Vec<Change> {
-        if incarnation < self.incarnation || self.leaving_at.is_some() {
+        let at = now + left;
+        let known = self.leaving_at.is_some_and(|known| at + SOONER >= known);
+        if incarnation < self.incarnation || known {
             return Vec::new();
         }
         self.incarnation = incarnation;
-        self.leaving_at = Some(now + left);
+        self.leaving_at = Some(at);
         self.leave_rounds = LEAVE_ROUNDS;
         vec![Change::Leaves(self.spec.name.clone(), left)]
     }
--- a/components/membership/tests/promises.rs
+++ b/components/membership/tests/promises.rs
@@ -133,6 +133,22 @@
     assert!(net.peers.iter().all(|p| !p.leaving.contains_key("w2")));
 }
 
+#[test]
+fn a_second_notice_counts_when_it_is_sooner() {
+    let mut net = cell_of(1, 3);
+    net.run(Duration::from_secs(3));
+    for left in [30, 60, 5] {
+        let now = net.now;
+        let outputs = net.peers[0]
+            .cell
+            .notice(now, "w2", Duration::from_secs(left));
+        net.peers[0].leaving.remove("w2");
+        net.outputs(0, outputs);
+    }
+    let left = net.peers[0].leaving["w2"] - net.now;
+    assert_eq!(left, Duration::from_secs(5));
+}
+
 #[test]
 fn a_notice_before_the_first_reading_is_not_forgotten_with_it() {
     let mut net = Net::new(1);
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -21,7 +21,7 @@
 use transport::{seal_packet, Key};
 
 use crate::jobs::{Job, Jobs};
-use crate::moves::plan_wave;
+use crate::moves::Waves;
 use crate::orders::Orders;
 use crate::shared::{unix_millis, Shared};
 use crate::snapshot::Snapshot;
@@ -65,11 +65,18 @@
     key: Key,
     jobs: Jobs,
     orders: Orders,
+    waves: Waves,
     demand_at: Duration,
     status_at: Duration,
     last_notice: u64,
 }
 
+/// Of the node's platform calls, those that the control state may make: one in four, since claims
+/// come with the traffic.
+pub fn control_rate(platform_rate: u64) -> u64 {
+    (platform_rate / 4).max(1)
+}
+
 impl Control {
     /// The control state of a node that listens for datagrams at `socket`.
     pub fn new(shared: &Arc<Shared>, socket: UdpSocket, events: Sender<ControlEvent>) -> Self {
@@ -83,7 +90,7 @@
                 incarnation: unix_millis(),
             },
             region: settings.region.clone(),
-            platform_rate: settings.platform_rate as u64,
+            platform_rate: control_rate(settings.platform_rate as u64),
         };
         Control {
             core: Core::new(shared.now(), terms),
@@ -91,6 +98,7 @@
             key: Key::new(&settings.peer_key),
             jobs: Jobs::start(shared, events),
             orders: Orders::default(),
+            waves: Waves::default(),
             demand_at: Duration::ZERO,
             status_at: Duration::ZERO,
             last_notice: 0,
@@ -194,7 +202,10 @@
         let now = self.shared.now();
         let demand = self.demand(now);
         self.step(Event::Tick { demand });
-        self.shared.traffic().release_waiters(now);
+        let mut traffic = self.shared.traffic();
+        traffic.release_waiters(now);
+        self.waves.plan_due(now, &traffic);
+        drop(traffic);
         if self.core.is_current() && !self.shared.is_ready() {
             self.shared.set_ready();
         }
@@ -333,14 +344,15 @@
         }
     }
 
-    fn leave(&self, now: Duration, leaving: &BTreeMap<String, Duration>) {
+    fn leave(&mut self, now: Duration, leaving: &BTreeMap<String, Duration>) {
         let names: Vec<&String> = leaving.keys().collect();
         info!(self.shared.log, "endpoints leave"; "endpoints" => ?names);
         let mut traffic = self.shared.traffic();
         for (name, left) in leaving {
             traffic.router.leave(name, now + *left);
+            self.waves.add(now, &traffic, name, *left);
         }
-        plan_wave(now, &traffic, leaving);
+        self.waves.plan_due(now, &traffic);
     }
 
     fn apply(&mut self, version: Version, body: String) {
--- a/components/node/src/moves.rs
+++ b/components/node/src/moves.rs
@@ -4,21 +4,61 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use fleet::{plan_moves, MoveRates, Stream, Target};
+use fleet::{plan_moves, wait_before_moves, MoveRates, Stream, Target};
 use routing::EndpointState;
 
 use crate::attempt::RunEvent;
 use crate::traffic::{Live, Traffic};
 
-/// Plans the streams that run on endpoints that leave, and tells their threads.
-pub fn plan_wave(now: Duration, traffic: &Traffic, leaving: &BTreeMap<String, Duration>) {
-    let hit = |l: &&Live| l.streams && leaving.contains_key(&l.endpoint);
+/// Leaving endpoints whose streams are to be moved, and when.
+#[derive(Debug, Default)]
+pub struct Waves {
+    due: BTreeMap<String, Duration>,
+}
+
+impl Waves {
+    /// Takes an endpoint that leaves after `left`. Its streams run on as long as they can.
+    pub fn add(&mut self, now: Duration, traffic: &Traffic, endpoint: &str, left: Duration) {
+        let streams: Vec<Stream> = streams_on(traffic, endpoint).map(|(_, s)| s).collect();
+        let wait = wait_before_moves(&streams, left, MoveRates::default());
+        self.due.insert(endpoint.to_string(), now + wait);
+    }
+
+    /// Plans the streams of all endpoints that are due, and tells their threads.
+    pub fn plan_due(&mut self, now: Duration, traffic: &Traffic) {
+        let due: Vec<String> = self
+            .due
+            .iter()
+            .filter(|(_, at)| **at <= now)
+            .map(|(name, _)| name.clone())
+            .collect();
+        let mut left = BTreeMap::new();
+        for name in due {
+            self.due.remove(&name);
+            let gone_at = traffic.router.state(&name).and_then(|s| s.leaving_at);
+            left.insert(name, gone_at.unwrap_or(now).saturating_sub(now));
+        }
+        if !left.is_empty() {
+            plan_wave(now, traffic, &left);
+        }
+    }
+}
+
+fn streams_on<'a>(
+    traffic: &'a Traffic,
+    endpoint: &'a str,
+) -> impl Iterator<Item = (&'a Live, Stream)> {
+    let there = traffic
+        .live
+        .iter()
+        .filter(move |(_, l)| l.streams && l.endpoint == endpoint);
+    there.map(|(id, live)| (live, stream_of(*id, live)))
+}
+
+fn plan_wave(now: Duration, traffic: &Traffic, leaving: &BTreeMap<String, Duration>) {
     let mut pools: BTreeMap<&str, Vec<Stream>> = BTreeMap::new();
-    for (id, live) in traffic.live.iter().filter(|(_, l)| hit(l)) {
-        pools
-            .entry(&live.pool)
-            .or_default()
-            .push(stream_of(*id, live));
+    for (live, stream) in leaving.keys().flat_map(|name| streams_on(traffic, name)) {
+        pools.entry(&live.pool).or_default().push(stream);
     }
     for (pool, streams) in pools {
         let targets = targets(now, traffic, pool);
--- a/components/node/src/service.rs
+++ b/components/node/src/service.rs
@@ -460,10 +460,9 @@
     }
 
     fn call_table(&self, call: u32, table: TableCall) {
-        self.shared.metrics.count(Counter::TableCalls);
         let (shared, sender) = (Arc::clone(self.shared), self.sender.clone());
         spawn(move || {
-            let reply = shared.table.call(&table);
+            let reply = shared.call_for_claim(&table);
             let _ = sender.send(RunEvent::Table { call, reply });
         });
     }
--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -5,14 +5,16 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use arc_swap::ArcSwap;
+use control::{Admitted, PlatformGate, CLAIM_PAUSE};
 use flume::Sender;
 use platform::{Cloud, Objects, Table};
 use schema::settings::NodeSettings;
 use slog::Logger;
-use telemetry::{Metrics, Traces};
+use state::{Reply, TableCall};
+use telemetry::{Counter, Metrics, Traces};
 use transport::{Engine, Key};
 
-use crate::control::ControlEvent;
+use crate::control::{control_rate, ControlEvent};
 use crate::explain::Records;
 use crate::snapshot::Snapshot;
 use crate::traffic::Traffic;
@@ -31,6 +33,7 @@
     pub snapshot: ArcSwap<Snapshot>,
     pub records: Mutex<Records>,
     pub control: Sender<ControlEvent>,
+    claim_gate: Mutex<PlatformGate>,
     traffic: Mutex<Traffic>,
     status: ArcSwap<serde_json::Value>,
     peer_address: String,
@@ -59,6 +62,8 @@
     /// A node that is not ready yet.
     pub fn new(parts: Parts) -> Self {
         let seed: u64 = rand::random();
+        let rate = parts.settings.platform_rate as u64;
+        let rate = rate.saturating_sub(control_rate(rate)).max(1);
         Shared {
             resume_key: Key::new(&parts.settings.resume_key),
             settings: parts.settings,
@@ -73,6 +78,7 @@
             records: Mutex::new(Records::default()),
             control: parts.control,
             peer_address: parts.peer_address,
+            claim_gate: Mutex::new(PlatformGate::new(Duration::ZERO, rate, CLAIM_PAUSE)),
             traffic: Mutex::new(Traffic::new(seed)),
             status: ArcSwap::from_pointee(serde_json::Value::Null),
             started: Instant::now(),
@@ -98,6 +104,28 @@
         self.traffic.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Makes a table call for a claim, within the budget that all claims of the node share.
+    pub fn call_for_claim(&self, call: &TableCall) -> Reply {
+        let admitted = self.claim_gate().admit(self.now(), &mut rand::rng());
+        if admitted == Admitted::No {
+            return Reply::Refused;
+        }
+        self.metrics.count(Counter::TableCalls);
+        let reply = self.table.call(call);
+        let answered = !matches!(reply, Reply::Unanswered | Reply::Refused);
+        if !answered {
+            self.metrics.count(Counter::PlatformUnanswered);
+        }
+        self.claim_gate().note(answered);
+        reply
+    }
+
+    fn claim_gate(&self) -> MutexGuard<'_, PlatformGate> {
+        self.claim_gate
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Whether the balancer should send requests here.
     pub fn is_ready(&self) -> bool {
         self.ready.load(Ordering::Acquire) && !self.is_stopping()
--- a/components/replay/src/engine.rs
+++ b/components/replay/src/engine.rs
@@ -14,7 +14,7 @@
 /// Time of a service call.
 pub const SERVICE_TIME: Duration = Duration::from_millis(8);
 /// Blocks that an engine's prefix cache holds.
-const CACHE_BLOCKS: usize = 4000;
+const CACHE_BLOCKS: usize = 1500;
 
 /// Where a stream waits: by class, then by arrival.
 type Place = (i32, u64, usize);
--- a/components/replay/src/generate.rs
+++ b/components/replay/src/generate.rs
@@ -27,14 +27,17 @@
     Drafts,
     /// The services stop answering for a while.
     Stalled,
-    /// A whole data hall is reclaimed with seconds of notice, and a second one after it.
-    HallTwice,
+    /// A whole data hall is reclaimed, and a second one after it.
+    HallTwice {
+        /// Time left at the notice, in milliseconds.
+        notice_ms: u64,
+    },
 }
 
 const HALLS: usize = 4;
 const SLOTS: i32 = 16;
 const SYSTEM_TOKENS: u32 = 640;
-/// Time left at a notice, in milliseconds.
+/// Time left at the notice of a story that names none, in milliseconds.
 const NOTICE_MS: u64 = 8_000;
 
 struct Shape {
@@ -67,7 +70,7 @@
     match story {
         Story::Rush => shape.rate *= 1.6,
         Story::Drafts => shape.classes = [200, 150, 650],
-        Story::Calm | Story::Stalled | Story::HallTwice => {}
+        Story::Calm | Story::Stalled | Story::HallTwice { .. } => {}
     }
     shape
 }
@@ -228,18 +231,18 @@
 }
 
 fn faults(story: Story, length_ms: u64) -> Vec<(u64, Line)> {
-    let hall = |at: u64, hall: usize| {
+    let hall = |at: u64, hall: usize, left_ms: u64| {
         let notice = NoticeLine {
             at,
             hall: Some(format!("hall-{hall}")),
             endpoint: None,
-            left_ms: NOTICE_MS,
+            left_ms,
         };
         (at, Line::Notice(notice))
     };
     match story {
         Story::Calm | Story::Rush => Vec::new(),
-        Story::Drafts => vec![hall(length_ms / 3, 2)],
+        Story::Drafts => vec![hall(length_ms / 3, 2, NOTICE_MS)],
         Story::Stalled => {
             let (at, for_ms) = (length_ms * 5 / 12, length_ms / 8);
             vec![(
@@ -251,6 +254,9 @@
                 },
             )]
         }
-        Story::HallTwice => vec![hall(length_ms / 4, 0), hall(length_ms * 7 / 12, 1)],
+        Story::HallTwice { notice_ms } => vec![
+            hall(length_ms / 4, 0, notice_ms),
+            hall(length_ms * 7 / 12, 1, notice_ms),
+        ],
     }
 }
--- a/components/replay/src/world.rs
+++ b/components/replay/src/world.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BinaryHeap, HashSet};
 use std::time::Duration;
 
-use fleet::{plan_moves, Move, MoveRates, Stream as Moving, Target};
+use fleet::{plan_moves, wait_before_moves, Move, MoveRates, Stream as Moving, Target};
 use limits::{Verdict, Waiter};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -40,6 +40,8 @@
     pub policy: Policy,
     /// Seed of all randomness.
     pub seed: u64,
+    /// Whether streams are moved at a notice; otherwise they break with their VM and are retried.
+    pub moves: bool,
 }
 
 impl Default for Options {
@@ -48,6 +50,7 @@
             nodes: 8,
             policy: Policy::Scored,
             seed: 1,
+            moves: true,
         }
     }
 }
@@ -68,6 +71,11 @@
         endpoints: Vec<usize>,
         gone_at: Duration,
     },
+    MoveStreams {
+        node: usize,
+        endpoint: usize,
+        gone_at: Duration,
+    },
     Gone(usize),
     Replaced(usize),
     StallEnds,
@@ -140,6 +148,7 @@
     planned: BTreeMap<usize, (String, Option<Duration>)>,
     stalled: BTreeMap<String, Duration>,
     computed: HashSet<u64>,
+    moves: bool,
     totals: Report,
 }
 
@@ -147,6 +156,13 @@
     Duration::from_millis(n)
 }
 
+fn rates() -> MoveRates {
+    MoveRates {
+        token_interval: TOKEN_INTERVAL,
+        ..MoveRates::default()
+    }
+}
+
 fn endpoint_of(line: &EndpointLine) -> Endpoint {
     Endpoint {
         name: line.name.clone(),
@@ -188,6 +204,7 @@
             planned: BTreeMap::new(),
             stalled: BTreeMap::new(),
             computed: HashSet::new(),
+            moves: options.moves,
             totals: Report::default(),
         };
         for line in lines {
@@ -250,6 +267,13 @@
             } => {
                 self.learn(node, &endpoints, gone_at);
             }
+            Happening::MoveStreams {
+                node,
+                endpoint,
+                gone_at,
+            } => {
+                self.move_streams(node, endpoint, gone_at);
+            }
             Happening::Gone(engine) => self.go(engine),
             Happening::Replaced(engine) => self.replace(engine),
             Happening::StallEnds => self.end_stalls(),
@@ -689,37 +713,40 @@
     }
 
     fn learn(&mut self, node: usize, endpoints: &[usize], gone_at: Duration) {
-        let left = gone_at.saturating_sub(self.now);
-        let names: BTreeMap<String, Duration> = endpoints
-            .iter()
-            .map(|e| (self.engines[*e].spec.name.clone(), left))
-            .collect();
-        for name in names.keys() {
-            self.nodes[node].router.leave(name, gone_at);
+        for endpoint in endpoints {
+            let name = self.engines[*endpoint].spec.name.clone();
+            self.nodes[node].router.leave(&name, gone_at);
         }
-        let moving = self.moving(node, &names);
-        let pools: HashSet<String> = endpoints
-            .iter()
-            .map(|e| self.engines[*e].spec.pool.clone())
-            .collect();
-        for pool in pools {
-            let streams: Vec<Moving> = moving
-                .iter()
-                .filter(|m| self.requests[m.id as usize].line.pool == pool)
-                .cloned()
-                .collect();
-            let targets = self.targets(node, &pool);
-            let rates = MoveRates {
-                token_interval: TOKEN_INTERVAL,
-                ..MoveRates::default()
+        if !self.moves {
+            return;
+        }
+        for endpoint in endpoints {
+            let streams = self.moving(node, *endpoint);
+            let left = gone_at.saturating_sub(self.now);
+            let wait = wait_before_moves(&streams, left, rates());
+            let happening = Happening::MoveStreams {
+                node,
+                endpoint: *endpoint,
+                gone_at,
             };
-            for (id, planned) in plan_moves(self.now, &streams, &names, &targets, rates) {
-                self.relocate(id as usize, planned, rates);
-            }
+            self.push(self.now + wait, happening);
         }
     }
 
-    fn moving(&mut self, node: usize, names: &BTreeMap<String, Duration>) -> Vec<Moving> {
+    fn move_streams(&mut self, node: usize, endpoint: usize, gone_at: Duration) {
+        let left = gone_at.saturating_sub(self.now);
+        let name = self.engines[endpoint].spec.name.clone();
+        let pool = self.engines[endpoint].spec.pool.clone();
+        let streams = self.moving(node, endpoint);
+        let targets = self.targets(node, &pool);
+        let left = BTreeMap::from([(name, left)]);
+        for (id, planned) in plan_moves(self.now, &streams, &left, &targets, rates()) {
+            self.relocate(id as usize, planned);
+        }
+    }
+
+    fn moving(&mut self, node: usize, engine: usize) -> Vec<Moving> {
+        let endpoint = self.engines[engine].spec.name.clone();
         let mut moving = Vec::new();
         for id in 0..self.requests.len() {
             let request = &self.requests[id];
@@ -728,15 +755,14 @@
             else {
                 continue;
             };
-            let endpoint = self.engines[self.streams[stream].engine].spec.name.clone();
-            if !names.contains_key(&endpoint) {
+            if self.streams[stream].engine != engine {
                 continue;
             }
             self.catch_up(id);
             let request = &self.requests[id];
             moving.push(Moving {
                 id: id as u64,
-                endpoint,
+                endpoint: endpoint.clone(),
                 priority: Priority(request.line.class),
                 deadline: request.deadline(),
                 context_tokens: u64::from(request.line.prompt_tokens) + request.parts,
@@ -766,14 +792,14 @@
             .collect()
     }
 
-    fn relocate(&mut self, id: usize, planned: Move, rates: MoveRates) {
+    fn relocate(&mut self, id: usize, planned: Move) {
         let Some((attempt, stream)) = self.requests[id].live.first().copied() else {
             return;
         };
         let waits = self.streams[stream].first_at.is_none();
         let context = u64::from(self.requests[id].line.prompt_tokens) + self.requests[id].parts;
-        let bytes = context * rates.kv_bytes_per_token;
-        let import = ms(bytes * 1000 / rates.link_bytes_per_sec);
+        let bytes = context * rates().kv_bytes_per_token;
+        let import = ms(bytes * 1000 / rates().link_bytes_per_sec);
         match planned {
             Move::Finish => return,
             // What has not begun has no KV cache.
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -24,6 +24,11 @@
     check("waitemata-halls-reclaimed-twice");
 }
 
+#[test]
+fn two_halls_of_waitemata_reclaimed_with_three_seconds_of_notice() {
+    check("waitemata-halls-reclaimed-in-three-seconds");
+}
+
 #[test]
 fn a_payday_weekend_at_habi_loom() {
     check("habi-payday-weekend");
