Give a node its share of a limit at once, and share what nobody asks for

Change: what nobody asks for is shared equally; a node starts with the equal share of the fleet that its settings and peers tell of. An older member gives its part up as soon as it hears of the new one.

--- a/bench/src/loopback.rs
+++ b/bench/src/loopback.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use control::{Action, Core, CoreTerms, Event};
+use control::{Action, Core, CoreTerms, Event, TeamLimit};
 use membership::{CellTerms, Contact, EndpointSpec, Load};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -126,6 +126,7 @@
             cell,
             region: "home".into(),
             platform_rate: 20,
+            seeds: 3,
         };
         let mut member = Member {
             core: Core::new(Duration::ZERO, terms),
@@ -149,8 +150,16 @@
             slots: 64,
         };
         let endpoints = (0..workers).map(spec).collect();
-        let teams = (0..TEAMS).map(|t| format!("team-{t}")).collect();
-        self.step(Event::Configured { endpoints, teams });
+        let team = |t| TeamLimit {
+            name: format!("team-{t}"),
+            rate_milli: 1_000_000,
+        };
+        let teams = (0..TEAMS).map(team).collect();
+        self.step(Event::Configured {
+            endpoints,
+            teams,
+            cells: 1,
+        });
         let contact = |(n, address): (usize, &String)| Contact {
             name: format!("entry-{n}"),
             cell: "hall-1".into(),
--- a/components/control/src/core.rs
+++ b/components/control/src/core.rs
@@ -39,6 +39,8 @@
     pub region: String,
     /// Platform calls a second it may make.
     pub platform_rate: u64,
+    /// Nodes named in its settings.
+    pub seeds: usize,
 }
 
 /// What `status` shows.
@@ -67,6 +69,7 @@
     notices_at: Duration,
     list_at: Duration,
     shares_at: Duration,
+    seeds: u64,
     stopping: bool,
 }
 
@@ -90,6 +93,7 @@
             notices_at: Duration::ZERO,
             list_at: Duration::ZERO,
             shares_at: Duration::ZERO,
+            seeds: terms.seeds as u64,
             stopping: false,
         }
     }
@@ -169,9 +173,18 @@
             Event::Fetched { hash, body } => {
                 self.follow(now, ConfigEvent::Fetched { hash, body }, rng)
             }
-            Event::Configured { endpoints, teams } => {
+            Event::Configured {
+                endpoints,
+                teams,
+                cells,
+            } => {
                 self.cell.set_endpoints(endpoints);
-                let sizes = self.sizes(now);
+                // Before the others are heard, what the settings tell of them counts.
+                let (known_nodes, known_cells) = self.sizes(now);
+                let sizes = (
+                    known_nodes.max(self.seeds + 1),
+                    known_cells.max(cells as u64),
+                );
                 self.shares.configure(now, &teams, sizes);
                 Vec::new()
             }
--- a/components/control/src/event.rs
+++ b/components/control/src/event.rs
@@ -6,6 +6,8 @@
 use schema::messages::{Packet, Summary};
 use state::{Reply, TableCall, Version};
 
+use crate::shares::TeamLimit;
+
 /// Which machine a table call belongs to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum CallId {
@@ -46,8 +48,10 @@
     Configured {
         /// Endpoints of the cell.
         endpoints: Vec<EndpointSpec>,
-        /// Names of the teams.
-        teams: Vec<String>,
+        /// Teams with their limits.
+        teams: Vec<TeamLimit>,
+        /// Cells that the fleet may have, as far as its data halls tell.
+        cells: usize,
     },
     /// The node stops as planned.
     Stop,
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -11,3 +11,4 @@
 pub use self::core::{Core, CoreStatus, CoreTerms};
 pub use event::{Action, CallId, Event};
 pub use gate::{Admitted, PlatformGate, CLAIM_PAUSE, CONTROL_PAUSE};
+pub use shares::TeamLimit;
--- a/components/control/src/shares.rs
+++ b/components/control/src/shares.rs
@@ -17,8 +17,18 @@
 const RAISE_OF_CELLS: Duration = Duration::from_secs(12);
 const WHOLE_MILLI: u64 = 1000;
 
+/// A team and its limit.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TeamLimit {
+    /// Name of the team.
+    pub name: String,
+    /// Requests a second, fleet-wide, in thousandths.
+    pub rate_milli: u64,
+}
+
 #[derive(Debug)]
 struct Share {
+    limit_milli: u64,
     own_milli: u64,
     in_cell: Quota,
     of_cells: Quota,
@@ -47,17 +57,23 @@
         }
     }
 
-    /// Takes the teams of a configuration.
-    pub fn configure(&mut self, now: Duration, teams: &[String], (nodes, cells): (u64, u64)) {
-        self.shares.retain(|team, _| teams.contains(team));
+    /// Takes the teams of a configuration with their limits.
+    pub fn configure(&mut self, now: Duration, teams: &[TeamLimit], (nodes, cells): (u64, u64)) {
+        self.shares
+            .retain(|name, _| teams.iter().any(|t| t.name == *name));
         for team in teams {
-            self.shares.entry(team.clone()).or_insert_with(|| Share {
-                own_milli: 0,
-                in_cell: Quota::new(now, nodes, RAISE_IN_CELL),
-                of_cells: Quota::new(now, cells, RAISE_OF_CELLS),
-                nodes: BTreeMap::new(),
-                told: WHOLE_MILLI,
-            });
+            let share = self
+                .shares
+                .entry(team.name.clone())
+                .or_insert_with(|| Share {
+                    limit_milli: team.rate_milli,
+                    own_milli: 0,
+                    in_cell: Quota::new(now, nodes, RAISE_IN_CELL),
+                    of_cells: Quota::new(now, cells, RAISE_OF_CELLS),
+                    nodes: BTreeMap::new(),
+                    told: WHOLE_MILLI,
+                });
+            share.limit_milli = team.rate_milli;
         }
     }
 
@@ -127,8 +143,9 @@
     pub fn changed(&mut self, now: Duration, (nodes, cells): (u64, u64)) -> Vec<(String, u64)> {
         let mut changed = Vec::new();
         for (team, share) in &mut self.shares {
-            let of_cells = share.of_cells.part_milli(now, cells);
-            let in_cell = share.in_cell.part_milli(now, nodes);
+            let of_cells = share.of_cells.part_milli(now, cells, share.limit_milli);
+            let of_cell = share.limit_milli * of_cells / WHOLE_MILLI;
+            let in_cell = share.in_cell.part_milli(now, nodes, of_cell);
             let part = of_cells * in_cell / WHOLE_MILLI;
             if part != share.told {
                 share.told = part;
--- a/components/control/tests/promises.rs
+++ b/components/control/tests/promises.rs
@@ -257,19 +257,39 @@
 
 #[test]
 fn demand_draws_the_limit_to_where_it_is() {
+    let terms = FleetTerms {
+        cells: vec![4, 4],
+        ..terms(1)
+    };
+    let mut fleet = CoreFleet::start(terms, CALM);
+    // The limit is 100 requests a second: first it suffices, then it does not.
+    for (demand, least) in [(20_000, 200), (150_000, 700)] {
+        fleet.peers[2].demand = demand;
+        fleet.run(secs(60));
+        let busy = fleet.peers[2].parts["t0"];
+        assert!(
+            busy >= least && parts(&fleet) >= 900,
+            "busy {busy}, sum {}",
+            parts(&fleet)
+        );
+    }
+}
+
+#[test]
+fn a_node_that_starts_has_its_share_at_once() {
     let mut fleet = CoreFleet::start(
         FleetTerms {
-            cells: vec![4, 4],
+            cells: vec![9],
             ..terms(1)
         },
         CALM,
     );
-    fleet.peers[2].demand = 20_000;
+    fleet.peers.iter_mut().for_each(|p| p.demand = 5_000);
     fleet.run(secs(60));
-    let busy = fleet.peers[2].parts["t0"];
-    assert!(
-        busy > 500 && parts(&fleet) > 800,
-        "busy {busy}, sum {}",
-        parts(&fleet)
-    );
+    let n = fleet.add(0);
+    fleet.run(secs(2));
+    let part = fleet.peers[n].parts["t0"];
+    // Its share of the demand is 50 of 1000 once the balancer sends it some.
+    assert!(part >= 50, "{part}");
+    assert!(parts(&fleet) <= 1000 + OVERSHOOT_MILLI, "{}", parts(&fleet));
 }
--- a/components/limits/src/quota.rs
+++ b/components/limits/src/quota.rs
@@ -1,6 +1,8 @@
 //! How nodes share a fleet-wide limit without a call per request.
 //!
-//! Each node takes a part of the limit that follows its share of the demand. A smaller part is
+//! Each node takes a part of the limit: what it is asked for, and an equal share of what nobody is
+//! asked for, so that a node whose demand jumps, or that has just started, has room. Under a demand
+//! near or past the limit one fifth is shared equally and the rest by demand. A smaller part is
 //! taken at once; a larger one only after it was justified for as long as news needs to reach
 //! everyone, so that the others have shrunk by then. Nodes that vanish may run on behind a cut,
 //! so their part of the limit stays unused until the platform's list confirms that they are gone
@@ -9,7 +11,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-/// Part of a limit that is shared equally, whatever the demand, in thousandths.
+/// Least part of a limit that is shared equally, whatever the demand, in thousandths.
 pub const FLOOR_MILLI: u64 = 200;
 /// How long a peer must be silent before a report with a lower round is taken: another node may
 /// have taken over telling for it.
@@ -42,8 +44,8 @@
 }
 
 impl Quota {
-    /// A node that knows of `fleet` nodes, itself included: it starts with the equal share of the
-    /// floor, and grows from there. `raise_after` is the time that news needs to reach everyone:
+    /// A node that knows of `fleet` nodes, itself included: it starts with the equal share, which
+    /// the others have to give up once they hear of it. `raise_after` is the time that news needs to reach everyone:
     /// a larger part must be justified for as long before it is taken.
     pub fn new(now: Duration, fleet: u64, raise_after: Duration) -> Self {
         Quota {
@@ -51,7 +53,7 @@
             peers: BTreeMap::new(),
             sizes: VecDeque::from([(now, fleet.max(1))]),
             raise_after,
-            part_milli: FLOOR_MILLI / fleet.max(1),
+            part_milli: 1000 / fleet.max(1),
             raise: None,
         }
     }
@@ -81,10 +83,10 @@
     }
 
     /// This node's part of the limit in thousandths, after taking `fleet`, the number of nodes
-    /// known to live, this one included.
-    pub fn part_milli(&mut self, now: Duration, fleet: u64) -> u64 {
+    /// known to live, this one included. `limit_milli` is the limit in the unit of the demands.
+    pub fn part_milli(&mut self, now: Duration, fleet: u64, limit_milli: u64) -> u64 {
         let largest = self.remember(now, fleet.max(1));
-        let justified = self.justified(now, fleet.max(1), largest);
+        let justified = self.justified(now, fleet.max(1), largest, limit_milli);
         if justified <= self.part_milli {
             self.part_milli = justified;
             self.raise = None;
@@ -105,7 +107,7 @@
         self.raise = None;
     }
 
-    fn justified(&self, now: Duration, fleet: u64, largest: u64) -> u64 {
+    fn justified(&self, now: Duration, fleet: u64, largest: u64, limit_milli: u64) -> u64 {
         let heard = |d: &&Demand| now.saturating_sub(d.heard) < KEEP_SILENT;
         let known: Vec<&Demand> = self.peers.values().filter(heard).collect();
         let known_nodes = known.len() as u64 + 1;
@@ -115,10 +117,11 @@
         }
         // Nodes that vanished may run on behind a cut: their part stays theirs.
         let whole = 1000 * known_nodes.min(largest) / largest;
-        let others: u64 = known.iter().map(|d| d.rate_milli).sum();
-        let equal = whole * FLOOR_MILLI / 1000 / known_nodes;
-        let by_demand = whole * (1000 - FLOOR_MILLI) / 1000 * self.own_milli;
-        equal + by_demand.checked_div(others + self.own_milli).unwrap_or(0)
+        let total = self.own_milli + known.iter().map(|d| d.rate_milli).sum::<u64>();
+        let used = (total * 1000 / (limit_milli * whole / 1000).max(1)).min(1000);
+        let equal = (1000 - used).max(FLOOR_MILLI);
+        let by_demand = (whole * (1000 - equal) / 1000 * self.own_milli).checked_div(total);
+        whole * equal / 1000 / known_nodes + by_demand.unwrap_or(0)
     }
 
     fn remember(&mut self, now: Duration, fleet: u64) -> u64 {
--- a/components/limits/tests/promises.rs
+++ b/components/limits/tests/promises.rs
@@ -11,6 +11,8 @@
 const SEED: u64 = 20261202;
 /// Overshoot of a limit, in thousandths, that is allowed while demand moves and reports are lost.
 const OVERSHOOT_MILLI: u64 = 100;
+/// The limit in the unit of the demands; the sum of those drawn is about as large.
+const LIMIT_MILLI: u64 = 40_000;
 const TICK: Duration = Duration::from_millis(500);
 
 fn check<A: Testable>(property: A, cases: u64) {
@@ -63,7 +65,9 @@
         };
         let sizes: Vec<u64> = (0..n).map(fleet).collect();
         let parts = self.quotas.iter_mut().zip(sizes);
-        parts.map(|(quota, size)| quota.part_milli(now, size)).sum()
+        parts
+            .map(|(quota, size)| quota.part_milli(now, size, LIMIT_MILLI))
+            .sum()
     }
 }
 
@@ -100,12 +104,24 @@
 #[test]
 fn a_steady_demand_gets_nearly_the_whole_limit() {
     let mut fleet = Fleet::new(1, 8);
-    fleet.demand = vec![0, 0, 0, 0, 0, 0, 0, 5000];
+    fleet.demand = vec![0, 0, 0, 0, 0, 0, 0, 80_000];
     let last = (0..60).map(|_| fleet.tick(0.1, None)).last().unwrap();
-    let busy = fleet.quotas[7].part_milli(TICK * 60, 8);
+    let busy = fleet.quotas[7].part_milli(TICK * 60, 8, LIMIT_MILLI);
     assert!(last >= 950 && busy >= 800, "sum {last}, busy {busy}");
 }
 
+#[test]
+fn a_node_without_demand_has_room_while_the_limit_is_not_used() {
+    let mut fleet = Fleet::new(1, 8);
+    fleet.demand = vec![0, 0, 0, 0, 0, 0, 0, 8000];
+    (0..60).for_each(|_| {
+        fleet.tick(0.1, None);
+    });
+    let idle = fleet.quotas[0].part_milli(TICK * 60, 8, LIMIT_MILLI);
+    let busy = fleet.quotas[7].part_milli(TICK * 60, 8, LIMIT_MILLI);
+    assert!(idle >= 95 && busy >= 290, "idle {idle}, busy {busy}");
+}
+
 #[test]
 fn a_lower_class_never_runs_where_a_higher_one_would_wait() {
     fn property(load: u64, seed: u64) -> bool {
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use control::{Action, Core, CoreTerms, Event};
+use control::{Action, Core, CoreTerms, Event, TeamLimit};
 use flume::{Receiver, RecvTimeoutError, Sender};
 use membership::{CellTerms, Contact, EndpointSpec};
 use platform::{body_hash, Notice};
@@ -91,6 +91,7 @@
             },
             region: settings.region.clone(),
             platform_rate: control_rate(settings.platform_rate as u64),
+            seeds: settings.seeds.len(),
         };
         Control {
             core: Core::new(shared.now(), terms),
@@ -388,9 +389,18 @@
             pool: e.pool.clone(),
             slots: e.slots.max(0) as u32,
         };
+        let limit = |t: &schema::settings::Team| TeamLimit {
+            name: t.name.clone(),
+            rate_milli: t.rate.max(0) as u64 * 1000,
+        };
         Event::Configured {
             endpoints: of_cell.map(spec).collect(),
-            teams: configuration.teams.iter().map(|t| t.name.clone()).collect(),
+            teams: configuration.teams.iter().map(limit).collect(),
+            cells: 1 + configuration
+                .halls
+                .iter()
+                .filter(|h| !halls.contains(&h.name))
+                .count(),
         }
     }
 
--- a/fakes/src/fleet.rs
+++ b/fakes/src/fleet.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use control::{Action, CallId, Core, CoreTerms, Event};
+use control::{Action, CallId, Core, CoreTerms, Event, TeamLimit};
 use membership::{CellTerms, Contact, EndpointSpec, Load};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
@@ -18,6 +18,8 @@
 /// Time that a fetch of a body takes, in steps.
 const FETCH_STEPS: u32 = 2;
 
+/// Limit of each team, in thousandths of a request a second.
+const LIMIT_MILLI: u64 = 100_000;
 /// Bytes of tag, UDP and IP header of a datagram.
 const OVERHEAD_BYTES: u64 = 16 + 8 + 20;
 
@@ -200,6 +202,7 @@
             },
             region: "home".into(),
             platform_rate: 20,
+            seeds: 2,
         };
         Core::new(self.now, terms)
     }
@@ -212,8 +215,20 @@
             slots: 16,
         };
         let endpoints = (0..self.terms.endpoints).map(spec).collect();
-        let teams = (0..self.terms.teams).map(|t| format!("t{t}")).collect();
-        self.event(n, Event::Configured { endpoints, teams });
+        let team = |t| TeamLimit {
+            name: format!("t{t}"),
+            rate_milli: LIMIT_MILLI,
+        };
+        let teams = (0..self.terms.teams).map(team).collect();
+        let cells = self.terms.cells.len();
+        self.event(
+            n,
+            Event::Configured {
+                endpoints,
+                teams,
+                cells,
+            },
+        );
         let seeds = self.seeds();
         self.event(n, Event::Listed(seeds));
     }
