--- a/components/membership/tests/common/mod.rs
+++ b/components/membership/tests/common/mod.rs
@@ -3,23 +3,15 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use fakes::Wire;
 use membership::{Cell, CellTerms, Contact, EndpointSpec, Load, Output};
-use rand::{RngExt, SeedableRng};
+use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use schema::messages::Packet;
 use state::Version;
 
-pub const SEED: u64 = 20261202;
 pub const STEP: Duration = Duration::from_millis(50);
 
-/// Checks a property over seeded cases: the verdict is the same every time.
-pub fn check(cases: u64, property: fn(u64) -> bool) {
-    quickcheck::QuickCheck::new()
-        .rng(quickcheck::Gen::from_size_and_seed(100, SEED))
-        .tests(cases)
-        .quickcheck(property);
-}
-
 pub struct Peer {
     pub cell: Cell,
     pub cell_name: String,
@@ -33,14 +25,10 @@
 pub struct Net {
     pub peers: Vec<Peer>,
     pub rng: ChaCha8Rng,
-    pub loss: f64,
-    /// Nodes below this number are parted from the rest.
-    pub cut: Option<usize>,
+    pub wire: Wire<Box<Packet>>,
     /// What endpoints would answer to a reading.
     pub loads: BTreeMap<String, Load>,
     pub now: Duration,
-    pub sent: u64,
-    queue: Vec<(Duration, usize, usize, Box<Packet>)>,
 }
 
 pub fn address(n: usize) -> String {
@@ -52,12 +40,9 @@
         Net {
             peers: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
-            loss: 0.0,
-            cut: None,
+            wire: Wire::default(),
             loads: BTreeMap::new(),
             now: Duration::ZERO,
-            sent: 0,
-            queue: Vec::new(),
         }
     }
 
@@ -122,31 +107,18 @@
         let Some(to) = (0..self.peers.len()).find(|n| address(*n) == to) else {
             return;
         };
-        self.sent += 1;
-        let parted = self.cut.is_some_and(|c| (from < c) != (to < c));
-        if parted || self.rng.random_bool(self.loss) {
-            return;
-        }
-        let copies = if self.loss > 0.0 && self.rng.random_ratio(1, 20) {
-            2
-        } else {
-            1
-        };
-        for _ in 0..copies {
-            let delay = Duration::from_millis(self.rng.random_range(1..40));
-            self.queue
-                .push((self.now + delay, from, to, packet.clone()));
-        }
+        self.wire.send(self.now, from, to, packet, &mut self.rng);
+    }
+
+    /// Parts the nodes below a number from the rest.
+    pub fn cut(&mut self, below: usize) {
+        self.wire.groups = (0..below).map(|n| (n, 1)).collect();
     }
 
     pub fn step(&mut self) {
         self.now += STEP;
         let now = self.now;
-        let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.queue)
-            .into_iter()
-            .partition(|(at, ..)| *at <= now);
-        self.queue = later;
-        for (_, _, to, packet) in due {
+        for (_, to, packet) in self.wire.due(now) {
             if self.peers[to].alive {
                 let outputs = self.peers[to].cell.take(now, &packet);
                 self.outputs(to, outputs);
--- a/components/membership/tests/promises.rs
+++ b/components/membership/tests/promises.rs
@@ -4,7 +4,8 @@
 
 use std::time::Duration;
 
-use common::{check, load, Net};
+use common::{load, Net};
+use fakes::check;
 use rand::RngExt;
 use schema::messages::MemberState;
 use state::Version;
@@ -52,9 +53,9 @@
 fn a_cell_comes_together_under_heavy_loss() {
     check(40, |seed| {
         let mut net = cell_of(seed, 3 + (seed % 6) as usize);
-        net.loss = 0.3;
+        net.wire.loss = 0.3;
         net.run(Duration::from_secs(30));
-        net.loss = 0.0;
+        net.wire.loss = 0.0;
         net.run(Duration::from_secs(15));
         net.agrees()
     });
@@ -78,9 +79,10 @@
         let nodes = 4 + (seed % 6) as usize;
         let mut net = cell_of(seed, nodes);
         net.run(Duration::from_secs(2));
-        net.cut = Some(net.rng.random_range(1..nodes));
+        let below = net.rng.random_range(1..nodes);
+        net.cut(below);
         net.run(Duration::from_secs(180));
-        net.cut = None;
+        net.wire.groups.clear();
         net.run(Duration::from_secs(60));
         net.agrees()
     });
@@ -91,7 +93,7 @@
     check(150, |seed| {
         let mut net = cell_of(seed, 3 + (seed % 10) as usize);
         net.run(Duration::from_secs(3));
-        net.loss = 0.3;
+        net.wire.loss = 0.3;
         let name = ENDPOINTS[net.rng.random_range(0..ENDPOINTS.len())];
         let told = net.rng.random_range(0..net.peers.len());
         let now = net.now;
@@ -112,7 +114,7 @@
         let now = net.now;
         let outputs = net.peers[0].cell.notice(now, "w2", Duration::from_secs(9));
         net.outputs(0, outputs);
-        net.loss = 0.2;
+        net.wire.loss = 0.2;
         net.run(LEAVE_KNOWN * 2);
         let known = net.peers.iter().all(|p| p.leaving.contains_key("w2"));
         net.run(Duration::from_secs(20));
@@ -179,7 +181,7 @@
             net.add(["a", "b", "c"][n % 3], &ENDPOINTS);
         }
         net.run(Duration::from_secs(5));
-        net.loss = 0.3;
+        net.wire.loss = 0.3;
         let first = net.rng.random_range(0..9);
         let now = net.now;
         let version = Version {
