Put an accepted configuration in force at once at the node that accepted it

Cause: a node that accepted a put waited for a poll of the table, up to 2 s, and told its peers then. Change: the accepting node fetches and tells the version at once.

--- a/components/control/src/core.rs
+++ b/components/control/src/core.rs
@@ -188,6 +188,7 @@
                 self.shares.configure(now, &teams, sizes);
                 Vec::new()
             }
+            Event::Published(version) => self.follow(now, ConfigEvent::Published(version), rng),
             Event::Stop => self.stop(now, rng),
         }
     }
--- a/components/control/src/event.rs
+++ b/components/control/src/event.rs
@@ -53,6 +53,8 @@
         /// Cells that the fleet may have, as far as its data halls tell.
         cells: usize,
     },
+    /// A configuration that was put at this node was accepted.
+    Published(Version),
     /// The node stops as planned.
     Stop,
 }
--- a/components/node/src/configure.rs
+++ b/components/node/src/configure.rs
@@ -3,15 +3,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use control::Event;
 use errors::{Kind, Problem};
 use platform::body_hash;
 use schema::messages::HeadRow;
 use serde_json::{json, Value};
 use state::{
     head_key, history_key, Publish, PublishAction, PublishEvent, PublishTerms, Published, Reply,
-    TableCall,
+    TableCall, Version,
 };
 
+use crate::control::ControlEvent;
 use crate::shared::Shared;
 
 /// Time in which a put is answered.
@@ -49,7 +51,13 @@
         note: put.note,
         deadline: shared.now() + PUT_DEADLINE,
     };
-    answer(publish(shared, terms))
+    let hash = terms.hash.clone();
+    let published = publish(shared, terms);
+    if let Published::Accepted(number) = published {
+        let event = Event::Published(Version { number, hash });
+        let _ = shared.control.send(ControlEvent::Core(event));
+    }
+    answer(published)
 }
 
 fn answer(published: Published) -> Result<Value, Problem> {
--- a/components/state/src/configuration.rs
+++ b/components/state/src/configuration.rs
@@ -31,6 +31,8 @@
         /// What it has in force.
         version: Version,
     },
+    /// This node has just had this version accepted.
+    Published(Version),
     /// The read of the head row came back.
     Replied(Reply),
     /// A fetch of a body ended; the bytes were checked against `hash` by whoever fetched them.
@@ -105,6 +107,7 @@
     pub fn step(&mut self, now: Duration, event: ConfigEvent) -> Vec<ConfigAction> {
         match event {
             ConfigEvent::Heard { peer, version } => self.hear(peer, version),
+            ConfigEvent::Published(version) => self.want(version),
             ConfigEvent::Replied(reply) => self.take_head(reply),
             ConfigEvent::Fetched { hash, body } => return self.take_body(now, &hash, body),
             ConfigEvent::Tick { polls } => return self.tick(now, polls),
