Drop waiters whose request is over

Cause, found by reading: a batch stream that made room and whose caller then hung up stayed in the gate's queue; those behind it waited for a tick each, and it counted towards the full queue. Change: whatever is kept of a request goes with it.

--- a/components/limits/src/gate.rs
+++ b/components/limits/src/gate.rs
@@ -79,21 +79,9 @@
         Some(first)
     }
 
-    /// Takes out waiters whose deadline has come.
-    pub fn expire(&mut self, now: Duration) -> Vec<Waiter> {
-        let expired: Vec<Waiter> = self
-            .waiting
-            .iter()
-            .copied()
-            .filter(|w| w.deadline <= now)
-            .collect();
-        self.waiting.retain(|w| w.deadline > now);
-        expired
-    }
-
-    /// Takes out a waiter whose caller hung up.
-    pub fn leave(&mut self, waiter: &Waiter) {
-        self.waiting.remove(waiter);
+    /// Takes out a waiter that is gone: it must not hold up those behind it.
+    pub fn leave(&mut self, id: u64) {
+        self.waiting.retain(|w| w.id != id);
     }
 
     /// Which of the running requests, given as `(class, id, started)`, should yield its slot:
--- a/components/limits/tests/promises.rs
+++ b/components/limits/tests/promises.rs
@@ -196,3 +196,18 @@
     assert_eq!(gate.to_yield(&running, 1000), Some(2));
     assert_eq!(gate.to_yield(&running, 500), None);
 }
+
+#[test]
+fn a_waiter_that_is_gone_holds_up_nobody() {
+    let mut gate = Gate::default();
+    let waiter = |id| Waiter {
+        priority: Priority::STANDARD,
+        deadline: Duration::from_secs(9),
+        id,
+    };
+    assert_eq!(gate.enter(waiter(1), 1000), Verdict::Wait);
+    assert_eq!(gate.enter(waiter(2), 500), Verdict::Wait);
+    gate.leave(1);
+    gate.leave(2);
+    assert_eq!(gate.enter(waiter(3), 500), Verdict::Run);
+}
--- a/components/node/src/admission.rs
+++ b/components/node/src/admission.rs
@@ -26,7 +26,7 @@
         let now = self.shared.now();
         let mut traffic = self.shared.traffic();
         traffic.release_team(&self.team);
-        traffic.live.remove(&self.id);
+        traffic.forget(self.id);
         traffic.release_waiters(now);
     }
 }
@@ -65,7 +65,7 @@
     let verdict = shared.traffic().enter(now, pool, waiter, sender);
     match verdict {
         Verdict::Run => {}
-        Verdict::Wait => wait(shared, call, pool, waiter, receiver)?,
+        Verdict::Wait => wait(shared, call, receiver)?,
         Verdict::Shed(after) => return Err(shed(shared, call, after)),
     }
     shared.metrics.count(Counter::Accepted);
@@ -79,13 +79,7 @@
     Ok(admission)
 }
 
-fn wait(
-    shared: &Shared,
-    call: &Call,
-    pool: &str,
-    waiter: Waiter,
-    receiver: &Receiver<RunEvent>,
-) -> Result<(), Problem> {
+fn wait(shared: &Shared, call: &Call, receiver: &Receiver<RunEvent>) -> Result<(), Problem> {
     record(
         shared,
         call,
@@ -99,7 +93,6 @@
             Ok(RunEvent::Admitted) => return Ok(()),
             Ok(_) => {}
             Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => {
-                shared.traffic().stop_waiting(pool, &waiter);
                 let message = "the deadline passed while the request waited for an endpoint";
                 return Err(Problem::not_run(Kind::DeadlinePassed, message));
             }
--- a/components/node/src/traffic.rs
+++ b/components/node/src/traffic.rs
@@ -183,11 +183,11 @@
         verdict
     }
 
-    /// Takes a waiter out of its queue.
-    pub fn stop_waiting(&mut self, pool: &str, waiter: &Waiter) {
-        self.waiting.remove(&waiter.id);
-        if let Some(gate) = self.gates.get_mut(pool) {
-            gate.leave(waiter);
+    /// Takes out all that is kept of a request that is over.
+    pub fn forget(&mut self, id: u64) {
+        self.live.remove(&id);
+        if self.waiting.remove(&id).is_some() {
+            self.gates.values_mut().for_each(|gate| gate.leave(id));
         }
     }
 
--- a/components/replay/src/world.rs
+++ b/components/replay/src/world.rs
@@ -357,10 +357,9 @@
     }
 
     fn leave_gate(&mut self, id: usize) {
-        let waiter = self.waiter(id);
         let (node, pool) = (self.requests[id].node, self.requests[id].line.pool.clone());
         let (_, gate) = self.nodes[node].gate(self.now, &pool);
-        gate.leave(&waiter);
+        gate.leave(id as u64);
     }
 
     fn release(&mut self, node: usize) {
