Let the span of an attempt last as long as the attempt, and pass it on

Cause, found by reading: the span was made and dropped at the dispatch, so it said nothing of the attempt, and the engine was not given a traceparent. Change: the attempt owns its span; its traceparent goes to engines and services. Measured: the session test now asks that the span of three tokens lasts 3 ms, which it did not before; a counter is checked on a statsd socket.

--- a/components/node/src/attempt.rs
+++ b/components/node/src/attempt.rs
@@ -8,6 +8,7 @@
 use fleet::Move;
 use flume::Sender;
 use state::Reply;
+use telemetry::Hop;
 use transport::{call_service, AttemptEnd, Generate, Piece, ServiceCall, ServiceReply};
 
 use crate::shared::Shared;
@@ -63,7 +64,7 @@
 }
 
 /// An attempt under way.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Attempt {
     /// Endpoint it runs on.
     pub endpoint: String,
@@ -76,11 +77,15 @@
     /// When something came last.
     pub heard: Duration,
     cancelled: Arc<AtomicBool>,
+    // Ends with the attempt.
+    span: Hop,
 }
 
 impl Attempt {
-    /// An attempt that is about to be sent.
-    pub fn new(endpoint: String, address: String, now: Duration) -> Self {
+    /// An attempt that is about to be sent, as a hop of its request.
+    pub fn new(endpoint: String, address: String, now: Duration, hop: &Hop) -> Self {
+        let span = hop.child("attempt");
+        span.set("endpoint", endpoint.clone());
         Attempt {
             endpoint,
             address,
@@ -88,6 +93,7 @@
             sent: now,
             heard: now,
             cancelled: Arc::new(AtomicBool::new(false)),
+            span,
         }
     }
 
@@ -101,6 +107,7 @@
     ) {
         let (shared, address) = (Arc::clone(shared), self.address.clone());
         let cancelled = Arc::clone(&self.cancelled);
+        let traceparent = self.span.traceparent();
         spawn(move || {
             let mut receive = |piece| {
                 let gone = cancelled.load(Ordering::Acquire);
@@ -112,7 +119,10 @@
                         })
                         .is_ok()
             };
-            let end = shared.engine.generate(&address, &request, &mut receive);
+            let traceparent = traceparent.as_deref();
+            let end = shared
+                .engine
+                .generate(&address, &request, traceparent, &mut receive);
             let _ = events.send(RunEvent::Ended {
                 attempt: number,
                 end,
@@ -121,8 +131,11 @@
     }
 
     /// Starts a call of a service; its answer goes to `events`.
-    pub fn call(&self, number: u32, call: ServiceCall, events: Sender<RunEvent>) {
+    pub fn call(&self, number: u32, mut call: ServiceCall, events: Sender<RunEvent>) {
         let address = self.address.clone();
+        let traceparent = self.span.traceparent();
+        call.headers
+            .extend(traceparent.map(|value| ("traceparent".to_string(), value)));
         spawn(move || {
             let event = match call_service(&address, &call) {
                 Ok(reply) => RunEvent::Answered {
--- a/components/node/src/chat_run/dispatch.rs
+++ b/components/node/src/chat_run/dispatch.rs
@@ -136,11 +136,9 @@
         let now = self.shared.now();
         let planned = self.planned.take();
         self.count(pending, planned.as_ref());
-        let attempt = Attempt::new(endpoint.clone(), address, now);
+        let attempt = Attempt::new(endpoint.clone(), address, now, hop);
         let request = self.generate(pending, planned);
         self.enlist(pending, &endpoint, now);
-        let span = hop.child("attempt");
-        span.set("endpoint", endpoint);
         attempt.generate(self.shared, pending.attempt, request, self.sender.clone());
         self.attempts.insert(pending.attempt, attempt);
         if pending.cause == Cause::First && self.call.priority < Priority::BATCH {
--- a/components/node/src/service.rs
+++ b/components/node/src/service.rs
@@ -48,7 +48,7 @@
         (&sender, &receiver),
     ) {
         Ok(_admission) => {
-            let passed = passed_call(&request, body, &call, &hop, shared.now());
+            let passed = passed_call(&request, body, &call, shared.now());
             let run = ServiceRun::new(shared, call, &pool, passed, (sender, receiver));
             run.serve(request, &hop);
         }
@@ -59,13 +59,7 @@
     }
 }
 
-fn passed_call(
-    request: &Request,
-    body: Vec<u8>,
-    call: &Call,
-    hop: &Hop,
-    now: Duration,
-) -> ServiceCall {
+fn passed_call(request: &Request, body: Vec<u8>, call: &Call, now: Duration) -> ServiceCall {
     let ours = ["traceparent", "croftpond-deadline-ms"];
     let mut headers: Vec<(String, String)> = request
         .headers()
@@ -73,10 +67,6 @@
         .map(|h| (h.field.to_string(), h.value.to_string()))
         .filter(|(name, _)| !ours.contains(&name.to_ascii_lowercase().as_str()))
         .collect();
-    headers.extend(
-        hop.traceparent()
-            .map(|value| ("traceparent".to_string(), value)),
-    );
     let left = call.deadline.saturating_sub(now);
     headers.push(("Croftpond-Deadline-Ms".into(), left.as_millis().to_string()));
     ServiceCall {
@@ -321,9 +311,7 @@
             Counter::Attempts
         };
         self.shared.metrics.count(counter);
-        let span = hop.child("attempt");
-        span.set("endpoint", endpoint.clone());
-        let attempt = Attempt::new(endpoint, address, now);
+        let attempt = Attempt::new(endpoint, address, now, hop);
         attempt.call(number, self.passed.clone(), self.sender.clone());
         self.attempt = Some((number, attempt));
     }
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -164,3 +164,22 @@
     let udp = UdpMetricSink::from(address, socket).map_err(std::io::Error::other)?;
     Ok(QueuingMetricSink::from(udp))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn can_send_a_counter_under_its_documented_name() {
+        let server = UdpSocket::bind("127.0.0.1:0").unwrap();
+        server
+            .set_read_timeout(Some(Duration::from_secs(10)))
+            .unwrap();
+        let metrics = Metrics::new(server.local_addr().ok()).unwrap();
+        metrics.add(Counter::Tokens, 3);
+        let mut buffer = [0; 256];
+        let length = server.recv(&mut buffer).unwrap();
+        assert_eq!(&buffer[..length], b"croftpond.token.sent:3|c");
+        assert_eq!(metrics.get(Counter::Tokens), 3);
+    }
+}
--- a/components/transport/src/engine.rs
+++ b/components/transport/src/engine.rs
@@ -68,10 +68,12 @@
 /// What croftpond asks of a model engine.
 pub trait Engine: Send + Sync {
     /// Runs a generation and hands over its pieces until the receiver returns `false`.
+    /// `traceparent` goes along as a header.
     fn generate(
         &self,
         address: &str,
         request: &Generate,
+        traceparent: Option<&str>,
         receive: &mut dyn FnMut(Piece) -> bool,
     ) -> AttemptEnd;
 
@@ -94,19 +96,22 @@
         &self,
         address: &str,
         request: &Generate,
+        traceparent: Option<&str>,
         receive: &mut dyn FnMut(Piece) -> bool,
     ) -> AttemptEnd {
         let body = match serde_json::to_string(request) {
             Ok(body) => body,
             Err(_) => return AttemptEnd::NotStarted,
         };
-        let sent = minreq::post(format!("http://{address}/generate"))
+        let mut post = minreq::post(format!("http://{address}/generate"))
             .with_header("Content-Type", "application/json")
             .with_header("Connection", "close")
             .with_follow_redirects(false)
-            .with_body(body)
-            .send_lazy();
-        match sent {
+            .with_body(body);
+        if let Some(traceparent) = traceparent {
+            post = post.with_header("traceparent", traceparent);
+        }
+        match post.send_lazy() {
             Ok(response) if !is_answer(&response) => AttemptEnd::Broken,
             Ok(response) if response.status_code == 200 => read_lines(response, receive),
             Ok(response) => end_of_refusal(response),
--- a/tests/sessions.rs
+++ b/tests/sessions.rs
@@ -540,4 +540,8 @@
     assert!(spans
         .iter()
         .all(|s| s["trace"] == "0af7651916cd43dd8448eb211c80319c"));
+    // The attempt lasts for the three tokens, a millisecond each.
+    let attempt = spans.iter().find(|s| s["name"] == "attempt").unwrap();
+    let lasted = attempt["end_us"].as_u64().unwrap() - attempt["start_us"].as_u64().unwrap();
+    assert!(lasted >= 3000, "{lasted} us");
 }
