Let the stand-in engine fetch the KV cache that it imports

Cause: the stand-in took any import as done, so a session could not tell a move with its KV cache from one without. Change: the target asks the source for the stream's cache and prefills if it has none; a kept stream is one that the engine knows.

--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -16,7 +16,7 @@
 use transport::{ChunkLine, GenerateBody, LoadBody, OrderBody};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::server::{answer, body_of, Standin};
+use crate::server::{answer, body_of, parameter, Standin};
 
 const BLOCK_BYTES: usize = 256;
 const TOKENS_PER_BLOCK: u64 = 64;
@@ -67,6 +67,7 @@
     runs: HashMap<String, u32>,
     prefilled: u64,
     recomputed: u64,
+    imports: u64,
     cancels: u64,
 }
 
@@ -128,6 +129,7 @@
                 runs: HashMap::new(),
                 prefilled: 0,
                 recomputed: 0,
+                imports: 0,
                 cancels: 0,
             }),
             changed: Condvar::new(),
@@ -202,6 +204,11 @@
         (state.prefilled, state.recomputed)
     }
 
+    /// Streams that began with the KV cache of another engine.
+    pub fn imports(&self) -> u64 {
+        self.shared.lock().imports
+    }
+
     /// Models ordered so far.
     pub fn models(&self) -> Vec<String> {
         self.shared.lock().models.clone()
@@ -215,6 +222,7 @@
         "/cancel" => cancel(shared, request, &body),
         "/load" => load(shared, request),
         "/orders" => order(shared, request, &body),
+        url if url.starts_with("/kv?") => export(shared, request),
         _ => answer(request, 404, String::new()),
     }
 }
@@ -234,7 +242,11 @@
 
 // Waits for a slot, then for the prefill.
 fn enter(shared: &Shared, body: &GenerateBody) -> String {
-    shared.set(|s| s.queued += 1);
+    let imported = import(body);
+    shared.set(|s| {
+        s.queued += 1;
+        s.imports += u64::from(imported);
+    });
     shared.wait_while(|s| s.running >= s.options.slots);
     let mut prefill = Duration::ZERO;
     let mut stream = String::new();
@@ -244,17 +256,46 @@
         *s.runs.entry(body.request.clone()).or_default() += 1;
         s.next_stream += 1;
         stream = format!("s{}", s.next_stream);
-        prefill = prefill_time(s, body);
+        let kept = body.resume.as_ref().is_some_and(|stream| s.knows(stream));
+        prefill = if imported || kept {
+            Duration::ZERO
+        } else {
+            prefill_time(s, body)
+        };
     });
     thread::sleep(prefill);
     stream
 }
 
-fn prefill_time(state: &mut State, body: &GenerateBody) -> Duration {
-    // A stream kept here, or its imported KV cache, needs no prefill.
-    if body.resume.is_some() || body.kv_stream.is_some() {
-        return Duration::ZERO;
+// A stream kept here, or the KV cache of one that another engine still has, needs no prefill.
+fn import(body: &GenerateBody) -> bool {
+    let (Some(address), Some(stream)) = (&body.kv_address, &body.kv_stream) else {
+        return false;
+    };
+    let answer = minreq::get(format!("http://{address}/kv?stream={stream}"))
+        .with_timeout(2)
+        .send();
+    answer.is_ok_and(|r| r.status_code == 200)
+}
+
+fn export(shared: &Shared, request: Request) {
+    let stream = parameter(request.url(), "stream").unwrap_or_default();
+    let status = if shared.lock().knows(&stream) {
+        200
+    } else {
+        404
+    };
+    answer(request, status, String::new());
+}
+
+impl State {
+    fn knows(&self, stream: &str) -> bool {
+        let number = stream.strip_prefix('s').and_then(|n| n.parse::<u64>().ok());
+        number.is_some_and(|n| n >= 1 && n <= self.next_stream)
     }
+}
+
+fn prefill_time(state: &mut State, body: &GenerateBody) -> Duration {
     let text = body.prompt.concat();
     let mut previous = 0;
     let mut missing = 0;
--- a/tests/sessions.rs
+++ b/tests/sessions.rs
@@ -117,7 +117,12 @@
         .iter()
         .map(|n| n.counters()["attempt.move"])
         .sum();
-    assert!(moves > 0);
+    let imports: u64 = fleet.engines.iter().map(|e| e.imports()).sum();
+    // Their KV cache went with them: nothing was computed again.
+    assert!(
+        moves > 0 && imports == moves,
+        "{moves} moves, {imports} imports"
+    );
 }
 
 #[test]
