Charge a team for the tokens it got

Cause: a request was charged for max_tokens and nothing came back, so a team that asks for much and gets little ran into its budget early. Change: what was charged and not spent comes back at the end; a request that is not let in costs nothing.

--- a/components/limits/src/bucket.rs
+++ b/components/limits/src/bucket.rs
@@ -53,6 +53,12 @@
         })
     }
 
+    /// Gives whole units back.
+    pub fn give_back(&mut self, now: Duration, units: u64) {
+        self.fill(now);
+        self.level_milli = (self.level_milli + units * MILLI).min(self.size());
+    }
+
     fn size(&self) -> u64 {
         (self.rate_milli * self.burst_secs).max(MILLI)
     }
--- a/components/limits/src/team.rs
+++ b/components/limits/src/team.rs
@@ -96,9 +96,10 @@
         Ok(())
     }
 
-    /// Notes that an admitted request ended.
-    pub fn release(&mut self) {
+    /// Notes that an admitted request ended; what it cost less than it was charged comes back.
+    pub fn release(&mut self, now: Duration, unspent_milli: u64) {
         self.running = self.running.saturating_sub(1);
+        self.spending.give_back(now, unspent_milli);
     }
 
     /// Requests asked for since the last call, admitted or not: the demand told to other nodes.
--- a/components/limits/tests/promises.rs
+++ b/components/limits/tests/promises.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use limits::{Demand, Gate, Quota, Verdict, Waiter};
+use limits::{Demand, Gate, Limits, Quota, Refused, TeamMeter, Verdict, Waiter};
 use quickcheck::{Gen, QuickCheck, Testable};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -211,3 +211,25 @@
     gate.leave(2);
     assert_eq!(gate.enter(waiter(3), 500), Verdict::Run);
 }
+
+#[test]
+fn a_team_pays_for_what_it_got_and_not_for_what_it_might_have() {
+    let limits = Limits {
+        rate_milli: 100_000,
+        concurrency: 10,
+        // Sixty seconds' worth at once: 60 thousandths.
+        budget_milli: 3600,
+    };
+    let mut meter = TeamMeter::new(Duration::ZERO, limits);
+    assert_eq!(meter.admit(Duration::ZERO, 40), Ok(()));
+    assert!(matches!(
+        meter.admit(Duration::ZERO, 40),
+        Err(Refused::Budget(_))
+    ));
+    meter.release(Duration::ZERO, 30);
+    assert_eq!(meter.admit(Duration::ZERO, 40), Ok(()));
+    assert!(matches!(
+        meter.admit(Duration::ZERO, 40),
+        Err(Refused::Budget(_))
+    ));
+}
--- a/components/node/src/admission.rs
+++ b/components/node/src/admission.rs
@@ -1,5 +1,6 @@
 //! Admission of one request, and giving back what it took.
 
+use std::cell::Cell;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,15 +18,26 @@
 pub struct Admission {
     shared: Arc<Shared>,
     team: String,
+    charged_milli: u64,
+    spent_milli: Cell<Option<u64>>,
     /// Number of the request at this node.
     pub id: u64,
 }
 
+impl Admission {
+    /// Sets what the request cost in the end; otherwise it costs what it was charged.
+    pub fn spent(&self, milli: u64) {
+        self.spent_milli.set(Some(milli));
+    }
+}
+
 impl Drop for Admission {
     fn drop(&mut self) {
         let now = self.shared.now();
         let mut traffic = self.shared.traffic();
-        traffic.release_team(&self.team);
+        let spent = self.spent_milli.get().unwrap_or(self.charged_milli);
+        let unspent = self.charged_milli.saturating_sub(spent);
+        traffic.release_team(now, &self.team, unspent);
         traffic.forget(self.id);
         traffic.release_waiters(now);
     }
@@ -55,6 +67,9 @@
     let admission = Admission {
         shared: Arc::clone(shared),
         team: call.team.name.clone(),
+        charged_milli: cost_milli,
+        // Until it is let in it costs nothing.
+        spent_milli: Cell::new(Some(0)),
         id,
     };
     let waiter = Waiter {
@@ -68,6 +83,7 @@
         Verdict::Wait => wait(shared, call, receiver)?,
         Verdict::Shed(after) => return Err(shed(shared, call, after)),
     }
+    admission.spent_milli.set(None);
     shared.metrics.count(Counter::Accepted);
     record(
         shared,
--- a/components/node/src/chat.rs
+++ b/components/node/src/chat.rs
@@ -5,6 +5,7 @@
 use errors::{Kind, Problem};
 use platform::body_hash;
 use schema::messages::ResumeToken;
+use schema::settings::Team;
 use telemetry::{Counter, Hop};
 use tiny_http::Request;
 use transport::ChatRequest;
@@ -39,7 +40,9 @@
         Err(problem) => return send_problem(request, &problem.with_request(&call.id)),
     };
     let (sender, receiver) = flume::unbounded();
-    let cost = cost_milli(&chat, &call);
+    let most = u64::from(chat.max_tokens.unwrap_or(DEFAULT_TOKENS));
+    let team = call.team.clone();
+    let cost = price_milli(most, &team);
     let admitted = {
         let _hop = hop.child("admission");
         admit(shared, &call, &pool.name, cost, (&sender, &receiver))
@@ -55,6 +58,7 @@
             };
             let mut run = ChatRun::new(shared, work, admission.id, (sender, receiver));
             run.serve(request, &hop);
+            admission.spent(price_milli(run.given(), &team));
         }
         Err(problem) => {
             shared.metrics.count(Counter::Refused);
@@ -78,9 +82,9 @@
     Ok(chat)
 }
 
-fn cost_milli(chat: &ChatRequest, call: &Call) -> u64 {
-    let tokens = u64::from(chat.max_tokens.unwrap_or(DEFAULT_TOKENS));
-    tokens * call.team.token_price_milli as u64 / 1000
+// A request is charged for all tokens it may get, until it is known how many it got.
+fn price_milli(tokens: u64, team: &Team) -> u64 {
+    tokens * team.token_price_milli as u64 / 1000
 }
 
 /// Where a stream goes on that another node began.
--- a/components/node/src/chat_run.rs
+++ b/components/node/src/chat_run.rs
@@ -74,6 +74,8 @@
     given: Arc<AtomicU64>,
     // Set while a batch stream that made room waits at the gate.
     yielding: bool,
+    // Offset at which this node took the request up.
+    resumed_at: u64,
 }
 
 struct Planned {
@@ -129,6 +131,7 @@
             .as_ref()
             .map(|r| r.received.clone())
             .unwrap_or_default();
+        let resumed_at = received.len() as u64;
         let planned = resumed.map(|r| Planned {
             endpoint: r.token.endpoint,
             kv: None,
@@ -155,12 +158,18 @@
             first_token: false,
             outcome: None,
             yielding: false,
+            resumed_at,
             call,
             chat,
             pool,
         }
     }
 
+    /// Tokens that the caller got from this node.
+    pub fn given(&self) -> u64 {
+        self.received.len() as u64 - self.resumed_at
+    }
+
     /// Runs to the end and answers the caller.
     pub fn serve(&mut self, request: Request, hop: &Hop) {
         self.output = Output::Waiting(request);
--- a/components/node/src/traffic.rs
+++ b/components/node/src/traffic.rs
@@ -150,10 +150,10 @@
         }
     }
 
-    /// Notes that a request of the team ended.
-    pub fn release_team(&mut self, team: &str) {
+    /// Notes that a request of the team ended, and what of its charge was not spent.
+    pub fn release_team(&mut self, now: Duration, team: &str, unspent_milli: u64) {
         if let Some(meter) = self.meters.get_mut(team) {
-            meter.release();
+            meter.release(now, unspent_milli);
         }
     }
 
--- a/tests/sessions.rs
+++ b/tests/sessions.rs
@@ -422,6 +422,25 @@
     fleet.engines.iter().for_each(|e| e.release());
 }
 
+#[test]
+fn a_team_is_charged_for_the_tokens_it_got() {
+    // The budget allows 30 tokens at once: 36 an hour are 0.6 a minute, at 0.02 a token.
+    let options = FleetOptions {
+        nodes: 1,
+        desk: "budget = 36/h\ntoken_price = 20\n".into(),
+        ..options()
+    };
+    let fleet = fleet(&options);
+    fleet.engines.iter().for_each(|e| e.hold_after(2));
+    let mut hung_up = fleet.chat(0, "a", 25);
+    assert!(hung_up.next().is_some());
+    let refused: Vec<String> = fleet.chat(0, "b", 25).collect();
+    assert_eq!(kind_of(&refused[0]), "team_limit");
+    drop(hung_up);
+    fleet.engines.iter().for_each(|e| e.release());
+    wait_until(|| fleet.chat(0, "c", 25).status == 200);
+}
+
 #[test]
 fn a_batch_stream_makes_room_for_an_urgent_one_and_loses_nothing() {
     let engine = EngineOptions {
