--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -9,6 +9,7 @@
 
 use client::Client;
 use common::{answer, wait_until};
+use rustix::process::{kill_process, Pid, Signal};
 use standins::{EngineOptions, Fleet, FleetOptions, CREDENTIAL, KEY};
 
 /// A node in a process of its own.
@@ -60,13 +61,9 @@
         sent.is_ok_and(|r| r.status_code == 200)
     }
 
-    fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
-        assert!(Command::new("kill")
-            .args([name, &pid])
-            .status()
-            .unwrap()
-            .success());
+    fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.child.id() as i32).unwrap();
+        kill_process(pid, signal).unwrap();
     }
 
     fn operator(&self, path: &str) -> serde_json::Value {
@@ -152,7 +149,7 @@
     let client = Client::new(vec![nodes[0].address.clone()], CREDENTIAL);
     let mut chat = client.chat(body("hello", 100));
     let first = chat.next().unwrap().unwrap().text;
-    nodes[0].signal("-TERM");
+    nodes[0].signal(Signal::TERM);
     let text: String = first + &chat.map(|part| part.unwrap().text).collect::<String>();
     assert_eq!(text, answer("hello", 100));
     assert!(nodes[0].child.wait().unwrap().success());
@@ -185,10 +182,10 @@
     let (fleet, nodes) = start(2);
     wait_until(|| nodes.iter().any(NodeProcess::allows_orders));
     let holder = nodes.iter().position(NodeProcess::allows_orders).unwrap();
-    nodes[holder].signal("-STOP");
+    nodes[holder].signal(Signal::STOP);
     let other = &nodes[1 - holder];
     wait_until(|| other.allows_orders());
-    nodes[holder].signal("-CONT");
+    nodes[holder].signal(Signal::CONT);
     wait_until(|| nodes[holder].operator("status")["control"]["lease"]["epoch"] == 2);
     assert!(other.allows_orders() && !nodes[holder].allows_orders());
     assert!(fleet.engines.iter().all(|e| e.models() == ["story"]));
