Use the part of a dead node again once the platform lists its VM no more

Cause: the part of a node that died stayed unused for 10 minutes, since it might run on behind a cut. Change: a dead member that the platform's list does not name is gone: its cell is told, and its part and its place in the remembered size of the fleet are free. Found by its test: dead members are forgotten after a minute, so the list came too late for them; the list is held against the lost ones, which are kept.

--- a/bench/src/loopback.rs
+++ b/bench/src/loopback.rs
@@ -166,7 +166,7 @@
             address: address.clone(),
         };
         let contacts = addresses.iter().take(3).enumerate().map(contact).collect();
-        self.step(Event::Listed(contacts));
+        self.step(Event::Seeds(contacts));
     }
 
     fn run(mut self, until: Instant, counts: &Counts) {
--- a/components/control/src/core.rs
+++ b/components/control/src/core.rs
@@ -165,10 +165,14 @@
                 let outputs = self.cell.notice(now, &endpoint, left);
                 self.outputs(now, outputs, rng)
             }
-            Event::Listed(contacts) => {
+            Event::Seeds(contacts) => {
                 self.cell.set_contacts(contacts);
                 Vec::new()
             }
+            Event::Listed(contacts) => {
+                let outputs = self.cell.take_list(now, contacts);
+                self.outputs(now, outputs, rng)
+            }
             Event::Table(id, reply) => self.table(now, id, reply, rng),
             Event::Fetched { hash, body } => {
                 self.follow(now, ConfigEvent::Fetched { hash, body }, rng)
@@ -377,7 +381,9 @@
                     let of_member = self.cell.address_of(&demand.source).is_some();
                     self.shares.hear(now, &demand, of_member);
                 }
-                Output::MemberChanged(name, MemberState::LEAVING) => self.shares.drop_member(&name),
+                Output::MemberChanged(name, MemberState::LEAVING | MemberState::GONE) => {
+                    self.shares.drop_member(now, &name, self.cell.size() as u64);
+                }
                 Output::MemberChanged(..) => {}
             }
         }
--- a/components/control/src/event.rs
+++ b/components/control/src/event.rs
@@ -33,7 +33,9 @@
     Read(String, Option<Load>),
     /// The cloud says that an endpoint's VM is reclaimed after this time.
     Notice(String, Duration),
-    /// The platform's list of nodes.
+    /// Nodes named in the settings.
+    Seeds(Vec<Contact>),
+    /// The platform's whole list of nodes.
     Listed(Vec<Contact>),
     /// A table call came back.
     Table(CallId, Reply),
--- a/components/control/src/shares.rs
+++ b/components/control/src/shares.rs
@@ -108,11 +108,11 @@
         }
     }
 
-    /// Drops a member that said it leaves: its part is free.
-    pub fn drop_member(&mut self, name: &str) {
+    /// Drops a member that said it leaves, or whose VM is gone: its part is free. `nodes` are left.
+    pub fn drop_member(&mut self, now: Duration, name: &str, nodes: u64) {
         for share in self.shares.values_mut() {
             share.nodes.remove(name);
-            share.in_cell.drop_peer(name);
+            share.in_cell.drop_peer(name, now, nodes);
         }
     }
 
--- a/components/control/tests/promises.rs
+++ b/components/control/tests/promises.rs
@@ -293,3 +293,27 @@
     assert!(part >= 50, "{part}");
     assert!(parts(&fleet) <= 1000 + OVERSHOOT_MILLI, "{}", parts(&fleet));
 }
+
+#[test]
+fn the_part_of_a_node_that_is_gone_is_used_again_once_the_platform_says_so() {
+    let mut fleet = CoreFleet::start(
+        FleetTerms {
+            cells: vec![9],
+            ..terms(1)
+        },
+        CALM,
+    );
+    fleet.peers.iter_mut().for_each(|p| p.demand = 20_000);
+    fleet.run(secs(60));
+    fleet.peers[4].up = false;
+    fleet.run(secs(90));
+    let listed = parts(&fleet);
+    fleet.struck_off.insert(4);
+    fleet.run(secs(60));
+    let gone = parts(&fleet);
+    assert!(
+        listed <= 900 && gone >= 950,
+        "{listed} while it is listed, {gone} after"
+    );
+    assert!(gone <= 1000 + OVERSHOOT_MILLI);
+}
--- a/components/limits/src/quota.rs
+++ b/components/limits/src/quota.rs
@@ -72,14 +72,14 @@
         }
     }
 
-    /// Drops a peer that left or was found dead.
-    pub fn drop_peer(&mut self, peer: &str) {
-        self.peers.remove(peer);
-    }
-
-    /// Takes the platform's word that the fleet has this size: vanished nodes are gone.
-    pub fn confirm_fleet(&mut self, now: Duration, fleet: u64) {
-        self.sizes = VecDeque::from([(now, fleet.max(1))]);
+    /// Drops a peer that said it leaves, or whose VM is gone for good: one node less runs, so the
+    /// fleet is taken to have been one smaller all the time. `fleet` nodes are known to live.
+    pub fn drop_peer(&mut self, peer: &str, now: Duration, fleet: u64) {
+        if self.peers.remove(peer).is_none() {
+            return;
+        }
+        let largest = self.sizes.front().map_or(1, |(_, size)| *size);
+        self.sizes = VecDeque::from([(now, (largest - 1).max(fleet).max(1))]);
     }
 
     /// This node's part of the limit in thousandths, after taking `fleet`, the number of nodes
--- a/components/membership/src/cell.rs
+++ b/components/membership/src/cell.rs
@@ -170,6 +170,20 @@
         }
     }
 
+    /// Takes the platform's whole list: dead members that it does not name are gone for good.
+    pub fn take_list(&mut self, now: Duration, contacts: Vec<Contact>) -> Vec<Output> {
+        let is_listed = |name: &str| contacts.iter().any(|c| c.name == name);
+        let gone = self.members.confirm_gone(now, is_listed);
+        self.set_contacts(contacts);
+        let size = self.size();
+        let mut outputs = Vec::new();
+        for news in gone {
+            outputs.push(Output::MemberChanged(news.name.clone(), news.state));
+            self.rumors.add(news, size);
+        }
+        outputs
+    }
+
     /// Takes the configuration in force here.
     pub fn set_config(&mut self, now: Duration, version: Version) {
         if version != self.config {
--- a/components/membership/src/members.rs
+++ b/components/membership/src/members.rs
@@ -26,7 +26,7 @@
 impl Member {
     /// Whether it takes part: it is alive, suspected or leaving.
     pub fn is_reachable(&self) -> bool {
-        self.news.state != MemberState::DEAD
+        self.news.state < MemberState::DEAD
     }
 
     /// Whether it may be given duties.
@@ -84,6 +84,24 @@
         Some(member.news.clone())
     }
 
+    /// Takes dead members whose VM the platform does not list for gone. Returns the news to spread.
+    pub fn confirm_gone(
+        &mut self,
+        now: Duration,
+        is_listed: impl Fn(&str) -> bool,
+    ) -> Vec<MemberNews> {
+        let unlisted = self.lost.values().filter(|n| !is_listed(&n.name));
+        let gone: Vec<MemberNews> = unlisted
+            .map(|news| MemberNews {
+                state: MemberState::GONE,
+                ..news.clone()
+            })
+            .collect();
+        gone.into_iter()
+            .filter(|news| self.merge(now, news))
+            .collect()
+    }
+
     /// Takes members suspected for too long for dead, and forgets old dead ones. Returns the news
     /// to spread.
     pub fn expire(&mut self, now: Duration) -> Vec<MemberNews> {
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -152,7 +152,7 @@
             address: address.clone(),
         };
         let contacts = seeds.map(contact).collect();
-        self.step(Event::Listed(contacts));
+        self.step(Event::Seeds(contacts));
     }
 
     fn take(&mut self, event: ControlEvent) {
--- a/components/node/src/status.rs
+++ b/components/node/src/status.rs
@@ -41,6 +41,7 @@
         MemberState::ALIVE => "alive",
         MemberState::SUSPECT => "suspect",
         MemberState::LEAVING => "leaving",
+        MemberState::GONE => "gone",
         _ => "dead",
     }
 }
--- a/components/schema/src/messages.rs
+++ b/components/schema/src/messages.rs
@@ -87,8 +87,15 @@
     pub const SUSPECT: MemberState = MemberState(1);
     pub const LEAVING: MemberState = MemberState(2);
     pub const DEAD: MemberState = MemberState(3);
-    pub const ENUM_VALUES: &'static [Self] =
-        &[Self::ALIVE, Self::SUSPECT, Self::LEAVING, Self::DEAD];
+    /// Dead, and the platform lists its VM no more.
+    pub const GONE: MemberState = MemberState(4);
+    pub const ENUM_VALUES: &'static [Self] = &[
+        Self::ALIVE,
+        Self::SUSPECT,
+        Self::LEAVING,
+        Self::DEAD,
+        Self::GONE,
+    ];
 }
 
 impl TSerializable for MemberState {
@@ -109,6 +116,7 @@
             1 => MemberState::SUSPECT,
             2 => MemberState::LEAVING,
             3 => MemberState::DEAD,
+            4 => MemberState::GONE,
             _ => MemberState(i),
         }
     }
--- a/components/schema/thrift/messages.thrift
+++ b/components/schema/thrift/messages.thrift
@@ -14,6 +14,8 @@
   SUSPECT = 1,
   LEAVING = 2,
   DEAD = 3,
+  /** Dead, and the platform lists its VM no more. */
+  GONE = 4,
 }
 
 /** News of one node. */
--- a/fakes/src/fleet.rs
+++ b/fakes/src/fleet.rs
@@ -1,6 +1,6 @@
 //! A fleet of control states in virtual time, joined by a wire, a table and an object store.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use control::{Action, CallId, Core, CoreTerms, Event, TeamLimit};
@@ -88,6 +88,8 @@
     pub loads: BTreeMap<String, Load>,
     /// Virtual time.
     pub now: Duration,
+    /// Nodes that the platform does not list any more.
+    pub struck_off: BTreeSet<usize>,
     /// Whether to encode every datagram and count its bytes.
     pub measured: bool,
     /// Calls of the cloud API so far.
@@ -134,6 +136,7 @@
             wire: Wire::default(),
             loads: BTreeMap::new(),
             now: Duration::ZERO,
+            struck_off: BTreeSet::new(),
             measured: false,
             cloud_calls: 0,
             fetches: Vec::new(),
@@ -230,7 +233,7 @@
             },
         );
         let seeds = self.seeds();
-        self.event(n, Event::Listed(seeds));
+        self.event(n, Event::Seeds(seeds));
     }
 
     // The first two nodes of each cell stand in everyone's settings.
@@ -334,7 +337,7 @@
         }
     }
 
-    // The list lags: it names every node that ever ran.
+    // The list lags: it names every node that ever ran and was not struck off.
     fn list(&mut self, n: usize) {
         self.cloud_calls += 1;
         let up = self.table.faults.lost < 1000;
@@ -342,12 +345,9 @@
         if !up {
             return;
         }
-        let listed = self
-            .peers
-            .iter()
-            .enumerate()
-            .map(|(m, p)| contact(m, p.cell))
-            .collect();
+        let peers = self.peers.iter().enumerate();
+        let listed = peers.filter(|(m, _)| !self.struck_off.contains(m));
+        let listed = listed.map(|(m, p)| contact(m, p.cell)).collect();
         self.event(n, Event::Listed(listed));
     }
 
