--- a/components/errors/src/kind.rs
+++ b/components/errors/src/kind.rs
@@ -18,6 +18,8 @@
 pub enum Kind {
     /// The body is larger than `max_body_bytes`.
     BodyTooLarge,
+    /// The headers are larger than allowed.
+    HeadersTooLarge,
     /// The body is not the JSON that the interface asks for.
     MalformedBody,
     /// The sender paused for longer than `read_timeout_ms`.
@@ -67,6 +69,7 @@
     pub fn status(self) -> u16 {
         match self {
             Kind::BodyTooLarge => 413,
+            Kind::HeadersTooLarge => 431,
             Kind::MalformedBody | Kind::BadHeader | Kind::BadConfiguration => 400,
             Kind::SlowSender => 408,
             Kind::UnknownTeam | Kind::NotOperator | Kind::BadResumeToken => 401,
@@ -89,6 +92,7 @@
     pub fn remedy(self) -> &'static str {
         match self {
             Kind::BodyTooLarge => "send a smaller body or raise max_body_bytes",
+            Kind::HeadersTooLarge => "send fewer or shorter headers",
             Kind::MalformedBody => "send the JSON described in docs/interfaces.md",
             Kind::SlowSender => "send the whole request without long pauses",
             Kind::BadHeader => "correct or drop the header named in the message",
--- a/components/node/src/caller.rs
+++ b/components/node/src/caller.rs
@@ -19,6 +19,8 @@
 use crate::shared::Shared;
 
 const CHAT_PATH: &str = "/v1/chat/completions";
+/// Most bytes of a request's path and headers.
+const MAX_HEADER_BYTES: usize = 16 << 10;
 /// Pause of the accept loop, after which it looks whether the node stops.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(200);
 /// Time to come back when the node holds too many requests.
@@ -88,6 +90,10 @@
 }
 
 fn serve(shared: &Arc<Shared>, mut request: Request) {
+    if header_bytes(&request) > MAX_HEADER_BYTES {
+        let message = format!("the headers are over {MAX_HEADER_BYTES} bytes");
+        return send_problem(request, &Problem::not_run(Kind::HeadersTooLarge, message));
+    }
     let most = shared.settings.max_body_bytes as usize;
     let body = match read_body(&mut request, most) {
         Ok(body) => body,
@@ -126,6 +132,12 @@
     }
 }
 
+fn header_bytes(request: &Request) -> usize {
+    let headers = request.headers().iter();
+    let bytes = headers.map(|h| h.field.as_str().as_str().len() + h.value.as_str().len());
+    bytes.sum::<usize>() + request.url().len()
+}
+
 fn body_problem(error: BodyError, most: usize) -> Problem {
     match error {
         BodyError::TooLarge => {
--- a/tests/sessions.rs
+++ b/tests/sessions.rs
@@ -356,6 +356,7 @@
         chat(&good, "Croftpond-Priority", "vip"),
         chat(&good, "Croftpond-Repeatable", "maybe"),
         chat(&good, "Idempotency-Key", &"k".repeat(2000)),
+        chat(&good, "X-Long", &"x".repeat(20_000)),
     ];
     let stranger = minreq::post(format!(
         "http://{}/v1/chat/completions",
