Read engines' cache events into the belief of routing

Cause: the library corrected its belief by cache events, and no node fetched any. Change: an engine client and stand-in for cache events; the readers of an endpoint fetch them with its load and hand them to routing. What it brings in tokens recomputed was not measured.

--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -12,13 +12,13 @@
 use platform::{body_hash, Notice};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use routing::Reading;
+use routing::{CacheEvent, CacheNews, Reading};
 use schema::messages::{Packet, Summary};
 use schema::settings::Configuration;
 use slog::{error, info, warn};
 use state::Version;
 use telemetry::Counter;
-use transport::{seal_packet, Key};
+use transport::{seal_packet, CacheEventBody, Key};
 
 use crate::jobs::{Job, Jobs};
 use crate::moves::Waves;
@@ -41,6 +41,13 @@
     Notices(Option<Vec<Notice>>),
     /// The cloud answered with its list, or did not answer.
     Listed(Option<Vec<Contact>>),
+    /// An engine told of changes of its cache.
+    Cache {
+        /// Endpoint.
+        endpoint: String,
+        /// The changes, in their order.
+        changes: Vec<CacheEventBody>,
+    },
     /// An order was carried out, or failed.
     Ordered {
         /// Endpoint.
@@ -172,6 +179,7 @@
             } => {
                 self.orders.ended(self.shared.now(), &endpoint, epoch, done);
             }
+            ControlEvent::Cache { endpoint, changes } => self.take_cache(&endpoint, changes),
             ControlEvent::BeginStop => self.begin_stop(),
             ControlEvent::End => {}
         }
@@ -195,6 +203,20 @@
         }
     }
 
+    fn take_cache(&self, endpoint: &str, changes: Vec<CacheEventBody>) {
+        let mut traffic = self.shared.traffic();
+        for change in changes {
+            let sequence = change.sequence;
+            let news = match change {
+                c if c.cleared => CacheNews::Cleared,
+                c if c.evicted.is_empty() => CacheNews::Stored(c.stored),
+                c => CacheNews::Evicted(c.evicted),
+            };
+            let event = CacheEvent { sequence, news };
+            traffic.router.cache_event(endpoint, &event);
+        }
+    }
+
     fn begin_stop(&mut self) {
         self.step(Event::Stop);
     }
--- a/components/node/src/jobs.rs
+++ b/components/node/src/jobs.rs
@@ -1,6 +1,6 @@
 //! Blocking calls of the control thread, made by a few workers.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -90,7 +90,9 @@
     events: &Sender<ControlEvent>,
     reading: &Mutex<HashSet<String>>,
 ) {
+    let mut after: HashMap<String, u64> = HashMap::new();
     while let Ok((endpoint, address)) = readings.recv() {
+        read_cache(shared, events, &endpoint, &address, &mut after);
         let load = shared.engine.load(&address).ok().map(|l| load_of(&l));
         reading
             .lock()
@@ -103,6 +105,26 @@
     }
 }
 
+// What an engine tells of its cache; a plain service tells nothing. Each worker asks from where it
+// was itself: an event that comes twice changes nothing.
+fn read_cache(
+    shared: &Shared,
+    events: &Sender<ControlEvent>,
+    endpoint: &str,
+    address: &str,
+    after: &mut HashMap<String, u64>,
+) {
+    let last = after.entry(endpoint.to_string()).or_default();
+    let Ok(changes) = shared.engine.cache_events(address, *last) else {
+        return;
+    };
+    if let Some(newest) = changes.iter().map(|c| c.sequence).max() {
+        *last = newest;
+        let endpoint = endpoint.to_string();
+        let _ = events.send(ControlEvent::Cache { endpoint, changes });
+    }
+}
+
 fn load_of(report: &LoadReport) -> Load {
     Load {
         running: report.running,
--- a/components/node/src/status.rs
+++ b/components/node/src/status.rs
@@ -66,6 +66,7 @@
         })
         .collect();
     let in_flight = traffic.in_flight();
+    let cached_blocks = traffic.router.believed_blocks();
     drop(traffic);
     json!({
         "node": shared.settings.name,
@@ -75,6 +76,7 @@
         "stopping": shared.is_stopping(),
         "config_version": snapshot.version.number,
         "in_flight": in_flight,
+        "cached_blocks_believed": cached_blocks,
         "endpoints": endpoints,
         "counters": shared.metrics.all(),
         "control": shared.control_status(),
--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -199,6 +199,11 @@
         }
     }
 
+    /// Blocks of prompts that some endpoint is believed to have cached.
+    pub fn believed_blocks(&self) -> usize {
+        self.belief.len()
+    }
+
     /// What is known of an endpoint.
     pub fn state(&self, endpoint: &str) -> Option<&EndpointState> {
         self.index.get(endpoint).map(|i| &self.states[*i as usize])
--- a/components/transport/src/engine.rs
+++ b/components/transport/src/engine.rs
@@ -5,7 +5,7 @@
 
 use std::io::{BufRead, BufReader, ErrorKind, Read};
 
-use crate::wire::{ChunkLine, GenerateBody, LoadBody, OrderBody, Refusal};
+use crate::wire::{CacheEventBody, ChunkLine, GenerateBody, LoadBody, OrderBody, Refusal};
 
 /// Longest line of an engine's answer, in bytes.
 const MAX_LINE_BYTES: usize = 64 * 1024;
@@ -83,6 +83,9 @@
     /// Reads the load.
     fn load(&self, address: &str) -> Result<LoadReport, EngineError>;
 
+    /// Changes of the prefix cache after a sequence; there may be gaps.
+    fn cache_events(&self, address: &str, after: u64) -> Result<Vec<CacheEventBody>, EngineError>;
+
     /// Orders the endpoint to serve a model. Repeating an order does nothing.
     fn order(&self, address: &str, order: &OrderBody) -> Result<(), EngineError>;
 }
@@ -132,6 +135,14 @@
         serde_json::from_slice(response.as_bytes()).map_err(|e| EngineError(e.to_string()))
     }
 
+    fn cache_events(&self, address: &str, after: u64) -> Result<Vec<CacheEventBody>, EngineError> {
+        let response = minreq::get(format!("http://{address}/cache-events?after={after}"))
+            .with_timeout(SHORT_CALL_SECS)
+            .send()
+            .map_err(|e| EngineError(e.to_string()))?;
+        serde_json::from_slice(response.as_bytes()).map_err(|e| EngineError(e.to_string()))
+    }
+
     fn order(&self, address: &str, order: &OrderBody) -> Result<(), EngineError> {
         let body = serde_json::to_string(order).map_err(|e| EngineError(e.to_string()))?;
         post(address, "/orders", body)
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -18,4 +18,6 @@
 pub use peer::{open_packet, seal_packet, PacketError, ReplayGuard, MAX_DATAGRAM};
 pub use resume::{issue, redeem, ResumeError};
 pub use service::{call_service, ServiceCall, ServiceReply};
-pub use wire::{ChatMessage, ChatRequest, ChunkLine, GenerateBody, LoadBody, OrderBody, Refusal};
+pub use wire::{
+    CacheEventBody, ChatMessage, ChatRequest, ChunkLine, GenerateBody, LoadBody, OrderBody, Refusal,
+};
--- a/components/transport/src/wire.rs
+++ b/components/transport/src/wire.rs
@@ -94,6 +94,20 @@
     pub leaving_in_ms: Option<u64>,
 }
 
+/// One change of an engine's prefix cache, from `GET /cache-events?after=N`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct CacheEventBody {
+    /// Counter of the engine, without holes at the source.
+    pub sequence: u64,
+    /// Hashes of blocks that were stored.
+    pub stored: Vec<u64>,
+    /// Hashes of blocks that were evicted.
+    pub evicted: Vec<u64>,
+    /// Whether everything was dropped.
+    pub cleared: bool,
+}
+
 /// Body of `POST /orders` of an endpoint.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OrderBody {
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -13,7 +13,7 @@
 
 use lru::LruCache;
 use tiny_http::Request;
-use transport::{ChunkLine, GenerateBody, LoadBody, OrderBody};
+use transport::{CacheEventBody, ChunkLine, GenerateBody, LoadBody, OrderBody};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::server::{answer, body_of, parameter, Standin};
@@ -55,6 +55,7 @@
     next_stream: u64,
     cancelled: HashSet<String>,
     cache: LruCache<u64, ()>,
+    changes: Vec<CacheEventBody>,
     // Number of tokens after which streams wait until released.
     hold_after: Option<u64>,
     // Number of tokens after which a stream breaks off, once.
@@ -119,6 +120,7 @@
                 next_stream: 0,
                 cancelled: HashSet::new(),
                 cache: LruCache::new(blocks),
+                changes: Vec::new(),
                 hold_after: None,
                 break_after: None,
                 refusing: false,
@@ -222,6 +224,7 @@
         "/cancel" => cancel(shared, request, &body),
         "/load" => load(shared, request),
         "/orders" => order(shared, request, &body),
+        url if url.starts_with("/cache-events?") => cache_events(shared, request),
         url if url.starts_with("/kv?") => export(shared, request),
         _ => answer(request, 404, String::new()),
     }
@@ -288,7 +291,38 @@
     answer(request, status, String::new());
 }
 
+fn cache_events(shared: &Shared, request: Request) {
+    let after = parameter(request.url(), "after")
+        .and_then(|n| n.parse().ok())
+        .unwrap_or(0);
+    let state = shared.lock();
+    let newer: Vec<&CacheEventBody> = state
+        .changes
+        .iter()
+        .filter(|c| c.sequence > after)
+        .collect();
+    let body = serde_json::to_string(&newer).unwrap_or_default();
+    drop(state);
+    answer(request, 200, body);
+}
+
 impl State {
+    fn store(&mut self, block: u64) {
+        let evicted = self.cache.push(block, ()).map(|(block, ())| block);
+        let stored = CacheEventBody {
+            stored: vec![block],
+            ..CacheEventBody::default()
+        };
+        let evicted = evicted.map(|block| CacheEventBody {
+            evicted: vec![block],
+            ..CacheEventBody::default()
+        });
+        for change in [Some(stored), evicted].into_iter().flatten() {
+            let sequence = self.changes.len() as u64 + 1;
+            self.changes.push(CacheEventBody { sequence, ..change });
+        }
+    }
+
     fn knows(&self, stream: &str) -> bool {
         let number = stream.strip_prefix('s').and_then(|n| n.parse::<u64>().ok());
         number.is_some_and(|n| n >= 1 && n <= self.next_stream)
@@ -303,7 +337,7 @@
         previous = xxh3_64_with_seed(block, previous);
         if state.cache.get(&previous).is_none() {
             missing += TOKENS_PER_BLOCK;
-            state.cache.put(previous, ());
+            state.store(previous);
         }
     }
     let again = body.received.len() as u64;
--- a/tests/sessions.rs
+++ b/tests/sessions.rs
@@ -423,6 +423,20 @@
     fleet.engines.iter().for_each(|e| e.release());
 }
 
+#[test]
+fn nodes_learn_from_cache_events_which_engine_holds_a_prompt() {
+    let fleet = fleet(&options());
+    let content = "a long itinerary ".repeat(100);
+    assert_eq!(fleet.chat(0, &content, 2).count(), 4);
+    // The second node never sent it anywhere; it reads the engines' caches.
+    wait_until(|| fleet.status(1)["cached_blocks_believed"].as_u64() > Some(0));
+    let again = fleet.chat_with(1, &content, 1, &[("X-Request-Id", "again")]);
+    assert_eq!(again.count(), 3);
+    let reason = fleet.operator(1, "explain/again")["records"][1]["reason"].to_string();
+    // Six whole blocks of 64 tokens.
+    assert!(reason.contains("cached 384 of"), "{reason}");
+}
+
 #[test]
 fn a_team_is_charged_for_the_tokens_it_got() {
     // The budget allows 30 tokens at once: 36 an hour are 0.6 a minute, at 0.02 a token.
