--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -14,13 +14,13 @@
 use rand_chacha::ChaCha8Rng;
 use routing::{CacheEvent, CacheNews, Reading};
 use schema::messages::{Packet, Summary};
-use schema::settings::Configuration;
+use schema::settings::{Configuration, PoolKind};
 use slog::{error, info, warn};
 use state::Version;
 use telemetry::Counter;
 use transport::{seal_packet, CacheEventBody, Key};
 
-use crate::jobs::{Job, Jobs};
+use crate::jobs::{Job, Jobs, Target};
 use crate::moves::Waves;
 use crate::orders::Orders;
 use crate::shared::{unix_millis, Shared};
@@ -319,16 +319,26 @@
     }
 
     fn read_loads(&self, names: Vec<String>) {
+        let snapshot = self.shared.snapshot.load();
+        let pools = &snapshot.configuration.pools;
+        let is_model = |pool: &str| {
+            pools
+                .iter()
+                .any(|p| p.name == pool && p.kind == PoolKind::MODEL)
+        };
         let traffic = self.shared.traffic();
-        let address = |name: &String| traffic.router.state(name).map(|s| s.spec.address.clone());
-        let known = names
-            .into_iter()
-            .filter_map(|name| address(&name).map(|a| (name, a)));
-        let jobs: Vec<(String, String)> = known.collect();
+        let states = names.iter().filter_map(|name| traffic.router.state(name));
+        let targets: Vec<Target> = states
+            .map(|state| Target {
+                endpoint: state.spec.name.clone(),
+                address: state.spec.address.clone(),
+                has_cache: is_model(&state.spec.pool),
+            })
+            .collect();
         drop(traffic);
-        for (endpoint, address) in jobs {
-            self.jobs.read_load(endpoint, address);
-        }
+        targets
+            .into_iter()
+            .for_each(|target| self.jobs.read(target));
     }
 
     // The mean of another cell stands for each of its endpoints.
--- a/components/node/src/jobs.rs
+++ b/components/node/src/jobs.rs
@@ -24,6 +24,17 @@
 /// Pool under which the platform lists croftpond's own VMs.
 const ENTRY_POOL: &str = "entry";
 
+/// An endpoint to read.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// Name.
+    pub endpoint: String,
+    /// Address.
+    pub address: String,
+    /// Whether it is a model engine, which tells of its prefix cache.
+    pub has_cache: bool,
+}
+
 /// A blocking call.
 #[derive(Debug)]
 pub enum Job {
@@ -44,7 +55,7 @@
 /// The workers.
 pub struct Jobs {
     platform: Sender<Job>,
-    loads: Sender<(String, String)>,
+    loads: Sender<Target>,
     reading: Arc<Mutex<HashSet<String>>>,
 }
 
@@ -75,24 +86,31 @@
         let _ = self.platform.send(job);
     }
 
-    /// Reads an endpoint's load, unless that is under way.
-    pub fn read_load(&self, endpoint: String, address: String) {
+    /// Reads an endpoint, unless that is under way.
+    pub fn read(&self, target: Target) {
         let mut reading = self.reading.lock().unwrap_or_else(PoisonError::into_inner);
-        if reading.insert(endpoint.clone()) {
-            let _ = self.loads.send((endpoint, address));
+        if reading.insert(target.endpoint.clone()) {
+            let _ = self.loads.send(target);
         }
     }
 }
 
 fn read_loads(
     shared: &Shared,
-    readings: &Receiver<(String, String)>,
+    readings: &Receiver<Target>,
     events: &Sender<ControlEvent>,
     reading: &Mutex<HashSet<String>>,
 ) {
     let mut after: HashMap<String, u64> = HashMap::new();
-    while let Ok((endpoint, address)) = readings.recv() {
-        read_cache(shared, events, &endpoint, &address, &mut after);
+    while let Ok(Target {
+        endpoint,
+        address,
+        has_cache,
+    }) = readings.recv()
+    {
+        if has_cache {
+            read_cache(shared, events, &endpoint, &address, &mut after);
+        }
         let load = shared.engine.load(&address).ok().map(|l| load_of(&l));
         reading
             .lock()
@@ -105,7 +123,8 @@
     }
 }
 
-// What an engine tells of its cache; a plain service tells nothing. Each worker asks from where it
+// What an engine tells of its cache. A plain service is never asked: the call would be one of its
+// own. Each worker asks from where it
 // was itself: an event that comes twice changes nothing.
 fn read_cache(
     shared: &Shared,
