Say once what was said twice, and drop what nothing calls

Cause: read over the whole change. Behaviour, bounds and assertions are unchanged. The cost of the ticks was not measured.

--- a/components/membership/src/cell.rs
+++ b/components/membership/src/cell.rs
@@ -18,7 +18,7 @@
 use crate::packets::Sender;
 use crate::probe::Prober;
 use crate::rumors::Rumors;
-use crate::summaries::{KnownSummary, Summaries};
+use crate::summaries::Summaries;
 
 /// Nodes of a cell that speak for it to other cells.
 const SPEAKERS: usize = 2;
@@ -235,11 +235,6 @@
             .map(|(name, (number, since))| (name.as_str(), *number, *since))
     }
 
-    /// What other cells told.
-    pub fn summaries(&self) -> impl Iterator<Item = &KnownSummary> {
-        self.summaries.iter()
-    }
-
     /// Other cells heard from lately, directly or through members.
     pub fn other_cells(&self, now: Duration) -> usize {
         let direct = self.contacts.live_cells(now);
@@ -268,16 +263,6 @@
             .contains(&endpoint)
     }
 
-    /// Entries of state held, for the page on capacity: members, contacts, endpoints, summaries.
-    pub fn entries(&self) -> [usize; 4] {
-        [
-            self.members.iter().count(),
-            self.contacts.len(),
-            self.endpoints.len(),
-            self.summaries.len(),
-        ]
-    }
-
     /// Address of a member.
     pub fn address_of(&self, name: &str) -> Option<&str> {
         self.members.get(name).map(|m| m.news.address.as_str())
--- a/components/membership/src/contacts.rs
+++ b/components/membership/src/contacts.rs
@@ -99,11 +99,6 @@
             .filter(move |(_, k)| k.iter().any(|k| live(&k)))
             .map(|(cell, _)| cell.as_str())
     }
-
-    /// Number of contacts kept.
-    pub fn len(&self) -> usize {
-        self.cells.values().map(Vec::len).sum()
-    }
 }
 
 fn pick(now: Duration, known: &[Known], rng: &mut impl Rng) -> Option<Contact> {
--- a/components/membership/src/endpoints.rs
+++ b/components/membership/src/endpoints.rs
@@ -213,11 +213,6 @@
         }
         totals
     }
-
-    /// Number of endpoints.
-    pub fn len(&self) -> usize {
-        self.known.len()
-    }
 }
 
 impl Known {
--- a/components/membership/src/lib.rs
+++ b/components/membership/src/lib.rs
@@ -17,4 +17,3 @@
 pub use contacts::Contact;
 pub use endpoints::{EndpointSpec, Load};
 pub use members::Member;
-pub use summaries::KnownSummary;
--- a/components/membership/src/summaries.rs
+++ b/components/membership/src/summaries.rs
@@ -65,9 +65,4 @@
     pub fn iter(&self) -> impl Iterator<Item = &KnownSummary> {
         self.known.values()
     }
-
-    /// Number of summaries.
-    pub fn len(&self) -> usize {
-        self.known.len()
-    }
 }
--- a/components/node/src/call.rs
+++ b/components/node/src/call.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use errors::{Kind, Problem};
+use routing::{Ask, Prompt};
 use schema::settings::{Priority, Team};
 use tiny_http::{Method, Request};
 
@@ -40,6 +41,20 @@
     pub resume: Option<String>,
 }
 
+impl Call {
+    /// What routing is asked for this request.
+    pub fn ask<'a>(&self, pool: &'a str, prompt: &'a Prompt, exclude: &'a [String]) -> Ask<'a> {
+        Ask {
+            pool,
+            prompt,
+            priority: self.priority,
+            target: Duration::from_millis(self.team.target_ms as u64),
+            latency_weight: self.team.latency_weight as u32,
+            exclude,
+        }
+    }
+}
+
 /// The value of a header.
 pub fn header<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
     let found = request
--- a/components/node/src/chat_run/dispatch.rs
+++ b/components/node/src/chat_run/dispatch.rs
@@ -86,13 +86,7 @@
         let started = self.shared.now();
         let decision = traffic.route(now, &self.ask(&self.excluded));
         // Better an endpoint that failed before than none.
-        let decision = decision.or_else(|| traffic.route(now, &self.ask(&[])))?;
-        let address = traffic
-            .router
-            .state(&decision.chosen.endpoint)?
-            .spec
-            .address
-            .clone();
+        let (decision, address) = decision.or_else(|| traffic.route(now, &self.ask(&[])))?;
         drop(traffic);
         self.shared
             .metrics
@@ -102,14 +96,7 @@
     }
 
     pub(super) fn ask<'b>(&'b self, exclude: &'b [String]) -> Ask<'b> {
-        Ask {
-            pool: &self.pool.name,
-            prompt: &self.prompt,
-            priority: self.call.priority,
-            target: Duration::from_millis(self.call.team.target_ms as u64),
-            latency_weight: self.call.team.latency_weight as u32,
-            exclude,
-        }
+        self.call.ask(&self.pool.name, &self.prompt, exclude)
     }
 
     pub(super) fn note(&self, decision: &Decision) {
--- a/components/node/src/orders.rs
+++ b/components/node/src/orders.rs
@@ -1,10 +1,10 @@
 //! Orders of the lease holder: which endpoint should serve which model. An order states what
 //! should be, so that giving it twice is harmless.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use schema::settings::{Configuration, PoolKind};
+use schema::settings::{Configuration, Endpoint, PoolKind};
 
 /// Orders given at once; loading weights must stay within the weight store's rate.
 const ORDERS_AT_ONCE: usize = 4;
@@ -55,9 +55,18 @@
             .values()
             .filter(|(p, _)| matches!(p, Progress::Sent))
             .count();
-        let mut wanted = wanted(epoch, configuration, region);
-        wanted.retain(|order| self.is_open(order));
-        wanted.truncate(ORDERS_AT_ONCE.saturating_sub(sent));
+        let free = ORDERS_AT_ONCE.saturating_sub(sent);
+        let open = wanted(configuration, region)
+            .filter(|(endpoint, model)| self.is_open(&endpoint.name, model, epoch));
+        let wanted: Vec<Order> = open
+            .take(free)
+            .map(|(endpoint, model)| Order {
+                endpoint: endpoint.name.clone(),
+                address: endpoint.address.clone(),
+                model: model.to_string(),
+                epoch,
+            })
+            .collect();
         for order in &wanted {
             let progress = (Progress::Sent, order.model.clone());
             self.progress.insert(order.endpoint.clone(), progress);
@@ -86,38 +95,35 @@
         self.progress.remove(endpoint);
     }
 
-    fn is_open(&self, order: &Order) -> bool {
-        match self.progress.get(&order.endpoint) {
+    fn is_open(&self, endpoint: &str, model: &str, epoch: i64) -> bool {
+        match self.progress.get(endpoint) {
             Some((Progress::Sent, _)) => false,
-            Some((Progress::Done { epoch, model }, _)) => {
-                *epoch != order.epoch || *model != order.model
-            }
+            Some((
+                Progress::Done {
+                    epoch: done,
+                    model: served,
+                },
+                _,
+            )) => *done != epoch || served != model,
             Some((Progress::Failed, _)) | None => true,
         }
     }
 }
 
-fn wanted(epoch: i64, configuration: &Configuration, region: &str) -> Vec<Order> {
+// The model endpoints of a region's halls, each with the model that it should serve. This is asked
+// with every tick of the lease holder, so nothing is copied.
+fn wanted<'a>(
+    configuration: &'a Configuration,
+    region: &str,
+) -> impl Iterator<Item = (&'a Endpoint, &'a str)> {
     let halls = configuration.halls.iter().filter(|h| h.region == region);
-    let halls: Vec<&str> = halls.map(|h| h.name.as_str()).collect();
-    let models = configuration
+    let halls: BTreeSet<&str> = halls.map(|h| h.name.as_str()).collect();
+    let pools = configuration
         .pools
         .iter()
         .filter(|p| p.kind == PoolKind::MODEL);
-    let models: BTreeMap<&str, &str> = models
-        .map(|p| (p.name.as_str(), p.route.as_str()))
-        .collect();
-    let endpoints = configuration
-        .endpoints
-        .iter()
-        .filter(|e| halls.contains(&e.hall.as_str()));
-    let order = |e: &schema::settings::Endpoint| {
-        Some(Order {
-            endpoint: e.name.clone(),
-            address: e.address.clone(),
-            model: models.get(e.pool.as_str())?.to_string(),
-            epoch,
-        })
-    };
-    endpoints.filter_map(order).collect()
+    let models: BTreeMap<&str, &str> = pools.map(|p| (p.name.as_str(), p.route.as_str())).collect();
+    let endpoints = configuration.endpoints.iter();
+    let here = endpoints.filter(move |e| halls.contains(e.hall.as_str()));
+    here.filter_map(move |e| Some((e, *models.get(e.pool.as_str())?)))
 }
--- a/components/node/src/service.rs
+++ b/components/node/src/service.rs
@@ -6,7 +6,7 @@
 use errors::{Kind, Problem};
 use flume::{Receiver, RecvTimeoutError, Sender};
 use platform::body_hash;
-use routing::{Ask, Prompt};
+use routing::Prompt;
 use schema::settings::Pool;
 use session::{Action, Event, Failure, Outcome, Session, Terms};
 use state::{Claim, ClaimAction, ClaimEvent, ClaimTerms, StoredOutcome, TableCall};
@@ -317,22 +317,9 @@
     }
 
     fn choose(&self, now: Duration) -> Option<(String, String)> {
-        let ask = Ask {
-            pool: &self.pool.name,
-            prompt: &self.prompt,
-            priority: self.call.priority,
-            target: Duration::from_millis(self.call.team.target_ms as u64),
-            latency_weight: self.call.team.latency_weight as u32,
-            exclude: &self.excluded,
-        };
+        let ask = self.call.ask(&self.pool.name, &self.prompt, &self.excluded);
         let mut traffic = self.shared.traffic();
-        let decision = traffic.route(now, &ask)?;
-        let address = traffic
-            .router
-            .state(&decision.chosen.endpoint)?
-            .spec
-            .address
-            .clone();
+        let (decision, address) = traffic.route(now, &ask)?;
         drop(traffic);
         let next = decision.runner_up.map(|c| c.endpoint).unwrap_or_default();
         let reason = format!("score {:.1}", decision.chosen.estimate.score);
--- a/components/node/src/traffic.rs
+++ b/components/node/src/traffic.rs
@@ -229,11 +229,13 @@
         }
     }
 
-    /// Chooses an endpoint and notes the request as sent there.
-    pub fn route(&mut self, now: Duration, ask: &Ask<'_>) -> Option<Decision> {
+    /// Chooses an endpoint, notes the request as sent there, and tells its address.
+    pub fn route(&mut self, now: Duration, ask: &Ask<'_>) -> Option<(Decision, String)> {
         let decision = self.router.choose(now, ask, &mut self.rng)?;
-        self.router.sent(&decision.chosen.endpoint, ask);
-        Some(decision)
+        let endpoint = &decision.chosen.endpoint;
+        self.router.sent(endpoint, ask);
+        let address = self.router.state(endpoint)?.spec.address.clone();
+        Some((decision, address))
     }
 
     /// Notes that an attempt ended.
--- a/components/transport/src/engine.rs
+++ b/components/transport/src/engine.rs
@@ -17,15 +17,6 @@
 /// An endpoint's load.
 pub type LoadReport = LoadBody;
 
-/// An engine and stream that KV cache can be imported from.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct KvSource {
-    /// Address of the engine.
-    pub address: String,
-    /// Stream there.
-    pub stream: String,
-}
-
 /// A piece of an engine's answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Piece {
@@ -115,7 +106,7 @@
             post = post.with_header("traceparent", traceparent);
         }
         match post.send_lazy() {
-            Ok(response) if !is_answer(&response) => AttemptEnd::Broken,
+            Ok(response) if !is_answer(&response.reason_phrase) => AttemptEnd::Broken,
             Ok(response) if response.status_code == 200 => read_lines(response, receive),
             Ok(response) => end_of_refusal(response),
             Err(error) => end_of(&error),
@@ -162,10 +153,11 @@
 /// minreq gives a connection that closed without an answer this reason, with status 503.
 const NO_STATUS_LINE: &str = "Server did not provide a status line";
 
-/// Whether the endpoint answered at all. A lost answer must never pass for a refusal: it would be
-/// said that the request was not run, and a call that must not be repeated would be.
-pub(crate) fn is_answer(response: &minreq::ResponseLazy) -> bool {
-    response.reason_phrase != NO_STATUS_LINE
+/// Whether a response with this reason phrase is an answer at all. A lost answer must never pass for
+/// a refusal: it would be said that the request was not run, and a call that must not be repeated
+/// would be.
+pub fn is_answer(reason_phrase: &str) -> bool {
+    reason_phrase != NO_STATUS_LINE
 }
 
 // Only the engine's own word proves that nothing started; a status alone may be anybody's.
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -11,7 +11,7 @@
 
 pub use auth::{sign, verify, Key, TAG_BYTES};
 pub use engine::{
-    AttemptEnd, Engine, EngineError, Generate, HttpEngine, KvSource, LoadReport, Piece,
+    is_answer, AttemptEnd, Engine, EngineError, Generate, HttpEngine, LoadReport, Piece,
 };
 pub use fetch::{answer_body, bind_bodies, fetch_body};
 pub use listener::{bind_http, read_body, BodyError, Bounds};
--- a/components/transport/src/service.rs
+++ b/components/transport/src/service.rs
@@ -61,7 +61,7 @@
         request = request.with_header(name, value);
     }
     let response = request.send_lazy().map_err(|e| end_of(&e))?;
-    match is_answer(&response) {
+    match is_answer(&response.reason_phrase) {
         true => read_reply(response, call.max_answer),
         false => Err(AttemptEnd::Broken),
     }
--- a/standins/src/platform_service.rs
+++ b/standins/src/platform_service.rs
@@ -73,11 +73,6 @@
         self.with(|s| s.refuse_starts = refuse);
     }
 
-    /// Lists a VM.
-    pub fn add_vm(&self, vm: Vm) {
-        self.with(|s| s.vms.insert(vm.name.clone(), vm));
-    }
-
     /// Gives a VM a reclaim notice.
     pub fn give_notice(&self, vm: &str, leaving_in_ms: u64) {
         self.with(|s| {
@@ -90,11 +85,6 @@
         });
     }
 
-    /// Names of the VMs listed.
-    pub fn vm_names(&self) -> Vec<String> {
-        self.with(|s| s.vms.keys().cloned().collect())
-    }
-
     /// Calls made to the table.
     pub fn table_calls(&self) -> u64 {
         self.with(|s| s.table_calls)
