--- a/components/node/src/chat.rs
+++ b/components/node/src/chat.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use errors::{Kind, Problem};
-use platform::body_hash;
+use provider::body_hash;
 use schema::messages::ResumeToken;
 use schema::settings::Team;
 use telemetry::{Counter, Hop};
--- a/components/node/src/configure.rs
+++ b/components/node/src/configure.rs
@@ -5,7 +5,7 @@
 
 use control::Event;
 use errors::{Kind, Problem};
-use platform::body_hash;
+use provider::body_hash;
 use schema::messages::HeadRow;
 use serde_json::{json, Value};
 use state::{
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -9,7 +9,7 @@
 use control::{Action, Core, CoreTerms, Event, TeamLimit};
 use flume::{Receiver, RecvTimeoutError, Sender};
 use membership::{CellTerms, Contact, EndpointSpec};
-use platform::{body_hash, Notice};
+use provider::{body_hash, Notice};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use routing::{CacheEvent, CacheNews, Reading};
--- a/components/node/src/jobs.rs
+++ b/components/node/src/jobs.rs
@@ -7,7 +7,7 @@
 use control::{CallId, Event};
 use flume::{Receiver, Sender};
 use membership::{Contact, Load};
-use platform::Vm;
+use provider::Vm;
 use state::{Reply, TableCall};
 use telemetry::Counter;
 use transport::{fetch_body, Key, LoadReport, OrderBody};
@@ -216,7 +216,7 @@
 fn fetch(shared: &Shared, address: &str, hash: &str) -> Option<String> {
     let key = Key::new(&shared.settings.peer_key);
     let body = fetch_body(address.parse().ok()?, &key, hash).ok()??;
-    (platform::body_hash(&body) == hash).then_some(body)
+    (provider::body_hash(&body) == hash).then_some(body)
 }
 
 fn send_order(shared: &Shared, order: Order, until: Duration) -> ControlEvent {
--- a/components/node/src/node.rs
+++ b/components/node/src/node.rs
@@ -9,7 +9,7 @@
 
 use error_stack::{Report, ResultExt};
 use flume::{Receiver, Sender};
-use platform::{Cloud, HttpCloud, HttpObjects, HttpTable, Objects, Table};
+use provider::{Cloud, HttpCloud, HttpObjects, HttpTable, Objects, Table};
 use schema::settings::NodeSettings;
 use slog::{info, Logger};
 use telemetry::{Metrics, Traces};
--- a/components/node/src/service.rs
+++ b/components/node/src/service.rs
@@ -5,7 +5,7 @@
 
 use errors::{Kind, Problem};
 use flume::{Receiver, RecvTimeoutError, Sender};
-use platform::body_hash;
+use provider::body_hash;
 use routing::Prompt;
 use schema::settings::Pool;
 use session::{Action, Event, Failure, Outcome, Session, Terms};
--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -7,7 +7,7 @@
 use arc_swap::ArcSwap;
 use control::{Admitted, PlatformGate, CLAIM_PAUSE};
 use flume::Sender;
-use platform::{Cloud, Objects, Table};
+use provider::{Cloud, Objects, Table};
 use schema::settings::NodeSettings;
 use slog::Logger;
 use state::{Reply, TableCall};
--- a/standins/src/platform_service.rs
+++ b/standins/src/platform_service.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 
-use platform::{Notice, RowBody, TransactBody, Vm, VmOrder};
+use provider::{Notice, RowBody, TransactBody, Vm, VmOrder};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tiny_http::{Method, Request};
