--- /dev/null
+++ b/components/directory/src/lib.rs
@@ -0,0 +1,15 @@
+//! What a gateway knows of routes, services, tenants and endpoints, and how fresh that is.
+//!
+//! Pure: rows come in as typed values, time as durations on the gateway's monotonic clock.
+
+mod clock;
+mod configuration;
+mod endpoint;
+mod lookup;
+
+pub use clock::StoreClock;
+pub use configuration::{
+    CallerBounds, Configuration, Engine, Execution, Quota, Route, Scaling, Service, Share, Tenant,
+};
+pub use endpoint::{Endpoint, EndpointState};
+pub use lookup::{Directory, Lookup};
--- /dev/null
+++ b/components/directory/src/lookup.rs
@@ -0,0 +1,90 @@
+//! Which route, tenant and service a request belongs to.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::configuration::{Configuration, Route, Tenant};
+
+/// A configuration with its indexes.
+#[derive(Debug)]
+pub struct Directory {
+    configuration: Arc<Configuration>,
+    // Routes of a host, the longest prefix first.
+    hosts: HashMap<String, Vec<usize>>,
+    keys: HashMap<String, usize>,
+}
+
+/// What the directory says of a request.
+#[derive(Debug, PartialEq)]
+pub enum Lookup<'a> {
+    /// It may run.
+    Allowed {
+        /// Its route.
+        route: &'a Route,
+        /// Whose key it carries, if it needs one.
+        tenant: Option<&'a Tenant>,
+    },
+    /// No route serves its host and path.
+    NoRoute,
+    /// The route needs a key and this one belongs to nobody.
+    UnknownKey,
+}
+
+impl Directory {
+    /// Indexes a configuration.
+    pub fn new(configuration: Arc<Configuration>) -> Self {
+        let mut hosts: HashMap<String, Vec<usize>> = HashMap::new();
+        for (index, route) in configuration.routes.iter().enumerate() {
+            let host = route.host.to_ascii_lowercase();
+            hosts.entry(host).or_default().push(index);
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|index| usize::MAX - configuration.routes[*index].prefix.len());
+        }
+        let mut keys = HashMap::new();
+        for (index, tenant) in configuration.tenants.iter().enumerate() {
+            keys.extend(tenant.keys.iter().map(|key| (key.clone(), index)));
+        }
+        Directory {
+            configuration,
+            hosts,
+            keys,
+        }
+    }
+
+    /// The configuration behind the indexes.
+    pub fn configuration(&self) -> &Arc<Configuration> {
+        &self.configuration
+    }
+
+    /// Finds route and tenant. `host` may carry a port; `path` is without its query.
+    pub fn look_up(&self, host: &str, path: &str, key: Option<&str>) -> Lookup<'_> {
+        let Some(route) = self.route(host, path) else {
+            return Lookup::NoRoute;
+        };
+        let tenant = key.and_then(|key| self.tenant_of(key));
+        if tenant.is_none() && self.needs_key(route) {
+            return Lookup::UnknownKey;
+        }
+        Lookup::Allowed { route, tenant }
+    }
+
+    /// Whether requests of a route must carry a key.
+    pub fn needs_key(&self, route: &Route) -> bool {
+        !route.public && !self.configuration.tenants.is_empty()
+    }
+
+    fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let routes = self.hosts.get(&name.to_ascii_lowercase())?;
+        let mut routes = routes
+            .iter()
+            .map(|index| &self.configuration.routes[*index]);
+        routes.find(|route| path.starts_with(&route.prefix))
+    }
+
+    fn tenant_of(&self, key: &str) -> Option<&Tenant> {
+        let index = *self.keys.get(key)?;
+        self.configuration.tenants.get(index)
+    }
+}
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -3,7 +3,9 @@
 mod holding;
 mod moves;
 mod purchase;
+mod scaling;
 
 pub use holding::{plan_holding, Bid, Change, HallOffer, Holding, HoldingPlanner, PoolNeed};
 pub use moves::{plan_moves, wait_before_moves, Move, MoveRates, Plan, Stream, Target};
 pub use purchase::{Listed, PurchaseAction, PurchaseEvent, Purchases};
+pub use scaling::{Held, Offer, Scaler, ScalingOrder};
--- a/components/fleet/src/purchase.rs
+++ b/components/fleet/src/purchase.rs
@@ -202,7 +202,7 @@
         }
         match (reply, self.writing.take()) {
             (Reply::Row(row), _) => self.take_row(row),
-            (Reply::Committed, Some(written)) => {
+            (Reply::Committed { .. }, Some(written)) => {
                 let version = self.row.as_ref().map_or(ABSENT, |(version, _)| *version) + 1;
                 self.row = Some((version, written));
             }
--- /dev/null
+++ b/components/fleet/tests/scaling.rs
@@ -0,0 +1,100 @@
+//! What is ordered where.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use fleet::{Held, Offer, Scaler, ScalingOrder};
+
+fn offer() -> Offer {
+    let prices = [("a", 1.0), ("b", 0.8), ("c", 1.25), ("d", 0.9)];
+    Offer {
+        least: 1,
+        most: 6,
+        boot: Duration::from_secs(4),
+        reclaimable: true,
+        zone_prices: prices.iter().map(|(z, p)| (z.to_string(), *p)).collect(),
+    }
+}
+
+fn held(list: &[(&str, u32, u32)]) -> BTreeMap<String, Held> {
+    let held = |(zone, firm, reclaimable): &(&str, u32, u32)| {
+        let held = Held {
+            firm: *firm,
+            reclaimable: *reclaimable,
+        };
+        (zone.to_string(), held)
+    };
+    list.iter().map(held).collect()
+}
+
+/// Carries orders out at once and returns what is held once none are given any more.
+fn settle(scaler: &mut Scaler, held: &mut BTreeMap<String, Held>, load: f64, secs: (u64, u64)) {
+    for now in secs.0..secs.1 {
+        for order in scaler.plan(Duration::from_secs(now), &offer(), held, load) {
+            let zone = held.entry(order.zone).or_default();
+            match order.reclaimable {
+                true => zone.reclaimable = order.count,
+                false => zone.firm = order.count,
+            }
+        }
+    }
+}
+
+fn sums(held: &BTreeMap<String, Held>) -> (u32, u32) {
+    let firm = held.values().map(|h| h.firm).sum();
+    (firm, held.values().map(|h| h.reclaimable).sum())
+}
+
+#[test]
+fn firm_ones_carry_the_load_alone_and_reclaimable_ones_stand_beside() {
+    let mut scaler = Scaler::default();
+    let mut held = held(&[("a", 3, 0), ("b", 2, 0), ("c", 2, 0), ("d", 2, 0)]);
+    settle(&mut scaler, &mut held, 1.5, (0, 60));
+    assert_eq!(sums(&held), (2, 2));
+    assert_eq!((held["b"].firm, held["d"].firm), (1, 1));
+    assert_eq!((held["a"].reclaimable, held["c"].reclaimable), (1, 1));
+}
+
+#[test]
+fn nothing_is_given_back_before_the_load_is_known_and_replaced() {
+    let mut scaler = Scaler::default();
+    let start = held(&[("a", 3, 0), ("b", 2, 0), ("c", 2, 0), ("d", 2, 0)]);
+    let lowers = |orders: &[ScalingOrder]| orders.iter().any(|o| !o.reclaimable);
+    let at = Duration::from_secs;
+    assert!(!lowers(&scaler.plan(at(0), &offer(), &start, 0.0)));
+    assert!(!lowers(&scaler.plan(at(10), &offer(), &start, 1.5)));
+    // The load is known, but the reclaimable ones do not serve yet.
+    assert!(!lowers(&scaler.plan(at(20), &offer(), &start, 1.5)));
+}
+
+#[test]
+fn firm_ones_are_ordered_when_the_reclaimable_are_gone_and_refused() {
+    let mut scaler = Scaler::default();
+    let mut state = held(&[("a", 0, 2), ("b", 1, 1), ("c", 0, 1), ("d", 1, 1)]);
+    settle(&mut scaler, &mut state, 2.2, (0, 30));
+    let after = held(&[("a", 0, 0), ("b", 1, 0), ("c", 0, 0), ("d", 1, 0)]);
+    let now = Duration::from_secs(31);
+    let orders = scaler.plan(now, &offer(), &after, 2.2);
+    let refused: Vec<_> = orders.iter().filter(|o| o.reclaimable).cloned().collect();
+    assert!(!refused.is_empty());
+    refused.iter().for_each(|order| scaler.refused(now, order));
+    let firm: u32 = orders
+        .iter()
+        .filter(|o| !o.reclaimable)
+        .map(|o| o.count)
+        .sum();
+    assert!(firm >= 3, "{orders:?}");
+    let again = scaler.plan(now + Duration::from_secs(1), &offer(), &after, 2.2);
+    assert!(again.iter().all(|o| !o.reclaimable), "{again:?}");
+}
+
+#[test]
+fn every_zone_keeps_its_least() {
+    let mut scaler = Scaler::default();
+    let mut held = held(&[("a", 1, 0), ("b", 1, 0), ("c", 1, 0), ("d", 1, 0)]);
+    settle(&mut scaler, &mut held, 0.1, (0, 60));
+    assert!(
+        held.values().all(|h| h.firm + h.reclaimable >= 1),
+        "{held:?}"
+    );
+}
--- /dev/null
+++ b/components/gateway/src/answer.rs
@@ -0,0 +1,179 @@
+//! Answers to callers: bodies, and refusals of the gateway's own.
+
+use std::any::Any;
+use std::fmt;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use errors::{Kind, Problem};
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderValue, Response, StatusCode};
+use http_body::{Body, Frame, SizeHint};
+use tokio::sync::mpsc;
+
+/// An answer that ends early; its connection is closed so that it does not look complete.
+#[derive(Clone, Copy, Debug)]
+pub struct CutOff;
+
+impl fmt::Display for CutOff {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the answer ends early")
+    }
+}
+
+impl std::error::Error for CutOff {}
+
+/// The body of an answer. It may hold a value that is dropped when the answer is over.
+pub(crate) struct AnswerBody {
+    content: Content,
+    held: Option<Box<dyn Any>>,
+}
+
+enum Content {
+    /// Known as a whole.
+    Whole(Option<Bytes>),
+    /// Passed on as it comes.
+    Stream(mpsc::Receiver<Piece>),
+}
+
+/// A piece of an answer that is passed on.
+#[derive(Debug)]
+pub(crate) enum Piece {
+    /// Bytes of the body.
+    Data(Bytes),
+    /// The whole end; a channel that closes without it was cut off.
+    End,
+}
+
+impl AnswerBody {
+    /// A body known as a whole.
+    pub fn whole(bytes: Bytes) -> Self {
+        AnswerBody {
+            content: Content::Whole(Some(bytes)),
+            held: None,
+        }
+    }
+
+    /// A body passed on as it comes.
+    pub fn stream(pieces: mpsc::Receiver<Piece>) -> Self {
+        AnswerBody {
+            content: Content::Stream(pieces),
+            held: None,
+        }
+    }
+
+    /// Holds a value until the answer is over.
+    pub fn hold(&mut self, value: impl Any) {
+        self.held = Some(Box::new(value));
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = CutOff;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, CutOff>>> {
+        match &mut self.get_mut().content {
+            Content::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            Content::Stream(pieces) => {
+                let piece = pieces.poll_recv(context);
+                piece.map(|piece| match piece {
+                    Some(Piece::Data(bytes)) => Some(Ok(Frame::data(bytes))),
+                    Some(Piece::End) => None,
+                    None => Some(Err(CutOff)),
+                })
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self.content, Content::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.content {
+            Content::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
+            }
+            Content::Stream(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// An answer to a caller.
+pub(crate) type Answer = Response<AnswerBody>;
+
+/// A final answer of the gateway's own.
+#[derive(Clone, Debug)]
+pub(crate) struct Refusal {
+    /// Shown to the caller.
+    pub problem: Problem,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+    /// Whether the connection closes after the answer.
+    pub closes: bool,
+}
+
+impl Refusal {
+    /// A refusal of a request that was not run.
+    pub fn not_run(kind: Kind, message: impl Into<String>) -> Self {
+        Refusal {
+            problem: Problem::not_run(kind, message),
+            retry_after: None,
+            closes: false,
+        }
+    }
+
+    /// The end of a request that may have run.
+    pub fn maybe_run(kind: Kind, message: impl Into<String>) -> Self {
+        Refusal {
+            problem: Problem::maybe_run(kind, message),
+            retry_after: None,
+            closes: false,
+        }
+    }
+
+    /// The same refusal with a time to come back.
+    pub fn after(mut self, pause: Duration) -> Self {
+        self.problem.retry_after_ms = Some(pause.as_millis() as u64);
+        self.retry_after = Some(pause);
+        self
+    }
+
+    /// The same refusal, after which the connection closes.
+    pub fn closing(mut self) -> Self {
+        self.closes = true;
+        self
+    }
+
+    /// Its status.
+    pub fn status(&self) -> u16 {
+        self.problem.kind.status()
+    }
+
+    /// The answer, for a request id.
+    pub fn into_answer(self, id: &str) -> Answer {
+        let status = self.status();
+        let body = self.problem.with_request(id).to_json();
+        let mut answer = Response::new(AnswerBody::whole(Bytes::from(body)));
+        *answer.status_mut() =
+            StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let fields = answer.headers_mut();
+        fields.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if let Some(pause) = self.retry_after {
+            let seconds = format!("{:.3}", pause.as_secs_f64());
+            if let Ok(value) = HeaderValue::from_str(&seconds) {
+                fields.insert(RETRY_AFTER, value);
+            }
+        }
+        if self.closes {
+            fields.insert(http::header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        answer
+    }
+}
--- /dev/null
+++ b/components/gateway/src/attempt.rs
@@ -0,0 +1,412 @@
+//! One attempt of a request at one endpoint.
+
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{response, HeaderMap, HeaderName, Request};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use routing::placement::{Placement, Ticket, Verdict};
+use routing::Reading;
+use slog::info;
+use telemetry::Counter;
+use transport::{Connection, ConnectionError, FullBody};
+
+use crate::events::{Event, EventSplitter};
+use crate::job::{Job, SharedJob};
+use crate::ports::{AnswerHead, AttemptHead, Dialect};
+use crate::traffic::Traffic;
+
+/// Longest time that a new connection may take.
+const CONNECT_TIME: Duration = Duration::from_millis(400);
+/// Largest answer that is read as a whole, in bytes.
+const MAX_WHOLE_ANSWER: usize = 8 << 20;
+/// Fields that concern one connection only.
+const HOP_FIELDS: [HeaderName; 7] = [
+    http::header::CONNECTION,
+    http::header::PROXY_AUTHENTICATE,
+    http::header::PROXY_AUTHORIZATION,
+    http::header::TE,
+    http::header::TRAILER,
+    http::header::TRANSFER_ENCODING,
+    http::header::UPGRADE,
+];
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
+/// A request under way at an endpoint. Dropping it closes the connection, unless it was finished.
+pub(crate) struct Run<D> {
+    traffic: Rc<Traffic<D>>,
+    pub endpoint: String,
+    ticket: Ticket,
+    connection: Option<Connection>,
+    reserved: bool,
+    expiry: Duration,
+    engine: bool,
+    verdict: Option<Verdict>,
+    sent_at: Duration,
+}
+
+impl<D> Run<D> {
+    /// Says how the endpoint did.
+    pub fn judge(&mut self, verdict: Verdict) {
+        self.verdict = Some(verdict);
+    }
+
+    /// The whole answer was read: the connection rests.
+    pub fn finish(mut self, keep_alive: Option<Duration>) {
+        let now = self.traffic.clock.now();
+        if let Some(connection) = self.connection.take() {
+            self.reserved = false;
+            let mut state = self.traffic.state.borrow_mut();
+            state.pool.rest(now, &self.endpoint, connection, keep_alive);
+        }
+    }
+
+    fn first_token(&mut self) {
+        let now = self.traffic.clock.now();
+        let mut state = self.traffic.state.borrow_mut();
+        state.board.first_token(now, &mut self.ticket);
+    }
+
+    // A request that ran out of time says something of its endpoint; a caller that left does not.
+    fn verdict_at_drop(&self, now: Duration) -> Verdict {
+        match (self.verdict, now >= self.expiry, self.engine) {
+            (Some(verdict), ..) => verdict,
+            (None, false, _) => Verdict::Neutral,
+            (None, true, true) => Verdict::Faulty,
+            (None, true, false) => Verdict::Silent,
+        }
+    }
+}
+
+impl<D> Drop for Run<D> {
+    fn drop(&mut self) {
+        let now = self.traffic.clock.now();
+        let verdict = self.verdict_at_drop(now);
+        let mut state = self.traffic.state.borrow_mut();
+        state.board.ended(now, &self.ticket, verdict);
+        if self.reserved {
+            state.pool.closed(&self.endpoint);
+        }
+    }
+}
+
+/// The events of a stream from one endpoint.
+pub(crate) struct EventRun<D> {
+    pub run: Run<D>,
+    pub keep_alive: Option<Duration>,
+    body: Incoming,
+    splitter: EventSplitter,
+    ready: VecDeque<Event>,
+}
+
+/// What a stream brings next.
+pub(crate) enum NextEvent {
+    /// An event.
+    Event(Event),
+    /// Its whole end.
+    End,
+    /// It broke off.
+    Broken,
+}
+
+impl<D> EventRun<D> {
+    /// Waits for the next event. Cancelling loses nothing.
+    pub async fn next(&mut self) -> NextEvent {
+        loop {
+            if let Some(event) = self.ready.pop_front() {
+                return NextEvent::Event(event);
+            }
+            let frame = match self.body.frame().await {
+                Some(Ok(frame)) => frame,
+                Some(Err(_)) => return NextEvent::Broken,
+                None if self.splitter.has_rest() => return NextEvent::Broken,
+                None => return NextEvent::End,
+            };
+            let Ok(bytes) = frame.into_data() else {
+                continue;
+            };
+            if self.splitter.push(&bytes).is_err() {
+                return NextEvent::Broken;
+            }
+            while let Some(event) = self.splitter.next_event() {
+                self.ready.push_back(event);
+            }
+        }
+    }
+
+    /// The stream ended whole.
+    pub fn finish(mut self) {
+        self.run.judge(Verdict::Sound);
+        self.run.finish(self.keep_alive);
+    }
+}
+
+/// What an endpoint answered.
+pub(crate) enum Reply<D> {
+    /// An answer known as a whole.
+    Whole { head: response::Parts, body: Bytes },
+    /// A stream whose first event has come.
+    Events {
+        head: response::Parts,
+        first: Event,
+        events: Box<EventRun<D>>,
+    },
+}
+
+/// How an attempt came out.
+pub(crate) enum Attempted<D> {
+    /// An answer of the endpoint.
+    Answered(Reply<D>),
+    /// An answer that says it failed.
+    Failed { head: response::Parts, body: Bytes },
+    /// The endpoint says that it did not run the request.
+    NotRun,
+    /// Nothing was sent.
+    NotSent,
+    /// The request was sent and its outcome is unknown.
+    Lost(&'static str),
+}
+
+enum Reserved {
+    /// A connection that rested.
+    Rested(Connection),
+    /// One may be opened.
+    New,
+    /// As many are open as may be.
+    Full,
+}
+
+impl<D: Dialect + 'static> Traffic<D> {
+    /// Sends a job to the endpoint chosen for it.
+    pub async fn attempt(
+        self: &Rc<Self>,
+        job: &SharedJob,
+        placement: &Placement,
+        last_event: Option<u64>,
+    ) -> Attempted<D> {
+        let mut run = Run {
+            traffic: Rc::clone(self),
+            endpoint: placement.endpoint.clone(),
+            ticket: self.note_sent(job, placement),
+            connection: None,
+            reserved: false,
+            expiry: job.expiry,
+            engine: job.engine,
+            verdict: None,
+            sent_at: self.clock.now(),
+        };
+        if !self.connect(job, placement, &mut run).await {
+            return Attempted::NotSent;
+        }
+        let request = self.request_of(job, placement, last_event);
+        self.metrics.count(Counter::Attempts);
+        run.sent_at = self.clock.now();
+        let Some(connection) = run.connection.as_mut() else {
+            return Attempted::NotSent;
+        };
+        let answer = match connection.send(request).await {
+            Ok(answer) => answer,
+            Err(ConnectionError::Broken(error)) => {
+                run.judge(Verdict::Silent);
+                info!(self.log, "answer lost"; "id" => &job.head.id,
+                    "endpoint" => &placement.endpoint, "cause" => %error);
+                return Attempted::Lost("the endpoint closed the connection without an answer");
+            }
+            Err(_) => return Attempted::NotSent,
+        };
+        let (head, body) = answer.into_parts();
+        let read = self.dialect.read_answer(head.status, &head.headers);
+        self.take_load(&placement.endpoint, &read);
+        if read.id.as_deref() != Some(job.head.id.as_str()) {
+            run.judge(Verdict::Faulty);
+            return Attempted::Lost("the endpoint answered another request");
+        }
+        if read.not_run {
+            return self.declined(run, &read, body).await;
+        }
+        if job.route.execution.is_stream() && head.status.is_success() {
+            return self.first_event(job, run, head, read, body).await;
+        }
+        self.whole_answer(job, run, head, read, body).await
+    }
+
+    async fn connect(&self, job: &Job, placement: &Placement, run: &mut Run<D>) -> bool {
+        match self.reserve(job, placement) {
+            Reserved::Rested(connection) => {
+                run.connection = Some(connection);
+                run.reserved = true;
+                return true;
+            }
+            Reserved::Full => {
+                run.judge(Verdict::Neutral);
+                return false;
+            }
+            Reserved::New => run.reserved = true,
+        }
+        match Connection::open(placement.address, CONNECT_TIME).await {
+            Ok(connection) => {
+                run.connection = Some(connection);
+                true
+            }
+            Err(error) => {
+                run.judge(Verdict::Silent);
+                info!(self.log, "endpoint unreachable"; "id" => &job.head.id,
+                    "endpoint" => &placement.endpoint, "cause" => %error);
+                false
+            }
+        }
+    }
+
+    fn reserve(&self, job: &Job, placement: &Placement) -> Reserved {
+        let now = self.clock.now();
+        let most = self.most_connections(job);
+        let mut state = self.state.borrow_mut();
+        if let Some(connection) = state.pool.take(now, &placement.endpoint) {
+            return Reserved::Rested(connection);
+        }
+        match state.pool.reserve(&placement.endpoint, most) {
+            true => Reserved::New,
+            false => Reserved::Full,
+        }
+    }
+
+    fn request_of(
+        &self,
+        job: &Job,
+        placement: &Placement,
+        last_event: Option<u64>,
+    ) -> Request<FullBody> {
+        let mut fields = job.parts.headers.clone();
+        strip_hop_fields(&mut fields);
+        let attempt = AttemptHead {
+            endpoint: placement.endpoint.clone(),
+            remaining: job.expiry.saturating_sub(self.clock.now()),
+            tenant: job.tenant.clone(),
+            priority: job.priority,
+            engine: job.engine,
+            last_event: last_event.or(job.head.last_event),
+        };
+        self.dialect.write_attempt(&mut fields, &attempt);
+        fields.remove(http::header::EXPECT);
+        let has_body = !job.body.is_empty() || fields.contains_key(http::header::CONTENT_LENGTH);
+        fields.remove(http::header::CONTENT_LENGTH);
+        if has_body {
+            fields.insert(http::header::CONTENT_LENGTH, job.body.len().into());
+        }
+        let mut request = Request::new(FullBody::new(job.body.clone()));
+        *request.method_mut() = job.parts.method.clone();
+        *request.uri_mut() = job.parts.uri.clone();
+        *request.headers_mut() = fields;
+        request
+    }
+
+    fn take_load(&self, endpoint: &str, read: &AnswerHead) {
+        let Some(load) = read.load else {
+            return;
+        };
+        let reading = Reading {
+            running: load.running,
+            queued: load.queued,
+            at: self.clock.now(),
+        };
+        let mut state = self.state.borrow_mut();
+        state.board.read_load(endpoint, reading);
+    }
+
+    async fn declined(&self, mut run: Run<D>, read: &AnswerHead, body: Incoming) -> Attempted<D> {
+        run.judge(Verdict::Neutral);
+        let limited = Limited::new(body, MAX_WHOLE_ANSWER);
+        if limited.collect().await.is_ok() {
+            run.finish(read.keep_alive);
+        }
+        Attempted::NotRun
+    }
+
+    async fn whole_answer(
+        &self,
+        job: &Job,
+        mut run: Run<D>,
+        mut head: response::Parts,
+        read: AnswerHead,
+        body: Incoming,
+    ) -> Attempted<D> {
+        let ran_for = self.clock.now().saturating_sub(run.sent_at);
+        self.note_begun(job, ran_for);
+        let limited = Limited::new(body, MAX_WHOLE_ANSWER);
+        let Ok(collected) = limited.collect().await else {
+            run.judge(Verdict::Faulty);
+            return Attempted::Lost("the endpoint broke its answer off");
+        };
+        let failed = head.status.is_server_error();
+        if read.altered || (head.status.is_success() && !read.signed) {
+            run.judge(Verdict::Faulty);
+            return Attempted::Lost("the answer is not what the endpoint made");
+        }
+        run.first_token();
+        run.judge(match failed {
+            true => Verdict::Faulty,
+            false => Verdict::Sound,
+        });
+        run.finish(read.keep_alive);
+        strip_hop_fields(&mut head.headers);
+        let body = collected.to_bytes();
+        match failed {
+            true => Attempted::Failed { head, body },
+            false => Attempted::Answered(Reply::Whole { head, body }),
+        }
+    }
+
+    async fn first_event(
+        &self,
+        job: &Job,
+        run: Run<D>,
+        mut head: response::Parts,
+        read: AnswerHead,
+        body: Incoming,
+    ) -> Attempted<D> {
+        let mut events = EventRun {
+            run,
+            keep_alive: read.keep_alive,
+            body,
+            splitter: EventSplitter::default(),
+            ready: VecDeque::new(),
+        };
+        if read.altered || !read.signed {
+            events.run.judge(Verdict::Faulty);
+            return Attempted::Lost("the answer is not what the endpoint made");
+        }
+        match events.next().await {
+            NextEvent::Event(first) => {
+                events.run.first_token();
+                self.note_begun(job, Duration::ZERO);
+                strip_hop_fields(&mut head.headers);
+                Attempted::Answered(Reply::Events {
+                    head,
+                    first,
+                    events: Box::new(events),
+                })
+            }
+            NextEvent::End | NextEvent::Broken => {
+                events.run.judge(Verdict::Faulty);
+                Attempted::Lost("the stream broke off before its first event")
+            }
+        }
+    }
+}
+
+fn strip_hop_fields(fields: &mut HeaderMap) {
+    let named: Vec<HeaderName> = fields
+        .get_all(http::header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_FIELDS) {
+        fields.remove(name);
+    }
+    fields.remove(KEEP_ALIVE);
+}
--- /dev/null
+++ b/components/gateway/src/control.rs
@@ -0,0 +1,274 @@
+//! The control thread: what it knows, and the tasks that work on it.
+
+mod duties;
+mod exchange;
+mod follow;
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use directory::{Configuration, Endpoint, StoreClock};
+use fleet::Scaler;
+use schema::settings::GatewaySettings;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use slog::{info, warn, Logger};
+use state::{Lease, LeaseTerms};
+use telemetry::Metrics;
+use tokio::runtime::Builder;
+use tokio::task::LocalSet;
+use usage::{Ledger, Reporter, Source, Terms};
+
+use crate::clock::Clock;
+use crate::control::duties::Demand;
+use crate::freshness::Freshness;
+use crate::peers::{PeerCount, Peers};
+use crate::ports::{Orders, Store};
+use crate::tally::{Sent, ServiceLoad, Tally};
+use crate::traffic::Update;
+
+/// Pause between looks at signals, peers and the lease.
+const TICK: Duration = Duration::from_millis(100);
+/// Pause between looks at the settings file when no signal says that it changed.
+const SETTINGS_LOOK: Duration = Duration::from_secs(1);
+/// Key of the lease's row.
+const LEASE_KEY: &str = "duties";
+/// A renewal holds this much longer than the bound on its holders.
+const LEASE_MARGIN: Duration = Duration::from_millis(500);
+/// Pause between renewals of the lease.
+const LEASE_PAUSE: Duration = Duration::from_secs(1);
+/// Part of the time within which usage is due after which a window is settled.
+const SETTLE_PART: f64 = 0.45;
+
+/// What a control thread is made of.
+pub(crate) struct ControlParts {
+    pub settings: Arc<GatewaySettings>,
+    pub read_settings: Box<dyn Fn() -> Option<GatewaySettings> + Send>,
+    pub clock: Clock,
+    pub freshness: Arc<Freshness>,
+    pub metrics: Arc<Metrics>,
+    pub log: Logger,
+    pub updates: flume::Sender<Update>,
+    pub tallies: flume::Receiver<Tally>,
+}
+
+/// Everything the control thread knows.
+pub(crate) struct Known {
+    pub settings: Arc<GatewaySettings>,
+    pub configuration: Option<Arc<Configuration>>,
+    pub endpoints: BTreeMap<String, Endpoint>,
+    pub store_clock: StoreClock,
+    pub peers: Peers,
+    pub lease: Lease,
+    pub ledger: Ledger,
+    pub reporter: Reporter,
+    pub scalers: BTreeMap<String, Scaler>,
+    pub demand: Demand,
+    pub loads: BTreeMap<String, ServiceLoad>,
+    pub taken: BTreeMap<String, u64>,
+    pub unsent: Vec<Sent>,
+    pub sequence: i64,
+    pub told_at: Duration,
+    pub peer_count: PeerCount,
+}
+
+/// The control thread before it runs.
+pub(crate) struct Control {
+    parts: ControlParts,
+    source: Source,
+    known: Known,
+}
+
+/// What the tasks of the control thread share.
+pub(crate) struct Shared<S, O> {
+    pub clock: Clock,
+    pub freshness: Arc<Freshness>,
+    pub metrics: Arc<Metrics>,
+    pub log: Logger,
+    pub updates: flume::Sender<Update>,
+    pub source: Source,
+    pub started_wall: Duration,
+    pub known: RefCell<Known>,
+    pub store: S,
+    pub orders: O,
+}
+
+impl Control {
+    pub fn new(parts: ControlParts) -> Self {
+        let settings = Arc::clone(&parts.settings);
+        let source = Source {
+            gateway: settings.name.clone(),
+            incarnation: parts.clock.wall().as_millis() as i64,
+        };
+        let own: Option<SocketAddr> = settings.peers.parse().ok();
+        let mut peers = Peers::new(own.unwrap_or_else(|| SocketAddr::from(([0, 0, 0, 0], 0))));
+        for seed in settings.seeds.iter().filter_map(|seed| seed.parse().ok()) {
+            peers.learn(Duration::ZERO, seed);
+        }
+        let known = Known {
+            lease: Lease::new(lease_terms(&settings)),
+            reporter: Reporter::new(usage_terms(&settings)),
+            settings,
+            configuration: None,
+            endpoints: BTreeMap::new(),
+            store_clock: StoreClock::default(),
+            peers,
+            ledger: Ledger::default(),
+            scalers: BTreeMap::new(),
+            demand: Demand::default(),
+            loads: BTreeMap::new(),
+            taken: BTreeMap::new(),
+            unsent: Vec::new(),
+            sequence: 0,
+            told_at: Duration::ZERO,
+            peer_count: PeerCount::default(),
+        };
+        Control {
+            parts,
+            source,
+            known,
+        }
+    }
+
+    /// Runs until the process ends.
+    pub fn run<S: Store + 'static, O: Orders + 'static>(
+        self,
+        store: impl FnOnce() -> S,
+        orders: impl FnOnce() -> O,
+    ) {
+        let runtime = match Builder::new_current_thread().enable_all().build() {
+            Ok(runtime) => runtime,
+            Err(error) => {
+                warn!(self.parts.log, "no control runtime; raise the limits of the process";
+                    "cause" => %error);
+                return;
+            }
+        };
+        let local = LocalSet::new();
+        let parts = self.parts;
+        let shared = Rc::new(Shared {
+            clock: parts.clock,
+            freshness: parts.freshness,
+            metrics: parts.metrics,
+            log: parts.log,
+            updates: parts.updates,
+            source: self.source,
+            started_wall: parts.clock.wall(),
+            known: RefCell::new(self.known),
+            store: store(),
+            orders: orders(),
+        });
+        let tasks = all_tasks(shared, parts.tallies, parts.read_settings);
+        local.block_on(&runtime, tasks);
+    }
+}
+
+async fn all_tasks<S: Store + 'static, O: Orders + 'static>(
+    shared: Rc<Shared<S, O>>,
+    tallies: flume::Receiver<Tally>,
+    read_settings: Box<dyn Fn() -> Option<GatewaySettings> + Send>,
+) {
+    tokio::task::spawn_local(Rc::clone(&shared).follow_configuration());
+    tokio::task::spawn_local(Rc::clone(&shared).follow_endpoints());
+    tokio::task::spawn_local(Rc::clone(&shared).carry_out_duties());
+    let address: Option<SocketAddr> = shared.known.borrow().settings.peers.parse().ok();
+    let socket = match address {
+        Some(address) => tokio::net::UdpSocket::bind(address).await,
+        None => Err(std::io::Error::from(std::io::ErrorKind::InvalidInput)),
+    };
+    match socket {
+        Ok(socket) => {
+            let socket = Rc::new(socket);
+            tokio::task::spawn_local(Rc::clone(&shared).announce());
+            tokio::task::spawn_local(Rc::clone(&shared).hear(Rc::clone(&socket)));
+            tokio::task::spawn_local(Rc::clone(&shared).tell(socket, tallies));
+        }
+        Err(error) => {
+            warn!(shared.log, "no exchange with other gateways; free the peer address";
+                "cause" => %error);
+        }
+    }
+    shared.tick(read_settings).await;
+}
+
+impl<S: Store + 'static, O: Orders + 'static> Shared<S, O> {
+    async fn tick(self: Rc<Self>, read_settings: Box<dyn Fn() -> Option<GatewaySettings> + Send>) {
+        let stop = Arc::new(AtomicBool::new(false));
+        let reload = Arc::new(AtomicBool::new(false));
+        for signal in [SIGTERM, SIGINT] {
+            let _ = signal_hook::flag::register(signal, Arc::clone(&stop));
+        }
+        let _ = signal_hook::flag::register(SIGHUP, Arc::clone(&reload));
+        let mut looked_at = Duration::ZERO;
+        loop {
+            tokio::time::sleep(TICK).await;
+            let now = self.clock.now();
+            if stop.load(Ordering::Relaxed) && !self.freshness.is_stopping() {
+                self.freshness.stop();
+            }
+            let asked = reload.swap(false, Ordering::Relaxed);
+            if asked || now >= looked_at + SETTINGS_LOOK {
+                looked_at = now;
+                self.take_settings(read_settings(), asked);
+            }
+            self.count_peers(now);
+            self.tick_lease(now);
+        }
+    }
+
+    fn take_settings(&self, read: Option<GatewaySettings>, asked: bool) {
+        let Some(settings) = read else {
+            if asked {
+                warn!(
+                    self.log,
+                    "settings cannot be read; the old ones stay in force"
+                );
+            }
+            return;
+        };
+        let mut known = self.known.borrow_mut();
+        if *known.settings == settings {
+            return;
+        }
+        info!(self.log, "settings reloaded"; "asked" => asked);
+        known.settings = Arc::new(settings);
+        let _ = self
+            .updates
+            .send(Update::Settings(Arc::clone(&known.settings)));
+    }
+
+    fn count_peers(&self, now: Duration) {
+        let mut known = self.known.borrow_mut();
+        known.peers.tick(now);
+        let count = known.peers.count(now);
+        if count != known.peer_count {
+            info!(self.log, "gateways changed"; "heard" => count.heard, "silent" => count.silent);
+            known.peer_count = count;
+            let _ = self.updates.send(Update::Peers(count));
+        }
+    }
+}
+
+fn lease_terms(settings: &GatewaySettings) -> LeaseTerms {
+    let bound = Duration::from_millis(settings.lease_ms.max(0) as u64);
+    LeaseTerms {
+        key: LEASE_KEY.to_string(),
+        node: settings.name.clone(),
+        duration: bound + 2 * LEASE_MARGIN,
+        margin: LEASE_MARGIN,
+        interval: LEASE_PAUSE,
+    }
+}
+
+fn usage_terms(settings: &GatewaySettings) -> Terms {
+    let due = Duration::from_millis(settings.usage_due_ms.max(0) as u64);
+    Terms {
+        window: Duration::from_millis(settings.usage_window_ms.max(1) as u64),
+        settle: due.mul_f64(SETTLE_PART),
+        due,
+    }
+}
--- /dev/null
+++ b/components/gateway/src/handler.rs
@@ -0,0 +1,346 @@
+//! From a caller's request to its final answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use directory::{Directory, Lookup, Route, Tenant};
+use errors::Kind;
+use http::{request, Request, Response};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use routing::placement::{Placement, Work};
+use slog::info;
+use telemetry::{Counter, Timer};
+use tokio::sync::mpsc;
+
+use crate::answer::{Answer, AnswerBody, Refusal};
+use crate::attempt::{Attempted, Reply};
+use crate::job::{Job, Progress, SharedJob};
+use crate::ports::{CallerHead, Dialect};
+use crate::stream::{Relay, PIECES_WAITING};
+use crate::traffic::Traffic;
+
+/// Longest time a request is held whose route is not known yet.
+const UNROUTED_TIME: Duration = Duration::from_secs(2);
+/// Part of a request's target for which it waits for an endpoint to appear.
+const ENDPOINT_WAIT_PART: u32 = 6;
+/// Pause between looks for an endpoint.
+const ENDPOINT_LOOK: Duration = Duration::from_millis(20);
+/// Time to come back when no endpoint takes work.
+const NO_ENDPOINT_RETRY: Duration = Duration::from_millis(400);
+/// Time to come back when endpoints have no room.
+const NO_ROOM_RETRY: Duration = Duration::from_millis(150);
+/// Time to come back when the configuration is not confirmed.
+const UNCONFIRMED_RETRY: Duration = Duration::from_millis(300);
+/// Attempts that reached no endpoint, after which a request is given up.
+const MOST_UNSENT: usize = 4;
+/// Ranks of a route within one rank of its tenant.
+const ROUTE_RANKS: u8 = 3;
+/// Least urgent rank.
+const LAST_RANK: u8 = 9;
+/// A first attempt of a repeatable request is waited for at most this many times its target.
+const PATIENCE_TARGETS: u32 = 2;
+
+impl<D: Dialect + 'static> Traffic<D> {
+    /// Answers one request.
+    pub async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Answer {
+        let arrived = self.clock.now();
+        let (parts, body) = request.into_parts();
+        self.metrics.count(Counter::Accepted);
+        let head = match self.dialect.read_request(&parts) {
+            Ok(head) => head,
+            Err(fault) => {
+                let refusal = Refusal::not_run(Kind::BadHeader, fault.0);
+                return self.refuse("", arrived, refusal.closing());
+            }
+        };
+        let id = head.id.clone();
+        match self.serve(arrived, parts, head, body).await {
+            Ok(answer) => answer,
+            Err(refusal) => self.refuse(&id, arrived, refusal),
+        }
+    }
+
+    async fn serve(
+        self: &Rc<Self>,
+        arrived: Duration,
+        parts: request::Parts,
+        head: CallerHead,
+        body: Incoming,
+    ) -> Result<Answer, Refusal> {
+        let most_bytes = self.body_bytes();
+        let read_by = arrived + head.deadline.unwrap_or(UNROUTED_TIME);
+        let body = self.read_body(body, most_bytes, read_by).await?;
+        let job = self.admit(arrived, parts, head, body)?;
+        let job = Rc::new(job);
+        let mut progress = Progress::default();
+        let served = self.run_attempts(&job, &mut progress).await;
+        if served.is_err() && !progress.maybe_run {
+            self.give_back(&job);
+        }
+        let answer = self.reply(&job, progress, served?);
+        self.log_answer(&job, &answer);
+        Ok(answer)
+    }
+
+    fn body_bytes(&self) -> usize {
+        let state = self.state.borrow();
+        let directory = state.directory.as_ref();
+        directory.map_or(1 << 20, |d| d.configuration().bounds.body_bytes)
+    }
+
+    async fn read_body(
+        &self,
+        body: Incoming,
+        most: usize,
+        read_by: Duration,
+    ) -> Result<Bytes, Refusal> {
+        let reading = Limited::new(body, most).collect();
+        match tokio::time::timeout_at(self.clock.instant(read_by), reading).await {
+            Ok(Ok(collected)) => Ok(collected.to_bytes()),
+            Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+                Err(Refusal::not_run(Kind::BodyTooLarge, "the body is too large").closing())
+            }
+            Ok(Err(_)) => {
+                Err(Refusal::not_run(Kind::MalformedBody, "the body broke off").closing())
+            }
+            Err(_) => Err(Refusal::not_run(Kind::SlowSender, "the body is late").closing()),
+        }
+    }
+
+    // Finds route and tenant and takes the request's cost from the tenant's limit.
+    fn admit(
+        &self,
+        arrived: Duration,
+        parts: request::Parts,
+        head: CallerHead,
+        body: Bytes,
+    ) -> Result<Job, Refusal> {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let unconfirmed = || {
+            let message = "the configuration is not confirmed";
+            Refusal::not_run(Kind::PlatformUnavailable, message).after(UNCONFIRMED_RETRY)
+        };
+        let directory = state.directory.clone().ok_or_else(unconfirmed)?;
+        let longest = Duration::from_millis(state.settings.credential_age_ms.max(0) as u64);
+        let is_fresh = self.freshness.allows_keys(now, longest);
+        let (route, tenant) = match look_up(&directory, &parts, &head) {
+            Lookup::Allowed { route, tenant } => (route, tenant),
+            _ if !is_fresh => return Err(unconfirmed()),
+            Lookup::NoRoute => {
+                return Err(Refusal::not_run(Kind::UnknownRoute, "no route"));
+            }
+            Lookup::UnknownKey => {
+                return Err(Refusal::not_run(Kind::UnknownTeam, "unknown key"));
+            }
+        };
+        if directory.needs_key(route) && !is_fresh {
+            return Err(unconfirmed());
+        }
+        let service = state.pick_service(&route.split).unwrap_or_default();
+        let spec = directory.configuration().services.get(&service);
+        let expiry = arrived + head.deadline.unwrap_or(route.timeout).min(route.timeout);
+        let tokens = head.tokens.unwrap_or_default();
+        let job = Job {
+            work: Work {
+                service: service.clone(),
+                parts: head.parts.clone(),
+                prompt_tokens: tokens.0,
+            },
+            engine: spec.is_some_and(|s| s.engine.is_some()),
+            max_connections: spec.map_or(u32::MAX, |s| s.max_connections),
+            cost: tenant.map_or(0, |t| cost_of(&head, t)),
+            priority: rank(route, tenant),
+            tenant: tenant.map(|t| t.name.clone()),
+            route: route.clone(),
+            version: directory.configuration().version,
+            parts,
+            head,
+            body,
+            arrived,
+            expiry,
+        };
+        if let Some(quota) = job.tenant.as_ref().and_then(|t| state.quotas.get_mut(t)) {
+            quota.take(now, job.cost).map_err(|wait| {
+                Refusal::not_run(Kind::TeamLimit, "the tenant's limit is used up").after(wait)
+            })?;
+        }
+        state.count_request(now, &service);
+        Ok(job)
+    }
+
+    fn give_back(&self, job: &Job) {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let quota = job.tenant.as_ref().and_then(|t| state.quotas.get_mut(t));
+        if let Some(quota) = quota {
+            quota.give_back(now, job.cost);
+        }
+    }
+
+    /// Chooses an endpoint; waits a little for one to appear.
+    pub async fn place(&self, job: &Job, progress: &Progress) -> Option<Placement> {
+        let patience = job.arrived + job.route.target / ENDPOINT_WAIT_PART;
+        loop {
+            let now = self.clock.now();
+            let placement = {
+                let state = &mut *self.state.borrow_mut();
+                let (board, rng) = (&mut state.board, &mut state.rng);
+                board.choose(now, &job.work, &progress.tried, rng)
+            };
+            if placement.is_some() || now >= patience || now >= job.expiry {
+                return placement;
+            }
+            let changed = self.endpoints_changed.notified();
+            let _ = tokio::time::timeout(ENDPOINT_LOOK, changed).await;
+        }
+    }
+
+    async fn run_attempts(
+        self: &Rc<Self>,
+        job: &SharedJob,
+        progress: &mut Progress,
+    ) -> Result<Reply<D>, Refusal> {
+        let mut unsent = 0;
+        loop {
+            let Some(placement) = self.place(job, progress).await else {
+                return Err(self.nowhere(progress));
+            };
+            info!(self.log, "placed"; "id" => &job.head.id, "route" => &job.route.name,
+                "endpoint" => &placement.endpoint, "unread" => placement.unread_tokens,
+                "expected_ms" => placement.expected_ms as u64, "weighed" => placement.weighed,
+                "version" => job.version);
+            let expiry = self.clock.instant(self.attempt_expiry(job, progress));
+            progress.sent += 1;
+            let attempt = self.attempt(job, &placement, None);
+            let attempted = tokio::time::timeout_at(expiry, attempt).await;
+            progress.tried.push(placement.endpoint.clone());
+            let outcome = match attempted {
+                Ok(Attempted::Answered(reply)) => return Ok(reply),
+                Ok(Attempted::NotSent) => {
+                    progress.sent -= 1;
+                    unsent += 1;
+                    if unsent >= MOST_UNSENT || self.clock.now() >= job.expiry {
+                        return Err(self.nowhere(progress));
+                    }
+                    continue;
+                }
+                Ok(Attempted::NotRun) => None,
+                Ok(Attempted::Lost(cause)) => Some(cause),
+                Err(_) => Some("the endpoint gave no answer in time"),
+                Ok(Attempted::Failed { head, body }) => {
+                    if !self.may_send_again(job, progress, true) {
+                        return Ok(Reply::Whole { head, body });
+                    }
+                    continue;
+                }
+            };
+            progress.maybe_run |= outcome.is_some();
+            if !self.may_send_again(job, progress, outcome.is_some()) {
+                return Err(self.given_up(job, progress, outcome));
+            }
+        }
+    }
+
+    fn may_send_again(&self, job: &Job, progress: &Progress, ran: bool) -> bool {
+        let allowed = job.route.execution.is_repeatable() || (!ran && !progress.maybe_run);
+        allowed
+            && progress.sent < job.route.max_attempts
+            && self.clock.now() < job.expiry
+            && self.may_repeat(&job.work.service)
+    }
+
+    // A repeatable request with another attempt left does not wait for its deadline.
+    fn attempt_expiry(&self, job: &Job, progress: &Progress) -> Duration {
+        let repeats = job.route.execution.is_repeatable();
+        if repeats && progress.sent + 1 < job.route.max_attempts {
+            let patience = self.clock.now() + job.route.target * PATIENCE_TARGETS;
+            return patience.min(job.expiry);
+        }
+        job.expiry
+    }
+
+    fn nowhere(&self, progress: &Progress) -> Refusal {
+        match progress.maybe_run {
+            true => Refusal::maybe_run(Kind::EndpointFailed, "no other endpoint takes work"),
+            false => Refusal::not_run(Kind::NoEndpoint, "no endpoint takes work")
+                .after(NO_ENDPOINT_RETRY),
+        }
+    }
+
+    fn given_up(&self, job: &Job, progress: &Progress, cause: Option<&str>) -> Refusal {
+        let out_of_time = self.clock.now() >= job.expiry;
+        match (progress.maybe_run, out_of_time) {
+            (true, true) => Refusal::maybe_run(Kind::DeadlinePassed, cause.unwrap_or("late")),
+            (true, false) => Refusal::maybe_run(Kind::EndpointFailed, cause.unwrap_or("lost")),
+            (false, _) => {
+                Refusal::not_run(Kind::Overloaded, "the endpoint has no room").after(NO_ROOM_RETRY)
+            }
+        }
+    }
+
+    fn reply(self: &Rc<Self>, job: &SharedJob, progress: Progress, reply: Reply<D>) -> Answer {
+        match reply {
+            Reply::Whole { head, body } => Response::from_parts(head, AnswerBody::whole(body)),
+            Reply::Events {
+                head,
+                first,
+                events,
+            } => {
+                let (pieces, received) = mpsc::channel(PIECES_WAITING);
+                let relay = Relay::new(self, job, progress, pieces);
+                tokio::task::spawn_local(relay.run(first, *events));
+                Response::from_parts(head, AnswerBody::stream(received))
+            }
+        }
+    }
+
+    fn log_answer(&self, job: &Job, answer: &Answer) {
+        let held = self.clock.now().saturating_sub(job.arrived);
+        self.metrics.time(Timer::FirstToken, held);
+        self.metrics.count(Counter::Done);
+        info!(self.log, "answered"; "id" => &job.head.id, "route" => &job.route.name,
+            "status" => answer.status().as_u16(), "ms" => held.as_millis() as u64,
+            "tenant" => &job.tenant);
+    }
+
+    fn refuse(&self, id: &str, arrived: Duration, refusal: Refusal) -> Answer {
+        let now = self.clock.now();
+        let age = self.freshness.age(now).map(|age| age.as_millis() as u64);
+        self.metrics.count(match refusal.problem.run {
+            errors::MaybeRun::NotRun => Counter::Refused,
+            errors::MaybeRun::Unknown => Counter::Failed,
+        });
+        info!(self.log, "refused"; "id" => id, "status" => refusal.status(),
+            "cause" => &refusal.problem.message, "confirmed_ms_ago" => age,
+            "ms" => now.saturating_sub(arrived).as_millis() as u64);
+        refusal.into_answer(id)
+    }
+}
+
+fn look_up<'a>(directory: &'a Directory, parts: &request::Parts, head: &CallerHead) -> Lookup<'a> {
+    let field = parts.headers.get(http::header::HOST);
+    let host = field.and_then(|value| value.to_str().ok());
+    let host = host.or(parts.uri.host()).unwrap_or_default();
+    directory.look_up(host, parts.uri.path(), head.key.as_deref())
+}
+
+// The rank of the tenant comes before that of the route.
+fn rank(route: &Route, tenant: Option<&Tenant>) -> u8 {
+    let tenant = tenant.and_then(|t| t.priority).unwrap_or_default();
+    let route = route.priority.min(ROUTE_RANKS - 1);
+    (tenant.saturating_mul(ROUTE_RANKS) + route).min(LAST_RANK)
+}
+
+// Units of its tenant's limit that a request takes.
+fn cost_of(head: &CallerHead, tenant: &Tenant) -> u64 {
+    let Some(plain) = tenant.quota.and_then(|quota| quota.plain_cost) else {
+        return 1;
+    };
+    let tokens = head.tokens;
+    tokens.map_or(plain, |(prompt, answer)| {
+        u64::from(prompt) + u64::from(answer)
+    })
+}
--- /dev/null
+++ b/components/gateway/src/job.rs
@@ -0,0 +1,56 @@
+//! One admitted request.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use directory::Route;
+use http::request;
+use routing::placement::Work;
+
+use crate::ports::CallerHead;
+
+/// A request on its way to an endpoint.
+#[derive(Debug)]
+pub(crate) struct Job {
+    /// Head as the caller sent it.
+    pub parts: request::Parts,
+    /// What was read of it.
+    pub head: CallerHead,
+    /// Whole body.
+    pub body: Bytes,
+    /// Its route.
+    pub route: Route,
+    /// Tenant whose key it carries.
+    pub tenant: Option<String>,
+    /// What it takes of its tenant's limit.
+    pub cost: u64,
+    /// Rank for engines, 0 is the most urgent.
+    pub priority: u8,
+    /// What is to be placed.
+    pub work: Work,
+    /// Whether its endpoints are engines.
+    pub engine: bool,
+    /// Connections that each endpoint accepts of all gateways together.
+    pub max_connections: u32,
+    /// When its head was read.
+    pub arrived: Duration,
+    /// When its final answer is due.
+    pub expiry: Duration,
+    /// Version of the configuration that it was admitted under.
+    pub version: u64,
+}
+
+/// A job shared by the tasks that work on it.
+pub(crate) type SharedJob = Rc<Job>;
+
+/// Attempts of one request so far.
+#[derive(Debug, Default)]
+pub(crate) struct Progress {
+    /// Endpoints that were tried.
+    pub tried: Vec<String>,
+    /// Times that it was sent.
+    pub sent: u32,
+    /// Whether some endpoint may have run it.
+    pub maybe_run: bool,
+}
--- /dev/null
+++ b/components/gateway/src/lib.rs
@@ -0,0 +1,30 @@
+//! One gateway: the daemon between callers and endpoints as a library.
+//!
+//! A traffic thread serves callers; a control thread follows the store, exchanges news with the
+//! other gateways and carries out the duties of the lease. The two pass typed values over flume.
+//! What is spoken on the wire comes from a [`ports::Dialect`], a [`ports::Store`] and
+//! [`ports::Orders`]; nothing here knows their names.
+
+mod answer;
+mod attempt;
+mod clock;
+mod control;
+mod events;
+mod freshness;
+mod handler;
+mod job;
+mod news;
+mod peers;
+mod pool;
+pub mod ports;
+mod run;
+mod server;
+mod stream;
+mod tally;
+mod traffic;
+
+pub use clock::Clock;
+pub use events::{Event, EventSplitter, SplitError};
+pub use freshness::Freshness;
+pub use peers::{PeerCount, Peers};
+pub use run::{run, GatewayError, Parts};
--- /dev/null
+++ b/components/gateway/src/news.rs
@@ -0,0 +1,53 @@
+//! Messages between gateways.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use routing::placement::PeerDispatch;
+use schema::messages::{Dispatch, GatewayNews, WindowUsage};
+
+use crate::tally::Sent;
+
+/// Dispatches told in one message, so that it fits into one datagram.
+pub(crate) const MOST_DISPATCHES: usize = 30;
+
+/// A dispatch as it is told.
+pub(crate) fn dispatch_of(now: Duration, sent: &Sent) -> Dispatch {
+    Dispatch {
+        endpoint: sent.endpoint as i64,
+        unread_tokens: sent.unread_tokens.min(i32::MAX as u32) as i32,
+        shared_prompt: sent.shared_prompt as i64,
+        age_ms: now.saturating_sub(sent.at).as_millis().min(60_000) as i32,
+    }
+}
+
+/// A dispatch as it was heard.
+pub(crate) fn heard_dispatch(now: Duration, told: &Dispatch) -> PeerDispatch {
+    let age = Duration::from_millis(told.age_ms.max(0) as u64);
+    PeerDispatch {
+        endpoint: told.endpoint as u64,
+        unread_tokens: told.unread_tokens.max(0) as u32,
+        shared_prompt: told.shared_prompt as u64,
+        sent_at: now.saturating_sub(age),
+    }
+}
+
+/// Totals by tenant as they were heard.
+pub(crate) fn heard_totals(news: &GatewayNews) -> BTreeMap<String, u64> {
+    let totals = news.taken.iter();
+    totals
+        .map(|(tenant, total)| (tenant.clone(), (*total).max(0) as u64))
+        .collect()
+}
+
+/// Usage as it is told.
+pub(crate) fn usage_of(window: i64, begun: BTreeMap<String, i64>) -> WindowUsage {
+    WindowUsage { window, begun }
+}
+
+/// Addresses as they were heard; what is none is passed over.
+pub(crate) fn heard_addresses(news: &GatewayNews) -> Vec<SocketAddr> {
+    let addresses = news.peers.iter();
+    addresses.filter_map(|text| text.parse().ok()).collect()
+}
--- /dev/null
+++ b/components/gateway/src/peers.rs
@@ -0,0 +1,153 @@
+//! The other gateways: who is heard, who is silent, and where they are. Pure.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A gateway not heard for this long is silent.
+const SILENT_AFTER: Duration = Duration::from_millis(1500);
+/// A silent gateway is forgotten after this long.
+const FORGET_AFTER: Duration = Duration::from_secs(20);
+/// An address from which nothing was heard is tried for this long.
+const TRY_ADDRESS_FOR: Duration = Duration::from_secs(20);
+
+/// How many gateways there are.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PeerCount {
+    /// Others that are heard.
+    pub heard: usize,
+    /// Others that were heard and are silent now.
+    pub silent: usize,
+}
+
+impl PeerCount {
+    /// Gateways that may be running, this one included.
+    pub fn gateways(self) -> usize {
+        1 + self.heard + self.silent
+    }
+
+    /// Part of all gateways that hear each other, this one included.
+    pub fn heard_part(self) -> f64 {
+        (1 + self.heard) as f64 / self.gateways() as f64
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Peer {
+    address: SocketAddr,
+    incarnation: i64,
+    sequence: i64,
+    heard_at: Duration,
+}
+
+/// What a message of another gateway means.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Hearing {
+    /// It is news.
+    News,
+    /// It is older than what is known, or comes twice.
+    Stale,
+}
+
+/// All other gateways.
+#[derive(Debug)]
+pub struct Peers {
+    own: SocketAddr,
+    peers: BTreeMap<String, Peer>,
+    // Addresses learnt from the store, the settings or others, and since when they are tried.
+    addresses: BTreeMap<SocketAddr, Duration>,
+    lease: Option<(i64, Duration)>,
+}
+
+impl Peers {
+    /// Nobody known yet.
+    pub fn new(own: SocketAddr) -> Self {
+        Peers {
+            own,
+            peers: BTreeMap::new(),
+            addresses: BTreeMap::new(),
+            lease: None,
+        }
+    }
+
+    /// An address at which a gateway may be.
+    pub fn learn(&mut self, now: Duration, address: SocketAddr) {
+        if address != self.own {
+            self.addresses.entry(address).or_insert(now);
+        }
+    }
+
+    /// A message came from a gateway.
+    pub fn hear(
+        &mut self,
+        now: Duration,
+        name: &str,
+        address: SocketAddr,
+        incarnation: i64,
+        sequence: i64,
+    ) -> Hearing {
+        if let Some(known) = self.peers.get(name) {
+            if (incarnation, sequence) <= (known.incarnation, known.sequence) {
+                return Hearing::Stale;
+            }
+        }
+        let peer = Peer {
+            address,
+            incarnation,
+            sequence,
+            heard_at: now,
+        };
+        self.peers.insert(name.to_string(), peer);
+        self.addresses.remove(&address);
+        Hearing::News
+    }
+
+    /// A gateway says that it stops.
+    pub fn leave(&mut self, name: &str) {
+        self.peers.remove(name);
+    }
+
+    /// Another gateway holds the lease under this epoch.
+    pub fn hear_lease(&mut self, now: Duration, epoch: i64) {
+        if self.lease.is_none_or(|(known, _)| epoch >= known) {
+            self.lease = Some((epoch, now));
+        }
+    }
+
+    /// Whether a holder of the lease was heard within `time`.
+    pub fn holder_heard(&self, now: Duration, time: Duration) -> bool {
+        self.lease.is_some_and(|(_, at)| now < at + time)
+    }
+
+    /// Drops who was silent for too long and addresses that never answered.
+    pub fn tick(&mut self, now: Duration) {
+        self.peers
+            .retain(|_, peer| now < peer.heard_at + FORGET_AFTER);
+        self.addresses
+            .retain(|_, since| now < *since + TRY_ADDRESS_FOR);
+    }
+
+    /// Counts at this time.
+    pub fn count(&self, now: Duration) -> PeerCount {
+        let is_heard = |peer: &&Peer| now < peer.heard_at + SILENT_AFTER;
+        let heard = self.peers.values().filter(is_heard).count();
+        PeerCount {
+            heard,
+            silent: self.peers.len() - heard,
+        }
+    }
+
+    /// Where to send news.
+    pub fn targets(&self) -> BTreeSet<SocketAddr> {
+        let known = self.peers.values().map(|peer| peer.address);
+        known.chain(self.addresses.keys().copied()).collect()
+    }
+
+    /// Addresses of gateways that were heard, at most `most`, beginning at one by `turn`.
+    pub fn addresses(&self, turn: usize, most: usize) -> Vec<SocketAddr> {
+        let all: Vec<SocketAddr> = self.peers.values().map(|peer| peer.address).collect();
+        let count = all.len().min(most);
+        let at = |i: usize| all[(turn * most + i) % all.len()];
+        (0..count).map(at).collect()
+    }
+}
--- /dev/null
+++ b/components/gateway/src/ports.rs
@@ -0,0 +1,236 @@
+//! What a gateway asks of the world around it. Implementations translate and decide nothing.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::future::Future;
+use std::time::Duration;
+
+use directory::{Configuration, Endpoint};
+use fleet::ScalingOrder;
+use http::{request, HeaderMap, StatusCode};
+use routing::placement::PromptPart;
+use usage::Report;
+
+/// The head of a caller's request, as far as it is acted on.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct CallerHead {
+    /// Id of the request, unique to each try of the caller.
+    pub id: String,
+    /// Time the caller waits.
+    pub deadline: Option<Duration>,
+    /// Key that the caller presents.
+    pub key: Option<String>,
+    /// Tokens of the prompt and the most of the answer.
+    pub tokens: Option<(u32, u32)>,
+    /// Parts of the prompt in order.
+    pub parts: Vec<PromptPart>,
+    /// Last event that the caller has of this stream.
+    pub last_event: Option<u64>,
+}
+
+/// A head that cannot be read; names the field.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeadFault(pub &'static str);
+
+/// What is set anew for each attempt.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct AttemptHead {
+    /// Id of the endpoint that is meant.
+    pub endpoint: String,
+    /// Time left.
+    pub remaining: Duration,
+    /// Tenant whose key the caller presented.
+    pub tenant: Option<String>,
+    /// Rank, 0 is the most urgent.
+    pub priority: u8,
+    /// Whether the endpoint is a model engine.
+    pub engine: bool,
+    /// Last event that the caller has of this stream.
+    pub last_event: Option<u64>,
+}
+
+/// The head of an endpoint's answer, as far as it is acted on.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct AnswerHead {
+    /// Id of the request that it answers.
+    pub id: Option<String>,
+    /// Whether it carries the endpoint's proof that it made the answer.
+    pub signed: bool,
+    /// Whether it says that the request was not run.
+    pub not_run: bool,
+    /// Whether its body is not what the endpoint made.
+    pub altered: bool,
+    /// Load of the endpoint.
+    pub load: Option<EndpointLoad>,
+    /// How long the endpoint keeps the connection when it rests.
+    pub keep_alive: Option<Duration>,
+}
+
+/// Load that an endpoint tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndpointLoad {
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub queued: u32,
+}
+
+/// Heads of requests and answers.
+pub trait Dialect {
+    /// Reads a caller's head.
+    fn read_request(&self, head: &request::Parts) -> Result<CallerHead, HeadFault>;
+
+    /// Turns the caller's fields into those of an attempt.
+    fn write_attempt(&self, fields: &mut HeaderMap, attempt: &AttemptHead);
+
+    /// Reads an endpoint's head.
+    fn read_answer(&self, status: StatusCode, fields: &HeaderMap) -> AnswerHead;
+}
+
+/// What the store keeps.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Topic {
+    /// The newest configuration.
+    Configuration,
+    /// The endpoints.
+    Endpoints,
+    /// Gateways and their addresses.
+    Gateways,
+    /// The lease on duties.
+    Lease,
+    /// What is reported for each usage window.
+    Usage,
+}
+
+/// One row.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Row {
+    /// Key within its topic.
+    pub key: String,
+    /// Value, `None` if the row was dropped.
+    pub value: Option<Vec<u8>>,
+    /// Revision of the store that wrote it.
+    pub revision: u64,
+}
+
+/// Rows of a topic at one moment, or changes up to it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Rows {
+    /// The rows.
+    pub rows: Vec<Row>,
+    /// Newest revision of the store.
+    pub revision: u64,
+    /// The store's steady time.
+    pub stamp: Duration,
+}
+
+/// Why a call of the store has no result.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreError {
+    /// It refused the call and did nothing.
+    Refused,
+    /// No answer came: a write may have been done, or may yet be.
+    Unanswered,
+    /// Changes since the given revision are not known any more.
+    HistoryGone,
+    /// A row had another revision than expected; the row as it is.
+    Conflict(Option<Row>),
+    /// The answer could not be read.
+    Malformed(&'static str),
+}
+
+impl fmt::Display for StoreError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            StoreError::Refused => write!(f, "refused"),
+            StoreError::Unanswered => write!(f, "unanswered"),
+            StoreError::HistoryGone => write!(f, "history gone"),
+            StoreError::Conflict(_) => write!(f, "conflict"),
+            StoreError::Malformed(what) => write!(f, "malformed {what}"),
+        }
+    }
+}
+
+/// A row that cannot be read; names the field.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RowFault(pub String);
+
+/// The store in which everything lasting lies.
+pub trait Store {
+    /// All rows of a topic.
+    fn list(&self, topic: Topic) -> impl Future<Output = Result<Rows, StoreError>>;
+
+    /// One row.
+    fn read(
+        &self,
+        topic: Topic,
+        key: &str,
+    ) -> impl Future<Output = Result<Option<Row>, StoreError>>;
+
+    /// Changes of a topic after a revision; the call is held for `wait` if there are none.
+    fn changes(
+        &self,
+        topic: Topic,
+        after: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Rows, StoreError>>;
+
+    /// Writes a row, if it has the expected revision (0: there is none), and returns the new one.
+    fn write(
+        &self,
+        topic: Topic,
+        key: &str,
+        value: Vec<u8>,
+        expected: Option<u64>,
+    ) -> impl Future<Output = Result<u64, StoreError>>;
+
+    /// Reads a row of [`Topic::Configuration`].
+    fn configuration(&self, value: &[u8]) -> Result<Configuration, RowFault>;
+
+    /// Reads a row of [`Topic::Endpoints`].
+    fn endpoint(&self, key: &str, value: &[u8]) -> Result<Endpoint, RowFault>;
+
+    /// Key of the configuration's row.
+    fn configuration_key(&self) -> &'static str;
+}
+
+/// Who gives an order, and under which fence.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DutyHolder {
+    /// Name of the gateway.
+    pub gateway: String,
+    /// Epoch of its lease.
+    pub fence: i64,
+}
+
+/// What became of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderReply {
+    /// Accepted.
+    Done,
+    /// Not to be had now.
+    Unavailable,
+    /// Refused without effect; come back later.
+    Busy,
+    /// No answer came.
+    Unanswered,
+    /// Refused for good.
+    Rejected(u16),
+}
+
+/// The service that takes orders of whoever holds the lease.
+pub trait Orders {
+    /// Reports the usage of a window.
+    fn report(&self, holder: &DutyHolder, report: &Report) -> impl Future<Output = OrderReply>;
+
+    /// Orders endpoints.
+    fn scale(
+        &self,
+        holder: &DutyHolder,
+        service: &str,
+        order: &ScalingOrder,
+    ) -> impl Future<Output = OrderReply>;
+}
+
+/// Counts by name.
+pub type Counts = BTreeMap<String, i64>;
--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -6,10 +6,14 @@
 mod budget;
 mod gate;
 mod quota;
+mod repeats;
+mod shared_quota;
 mod team;
 
 pub use bucket::Bucket;
 pub use budget::Budget;
 pub use gate::{Gate, Verdict, Waiter};
 pub use quota::{Demand, Quota, FLOOR_MILLI};
+pub use repeats::{RepeatBudget, RepeatTerms};
+pub use shared_quota::{Limit, SharedQuota};
 pub use team::{Limits, Refused, TeamMeter};
--- /dev/null
+++ b/components/limits/src/shared_quota.rs
@@ -0,0 +1,112 @@
+//! A tenant's limit over all gateways, enforced at each of them.
+//!
+//! Every gateway runs the whole limit as a bucket and charges to it what the others tell that they
+//! took. While some of them are silent, it uses only its part, so that the parts of gateways that
+//! do not hear each other add up to the limit.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// The longest a full bucket owes: charges of others past it are forgotten.
+const MOST_DEBT_SECS: f64 = 4.0;
+
+/// A limit in units a second and units beyond the rate.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limit {
+    /// Units a second.
+    pub rate: f64,
+    /// Units beyond the rate.
+    pub burst: f64,
+}
+
+/// One tenant's bucket at one gateway.
+#[derive(Debug)]
+pub struct SharedQuota {
+    limit: Limit,
+    // Part of the limit used here, from 0 to 1.
+    part: f64,
+    level: f64,
+    filled_at: Duration,
+    // Units taken here since the start.
+    taken: u64,
+    // Totals of other processes, by gateway and incarnation.
+    others: BTreeMap<(String, i64), u64>,
+}
+
+impl SharedQuota {
+    /// A bucket that is half full: what was taken before this process started is not known yet.
+    pub fn new(now: Duration, limit: Limit) -> Self {
+        SharedQuota {
+            limit,
+            part: 1.0,
+            level: limit.burst / 2.0,
+            filled_at: now,
+            taken: 0,
+            others: BTreeMap::new(),
+        }
+    }
+
+    /// Sets the limit; what is in the bucket stays, up to the new size.
+    pub fn set_limit(&mut self, now: Duration, limit: Limit) {
+        self.fill(now);
+        self.limit = limit;
+        self.level = self.level.min(limit.burst);
+    }
+
+    /// Sets the part of the limit that this gateway may use.
+    pub fn set_part(&mut self, now: Duration, part: f64) {
+        self.fill(now);
+        self.part = part.clamp(0.0, 1.0);
+    }
+
+    /// Takes units, or says how long until they are there.
+    pub fn take(&mut self, now: Duration, units: u64) -> Result<(), Duration> {
+        self.fill(now);
+        // A request larger than the bucket passes once the bucket is full.
+        let wanted = (units as f64).min(self.size());
+        if self.level >= wanted {
+            self.level -= units as f64;
+            self.taken += units;
+            return Ok(());
+        }
+        let rate = (self.limit.rate * self.part).max(1.0);
+        Err(Duration::from_secs_f64((wanted - self.level) / rate))
+    }
+
+    /// Gives units back that were not used.
+    pub fn give_back(&mut self, now: Duration, units: u64) {
+        self.fill(now);
+        self.level = (self.level + units as f64).min(self.size());
+        self.taken = self.taken.saturating_sub(units);
+    }
+
+    /// Takes the total that another gateway's process told. The first word of a process that began
+    /// before this one heard of it charges nothing: it is history.
+    pub fn hear(&mut self, now: Duration, gateway: &str, incarnation: i64, total: u64, new: bool) {
+        self.fill(now);
+        let key = (gateway.to_string(), incarnation);
+        let known = self.others.get(&key).copied();
+        let before = known.unwrap_or(if new { 0 } else { total });
+        self.others.insert(key, total.max(before));
+        let charge = total.saturating_sub(before) as f64;
+        self.level = (self.level - charge).max(-self.limit.rate * MOST_DEBT_SECS);
+    }
+
+    /// Units taken here since the start.
+    pub fn taken(&self) -> u64 {
+        self.taken
+    }
+
+    fn size(&self) -> f64 {
+        (self.limit.burst * self.part).max(1.0)
+    }
+
+    fn fill(&mut self, now: Duration) {
+        let passed = now.saturating_sub(self.filled_at).as_secs_f64();
+        self.filled_at = now.max(self.filled_at);
+        let gained = passed * self.limit.rate * self.part;
+        if self.level < self.size() {
+            self.level = (self.level + gained).min(self.size());
+        }
+    }
+}
--- /dev/null
+++ b/components/limits/tests/fleet.rs
@@ -0,0 +1,102 @@
+//! Limits that several gateways keep together.
+
+use std::time::Duration;
+
+use limits::{Limit, RepeatBudget, RepeatTerms, SharedQuota};
+use quickcheck::quickcheck;
+
+const LIMIT: Limit = Limit {
+    rate: 1000.0,
+    burst: 1000.0,
+};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Units admitted by gateways that tell each other their totals every 100 ms, in 20 s.
+fn admitted(gateways: usize, hear: bool, part: f64) -> u64 {
+    let mut quotas: Vec<SharedQuota> = (0..gateways)
+        .map(|_| SharedQuota::new(Duration::ZERO, LIMIT))
+        .collect();
+    quotas
+        .iter_mut()
+        .for_each(|q| q.set_part(Duration::ZERO, part));
+    for now in 0..20_000 {
+        for quota in &mut quotas {
+            let _ = quota.take(ms(now), 10);
+        }
+        if hear && now % 100 == 0 {
+            let totals: Vec<u64> = quotas.iter().map(SharedQuota::taken).collect();
+            for (i, quota) in quotas.iter_mut().enumerate() {
+                for (j, total) in totals.iter().enumerate().filter(|(j, _)| *j != i) {
+                    quota.hear(ms(now), &j.to_string(), 1, *total, true);
+                }
+            }
+        }
+    }
+    quotas.iter().map(SharedQuota::taken).sum()
+}
+
+#[test]
+fn gateways_that_hear_each_other_keep_the_limit_together() {
+    let sum = admitted(8, true, 1.0);
+    assert!((19_000..=26_000).contains(&sum), "{sum}");
+}
+
+#[test]
+fn gateways_that_do_not_hear_each_other_keep_it_with_their_parts() {
+    let sum = admitted(8, false, 1.0 / 8.0);
+    assert!((19_000..=25_000).contains(&sum), "{sum}");
+}
+
+#[test]
+fn a_lowered_limit_binds_at_once() {
+    let mut quota = SharedQuota::new(Duration::ZERO, LIMIT);
+    quota.set_limit(
+        ms(10_000),
+        Limit {
+            rate: 10.0,
+            burst: 10.0,
+        },
+    );
+    let taken = (10_000..11_000)
+        .filter(|now| quota.take(ms(*now), 1).is_ok())
+        .count();
+    assert!(taken <= 20, "{taken}");
+}
+
+#[test]
+fn what_a_process_took_before_it_was_heard_of_is_not_charged() {
+    let mut quota = SharedQuota::new(Duration::ZERO, LIMIT);
+    quota.hear(ms(1), "b", 1, 1_000_000, false);
+    assert!(quota.take(ms(2), 100).is_ok());
+    quota.hear(ms(3), "b", 1, 1_000_500, false);
+    assert!(quota.take(ms(4), 100).is_err());
+}
+
+quickcheck! {
+    fn repeats_stay_within_the_budget_in_every_window(calls: Vec<(u8, bool)>) -> bool {
+        let terms = RepeatTerms { ratio: 0.2, extra: 16.0, window: Duration::from_secs(10) };
+        let gateways = 4;
+        let mut budget = RepeatBudget::new(terms);
+        let mut now = Duration::ZERO;
+        let mut log: Vec<(Duration, bool)> = Vec::new();
+        for (pause, repeat) in calls {
+            now += ms(u64::from(pause) * 4);
+            if !repeat {
+                budget.request(now);
+                log.push((now, false));
+            } else if budget.spend(now, gateways) {
+                log.push((now, true));
+            }
+        }
+        log.iter().all(|(end, _)| {
+            let inside = |(at, _): &&(Duration, bool)| *at <= *end && *at + ms(9_000) > *end;
+            let repeats = log.iter().filter(inside).filter(|(_, r)| *r).count() as f64;
+            // A window may reach into the one before it.
+            let requests = log.iter().filter(|(at, r)| !r && *at <= *end && *at + terms.window > *end);
+            repeats <= terms.ratio * requests.count() as f64 + terms.extra / gateways as f64
+        })
+    }
+}
--- a/components/provider/src/table.rs
+++ b/components/provider/src/table.rs
@@ -2,7 +2,7 @@
 
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine as _;
-use state::{Reply, Row, TableCall, Write};
+use state::{Reply, Row, TableCall, Write, ABSENT};
 
 use crate::http::{send, TOO_MANY};
 use crate::wire::{RowBody, TransactBody, WriteBody};
@@ -49,7 +49,9 @@
         };
         let request = minreq::post(format!("{}/transact", self.url)).with_body(json);
         match send(request).map(|r| r.status_code) {
-            Some(200) => Reply::Committed,
+            Some(200) => Reply::Committed {
+                version: writes.first().map_or(ABSENT, |write| write.expect + 1),
+            },
             Some(409) => Reply::Conflict,
             Some(TOO_MANY) => Reply::Refused,
             _ => Reply::Unanswered,
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -7,6 +7,7 @@
 mod belief;
 mod decision;
 mod endpoint;
+pub mod placement;
 mod prompt;
 mod rendezvous;
 mod router;
--- /dev/null
+++ b/components/routing/src/placement.rs
@@ -0,0 +1,78 @@
+//! Placement of requests on endpoints that other gateways send to as well.
+//!
+//! Each gateway keeps a board: for every endpoint the prompts ahead that are still to be read, the
+//! requests that run there, and the prompt parts it keeps. Gateways tell each other what they sent,
+//! so the boards agree but for the age of the news.
+
+mod board;
+mod cache;
+mod queue;
+mod slot;
+
+pub use board::{Board, Placement, Ticket};
+pub use cache::PromptCache;
+pub use queue::PromptQueue;
+
+use std::time::Duration;
+
+/// One part of a prompt; parts that stand in several prompts have one id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PromptPart {
+    /// Id of the part.
+    pub id: u64,
+    /// Its tokens.
+    pub tokens: u32,
+}
+
+/// What is to be placed.
+#[derive(Clone, Debug, Default)]
+pub struct Work {
+    /// Service that runs it.
+    pub service: String,
+    /// Parts of its prompt in order; the last one is the request's own.
+    pub parts: Vec<PromptPart>,
+    /// Tokens of the whole prompt, 0 for a plain request.
+    pub prompt_tokens: u32,
+}
+
+/// Hashes of a prompt's beginnings: the one at `i` stands for the parts up to `i`.
+pub fn beginnings(parts: &[PromptPart]) -> Vec<u64> {
+    let mut hash = 0;
+    let mut list = Vec::with_capacity(parts.len());
+    for part in parts {
+        hash = xxhash_rust::xxh3::xxh3_64_with_seed(&part.id.to_le_bytes(), hash);
+        list.push(hash);
+    }
+    list
+}
+
+/// Hash under which gateways name an endpoint to each other.
+pub fn endpoint_hash(id: &str) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(id.as_bytes())
+}
+
+/// What another gateway sent to an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerDispatch {
+    /// [`endpoint_hash`] of the endpoint.
+    pub endpoint: u64,
+    /// Tokens that the endpoint is expected to read.
+    pub unread_tokens: u32,
+    /// Hash of the prompt's shared beginning, 0 if it has none.
+    pub shared_prompt: u64,
+    /// When it was sent, on this gateway's clock.
+    pub sent_at: Duration,
+}
+
+/// How a request at an endpoint ended, as far as it speaks of the endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It answered well.
+    Sound,
+    /// It answered with an error of its own, or broke its answer off.
+    Faulty,
+    /// It could not be reached or said nothing.
+    Silent,
+    /// Says nothing of the endpoint: the caller left, or it had no room.
+    Neutral,
+}
--- /dev/null
+++ b/components/routing/src/placement/board.rs
@@ -0,0 +1,372 @@
+//! The board of all endpoints, and the choice among them.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use directory::{Configuration, Endpoint};
+use rand::{Rng, RngExt};
+
+use crate::endpoint::Reading;
+use crate::placement::slot::Slot;
+use crate::placement::{beginnings, endpoint_hash, PeerDispatch, Verdict, Work};
+use crate::rendezvous::weight;
+
+/// Tokens of prompts that an engine reads in a millisecond, until its own rate is known.
+const FIRST_RATE: f64 = 30.0;
+/// Bounds on a measured rate, in tokens a millisecond.
+const RATES: std::ops::RangeInclusive<f64> = 2.0..=1000.0;
+/// Prompts shorter than this say little of the rate.
+const RATE_SAMPLE_TOKENS: u32 = 1500;
+/// Time of a first token that is not reading the prompt, in milliseconds.
+const FIRST_TOKEN_MS: f64 = 8.0;
+/// Weight of a new sample in running means.
+const SAMPLE_WEIGHT: f64 = 0.2;
+/// Time a request holds a slot, until measured, in milliseconds.
+const FIRST_HOLD_MS: f64 = 50.0;
+/// Choices this close are told apart at random, in milliseconds.
+const TIE_MS: f64 = 1.0;
+/// Cost of leaving the zone: the way there and back, in milliseconds.
+const OTHER_ZONE_MS: f64 = 2.0;
+/// Cost of one more request beside the others at an engine, in milliseconds.
+const BESIDE_MS: f64 = 0.3;
+/// Cost of an endpoint whose every answer is faulty, in milliseconds.
+const FAULTY_MS: f64 = 1000.0;
+/// Cost of an endpoint that has just started, in milliseconds.
+const COLD_MS: f64 = 20.0;
+/// Part of a shared prompt expected at its home when nobody is known to keep it.
+const HOME_SHARE: f64 = 0.5;
+
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Placement {
+    /// Id of the endpoint.
+    pub endpoint: String,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Tokens it is expected to read.
+    pub unread_tokens: u32,
+    /// Hash of the prompt's shared beginning, 0 if it has none.
+    pub shared_prompt: u64,
+    /// Expected time to its first token, in milliseconds.
+    pub expected_ms: f64,
+    /// Endpoints that were weighed.
+    pub weighed: usize,
+}
+
+/// A request under way, as the board counts it.
+#[derive(Clone, Debug)]
+pub struct Ticket {
+    endpoint: String,
+    number: Option<u64>,
+    sent_at: Duration,
+    unread_tokens: u32,
+    // Nothing was to be read before it when it was sent.
+    alone: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Pace {
+    rate: f64,
+    hold_ms: f64,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Pace {
+            rate: FIRST_RATE,
+            hold_ms: FIRST_HOLD_MS,
+        }
+    }
+}
+
+/// Everything known of the endpoints of all services.
+#[derive(Debug)]
+pub struct Board {
+    zone: String,
+    slots: HashMap<String, Slot>,
+    services: BTreeMap<String, Vec<String>>,
+    hashes: HashMap<u64, String>,
+    paces: BTreeMap<String, Pace>,
+    cache_tokens: BTreeMap<String, u64>,
+}
+
+impl Board {
+    /// An empty board of a gateway in a zone.
+    pub fn new(zone: &str) -> Self {
+        Board {
+            zone: zone.to_string(),
+            slots: HashMap::new(),
+            services: BTreeMap::new(),
+            hashes: HashMap::new(),
+            paces: BTreeMap::new(),
+            cache_tokens: BTreeMap::new(),
+        }
+    }
+
+    /// Takes the engines' memory sizes of a configuration.
+    pub fn configure(&mut self, configuration: &Configuration) {
+        let engines = configuration.services.iter();
+        self.cache_tokens = engines
+            .filter_map(|(name, s)| Some((name.clone(), s.engine.as_ref()?.cache_tokens)))
+            .collect();
+    }
+
+    /// Takes an endpoint's newest record.
+    pub fn insert(&mut self, now: Duration, endpoint: Endpoint) {
+        if let Some(slot) = self.slots.get_mut(&endpoint.id) {
+            slot.spec = endpoint;
+            return;
+        }
+        let id = endpoint.id.clone();
+        let cache_tokens = self.cache_tokens.get(&endpoint.service);
+        let of_service = self.services.entry(endpoint.service.clone()).or_default();
+        of_service.push(id.clone());
+        self.hashes.insert(endpoint_hash(&id), id.clone());
+        let slot = Slot::new(now, endpoint, cache_tokens.copied().unwrap_or(u64::MAX));
+        self.slots.insert(id, slot);
+    }
+
+    /// Drops an endpoint that is gone.
+    pub fn remove(&mut self, id: &str) {
+        let Some(slot) = self.slots.remove(id) else {
+            return;
+        };
+        self.hashes.remove(&endpoint_hash(id));
+        if let Some(of_service) = self.services.get_mut(&slot.spec.service) {
+            of_service.retain(|other| other != id);
+        }
+    }
+
+    /// The record of an endpoint.
+    pub fn endpoint(&self, id: &str) -> Option<&Endpoint> {
+        self.slots.get(id).map(|slot| &slot.spec)
+    }
+
+    /// All endpoints.
+    pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
+        self.slots.values().map(|slot| &slot.spec)
+    }
+
+    /// Tokens that an engine of a service reads in a millisecond.
+    pub fn rate(&self, service: &str) -> f64 {
+        self.paces.get(service).copied().unwrap_or_default().rate
+    }
+
+    /// The endpoint for a request, or `None` if none takes work. Those in `exclude` are passed
+    /// over; those under suspicion are used only if there is no other.
+    pub fn choose(
+        &mut self,
+        now: Duration,
+        work: &Work,
+        exclude: &[String],
+        rng: &mut impl Rng,
+    ) -> Option<Placement> {
+        let ids = self.services.get(&work.service)?;
+        let takes_work = |id: &&String| {
+            let ready = self.slots.get(*id).is_some_and(|s| s.spec.is_ready());
+            ready && !exclude.contains(id)
+        };
+        let ready: Vec<String> = ids.iter().filter(takes_work).cloned().collect();
+        let trusted = |id: &&String| now >= self.slots[*id].suspected_until;
+        let mut usable: Vec<String> = ready.iter().filter(trusted).cloned().collect();
+        if usable.is_empty() {
+            usable = ready;
+        }
+        let hashes = beginnings(&work.parts);
+        let shared_prompt = shared_hash(&hashes);
+        let home = self.home(shared_prompt, &usable);
+        let mut weighed = Vec::with_capacity(usable.len());
+        for id in usable {
+            let is_home = home.as_ref() == Some(&id);
+            let unread = self.unread(&id, work, &hashes, is_home);
+            let cost = self.cost_ms(now, &id, work, unread);
+            weighed.push((cost, unread, id));
+        }
+        let least = weighed.iter().map(|w| w.0).fold(f64::MAX, f64::min);
+        let near: Vec<_> = weighed.iter().filter(|w| w.0 <= least + TIE_MS).collect();
+        let (cost, unread, id) = match near.len() {
+            0 => return None,
+            count => near[rng.random_range(0..count)],
+        };
+        Some(Placement {
+            endpoint: id.clone(),
+            address: self.slots[id].spec.address,
+            unread_tokens: *unread,
+            shared_prompt,
+            expected_ms: *cost,
+            weighed: weighed.len(),
+        })
+    }
+
+    /// Notes that a request goes to an endpoint.
+    pub fn sent(&mut self, now: Duration, work: &Work, placement: &Placement) -> Ticket {
+        let mut ticket = Ticket {
+            endpoint: placement.endpoint.clone(),
+            number: None,
+            sent_at: now,
+            unread_tokens: placement.unread_tokens,
+            alone: false,
+        };
+        let Some(slot) = self.slots.get_mut(&placement.endpoint) else {
+            return ticket;
+        };
+        slot.own += 1;
+        if work.prompt_tokens > 0 {
+            ticket.alone = slot.queue.is_empty();
+            ticket.number = Some(slot.queue.push(now, placement.unread_tokens, true));
+            for (hash, part) in beginnings(&work.parts).into_iter().zip(&work.parts) {
+                slot.cache.keep(hash, part.tokens);
+            }
+        }
+        ticket
+    }
+
+    /// The first token of a request came.
+    pub fn first_token(&mut self, now: Duration, ticket: &mut Ticket) {
+        let Some(slot) = self.slots.get_mut(&ticket.endpoint) else {
+            return;
+        };
+        let Some(number) = ticket.number.take() else {
+            return;
+        };
+        slot.queue.read(now, number);
+        let ms = now.saturating_sub(ticket.sent_at).as_secs_f64() * 1000.0 - FIRST_TOKEN_MS;
+        if !ticket.alone || ticket.unread_tokens < RATE_SAMPLE_TOKENS || ms <= 1.0 {
+            return;
+        }
+        let sample = (f64::from(ticket.unread_tokens) / ms).clamp(*RATES.start(), *RATES.end());
+        let pace = self.paces.entry(slot.spec.service.clone()).or_default();
+        pace.rate += (sample - pace.rate) * SAMPLE_WEIGHT;
+        let known = if slot.rate > 0.0 {
+            slot.rate
+        } else {
+            pace.rate
+        };
+        slot.rate = known + (sample - known) * SAMPLE_WEIGHT;
+    }
+
+    /// A request ended.
+    pub fn ended(&mut self, now: Duration, ticket: &Ticket, verdict: Verdict) {
+        let Some(slot) = self.slots.get_mut(&ticket.endpoint) else {
+            return;
+        };
+        slot.own = slot.own.saturating_sub(1);
+        if let Some(number) = ticket.number {
+            slot.queue.drop_entry(now, number);
+        }
+        slot.judge(now, verdict);
+        if verdict == Verdict::Sound {
+            let held = now.saturating_sub(ticket.sent_at).as_secs_f64() * 1000.0;
+            let pace = self.paces.entry(slot.spec.service.clone()).or_default();
+            pace.hold_ms += (held - pace.hold_ms) * SAMPLE_WEIGHT;
+        }
+    }
+
+    /// An answer told its endpoint's load.
+    pub fn read_load(&mut self, id: &str, reading: Reading) {
+        if let Some(slot) = self.slots.get_mut(id) {
+            slot.take_reading(reading);
+        }
+    }
+
+    /// Another gateway told what it sent.
+    pub fn peer_sent(&mut self, now: Duration, dispatch: PeerDispatch) {
+        let Some(id) = self.hashes.get(&dispatch.endpoint) else {
+            return;
+        };
+        let Some(slot) = self.slots.get_mut(id) else {
+            return;
+        };
+        let pace = self
+            .paces
+            .get(&slot.spec.service)
+            .copied()
+            .unwrap_or_default();
+        let hold = Duration::from_secs_f64(pace.hold_ms / 1000.0);
+        slot.other_sent(dispatch.sent_at, hold);
+        if dispatch.unread_tokens > 0 {
+            slot.queue.push(now, dispatch.unread_tokens, false);
+        }
+        if dispatch.shared_prompt != 0 {
+            slot.cache.keep(dispatch.shared_prompt, 0);
+        }
+    }
+
+    /// Requests expected at the ready endpoints of a service, and the slots of these.
+    pub fn occupancy(&mut self, now: Duration, service: &str) -> (u32, u32) {
+        let mut sum = (0, 0);
+        for id in self.services.get(service).into_iter().flatten() {
+            let slot = self.slots.get_mut(id);
+            if let Some(slot) = slot.filter(|s| s.spec.is_ready()) {
+                sum.0 += slot.load(now);
+                sum.1 += slot.spec.slots;
+            }
+        }
+        sum
+    }
+
+    // Where all gateways expect a shared prompt that nobody is known to keep.
+    fn home(&self, shared_prompt: u64, usable: &[String]) -> Option<String> {
+        if shared_prompt == 0 {
+            return None;
+        }
+        let best = usable.iter().max_by_key(|id| weight(shared_prompt, id));
+        best.cloned()
+    }
+
+    fn unread(&self, id: &str, work: &Work, hashes: &[u64], is_home: bool) -> u32 {
+        if work.prompt_tokens == 0 {
+            return 0;
+        }
+        let cache = &self.slots[id].cache;
+        let kept = hashes.iter().rposition(|hash| cache.keeps(*hash));
+        let count = kept.map_or(0, |last| last + 1);
+        let tokens = |count: usize| work.parts[..count].iter().map(|p| p.tokens).sum::<u32>();
+        let mut known = tokens(count);
+        if is_home && count + 1 < work.parts.len() {
+            let shared = f64::from(tokens(work.parts.len() - 1));
+            known = known.max((shared * HOME_SHARE) as u32);
+        }
+        work.prompt_tokens.saturating_sub(known)
+    }
+
+    fn cost_ms(&mut self, now: Duration, id: &str, work: &Work, unread: u32) -> f64 {
+        let pace = self.paces.get(&work.service).copied().unwrap_or_default();
+        let in_zone = self.zone == self.slots[id].spec.zone;
+        let Some(slot) = self.slots.get_mut(id) else {
+            return f64::MAX;
+        };
+        let rate = if slot.rate > 0.0 {
+            slot.rate
+        } else {
+            pace.rate
+        };
+        let load = f64::from(slot.load(now));
+        let slots = f64::from(slot.spec.slots.max(1));
+        let excess = (load + 1.0 - slots).max(0.0);
+        let mut cost = excess * pace.hold_ms / slots;
+        if work.prompt_tokens > 0 {
+            cost += ms(slot.queue.wait(now, rate)) + ms(slot.queue.overdue(now, rate));
+            cost += f64::from(unread) / rate + load * BESIDE_MS;
+        } else {
+            cost += load / slots * pace.hold_ms;
+        }
+        cost += slot.fault_share * FAULTY_MS;
+        cost += if in_zone { 0.0 } else { OTHER_ZONE_MS };
+        cost += if now < slot.cold_until { COLD_MS } else { 0.0 };
+        cost
+    }
+}
+
+// The last part belongs to the request itself.
+fn shared_hash(hashes: &[u64]) -> u64 {
+    match hashes.len() {
+        0 | 1 => 0,
+        count => hashes[count - 2],
+    }
+}
+
+fn ms(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1000.0
+}
--- /dev/null
+++ b/components/routing/src/placement/slot.rs
@@ -0,0 +1,108 @@
+//! What a gateway knows of one endpoint.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use directory::Endpoint;
+
+use crate::endpoint::Reading;
+use crate::placement::cache::PromptCache;
+use crate::placement::queue::PromptQueue;
+use crate::placement::Verdict;
+
+/// First time an endpoint is passed over after it was silent; it doubles with each time in a row.
+const FIRST_SUSPICION: Duration = Duration::from_millis(250);
+/// Longest time an endpoint is passed over.
+const LONGEST_SUSPICION: Duration = Duration::from_secs(4);
+/// Faulty answers weigh this much in the running share of them.
+const FAULT_WEIGHT: f64 = 0.1;
+/// A reading older than this says nothing any more.
+const READING_AGE: Duration = Duration::from_secs(1);
+
+/// One endpoint on the board.
+#[derive(Debug)]
+pub(crate) struct Slot {
+    pub spec: Endpoint,
+    pub cache: PromptCache,
+    pub queue: PromptQueue,
+    /// Tokens of prompts read in a millisecond, 0 while unknown.
+    pub rate: f64,
+    /// Requests of this gateway that run there.
+    pub own: u32,
+    /// Running share of faulty answers.
+    pub fault_share: f64,
+    pub suspected_until: Duration,
+    silent_in_row: u32,
+    reading: Option<Reading>,
+    own_at_reading: u32,
+    // When the requests of others that were sent since the reading are expected to end.
+    others: VecDeque<Duration>,
+    /// When it stops being slow after its start.
+    pub cold_until: Duration,
+}
+
+impl Slot {
+    pub fn new(now: Duration, spec: Endpoint, cache_tokens: u64) -> Self {
+        let cold_until = now + spec.cold;
+        Slot {
+            spec,
+            cache: PromptCache::new(cache_tokens),
+            queue: PromptQueue::default(),
+            rate: 0.0,
+            own: 0,
+            fault_share: 0.0,
+            suspected_until: Duration::ZERO,
+            silent_in_row: 0,
+            reading: None,
+            own_at_reading: 0,
+            others: VecDeque::new(),
+            cold_until,
+        }
+    }
+
+    /// Requests expected there now.
+    pub fn load(&mut self, now: Duration) -> u32 {
+        while self.others.front().is_some_and(|end| *end <= now) {
+            self.others.pop_front();
+        }
+        let others = self.others.len() as u32;
+        let fresh = self.reading.filter(|r| now < r.at + READING_AGE);
+        let read = fresh.map_or(0, |r| r.running + r.queued);
+        let known = (read + self.own).saturating_sub(self.own_at_reading.min(read));
+        known.max(self.own) + others
+    }
+
+    /// Takes the load that an answer told.
+    pub fn take_reading(&mut self, reading: Reading) {
+        self.reading = Some(reading);
+        self.own_at_reading = self.own;
+        self.others.clear();
+    }
+
+    /// Another gateway sent a request that is expected to run for `hold`.
+    pub fn other_sent(&mut self, sent_at: Duration, hold: Duration) {
+        self.others.push_back(sent_at + hold);
+    }
+
+    /// Draws conclusions from the end of a request.
+    pub fn judge(&mut self, now: Duration, verdict: Verdict) {
+        match verdict {
+            Verdict::Neutral => {}
+            Verdict::Sound => {
+                self.silent_in_row = 0;
+                self.suspected_until = Duration::ZERO;
+                self.fault_share *= 1.0 - FAULT_WEIGHT;
+            }
+            Verdict::Faulty => {
+                self.silent_in_row = 0;
+                self.fault_share += (1.0 - self.fault_share) * FAULT_WEIGHT;
+            }
+            Verdict::Silent => {
+                let pause = FIRST_SUSPICION * (1 << self.silent_in_row.min(5));
+                self.silent_in_row += 1;
+                self.suspected_until = now + pause.min(LONGEST_SUSPICION);
+                self.cache.clear();
+            }
+        }
+    }
+}
--- a/components/schema/src/messages.rs
+++ b/components/schema/src/messages.rs
@@ -1824,3 +1824,602 @@
         o_prot.write_struct_end()
     }
 }
+
+//
+// Dispatch
+//
+
+/// One request that a gateway sent to an endpoint.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Dispatch {
+    /// Hash of the endpoint's id.
+    pub endpoint: i64,
+    /// Tokens of the prompt that the endpoint is expected to read.
+    pub unread_tokens: i32,
+    /// Hash of the prompt's shared parts, 0 if it has none.
+    pub shared_prompt: i64,
+    /// Age when told, in milliseconds.
+    pub age_ms: i32,
+}
+
+impl Dispatch {
+    pub fn new(endpoint: i64, unread_tokens: i32, shared_prompt: i64, age_ms: i32) -> Dispatch {
+        Dispatch {
+            endpoint,
+            unread_tokens,
+            shared_prompt,
+            age_ms,
+        }
+    }
+}
+
+impl TSerializable for Dispatch {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Dispatch> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<i64> = None;
+        let mut f_2: Option<i32> = None;
+        let mut f_3: Option<i64> = None;
+        let mut f_4: Option<i32> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = i_prot.read_i64()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = i_prot.read_i32()?;
+                    f_2 = Some(val);
+                }
+                3 => {
+                    let val = i_prot.read_i64()?;
+                    f_3 = Some(val);
+                }
+                4 => {
+                    let val = i_prot.read_i32()?;
+                    f_4 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("Dispatch.endpoint", &f_1)?;
+        verify_required_field_exists("Dispatch.unread_tokens", &f_2)?;
+        verify_required_field_exists("Dispatch.shared_prompt", &f_3)?;
+        verify_required_field_exists("Dispatch.age_ms", &f_4)?;
+        let ret = Dispatch {
+            endpoint: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            unread_tokens: f_2
+                .expect("auto-generated code should have checked for presence of required fields"),
+            shared_prompt: f_3
+                .expect("auto-generated code should have checked for presence of required fields"),
+            age_ms: f_4
+                .expect("auto-generated code should have checked for presence of required fields"),
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("Dispatch");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("endpoint", TType::I64, 1))?;
+        o_prot.write_i64(self.endpoint)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("unread_tokens", TType::I32, 2))?;
+        o_prot.write_i32(self.unread_tokens)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("shared_prompt", TType::I64, 3))?;
+        o_prot.write_i64(self.shared_prompt)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("age_ms", TType::I32, 4))?;
+        o_prot.write_i32(self.age_ms)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
+//
+// WindowUsage
+//
+
+/// Requests that began to run in one usage window at one gateway; counts only grow.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct WindowUsage {
+    /// Number of the window.
+    pub window: i64,
+    /// Requests by tenant.
+    pub begun: BTreeMap<String, i64>,
+}
+
+impl WindowUsage {
+    pub fn new(window: i64, begun: BTreeMap<String, i64>) -> WindowUsage {
+        WindowUsage { window, begun }
+    }
+}
+
+impl TSerializable for WindowUsage {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<WindowUsage> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<i64> = None;
+        let mut f_2: Option<BTreeMap<String, i64>> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = i_prot.read_i64()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let map_ident = i_prot.read_map_begin()?;
+                    let mut val: BTreeMap<String, i64> = BTreeMap::new();
+                    for _ in 0..map_ident.size {
+                        let map_key_7 = i_prot.read_string()?;
+                        let map_val_8 = i_prot.read_i64()?;
+                        val.insert(map_key_7, map_val_8);
+                    }
+                    i_prot.read_map_end()?;
+                    f_2 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("WindowUsage.window", &f_1)?;
+        verify_required_field_exists("WindowUsage.begun", &f_2)?;
+        let ret = WindowUsage {
+            window: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            begun: f_2
+                .expect("auto-generated code should have checked for presence of required fields"),
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("WindowUsage");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("window", TType::I64, 1))?;
+        o_prot.write_i64(self.window)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("begun", TType::Map, 2))?;
+        o_prot.write_map_begin(&TMapIdentifier::new(
+            TType::String,
+            TType::I64,
+            self.begun.len() as i32,
+        ))?;
+        for (k, v) in &self.begun {
+            o_prot.write_string(k)?;
+            o_prot.write_i64(*v)?;
+        }
+        o_prot.write_map_end()?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
+//
+// GatewayNews
+//
+
+/// What a gateway tells the others.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct GatewayNews {
+    /// Name of the sender.
+    pub gateway: String,
+    /// Start of the sender's process, in milliseconds since 1970.
+    pub incarnation: i64,
+    /// Counter of the sender's messages; a higher one is newer.
+    pub sequence: i64,
+    /// Requests sent since the last message.
+    pub dispatches: Vec<Dispatch>,
+    /// Usage of the newest windows.
+    pub usage: Vec<WindowUsage>,
+    /// Units that each tenant took here since the sender's start.
+    pub taken: BTreeMap<String, i64>,
+    /// Epoch of the lease that the sender holds, 0 for none.
+    pub lease_epoch: i64,
+    /// Addresses of other gateways that the sender knows, IP:PORT; at most a few a message.
+    pub peers: Vec<String>,
+    /// Whether the sender stops.
+    pub stopping: bool,
+    /// Requests running at the sender, by service.
+    pub running: BTreeMap<String, i32>,
+}
+
+impl GatewayNews {
+    pub fn new(
+        gateway: String,
+        incarnation: i64,
+        sequence: i64,
+        dispatches: Vec<Dispatch>,
+        usage: Vec<WindowUsage>,
+        taken: BTreeMap<String, i64>,
+        lease_epoch: i64,
+        peers: Vec<String>,
+        stopping: bool,
+        running: BTreeMap<String, i32>,
+    ) -> GatewayNews {
+        GatewayNews {
+            gateway,
+            incarnation,
+            sequence,
+            dispatches,
+            usage,
+            taken,
+            lease_epoch,
+            peers,
+            stopping,
+            running,
+        }
+    }
+}
+
+impl TSerializable for GatewayNews {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<GatewayNews> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<String> = None;
+        let mut f_2: Option<i64> = None;
+        let mut f_3: Option<i64> = None;
+        let mut f_4: Option<Vec<Dispatch>> = None;
+        let mut f_5: Option<Vec<WindowUsage>> = None;
+        let mut f_6: Option<BTreeMap<String, i64>> = None;
+        let mut f_7: Option<i64> = None;
+        let mut f_8: Option<Vec<String>> = None;
+        let mut f_9: Option<bool> = None;
+        let mut f_10: Option<BTreeMap<String, i32>> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = i_prot.read_string()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = i_prot.read_i64()?;
+                    f_2 = Some(val);
+                }
+                3 => {
+                    let val = i_prot.read_i64()?;
+                    f_3 = Some(val);
+                }
+                4 => {
+                    let list_ident = i_prot.read_list_begin()?;
+                    let mut val: Vec<Dispatch> = Vec::with_capacity(list_ident.size as usize);
+                    for _ in 0..list_ident.size {
+                        let list_elem_9 = Dispatch::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_9);
+                    }
+                    i_prot.read_list_end()?;
+                    f_4 = Some(val);
+                }
+                5 => {
+                    let list_ident = i_prot.read_list_begin()?;
+                    let mut val: Vec<WindowUsage> = Vec::with_capacity(list_ident.size as usize);
+                    for _ in 0..list_ident.size {
+                        let list_elem_10 = WindowUsage::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_10);
+                    }
+                    i_prot.read_list_end()?;
+                    f_5 = Some(val);
+                }
+                6 => {
+                    let map_ident = i_prot.read_map_begin()?;
+                    let mut val: BTreeMap<String, i64> = BTreeMap::new();
+                    for _ in 0..map_ident.size {
+                        let map_key_11 = i_prot.read_string()?;
+                        let map_val_12 = i_prot.read_i64()?;
+                        val.insert(map_key_11, map_val_12);
+                    }
+                    i_prot.read_map_end()?;
+                    f_6 = Some(val);
+                }
+                7 => {
+                    let val = i_prot.read_i64()?;
+                    f_7 = Some(val);
+                }
+                8 => {
+                    let list_ident = i_prot.read_list_begin()?;
+                    let mut val: Vec<String> = Vec::with_capacity(list_ident.size as usize);
+                    for _ in 0..list_ident.size {
+                        let list_elem_13 = i_prot.read_string()?;
+                        val.push(list_elem_13);
+                    }
+                    i_prot.read_list_end()?;
+                    f_8 = Some(val);
+                }
+                9 => {
+                    let val = i_prot.read_bool()?;
+                    f_9 = Some(val);
+                }
+                10 => {
+                    let map_ident = i_prot.read_map_begin()?;
+                    let mut val: BTreeMap<String, i32> = BTreeMap::new();
+                    for _ in 0..map_ident.size {
+                        let map_key_14 = i_prot.read_string()?;
+                        let map_val_15 = i_prot.read_i32()?;
+                        val.insert(map_key_14, map_val_15);
+                    }
+                    i_prot.read_map_end()?;
+                    f_10 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("GatewayNews.gateway", &f_1)?;
+        verify_required_field_exists("GatewayNews.incarnation", &f_2)?;
+        verify_required_field_exists("GatewayNews.sequence", &f_3)?;
+        verify_required_field_exists("GatewayNews.dispatches", &f_4)?;
+        verify_required_field_exists("GatewayNews.usage", &f_5)?;
+        verify_required_field_exists("GatewayNews.taken", &f_6)?;
+        verify_required_field_exists("GatewayNews.lease_epoch", &f_7)?;
+        verify_required_field_exists("GatewayNews.peers", &f_8)?;
+        verify_required_field_exists("GatewayNews.stopping", &f_9)?;
+        verify_required_field_exists("GatewayNews.running", &f_10)?;
+        let ret = GatewayNews {
+            gateway: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            incarnation: f_2
+                .expect("auto-generated code should have checked for presence of required fields"),
+            sequence: f_3
+                .expect("auto-generated code should have checked for presence of required fields"),
+            dispatches: f_4
+                .expect("auto-generated code should have checked for presence of required fields"),
+            usage: f_5
+                .expect("auto-generated code should have checked for presence of required fields"),
+            taken: f_6
+                .expect("auto-generated code should have checked for presence of required fields"),
+            lease_epoch: f_7
+                .expect("auto-generated code should have checked for presence of required fields"),
+            peers: f_8
+                .expect("auto-generated code should have checked for presence of required fields"),
+            stopping: f_9
+                .expect("auto-generated code should have checked for presence of required fields"),
+            running: f_10
+                .expect("auto-generated code should have checked for presence of required fields"),
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("GatewayNews");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("gateway", TType::String, 1))?;
+        o_prot.write_string(&self.gateway)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("incarnation", TType::I64, 2))?;
+        o_prot.write_i64(self.incarnation)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("sequence", TType::I64, 3))?;
+        o_prot.write_i64(self.sequence)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("dispatches", TType::List, 4))?;
+        o_prot.write_list_begin(&TListIdentifier::new(
+            TType::Struct,
+            self.dispatches.len() as i32,
+        ))?;
+        for e in &self.dispatches {
+            e.write_to_out_protocol(o_prot)?;
+        }
+        o_prot.write_list_end()?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("usage", TType::List, 5))?;
+        o_prot.write_list_begin(&TListIdentifier::new(
+            TType::Struct,
+            self.usage.len() as i32,
+        ))?;
+        for e in &self.usage {
+            e.write_to_out_protocol(o_prot)?;
+        }
+        o_prot.write_list_end()?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("taken", TType::Map, 6))?;
+        o_prot.write_map_begin(&TMapIdentifier::new(
+            TType::String,
+            TType::I64,
+            self.taken.len() as i32,
+        ))?;
+        for (k, v) in &self.taken {
+            o_prot.write_string(k)?;
+            o_prot.write_i64(*v)?;
+        }
+        o_prot.write_map_end()?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("lease_epoch", TType::I64, 7))?;
+        o_prot.write_i64(self.lease_epoch)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("peers", TType::List, 8))?;
+        o_prot.write_list_begin(&TListIdentifier::new(
+            TType::String,
+            self.peers.len() as i32,
+        ))?;
+        for e in &self.peers {
+            o_prot.write_string(e)?;
+        }
+        o_prot.write_list_end()?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("stopping", TType::Bool, 9))?;
+        o_prot.write_bool(self.stopping)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("running", TType::Map, 10))?;
+        o_prot.write_map_begin(&TMapIdentifier::new(
+            TType::String,
+            TType::I32,
+            self.running.len() as i32,
+        ))?;
+        for (k, v) in &self.running {
+            o_prot.write_string(k)?;
+            o_prot.write_i32(*v)?;
+        }
+        o_prot.write_map_end()?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
+//
+// GatewayRow
+//
+
+/// Row of one gateway in the store: where the others reach it.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct GatewayRow {
+    /// UDP address, IP:PORT.
+    pub address: String,
+    /// Start of its process, in milliseconds since 1970.
+    pub incarnation: i64,
+}
+
+impl GatewayRow {
+    pub fn new(address: String, incarnation: i64) -> GatewayRow {
+        GatewayRow {
+            address,
+            incarnation,
+        }
+    }
+}
+
+impl TSerializable for GatewayRow {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<GatewayRow> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<String> = None;
+        let mut f_2: Option<i64> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = i_prot.read_string()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = i_prot.read_i64()?;
+                    f_2 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("GatewayRow.address", &f_1)?;
+        verify_required_field_exists("GatewayRow.incarnation", &f_2)?;
+        let ret = GatewayRow {
+            address: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            incarnation: f_2
+                .expect("auto-generated code should have checked for presence of required fields"),
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("GatewayRow");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("address", TType::String, 1))?;
+        o_prot.write_string(&self.address)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("incarnation", TType::I64, 2))?;
+        o_prot.write_i64(self.incarnation)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
+//
+// UsageRow
+//
+
+/// Row of one usage window: what is reported for it, whoever reports.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct UsageRow {
+    pub begun: BTreeMap<String, i64>,
+}
+
+impl UsageRow {
+    pub fn new(begun: BTreeMap<String, i64>) -> UsageRow {
+        UsageRow { begun }
+    }
+}
+
+impl TSerializable for UsageRow {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<UsageRow> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<BTreeMap<String, i64>> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let map_ident = i_prot.read_map_begin()?;
+                    let mut val: BTreeMap<String, i64> = BTreeMap::new();
+                    for _ in 0..map_ident.size {
+                        let map_key_16 = i_prot.read_string()?;
+                        let map_val_17 = i_prot.read_i64()?;
+                        val.insert(map_key_16, map_val_17);
+                    }
+                    i_prot.read_map_end()?;
+                    f_1 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("UsageRow.begun", &f_1)?;
+        let ret = UsageRow {
+            begun: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("UsageRow");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("begun", TType::Map, 1))?;
+        o_prot.write_map_begin(&TMapIdentifier::new(
+            TType::String,
+            TType::I64,
+            self.begun.len() as i32,
+        ))?;
+        for (k, v) in &self.begun {
+            o_prot.write_string(k)?;
+            o_prot.write_i64(*v)?;
+        }
+        o_prot.write_map_end()?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
--- a/components/schema/src/settings.rs
+++ b/components/schema/src/settings.rs
@@ -1293,3 +1293,390 @@
         o_prot.write_struct_end()
     }
 }
+
+//
+// GatewaySettings
+//
+
+/// Settings of one gateway: who it is, where it listens, and the bounds that it keeps.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct GatewaySettings {
+    /// Name of the gateway, unique in the fleet.
+    pub name: String,
+    pub region: String,
+    pub zone: String,
+    /// Address that callers connect to, IP:PORT.
+    pub callers: String,
+    /// Address that answers whether this gateway takes callers, IP:PORT.
+    pub readiness: String,
+    /// UDP address that other gateways send to, IP:PORT.
+    pub peers: String,
+    /// Address that shows the metrics as text, IP:PORT; empty shows none.
+    pub metrics: String,
+    /// Addresses of gateways tried first at start, IP:PORT; any of them may be gone.
+    pub seeds: Vec<String>,
+    /// Address of the store, IP:PORT.
+    pub store: String,
+    /// Address of the service that takes usage reports and orders, IP:PORT; empty means none.
+    pub orders: String,
+    /// Whether this gateway may report usage.
+    pub reports_usage: bool,
+    /// Whether this gateway may order endpoints.
+    pub orders_endpoints: bool,
+    /// Descriptors that the process may hold.
+    pub descriptors: i32,
+    /// Longest age of the last confirmation of a credential, in milliseconds; 0 sets no bound.
+    pub credential_age_ms: i64,
+    /// Time between the request to stop and the kill, in milliseconds.
+    pub stop_grace_ms: i64,
+    /// Repeats allowed for each thousand requests of a service, over all gateways.
+    pub repeats_milli: i32,
+    /// Repeats allowed beside those, over all gateways.
+    pub repeats_extra: i32,
+    /// Window that repeats are counted in, in milliseconds.
+    pub repeats_window_ms: i64,
+    /// Units that a tenant may take beyond its limit in one window, over all gateways.
+    pub quota_slack: i64,
+    /// Shortest time in which one holder of a lease may not act again after another, in milliseconds.
+    pub lease_ms: i64,
+    /// Length of a usage window, in milliseconds.
+    pub usage_window_ms: i64,
+    /// Time after its end within which a usage window is due, in milliseconds.
+    pub usage_due_ms: i64,
+}
+
+impl GatewaySettings {
+    pub fn new(
+        name: String,
+        region: String,
+        zone: String,
+        callers: String,
+        readiness: String,
+        peers: String,
+        metrics: String,
+        seeds: Vec<String>,
+        store: String,
+        orders: String,
+        reports_usage: bool,
+        orders_endpoints: bool,
+        descriptors: i32,
+        credential_age_ms: i64,
+        stop_grace_ms: i64,
+        repeats_milli: i32,
+        repeats_extra: i32,
+        repeats_window_ms: i64,
+        quota_slack: i64,
+        lease_ms: i64,
+        usage_window_ms: i64,
+        usage_due_ms: i64,
+    ) -> GatewaySettings {
+        GatewaySettings {
+            name,
+            region,
+            zone,
+            callers,
+            readiness,
+            peers,
+            metrics,
+            seeds,
+            store,
+            orders,
+            reports_usage,
+            orders_endpoints,
+            descriptors,
+            credential_age_ms,
+            stop_grace_ms,
+            repeats_milli,
+            repeats_extra,
+            repeats_window_ms,
+            quota_slack,
+            lease_ms,
+            usage_window_ms,
+            usage_due_ms,
+        }
+    }
+}
+
+impl TSerializable for GatewaySettings {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<GatewaySettings> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<String> = None;
+        let mut f_2: Option<String> = None;
+        let mut f_3: Option<String> = None;
+        let mut f_4: Option<String> = None;
+        let mut f_5: Option<String> = None;
+        let mut f_6: Option<String> = None;
+        let mut f_7: Option<String> = None;
+        let mut f_8: Option<Vec<String>> = None;
+        let mut f_9: Option<String> = None;
+        let mut f_10: Option<String> = None;
+        let mut f_11: Option<bool> = None;
+        let mut f_12: Option<bool> = None;
+        let mut f_13: Option<i32> = None;
+        let mut f_14: Option<i64> = None;
+        let mut f_15: Option<i64> = None;
+        let mut f_16: Option<i32> = None;
+        let mut f_17: Option<i32> = None;
+        let mut f_18: Option<i64> = None;
+        let mut f_19: Option<i64> = None;
+        let mut f_20: Option<i64> = None;
+        let mut f_21: Option<i64> = None;
+        let mut f_22: Option<i64> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = i_prot.read_string()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = i_prot.read_string()?;
+                    f_2 = Some(val);
+                }
+                3 => {
+                    let val = i_prot.read_string()?;
+                    f_3 = Some(val);
+                }
+                4 => {
+                    let val = i_prot.read_string()?;
+                    f_4 = Some(val);
+                }
+                5 => {
+                    let val = i_prot.read_string()?;
+                    f_5 = Some(val);
+                }
+                6 => {
+                    let val = i_prot.read_string()?;
+                    f_6 = Some(val);
+                }
+                7 => {
+                    let val = i_prot.read_string()?;
+                    f_7 = Some(val);
+                }
+                8 => {
+                    let list_ident = i_prot.read_list_begin()?;
+                    let mut val: Vec<String> = Vec::with_capacity(list_ident.size as usize);
+                    for _ in 0..list_ident.size {
+                        let list_elem_7 = i_prot.read_string()?;
+                        val.push(list_elem_7);
+                    }
+                    i_prot.read_list_end()?;
+                    f_8 = Some(val);
+                }
+                9 => {
+                    let val = i_prot.read_string()?;
+                    f_9 = Some(val);
+                }
+                10 => {
+                    let val = i_prot.read_string()?;
+                    f_10 = Some(val);
+                }
+                11 => {
+                    let val = i_prot.read_bool()?;
+                    f_11 = Some(val);
+                }
+                12 => {
+                    let val = i_prot.read_bool()?;
+                    f_12 = Some(val);
+                }
+                13 => {
+                    let val = i_prot.read_i32()?;
+                    f_13 = Some(val);
+                }
+                14 => {
+                    let val = i_prot.read_i64()?;
+                    f_14 = Some(val);
+                }
+                15 => {
+                    let val = i_prot.read_i64()?;
+                    f_15 = Some(val);
+                }
+                16 => {
+                    let val = i_prot.read_i32()?;
+                    f_16 = Some(val);
+                }
+                17 => {
+                    let val = i_prot.read_i32()?;
+                    f_17 = Some(val);
+                }
+                18 => {
+                    let val = i_prot.read_i64()?;
+                    f_18 = Some(val);
+                }
+                19 => {
+                    let val = i_prot.read_i64()?;
+                    f_19 = Some(val);
+                }
+                20 => {
+                    let val = i_prot.read_i64()?;
+                    f_20 = Some(val);
+                }
+                21 => {
+                    let val = i_prot.read_i64()?;
+                    f_21 = Some(val);
+                }
+                22 => {
+                    let val = i_prot.read_i64()?;
+                    f_22 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("GatewaySettings.name", &f_1)?;
+        verify_required_field_exists("GatewaySettings.region", &f_2)?;
+        verify_required_field_exists("GatewaySettings.zone", &f_3)?;
+        verify_required_field_exists("GatewaySettings.callers", &f_4)?;
+        verify_required_field_exists("GatewaySettings.readiness", &f_5)?;
+        verify_required_field_exists("GatewaySettings.peers", &f_6)?;
+        verify_required_field_exists("GatewaySettings.metrics", &f_7)?;
+        verify_required_field_exists("GatewaySettings.seeds", &f_8)?;
+        verify_required_field_exists("GatewaySettings.store", &f_9)?;
+        verify_required_field_exists("GatewaySettings.orders", &f_10)?;
+        verify_required_field_exists("GatewaySettings.reports_usage", &f_11)?;
+        verify_required_field_exists("GatewaySettings.orders_endpoints", &f_12)?;
+        verify_required_field_exists("GatewaySettings.descriptors", &f_13)?;
+        verify_required_field_exists("GatewaySettings.credential_age_ms", &f_14)?;
+        verify_required_field_exists("GatewaySettings.stop_grace_ms", &f_15)?;
+        verify_required_field_exists("GatewaySettings.repeats_milli", &f_16)?;
+        verify_required_field_exists("GatewaySettings.repeats_extra", &f_17)?;
+        verify_required_field_exists("GatewaySettings.repeats_window_ms", &f_18)?;
+        verify_required_field_exists("GatewaySettings.quota_slack", &f_19)?;
+        verify_required_field_exists("GatewaySettings.lease_ms", &f_20)?;
+        verify_required_field_exists("GatewaySettings.usage_window_ms", &f_21)?;
+        verify_required_field_exists("GatewaySettings.usage_due_ms", &f_22)?;
+        let ret = GatewaySettings {
+            name: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            region: f_2
+                .expect("auto-generated code should have checked for presence of required fields"),
+            zone: f_3
+                .expect("auto-generated code should have checked for presence of required fields"),
+            callers: f_4
+                .expect("auto-generated code should have checked for presence of required fields"),
+            readiness: f_5
+                .expect("auto-generated code should have checked for presence of required fields"),
+            peers: f_6
+                .expect("auto-generated code should have checked for presence of required fields"),
+            metrics: f_7
+                .expect("auto-generated code should have checked for presence of required fields"),
+            seeds: f_8
+                .expect("auto-generated code should have checked for presence of required fields"),
+            store: f_9
+                .expect("auto-generated code should have checked for presence of required fields"),
+            orders: f_10
+                .expect("auto-generated code should have checked for presence of required fields"),
+            reports_usage: f_11
+                .expect("auto-generated code should have checked for presence of required fields"),
+            orders_endpoints: f_12
+                .expect("auto-generated code should have checked for presence of required fields"),
+            descriptors: f_13
+                .expect("auto-generated code should have checked for presence of required fields"),
+            credential_age_ms: f_14
+                .expect("auto-generated code should have checked for presence of required fields"),
+            stop_grace_ms: f_15
+                .expect("auto-generated code should have checked for presence of required fields"),
+            repeats_milli: f_16
+                .expect("auto-generated code should have checked for presence of required fields"),
+            repeats_extra: f_17
+                .expect("auto-generated code should have checked for presence of required fields"),
+            repeats_window_ms: f_18
+                .expect("auto-generated code should have checked for presence of required fields"),
+            quota_slack: f_19
+                .expect("auto-generated code should have checked for presence of required fields"),
+            lease_ms: f_20
+                .expect("auto-generated code should have checked for presence of required fields"),
+            usage_window_ms: f_21
+                .expect("auto-generated code should have checked for presence of required fields"),
+            usage_due_ms: f_22
+                .expect("auto-generated code should have checked for presence of required fields"),
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("GatewaySettings");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("name", TType::String, 1))?;
+        o_prot.write_string(&self.name)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("region", TType::String, 2))?;
+        o_prot.write_string(&self.region)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("zone", TType::String, 3))?;
+        o_prot.write_string(&self.zone)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("callers", TType::String, 4))?;
+        o_prot.write_string(&self.callers)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("readiness", TType::String, 5))?;
+        o_prot.write_string(&self.readiness)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("peers", TType::String, 6))?;
+        o_prot.write_string(&self.peers)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("metrics", TType::String, 7))?;
+        o_prot.write_string(&self.metrics)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("seeds", TType::List, 8))?;
+        o_prot.write_list_begin(&TListIdentifier::new(
+            TType::String,
+            self.seeds.len() as i32,
+        ))?;
+        for e in &self.seeds {
+            o_prot.write_string(e)?;
+        }
+        o_prot.write_list_end()?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("store", TType::String, 9))?;
+        o_prot.write_string(&self.store)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("orders", TType::String, 10))?;
+        o_prot.write_string(&self.orders)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("reports_usage", TType::Bool, 11))?;
+        o_prot.write_bool(self.reports_usage)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("orders_endpoints", TType::Bool, 12))?;
+        o_prot.write_bool(self.orders_endpoints)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("descriptors", TType::I32, 13))?;
+        o_prot.write_i32(self.descriptors)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("credential_age_ms", TType::I64, 14))?;
+        o_prot.write_i64(self.credential_age_ms)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("stop_grace_ms", TType::I64, 15))?;
+        o_prot.write_i64(self.stop_grace_ms)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("repeats_milli", TType::I32, 16))?;
+        o_prot.write_i32(self.repeats_milli)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("repeats_extra", TType::I32, 17))?;
+        o_prot.write_i32(self.repeats_extra)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("repeats_window_ms", TType::I64, 18))?;
+        o_prot.write_i64(self.repeats_window_ms)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("quota_slack", TType::I64, 19))?;
+        o_prot.write_i64(self.quota_slack)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("lease_ms", TType::I64, 20))?;
+        o_prot.write_i64(self.lease_ms)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("usage_window_ms", TType::I64, 21))?;
+        o_prot.write_i64(self.usage_window_ms)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("usage_due_ms", TType::I64, 22))?;
+        o_prot.write_i64(self.usage_due_ms)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
--- a/components/schema/thrift/messages.thrift
+++ b/components/schema/thrift/messages.thrift
@@ -173,3 +173,60 @@
   /** Names of VMs that are being given back. */
   4: required list<string> returning,
 }
+
+/** One request that a gateway sent to an endpoint. */
+struct Dispatch {
+  /** Hash of the endpoint's id. */
+  1: required i64 endpoint,
+  /** Tokens of the prompt that the endpoint is expected to read. */
+  2: required i32 unread_tokens,
+  /** Hash of the prompt's shared parts, 0 if it has none. */
+  3: required i64 shared_prompt,
+  /** Age when told, in milliseconds. */
+  4: required i32 age_ms,
+}
+
+/** Requests that began to run in one usage window at one gateway; counts only grow. */
+struct WindowUsage {
+  /** Number of the window. */
+  1: required i64 window,
+  /** Requests by tenant. */
+  2: required map<string, i64> begun,
+}
+
+/** What a gateway tells the others. */
+struct GatewayNews {
+  /** Name of the sender. */
+  1: required string gateway,
+  /** Start of the sender's process, in milliseconds since 1970. */
+  2: required i64 incarnation,
+  /** Counter of the sender's messages; a higher one is newer. */
+  3: required i64 sequence,
+  /** Requests sent since the last message. */
+  4: required list<Dispatch> dispatches,
+  /** Usage of the newest windows. */
+  5: required list<WindowUsage> usage,
+  /** Units that each tenant took here since the sender's start. */
+  6: required map<string, i64> taken,
+  /** Epoch of the lease that the sender holds, 0 for none. */
+  7: required i64 lease_epoch,
+  /** Addresses of other gateways that the sender knows, IP:PORT; at most a few a message. */
+  8: required list<string> peers,
+  /** Whether the sender stops. */
+  9: required bool stopping,
+  /** Requests running at the sender, by service. */
+  10: required map<string, i32> running,
+}
+
+/** Row of one gateway in the store: where the others reach it. */
+struct GatewayRow {
+  /** UDP address, IP:PORT. */
+  1: required string address,
+  /** Start of its process, in milliseconds since 1970. */
+  2: required i64 incarnation,
+}
+
+/** Row of one usage window: what is reported for it, whoever reports. */
+struct UsageRow {
+  1: required map<string, i64> begun,
+}
--- a/components/schema/thrift/settings.thrift
+++ b/components/schema/thrift/settings.thrift
@@ -140,3 +140,49 @@
   3: required list<Team> teams,
   4: required list<Hall> halls,
 }
+
+/** Settings of one gateway: who it is, where it listens, and the bounds that it keeps. */
+struct GatewaySettings {
+  /** Name of the gateway, unique in the fleet. */
+  1: required string name,
+  2: required string region,
+  3: required string zone,
+  /** Address that callers connect to, IP:PORT. */
+  4: required string callers,
+  /** Address that answers whether this gateway takes callers, IP:PORT. */
+  5: required string readiness,
+  /** UDP address that other gateways send to, IP:PORT. */
+  6: required string peers,
+  /** Address that shows the metrics as text, IP:PORT; empty shows none. */
+  7: required string metrics,
+  /** Addresses of gateways tried first at start, IP:PORT; any of them may be gone. */
+  8: required list<string> seeds,
+  /** Address of the store, IP:PORT. */
+  9: required string store,
+  /** Address of the service that takes usage reports and orders, IP:PORT; empty means none. */
+  10: required string orders,
+  /** Whether this gateway may report usage. */
+  11: required bool reports_usage,
+  /** Whether this gateway may order endpoints. */
+  12: required bool orders_endpoints,
+  /** Descriptors that the process may hold. */
+  13: required i32 descriptors,
+  /** Longest age of the last confirmation of a credential, in milliseconds; 0 sets no bound. */
+  14: required i64 credential_age_ms,
+  /** Time between the request to stop and the kill, in milliseconds. */
+  15: required i64 stop_grace_ms,
+  /** Repeats allowed for each thousand requests of a service, over all gateways. */
+  16: required i32 repeats_milli,
+  /** Repeats allowed beside those, over all gateways. */
+  17: required i32 repeats_extra,
+  /** Window that repeats are counted in, in milliseconds. */
+  18: required i64 repeats_window_ms,
+  /** Units that a tenant may take beyond its limit in one window, over all gateways. */
+  19: required i64 quota_slack,
+  /** Shortest time in which one holder of a lease may not act again after another, in milliseconds. */
+  20: required i64 lease_ms,
+  /** Length of a usage window, in milliseconds. */
+  21: required i64 usage_window_ms,
+  /** Time after its end within which a usage window is due, in milliseconds. */
+  22: required i64 usage_due_ms,
+}
--- /dev/null
+++ b/components/settings/src/gateway.rs
@@ -0,0 +1,78 @@
+//! Settings of one gateway.
+
+use std::net::SocketAddr;
+
+use schema::settings::GatewaySettings;
+
+use crate::fault::Faults;
+use crate::reader::{Reader, Unit};
+
+const MILLIS: Unit = Unit::of("ms", 1, 0, 3_600_000);
+/// Times that the file gives in seconds, kept in milliseconds.
+const SECONDS: Unit = Unit::of("s", 1000, 0, 3_600_000);
+const DESCRIPTORS: Unit = Unit::count(64, 1 << 20);
+/// Shares such as 0.2, kept in thousandths.
+const SHARE: Unit = Unit::of("", 1000, 0, 1000);
+const COUNT: Unit = Unit::count(0, i32::MAX as i64);
+const UNITS: Unit = Unit::count(0, i64::MAX);
+/// Names of duties in the list `duties`.
+const USAGE_DUTY: &str = "usage_reporting";
+const SCALING_DUTY: &str = "autoscaling";
+
+/// Reads and checks the settings of a gateway. `file` names the text in faults.
+pub fn read_gateway(file: &str, text: &str) -> Result<GatewaySettings, Faults> {
+    let mut r = Reader::new(file, text)?;
+    let address = r.text("gateway", "address", None);
+    let ports = r.list("gateway", "peer_ports", None);
+    let port = ports.first().cloned().unwrap_or_default();
+    let peers = format!("{address}:{port}");
+    if !address.is_empty() && peers.parse::<SocketAddr>().is_err() {
+        let message = format!("`{peers}` is no address");
+        r.fault("gateway", "peer_ports", &message, "write FIRST,LAST");
+    }
+    let duties = r.list("orders", "duties", Some(""));
+    let settings = GatewaySettings {
+        name: r.text("gateway", "name", None),
+        region: r.text("gateway", "region", Some("")),
+        zone: r.text("gateway", "zone", None),
+        callers: r.address("gateway", "callers", None),
+        readiness: r.address("gateway", "readiness", None),
+        peers,
+        metrics: metrics_address(&mut r, &address),
+        seeds: seeds(&mut r, &port),
+        store: r.address("store", "address", None),
+        orders: r.address("orders", "address", Some("")),
+        reports_usage: has(&duties, USAGE_DUTY),
+        orders_endpoints: has(&duties, SCALING_DUTY),
+        descriptors: r.number(("bounds", "descriptors"), Some("1024"), DESCRIPTORS) as i32,
+        credential_age_ms: r.number(("bounds", "credential_age"), Some("0ms"), MILLIS),
+        stop_grace_ms: r.number(("bounds", "stop_grace"), Some("8s"), SECONDS),
+        repeats_milli: r.number(("bounds", "repeats"), Some("0.2"), SHARE) as i32,
+        repeats_extra: r.number(("bounds", "repeats_extra"), Some("10"), COUNT) as i32,
+        repeats_window_ms: r.number(("bounds", "repeats_window"), Some("10s"), SECONDS),
+        quota_slack: r.number(("bounds", "quota_slack"), Some("0"), UNITS),
+        lease_ms: r.number(("bounds", "lease"), Some("3000ms"), MILLIS),
+        usage_window_ms: r.number(("bounds", "usage_window"), Some("5s"), SECONDS),
+        usage_due_ms: r.number(("bounds", "usage_due"), Some("10s"), SECONDS),
+    };
+    r.finish(settings)
+}
+
+fn has(duties: &[String], name: &str) -> bool {
+    duties.iter().any(|duty| duty == name)
+}
+
+fn metrics_address(r: &mut Reader<'_>, address: &str) -> String {
+    let port = r.text("gateway", "metrics_port", Some(""));
+    match port.is_empty() {
+        true => String::new(),
+        false => format!("{address}:{port}"),
+    }
+}
+
+// Seeds are named by another of their ports; gateways use the same peer port everywhere.
+fn seeds(r: &mut Reader<'_>, port: &str) -> Vec<String> {
+    let seeds = r.list("gateway", "seeds", Some(""));
+    let ips = seeds.iter().filter_map(|seed| seed.split(':').next());
+    ips.map(|ip| format!("{ip}:{port}")).collect()
+}
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -4,9 +4,11 @@
 
 mod configuration;
 mod fault;
+mod gateway;
 mod node;
 mod reader;
 
 pub use configuration::{credential_hash, read_configuration};
 pub use fault::{Fault, Faults};
+pub use gateway::read_gateway;
 pub use node::read_node;
--- a/components/state/src/claim.rs
+++ b/components/state/src/claim.rs
@@ -190,7 +190,7 @@
 
     fn take_reply(&mut self, now: Duration, reply: Reply) -> Vec<ClaimAction> {
         match (self.stage, reply) {
-            (Stage::Inserting, Reply::Committed) => self.dispatch(),
+            (Stage::Inserting, Reply::Committed { .. }) => self.dispatch(),
             (Stage::Inserting, Reply::Conflict) => self.read(),
             (Stage::Inserting, Reply::Unanswered) => {
                 self.may_stand = true;
@@ -303,7 +303,7 @@
 
     fn closing_reply(&mut self, now: Duration, reply: Reply) -> Vec<ClaimAction> {
         match reply {
-            Reply::Committed => self.closed(),
+            Reply::Committed { .. } => self.closed(),
             Reply::Conflict | Reply::Unanswered => vec![self.read_call()],
             Reply::Refused => self.closing_pause(now),
             Reply::Row(row) => self.closing_row(now, row),
--- a/components/state/src/lease.rs
+++ b/components/state/src/lease.rs
@@ -241,7 +241,7 @@
         };
         match reply {
             Reply::Row(row) => self.take_row(now, row),
-            Reply::Committed => self.take_commit(now, pending),
+            Reply::Committed { version } => self.take_commit(now, pending, version),
             Reply::Conflict => {
                 self.stale = true;
                 self.next_call = now;
@@ -258,11 +258,11 @@
         }
     }
 
-    fn take_commit(&mut self, now: Duration, pending: Pending) -> Vec<LeaseAction> {
+    fn take_commit(&mut self, now: Duration, pending: Pending, version: u64) -> Vec<LeaseAction> {
         let Some(row) = pending.row else {
             return Vec::new();
         };
-        self.see(now, self.seen_version + 1, Some(row.clone()));
+        self.see(now, version, Some(row.clone()));
         self.take_hold(now, pending.sent_at, &row)
     }
 
--- a/components/state/src/publish.rs
+++ b/components/state/src/publish.rs
@@ -158,7 +158,9 @@
     fn take_reply(&mut self, now: Duration, reply: Reply) -> Vec<PublishAction> {
         match (self.stage, reply) {
             (Stage::ReadingHead, Reply::Row(row)) => self.take_head(row),
-            (Stage::Writing, Reply::Committed) => self.answer(Published::Accepted(self.number())),
+            (Stage::Writing, Reply::Committed { .. }) => {
+                self.answer(Published::Accepted(self.number()))
+            }
             (Stage::Writing, Reply::Conflict | Reply::Unanswered) => self.enter(Stage::ReadingBack),
             (Stage::ReadingBack, Reply::Row(None)) => self.retry(now, Stage::ReadingHead),
             (Stage::ReadingBack, Reply::Row(Some(row))) => self.take_history(now, &row),
--- a/components/state/src/table.rs
+++ b/components/state/src/table.rs
@@ -1,12 +1,12 @@
 //! Calls of the platform's transactional table, as values.
 
-/// Version of a row that does not exist; the first write makes it 1, each later one adds 1.
+/// Version of a row that does not exist; every write makes it higher.
 pub const ABSENT: u64 = 0;
 
 /// A row as it was read.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Row {
-    /// Number of writes so far.
+    /// Grows with each write of the row.
     pub version: u64,
     /// Encoded value.
     pub value: Vec<u8>,
@@ -38,7 +38,10 @@
     /// The row that was read, if it exists.
     Row(Option<Row>),
     /// The transaction is committed.
-    Committed,
+    Committed {
+        /// Version that the first of its rows has now.
+        version: u64,
+    },
     /// The transaction is not committed: a row had another version.
     Conflict,
     /// No answer came: a transaction may have taken effect, or may yet.
--- a/components/telemetry/src/log.rs
+++ b/components/telemetry/src/log.rs
@@ -1,4 +1,4 @@
-//! Log lines on standard error, for changes of state only.
+//! Log lines, on standard error or standard output.
 
 use slog::{o, Drain, Logger};
 
@@ -17,6 +17,13 @@
     Logger::root(drain.fuse(), o!("node" => node.to_string()))
 }
 
+/// A logger that writes JSON lines to standard output and never blocks: lines that find the queue
+/// full are dropped and counted.
+pub fn stdout_logger(node: &str) -> Logger {
+    let json = slog_json::Json::default(std::io::stdout()).fuse();
+    Logger::root(queue(json).fuse(), o!("node" => node.to_string()))
+}
+
 /// A logger that writes nothing, for tests and embedded use.
 pub fn discard() -> Logger {
     Logger::root(slog::Discard, o!())
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -96,10 +96,44 @@
     }
 }
 
+/// Upper bounds of a timer's buckets, in milliseconds; one more bucket takes what is longer.
+const BUCKETS_MS: [u64; 12] = [2, 5, 10, 25, 50, 100, 250, 500, 1000, 2500, 5000, 10_000];
+
+/// How often a timer fell into each bucket.
+#[derive(Debug, Default)]
+struct Histogram {
+    buckets: [AtomicU64; BUCKETS_MS.len() + 1],
+    sum_us: AtomicU64,
+}
+
+impl Histogram {
+    fn note(&self, duration: Duration) {
+        let ms = duration.as_millis() as u64;
+        let bucket = BUCKETS_MS.partition_point(|bound| *bound < ms);
+        self.buckets[bucket].fetch_add(1, Ordering::Relaxed);
+        let micros = duration.as_micros() as u64;
+        self.sum_us.fetch_add(micros, Ordering::Relaxed);
+    }
+
+    // Cumulative counts, as readers of histograms expect them.
+    fn text(&self, name: &str) -> String {
+        let mut text = String::new();
+        let mut count = 0;
+        for (i, bucket) in self.buckets.iter().enumerate() {
+            count += bucket.load(Ordering::Relaxed);
+            let bound = BUCKETS_MS.get(i).map_or("+Inf".to_string(), u64::to_string);
+            text += &format!("{name}_ms_bucket{{le=\"{bound}\"}} {count}\n");
+        }
+        let sum_ms = self.sum_us.load(Ordering::Relaxed) / 1000;
+        text + &format!("{name}_ms_sum {sum_ms}\n{name}_ms_count {count}\n")
+    }
+}
+
 /// The counters and timers of one node.
 pub struct Metrics {
     client: StatsdClient,
     counts: BTreeMap<Counter, AtomicU64>,
+    timers: BTreeMap<Timer, Histogram>,
 }
 
 impl std::fmt::Debug for Metrics {
@@ -121,7 +155,15 @@
             .iter()
             .map(|c| (*c, AtomicU64::new(0)))
             .collect();
-        Ok(Metrics { client, counts })
+        let timers = Timer::ALL
+            .iter()
+            .map(|timer| (*timer, Histogram::default()))
+            .collect();
+        Ok(Metrics {
+            client,
+            counts,
+            timers,
+        })
     }
 
     /// Adds one.
@@ -139,6 +181,9 @@
 
     /// Notes a duration.
     pub fn time(&self, timer: Timer, duration: Duration) {
+        if let Some(histogram) = self.timers.get(&timer) {
+            histogram.note(duration);
+        }
         let _ = self.client.time(timer.name(), duration);
     }
 
@@ -149,6 +194,19 @@
             .map_or(0, |c| c.load(Ordering::Relaxed))
     }
 
+    /// All counters and histograms as text, a line each.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        for (counter, count) in &self.counts {
+            let count = count.load(Ordering::Relaxed);
+            text += &format!("{} {count}\n", plain_name(counter.name()));
+        }
+        for (timer, histogram) in &self.timers {
+            text += &histogram.text(&plain_name(timer.name()));
+        }
+        text
+    }
+
     /// All counters by name.
     pub fn all(&self) -> BTreeMap<&'static str, u64> {
         Counter::ALL
@@ -158,6 +216,11 @@
     }
 }
 
+/// Name of a metric where only letters, digits and underscores are allowed.
+fn plain_name(name: &str) -> String {
+    format!("{PREFIX}_{}", name.replace('.', "_"))
+}
+
 // A queue of its own keeps a slow network off the traffic threads.
 fn sink(address: SocketAddr) -> std::io::Result<QueuingMetricSink> {
     let socket = UdpSocket::bind("0.0.0.0:0")?;
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -1,6 +1,7 @@
 //! Sockets: callers and endpoints over HTTP, other nodes over UDP, and the signing of both.
 
 mod auth;
+mod connection;
 mod engine;
 mod fetch;
 mod listener;
@@ -10,6 +11,7 @@
 mod wire;
 
 pub use auth::{sign, verify, Key, TAG_BYTES};
+pub use connection::{Connection, ConnectionError, FullBody};
 pub use engine::{
     is_answer, AttemptEnd, Engine, EngineError, Generate, HttpEngine, LoadReport, Piece,
 };
--- a/fakes/src/table.rs
+++ b/fakes/src/table.rs
@@ -176,6 +176,7 @@
                 if writes.iter().any(|w| version(&w.key) != w.expect) {
                     return Reply::Conflict;
                 }
+                let version = writes.first().map_or(ABSENT, |write| write.expect + 1);
                 for write in writes {
                     let row = Row {
                         version: write.expect + 1,
@@ -183,7 +184,7 @@
                     };
                     self.rows.insert(write.key, row);
                 }
-                Reply::Committed
+                Reply::Committed { version }
             }
         }
     }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -18,6 +18,7 @@
 #[argh(subcommand)]
 pub enum Command {
     Serve(Serve),
+    Gateway(Gateway),
     Quickstart(Quickstart),
     Check(Check),
     Status(Status),
@@ -35,6 +36,15 @@
     pub node: String,
 }
 
+/// run a gateway on the users' platform until SIGTERM or SIGINT, then stop as planned
+#[derive(FromArgs)]
+#[argh(subcommand, name = "gateway")]
+pub struct Gateway {
+    /// settings file; where the platform puts it if not given
+    #[argh(option)]
+    pub settings: Option<String>,
+}
+
 /// run entry nodes, engines, an application and the platform in one process, and print a sample session
 #[derive(FromArgs)]
 #[argh(subcommand, name = "quickstart")]
@@ -51,6 +61,9 @@
     /// settings file of a node
     #[argh(option)]
     pub node: Option<String>,
+    /// settings file of a gateway
+    #[argh(option)]
+    pub gateway: Option<String>,
     /// fleet configuration file
     #[argh(option)]
     pub configuration: Option<String>,
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -13,6 +13,9 @@
     if let Some(path) = &args.node {
         good &= shown(path, settings::read_node(path, &read_file(path)?));
     }
+    if let Some(path) = &args.gateway {
+        good &= shown(path, settings::read_gateway(path, &read_file(path)?));
+    }
     if let Some(path) = &args.configuration {
         good &= shown(path, settings::read_configuration(path, &read_file(path)?));
     }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -3,6 +3,7 @@
 mod check;
 mod config;
 mod explain;
+mod gateway;
 mod operator;
 mod quickstart;
 mod replay;
@@ -46,6 +47,7 @@
 pub fn run(command: Command) -> Outcome {
     match command {
         Command::Serve(args) => serve::run(&args),
+        Command::Gateway(args) => gateway::run(&args),
         Command::Quickstart(args) => quickstart::run(&args),
         Command::Check(args) => check::run(&args),
         Command::Status(args) => status::run(&args),
