Take no new request once a stop is two looks old

Ruled out: readiness (it said no at once), the grace (7.3 s of 8 were used). Change: 2.2 s after the request to stop the listener closes and requests on kept connections get 503, not run, with Connection: close; the process ends once nothing is in flight. Gateway::start/join let tests run it.

--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -8,14 +8,13 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
 use directory::{Configuration, Endpoint, StoreClock};
 use fleet::Scaler;
 use schema::settings::GatewaySettings;
-use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use slog::{info, warn, Logger};
 use state::{Lease, LeaseTerms};
 use telemetry::Metrics;
@@ -28,6 +27,7 @@
 use crate::freshness::Freshness;
 use crate::peers::{PeerCount, Peers};
 use crate::ports::{Orders, Store};
+use crate::run::{ReadSettings, Signals};
 use crate::tally::{Sent, ServiceLoad, Tally};
 use crate::traffic::Update;
 
@@ -47,7 +47,8 @@
 /// What a control thread is made of.
 pub(crate) struct ControlParts {
     pub settings: Arc<GatewaySettings>,
-    pub read_settings: Box<dyn Fn() -> Option<GatewaySettings> + Send>,
+    pub read_settings: ReadSettings,
+    pub signals: Signals,
     pub clock: Clock,
     pub freshness: Arc<Freshness>,
     pub metrics: Arc<Metrics>,
@@ -162,7 +163,7 @@
             store: store(),
             orders: orders(),
         });
-        let tasks = all_tasks(shared, parts.tallies, parts.read_settings);
+        let tasks = all_tasks(shared, parts.tallies, parts.signals, parts.read_settings);
         local.block_on(&runtime, tasks);
     }
 }
@@ -170,7 +171,8 @@
 async fn all_tasks<S: Store + 'static, O: Orders + 'static>(
     shared: Rc<Shared<S, O>>,
     tallies: flume::Receiver<Tally>,
-    read_settings: Box<dyn Fn() -> Option<GatewaySettings> + Send>,
+    signals: Signals,
+    read_settings: ReadSettings,
 ) {
     tokio::task::spawn_local(Rc::clone(&shared).follow_configuration());
     tokio::task::spawn_local(Rc::clone(&shared).follow_endpoints());
@@ -192,25 +194,19 @@
                 "cause" => %error);
         }
     }
-    shared.tick(read_settings).await;
+    shared.tick(signals, read_settings).await;
 }
 
 impl<S: Store + 'static, O: Orders + 'static> Shared<S, O> {
-    async fn tick(self: Rc<Self>, read_settings: Box<dyn Fn() -> Option<GatewaySettings> + Send>) {
-        let stop = Arc::new(AtomicBool::new(false));
-        let reload = Arc::new(AtomicBool::new(false));
-        for signal in [SIGTERM, SIGINT] {
-            let _ = signal_hook::flag::register(signal, Arc::clone(&stop));
-        }
-        let _ = signal_hook::flag::register(SIGHUP, Arc::clone(&reload));
+    async fn tick(self: Rc<Self>, signals: Signals, read_settings: ReadSettings) {
         let mut looked_at = Duration::ZERO;
         loop {
             tokio::time::sleep(TICK).await;
             let now = self.clock.now();
-            if stop.load(Ordering::Relaxed) && !self.freshness.is_stopping() {
-                self.freshness.stop();
+            if signals.stop.load(Ordering::Relaxed) {
+                self.freshness.stop(now);
             }
-            let asked = reload.swap(false, Ordering::Relaxed);
+            let asked = signals.reload.swap(false, Ordering::Relaxed);
             if asked || now >= looked_at + SETTINGS_LOOK {
                 looked_at = now;
                 self.take_settings(read_settings(), asked);
--- a/components/gateway/src/freshness.rs
+++ b/components/gateway/src/freshness.rs
@@ -1,17 +1,22 @@
 //! How old the last confirmation of the configuration is, shared between the threads.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 /// Part of the longest allowed age up to which keys are accepted.
 const USED_PART: f64 = 0.9;
 
+/// Time after the request to stop in which requests are still taken: callers are sent elsewhere only
+/// once this gateway has said twice that it takes none.
+const LINGER: Duration = Duration::from_millis(2200);
+
 /// Written by the control thread, read at each use by the traffic thread.
 #[derive(Debug, Default)]
 pub struct Freshness {
     // Microseconds on the monotonic clock, 0 for never.
     confirmed_us: AtomicU64,
-    stopping: AtomicBool,
+    // When a stop was asked for, as above.
+    stopping_us: AtomicU64,
 }
 
 impl Freshness {
@@ -35,13 +40,28 @@
         age.is_some_and(|age| longest.is_zero() || age < longest.mul_f64(USED_PART))
     }
 
-    /// The gateway was asked to stop.
-    pub fn stop(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
+    /// The gateway was asked to stop; only the first time counts.
+    pub fn stop(&self, now: Duration) {
+        let micros = now.as_micros().max(1) as u64;
+        let (set, seen) = (Ordering::Relaxed, Ordering::Relaxed);
+        let _ = self.stopping_us.compare_exchange(0, micros, set, seen);
     }
 
     /// Whether the gateway was asked to stop.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        self.stopping_us.load(Ordering::Relaxed) != 0
+    }
+
+    /// Time since the gateway was asked to stop.
+    pub fn stopping_for(&self, now: Duration) -> Option<Duration> {
+        match self.stopping_us.load(Ordering::Relaxed) {
+            0 => None,
+            micros => Some(now.saturating_sub(Duration::from_micros(micros))),
+        }
+    }
+
+    /// Whether the time for new requests is over.
+    pub fn is_closed(&self, now: Duration) -> bool {
+        self.stopping_for(now).is_some_and(|time| time >= LINGER)
     }
 }
--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -33,6 +33,8 @@
 const NO_ROOM_RETRY: Duration = Duration::from_millis(150);
 /// Time to come back when the configuration is not confirmed.
 const UNCONFIRMED_RETRY: Duration = Duration::from_millis(300);
+/// Time to come back, elsewhere, when this gateway stops.
+const STOPPING_RETRY: Duration = Duration::from_millis(20);
 /// Attempts that reached no endpoint, after which a request is given up.
 const MOST_UNSENT: usize = 4;
 /// Ranks of a route within one rank of its tenant.
@@ -56,6 +58,10 @@
             }
         };
         let id = head.id.clone();
+        if self.freshness.is_closed(arrived) {
+            let refusal = Refusal::not_run(Kind::Stopping, "the gateway stops");
+            return self.refuse(&id, arrived, refusal.after(STOPPING_RETRY).closing());
+        }
         match self.serve(arrived, parts, head, body).await {
             Ok(answer) => answer,
             Err(refusal) => self.refuse(&id, arrived, refusal),
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -27,4 +27,4 @@
 pub use events::{Event, EventSplitter, SplitError};
 pub use freshness::Freshness;
 pub use peers::{PeerCount, Peers};
-pub use run::{run, GatewayError, Parts};
+pub use run::{run, Gateway, GatewayError, Listening, Parts, ReadSettings, Signals};
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -3,13 +3,17 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
 use schema::settings::GatewaySettings;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use slog::{info, Logger};
 use telemetry::Metrics;
+use tokio::net::TcpListener;
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
 
@@ -18,14 +22,12 @@
 use crate::freshness::Freshness;
 use crate::ports::{Dialect, Orders, Store};
 use crate::server::{bind, serve_callers, serve_metrics, serve_readiness};
-use crate::traffic::{Traffic, TrafficParts};
+use crate::traffic::{Traffic, TrafficParts, Update};
 
 /// Tallies that wait for the control thread; further ones are dropped.
 const TALLIES_WAITING: usize = 256;
 /// Pause between looks at whether a stop was asked for or is over.
 const STOP_LOOK: Duration = Duration::from_millis(100);
-/// Time in which new callers may still come after a stop was asked for.
-const STOP_LINGER: Duration = Duration::from_millis(2500);
 /// A stop is over so long before the process would be killed.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
 
@@ -41,12 +43,15 @@
 
 impl std::error::Error for GatewayError {}
 
+/// Reads the settings anew; `None` while they cannot be read.
+pub type ReadSettings = Box<dyn Fn() -> Option<GatewaySettings> + Send>;
+
 /// What a gateway is made of.
 pub struct Parts<D, S, O> {
     /// Its settings.
     pub settings: GatewaySettings,
-    /// Reads the settings anew; `None` while they cannot be read.
-    pub read_settings: Box<dyn Fn() -> Option<GatewaySettings> + Send>,
+    /// Reads the settings anew.
+    pub read_settings: ReadSettings,
     /// Heads of requests and answers.
     pub dialect: D,
     /// Makes the client of the store, in the control thread.
@@ -57,69 +62,205 @@
     pub log: Logger,
 }
 
+/// Flags that signals set.
+#[derive(Clone, Debug, Default)]
+pub struct Signals {
+    /// The gateway is to stop.
+    pub stop: Arc<AtomicBool>,
+    /// The settings have changed.
+    pub reload: Arc<AtomicBool>,
+}
+
+/// Where a gateway listens.
+#[derive(Clone, Copy, Debug)]
+pub struct Listening {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For those who ask whether it takes callers.
+    pub readiness: SocketAddr,
+}
+
+/// A running gateway.
+pub struct Gateway {
+    listening: Listening,
+    signals: Signals,
+    traffic: JoinHandle<()>,
+}
+
+impl Gateway {
+    /// Starts the threads and binds the addresses.
+    pub fn start<D, S, O>(parts: Parts<D, S, O>) -> Result<Self, Report<GatewayError>>
+    where
+        D: Dialect + Send + 'static,
+        S: Store + 'static,
+        O: Orders + 'static,
+    {
+        let clock = Clock::start();
+        let settings = Arc::new(parts.settings);
+        let freshness = Arc::new(Freshness::default());
+        let metrics = Metrics::new(None).change_context(GatewayError("no metrics"))?;
+        let metrics = Arc::new(metrics);
+        let (tallies, tallied) = flume::bounded(TALLIES_WAITING);
+        let (updates, updated) = flume::unbounded();
+        let signals = Signals::default();
+        info!(parts.log, "start"; "gateway" => &settings.name, "zone" => &settings.zone,
+            "callers" => &settings.callers);
+        let control = Control::new(ControlParts {
+            settings: Arc::clone(&settings),
+            read_settings: parts.read_settings,
+            signals: signals.clone(),
+            clock,
+            freshness: Arc::clone(&freshness),
+            metrics: Arc::clone(&metrics),
+            log: parts.log.clone(),
+            updates,
+            tallies: tallied,
+        });
+        let (store, orders) = (parts.store, parts.orders);
+        spawn("control", move || control.run(store, orders))?;
+        let traffic = TrafficParts {
+            dialect: parts.dialect,
+            clock,
+            freshness,
+            metrics,
+            log: parts.log,
+            settings,
+            tallies,
+        };
+        let (bound, listening) = flume::bounded(1);
+        let traffic = spawn("traffic", move || run_traffic(traffic, updated, &bound))?;
+        let listening = listening
+            .recv()
+            .change_context(GatewayError("the traffic thread ended"))??;
+        Ok(Gateway {
+            listening,
+            signals,
+            traffic,
+        })
+    }
+
+    /// Where it listens.
+    pub fn listening(&self) -> Listening {
+        self.listening
+    }
+
+    /// Flags that signals set.
+    pub fn signals(&self) -> &Signals {
+        &self.signals
+    }
+
+    /// Waits until a stop was asked for and is over.
+    pub fn join(self) {
+        let _ = self.traffic.join();
+    }
+}
+
 /// Runs a gateway until SIGTERM or SIGINT, then stops it as planned.
 pub fn run<D, S, O>(parts: Parts<D, S, O>) -> Result<(), Report<GatewayError>>
 where
-    D: Dialect + 'static,
+    D: Dialect + Send + 'static,
     S: Store + 'static,
     O: Orders + 'static,
 {
-    let clock = Clock::start();
-    let settings = Arc::new(parts.settings);
-    let freshness = Arc::new(Freshness::default());
-    let metrics = Metrics::new(None).change_context(GatewayError("no metrics"))?;
-    let metrics = Arc::new(metrics);
-    let (tallies, tallied) = flume::bounded(TALLIES_WAITING);
-    let (updates, updated) = flume::unbounded();
-    info!(parts.log, "start"; "gateway" => &settings.name, "zone" => &settings.zone,
-        "callers" => &settings.callers);
-    let control = Control::new(ControlParts {
-        settings: Arc::clone(&settings),
-        read_settings: parts.read_settings,
-        clock,
-        freshness: Arc::clone(&freshness),
-        metrics: Arc::clone(&metrics),
-        log: parts.log.clone(),
-        updates,
-        tallies: tallied,
-    });
-    let (store, orders) = (parts.store, parts.orders);
+    let gateway = Gateway::start(parts)?;
+    let signals = gateway.signals();
+    for (signal, flag) in [
+        (SIGTERM, &signals.stop),
+        (SIGINT, &signals.stop),
+        (SIGHUP, &signals.reload),
+    ] {
+        signal_hook::flag::register(signal, Arc::clone(flag))
+            .change_context(GatewayError("a signal could not be watched"))?;
+    }
+    gateway.join();
+    Ok(())
+}
+
+fn spawn(
+    name: &str,
+    body: impl FnOnce() + Send + 'static,
+) -> Result<JoinHandle<()>, Report<GatewayError>> {
     std::thread::Builder::new()
-        .name("control".into())
-        .spawn(move || control.run(store, orders))
-        .change_context(GatewayError("the control thread could not start"))?;
-    let traffic = Rc::new(Traffic::new(TrafficParts {
-        dialect: parts.dialect,
-        clock,
-        freshness,
-        metrics: Arc::clone(&metrics),
-        log: parts.log,
-        settings: Arc::clone(&settings),
-        tallies,
-    }));
-    let runtime = Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .change_context(GatewayError("the traffic thread could not start"))?;
+        .name(name.into())
+        .spawn(body)
+        .change_context(GatewayError("a thread could not start"))
+}
+
+type Bound = flume::Sender<Result<Listening, Report<GatewayError>>>;
+
+fn run_traffic<D: Dialect + 'static>(
+    parts: TrafficParts<D>,
+    updates: flume::Receiver<Update>,
+    bound: &Bound,
+) {
+    let runtime = match Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            let report = Report::new(error);
+            let _ = bound.send(Err(report.change_context(GatewayError("no runtime"))));
+            return;
+        }
+    };
+    let traffic = Rc::new(Traffic::new(parts));
     let local = LocalSet::new();
-    local.block_on(&runtime, serve(traffic, settings, metrics, updated))
+    local.block_on(&runtime, serve(traffic, updates, bound));
 }
 
-async fn serve<D: Dialect + 'static>(
-    traffic: Rc<Traffic<D>>,
-    settings: Arc<GatewaySettings>,
-    metrics: Arc<Metrics>,
-    updates: flume::Receiver<crate::traffic::Update>,
-) -> Result<(), Report<GatewayError>> {
+struct Listeners {
+    callers: TcpListener,
+    readiness: TcpListener,
+    metrics: Option<TcpListener>,
+}
+
+fn listen_all(settings: &GatewaySettings) -> Result<(Listeners, Listening), Report<GatewayError>> {
     let callers = listen(&settings.callers)?;
     let readiness = listen(&settings.readiness)?;
+    let metrics = match settings.metrics.is_empty() {
+        true => None,
+        false => Some(listen(&settings.metrics)?),
+    };
+    let listening = Listening {
+        callers: address_of(&callers)?,
+        readiness: address_of(&readiness)?,
+    };
+    let listeners = Listeners {
+        callers,
+        readiness,
+        metrics,
+    };
+    Ok((listeners, listening))
+}
+
+fn address_of(listener: &TcpListener) -> Result<SocketAddr, Report<GatewayError>> {
+    listener
+        .local_addr()
+        .change_context(GatewayError("a bound address could not be read"))
+}
+
+async fn serve<D: Dialect + 'static>(
+    traffic: Rc<Traffic<D>>,
+    updates: flume::Receiver<Update>,
+    bound: &Bound,
+) {
+    let settings = Arc::clone(&traffic.state.borrow().settings);
+    let listeners = match listen_all(&settings) {
+        Ok((listeners, listening)) => {
+            let _ = bound.send(Ok(listening));
+            listeners
+        }
+        Err(report) => {
+            let _ = bound.send(Err(report));
+            return;
+        }
+    };
     let descriptors = settings.descriptors.max(0) as usize;
-    let serving = serve_callers(Rc::clone(&traffic), callers, descriptors);
+    let serving = serve_callers(Rc::clone(&traffic), listeners.callers, descriptors);
     tokio::task::spawn_local(serving);
-    tokio::task::spawn_local(serve_readiness(Rc::clone(&traffic), readiness));
-    if !settings.metrics.is_empty() {
-        let shown = listen(&settings.metrics)?;
-        tokio::task::spawn_local(serve_metrics(metrics, shown));
+    let answering = serve_readiness(Rc::clone(&traffic), listeners.readiness);
+    tokio::task::spawn_local(answering);
+    if let Some(listener) = listeners.metrics {
+        let metrics = Arc::clone(&traffic.metrics);
+        tokio::task::spawn_local(serve_metrics(metrics, listener));
     }
     let following = Rc::clone(&traffic);
     tokio::task::spawn_local(async move { following.follow(updates).await });
@@ -127,7 +268,6 @@
         tokio::time::sleep(STOP_LOOK).await;
     }
     finish(&traffic, &settings).await;
-    Ok(())
 }
 
 async fn finish<D: Dialect + 'static>(traffic: &Traffic<D>, settings: &GatewaySettings) {
@@ -138,7 +278,7 @@
     loop {
         tokio::time::sleep(STOP_LOOK).await;
         let now = traffic.clock.now();
-        let quiet = traffic.in_flight.get() == 0 && now >= asked + STOP_LINGER;
+        let quiet = traffic.in_flight.get() == 0 && traffic.freshness.is_closed(now);
         if quiet || now >= latest {
             break;
         }
@@ -148,7 +288,7 @@
     info!(traffic.log, "stop"; "in_flight" => traffic.in_flight.get());
 }
 
-fn listen(address: &str) -> Result<tokio::net::TcpListener, Report<GatewayError>> {
+fn listen(address: &str) -> Result<TcpListener, Report<GatewayError>> {
     const MESSAGE: &str = "an address could not be bound; free it or change it in the settings";
     let parsed: SocketAddr = address
         .parse()
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -30,8 +30,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Pause between looks at whether a connection rests for too long.
 const REST_LOOK: Duration = Duration::from_millis(500);
-/// Rest after which a connection of a stopping gateway is closed.
-const STOPPING_REST: Duration = Duration::from_millis(1500);
+/// Pause between looks at whether callers are still taken.
+const STOP_LOOK: Duration = Duration::from_millis(250);
 /// A head that is not whole by then ends its connection.
 const HEAD_TIME: Duration = Duration::from_secs(60);
 
@@ -49,7 +49,7 @@
     TcpListener::from_std(socket.into())
 }
 
-/// Accepts callers until the task is dropped.
+/// Accepts callers until the gateway stops; the listener is closed then.
 pub(crate) async fn serve_callers<D: Dialect + 'static>(
     traffic: Rc<Traffic<D>>,
     listener: TcpListener,
@@ -57,8 +57,12 @@
 ) {
     let most = descriptors.saturating_sub(KEPT_DESCRIPTORS).max(64) / 2;
     let open = Rc::new(Cell::new(0_usize));
-    loop {
-        let stream = match listener.accept().await {
+    while !traffic.freshness.is_closed(traffic.clock.now()) {
+        let accepted = tokio::time::timeout(STOP_LOOK, listener.accept()).await;
+        let Ok(accepted) = accepted else {
+            continue;
+        };
+        let stream = match accepted {
             Ok((stream, _)) => stream,
             Err(error) => {
                 warn!(traffic.log, "accept failed"; "cause" => %error);
@@ -151,12 +155,9 @@
     if activity.running.get() > 0 {
         return false;
     }
-    let longest = match traffic.freshness.is_stopping() {
-        true => STOPPING_REST,
-        false => idle_time(traffic),
-    };
-    let rest = traffic.clock.now().saturating_sub(activity.since.get());
-    rest > longest
+    let now = traffic.clock.now();
+    let rest = now.saturating_sub(activity.since.get());
+    traffic.freshness.is_closed(now) || rest > idle_time(traffic)
 }
 
 fn idle_time<D>(traffic: &Traffic<D>) -> Duration {
