Hold on-demand endpoints between two bounds of load, not until replaced

The first order was given before the endpoints had recorded themselves and took one away. Ruled out: the lease (held from -8.9 s), refused on-demand orders (none). Change: a floor of on-demand ones for 0.9 of the load, more above 0.7 of those that serve, fewer below 0.5; the highest load of 5 s counts; nothing is ordered in the first 4 s; what is ordered and not ready replaces nothing.

--- a/components/fleet/src/scaling.rs
+++ b/components/fleet/src/scaling.rs
@@ -1,22 +1,27 @@
 //! How many endpoints of a service each zone holds, on demand and reclaimable.
 //!
-//! Enough on-demand endpoints to carry the load when every reclaimable one is gone, in the cheapest
-//! zones; reclaimable ones beside them, spread over the zones, so that the load leaves room for its
-//! bursts and a reclaim of one zone takes a small part.
+//! Reclaimable endpoints are cheap and may vanish a zone at a time, with none to be had for a while.
+//! So a floor of on-demand ones carries most of the load alone, reclaimable ones stand beside them,
+//! spread over the zones, and on-demand ones take the place of those that are missing once the load
+//! of the rest is high. Between the bounds for more and for fewer nothing is ordered.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-/// Load an on-demand endpoint carries when no reclaimable one is left, in parts of itself.
-const FIRM_UTILIZATION: f64 = 0.9;
-/// Load of an endpoint when all that are wanted serve, in parts of itself.
-const WANTED_UTILIZATION: f64 = 0.4;
-/// Above this load of those that serve, on-demand endpoints are ordered in place of missing ones.
+/// Load of the on-demand floor when no reclaimable one is left, in parts of itself.
+const FLOOR_UTILIZATION: f64 = 0.9;
+/// Load up to which reclaimable endpoints are wanted.
+const ROOMY_UTILIZATION: f64 = 0.35;
+/// Load above which on-demand endpoints are added.
 const SCARCE_UTILIZATION: f64 = 0.7;
+/// Load below which on-demand endpoints above the floor are given back.
+const AMPLE_UTILIZATION: f64 = 0.5;
+/// Time for which endpoints are watched before the first order: they record themselves one by one.
+const WATCHING: Duration = Duration::from_secs(4);
 /// How long the load must be known before anything is given back.
 const LEARNING: Duration = Duration::from_secs(3);
-/// How long a higher wish is kept after the load has fallen.
-const KEEP: Duration = Duration::from_secs(10);
+/// The load counts as its highest value over this time.
+const PEAK_SPAN: Duration = Duration::from_secs(5);
 /// Pause after a refused order.
 const REFUSED_PAUSE: Duration = Duration::from_secs(3);
 /// Time past its boot after which an order without effect is repeated.
@@ -54,6 +59,13 @@
         }
     }
 
+    fn get(self, reclaimable: bool) -> u32 {
+        match reclaimable {
+            true => self.reclaimable,
+            false => self.firm,
+        }
+    }
+
     fn total(self) -> u32 {
         self.firm + self.reclaimable
     }
@@ -73,33 +85,14 @@
 /// The planner of one service.
 #[derive(Debug, Default)]
 pub struct Scaler {
+    watched_since: Option<Duration>,
     load_since: Option<Duration>,
-    // Greatest recent wish for firm and for all endpoints, and when it was last met.
-    firm: Peak,
-    total: Peak,
+    loads: VecDeque<(Duration, f64)>,
+    // Orders given: how many, and when.
     orders: BTreeMap<(String, bool), (u32, Duration)>,
     refused_until: BTreeMap<(String, bool), Duration>,
 }
 
-#[derive(Debug, Default)]
-struct Peak {
-    value: u32,
-    at: Duration,
-}
-
-impl Peak {
-    fn take(&mut self, now: Duration, value: u32) -> u32 {
-        if value >= self.value {
-            self.value = value;
-            self.at = now;
-        } else if now >= self.at + KEEP {
-            self.value -= 1;
-            self.at = now;
-        }
-        self.value
-    }
-}
-
 impl Scaler {
     /// The orders to give now. `load` is in endpoints that would be busy all the time.
     pub fn plan(
@@ -109,24 +102,28 @@
         held: &BTreeMap<String, Held>,
         load: f64,
     ) -> Vec<ScalingOrder> {
-        if load > 0.0 {
-            self.load_since.get_or_insert(now);
+        let watched = *self.watched_since.get_or_insert(now);
+        let load = self.peak(now, load);
+        if now < watched + WATCHING {
+            return Vec::new();
+        }
+        let expected = self.expected(now, offer, held);
+        let floor = ceil(load / FLOOR_UTILIZATION).max(1);
+        let mut wanted = self.firm(offer, &expected, load, floor);
+        if self.has_learnt(now) {
+            lower_firm(offer, &mut wanted, held, load, floor);
+        }
+        if offer.reclaimable {
+            add_reclaimable(offer, &mut wanted, floor, ceil(load / ROOMY_UTILIZATION));
         }
-        let learnt = self.load_since.is_some_and(|since| now >= since + LEARNING);
-        let wanted = self.wanted(now, offer, held, load);
-        let replaced = offer.zone_prices.keys().all(|zone| {
-            let have = held.get(zone).copied().unwrap_or_default();
-            have.reclaimable >= wanted[zone].reclaimable
-        });
+        let may_lower = self.has_learnt(now);
         let mut orders = Vec::new();
-        for (zone, want) in &wanted {
-            let have = held.get(zone).copied().unwrap_or_default();
+        for (zone, want) in wanted {
+            let have = expected.get(&zone).copied().unwrap_or_default();
             for reclaimable in [true, false] {
-                let (mut want, mut have) = (*want, have);
-                let (want, have) = (*want.of(reclaimable), *have.of(reclaimable));
-                let may_lower = learnt && (reclaimable || replaced);
+                let (want, have) = (want.get(reclaimable), have.get(reclaimable));
                 if want > have || (want < have && may_lower) {
-                    orders.extend(self.order(now, offer, zone, reclaimable, want));
+                    orders.extend(self.order(now, &zone, reclaimable, want));
                 }
             }
         }
@@ -142,7 +139,8 @@
 
     /// An order got no answer; it is given again.
     pub fn unanswered(&mut self, order: &ScalingOrder) {
-        self.orders.remove(&(order.zone.clone(), order.reclaimable));
+        let key = (order.zone.clone(), order.reclaimable);
+        self.orders.remove(&key);
     }
 
     /// Forgets the orders given: another gateway gave some since.
@@ -150,10 +148,63 @@
         self.orders.clear();
     }
 
+    fn peak(&mut self, now: Duration, load: f64) -> f64 {
+        if load > 0.0 {
+            self.load_since.get_or_insert(now);
+        }
+        self.loads.push_back((now, load));
+        self.loads.retain(|(at, _)| now < *at + PEAK_SPAN);
+        self.loads.iter().map(|(_, load)| *load).fold(0.0, f64::max)
+    }
+
+    fn has_learnt(&self, now: Duration) -> bool {
+        self.load_since.is_some_and(|since| now >= since + LEARNING)
+    }
+
+    // What is held, or will be once the newest orders have had their effect.
+    fn expected(
+        &self,
+        now: Duration,
+        offer: &Offer,
+        held: &BTreeMap<String, Held>,
+    ) -> BTreeMap<String, Held> {
+        let mut expected = held.clone();
+        for zone in offer.zone_prices.keys() {
+            expected.entry(zone.clone()).or_default();
+        }
+        for ((zone, reclaimable), (count, at)) in &self.orders {
+            if now < *at + offer.boot + REPEAT_PAUSE {
+                *expected.entry(zone.clone()).or_default().of(*reclaimable) = *count;
+            }
+        }
+        expected
+    }
+
+    // On-demand endpoints by zone: those expected, and more where the load asks for them.
+    fn firm(
+        &self,
+        offer: &Offer,
+        expected: &BTreeMap<String, Held>,
+        load: f64,
+        floor: u32,
+    ) -> BTreeMap<String, Held> {
+        let mut wanted = expected.clone();
+        let scarce = ceil(load / SCARCE_UTILIZATION);
+        while let Some(zone) = lacking(offer, &wanted) {
+            wanted.entry(zone).or_default().firm += 1;
+        }
+        while total_of(&wanted) < scarce || firm_of(&wanted) < floor {
+            let Some(zone) = zone_to_add(offer, &wanted) else {
+                break;
+            };
+            wanted.entry(zone).or_default().firm += 1;
+        }
+        wanted
+    }
+
     fn order(
         &mut self,
         now: Duration,
-        offer: &Offer,
         zone: &str,
         reclaimable: bool,
         count: u32,
@@ -162,11 +213,6 @@
         if self.refused_until.get(&key).is_some_and(|t| now < *t) {
             return None;
         }
-        let waits = offer.boot + REPEAT_PAUSE;
-        let given = self.orders.get(&key);
-        if given.is_some_and(|(given, at)| *given == count && now < *at + waits) {
-            return None;
-        }
         self.orders.insert(key, (count, now));
         Some(ScalingOrder {
             zone: zone.to_string(),
@@ -174,79 +220,85 @@
             count,
         })
     }
-
-    fn wanted(
-        &mut self,
-        now: Duration,
-        offer: &Offer,
-        held: &BTreeMap<String, Held>,
-        load: f64,
-    ) -> BTreeMap<String, Held> {
-        let zones = by_price(offer);
-        let reclaimable_held: u32 = held.values().map(|h| h.reclaimable).sum();
-        let serving: u32 = held.values().map(|h| h.total()).sum();
-        let mut firm = ceil(load / FIRM_UTILIZATION).max(1);
-        if f64::from(serving) * SCARCE_UTILIZATION < load || !offer.reclaimable {
-            let needed = ceil(load / SCARCE_UTILIZATION);
-            firm = firm.max(needed.saturating_sub(reclaimable_held));
-        }
-        let firm = self.firm.take(now, firm);
-        let total = self.total.take(now, ceil(load / WANTED_UTILIZATION));
-        let mut wanted: BTreeMap<String, Held> =
-            zones.iter().map(|z| (z.clone(), Held::default())).collect();
-        spread(&mut wanted, &zones, offer.most, firm, false);
-        let beside = total.saturating_sub(firm);
-        if offer.reclaimable {
-            fill_least(&mut wanted, &zones, offer.least, true);
-            let filled: u32 = wanted.values().map(|h| h.reclaimable).sum();
-            let more = beside.saturating_sub(filled);
-            spread(&mut wanted, &zones, offer.most, more, true);
-        } else {
-            fill_least(&mut wanted, &zones, offer.least, false);
-            let filled: u32 = wanted.values().map(|h| h.firm).sum();
-            let more = (firm + beside).saturating_sub(filled);
-            spread(&mut wanted, &zones, offer.most, more, false);
-        }
-        wanted
-    }
 }
 
-fn by_price(offer: &Offer) -> Vec<String> {
-    let mut zones: Vec<(&String, &f64)> = offer.zone_prices.iter().collect();
-    zones.sort_by(|a, b| a.1.total_cmp(b.1));
-    zones.into_iter().map(|(zone, _)| zone.clone()).collect()
-}
-
-// One at a time to the zone that holds the fewest, the cheapest first.
-fn spread(
+// Gives on-demand endpoints back that are not needed beside what serves now.
+fn lower_firm(
+    offer: &Offer,
     wanted: &mut BTreeMap<String, Held>,
-    zones: &[String],
-    most: u32,
-    count: u32,
-    reclaimable: bool,
+    held: &BTreeMap<String, Held>,
+    load: f64,
+    floor: u32,
 ) {
-    for _ in 0..count {
-        let free = zones.iter().filter(|z| wanted[*z].total() < most);
-        let Some(zone) = free.min_by_key(|z| wanted[*z].total()).cloned() else {
+    let ample = ceil(load / AMPLE_UTILIZATION);
+    // Reclaimable ones that were ordered and do not serve yet replace nothing.
+    let mut serving = wanted.clone();
+    for (zone, have) in &mut serving {
+        let ready = held.get(zone).map_or(0, |h| h.reclaimable);
+        have.reclaimable = have.reclaimable.min(ready);
+    }
+    while total_of(&serving) > ample && firm_of(&serving) > floor {
+        let Some(zone) = zone_to_lower(offer, &serving) else {
             return;
         };
-        if let Some(held) = wanted.get_mut(&zone) {
-            *held.of(reclaimable) += 1;
-        }
+        serving.entry(zone.clone()).or_default().firm -= 1;
+        wanted.entry(zone).or_default().firm -= 1;
     }
 }
 
-fn fill_least(
-    wanted: &mut BTreeMap<String, Held>,
-    zones: &[String],
-    least: u32,
-    reclaimable: bool,
-) {
-    for zone in zones {
-        if let Some(held) = wanted.get_mut(zone) {
-            let lacking = least.saturating_sub(held.total());
-            *held.of(reclaimable) += lacking;
-        }
+fn total_of(held: &BTreeMap<String, Held>) -> u32 {
+    held.values().map(|h| h.total()).sum()
+}
+
+fn firm_of(held: &BTreeMap<String, Held>) -> u32 {
+    held.values().map(|h| h.firm).sum()
+}
+
+// A zone that holds fewer than it must.
+fn lacking(offer: &Offer, wanted: &BTreeMap<String, Held>) -> Option<String> {
+    let mut zones = wanted.iter();
+    let zone = zones.find(|(_, held)| held.total() < offer.least)?;
+    Some(zone.0.clone())
+}
+
+// The zone that holds the fewest, the cheapest of several.
+fn zone_to_add(offer: &Offer, wanted: &BTreeMap<String, Held>) -> Option<String> {
+    let free = wanted.iter().filter(|(_, held)| held.total() < offer.most);
+    let key = |zone: &str, held: &Held| (held.total(), price_order(offer, zone));
+    let zone = free.min_by_key(|(zone, held)| key(zone, held))?;
+    Some(zone.0.clone())
+}
+
+// The dearest zone that keeps its least without one of its on-demand endpoints.
+fn zone_to_lower(offer: &Offer, wanted: &BTreeMap<String, Held>) -> Option<String> {
+    let held = wanted.iter();
+    let spare = held.filter(|(_, held)| held.firm > 0 && held.total() > offer.least);
+    let zone = spare.max_by_key(|(zone, held)| (held.firm > 1, price_order(offer, zone)))?;
+    Some(zone.0.clone())
+}
+
+fn price_order(offer: &Offer, zone: &str) -> u64 {
+    const MICRO: f64 = 1e6;
+    let price = offer.zone_prices.get(zone).copied().unwrap_or_default();
+    (price * MICRO) as u64
+}
+
+// Reclaimable endpoints beside the floor, to the zones that hold the fewest.
+fn add_reclaimable(offer: &Offer, wanted: &mut BTreeMap<String, Held>, floor: u32, total: u32) {
+    let firm: BTreeMap<String, u32> = wanted.iter().map(|(z, h)| (z.clone(), h.firm)).collect();
+    wanted.values_mut().for_each(|held| held.reclaimable = 0);
+    let zones = wanted.len() as u32;
+    let count = total.saturating_sub(floor).max(zones.saturating_sub(floor));
+    for _ in 0..count {
+        let free = wanted.iter().filter(|(_, held)| held.total() < offer.most);
+        // Where the floor stands a reclaimable one is needed less than elsewhere.
+        let key =
+            |zone: &String, held: &Held| (held.reclaimable, firm[zone], price_order(offer, zone));
+        let Some((zone, _)) = free.min_by_key(|(zone, held)| key(zone, held)) else {
+            return;
+        };
+        let zone = zone.clone();
+        wanted.entry(zone).or_default().reclaimable += 1;
     }
 }
 
--- a/components/gateway/src/control/duties.rs
+++ b/components/gateway/src/control/duties.rs
@@ -270,11 +270,13 @@
         for (service, scaling) in scaled(&configuration) {
             let load = load_of(&known, service, &tokens);
             let held = held_by(known.endpoints.values(), service);
+            let offer = offer_of(scaling);
             let scaler = known.scalers.entry(service.clone()).or_default();
-            let orders = scaler.plan(now, &offer_of(scaling), &held, load);
+            let orders = scaler.plan(now, &offer, &held, load);
             if !orders.is_empty() {
                 info!(self.log, "endpoints planned"; "service" => service,
-                    "load_milli" => (load * 1000.0) as u64, "held" => ?held);
+                    "load_milli" => (load * 1000.0) as u64, "held" => ?held,
+                    "rate" => known.loads.get(service).map(|l| l.rate as u64));
                 plans.push((service.clone(), orders));
             }
         }
