Keep light prompts and heavy ones on engines of their own

Ruled out: passing on (median gap 26 ms), resumes (none), processor (1.3% of a core). Change: engines are shared out between light and heavy prompts by their tokens, in an order all gateways agree on, as a cost and not a wall; a prompt that would begin a noticed pause pays for each request it holds up; the reading rate follows high samples quickly and low ones slowly.

--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -35,6 +35,8 @@
     pieces: mpsc::Sender<Piece>,
     last_event: Option<u64>,
     passed: u64,
+    passed_at: Duration,
+    longest_gap: Duration,
 }
 
 impl<D: Dialect + 'static> Relay<D> {
@@ -51,6 +53,8 @@
             pieces,
             last_event: job.head.last_event,
             passed: 0,
+            passed_at: traffic.clock.now(),
+            longest_gap: Duration::ZERO,
         }
     }
 
@@ -122,6 +126,10 @@
             }
             () = tokio::time::sleep_until(expiry) => return Some(End::TimedOut),
         }
+        let now = self.traffic.clock.now();
+        let gap = now.saturating_sub(self.passed_at);
+        self.longest_gap = self.longest_gap.max(gap);
+        self.passed_at = now;
         self.passed += 1;
         self.last_event = id.or(self.last_event);
         None
@@ -162,6 +170,7 @@
         let held = self.traffic.clock.now().saturating_sub(self.job.arrived);
         info!(self.traffic.log, "stream ended"; "id" => &self.job.head.id, "end" => end,
             "endpoint" => endpoint, "events" => self.passed, "attempts" => self.progress.sent,
+            "longest_gap_ms" => self.longest_gap.as_millis() as u64,
             "ms" => held.as_millis() as u64);
     }
 }
--- a/components/routing/src/placement/board.rs
+++ b/components/routing/src/placement/board.rs
@@ -22,6 +22,9 @@
 const FIRST_TOKEN_MS: f64 = 8.0;
 /// Weight of a new sample in running means.
 const SAMPLE_WEIGHT: f64 = 0.2;
+/// Weight of a sample below the known rate: another prompt that is not known here may have been read
+/// beside it, so low samples say less than high ones.
+const LOW_SAMPLE_WEIGHT: f64 = 0.03;
 /// Time a request holds a slot, until measured, in milliseconds.
 const FIRST_HOLD_MS: f64 = 50.0;
 /// Choices this close are told apart at random, in milliseconds.
@@ -34,6 +37,25 @@
 const FAULTY_MS: f64 = 1000.0;
 /// Cost of an endpoint that has just started, in milliseconds.
 const COLD_MS: f64 = 20.0;
+/// Prompts that take longer to read hold up the tokens of everything that runs beside them, in
+/// milliseconds.
+const HEAVY_MS: f64 = 60.0;
+/// Prompts read one after the other for longer than this make a pause that a caller notices, in
+/// milliseconds.
+const NOTICED_PAUSE_MS: f64 = 350.0;
+/// Cost for each request that a noticed pause would hold up, in milliseconds, and the most of it.
+const HELD_UP_MS: f64 = 60.0;
+const MOST_HELD_UP_MS: f64 = 900.0;
+/// Cost of a light prompt among heavy ones, in milliseconds.
+const AMONG_HEAVY_MS: f64 = 200.0;
+/// Cost of a heavy prompt among light ones, in milliseconds.
+const AMONG_LIGHT_MS: f64 = 200.0;
+/// Weight of a request in the running share of light prompts.
+const SHARE_WEIGHT: f64 = 0.005;
+/// Light prompts get this much more than their share of the engines.
+const LIGHT_MARGIN: f64 = 1.2;
+/// Seed of the order in which engines take light prompts, the same at all gateways.
+const GROUP_SEED: u64 = 0x6c69_6768;
 /// Part of a shared prompt expected at its home when nobody is known to keep it.
 const HOME_SHARE: f64 = 0.5;
 
@@ -88,6 +110,8 @@
     services: BTreeMap<String, Vec<String>>,
     hashes: HashMap<u64, String>,
     paces: BTreeMap<String, Pace>,
+    // Running mean of the tokens of light prompts and of all, by service.
+    light: BTreeMap<String, (f64, f64)>,
     cache_tokens: BTreeMap<String, u64>,
 }
 
@@ -100,6 +124,7 @@
             services: BTreeMap::new(),
             hashes: HashMap::new(),
             paces: BTreeMap::new(),
+            light: BTreeMap::new(),
             cache_tokens: BTreeMap::new(),
         }
     }
@@ -175,12 +200,21 @@
         }
         let hashes = beginnings(&work.parts);
         let shared_prompt = shared_hash(&hashes);
-        let home = self.home(shared_prompt, &usable);
+        let heavy = self.is_heavy(work);
+        let group = self.group(work, &usable, heavy);
+        let home = self.home(shared_prompt, &group);
         let mut weighed = Vec::with_capacity(usable.len());
         for id in usable {
             let is_home = home.as_ref() == Some(&id);
             let unread = self.unread(&id, work, &hashes, is_home);
-            let cost = self.cost_ms(now, &id, work, unread);
+            let mut cost = self.cost_ms(now, &id, work, unread);
+            if !group.contains(&id) {
+                cost += if heavy {
+                    AMONG_LIGHT_MS
+                } else {
+                    AMONG_HEAVY_MS
+                };
+            }
             weighed.push((cost, unread, id));
         }
         let least = weighed.iter().map(|w| w.0).fold(f64::MAX, f64::min);
@@ -212,6 +246,10 @@
             return ticket;
         };
         slot.own += 1;
+        self.note_light(work);
+        let Some(slot) = self.slots.get_mut(&placement.endpoint) else {
+            return ticket;
+        };
         if work.prompt_tokens > 0 {
             ticket.alone = slot.queue.is_empty();
             ticket.number = Some(slot.queue.push(now, placement.unread_tokens, true));
@@ -237,13 +275,8 @@
         }
         let sample = (f64::from(ticket.unread_tokens) / ms).clamp(*RATES.start(), *RATES.end());
         let pace = self.paces.entry(slot.spec.service.clone()).or_default();
-        pace.rate += (sample - pace.rate) * SAMPLE_WEIGHT;
-        let known = if slot.rate > 0.0 {
-            slot.rate
-        } else {
-            pace.rate
-        };
-        slot.rate = known + (sample - known) * SAMPLE_WEIGHT;
+        pace.rate = with_sample(pace.rate, sample);
+        slot.rate = with_sample(rate_of(slot, *pace), sample);
     }
 
     /// A request ended.
@@ -306,6 +339,44 @@
         sum
     }
 
+    fn is_heavy(&self, work: &Work) -> bool {
+        let rate = self.rate(&work.service);
+        f64::from(work.prompt_tokens) / rate > HEAVY_MS
+    }
+
+    // The engines meant for prompts of this weight: light and heavy ones share them out by what
+    // they ask for, in an order that all gateways agree on.
+    fn group(&self, work: &Work, usable: &[String], heavy: bool) -> Vec<String> {
+        let Some((light, all)) = self.light.get(&work.service) else {
+            return usable.to_vec();
+        };
+        if work.prompt_tokens == 0 || usable.len() < 2 || *all <= 0.0 {
+            return usable.to_vec();
+        }
+        let share = (light / all * LIGHT_MARGIN).min(1.0);
+        let count = (share * usable.len() as f64).round() as usize;
+        let count = count.clamp(1, usable.len() - 1);
+        let mut ordered = usable.to_vec();
+        ordered.sort_by_key(|id| weight(GROUP_SEED, id));
+        let heavies = ordered.split_off(count);
+        if heavy {
+            heavies
+        } else {
+            ordered
+        }
+    }
+
+    fn note_light(&mut self, work: &Work) {
+        if work.prompt_tokens == 0 {
+            return;
+        }
+        let tokens = f64::from(work.prompt_tokens);
+        let of_light = if self.is_heavy(work) { 0.0 } else { tokens };
+        let (light, all) = self.light.entry(work.service.clone()).or_default();
+        *light += (of_light - *light) * SHARE_WEIGHT;
+        *all += (tokens - *all) * SHARE_WEIGHT;
+    }
+
     // Where all gateways expect a shared prompt that nobody is known to keep.
     fn home(&self, shared_prompt: u64, usable: &[String]) -> Option<String> {
         if shared_prompt == 0 {
@@ -337,18 +408,18 @@
         let Some(slot) = self.slots.get_mut(id) else {
             return f64::MAX;
         };
-        let rate = if slot.rate > 0.0 {
-            slot.rate
-        } else {
-            pace.rate
-        };
+        let rate = rate_of(slot, pace);
         let load = f64::from(slot.load(now));
         let slots = f64::from(slot.spec.slots.max(1));
         let excess = (load + 1.0 - slots).max(0.0);
         let mut cost = excess * pace.hold_ms / slots;
         if work.prompt_tokens > 0 {
-            cost += ms(slot.queue.wait(now, rate)) + ms(slot.queue.overdue(now, rate));
-            cost += f64::from(unread) / rate + load * BESIDE_MS;
+            let ahead = ms(slot.queue.wait(now, rate));
+            let reading = f64::from(unread) / rate;
+            cost += ahead + reading + ms(slot.queue.overdue(now, rate)) + load * BESIDE_MS;
+            if ahead < NOTICED_PAUSE_MS && ahead + reading > NOTICED_PAUSE_MS {
+                cost += (load * HELD_UP_MS).min(MOST_HELD_UP_MS);
+            }
         } else {
             cost += load / slots * pace.hold_ms;
         }
@@ -359,6 +430,22 @@
     }
 }
 
+// An endpoint's own rate once it was measured, else that of its service.
+fn rate_of(slot: &Slot, pace: Pace) -> f64 {
+    match slot.rate > 0.0 {
+        true => slot.rate,
+        false => pace.rate,
+    }
+}
+
+fn with_sample(rate: f64, sample: f64) -> f64 {
+    let weight = match sample > rate {
+        true => SAMPLE_WEIGHT,
+        false => LOW_SAMPLE_WEIGHT,
+    };
+    rate + (sample - rate) * weight
+}
+
 // The last part belongs to the request itself.
 fn shared_hash(hashes: &[u64]) -> u64 {
     match hashes.len() {
