Tell each request's expected end, and weigh two loads by the larger

Cause: endpoints ordered followed the sum of reading and holding (12 busy endpoints where 6 read), and the requests running at engines were known only from the last answer's head, one second long. Change: dispatches carry an expected run time (from the caller's guess of the answer, paced by measured ends); engines' load is own requests plus those of others that are not expected to have ended; the load that orders endpoints is the larger of reading and holding and 0.3 of the other.

--- a/components/gateway/src/control/duties.rs
+++ b/components/gateway/src/control/duties.rs
@@ -21,6 +21,9 @@
 const PLAN_PAUSE: Duration = Duration::from_millis(500);
 /// Others look at the lease only if its holder was not heard for this long.
 const HOLDER_SILENCE: Duration = Duration::from_millis(2500);
+/// An engine reads prompts and makes tokens in the same steps: of the smaller of the two loads only
+/// this part comes on top.
+const BESIDE_PART: f64 = 0.3;
 /// Span over which prompts are counted.
 const DEMAND_SPAN: Duration = Duration::from_secs(5);
 /// Requests of one second that are kept at most for the count.
@@ -327,5 +330,6 @@
     };
     let per_endpoint = known.endpoints.values().find(|e| e.service == service);
     let slots = per_endpoint.map_or(1, |e| e.slots.max(1));
-    reading + f64::from(load.requests) / f64::from(slots)
+    let holding = f64::from(load.requests) / f64::from(slots);
+    reading.max(holding) + BESIDE_PART * reading.min(holding)
 }
--- a/components/gateway/src/news.rs
+++ b/components/gateway/src/news.rs
@@ -12,6 +12,9 @@
 /// Dispatches told in one message, so that it fits into one datagram.
 pub(crate) const MOST_DISPATCHES: usize = 30;
 
+/// Longest time that a request is told to run, in milliseconds.
+const MOST_HOLD_MS: u128 = 60_000;
+
 /// A dispatch as it is told.
 pub(crate) fn dispatch_of(now: Duration, sent: &Sent) -> Dispatch {
     Dispatch {
@@ -19,6 +22,7 @@
         unread_tokens: sent.unread_tokens.min(i32::MAX as u32) as i32,
         shared_prompt: sent.shared_prompt as i64,
         age_ms: now.saturating_sub(sent.at).as_millis().min(60_000) as i32,
+        hold_ms: sent.hold.as_millis().min(MOST_HOLD_MS) as i32,
     }
 }
 
@@ -30,6 +34,7 @@
         unread_tokens: told.unread_tokens.max(0) as u32,
         shared_prompt: told.shared_prompt as u64,
         sent_at: now.saturating_sub(age),
+        hold: Duration::from_millis(told.hold_ms.max(0) as u64),
     }
 }
 
--- a/components/gateway/src/ports.rs
+++ b/components/gateway/src/ports.rs
@@ -22,6 +22,8 @@
     pub key: Option<String>,
     /// Tokens of the prompt and the most of the answer.
     pub tokens: Option<(u32, u32)>,
+    /// Tokens of the answer as the caller guesses them.
+    pub answer_guess: Option<u32>,
     /// Parts of the prompt in order.
     pub parts: Vec<PromptPart>,
     /// Last event that the caller has of this stream.
--- a/components/gateway/src/tally.rs
+++ b/components/gateway/src/tally.rs
@@ -14,6 +14,8 @@
     pub shared_prompt: u64,
     /// When, on the monotonic clock.
     pub at: Duration,
+    /// Time that it is expected to run.
+    pub hold: Duration,
 }
 
 /// Load of one service as this gateway sees it.
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -185,6 +185,7 @@
             unread_tokens: placement.unread_tokens,
             shared_prompt: placement.shared_prompt,
             at: now,
+            hold: placement.hold,
         });
         drop(state);
         if placement.unread_tokens >= LONG_PROMPT_TOKENS {
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -53,6 +53,7 @@
             deadline: number(fields, "x-deadline").map(Duration::from_millis),
             key: text(fields, "x-key"),
             tokens,
+            answer_guess: None,
             parts: Vec::new(),
             last_event: number(fields, "x-last-event"),
         })
--- a/components/routing/src/placement.rs
+++ b/components/routing/src/placement.rs
@@ -33,6 +33,8 @@
     pub parts: Vec<PromptPart>,
     /// Tokens of the whole prompt, 0 for a plain request.
     pub prompt_tokens: u32,
+    /// Tokens of the answer as far as can be guessed, 0 if unknown.
+    pub answer_tokens: u32,
 }
 
 /// Hashes of a prompt's beginnings: the one at `i` stands for the parts up to `i`.
@@ -62,6 +64,8 @@
     pub shared_prompt: u64,
     /// When it was sent, on this gateway's clock.
     pub sent_at: Duration,
+    /// Time that it is expected to run.
+    pub hold: Duration,
 }
 
 /// How a request at an endpoint ended, as far as it speaks of the endpoint.
--- a/components/routing/src/placement/board.rs
+++ b/components/routing/src/placement/board.rs
@@ -22,11 +22,15 @@
 const FIRST_TOKEN_MS: f64 = 8.0;
 /// Weight of a new sample in running means.
 const SAMPLE_WEIGHT: f64 = 0.2;
+/// Weight of a sample of the time for each token: single guesses are far off.
+const HOLD_SAMPLE_WEIGHT: f64 = 0.02;
 /// Weight of a sample below the known rate: another prompt that is not known here may have been read
 /// beside it, so low samples say less than high ones.
 const LOW_SAMPLE_WEIGHT: f64 = 0.03;
 /// Time a request holds a slot, until measured, in milliseconds.
 const FIRST_HOLD_MS: f64 = 50.0;
+/// Time for each token of an answer that was guessed, until measured, in milliseconds.
+const FIRST_TOKEN_PACE_MS: f64 = 6.0;
 /// Choices this close are told apart at random, in milliseconds.
 const TIE_MS: f64 = 1.0;
 /// Cost of leaving the zone: the way there and back, in milliseconds.
@@ -73,6 +77,8 @@
     pub shared_prompt: u64,
     /// Expected time to its first token, in milliseconds.
     pub expected_ms: f64,
+    /// Expected time to its end.
+    pub hold: Duration,
     /// Endpoints that were weighed.
     pub weighed: usize,
 }
@@ -84,6 +90,8 @@
     number: Option<u64>,
     sent_at: Duration,
     unread_tokens: u32,
+    answer_tokens: u32,
+    first_at: Option<Duration>,
     // Nothing was to be read before it when it was sent.
     alone: bool,
 }
@@ -92,6 +100,8 @@
 struct Pace {
     rate: f64,
     hold_ms: f64,
+    // Time for each token of an answer that was guessed.
+    token_ms: f64,
 }
 
 impl Default for Pace {
@@ -99,6 +109,7 @@
         Pace {
             rate: FIRST_RATE,
             hold_ms: FIRST_HOLD_MS,
+            token_ms: FIRST_TOKEN_PACE_MS,
         }
     }
 }
@@ -149,7 +160,8 @@
         let of_service = self.services.entry(endpoint.service.clone()).or_default();
         of_service.push(id.clone());
         self.hashes.insert(endpoint_hash(&id), id.clone());
-        let slot = Slot::new(now, endpoint, cache_tokens.copied().unwrap_or(u64::MAX));
+        let mut slot = Slot::new(now, endpoint, cache_tokens.copied().unwrap_or(u64::MAX));
+        slot.is_engine = cache_tokens.is_some();
         self.slots.insert(id, slot);
     }
 
@@ -230,6 +242,7 @@
             unread_tokens: *unread,
             shared_prompt,
             expected_ms: *cost,
+            hold: self.hold_of(work, *unread),
             weighed: weighed.len(),
         })
     }
@@ -241,6 +254,8 @@
             number: None,
             sent_at: now,
             unread_tokens: placement.unread_tokens,
+            answer_tokens: work.answer_tokens,
+            first_at: None,
             alone: false,
         };
         let Some(slot) = self.slots.get_mut(&placement.endpoint) else {
@@ -269,6 +284,7 @@
         let Some(number) = ticket.number.take() else {
             return;
         };
+        ticket.first_at = Some(now);
         slot.queue.read(now, number);
         let ms = now.saturating_sub(ticket.sent_at).as_secs_f64() * 1000.0 - FIRST_TOKEN_MS;
         if !ticket.alone || ticket.unread_tokens < RATE_SAMPLE_TOKENS || ms <= 1.0 {
@@ -291,9 +307,13 @@
         }
         slot.judge(now, verdict);
         if verdict == Verdict::Sound {
-            let held = now.saturating_sub(ticket.sent_at).as_secs_f64() * 1000.0;
             let pace = self.paces.entry(slot.spec.service.clone()).or_default();
+            let held = ms(now.saturating_sub(ticket.sent_at));
             pace.hold_ms += (held - pace.hold_ms) * SAMPLE_WEIGHT;
+            if let Some(first) = ticket.first_at.filter(|_| ticket.answer_tokens > 0) {
+                let made = ms(now.saturating_sub(first)) / f64::from(ticket.answer_tokens);
+                pace.token_ms += (made - pace.token_ms) * HOLD_SAMPLE_WEIGHT;
+            }
         }
     }
 
@@ -312,13 +332,7 @@
         let Some(slot) = self.slots.get_mut(id) else {
             return;
         };
-        let pace = self
-            .paces
-            .get(&slot.spec.service)
-            .copied()
-            .unwrap_or_default();
-        let hold = Duration::from_secs_f64(pace.hold_ms / 1000.0);
-        slot.other_sent(dispatch.sent_at, hold);
+        slot.other_sent(dispatch.sent_at, dispatch.hold);
         if dispatch.unread_tokens > 0 {
             slot.queue.push(now, dispatch.unread_tokens, false);
         }
@@ -340,6 +354,15 @@
         sum
     }
 
+    fn hold_of(&self, work: &Work, unread: u32) -> Duration {
+        let pace = self.paces.get(&work.service).copied().unwrap_or_default();
+        let hold_ms = match work.answer_tokens {
+            0 => pace.hold_ms,
+            tokens => f64::from(unread) / pace.rate + f64::from(tokens) * pace.token_ms,
+        };
+        Duration::from_secs_f64(hold_ms / 1000.0)
+    }
+
     fn is_heavy(&self, work: &Work) -> bool {
         let rate = self.rate(&work.service);
         f64::from(work.prompt_tokens) / rate > HEAVY_MS
--- a/components/routing/src/placement/slot.rs
+++ b/components/routing/src/placement/slot.rs
@@ -1,6 +1,5 @@
 //! What a gateway knows of one endpoint.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use directory::Endpoint;
@@ -36,7 +35,9 @@
     reading: Option<Reading>,
     own_at_reading: u32,
     // When the requests of others that were sent since the reading are expected to end.
-    others: VecDeque<Duration>,
+    others: Vec<Duration>,
+    /// Whether it reads prompts.
+    pub is_engine: bool,
     /// When it stops being slow after its start.
     pub cold_until: Duration,
 }
@@ -55,25 +56,31 @@
             silent_in_row: 0,
             reading: None,
             own_at_reading: 0,
-            others: VecDeque::new(),
+            others: Vec::new(),
+            is_engine: false,
             cold_until,
         }
     }
 
     /// Requests expected there now.
     pub fn load(&mut self, now: Duration) -> u32 {
-        while self.others.front().is_some_and(|end| *end <= now) {
-            self.others.pop_front();
-        }
+        self.others.retain(|end| *end > now);
         let others = self.others.len() as u32;
+        if self.is_engine {
+            return self.own + others;
+        }
         let fresh = self.reading.filter(|r| now < r.at + READING_AGE);
         let read = fresh.map_or(0, |r| r.running + r.queued);
         let known = (read + self.own).saturating_sub(self.own_at_reading.min(read));
         known.max(self.own) + others
     }
 
-    /// Takes the load that an answer told.
+    /// Takes the load that an answer told. An engine tells it once, at the first token; what is known
+    /// of each request and its expected end says more.
     pub fn take_reading(&mut self, reading: Reading) {
+        if self.is_engine {
+            return;
+        }
         self.reading = Some(reading);
         self.own_at_reading = self.own;
         self.others.clear();
@@ -81,7 +88,7 @@
 
     /// Another gateway sent a request that is expected to run for `hold`.
     pub fn other_sent(&mut self, sent_at: Duration, hold: Duration) {
-        self.others.push_back(sent_at + hold);
+        self.others.push(sent_at + hold);
     }
 
     /// Draws conclusions from the end of a request.
--- a/components/schema/src/messages.rs
+++ b/components/schema/src/messages.rs
@@ -1840,15 +1840,24 @@
     pub shared_prompt: i64,
     /// Age when told, in milliseconds.
     pub age_ms: i32,
+    /// Time that it is expected to run, in milliseconds.
+    pub hold_ms: i32,
 }
 
 impl Dispatch {
-    pub fn new(endpoint: i64, unread_tokens: i32, shared_prompt: i64, age_ms: i32) -> Dispatch {
+    pub fn new(
+        endpoint: i64,
+        unread_tokens: i32,
+        shared_prompt: i64,
+        age_ms: i32,
+        hold_ms: i32,
+    ) -> Dispatch {
         Dispatch {
             endpoint,
             unread_tokens,
             shared_prompt,
             age_ms,
+            hold_ms,
         }
     }
 }
@@ -1860,6 +1869,7 @@
         let mut f_2: Option<i32> = None;
         let mut f_3: Option<i64> = None;
         let mut f_4: Option<i32> = None;
+        let mut f_5: Option<i32> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -1883,6 +1893,10 @@
                     let val = i_prot.read_i32()?;
                     f_4 = Some(val);
                 }
+                5 => {
+                    let val = i_prot.read_i32()?;
+                    f_5 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -1894,6 +1908,7 @@
         verify_required_field_exists("Dispatch.unread_tokens", &f_2)?;
         verify_required_field_exists("Dispatch.shared_prompt", &f_3)?;
         verify_required_field_exists("Dispatch.age_ms", &f_4)?;
+        verify_required_field_exists("Dispatch.hold_ms", &f_5)?;
         let ret = Dispatch {
             endpoint: f_1
                 .expect("auto-generated code should have checked for presence of required fields"),
@@ -1903,6 +1918,8 @@
                 .expect("auto-generated code should have checked for presence of required fields"),
             age_ms: f_4
                 .expect("auto-generated code should have checked for presence of required fields"),
+            hold_ms: f_5
+                .expect("auto-generated code should have checked for presence of required fields"),
         };
         Ok(ret)
     }
@@ -1921,6 +1938,9 @@
         o_prot.write_field_begin(&TFieldIdentifier::new("age_ms", TType::I32, 4))?;
         o_prot.write_i32(self.age_ms)?;
         o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("hold_ms", TType::I32, 5))?;
+        o_prot.write_i32(self.hold_ms)?;
+        o_prot.write_field_end()?;
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
--- a/components/schema/thrift/messages.thrift
+++ b/components/schema/thrift/messages.thrift
@@ -184,6 +184,8 @@
   3: required i64 shared_prompt,
   /** Age when told, in milliseconds. */
   4: required i32 age_ms,
+  /** Time that it is expected to run, in milliseconds. */
+  5: required i32 hold_ms,
 }
 
 /** Requests that began to run in one usage window at one gateway; counts only grow. */
