Staff by the square root of the load

Ruled out: prices (the parts bought differ, not their price). Change: spare endpoints are 4.4 (reclaimable wanted), 2.2 (on-demand given back above) and 1.1 (added below) square roots of the load.

--- a/components/fleet/src/scaling.rs
+++ b/components/fleet/src/scaling.rs
@@ -10,12 +10,13 @@
 
 /// Load of the on-demand floor when no reclaimable one is left, in parts of itself.
 const FLOOR_UTILIZATION: f64 = 0.9;
-/// Load up to which reclaimable endpoints are wanted.
-const ROOMY_UTILIZATION: f64 = 0.35;
-/// Load above which on-demand endpoints are added.
-const SCARCE_UTILIZATION: f64 = 0.7;
-/// Load below which on-demand endpoints above the floor are given back.
-const AMPLE_UTILIZATION: f64 = 0.5;
+/// Endpoints wanted beside the load when reclaimable ones are to be had, in square roots of the load:
+/// the fewer endpoints share the load, the more of them stand free for its scatter.
+const ROOMY_SPARE: f64 = 4.4;
+/// With fewer beside the load, on-demand endpoints are added.
+const SCARCE_SPARE: f64 = 1.1;
+/// With more beside the load, on-demand endpoints above the floor are given back.
+const AMPLE_SPARE: f64 = 2.2;
 /// Time for which endpoints are watched before the first order: they record themselves one by one.
 const WATCHING: Duration = Duration::from_secs(4);
 /// How long the load must be known before anything is given back.
@@ -114,7 +115,7 @@
             lower_firm(offer, &mut wanted, held, load, floor);
         }
         if offer.reclaimable {
-            add_reclaimable(offer, &mut wanted, floor, ceil(load / ROOMY_UTILIZATION));
+            add_reclaimable(offer, &mut wanted, floor, staffed(load, ROOMY_SPARE));
         }
         let may_lower = self.has_learnt(now);
         let mut orders = Vec::new();
@@ -189,7 +190,7 @@
         floor: u32,
     ) -> BTreeMap<String, Held> {
         let mut wanted = expected.clone();
-        let scarce = ceil(load / SCARCE_UTILIZATION);
+        let scarce = staffed(load, SCARCE_SPARE);
         while let Some(zone) = lacking(offer, &wanted) {
             wanted.entry(zone).or_default().firm += 1;
         }
@@ -230,7 +231,7 @@
     load: f64,
     floor: u32,
 ) {
-    let ample = ceil(load / AMPLE_UTILIZATION);
+    let ample = staffed(load, AMPLE_SPARE);
     // Reclaimable ones that were ordered and do not serve yet replace nothing.
     let mut serving = wanted.clone();
     for (zone, have) in &mut serving {
@@ -302,6 +303,11 @@
     }
 }
 
+// Endpoints for a load with a spare in square roots of it.
+fn staffed(load: f64, spare: f64) -> u32 {
+    ceil(load + spare * load.sqrt())
+}
+
 fn ceil(value: f64) -> u32 {
     value.ceil().max(0.0) as u32
 }
