--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -12,8 +12,11 @@
 use crate::ports::{Orders, Row, Rows, Store, StoreError, Topic};
 use crate::traffic::Update;
 
-/// Parts of the longest age of a confirmation for which a call about the configuration is held.
-const CONFIRM_PARTS: u32 = 3;
+/// Part of the longest age of a confirmation for which a call about the configuration is held.
+const CONFIRM_PART: f64 = 0.44;
+/// Pause after changes of endpoints: those that follow soon come with one answer. It is well within
+/// the time that a leaving endpoint goes on serving.
+const GATHER_PAUSE: Duration = Duration::from_millis(500);
 /// Longest time a call is held.
 const LONGEST_WAIT: Duration = Duration::from_secs(10);
 /// Pause after a failed call.
@@ -38,14 +41,10 @@
             let longest = self.known.borrow().settings.credential_age_ms.max(0) as u64;
             let wait = match longest {
                 0 => LONGEST_WAIT,
-                ms => LONGEST_WAIT.min(Duration::from_millis(ms) / CONFIRM_PARTS),
+                ms => LONGEST_WAIT.min(Duration::from_millis(ms).mul_f64(CONFIRM_PART)),
             };
-            let Some((rows, _)) = self.next(&mut position, wait).await else {
-                continue;
-            };
-            for row in &rows {
-                self.take_configuration(row);
-            }
+            // The rows were taken before they were confirmed.
+            let _ = self.next(&mut position, wait).await;
         }
     }
 
@@ -66,6 +65,7 @@
             for row in &rows {
                 self.take_endpoint(row);
             }
+            tokio::time::sleep(GATHER_PAUSE).await;
         }
     }
 
@@ -104,25 +104,18 @@
         }
         position.answered = true;
         let received = self.clock.now();
-        let mut known = self.known.borrow_mut();
-        let made = known.store_clock.earliest(sent, received, rows.stamp);
-        if position.topic == Topic::Configuration && !has_news(rows) {
-            self.confirm(&known.configuration.is_some(), made);
-        }
-        if position.topic == Topic::Configuration && has_news(rows) {
-            // Confirmed once the rows are in force; see `take_configuration`.
-            drop(known);
-            for row in &rows.rows {
-                self.take_configuration(row);
+        let made = {
+            let mut known = self.known.borrow_mut();
+            known.store_clock.earliest(sent, received, rows.stamp)
+        };
+        if position.topic == Topic::Configuration {
+            // What is confirmed has to be in force first.
+            rows.rows
+                .iter()
+                .for_each(|row| self.take_configuration(row));
+            if self.known.borrow().configuration.is_some() {
+                self.freshness.confirm(made);
             }
-            let known = self.known.borrow();
-            self.confirm(&known.configuration.is_some(), made);
-        }
-    }
-
-    fn confirm(&self, configured: &bool, made: Duration) {
-        if *configured {
-            self.freshness.confirm(made);
         }
     }
 
@@ -204,7 +197,3 @@
         }
     }
 }
-
-fn has_news(rows: &Rows) -> bool {
-    !rows.rows.is_empty()
-}
