Group engines by slots too, from all gateways' requests; weigh a sample where news are old

Cause: on the grown site (83 gateways, 16 slots) each gateway's own short memory of the mix sized the group for light prompts, so their groups overlapped in the first engines of the common order, and all gateways took the same best engine within the 0.5 s between news (1.2 s to the first token at an engine expected free). The fleet gave back most endpoints after 3 s, in which its 5 s count of the load was half full. Ruled out: the belief in kept prompts (read 22.1 M tokens, expected 21.2 M).

--- a/components/routing/src/placement/board.rs
+++ b/components/routing/src/placement/board.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use directory::{Configuration, Endpoint};
+use rand::seq::IndexedRandom;
 use rand::{Rng, RngExt};
 
 use crate::endpoint::Reading;
@@ -55,10 +56,16 @@
 /// Cost of a heavy prompt among light ones, in milliseconds.
 const AMONG_LIGHT_MS: f64 = 200.0;
 /// Weight of a request in the running share of light prompts.
-const SHARE_WEIGHT: f64 = 0.005;
+const SHARE_WEIGHT: f64 = 0.002;
 /// Part of their share of the engines that light prompts get: heavy ones need the room more, since
 /// they hold each other up.
 const LIGHT_PART: f64 = 0.7;
+/// Part of its slots that a group of engines may need before it gets more engines.
+const GROUP_UTILIZATION: f64 = 0.6;
+/// Endpoints weighed for each request of others that is not known yet, in parts of them all.
+const SAMPLE_FACTOR: f64 = 6.0;
+/// Least endpoints weighed.
+const LEAST_SAMPLE: usize = 2;
 /// Seed of the order in which engines take light prompts, the same at all gateways.
 const GROUP_SEED: u64 = 0x6c69_6768;
 /// Part of a shared prompt expected at its home when nobody is known to keep it.
@@ -114,6 +121,80 @@
     }
 }
 
+// What light prompts ask for beside all prompts of a service, as running means.
+#[derive(Clone, Copy, Debug)]
+struct Mix {
+    light_tokens: f64,
+    tokens: f64,
+    light_hold_ms: f64,
+    hold_ms: f64,
+}
+
+impl Default for Mix {
+    // Half and half, until requests say otherwise.
+    fn default() -> Self {
+        Mix {
+            light_tokens: 500.0,
+            tokens: 1000.0,
+            light_hold_ms: 500.0,
+            hold_ms: 1000.0,
+        }
+    }
+}
+
+impl Mix {
+    fn note(&mut self, tokens: f64, hold_ms: f64, heavy: bool) {
+        let light = if heavy { 0.0 } else { 1.0 };
+        self.light_tokens += (light * tokens - self.light_tokens) * SHARE_WEIGHT;
+        self.tokens += (tokens - self.tokens) * SHARE_WEIGHT;
+        self.light_hold_ms += (light * hold_ms - self.light_hold_ms) * SHARE_WEIGHT;
+        self.hold_ms += (hold_ms - self.hold_ms) * SHARE_WEIGHT;
+    }
+
+    // Engines of `all` for light prompts: by the tokens they ask for, unless their slots or those
+    // of the heavy ones would run out. `needed` engines hold everything that runs now.
+    fn light_engines(&self, all: usize, needed: f64) -> usize {
+        let by_tokens = self.light_tokens / self.tokens * LIGHT_PART * all as f64;
+        let running = self.light_hold_ms / self.hold_ms.max(1.0);
+        let (light, heavy) = (running * needed, (1.0 - running) * needed);
+        let count = match needed > all as f64 {
+            true => running * all as f64,
+            false => by_tokens.clamp(light, all as f64 - heavy),
+        };
+        (count.round() as usize).clamp(1, all - 1)
+    }
+}
+
+// Requests that others have sent and not told yet, from the age of what they tell: by Little's law
+// the sum of the ages told in a second.
+#[derive(Debug, Default)]
+struct Unknown {
+    second: u64,
+    sum: f64,
+    last: f64,
+}
+
+impl Unknown {
+    fn note(&mut self, now: Duration, age: Duration) {
+        self.count(now);
+        self.sum += age.as_secs_f64();
+    }
+
+    fn count(&mut self, now: Duration) -> f64 {
+        let second = now.as_secs();
+        if second > self.second {
+            self.last = if second == self.second + 1 {
+                self.sum
+            } else {
+                0.0
+            };
+            self.second = second;
+            self.sum = 0.0;
+        }
+        self.last
+    }
+}
+
 /// Everything known of the endpoints of all services.
 #[derive(Debug)]
 pub struct Board {
@@ -122,8 +203,8 @@
     services: BTreeMap<String, Vec<String>>,
     hashes: HashMap<u64, String>,
     paces: BTreeMap<String, Pace>,
-    // Running mean of the tokens of light prompts and of all, by service.
-    light: BTreeMap<String, (f64, f64)>,
+    mixes: BTreeMap<String, Mix>,
+    unknown: Unknown,
     cache_tokens: BTreeMap<String, u64>,
 }
 
@@ -136,7 +217,8 @@
             services: BTreeMap::new(),
             hashes: HashMap::new(),
             paces: BTreeMap::new(),
-            light: BTreeMap::new(),
+            mixes: BTreeMap::new(),
+            unknown: Unknown::default(),
             cache_tokens: BTreeMap::new(),
         }
     }
@@ -214,10 +296,11 @@
         let hashes = beginnings(&work.parts);
         let shared_prompt = shared_hash(&hashes);
         let heavy = self.is_heavy(work);
-        let group = self.group(work, &usable, heavy);
+        let group = self.group(now, work, &usable, heavy);
         let home = self.home(shared_prompt, &group);
-        let mut weighed = Vec::with_capacity(usable.len());
-        for id in usable {
+        let candidates = self.candidates(now, usable, &group, home.as_ref(), rng);
+        let mut weighed = Vec::with_capacity(candidates.len());
+        for id in candidates {
             let is_home = home.as_ref() == Some(&id);
             let unread = self.unread(&id, work, &hashes, is_home);
             let mut cost = self.cost_ms(now, &id, work, unread);
@@ -262,7 +345,9 @@
             return ticket;
         };
         slot.own += 1;
-        self.note_light(work);
+        if work.prompt_tokens > 0 {
+            self.note_mix(&work.service, placement.unread_tokens, placement.hold);
+        }
         let Some(slot) = self.slots.get_mut(&placement.endpoint) else {
             return ticket;
         };
@@ -332,6 +417,9 @@
         let Some(slot) = self.slots.get_mut(id) else {
             return;
         };
+        self.unknown.note(now, now.saturating_sub(dispatch.sent_at));
+        let is_engine = slot.is_engine;
+        let service = slot.spec.service.clone();
         slot.other_sent(dispatch.sent_at, dispatch.hold);
         if dispatch.unread_tokens > 0 {
             slot.queue.push(now, dispatch.unread_tokens, false);
@@ -339,6 +427,9 @@
         if dispatch.shared_prompt != 0 {
             slot.cache.keep(dispatch.shared_prompt, 0);
         }
+        if is_engine {
+            self.note_mix(&service, dispatch.unread_tokens, dispatch.hold);
+        }
     }
 
     /// Requests expected at the ready endpoints of a service, and the slots of these.
@@ -368,18 +459,22 @@
         f64::from(work.prompt_tokens) / rate > HEAVY_MS
     }
 
-    // The engines meant for prompts of this weight: light and heavy ones share them out by what
-    // they ask for, in an order that all gateways agree on.
-    fn group(&self, work: &Work, usable: &[String], heavy: bool) -> Vec<String> {
-        let Some((light, all)) = self.light.get(&work.service) else {
-            return usable.to_vec();
-        };
-        if work.prompt_tokens == 0 || usable.len() < 2 || *all <= 0.0 {
+    // The engines meant for prompts of this weight, in an order that all gateways agree on.
+    fn group(&mut self, now: Duration, work: &Work, usable: &[String], heavy: bool) -> Vec<String> {
+        let mix = self.mixes.get(&work.service).copied().unwrap_or_default();
+        if work.prompt_tokens == 0 || usable.len() < 2 || mix.tokens <= 0.0 {
             return usable.to_vec();
         }
-        let share = (light / all * LIGHT_PART).min(1.0);
-        let count = (share * usable.len() as f64).round() as usize;
-        let count = count.clamp(1, usable.len() - 1);
+        let mut running = 0.0;
+        let mut slots = 0.0;
+        for id in usable {
+            if let Some(slot) = self.slots.get_mut(id) {
+                running += f64::from(slot.load(now));
+                slots += f64::from(slot.spec.slots);
+            }
+        }
+        let needed = running / (slots / usable.len() as f64 * GROUP_UTILIZATION);
+        let count = mix.light_engines(usable.len(), needed);
         let mut ordered = usable.to_vec();
         ordered.sort_by_key(|id| weight(GROUP_SEED, id));
         let heavies = ordered.split_off(count);
@@ -390,15 +485,35 @@
         }
     }
 
-    fn note_light(&mut self, work: &Work) {
-        if work.prompt_tokens == 0 {
-            return;
+    // All endpoints, or some of them at random where many requests of others are not known yet: if all
+    // gateways took the best one they know of, they would all take the same.
+    fn candidates(
+        &mut self,
+        now: Duration,
+        usable: Vec<String>,
+        group: &[String],
+        home: Option<&String>,
+        rng: &mut impl Rng,
+    ) -> Vec<String> {
+        let unknown = self.unknown.count(now);
+        let wanted = SAMPLE_FACTOR * group.len() as f64 / unknown.max(1.0);
+        let wanted = (wanted.ceil() as usize).max(LEAST_SAMPLE);
+        if wanted >= group.len() {
+            return usable;
         }
-        let tokens = f64::from(work.prompt_tokens);
-        let of_light = if self.is_heavy(work) { 0.0 } else { tokens };
-        let (light, all) = self.light.entry(work.service.clone()).or_default();
-        *light += (of_light - *light) * SHARE_WEIGHT;
-        *all += (tokens - *all) * SHARE_WEIGHT;
+        let mut candidates: Vec<String> = group.sample(rng, wanted).cloned().collect();
+        let outside: Vec<&String> = usable.iter().filter(|id| !group.contains(id)).collect();
+        candidates.extend(outside.choose(rng).map(|id| (*id).clone()));
+        candidates.extend(home.filter(|id| !candidates.contains(id)).cloned());
+        candidates
+    }
+
+    // Own requests and those of others alike, so that all gateways see the same mix.
+    fn note_mix(&mut self, service: &str, unread_tokens: u32, hold: Duration) {
+        let tokens = f64::from(unread_tokens);
+        let heavy = tokens / self.rate(service) > HEAVY_MS;
+        let mix = self.mixes.entry(service.to_string()).or_default();
+        mix.note(tokens, ms(hold), heavy);
     }
 
     // Where all gateways expect a shared prompt that nobody is known to keep.
