Let silence speak of an endpoint also when the caller leaves first

Ruled out: the overdue cost (it is gone with the dropped request). Change: a request dropped without any answer after 1 s, four times its expected time, or half of its time makes its endpoint suspected. Five tests of placement without the bench.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -8,7 +8,7 @@
 use http::{response, HeaderMap, HeaderName, Request};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use routing::placement::{Placement, Ticket, Verdict};
+use routing::placement::{verdict_without_answer, Placement, Ticket, Verdict};
 use routing::Reading;
 use slog::info;
 use telemetry::Counter;
@@ -43,7 +43,9 @@
     connection: Option<Connection>,
     reserved: bool,
     expiry: Duration,
-    engine: bool,
+    expected: Duration,
+    // Whether the head of an answer came.
+    answered: bool,
     verdict: Option<Verdict>,
     sent_at: Duration,
 }
@@ -70,13 +72,14 @@
         state.board.first_token(now, &mut self.ticket);
     }
 
-    // A request that ran out of time says something of its endpoint; a caller that left does not.
     fn verdict_at_drop(&self, now: Duration) -> Verdict {
-        match (self.verdict, now >= self.expiry, self.engine) {
-            (Some(verdict), ..) => verdict,
-            (None, false, _) => Verdict::Neutral,
-            (None, true, true) => Verdict::Faulty,
-            (None, true, false) => Verdict::Silent,
+        let waited = now.saturating_sub(self.sent_at);
+        let given = self.expiry.saturating_sub(self.sent_at);
+        match (self.verdict, self.answered) {
+            (Some(verdict), _) => verdict,
+            (None, true) if now >= self.expiry => Verdict::Faulty,
+            (None, true) => Verdict::Neutral,
+            (None, false) => verdict_without_answer(waited, self.expected, given),
         }
     }
 }
@@ -194,7 +197,8 @@
             connection: None,
             reserved: false,
             expiry: job.expiry,
-            engine: job.engine,
+            expected: Duration::from_secs_f64(placement.expected_ms / 1000.0),
+            answered: false,
             verdict: None,
             sent_at: self.clock.now(),
         };
@@ -217,6 +221,7 @@
             }
             Err(_) => return Attempted::NotSent,
         };
+        run.answered = true;
         let (head, body) = answer.into_parts();
         let read = self.dialect.read_answer(head.status, &head.headers);
         self.take_load(&placement.endpoint, &read);
--- a/components/routing/src/placement.rs
+++ b/components/routing/src/placement.rs
@@ -68,6 +68,18 @@
     pub hold: Duration,
 }
 
+/// A request that is dropped before its endpoint said anything: whether that speaks of the endpoint.
+/// Callers leave a little before the time of their requests is over, so the time itself says little.
+pub fn verdict_without_answer(waited: Duration, expected: Duration, given: Duration) -> Verdict {
+    const LEAST_SILENCE: Duration = Duration::from_secs(1);
+    const EXPECTED_TIMES: u32 = 4;
+    let long = LEAST_SILENCE.max(expected * EXPECTED_TIMES);
+    match waited >= long.min(given / 2) {
+        true => Verdict::Silent,
+        false => Verdict::Neutral,
+    }
+}
+
 /// How a request at an endpoint ended, as far as it speaks of the endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
--- a/components/routing/src/placement/cache.rs
+++ b/components/routing/src/placement/cache.rs
@@ -47,10 +47,4 @@
     pub fn keeps(&self, beginning: u64) -> bool {
         self.beginnings.contains(&beginning)
     }
-
-    /// Forgets everything, as the engine did.
-    pub fn clear(&mut self) {
-        self.beginnings.clear();
-        self.tokens = 0;
-    }
 }
--- a/components/routing/src/placement/slot.rs
+++ b/components/routing/src/placement/slot.rs
@@ -108,7 +108,6 @@
                 let pause = FIRST_SUSPICION * (1 << self.silent_in_row.min(5));
                 self.silent_in_row += 1;
                 self.suspected_until = now + pause.min(LONGEST_SUSPICION);
-                self.cache.clear();
             }
         }
     }
--- /dev/null
+++ b/components/routing/tests/placement.rs
@@ -0,0 +1,147 @@
+//! Where requests go, given what several gateways know.
+
+use std::time::Duration;
+
+use directory::{Configuration, Endpoint, EndpointState, Engine, Service};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use routing::placement::{
+    endpoint_hash, verdict_without_answer, Board, PeerDispatch, PromptPart, Verdict, Work,
+};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn endpoint(id: &str, zone: &str) -> Endpoint {
+    Endpoint {
+        id: id.into(),
+        service: "s".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: zone.into(),
+        slots: 16,
+        state: EndpointState::Ready,
+        reclaimable: false,
+        cold: Duration::ZERO,
+    }
+}
+
+fn board(engines: bool, ids: &[&str]) -> Board {
+    let mut board = Board::new("z");
+    let engine = engines.then_some(Engine {
+        slots: 16,
+        cache_tokens: 100_000,
+        tokens_per_event: 1,
+    });
+    let service = Service {
+        max_connections: 10,
+        engine,
+        scaling: None,
+    };
+    board.configure(&Configuration {
+        services: [("s".to_string(), service)].into(),
+        ..Configuration::default()
+    });
+    for id in ids {
+        board.insert(Duration::ZERO, endpoint(id, "z"));
+    }
+    board
+}
+
+fn prompt(shared: u64, own: u64, tokens: u32) -> Work {
+    let part = |id, tokens| PromptPart { id, tokens };
+    Work {
+        service: "s".into(),
+        parts: vec![part(shared, tokens / 2), part(own, tokens / 2)],
+        prompt_tokens: tokens,
+        answer_tokens: 50,
+    }
+}
+
+fn plain() -> Work {
+    Work {
+        service: "s".into(),
+        ..Work::default()
+    }
+}
+
+fn rng() -> ChaCha8Rng {
+    ChaCha8Rng::seed_from_u64(7)
+}
+
+#[test]
+fn a_prompt_goes_back_to_where_its_beginning_is_kept() {
+    let mut board = board(true, &["a", "b", "c"]);
+    let mut rng = rng();
+    let first = board
+        .choose(ms(0), &prompt(1, 2, 8000), &[], &mut rng)
+        .unwrap();
+    let ticket = board.sent(ms(0), &prompt(1, 2, 8000), &first);
+    board.ended(ms(2000), &ticket, Verdict::Sound);
+    for own in 3..20 {
+        let again = prompt(1, own, 8000);
+        let next = board.choose(ms(2000 + own), &again, &[], &mut rng).unwrap();
+        assert_eq!(next.endpoint, first.endpoint);
+        assert_eq!(next.unread_tokens, 4000);
+    }
+}
+
+#[test]
+fn prompts_that_others_sent_are_waited_for() {
+    let mut board = board(true, &["a", "b"]);
+    board.peer_sent(
+        ms(0),
+        PeerDispatch {
+            endpoint: endpoint_hash("a"),
+            unread_tokens: 50_000,
+            shared_prompt: 0,
+            sent_at: ms(0),
+            hold: ms(3000),
+        },
+    );
+    let mut rng = rng();
+    for own in 0..20 {
+        let choice = board.choose(ms(5), &prompt(0, own, 500), &[], &mut rng);
+        assert_eq!(choice.unwrap().endpoint, "b");
+    }
+}
+
+#[test]
+fn an_endpoint_that_was_silent_is_passed_over_unless_it_is_the_only_one() {
+    let mut board = board(false, &["a", "b"]);
+    let mut rng = rng();
+    let first = board.choose(ms(0), &plain(), &[], &mut rng).unwrap();
+    let ticket = board.sent(ms(0), &plain(), &first);
+    board.ended(ms(300), &ticket, Verdict::Silent);
+    for _ in 0..20 {
+        let next = board.choose(ms(301), &plain(), &[], &mut rng).unwrap();
+        assert_ne!(next.endpoint, first.endpoint);
+    }
+    let other = if first.endpoint == "a" { "b" } else { "a" };
+    let only = board.choose(ms(301), &plain(), &[other.to_string()], &mut rng);
+    assert_eq!(only.unwrap().endpoint, first.endpoint);
+}
+
+#[test]
+fn an_endpoint_that_drains_is_never_chosen() {
+    let mut board = board(false, &["a"]);
+    let mut draining = endpoint("a", "z");
+    draining.state = EndpointState::Draining { leaves_in: None };
+    board.insert(ms(1), draining);
+    assert!(board.choose(ms(2), &plain(), &[], &mut rng()).is_none());
+}
+
+#[test]
+fn a_caller_that_leaves_just_before_its_time_is_over_speaks_of_a_silent_endpoint() {
+    let verdict =
+        |waited, expected, given| verdict_without_answer(ms(waited), ms(expected), ms(given));
+    assert_eq!(verdict(2990, 50, 3000), Verdict::Silent);
+    assert_eq!(verdict(795, 60, 800), Verdict::Silent);
+    assert_eq!(verdict(200, 60, 800), Verdict::Neutral);
+    assert_eq!(verdict(2400, 50, 15_000), Verdict::Silent);
+    assert_eq!(
+        verdict(2400, 1500, 15_000),
+        Verdict::Neutral,
+        "a long prompt"
+    );
+}
