Average the load over the time it has lasted

Cause: tokens of the first seconds were divided by the whole 5 s, so the load looked low at the start and the scaler had to wait 7 s before it gave anything back. Ruled out: the peak span (it only raises the load). Change: the span is the time since the first request after a pause, 1 to 5 s; endpoints are given back after 4 s.

--- a/components/fleet/src/scaling.rs
+++ b/components/fleet/src/scaling.rs
@@ -19,9 +19,8 @@
 const AMPLE_SPARE: f64 = 2.2;
 /// Time for which endpoints are watched before the first order: they record themselves one by one.
 const WATCHING: Duration = Duration::from_secs(4);
-/// How long the load must be known before anything is given back: longer than the span over which it
-/// is counted, or its first seconds look like a low load.
-const LEARNING: Duration = Duration::from_secs(7);
+/// How long the load must be known before anything is given back.
+const LEARNING: Duration = Duration::from_secs(4);
 /// The load counts as its highest value over this time.
 const PEAK_SPAN: Duration = Duration::from_secs(5);
 /// Pause after a refused order.
--- a/components/gateway/src/control/duties.rs
+++ b/components/gateway/src/control/duties.rs
@@ -26,6 +26,8 @@
 const BESIDE_PART: f64 = 0.3;
 /// Span over which prompts are counted.
 const DEMAND_SPAN: Duration = Duration::from_secs(5);
+/// Shortest span over which they are averaged.
+const SHORTEST_SPAN: Duration = Duration::from_secs(1);
 /// Requests of one second that are kept at most for the count.
 const MOST_SAMPLES: usize = 20_000;
 
@@ -33,11 +35,16 @@
 #[derive(Debug, Default)]
 pub(crate) struct Demand {
     samples: VecDeque<(Duration, u64, u32)>,
+    // First sample after a time without any.
+    since: Option<Duration>,
 }
 
 impl Demand {
     /// Notes a request.
     pub fn add(&mut self, at: Duration, endpoint: u64, unread_tokens: u32) {
+        if self.samples.is_empty() {
+            self.since = Some(at);
+        }
         self.samples.push_back((at, endpoint, unread_tokens));
         if self.samples.len() > MOST_SAMPLES {
             self.samples.pop_front();
@@ -52,7 +59,9 @@
         for (_, endpoint, tokens) in &self.samples {
             *sums.entry(*endpoint).or_default() += f64::from(*tokens);
         }
-        let span = DEMAND_SPAN.as_secs_f64();
+        // A load that has just begun was not there for the whole span.
+        let lasted = now.saturating_sub(self.since.unwrap_or(from));
+        let span = lasted.clamp(SHORTEST_SPAN, DEMAND_SPAN).as_secs_f64();
         sums.values_mut().for_each(|sum| *sum /= span);
         sums
     }
