Split the mix of prompts and the unknown requests from the board; drop a field nobody reads

Change: placement::{mix, unknown}; no behaviour changes. Measured: tests of routing and gateway pass.

--- a/components/gateway/src/control/exchange.rs
+++ b/components/gateway/src/control/exchange.rs
@@ -163,7 +163,6 @@
                 .map(SocketAddr::to_string)
                 .collect(),
             stopping: self.freshness.is_stopping(),
-            running: Default::default(),
         };
         let targets = known.peers.targets().into_iter().collect();
         (schema::encode(&message).unwrap_or_default(), targets)
--- a/components/routing/src/placement.rs
+++ b/components/routing/src/placement.rs
@@ -6,8 +6,10 @@
 
 mod board;
 mod cache;
+mod mix;
 mod queue;
 mod slot;
+mod unknown;
 
 pub use board::{Board, Placement, Ticket};
 pub use cache::PromptCache;
--- a/components/routing/src/placement/board.rs
+++ b/components/routing/src/placement/board.rs
@@ -9,7 +9,9 @@
 use rand::{Rng, RngExt};
 
 use crate::endpoint::Reading;
+use crate::placement::mix::Mix;
 use crate::placement::slot::Slot;
+use crate::placement::unknown::Unknown;
 use crate::placement::{beginnings, endpoint_hash, PeerDispatch, Verdict, Work};
 use crate::rendezvous::weight;
 
@@ -55,11 +57,6 @@
 const AMONG_HEAVY_MS: f64 = 200.0;
 /// Cost of a heavy prompt among light ones, in milliseconds.
 const AMONG_LIGHT_MS: f64 = 200.0;
-/// Weight of a request in the running share of light prompts.
-const SHARE_WEIGHT: f64 = 0.002;
-/// Part of their share of the engines that light prompts get: heavy ones need the room more, since
-/// they hold each other up.
-const LIGHT_PART: f64 = 0.7;
 /// Part of its slots that a group of engines may need before it gets more engines.
 const GROUP_UTILIZATION: f64 = 0.6;
 /// Endpoints weighed for each request of others that is not known yet, in parts of them all.
@@ -121,80 +118,6 @@
     }
 }
 
-// What light prompts ask for beside all prompts of a service, as running means.
-#[derive(Clone, Copy, Debug)]
-struct Mix {
-    light_tokens: f64,
-    tokens: f64,
-    light_hold_ms: f64,
-    hold_ms: f64,
-}
-
-impl Default for Mix {
-    // Half and half, until requests say otherwise.
-    fn default() -> Self {
-        Mix {
-            light_tokens: 500.0,
-            tokens: 1000.0,
-            light_hold_ms: 500.0,
-            hold_ms: 1000.0,
-        }
-    }
-}
-
-impl Mix {
-    fn note(&mut self, tokens: f64, hold_ms: f64, heavy: bool) {
-        let light = if heavy { 0.0 } else { 1.0 };
-        self.light_tokens += (light * tokens - self.light_tokens) * SHARE_WEIGHT;
-        self.tokens += (tokens - self.tokens) * SHARE_WEIGHT;
-        self.light_hold_ms += (light * hold_ms - self.light_hold_ms) * SHARE_WEIGHT;
-        self.hold_ms += (hold_ms - self.hold_ms) * SHARE_WEIGHT;
-    }
-
-    // Engines of `all` for light prompts: by the tokens they ask for, unless their slots or those
-    // of the heavy ones would run out. `needed` engines hold everything that runs now.
-    fn light_engines(&self, all: usize, needed: f64) -> usize {
-        let by_tokens = self.light_tokens / self.tokens * LIGHT_PART * all as f64;
-        let running = self.light_hold_ms / self.hold_ms.max(1.0);
-        let (light, heavy) = (running * needed, (1.0 - running) * needed);
-        let count = match needed > all as f64 {
-            true => running * all as f64,
-            false => by_tokens.clamp(light, all as f64 - heavy),
-        };
-        (count.round() as usize).clamp(1, all - 1)
-    }
-}
-
-// Requests that others have sent and not told yet, from the age of what they tell: by Little's law
-// the sum of the ages told in a second.
-#[derive(Debug, Default)]
-struct Unknown {
-    second: u64,
-    sum: f64,
-    last: f64,
-}
-
-impl Unknown {
-    fn note(&mut self, now: Duration, age: Duration) {
-        self.count(now);
-        self.sum += age.as_secs_f64();
-    }
-
-    fn count(&mut self, now: Duration) -> f64 {
-        let second = now.as_secs();
-        if second > self.second {
-            self.last = if second == self.second + 1 {
-                self.sum
-            } else {
-                0.0
-            };
-            self.second = second;
-            self.sum = 0.0;
-        }
-        self.last
-    }
-}
-
 /// Everything known of the endpoints of all services.
 #[derive(Debug)]
 pub struct Board {
--- a/components/schema/src/messages.rs
+++ b/components/schema/src/messages.rs
@@ -2057,8 +2057,6 @@
     pub peers: Vec<String>,
     /// Whether the sender stops.
     pub stopping: bool,
-    /// Requests running at the sender, by service.
-    pub running: BTreeMap<String, i32>,
 }
 
 impl GatewayNews {
@@ -2072,7 +2070,6 @@
         lease_epoch: i64,
         peers: Vec<String>,
         stopping: bool,
-        running: BTreeMap<String, i32>,
     ) -> GatewayNews {
         GatewayNews {
             gateway,
@@ -2084,7 +2081,6 @@
             lease_epoch,
             peers,
             stopping,
-            running,
         }
     }
 }
@@ -2101,7 +2097,6 @@
         let mut f_7: Option<i64> = None;
         let mut f_8: Option<Vec<String>> = None;
         let mut f_9: Option<bool> = None;
-        let mut f_10: Option<BTreeMap<String, i32>> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -2170,17 +2165,6 @@
                     let val = i_prot.read_bool()?;
                     f_9 = Some(val);
                 }
-                10 => {
-                    let map_ident = i_prot.read_map_begin()?;
-                    let mut val: BTreeMap<String, i32> = BTreeMap::new();
-                    for _ in 0..map_ident.size {
-                        let map_key_14 = i_prot.read_string()?;
-                        let map_val_15 = i_prot.read_i32()?;
-                        val.insert(map_key_14, map_val_15);
-                    }
-                    i_prot.read_map_end()?;
-                    f_10 = Some(val);
-                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -2197,7 +2181,6 @@
         verify_required_field_exists("GatewayNews.lease_epoch", &f_7)?;
         verify_required_field_exists("GatewayNews.peers", &f_8)?;
         verify_required_field_exists("GatewayNews.stopping", &f_9)?;
-        verify_required_field_exists("GatewayNews.running", &f_10)?;
         let ret = GatewayNews {
             gateway: f_1
                 .expect("auto-generated code should have checked for presence of required fields"),
@@ -2217,8 +2200,6 @@
                 .expect("auto-generated code should have checked for presence of required fields"),
             stopping: f_9
                 .expect("auto-generated code should have checked for presence of required fields"),
-            running: f_10
-                .expect("auto-generated code should have checked for presence of required fields"),
         };
         Ok(ret)
     }
@@ -2282,18 +2263,6 @@
         o_prot.write_field_begin(&TFieldIdentifier::new("stopping", TType::Bool, 9))?;
         o_prot.write_bool(self.stopping)?;
         o_prot.write_field_end()?;
-        o_prot.write_field_begin(&TFieldIdentifier::new("running", TType::Map, 10))?;
-        o_prot.write_map_begin(&TMapIdentifier::new(
-            TType::String,
-            TType::I32,
-            self.running.len() as i32,
-        ))?;
-        for (k, v) in &self.running {
-            o_prot.write_string(k)?;
-            o_prot.write_i32(*v)?;
-        }
-        o_prot.write_map_end()?;
-        o_prot.write_field_end()?;
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -2403,9 +2372,9 @@
                     let map_ident = i_prot.read_map_begin()?;
                     let mut val: BTreeMap<String, i64> = BTreeMap::new();
                     for _ in 0..map_ident.size {
-                        let map_key_16 = i_prot.read_string()?;
-                        let map_val_17 = i_prot.read_i64()?;
-                        val.insert(map_key_16, map_val_17);
+                        let map_key_14 = i_prot.read_string()?;
+                        let map_val_15 = i_prot.read_i64()?;
+                        val.insert(map_key_14, map_val_15);
                     }
                     i_prot.read_map_end()?;
                     f_1 = Some(val);
--- a/components/schema/thrift/messages.thrift
+++ b/components/schema/thrift/messages.thrift
@@ -216,8 +216,6 @@
   8: required list<string> peers,
   /** Whether the sender stops. */
   9: required bool stopping,
-  /** Requests running at the sender, by service. */
-  10: required map<string, i32> running,
 }
 
 /** Row of one gateway in the store: where the others reach it. */
