--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -29,7 +29,7 @@
 }
 
 named! {
-    /// Counters; docs/operations.md lists them.
+    /// Counters; docs/OPERATIONS.md lists them.
     Counter {
         /// Requests accepted for work.
         Accepted => "request.accepted",
@@ -85,7 +85,7 @@
 }
 
 named! {
-    /// Timers; docs/operations.md lists them.
+    /// Timers; docs/OPERATIONS.md lists them.
     Timer {
         /// From a request's arrival to its first token or service answer.
         FirstToken => "time.first_token",
