Pin that gateways with old news keep the limit together

Ruled out by these tests: 83 gateways that tell each other every 0.5 s, a tenant asking for twelve times its limit: within a tenth over the limit in every window. The cause is elsewhere and open. Change: two tests, both pass; no code.

--- a/components/limits/tests/fleet.rs
+++ b/components/limits/tests/fleet.rs
@@ -100,3 +100,47 @@
         })
     }
 }
+
+/// Most units admitted in any 8 s by gateways that tell each other their totals once in `pause` ms,
+/// each at another moment, while a tenant asks for twelve times its limit.
+fn most_in_a_window(gateways: u64, pause: u64) -> u64 {
+    const UNITS: u64 = 10;
+    let mut quotas: Vec<SharedQuota> = (0..gateways)
+        .map(|_| SharedQuota::new(Duration::ZERO, LIMIT))
+        .collect();
+    let asked_every = gateways * 1000 * UNITS / (12 * LIMIT.rate as u64);
+    let mut admitted: Vec<u64> = Vec::new();
+    for now in 0..20_000 {
+        let mut sum = 0;
+        for (i, quota) in quotas.iter_mut().enumerate() {
+            let asks = (now + i as u64 * 7) % asked_every == 0;
+            if asks && quota.take(ms(now), UNITS).is_ok() {
+                sum += UNITS;
+            }
+        }
+        admitted.push(sum);
+        for told in 0..gateways {
+            if (now + told * pause / gateways) % pause == 0 {
+                let total = quotas[told as usize].taken();
+                let others = quotas.iter_mut().enumerate();
+                for (_, quota) in others.filter(|(i, _)| *i != told as usize) {
+                    quota.hear(ms(now), &told.to_string(), 1, total, true);
+                }
+            }
+        }
+    }
+    let windows = admitted.windows(8000).map(|window| window.iter().sum());
+    windows.max().unwrap_or(0)
+}
+
+#[test]
+fn eight_gateways_keep_a_tenth_over_the_limit_in_every_window() {
+    let most = most_in_a_window(8, 100);
+    assert!(most <= 9_900, "{most}");
+}
+
+#[test]
+fn many_gateways_with_old_news_keep_a_tenth_over_the_limit_in_every_window() {
+    let most = most_in_a_window(83, 500);
+    assert!(most <= 9_900, "{most}");
+}
