--- a/components/limits/tests/fleet.rs
+++ b/components/limits/tests/fleet.rs
@@ -113,14 +113,14 @@
     for now in 0..20_000 {
         let mut sum = 0;
         for (i, quota) in quotas.iter_mut().enumerate() {
-            let asks = (now + i as u64 * 7) % asked_every == 0;
+            let asks = (now + i as u64 * 7).is_multiple_of(asked_every);
             if asks && quota.take(ms(now), UNITS).is_ok() {
                 sum += UNITS;
             }
         }
         admitted.push(sum);
         for told in 0..gateways {
-            if (now + told * pause / gateways) % pause == 0 {
+            if (now + told * pause / gateways).is_multiple_of(pause) {
                 let total = quotas[told as usize].taken();
                 let others = quotas.iter_mut().enumerate();
                 for (_, quota) in others.filter(|(i, _)| *i != told as usize) {
