Write the last log lines out before the process ends

The loggers of both threads live to the end, so nothing flushed the queue. Ruled out: the stop itself (exit code 0, the lines before it were there). Change: the logger comes with a guard that flushes when dropped; the gateway command keeps it to its end.

--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -4,6 +4,6 @@
 mod metrics;
 mod trace;
 
-pub use log::{discard, logger, stdout_logger};
+pub use log::{discard, logger, stdout_logger, LogGuard};
 pub use metrics::{Counter, Metrics, Timer};
 pub use trace::{Hop, Traces};
--- a/components/telemetry/src/log.rs
+++ b/components/telemetry/src/log.rs
@@ -17,11 +17,20 @@
     Logger::root(drain.fuse(), o!("node" => node.to_string()))
 }
 
+/// Writes out the lines that wait when it is dropped.
+#[must_use = "lines that wait are lost without it"]
+pub struct LogGuard {
+    _guard: slog_async::AsyncGuard,
+}
+
 /// A logger that writes JSON lines to standard output and never blocks: lines that find the queue
-/// full are dropped and counted.
-pub fn stdout_logger(node: &str) -> Logger {
+/// full are dropped and counted. Keep the guard until the process ends.
+pub fn stdout_logger(node: &str) -> (Logger, LogGuard) {
     let json = slog_json::Json::default(std::io::stdout()).fuse();
-    Logger::root(queue(json).fuse(), o!("node" => node.to_string()))
+    let queue = slog_async::Async::new(json).chan_size(QUEUE);
+    let (queue, guard) = queue.build_with_guard();
+    let logger = Logger::root(queue.fuse(), o!("node" => node.to_string()));
+    (logger, LogGuard { _guard: guard })
 }
 
 /// A logger that writes nothing, for tests and embedded use.
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -22,7 +22,7 @@
             return Ok(ExitCode::from(EXIT_FAULTS));
         }
     };
-    let log = telemetry::stdout_logger(&settings.name);
+    let (log, _written_at_end) = telemetry::stdout_logger(&settings.name);
     let store: SocketAddr = address(&settings.store)?;
     let orders: Option<SocketAddr> = settings.orders.parse().ok();
     let parts = Parts {
