--- a/components/directory/src/clock.rs
+++ b/components/directory/src/clock.rs
@@ -32,6 +32,16 @@
         let micros = (stamp.as_micros() as i128 + best).max(0);
         Duration::from_micros(micros as u64).clamp(sent, received)
     }
+
+    /// The earliest moment at which the store's time can have been `stamp`, or `None` if no answer
+    /// of this store has bounded it.
+    pub fn moment(&self, stamp: Duration, now: Duration) -> Option<Duration> {
+        let (offset, at) = self.offset?;
+        let micros = stamp.as_micros() as i128 + offset - drift(at, now);
+        let moment = Duration::from_micros(u64::try_from(micros).ok()?);
+        // A later one than now was stamped by another store.
+        (moment <= now).then_some(moment)
+    }
 }
 
 fn drift(since: Duration, now: Duration) -> i128 {
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -3,10 +3,11 @@
 mod duties;
 mod exchange;
 mod follow;
+mod passing;
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -14,19 +15,23 @@
 
 use directory::{Configuration, Endpoint, StoreClock};
 use fleet::Scaler;
+use replica::{Follower, Source as AskFirst};
 use schema::settings::GatewaySettings;
 use slog::{info, warn, Logger};
 use state::{Lease, LeaseTerms};
 use telemetry::Metrics;
 use tokio::runtime::Builder;
+use tokio::sync::Notify;
 use tokio::task::LocalSet;
 use usage::{Ledger, Reporter, Source, Terms};
 
 use crate::clock::Clock;
 use crate::control::duties::Demand;
+use crate::control::follow::Followed;
+pub(crate) use crate::control::passing::{name_of, topic_of, PASSED_ON};
 use crate::freshness::Freshness;
 use crate::peers::{PeerCount, Peers};
-use crate::ports::{Orders, Store};
+use crate::ports::{Orders, Store, Topic};
 use crate::run::{ReadSettings, Signals};
 use crate::tally::{Sent, ServiceLoad, Tally};
 use crate::traffic::Update;
@@ -44,8 +49,19 @@
 /// Part of the time within which usage is due after which a window is settled.
 const SETTLE_PART: f64 = 0.45;
 
+/// Sockets over which gateways talk to each other.
+pub(crate) struct PeerSockets {
+    /// For news.
+    pub news: UdpSocket,
+    /// For rows.
+    pub rows: TcpListener,
+    /// Address of both.
+    pub address: SocketAddr,
+}
+
 /// What a control thread is made of.
 pub(crate) struct ControlParts {
+    pub sockets: PeerSockets,
     pub settings: Arc<GatewaySettings>,
     pub read_settings: ReadSettings,
     pub signals: Signals,
@@ -61,6 +77,9 @@
 pub(crate) struct Known {
     pub settings: Arc<GatewaySettings>,
     pub configuration: Option<Arc<Configuration>>,
+    // Whether the newest configuration could be read; else the one in force is not the newest.
+    pub configuration_readable: bool,
+    pub followed: BTreeMap<Topic, Followed>,
     pub endpoints: BTreeMap<String, Endpoint>,
     pub store_clock: StoreClock,
     pub peers: Peers,
@@ -92,6 +111,9 @@
     pub log: Logger,
     pub updates: flume::Sender<Update>,
     pub source: Source,
+    pub peer_address: SocketAddr,
+    /// Something is to be told to the other gateways at once.
+    pub urgent: Notify,
     pub started_wall: Duration,
     pub known: RefCell<Known>,
     pub store: S,
@@ -105,16 +127,17 @@
             gateway: settings.name.clone(),
             incarnation: parts.clock.wall().as_millis() as i64,
         };
-        let own: Option<SocketAddr> = settings.peers.parse().ok();
-        let mut peers = Peers::new(own.unwrap_or_else(|| SocketAddr::from(([0, 0, 0, 0], 0))));
+        let mut peers = Peers::new(parts.sockets.address);
         for seed in settings.seeds.iter().filter_map(|seed| seed.parse().ok()) {
             peers.learn(Duration::ZERO, seed);
         }
         let known = Known {
             lease: Lease::new(lease_terms(&settings)),
             reporter: Reporter::new(usage_terms(&settings)),
+            followed: followed_topics(&settings),
             settings,
             configuration: None,
+            configuration_readable: true,
             endpoints: BTreeMap::new(),
             store_clock: StoreClock::default(),
             peers,
@@ -158,45 +181,91 @@
             log: parts.log,
             updates: parts.updates,
             source: self.source,
+            peer_address: parts.sockets.address,
+            urgent: Notify::new(),
             started_wall: parts.clock.wall(),
             known: RefCell::new(self.known),
             store: store(),
             orders: orders(),
         });
-        let tasks = all_tasks(shared, parts.tallies, parts.signals, parts.read_settings);
+        let tasks = all_tasks(
+            shared,
+            parts.sockets,
+            parts.tallies,
+            parts.signals,
+            parts.read_settings,
+        );
         local.block_on(&runtime, tasks);
     }
 }
 
 async fn all_tasks<S: Store + 'static, O: Orders + 'static>(
     shared: Rc<Shared<S, O>>,
+    sockets: PeerSockets,
     tallies: flume::Receiver<Tally>,
     signals: Signals,
     read_settings: ReadSettings,
 ) {
-    tokio::task::spawn_local(Rc::clone(&shared).follow_configuration());
-    tokio::task::spawn_local(Rc::clone(&shared).follow_endpoints());
+    for topic in PASSED_ON {
+        tokio::task::spawn_local(Rc::clone(&shared).follow(topic));
+    }
     tokio::task::spawn_local(Rc::clone(&shared).carry_out_duties());
-    let address: Option<SocketAddr> = shared.known.borrow().settings.peers.parse().ok();
-    let socket = match address {
-        Some(address) => tokio::net::UdpSocket::bind(address).await,
-        None => Err(std::io::Error::from(std::io::ErrorKind::InvalidInput)),
-    };
-    match socket {
-        Ok(socket) => {
-            let socket = Rc::new(socket);
-            tokio::task::spawn_local(Rc::clone(&shared).announce());
-            tokio::task::spawn_local(Rc::clone(&shared).hear(Rc::clone(&socket)));
-            tokio::task::spawn_local(Rc::clone(&shared).tell(socket, tallies));
-        }
-        Err(error) => {
-            warn!(shared.log, "no exchange with other gateways; free the peer address";
-                "cause" => %error);
-        }
+    if let Err(error) = exchange(&shared, sockets, tallies) {
+        warn!(shared.log, "no exchange with other gateways; raise the limit of descriptors";
+            "cause" => %error);
     }
     shared.tick(signals, read_settings).await;
 }
 
+fn exchange<S: Store + 'static, O: Orders + 'static>(
+    shared: &Rc<Shared<S, O>>,
+    sockets: PeerSockets,
+    tallies: flume::Receiver<Tally>,
+) -> std::io::Result<()> {
+    let rows = tokio::net::TcpListener::from_std(sockets.rows)?;
+    let news = Rc::new(tokio::net::UdpSocket::from_std(sockets.news)?);
+    tokio::task::spawn_local(Rc::clone(shared).pass_on(rows));
+    tokio::task::spawn_local(Rc::clone(shared).announce());
+    tokio::task::spawn_local(Rc::clone(shared).hear(Rc::clone(&news)));
+    tokio::task::spawn_local(Rc::clone(shared).tell(news, tallies));
+    Ok(())
+}
+
+impl Known {
+    /// How a topic that is passed on is followed.
+    pub fn followed_mut(&mut self, topic: Topic) -> &mut Followed {
+        let settings = &self.settings;
+        let followed = self.followed.entry(topic);
+        followed.or_insert_with(|| follow(topic, settings))
+    }
+
+    /// Whether the store answered the last call.
+    pub fn reaches_store(&self) -> bool {
+        let mut followed = self.followed.values();
+        followed.all(|followed| followed.follower.reaches_store())
+    }
+}
+
+fn followed_topics(settings: &GatewaySettings) -> BTreeMap<Topic, Followed> {
+    let topics = PASSED_ON.into_iter();
+    topics
+        .map(|topic| (topic, follow(topic, settings)))
+        .collect()
+}
+
+// A configuration is large, and changes seldom.
+fn follow(topic: Topic, settings: &GatewaySettings) -> Followed {
+    let first = match topic {
+        Topic::Configuration => AskFirst::Store,
+        _ => AskFirst::Peer,
+    };
+    Followed::new(Follower::new(first, longest_age(settings)))
+}
+
+fn longest_age(settings: &GatewaySettings) -> Duration {
+    Duration::from_millis(settings.credential_age_ms.max(0) as u64)
+}
+
 impl<S: Store + 'static, O: Orders + 'static> Shared<S, O> {
     async fn tick(self: Rc<Self>, signals: Signals, read_settings: ReadSettings) {
         let mut looked_at = Duration::ZERO;
@@ -231,6 +300,10 @@
             return;
         }
         info!(self.log, "settings reloaded"; "asked" => asked);
+        let age = longest_age(&settings);
+        for followed in known.followed.values_mut() {
+            followed.follower.set_longest_age(age);
+        }
         known.settings = Arc::new(settings);
         let _ = self
             .updates
--- a/components/gateway/src/control/exchange.rs
+++ b/components/gateway/src/control/exchange.rs
@@ -4,13 +4,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use schema::messages::{GatewayNews, GatewayRow};
+use schema::messages::{GatewayNews, GatewayRow, TopicHead};
 use slog::{info, warn};
 use telemetry::Counter;
 use tokio::net::UdpSocket;
 use usage::Source;
 
-use crate::control::Shared;
+use crate::control::{Known, Shared};
 use crate::news;
 use crate::peers::Hearing;
 use crate::ports::{Orders, Store, Topic};
@@ -39,7 +39,7 @@
     pub async fn announce(self: Rc<Self>) {
         let settings = self.known.borrow().settings.clone();
         let row = GatewayRow {
-            address: settings.peers.clone(),
+            address: self.peer_address.to_string(),
             incarnation: self.source.incarnation,
         };
         let value = schema::encode(&row).unwrap_or_default();
@@ -72,8 +72,14 @@
 
     /// Takes tallies of the traffic thread and tells the other gateways.
     pub async fn tell(self: Rc<Self>, socket: Rc<UdpSocket>, tallies: flume::Receiver<Tally>) {
-        while let Ok(tally) = tallies.recv_async().await {
-            let urgent = self.take_tally(tally);
+        loop {
+            let urgent = tokio::select! {
+                tally = tallies.recv_async() => match tally {
+                    Ok(tally) => self.take_tally(tally),
+                    Err(_) => return,
+                },
+                () = self.urgent.notified() => true,
+            };
             let now = self.clock.now();
             let due = self.known.borrow().told_at + self.pause();
             if !urgent && now < due {
@@ -163,6 +169,8 @@
                 .map(SocketAddr::to_string)
                 .collect(),
             stopping: self.freshness.is_stopping(),
+            heads: Some(heads_of(&known)),
+            reaches_store: Some(known.reaches_store()),
         };
         let targets = known.peers.targets().into_iter().collect();
         (schema::encode(&message).unwrap_or_default(), targets)
@@ -175,9 +183,7 @@
         self.metrics.count(Counter::PacketsTaken);
         let now = self.clock.now();
         let mut known = self.known.borrow_mut();
-        let heard = known
-            .peers
-            .hear(now, &news.gateway, from, news.incarnation, news.sequence);
+        let heard = known.peers.hear(now, news::greeting(news, from));
         let source = Source {
             gateway: news.gateway.clone(),
             incarnation: news.incarnation,
@@ -205,6 +211,9 @@
             known.demand.add(at, dispatch.endpoint, tokens);
         }
         drop(known);
+        for (topic, told) in news::heard_heads(news) {
+            self.hear_told(topic, told, from);
+        }
         if !dispatches.is_empty() {
             self.update(Update::PeerSent(dispatches));
         }
@@ -222,3 +231,10 @@
         }
     }
 }
+
+fn heads_of(known: &Known) -> Vec<TopicHead> {
+    let followed = known.followed.iter();
+    followed
+        .filter_map(|(topic, followed)| news::head_of(*topic, followed.told()?))
+        .collect()
+}
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -1,152 +1,248 @@
-//! Following the store: the configuration and the endpoints.
+//! Following the store: the configuration and the endpoints, from the store or from other gateways.
 
-use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use replica::{Change, Follower, Step, Table, Told};
 use slog::{info, warn};
 use telemetry::Counter;
+use tokio::sync::Notify;
 
 use crate::control::Shared;
 use crate::ports::{Orders, Row, Rows, Store, StoreError, Topic};
 use crate::traffic::Update;
 
-/// Part of the longest age of a confirmation for which a call about the configuration is held.
-const CONFIRM_PART: f64 = 0.44;
 /// Pause after changes of endpoints: those that follow soon come with one answer. It is well within
 /// the time that a leaving endpoint goes on serving.
-const GATHER_PAUSE: Duration = Duration::from_millis(500);
-/// Longest time a call is held.
-const LONGEST_WAIT: Duration = Duration::from_secs(10);
-/// Pause after a failed call.
-const FAILED_PAUSE: Duration = Duration::from_millis(150);
-
-/// What is known of a topic: up to which revision, and whether the store answered last.
-struct Position {
-    topic: Topic,
-    revision: Option<u64>,
-    answered: bool,
+const GATHER_PAUSE: Duration = Duration::from_millis(250);
+/// Gateways that hold calls at the store: one may be cut off or die unnoticed.
+pub(crate) const WATCHERS: usize = 2;
+
+/// One topic as it is known here.
+#[derive(Debug)]
+pub(crate) struct Followed {
+    /// Its rows.
+    pub table: Table,
+    /// How it is followed.
+    pub follower: Follower,
+    /// The store's steady time at which the rows were confirmed to be the newest.
+    pub confirmed: Duration,
+    /// The gateway that told of newer changes, and what it told.
+    pub newer: Option<(SocketAddr, Told)>,
+    /// Ends a rest.
+    pub wake: Arc<Notify>,
+    // Whether the store's last answer was logged as missing.
+    reported_missing: bool,
 }
 
-impl<S: Store + 'static, O: Orders + 'static> Shared<S, O> {
-    /// Follows the configuration until the process ends.
-    pub async fn follow_configuration(self: Rc<Self>) {
-        let mut position = Position {
-            topic: Topic::Configuration,
-            revision: None,
-            answered: true,
-        };
-        loop {
-            let longest = self.known.borrow().settings.credential_age_ms.max(0) as u64;
-            let wait = match longest {
-                0 => LONGEST_WAIT,
-                ms => LONGEST_WAIT.min(Duration::from_millis(ms).mul_f64(CONFIRM_PART)),
-            };
-            // The rows were taken before they were confirmed.
-            let _ = self.next(&mut position, wait).await;
+impl Followed {
+    /// Nothing known yet.
+    pub fn new(follower: Follower) -> Self {
+        Followed {
+            table: Table::default(),
+            follower,
+            confirmed: Duration::ZERO,
+            newer: None,
+            wake: Arc::new(Notify::new()),
+            reported_missing: false,
         }
     }
 
-    /// Follows the endpoints until the process ends.
-    pub async fn follow_endpoints(self: Rc<Self>) {
-        let mut position = Position {
-            topic: Topic::Endpoints,
-            revision: None,
-            answered: true,
-        };
+    /// What is told to other gateways, once anything is known.
+    pub fn told(&self) -> Option<Told> {
+        self.table.known_to()?;
+        Some(Told {
+            changed_at: self.table.changed_at(),
+            confirmed: self.confirmed,
+        })
+    }
+}
+
+impl<S: Store + 'static, O: Orders + 'static> Shared<S, O> {
+    /// Follows a topic until the process ends.
+    pub async fn follow(self: Rc<Self>, topic: Topic) {
+        let wake = Arc::clone(&self.known.borrow().followed[&topic].wake);
         loop {
-            let Some((rows, whole)) = self.next(&mut position, LONGEST_WAIT).await else {
-                continue;
-            };
-            if whole {
-                self.drop_unlisted(&rows);
-            }
-            for row in &rows {
-                self.take_endpoint(row);
+            match self.next_step(topic) {
+                Step::Rest(time) => {
+                    let _ = tokio::time::timeout(time, wake.notified()).await;
+                }
+                Step::Pull => self.pull(topic).await,
+                Step::List => {
+                    let sent = self.clock.now();
+                    let result = self.store.list(topic).await;
+                    self.take_result(topic, sent, result, true);
+                }
+                Step::Changes { hold } => self.ask_for_changes(topic, hold).await,
             }
-            tokio::time::sleep(GATHER_PAUSE).await;
         }
     }
 
-    // The next rows of a topic, and whether these are all of them.
-    async fn next(&self, position: &mut Position, wait: Duration) -> Option<(Vec<Row>, bool)> {
+    fn next_step(&self, topic: Topic) -> Step {
+        let now = self.clock.now();
+        let known = self.known.borrow();
+        let followed = &known.followed[&topic];
+        let watches = known
+            .peers
+            .is_among_first(&self.source.gateway, now, WATCHERS);
+        let rows_known = followed.table.known_to().is_some();
+        followed.follower.step(now, watches, rows_known)
+    }
+
+    async fn ask_for_changes(&self, topic: Topic, hold: Duration) {
+        let after = self.known.borrow().followed[&topic].table.known_to();
         let sent = self.clock.now();
-        // After a failure the store is asked at once how things stand.
-        let wait = if position.answered {
-            wait
-        } else {
-            Duration::ZERO
-        };
+        let result = self.store.changes(topic, after.unwrap_or(0), hold).await;
+        let changed = self.take_result(topic, sent, result, false);
+        if changed && topic == Topic::Endpoints {
+            tokio::time::sleep(GATHER_PAUSE).await;
+        }
+    }
+
+    // Returns whether anything changed.
+    fn take_result(
+        &self,
+        topic: Topic,
+        sent: Duration,
+        result: Result<Rows, StoreError>,
+        whole: bool,
+    ) -> bool {
         self.metrics.count(Counter::TableCalls);
-        let result = match position.revision {
-            None => self.store.list(position.topic).await,
-            Some(revision) => self.store.changes(position.topic, revision, wait).await,
-        };
         match result {
-            Ok(rows) => {
-                let whole = position.revision.is_none();
-                self.note_answer(position, sent, &rows);
-                position.revision = Some(rows.revision);
-                Some((rows.rows, whole))
-            }
+            Ok(rows) => self.take_rows(topic, sent, rows, whole),
             Err(error) => {
-                self.note_failure(position, &error);
-                tokio::time::sleep(FAILED_PAUSE).await;
-                None
+                self.note_failure(topic, &error);
+                false
             }
         }
     }
 
-    fn note_answer(&self, position: &mut Position, sent: Duration, rows: &Rows) {
-        if !position.answered {
-            info!(self.log, "store answers again"; "topic" => ?position.topic);
-        }
-        position.answered = true;
+    fn take_rows(&self, topic: Topic, sent: Duration, rows: Rows, whole: bool) -> bool {
         let received = self.clock.now();
-        let made = {
+        let (made, was_missing) = {
             let mut known = self.known.borrow_mut();
-            known.store_clock.earliest(sent, received, rows.stamp)
+            let made = known.store_clock.earliest(sent, received, rows.stamp);
+            let followed = known.followed_mut(topic);
+            followed.follower.store_answered(rows.revision);
+            (made, std::mem::take(&mut followed.reported_missing))
         };
-        if position.topic == Topic::Configuration {
-            // What is confirmed has to be in force first.
-            rows.rows
-                .iter()
-                .for_each(|row| self.take_configuration(row));
-            if self.known.borrow().configuration.is_some() {
-                self.freshness.confirm(made);
+        if was_missing {
+            info!(self.log, "store answers again"; "topic" => ?topic);
+        }
+        let changes = rows.rows.into_iter().map(change_of).collect();
+        let changed = self.take_changes(topic, changes, rows.revision, whole);
+        // What is confirmed has to be in force first.
+        self.confirm(topic, rows.stamp, made);
+        if changed {
+            self.urgent.notify_one();
+        }
+        changed
+    }
+
+    /// Takes rows of the store or of another gateway, and returns whether anything changed.
+    pub fn take_changes(
+        &self,
+        topic: Topic,
+        changes: Vec<Change>,
+        known_to: u64,
+        whole: bool,
+    ) -> bool {
+        let news = {
+            let mut known = self.known.borrow_mut();
+            let followed = known.followed_mut(topic);
+            let news = match whole {
+                true => followed.table.take_all(changes, known_to),
+                false => followed.table.take(changes, known_to),
+            };
+            let changed_at = followed.table.changed_at();
+            followed.follower.caught_up(changed_at);
+            news
+        };
+        for change in &news {
+            match topic {
+                Topic::Configuration => self.take_configuration(change),
+                Topic::Endpoints => self.take_endpoint(change),
+                Topic::Gateways | Topic::Lease | Topic::Usage => {}
             }
         }
+        !news.is_empty()
+    }
+
+    // The rows known here were the newest at `stamp` of the store, which is `at` here.
+    fn confirm(&self, topic: Topic, stamp: Duration, at: Duration) {
+        let mut known = self.known.borrow_mut();
+        let followed = known.followed_mut(topic);
+        followed.confirmed = followed.confirmed.max(stamp);
+        followed.follower.confirmed(at);
+        let in_force = known.configuration.is_some() && known.configuration_readable;
+        if topic == Topic::Configuration && in_force {
+            self.freshness.confirm(at);
+        }
+    }
+
+    /// Another gateway told how far it knows a topic.
+    pub fn hear_told(&self, topic: Topic, told: Told, from: SocketAddr) {
+        let mut known = self.known.borrow_mut();
+        let followed = known.followed_mut(topic);
+        if told.changed_at > followed.table.changed_at() {
+            followed.newer = Some((from, told));
+            followed.follower.newer_told(told.changed_at);
+            followed.wake.notify_one();
+            return;
+        }
+        drop(known);
+        self.confirm_told(topic, told);
     }
 
-    fn note_failure(&self, position: &mut Position, error: &StoreError) {
-        if position.answered {
-            warn!(self.log, "store does not answer"; "topic" => ?position.topic,
-                "cause" => %error);
+    /// What another gateway told confirms the rows known here, if nothing newer was told.
+    pub fn confirm_told(&self, topic: Topic, told: Told) {
+        let now = self.clock.now();
+        let known = self.known.borrow();
+        let followed = &known.followed[&topic];
+        let covers = followed.table.changed_at() >= told.changed_at;
+        let is_known = followed.table.known_to().is_some();
+        let is_news = told.confirmed > followed.confirmed;
+        let moment = known.store_clock.moment(told.confirmed, now);
+        drop(known);
+        if let Some(at) = moment.filter(|_| covers && is_known && is_news) {
+            self.confirm(topic, told.confirmed, at);
         }
+    }
+
+    fn note_failure(&self, topic: Topic, error: &StoreError) {
         self.metrics.count(Counter::PlatformUnanswered);
-        position.answered = false;
+        let now = self.clock.now();
+        let mut known = self.known.borrow_mut();
+        let followed = known.followed_mut(topic);
+        followed.follower.store_failed(now);
         if *error == StoreError::HistoryGone {
-            position.revision = None;
+            followed.table.restart();
+        }
+        if !std::mem::replace(&mut followed.reported_missing, true) {
+            warn!(self.log, "store does not answer"; "topic" => ?topic, "cause" => %error);
         }
     }
 
-    fn take_configuration(&self, row: &Row) {
-        if row.key != self.store.configuration_key() {
+    fn take_configuration(&self, change: &Change) {
+        if change.key != self.store.configuration_key() {
             return;
         }
-        let Some(value) = &row.value else {
+        let Some(value) = &change.value else {
             return;
         };
-        let configuration = match self.store.configuration(value) {
+        let read = self.store.configuration(value);
+        let mut known = self.known.borrow_mut();
+        known.configuration_readable = read.is_ok();
+        let configuration = match read {
             Ok(configuration) => configuration,
             Err(fault) => {
-                warn!(self.log, "configuration not readable; the old one stays in force";
-                    "revision" => row.revision, "cause" => fault.0);
+                warn!(self.log, "configuration not readable; the old one stays in force and is not confirmed";
+                    "revision" => change.revision, "cause" => fault.0);
                 return;
             }
         };
-        let mut known = self.known.borrow_mut();
         let in_force = known.configuration.as_ref().map(|c| c.version);
         if in_force.is_some_and(|version| version >= configuration.version) {
             return;
@@ -156,40 +252,30 @@
         let _ = self.updates.send(Update::Configuration(configuration));
     }
 
-    fn take_endpoint(&self, row: &Row) {
-        let Some(value) = &row.value else {
-            self.drop_endpoint(&row.key);
+    fn take_endpoint(&self, change: &Change) {
+        let Some(value) = &change.value else {
+            self.drop_endpoint(&change.key);
             return;
         };
-        let endpoint = match self.store.endpoint(&row.key, value) {
+        let endpoint = match self.store.endpoint(&change.key, value) {
             Ok(endpoint) => endpoint,
             Err(fault) => {
-                warn!(self.log, "endpoint not readable"; "endpoint" => &row.key,
+                warn!(self.log, "endpoint not readable"; "endpoint" => &change.key,
                     "cause" => fault.0);
                 return;
             }
         };
         let mut known = self.known.borrow_mut();
-        if known.endpoints.get(&row.key) == Some(&endpoint) {
+        if known.endpoints.get(&change.key) == Some(&endpoint) {
             return;
         }
-        info!(self.log, "endpoint changed"; "endpoint" => &row.key,
+        info!(self.log, "endpoint changed"; "endpoint" => &change.key,
             "service" => &endpoint.service, "state" => ?endpoint.state,
-            "revision" => row.revision);
-        known.endpoints.insert(row.key.clone(), endpoint.clone());
+            "revision" => change.revision);
+        known.endpoints.insert(change.key.clone(), endpoint.clone());
         let _ = self.updates.send(Update::Endpoint(endpoint));
     }
 
-    fn drop_unlisted(&self, rows: &[Row]) {
-        let listed: BTreeSet<&String> = rows.iter().map(|row| &row.key).collect();
-        let known = self.known.borrow();
-        let gone: Vec<String> = known.endpoints.keys().cloned().collect();
-        drop(known);
-        for id in gone.iter().filter(|id| !listed.contains(id)) {
-            self.drop_endpoint(id);
-        }
-    }
-
     fn drop_endpoint(&self, id: &str) {
         if self.known.borrow_mut().endpoints.remove(id).is_some() {
             info!(self.log, "endpoint gone"; "endpoint" => id);
@@ -197,3 +283,11 @@
         }
     }
 }
+
+fn change_of(row: Row) -> Change {
+    Change {
+        key: row.key,
+        value: row.value,
+        revision: row.revision,
+    }
+}
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod job;
 mod news;
 mod peers;
+mod plain;
 mod pool;
 pub mod ports;
 mod run;
--- a/components/gateway/src/news.rs
+++ b/components/gateway/src/news.rs
@@ -4,9 +4,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use replica::Told;
 use routing::placement::PeerDispatch;
-use schema::messages::{Dispatch, GatewayNews, WindowUsage};
+use schema::messages::{Dispatch, GatewayNews, TopicHead, WindowUsage};
 
+use crate::control::{name_of, topic_of};
+use crate::peers::Greeting;
+use crate::ports::Topic;
 use crate::tally::Sent;
 
 /// Dispatches told in one message, so that it fits into one datagram.
@@ -46,6 +50,40 @@
         .collect()
 }
 
+/// The sender of news that came from an address.
+pub(crate) fn greeting(news: &GatewayNews, from: SocketAddr) -> Greeting {
+    Greeting {
+        name: news.gateway.clone(),
+        address: from,
+        incarnation: news.incarnation,
+        sequence: news.sequence,
+        reaches_store: news.reaches_store.unwrap_or(true),
+    }
+}
+
+/// How far a topic is known, as it is told; `None` for topics that are not passed on.
+pub(crate) fn head_of(topic: Topic, told: Told) -> Option<TopicHead> {
+    Some(TopicHead {
+        topic: name_of(topic)?,
+        changed_at: told.changed_at as i64,
+        confirmed_us: told.confirmed.as_micros() as i64,
+    })
+}
+
+/// How far topics are known, as it was heard.
+pub(crate) fn heard_heads(news: &GatewayNews) -> Vec<(Topic, Told)> {
+    let heads = news.heads.iter().flatten();
+    heads
+        .filter_map(|head| {
+            let told = Told {
+                changed_at: head.changed_at.max(0) as u64,
+                confirmed: Duration::from_micros(head.confirmed_us.max(0) as u64),
+            };
+            Some((topic_of(head.topic)?, told))
+        })
+        .collect()
+}
+
 /// Usage as it is told.
 pub(crate) fn usage_of(window: i64, begun: BTreeMap<String, i64>) -> WindowUsage {
     WindowUsage { window, begun }
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -4,12 +4,16 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use routing::rank;
+
 /// A gateway not heard for this long is silent.
 const SILENT_AFTER: Duration = Duration::from_millis(1500);
 /// A silent gateway is forgotten after this long.
 const FORGET_AFTER: Duration = Duration::from_secs(20);
 /// An address from which nothing was heard is tried for this long.
 const TRY_ADDRESS_FOR: Duration = Duration::from_secs(20);
+/// Key of the order in which gateways hold calls at the store.
+const WATCH_KEY: u64 = 0x7761_7463;
 
 /// How many gateways there are.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -37,9 +41,25 @@
     address: SocketAddr,
     incarnation: i64,
     sequence: i64,
+    reaches_store: bool,
     heard_at: Duration,
 }
 
+/// What a message says of the gateway that sent it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Greeting {
+    /// Its name.
+    pub name: String,
+    /// Where the message came from.
+    pub address: SocketAddr,
+    /// Start of its process.
+    pub incarnation: i64,
+    /// Counter of its messages.
+    pub sequence: i64,
+    /// Whether the store answered its last call.
+    pub reaches_store: bool,
+}
+
 /// What a message of another gateway means.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Hearing {
@@ -78,30 +98,35 @@
     }
 
     /// A message came from a gateway.
-    pub fn hear(
-        &mut self,
-        now: Duration,
-        name: &str,
-        address: SocketAddr,
-        incarnation: i64,
-        sequence: i64,
-    ) -> Hearing {
-        if let Some(known) = self.peers.get(name) {
-            if (incarnation, sequence) <= (known.incarnation, known.sequence) {
+    pub fn hear(&mut self, now: Duration, greeting: Greeting) -> Hearing {
+        if let Some(known) = self.peers.get(&greeting.name) {
+            if (greeting.incarnation, greeting.sequence) <= (known.incarnation, known.sequence) {
                 return Hearing::Stale;
             }
         }
         let peer = Peer {
-            address,
-            incarnation,
-            sequence,
+            address: greeting.address,
+            incarnation: greeting.incarnation,
+            sequence: greeting.sequence,
+            reaches_store: greeting.reaches_store,
             heard_at: now,
         };
-        self.peers.insert(name.to_string(), peer);
-        self.addresses.remove(&address);
+        self.peers.insert(greeting.name, peer);
+        self.addresses.remove(&greeting.address);
         Hearing::News
     }
 
+    /// Whether a gateway is among the first `count` of those that are heard and reach the store, in
+    /// an order that all of them agree on.
+    pub fn is_among_first(&self, own: &str, now: Duration, count: usize) -> bool {
+        let heard = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.reaches_store && now < peer.heard_at + SILENT_AFTER);
+        let names = heard.map(|(name, _)| name.as_str());
+        rank(WATCH_KEY, names.chain([own]), count).contains(&own)
+    }
+
     /// A gateway says that it stops.
     pub fn leave(&mut self, name: &str) {
         self.peers.remove(name);
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -1,7 +1,7 @@
 //! Starting a gateway, and its planned stop.
 
 use std::fmt;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
@@ -18,16 +18,17 @@
 use tokio::task::LocalSet;
 
 use crate::clock::Clock;
-use crate::control::{Control, ControlParts};
+use crate::control::{Control, ControlParts, PeerSockets};
 use crate::freshness::Freshness;
 use crate::ports::{Dialect, Orders, Store};
-use crate::server::{bind, serve_callers, serve_metrics, serve_readiness};
+use crate::server::{bind, bind_std, serve_callers, serve_metrics, serve_readiness};
 use crate::traffic::{Traffic, TrafficParts, Update};
 
 /// Tallies that wait for the control thread; further ones are dropped.
 const TALLIES_WAITING: usize = 256;
 /// Pause between looks at whether a stop was asked for or is over.
 const STOP_LOOK: Duration = Duration::from_millis(100);
+const NOT_BOUND: &str = "an address could not be bound; free it or change it in the settings";
 /// A stop is over so long before the process would be killed.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
 
@@ -83,6 +84,7 @@
 /// A running gateway.
 pub struct Gateway {
     listening: Listening,
+    peer_address: SocketAddr,
     signals: Signals,
     traffic: JoinHandle<()>,
 }
@@ -103,9 +105,12 @@
         let (tallies, tallied) = flume::bounded(TALLIES_WAITING);
         let (updates, updated) = flume::unbounded();
         let signals = Signals::default();
+        let sockets = peer_sockets(&settings.peers)?;
+        let peer_address = sockets.address;
         info!(parts.log, "start"; "gateway" => &settings.name, "zone" => &settings.zone,
             "callers" => &settings.callers);
         let control = Control::new(ControlParts {
+            sockets,
             settings: Arc::clone(&settings),
             read_settings: parts.read_settings,
             signals: signals.clone(),
@@ -134,6 +139,7 @@
             .change_context(GatewayError("the traffic thread ended"))??;
         Ok(Gateway {
             listening,
+            peer_address,
             signals,
             traffic,
         })
@@ -144,6 +150,11 @@
         self.listening
     }
 
+    /// Where other gateways reach it.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
     /// Flags that signals set.
     pub fn signals(&self) -> &Signals {
         &self.signals
@@ -186,6 +197,33 @@
         .change_context(GatewayError("a thread could not start"))
 }
 
+// Binds one port for datagrams and connections; a free one, where the settings leave it open.
+fn peer_sockets(address: &str) -> Result<PeerSockets, Report<GatewayError>> {
+    const TRIES: usize = 20;
+    let address = parse(address)?;
+    let mut bound = bind_both(address);
+    for _ in 1..TRIES {
+        if bound.is_ok() || address.port() != 0 {
+            break;
+        }
+        bound = bind_both(address);
+    }
+    bound
+        .change_context(GatewayError(NOT_BOUND))
+        .attach_with(|| address.to_string())
+}
+
+fn bind_both(address: SocketAddr) -> std::io::Result<PeerSockets> {
+    let news = UdpSocket::bind(address)?;
+    news.set_nonblocking(true)?;
+    let address = news.local_addr()?;
+    Ok(PeerSockets {
+        news,
+        rows: bind_std(address)?,
+        address,
+    })
+}
+
 type Bound = flume::Sender<Result<Listening, Report<GatewayError>>>;
 
 fn run_traffic<D: Dialect + 'static>(
@@ -289,12 +327,15 @@
 }
 
 fn listen(address: &str) -> Result<TcpListener, Report<GatewayError>> {
-    const MESSAGE: &str = "an address could not be bound; free it or change it in the settings";
-    let parsed: SocketAddr = address
-        .parse()
-        .change_context(GatewayError(MESSAGE))
-        .attach_with(|| address.to_string())?;
+    let parsed = parse(address)?;
     bind(parsed)
-        .change_context(GatewayError(MESSAGE))
+        .change_context(GatewayError(NOT_BOUND))
+        .attach_with(|| address.to_string())
+}
+
+fn parse(address: &str) -> Result<SocketAddr, Report<GatewayError>> {
+    address
+        .parse()
+        .change_context(GatewayError(NOT_BOUND))
         .attach_with(|| address.to_string())
 }
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -8,8 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
-use http_body_util::Full;
+use http::{Request, StatusCode};
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
@@ -19,6 +18,7 @@
 use telemetry::Metrics;
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::plain;
 use crate::ports::Dialect;
 use crate::traffic::Traffic;
 
@@ -37,6 +37,11 @@
 
 /// Binds a listener.
 pub(crate) fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    TcpListener::from_std(bind_std(address)?)
+}
+
+/// Binds a listener that no runtime watches yet.
+pub(crate) fn bind_std(address: SocketAddr) -> std::io::Result<std::net::TcpListener> {
     let socket = Socket::new(
         Domain::for_address(address),
         Type::STREAM,
@@ -46,7 +51,7 @@
     socket.set_nonblocking(true)?;
     socket.bind(&address.into())?;
     socket.listen(BACKLOG)?;
-    TcpListener::from_std(socket.into())
+    Ok(socket.into())
 }
 
 /// Accepts callers until the gateway stops; the listener is closed then.
@@ -180,52 +185,26 @@
     traffic: Rc<Traffic<D>>,
     listener: TcpListener,
 ) {
-    let mut was_ready = false;
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+    let was_ready = Cell::new(false);
+    plain::serve(listener, move |_| {
         let ready = traffic.is_ready();
-        if ready != was_ready {
+        if was_ready.replace(ready) != ready {
             info!(traffic.log, "readiness changed"; "ready" => ready);
-            was_ready = ready;
         }
-        let traffic = Rc::clone(&traffic);
-        tokio::task::spawn_local(async move {
-            let service = service_fn(|_: Request<Incoming>| {
-                let status = match traffic.is_ready() {
-                    true => StatusCode::OK,
-                    false => StatusCode::SERVICE_UNAVAILABLE,
-                };
-                std::future::ready(plain(status, String::new()))
-            });
-            let io = TokioIo::new(stream);
-            let _ = Builder::new().serve_connection(io, service).await;
-        });
-    }
+        let status = match ready {
+            true => StatusCode::OK,
+            false => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        std::future::ready(plain::answer(status, Bytes::new()))
+    })
+    .await;
 }
 
 /// Shows the metrics as text.
 pub(crate) async fn serve_metrics(metrics: Arc<Metrics>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        let metrics = Arc::clone(&metrics);
-        tokio::task::spawn_local(async move {
-            let service = service_fn(|_: Request<Incoming>| {
-                std::future::ready(plain(StatusCode::OK, metrics.text()))
-            });
-            let io = TokioIo::new(stream);
-            let _ = Builder::new().serve_connection(io, service).await;
-        });
-    }
-}
-
-fn plain(status: StatusCode, body: String) -> Result<Response<Full<Bytes>>, Infallible> {
-    let mut answer = Response::new(Full::new(Bytes::from(body)));
-    *answer.status_mut() = status;
-    Ok(answer)
+    plain::serve(listener, move |_| {
+        let text = metrics.text();
+        std::future::ready(plain::answer(StatusCode::OK, text.into()))
+    })
+    .await;
 }
--- a/components/gateway/tests/common/store.rs
+++ b/components/gateway/tests/common/store.rs
@@ -1,6 +1,7 @@
 //! A store in memory that can be cut off, and orders that are only noted.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -21,17 +22,17 @@
     revision: u64,
     configurations: Vec<Configuration>,
     endpoints: Vec<Endpoint>,
-    refuses: bool,
     forgets_before: u64,
     // Another gateway renews the lease before each look at it.
     lease_renewed: bool,
     lease_looks: u64,
 }
 
-/// The store.
+/// The store as one gateway sees it.
 #[derive(Clone)]
 pub struct StoreStandin {
     state: Arc<Mutex<State>>,
+    refuses: Arc<AtomicBool>,
     started: Instant,
 }
 
@@ -39,6 +40,7 @@
     fn default() -> Self {
         StoreStandin {
             state: Arc::default(),
+            refuses: Arc::default(),
             started: Instant::now(),
         }
     }
@@ -64,9 +66,17 @@
         put(&mut self.state.lock().unwrap(), Topic::Endpoints, id, None);
     }
 
-    /// Refuses every call from now on, or no more.
+    /// The same store as another gateway sees it.
+    pub fn for_another(&self) -> Self {
+        StoreStandin {
+            refuses: Arc::default(),
+            ..self.clone()
+        }
+    }
+
+    /// Refuses every call of this gateway from now on, or no more.
     pub fn refuse(&self, refuses: bool) {
-        self.state.lock().unwrap().refuses = refuses;
+        self.refuses.store(refuses, Ordering::Relaxed);
     }
 
     /// Forgets the changes made so far; the rows stay.
@@ -92,10 +102,9 @@
     }
 
     fn enter(&self) -> Result<std::sync::MutexGuard<'_, State>, StoreError> {
-        let state = self.state.lock().unwrap();
-        match state.refuses {
+        match self.refuses.load(Ordering::Relaxed) {
             true => Err(StoreError::Refused),
-            false => Ok(state),
+            false => Ok(self.state.lock().unwrap()),
         }
     }
 
--- /dev/null
+++ b/components/gateway/tests/passing.rs
@@ -0,0 +1,97 @@
+//! Gateways that pass the store's rows on to each other.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{
+    configuration, endpoint, route, settings, tenant, wait_until, EndpointStandin, Setup,
+    StoreStandin,
+};
+use directory::Execution;
+use schema::settings::GatewaySettings;
+
+const CREDENTIAL_AGE: Duration = Duration::from_secs(3);
+
+/// Two gateways, the second of which the store turns away once it is ready.
+struct Pair {
+    first: Setup,
+    second: Setup,
+}
+
+fn named(name: &str, seeds: Vec<String>) -> GatewaySettings {
+    GatewaySettings {
+        name: name.into(),
+        seeds,
+        credential_age_ms: CREDENTIAL_AGE.as_millis() as i64,
+        ..settings()
+    }
+}
+
+fn pair(store: &StoreStandin) -> Pair {
+    let first = Setup::start(named("g1", Vec::new()), store.clone());
+    let seeds = vec![first.gateway.peer_address().to_string()];
+    let second = Setup::start(named("g2", seeds), store.for_another());
+    wait_until("readiness", || first.is_ready() && second.is_ready());
+    second.store.refuse(true);
+    Pair { first, second }
+}
+
+fn store_with(version: u64, prefix: &str) -> StoreStandin {
+    let store = StoreStandin::default();
+    let mut configuration = configuration(version, vec![route(prefix, Execution::Repeatable)]);
+    configuration.tenants = vec![tenant("t", "k")];
+    store.put_configuration(configuration);
+    store
+}
+
+#[test]
+fn a_gateway_that_the_store_turns_away_gets_new_routes_and_endpoints_from_the_others() {
+    let standin = EndpointStandin::start(|_, e| e.answer(200, "x"));
+    let store = store_with(1, "/old/");
+    store.put_endpoint(endpoint("e1", standin.address));
+    let pair = pair(&store);
+    let mut configuration = configuration(2, vec![route("/new/", Execution::Repeatable)]);
+    configuration.tenants = vec![tenant("t", "k")];
+    store.put_configuration(configuration);
+    wait_until("the new route", || {
+        pair.second.call("/new/1", &["x-key: k"]).status == 200
+    });
+    assert_eq!(pair.second.call("/old/1", &["x-key: k"]).status, 404);
+    store.drop_endpoint("e1");
+    wait_until("the endpoint to be gone", || {
+        pair.second.call("/new/1", &["x-key: k"]).status == 503
+    });
+    assert_eq!(pair.first.call("/old/1", &["x-key: k"]).status, 404);
+}
+
+#[test]
+fn a_gateway_that_the_store_turns_away_accepts_keys_while_another_confirms_them() {
+    let standin = EndpointStandin::start(|_, e| e.answer(200, "x"));
+    let store = store_with(1, "/a/");
+    store.put_endpoint(endpoint("e1", standin.address));
+    let pair = pair(&store);
+    let began = Instant::now();
+    while began.elapsed() < CREDENTIAL_AGE * 3 / 2 {
+        assert_eq!(pair.second.call("/a/1", &["x-key: k"]).status, 200);
+    }
+    // Nobody confirms any more.
+    pair.first.store.refuse(true);
+    wait_until("the key to be refused", || {
+        pair.second.call("/a/1", &["x-key: k"]).status == 503
+    });
+}
+
+#[test]
+fn a_key_that_was_taken_away_is_refused_by_a_gateway_that_the_store_turns_away() {
+    let standin = EndpointStandin::start(|_, e| e.answer(200, "x"));
+    let store = store_with(1, "/a/");
+    store.put_endpoint(endpoint("e1", standin.address));
+    let pair = pair(&store);
+    let mut configuration = configuration(2, vec![route("/a/", Execution::Repeatable)]);
+    configuration.tenants = vec![tenant("t", "another")];
+    store.put_configuration(configuration);
+    wait_until("the key to be unknown", || {
+        pair.second.call("/a/1", &["x-key: k"]).status == 401
+    });
+}
--- /dev/null
+++ b/components/replica/src/follower.rs
@@ -0,0 +1,168 @@
+//! Whether a gateway asks the store, asks another gateway, or waits.
+
+use std::time::Duration;
+
+/// A call of the store is held so long, in parts of the longest age of a confirmation.
+const HOLD_PART: f64 = 0.12;
+/// Past this age of the last confirmation a gateway asks the store itself, in the same parts. A
+/// change has to be in force well before the longest age, also if all that hold calls have died.
+const STALE_PART: f64 = 0.26;
+/// Longest age of a confirmation where none is demanded.
+const DEFAULT_AGE: Duration = Duration::from_secs(5);
+/// Pause after a failed call; it doubles with each one in a row.
+const FIRST_PAUSE: Duration = Duration::from_millis(150);
+/// Longest such pause.
+const LONGEST_PAUSE: Duration = Duration::from_millis(600);
+
+/// What another gateway tells of a topic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Told {
+    /// Revision of the newest change it knows.
+    pub changed_at: u64,
+    /// The store's steady time at which that was confirmed to be the newest.
+    pub confirmed: Duration,
+}
+
+/// What to do next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Ask the store for all rows.
+    List,
+    /// Ask the store for changes; the call may be held so long.
+    Changes {
+        /// Time for which the call is held.
+        hold: Duration,
+    },
+    /// Take the changes from the gateway that told of newer ones.
+    Pull,
+    /// Nothing until others tell of changes, or this time has passed.
+    Rest(Duration),
+}
+
+/// Who is asked first for a change that another gateway told of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// The store: for large rows, which would fill the links between gateways.
+    Store,
+    /// The gateway that told of it.
+    Peer,
+}
+
+/// How one topic is followed.
+#[derive(Debug)]
+pub struct Follower {
+    first: Source,
+    hold: Duration,
+    stale: Duration,
+    confirmed_at: Option<Duration>,
+    newer_told: Option<u64>,
+    // The store cannot be asked, or the last gateway that was asked gave nothing.
+    store_failures: u32,
+    pull_failed: bool,
+    store_next_at: Duration,
+}
+
+impl Follower {
+    /// A follower whose confirmations may be `longest_age` old; zero if that is not bounded.
+    pub fn new(first: Source, longest_age: Duration) -> Self {
+        let mut follower = Follower {
+            first,
+            hold: Duration::ZERO,
+            stale: Duration::ZERO,
+            confirmed_at: None,
+            newer_told: None,
+            store_failures: 0,
+            pull_failed: false,
+            store_next_at: Duration::ZERO,
+        };
+        follower.set_longest_age(longest_age);
+        follower
+    }
+
+    /// Sets how old confirmations may be.
+    pub fn set_longest_age(&mut self, longest_age: Duration) {
+        let age = match longest_age.is_zero() {
+            true => DEFAULT_AGE,
+            false => longest_age,
+        };
+        self.hold = age.mul_f64(HOLD_PART);
+        self.stale = age.mul_f64(STALE_PART);
+    }
+
+    /// The next step. `watches` says whether this gateway is one of those that hold calls at the
+    /// store, `known` whether any rows were taken yet.
+    pub fn step(&self, now: Duration, watches: bool, known: bool) -> Step {
+        let asks_peer = self.first == Source::Peer || self.store_failures > 0;
+        if self.newer_told.is_some() && asks_peer && !self.pull_failed {
+            return Step::Pull;
+        }
+        let due = self.store_due(now, watches, known);
+        if now < due {
+            return Step::Rest(due - now);
+        }
+        if !known {
+            return Step::List;
+        }
+        // After a failure, and where others confirm, the store is asked how things stand now.
+        let may_hold = watches && self.store_failures == 0 && self.newer_told.is_none();
+        let hold = match may_hold {
+            true => self.hold,
+            false => Duration::ZERO,
+        };
+        Step::Changes { hold }
+    }
+
+    /// All changes up to `at` on the own clock are known.
+    pub fn confirmed(&mut self, at: Duration) {
+        self.confirmed_at = self.confirmed_at.max(Some(at));
+    }
+
+    /// Another gateway told of a change that is not known here.
+    pub fn newer_told(&mut self, changed_at: u64) {
+        if self.newer_told.is_none_or(|known| known < changed_at) {
+            self.newer_told = Some(changed_at);
+            self.pull_failed = false;
+        }
+    }
+
+    /// All changes up to a revision are known.
+    pub fn caught_up(&mut self, revision: u64) {
+        self.newer_told.take_if(|told| *told <= revision);
+        self.pull_failed = false;
+    }
+
+    /// The gateway that told of changes gave none: the store is asked.
+    pub fn pull_failed(&mut self) {
+        self.pull_failed = true;
+    }
+
+    /// The store answered with everything up to a revision.
+    pub fn store_answered(&mut self, known_to: u64) {
+        self.store_failures = 0;
+        self.store_next_at = Duration::ZERO;
+        self.caught_up(known_to);
+    }
+
+    /// The store did not answer.
+    pub fn store_failed(&mut self, now: Duration) {
+        let pause = FIRST_PAUSE * (1 << self.store_failures.min(4));
+        self.store_failures += 1;
+        self.store_next_at = now + pause.min(LONGEST_PAUSE);
+        // Whoever tells of changes next may be asked again.
+        self.pull_failed = false;
+    }
+
+    /// Whether the store answered the last call.
+    pub fn reaches_store(&self) -> bool {
+        self.store_failures == 0
+    }
+
+    fn store_due(&self, now: Duration, watches: bool, known: bool) -> Duration {
+        let ask_now = watches || !known || self.newer_told.is_some();
+        let due = match self.confirmed_at {
+            Some(at) if !ask_now => at + self.stale,
+            _ => now,
+        };
+        due.max(self.store_next_at)
+    }
+}
--- /dev/null
+++ b/components/replica/src/table.rs
@@ -0,0 +1,114 @@
+//! The rows of one topic as far as they are known here.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+/// One row as it was last changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// Key of the row.
+    pub key: String,
+    /// Its value, `None` once it was dropped.
+    pub value: Option<Vec<u8>>,
+    /// Revision of the store that changed it.
+    pub revision: u64,
+}
+
+/// Dropped rows that are remembered at most; a reader behind the oldest of them gets all rows.
+const MOST_DROPPED: usize = 512;
+
+/// Rows by key, dropped ones included, so that older news never undo newer ones.
+#[derive(Debug, Default)]
+pub struct Table {
+    rows: BTreeMap<String, Change>,
+    // Every change after this revision is known.
+    base: u64,
+    known_to: Option<u64>,
+}
+
+impl Table {
+    /// Revision up to which all changes are known, `None` before the first answer.
+    pub fn known_to(&self) -> Option<u64> {
+        self.known_to
+    }
+
+    /// Revision of the newest change, 0 if there is none.
+    pub fn changed_at(&self) -> u64 {
+        let revisions = self.rows.values().map(|row| row.revision);
+        revisions.max().unwrap_or(0)
+    }
+
+    /// Takes changes up to a revision and returns those that were not known.
+    pub fn take(&mut self, changes: Vec<Change>, known_to: u64) -> Vec<Change> {
+        let news: Vec<Change> = changes
+            .into_iter()
+            .filter(|change| self.is_news(change))
+            .collect();
+        for change in &news {
+            self.rows.insert(change.key.clone(), change.clone());
+        }
+        self.known_to = self.known_to.max(Some(known_to));
+        self.forget_dropped();
+        news
+    }
+
+    /// Takes all rows as they stood at a revision and returns what changed; rows that are not
+    /// among them and are older have been dropped.
+    pub fn take_all(&mut self, rows: Vec<Change>, known_to: u64) -> Vec<Change> {
+        let listed: BTreeSet<String> = rows.iter().map(|row| row.key.clone()).collect();
+        let unlisted = self.rows.values().filter(|row| {
+            row.value.is_some() && row.revision <= known_to && !listed.contains(&row.key)
+        });
+        let dropped: Vec<Change> = unlisted
+            .map(|row| Change {
+                key: row.key.clone(),
+                value: None,
+                revision: row.revision,
+            })
+            .collect();
+        for change in &dropped {
+            self.rows.insert(change.key.clone(), change.clone());
+        }
+        self.base = self.base.max(known_to);
+        let mut news = dropped;
+        news.extend(self.take(rows, known_to));
+        news
+    }
+
+    /// The changes after a revision, or `None` if not all of them are known.
+    pub fn since(&self, after: u64) -> Option<Vec<Change>> {
+        if after < self.base {
+            return None;
+        }
+        let changes = self.rows.values().filter(|row| row.revision > after);
+        Some(changes.cloned().collect())
+    }
+
+    /// All rows that stand.
+    pub fn all(&self) -> Vec<Change> {
+        let standing = self.rows.values().filter(|row| row.value.is_some());
+        standing.cloned().collect()
+    }
+
+    /// Forgets up to which revision the changes are known: the store's history is gone.
+    pub fn restart(&mut self) {
+        self.known_to = None;
+    }
+
+    fn is_news(&self, change: &Change) -> bool {
+        let known = self.rows.get(&change.key);
+        known.is_none_or(|known| known.revision < change.revision)
+    }
+
+    fn forget_dropped(&mut self) {
+        let dropped = self.rows.values().filter(|row| row.value.is_none());
+        let mut revisions: Vec<u64> = dropped.map(|row| row.revision).collect();
+        if revisions.len() <= MOST_DROPPED {
+            return;
+        }
+        revisions.sort_unstable();
+        let oldest_kept = revisions[revisions.len() - MOST_DROPPED / 2];
+        self.base = self.base.max(oldest_kept);
+        self.rows
+            .retain(|_, row| row.value.is_some() || row.revision >= oldest_kept);
+    }
+}
--- /dev/null
+++ b/components/replica/tests/following.rs
@@ -0,0 +1,126 @@
+//! Who is asked for news of the store, and when.
+
+use std::time::Duration;
+
+use replica::{Follower, Source, Step};
+
+const LONGEST_AGE: Duration = Duration::from_secs(5);
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn follower(first: Source) -> Follower {
+    Follower::new(first, LONGEST_AGE)
+}
+
+#[test]
+fn rows_that_are_not_known_yet_are_asked_of_the_store() {
+    assert_eq!(follower(Source::Peer).step(ms(0), false, false), Step::List);
+}
+
+#[test]
+fn a_watcher_holds_calls_at_the_store() {
+    let mut watcher = follower(Source::Peer);
+    watcher.store_answered(1);
+    watcher.confirmed(ms(10));
+    let step = watcher.step(ms(11), true, true);
+    assert!(
+        matches!(step, Step::Changes { hold } if hold > Duration::ZERO && hold < LONGEST_AGE / 4)
+    );
+}
+
+#[test]
+fn the_store_is_not_asked_while_others_confirm() {
+    let mut follower = follower(Source::Peer);
+    for now in (0..20_000).step_by(400) {
+        follower.confirmed(ms(now));
+        assert!(matches!(
+            follower.step(ms(now + 399), false, true),
+            Step::Rest(_)
+        ));
+    }
+}
+
+#[test]
+fn the_store_is_asked_without_holding_once_the_others_are_silent() {
+    let mut follower = follower(Source::Peer);
+    follower.confirmed(ms(1000));
+    let Step::Rest(rest) = follower.step(ms(1000), false, true) else {
+        panic!("nothing is due yet");
+    };
+    // A change has to be in force two seconds after it at the latest.
+    assert!(rest < ms(1500), "{rest:?}");
+    let step = follower.step(ms(1000) + rest, false, true);
+    assert_eq!(
+        step,
+        Step::Changes {
+            hold: Duration::ZERO
+        }
+    );
+}
+
+#[test]
+fn a_change_is_taken_from_whoever_told_of_it_and_else_from_the_store() {
+    let mut follower = follower(Source::Peer);
+    follower.confirmed(ms(0));
+    follower.newer_told(7);
+    assert_eq!(follower.step(ms(1), false, true), Step::Pull);
+    follower.pull_failed();
+    let step = follower.step(ms(2), false, true);
+    assert_eq!(
+        step,
+        Step::Changes {
+            hold: Duration::ZERO
+        }
+    );
+    follower.store_answered(7);
+    follower.confirmed(ms(3));
+    assert!(matches!(follower.step(ms(3), false, true), Step::Rest(_)));
+}
+
+#[test]
+fn an_answer_of_the_store_that_is_older_than_what_was_told_ends_nothing() {
+    let mut follower = follower(Source::Peer);
+    follower.newer_told(7);
+    follower.store_answered(6);
+    assert_eq!(follower.step(ms(1), false, true), Step::Pull);
+}
+
+#[test]
+fn large_rows_come_from_the_store_and_from_others_only_if_it_does_not_answer() {
+    let mut follower = follower(Source::Store);
+    follower.confirmed(ms(0));
+    follower.newer_told(7);
+    let step = follower.step(ms(1), false, true);
+    assert_eq!(
+        step,
+        Step::Changes {
+            hold: Duration::ZERO
+        }
+    );
+    follower.store_failed(ms(2));
+    assert_eq!(follower.step(ms(2), false, true), Step::Pull);
+    follower.caught_up(7);
+    assert!(matches!(follower.step(ms(3), false, true), Step::Rest(_)));
+}
+
+#[test]
+fn calls_of_a_store_that_does_not_answer_are_spaced_and_one_answer_ends_that() {
+    let mut follower = follower(Source::Peer);
+    let mut calls = 0;
+    for now in 0..10_000 {
+        if matches!(follower.step(ms(now), true, true), Step::Changes { .. }) {
+            calls += 1;
+            follower.store_failed(ms(now));
+        }
+    }
+    assert!((10..=25).contains(&calls), "{calls}");
+    assert!(!follower.reaches_store());
+    follower.store_answered(1);
+    assert!(follower.reaches_store());
+    assert!(matches!(
+        follower.step(ms(10_000), true, true),
+        Step::Changes { .. }
+    ));
+}
--- /dev/null
+++ b/components/replica/tests/tables.rs
@@ -0,0 +1,117 @@
+//! Copies of the store's rows that gateways take from each other.
+
+use quickcheck::{Gen, QuickCheck, TestResult};
+use replica::{Change, Table};
+
+const SEED: u64 = 20261202;
+const CASES: u64 = 2000;
+
+fn change(key: u8, value: Option<u8>, revision: u64) -> Change {
+    Change {
+        key: format!("k{key}"),
+        value: value.map(|value| vec![value]),
+        revision,
+    }
+}
+
+// What a store keeps after some writes: one row a key, at the revision of its last write.
+fn written(writes: &[(u8, Option<u8>)]) -> Vec<Change> {
+    let mut rows: Vec<Change> = Vec::new();
+    for (revision, (key, value)) in (1..).zip(writes) {
+        let row = change(key % 8, *value, revision);
+        rows.retain(|other| other.key != row.key);
+        rows.push(row);
+    }
+    rows
+}
+
+fn standing(rows: &[Change]) -> Vec<Change> {
+    let mut rows: Vec<Change> = rows.iter().filter(|r| r.value.is_some()).cloned().collect();
+    rows.sort_by(|a, b| a.key.cmp(&b.key));
+    rows
+}
+
+#[test]
+fn an_older_change_never_undoes_a_newer_one() {
+    let mut table = Table::default();
+    table.take(vec![change(1, Some(2), 9)], 9);
+    assert!(table.take(vec![change(1, Some(1), 5)], 5).is_empty());
+    assert!(table.take(vec![change(1, None, 8)], 8).is_empty());
+    assert_eq!(table.all(), [change(1, Some(2), 9)]);
+    assert_eq!(table.known_to(), Some(9));
+}
+
+#[test]
+fn a_row_that_is_not_listed_any_more_was_dropped_unless_it_is_newer_than_the_list() {
+    let mut table = Table::default();
+    table.take(vec![change(1, Some(1), 3), change(2, Some(1), 12)], 12);
+    let news = table.take_all(vec![change(3, Some(1), 7)], 10);
+    assert_eq!(news, [change(1, None, 3), change(3, Some(1), 7)]);
+    assert_eq!(table.all(), [change(2, Some(1), 12), change(3, Some(1), 7)]);
+}
+
+#[test]
+fn a_reader_from_before_the_copy_began_gets_all_rows() {
+    let mut table = Table::default();
+    table.take_all(vec![change(1, Some(1), 3)], 10);
+    assert_eq!(table.since(9), None);
+    table.take(vec![change(2, None, 11)], 11);
+    assert_eq!(table.since(10), Some(vec![change(2, None, 11)]));
+}
+
+#[test]
+fn dropped_rows_are_forgotten_in_the_end_and_the_readers_told() {
+    let mut table = Table::default();
+    for revision in 1..=5000 {
+        let dropped = Change {
+            key: format!("k{revision}"),
+            value: None,
+            revision,
+        };
+        table.take(vec![dropped], revision);
+    }
+    assert_eq!(table.since(0), None);
+    let kept = table.since(4990).map(|rows| rows.len());
+    assert_eq!(kept, Some(10));
+}
+
+#[test]
+fn a_copy_taken_in_steps_from_another_copy_holds_what_the_store_holds() {
+    fn property(
+        writes: Vec<(u8, Option<u8>)>,
+        listed_after: u8,
+        pulled_after: Vec<u8>,
+    ) -> TestResult {
+        if writes.is_empty() {
+            return TestResult::discard();
+        }
+        // One copy lists the rows in the middle and takes each change from then on.
+        let middle = usize::from(listed_after) % writes.len();
+        let mut first = Table::default();
+        let mut second = Table::default();
+        first.take_all(standing(&written(&writes[..middle])), middle as u64);
+        for count in middle..writes.len() {
+            let rows = written(&writes[..=count]);
+            let newest = rows.into_iter().filter(|row| row.revision > count as u64);
+            first.take(newest.collect(), count as u64 + 1);
+            let is_last = count + 1 == writes.len();
+            if is_last || pulled_after.contains(&(count as u8)) {
+                pull(&mut second, &first);
+            }
+        }
+        let expected = standing(&written(&writes));
+        TestResult::from_bool(first.all() == expected && second.all() == expected)
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(100, SEED))
+        .tests(CASES)
+        .quickcheck(property as fn(Vec<(u8, Option<u8>)>, u8, Vec<u8>) -> TestResult);
+}
+
+fn pull(reader: &mut Table, source: &Table) {
+    let known_to = source.known_to().unwrap_or(0);
+    match source.since(reader.changed_at()) {
+        Some(changes) => reader.take(changes, known_to),
+        None => reader.take_all(source.all(), known_to),
+    };
+}
--- a/components/schema/src/messages.rs
+++ b/components/schema/src/messages.rs
@@ -191,6 +191,55 @@
     }
 }
 
+/// Topics of the store that gateways pass on.
+#[derive(Copy, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct TopicName(pub i32);
+
+impl TopicName {
+    pub const CONFIGURATION: TopicName = TopicName(1);
+    pub const ENDPOINTS: TopicName = TopicName(2);
+    pub const ENUM_VALUES: &'static [Self] = &[Self::CONFIGURATION, Self::ENDPOINTS];
+}
+
+impl TSerializable for TopicName {
+    #[allow(clippy::trivially_copy_pass_by_ref)]
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        o_prot.write_i32(self.0)
+    }
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<TopicName> {
+        let enum_value = i_prot.read_i32()?;
+        Ok(TopicName::from(enum_value))
+    }
+}
+
+impl From<i32> for TopicName {
+    fn from(i: i32) -> Self {
+        match i {
+            1 => TopicName::CONFIGURATION,
+            2 => TopicName::ENDPOINTS,
+            _ => TopicName(i),
+        }
+    }
+}
+
+impl From<&i32> for TopicName {
+    fn from(i: &i32) -> Self {
+        TopicName::from(*i)
+    }
+}
+
+impl From<TopicName> for i32 {
+    fn from(e: TopicName) -> i32 {
+        e.0
+    }
+}
+
+impl From<&TopicName> for i32 {
+    fn from(e: &TopicName) -> i32 {
+        e.0
+    }
+}
+
 //
 // MemberNews
 //
@@ -2032,6 +2081,92 @@
     }
 }
 
+//
+// TopicHead
+//
+
+/// How far a gateway knows a topic.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct TopicHead {
+    pub topic: TopicName,
+    /// Revision of the newest change.
+    pub changed_at: i64,
+    /// The store's steady time at which that was confirmed to be the newest, in microseconds.
+    pub confirmed_us: i64,
+}
+
+impl TopicHead {
+    pub fn new(topic: TopicName, changed_at: i64, confirmed_us: i64) -> TopicHead {
+        TopicHead {
+            topic,
+            changed_at,
+            confirmed_us,
+        }
+    }
+}
+
+impl TSerializable for TopicHead {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<TopicHead> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<TopicName> = None;
+        let mut f_2: Option<i64> = None;
+        let mut f_3: Option<i64> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = TopicName::read_from_in_protocol(i_prot)?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = i_prot.read_i64()?;
+                    f_2 = Some(val);
+                }
+                3 => {
+                    let val = i_prot.read_i64()?;
+                    f_3 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("TopicHead.topic", &f_1)?;
+        verify_required_field_exists("TopicHead.changed_at", &f_2)?;
+        verify_required_field_exists("TopicHead.confirmed_us", &f_3)?;
+        let ret = TopicHead {
+            topic: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            changed_at: f_2
+                .expect("auto-generated code should have checked for presence of required fields"),
+            confirmed_us: f_3
+                .expect("auto-generated code should have checked for presence of required fields"),
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("TopicHead");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("topic", TType::I32, 1))?;
+        self.topic.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("changed_at", TType::I64, 2))?;
+        o_prot.write_i64(self.changed_at)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("confirmed_us", TType::I64, 3))?;
+        o_prot.write_i64(self.confirmed_us)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
 //
 // GatewayNews
 //
@@ -2057,10 +2192,14 @@
     pub peers: Vec<String>,
     /// Whether the sender stops.
     pub stopping: bool,
+    /// What the sender knows of the store's topics.
+    pub heads: Option<Vec<TopicHead>>,
+    /// Whether the store answered the sender's last call.
+    pub reaches_store: Option<bool>,
 }
 
 impl GatewayNews {
-    pub fn new(
+    pub fn new<F10, F11>(
         gateway: String,
         incarnation: i64,
         sequence: i64,
@@ -2070,7 +2209,13 @@
         lease_epoch: i64,
         peers: Vec<String>,
         stopping: bool,
-    ) -> GatewayNews {
+        heads: F10,
+        reaches_store: F11,
+    ) -> GatewayNews
+    where
+        F10: Into<Option<Vec<TopicHead>>>,
+        F11: Into<Option<bool>>,
+    {
         GatewayNews {
             gateway,
             incarnation,
@@ -2081,6 +2226,8 @@
             lease_epoch,
             peers,
             stopping,
+            heads: heads.into(),
+            reaches_store: reaches_store.into(),
         }
     }
 }
@@ -2097,6 +2244,8 @@
         let mut f_7: Option<i64> = None;
         let mut f_8: Option<Vec<String>> = None;
         let mut f_9: Option<bool> = None;
+        let mut f_10: Option<Vec<TopicHead>> = None;
+        let mut f_11: Option<bool> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -2165,6 +2314,20 @@
                     let val = i_prot.read_bool()?;
                     f_9 = Some(val);
                 }
+                10 => {
+                    let list_ident = i_prot.read_list_begin()?;
+                    let mut val: Vec<TopicHead> = Vec::with_capacity(list_ident.size as usize);
+                    for _ in 0..list_ident.size {
+                        let list_elem_14 = TopicHead::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_14);
+                    }
+                    i_prot.read_list_end()?;
+                    f_10 = Some(val);
+                }
+                11 => {
+                    let val = i_prot.read_bool()?;
+                    f_11 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -2200,6 +2363,8 @@
                 .expect("auto-generated code should have checked for presence of required fields"),
             stopping: f_9
                 .expect("auto-generated code should have checked for presence of required fields"),
+            heads: f_10,
+            reaches_store: f_11,
         };
         Ok(ret)
     }
@@ -2263,6 +2428,272 @@
         o_prot.write_field_begin(&TFieldIdentifier::new("stopping", TType::Bool, 9))?;
         o_prot.write_bool(self.stopping)?;
         o_prot.write_field_end()?;
+        if let Some(ref fld_var) = self.heads {
+            o_prot.write_field_begin(&TFieldIdentifier::new("heads", TType::List, 10))?;
+            o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, fld_var.len() as i32))?;
+            for e in fld_var {
+                e.write_to_out_protocol(o_prot)?;
+            }
+            o_prot.write_list_end()?;
+            o_prot.write_field_end()?
+        }
+        if let Some(fld_var) = self.reaches_store {
+            o_prot.write_field_begin(&TFieldIdentifier::new("reaches_store", TType::Bool, 11))?;
+            o_prot.write_bool(fld_var)?;
+            o_prot.write_field_end()?
+        }
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
+//
+// RowsQuery
+//
+
+/// Asks another gateway for the rows of a topic.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RowsQuery {
+    pub topic: TopicName,
+    /// Revision of the newest change that the asking gateway knows, 0 for none.
+    pub after: i64,
+}
+
+impl RowsQuery {
+    pub fn new(topic: TopicName, after: i64) -> RowsQuery {
+        RowsQuery { topic, after }
+    }
+}
+
+impl TSerializable for RowsQuery {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<RowsQuery> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<TopicName> = None;
+        let mut f_2: Option<i64> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = TopicName::read_from_in_protocol(i_prot)?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = i_prot.read_i64()?;
+                    f_2 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("RowsQuery.topic", &f_1)?;
+        verify_required_field_exists("RowsQuery.after", &f_2)?;
+        let ret = RowsQuery {
+            topic: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            after: f_2
+                .expect("auto-generated code should have checked for presence of required fields"),
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("RowsQuery");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("topic", TType::I32, 1))?;
+        self.topic.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("after", TType::I64, 2))?;
+        o_prot.write_i64(self.after)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
+//
+// RowChange
+//
+
+/// One row, without a value if it was dropped.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RowChange {
+    pub key: String,
+    pub value: Option<Vec<u8>>,
+    pub revision: i64,
+}
+
+impl RowChange {
+    pub fn new<F2>(key: String, value: F2, revision: i64) -> RowChange
+    where
+        F2: Into<Option<Vec<u8>>>,
+    {
+        RowChange {
+            key,
+            value: value.into(),
+            revision,
+        }
+    }
+}
+
+impl TSerializable for RowChange {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<RowChange> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<String> = None;
+        let mut f_2: Option<Vec<u8>> = None;
+        let mut f_3: Option<i64> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = i_prot.read_string()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = i_prot.read_bytes()?;
+                    f_2 = Some(val);
+                }
+                3 => {
+                    let val = i_prot.read_i64()?;
+                    f_3 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("RowChange.key", &f_1)?;
+        verify_required_field_exists("RowChange.revision", &f_3)?;
+        let ret = RowChange {
+            key: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            value: f_2,
+            revision: f_3
+                .expect("auto-generated code should have checked for presence of required fields"),
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("RowChange");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("key", TType::String, 1))?;
+        o_prot.write_string(&self.key)?;
+        o_prot.write_field_end()?;
+        if let Some(ref fld_var) = self.value {
+            o_prot.write_field_begin(&TFieldIdentifier::new("value", TType::String, 2))?;
+            o_prot.write_bytes(fld_var)?;
+            o_prot.write_field_end()?
+        }
+        o_prot.write_field_begin(&TFieldIdentifier::new("revision", TType::I64, 3))?;
+        o_prot.write_i64(self.revision)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
+//
+// RowsReply
+//
+
+/// Rows of a topic as another gateway knows them.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RowsReply {
+    pub rows: Vec<RowChange>,
+    /// Whether these are all rows, or the changes asked for.
+    pub whole: bool,
+    /// Revision up to which all changes are known.
+    pub known_to: i64,
+}
+
+impl RowsReply {
+    pub fn new(rows: Vec<RowChange>, whole: bool, known_to: i64) -> RowsReply {
+        RowsReply {
+            rows,
+            whole,
+            known_to,
+        }
+    }
+}
+
+impl TSerializable for RowsReply {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<RowsReply> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<Vec<RowChange>> = None;
+        let mut f_2: Option<bool> = None;
+        let mut f_3: Option<i64> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let list_ident = i_prot.read_list_begin()?;
+                    let mut val: Vec<RowChange> = Vec::with_capacity(list_ident.size as usize);
+                    for _ in 0..list_ident.size {
+                        let list_elem_15 = RowChange::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_15);
+                    }
+                    i_prot.read_list_end()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = i_prot.read_bool()?;
+                    f_2 = Some(val);
+                }
+                3 => {
+                    let val = i_prot.read_i64()?;
+                    f_3 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("RowsReply.rows", &f_1)?;
+        verify_required_field_exists("RowsReply.whole", &f_2)?;
+        verify_required_field_exists("RowsReply.known_to", &f_3)?;
+        let ret = RowsReply {
+            rows: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            whole: f_2
+                .expect("auto-generated code should have checked for presence of required fields"),
+            known_to: f_3
+                .expect("auto-generated code should have checked for presence of required fields"),
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("RowsReply");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("rows", TType::List, 1))?;
+        o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, self.rows.len() as i32))?;
+        for e in &self.rows {
+            e.write_to_out_protocol(o_prot)?;
+        }
+        o_prot.write_list_end()?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("whole", TType::Bool, 2))?;
+        o_prot.write_bool(self.whole)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("known_to", TType::I64, 3))?;
+        o_prot.write_i64(self.known_to)?;
+        o_prot.write_field_end()?;
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -2372,9 +2803,9 @@
                     let map_ident = i_prot.read_map_begin()?;
                     let mut val: BTreeMap<String, i64> = BTreeMap::new();
                     for _ in 0..map_ident.size {
-                        let map_key_14 = i_prot.read_string()?;
-                        let map_val_15 = i_prot.read_i64()?;
-                        val.insert(map_key_14, map_val_15);
+                        let map_key_16 = i_prot.read_string()?;
+                        let map_val_17 = i_prot.read_i64()?;
+                        val.insert(map_key_16, map_val_17);
                     }
                     i_prot.read_map_end()?;
                     f_1 = Some(val);
--- a/components/schema/thrift/messages.thrift
+++ b/components/schema/thrift/messages.thrift
@@ -196,6 +196,21 @@
   2: required map<string, i64> begun,
 }
 
+/** Topics of the store that gateways pass on. */
+enum TopicName {
+  CONFIGURATION = 1,
+  ENDPOINTS = 2,
+}
+
+/** How far a gateway knows a topic. */
+struct TopicHead {
+  1: required TopicName topic,
+  /** Revision of the newest change. */
+  2: required i64 changed_at,
+  /** The store's steady time at which that was confirmed to be the newest, in microseconds. */
+  3: required i64 confirmed_us,
+}
+
 /** What a gateway tells the others. */
 struct GatewayNews {
   /** Name of the sender. */
@@ -216,6 +231,33 @@
   8: required list<string> peers,
   /** Whether the sender stops. */
   9: required bool stopping,
+  /** What the sender knows of the store's topics. */
+  10: optional list<TopicHead> heads,
+  /** Whether the store answered the sender's last call. */
+  11: optional bool reaches_store,
+}
+
+/** Asks another gateway for the rows of a topic. */
+struct RowsQuery {
+  1: required TopicName topic,
+  /** Revision of the newest change that the asking gateway knows, 0 for none. */
+  2: required i64 after,
+}
+
+/** One row, without a value if it was dropped. */
+struct RowChange {
+  1: required string key,
+  2: optional binary value,
+  3: required i64 revision,
+}
+
+/** Rows of a topic as another gateway knows them. */
+struct RowsReply {
+  1: required list<RowChange> rows,
+  /** Whether these are all rows, or the changes asked for. */
+  2: required bool whole,
+  /** Revision up to which all changes are known. */
+  3: required i64 known_to,
 }
 
 /** Row of one gateway in the store: where the others reach it. */
