Keep tenants' limits when many gateways start at once

All 83 gateways are killed at second 8 and again at 13. Each began with half of the whole burst, took itself for the only gateway until the first news came, and took what processes a little older than itself had taken since the common start for history.

Addresses in the store's list that were not heard yet count as silent gateways, and before the list is read 100 are assumed; a smaller part of a limit also cuts what is in the bucket; a process that started at most 3 s before this one is charged with everything that it tells, by how long each has run and not by the time of day.

Tests. many_gateways_that_start_at_once_keep_a_tenth_over_the_limit_in_every_window fails on the code before; components/gateway/tests/peers.rs.

--- a/components/gateway/src/control/exchange.rs
+++ b/components/gateway/src/control/exchange.rs
@@ -12,7 +12,7 @@
 
 use crate::control::{Known, Shared};
 use crate::news;
-use crate::peers::Hearing;
+use crate::peers::{is_recent, Hearing};
 use crate::ports::{Orders, Store, Topic};
 use crate::tally::Tally;
 use crate::traffic::Update;
@@ -60,14 +60,11 @@
             }
         };
         let now = self.clock.now();
-        let mut known = self.known.borrow_mut();
-        for row in rows {
-            let value = row.value.unwrap_or_default();
-            let read = schema::decode::<GatewayRow>(&value).ok();
-            if let Some(address) = read.and_then(|row| row.address.parse().ok()) {
-                known.peers.learn(now, address);
-            }
-        }
+        let addresses = rows.iter().filter_map(|row| {
+            let row = schema::decode::<GatewayRow>(row.value.as_deref()?).ok()?;
+            row.address.parse().ok()
+        });
+        self.known.borrow_mut().peers.listed(now, addresses);
     }
 
     /// Takes tallies of the traffic thread and tells the other gateways.
@@ -171,6 +168,7 @@
             stopping: self.freshness.is_stopping(),
             heads: Some(heads_of(&known)),
             reaches_store: Some(known.reaches_store()),
+            uptime_ms: Some(now.as_millis() as i64),
         };
         let targets = known.peers.targets().into_iter().collect();
         (schema::encode(&message).unwrap_or_default(), targets)
@@ -221,7 +219,7 @@
             gateway: news.gateway.clone(),
             incarnation: news.incarnation,
             taken: news::heard_totals(news),
-            younger: news.incarnation > self.source.incarnation,
+            recent: is_recent(now, news::uptime(news)),
         });
     }
 
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -27,5 +27,5 @@
 pub use clock::Clock;
 pub use events::{Event, EventSplitter, SplitError};
 pub use freshness::Freshness;
-pub use peers::{PeerCount, Peers};
+pub use peers::{is_recent, Greeting, Hearing, PeerCount, Peers};
 pub use run::{run, Gateway, GatewayError, Listening, Parts, ReadSettings, Signals};
--- a/components/gateway/src/news.rs
+++ b/components/gateway/src/news.rs
@@ -61,6 +61,11 @@
     }
 }
 
+/// How long the sender has run.
+pub(crate) fn uptime(news: &GatewayNews) -> Duration {
+    Duration::from_millis(news.uptime_ms.unwrap_or(i64::MAX).max(0) as u64)
+}
+
 /// How far a topic is known, as it is told; `None` for topics that are not passed on.
 pub(crate) fn head_of(topic: Topic, told: Told) -> Option<TopicHead> {
     Some(TopicHead {
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -15,12 +15,18 @@
 /// Key of the order in which gateways hold calls at the store.
 const WATCH_KEY: u64 = 0x7761_7463;
 
+/// Others that may be running while nothing is known of them.
+const ASSUMED: usize = 100;
+/// A process that started at most this long before this one is recent: whatever it did since its start
+/// still counts.
+const RECENT: Duration = Duration::from_secs(3);
+
 /// How many gateways there are.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PeerCount {
     /// Others that are heard.
     pub heard: usize,
-    /// Others that were heard and are silent now.
+    /// Others that were heard and are silent now, or were never heard and may be running.
     pub silent: usize,
 }
 
@@ -60,6 +66,23 @@
     pub reaches_store: bool,
 }
 
+impl Peer {
+    // Whether a message is older than what is known. The time of day may have been set back, so a
+    // silent process may be followed by one that seems to have started earlier.
+    fn is_before(&self, now: Duration, greeting: &Greeting) -> bool {
+        let is_silent = now >= self.heard_at + SILENT_AFTER;
+        if is_silent && greeting.incarnation != self.incarnation {
+            return false;
+        }
+        (greeting.incarnation, greeting.sequence) <= (self.incarnation, self.sequence)
+    }
+}
+
+/// Whether what another process told first is all of recent time, by how long each has run.
+pub fn is_recent(own_uptime: Duration, uptime: Duration) -> bool {
+    uptime <= own_uptime + RECENT
+}
+
 /// What a message of another gateway means.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Hearing {
@@ -76,6 +99,8 @@
     peers: BTreeMap<String, Peer>,
     // Addresses learnt from the store, the settings or others, and since when they are tried.
     addresses: BTreeMap<SocketAddr, Duration>,
+    // Whether the store's list of gateways was read.
+    listed: bool,
     lease: Option<(i64, Duration)>,
 }
 
@@ -86,23 +111,33 @@
             own,
             peers: BTreeMap::new(),
             addresses: BTreeMap::new(),
+            listed: false,
             lease: None,
         }
     }
 
     /// An address at which a gateway may be.
     pub fn learn(&mut self, now: Duration, address: SocketAddr) {
-        if address != self.own {
+        let is_known = self.peers.values().any(|peer| peer.address == address);
+        if address != self.own && !is_known {
             self.addresses.entry(address).or_insert(now);
         }
     }
 
+    /// The store's list of gateways was read.
+    pub fn listed(&mut self, now: Duration, addresses: impl Iterator<Item = SocketAddr>) {
+        self.listed = true;
+        addresses.for_each(|address| self.learn(now, address));
+    }
+
     /// A message came from a gateway.
     pub fn hear(&mut self, now: Duration, greeting: Greeting) -> Hearing {
-        if let Some(known) = self.peers.get(&greeting.name) {
-            if (greeting.incarnation, greeting.sequence) <= (known.incarnation, known.sequence) {
-                return Hearing::Stale;
-            }
+        if self
+            .peers
+            .get(&greeting.name)
+            .is_some_and(|known| known.is_before(now, &greeting))
+        {
+            return Hearing::Stale;
         }
         let peer = Peer {
             address: greeting.address,
@@ -156,9 +191,14 @@
     pub fn count(&self, now: Duration) -> PeerCount {
         let is_heard = |peer: &&Peer| now < peer.heard_at + SILENT_AFTER;
         let heard = self.peers.values().filter(is_heard).count();
+        let known = self.peers.len() + self.addresses.len();
+        let others = match self.listed || heard > 0 {
+            true => known,
+            false => known.max(ASSUMED),
+        };
         PeerCount {
             heard,
-            silent: self.peers.len() - heard,
+            silent: others - heard,
         }
     }
 
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -51,8 +51,8 @@
         incarnation: i64,
         /// Totals by tenant.
         taken: BTreeMap<String, u64>,
-        /// Whether it started after this gateway.
-        younger: bool,
+        /// Whether all of it was taken in recent time.
+        recent: bool,
     },
     /// The settings changed.
     Settings(Arc<GatewaySettings>),
@@ -155,11 +155,11 @@
                 gateway,
                 incarnation,
                 taken,
-                younger,
+                recent,
             } => {
                 for (tenant, total) in taken {
                     if let Some(quota) = state.quotas.get_mut(&tenant) {
-                        quota.hear(now, &gateway, incarnation, total, younger);
+                        quota.hear(now, &gateway, incarnation, total, recent);
                     }
                 }
             }
--- /dev/null
+++ b/components/gateway/tests/peers.rs
@@ -0,0 +1,99 @@
+//! What a gateway knows of the others.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use gateway::{is_recent, Greeting, Hearing, Peers};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], port))
+}
+
+fn greeting(name: &str, incarnation: i64, sequence: i64) -> Greeting {
+    Greeting {
+        name: name.into(),
+        address: address(2),
+        incarnation,
+        sequence,
+        reaches_store: true,
+    }
+}
+
+fn peers() -> Peers {
+    Peers::new(address(1))
+}
+
+#[test]
+fn a_gateway_that_knows_of_nobody_uses_a_small_part_of_what_all_share() {
+    assert!(peers().count(ms(0)).heard_part() <= 0.01);
+}
+
+#[test]
+fn gateways_listed_and_not_heard_yet_may_be_running() {
+    let mut peers = peers();
+    peers.listed(ms(0), (1..=8).map(address));
+    assert_eq!(peers.count(ms(0)).heard_part(), 1.0 / 8.0);
+    peers.hear(ms(1), greeting("b", 1, 1));
+    assert_eq!(peers.count(ms(1)).heard_part(), 2.0 / 8.0);
+}
+
+#[test]
+fn the_address_of_a_gateway_that_is_heard_is_nobody_else() {
+    let mut peers = peers();
+    peers.hear(ms(0), greeting("b", 1, 1));
+    peers.learn(ms(1), address(2));
+    assert_eq!(peers.count(ms(1)).heard_part(), 1.0);
+}
+
+#[test]
+fn a_gateway_that_is_alone_uses_everything() {
+    let mut peers = peers();
+    peers.listed(ms(0), [address(1)].into_iter());
+    assert_eq!(peers.count(ms(0)).heard_part(), 1.0);
+}
+
+#[test]
+fn a_process_that_seems_to_have_started_earlier_is_heard_once_the_one_before_is_silent() {
+    let mut peers = peers();
+    peers.hear(ms(0), greeting("b", 2_400_000, 9));
+    assert_eq!(peers.hear(ms(100), greeting("b", 5, 1)), Hearing::Stale);
+    assert_eq!(peers.hear(ms(2000), greeting("b", 5, 2)), Hearing::News);
+    assert_eq!(peers.hear(ms(2001), greeting("b", 5, 2)), Hearing::Stale);
+    assert_eq!(peers.hear(ms(2100), greeting("b", 5, 3)), Hearing::News);
+}
+
+#[test]
+fn what_a_process_of_the_same_age_did_is_recent() {
+    assert!(is_recent(ms(500), ms(900)));
+    assert!(!is_recent(ms(500), ms(60_000)));
+}
+
+#[test]
+fn all_gateways_agree_on_who_holds_calls_at_the_store() {
+    let names = ["a", "b", "c", "d"];
+    let watches = |own: &str, unreachable: Option<&str>| {
+        let mut peers = peers();
+        for name in names.iter().filter(|name| **name != own) {
+            let reaches_store = unreachable != Some(name);
+            let greeting = greeting(name, 1, 1);
+            peers.hear(
+                ms(0),
+                Greeting {
+                    reaches_store,
+                    ..greeting
+                },
+            );
+        }
+        peers.is_among_first(own, ms(1), 2)
+    };
+    let first: Vec<&str> = names.into_iter().filter(|n| watches(n, None)).collect();
+    assert_eq!(first.len(), 2);
+    let lost = first[0];
+    let others = names.into_iter().filter(|name| *name != lost);
+    let after: Vec<&str> = others.filter(|name| watches(name, Some(lost))).collect();
+    assert_eq!(after.len(), 2);
+}
--- a/components/limits/src/shared_quota.rs
+++ b/components/limits/src/shared_quota.rs
@@ -53,10 +53,12 @@
         self.level = self.level.min(limit.burst);
     }
 
-    /// Sets the part of the limit that this gateway may use.
+    /// Sets the part of the limit that this gateway may use. What is in the bucket beyond that part
+    /// is lost: the others, who may not hear of it, could use it as well.
     pub fn set_part(&mut self, now: Duration, part: f64) {
         self.fill(now);
         self.part = part.clamp(0.0, 1.0);
+        self.level = self.level.min(self.size());
     }
 
     /// Takes units, or says how long until they are there.
@@ -80,13 +82,20 @@
         self.taken = self.taken.saturating_sub(units);
     }
 
-    /// Takes the total that another gateway's process told. The first word of a process that began
-    /// before this one heard of it charges nothing: it is history.
-    pub fn hear(&mut self, now: Duration, gateway: &str, incarnation: i64, total: u64, new: bool) {
+    /// Takes the total that another gateway's process told. The first word of a process charges
+    /// everything if the process is `recent`; else it is mostly history and charges nothing.
+    pub fn hear(
+        &mut self,
+        now: Duration,
+        gateway: &str,
+        incarnation: i64,
+        total: u64,
+        recent: bool,
+    ) {
         self.fill(now);
         let key = (gateway.to_string(), incarnation);
         let known = self.others.get(&key).copied();
-        let before = known.unwrap_or(if new { 0 } else { total });
+        let before = known.unwrap_or(if recent { 0 } else { total });
         self.others.insert(key, total.max(before));
         let charge = total.saturating_sub(before) as f64;
         self.level = (self.level - charge).max(-self.limit.rate * MOST_DEBT_SECS);
--- a/components/limits/tests/fleet.rs
+++ b/components/limits/tests/fleet.rs
@@ -144,3 +144,46 @@
     let most = most_in_a_window(83, 500);
     assert!(most <= 9_900, "{most}");
 }
+
+/// Most units admitted in any 8 s by gateways that all start at once, know of each other's addresses
+/// only, and first hear each other within `pause` ms.
+fn most_after_a_common_start(gateways: u64, pause: u64) -> u64 {
+    const UNITS: u64 = 10;
+    let own_part = 1.0 / gateways as f64;
+    let mut quotas: Vec<SharedQuota> = (0..gateways)
+        .map(|_| SharedQuota::new(Duration::ZERO, LIMIT))
+        .collect();
+    quotas
+        .iter_mut()
+        .for_each(|quota| quota.set_part(Duration::ZERO, own_part));
+    let mut admitted: Vec<u64> = Vec::new();
+    for now in 0..12_000 {
+        let mut sum = 0;
+        for quota in &mut quotas {
+            if quota.take(ms(now), UNITS).is_ok() {
+                sum += UNITS;
+            }
+        }
+        admitted.push(sum);
+        for told in 0..gateways {
+            if !(now + told * pause / gateways).is_multiple_of(pause) {
+                continue;
+            }
+            let total = quotas[told as usize].taken();
+            let heard = (now.min(pause) * gateways / pause).max(1) as f64;
+            let others = quotas.iter_mut().enumerate();
+            for (_, quota) in others.filter(|(i, _)| *i != told as usize) {
+                quota.hear(ms(now), &told.to_string(), 1, total, true);
+                quota.set_part(ms(now), heard / gateways as f64);
+            }
+        }
+    }
+    let windows = admitted.windows(8000).map(|window| window.iter().sum());
+    windows.max().unwrap_or(0)
+}
+
+#[test]
+fn many_gateways_that_start_at_once_keep_a_tenth_over_the_limit_in_every_window() {
+    let most = most_after_a_common_start(83, 500);
+    assert!(most <= 9_900, "{most}");
+}
--- a/components/schema/src/messages.rs
+++ b/components/schema/src/messages.rs
@@ -2196,10 +2196,12 @@
     pub heads: Option<Vec<TopicHead>>,
     /// Whether the store answered the sender's last call.
     pub reaches_store: Option<bool>,
+    /// How long the sender's process has run, in milliseconds.
+    pub uptime_ms: Option<i64>,
 }
 
 impl GatewayNews {
-    pub fn new<F10, F11>(
+    pub fn new<F10, F11, F12>(
         gateway: String,
         incarnation: i64,
         sequence: i64,
@@ -2211,10 +2213,12 @@
         stopping: bool,
         heads: F10,
         reaches_store: F11,
+        uptime_ms: F12,
     ) -> GatewayNews
     where
         F10: Into<Option<Vec<TopicHead>>>,
         F11: Into<Option<bool>>,
+        F12: Into<Option<i64>>,
     {
         GatewayNews {
             gateway,
@@ -2228,6 +2232,7 @@
             stopping,
             heads: heads.into(),
             reaches_store: reaches_store.into(),
+            uptime_ms: uptime_ms.into(),
         }
     }
 }
@@ -2246,6 +2251,7 @@
         let mut f_9: Option<bool> = None;
         let mut f_10: Option<Vec<TopicHead>> = None;
         let mut f_11: Option<bool> = None;
+        let mut f_12: Option<i64> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -2328,6 +2334,10 @@
                     let val = i_prot.read_bool()?;
                     f_11 = Some(val);
                 }
+                12 => {
+                    let val = i_prot.read_i64()?;
+                    f_12 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -2365,6 +2375,7 @@
                 .expect("auto-generated code should have checked for presence of required fields"),
             heads: f_10,
             reaches_store: f_11,
+            uptime_ms: f_12,
         };
         Ok(ret)
     }
@@ -2442,6 +2453,11 @@
             o_prot.write_bool(fld_var)?;
             o_prot.write_field_end()?
         }
+        if let Some(fld_var) = self.uptime_ms {
+            o_prot.write_field_begin(&TFieldIdentifier::new("uptime_ms", TType::I64, 12))?;
+            o_prot.write_i64(fld_var)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
--- a/components/schema/thrift/messages.thrift
+++ b/components/schema/thrift/messages.thrift
@@ -235,6 +235,8 @@
   10: optional list<TopicHead> heads,
   /** Whether the store answered the sender's last call. */
   11: optional bool reaches_store,
+  /** How long the sender's process has run, in milliseconds. */
+  12: optional i64 uptime_ms,
 }
 
 /** Asks another gateway for the rows of a topic. */
