End pulls that cannot catch up

A reader from before a copy began got the standing rows only; when the newest change was a dropped row, it stayed behind what it had been told and pulled again at once, without end.

A whole reply holds the dropped rows that are remembered, and a pull after which the reader is still behind counts as failed, so that the store is asked.

Test. a_copy_taken_in_steps_from_another_copy_holds_what_the_store_holds now wants the reader to get as far as the source; it fails with replies of standing rows. The name `all` of the tested method is `standing` now; the assertions on it are the same.

--- a/components/gateway/src/control/passing.rs
+++ b/components/gateway/src/control/passing.rs
@@ -63,16 +63,20 @@
             }
             _ => None,
         };
-        let (Some(reply), Some((_, told))) = (pulled, newer) else {
-            let from = newer.map(|(address, _)| address);
-            info!(self.log, "rows not passed on"; "topic" => ?topic, "from" => ?from);
-            let mut known = self.known.borrow_mut();
-            known.followed_mut(topic).follower.pull_failed();
+        if let Some(reply) = pulled {
+            let changes = reply.rows.into_iter().map(change_of).collect();
+            self.take_changes(topic, changes, reply.known_to.max(0) as u64, reply.whole);
+        }
+        let Some((from, told)) = newer else {
             return;
         };
-        let changes = reply.rows.into_iter().map(change_of).collect();
-        self.take_changes(topic, changes, reply.known_to.max(0) as u64, reply.whole);
         self.confirm_told(topic, told);
+        let mut known = self.known.borrow_mut();
+        let followed = known.followed_mut(topic);
+        if followed.table.changed_at() < told.changed_at {
+            info!(self.log, "rows not passed on"; "topic" => ?topic, "from" => %from);
+            followed.follower.pull_failed();
+        }
     }
 
     /// Serves the rows known here to other gateways.
--- a/components/replica/src/table.rs
+++ b/components/replica/src/table.rs
@@ -84,11 +84,16 @@
     }
 
     /// All rows that stand.
-    pub fn all(&self) -> Vec<Change> {
+    pub fn standing(&self) -> Vec<Change> {
         let standing = self.rows.values().filter(|row| row.value.is_some());
         standing.cloned().collect()
     }
 
+    /// All rows, with those dropped that are remembered: a reader gets as far as this copy.
+    pub fn all(&self) -> Vec<Change> {
+        self.rows.values().cloned().collect()
+    }
+
     /// Forgets up to which revision the changes are known: the store's history is gone.
     pub fn restart(&mut self) {
         self.known_to = None;
--- a/components/replica/tests/tables.rs
+++ b/components/replica/tests/tables.rs
@@ -37,7 +37,7 @@
     table.take(vec![change(1, Some(2), 9)], 9);
     assert!(table.take(vec![change(1, Some(1), 5)], 5).is_empty());
     assert!(table.take(vec![change(1, None, 8)], 8).is_empty());
-    assert_eq!(table.all(), [change(1, Some(2), 9)]);
+    assert_eq!(table.standing(), [change(1, Some(2), 9)]);
     assert_eq!(table.known_to(), Some(9));
 }
 
@@ -47,7 +47,8 @@
     table.take(vec![change(1, Some(1), 3), change(2, Some(1), 12)], 12);
     let news = table.take_all(vec![change(3, Some(1), 7)], 10);
     assert_eq!(news, [change(1, None, 3), change(3, Some(1), 7)]);
-    assert_eq!(table.all(), [change(2, Some(1), 12), change(3, Some(1), 7)]);
+    let standing = table.standing();
+    assert_eq!(standing, [change(2, Some(1), 12), change(3, Some(1), 7)]);
 }
 
 #[test]
@@ -100,7 +101,8 @@
             }
         }
         let expected = standing(&written(&writes));
-        TestResult::from_bool(first.all() == expected && second.all() == expected)
+        let agree = first.standing() == expected && second.standing() == expected;
+        TestResult::from_bool(agree && second.changed_at() == first.changed_at())
     }
     QuickCheck::new()
         .rng(Gen::from_size_and_seed(100, SEED))
