Weigh all engines for heavy prompts

Of 40 engines 4 were weighed for each: the sample shrinks with the requests of others that are not known yet, nearly all of which are light; heavy prompts are told at once.

What is not known is counted apart for light and heavy prompts.

Test. light_requests_that_are_not_known_yet_do_not_narrow_the_choice_for_a_heavy_prompt fails before.

What stays late there are events of streams beside prompts of over 10,000 tokens, which an engine reads 4,096 at a time between the tokens: such prompts would have to be read apart and their memory moved.

--- a/components/routing/src/placement/board.rs
+++ b/components/routing/src/placement/board.rs
@@ -127,7 +127,9 @@
     hashes: HashMap<u64, String>,
     paces: BTreeMap<String, Pace>,
     mixes: BTreeMap<String, Mix>,
-    unknown: Unknown,
+    // By weight of prompt: heavy ones are told at once.
+    unknown_light: Unknown,
+    unknown_heavy: Unknown,
     cache_tokens: BTreeMap<String, u64>,
 }
 
@@ -141,7 +143,8 @@
             hashes: HashMap::new(),
             paces: BTreeMap::new(),
             mixes: BTreeMap::new(),
-            unknown: Unknown::default(),
+            unknown_light: Unknown::default(),
+            unknown_heavy: Unknown::default(),
             cache_tokens: BTreeMap::new(),
         }
     }
@@ -218,10 +221,14 @@
         }
         let hashes = beginnings(&work.parts);
         let shared_prompt = shared_hash(&hashes);
-        let heavy = self.is_heavy(work);
+        let heavy = self.reads_long(&work.service, work.prompt_tokens);
         let group = self.group(now, work, &usable, heavy);
         let home = self.home(shared_prompt, &group);
-        let candidates = self.candidates(now, usable, &group, home.as_ref(), rng);
+        let unknown = match heavy {
+            true => self.unknown_heavy.count(now),
+            false => self.unknown_light.count(now),
+        };
+        let candidates = candidates(unknown, usable, &group, home.as_ref(), rng);
         let mut weighed = Vec::with_capacity(candidates.len());
         for id in candidates {
             let is_home = home.as_ref() == Some(&id);
@@ -340,7 +347,6 @@
         let Some(slot) = self.slots.get_mut(id) else {
             return;
         };
-        self.unknown.note(now, now.saturating_sub(dispatch.sent_at));
         let is_engine = slot.is_engine;
         let service = slot.spec.service.clone();
         slot.other_sent(dispatch.sent_at, dispatch.hold);
@@ -353,6 +359,11 @@
         if is_engine {
             self.note_mix(&service, dispatch.unread_tokens, dispatch.hold);
         }
+        let age = now.saturating_sub(dispatch.sent_at);
+        match self.reads_long(&service, dispatch.unread_tokens) {
+            true => self.unknown_heavy.note(now, age),
+            false => self.unknown_light.note(now, age),
+        }
     }
 
     /// Requests expected at the ready endpoints of a service, and the slots of these.
@@ -377,9 +388,8 @@
         Duration::from_secs_f64(hold_ms / 1000.0)
     }
 
-    fn is_heavy(&self, work: &Work) -> bool {
-        let rate = self.rate(&work.service);
-        f64::from(work.prompt_tokens) / rate > HEAVY_MS
+    fn reads_long(&self, service: &str, tokens: u32) -> bool {
+        f64::from(tokens) / self.rate(service) > HEAVY_MS
     }
 
     // The engines meant for prompts of this weight, in an order that all gateways agree on.
@@ -408,33 +418,10 @@
         }
     }
 
-    // All endpoints, or some of them at random where many requests of others are not known yet: if all
-    // gateways took the best one they know of, they would all take the same.
-    fn candidates(
-        &mut self,
-        now: Duration,
-        usable: Vec<String>,
-        group: &[String],
-        home: Option<&String>,
-        rng: &mut impl Rng,
-    ) -> Vec<String> {
-        let unknown = self.unknown.count(now);
-        let wanted = SAMPLE_FACTOR * group.len() as f64 / unknown.max(1.0);
-        let wanted = (wanted.ceil() as usize).max(LEAST_SAMPLE);
-        if wanted >= group.len() {
-            return usable;
-        }
-        let mut candidates: Vec<String> = group.sample(rng, wanted).cloned().collect();
-        let outside: Vec<&String> = usable.iter().filter(|id| !group.contains(id)).collect();
-        candidates.extend(outside.choose(rng).map(|id| (*id).clone()));
-        candidates.extend(home.filter(|id| !candidates.contains(id)).cloned());
-        candidates
-    }
-
     // Own requests and those of others alike, so that all gateways see the same mix.
     fn note_mix(&mut self, service: &str, unread_tokens: u32, hold: Duration) {
         let tokens = f64::from(unread_tokens);
-        let heavy = tokens / self.rate(service) > HEAVY_MS;
+        let heavy = self.reads_long(service, unread_tokens);
         let mix = self.mixes.entry(service.to_string()).or_default();
         mix.note(tokens, ms(hold), heavy);
     }
@@ -492,6 +479,27 @@
     }
 }
 
+// All endpoints, or some of them at random where many requests of others are not known yet: if all
+// gateways took the best one they know of, they would all take the same.
+fn candidates(
+    unknown: f64,
+    usable: Vec<String>,
+    group: &[String],
+    home: Option<&String>,
+    rng: &mut impl Rng,
+) -> Vec<String> {
+    let wanted = SAMPLE_FACTOR * group.len() as f64 / unknown.max(1.0);
+    let wanted = (wanted.ceil() as usize).max(LEAST_SAMPLE);
+    if wanted >= group.len() {
+        return usable;
+    }
+    let mut candidates: Vec<String> = group.sample(rng, wanted).cloned().collect();
+    let outside: Vec<&String> = usable.iter().filter(|id| !group.contains(id)).collect();
+    candidates.extend(outside.choose(rng).map(|id| (*id).clone()));
+    candidates.extend(home.filter(|id| !candidates.contains(id)).cloned());
+    candidates
+}
+
 // An endpoint's own rate once it was measured, else that of its service.
 fn rate_of(slot: &Slot, pace: Pace) -> f64 {
     match slot.rate > 0.0 {
--- a/components/routing/tests/placement.rs
+++ b/components/routing/tests/placement.rs
@@ -145,3 +145,26 @@
         "a long prompt"
     );
 }
+
+#[test]
+fn light_requests_that_are_not_known_yet_do_not_narrow_the_choice_for_a_heavy_prompt() {
+    let ids: Vec<String> = (0..24).map(|i| format!("e{i}")).collect();
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    let mut board = board(true, &ids);
+    for at in 0..1500 {
+        let dispatch = PeerDispatch {
+            endpoint: endpoint_hash(ids[at as usize % ids.len()]),
+            unread_tokens: 300,
+            shared_prompt: 0,
+            sent_at: ms(at),
+            hold: ms(100),
+        };
+        board.peer_sent(ms(at + 400), dispatch);
+    }
+    let mut weighed = |tokens| {
+        let placement = board.choose(ms(2000), &prompt(1, 2, tokens), &[], &mut rng());
+        placement.expect("engines are ready").weighed
+    };
+    assert_eq!(weighed(20_000), ids.len());
+    assert!(weighed(300) < ids.len() / 2);
+}
