Staff large fleets for the scatter at each engine

Spare engines by the square root of the load suit one queue for all; requests wait at the engine they were sent to. Slots counted as usable to the last one, and these engines have 16.

No bound lets engines be used for more than a part of their time, whatever the size; requests are a load as if 0.7 of the slots were there. The load is a value of `fleet` now.

Tests. a_large_fleet_without_reclaimable_ones_is_not_used_to_its_limit, requests_that_hold_slots_are_a_load_before_all_slots_are_taken.

--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -1,11 +1,13 @@
 //! Which VMs to hold, and how work moves before a reclaim lands. Pure.
 
 mod holding;
+mod load;
 mod moves;
 mod purchase;
 mod scaling;
 
 pub use holding::{plan_holding, Bid, Change, HallOffer, Holding, HoldingPlanner, PoolNeed};
+pub use load::Load;
 pub use moves::{plan_moves, wait_before_moves, Move, MoveRates, Plan, Stream, Target};
 pub use purchase::{Listed, PurchaseAction, PurchaseEvent, Purchases};
 pub use scaling::{Held, Offer, Scaler, ScalingOrder};
--- a/components/fleet/src/scaling.rs
+++ b/components/fleet/src/scaling.rs
@@ -10,13 +10,21 @@
 
 /// Load of the on-demand floor when no reclaimable one is left, in parts of itself.
 const FLOOR_UTILIZATION: f64 = 0.9;
-/// Endpoints wanted beside the load when reclaimable ones are to be had, in square roots of the load:
-/// the fewer endpoints share the load, the more of them stand free for its scatter.
-const ROOMY_SPARE: f64 = 4.4;
-/// With fewer beside the load, on-demand endpoints are added.
-const SCARCE_SPARE: f64 = 1.1;
-/// With more beside the load, on-demand endpoints above the floor are given back.
-const AMPLE_SPARE: f64 = 2.2;
+/// Endpoints wanted when reclaimable ones are to be had.
+const ROOMY: Staffing = Staffing {
+    spare: 4.4,
+    utilization: 0.5,
+};
+/// With fewer, on-demand endpoints are added.
+const SCARCE: Staffing = Staffing {
+    spare: 1.1,
+    utilization: 0.62,
+};
+/// With more, on-demand endpoints above the floor are given back.
+const AMPLE: Staffing = Staffing {
+    spare: 2.2,
+    utilization: 0.55,
+};
 /// Time for which endpoints are watched before the first order: they record themselves one by one.
 const WATCHING: Duration = Duration::from_secs(4);
 /// How long the load must be known before anything is given back.
@@ -28,6 +36,24 @@
 /// Time past its boot after which an order without effect is repeated.
 const REPEAT_PAUSE: Duration = Duration::from_secs(2);
 
+/// How many endpoints carry a load.
+#[derive(Clone, Copy, Debug)]
+struct Staffing {
+    // Endpoints beside the load, in square roots of it: the fewer endpoints share the load, the more
+    // of them stand free for its scatter.
+    spare: f64,
+    // Most part of each endpoint's time that is used: requests wait at the endpoint they were sent
+    // to, so a large fleet does not even the load out as one queue would.
+    utilization: f64,
+}
+
+impl Staffing {
+    fn endpoints(self, load: f64) -> u32 {
+        let by_scatter = load + self.spare * load.sqrt();
+        ceil(by_scatter.max(load / self.utilization))
+    }
+}
+
 /// How endpoints are ordered and what they cost.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Offer {
@@ -115,7 +141,7 @@
             lower_firm(offer, &mut wanted, held, load, floor);
         }
         if offer.reclaimable {
-            add_reclaimable(offer, &mut wanted, floor, staffed(load, ROOMY_SPARE));
+            add_reclaimable(offer, &mut wanted, floor, ROOMY.endpoints(load));
         }
         let may_lower = self.has_learnt(now);
         let mut orders = Vec::new();
@@ -190,7 +216,7 @@
         floor: u32,
     ) -> BTreeMap<String, Held> {
         let mut wanted = expected.clone();
-        let scarce = staffed(load, SCARCE_SPARE);
+        let scarce = SCARCE.endpoints(load);
         while let Some(zone) = lacking(offer, &wanted) {
             wanted.entry(zone).or_default().firm += 1;
         }
@@ -231,7 +257,7 @@
     load: f64,
     floor: u32,
 ) {
-    let ample = staffed(load, AMPLE_SPARE);
+    let ample = AMPLE.endpoints(load);
     // Reclaimable ones that were ordered and do not serve yet replace nothing.
     let mut serving = wanted.clone();
     for (zone, have) in &mut serving {
@@ -303,11 +329,6 @@
     }
 }
 
-// Endpoints for a load with a spare in square roots of it.
-fn staffed(load: f64, spare: f64) -> u32 {
-    ceil(load + spare * load.sqrt())
-}
-
 fn ceil(value: f64) -> u32 {
     value.ceil().max(0.0) as u32
 }
--- a/components/fleet/tests/scaling.rs
+++ b/components/fleet/tests/scaling.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use fleet::{Held, Offer, Scaler, ScalingOrder};
+use fleet::{Held, Load, Offer, Scaler, ScalingOrder};
 
 fn offer() -> Offer {
     let prices = [("a", 1.0), ("b", 0.8), ("c", 1.25), ("d", 0.9)];
@@ -111,3 +111,41 @@
         "{held:?}"
     );
 }
+
+#[test]
+fn a_large_fleet_without_reclaimable_ones_is_not_used_to_its_limit() {
+    let offer = Offer {
+        most: 46,
+        ..offer()
+    };
+    let mut scaler = Scaler::default();
+    let mut state = held(&[("a", 9, 0), ("b", 9, 0), ("c", 9, 0), ("d", 9, 0)]);
+    for now in 0..30 {
+        let orders = scaler.plan(Duration::from_secs(now), &offer, &state, 30.0);
+        for order in orders {
+            match order.reclaimable {
+                true => scaler.refused(Duration::from_secs(now), &order),
+                false => state.entry(order.zone).or_default().firm = order.count,
+            }
+        }
+    }
+    let (firm, reclaimable) = sums(&state);
+    assert_eq!(reclaimable, 0);
+    assert!((48..=60).contains(&firm), "{firm}");
+}
+
+#[test]
+fn requests_that_hold_slots_are_a_load_before_all_slots_are_taken() {
+    let load = Load {
+        tokens_per_s: 0.0,
+        rate: 64.0,
+        requests: 160,
+        slots: 16,
+    };
+    assert!((14.0..=15.0).contains(&load.endpoints()), "{load:?}");
+    let reads_more = Load {
+        tokens_per_s: 1_280_000.0,
+        ..load
+    };
+    assert!((24.0..=25.0).contains(&reads_more.endpoints()), "{load:?}");
+}
--- a/components/gateway/src/control/duties.rs
+++ b/components/gateway/src/control/duties.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use directory::{Configuration, Endpoint, Scaling};
-use fleet::{Held, Offer, Scaler, ScalingOrder};
+use fleet::{Held, Load, Offer, Scaler, ScalingOrder};
 use routing::placement::endpoint_hash;
 use schema::messages::UsageRow;
 use slog::{info, warn};
@@ -21,9 +21,6 @@
 const PLAN_PAUSE: Duration = Duration::from_millis(500);
 /// Others look at the lease only if its holder was not heard for this long.
 const HOLDER_SILENCE: Duration = Duration::from_millis(2500);
-/// An engine reads prompts and makes tokens in the same steps: of the smaller of the two loads only
-/// this part comes on top.
-const BESIDE_PART: f64 = 0.3;
 /// Span over which prompts are counted.
 const DEMAND_SPAN: Duration = Duration::from_secs(5);
 /// Shortest span over which they are averaged.
@@ -280,7 +277,7 @@
         let tokens = known.demand.tokens_per_s(now);
         let mut plans = Vec::new();
         for (service, scaling) in scaled(&configuration) {
-            let load = load_of(&known, service, &tokens);
+            let load = load_of(&known, service, &tokens).endpoints();
             let held = held_by(known.endpoints.values(), service);
             let offer = offer_of(scaling);
             let scaler = known.scalers.entry(service.clone()).or_default();
@@ -326,19 +323,14 @@
     held
 }
 
-// Endpoints that would be busy all the time: reading prompts, and holding requests.
-fn load_of(known: &Known, service: &str, tokens: &HashMap<u64, f64>) -> f64 {
+fn load_of(known: &Known, service: &str, tokens: &HashMap<u64, f64>) -> Load {
     let load = known.loads.get(service).copied().unwrap_or_default();
-    let of_service = known.endpoints.values().filter(|e| e.service == service);
-    let read: f64 = of_service
-        .filter_map(|e| tokens.get(&endpoint_hash(&e.id)))
-        .sum();
-    let reading = match load.rate > 0.0 {
-        true => read / 1000.0 / load.rate,
-        false => 0.0,
-    };
-    let per_endpoint = known.endpoints.values().find(|e| e.service == service);
-    let slots = per_endpoint.map_or(1, |e| e.slots.max(1));
-    let holding = f64::from(load.requests) / f64::from(slots);
-    reading.max(holding) + BESIDE_PART * reading.min(holding)
+    let of_service = || known.endpoints.values().filter(|e| e.service == service);
+    let read = of_service().filter_map(|e| tokens.get(&endpoint_hash(&e.id)));
+    Load {
+        tokens_per_s: read.sum(),
+        rate: load.rate,
+        requests: load.requests,
+        slots: of_service().next().map_or(1, |e| e.slots),
+    }
 }
