Replace half of the on-demand endpoints before the load is known

Giving endpoints back before any load is seen: their number would fall, and a boot takes 4 s. A shorter time of learning: not tried.

While no load was seen, as many endpoints as were found are held, half of them reclaimable as soon as these serve. A holder that starts during traffic sees a load at once and does none of this.

Test. half_of_what_is_found_is_replaced_by_reclaimable_ones_before_any_load fails before.

--- a/components/fleet/src/scaling.rs
+++ b/components/fleet/src/scaling.rs
@@ -27,6 +27,8 @@
 };
 /// Time for which endpoints are watched before the first order: they record themselves one by one.
 const WATCHING: Duration = Duration::from_secs(4);
+/// On-demand part of the endpoints found at the start that is kept until the load is known.
+const FIRM_PART_BEFORE_LOAD: f64 = 0.5;
 /// How long the load must be known before anything is given back.
 const LEARNING: Duration = Duration::from_secs(4);
 /// The load counts as its highest value over this time.
@@ -113,6 +115,8 @@
 #[derive(Debug, Default)]
 pub struct Scaler {
     watched_since: Option<Duration>,
+    // Most on-demand endpoints that were ever held.
+    found: u32,
     load_since: Option<Duration>,
     loads: VecDeque<(Duration, f64)>,
     // Orders given: how many, and when.
@@ -135,15 +139,12 @@
             return Vec::new();
         }
         let expected = self.expected(now, offer, held);
-        let floor = ceil(load / FLOOR_UTILIZATION).max(1);
-        let mut wanted = self.firm(offer, &expected, load, floor);
-        if self.has_learnt(now) {
-            lower_firm(offer, &mut wanted, held, load, floor);
-        }
-        if offer.reclaimable {
-            add_reclaimable(offer, &mut wanted, floor, ROOMY.endpoints(load));
-        }
-        let may_lower = self.has_learnt(now);
+        self.found = self.found.max(firm_of(held));
+        let may_lower = self.load_since.is_none() || self.has_learnt(now);
+        let wanted = match self.load_since {
+            None => before_load(offer, &expected, held, self.found),
+            Some(_) => self.for_load(now, offer, &expected, held, load),
+        };
         let mut orders = Vec::new();
         for (zone, want) in wanted {
             let have = expected.get(&zone).copied().unwrap_or_default();
@@ -207,6 +208,25 @@
         expected
     }
 
+    fn for_load(
+        &self,
+        now: Duration,
+        offer: &Offer,
+        expected: &BTreeMap<String, Held>,
+        held: &BTreeMap<String, Held>,
+        load: f64,
+    ) -> BTreeMap<String, Held> {
+        let floor = ceil(load / FLOOR_UTILIZATION).max(1);
+        let mut wanted = self.firm(offer, expected, load, floor);
+        if self.has_learnt(now) {
+            lower_firm(offer, &mut wanted, held, AMPLE.endpoints(load), floor);
+        }
+        if offer.reclaimable {
+            add_reclaimable(offer, &mut wanted, floor, ROOMY.endpoints(load));
+        }
+        wanted
+    }
+
     // On-demand endpoints by zone: those expected, and more where the load asks for them.
     fn firm(
         &self,
@@ -249,15 +269,30 @@
     }
 }
 
-// Gives on-demand endpoints back that are not needed beside what serves now.
+// As many endpoints as were found, reclaimable ones in place of on-demand ones as soon as they serve.
+fn before_load(
+    offer: &Offer,
+    expected: &BTreeMap<String, Held>,
+    held: &BTreeMap<String, Held>,
+    found: u32,
+) -> BTreeMap<String, Held> {
+    let mut wanted = expected.clone();
+    if offer.reclaimable && found > 0 {
+        let floor = ceil(f64::from(found) * FIRM_PART_BEFORE_LOAD);
+        lower_firm(offer, &mut wanted, held, found, floor);
+        add_reclaimable(offer, &mut wanted, floor, found);
+    }
+    wanted
+}
+
+// Gives on-demand endpoints back down to a floor while more than `ample` serve.
 fn lower_firm(
     offer: &Offer,
     wanted: &mut BTreeMap<String, Held>,
     held: &BTreeMap<String, Held>,
-    load: f64,
+    ample: u32,
     floor: u32,
 ) {
-    let ample = AMPLE.endpoints(load);
     // Reclaimable ones that were ordered and do not serve yet replace nothing.
     let mut serving = wanted.clone();
     for (zone, have) in &mut serving {
--- a/components/fleet/tests/scaling.rs
+++ b/components/fleet/tests/scaling.rs
@@ -81,6 +81,14 @@
     }
 }
 
+#[test]
+fn half_of_what_is_found_is_replaced_by_reclaimable_ones_before_any_load() {
+    let mut scaler = Scaler::default();
+    let mut held = held(&[("a", 3, 0), ("b", 2, 0), ("c", 2, 0), ("d", 2, 0)]);
+    settle(&mut scaler, &mut held, 0.0, (0, 20));
+    assert_eq!(sums(&held), (5, 4));
+}
+
 #[test]
 fn firm_ones_are_ordered_when_the_reclaimable_are_gone_and_refused() {
     let mut scaler = Scaler::default();
