Let a row be gone everywhere when all that saw it go were replaced

Read from the code, and shown by the new test: a gateway that starts after a row was dropped lists the rows without it and told the newest change among those. A gateway that had missed the drop saw nothing newer told, took the confirmation as its own, and kept the endpoint for good, once all that had seen the drop were replaced.

Rows going back to ready with old heartbeats: no log shows one.

A copy that began with a list at a revision tells that revision as its newest change, and how far it knows all changes; a confirmation counts only for who knows all changes up to the newest told, and lets it advance. Drops found by a list carry the list's revision, so that they outlast the row in other copies.

Also: a stopping gateway is logged once and not with each of its messages.

--- a/components/gateway/src/control/exchange.rs
+++ b/components/gateway/src/control/exchange.rs
@@ -181,6 +181,7 @@
         self.metrics.count(Counter::PacketsTaken);
         let now = self.clock.now();
         let mut known = self.known.borrow_mut();
+        let was_known = known.peers.knows(&news.gateway);
         let heard = known.peers.hear(now, news::greeting(news, from));
         let source = Source {
             gateway: news.gateway.clone(),
@@ -199,8 +200,10 @@
             known.peers.hear_lease(now, news.lease_epoch);
         }
         if news.stopping {
-            info!(self.log, "gateway stops"; "gateway" => &news.gateway);
             known.peers.leave(&news.gateway);
+            if was_known {
+                info!(self.log, "gateway stops"; "gateway" => &news.gateway);
+            }
         }
         let dispatches = news.dispatches.iter();
         let dispatches: Vec<_> = dispatches.map(|d| news::heard_dispatch(now, d)).collect();
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -52,8 +52,8 @@
 
     /// What is told to other gateways, once anything is known.
     pub fn told(&self) -> Option<Told> {
-        self.table.known_to()?;
         Some(Told {
+            known_to: self.table.known_to()?,
             changed_at: self.table.changed_at(),
             confirmed: self.confirmed,
         })
@@ -156,8 +156,8 @@
                 true => followed.table.take_all(changes, known_to),
                 false => followed.table.take(changes, known_to),
             };
-            let changed_at = followed.table.changed_at();
-            followed.follower.caught_up(changed_at);
+            let known_to = followed.table.known_to().unwrap_or(0);
+            followed.follower.caught_up(known_to);
             news
         };
         for change in &news {
@@ -186,7 +186,7 @@
     pub fn hear_told(&self, topic: Topic, told: Told, from: SocketAddr) {
         let mut known = self.known.borrow_mut();
         let followed = known.followed_mut(topic);
-        if told.changed_at > followed.table.changed_at() {
+        if !followed.table.covers(told.changed_at) {
             followed.newer = Some((from, told));
             followed.follower.newer_told(told.changed_at);
             followed.wake.notify_one();
@@ -196,17 +196,19 @@
         self.confirm_told(topic, told);
     }
 
-    /// What another gateway told confirms the rows known here, if nothing newer was told.
+    /// What another gateway told confirms the rows known here, unless a change is missing.
     pub fn confirm_told(&self, topic: Topic, told: Told) {
         let now = self.clock.now();
-        let known = self.known.borrow();
-        let followed = &known.followed[&topic];
-        let covers = followed.table.changed_at() >= told.changed_at;
-        let is_known = followed.table.known_to().is_some();
-        let is_news = told.confirmed > followed.confirmed;
+        let mut known = self.known.borrow_mut();
         let moment = known.store_clock.moment(told.confirmed, now);
+        let followed = known.followed_mut(topic);
+        if !followed.table.covers(told.changed_at) {
+            return;
+        }
+        followed.table.advance(told.known_to);
+        let is_news = told.confirmed > followed.confirmed;
         drop(known);
-        if let Some(at) = moment.filter(|_| covers && is_known && is_news) {
+        if let Some(at) = moment.filter(|_| is_news) {
             self.confirm(topic, told.confirmed, at);
         }
     }
--- a/components/gateway/src/control/passing.rs
+++ b/components/gateway/src/control/passing.rs
@@ -50,7 +50,7 @@
         let (newer, after) = {
             let known = self.known.borrow();
             let followed = &known.followed[&topic];
-            (followed.newer, followed.table.changed_at())
+            (followed.newer, followed.table.known_to().unwrap_or(0))
         };
         let pulled = match (newer, name_of(topic)) {
             (Some((address, _)), Some(name)) => {
@@ -73,7 +73,7 @@
         self.confirm_told(topic, told);
         let mut known = self.known.borrow_mut();
         let followed = known.followed_mut(topic);
-        if followed.table.changed_at() < told.changed_at {
+        if !followed.table.covers(told.changed_at) {
             info!(self.log, "rows not passed on"; "topic" => ?topic, "from" => %from);
             followed.follower.pull_failed();
         }
--- a/components/gateway/src/news.rs
+++ b/components/gateway/src/news.rs
@@ -72,6 +72,7 @@
         topic: name_of(topic)?,
         changed_at: told.changed_at as i64,
         confirmed_us: told.confirmed.as_micros() as i64,
+        known_to: told.known_to as i64,
     })
 }
 
@@ -82,6 +83,7 @@
         .filter_map(|head| {
             let told = Told {
                 changed_at: head.changed_at.max(0) as u64,
+                known_to: head.known_to.max(0) as u64,
                 confirmed: Duration::from_micros(head.confirmed_us.max(0) as u64),
             };
             Some((topic_of(head.topic)?, told))
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -162,6 +162,11 @@
         rank(WATCH_KEY, names.chain([own]), count).contains(&own)
     }
 
+    /// Whether a gateway was heard and has not stopped or been forgotten since.
+    pub fn knows(&self, name: &str) -> bool {
+        self.peers.contains_key(name)
+    }
+
     /// A gateway says that it stops.
     pub fn leave(&mut self, name: &str) {
         self.peers.remove(name);
--- a/components/replica/src/follower.rs
+++ b/components/replica/src/follower.rs
@@ -17,9 +17,11 @@
 /// What another gateway tells of a topic.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Told {
-    /// Revision of the newest change it knows.
+    /// Revision after which nothing changed, as far as it knows.
     pub changed_at: u64,
-    /// The store's steady time at which that was confirmed to be the newest.
+    /// Revision up to which it knows all changes.
+    pub known_to: u64,
+    /// The store's steady time at which that was confirmed.
     pub confirmed: Duration,
 }
 
--- a/components/replica/src/table.rs
+++ b/components/replica/src/table.rs
@@ -31,10 +31,21 @@
         self.known_to
     }
 
-    /// Revision of the newest change, 0 if there is none.
+    /// Revision after which nothing changed up to [`Table::known_to`]: that of the newest change, or of
+    /// the list that this copy began with, which does not tell when the rows it lacks were dropped.
     pub fn changed_at(&self) -> u64 {
         let revisions = self.rows.values().map(|row| row.revision);
-        revisions.max().unwrap_or(0)
+        revisions.max().unwrap_or(0).max(self.base)
+    }
+
+    /// Whether all changes up to a revision are known.
+    pub fn covers(&self, revision: u64) -> bool {
+        self.known_to.is_some_and(|known_to| known_to >= revision)
+    }
+
+    /// Nothing changed between what is known here and a revision.
+    pub fn advance(&mut self, known_to: u64) {
+        self.known_to = self.known_to.max(Some(known_to));
     }
 
     /// Takes changes up to a revision and returns those that were not known.
@@ -46,7 +57,7 @@
         for change in &news {
             self.rows.insert(change.key.clone(), change.clone());
         }
-        self.known_to = self.known_to.max(Some(known_to));
+        self.advance(known_to);
         self.forget_dropped();
         news
     }
@@ -62,7 +73,7 @@
             .map(|row| Change {
                 key: row.key.clone(),
                 value: None,
-                revision: row.revision,
+                revision: known_to,
             })
             .collect();
         for change in &dropped {
--- a/components/schema/src/messages.rs
+++ b/components/schema/src/messages.rs
@@ -2089,18 +2089,21 @@
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct TopicHead {
     pub topic: TopicName,
-    /// Revision of the newest change.
+    /// Revision after which nothing changed up to known_to.
     pub changed_at: i64,
-    /// The store's steady time at which that was confirmed to be the newest, in microseconds.
+    /// The store's steady time at which that was confirmed, in microseconds.
     pub confirmed_us: i64,
+    /// Revision up to which the gateway knows all changes.
+    pub known_to: i64,
 }
 
 impl TopicHead {
-    pub fn new(topic: TopicName, changed_at: i64, confirmed_us: i64) -> TopicHead {
+    pub fn new(topic: TopicName, changed_at: i64, confirmed_us: i64, known_to: i64) -> TopicHead {
         TopicHead {
             topic,
             changed_at,
             confirmed_us,
+            known_to,
         }
     }
 }
@@ -2111,6 +2114,7 @@
         let mut f_1: Option<TopicName> = None;
         let mut f_2: Option<i64> = None;
         let mut f_3: Option<i64> = None;
+        let mut f_4: Option<i64> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -2130,6 +2134,10 @@
                     let val = i_prot.read_i64()?;
                     f_3 = Some(val);
                 }
+                4 => {
+                    let val = i_prot.read_i64()?;
+                    f_4 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -2140,6 +2148,7 @@
         verify_required_field_exists("TopicHead.topic", &f_1)?;
         verify_required_field_exists("TopicHead.changed_at", &f_2)?;
         verify_required_field_exists("TopicHead.confirmed_us", &f_3)?;
+        verify_required_field_exists("TopicHead.known_to", &f_4)?;
         let ret = TopicHead {
             topic: f_1
                 .expect("auto-generated code should have checked for presence of required fields"),
@@ -2147,6 +2156,8 @@
                 .expect("auto-generated code should have checked for presence of required fields"),
             confirmed_us: f_3
                 .expect("auto-generated code should have checked for presence of required fields"),
+            known_to: f_4
+                .expect("auto-generated code should have checked for presence of required fields"),
         };
         Ok(ret)
     }
@@ -2162,6 +2173,9 @@
         o_prot.write_field_begin(&TFieldIdentifier::new("confirmed_us", TType::I64, 3))?;
         o_prot.write_i64(self.confirmed_us)?;
         o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("known_to", TType::I64, 4))?;
+        o_prot.write_i64(self.known_to)?;
+        o_prot.write_field_end()?;
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -2471,7 +2485,7 @@
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct RowsQuery {
     pub topic: TopicName,
-    /// Revision of the newest change that the asking gateway knows, 0 for none.
+    /// Revision up to which the asking gateway knows all changes, 0 for none.
     pub after: i64,
 }
 
--- a/components/schema/thrift/messages.thrift
+++ b/components/schema/thrift/messages.thrift
@@ -205,10 +205,12 @@
 /** How far a gateway knows a topic. */
 struct TopicHead {
   1: required TopicName topic,
-  /** Revision of the newest change. */
+  /** Revision after which nothing changed up to known_to. */
   2: required i64 changed_at,
-  /** The store's steady time at which that was confirmed to be the newest, in microseconds. */
+  /** The store's steady time at which that was confirmed, in microseconds. */
   3: required i64 confirmed_us,
+  /** Revision up to which the gateway knows all changes. */
+  4: required i64 known_to,
 }
 
 /** What a gateway tells the others. */
@@ -242,7 +244,7 @@
 /** Asks another gateway for the rows of a topic. */
 struct RowsQuery {
   1: required TopicName topic,
-  /** Revision of the newest change that the asking gateway knows, 0 for none. */
+  /** Revision up to which the asking gateway knows all changes, 0 for none. */
   2: required i64 after,
 }
 
