Take a change from others while the store says nothing

A call of the store is given up 300 ms after another gateway told of a newer change, if that can be had there. A copy whose store has forgotten its history keeps what it knows, tells it and serves it; only its own next call lists all rows.

Tests. a_change_that_others_know_does_not_wait_for_a_store_that_says_nothing, a_copy_whose_store_forgot_its_history_still_serves_others.

--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -1,5 +1,6 @@
 //! Following the store: the configuration and the endpoints, from the store or from other gateways.
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -17,6 +18,8 @@
 /// Pause after changes of endpoints: those that follow soon come with one answer. It is well within
 /// the time that a leaving endpoint goes on serving.
 const GATHER_PAUSE: Duration = Duration::from_millis(250);
+/// A call of the store is given up so long after another gateway told of a change.
+const OVERTAKEN_TIME: Duration = Duration::from_millis(300);
 /// Gateways that hold calls at the store: one may be cut off or die unnoticed.
 pub(crate) const WATCHERS: usize = 2;
 
@@ -72,7 +75,7 @@
                 Step::Pull => self.pull(topic).await,
                 Step::List => {
                     let sent = self.clock.now();
-                    let result = self.store.list(topic).await;
+                    let result = self.unless_overtaken(topic, self.store.list(topic)).await;
                     self.take_result(topic, sent, result, true);
                 }
                 Step::Changes { hold } => self.ask_for_changes(topic, hold).await,
@@ -87,14 +90,33 @@
         let watches = known
             .peers
             .is_among_first(&self.source.gateway, now, WATCHERS);
-        let rows_known = followed.table.known_to().is_some();
-        followed.follower.step(now, watches, rows_known)
+        let can_go_on = followed.table.can_go_on();
+        followed.follower.step(now, watches, can_go_on)
+    }
+
+    // A store that says nothing must not keep a change from here that others know.
+    async fn unless_overtaken(
+        &self,
+        topic: Topic,
+        call: impl Future<Output = Result<Rows, StoreError>>,
+    ) -> Result<Rows, StoreError> {
+        let wake = Arc::clone(&self.known.borrow().followed[&topic].wake);
+        tokio::pin!(call);
+        while !self.known.borrow().followed[&topic].follower.may_pull() {
+            tokio::select! {
+                result = &mut call => return result,
+                () = wake.notified() => {}
+            }
+        }
+        let answered = tokio::time::timeout(OVERTAKEN_TIME, call).await;
+        answered.unwrap_or(Err(StoreError::Unanswered))
     }
 
     async fn ask_for_changes(&self, topic: Topic, hold: Duration) {
         let after = self.known.borrow().followed[&topic].table.known_to();
         let sent = self.clock.now();
-        let result = self.store.changes(topic, after.unwrap_or(0), hold).await;
+        let call = self.store.changes(topic, after.unwrap_or(0), hold);
+        let result = self.unless_overtaken(topic, call).await;
         let changed = self.take_result(topic, sent, result, false);
         if changed && topic == Topic::Endpoints {
             tokio::time::sleep(GATHER_PAUSE).await;
--- a/components/gateway/tests/common/store.rs
+++ b/components/gateway/tests/common/store.rs
@@ -33,6 +33,7 @@
 pub struct StoreStandin {
     state: Arc<Mutex<State>>,
     refuses: Arc<AtomicBool>,
+    says_nothing: Arc<AtomicBool>,
     started: Instant,
 }
 
@@ -41,6 +42,7 @@
         StoreStandin {
             state: Arc::default(),
             refuses: Arc::default(),
+            says_nothing: Arc::default(),
             started: Instant::now(),
         }
     }
@@ -70,6 +72,7 @@
     pub fn for_another(&self) -> Self {
         StoreStandin {
             refuses: Arc::default(),
+            says_nothing: Arc::default(),
             ..self.clone()
         }
     }
@@ -79,6 +82,17 @@
         self.refuses.store(refuses, Ordering::Relaxed);
     }
 
+    /// Answers no call about rows of this gateway from now on.
+    pub fn say_nothing(&self) {
+        self.says_nothing.store(true, Ordering::Relaxed);
+    }
+
+    async fn answer_or_say_nothing(&self) {
+        if self.says_nothing.load(Ordering::Relaxed) {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Forgets the changes made so far; the rows stay.
     pub fn forget_history(&self) {
         let mut state = self.state.lock().unwrap();
@@ -160,6 +174,7 @@
 
 impl Store for StoreStandin {
     async fn list(&self, topic: Topic) -> Result<Rows, StoreError> {
+        self.answer_or_say_nothing().await;
         let state = self.enter()?;
         Ok(self.rows(&state, topic, 0, false))
     }
@@ -173,6 +188,7 @@
     async fn changes(&self, topic: Topic, after: u64, wait: Duration) -> Result<Rows, StoreError> {
         let began = Instant::now();
         loop {
+            self.answer_or_say_nothing().await;
             {
                 let state = self.enter()?;
                 if after < state.forgets_before {
--- a/components/gateway/tests/passing.rs
+++ b/components/gateway/tests/passing.rs
@@ -65,6 +65,22 @@
     assert_eq!(pair.first.call("/old/1", &["x-key: k"]).status, 404);
 }
 
+#[test]
+fn a_change_that_others_know_does_not_wait_for_a_store_that_says_nothing() {
+    let standin = EndpointStandin::start(|_, e| e.answer(200, "x"));
+    let store = store_with(1, "/old/");
+    store.put_endpoint(endpoint("e1", standin.address));
+    let pair = pair(&store);
+    pair.second.store.say_nothing();
+    pair.second.store.refuse(false);
+    let mut configuration = configuration(2, vec![route("/new/", Execution::Repeatable)]);
+    configuration.tenants = vec![tenant("t", "k")];
+    store.put_configuration(configuration);
+    wait_until("the new route", || {
+        pair.second.call("/new/1", &["x-key: k"]).status == 200
+    });
+}
+
 #[test]
 fn a_gateway_that_the_store_turns_away_accepts_keys_while_another_confirms_them() {
     let standin = EndpointStandin::start(|_, e| e.answer(200, "x"));
--- a/components/replica/src/follower.rs
+++ b/components/replica/src/follower.rs
@@ -95,7 +95,7 @@
     /// store, `known` whether any rows were taken yet.
     pub fn step(&self, now: Duration, watches: bool, known: bool) -> Step {
         let asks_peer = self.first == Source::Peer || self.store_failures > 0;
-        if self.newer_told.is_some() && asks_peer && !self.pull_failed {
+        if asks_peer && self.may_pull() {
             return Step::Pull;
         }
         let due = self.store_due(now, watches, known);
@@ -133,6 +133,11 @@
         self.pull_failed = false;
     }
 
+    /// Whether a change that is not known here can be had of another gateway.
+    pub fn may_pull(&self) -> bool {
+        self.newer_told.is_some() && !self.pull_failed
+    }
+
     /// The gateway that told of changes gave none: the store is asked.
     pub fn pull_failed(&mut self) {
         self.pull_failed = true;
--- a/components/replica/src/table.rs
+++ b/components/replica/src/table.rs
@@ -23,6 +23,8 @@
     // Every change after this revision is known.
     base: u64,
     known_to: Option<u64>,
+    // The store does not know the changes since then any more: its rows have to be listed.
+    restarted: bool,
 }
 
 impl Table {
@@ -80,6 +82,7 @@
             self.rows.insert(change.key.clone(), change.clone());
         }
         self.base = self.base.max(known_to);
+        self.restarted = false;
         let mut news = dropped;
         news.extend(self.take(rows, known_to));
         news
@@ -105,9 +108,14 @@
         self.rows.values().cloned().collect()
     }
 
-    /// Forgets up to which revision the changes are known: the store's history is gone.
+    /// The store's history is gone. What is known stays, also for others.
     pub fn restart(&mut self) {
-        self.known_to = None;
+        self.restarted = true;
+    }
+
+    /// Whether the store can be asked for changes, and not only for all rows.
+    pub fn can_go_on(&self) -> bool {
+        self.known_to.is_some() && !self.restarted
     }
 
     fn is_news(&self, change: &Change) -> bool {
--- a/components/replica/tests/tables.rs
+++ b/components/replica/tests/tables.rs
@@ -83,6 +83,18 @@
     assert!(older.covers(fresh.changed_at()));
 }
 
+#[test]
+fn a_copy_whose_store_forgot_its_history_still_serves_others() {
+    let mut table = Table::default();
+    table.take_all(vec![change(1, Some(1), 3)], 10);
+    table.restart();
+    assert!(!table.can_go_on());
+    assert_eq!(table.known_to(), Some(10));
+    assert_eq!(table.since(10), Some(Vec::new()));
+    table.take_all(vec![change(1, Some(1), 3)], 12);
+    assert!(table.can_go_on());
+}
+
 #[test]
 fn dropped_rows_are_forgotten_in_the_end_and_the_readers_told() {
     let mut table = Table::default();
