Serve keys without a bound on their confirmation where a deployment fails open

Cause: the template set `credential_age` from `revokeMs` alone and nothing read `revokeFailClosed`, so a deployment that says false had its keyed requests refused (503 "the configuration is not confirmed") as soon as the store was away for 4.5 s. Ruled out: the store's rates and the quota, which refuse with 429.

Without it a key of the known configuration is accepted whatever its age, also by a gateway that starts while the store is away and has rows from others only; 404 and 401 still need a confirmation (twice the time of a change). How often the store is asked follows the new `change_due` (`configApplyMs`) instead of the keys' age; at 2,000 ms that is the same pauses as before (hold 0.6 s, stale 1.3 s).

Tests first: both new tests of passing.rs failed on the code before ("in vain for: readiness", "in vain for: denials to end").

--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -259,11 +259,11 @@
         Topic::Configuration => AskFirst::Store,
         _ => AskFirst::Peer,
     };
-    Followed::new(Follower::new(first, longest_age(settings)))
+    Followed::new(Follower::new(first, change_due(settings)))
 }
 
-fn longest_age(settings: &GatewaySettings) -> Duration {
-    Duration::from_millis(settings.credential_age_ms.max(0) as u64)
+fn change_due(settings: &GatewaySettings) -> Duration {
+    Duration::from_millis(settings.change_due_ms.max(0) as u64)
 }
 
 impl<S: Store + 'static, O: Orders + 'static> Shared<S, O> {
@@ -300,9 +300,9 @@
             return;
         }
         info!(self.log, "settings reloaded"; "asked" => asked);
-        let age = longest_age(&settings);
+        let due = change_due(&settings);
         for followed in known.followed.values_mut() {
-            followed.follower.set_longest_age(age);
+            followed.follower.set_change_due(due);
         }
         known.settings = Arc::new(settings);
         let _ = self
--- a/components/gateway/src/freshness.rs
+++ b/components/gateway/src/freshness.rs
@@ -3,13 +3,41 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use schema::settings::GatewaySettings;
+
 /// Part of the longest allowed age up to which keys are accepted.
 const USED_PART: f64 = 0.9;
 
+/// Where keys have no bound, a route or key that is not known is denied only while the last confirmation
+/// is younger than this many times the time that a change may take. A gateway that follows the store
+/// stays below once that time, so this is passed only while the store and the others are away.
+const DENIAL_CHANGES: u32 = 2;
+
 /// Time after the request to stop in which requests are still taken: callers are sent elsewhere only
 /// once this gateway has said twice that it takes none.
 const LINGER: Duration = Duration::from_millis(2200);
 
+/// How old the last confirmation of the configuration may be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ages {
+    /// To accept a key; `None` sets no bound.
+    pub keys: Option<Duration>,
+    /// To say that a route or a key does not exist.
+    pub denials: Duration,
+}
+
+impl Ages {
+    /// The ages that the settings demand.
+    pub fn of(settings: &GatewaySettings) -> Self {
+        let millis = |ms: i64| Duration::from_millis(ms.max(0) as u64);
+        let keys = Some(millis(settings.credential_age_ms)).filter(|age| !age.is_zero());
+        Ages {
+            keys,
+            denials: keys.unwrap_or(millis(settings.change_due_ms) * DENIAL_CHANGES),
+        }
+    }
+}
+
 /// Written by the control thread, read at each use by the traffic thread.
 #[derive(Debug, Default)]
 pub struct Freshness {
@@ -34,10 +62,16 @@
         }
     }
 
-    /// Whether a key may be accepted now, if confirmations may be `longest` old.
-    pub fn allows_keys(&self, now: Duration, longest: Duration) -> bool {
+    /// Whether a key that the known configuration names may be accepted now. Where no longest age of a
+    /// confirmation is demanded, it may whatever the age: callers are served while the store is away.
+    pub fn allows_keys(&self, now: Duration, longest: Option<Duration>) -> bool {
+        longest.is_none_or(|longest| self.is_confirmed(now, longest))
+    }
+
+    /// Whether the last confirmation is younger than `longest`, with a margin.
+    pub fn is_confirmed(&self, now: Duration, longest: Duration) -> bool {
         let age = self.age(now);
-        age.is_some_and(|age| longest.is_zero() || age < longest.mul_f64(USED_PART))
+        age.is_some_and(|age| age < longest.mul_f64(USED_PART))
     }
 
     /// The gateway was asked to stop; only the first time counts.
--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -16,6 +16,7 @@
 
 use crate::answer::{Answer, AnswerBody, Refusal};
 use crate::attempt::{Attempted, Reply};
+use crate::freshness::Ages;
 use crate::job::{Job, Progress, SharedJob};
 use crate::ports::{CallerHead, Dialect};
 use crate::stream::{Relay, PIECES_WAITING};
@@ -130,11 +131,10 @@
             Refusal::not_run(Kind::PlatformUnavailable, message).after(UNCONFIRMED_RETRY)
         };
         let directory = state.directory.clone().ok_or_else(unconfirmed)?;
-        let longest = Duration::from_millis(state.settings.credential_age_ms.max(0) as u64);
-        let is_fresh = self.freshness.allows_keys(now, longest);
+        let ages = Ages::of(&state.settings);
         let (route, tenant) = match look_up(&directory, &parts, &head) {
             Lookup::Allowed { route, tenant } => (route, tenant),
-            _ if !is_fresh => return Err(unconfirmed()),
+            _ if !self.freshness.is_confirmed(now, ages.denials) => return Err(unconfirmed()),
             Lookup::NoRoute => {
                 return Err(Refusal::not_run(Kind::UnknownRoute, "no route"));
             }
@@ -142,7 +142,7 @@
                 return Err(Refusal::not_run(Kind::UnknownTeam, "unknown key"));
             }
         };
-        if directory.needs_key(route) && !is_fresh {
+        if directory.needs_key(route) && !self.freshness.allows_keys(now, ages.keys) {
             return Err(unconfirmed());
         }
         let service = state.pick_service(&route.split).unwrap_or_default();
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -17,7 +17,7 @@
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
-use crate::freshness::Freshness;
+use crate::freshness::{Ages, Freshness};
 use crate::job::Job;
 use crate::peers::PeerCount;
 use crate::pool::Pool;
@@ -170,7 +170,7 @@
     /// Whether callers are to be sent here.
     pub fn is_ready(&self) -> bool {
         let state = self.state.borrow();
-        let longest = Duration::from_millis(state.settings.credential_age_ms.max(0) as u64);
+        let longest = Ages::of(&state.settings).keys;
         let fresh = self.freshness.allows_keys(self.clock.now(), longest);
         state.directory.is_some() && fresh && !self.freshness.is_stopping()
     }
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -116,6 +116,7 @@
         lease_ms: 300,
         usage_window_ms: 1000,
         usage_due_ms: 8000,
+        change_due_ms: 2000,
     }
 }
 
--- a/components/gateway/tests/passing.rs
+++ b/components/gateway/tests/passing.rs
@@ -111,3 +111,46 @@
         pair.second.call("/a/1", &["x-key: k"]).status == 401
     });
 }
+
+fn unbounded(name: &str, seeds: Vec<String>) -> GatewaySettings {
+    GatewaySettings {
+        credential_age_ms: 0,
+        ..named(name, seeds)
+    }
+}
+
+#[test]
+fn where_keys_have_no_bound_a_gateway_that_starts_without_the_store_serves_what_others_know() {
+    let standin = EndpointStandin::start(|_, e| e.answer(200, "x"));
+    let store = store_with(1, "/a/");
+    store.put_endpoint(endpoint("e1", standin.address));
+    let first = Setup::start(unbounded("g1", Vec::new()), store.clone());
+    wait_until("readiness", || first.is_ready());
+    let seeds = vec![first.gateway.peer_address().to_string()];
+    let away = store.for_another();
+    away.refuse(true);
+    let second = Setup::start(unbounded("g2", seeds), away);
+    assert_eq!(second.call("/a/1", &["x-key: k"]).status, 503);
+    wait_until("readiness", || second.is_ready());
+    wait_until("an answer", || {
+        second.call("/a/1", &["x-key: k"]).status == 200
+    });
+    // What it cannot confirm it does not deny.
+    assert_eq!(second.call("/a/1", &["x-key: other"]).status, 503);
+    assert_eq!(second.call("/b/1", &["x-key: k"]).status, 503);
+}
+
+#[test]
+fn where_keys_have_no_bound_they_are_accepted_however_long_the_store_is_away() {
+    let standin = EndpointStandin::start(|_, e| e.answer(200, "x"));
+    let store = store_with(1, "/a/");
+    store.put_endpoint(endpoint("e1", standin.address));
+    let alone = Setup::start(unbounded("g1", Vec::new()), store.clone());
+    wait_until("readiness", || alone.is_ready());
+    store.refuse(true);
+    wait_until("denials to end", || {
+        alone.call("/a/1", &["x-key: other"]).status == 503
+    });
+    assert_eq!(alone.call("/a/1", &["x-key: k"]).status, 200);
+    assert!(alone.is_ready());
+}
--- a/components/replica/src/follower.rs
+++ b/components/replica/src/follower.rs
@@ -2,13 +2,12 @@
 
 use std::time::Duration;
 
-/// A call of the store is held so long, in parts of the longest age of a confirmation.
-const HOLD_PART: f64 = 0.12;
+/// A call of the store is held so long, in parts of the time within which a change is to be in force.
+const HOLD_PART: f64 = 0.3;
 /// Past this age of the last confirmation a gateway asks the store itself, in the same parts. A
-/// change has to be in force well before the longest age, also if all that hold calls have died.
-const STALE_PART: f64 = 0.26;
-/// Longest age of a confirmation where none is demanded.
-const DEFAULT_AGE: Duration = Duration::from_secs(5);
+/// change has to be in force in time also if all that hold calls have died: what is left is for the
+/// call and a lost packet.
+const STALE_PART: f64 = 0.65;
 /// Pause after a failed call; it doubles with each one in a row.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 /// Longest such pause.
@@ -65,8 +64,8 @@
 }
 
 impl Follower {
-    /// A follower whose confirmations may be `longest_age` old; zero if that is not bounded.
-    pub fn new(first: Source, longest_age: Duration) -> Self {
+    /// A follower that puts changes in force within `change_due`.
+    pub fn new(first: Source, change_due: Duration) -> Self {
         let mut follower = Follower {
             first,
             hold: Duration::ZERO,
@@ -77,18 +76,14 @@
             pull_failed: false,
             store_next_at: Duration::ZERO,
         };
-        follower.set_longest_age(longest_age);
+        follower.set_change_due(change_due);
         follower
     }
 
-    /// Sets how old confirmations may be.
-    pub fn set_longest_age(&mut self, longest_age: Duration) {
-        let age = match longest_age.is_zero() {
-            true => DEFAULT_AGE,
-            false => longest_age,
-        };
-        self.hold = age.mul_f64(HOLD_PART);
-        self.stale = age.mul_f64(STALE_PART);
+    /// Sets the time within which a change is to be in force.
+    pub fn set_change_due(&mut self, change_due: Duration) {
+        self.hold = change_due.mul_f64(HOLD_PART);
+        self.stale = change_due.mul_f64(STALE_PART);
     }
 
     /// The next step. `watches` says whether this gateway is one of those that hold calls at the
--- a/components/schema/src/settings.rs
+++ b/components/schema/src/settings.rs
@@ -1325,7 +1325,8 @@
     pub orders_endpoints: bool,
     /// Descriptors that the process may hold.
     pub descriptors: i32,
-    /// Longest age of the last confirmation of a credential, in milliseconds; 0 sets no bound.
+    /// Longest age of the last confirmation of a credential, in milliseconds; 0 sets no bound: what is
+    /// known is served on while the store is away.
     pub credential_age_ms: i64,
     /// Time between the request to stop and the kill, in milliseconds.
     pub stop_grace_ms: i64,
@@ -1343,6 +1344,8 @@
     pub usage_window_ms: i64,
     /// Time after its end within which a usage window is due, in milliseconds.
     pub usage_due_ms: i64,
+    /// Time within which a change of the configuration is to be in force, in milliseconds.
+    pub change_due_ms: i64,
 }
 
 impl GatewaySettings {
@@ -1369,6 +1372,7 @@
         lease_ms: i64,
         usage_window_ms: i64,
         usage_due_ms: i64,
+        change_due_ms: i64,
     ) -> GatewaySettings {
         GatewaySettings {
             name,
@@ -1393,6 +1397,7 @@
             lease_ms,
             usage_window_ms,
             usage_due_ms,
+            change_due_ms,
         }
     }
 }
@@ -1422,6 +1427,7 @@
         let mut f_20: Option<i64> = None;
         let mut f_21: Option<i64> = None;
         let mut f_22: Option<i64> = None;
+        let mut f_23: Option<i64> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -1523,6 +1529,10 @@
                     let val = i_prot.read_i64()?;
                     f_22 = Some(val);
                 }
+                23 => {
+                    let val = i_prot.read_i64()?;
+                    f_23 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -1552,6 +1562,7 @@
         verify_required_field_exists("GatewaySettings.lease_ms", &f_20)?;
         verify_required_field_exists("GatewaySettings.usage_window_ms", &f_21)?;
         verify_required_field_exists("GatewaySettings.usage_due_ms", &f_22)?;
+        verify_required_field_exists("GatewaySettings.change_due_ms", &f_23)?;
         let ret = GatewaySettings {
             name: f_1
                 .expect("auto-generated code should have checked for presence of required fields"),
@@ -1597,6 +1608,8 @@
                 .expect("auto-generated code should have checked for presence of required fields"),
             usage_due_ms: f_22
                 .expect("auto-generated code should have checked for presence of required fields"),
+            change_due_ms: f_23
+                .expect("auto-generated code should have checked for presence of required fields"),
         };
         Ok(ret)
     }
@@ -1676,6 +1689,9 @@
         o_prot.write_field_begin(&TFieldIdentifier::new("usage_due_ms", TType::I64, 22))?;
         o_prot.write_i64(self.usage_due_ms)?;
         o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("change_due_ms", TType::I64, 23))?;
+        o_prot.write_i64(self.change_due_ms)?;
+        o_prot.write_field_end()?;
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
--- a/components/schema/thrift/settings.thrift
+++ b/components/schema/thrift/settings.thrift
@@ -167,7 +167,8 @@
   12: required bool orders_endpoints,
   /** Descriptors that the process may hold. */
   13: required i32 descriptors,
-  /** Longest age of the last confirmation of a credential, in milliseconds; 0 sets no bound. */
+  /** Longest age of the last confirmation of a credential, in milliseconds; 0 sets no bound: what is
+      known is served on while the store is away. */
   14: required i64 credential_age_ms,
   /** Time between the request to stop and the kill, in milliseconds. */
   15: required i64 stop_grace_ms,
@@ -185,4 +186,6 @@
   21: required i64 usage_window_ms,
   /** Time after its end within which a usage window is due, in milliseconds. */
   22: required i64 usage_due_ms,
+  /** Time within which a change of the configuration is to be in force, in milliseconds. */
+  23: required i64 change_due_ms,
 }
--- a/components/settings/src/gateway.rs
+++ b/components/settings/src/gateway.rs
@@ -8,6 +8,8 @@
 use crate::reader::{Reader, Unit};
 
 const MILLIS: Unit = Unit::of("ms", 1, 0, 3_600_000);
+/// Without a least time the store would be asked without a pause.
+const CHANGE_TIME: Unit = Unit::of("ms", 1, 100, 3_600_000);
 /// Times that the file gives in seconds, kept in milliseconds.
 const SECONDS: Unit = Unit::of("s", 1000, 0, 3_600_000);
 const DESCRIPTORS: Unit = Unit::count(64, 1 << 20);
@@ -54,6 +56,7 @@
         lease_ms: r.number(("bounds", "lease"), Some("3000ms"), MILLIS),
         usage_window_ms: r.number(("bounds", "usage_window"), Some("5s"), SECONDS),
         usage_due_ms: r.number(("bounds", "usage_due"), Some("10s"), SECONDS),
+        change_due_ms: r.number(("bounds", "change_due"), Some("2000ms"), CHANGE_TIME),
     };
     r.finish(settings)
 }
--- a/components/settings/tests/gateway.rs
+++ b/components/settings/tests/gateway.rs
@@ -70,3 +70,15 @@
     assert!(text.contains("credential_age = 100ms") && text.contains("usage_due = 100s"));
     read_gateway("gateway.ini", &text).unwrap();
 }
+
+#[test]
+fn keys_have_a_longest_age_only_where_the_deployment_fails_closed() {
+    let template = include_str!("../../../deploy/gateway.ini");
+    let line = template
+        .lines()
+        .find(|line| line.contains("credential_age"));
+    let line = line.expect("the template sets it");
+    assert!(line.starts_with("{{#bounds.revokeFailClosed}}"), "{line}");
+    let open = GOOD.replace("credential_age = 5000ms\n", "");
+    assert_eq!(read_gateway("g.ini", &open).unwrap().credential_age_ms, 0);
+}
