Spread reclaimable endpoints so that half of the zones may vanish, and let every gateway observe the load

Ruled out: lowering all counts alone (fewer endpoints at the same mix); the notice as a signal (the entries of leaving endpoints do not tell the time left; a trial printed them).

Change: the mix is the cheapest that keeps enough endpoints when the reclaimable ones of half of the zones that have some vanish; a floor of 0.4 of the load on demand. A zone is closed once an order is refused there, counts as empty until one is taken, and is looked at every 3 s. What vanishes is ordered again at once. Before any load the fleet found is taken as sized for a load. Reclaimable ones are lowered for the highest load of 15 s, and not while a zone is closed. All gateways observe; the holder plans.

--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -5,9 +5,10 @@
 mod moves;
 mod purchase;
 mod scaling;
+mod staffing;
 
 pub use holding::{plan_holding, Bid, Change, HallOffer, Holding, HoldingPlanner, PoolNeed};
 pub use load::Load;
 pub use moves::{plan_moves, wait_before_moves, Move, MoveRates, Plan, Stream, Target};
 pub use purchase::{Listed, PurchaseAction, PurchaseEvent, Purchases};
-pub use scaling::{Held, Offer, Scaler, ScalingOrder};
+pub use scaling::{Fleet, Held, Offer, Scaler, ScalingOrder};
--- a/components/fleet/src/scaling.rs
+++ b/components/fleet/src/scaling.rs
@@ -1,61 +1,31 @@
-//! How many endpoints of a service each zone holds, on demand and reclaimable.
+//! Which endpoints of a service to order in which zone.
 //!
-//! Reclaimable endpoints are cheap and may vanish a zone at a time, with none to be had for a while.
-//! So a floor of on-demand ones carries most of the load alone, reclaimable ones stand beside them,
-//! spread over the zones, and on-demand ones take the place of those that are missing once the load
-//! of the rest is high. Between the bounds for more and for fewer nothing is ordered.
+//! Reclaimable endpoints are cheap and may vanish a zone at a time, with none to be had there for a
+//! while. So they are spread over all zones where they are to be had, in such a number that the rest
+//! carries the load when some zones vanish; a few on-demand ones stand beside them, and more are ordered
+//! as soon as zones are closed. What is lost is ordered again at once: the refusal tells that a zone is
+//! closed.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-/// Load of the on-demand floor when no reclaimable one is left, in parts of itself.
-const FLOOR_UTILIZATION: f64 = 0.9;
-/// Endpoints wanted when reclaimable ones are to be had.
-const ROOMY: Staffing = Staffing {
-    spare: 4.4,
-    utilization: 0.5,
-};
-/// With fewer, on-demand endpoints are added.
-const SCARCE: Staffing = Staffing {
-    spare: 1.1,
-    utilization: 0.62,
-};
-/// With more, on-demand endpoints above the floor are given back.
-const AMPLE: Staffing = Staffing {
-    spare: 2.2,
-    utilization: 0.55,
-};
-/// Time for which endpoints are watched before the first order: they record themselves one by one.
-const WATCHING: Duration = Duration::from_secs(4);
-/// On-demand part of the endpoints found at the start that is kept until the load is known.
-const FIRM_PART_BEFORE_LOAD: f64 = 0.5;
+use crate::staffing::{load_of_fleet, Need};
+
+/// On-demand endpoints are given back once no further one was recorded for this long: at the start they
+/// record themselves within about a heartbeat (1.2 s at the users' sites).
+const SETTLED: Duration = Duration::from_millis(1300);
 /// How long the load must be known before anything is given back.
 const LEARNING: Duration = Duration::from_secs(4);
-/// The load counts as its highest value over this time.
-const PEAK_SPAN: Duration = Duration::from_secs(5);
-/// Pause after a refused order.
+/// Endpoints are added for the highest load over this time.
+const RAISE_SPAN: Duration = Duration::from_secs(5);
+/// Endpoints are given back for the highest load over this time: twice what a new one needs to boot and
+/// an old one to leave.
+const LOWER_SPAN: Duration = Duration::from_secs(15);
+/// Pause after a refused order, and the time for which its zone counts as closed.
 const REFUSED_PAUSE: Duration = Duration::from_secs(3);
 /// Time past its boot after which an order without effect is repeated.
 const REPEAT_PAUSE: Duration = Duration::from_secs(2);
 
-/// How many endpoints carry a load.
-#[derive(Clone, Copy, Debug)]
-struct Staffing {
-    // Endpoints beside the load, in square roots of it: the fewer endpoints share the load, the more
-    // of them stand free for its scatter.
-    spare: f64,
-    // Most part of each endpoint's time that is used: requests wait at the endpoint they were sent
-    // to, so a large fleet does not even the load out as one queue would.
-    utilization: f64,
-}
-
-impl Staffing {
-    fn endpoints(self, load: f64) -> u32 {
-        let by_scatter = load + self.spare * load.sqrt();
-        ceil(by_scatter.max(load / self.utilization))
-    }
-}
-
 /// How endpoints are ordered and what they cost.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Offer {
@@ -65,8 +35,8 @@
     pub most: u32,
     /// Time until an ordered endpoint serves.
     pub boot: Duration,
-    /// Whether reclaimable ones are offered.
-    pub reclaimable: bool,
+    /// Price of a reclaimable one as a part of an on-demand one's, if there are any.
+    pub reclaimable_price: Option<f64>,
     /// Price of an on-demand endpoint a second, by zone.
     pub zone_prices: BTreeMap<String, f64>,
 }
@@ -100,6 +70,9 @@
     }
 }
 
+/// Endpoints by zone.
+pub type Fleet = BTreeMap<String, Held>;
+
 /// An order: so many endpoints of one class in one zone.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ScalingOrder {
@@ -111,55 +84,85 @@
     pub count: u32,
 }
 
-/// The planner of one service.
+#[derive(Clone, Copy, Debug)]
+struct Ordered {
+    count: u32,
+    at: Duration,
+}
+
+/// The planner of one service. Every gateway observes; only the holder of the lease plans, so a new one
+/// knows as much as the last.
 #[derive(Debug, Default)]
 pub struct Scaler {
-    watched_since: Option<Duration>,
-    // Most on-demand endpoints that were ever held.
+    held: Fleet,
+    // Most on-demand endpoints that were held before there was a load, and since when.
     found: u32,
+    found_at: Duration,
     load_since: Option<Duration>,
     loads: VecDeque<(Duration, f64)>,
-    // Orders given: how many, and when.
-    orders: BTreeMap<(String, bool), (u32, Duration)>,
+    orders: BTreeMap<(String, bool), Ordered>,
     refused_until: BTreeMap<(String, bool), Duration>,
+    // Zones where the last order of reclaimable endpoints was refused.
+    closed: BTreeSet<String>,
 }
 
 impl Scaler {
-    /// The orders to give now. `load` is in endpoints that would be busy all the time.
-    pub fn plan(
-        &mut self,
-        now: Duration,
-        offer: &Offer,
-        held: &BTreeMap<String, Held>,
-        load: f64,
-    ) -> Vec<ScalingOrder> {
-        let watched = *self.watched_since.get_or_insert(now);
-        let load = self.peak(now, load);
-        if now < watched + WATCHING {
-            return Vec::new();
+    /// Takes what is held and asked for now. `load` is in endpoints that would be busy all the time.
+    pub fn observe(&mut self, now: Duration, held: &Fleet, load: f64) {
+        self.forget_undone(held);
+        self.held = held.clone();
+        let found = firm_of(held);
+        if found > self.found && self.load_since.is_none() {
+            self.found = found;
+            self.found_at = now;
         }
-        let expected = self.expected(now, offer, held);
-        self.found = self.found.max(firm_of(held));
-        let may_lower = self.load_since.is_none() || self.has_learnt(now);
-        let wanted = match self.load_since {
-            None => before_load(offer, &expected, held, self.found),
-            Some(_) => self.for_load(now, offer, &expected, held, load),
-        };
+        if load > 0.0 {
+            self.load_since.get_or_insert(now);
+        }
+        self.loads.push_back((now, load));
+        self.loads.retain(|(at, _)| now < *at + LOWER_SPAN);
+    }
+
+    /// What was held at the last look.
+    pub fn held(&self) -> &Fleet {
+        &self.held
+    }
+
+    /// The load at the last look.
+    pub fn newest_load(&self) -> f64 {
+        self.loads.back().map_or(0.0, |(_, load)| *load)
+    }
+
+    /// The orders to give now.
+    pub fn plan(&mut self, now: Duration, offer: &Offer) -> Vec<ScalingOrder> {
+        let expected = self.expected(now, offer);
+        let wanted = self.wanted(now, offer, &expected);
         let mut orders = Vec::new();
         for (zone, want) in wanted {
             let have = expected.get(&zone).copied().unwrap_or_default();
             for reclaimable in [true, false] {
                 let (want, have) = (want.get(reclaimable), have.get(reclaimable));
-                if want > have || (want < have && may_lower) {
+                if want != have {
                     orders.extend(self.order(now, &zone, reclaimable, want));
                 }
             }
         }
+        orders.extend(self.look_whether_open(now, offer));
         orders
     }
 
+    /// An order was taken.
+    pub fn accepted(&mut self, order: &ScalingOrder) {
+        if order.reclaimable {
+            self.closed.remove(&order.zone);
+        }
+    }
+
     /// An order was refused: none are to be had there now.
     pub fn refused(&mut self, now: Duration, order: &ScalingOrder) {
+        if order.reclaimable {
+            self.closed.insert(order.zone.clone());
+        }
         let key = (order.zone.clone(), order.reclaimable);
         self.orders.remove(&key);
         self.refused_until.insert(key, now + REFUSED_PAUSE);
@@ -176,77 +179,109 @@
         self.orders.clear();
     }
 
-    fn peak(&mut self, now: Duration, load: f64) -> f64 {
-        if load > 0.0 {
-            self.load_since.get_or_insert(now);
+    // Endpoints that vanish although they were ordered are to be ordered again.
+    fn forget_undone(&mut self, held: &Fleet) {
+        let before = &self.held;
+        self.orders.retain(|(zone, reclaimable), ordered| {
+            let count = |fleet: &Fleet| fleet.get(zone).map_or(0, |h| h.get(*reclaimable));
+            let now = count(held);
+            now >= count(before) || now >= ordered.count
+        });
+    }
+
+    // The highest load of some time; before there was any, the one that the fleet is for.
+    fn load(&self, now: Duration, span: Duration) -> f64 {
+        if self.load_since.is_none() {
+            return load_of_fleet(self.found);
         }
-        self.loads.push_back((now, load));
-        self.loads.retain(|(at, _)| now < *at + PEAK_SPAN);
-        self.loads.iter().map(|(_, load)| *load).fold(0.0, f64::max)
+        let recent = self.loads.iter().filter(|(at, _)| now < *at + span);
+        recent.map(|(_, load)| *load).fold(0.0, f64::max)
     }
 
-    fn has_learnt(&self, now: Duration) -> bool {
-        self.load_since.is_some_and(|since| now >= since + LEARNING)
+    fn may_lower(&self, now: Duration) -> bool {
+        match self.load_since {
+            Some(since) => now >= since + LEARNING,
+            None => now >= self.found_at + SETTLED,
+        }
     }
 
     // What is held, or will be once the newest orders have had their effect.
-    fn expected(
-        &self,
-        now: Duration,
-        offer: &Offer,
-        held: &BTreeMap<String, Held>,
-    ) -> BTreeMap<String, Held> {
-        let mut expected = held.clone();
+    fn expected(&self, now: Duration, offer: &Offer) -> Fleet {
+        let mut expected = self.held.clone();
         for zone in offer.zone_prices.keys() {
             expected.entry(zone.clone()).or_default();
         }
-        for ((zone, reclaimable), (count, at)) in &self.orders {
-            if now < *at + offer.boot + REPEAT_PAUSE {
-                *expected.entry(zone.clone()).or_default().of(*reclaimable) = *count;
+        for ((zone, reclaimable), ordered) in &self.orders {
+            if now < ordered.at + offer.boot + REPEAT_PAUSE {
+                *expected.entry(zone.clone()).or_default().of(*reclaimable) = ordered.count;
             }
         }
         expected
     }
 
-    fn for_load(
-        &self,
-        now: Duration,
-        offer: &Offer,
-        expected: &BTreeMap<String, Held>,
-        held: &BTreeMap<String, Held>,
-        load: f64,
-    ) -> BTreeMap<String, Held> {
-        let floor = ceil(load / FLOOR_UTILIZATION).max(1);
-        let mut wanted = self.firm(offer, expected, load, floor);
-        if self.has_learnt(now) {
-            lower_firm(offer, &mut wanted, held, AMPLE.endpoints(load), floor);
-        }
-        if offer.reclaimable {
-            add_reclaimable(offer, &mut wanted, floor, ROOMY.endpoints(load));
+    fn wanted(&self, now: Duration, offer: &Offer, expected: &Fleet) -> Fleet {
+        let raise = Need::of(self.load(now, RAISE_SPAN));
+        let lower = Need::of(self.load(now, LOWER_SPAN));
+        let may_lower = self.may_lower(now);
+        let mut wanted = expected.clone();
+        // While some zones are closed the endpoints of the others are not to be had again.
+        let may_lower_reclaimable = may_lower && self.closed.is_empty();
+        let surplus = may_lower_reclaimable.then_some(lower);
+        self.spread_reclaimable(offer, &mut wanted, raise, surplus);
+        let firm = raise.firm_beside(&reclaimable_of(&wanted));
+        raise_firm(offer, &mut wanted, firm);
+        if may_lower {
+            lower_firm(offer, &mut wanted, self.firm_to_keep(lower).max(firm));
         }
         wanted
     }
 
-    // On-demand endpoints by zone: those expected, and more where the load asks for them.
-    fn firm(
+    // Reclaimable endpoints that were ordered and do not serve yet replace nothing, unless they are not
+    // to be had.
+    fn firm_to_keep(&self, need: Need) -> u32 {
+        let serving = reclaimable_of(&self.held);
+        let firm = need.firm_beside(&serving);
+        match self.closed.is_empty() {
+            true => firm.max(need.all.saturating_sub(serving.iter().sum())),
+            false => firm,
+        }
+    }
+
+    // As many reclaimable endpoints in each open zone as make the whole cheapest.
+    fn spread_reclaimable(
         &self,
         offer: &Offer,
-        expected: &BTreeMap<String, Held>,
-        load: f64,
-        floor: u32,
-    ) -> BTreeMap<String, Held> {
-        let mut wanted = expected.clone();
-        let scarce = SCARCE.endpoints(load);
-        while let Some(zone) = lacking(offer, &wanted) {
-            wanted.entry(zone).or_default().firm += 1;
-        }
-        while total_of(&wanted) < scarce || firm_of(&wanted) < floor {
-            let Some(zone) = zone_to_add(offer, &wanted) else {
-                break;
-            };
-            wanted.entry(zone).or_default().firm += 1;
+        wanted: &mut Fleet,
+        raise: Need,
+        lower: Option<Need>,
+    ) {
+        let Some(price) = offer.reclaimable_price else {
+            return;
+        };
+        let open = wanted.len().saturating_sub(self.closed.len());
+        let least = raise.reclaimable_each(open, offer.most, price);
+        let most = lower.map(|lower| lower.reclaimable_each(open, offer.most, price));
+        for (zone, held) in wanted {
+            if self.closed.contains(zone) {
+                continue;
+            }
+            let most = most.unwrap_or(held.reclaimable).max(least);
+            held.reclaimable = held.reclaimable.clamp(least, most);
         }
-        wanted
+    }
+
+    // Orders that tell whether closed zones are open again; nothing is planned upon them.
+    fn look_whether_open(&mut self, now: Duration, offer: &Offer) -> Vec<ScalingOrder> {
+        let Some(price) = offer.reclaimable_price else {
+            return Vec::new();
+        };
+        let need = Need::of(self.load(now, RAISE_SPAN));
+        let count = need.reclaimable_each(offer.zone_prices.len(), offer.most, price);
+        let closed: Vec<String> = self.closed.iter().cloned().collect();
+        let looks = closed.iter();
+        looks
+            .filter_map(|zone| self.order(now, zone, true, count))
+            .collect()
     }
 
     fn order(
@@ -260,7 +295,7 @@
         if self.refused_until.get(&key).is_some_and(|t| now < *t) {
             return None;
         }
-        self.orders.insert(key, (count, now));
+        self.orders.insert(key, Ordered { count, at: now });
         Some(ScalingOrder {
             zone: zone.to_string(),
             reclaimable,
@@ -269,101 +304,46 @@
     }
 }
 
-// As many endpoints as were found, reclaimable ones in place of on-demand ones as soon as they serve.
-fn before_load(
-    offer: &Offer,
-    expected: &BTreeMap<String, Held>,
-    held: &BTreeMap<String, Held>,
-    found: u32,
-) -> BTreeMap<String, Held> {
-    let mut wanted = expected.clone();
-    if offer.reclaimable && found > 0 {
-        let floor = ceil(f64::from(found) * FIRM_PART_BEFORE_LOAD);
-        lower_firm(offer, &mut wanted, held, found, floor);
-        add_reclaimable(offer, &mut wanted, floor, found);
-    }
-    wanted
+fn firm_of(fleet: &Fleet) -> u32 {
+    fleet.values().map(|h| h.firm).sum()
 }
 
-// Gives on-demand endpoints back down to a floor while more than `ample` serve.
-fn lower_firm(
-    offer: &Offer,
-    wanted: &mut BTreeMap<String, Held>,
-    held: &BTreeMap<String, Held>,
-    ample: u32,
-    floor: u32,
-) {
-    // Reclaimable ones that were ordered and do not serve yet replace nothing.
-    let mut serving = wanted.clone();
-    for (zone, have) in &mut serving {
-        let ready = held.get(zone).map_or(0, |h| h.reclaimable);
-        have.reclaimable = have.reclaimable.min(ready);
+fn reclaimable_of(fleet: &Fleet) -> Vec<u32> {
+    fleet.values().map(|h| h.reclaimable).collect()
+}
+
+// Adds on-demand endpoints until there are `firm` and each zone holds its least.
+fn raise_firm(offer: &Offer, wanted: &mut Fleet, firm: u32) {
+    for held in wanted.values_mut() {
+        held.firm += offer.least.saturating_sub(held.total());
     }
-    while total_of(&serving) > ample && firm_of(&serving) > floor {
-        let Some(zone) = zone_to_lower(offer, &serving) else {
+    while firm_of(wanted) < firm {
+        let free = wanted.iter().filter(|(_, held)| held.total() < offer.most);
+        let Some((zone, _)) = free.min_by_key(|(zone, held)| (price_order(offer, zone), held.firm))
+        else {
             return;
         };
-        serving.entry(zone.clone()).or_default().firm -= 1;
-        wanted.entry(zone).or_default().firm -= 1;
+        let zone = zone.clone();
+        wanted.entry(zone).or_default().firm += 1;
     }
 }
 
-fn total_of(held: &BTreeMap<String, Held>) -> u32 {
-    held.values().map(|h| h.total()).sum()
-}
-
-fn firm_of(held: &BTreeMap<String, Held>) -> u32 {
-    held.values().map(|h| h.firm).sum()
-}
-
-// A zone that holds fewer than it must.
-fn lacking(offer: &Offer, wanted: &BTreeMap<String, Held>) -> Option<String> {
-    let mut zones = wanted.iter();
-    let zone = zones.find(|(_, held)| held.total() < offer.least)?;
-    Some(zone.0.clone())
-}
-
-// The zone that holds the fewest, the cheapest of several.
-fn zone_to_add(offer: &Offer, wanted: &BTreeMap<String, Held>) -> Option<String> {
-    let free = wanted.iter().filter(|(_, held)| held.total() < offer.most);
-    let key = |zone: &str, held: &Held| (held.total(), price_order(offer, zone));
-    let zone = free.min_by_key(|(zone, held)| key(zone, held))?;
-    Some(zone.0.clone())
-}
-
-// The dearest zone that keeps its least without one of its on-demand endpoints.
-fn zone_to_lower(offer: &Offer, wanted: &BTreeMap<String, Held>) -> Option<String> {
-    let held = wanted.iter();
-    let spare = held.filter(|(_, held)| held.firm > 0 && held.total() > offer.least);
-    let zone = spare.max_by_key(|(zone, held)| (held.firm > 1, price_order(offer, zone)))?;
-    Some(zone.0.clone())
-}
-
-fn price_order(offer: &Offer, zone: &str) -> u64 {
-    const MICRO: f64 = 1e6;
-    let price = offer.zone_prices.get(zone).copied().unwrap_or_default();
-    (price * MICRO) as u64
-}
-
-// Reclaimable endpoints beside the floor, to the zones that hold the fewest.
-fn add_reclaimable(offer: &Offer, wanted: &mut BTreeMap<String, Held>, floor: u32, total: u32) {
-    let firm: BTreeMap<String, u32> = wanted.iter().map(|(z, h)| (z.clone(), h.firm)).collect();
-    wanted.values_mut().for_each(|held| held.reclaimable = 0);
-    let zones = wanted.len() as u32;
-    let count = total.saturating_sub(floor).max(zones.saturating_sub(floor));
-    for _ in 0..count {
-        let free = wanted.iter().filter(|(_, held)| held.total() < offer.most);
-        // Where the floor stands a reclaimable one is needed less than elsewhere.
-        let key =
-            |zone: &String, held: &Held| (held.reclaimable, firm[zone], price_order(offer, zone));
-        let Some((zone, _)) = free.min_by_key(|(zone, held)| key(zone, held)) else {
+// Gives on-demand endpoints back, the dearest first, until there are `firm`.
+fn lower_firm(offer: &Offer, wanted: &mut Fleet, firm: u32) {
+    while firm_of(wanted) > firm {
+        let spare = wanted
+            .iter()
+            .filter(|(_, held)| held.firm > 0 && held.total() > offer.least);
+        let Some((zone, _)) = spare.max_by_key(|(zone, _)| price_order(offer, zone)) else {
             return;
         };
         let zone = zone.clone();
-        wanted.entry(zone).or_default().reclaimable += 1;
+        wanted.entry(zone).or_default().firm -= 1;
     }
 }
 
-fn ceil(value: f64) -> u32 {
-    value.ceil().max(0.0) as u32
+fn price_order(offer: &Offer, zone: &str) -> u64 {
+    const MICRO: f64 = 1e6;
+    let price = offer.zone_prices.get(zone).copied().unwrap_or_default();
+    (price * MICRO) as u64
 }
--- /dev/null
+++ b/components/fleet/src/staffing.rs
@@ -0,0 +1,96 @@
+//! How many endpoints carry a load, and which mix of price classes does it at the least cost.
+
+/// Endpoints when all that was ordered is there.
+const ROOMY: Staffing = Staffing {
+    spare: 4.4,
+    utilization: 0.5,
+};
+/// Endpoints that are left when reclaimable ones of some zones vanish.
+const SCARCE: Staffing = Staffing {
+    spare: 1.1,
+    utilization: 0.62,
+};
+/// On-demand endpoints that are held whatever happens, in parts of the load: zones can vanish faster than
+/// on-demand endpoints boot. 0.4 served as well as 0.9 on the standard days and cost a third less
+/// (docs/deciding.md).
+const FIRM_PART: f64 = 0.4;
+/// Zones whose reclaimable endpoints may vanish before others can be ordered and have booted, of all that
+/// hold some: two of four did so within seconds on days of the users' sheets.
+const LOST_PART: f64 = 0.5;
+
+/// How many endpoints carry a load.
+#[derive(Clone, Copy, Debug)]
+struct Staffing {
+    // Endpoints beside the load, in square roots of it: the fewer endpoints share the load, the more
+    // of them stand free for its scatter.
+    spare: f64,
+    // Most part of each endpoint's time that is used: requests wait at the endpoint they were sent
+    // to, so a large fleet does not even the load out as one queue would.
+    utilization: f64,
+}
+
+impl Staffing {
+    fn endpoints(self, load: f64) -> u32 {
+        let by_scatter = load + self.spare * load.sqrt();
+        by_scatter.max(load / self.utilization).ceil().max(0.0) as u32
+    }
+
+    // The load that a fleet of this size is for.
+    fn load(self, endpoints: u32) -> f64 {
+        let endpoints = f64::from(endpoints);
+        let root = ((self.spare * self.spare + 4.0 * endpoints).sqrt() - self.spare) / 2.0;
+        (root * root).min(endpoints * self.utilization)
+    }
+}
+
+/// The load that a fleet of this size is taken to be for while none is known.
+pub(crate) fn load_of_fleet(endpoints: u32) -> f64 {
+    ROOMY.load(endpoints)
+}
+
+/// What a load asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Need {
+    /// Endpoints in all.
+    pub all: u32,
+    /// Endpoints that must be left when the reclaimable ones of some zones vanish.
+    pub after_loss: u32,
+    /// On-demand endpoints.
+    pub firm: u32,
+}
+
+impl Need {
+    /// What a load asks for, which is given in endpoints that would be busy all the time.
+    pub fn of(load: f64) -> Self {
+        Need {
+            all: ROOMY.endpoints(load),
+            after_loss: SCARCE.endpoints(load),
+            firm: ((load * FIRM_PART).ceil() as u32).max(1),
+        }
+    }
+
+    /// On-demand endpoints needed beside these reclaimable ones, given by zone.
+    pub fn firm_beside(self, reclaimable: &[u32]) -> u32 {
+        let mut by_size = reclaimable.to_vec();
+        by_size.sort_unstable();
+        let holding = by_size.iter().filter(|count| **count > 0).count();
+        let kept = by_size.len() - lost(holding);
+        let left: u32 = by_size.iter().take(kept).sum();
+        self.firm.max(self.after_loss.saturating_sub(left))
+    }
+
+    /// Reclaimable endpoints in each of `zones` zones, at most `most`, that make the whole cheapest.
+    /// One costs `price` of an on-demand one.
+    pub fn reclaimable_each(self, zones: usize, most: u32, price: f64) -> u32 {
+        let firm = |each: u32| self.firm_beside(&vec![each; zones]);
+        let sum = |each: u32| each * zones as u32;
+        let cost = |each: u32| f64::from(firm(each)) + price * f64::from(sum(each));
+        let best = (0..=most).min_by(|a, b| cost(*a).total_cmp(&cost(*b)));
+        let enough = (0..most).find(|each| firm(*each) + sum(*each) >= self.all);
+        best.unwrap_or(0).max(enough.unwrap_or(most))
+    }
+}
+
+fn lost(zones: usize) -> usize {
+    (zones as f64 * LOST_PART).ceil() as usize
+}
--- a/components/gateway/src/control/duties.rs
+++ b/components/gateway/src/control/duties.rs
@@ -1,11 +1,11 @@
 //! The duties of the lease's holder: usage reports and orders of endpoints.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 
 use directory::{Configuration, Endpoint, Scaling};
-use fleet::{Held, Load, Offer, Scaler, ScalingOrder};
+use fleet::{Fleet, Load, Offer, Scaler, ScalingOrder};
 use routing::placement::endpoint_hash;
 use schema::messages::UsageRow;
 use slog::{info, warn};
@@ -234,7 +234,11 @@
     }
 
     async fn order_endpoints(&self) {
-        if self.holder().is_none() || !self.known.borrow().settings.orders_endpoints {
+        if !self.known.borrow().settings.orders_endpoints {
+            return;
+        }
+        self.observe_load();
+        if self.holder().is_none() {
             return;
         }
         for (service, orders) in self.plan() {
@@ -258,7 +262,7 @@
             return;
         };
         match reply {
-            OrderReply::Done => {}
+            OrderReply::Done => scaler.accepted(order),
             OrderReply::Unavailable => scaler.refused(now, order),
             OrderReply::Busy | OrderReply::Unanswered => scaler.unanswered(order),
             OrderReply::Rejected(status) => {
@@ -268,24 +272,38 @@
         }
     }
 
-    fn plan(&self) -> Vec<(String, Vec<ScalingOrder>)> {
+    fn observe_load(&self) {
         let now = self.clock.now();
         let mut known = self.known.borrow_mut();
         let Some(configuration) = known.configuration.clone() else {
-            return Vec::new();
+            return;
         };
         let tokens = known.demand.tokens_per_s(now);
-        let mut plans = Vec::new();
-        for (service, scaling) in scaled(&configuration) {
+        for (service, _) in scaled(&configuration) {
             let load = load_of(&known, service, &tokens).endpoints();
             let held = held_by(known.endpoints.values(), service);
-            let offer = offer_of(scaling);
             let scaler = known.scalers.entry(service.clone()).or_default();
-            let orders = scaler.plan(now, &offer, &held, load);
+            scaler.observe(now, &held, load);
+        }
+    }
+
+    fn plan(&self) -> Vec<(String, Vec<ScalingOrder>)> {
+        let now = self.clock.now();
+        let mut known = self.known.borrow_mut();
+        let Some(configuration) = known.configuration.clone() else {
+            return Vec::new();
+        };
+        let mut plans = Vec::new();
+        for (service, scaling) in scaled(&configuration) {
+            let rate = known.loads.get(service).map(|load| load.rate as u64);
+            let Some(scaler) = known.scalers.get_mut(service) else {
+                continue;
+            };
+            let orders = scaler.plan(now, &offer_of(scaling));
             if !orders.is_empty() {
                 info!(self.log, "endpoints planned"; "service" => service,
-                    "load_milli" => (load * 1000.0) as u64, "held" => ?held,
-                    "rate" => known.loads.get(service).map(|l| l.rate as u64));
+                    "load_milli" => (scaler.newest_load() * 1000.0) as u64,
+                    "held" => ?scaler.held(), "rate" => rate);
                 plans.push((service.clone(), orders));
             }
         }
@@ -303,16 +321,13 @@
         least: scaling.least,
         most: scaling.most,
         boot: scaling.boot,
-        reclaimable: scaling.reclaimable_price.is_some(),
+        reclaimable_price: scaling.reclaimable_price,
         zone_prices: scaling.zone_prices.clone(),
     }
 }
 
-fn held_by<'a>(
-    endpoints: impl Iterator<Item = &'a Endpoint>,
-    service: &str,
-) -> BTreeMap<String, Held> {
-    let mut held: BTreeMap<String, Held> = BTreeMap::new();
+fn held_by<'a>(endpoints: impl Iterator<Item = &'a Endpoint>, service: &str) -> Fleet {
+    let mut held = Fleet::new();
     for endpoint in endpoints.filter(|e| e.service == service && e.is_ready()) {
         let zone = held.entry(endpoint.zone.clone()).or_default();
         match endpoint.reclaimable {
