Learn engines' start-up time and reading rate together

Cause: 8 ms stood for everything of a first token that is not reading; the site's engines take 26 ms and read 157 tokens a ms in pieces of 1,024. Ruled out: other prompts beside the samples (only those with nothing ahead are taken).

Change: short prompts tell the time before reading, long ones the rate; until 12 samples came the rate is unknown and the load counts slots only. The running means of a service move out of the board into `placement::pace`.

--- a/components/fleet/src/load.rs
+++ b/components/fleet/src/load.rs
@@ -12,8 +12,9 @@
 pub struct Load {
     /// Tokens of prompts that are to be read in a second.
     pub tokens_per_s: f64,
-    /// Tokens that one endpoint reads in a millisecond, 0 if it reads none.
-    pub rate: f64,
+    /// Tokens that one endpoint reads in a millisecond; `None` while that is not known, and if it reads
+    /// none.
+    pub rate: Option<f64>,
     /// Requests at the endpoints.
     pub requests: u32,
     /// Requests that one endpoint works on at once.
@@ -23,10 +24,9 @@
 impl Load {
     /// Endpoints that would be busy all the time.
     pub fn endpoints(self) -> f64 {
-        let reading = match self.rate > 0.0 {
-            true => self.tokens_per_s / 1000.0 / self.rate,
-            false => 0.0,
-        };
+        let reading = self
+            .rate
+            .map_or(0.0, |rate| self.tokens_per_s / 1000.0 / rate);
         let usable_slots = f64::from(self.slots.max(1)) * SLOTS_USED;
         let holding = f64::from(self.requests) / usable_slots;
         reading.max(holding) + BESIDE_PART * reading.min(holding)
--- a/components/fleet/tests/scaling.rs
+++ b/components/fleet/tests/scaling.rs
@@ -242,7 +242,7 @@
 fn requests_that_hold_slots_are_a_load_before_all_slots_are_taken() {
     let load = Load {
         tokens_per_s: 0.0,
-        rate: 64.0,
+        rate: Some(64.0),
         requests: 160,
         slots: 16,
     };
--- a/components/gateway/src/control/duties.rs
+++ b/components/gateway/src/control/duties.rs
@@ -295,7 +295,7 @@
         };
         let mut plans = Vec::new();
         for (service, scaling) in scaled(&configuration) {
-            let rate = known.loads.get(service).map(|load| load.rate as u64);
+            let rate = known.loads.get(service).and_then(|load| load.rate);
             let Some(scaler) = known.scalers.get_mut(service) else {
                 continue;
             };
@@ -303,7 +303,7 @@
             if !orders.is_empty() {
                 info!(self.log, "endpoints planned"; "service" => service,
                     "load_milli" => (scaler.newest_load() * 1000.0) as u64,
-                    "held" => ?scaler.held(), "rate" => rate);
+                    "held" => ?scaler.held(), "rate" => rate.map(|rate| rate as u64));
                 plans.push((service.clone(), orders));
             }
         }
--- a/components/gateway/src/tally.rs
+++ b/components/gateway/src/tally.rs
@@ -25,8 +25,8 @@
     pub requests: u32,
     /// Slots of these.
     pub slots: u32,
-    /// Tokens of prompts that one of them reads in a millisecond.
-    pub rate: f64,
+    /// Tokens of prompts that one of them reads in a millisecond, once that is known.
+    pub rate: Option<f64>,
 }
 
 /// Everything since the last tally.
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -362,7 +362,7 @@
                 let load = ServiceLoad {
                     requests,
                     slots,
-                    rate: self.board.rate(name),
+                    rate: self.board.known_rate(name),
                 };
                 (name.clone(), load)
             })
--- a/components/routing/src/placement.rs
+++ b/components/routing/src/placement.rs
@@ -7,6 +7,7 @@
 mod board;
 mod cache;
 mod mix;
+mod pace;
 mod queue;
 mod slot;
 mod unknown;
--- a/components/routing/src/placement/board.rs
+++ b/components/routing/src/placement/board.rs
@@ -10,30 +10,12 @@
 
 use crate::endpoint::Reading;
 use crate::placement::mix::Mix;
+use crate::placement::pace::{with_rate_sample, Pace};
 use crate::placement::slot::Slot;
 use crate::placement::unknown::Unknown;
 use crate::placement::{beginnings, endpoint_hash, PeerDispatch, Verdict, Work};
 use crate::rendezvous::weight;
 
-/// Tokens of prompts that an engine reads in a millisecond, until its own rate is known.
-const FIRST_RATE: f64 = 30.0;
-/// Bounds on a measured rate, in tokens a millisecond.
-const RATES: std::ops::RangeInclusive<f64> = 2.0..=1000.0;
-/// Prompts shorter than this say little of the rate.
-const RATE_SAMPLE_TOKENS: u32 = 1500;
-/// Time of a first token that is not reading the prompt, in milliseconds.
-const FIRST_TOKEN_MS: f64 = 8.0;
-/// Weight of a new sample in running means.
-const SAMPLE_WEIGHT: f64 = 0.2;
-/// Weight of a sample of the time for each token: single guesses are far off.
-const HOLD_SAMPLE_WEIGHT: f64 = 0.02;
-/// Weight of a sample below the known rate: another prompt that is not known here may have been read
-/// beside it, so low samples say less than high ones.
-const LOW_SAMPLE_WEIGHT: f64 = 0.03;
-/// Time a request holds a slot, until measured, in milliseconds.
-const FIRST_HOLD_MS: f64 = 50.0;
-/// Time for each token of an answer that was guessed, until measured, in milliseconds.
-const FIRST_TOKEN_PACE_MS: f64 = 6.0;
 /// Choices this close are told apart at random, in milliseconds.
 const TIE_MS: f64 = 1.0;
 /// Cost of leaving the zone: the way there and back, in milliseconds.
@@ -100,24 +82,6 @@
     alone: bool,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Pace {
-    rate: f64,
-    hold_ms: f64,
-    // Time for each token of an answer that was guessed.
-    token_ms: f64,
-}
-
-impl Default for Pace {
-    fn default() -> Self {
-        Pace {
-            rate: FIRST_RATE,
-            hold_ms: FIRST_HOLD_MS,
-            token_ms: FIRST_TOKEN_PACE_MS,
-        }
-    }
-}
-
 /// Everything known of the endpoints of all services.
 #[derive(Debug)]
 pub struct Board {
@@ -194,9 +158,13 @@
         self.slots.values().map(|slot| &slot.spec)
     }
 
-    /// Tokens that an engine of a service reads in a millisecond.
-    pub fn rate(&self, service: &str) -> f64 {
-        self.paces.get(service).copied().unwrap_or_default().rate
+    /// Tokens that an engine of a service reads in a millisecond, once that is known.
+    pub fn known_rate(&self, service: &str) -> Option<f64> {
+        self.paces.get(service)?.known_rate()
+    }
+
+    fn pace(&self, service: &str) -> Pace {
+        self.paces.get(service).copied().unwrap_or_default()
     }
 
     /// The endpoint for a request, or `None` if none takes work. Those in `exclude` are passed
@@ -301,14 +269,14 @@
         };
         ticket.first_at = Some(now);
         slot.queue.read(now, number);
-        let ms = now.saturating_sub(ticket.sent_at).as_secs_f64() * 1000.0 - FIRST_TOKEN_MS;
-        if !ticket.alone || ticket.unread_tokens < RATE_SAMPLE_TOKENS || ms <= 1.0 {
+        if !ticket.alone {
             return;
         }
-        let sample = (f64::from(ticket.unread_tokens) / ms).clamp(*RATES.start(), *RATES.end());
+        let took = ms(now.saturating_sub(ticket.sent_at));
         let pace = self.paces.entry(slot.spec.service.clone()).or_default();
-        pace.rate = with_sample(pace.rate, sample);
-        slot.rate = with_sample(rate_of(slot, *pace), sample);
+        if let Some(sample) = pace.first_token(ticket.unread_tokens, took) {
+            slot.rate = with_rate_sample(rate_of(slot, *pace), sample);
+        }
     }
 
     /// A request ended.
@@ -323,11 +291,9 @@
         slot.judge(now, verdict);
         if verdict == Verdict::Sound {
             let pace = self.paces.entry(slot.spec.service.clone()).or_default();
-            let held = ms(now.saturating_sub(ticket.sent_at));
-            pace.hold_ms += (held - pace.hold_ms) * SAMPLE_WEIGHT;
+            pace.ended(ms(now.saturating_sub(ticket.sent_at)));
             if let Some(first) = ticket.first_at.filter(|_| ticket.answer_tokens > 0) {
-                let made = ms(now.saturating_sub(first)) / f64::from(ticket.answer_tokens);
-                pace.token_ms += (made - pace.token_ms) * HOLD_SAMPLE_WEIGHT;
+                pace.answered(ticket.answer_tokens, ms(now.saturating_sub(first)));
             }
         }
     }
@@ -380,7 +346,7 @@
     }
 
     fn hold_of(&self, work: &Work, unread: u32) -> Duration {
-        let pace = self.paces.get(&work.service).copied().unwrap_or_default();
+        let pace = self.pace(&work.service);
         let hold_ms = match work.answer_tokens {
             0 => pace.hold_ms,
             tokens => f64::from(unread) / pace.rate + f64::from(tokens) * pace.token_ms,
@@ -389,7 +355,7 @@
     }
 
     fn reads_long(&self, service: &str, tokens: u32) -> bool {
-        f64::from(tokens) / self.rate(service) > HEAVY_MS
+        f64::from(tokens) / self.pace(service).rate > HEAVY_MS
     }
 
     // The engines meant for prompts of this weight, in an order that all gateways agree on.
@@ -452,7 +418,7 @@
     }
 
     fn cost_ms(&mut self, now: Duration, id: &str, work: &Work, unread: u32) -> f64 {
-        let pace = self.paces.get(&work.service).copied().unwrap_or_default();
+        let pace = self.pace(&work.service);
         let in_zone = self.zone == self.slots[id].spec.zone;
         let Some(slot) = self.slots.get_mut(id) else {
             return f64::MAX;
@@ -508,14 +474,6 @@
     }
 }
 
-fn with_sample(rate: f64, sample: f64) -> f64 {
-    let weight = match sample > rate {
-        true => SAMPLE_WEIGHT,
-        false => LOW_SAMPLE_WEIGHT,
-    };
-    rate + (sample - rate) * weight
-}
-
 // The last part belongs to the request itself.
 fn shared_hash(hashes: &[u64]) -> u64 {
     match hashes.len() {
--- a/components/routing/tests/placement.rs
+++ b/components/routing/tests/placement.rs
@@ -168,3 +168,24 @@
     assert_eq!(weighed(20_000), ids.len());
     assert!(weighed(300) < ids.len() / 2);
 }
+
+#[test]
+fn the_rate_of_engines_is_told_apart_from_the_time_before_they_read() {
+    const START_MS: u64 = 30;
+    const RATE: u64 = 150;
+    let mut board = board(true, &["a"]);
+    let mut rng = rng();
+    for own in 0..200 {
+        let tokens = if own % 2 == 0 { 300 } else { 3000 };
+        let (work, at) = (prompt(2 * own + 1, 2 * own + 2, tokens), ms(own * 1000));
+        let placement = board.choose(at, &work, &[], &mut rng).unwrap();
+        let mut ticket = board.sent(at, &work, &placement);
+        let took = START_MS + u64::from(placement.unread_tokens) / RATE;
+        board.first_token(at + ms(took), &mut ticket);
+        board.ended(at + ms(900), &ticket, Verdict::Sound);
+        let known = board.known_rate("s");
+        assert_eq!(known.is_some(), own >= 23, "{own} {known:?}");
+    }
+    let rate = board.known_rate("s").unwrap();
+    assert!((140.0..=160.0).contains(&rate), "{rate}");
+}
