Keep the old staffing where no reclaimable endpoints are offered

`a_large_fleet_without_reclaimable_ones_is_not_used_to_its_limit` failed for a real fault: 0.82 is a staffing for seconds, and it was used for good where no reclaimable endpoints are offered.

Change: a staffing of its own, as before (0.62), where none are offered.

--- a/components/fleet/src/scaling.rs
+++ b/components/fleet/src/scaling.rs
@@ -226,7 +226,10 @@
         let may_lower_reclaimable = may_lower && self.closed.is_empty();
         let surplus = may_lower_reclaimable.then_some(lower);
         self.spread_reclaimable(offer, &mut wanted, raise, surplus);
-        let firm = raise.firm_beside(&reclaimable_of(&wanted));
+        let firm = match offer.reclaimable_price {
+            Some(_) => raise.firm_beside(&reclaimable_of(&wanted)),
+            None => raise.alone,
+        };
         raise_firm(offer, &mut wanted, firm);
         if may_lower {
             lower_firm(offer, &mut wanted, self.firm_to_keep(lower).max(firm));
--- a/components/fleet/src/staffing.rs
+++ b/components/fleet/src/staffing.rs
@@ -5,6 +5,11 @@
     spare: 4.4,
     utilization: 0.5,
 };
+/// Endpoints where no reclaimable ones are offered: a state to stay in, not one to get over.
+const ALONE: Staffing = Staffing {
+    spare: 1.1,
+    utilization: 0.62,
+};
 /// Endpoints that are left when reclaimable ones of some zones vanish. Of 0.62, 0.75, 0.82 and 0.9 the first costs
 /// more than it brings on each day, the last loses credit while all zones are closed (docs/deciding.md).
 const SCARCE: Staffing = Staffing {
@@ -56,8 +61,10 @@
     pub all: u32,
     /// Endpoints that must be left when the reclaimable ones of some zones vanish.
     pub after_loss: u32,
-    /// On-demand endpoints.
+    /// On-demand endpoints beside reclaimable ones.
     pub firm: u32,
+    /// On-demand endpoints where no reclaimable ones are offered.
+    pub alone: u32,
 }
 
 impl Need {
@@ -67,6 +74,7 @@
             all: ROOMY.endpoints(load),
             after_loss: SCARCE.endpoints(load),
             firm: ((load * FIRM_PART).ceil() as u32).max(1),
+            alone: ALONE.endpoints(load),
         }
     }
 
