Let requests that are not urgent leave room where a tenant's limit is short

The refusals now log tenant, level, part, limit and what others told ("over limit").

Change: a request of the least urgent rank passes only if it leaves room for 20 like itself, at most half of the bucket. Tests: what_is_not_urgent_leaves_room_where_a_limit_is_short and one for large requests; the call takes a new argument, so they do not compile on the code before.

--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -9,6 +9,7 @@
 use http::{request, Request, Response};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use limits::QuotaState;
 use routing::placement::{Placement, Work};
 use slog::info;
 use telemetry::{Counter, Timer};
@@ -170,14 +171,25 @@
             expiry,
         };
         if let Some(quota) = job.tenant.as_ref().and_then(|t| state.quotas.get_mut(t)) {
-            quota.take(now, job.cost).map_err(|wait| {
-                Refusal::not_run(Kind::TeamLimit, "the tenant's limit is used up").after(wait)
-            })?;
+            if let Err(wait) = quota.take(now, job.cost, is_urgent(route)) {
+                self.log_over_limit(now, &job, &quota.state());
+                let message = "the tenant's limit is used up";
+                return Err(Refusal::not_run(Kind::TeamLimit, message).after(wait));
+            }
         }
         state.count_request(now, &service);
         Ok(job)
     }
 
+    fn log_over_limit(&self, now: Duration, job: &Job, quota: &QuotaState) {
+        let heard_ago = now.saturating_sub(quota.others_heard_at);
+        info!(self.log, "over limit"; "id" => &job.head.id, "tenant" => &job.tenant,
+            "cost" => job.cost, "level" => quota.level as i64, "part_milli" => (quota.part * 1000.0) as u64,
+            "rate" => quota.limit.rate as u64, "burst" => quota.limit.burst as u64, "taken" => quota.taken,
+            "others_taken" => quota.others_taken, "others_ms_ago" => heard_ago.as_millis() as u64,
+            "version" => job.version);
+    }
+
     fn give_back(&self, job: &Job) {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
@@ -334,6 +346,11 @@
     directory.look_up(host, parts.uri.path(), head.key.as_deref())
 }
 
+// Whether a request comes first where its tenant's limit is short.
+fn is_urgent(route: &Route) -> bool {
+    route.priority + 1 < ROUTE_RANKS
+}
+
 // The rank of the tenant comes before that of the route.
 fn rank(route: &Route, tenant: Option<&Tenant>) -> u8 {
     let tenant = tenant.and_then(|t| t.priority).unwrap_or_default();
--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -15,5 +15,5 @@
 pub use gate::{Gate, Verdict, Waiter};
 pub use quota::{Demand, Quota, FLOOR_MILLI};
 pub use repeats::{RepeatBudget, RepeatTerms};
-pub use shared_quota::{Limit, SharedQuota};
+pub use shared_quota::{Limit, QuotaState, SharedQuota};
 pub use team::{Limits, Refused, TeamMeter};
--- a/components/limits/src/shared_quota.rs
+++ b/components/limits/src/shared_quota.rs
@@ -10,6 +10,12 @@
 /// The longest a full bucket owes: charges of others past it are forgotten.
 const MOST_DEBT_SECS: f64 = 4.0;
 
+/// Requests like itself for which one that is not urgent leaves room. The largest tenth of urgent prompts
+/// at the users' sites is 20 times as large as a prompt that is not urgent.
+const ROOM_LEFT: f64 = 20.0;
+/// Most of the bucket that is left so.
+const MOST_ROOM_PART: f64 = 0.5;
+
 /// A limit in units a second and units beyond the rate.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limit {
@@ -19,6 +25,23 @@
     pub burst: f64,
 }
 
+/// What a bucket decides from, for logs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaState {
+    /// The limit.
+    pub limit: Limit,
+    /// Part of it used here, from 0 to 1.
+    pub part: f64,
+    /// Units in the bucket; below zero it owes some.
+    pub level: f64,
+    /// Units taken here since the start.
+    pub taken: u64,
+    /// Units that others took, as far as they told.
+    pub others_taken: u64,
+    /// When others told that last, zero if never.
+    pub others_heard_at: Duration,
+}
+
 /// One tenant's bucket at one gateway.
 #[derive(Debug)]
 pub struct SharedQuota {
@@ -31,6 +54,7 @@
     taken: u64,
     // Totals of other processes, by gateway and incarnation.
     others: BTreeMap<(String, i64), u64>,
+    others_heard_at: Duration,
 }
 
 impl SharedQuota {
@@ -43,6 +67,7 @@
             filled_at: now,
             taken: 0,
             others: BTreeMap::new(),
+            others_heard_at: Duration::ZERO,
         }
     }
 
@@ -61,11 +86,16 @@
         self.level = self.level.min(self.size());
     }
 
-    /// Takes units, or says how long until they are there.
-    pub fn take(&mut self, now: Duration, units: u64) -> Result<(), Duration> {
+    /// Takes units, or says how long until they are there. A request that is not `urgent` passes only if
+    /// it leaves room for others: what is short goes to the urgent ones first.
+    pub fn take(&mut self, now: Duration, units: u64, urgent: bool) -> Result<(), Duration> {
         self.fill(now);
+        let room = match urgent {
+            true => 0.0,
+            false => (units as f64 * ROOM_LEFT).min(self.size() * MOST_ROOM_PART),
+        };
         // A request larger than the bucket passes once the bucket is full.
-        let wanted = (units as f64).min(self.size());
+        let wanted = (units as f64 + room).min(self.size());
         if self.level >= wanted {
             self.level -= units as f64;
             self.taken += units;
@@ -93,6 +123,7 @@
         recent: bool,
     ) {
         self.fill(now);
+        self.others_heard_at = now;
         let key = (gateway.to_string(), incarnation);
         let known = self.others.get(&key).copied();
         let before = known.unwrap_or(if recent { 0 } else { total });
@@ -101,6 +132,18 @@
         self.level = (self.level - charge).max(-self.limit.rate * MOST_DEBT_SECS);
     }
 
+    /// What the last decision came from.
+    pub fn state(&self) -> QuotaState {
+        QuotaState {
+            limit: self.limit,
+            part: self.part,
+            level: self.level,
+            taken: self.taken,
+            others_taken: self.others.values().sum(),
+            others_heard_at: self.others_heard_at,
+        }
+    }
+
     /// Units taken here since the start.
     pub fn taken(&self) -> u64 {
         self.taken
--- a/components/limits/tests/fleet.rs
+++ b/components/limits/tests/fleet.rs
@@ -24,7 +24,7 @@
         .for_each(|q| q.set_part(Duration::ZERO, part));
     for now in 0..20_000 {
         for quota in &mut quotas {
-            let _ = quota.take(ms(now), 10);
+            let _ = quota.take(ms(now), 10, true);
         }
         if hear && now % 100 == 0 {
             let totals: Vec<u64> = quotas.iter().map(SharedQuota::taken).collect();
@@ -61,7 +61,7 @@
         },
     );
     let taken = (10_000..11_000)
-        .filter(|now| quota.take(ms(*now), 1).is_ok())
+        .filter(|now| quota.take(ms(*now), 1, true).is_ok())
         .count();
     assert!(taken <= 20, "{taken}");
 }
@@ -70,9 +70,9 @@
 fn what_a_process_took_before_it_was_heard_of_is_not_charged() {
     let mut quota = SharedQuota::new(Duration::ZERO, LIMIT);
     quota.hear(ms(1), "b", 1, 1_000_000, false);
-    assert!(quota.take(ms(2), 100).is_ok());
+    assert!(quota.take(ms(2), 100, true).is_ok());
     quota.hear(ms(3), "b", 1, 1_000_500, false);
-    assert!(quota.take(ms(4), 100).is_err());
+    assert!(quota.take(ms(4), 100, true).is_err());
 }
 
 quickcheck! {
@@ -114,7 +114,7 @@
         let mut sum = 0;
         for (i, quota) in quotas.iter_mut().enumerate() {
             let asks = (now + i as u64 * 7).is_multiple_of(asked_every);
-            if asks && quota.take(ms(now), UNITS).is_ok() {
+            if asks && quota.take(ms(now), UNITS, true).is_ok() {
                 sum += UNITS;
             }
         }
@@ -160,7 +160,7 @@
     for now in 0..12_000 {
         let mut sum = 0;
         for quota in &mut quotas {
-            if quota.take(ms(now), UNITS).is_ok() {
+            if quota.take(ms(now), UNITS, true).is_ok() {
                 sum += UNITS;
             }
         }
@@ -187,3 +187,22 @@
     let most = most_after_a_common_start(83, 500);
     assert!(most <= 9_900, "{most}");
 }
+
+#[test]
+fn what_is_not_urgent_leaves_room_where_a_limit_is_short() {
+    let mut quota = SharedQuota::new(Duration::ZERO, LIMIT);
+    // A full bucket serves both.
+    assert!(quota.take(ms(2000), 10, false).is_ok());
+    assert!(quota.take(ms(2000), 890, true).is_ok());
+    assert!(quota.take(ms(2000), 10, false).is_err());
+    assert!(quota.take(ms(2000), 100, true).is_ok());
+    let wait = quota.take(ms(2000), 10, false).unwrap_err();
+    assert!(quota.take(ms(2001) + wait, 10, false).is_ok());
+}
+
+#[test]
+fn a_large_request_that_is_not_urgent_passes_a_full_bucket() {
+    let mut quota = SharedQuota::new(Duration::ZERO, LIMIT);
+    assert!(quota.take(ms(2000), 900, false).is_ok());
+    assert!(quota.take(ms(10_000), 5000, false).is_ok());
+}
