Let the lease be given up and followed at once

Ruled out: a shorter lease (the bound on A, B, A is the deployment's).

Change: the holder tells its row's version in the news, and the others count the lease from there. A holder that stops, or whose renewal is overdue while the store answers others, gives up by a word in its news once no order is under way; two gateways, then all, write under the condition of the version told. Who held the lease within its time, or has just started, does not follow on a word. Mutations: without clearing a renewal under way and without the rest of a former holder one of them fails each. The world let a shorter pause end a longer one, so that a node's clock ran backwards; mended in the test.

--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -26,7 +26,7 @@
 use usage::{Ledger, Reporter, Source, Terms};
 
 use crate::clock::Clock;
-use crate::control::duties::Demand;
+use crate::control::duties::{Demand, OrdersUnderWay};
 use crate::control::follow::Followed;
 pub(crate) use crate::control::passing::{name_of, topic_of, PASSED_ON};
 use crate::freshness::Freshness;
@@ -84,6 +84,7 @@
     pub store_clock: StoreClock,
     pub peers: Peers,
     pub lease: Lease,
+    pub orders: OrdersUnderWay,
     pub ledger: Ledger,
     pub reporter: Reporter,
     pub scalers: BTreeMap<String, Scaler>,
@@ -135,6 +136,7 @@
         }
         let known = Known {
             lease: Lease::new(lease_terms(&settings)),
+            orders: OrdersUnderWay::default(),
             reporter: Reporter::new(usage_terms(&settings)),
             followed: followed_topics(&settings),
             settings,
--- a/components/gateway/src/control/duties.rs
+++ b/components/gateway/src/control/duties.rs
@@ -23,6 +23,14 @@
 const MOST_PLANS: usize = 6;
 /// Others look at the lease only if its holder was not heard for this long.
 const HOLDER_SILENCE: Duration = Duration::from_millis(2500);
+/// A holder whose last renewal is older than this gives the lease up if the store answers others: one
+/// renewal and one more try, by the pause between renewals (1 s) and the time of a call.
+const UNRENEWED: Duration = Duration::from_millis(1700);
+/// An order without an answer may be carried out for this long.
+const LATE_ORDER: Duration = Duration::from_secs(5);
+/// Gateways that look first at a lease that was given up, and for how long, so that not all write at once.
+const FIRST_FOLLOWERS: usize = 2;
+const FIRST_FOLLOWERS_TIME: Duration = Duration::from_secs(1);
 /// Span over which prompts are counted.
 const DEMAND_SPAN: Duration = Duration::from_secs(5);
 /// Shortest span over which they are averaged.
@@ -66,15 +74,51 @@
     }
 }
 
+/// Orders of this gateway that may not have ended yet.
+#[derive(Debug, Default)]
+pub(crate) struct OrdersUnderWay {
+    count: u32,
+    unanswered_at: Option<Duration>,
+}
+
+impl OrdersUnderWay {
+    fn sent(&mut self) {
+        self.count += 1;
+    }
+
+    fn ended(&mut self, now: Duration, answered: bool) {
+        self.count = self.count.saturating_sub(1);
+        if !answered {
+            self.unanswered_at = Some(now);
+        }
+    }
+
+    // Whether none is under way, nor one without an answer that may yet be carried out.
+    fn are_settled(&self, now: Duration) -> bool {
+        let late = self.unanswered_at;
+        self.count == 0 && late.is_none_or(|at| now >= at + LATE_ORDER)
+    }
+}
+
 impl<S: Store + 'static, O: Orders + 'static> Shared<S, O> {
     /// One step of the lease.
     pub fn tick_lease(self: &Rc<Self>, now: Duration) {
         let mut known = self.known.borrow_mut();
         let settings = &known.settings;
         let has_duties = settings.reports_usage || settings.orders_endpoints;
+        if !has_duties {
+            return;
+        }
+        if self.is_to_give_up(now, &known) {
+            let actions = known.lease.step(now, LeaseEvent::GiveUp);
+            drop(known);
+            info!(self.log, "lease given up"; "stopping" => self.freshness.is_stopping());
+            self.act(actions);
+            self.urgent.notify_one();
+            return;
+        }
         let holds = known.lease.may_order(now).is_some();
-        let heard = known.peers.holder_heard(now, HOLDER_SILENCE);
-        if !has_duties || (!holds && heard) || self.freshness.is_stopping() {
+        if self.freshness.is_stopping() || (!holds && !self.is_candidate(now, &known)) {
             return;
         }
         let write = format!("{}-{}", self.source.incarnation, now.as_micros());
@@ -87,7 +131,25 @@
         self.act(actions);
     }
 
-    fn act(self: &Rc<Self>, actions: Vec<LeaseAction>) {
+    // Whether another gateway should hold the lease: this one stops, or the store answers others and not
+    // this one. Never while an order may still be on its way.
+    fn is_to_give_up(&self, now: Duration, known: &Known) -> bool {
+        let Some(unrenewed) = known.lease.unrenewed_for(now) else {
+            return false;
+        };
+        let turned_away = unrenewed >= UNRENEWED && known.peers.others_reach_store(now);
+        (self.freshness.is_stopping() || turned_away) && known.orders.are_settled(now)
+    }
+
+    // Others look at the lease once its holder is silent. Where it was given up, two of them look first.
+    fn is_candidate(&self, now: Duration, known: &Known) -> bool {
+        let peers = &known.peers;
+        let waits = peers.given_up_within(now, FIRST_FOLLOWERS_TIME)
+            && !peers.is_among_first(&self.source.gateway, now, FIRST_FOLLOWERS);
+        !waits && !peers.holder_heard(now, HOLDER_SILENCE)
+    }
+
+    pub fn act(self: &Rc<Self>, actions: Vec<LeaseAction>) {
         for action in actions {
             match action {
                 LeaseAction::Gained(epoch) => {
@@ -225,7 +287,9 @@
         let Some(holder) = self.holder() else {
             return;
         };
+        self.known.borrow_mut().orders.sent();
         let reply = self.orders.report(&holder, report).await;
+        self.note_order_end(reply);
         info!(self.log, "usage reported"; "window" => report.window, "fence" => holder.fence,
             "reply" => ?reply);
         let mut known = self.known.borrow_mut();
@@ -236,6 +300,12 @@
         }
     }
 
+    fn note_order_end(&self, reply: OrderReply) {
+        let now = self.clock.now();
+        let answered = reply != OrderReply::Unanswered;
+        self.known.borrow_mut().orders.ended(now, answered);
+    }
+
     async fn order_endpoints(&self) {
         if !self.known.borrow().settings.orders_endpoints {
             return;
@@ -257,7 +327,9 @@
                 let Some(holder) = self.holder() else {
                     return false;
                 };
+                self.known.borrow_mut().orders.sent();
                 let reply = self.orders.scale(&holder, &service, &order).await;
+                self.note_order_end(reply);
                 info!(self.log, "endpoints ordered"; "service" => &service,
                     "zone" => &order.zone, "reclaimable" => order.reclaimable,
                     "count" => order.count, "fence" => holder.fence, "reply" => ?reply);
--- a/components/gateway/src/control/exchange.rs
+++ b/components/gateway/src/control/exchange.rs
@@ -6,6 +6,7 @@
 
 use schema::messages::{GatewayNews, GatewayRow, TopicHead};
 use slog::{info, warn};
+use state::LeaseEvent;
 use telemetry::Counter;
 use tokio::net::UdpSocket;
 use usage::Source;
@@ -169,12 +170,14 @@
             heads: Some(heads_of(&known)),
             reaches_store: Some(known.reaches_store()),
             uptime_ms: Some(now.as_millis() as i64),
+            lease: known.lease.head().map(|head| news::lease_of(&head)),
+            lease_given_up: known.lease.given_up(),
         };
         let targets = known.peers.targets().into_iter().collect();
         (schema::encode(&message).unwrap_or_default(), targets)
     }
 
-    fn take_news(&self, news: &GatewayNews, from: SocketAddr) {
+    fn take_news(self: &Rc<Self>, news: &GatewayNews, from: SocketAddr) {
         if news.gateway == self.source.gateway {
             return;
         }
@@ -199,6 +202,14 @@
         if news.lease_epoch > 0 {
             known.peers.hear_lease(now, news.lease_epoch);
         }
+        let mut actions = Vec::new();
+        if let Some(head) = news::heard_lease(news) {
+            actions.extend(known.lease.step(now, LeaseEvent::Heard(head)));
+        }
+        if let Some(epoch) = news.lease_given_up {
+            known.peers.hear_given_up(now, epoch);
+            actions.extend(known.lease.step(now, LeaseEvent::HeardGivenUp(epoch)));
+        }
         if news.stopping {
             known.peers.leave(&news.gateway);
             if was_known {
@@ -212,6 +223,7 @@
             known.demand.add(at, dispatch.endpoint, tokens);
         }
         drop(known);
+        self.act(actions);
         for (topic, told) in news::heard_heads(news) {
             self.hear_told(topic, told, from);
         }
--- a/components/gateway/src/news.rs
+++ b/components/gateway/src/news.rs
@@ -6,7 +6,8 @@
 
 use replica::Told;
 use routing::placement::PeerDispatch;
-use schema::messages::{Dispatch, GatewayNews, TopicHead, WindowUsage};
+use schema::messages::{Dispatch, GatewayNews, LeaseTold, TopicHead, WindowUsage};
+use state::LeaseHead;
 
 use crate::control::{name_of, topic_of};
 use crate::peers::Greeting;
@@ -61,6 +62,24 @@
     }
 }
 
+/// The row of a lease as it is told.
+pub(crate) fn lease_of(head: &LeaseHead) -> LeaseTold {
+    LeaseTold {
+        version: head.version as i64,
+        epoch: head.epoch,
+    }
+}
+
+/// The row of the lease that the sender holds, as it was heard.
+pub(crate) fn heard_lease(news: &GatewayNews) -> Option<LeaseHead> {
+    let told = news.lease.as_ref()?;
+    Some(LeaseHead {
+        version: told.version.max(0) as u64,
+        holder: news.gateway.clone(),
+        epoch: told.epoch,
+    })
+}
+
 /// How long the sender has run.
 pub(crate) fn uptime(news: &GatewayNews) -> Duration {
     Duration::from_millis(news.uptime_ms.unwrap_or(i64::MAX).max(0) as u64)
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -102,6 +102,8 @@
     // Whether the store's list of gateways was read.
     listed: bool,
     lease: Option<(i64, Duration)>,
+    // Newest epoch that its holder gave up, and when that was heard first.
+    given_up: Option<(i64, Duration)>,
 }
 
 impl Peers {
@@ -113,6 +115,7 @@
             addresses: BTreeMap::new(),
             listed: false,
             lease: None,
+            given_up: None,
         }
     }
 
@@ -179,9 +182,29 @@
         }
     }
 
-    /// Whether a holder of the lease was heard within `time`.
+    /// The holder of the lease under this epoch gave it up.
+    pub fn hear_given_up(&mut self, now: Duration, epoch: i64) {
+        if self.given_up.is_none_or(|(known, _)| epoch > known) {
+            self.given_up = Some((epoch, now));
+        }
+    }
+
+    /// Whether a holder of the lease was heard within `time` and has not given it up since.
     pub fn holder_heard(&self, now: Duration, time: Duration) -> bool {
-        self.lease.is_some_and(|(_, at)| now < at + time)
+        let given_up = self.given_up.map_or(i64::MIN, |(epoch, _)| epoch);
+        self.lease
+            .is_some_and(|(epoch, at)| now < at + time && epoch > given_up)
+    }
+
+    /// Whether the lease was given up within `time`.
+    pub fn given_up_within(&self, now: Duration, time: Duration) -> bool {
+        self.given_up.is_some_and(|(_, at)| now < at + time)
+    }
+
+    /// Whether another gateway that is heard reaches the store.
+    pub fn others_reach_store(&self, now: Duration) -> bool {
+        let mut peers = self.peers.values();
+        peers.any(|peer| peer.reaches_store && now < peer.heard_at + SILENT_AFTER)
     }
 
     /// Drops who was silent for too long and addresses that never answered.
--- a/components/schema/src/messages.rs
+++ b/components/schema/src/messages.rs
@@ -2181,6 +2181,76 @@
     }
 }
 
+//
+// LeaseTold
+//
+
+/// The newest row of the lease, as its holder wrote it.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct LeaseTold {
+    /// Version of the row.
+    pub version: i64,
+    /// Its epoch.
+    pub epoch: i64,
+}
+
+impl LeaseTold {
+    pub fn new(version: i64, epoch: i64) -> LeaseTold {
+        LeaseTold { version, epoch }
+    }
+}
+
+impl TSerializable for LeaseTold {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<LeaseTold> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<i64> = None;
+        let mut f_2: Option<i64> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = i_prot.read_i64()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = i_prot.read_i64()?;
+                    f_2 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("LeaseTold.version", &f_1)?;
+        verify_required_field_exists("LeaseTold.epoch", &f_2)?;
+        let ret = LeaseTold {
+            version: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            epoch: f_2
+                .expect("auto-generated code should have checked for presence of required fields"),
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("LeaseTold");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("version", TType::I64, 1))?;
+        o_prot.write_i64(self.version)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("epoch", TType::I64, 2))?;
+        o_prot.write_i64(self.epoch)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
 //
 // GatewayNews
 //
@@ -2212,10 +2282,14 @@
     pub reaches_store: Option<bool>,
     /// How long the sender's process has run, in milliseconds.
     pub uptime_ms: Option<i64>,
+    /// Row of the lease that the sender holds.
+    pub lease: Option<LeaseTold>,
+    /// Newest epoch of the lease that the sender gave up; it has no order of that epoch under way.
+    pub lease_given_up: Option<i64>,
 }
 
 impl GatewayNews {
-    pub fn new<F10, F11, F12>(
+    pub fn new<F10, F11, F12, F13, F14>(
         gateway: String,
         incarnation: i64,
         sequence: i64,
@@ -2228,11 +2302,15 @@
         heads: F10,
         reaches_store: F11,
         uptime_ms: F12,
+        lease: F13,
+        lease_given_up: F14,
     ) -> GatewayNews
     where
         F10: Into<Option<Vec<TopicHead>>>,
         F11: Into<Option<bool>>,
         F12: Into<Option<i64>>,
+        F13: Into<Option<LeaseTold>>,
+        F14: Into<Option<i64>>,
     {
         GatewayNews {
             gateway,
@@ -2247,6 +2325,8 @@
             heads: heads.into(),
             reaches_store: reaches_store.into(),
             uptime_ms: uptime_ms.into(),
+            lease: lease.into(),
+            lease_given_up: lease_given_up.into(),
         }
     }
 }
@@ -2266,6 +2346,8 @@
         let mut f_10: Option<Vec<TopicHead>> = None;
         let mut f_11: Option<bool> = None;
         let mut f_12: Option<i64> = None;
+        let mut f_13: Option<LeaseTold> = None;
+        let mut f_14: Option<i64> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -2352,6 +2434,14 @@
                     let val = i_prot.read_i64()?;
                     f_12 = Some(val);
                 }
+                13 => {
+                    let val = LeaseTold::read_from_in_protocol(i_prot)?;
+                    f_13 = Some(val);
+                }
+                14 => {
+                    let val = i_prot.read_i64()?;
+                    f_14 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -2390,6 +2480,8 @@
             heads: f_10,
             reaches_store: f_11,
             uptime_ms: f_12,
+            lease: f_13,
+            lease_given_up: f_14,
         };
         Ok(ret)
     }
@@ -2472,6 +2564,16 @@
             o_prot.write_i64(fld_var)?;
             o_prot.write_field_end()?
         }
+        if let Some(ref fld_var) = self.lease {
+            o_prot.write_field_begin(&TFieldIdentifier::new("lease", TType::Struct, 13))?;
+            fld_var.write_to_out_protocol(o_prot)?;
+            o_prot.write_field_end()?
+        }
+        if let Some(fld_var) = self.lease_given_up {
+            o_prot.write_field_begin(&TFieldIdentifier::new("lease_given_up", TType::I64, 14))?;
+            o_prot.write_i64(fld_var)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
--- a/components/schema/thrift/messages.thrift
+++ b/components/schema/thrift/messages.thrift
@@ -213,6 +213,14 @@
   4: required i64 known_to,
 }
 
+/** The newest row of the lease, as its holder wrote it. */
+struct LeaseTold {
+  /** Version of the row. */
+  1: required i64 version,
+  /** Its epoch. */
+  2: required i64 epoch,
+}
+
 /** What a gateway tells the others. */
 struct GatewayNews {
   /** Name of the sender. */
@@ -239,6 +247,10 @@
   11: optional bool reaches_store,
   /** How long the sender's process has run, in milliseconds. */
   12: optional i64 uptime_ms,
+  /** Row of the lease that the sender holds. */
+  13: optional LeaseTold lease,
+  /** Newest epoch of the lease that the sender gave up; it has no order of that epoch under way. */
+  14: optional i64 lease_given_up,
 }
 
 /** Asks another gateway for the rows of a topic. */
--- a/components/state/src/lease.rs
+++ b/components/state/src/lease.rs
@@ -46,6 +46,13 @@
         /// Its reply.
         reply: Reply,
     },
+    /// The holder told which row it wrote last.
+    Heard(LeaseHead),
+    /// A holder told that it gave the lease of this epoch up and has no order under way.
+    HeardGivenUp(i64),
+    /// Give the lease up without a write, for the case that the store does not answer this node. What is
+    /// told to others, from [`Lease::given_up`], lets one of them follow at once.
+    GiveUp,
     /// The node stops: give the lease up.
     Release {
         /// Unique id.
@@ -53,6 +60,17 @@
     },
 }
 
+/// The newest row of a lease, as its holder tells others.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeaseHead {
+    /// Version of the row.
+    pub version: u64,
+    /// Its holder.
+    pub holder: String,
+    /// Its epoch.
+    pub epoch: i64,
+}
+
 /// What a lease asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LeaseAction {
@@ -93,6 +111,11 @@
     // A write whose answer was lost and which may yet take effect.
     unsettled: Option<Pending>,
     held: Option<Held>,
+    // When this node held it last, or may have.
+    held_at: Option<Duration>,
+    // Newest epoch that this node gave up, and newest that another did.
+    given_up: Option<i64>,
+    heard_given_up: Option<i64>,
     // A write met another version than the one seen: look again before the next.
     stale: bool,
     next_call: Duration,
@@ -110,6 +133,9 @@
             pending: None,
             unsettled: None,
             held: None,
+            held_at: None,
+            given_up: None,
+            heard_given_up: None,
             stale: false,
             next_call: Duration::ZERO,
             call: 0,
@@ -130,6 +156,27 @@
         inside.then_some((held.epoch, until))
     }
 
+    /// The row that this node wrote last, while it holds the lease.
+    pub fn head(&self) -> Option<LeaseHead> {
+        let held = self.held.as_ref()?;
+        Some(LeaseHead {
+            version: self.seen_version,
+            holder: self.terms.node.clone(),
+            epoch: held.epoch,
+        })
+    }
+
+    /// The newest epoch that this node gave up.
+    pub fn given_up(&self) -> Option<i64> {
+        self.given_up
+    }
+
+    /// How long ago the row was last seen to change, while this node holds the lease.
+    pub fn unrenewed_for(&self, now: Duration) -> Option<Duration> {
+        self.held.as_ref()?;
+        Some(now.saturating_sub(self.seen_at?))
+    }
+
     /// The holder named by the row last read, for `status`.
     pub fn holder(&self) -> Option<(&str, i64)> {
         let row = self.seen_row.as_ref()?;
@@ -138,6 +185,10 @@
 
     /// Takes one event and returns what is to be done, in order.
     pub fn step(&mut self, now: Duration, event: LeaseEvent) -> Vec<LeaseAction> {
+        // An earlier process of this node may have held the lease until this one started.
+        if self.held.is_some() || self.held_at.is_none() {
+            self.held_at = Some(now);
+        }
         let mut actions = self.lapse(now);
         match event {
             LeaseEvent::Tick { write, candidate } => {
@@ -145,6 +196,12 @@
             }
             LeaseEvent::Replied { call, .. } if call != self.call => {}
             LeaseEvent::Replied { reply, .. } => actions.extend(self.take_reply(now, reply)),
+            LeaseEvent::Heard(head) => actions.extend(self.hear(now, head)),
+            LeaseEvent::HeardGivenUp(epoch) => {
+                self.heard_given_up = self.heard_given_up.max(Some(epoch));
+                self.next_call = self.next_call.min(now);
+            }
+            LeaseEvent::GiveUp => actions.extend(self.give_up()),
             LeaseEvent::Release { write } => actions.extend(self.release(now, write)),
         }
         actions
@@ -160,6 +217,34 @@
         }
     }
 
+    // The row was written before its holder told of it, so its lease began before now.
+    fn hear(&mut self, now: Duration, head: LeaseHead) -> Vec<LeaseAction> {
+        if head.version <= self.seen_version || head.holder == self.terms.node {
+            return Vec::new();
+        }
+        let row = LeaseRow {
+            holder: head.holder,
+            epoch: head.epoch,
+            write: String::new(),
+        };
+        let actions = self.drop_if_taken(&row);
+        self.see(now, head.version, Some(row));
+        self.stale = false;
+        actions
+    }
+
+    fn give_up(&mut self) -> Vec<LeaseAction> {
+        let Some(held) = self.held.take() else {
+            return Vec::new();
+        };
+        self.given_up = Some(held.epoch);
+        // A renewal under way may yet be written; its answer counts no more.
+        self.pending = None;
+        self.unsettled = None;
+        self.call += 1;
+        vec![LeaseAction::Lost]
+    }
+
     fn tick(&mut self, now: Duration, write: String, candidate: bool) -> Vec<LeaseAction> {
         let stuck = self
             .pending
@@ -203,7 +288,18 @@
             .seen_row
             .as_ref()
             .is_none_or(|row| row.holder.is_empty());
-        candidate && (free || now >= seen_at + self.terms.duration)
+        candidate && (free || now >= seen_at + self.terms.duration || self.may_follow(now))
+    }
+
+    // The holder gave the row's epoch up. A node that held the lease, or may have before it started,
+    // does not follow so soon: it would act, another act, and it again within one lease.
+    fn may_follow(&self, now: Duration) -> bool {
+        let row = self.seen_row.as_ref();
+        let given_up = row.is_some_and(|row| self.heard_given_up == Some(row.epoch));
+        let rested = self
+            .held_at
+            .is_none_or(|at| now >= at + self.terms.duration);
+        given_up && rested
     }
 
     fn read(&mut self, now: Duration) -> Vec<LeaseAction> {
--- a/components/state/src/lib.rs
+++ b/components/state/src/lib.rs
@@ -13,6 +13,6 @@
 
 pub use claim::{Claim, ClaimAction, ClaimEvent, ClaimTerms, StoredOutcome};
 pub use configuration::{ConfigAction, ConfigEvent, ConfigFollower, Version};
-pub use lease::{Lease, LeaseAction, LeaseEvent, LeaseTerms};
+pub use lease::{Lease, LeaseAction, LeaseEvent, LeaseHead, LeaseTerms};
 pub use publish::{Publish, PublishAction, PublishEvent, PublishTerms, Published};
 pub use table::{head_key, history_key, Reply, Row, TableCall, Write, ABSENT};
--- a/components/state/tests/leases.rs
+++ b/components/state/tests/leases.rs
@@ -4,7 +4,7 @@
 
 use fakes::{check, FakeTable, ROUGH};
 use rand::RngExt;
-use state::{Lease, LeaseAction, LeaseEvent, LeaseTerms};
+use state::{Lease, LeaseAction, LeaseEvent, LeaseHead, LeaseTerms, Reply, TableCall};
 
 const STEP: Duration = Duration::from_millis(20);
 const STEPS: u32 = 4000;
@@ -39,6 +39,12 @@
     orders: Vec<(Duration, i64)>,
     // When, which epoch, and by whom.
     gained: Vec<(Duration, i64, usize)>,
+    // What holders told each other, to whom, and when it arrives.
+    news: Vec<(Duration, usize, LeaseEvent)>,
+    // When each order was sent, and by whom.
+    sent: Vec<(Duration, usize)>,
+    // Whether holders tell others of the lease.
+    talks: bool,
     writes: u64,
 }
 
@@ -58,10 +64,46 @@
             members,
             orders: Vec::new(),
             gained: Vec::new(),
+            news: Vec::new(),
+            sent: Vec::new(),
+            talks: false,
             writes: 0,
         }
     }
 
+    /// The holder tells the others of its row; sometimes it gives the lease up. News may take a second.
+    fn tell(&mut self, now: Duration, n: usize) {
+        let Some(head) = self.members[n].lease.head() else {
+            return;
+        };
+        let mut told = LeaseEvent::Heard(head.clone());
+        let under_way = self.orders.iter().any(|(arrival, _)| *arrival >= now);
+        if !under_way && self.table.rng.random_ratio(1, 20) {
+            self.event(now, n, LeaseEvent::GiveUp);
+            // One that had lapsed already is not given up.
+            if self.members[n].lease.given_up() == Some(head.epoch) {
+                told = LeaseEvent::HeardGivenUp(head.epoch);
+            }
+        }
+        for other in (0..NODES).filter(|other| *other != n) {
+            if self.table.rng.random_ratio(3, 4) {
+                let delay = Duration::from_millis(self.table.rng.random_range(1..1000));
+                self.news.push((now + delay, other, told.clone()));
+            }
+        }
+    }
+
+    fn deliver(&mut self, now: Duration) {
+        let (due, later) = self.news.drain(..).partition(|(at, ..)| *at <= now);
+        self.news = later;
+        let due: Vec<(Duration, usize, LeaseEvent)> = due;
+        for (_, to, told) in due {
+            if now >= self.members[to].paused_until {
+                self.event(now, to, told);
+            }
+        }
+    }
+
     fn event(&mut self, now: Duration, n: usize, event: LeaseEvent) {
         let member = &mut self.members[n];
         let actions = member.lease.step(now + member.offset, event);
@@ -86,10 +128,14 @@
             let when = now.max(self.members[n].paused_until);
             self.event(when, n, LeaseEvent::Replied { call, reply });
         }
+        self.deliver(now);
         for n in 0..NODES {
             if now < self.members[n].paused_until {
                 continue;
             }
+            if self.talks {
+                self.tell(now, n);
+            }
             self.writes += 1;
             let write = format!("w{}", self.writes);
             self.event(
@@ -109,7 +155,9 @@
         let Some(epoch) = member.lease.may_order(now + member.offset) else {
             return;
         };
-        if self.table.rng.random_ratio(1, 4) {
+        // Holders that talk order less often, so that they have moments with nothing under way.
+        let pause = if self.talks { 40 } else { 4 };
+        if self.table.rng.random_ratio(1, pause) {
             // The node may pause between its look at the lease and the order.
             let margin = MARGIN.as_millis() as u64;
             let flight = [1, margin - 1][self.table.rng.random_range(0..2)];
@@ -117,6 +165,7 @@
                 true => margin - 1,
                 false => 0,
             };
+            self.sent.push((now, n));
             self.orders
                 .push((now + Duration::from_millis(flight + pause), epoch));
         }
@@ -124,13 +173,24 @@
 }
 
 fn run(seed: u64) -> World {
+    run_world(World::new(seed))
+}
+
+fn run_talking(seed: u64) -> World {
     let mut world = World::new(seed);
+    world.talks = true;
+    run_world(world)
+}
+
+fn run_world(mut world: World) -> World {
     for step in 0..STEPS {
         let now = STEP * step;
         if world.table.rng.random_ratio(1, 200) {
             let n = world.table.rng.random_range(0..NODES);
             let pause = Duration::from_millis(world.table.rng.random_range(100..20_000));
-            world.members[n].paused_until = now + pause;
+            // A shorter pause does not end a longer one: the node's clock would run backwards.
+            let paused_until = &mut world.members[n].paused_until;
+            *paused_until = (now + pause).max(*paused_until);
         }
         if world.table.rng.random_ratio(1, 300) {
             let n = world.table.rng.random_range(0..NODES);
@@ -200,3 +260,142 @@
     // Ten seconds of four nodes that look or renew every 200 ms.
     assert!(world.table.calls < 250, "{} calls", world.table.calls);
 }
+
+#[test]
+fn no_order_arrives_after_its_successors_first_where_holders_talk_and_give_up() {
+    check(200, |seed: u64| {
+        let mut orders = run_talking(seed).orders;
+        orders.sort();
+        orders.windows(2).all(|w| w[0].1 <= w[1].1)
+    });
+}
+
+#[test]
+fn epochs_have_one_holder_each_where_holders_talk_and_give_up() {
+    check(200, |seed: u64| {
+        let mut gained = run_talking(seed).gained;
+        gained.sort();
+        gained
+            .windows(2)
+            .all(|w| w[0].1 < w[1].1 || (w[0].1 == w[1].1 && w[0].2 == w[1].2))
+    });
+}
+
+#[test]
+fn no_node_orders_again_so_soon_after_another_did() {
+    check(200, |seed: u64| {
+        let sent = run_talking(seed).sent;
+        let mut last_of: [Option<Duration>; NODES] = [None; NODES];
+        let mut last = None;
+        for (at, n) in sent {
+            let returns = last.is_some_and(|last| last != n);
+            let soon = last_of[n].is_some_and(|before| at < before + DURATION - MARGIN);
+            if returns && soon {
+                return false;
+            }
+            (last_of[n], last) = (Some(at), Some(n));
+        }
+        true
+    });
+}
+
+#[test]
+fn a_lease_that_is_given_up_is_followed_before_it_would_have_lapsed() {
+    let mut world = World::new(3);
+    world.table.faults = fakes::CALM;
+    let mut now = Duration::ZERO;
+    let mut run_until = |world: &mut World, until: Duration| {
+        while now < until {
+            world.step(now);
+            now += STEP;
+        }
+    };
+    run_until(&mut world, DURATION * 4);
+    let (_, epoch, holder) = *world.gained.last().expect("somebody holds the lease");
+    let at = DURATION * 4;
+    let told = LeaseEvent::Heard(world.members[holder].lease.head().unwrap());
+    world.event(at, holder, LeaseEvent::GiveUp);
+    let next = (holder + 1) % NODES;
+    world.event(at, next, told);
+    world.event(at, next, LeaseEvent::HeardGivenUp(epoch));
+    run_until(&mut world, at + MARGIN);
+    assert_eq!(
+        world.gained.last().map(|g| (g.1, g.2)),
+        Some((epoch + 1, next))
+    );
+}
+
+#[test]
+fn a_node_that_gave_the_lease_up_does_not_follow_its_follower_at_once() {
+    let mut lease = Lease::new(terms(0));
+    let tick = |write: &str| LeaseEvent::Tick {
+        write: write.into(),
+        candidate: true,
+    };
+    let heard = |version, epoch| {
+        LeaseEvent::Heard(LeaseHead {
+            version,
+            holder: "n1".into(),
+            epoch,
+        })
+    };
+    let at = |ms| Duration::from_millis(ms);
+    // It takes a lease that lapsed, and gives it up.
+    lease.step(at(0), heard(1, 1));
+    let actions = lease.step(DURATION, tick("a"));
+    let LeaseAction::Call { call, .. } = actions[0] else {
+        panic!("{actions:?}");
+    };
+    let reply = Reply::Committed { version: 2 };
+    lease.step(DURATION, LeaseEvent::Replied { call, reply });
+    let given_up_at = DURATION + at(2000);
+    lease.step(given_up_at, LeaseEvent::GiveUp);
+    assert_eq!(lease.given_up(), Some(2));
+    // Another follows, and gives it up in turn.
+    lease.step(given_up_at + at(100), heard(3, 3));
+    lease.step(given_up_at + at(200), LeaseEvent::HeardGivenUp(3));
+    let mut writes_at = None;
+    for ms in (200..8000).step_by(200) {
+        let actions = lease.step(given_up_at + at(ms), tick("b"));
+        for action in actions {
+            match action {
+                LeaseAction::Call {
+                    call,
+                    table: TableCall::Read(_),
+                } => {
+                    let reply = Reply::Unanswered;
+                    lease.step(given_up_at + at(ms), LeaseEvent::Replied { call, reply });
+                }
+                LeaseAction::Call { .. } => writes_at = writes_at.or(Some(at(ms))),
+                LeaseAction::Gained(_) | LeaseAction::Lost => {}
+            }
+        }
+    }
+    assert!(
+        writes_at.is_some_and(|ms| ms >= DURATION - at(200)),
+        "{writes_at:?}"
+    );
+}
+
+#[test]
+fn a_lease_whose_holder_dies_lapses_for_those_who_heard_of_it_without_a_look() {
+    let mut world = World::new(3);
+    world.table.faults = fakes::CALM;
+    let mut lease = Lease::new(terms(9));
+    let head = LeaseHead {
+        version: 1,
+        holder: "n0".into(),
+        epoch: 4,
+    };
+    lease.step(Duration::ZERO, LeaseEvent::Heard(head));
+    let tick = || LeaseEvent::Tick {
+        write: "w".into(),
+        candidate: true,
+    };
+    let actions = lease.step(DURATION, tick());
+    let writes = |action: &LeaseAction| {
+        matches!(action, LeaseAction::Call { table: TableCall::Transact(writes), .. }
+            if writes[0].expect == 1)
+    };
+    assert!(actions.iter().any(writes), "{actions:?}");
+}
