Keep on-demand endpoints while a zone is closed, and staff what is left at ease

The log: three on-demand ones were given back at 17.5 s, when one zone was closed and the load dipped; at 18.3 all four were closed with 5 endpoints for a load of 5, and a load that waits shows only slowly. Ruled out: the second plan at a refusal (ordered within 0.1 s); the staffing after a loss alone.

Change: nothing is given back while a zone is closed; what is missing then is reckoned for the highest load of 15 s; beside the staffing after a further loss, what is left now has the staffing of a fleet without reclaimable ones (0.62). Both tests fail on the code before.

--- a/components/fleet/src/scaling.rs
+++ b/components/fleet/src/scaling.rs
@@ -218,18 +218,16 @@
     }
 
     fn wanted(&self, now: Duration, offer: &Offer, expected: &Fleet) -> Fleet {
-        let raise = Need::of(self.load(now, RAISE_SPAN));
         let lower = Need::of(self.load(now, LOWER_SPAN));
-        let may_lower = self.may_lower(now);
-        let mut wanted = expected.clone();
-        // While some zones are closed the endpoints of the others are not to be had again.
-        let may_lower_reclaimable = may_lower && self.closed.is_empty();
-        let surplus = may_lower_reclaimable.then_some(lower);
-        self.spread_reclaimable(offer, &mut wanted, raise, surplus);
-        let firm = match offer.reclaimable_price {
-            Some(_) => raise.firm_beside(&reclaimable_of(&wanted)),
-            None => raise.alone,
+        let raise = match self.closed.is_empty() {
+            true => Need::of(self.load(now, RAISE_SPAN)),
+            // What is missing then cannot be had soon, also not for a load that only paused.
+            false => lower,
         };
+        let may_lower = self.may_lower(now) && self.closed.is_empty();
+        let mut wanted = expected.clone();
+        self.spread_reclaimable(offer, &mut wanted, raise, may_lower.then_some(lower));
+        let firm = raise.firm_beside(&reclaimable_of(&wanted));
         raise_firm(offer, &mut wanted, firm);
         if may_lower {
             lower_firm(offer, &mut wanted, self.firm_to_keep(lower).max(firm));
@@ -237,15 +235,11 @@
         wanted
     }
 
-    // Reclaimable endpoints that were ordered and do not serve yet replace nothing, unless they are not
-    // to be had.
+    // Reclaimable endpoints that were ordered and do not serve yet replace nothing.
     fn firm_to_keep(&self, need: Need) -> u32 {
         let serving = reclaimable_of(&self.held);
-        let firm = need.firm_beside(&serving);
-        match self.closed.is_empty() {
-            true => firm.max(need.all.saturating_sub(serving.iter().sum())),
-            false => firm,
-        }
+        let for_all = need.all.saturating_sub(serving.iter().sum());
+        need.firm_beside(&serving).max(for_all)
     }
 
     // As many reclaimable endpoints in each open zone as make the whole cheapest.
--- a/components/fleet/src/staffing.rs
+++ b/components/fleet/src/staffing.rs
@@ -5,7 +5,8 @@
     spare: 4.4,
     utilization: 0.5,
 };
-/// Endpoints where no reclaimable ones are offered: a state to stay in, not one to get over.
+/// Endpoints where no reclaimable ones are offered, or none are to be had: a state to stay in, not one to
+/// get over.
 const ALONE: Staffing = Staffing {
     spare: 1.1,
     utilization: 0.62,
@@ -63,7 +64,7 @@
     pub after_loss: u32,
     /// On-demand endpoints beside reclaimable ones.
     pub firm: u32,
-    /// On-demand endpoints where no reclaimable ones are offered.
+    /// Endpoints where no more are to be lost.
     pub alone: u32,
 }
 
@@ -85,7 +86,10 @@
         let holding = by_size.iter().filter(|count| **count > 0).count();
         let kept = by_size.len() - lost(holding);
         let left: u32 = by_size.iter().take(kept).sum();
-        self.firm.max(self.after_loss.saturating_sub(left))
+        let all: u32 = by_size.iter().sum();
+        let for_loss = self.after_loss.saturating_sub(left);
+        let for_now = self.alone.saturating_sub(all);
+        self.firm.max(for_loss).max(for_now)
     }
 
     /// Reclaimable endpoints in each of `zones` zones, at most `most`, that make the whole cheapest.
--- a/components/fleet/tests/scaling.rs
+++ b/components/fleet/tests/scaling.rs
@@ -254,3 +254,31 @@
     };
     assert!((24.0..=25.0).contains(&reads_more.endpoints()), "{load:?}");
 }
+
+#[test]
+fn nothing_on_demand_is_given_back_while_a_zone_is_closed() {
+    let mut scaler = Scaler::default();
+    let mut state = held(&[("a", 1, 0), ("b", 1, 0), ("c", 0, 0), ("d", 0, 0)]);
+    settle(&mut scaler, &mut state, 8.0, (0, 60));
+    state.entry("d".into()).or_default().reclaimable = 0;
+    settle_with_closed(&mut scaler, &mut state, 8.0, (60, 64), &["d"]);
+    let before = state.clone();
+    settle_with_closed(&mut scaler, &mut state, 2.0, (64, 100), &["d"]);
+    assert_eq!(state, before);
+}
+
+#[test]
+fn once_all_zones_are_closed_the_on_demand_ones_are_not_used_to_their_limit() {
+    let mut scaler = Scaler::default();
+    let mut state = held(&[("a", 1, 0), ("b", 1, 0), ("c", 0, 0), ("d", 0, 0)]);
+    settle(&mut scaler, &mut state, 5.0, (0, 60));
+    state.values_mut().for_each(|held| held.reclaimable = 0);
+    settle_with_closed(
+        &mut scaler,
+        &mut state,
+        5.0,
+        (60, 64),
+        &["a", "b", "c", "d"],
+    );
+    assert!(sums(&state).0 >= 8, "{state:?}");
+}
