Split the duties of the control thread and name data halls in the planner

No change of behaviour but one: endpoints are given back for the highest load of four boot times (16 s at the users' sites) instead of 15 s, so that the figure comes from what the deployment tells.

--- a/components/fleet/src/scaling.rs
+++ b/components/fleet/src/scaling.rs
@@ -1,9 +1,9 @@
-//! Which endpoints of a service to order in which zone.
+//! Which endpoints of a service to order in which hall.
 //!
-//! Reclaimable endpoints are cheap and may vanish a zone at a time, with none to be had there for a
-//! while. So they are spread over all zones where they are to be had, in such a number that the rest
-//! carries the load when some zones vanish; a few on-demand ones stand beside them, and more are ordered
-//! as soon as zones are closed. What is lost is ordered again at once: the refusal tells that a zone is
+//! Reclaimable endpoints are cheap and may vanish a hall at a time, with none to be had there for a
+//! while. So they are spread over all halls where they are to be had, in such a number that the rest
+//! carries the load when some halls vanish; a few on-demand ones stand beside them, and more are ordered
+//! as soon as halls are closed. What is lost is ordered again at once: the refusal tells that a hall is
 //! closed.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -18,10 +18,12 @@
 const LEARNING: Duration = Duration::from_secs(4);
 /// Endpoints are added for the highest load over this time.
 const RAISE_SPAN: Duration = Duration::from_secs(5);
-/// Endpoints are given back for the highest load over this time: twice what a new one needs to boot and
-/// an old one to leave.
-const LOWER_SPAN: Duration = Duration::from_secs(15);
-/// Pause after a refused order, and the time for which its zone counts as closed.
+/// Endpoints are given back for the highest load over so many boot times: one that is given back too early
+/// is missing for one, and its price until then is small beside that.
+const LOWER_BOOTS: u32 = 4;
+/// Loads are remembered for this long; no boot time that a deployment may tell needs more.
+const REMEMBERED: Duration = Duration::from_secs(240);
+/// Pause after a refused order, until it is given again.
 const REFUSED_PAUSE: Duration = Duration::from_secs(3);
 /// Time past its boot after which an order without effect is repeated.
 const REPEAT_PAUSE: Duration = Duration::from_secs(2);
@@ -29,16 +31,16 @@
 /// How endpoints are ordered and what they cost.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Offer {
-    /// Least endpoints in a zone, both classes together.
+    /// Least endpoints in a hall, both classes together.
     pub least: u32,
-    /// Most endpoints in a zone, both classes together.
+    /// Most endpoints in a hall, both classes together.
     pub most: u32,
     /// Time until an ordered endpoint serves.
     pub boot: Duration,
     /// Price of a reclaimable one as a part of an on-demand one's, if there are any.
     pub reclaimable_price: Option<f64>,
-    /// Price of an on-demand endpoint a second, by zone.
-    pub zone_prices: BTreeMap<String, f64>,
+    /// Price of an on-demand endpoint a second, by hall.
+    pub hall_prices: BTreeMap<String, f64>,
 }
 
 /// Endpoints that take work, by price class.
@@ -70,14 +72,14 @@
     }
 }
 
-/// Endpoints by zone.
+/// Endpoints by hall.
 pub type Fleet = BTreeMap<String, Held>;
 
-/// An order: so many endpoints of one class in one zone.
+/// An order: so many endpoints of one class in one hall.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ScalingOrder {
-    /// Zone.
-    pub zone: String,
+    /// Data hall.
+    pub hall: String,
     /// Class.
     pub reclaimable: bool,
     /// Count to hold from now on.
@@ -120,7 +122,7 @@
             self.load_since.get_or_insert(now);
         }
         self.loads.push_back((now, load));
-        self.loads.retain(|(at, _)| now < *at + LOWER_SPAN);
+        self.loads.retain(|(at, _)| now < *at + REMEMBERED);
     }
 
     /// What was held at the last look.
@@ -138,12 +140,12 @@
         let expected = self.expected(now, offer);
         let wanted = self.wanted(now, offer, &expected);
         let mut orders = Vec::new();
-        for (zone, want) in wanted {
-            let have = expected.get(&zone).copied().unwrap_or_default();
+        for (hall, want) in wanted {
+            let have = expected.get(&hall).copied().unwrap_or_default();
             for reclaimable in [true, false] {
                 let (want, have) = (want.get(reclaimable), have.get(reclaimable));
                 if want != have {
-                    orders.extend(self.order(now, &zone, reclaimable, want));
+                    orders.extend(self.order(now, &hall, reclaimable, want));
                 }
             }
         }
@@ -154,21 +156,21 @@
     /// An order was taken.
     pub fn accepted(&mut self, order: &ScalingOrder) {
         if order.reclaimable {
-            self.closed.remove(&order.zone);
+            self.closed.remove(&order.hall);
         }
     }
 
-    /// An order was refused: none are to be had there now. Returns whether the zone was taken for open.
+    /// An order was refused: none are to be had there now. Returns whether the hall was taken for open.
     pub fn refused(&mut self, now: Duration, order: &ScalingOrder) -> bool {
-        let key = (order.zone.clone(), order.reclaimable);
+        let key = (order.hall.clone(), order.reclaimable);
         self.orders.remove(&key);
         self.refused_until.insert(key, now + REFUSED_PAUSE);
-        order.reclaimable && self.closed.insert(order.zone.clone())
+        order.reclaimable && self.closed.insert(order.hall.clone())
     }
 
     /// An order got no answer; it is given again.
     pub fn unanswered(&mut self, order: &ScalingOrder) {
-        let key = (order.zone.clone(), order.reclaimable);
+        let key = (order.hall.clone(), order.reclaimable);
         self.orders.remove(&key);
     }
 
@@ -180,8 +182,8 @@
     // Endpoints that vanish although they were ordered are to be ordered again.
     fn forget_undone(&mut self, held: &Fleet) {
         let before = &self.held;
-        self.orders.retain(|(zone, reclaimable), ordered| {
-            let count = |fleet: &Fleet| fleet.get(zone).map_or(0, |h| h.get(*reclaimable));
+        self.orders.retain(|(hall, reclaimable), ordered| {
+            let count = |fleet: &Fleet| fleet.get(hall).map_or(0, |h| h.get(*reclaimable));
             let now = count(held);
             now >= count(before) || now >= ordered.count
         });
@@ -206,19 +208,19 @@
     // What is held, or will be once the newest orders have had their effect.
     fn expected(&self, now: Duration, offer: &Offer) -> Fleet {
         let mut expected = self.held.clone();
-        for zone in offer.zone_prices.keys() {
-            expected.entry(zone.clone()).or_default();
+        for hall in offer.hall_prices.keys() {
+            expected.entry(hall.clone()).or_default();
         }
-        for ((zone, reclaimable), ordered) in &self.orders {
+        for ((hall, reclaimable), ordered) in &self.orders {
             if now < ordered.at + offer.boot + REPEAT_PAUSE {
-                *expected.entry(zone.clone()).or_default().of(*reclaimable) = ordered.count;
+                *expected.entry(hall.clone()).or_default().of(*reclaimable) = ordered.count;
             }
         }
         expected
     }
 
     fn wanted(&self, now: Duration, offer: &Offer, expected: &Fleet) -> Fleet {
-        let lower = Need::of(self.load(now, LOWER_SPAN));
+        let lower = Need::of(self.load(now, offer.boot * LOWER_BOOTS));
         let raise = match self.closed.is_empty() {
             true => Need::of(self.load(now, RAISE_SPAN)),
             // What is missing then cannot be had soon, also not for a load that only paused.
@@ -242,7 +244,7 @@
         need.firm_beside(&serving).max(for_all)
     }
 
-    // As many reclaimable endpoints in each open zone as make the whole cheapest.
+    // As many reclaimable endpoints in each open hall as make the whole cheapest.
     fn spread_reclaimable(
         &self,
         offer: &Offer,
@@ -256,8 +258,8 @@
         let open = wanted.len().saturating_sub(self.closed.len());
         let least = raise.reclaimable_each(open, offer.most, price);
         let most = lower.map(|lower| lower.reclaimable_each(open, offer.most, price));
-        for (zone, held) in wanted {
-            if self.closed.contains(zone) {
+        for (hall, held) in wanted {
+            if self.closed.contains(hall) {
                 continue;
             }
             let most = most.unwrap_or(held.reclaimable).max(least);
@@ -265,34 +267,34 @@
         }
     }
 
-    // Orders that tell whether closed zones are open again; nothing is planned upon them.
+    // Orders that tell whether closed halls are open again; nothing is planned upon them.
     fn look_whether_open(&mut self, now: Duration, offer: &Offer) -> Vec<ScalingOrder> {
         let Some(price) = offer.reclaimable_price else {
             return Vec::new();
         };
         let need = Need::of(self.load(now, RAISE_SPAN));
-        let count = need.reclaimable_each(offer.zone_prices.len(), offer.most, price);
+        let count = need.reclaimable_each(offer.hall_prices.len(), offer.most, price);
         let closed: Vec<String> = self.closed.iter().cloned().collect();
         let looks = closed.iter();
         looks
-            .filter_map(|zone| self.order(now, zone, true, count))
+            .filter_map(|hall| self.order(now, hall, true, count))
             .collect()
     }
 
     fn order(
         &mut self,
         now: Duration,
-        zone: &str,
+        hall: &str,
         reclaimable: bool,
         count: u32,
     ) -> Option<ScalingOrder> {
-        let key = (zone.to_string(), reclaimable);
+        let key = (hall.to_string(), reclaimable);
         if self.refused_until.get(&key).is_some_and(|t| now < *t) {
             return None;
         }
         self.orders.insert(key, Ordered { count, at: now });
         Some(ScalingOrder {
-            zone: zone.to_string(),
+            hall: hall.to_string(),
             reclaimable,
             count,
         })
@@ -307,19 +309,19 @@
     fleet.values().map(|h| h.reclaimable).collect()
 }
 
-// Adds on-demand endpoints until there are `firm` and each zone holds its least.
+// Adds on-demand endpoints until there are `firm` and each hall holds its least.
 fn raise_firm(offer: &Offer, wanted: &mut Fleet, firm: u32) {
     for held in wanted.values_mut() {
         held.firm += offer.least.saturating_sub(held.total());
     }
     while firm_of(wanted) < firm {
         let free = wanted.iter().filter(|(_, held)| held.total() < offer.most);
-        let Some((zone, _)) = free.min_by_key(|(zone, held)| (price_order(offer, zone), held.firm))
+        let Some((hall, _)) = free.min_by_key(|(hall, held)| (price_order(offer, hall), held.firm))
         else {
             return;
         };
-        let zone = zone.clone();
-        wanted.entry(zone).or_default().firm += 1;
+        let hall = hall.clone();
+        wanted.entry(hall).or_default().firm += 1;
     }
 }
 
@@ -329,16 +331,16 @@
         let spare = wanted
             .iter()
             .filter(|(_, held)| held.firm > 0 && held.total() > offer.least);
-        let Some((zone, _)) = spare.max_by_key(|(zone, _)| price_order(offer, zone)) else {
+        let Some((hall, _)) = spare.max_by_key(|(hall, _)| price_order(offer, hall)) else {
             return;
         };
-        let zone = zone.clone();
-        wanted.entry(zone).or_default().firm -= 1;
+        let hall = hall.clone();
+        wanted.entry(hall).or_default().firm -= 1;
     }
 }
 
-fn price_order(offer: &Offer, zone: &str) -> u64 {
+fn price_order(offer: &Offer, hall: &str) -> u64 {
     const MICRO: f64 = 1e6;
-    let price = offer.zone_prices.get(zone).copied().unwrap_or_default();
+    let price = offer.hall_prices.get(hall).copied().unwrap_or_default();
     (price * MICRO) as u64
 }
--- a/components/fleet/src/staffing.rs
+++ b/components/fleet/src/staffing.rs
@@ -11,13 +11,13 @@
     spare: 1.1,
     utilization: 0.62,
 };
-/// Endpoints that are left when reclaimable ones of some zones vanish. Of 0.62, 0.75, 0.82 and 0.9 the first costs
-/// more than it brings on each day, the last loses credit while all zones are closed (docs/deciding.md).
+/// Endpoints that are left when reclaimable ones of some halls vanish. Of 0.62, 0.75, 0.82 and 0.9 the first costs
+/// more than it brings on each day, the last loses credit while all halls are closed (docs/deciding.md).
 const SCARCE: Staffing = Staffing {
     spare: 0.5,
     utilization: 0.82,
 };
-/// On-demand endpoints that are held whatever happens, in parts of the load: zones can vanish faster than
+/// On-demand endpoints that are held whatever happens, in parts of the load: halls can vanish faster than
 /// on-demand endpoints boot. 0.4 served as well as 0.9 on the standard days and cost a third less
 /// (docs/deciding.md).
 const FIRM_PART: f64 = 0.4;
@@ -60,7 +60,7 @@
 pub(crate) struct Need {
     /// Endpoints in all.
     pub all: u32,
-    /// Endpoints that must be left when the reclaimable ones of some zones vanish.
+    /// Endpoints that must be left when the reclaimable ones of some halls vanish.
     pub after_loss: u32,
     /// On-demand endpoints beside reclaimable ones.
     pub firm: u32,
@@ -79,7 +79,7 @@
         }
     }
 
-    /// On-demand endpoints needed beside these reclaimable ones, given by zone.
+    /// On-demand endpoints needed beside these reclaimable ones, given by hall.
     pub fn firm_beside(self, reclaimable: &[u32]) -> u32 {
         let mut by_size = reclaimable.to_vec();
         by_size.sort_unstable();
@@ -92,11 +92,11 @@
         self.firm.max(for_loss).max(for_now)
     }
 
-    /// Reclaimable endpoints in each of `zones` zones, at most `most`, that make the whole cheapest.
+    /// Reclaimable endpoints in each of `halls` halls, at most `most`, that make the whole cheapest.
     /// One costs `price` of an on-demand one.
-    pub fn reclaimable_each(self, zones: usize, most: u32, price: f64) -> u32 {
-        let firm = |each: u32| self.firm_beside(&vec![each; zones]);
-        let sum = |each: u32| each * zones as u32;
+    pub fn reclaimable_each(self, halls: usize, most: u32, price: f64) -> u32 {
+        let firm = |each: u32| self.firm_beside(&vec![each; halls]);
+        let sum = |each: u32| each * halls as u32;
         let cost = |each: u32| f64::from(firm(each)) + price * f64::from(sum(each));
         let best = (0..=most).min_by(|a, b| cost(*a).total_cmp(&cost(*b)));
         let enough = (0..most).find(|each| firm(*each) + sum(*each) >= self.all);
@@ -104,6 +104,6 @@
     }
 }
 
-fn lost(zones: usize) -> usize {
-    (zones as f64 * LOST_PART).ceil() as usize
+fn lost(halls: usize) -> usize {
+    (halls as f64 * LOST_PART).ceil() as usize
 }
--- a/components/fleet/tests/scaling.rs
+++ b/components/fleet/tests/scaling.rs
@@ -12,17 +12,17 @@
         most: 6,
         boot: Duration::from_secs(4),
         reclaimable_price: Some(0.2),
-        zone_prices: prices.iter().map(|(z, p)| (z.to_string(), *p)).collect(),
+        hall_prices: prices.iter().map(|(z, p)| (z.to_string(), *p)).collect(),
     }
 }
 
 fn held(list: &[(&str, u32, u32)]) -> BTreeMap<String, Held> {
-    let held = |(zone, firm, reclaimable): &(&str, u32, u32)| {
+    let held = |(hall, firm, reclaimable): &(&str, u32, u32)| {
         let held = Held {
             firm: *firm,
             reclaimable: *reclaimable,
         };
-        (zone.to_string(), held)
+        (hall.to_string(), held)
     };
     list.iter().map(held).collect()
 }
@@ -37,14 +37,14 @@
 }
 
 fn carry_out(held: &mut Fleet, order: ScalingOrder) {
-    let zone = held.entry(order.zone).or_default();
+    let hall = held.entry(order.hall).or_default();
     match order.reclaimable {
-        true => zone.reclaimable = order.count,
-        false => zone.firm = order.count,
+        true => hall.reclaimable = order.count,
+        false => hall.firm = order.count,
     }
 }
 
-/// Carries orders out at once, but for reclaimable ones in closed zones, which are refused.
+/// Carries orders out at once, but for reclaimable ones in closed halls, which are refused.
 fn settle_with_closed(
     scaler: &mut Scaler,
     held: &mut Fleet,
@@ -54,7 +54,7 @@
 ) {
     for now in secs.0..secs.1 {
         for order in plan(scaler, now, held, load) {
-            if order.reclaimable && closed.contains(&order.zone.as_str()) {
+            if order.reclaimable && closed.contains(&order.hall.as_str()) {
                 scaler.refused(at(now), &order);
                 continue;
             }
@@ -74,7 +74,7 @@
 }
 
 #[test]
-fn reclaimable_ones_are_spread_so_that_two_zones_may_vanish() {
+fn reclaimable_ones_are_spread_so_that_two_halls_may_vanish() {
     let mut scaler = Scaler::default();
     let mut held = held(&[("a", 3, 0), ("b", 2, 0), ("c", 2, 0), ("d", 2, 0)]);
     settle(&mut scaler, &mut held, 3.0, (0, 60));
@@ -95,7 +95,7 @@
     let mut held = held(&[("a", 5, 0), ("b", 5, 0), ("c", 4, 0), ("d", 4, 0)]);
     settle(&mut scaler, &mut held, 6.0, (0, 60));
     assert_eq!(sums(&held).0, 3, "{held:?}");
-    // The cheapest zone has them.
+    // The cheapest hall has them.
     assert_eq!(held["b"].firm, 3, "{held:?}");
 }
 
@@ -103,9 +103,9 @@
 fn nothing_on_demand_is_given_back_while_endpoints_still_record_themselves() {
     let mut scaler = Scaler::default();
     let mut found = Fleet::new();
-    for (now, zone) in ["a", "b", "c", "d"].iter().enumerate() {
+    for (now, hall) in ["a", "b", "c", "d"].iter().enumerate() {
         found.insert(
-            zone.to_string(),
+            hall.to_string(),
             Held {
                 firm: 4,
                 reclaimable: 4,
@@ -117,9 +117,9 @@
 }
 
 fn lowers(orders: &[ScalingOrder], held: &Fleet) -> bool {
-    let firm = |zone: &str| held.get(zone).map_or(0, |h| h.firm);
+    let firm = |hall: &str| held.get(hall).map_or(0, |h| h.firm);
     let mut orders = orders.iter();
-    orders.any(|o| !o.reclaimable && o.count < firm(&o.zone))
+    orders.any(|o| !o.reclaimable && o.count < firm(&o.hall))
 }
 
 #[test]
@@ -146,7 +146,7 @@
 }
 
 #[test]
-fn on_demand_ones_take_the_place_of_zones_that_are_closed() {
+fn on_demand_ones_take_the_place_of_halls_that_are_closed() {
     let mut scaler = Scaler::default();
     let mut state = held(&[("a", 1, 0), ("b", 1, 0), ("c", 0, 0), ("d", 0, 0)]);
     settle(&mut scaler, &mut state, 5.0, (0, 60));
@@ -157,26 +157,26 @@
     assert_eq!(reclaimable, 0);
     // 5 endpoints that would be busy all the time, used at 0.82.
     assert!(firm >= 7, "{state:?}");
-    // Once the zones are open, the reclaimable ones come back and the others go.
+    // Once the halls are open, the reclaimable ones come back and the others go.
     settle(&mut scaler, &mut state, 5.0, (64, 120));
     let (firm, reclaimable) = sums(&state);
     assert!(firm <= 3 && reclaimable >= 8, "{state:?}");
 }
 
 #[test]
-fn a_closed_zone_counts_as_empty_until_an_order_is_taken_there() {
+fn a_closed_hall_counts_as_empty_until_an_order_is_taken_there() {
     let mut scaler = Scaler::default();
     let mut state = held(&[("a", 1, 0), ("b", 1, 0), ("c", 0, 0), ("d", 0, 0)]);
     settle(&mut scaler, &mut state, 5.0, (0, 60));
-    for zone in ["c", "d"] {
-        state.entry(zone.into()).or_default().reclaimable = 0;
+    for hall in ["c", "d"] {
+        state.entry(hall.into()).or_default().reclaimable = 0;
     }
     settle_with_closed(&mut scaler, &mut state, 5.0, (60, 90), &["c", "d"]);
     let steady = sums(&state);
-    // Looks at the closed zones change nothing else.
+    // Looks at the closed halls change nothing else.
     for now in 90..110 {
         for order in plan(&mut scaler, now, &state, 5.0) {
-            assert!(order.reclaimable && ["c", "d"].contains(&order.zone.as_str()));
+            assert!(order.reclaimable && ["c", "d"].contains(&order.hall.as_str()));
             scaler.refused(at(now), &order);
         }
         assert_eq!(sums(&state), steady);
@@ -209,7 +209,7 @@
 }
 
 #[test]
-fn every_zone_keeps_its_least() {
+fn every_hall_keeps_its_least() {
     let mut scaler = Scaler::default();
     let mut held = held(&[("a", 1, 0), ("b", 1, 0), ("c", 1, 0), ("d", 1, 0)]);
     settle(&mut scaler, &mut held, 0.1, (0, 60));
@@ -256,7 +256,7 @@
 }
 
 #[test]
-fn nothing_on_demand_is_given_back_while_a_zone_is_closed() {
+fn nothing_on_demand_is_given_back_while_a_hall_is_closed() {
     let mut scaler = Scaler::default();
     let mut state = held(&[("a", 1, 0), ("b", 1, 0), ("c", 0, 0), ("d", 0, 0)]);
     settle(&mut scaler, &mut state, 8.0, (0, 60));
@@ -268,7 +268,7 @@
 }
 
 #[test]
-fn once_all_zones_are_closed_the_on_demand_ones_are_not_used_to_their_limit() {
+fn once_all_halls_are_closed_the_on_demand_ones_are_not_used_to_their_limit() {
     let mut scaler = Scaler::default();
     let mut state = held(&[("a", 1, 0), ("b", 1, 0), ("c", 0, 0), ("d", 0, 0)]);
     settle(&mut scaler, &mut state, 5.0, (0, 60));
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -1,9 +1,11 @@
 //! The control thread: what it knows, and the tasks that work on it.
 
-mod duties;
 mod exchange;
 mod follow;
+mod lease;
 mod passing;
+mod reporting;
+mod scaling;
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -26,9 +28,10 @@
 use usage::{Ledger, Reporter, Source, Terms};
 
 use crate::clock::Clock;
-use crate::control::duties::{Demand, OrdersUnderWay};
 use crate::control::follow::Followed;
+use crate::control::lease::OrdersUnderWay;
 pub(crate) use crate::control::passing::{name_of, topic_of, PASSED_ON};
+use crate::control::scaling::Demand;
 use crate::freshness::Freshness;
 use crate::peers::{PeerCount, Peers};
 use crate::ports::{Orders, Store, Topic};
@@ -214,7 +217,9 @@
     for topic in PASSED_ON {
         tokio::task::spawn_local(Rc::clone(&shared).follow(topic));
     }
-    tokio::task::spawn_local(Rc::clone(&shared).carry_out_duties());
+    let (reporting, ordering) = (Rc::clone(&shared), Rc::clone(&shared));
+    tokio::task::spawn_local(async move { reporting.keep_reporting().await });
+    tokio::task::spawn_local(async move { ordering.keep_endpoints().await });
     if let Err(error) = exchange(&shared, sockets, tallies) {
         warn!(shared.log, "no exchange with other gateways; raise the limit of descriptors";
             "cause" => %error);
--- /dev/null
+++ b/components/gateway/src/control/reporting.rs
@@ -0,0 +1,94 @@
+//! Usage reports of the lease's holder.
+
+use std::time::Duration;
+
+use schema::messages::UsageRow;
+use slog::info;
+use usage::{Report, Step};
+
+use crate::control::{Known, Shared};
+use crate::ports::{OrderReply, Orders, Store, StoreError, Topic};
+
+/// Pause between looks at what is due.
+const DUTY_PAUSE: Duration = Duration::from_millis(250);
+
+impl<S: Store + 'static, O: Orders + 'static> Shared<S, O> {
+    /// Reports usage until the process ends, whenever this gateway holds the lease.
+    pub async fn keep_reporting(&self) {
+        loop {
+            tokio::time::sleep(DUTY_PAUSE).await;
+            self.report_usage().await;
+        }
+    }
+
+    async fn report_usage(&self) {
+        if self.holder().is_none() || !self.known.borrow().settings.reports_usage {
+            return;
+        }
+        let wall = self.clock.wall();
+        let step = {
+            let mut known = self.known.borrow_mut();
+            let oldest = known.reporter.oldest(wall);
+            known.ledger.forget_before(oldest - 1);
+            let Known {
+                reporter, ledger, ..
+            } = &*known;
+            reporter.next(wall, ledger)
+        };
+        match step {
+            None => {}
+            Some(Step::Settle(report)) if self.predates_process(&report) => {
+                self.known.borrow_mut().reporter.finished(report.window);
+            }
+            Some(Step::Settle(report)) => self.settle(report).await,
+            Some(Step::Send(report)) => self.send_report(&report, wall).await,
+        }
+    }
+
+    // Nothing is known here of a window before this process, unless others told of it.
+    fn predates_process(&self, report: &Report) -> bool {
+        let first = self.known.borrow().reporter.window_at(self.started_wall);
+        report.counts.is_empty() && report.window < first
+    }
+
+    async fn settle(&self, report: Report) {
+        let row = UsageRow {
+            begun: report.counts.clone(),
+        };
+        let value = schema::encode(&row).unwrap_or_default();
+        let key = format!("{:012}", report.window);
+        let written = self.store.write(Topic::Usage, &key, value, Some(0)).await;
+        let settled = match written {
+            Ok(_) => Some(report),
+            Err(StoreError::Conflict(Some(row))) => {
+                let value = row.value.unwrap_or_default();
+                let read = schema::decode::<UsageRow>(&value).ok();
+                read.map(|row| Report {
+                    window: report.window,
+                    counts: row.begun,
+                })
+            }
+            Err(_) => None,
+        };
+        if let Some(report) = settled {
+            self.known.borrow_mut().reporter.settled(report);
+        }
+    }
+
+    async fn send_report(&self, report: &Report, wall: Duration) {
+        let Some(holder) = self.holder() else {
+            return;
+        };
+        self.known.borrow_mut().orders.sent();
+        let reply = self.orders.report(&holder, report).await;
+        self.note_order_end(reply);
+        info!(self.log, "usage reported"; "window" => report.window, "fence" => holder.fence,
+            "reply" => ?reply);
+        let mut known = self.known.borrow_mut();
+        let overdue = report.window < known.reporter.oldest(wall);
+        let over = matches!(reply, OrderReply::Done | OrderReply::Rejected(_));
+        if over || overdue {
+            known.reporter.finished(report.window);
+        }
+    }
+}
--- /dev/null
+++ b/components/gateway/src/control/scaling.rs
@@ -0,0 +1,198 @@
+//! Orders of endpoints: what is asked for, and what is planned and ordered for it.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use directory::{Configuration, Endpoint, Scaling};
+use fleet::{Fleet, Load, Offer, ScalingOrder};
+use routing::placement::endpoint_hash;
+use slog::{info, warn};
+
+use crate::control::{Known, Shared};
+use crate::ports::{OrderReply, Orders, Store};
+
+/// Pause between plans of endpoints.
+const PLAN_PAUSE: Duration = Duration::from_millis(500);
+/// Plans in a row that are carried out at most: one for each hall that turns out to be closed, and some.
+const MOST_PLANS: usize = 6;
+/// Span over which prompts are counted.
+const DEMAND_SPAN: Duration = Duration::from_secs(5);
+/// Shortest span over which they are averaged.
+const SHORTEST_SPAN: Duration = Duration::from_secs(1);
+/// Requests of one second that are kept at most for the count.
+const MOST_SAMPLES: usize = 20_000;
+
+/// Prompt tokens sent to endpoints by all gateways, of the last seconds.
+#[derive(Debug, Default)]
+pub(crate) struct Demand {
+    samples: VecDeque<(Duration, u64, u32)>,
+    // First sample after a time without any.
+    since: Option<Duration>,
+}
+
+impl Demand {
+    /// Notes a request.
+    pub fn add(&mut self, at: Duration, endpoint: u64, unread_tokens: u32) {
+        if self.samples.is_empty() {
+            self.since = Some(at);
+        }
+        self.samples.push_back((at, endpoint, unread_tokens));
+        if self.samples.len() > MOST_SAMPLES {
+            self.samples.pop_front();
+        }
+    }
+
+    /// Tokens a second, by endpoint hash.
+    fn tokens_per_s(&mut self, now: Duration) -> HashMap<u64, f64> {
+        let from = now.saturating_sub(DEMAND_SPAN);
+        self.samples.retain(|(at, ..)| *at >= from);
+        let mut sums: HashMap<u64, f64> = HashMap::new();
+        for (_, endpoint, tokens) in &self.samples {
+            *sums.entry(*endpoint).or_default() += f64::from(*tokens);
+        }
+        // A load that has just begun was not there for the whole span.
+        let lasted = now.saturating_sub(self.since.unwrap_or(from));
+        let span = lasted.clamp(SHORTEST_SPAN, DEMAND_SPAN).as_secs_f64();
+        sums.values_mut().for_each(|sum| *sum /= span);
+        sums
+    }
+}
+
+impl<S: Store + 'static, O: Orders + 'static> Shared<S, O> {
+    /// Plans and orders endpoints until the process ends, whenever this gateway holds the lease.
+    pub async fn keep_endpoints(&self) {
+        loop {
+            let lost = self.endpoint_lost.notified();
+            let _ = tokio::time::timeout(PLAN_PAUSE, lost).await;
+            self.order_endpoints().await;
+        }
+    }
+
+    async fn order_endpoints(&self) {
+        if !self.known.borrow().settings.orders_endpoints {
+            return;
+        }
+        self.observe_load();
+        // A hall that turns out to be closed changes the plan for the others.
+        for _ in 0..MOST_PLANS {
+            if self.holder().is_none() || !self.carry_out_plan().await {
+                return;
+            }
+        }
+    }
+
+    // Returns whether a hall that was open refused an order.
+    async fn carry_out_plan(&self) -> bool {
+        let mut hall_closed = false;
+        for (service, orders) in self.plan() {
+            for order in orders {
+                let Some(holder) = self.holder() else {
+                    return false;
+                };
+                self.known.borrow_mut().orders.sent();
+                let reply = self.orders.scale(&holder, &service, &order).await;
+                self.note_order_end(reply);
+                info!(self.log, "endpoints ordered"; "service" => &service,
+                    "hall" => &order.hall, "reclaimable" => order.reclaimable,
+                    "count" => order.count, "fence" => holder.fence, "reply" => ?reply);
+                hall_closed |= self.note_reply(&service, &order, reply);
+            }
+        }
+        hall_closed
+    }
+
+    fn note_reply(&self, service: &str, order: &ScalingOrder, reply: OrderReply) -> bool {
+        let now = self.clock.now();
+        let mut known = self.known.borrow_mut();
+        let Some(scaler) = known.scalers.get_mut(service) else {
+            return false;
+        };
+        match reply {
+            OrderReply::Done => scaler.accepted(order),
+            OrderReply::Unavailable => return scaler.refused(now, order),
+            OrderReply::Busy | OrderReply::Unanswered => scaler.unanswered(order),
+            OrderReply::Rejected(status) => {
+                warn!(self.log, "order rejected"; "service" => service, "status" => status);
+                return scaler.refused(now, order);
+            }
+        }
+        false
+    }
+
+    fn observe_load(&self) {
+        let now = self.clock.now();
+        let mut known = self.known.borrow_mut();
+        let Some(configuration) = known.configuration.clone() else {
+            return;
+        };
+        let tokens = known.demand.tokens_per_s(now);
+        for (service, _) in scaled(&configuration) {
+            let load = load_of(&known, service, &tokens).endpoints();
+            let held = held_by(known.endpoints.values(), service);
+            let scaler = known.scalers.entry(service.clone()).or_default();
+            scaler.observe(now, &held, load);
+        }
+    }
+
+    fn plan(&self) -> Vec<(String, Vec<ScalingOrder>)> {
+        let now = self.clock.now();
+        let mut known = self.known.borrow_mut();
+        let Some(configuration) = known.configuration.clone() else {
+            return Vec::new();
+        };
+        let mut plans = Vec::new();
+        for (service, scaling) in scaled(&configuration) {
+            let rate = known.loads.get(service).and_then(|load| load.rate);
+            let Some(scaler) = known.scalers.get_mut(service) else {
+                continue;
+            };
+            let orders = scaler.plan(now, &offer_of(scaling));
+            if !orders.is_empty() {
+                info!(self.log, "endpoints planned"; "service" => service,
+                    "load_milli" => (scaler.newest_load() * 1000.0) as u64,
+                    "held" => ?scaler.held(), "rate" => rate.map(|rate| rate as u64));
+                plans.push((service.clone(), orders));
+            }
+        }
+        plans
+    }
+}
+
+fn scaled(configuration: &Configuration) -> impl Iterator<Item = (&String, &Scaling)> {
+    let services = configuration.services.iter();
+    services.filter_map(|(name, service)| Some((name, service.scaling.as_ref()?)))
+}
+
+fn offer_of(scaling: &Scaling) -> Offer {
+    Offer {
+        least: scaling.least,
+        most: scaling.most,
+        boot: scaling.boot,
+        reclaimable_price: scaling.reclaimable_price,
+        hall_prices: scaling.zone_prices.clone(),
+    }
+}
+
+fn held_by<'a>(endpoints: impl Iterator<Item = &'a Endpoint>, service: &str) -> Fleet {
+    let mut held = Fleet::new();
+    for endpoint in endpoints.filter(|e| e.service == service && e.is_ready()) {
+        let zone = held.entry(endpoint.zone.clone()).or_default();
+        match endpoint.reclaimable {
+            true => zone.reclaimable += 1,
+            false => zone.firm += 1,
+        }
+    }
+    held
+}
+
+fn load_of(known: &Known, service: &str, tokens: &HashMap<u64, f64>) -> Load {
+    let load = known.loads.get(service).copied().unwrap_or_default();
+    let of_service = || known.endpoints.values().filter(|e| e.service == service);
+    let read = of_service().filter_map(|e| tokens.get(&endpoint_hash(&e.id)));
+    Load {
+        tokens_per_s: read.sum(),
+        rate: load.rate,
+        requests: load.requests,
+        slots: of_service().next().map_or(1, |e| e.slots),
+    }
+}
