--- a/components/fleet/src/scaling.rs
+++ b/components/fleet/src/scaling.rs
@@ -104,7 +104,7 @@
     loads: VecDeque<(Duration, f64)>,
     orders: BTreeMap<(String, bool), Ordered>,
     refused_until: BTreeMap<(String, bool), Duration>,
-    // Zones where the last order of reclaimable endpoints was refused.
+    // Halls where the last order of reclaimable endpoints was refused.
     closed: BTreeSet<String>,
 }
 
--- a/components/fleet/src/staffing.rs
+++ b/components/fleet/src/staffing.rs
@@ -18,10 +18,10 @@
     utilization: 0.82,
 };
 /// On-demand endpoints that are held whatever happens, in parts of the load: halls can vanish faster than
-/// on-demand endpoints boot. 0.4 served as well as 0.9 on the standard days and cost a third less
-/// (docs/deciding.md).
+/// on-demand endpoints boot. Tried at 0.9 with few reclaimable ones and at 0.4 with many spread ones: the latter
+/// serves as well and is cheaper (docs/deciding.md); not swept by itself.
 const FIRM_PART: f64 = 0.4;
-/// Zones whose reclaimable endpoints may vanish before others can be ordered and have booted, of all that
+/// Halls whose reclaimable endpoints may vanish before others can be ordered and have booted, of all that
 /// hold some: two of four did so within seconds on days of the users' sheets.
 const LOST_PART: f64 = 0.5;
 
--- a/components/gateway/tests/peers.rs
+++ b/components/gateway/tests/peers.rs
@@ -97,3 +97,21 @@
     let after: Vec<&str> = others.filter(|name| watches(name, Some(lost))).collect();
     assert_eq!(after.len(), 2);
 }
+
+#[test]
+fn a_holder_that_gave_the_lease_up_does_not_count_as_heard_and_the_next_one_does() {
+    let at = Duration::from_secs;
+    let long = Duration::from_secs(10);
+    let mut peers = Peers::new("127.0.0.1:1".parse().unwrap());
+    peers.hear_lease(at(1), 7);
+    assert!(peers.holder_heard(at(2), long));
+    peers.hear_given_up(at(2), 7);
+    assert!(!peers.holder_heard(at(2), long));
+    assert!(peers.given_up_within(at(3), at(2)));
+    // Old news of the same holder change nothing.
+    peers.hear_lease(at(3), 7);
+    assert!(!peers.holder_heard(at(3), long));
+    peers.hear_lease(at(4), 8);
+    peers.hear_given_up(at(4), 7);
+    assert!(peers.holder_heard(at(4), long));
+}
