--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -2,10 +2,12 @@
 
 mod exchange;
 mod follow;
+mod forwarding;
 mod lease;
 mod passing;
 mod reporting;
 mod scaling;
+mod telling;
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -25,15 +27,16 @@
 use tokio::runtime::Builder;
 use tokio::sync::Notify;
 use tokio::task::LocalSet;
-use usage::{Ledger, Reporter, Source, Terms};
+use usage::{Forwarding, Ledger, Reporter, Source, Terms};
 
 use crate::clock::Clock;
 use crate::control::follow::Followed;
 use crate::control::lease::OrdersUnderWay;
 pub(crate) use crate::control::passing::{name_of, topic_of, PASSED_ON};
 use crate::control::scaling::Demand;
+use crate::control::telling::Telling;
 use crate::freshness::Freshness;
-use crate::peers::{PeerCount, Peers};
+use crate::peers::{Fleet, Listed, Peers};
 use crate::ports::{Orders, Store, Topic};
 use crate::run::{ReadSettings, Signals};
 use crate::tally::{Sent, ServiceLoad, Tally};
@@ -74,6 +77,8 @@
     pub log: Logger,
     pub updates: flume::Sender<Update>,
     pub tallies: flume::Receiver<Tally>,
+    /// Port at which the traffic thread decides for others.
+    pub decisions_port: u16,
 }
 
 /// Everything the control thread knows.
@@ -95,9 +100,9 @@
     pub loads: BTreeMap<String, ServiceLoad>,
     pub taken: BTreeMap<String, u64>,
     pub unsent: Vec<Sent>,
-    pub sequence: i64,
-    pub told_at: Duration,
-    pub peer_count: PeerCount,
+    pub telling: Telling,
+    pub forwarding: Forwarding,
+    pub fleet: Fleet,
 }
 
 /// The control thread before it runs.
@@ -116,6 +121,7 @@
     pub updates: flume::Sender<Update>,
     pub source: Source,
     pub peer_address: SocketAddr,
+    pub decisions_port: u16,
     /// Something is to be told to the other gateways at once.
     pub urgent: Notify,
     /// An endpoint does not take work any more.
@@ -133,7 +139,12 @@
             gateway: settings.name.clone(),
             incarnation: parts.clock.wall().as_millis() as i64,
         };
-        let mut peers = Peers::new(parts.sockets.address);
+        let mut peers = Peers::new(Listed {
+            name: settings.name.clone(),
+            address: parts.sockets.address,
+            hall: settings.zone.clone(),
+            cores_milli: settings.cores_milli,
+        });
         for seed in settings.seeds.iter().filter_map(|seed| seed.parse().ok()) {
             peers.learn(Duration::ZERO, seed);
         }
@@ -141,6 +152,7 @@
             lease: Lease::new(lease_terms(&settings)),
             orders: OrdersUnderWay::default(),
             reporter: Reporter::new(usage_terms(&settings)),
+            forwarding: Forwarding::new(usage_terms(&settings)),
             followed: followed_topics(&settings),
             settings,
             configuration: None,
@@ -154,9 +166,8 @@
             loads: BTreeMap::new(),
             taken: BTreeMap::new(),
             unsent: Vec::new(),
-            sequence: 0,
-            told_at: Duration::ZERO,
-            peer_count: PeerCount::default(),
+            telling: Telling::default(),
+            fleet: Fleet::default(),
         };
         Control {
             parts,
@@ -189,6 +200,7 @@
             updates: parts.updates,
             source: self.source,
             peer_address: parts.sockets.address,
+            decisions_port: parts.decisions_port,
             urgent: Notify::new(),
             endpoint_lost: Notify::new(),
             started_wall: parts.clock.wall(),
@@ -323,11 +335,14 @@
     fn count_peers(&self, now: Duration) {
         let mut known = self.known.borrow_mut();
         known.peers.tick(now);
-        let count = known.peers.count(now);
-        if count != known.peer_count {
-            info!(self.log, "gateways changed"; "heard" => count.heard, "silent" => count.silent);
-            known.peer_count = count;
-            let _ = self.updates.send(Update::Peers(count));
+        let fleet = known.peers.fleet(now);
+        if fleet != known.fleet {
+            let count = known.peers.count(now);
+            info!(self.log, "gateways changed"; "heard" => count.heard, "silent" => count.silent,
+                "gateways" => fleet.gateways, "part_milli" => (fleet.part * 1000.0) as u64,
+                "coordinators" => fleet.coordinators.len(), "coordinates" => known.peers.coordinates(now));
+            known.fleet = fleet.clone();
+            let _ = self.updates.send(Update::Fleet(fleet));
         }
     }
 }
--- a/components/gateway/src/control/exchange.rs
+++ b/components/gateway/src/control/exchange.rs
@@ -1,17 +1,18 @@
-//! News between gateways, and how they find each other.
+//! Messages between gateways, and how they find each other.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use schema::messages::{GatewayNews, GatewayRow, TopicHead};
+use schema::messages::{GatewayNews, GatewayRow};
 use slog::{info, warn};
 use state::LeaseEvent;
 use telemetry::Counter;
 use tokio::net::UdpSocket;
 use usage::Source;
 
-use crate::control::{Known, Shared};
+use crate::control::telling::Content;
+use crate::control::Shared;
 use crate::news;
 use crate::peers::{is_recent, Hearing};
 use crate::ports::{Orders, Store, Topic};
@@ -20,20 +21,10 @@
 
 /// Largest datagram that is read, in bytes.
 const MAX_DATAGRAM: usize = 8192;
-/// Datagrams a second that this gateway sends at most, when nothing is urgent.
-const DATAGRAMS_PER_S: f64 = 100.0;
-/// Shortest pause between news.
-const SHORTEST_PAUSE: Duration = Duration::from_millis(100);
-/// Longest pause between news.
-const LONGEST_PAUSE: Duration = Duration::from_millis(500);
 /// Pause after a failed call of the store.
 const FAILED_PAUSE: Duration = Duration::from_millis(300);
-/// Addresses passed on in one message.
-const MOST_ADDRESSES: usize = 3;
 /// Prompts of which so many tokens are to be read are told at once.
 const URGENT_TOKENS: u32 = 4000;
-/// Newest usage windows that are told.
-const TOLD_WINDOWS: i64 = 3;
 
 impl<S: Store + 'static, O: Orders + 'static> Shared<S, O> {
     /// Writes this gateway's row and learns of the others'.
@@ -42,6 +33,8 @@
         let row = GatewayRow {
             address: self.peer_address.to_string(),
             incarnation: self.source.incarnation,
+            hall: Some(settings.zone.clone()),
+            cores_milli: Some(settings.cores_milli),
         };
         let value = schema::encode(&row).unwrap_or_default();
         loop {
@@ -61,36 +54,36 @@
             }
         };
         let now = self.clock.now();
-        let addresses = rows.iter().filter_map(|row| {
-            let row = schema::decode::<GatewayRow>(row.value.as_deref()?).ok()?;
-            row.address.parse().ok()
-        });
-        self.known.borrow_mut().peers.listed(now, addresses);
+        let listed = rows
+            .iter()
+            .filter_map(|row| news::listed_of(&row.key, row.value.as_deref()?));
+        self.known.borrow_mut().peers.listed(now, listed);
     }
 
     /// Takes tallies of the traffic thread and tells the other gateways.
     pub async fn tell(self: Rc<Self>, socket: Rc<UdpSocket>, tallies: flume::Receiver<Tally>) {
         loop {
-            let urgent = tokio::select! {
+            let mut changed = false;
+            let mut long_prompt = false;
+            tokio::select! {
                 tally = tallies.recv_async() => match tally {
-                    Ok(tally) => self.take_tally(tally),
+                    Ok(tally) => long_prompt = self.take_tally(tally),
                     Err(_) => return,
                 },
-                () = self.urgent.notified() => true,
+                () = self.urgent.notified() => changed = true,
             };
             let now = self.clock.now();
-            let due = self.known.borrow().told_at + self.pause();
-            if !urgent && now < due {
-                continue;
-            }
-            let (bytes, targets) = self.news(now);
-            for target in targets {
-                self.send(&socket, &bytes, target).await;
+            for (content, targets) in self.due(now, changed, long_prompt) {
+                let bytes = self.message(now, content);
+                for target in targets {
+                    self.send(&socket, &bytes, target).await;
+                }
             }
+            self.forward_usage(&socket, now).await;
         }
     }
 
-    /// Takes the news of the other gateways.
+    /// Takes the messages of the other gateways.
     pub async fn hear(self: Rc<Self>, socket: Rc<UdpSocket>) {
         let mut buffer = vec![0; MAX_DATAGRAM];
         loop {
@@ -99,26 +92,31 @@
                 continue;
             };
             match schema::decode::<GatewayNews>(&buffer[..length]) {
-                Ok(news) => self.take_news(&news, from),
+                Ok(news) => {
+                    let now = self.clock.now();
+                    let was_heard = self.known.borrow().peers.hears(now, &news.gateway);
+                    self.take_news(&news, from);
+                    if !was_heard && !news.stopping && news.gateway != self.source.gateway {
+                        let answer = self.message(now, Content::Digest);
+                        self.send(&socket, &answer, from).await;
+                    }
+                }
                 Err(_) => self.metrics.count(Counter::PacketsDropped),
             }
         }
     }
 
-    async fn send(&self, socket: &UdpSocket, bytes: &[u8], target: SocketAddr) {
-        if socket.send_to(bytes, target).await.is_ok() {
-            self.metrics.count(Counter::PacketsSent);
-            self.metrics.add(Counter::BytesSent, bytes.len() as u64);
+    /// Sends one datagram; what is lost is made good by the next one.
+    pub async fn send(&self, socket: &UdpSocket, bytes: &[u8], target: SocketAddr) {
+        match socket.send_to(bytes, target).await {
+            Ok(_) => {
+                self.metrics.count(Counter::PacketsSent);
+                self.metrics.add(Counter::BytesSent, bytes.len() as u64);
+            }
+            Err(_) => self.metrics.count(Counter::PacketsDropped),
         }
     }
 
-    // With many gateways the pause grows, so that the datagrams a second do not.
-    fn pause(&self) -> Duration {
-        let targets = self.known.borrow().peers.targets().len() as f64;
-        let pause = Duration::from_secs_f64(targets / DATAGRAMS_PER_S);
-        pause.clamp(SHORTEST_PAUSE, LONGEST_PAUSE)
-    }
-
     // Whether something in the tally is to be told at once.
     fn take_tally(&self, tally: Tally) -> bool {
         let mut known = self.known.borrow_mut();
@@ -136,47 +134,6 @@
         urgent
     }
 
-    fn news(&self, now: Duration) -> (Vec<u8>, Vec<SocketAddr>) {
-        let mut known = self.known.borrow_mut();
-        known.told_at = now;
-        known.sequence += 1;
-        let count = known.unsent.len().min(news::MOST_DISPATCHES);
-        let dispatches = known.unsent.drain(..count);
-        let dispatches = dispatches.map(|s| news::dispatch_of(now, &s)).collect();
-        let newest = known.reporter.window_at(self.clock.wall());
-        let windows = newest - TOLD_WINDOWS + 1..=newest;
-        let usage = windows
-            .map(|window| news::usage_of(window, known.ledger.of(window, &self.source)))
-            .filter(|told| !told.begun.is_empty())
-            .collect();
-        let taken = known.taken.iter();
-        let taken = taken.map(|(t, n)| (t.clone(), *n as i64)).collect();
-        let turn = known.sequence as usize;
-        let message = GatewayNews {
-            gateway: self.source.gateway.clone(),
-            incarnation: self.source.incarnation,
-            sequence: known.sequence,
-            dispatches,
-            usage,
-            taken,
-            lease_epoch: known.lease.may_order(now).unwrap_or(0),
-            peers: known
-                .peers
-                .addresses(turn, MOST_ADDRESSES)
-                .iter()
-                .map(SocketAddr::to_string)
-                .collect(),
-            stopping: self.freshness.is_stopping(),
-            heads: Some(heads_of(&known)),
-            reaches_store: Some(known.reaches_store()),
-            uptime_ms: Some(now.as_millis() as i64),
-            lease: known.lease.head().map(|head| news::lease_of(&head)),
-            lease_given_up: known.lease.given_up(),
-        };
-        let targets = known.peers.targets().into_iter().collect();
-        (schema::encode(&message).unwrap_or_default(), targets)
-    }
-
     fn take_news(self: &Rc<Self>, news: &GatewayNews, from: SocketAddr) {
         if news.gateway == self.source.gateway {
             return;
@@ -184,7 +141,7 @@
         self.metrics.count(Counter::PacketsTaken);
         let now = self.clock.now();
         let mut known = self.known.borrow_mut();
-        let was_known = known.peers.knows(&news.gateway);
+        let was_heard = known.peers.hears(now, &news.gateway);
         let heard = known.peers.hear(now, news::greeting(news, from));
         let source = Source {
             gateway: news.gateway.clone(),
@@ -193,6 +150,9 @@
         for told in &news.usage {
             known.ledger.merge(told.window, &source, &told.begun);
         }
+        for (window, source, begun) in news::heard_forwarded(news) {
+            known.ledger.merge(window, &source, begun);
+        }
         if heard == Hearing::Stale {
             return;
         }
@@ -200,7 +160,7 @@
             known.peers.learn(now, address);
         }
         if news.lease_epoch > 0 {
-            known.peers.hear_lease(now, news.lease_epoch);
+            known.peers.hear_lease(now, news.lease_epoch, from);
         }
         let mut actions = Vec::new();
         if let Some(head) = news::heard_lease(news) {
@@ -212,7 +172,7 @@
         }
         if news.stopping {
             known.peers.leave(&news.gateway);
-            if was_known {
+            if was_heard {
                 info!(self.log, "gateway stops"; "gateway" => &news.gateway);
             }
         }
@@ -230,12 +190,14 @@
         if !dispatches.is_empty() {
             self.update(Update::PeerSent(dispatches));
         }
-        self.update(Update::PeerTaken {
-            gateway: news.gateway.clone(),
-            incarnation: news.incarnation,
-            taken: news::heard_totals(news),
-            recent: is_recent(now, news::uptime(news)),
-        });
+        if !news.taken.is_empty() {
+            self.update(Update::PeerTaken {
+                gateway: news.gateway.clone(),
+                incarnation: news.incarnation,
+                taken: news::heard_totals(news),
+                recent: is_recent(now, news::uptime(news)),
+            });
+        }
     }
 
     fn update(&self, update: Update) {
@@ -244,10 +206,3 @@
         }
     }
 }
-
-fn heads_of(known: &Known) -> Vec<TopicHead> {
-    let followed = known.followed.iter();
-    followed
-        .filter_map(|(topic, followed)| news::head_of(*topic, followed.told()?))
-        .collect()
-}
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -18,6 +18,9 @@
 /// Pause after changes of endpoints: those that follow soon come with one answer. It is well within
 /// the time that a leaving endpoint goes on serving.
 const GATHER_PAUSE: Duration = Duration::from_millis(250);
+/// Pause of a gateway that does not coordinate after it took changes of endpoints: it uses them only when no
+/// coordinator answers. It is well within the time that a leaving endpoint goes on serving (2 s).
+const PULL_PAUSE: Duration = Duration::from_secs(1);
 /// A call of the store is given up so long after another gateway told of a change.
 const OVERTAKEN_TIME: Duration = Duration::from_millis(300);
 /// Gateways that hold calls at the store: one may be cut off or die unnoticed.
@@ -72,7 +75,12 @@
                 Step::Rest(time) => {
                     let _ = tokio::time::timeout(time, wake.notified()).await;
                 }
-                Step::Pull => self.pull(topic).await,
+                Step::Pull => {
+                    self.pull(topic).await;
+                    if topic == Topic::Endpoints && !self.decides() {
+                        tokio::time::sleep(PULL_PAUSE).await;
+                    }
+                }
                 Step::List => {
                     let sent = self.clock.now();
                     let result = self.unless_overtaken(topic, self.store.list(topic)).await;
@@ -83,13 +91,17 @@
         }
     }
 
+    // Whether requests are placed here.
+    fn decides(&self) -> bool {
+        let now = self.clock.now();
+        self.known.borrow().peers.coordinates(now)
+    }
+
     fn next_step(&self, topic: Topic) -> Step {
         let now = self.clock.now();
         let known = self.known.borrow();
         let followed = &known.followed[&topic];
-        let watches = known
-            .peers
-            .is_among_first(&self.source.gateway, now, WATCHERS);
+        let watches = known.peers.is_among_first(now, WATCHERS);
         let can_go_on = followed.table.can_go_on();
         followed.follower.step(now, watches, can_go_on)
     }
--- /dev/null
+++ b/components/gateway/src/control/forwarding.rs
@@ -0,0 +1,58 @@
+//! Passing on the usage of gateways for which this one decides.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use schema::messages::SourceUsage;
+use tokio::net::UdpSocket;
+
+use crate::control::telling::Content;
+use crate::control::{Known, Shared};
+use crate::news;
+use crate::ports::{Orders, Store};
+
+impl<S: Store + 'static, O: Orders + 'static> Shared<S, O> {
+    /// Passes usage of ended windows of those that ask this gateway on to the holder of the lease.
+    pub async fn forward_usage(&self, socket: &UdpSocket, now: Duration) {
+        let Some((holder, messages)) = self.forwarded(now) else {
+            return;
+        };
+        for message in messages {
+            self.send(socket, &message, holder).await;
+        }
+    }
+
+    fn forwarded(&self, now: Duration) -> Option<(SocketAddr, Vec<Vec<u8>>)> {
+        let mut known = self.known.borrow_mut();
+        let (epoch, holder) = known.peers.lease_holder()?;
+        if !known.peers.coordinates(now) || known.lease.may_order(now).is_some() {
+            return None;
+        }
+        let windows = known.forwarding.due(self.clock.wall(), epoch);
+        let told = self.usage_to_pass_on(&known, now, windows);
+        let mut messages = Vec::new();
+        for some in told.chunks(news::MOST_FORWARDED) {
+            let mut message = self.message_of(&mut known, now, Content::Requests);
+            message.forwarded = Some(some.iter().cloned().map(Box::new).collect());
+            messages.push(schema::encode(&message).unwrap_or_default());
+        }
+        Some((holder, messages))
+    }
+
+    fn usage_to_pass_on(
+        &self,
+        known: &Known,
+        now: Duration,
+        windows: Vec<i64>,
+    ) -> Vec<SourceUsage> {
+        let own = &self.source.gateway;
+        let mut told = Vec::new();
+        for window in windows {
+            let sources = known.ledger.sources(window);
+            let passed_on =
+                sources.filter(|(source, _)| known.peers.passes_on_for(now, own, &source.gateway));
+            told.extend(passed_on.map(|(s, counts)| news::forwarded_of(window, s, counts)));
+        }
+        told
+    }
+}
--- a/components/gateway/src/control/lease.rs
+++ b/components/gateway/src/control/lease.rs
@@ -88,12 +88,13 @@
         (self.freshness.is_stopping() || turned_away) && known.orders.are_settled(now)
     }
 
-    // Others look at the lease once its holder is silent. Where it was given up, two of them look first.
+    // Coordinators look at the lease once its holder is silent, all others only if there is no coordinator. Where it was given up, two of them look first.
     fn is_candidate(&self, now: Duration, known: &Known) -> bool {
         let peers = &known.peers;
         let waits = peers.given_up_within(now, FIRST_FOLLOWERS_TIME)
-            && !peers.is_among_first(&self.source.gateway, now, FIRST_FOLLOWERS);
-        !waits && !peers.holder_heard(now, HOLDER_SILENCE)
+            && !peers.is_among_first(now, FIRST_FOLLOWERS);
+        let is_led = !peers.coordinates(now) && peers.hears_coordinator(now);
+        !is_led && !waits && !peers.holder_heard(now, HOLDER_SILENCE)
     }
 
     pub fn act(self: &Rc<Self>, actions: Vec<LeaseAction>) {
--- /dev/null
+++ b/components/gateway/src/control/telling.rs
@@ -0,0 +1,226 @@
+//! What is said to other gateways, when, and to whom.
+//!
+//! A coordinator tells the coordinators of all halls what it decided, and the gateways of its own hall what
+//! stands in the store. Any other gateway tells the coordinators of its hall what it counted.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use schema::messages::{Dispatch, GatewayNews, HallCount, TopicHead, WindowUsage};
+
+use crate::control::{Known, Shared};
+use crate::news;
+use crate::ports::{Orders, Store};
+
+/// Datagrams a second that a coordinator sends to others at most, when nothing is urgent.
+const DATAGRAMS_PER_S: f64 = 100.0;
+/// The same for requests that are told at once.
+const URGENT_DATAGRAMS_PER_S: f64 = 500.0;
+/// Shortest pause between messages to coordinators.
+const SHORTEST_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause between messages to coordinators, and the pause between all other messages: a third of the time
+/// after which a gateway counts as silent.
+const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+/// Messages to coordinators of which one holds usage.
+const USAGE_EVERY: i64 = 3;
+/// Addresses passed on in one message.
+const MOST_ADDRESSES: usize = 3;
+/// Newest usage windows that are told.
+const TOLD_WINDOWS: i64 = 3;
+/// Messages in which all totals are told at least once, so that a lost one is made good.
+const TOTALS_ROUNDS: usize = 5;
+
+/// What was told when.
+#[derive(Debug, Default)]
+pub(crate) struct Telling {
+    sequence: i64,
+    // To coordinators: everything, and requests only.
+    full_at: Duration,
+    requests_at: Duration,
+    // To gateways for which this one decides, or to the coordinators of its hall.
+    digest_at: Duration,
+    totals: BTreeMap<String, u64>,
+    totals_turn: usize,
+    usage_turn: i64,
+}
+
+/// What a message holds beside who sent it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Content {
+    /// Requests and what they took, for coordinators.
+    Requests,
+    /// Everything, for coordinators.
+    Full,
+    /// The store's state, for gateways that this one decides for.
+    Digest,
+    /// What was counted and decided alone, for the coordinators of the own hall.
+    Report,
+}
+
+/// Messages that are due, and to whom.
+pub(crate) type Due = Vec<(Content, BTreeSet<SocketAddr>)>;
+
+impl<S: Store + 'static, O: Orders + 'static> Shared<S, O> {
+    /// What is to be sent now. `changed` says that what stands in the store or the lease changed.
+    pub fn due(&self, now: Duration, changed: bool, long_prompt: bool) -> Due {
+        let mut known = self.known.borrow_mut();
+        let tried = known.peers.tried_addresses();
+        // Whoever stops says so, and what it counted last, as often as it can.
+        let changed = changed || self.freshness.is_stopping();
+        let digest_due = changed || now >= known.telling.digest_at + LONGEST_PAUSE;
+        if !known.speaks_for_others(now) {
+            if !digest_due {
+                return Due::new();
+            }
+            known.telling.digest_at = now;
+            let coordinators = known.peers.own_coordinators(now);
+            known.peers.expect(now, &coordinators);
+            return vec![(Content::Report, coordinators), (Content::Digest, tried)];
+        }
+        let coordinators = known.peers.coordinators(now);
+        let targets = coordinators.len() + tried.len();
+        let mut due = Due::new();
+        if changed || now >= known.telling.full_at + pause(targets, DATAGRAMS_PER_S) {
+            known.telling.full_at = now;
+            known.peers.expect(now, &coordinators);
+            due.push((Content::Full, coordinators));
+        } else if long_prompt && now >= known.telling.requests_at + gap(targets) {
+            due.push((Content::Requests, coordinators));
+        }
+        if !due.is_empty() {
+            known.telling.requests_at = now;
+        }
+        if digest_due {
+            known.telling.digest_at = now;
+            let members = known.peers.members(now);
+            due.push((Content::Digest, members.union(&tried).copied().collect()));
+        }
+        due
+    }
+
+    /// A message, encoded.
+    pub fn message(&self, now: Duration, content: Content) -> Vec<u8> {
+        let mut known = self.known.borrow_mut();
+        let message = self.message_of(&mut known, now, content);
+        schema::encode(&message).unwrap_or_default()
+    }
+
+    /// A message.
+    pub fn message_of(&self, known: &mut Known, now: Duration, content: Content) -> GatewayNews {
+        known.telling.sequence += 1;
+        let says_more = content != Content::Requests;
+        let coordinates = known.speaks_for_others(now);
+        let count = known.peers.hall_count(now);
+        let told_count = HallCount {
+            heard: count.heard as i32,
+            silent: count.silent as i32,
+        };
+        GatewayNews {
+            gateway: self.source.gateway.clone(),
+            incarnation: self.source.incarnation,
+            sequence: known.telling.sequence,
+            dispatches: known.dispatches(now, content),
+            usage: self.told_usage(known, content),
+            taken: known.told_totals(content),
+            lease_epoch: known.lease.may_order(now).unwrap_or(0),
+            peers: match says_more {
+                true => known.told_addresses(),
+                false => Vec::new(),
+            },
+            stopping: self.freshness.is_stopping(),
+            heads: says_more.then(|| heads_of(known)),
+            reaches_store: Some(known.reaches_store()),
+            uptime_ms: Some(now.as_millis() as i64),
+            lease: known.lease.head().map(|head| news::lease_of(&head)),
+            lease_given_up: known.lease.given_up(),
+            hall: Some(known.settings.zone.clone()),
+            cores_milli: Some(known.settings.cores_milli),
+            coordinates: Some(coordinates),
+            decisions_port: Some(i32::from(self.decisions_port)),
+            hall_count: coordinates.then(|| Box::new(told_count)),
+            gateways: coordinates.then(|| known.peers.count(now).gateways() as i32),
+            asks: known.peers.asks(now).map(str::to_string),
+            forwarded: None,
+        }
+    }
+
+    // Own usage of the newest windows.
+    fn told_usage(&self, known: &mut Known, content: Content) -> Vec<WindowUsage> {
+        let is_turn = match content {
+            Content::Report => true,
+            Content::Full => {
+                known.telling.usage_turn += 1;
+                known.telling.usage_turn % USAGE_EVERY == 0
+            }
+            Content::Requests | Content::Digest => false,
+        };
+        if !is_turn && !self.freshness.is_stopping() {
+            return Vec::new();
+        }
+        let newest = known.reporter.window_at(self.clock.wall());
+        let windows = newest - TOLD_WINDOWS + 1..=newest;
+        let usage = windows.map(|w| news::usage_of(w, known.ledger.of(w, &self.source)));
+        usage.filter(|told| !told.begun.is_empty()).collect()
+    }
+}
+
+impl Known {
+    /// Whether the coordinators of all halls are to know what this gateway does.
+    pub fn speaks_for_others(&self, now: Duration) -> bool {
+        self.peers.coordinates(now) || self.lease.may_order(now).is_some()
+    }
+
+    fn dispatches(&mut self, now: Duration, content: Content) -> Vec<Dispatch> {
+        if content == Content::Digest {
+            return Vec::new();
+        }
+        let count = self.unsent.len().min(news::MOST_DISPATCHES);
+        let dispatches = self.unsent.drain(..count);
+        dispatches.map(|s| news::dispatch_of(now, &s)).collect()
+    }
+
+    // Totals that changed, and some of the others in turn.
+    fn told_totals(&mut self, content: Content) -> BTreeMap<String, i64> {
+        if content == Content::Digest {
+            return BTreeMap::new();
+        }
+        let in_turn = self.telling.totals_turn % TOTALS_ROUNDS;
+        if content != Content::Requests {
+            self.telling.totals_turn += 1;
+        }
+        let mut told = BTreeMap::new();
+        for (i, (team, total)) in self.taken.iter().enumerate() {
+            let is_turn = content != Content::Requests && i % TOTALS_ROUNDS == in_turn;
+            if is_turn || self.telling.totals.get(team) != Some(total) {
+                told.insert(team.clone(), *total as i64);
+                self.telling.totals.insert(team.clone(), *total);
+            }
+        }
+        told
+    }
+
+    fn told_addresses(&self) -> Vec<String> {
+        let turn = self.telling.sequence as usize;
+        let addresses = self.peers.addresses(turn, MOST_ADDRESSES);
+        addresses.iter().map(SocketAddr::to_string).collect()
+    }
+}
+
+// With many targets the pause grows, so that the datagrams a second do not.
+fn pause(targets: usize, per_s: f64) -> Duration {
+    let pause = Duration::from_secs_f64(targets as f64 / per_s);
+    pause.clamp(SHORTEST_PAUSE, LONGEST_PAUSE)
+}
+
+// Shortest time between messages that tell requests at once.
+fn gap(targets: usize) -> Duration {
+    Duration::from_secs_f64(targets as f64 / URGENT_DATAGRAMS_PER_S)
+}
+
+fn heads_of(known: &Known) -> Vec<TopicHead> {
+    let followed = known.followed.iter();
+    followed
+        .filter_map(|(topic, followed)| news::head_of(*topic, followed.told()?))
+        .collect()
+}
--- /dev/null
+++ b/components/gateway/src/decisions.rs
@@ -0,0 +1,289 @@
+//! Decisions about requests, asked of a coordinator and made for others.
+//!
+//! A query is one datagram, as is its reply. Nothing depends on either: whoever gets no reply in time asks the next
+//! coordinator and at last decides itself, with its own small part of the limits.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use routing::placement::{endpoint_hash, Placement, PromptPart, Work};
+use schema::messages::{self, Decision, DecisionQuery, DecisionReply, GiveBack, PlacedAt};
+use slog::info;
+use telemetry::Counter;
+use tokio::net::UdpSocket;
+use tokio::sync::oneshot;
+
+use crate::job::Job;
+use crate::traffic::Traffic;
+
+/// Largest datagram that is read, in bytes.
+const MAX_DATAGRAM: usize = 8192;
+/// A reply is waited for this long: some hundred times the way within a hall (0.4 ms there and back), so that a
+/// slow processor is not taken for a lost datagram, and an eighth of the shortest target on the sheets (100 ms) is
+/// left for the next coordinator.
+const REPLY_TIME: Duration = Duration::from_millis(40);
+/// A coordinator that did not reply is asked last for this long: as long as it would be heard if it died.
+const PASSED_OVER_FOR: Duration = Duration::from_millis(1500);
+/// Coordinators asked about one request.
+const MOST_ASKED: usize = 3;
+
+/// What was asked for and not answered yet.
+#[derive(Debug, Default)]
+pub(crate) struct Asking {
+    socket: RefCell<Option<Rc<UdpSocket>>>,
+    replies: RefCell<HashMap<i64, oneshot::Sender<DecisionReply>>>,
+    number: Cell<i64>,
+    passed_over: RefCell<BTreeMap<SocketAddr, Duration>>,
+}
+
+/// What a coordinator decided.
+#[derive(Clone, Debug)]
+pub(crate) struct Decided {
+    /// The coordinator.
+    pub by: SocketAddr,
+    /// Where the request goes, or why it goes nowhere.
+    pub outcome: Outcome,
+}
+
+/// Where a request goes.
+#[derive(Clone, Debug)]
+pub(crate) enum Outcome {
+    /// To an endpoint.
+    Placed(Placement),
+    /// No endpoint takes work.
+    Nowhere,
+    /// The team's limit is used up for so long.
+    OverLimit(Duration),
+}
+
+impl Asking {
+    // The coordinators in the order in which they are asked: those that did not reply come last.
+    fn order(&self, now: Duration, coordinators: &[SocketAddr]) -> Vec<SocketAddr> {
+        let mut passed_over = self.passed_over.borrow_mut();
+        passed_over.retain(|_, until| now < *until);
+        let mut order = coordinators.to_vec();
+        order.sort_by_key(|address| passed_over.contains_key(address));
+        order.truncate(MOST_ASKED);
+        order
+    }
+
+    fn pass_over(&self, now: Duration, coordinator: SocketAddr) {
+        let mut passed_over = self.passed_over.borrow_mut();
+        passed_over.insert(coordinator, now + PASSED_OVER_FOR);
+    }
+
+    fn next_number(&self) -> i64 {
+        self.number.set(self.number.get() + 1);
+        self.number.get()
+    }
+}
+
+impl<D> Traffic<D> {
+    /// Asks a coordinator about a request; `None` if there is none or none replies. `charged` says whether its
+    /// team was charged for it before.
+    pub async fn ask(&self, job: &Job, tried: &[String], charged: bool) -> Option<Decided> {
+        let coordinators = self.state.borrow().fleet.coordinators.clone();
+        if coordinators.is_empty() {
+            return None;
+        }
+        for by in self.asking.order(self.clock.now(), &coordinators) {
+            let query = self.query(job, tried, charged);
+            if let Some(reply) = self.send_query(by, query).await {
+                let outcome = outcome_of(&reply)?;
+                return Some(Decided { by, outcome });
+            }
+            self.asking.pass_over(self.clock.now(), by);
+            self.metrics.count(Counter::PacketsDropped);
+            info!(self.log, "no decision"; "id" => &job.head.id, "coordinator" => %by);
+        }
+        None
+    }
+
+    /// Gives units back that a coordinator charged and that were not used.
+    pub async fn give_back_to(&self, by: SocketAddr, team: &str, units: u64) {
+        let give_back = GiveBack {
+            team: team.to_string(),
+            units: units as i64,
+        };
+        let message = Decision {
+            give_back: Some(give_back),
+            ..Decision::default()
+        };
+        self.send_decision(&message, by).await;
+    }
+
+    /// Answers queries of others and takes replies.
+    pub async fn decide_for_others(self: Rc<Self>, socket: UdpSocket) {
+        let socket = Rc::new(socket);
+        *self.asking.socket.borrow_mut() = Some(Rc::clone(&socket));
+        let mut buffer = vec![0; MAX_DATAGRAM];
+        loop {
+            let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
+                tokio::time::sleep(REPLY_TIME).await;
+                continue;
+            };
+            let Ok(message) = schema::decode::<Decision>(&buffer[..length]) else {
+                self.metrics.count(Counter::PacketsDropped);
+                continue;
+            };
+            if let Some(reply) = message.reply {
+                self.take_reply(reply);
+            }
+            if let Some(give_back) = message.give_back {
+                self.take_back(&give_back);
+            }
+            if let Some(reply) = message.query.and_then(|query| self.decide(&query)) {
+                let message = Decision {
+                    reply: Some(reply),
+                    ..Decision::default()
+                };
+                self.send_decision(&message, from).await;
+            }
+        }
+    }
+
+    fn query(&self, job: &Job, tried: &[String], charged: bool) -> DecisionQuery {
+        let parts = job.work.parts.iter();
+        let excluded = tried.iter().map(|id| endpoint_hash(id) as i64);
+        DecisionQuery {
+            number: self.asking.next_number(),
+            service_name: job.work.service.clone(),
+            team: job.tenant.clone().filter(|_| !charged),
+            cost: job.cost as i64,
+            urgent: job.is_urgent(),
+            prompt_tokens: job.work.prompt_tokens as i32,
+            answer_tokens: job.work.answer_tokens as i32,
+            parts: parts
+                .map(|part| messages::PromptPart {
+                    id: part.id as i64,
+                    tokens: part.tokens as i32,
+                })
+                .collect(),
+            excluded: excluded.collect(),
+            request: job.head.id.clone(),
+        }
+    }
+
+    async fn send_query(&self, by: SocketAddr, query: DecisionQuery) -> Option<DecisionReply> {
+        let number = query.number;
+        let (sender, reply) = oneshot::channel();
+        self.asking.replies.borrow_mut().insert(number, sender);
+        let message = Decision {
+            query: Some(query),
+            ..Decision::default()
+        };
+        self.send_decision(&message, by).await;
+        let reply = tokio::time::timeout(REPLY_TIME, reply).await;
+        self.asking.replies.borrow_mut().remove(&number);
+        reply.ok()?.ok()
+    }
+
+    async fn send_decision(&self, message: &Decision, to: SocketAddr) {
+        let socket = self.asking.socket.borrow().clone();
+        let (Some(socket), Ok(bytes)) = (socket, schema::encode(message)) else {
+            self.metrics.count(Counter::PacketsDropped);
+            return;
+        };
+        match socket.send_to(&bytes, to).await {
+            Ok(_) => {
+                self.metrics.count(Counter::PacketsSent);
+                self.metrics.add(Counter::BytesSent, bytes.len() as u64);
+            }
+            Err(_) => self.metrics.count(Counter::PacketsDropped),
+        }
+    }
+
+    fn take_reply(&self, reply: DecisionReply) {
+        let waiting = self.asking.replies.borrow_mut().remove(&reply.number);
+        // A reply that comes too late is for nobody.
+        if let Some(waiting) = waiting {
+            let _ = waiting.send(reply);
+        }
+    }
+
+    fn take_back(&self, give_back: &GiveBack) {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        if let Some(quota) = state.quotas.get_mut(&give_back.team) {
+            quota.give_back(now, give_back.units.max(0) as u64);
+        }
+    }
+
+    // A gateway that has no configuration, or does not coordinate, cannot decide for others.
+    fn decide(&self, query: &DecisionQuery) -> Option<DecisionReply> {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        if state.directory.is_none() || !state.fleet.coordinators.is_empty() {
+            return None;
+        }
+        let mut reply = DecisionReply::new(query.number, None, None);
+        let cost = query.cost.max(0) as u64;
+        let quota = query.team.as_ref().and_then(|t| state.quotas.get_mut(t));
+        if let Some(Err(wait)) = quota.map(|quota| quota.take(now, cost, query.urgent)) {
+            let team = query.team.as_deref().unwrap_or_default();
+            let quota = state.quotas[team].state();
+            self.log_limit(now, &query.request, team, cost, &quota);
+            reply.retry_ms = Some(wait.as_millis().min(i64::MAX as u128) as i64);
+            return Some(reply);
+        }
+        let placed = state.place_for_other(now, &work_of(query), &query.excluded);
+        let unread_tokens = placed.as_ref().map_or(0, |placed| placed.unread_tokens);
+        let is_long = self.is_long(unread_tokens.max(0) as u32);
+        reply.placed = placed;
+        drop(state);
+        if is_long {
+            self.send_tally();
+        }
+        Some(reply)
+    }
+}
+
+fn work_of(query: &DecisionQuery) -> Work {
+    let parts = query.parts.iter().map(|part| PromptPart {
+        id: part.id as u64,
+        tokens: part.tokens.max(0) as u32,
+    });
+    Work {
+        service: query.service_name.clone(),
+        parts: parts.collect(),
+        prompt_tokens: query.prompt_tokens.max(0) as u32,
+        answer_tokens: query.answer_tokens.max(0) as u32,
+    }
+}
+
+/// A placement as it is told.
+pub(crate) fn placed_of(placement: &Placement) -> PlacedAt {
+    PlacedAt {
+        endpoint: placement.endpoint.clone(),
+        address: placement.address.to_string(),
+        unread_tokens: placement.unread_tokens.min(i32::MAX as u32) as i32,
+        shared_prompt: placement.shared_prompt as i64,
+        expected_ms: placement.expected_ms as i32,
+        hold_ms: placement.hold.as_millis().min(i32::MAX as u128) as i32,
+        weighed: placement.weighed as i32,
+    }
+}
+
+// `None` if the reply names no address.
+fn outcome_of(reply: &DecisionReply) -> Option<Outcome> {
+    if let Some(ms) = reply.retry_ms {
+        let wait = Duration::from_millis(ms.max(0) as u64);
+        return Some(Outcome::OverLimit(wait));
+    }
+    let Some(placed) = &reply.placed else {
+        return Some(Outcome::Nowhere);
+    };
+    Some(Outcome::Placed(Placement {
+        endpoint: placed.endpoint.clone(),
+        address: placed.address.parse().ok()?,
+        unread_tokens: placed.unread_tokens.max(0) as u32,
+        shared_prompt: placed.shared_prompt as u64,
+        expected_ms: f64::from(placed.expected_ms),
+        hold: Duration::from_millis(placed.hold_ms.max(0) as u64),
+        weighed: placed.weighed.max(0) as usize,
+        counted: true,
+    }))
+}
--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -9,7 +9,6 @@
 use http::{request, Request, Response};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use limits::QuotaState;
 use routing::placement::{Placement, Work};
 use slog::info;
 use telemetry::{Counter, Timer};
@@ -17,8 +16,9 @@
 
 use crate::answer::{Answer, AnswerBody, Refusal};
 use crate::attempt::{Attempted, Reply};
+use crate::decisions::Outcome;
 use crate::freshness::Ages;
-use crate::job::{Job, Progress, SharedJob};
+use crate::job::{Job, Progress, SharedJob, ROUTE_RANKS};
 use crate::ports::{CallerHead, Dialect};
 use crate::stream::{Relay, PIECES_WAITING};
 use crate::traffic::Traffic;
@@ -39,8 +39,6 @@
 const STOPPING_RETRY: Duration = Duration::from_millis(20);
 /// Attempts that reached no endpoint, after which a request is given up.
 const MOST_UNSENT: usize = 4;
-/// Ranks of a route within one rank of its tenant.
-const ROUTE_RANKS: u8 = 3;
 /// Least urgent rank.
 const LAST_RANK: u8 = 9;
 /// A first attempt of a repeatable request is waited for at most this many times its target.
@@ -83,9 +81,10 @@
         let job = self.admit(arrived, parts, head, body)?;
         let job = Rc::new(job);
         let mut progress = Progress::default();
-        let served = self.run_attempts(&job, &mut progress).await;
+        let placed = self.charge(&job, &mut progress).await?;
+        let served = self.run_attempts(&job, &mut progress, placed).await;
         if served.is_err() && !progress.maybe_run {
-            self.give_back(&job);
+            self.give_back(&job, &progress).await;
         }
         let answer = self.reply(&job, progress, served?);
         self.log_answer(&job, &answer);
@@ -170,37 +169,68 @@
             arrived,
             expiry,
         };
-        if let Some(quota) = job.tenant.as_ref().and_then(|t| state.quotas.get_mut(t)) {
-            if let Err(wait) = quota.take(now, job.cost, is_urgent(route)) {
-                self.log_over_limit(now, &job, &quota.state());
-                let message = "the tenant's limit is used up";
-                return Err(Refusal::not_run(Kind::TeamLimit, message).after(wait));
+        Ok(job)
+    }
+
+    // Takes the request's cost from its tenant's limit; a coordinator that does so places it as well.
+    async fn charge(
+        &self,
+        job: &Job,
+        progress: &mut Progress,
+    ) -> Result<Option<Placement>, Refusal> {
+        let mut placed = None;
+        match self.ask(job, &[], false).await {
+            None => self.charge_here(job)?,
+            Some(decided) => {
+                progress.charged_by = Some(decided.by);
+                match decided.outcome {
+                    Outcome::Placed(placement) => placed = Some(placement),
+                    Outcome::Nowhere => {}
+                    Outcome::OverLimit(wait) => return Err(over_limit(wait)),
+                }
             }
         }
-        state.count_request(now, &service);
-        Ok(job)
+        let now = self.clock.now();
+        self.state
+            .borrow_mut()
+            .count_request(now, &job.work.service);
+        Ok(placed)
     }
 
-    fn log_over_limit(&self, now: Duration, job: &Job, quota: &QuotaState) {
-        let heard_ago = now.saturating_sub(quota.others_heard_at);
-        info!(self.log, "over limit"; "id" => &job.head.id, "tenant" => &job.tenant,
-            "cost" => job.cost, "level" => quota.level as i64, "part_milli" => (quota.part * 1000.0) as u64,
-            "rate" => quota.limit.rate as u64, "burst" => quota.limit.burst as u64, "taken" => quota.taken,
-            "others_taken" => quota.others_taken, "others_ms_ago" => heard_ago.as_millis() as u64,
-            "version" => job.version);
+    fn charge_here(&self, job: &Job) -> Result<(), Refusal> {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let tenant = job.tenant.as_deref().unwrap_or_default();
+        let Some(quota) = state.quotas.get_mut(tenant) else {
+            return Ok(());
+        };
+        quota.take(now, job.cost, job.is_urgent()).map_err(|wait| {
+            self.log_limit(now, &job.head.id, tenant, job.cost, &quota.state());
+            over_limit(wait)
+        })
     }
 
-    fn give_back(&self, job: &Job) {
+    async fn give_back(&self, job: &Job, progress: &Progress) {
+        let Some(tenant) = &job.tenant else {
+            return;
+        };
+        if let Some(by) = progress.charged_by {
+            return self.give_back_to(by, tenant, job.cost).await;
+        }
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
-        let quota = job.tenant.as_ref().and_then(|t| state.quotas.get_mut(t));
-        if let Some(quota) = quota {
+        if let Some(quota) = state.quotas.get_mut(tenant) {
             quota.give_back(now, job.cost);
         }
     }
 
-    /// Chooses an endpoint; waits a little for one to appear.
+    /// Chooses an endpoint, or has a coordinator do so; waits a little for one to appear.
     pub async fn place(&self, job: &Job, progress: &Progress) -> Option<Placement> {
+        if let Some(decided) = self.ask(job, &progress.tried, true).await {
+            if let Outcome::Placed(placement) = decided.outcome {
+                return Some(placement);
+            }
+        }
         let patience = job.arrived + job.route.target / ENDPOINT_WAIT_PART;
         loop {
             let now = self.clock.now();
@@ -221,16 +251,21 @@
         self: &Rc<Self>,
         job: &SharedJob,
         progress: &mut Progress,
+        mut placed: Option<Placement>,
     ) -> Result<Reply<D>, Refusal> {
         let mut unsent = 0;
         loop {
-            let Some(placement) = self.place(job, progress).await else {
-                return Err(self.nowhere(progress));
+            let placement = match placed.take() {
+                Some(placement) => placement,
+                None => match self.place(job, progress).await {
+                    Some(placement) => placement,
+                    None => return Err(self.nowhere(progress)),
+                },
             };
             info!(self.log, "placed"; "id" => &job.head.id, "route" => &job.route.name,
                 "endpoint" => &placement.endpoint, "unread" => placement.unread_tokens,
                 "expected_ms" => placement.expected_ms as u64, "weighed" => placement.weighed,
-                "version" => job.version);
+                "by_coordinator" => placement.counted, "version" => job.version);
             let expiry = self.clock.instant(self.attempt_expiry(job, progress));
             progress.sent += 1;
             let attempt = self.attempt(job, &placement, None);
@@ -346,9 +381,8 @@
     directory.look_up(host, parts.uri.path(), head.key.as_deref())
 }
 
-// Whether a request comes first where its tenant's limit is short.
-fn is_urgent(route: &Route) -> bool {
-    route.priority + 1 < ROUTE_RANKS
+fn over_limit(wait: Duration) -> Refusal {
+    Refusal::not_run(Kind::TeamLimit, "the tenant's limit is used up").after(wait)
 }
 
 // The rank of the tenant comes before that of the route.
--- a/components/gateway/src/job.rs
+++ b/components/gateway/src/job.rs
@@ -1,5 +1,6 @@
 //! One admitted request.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,6 +11,9 @@
 
 use crate::ports::CallerHead;
 
+/// Ranks of a route within one rank of its tenant.
+pub(crate) const ROUTE_RANKS: u8 = 3;
+
 /// A request on its way to an endpoint.
 #[derive(Debug)]
 pub(crate) struct Job {
@@ -41,6 +45,13 @@
     pub version: u64,
 }
 
+impl Job {
+    /// Whether it comes first where its tenant's limit is short.
+    pub fn is_urgent(&self) -> bool {
+        self.route.priority + 1 < ROUTE_RANKS
+    }
+}
+
 /// A job shared by the tasks that work on it.
 pub(crate) type SharedJob = Rc<Job>;
 
@@ -53,4 +64,6 @@
     pub sent: u32,
     /// Whether some endpoint may have run it.
     pub maybe_run: bool,
+    /// The coordinator that charged its tenant; none if that was done here.
+    pub charged_by: Option<SocketAddr>,
 }
--- a/components/gateway/src/news.rs
+++ b/components/gateway/src/news.rs
@@ -6,17 +6,23 @@
 
 use replica::Told;
 use routing::placement::PeerDispatch;
-use schema::messages::{Dispatch, GatewayNews, LeaseTold, TopicHead, WindowUsage};
+use schema::messages::{
+    Dispatch, GatewayNews, GatewayRow, LeaseTold, SourceUsage, TopicHead, WindowUsage,
+};
 use state::LeaseHead;
+use usage::Source;
 
 use crate::control::{name_of, topic_of};
-use crate::peers::Greeting;
+use crate::peers::{Greeting, HallCount, Listed};
 use crate::ports::Topic;
 use crate::tally::Sent;
 
 /// Dispatches told in one message, so that it fits into one datagram.
 pub(crate) const MOST_DISPATCHES: usize = 30;
 
+/// Processes whose usage is passed on in one message, so that it fits into one datagram: some 200 bytes each.
+pub(crate) const MOST_FORWARDED: usize = 25;
+
 /// Longest time that a request is told to run, in milliseconds.
 const MOST_HOLD_MS: u128 = 60_000;
 
@@ -59,9 +65,58 @@
         incarnation: news.incarnation,
         sequence: news.sequence,
         reaches_store: news.reaches_store.unwrap_or(true),
+        hall: news.hall.clone().unwrap_or_default(),
+        cores_milli: news.cores_milli.unwrap_or_default(),
+        coordinates: news.coordinates.unwrap_or_default(),
+        decisions: decisions_address(news, from),
+        hall_count: news.hall_count.as_ref().map(|count| HallCount {
+            heard: count.heard.max(0) as usize,
+            silent: count.silent.max(0) as usize,
+        }),
+        gateways: news.gateways.map(|gateways| gateways.max(0) as usize),
+        asks: news.asks.clone(),
+    }
+}
+
+fn decisions_address(news: &GatewayNews, from: SocketAddr) -> Option<SocketAddr> {
+    let port = u16::try_from(news.decisions_port?).ok()?;
+    Some(SocketAddr::new(from.ip(), port))
+}
+
+/// A gateway as its row in the store names it.
+pub(crate) fn listed_of(name: &str, row: &[u8]) -> Option<Listed> {
+    let row = schema::decode::<GatewayRow>(row).ok()?;
+    Some(Listed {
+        name: name.to_string(),
+        address: row.address.parse().ok()?,
+        hall: row.hall.unwrap_or_default(),
+        cores_milli: row.cores_milli.unwrap_or_default(),
+    })
+}
+
+/// Usage of another process as it is passed on.
+pub(crate) fn forwarded_of(window: i64, source: &Source, counts: &usage::Counts) -> SourceUsage {
+    SourceUsage {
+        gateway: source.gateway.clone(),
+        incarnation: source.incarnation,
+        usage: usage_of(window, counts.clone()),
     }
 }
 
+/// Usage that was passed on: window, process and counts.
+pub(crate) fn heard_forwarded(
+    news: &GatewayNews,
+) -> impl Iterator<Item = (i64, Source, &usage::Counts)> {
+    let forwarded = news.forwarded.iter().flatten();
+    forwarded.map(|told| {
+        let source = Source {
+            gateway: told.gateway.clone(),
+            incarnation: told.incarnation,
+        };
+        (told.usage.window, source, &told.usage.begun)
+    })
+}
+
 /// The row of a lease as it is told.
 pub(crate) fn lease_of(head: &LeaseHead) -> LeaseTold {
     LeaseTold {
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -1,17 +1,20 @@
 //! The other gateways: who is heard, who is silent, and where they are. Pure.
 
+mod halls;
+mod peer;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use routing::rank;
 
-/// A gateway not heard for this long is silent.
-const SILENT_AFTER: Duration = Duration::from_millis(1500);
+pub use crate::peers::halls::{Fleet, HallCount};
+pub use crate::peers::peer::{Greeting, Listed};
+use crate::peers::peer::{Peer, TRY_ADDRESS_FOR};
+
 /// A silent gateway is forgotten after this long.
 const FORGET_AFTER: Duration = Duration::from_secs(20);
-/// An address from which nothing was heard is tried for this long.
-const TRY_ADDRESS_FOR: Duration = Duration::from_secs(20);
 /// Key of the order in which gateways hold calls at the store.
 const WATCH_KEY: u64 = 0x7761_7463;
 
@@ -42,42 +45,6 @@
     }
 }
 
-#[derive(Clone, Debug)]
-struct Peer {
-    address: SocketAddr,
-    incarnation: i64,
-    sequence: i64,
-    reaches_store: bool,
-    heard_at: Duration,
-}
-
-/// What a message says of the gateway that sent it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Greeting {
-    /// Its name.
-    pub name: String,
-    /// Where the message came from.
-    pub address: SocketAddr,
-    /// Start of its process.
-    pub incarnation: i64,
-    /// Counter of its messages.
-    pub sequence: i64,
-    /// Whether the store answered its last call.
-    pub reaches_store: bool,
-}
-
-impl Peer {
-    // Whether a message is older than what is known. The time of day may have been set back, so a
-    // silent process may be followed by one that seems to have started earlier.
-    fn is_before(&self, now: Duration, greeting: &Greeting) -> bool {
-        let is_silent = now >= self.heard_at + SILENT_AFTER;
-        if is_silent && greeting.incarnation != self.incarnation {
-            return false;
-        }
-        (greeting.incarnation, greeting.sequence) <= (self.incarnation, self.sequence)
-    }
-}
-
 /// Whether what another process told first is all of recent time, by how long each has run.
 pub fn is_recent(own_uptime: Duration, uptime: Duration) -> bool {
     uptime <= own_uptime + RECENT
@@ -95,20 +62,27 @@
 /// All other gateways.
 #[derive(Debug)]
 pub struct Peers {
-    own: SocketAddr,
+    own: Listed,
     peers: BTreeMap<String, Peer>,
-    // Addresses learnt from the store, the settings or others, and since when they are tried.
+    // Addresses learnt from the settings or others, and since when they are tried.
     addresses: BTreeMap<SocketAddr, Duration>,
     // Whether the store's list of gateways was read.
     listed: bool,
-    lease: Option<(i64, Duration)>,
+    lease: Option<HeldLease>,
     // Newest epoch that its holder gave up, and when that was heard first.
     given_up: Option<(i64, Duration)>,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct HeldLease {
+    epoch: i64,
+    holder: SocketAddr,
+    heard_at: Duration,
+}
+
 impl Peers {
-    /// Nobody known yet.
-    pub fn new(own: SocketAddr) -> Self {
+    /// Nobody known yet but the gateway itself.
+    pub fn new(own: Listed) -> Self {
         Peers {
             own,
             peers: BTreeMap::new(),
@@ -122,49 +96,80 @@
     /// An address at which a gateway may be.
     pub fn learn(&mut self, now: Duration, address: SocketAddr) {
         let is_known = self.peers.values().any(|peer| peer.address == address);
-        if address != self.own && !is_known {
+        if address != self.own.address && !is_known {
             self.addresses.entry(address).or_insert(now);
         }
     }
 
     /// The store's list of gateways was read.
-    pub fn listed(&mut self, now: Duration, addresses: impl Iterator<Item = SocketAddr>) {
+    pub fn listed(&mut self, now: Duration, gateways: impl Iterator<Item = Listed>) {
         self.listed = true;
-        addresses.for_each(|address| self.learn(now, address));
+        for listed in gateways {
+            let is_own = listed.name == self.own.name || listed.address == self.own.address;
+            let is_known = self.peers.values().any(|p| p.address == listed.address);
+            if !is_own && !is_known {
+                self.addresses.remove(&listed.address);
+                let name = listed.name.clone();
+                let peer = self.peers.entry(name);
+                peer.or_insert_with(|| Peer::listed(now, listed));
+            }
+        }
     }
 
     /// A message came from a gateway.
     pub fn hear(&mut self, now: Duration, greeting: Greeting) -> Hearing {
-        if self
-            .peers
-            .get(&greeting.name)
-            .is_some_and(|known| known.is_before(now, &greeting))
-        {
+        let name = greeting.name.clone();
+        let known = self.peers.get(&name);
+        if known.is_some_and(|known| known.is_past(now, &greeting)) {
             return Hearing::Stale;
         }
-        let peer = Peer {
-            address: greeting.address,
-            incarnation: greeting.incarnation,
-            sequence: greeting.sequence,
-            reaches_store: greeting.reaches_store,
-            heard_at: now,
-        };
-        self.peers.insert(greeting.name, peer);
-        self.addresses.remove(&greeting.address);
+        let address = greeting.address;
+        self.addresses.remove(&address);
+        self.peers.retain(|other, peer| {
+            *other == name || peer.address != address || peer.heard.is_some()
+        });
+        let peer = self.peers.entry(name).or_insert_with(|| {
+            let (name, hall) = (greeting.name.clone(), greeting.hall.clone());
+            let cores_milli = greeting.cores_milli;
+            Peer::listed(
+                now,
+                Listed {
+                    name,
+                    address,
+                    hall,
+                    cores_milli,
+                },
+            )
+        });
+        peer.hear(now, greeting);
         Hearing::News
     }
 
-    /// Whether a gateway is among the first `count` of those that are heard and reach the store, in
-    /// an order that all of them agree on.
-    pub fn is_among_first(&self, own: &str, now: Duration, count: usize) -> bool {
-        let heard = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| peer.reaches_store && now < peer.heard_at + SILENT_AFTER);
+    /// Whether this gateway is among the first `count` of the coordinators that are heard and reach the
+    /// store, in an order that all of them agree on.
+    pub fn is_among_first(&self, now: Duration, count: usize) -> bool {
+        if !self.coordinates(now) {
+            return false;
+        }
+        let heard = self.peers.iter().filter(|(_, peer)| {
+            let greeting = peer.recent(now);
+            greeting.is_some_and(|g| g.coordinates && g.reaches_store)
+        });
+        let own = self.own.name.as_str();
         let names = heard.map(|(name, _)| name.as_str());
         rank(WATCH_KEY, names.chain([own]), count).contains(&own)
     }
 
+    /// Whether a gateway is heard.
+    pub fn hears(&self, now: Duration, name: &str) -> bool {
+        self.peers.get(name).is_some_and(|peer| peer.is_heard(now))
+    }
+
+    /// Whether any coordinator is heard.
+    pub fn hears_coordinator(&self, now: Duration) -> bool {
+        self.peers.values().any(|peer| peer.coordinates(now))
+    }
+
     /// Whether a gateway was heard and has not stopped or been forgotten since.
     pub fn knows(&self, name: &str) -> bool {
         self.peers.contains_key(name)
@@ -176,12 +181,21 @@
     }
 
     /// Another gateway holds the lease under this epoch.
-    pub fn hear_lease(&mut self, now: Duration, epoch: i64) {
-        if self.lease.is_none_or(|(known, _)| epoch >= known) {
-            self.lease = Some((epoch, now));
+    pub fn hear_lease(&mut self, now: Duration, epoch: i64, holder: SocketAddr) {
+        if self.lease.is_none_or(|known| epoch >= known.epoch) {
+            self.lease = Some(HeldLease {
+                epoch,
+                holder,
+                heard_at: now,
+            });
         }
     }
 
+    /// Epoch of the lease that was heard last, and where its holder is reached.
+    pub fn lease_holder(&self) -> Option<(i64, SocketAddr)> {
+        self.lease.map(|lease| (lease.epoch, lease.holder))
+    }
+
     /// The holder of the lease under this epoch gave it up.
     pub fn hear_given_up(&mut self, now: Duration, epoch: i64) {
         if self.given_up.is_none_or(|(known, _)| epoch > known) {
@@ -193,7 +207,7 @@
     pub fn holder_heard(&self, now: Duration, time: Duration) -> bool {
         let given_up = self.given_up.map_or(i64::MIN, |(epoch, _)| epoch);
         self.lease
-            .is_some_and(|(epoch, at)| now < at + time && epoch > given_up)
+            .is_some_and(|lease| now < lease.heard_at + time && lease.epoch > given_up)
     }
 
     /// Whether the lease was given up within `time`.
@@ -203,42 +217,29 @@
 
     /// Whether another gateway that is heard reaches the store.
     pub fn others_reach_store(&self, now: Duration) -> bool {
-        let mut peers = self.peers.values();
-        peers.any(|peer| peer.reaches_store && now < peer.heard_at + SILENT_AFTER)
+        let mut heard = self.peers.values().filter_map(|peer| peer.recent(now));
+        heard.any(|greeting| greeting.reaches_store)
     }
 
     /// Drops who was silent for too long and addresses that never answered.
     pub fn tick(&mut self, now: Duration) {
-        self.peers
-            .retain(|_, peer| now < peer.heard_at + FORGET_AFTER);
+        self.peers.retain(|_, peer| {
+            let heard = peer.heard.as_ref();
+            heard.is_none_or(|(_, at)| now < *at + FORGET_AFTER)
+        });
         self.addresses
             .retain(|_, since| now < *since + TRY_ADDRESS_FOR);
     }
 
-    /// Counts at this time.
-    pub fn count(&self, now: Duration) -> PeerCount {
-        let is_heard = |peer: &&Peer| now < peer.heard_at + SILENT_AFTER;
-        let heard = self.peers.values().filter(is_heard).count();
-        let known = self.peers.len() + self.addresses.len();
-        let others = match self.listed || heard > 0 {
-            true => known,
-            false => known.max(ASSUMED),
-        };
-        PeerCount {
-            heard,
-            silent: others - heard,
-        }
-    }
-
-    /// Where to send news.
-    pub fn targets(&self) -> BTreeSet<SocketAddr> {
-        let known = self.peers.values().map(|peer| peer.address);
-        known.chain(self.addresses.keys().copied()).collect()
+    /// Addresses that are tried and of which nothing else is known.
+    pub fn tried_addresses(&self) -> BTreeSet<SocketAddr> {
+        self.addresses.keys().copied().collect()
     }
 
     /// Addresses of gateways that were heard, at most `most`, beginning at one by `turn`.
     pub fn addresses(&self, turn: usize, most: usize) -> Vec<SocketAddr> {
-        let all: Vec<SocketAddr> = self.peers.values().map(|peer| peer.address).collect();
+        let heard = self.peers.values().filter(|peer| peer.heard.is_some());
+        let all: Vec<SocketAddr> = heard.map(|peer| peer.address).collect();
         let count = all.len().min(most);
         let at = |i: usize| all[(turn * most + i) % all.len()];
         (0..count).map(at).collect()
--- /dev/null
+++ b/components/gateway/src/peers/halls.rs
@@ -0,0 +1,230 @@
+//! Who decides for the gateways of a data hall, and how many gateways there are.
+//!
+//! In each hall a few gateways coordinate: they decide for all others of the hall and exchange with the
+//! coordinators of all halls what they decided. So what gateways say to each other grows with the requests
+//! and with the halls, not with pairs of gateways. Where a hall has no more gateways than coordinators, each
+//! decides for itself.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::peers::peer::Peer;
+use crate::peers::{PeerCount, Peers, ASSUMED};
+use routing::{rank, weight};
+
+/// Gateways of a hall that coordinate: two may be gone before the hall looks for others.
+const COORDINATORS: usize = 3;
+/// Gateways of its own hall to which one without any coordinator reports.
+const WIDER_SEARCH: usize = 8;
+/// Key of the order in which gateways of the same size coordinate.
+const COORDINATION_KEY: u64 = 0x636f_6f72;
+
+/// Gateways of one hall.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct HallCount {
+    /// Those that are heard.
+    pub heard: usize,
+    /// Those that were heard and are silent now, or were never heard and may be running.
+    pub silent: usize,
+}
+
+/// How this gateway decides about requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fleet {
+    /// Gateways that may be running, this one included.
+    pub gateways: usize,
+    /// Part of what all gateways share that is used by what is decided here.
+    pub part: f64,
+    /// Where decisions are asked for, the first one first; empty if this gateway decides itself.
+    pub coordinators: Vec<SocketAddr>,
+}
+
+impl Default for Fleet {
+    fn default() -> Self {
+        Fleet {
+            gateways: 1,
+            part: PeerCount::default().heard_part(),
+            coordinators: Vec::new(),
+        }
+    }
+}
+
+impl Peers {
+    /// Whether this gateway decides for others of its hall.
+    pub fn coordinates(&self, now: Duration) -> bool {
+        let own = (self.own.cores_milli, self.own_weight());
+        let before = |(name, peer): &(&String, &Peer)| {
+            peer.hall == self.own.hall && !peer.is_down(now) && place(name, peer) > own
+        };
+        self.peers.iter().filter(before).count() < COORDINATORS
+    }
+
+    /// Coordinators of all halls but this gateway, and those that may be coordinators.
+    pub fn coordinators(&self, now: Duration) -> BTreeSet<SocketAddr> {
+        let halls: BTreeSet<&str> = self.peers.values().map(|p| p.hall.as_str()).collect();
+        let first = halls.into_iter().flat_map(|hall| {
+            let heard = self.peers.values().filter(|p| p.hall == hall);
+            let heard = heard.filter(|peer| peer.coordinates(now)).count();
+            let wanted = match hall == self.own.hall {
+                true => COORDINATORS,
+                false => COORDINATORS.saturating_sub(heard),
+            };
+            self.first_of(hall, now, wanted)
+        });
+        let first: BTreeSet<&str> = first.collect();
+        let is_meant = |(name, peer): &(&String, &Peer)| {
+            peer.coordinates(now) || first.contains(name.as_str())
+        };
+        let meant = self.peers.iter().filter(is_meant);
+        meant.map(|(_, peer)| peer.address).collect()
+    }
+
+    /// Coordinators of the own hall; more gateways of it if none of them is heard.
+    pub fn own_coordinators(&self, now: Duration) -> BTreeSet<SocketAddr> {
+        let hall = self.own.hall.as_str();
+        let mut first = self.first_of(hall, now, COORDINATORS);
+        if !first.iter().any(|name| self.peers[*name].is_heard(now)) {
+            first = self.first_of(hall, now, WIDER_SEARCH);
+        }
+        let addresses = first.iter().map(|name| self.peers[*name].address);
+        addresses.collect()
+    }
+
+    /// Gateways of the own hall that do not coordinate.
+    pub fn members(&self, now: Duration) -> BTreeSet<SocketAddr> {
+        let coordinators = self.coordinators(now);
+        let own_hall = self.peers.values().filter(|p| p.hall == self.own.hall);
+        let running = own_hall.filter(|p| p.is_heard(now) || p.is_silent(now));
+        let addresses = running.map(|peer| peer.address);
+        addresses.filter(|a| !coordinators.contains(a)).collect()
+    }
+
+    /// Messages of these gateways are due from now on.
+    pub fn expect(&mut self, now: Duration, addresses: &BTreeSet<SocketAddr>) {
+        let peers = self.peers.values_mut();
+        let due = peers.filter(|peer| addresses.contains(&peer.address));
+        due.for_each(|peer| peer.expect(now));
+    }
+
+    /// How this gateway decides now.
+    pub fn fleet(&self, now: Duration) -> Fleet {
+        let count = self.count(now);
+        if self.coordinates(now) {
+            return Fleet {
+                gateways: count.gateways(),
+                part: count.heard_part(),
+                coordinators: Vec::new(),
+            };
+        }
+        let gateways = self.told_gateways(now).unwrap_or(count.gateways());
+        Fleet {
+            gateways,
+            part: 1.0 / gateways.max(1) as f64,
+            coordinators: self.deciders(now),
+        }
+    }
+
+    /// Name of the coordinator that is asked first.
+    pub fn asks(&self, now: Duration) -> Option<&str> {
+        match self.coordinates(now) {
+            true => None,
+            false => self.decider_names(now).first().copied(),
+        }
+    }
+
+    /// Gateways of the own hall, as far as this one hears them itself. Only that is told to others: a count
+    /// taken from another coordinator would come back from it and never fall.
+    pub fn hall_count(&self, now: Duration) -> HallCount {
+        let own_hall = || self.peers.values().filter(|p| p.hall == self.own.hall);
+        HallCount {
+            heard: 1 + own_hall().filter(|peer| peer.is_heard(now)).count(),
+            silent: own_hall().filter(|peer| peer.is_silent(now)).count(),
+        }
+    }
+
+    /// Gateways of all halls.
+    pub fn count(&self, now: Duration) -> PeerCount {
+        let own = self.hall_count(now);
+        let told = self.told_count(&self.own.hall, now);
+        let own = told.filter(|told| told.heard > own.heard).unwrap_or(own);
+        let mut heard = own.heard - 1;
+        let mut silent = own.silent;
+        for (hall, known) in self.other_halls() {
+            let known = HallCount {
+                heard: known.iter().filter(|peer| peer.is_heard(now)).count(),
+                silent: known.iter().filter(|peer| peer.is_silent(now)).count(),
+            };
+            let count = self.told_count(hall, now).unwrap_or(known);
+            heard += count.heard;
+            silent += count.silent;
+        }
+        silent += self.addresses.len();
+        if !self.listed && heard == 0 {
+            silent = silent.max(ASSUMED);
+        }
+        PeerCount { heard, silent }
+    }
+
+    /// Whether usage of a process is to be passed on by this gateway.
+    pub fn passes_on_for(&self, now: Duration, own: &str, gateway: &str) -> bool {
+        let peer = self.peers.get(gateway);
+        let asks = peer.and_then(|peer| peer.recent(now)?.asks.as_deref());
+        gateway != own && asks.is_none_or(|asks| asks == own)
+    }
+
+    fn other_halls(&self) -> BTreeMap<&str, Vec<&Peer>> {
+        let mut halls: BTreeMap<&str, Vec<&Peer>> = BTreeMap::new();
+        let others = self.peers.values().filter(|p| p.hall != self.own.hall);
+        for peer in others {
+            halls.entry(&peer.hall).or_default().push(peer);
+        }
+        halls
+    }
+
+    // What the coordinator of a hall says that hears most.
+    fn told_count(&self, hall: &str, now: Duration) -> Option<HallCount> {
+        let peers = self.peers.values().filter(|peer| peer.hall == hall);
+        let told = peers.filter_map(|peer| peer.recent(now)?.hall_count);
+        told.max_by_key(|count| count.heard)
+    }
+
+    fn told_gateways(&self, now: Duration) -> Option<usize> {
+        let peers = self.peers.values().filter(|p| p.coordinates(now));
+        peers.filter_map(|peer| peer.recent(now)?.gateways).max()
+    }
+
+    // Coordinators of the own hall that are heard, in an order that differs from gateway to gateway.
+    fn decider_names(&self, now: Duration) -> Vec<&str> {
+        let first = self.first_of(&self.own.hall, now, COORDINATORS);
+        let heard = first.into_iter().filter(|name| {
+            let greeting = self.peers[*name].recent(now);
+            greeting.is_some_and(|g| g.coordinates && g.decisions.is_some())
+        });
+        rank(weight(0, &self.own.name), heard, COORDINATORS)
+    }
+
+    fn deciders(&self, now: Duration) -> Vec<SocketAddr> {
+        let names = self.decider_names(now).into_iter();
+        let addresses = names.filter_map(|name| self.peers[name].recent(now)?.decisions);
+        addresses.collect()
+    }
+
+    // The gateways of a hall that come first, but this one: the largest, then by an order that all agree on.
+    fn first_of(&self, hall: &str, now: Duration, count: usize) -> Vec<&str> {
+        let of_hall = self.peers.iter().filter(|(_, peer)| peer.hall == hall);
+        let up = of_hall.filter(|(_, peer)| !peer.is_down(now));
+        let mut ordered: Vec<_> = up.map(|(name, peer)| (place(name, peer), name)).collect();
+        ordered.sort_unstable_by(|a, b| b.cmp(a));
+        let names = ordered.into_iter().map(|(_, name)| name.as_str());
+        names.take(count).collect()
+    }
+
+    fn own_weight(&self) -> u64 {
+        weight(COORDINATION_KEY, &self.own.name)
+    }
+}
+
+fn place(name: &str, peer: &Peer) -> (i32, u64) {
+    (peer.cores_milli, weight(COORDINATION_KEY, name))
+}
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -11,7 +11,7 @@
 use error_stack::{Report, ResultExt};
 use schema::settings::GatewaySettings;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
-use slog::{info, Logger};
+use slog::{info, warn, Logger};
 use telemetry::Metrics;
 use tokio::net::TcpListener;
 use tokio::runtime::Builder;
@@ -107,6 +107,8 @@
         let signals = Signals::default();
         let sockets = peer_sockets(&settings.peers)?;
         let peer_address = sockets.address;
+        let decisions = bind_decisions(&settings.decisions)?;
+        let decisions_port = port_of(&decisions)?;
         info!(parts.log, "start"; "gateway" => &settings.name, "zone" => &settings.zone,
             "callers" => &settings.callers);
         let control = Control::new(ControlParts {
@@ -120,6 +122,7 @@
             log: parts.log.clone(),
             updates,
             tallies: tallied,
+            decisions_port,
         });
         let (store, orders) = (parts.store, parts.orders);
         spawn("control", move || control.run(store, orders))?;
@@ -133,7 +136,9 @@
             tallies,
         };
         let (bound, listening) = flume::bounded(1);
-        let traffic = spawn("traffic", move || run_traffic(traffic, updated, &bound))?;
+        let traffic = spawn("traffic", move || {
+            run_traffic(traffic, decisions, updated, &bound)
+        })?;
         let listening = listening
             .recv()
             .change_context(GatewayError("the traffic thread ended"))??;
@@ -213,6 +218,21 @@
         .attach_with(|| address.to_string())
 }
 
+fn bind_decisions(address: &str) -> Result<UdpSocket, Report<GatewayError>> {
+    let not_bound = GatewayError(NOT_BOUND);
+    let socket = UdpSocket::bind(parse(address)?).change_context(not_bound)?;
+    socket
+        .set_nonblocking(true)
+        .change_context(GatewayError(NOT_BOUND))?;
+    Ok(socket)
+}
+
+fn port_of(socket: &UdpSocket) -> Result<u16, Report<GatewayError>> {
+    let address = socket.local_addr();
+    let address = address.change_context(GatewayError("a bound address could not be read"))?;
+    Ok(address.port())
+}
+
 fn bind_both(address: SocketAddr) -> std::io::Result<PeerSockets> {
     let news = UdpSocket::bind(address)?;
     news.set_nonblocking(true)?;
@@ -228,6 +248,7 @@
 
 fn run_traffic<D: Dialect + 'static>(
     parts: TrafficParts<D>,
+    decisions: UdpSocket,
     updates: flume::Receiver<Update>,
     bound: &Bound,
 ) {
@@ -241,7 +262,7 @@
     };
     let traffic = Rc::new(Traffic::new(parts));
     let local = LocalSet::new();
-    local.block_on(&runtime, serve(traffic, updates, bound));
+    local.block_on(&runtime, serve(traffic, decisions, updates, bound));
 }
 
 struct Listeners {
@@ -277,6 +298,7 @@
 
 async fn serve<D: Dialect + 'static>(
     traffic: Rc<Traffic<D>>,
+    decisions: UdpSocket,
     updates: flume::Receiver<Update>,
     bound: &Bound,
 ) {
@@ -300,6 +322,13 @@
         let metrics = Arc::clone(&traffic.metrics);
         tokio::task::spawn_local(serve_metrics(metrics, listener));
     }
+    match tokio::net::UdpSocket::from_std(decisions) {
+        Ok(socket) => {
+            tokio::task::spawn_local(Rc::clone(&traffic).decide_for_others(socket));
+        }
+        Err(error) => warn!(traffic.log, "no decisions for others; raise the limit of descriptors";
+            "cause" => %error),
+    }
     let following = Rc::clone(&traffic);
     tokio::task::spawn_local(async move { following.follow(updates).await });
     while !traffic.freshness.is_stopping() {
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -7,19 +7,21 @@
 use std::time::Duration;
 
 use directory::{Configuration, Directory, Endpoint, Tenant};
-use limits::{Limit, RepeatBudget, RepeatTerms, SharedQuota};
+use limits::{Limit, QuotaState, RepeatBudget, RepeatTerms, SharedQuota};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use routing::placement::{endpoint_hash, Board, PeerDispatch, Placement, Ticket};
+use routing::placement::{endpoint_hash, Board, PeerDispatch, Placement, Ticket, Work};
+use schema::messages::PlacedAt;
 use schema::settings::GatewaySettings;
 use slog::{info, Logger};
 use telemetry::{Counter, Metrics};
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
+use crate::decisions::{placed_of, Asking};
 use crate::freshness::{Ages, Freshness};
 use crate::job::Job;
-use crate::peers::PeerCount;
+use crate::peers::Fleet;
 use crate::pool::Pool;
 use crate::tally::{Sent, ServiceLoad, Tally};
 
@@ -39,8 +41,8 @@
     Endpoint(Endpoint),
     /// An endpoint is gone.
     EndpointGone(String),
-    /// Other gateways as they are known now.
-    Peers(PeerCount),
+    /// The gateways as they are known now, and who of them decides.
+    Fleet(Fleet),
     /// Another gateway sent these.
     PeerSent(Vec<PeerDispatch>),
     /// Units that tenants took at another gateway since its start.
@@ -67,7 +69,7 @@
     pub quotas: BTreeMap<String, SharedQuota>,
     pub repeats: BTreeMap<String, RepeatBudget>,
     pub tally: Tally,
-    pub peers: PeerCount,
+    pub fleet: Fleet,
     pub rng: ChaCha8Rng,
     pub settings: Arc<GatewaySettings>,
 }
@@ -83,6 +85,7 @@
     pub state: RefCell<State>,
     pub endpoints_changed: Notify,
     pub in_flight: Cell<usize>,
+    pub asking: Asking,
     tallies: flume::Sender<Tally>,
 }
 
@@ -107,7 +110,7 @@
             quotas: BTreeMap::new(),
             repeats: BTreeMap::new(),
             tally: Tally::default(),
-            peers: PeerCount::default(),
+            fleet: Fleet::default(),
             rng: ChaCha8Rng::from_rng(&mut rand::rng()),
             settings: parts.settings,
         };
@@ -120,6 +123,7 @@
             state: RefCell::new(state),
             endpoints_changed: Notify::new(),
             in_flight: Cell::new(0),
+            asking: Asking::default(),
             tallies: parts.tallies,
         }
     }
@@ -145,7 +149,7 @@
                 state.pool.forget(&id);
                 state.board.remove(&id);
             }
-            Update::Peers(peers) => state.set_peers(now, peers),
+            Update::Fleet(fleet) => state.set_fleet(now, fleet),
             Update::PeerSent(dispatches) => {
                 for dispatch in dispatches {
                     state.board.peer_sent(now, dispatch);
@@ -180,20 +184,22 @@
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         let ticket = state.board.sent(now, &job.work, placement);
-        state.tally.sent.push(Sent {
-            endpoint: endpoint_hash(&placement.endpoint),
-            unread_tokens: placement.unread_tokens,
-            shared_prompt: placement.shared_prompt,
-            at: now,
-            hold: placement.hold,
-        });
+        // The coordinator that placed it tells the others of it.
+        if !placement.counted {
+            state.tally.sent.push(sent_of(now, placement));
+        }
         drop(state);
-        if placement.unread_tokens >= LONG_PROMPT_TOKENS {
+        if !placement.counted && self.is_long(placement.unread_tokens) {
             self.send_tally();
         }
         ticket
     }
 
+    /// Whether the others are to know of a prompt at once.
+    pub fn is_long(&self, unread_tokens: u32) -> bool {
+        unread_tokens >= LONG_PROMPT_TOKENS
+    }
+
     /// Notes that a job began to run, by the wall time `ago` before now.
     pub fn note_begun(&self, job: &Job, ago: Duration) {
         let Some(tenant) = &job.tenant else {
@@ -204,11 +210,20 @@
         state.tally.begun.push((tenant.clone(), at));
     }
 
+    /// Logs what a limit was refused by.
+    pub fn log_limit(&self, now: Duration, id: &str, tenant: &str, cost: u64, quota: &QuotaState) {
+        let heard_ago = now.saturating_sub(quota.others_heard_at);
+        info!(self.log, "over limit"; "id" => id, "tenant" => tenant,
+            "cost" => cost, "level" => quota.level as i64, "part_milli" => (quota.part * 1000.0) as u64,
+            "rate" => quota.limit.rate as u64, "burst" => quota.limit.burst as u64, "taken" => quota.taken,
+            "others_taken" => quota.others_taken, "others_ms_ago" => heard_ago.as_millis() as u64);
+    }
+
     /// Whether a job may be sent once more.
     pub fn may_repeat(&self, service: &str) -> bool {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
-        let gateways = state.peers.gateways();
+        let gateways = state.fleet.gateways;
         let terms = state.repeat_terms();
         let budgets = &mut state.repeats;
         let budget = budgets
@@ -224,7 +239,7 @@
 
     /// Most connections to one endpoint of a service that this gateway opens.
     pub fn most_connections(&self, job: &Job) -> u32 {
-        let gateways = self.state.borrow().peers.gateways() as f64;
+        let gateways = self.state.borrow().fleet.gateways as f64;
         let part = f64::from(job.max_connections) * CONNECTIONS_USED / gateways;
         (part as u32).max(2)
     }
@@ -265,7 +280,32 @@
     }
 }
 
+fn sent_of(now: Duration, placement: &Placement) -> Sent {
+    Sent {
+        endpoint: endpoint_hash(&placement.endpoint),
+        unread_tokens: placement.unread_tokens,
+        shared_prompt: placement.shared_prompt,
+        at: now,
+        hold: placement.hold,
+    }
+}
+
 impl State {
+    /// Places a request of another gateway, if some endpoint takes work.
+    pub fn place_for_other(
+        &mut self,
+        now: Duration,
+        work: &Work,
+        excluded: &[i64],
+    ) -> Option<PlacedAt> {
+        let excluded = excluded.iter().map(|hash| *hash as u64);
+        let excluded: Vec<String> = excluded.filter_map(|hash| self.board.id_of(hash)).collect();
+        let placement = self.board.choose(now, work, &excluded, &mut self.rng)?;
+        self.board.sent_for_other(now, work, &placement);
+        self.tally.sent.push(sent_of(now, &placement));
+        Some(placed_of(&placement))
+    }
+
     /// Picks one of a route's services by weight.
     pub fn pick_service(&mut self, split: &[directory::Share]) -> Option<String> {
         let total: u64 = split.iter().map(|share| u64::from(share.weight)).sum();
@@ -295,7 +335,7 @@
 
     fn configure(&mut self, now: Duration, configuration: Arc<Configuration>) {
         self.board.configure(&configuration);
-        let part = self.quota_part();
+        let part = self.fleet.part;
         let mut quotas = BTreeMap::new();
         for tenant in &configuration.tenants {
             let Some(limit) = self.limit_of(tenant) else {
@@ -327,21 +367,14 @@
         })
     }
 
-    fn set_peers(&mut self, now: Duration, peers: PeerCount) {
-        if peers == self.peers {
-            return;
-        }
-        self.peers = peers;
-        let part = self.quota_part();
+    fn set_fleet(&mut self, now: Duration, fleet: Fleet) {
+        let part = fleet.part;
+        self.fleet = fleet;
         for quota in self.quotas.values_mut() {
             quota.set_part(now, part);
         }
     }
 
-    fn quota_part(&self) -> f64 {
-        self.peers.heard_part()
-    }
-
     fn repeat_terms(&self) -> RepeatTerms {
         RepeatTerms {
             ratio: f64::from(self.settings.repeats_milli) / 1000.0,
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -117,6 +117,8 @@
         usage_window_ms: 1000,
         usage_due_ms: 8000,
         change_due_ms: 2000,
+        cores_milli: 250,
+        decisions: any(),
     }
 }
 
--- /dev/null
+++ b/components/gateway/tests/coordinating.rs
@@ -0,0 +1,88 @@
+//! Gateways of one data hall, three of which decide for the fourth.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{
+    configuration, endpoint, route, settings, tenant, wait_until, EndpointStandin, Setup,
+    StoreStandin,
+};
+use directory::{Execution, Quota};
+use schema::settings::GatewaySettings;
+
+/// Requests a second and at once that the team's limit lets pass over all four gateways.
+const LIMIT: f64 = 8.0;
+
+fn named(name: &str, cores_milli: i32, seeds: Vec<String>) -> GatewaySettings {
+    GatewaySettings {
+        name: name.into(),
+        cores_milli,
+        seeds,
+        ..settings()
+    }
+}
+
+fn limited_store(standin: &EndpointStandin) -> StoreStandin {
+    let store = StoreStandin::default();
+    let mut configuration = configuration(1, vec![route("/a/", Execution::Repeatable)]);
+    let mut team = tenant("t", "k");
+    team.quota = Some(Quota {
+        rate: LIMIT,
+        burst: LIMIT,
+        plain_cost: None,
+    });
+    configuration.tenants = vec![team];
+    store.put_configuration(configuration);
+    store.put_endpoint(endpoint("e1", standin.address));
+    store
+}
+
+/// Three coordinators and one gateway that asks them.
+fn four(store: &StoreStandin) -> (Vec<Setup>, Setup) {
+    let first = Setup::start(named("g1", 500, Vec::new()), store.clone());
+    let seeds = || vec![first.gateway.peer_address().to_string()];
+    let second = Setup::start(named("g2", 500, seeds()), store.for_another());
+    let third = Setup::start(named("g3", 500, seeds()), store.for_another());
+    let asking = Setup::start(named("g4", 120, seeds()), store.for_another());
+    wait_until("readiness", || asking.is_ready());
+    (vec![first, second, third], asking)
+}
+
+fn served_in_a_second(gateway: &Setup) -> usize {
+    let started = Instant::now();
+    let mut served = 0;
+    while started.elapsed() < Duration::from_secs(1) {
+        if gateway.call("/a/1", &["x-key: k"]).status == 200 {
+            served += 1;
+        }
+    }
+    served
+}
+
+#[test]
+fn a_gateway_that_asks_may_use_the_whole_limit_that_all_share() {
+    let standin = EndpointStandin::start(|_, e| e.answer(200, "x"));
+    let store = limited_store(&standin);
+    let (_coordinators, asking) = four(&store);
+    // Its own part is a quarter: two a second.
+    wait_until("the whole limit", || {
+        served_in_a_second(&asking) as f64 >= LIMIT * 0.75
+    });
+}
+
+#[test]
+fn without_any_coordinator_a_gateway_decides_itself() {
+    let standin = EndpointStandin::start(|_, e| e.answer(200, "x"));
+    let store = limited_store(&standin);
+    let (coordinators, asking) = four(&store);
+    wait_until("the whole limit", || {
+        served_in_a_second(&asking) as f64 >= LIMIT * 0.75
+    });
+    for coordinator in coordinators {
+        coordinator.stop();
+    }
+    wait_until("an answer", || {
+        asking.call("/a/1", &["x-key: k"]).status == 200
+    });
+}
--- a/components/gateway/tests/peers.rs
+++ b/components/gateway/tests/peers.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use gateway::{is_recent, Greeting, Hearing, Peers};
+use gateway::{is_recent, Greeting, Hearing, Listed, Peers};
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -17,14 +17,38 @@
     Greeting {
         name: name.into(),
         address: address(2),
+        hall: format!("hall of {name}"),
+        cores_milli: 250,
         incarnation,
         sequence,
         reaches_store: true,
+        coordinates: true,
+        decisions: None,
+        hall_count: None,
+        gateways: None,
+        asks: None,
+    }
+}
+
+fn listed(port: u16) -> Listed {
+    Listed {
+        name: format!("g{port}"),
+        address: address(port),
+        hall: format!("hall of g{port}"),
+        cores_milli: 250,
     }
 }
 
 fn peers() -> Peers {
-    Peers::new(address(1))
+    Peers::new(listed(1))
+}
+
+fn peers_of(name: &str) -> Peers {
+    Peers::new(Listed {
+        name: name.into(),
+        hall: format!("hall of {name}"),
+        ..listed(1)
+    })
 }
 
 #[test]
@@ -35,7 +59,7 @@
 #[test]
 fn gateways_listed_and_not_heard_yet_may_be_running() {
     let mut peers = peers();
-    peers.listed(ms(0), (1..=8).map(address));
+    peers.listed(ms(0), (1..=8).map(listed));
     assert_eq!(peers.count(ms(0)).heard_part(), 1.0 / 8.0);
     peers.hear(ms(1), greeting("b", 1, 1));
     assert_eq!(peers.count(ms(1)).heard_part(), 2.0 / 8.0);
@@ -52,7 +76,7 @@
 #[test]
 fn a_gateway_that_is_alone_uses_everything() {
     let mut peers = peers();
-    peers.listed(ms(0), [address(1)].into_iter());
+    peers.listed(ms(0), [listed(1)].into_iter());
     assert_eq!(peers.count(ms(0)).heard_part(), 1.0);
 }
 
@@ -76,7 +100,7 @@
 fn all_gateways_agree_on_who_holds_calls_at_the_store() {
     let names = ["a", "b", "c", "d"];
     let watches = |own: &str, unreachable: Option<&str>| {
-        let mut peers = peers();
+        let mut peers = peers_of(own);
         for name in names.iter().filter(|name| **name != own) {
             let reaches_store = unreachable != Some(name);
             let greeting = greeting(name, 1, 1);
@@ -88,7 +112,7 @@
                 },
             );
         }
-        peers.is_among_first(own, ms(1), 2)
+        peers.is_among_first(ms(1), 2)
     };
     let first: Vec<&str> = names.into_iter().filter(|n| watches(n, None)).collect();
     assert_eq!(first.len(), 2);
@@ -102,16 +126,16 @@
 fn a_holder_that_gave_the_lease_up_does_not_count_as_heard_and_the_next_one_does() {
     let at = Duration::from_secs;
     let long = Duration::from_secs(10);
-    let mut peers = Peers::new("127.0.0.1:1".parse().unwrap());
-    peers.hear_lease(at(1), 7);
+    let mut peers = peers();
+    peers.hear_lease(at(1), 7, address(2));
     assert!(peers.holder_heard(at(2), long));
     peers.hear_given_up(at(2), 7);
     assert!(!peers.holder_heard(at(2), long));
     assert!(peers.given_up_within(at(3), at(2)));
     // Old news of the same holder change nothing.
-    peers.hear_lease(at(3), 7);
+    peers.hear_lease(at(3), 7, address(2));
     assert!(!peers.holder_heard(at(3), long));
-    peers.hear_lease(at(4), 8);
+    peers.hear_lease(at(4), 8, address(2));
     peers.hear_given_up(at(4), 7);
     assert!(peers.holder_heard(at(4), long));
 }
--- a/components/routing/src/placement/board.rs
+++ b/components/routing/src/placement/board.rs
@@ -67,6 +67,8 @@
     pub hold: Duration,
     /// Endpoints that were weighed.
     pub weighed: usize,
+    /// Whether another gateway placed it, and counts it among what it sent.
+    pub counted: bool,
 }
 
 /// A request under way, as the board counts it.
@@ -225,6 +227,7 @@
             expected_ms: *cost,
             hold: self.hold_of(work, *unread),
             weighed: weighed.len(),
+            counted: false,
         })
     }
 
@@ -259,6 +262,27 @@
         ticket
     }
 
+    /// Notes that a request placed here is sent by another gateway, which tells nothing of its end.
+    pub fn sent_for_other(&mut self, now: Duration, work: &Work, placement: &Placement) {
+        let Some(slot) = self.slots.get_mut(&placement.endpoint) else {
+            return;
+        };
+        slot.other_sent(now, placement.hold);
+        if work.prompt_tokens == 0 {
+            return;
+        }
+        slot.queue.push(now, placement.unread_tokens, false);
+        for (hash, part) in beginnings(&work.parts).into_iter().zip(&work.parts) {
+            slot.cache.keep(hash, part.tokens);
+        }
+        self.note_mix(&work.service, placement.unread_tokens, placement.hold);
+    }
+
+    /// Id of the endpoint with this hash.
+    pub fn id_of(&self, hash: u64) -> Option<String> {
+        self.hashes.get(&hash).cloned()
+    }
+
     /// The first token of a request came.
     pub fn first_token(&mut self, now: Duration, ticket: &mut Ticket) {
         let Some(slot) = self.slots.get_mut(&ticket.endpoint) else {
--- a/components/schema/src/messages.rs
+++ b/components/schema/src/messages.rs
@@ -2286,10 +2286,26 @@
     pub lease: Option<LeaseTold>,
     /// Newest epoch of the lease that the sender gave up; it has no order of that epoch under way.
     pub lease_given_up: Option<i64>,
+    /// Data hall of the sender.
+    pub hall: Option<String>,
+    /// Processor of the sender's VM, in thousandths of a core.
+    pub cores_milli: Option<i32>,
+    /// Whether the sender decides for gateways of its hall.
+    pub coordinates: Option<bool>,
+    /// UDP port at which the sender decides for others.
+    pub decisions_port: Option<i32>,
+    /// Gateways of the sender's hall, as a coordinator knows them.
+    pub hall_count: Option<Box<HallCount>>,
+    /// Gateways of all halls that may be running, as a coordinator knows them.
+    pub gateways: Option<i32>,
+    /// Coordinator that the sender asks first.
+    pub asks: Option<String>,
+    /// Usage of gateways for which the sender decides.
+    pub forwarded: Option<Vec<Box<SourceUsage>>>,
 }
 
 impl GatewayNews {
-    pub fn new<F10, F11, F12, F13, F14>(
+    pub fn new<F10, F11, F12, F13, F14, F15, F16, F17, F18, F19, F20, F21, F22>(
         gateway: String,
         incarnation: i64,
         sequence: i64,
@@ -2304,6 +2320,14 @@
         uptime_ms: F12,
         lease: F13,
         lease_given_up: F14,
+        hall: F15,
+        cores_milli: F16,
+        coordinates: F17,
+        decisions_port: F18,
+        hall_count: F19,
+        gateways: F20,
+        asks: F21,
+        forwarded: F22,
     ) -> GatewayNews
     where
         F10: Into<Option<Vec<TopicHead>>>,
@@ -2311,6 +2335,14 @@
         F12: Into<Option<i64>>,
         F13: Into<Option<LeaseTold>>,
         F14: Into<Option<i64>>,
+        F15: Into<Option<String>>,
+        F16: Into<Option<i32>>,
+        F17: Into<Option<bool>>,
+        F18: Into<Option<i32>>,
+        F19: Into<Option<Box<HallCount>>>,
+        F20: Into<Option<i32>>,
+        F21: Into<Option<String>>,
+        F22: Into<Option<Vec<Box<SourceUsage>>>>,
     {
         GatewayNews {
             gateway,
@@ -2327,6 +2359,14 @@
             uptime_ms: uptime_ms.into(),
             lease: lease.into(),
             lease_given_up: lease_given_up.into(),
+            hall: hall.into(),
+            cores_milli: cores_milli.into(),
+            coordinates: coordinates.into(),
+            decisions_port: decisions_port.into(),
+            hall_count: hall_count.into(),
+            gateways: gateways.into(),
+            asks: asks.into(),
+            forwarded: forwarded.into(),
         }
     }
 }
@@ -2348,6 +2388,14 @@
         let mut f_12: Option<i64> = None;
         let mut f_13: Option<LeaseTold> = None;
         let mut f_14: Option<i64> = None;
+        let mut f_15: Option<String> = None;
+        let mut f_16: Option<i32> = None;
+        let mut f_17: Option<bool> = None;
+        let mut f_18: Option<i32> = None;
+        let mut f_19: Option<Box<HallCount>> = None;
+        let mut f_20: Option<i32> = None;
+        let mut f_21: Option<String> = None;
+        let mut f_22: Option<Vec<Box<SourceUsage>>> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -2442,6 +2490,45 @@
                     let val = i_prot.read_i64()?;
                     f_14 = Some(val);
                 }
+                15 => {
+                    let val = i_prot.read_string()?;
+                    f_15 = Some(val);
+                }
+                16 => {
+                    let val = i_prot.read_i32()?;
+                    f_16 = Some(val);
+                }
+                17 => {
+                    let val = i_prot.read_bool()?;
+                    f_17 = Some(val);
+                }
+                18 => {
+                    let val = i_prot.read_i32()?;
+                    f_18 = Some(val);
+                }
+                19 => {
+                    let val = Box::new(HallCount::read_from_in_protocol(i_prot)?);
+                    f_19 = Some(val);
+                }
+                20 => {
+                    let val = i_prot.read_i32()?;
+                    f_20 = Some(val);
+                }
+                21 => {
+                    let val = i_prot.read_string()?;
+                    f_21 = Some(val);
+                }
+                22 => {
+                    let list_ident = i_prot.read_list_begin()?;
+                    let mut val: Vec<Box<SourceUsage>> =
+                        Vec::with_capacity(list_ident.size as usize);
+                    for _ in 0..list_ident.size {
+                        let list_elem_15 = Box::new(SourceUsage::read_from_in_protocol(i_prot)?);
+                        val.push(list_elem_15);
+                    }
+                    i_prot.read_list_end()?;
+                    f_22 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -2469,109 +2556,1004 @@
                 .expect("auto-generated code should have checked for presence of required fields"),
             usage: f_5
                 .expect("auto-generated code should have checked for presence of required fields"),
-            taken: f_6
+            taken: f_6
+                .expect("auto-generated code should have checked for presence of required fields"),
+            lease_epoch: f_7
+                .expect("auto-generated code should have checked for presence of required fields"),
+            peers: f_8
+                .expect("auto-generated code should have checked for presence of required fields"),
+            stopping: f_9
+                .expect("auto-generated code should have checked for presence of required fields"),
+            heads: f_10,
+            reaches_store: f_11,
+            uptime_ms: f_12,
+            lease: f_13,
+            lease_given_up: f_14,
+            hall: f_15,
+            cores_milli: f_16,
+            coordinates: f_17,
+            decisions_port: f_18,
+            hall_count: f_19,
+            gateways: f_20,
+            asks: f_21,
+            forwarded: f_22,
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("GatewayNews");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("gateway", TType::String, 1))?;
+        o_prot.write_string(&self.gateway)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("incarnation", TType::I64, 2))?;
+        o_prot.write_i64(self.incarnation)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("sequence", TType::I64, 3))?;
+        o_prot.write_i64(self.sequence)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("dispatches", TType::List, 4))?;
+        o_prot.write_list_begin(&TListIdentifier::new(
+            TType::Struct,
+            self.dispatches.len() as i32,
+        ))?;
+        for e in &self.dispatches {
+            e.write_to_out_protocol(o_prot)?;
+        }
+        o_prot.write_list_end()?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("usage", TType::List, 5))?;
+        o_prot.write_list_begin(&TListIdentifier::new(
+            TType::Struct,
+            self.usage.len() as i32,
+        ))?;
+        for e in &self.usage {
+            e.write_to_out_protocol(o_prot)?;
+        }
+        o_prot.write_list_end()?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("taken", TType::Map, 6))?;
+        o_prot.write_map_begin(&TMapIdentifier::new(
+            TType::String,
+            TType::I64,
+            self.taken.len() as i32,
+        ))?;
+        for (k, v) in &self.taken {
+            o_prot.write_string(k)?;
+            o_prot.write_i64(*v)?;
+        }
+        o_prot.write_map_end()?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("lease_epoch", TType::I64, 7))?;
+        o_prot.write_i64(self.lease_epoch)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("peers", TType::List, 8))?;
+        o_prot.write_list_begin(&TListIdentifier::new(
+            TType::String,
+            self.peers.len() as i32,
+        ))?;
+        for e in &self.peers {
+            o_prot.write_string(e)?;
+        }
+        o_prot.write_list_end()?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("stopping", TType::Bool, 9))?;
+        o_prot.write_bool(self.stopping)?;
+        o_prot.write_field_end()?;
+        if let Some(ref fld_var) = self.heads {
+            o_prot.write_field_begin(&TFieldIdentifier::new("heads", TType::List, 10))?;
+            o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, fld_var.len() as i32))?;
+            for e in fld_var {
+                e.write_to_out_protocol(o_prot)?;
+            }
+            o_prot.write_list_end()?;
+            o_prot.write_field_end()?
+        }
+        if let Some(fld_var) = self.reaches_store {
+            o_prot.write_field_begin(&TFieldIdentifier::new("reaches_store", TType::Bool, 11))?;
+            o_prot.write_bool(fld_var)?;
+            o_prot.write_field_end()?
+        }
+        if let Some(fld_var) = self.uptime_ms {
+            o_prot.write_field_begin(&TFieldIdentifier::new("uptime_ms", TType::I64, 12))?;
+            o_prot.write_i64(fld_var)?;
+            o_prot.write_field_end()?
+        }
+        if let Some(ref fld_var) = self.lease {
+            o_prot.write_field_begin(&TFieldIdentifier::new("lease", TType::Struct, 13))?;
+            fld_var.write_to_out_protocol(o_prot)?;
+            o_prot.write_field_end()?
+        }
+        if let Some(fld_var) = self.lease_given_up {
+            o_prot.write_field_begin(&TFieldIdentifier::new("lease_given_up", TType::I64, 14))?;
+            o_prot.write_i64(fld_var)?;
+            o_prot.write_field_end()?
+        }
+        if let Some(ref fld_var) = self.hall {
+            o_prot.write_field_begin(&TFieldIdentifier::new("hall", TType::String, 15))?;
+            o_prot.write_string(fld_var)?;
+            o_prot.write_field_end()?
+        }
+        if let Some(fld_var) = self.cores_milli {
+            o_prot.write_field_begin(&TFieldIdentifier::new("cores_milli", TType::I32, 16))?;
+            o_prot.write_i32(fld_var)?;
+            o_prot.write_field_end()?
+        }
+        if let Some(fld_var) = self.coordinates {
+            o_prot.write_field_begin(&TFieldIdentifier::new("coordinates", TType::Bool, 17))?;
+            o_prot.write_bool(fld_var)?;
+            o_prot.write_field_end()?
+        }
+        if let Some(fld_var) = self.decisions_port {
+            o_prot.write_field_begin(&TFieldIdentifier::new("decisions_port", TType::I32, 18))?;
+            o_prot.write_i32(fld_var)?;
+            o_prot.write_field_end()?
+        }
+        if let Some(ref fld_var) = self.hall_count {
+            o_prot.write_field_begin(&TFieldIdentifier::new("hall_count", TType::Struct, 19))?;
+            fld_var.write_to_out_protocol(o_prot)?;
+            o_prot.write_field_end()?
+        }
+        if let Some(fld_var) = self.gateways {
+            o_prot.write_field_begin(&TFieldIdentifier::new("gateways", TType::I32, 20))?;
+            o_prot.write_i32(fld_var)?;
+            o_prot.write_field_end()?
+        }
+        if let Some(ref fld_var) = self.asks {
+            o_prot.write_field_begin(&TFieldIdentifier::new("asks", TType::String, 21))?;
+            o_prot.write_string(fld_var)?;
+            o_prot.write_field_end()?
+        }
+        if let Some(ref fld_var) = self.forwarded {
+            o_prot.write_field_begin(&TFieldIdentifier::new("forwarded", TType::List, 22))?;
+            o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, fld_var.len() as i32))?;
+            for e in fld_var {
+                e.write_to_out_protocol(o_prot)?;
+            }
+            o_prot.write_list_end()?;
+            o_prot.write_field_end()?
+        }
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
+//
+// HallCount
+//
+
+/// Gateways of one data hall, the sender included.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct HallCount {
+    pub heard: i32,
+    /// Heard before and silent now, or listed and not heard yet.
+    pub silent: i32,
+}
+
+impl HallCount {
+    pub fn new(heard: i32, silent: i32) -> HallCount {
+        HallCount { heard, silent }
+    }
+}
+
+impl TSerializable for HallCount {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<HallCount> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<i32> = None;
+        let mut f_2: Option<i32> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = i_prot.read_i32()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = i_prot.read_i32()?;
+                    f_2 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("HallCount.heard", &f_1)?;
+        verify_required_field_exists("HallCount.silent", &f_2)?;
+        let ret = HallCount {
+            heard: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            silent: f_2
+                .expect("auto-generated code should have checked for presence of required fields"),
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("HallCount");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("heard", TType::I32, 1))?;
+        o_prot.write_i32(self.heard)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("silent", TType::I32, 2))?;
+        o_prot.write_i32(self.silent)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
+//
+// SourceUsage
+//
+
+/// Usage of one process in one window, passed on for it.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct SourceUsage {
+    pub gateway: String,
+    /// Start of its process, in milliseconds since 1970.
+    pub incarnation: i64,
+    pub usage: WindowUsage,
+}
+
+impl SourceUsage {
+    pub fn new(gateway: String, incarnation: i64, usage: WindowUsage) -> SourceUsage {
+        SourceUsage {
+            gateway,
+            incarnation,
+            usage,
+        }
+    }
+}
+
+impl TSerializable for SourceUsage {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<SourceUsage> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<String> = None;
+        let mut f_2: Option<i64> = None;
+        let mut f_3: Option<WindowUsage> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = i_prot.read_string()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = i_prot.read_i64()?;
+                    f_2 = Some(val);
+                }
+                3 => {
+                    let val = WindowUsage::read_from_in_protocol(i_prot)?;
+                    f_3 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("SourceUsage.gateway", &f_1)?;
+        verify_required_field_exists("SourceUsage.incarnation", &f_2)?;
+        verify_required_field_exists("SourceUsage.usage", &f_3)?;
+        let ret = SourceUsage {
+            gateway: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            incarnation: f_2
+                .expect("auto-generated code should have checked for presence of required fields"),
+            usage: f_3
+                .expect("auto-generated code should have checked for presence of required fields"),
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("SourceUsage");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("gateway", TType::String, 1))?;
+        o_prot.write_string(&self.gateway)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("incarnation", TType::I64, 2))?;
+        o_prot.write_i64(self.incarnation)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("usage", TType::Struct, 3))?;
+        self.usage.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
+//
+// PromptPart
+//
+
+/// One part of a prompt.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct PromptPart {
+    pub id: i64,
+    pub tokens: i32,
+}
+
+impl PromptPart {
+    pub fn new(id: i64, tokens: i32) -> PromptPart {
+        PromptPart { id, tokens }
+    }
+}
+
+impl TSerializable for PromptPart {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<PromptPart> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<i64> = None;
+        let mut f_2: Option<i32> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = i_prot.read_i64()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = i_prot.read_i32()?;
+                    f_2 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("PromptPart.id", &f_1)?;
+        verify_required_field_exists("PromptPart.tokens", &f_2)?;
+        let ret = PromptPart {
+            id: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            tokens: f_2
+                .expect("auto-generated code should have checked for presence of required fields"),
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("PromptPart");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("id", TType::I64, 1))?;
+        o_prot.write_i64(self.id)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("tokens", TType::I32, 2))?;
+        o_prot.write_i32(self.tokens)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
+//
+// DecisionQuery
+//
+
+/// Asks a coordinator to charge a request to its team and to place it.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct DecisionQuery {
+    /// Chosen by the sender; the reply echoes it.
+    pub number: i64,
+    /// Service that runs the request.
+    pub service_name: String,
+    /// Team whose limit is charged; none where nothing is to be charged.
+    pub team: Option<String>,
+    /// Units of the team's limit.
+    pub cost: i64,
+    /// Whether the request comes first where the limit is short.
+    pub urgent: bool,
+    /// Tokens of the whole prompt, 0 for a plain request.
+    pub prompt_tokens: i32,
+    /// Tokens of the answer as far as can be guessed, 0 if unknown.
+    pub answer_tokens: i32,
+    pub parts: Vec<PromptPart>,
+    /// Hashes of endpoints that are not to be used.
+    pub excluded: Vec<i64>,
+    /// Id of the request, for logs.
+    pub request: String,
+}
+
+impl DecisionQuery {
+    pub fn new<F3>(
+        number: i64,
+        service_name: String,
+        team: F3,
+        cost: i64,
+        urgent: bool,
+        prompt_tokens: i32,
+        answer_tokens: i32,
+        parts: Vec<PromptPart>,
+        excluded: Vec<i64>,
+        request: String,
+    ) -> DecisionQuery
+    where
+        F3: Into<Option<String>>,
+    {
+        DecisionQuery {
+            number,
+            service_name,
+            team: team.into(),
+            cost,
+            urgent,
+            prompt_tokens,
+            answer_tokens,
+            parts,
+            excluded,
+            request,
+        }
+    }
+}
+
+impl TSerializable for DecisionQuery {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<DecisionQuery> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<i64> = None;
+        let mut f_2: Option<String> = None;
+        let mut f_3: Option<String> = None;
+        let mut f_4: Option<i64> = None;
+        let mut f_5: Option<bool> = None;
+        let mut f_6: Option<i32> = None;
+        let mut f_7: Option<i32> = None;
+        let mut f_8: Option<Vec<PromptPart>> = None;
+        let mut f_9: Option<Vec<i64>> = None;
+        let mut f_10: Option<String> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = i_prot.read_i64()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = i_prot.read_string()?;
+                    f_2 = Some(val);
+                }
+                3 => {
+                    let val = i_prot.read_string()?;
+                    f_3 = Some(val);
+                }
+                4 => {
+                    let val = i_prot.read_i64()?;
+                    f_4 = Some(val);
+                }
+                5 => {
+                    let val = i_prot.read_bool()?;
+                    f_5 = Some(val);
+                }
+                6 => {
+                    let val = i_prot.read_i32()?;
+                    f_6 = Some(val);
+                }
+                7 => {
+                    let val = i_prot.read_i32()?;
+                    f_7 = Some(val);
+                }
+                8 => {
+                    let list_ident = i_prot.read_list_begin()?;
+                    let mut val: Vec<PromptPart> = Vec::with_capacity(list_ident.size as usize);
+                    for _ in 0..list_ident.size {
+                        let list_elem_16 = PromptPart::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_16);
+                    }
+                    i_prot.read_list_end()?;
+                    f_8 = Some(val);
+                }
+                9 => {
+                    let list_ident = i_prot.read_list_begin()?;
+                    let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
+                    for _ in 0..list_ident.size {
+                        let list_elem_17 = i_prot.read_i64()?;
+                        val.push(list_elem_17);
+                    }
+                    i_prot.read_list_end()?;
+                    f_9 = Some(val);
+                }
+                10 => {
+                    let val = i_prot.read_string()?;
+                    f_10 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("DecisionQuery.number", &f_1)?;
+        verify_required_field_exists("DecisionQuery.service_name", &f_2)?;
+        verify_required_field_exists("DecisionQuery.cost", &f_4)?;
+        verify_required_field_exists("DecisionQuery.urgent", &f_5)?;
+        verify_required_field_exists("DecisionQuery.prompt_tokens", &f_6)?;
+        verify_required_field_exists("DecisionQuery.answer_tokens", &f_7)?;
+        verify_required_field_exists("DecisionQuery.parts", &f_8)?;
+        verify_required_field_exists("DecisionQuery.excluded", &f_9)?;
+        verify_required_field_exists("DecisionQuery.request", &f_10)?;
+        let ret = DecisionQuery {
+            number: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            service_name: f_2
+                .expect("auto-generated code should have checked for presence of required fields"),
+            team: f_3,
+            cost: f_4
+                .expect("auto-generated code should have checked for presence of required fields"),
+            urgent: f_5
+                .expect("auto-generated code should have checked for presence of required fields"),
+            prompt_tokens: f_6
+                .expect("auto-generated code should have checked for presence of required fields"),
+            answer_tokens: f_7
+                .expect("auto-generated code should have checked for presence of required fields"),
+            parts: f_8
+                .expect("auto-generated code should have checked for presence of required fields"),
+            excluded: f_9
+                .expect("auto-generated code should have checked for presence of required fields"),
+            request: f_10
+                .expect("auto-generated code should have checked for presence of required fields"),
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("DecisionQuery");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("number", TType::I64, 1))?;
+        o_prot.write_i64(self.number)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("service_name", TType::String, 2))?;
+        o_prot.write_string(&self.service_name)?;
+        o_prot.write_field_end()?;
+        if let Some(ref fld_var) = self.team {
+            o_prot.write_field_begin(&TFieldIdentifier::new("team", TType::String, 3))?;
+            o_prot.write_string(fld_var)?;
+            o_prot.write_field_end()?
+        }
+        o_prot.write_field_begin(&TFieldIdentifier::new("cost", TType::I64, 4))?;
+        o_prot.write_i64(self.cost)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("urgent", TType::Bool, 5))?;
+        o_prot.write_bool(self.urgent)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("prompt_tokens", TType::I32, 6))?;
+        o_prot.write_i32(self.prompt_tokens)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("answer_tokens", TType::I32, 7))?;
+        o_prot.write_i32(self.answer_tokens)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("parts", TType::List, 8))?;
+        o_prot.write_list_begin(&TListIdentifier::new(
+            TType::Struct,
+            self.parts.len() as i32,
+        ))?;
+        for e in &self.parts {
+            e.write_to_out_protocol(o_prot)?;
+        }
+        o_prot.write_list_end()?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("excluded", TType::List, 9))?;
+        o_prot.write_list_begin(&TListIdentifier::new(
+            TType::I64,
+            self.excluded.len() as i32,
+        ))?;
+        for e in &self.excluded {
+            o_prot.write_i64(*e)?;
+        }
+        o_prot.write_list_end()?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("request", TType::String, 10))?;
+        o_prot.write_string(&self.request)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
+//
+// PlacedAt
+//
+
+/// Where a request goes, as a coordinator decided.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct PlacedAt {
+    pub endpoint: String,
+    /// IP:PORT.
+    pub address: String,
+    /// Tokens it is expected to read.
+    pub unread_tokens: i32,
+    /// Hash of the prompt's shared beginning, 0 if it has none.
+    pub shared_prompt: i64,
+    /// Expected time to its first token, in milliseconds.
+    pub expected_ms: i32,
+    /// Expected time to its end, in milliseconds.
+    pub hold_ms: i32,
+    /// Endpoints that were weighed.
+    pub weighed: i32,
+}
+
+impl PlacedAt {
+    pub fn new(
+        endpoint: String,
+        address: String,
+        unread_tokens: i32,
+        shared_prompt: i64,
+        expected_ms: i32,
+        hold_ms: i32,
+        weighed: i32,
+    ) -> PlacedAt {
+        PlacedAt {
+            endpoint,
+            address,
+            unread_tokens,
+            shared_prompt,
+            expected_ms,
+            hold_ms,
+            weighed,
+        }
+    }
+}
+
+impl TSerializable for PlacedAt {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<PlacedAt> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<String> = None;
+        let mut f_2: Option<String> = None;
+        let mut f_3: Option<i32> = None;
+        let mut f_4: Option<i64> = None;
+        let mut f_5: Option<i32> = None;
+        let mut f_6: Option<i32> = None;
+        let mut f_7: Option<i32> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = i_prot.read_string()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = i_prot.read_string()?;
+                    f_2 = Some(val);
+                }
+                3 => {
+                    let val = i_prot.read_i32()?;
+                    f_3 = Some(val);
+                }
+                4 => {
+                    let val = i_prot.read_i64()?;
+                    f_4 = Some(val);
+                }
+                5 => {
+                    let val = i_prot.read_i32()?;
+                    f_5 = Some(val);
+                }
+                6 => {
+                    let val = i_prot.read_i32()?;
+                    f_6 = Some(val);
+                }
+                7 => {
+                    let val = i_prot.read_i32()?;
+                    f_7 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("PlacedAt.endpoint", &f_1)?;
+        verify_required_field_exists("PlacedAt.address", &f_2)?;
+        verify_required_field_exists("PlacedAt.unread_tokens", &f_3)?;
+        verify_required_field_exists("PlacedAt.shared_prompt", &f_4)?;
+        verify_required_field_exists("PlacedAt.expected_ms", &f_5)?;
+        verify_required_field_exists("PlacedAt.hold_ms", &f_6)?;
+        verify_required_field_exists("PlacedAt.weighed", &f_7)?;
+        let ret = PlacedAt {
+            endpoint: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            address: f_2
+                .expect("auto-generated code should have checked for presence of required fields"),
+            unread_tokens: f_3
+                .expect("auto-generated code should have checked for presence of required fields"),
+            shared_prompt: f_4
                 .expect("auto-generated code should have checked for presence of required fields"),
-            lease_epoch: f_7
+            expected_ms: f_5
                 .expect("auto-generated code should have checked for presence of required fields"),
-            peers: f_8
+            hold_ms: f_6
                 .expect("auto-generated code should have checked for presence of required fields"),
-            stopping: f_9
+            weighed: f_7
                 .expect("auto-generated code should have checked for presence of required fields"),
-            heads: f_10,
-            reaches_store: f_11,
-            uptime_ms: f_12,
-            lease: f_13,
-            lease_given_up: f_14,
         };
         Ok(ret)
     }
     fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
-        let struct_ident = TStructIdentifier::new("GatewayNews");
+        let struct_ident = TStructIdentifier::new("PlacedAt");
         o_prot.write_struct_begin(&struct_ident)?;
-        o_prot.write_field_begin(&TFieldIdentifier::new("gateway", TType::String, 1))?;
-        o_prot.write_string(&self.gateway)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("endpoint", TType::String, 1))?;
+        o_prot.write_string(&self.endpoint)?;
         o_prot.write_field_end()?;
-        o_prot.write_field_begin(&TFieldIdentifier::new("incarnation", TType::I64, 2))?;
-        o_prot.write_i64(self.incarnation)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("address", TType::String, 2))?;
+        o_prot.write_string(&self.address)?;
         o_prot.write_field_end()?;
-        o_prot.write_field_begin(&TFieldIdentifier::new("sequence", TType::I64, 3))?;
-        o_prot.write_i64(self.sequence)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("unread_tokens", TType::I32, 3))?;
+        o_prot.write_i32(self.unread_tokens)?;
         o_prot.write_field_end()?;
-        o_prot.write_field_begin(&TFieldIdentifier::new("dispatches", TType::List, 4))?;
-        o_prot.write_list_begin(&TListIdentifier::new(
-            TType::Struct,
-            self.dispatches.len() as i32,
-        ))?;
-        for e in &self.dispatches {
-            e.write_to_out_protocol(o_prot)?;
-        }
-        o_prot.write_list_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("shared_prompt", TType::I64, 4))?;
+        o_prot.write_i64(self.shared_prompt)?;
         o_prot.write_field_end()?;
-        o_prot.write_field_begin(&TFieldIdentifier::new("usage", TType::List, 5))?;
-        o_prot.write_list_begin(&TListIdentifier::new(
-            TType::Struct,
-            self.usage.len() as i32,
-        ))?;
-        for e in &self.usage {
-            e.write_to_out_protocol(o_prot)?;
-        }
-        o_prot.write_list_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("expected_ms", TType::I32, 5))?;
+        o_prot.write_i32(self.expected_ms)?;
         o_prot.write_field_end()?;
-        o_prot.write_field_begin(&TFieldIdentifier::new("taken", TType::Map, 6))?;
-        o_prot.write_map_begin(&TMapIdentifier::new(
-            TType::String,
-            TType::I64,
-            self.taken.len() as i32,
-        ))?;
-        for (k, v) in &self.taken {
-            o_prot.write_string(k)?;
-            o_prot.write_i64(*v)?;
-        }
-        o_prot.write_map_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("hold_ms", TType::I32, 6))?;
+        o_prot.write_i32(self.hold_ms)?;
         o_prot.write_field_end()?;
-        o_prot.write_field_begin(&TFieldIdentifier::new("lease_epoch", TType::I64, 7))?;
-        o_prot.write_i64(self.lease_epoch)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("weighed", TType::I32, 7))?;
+        o_prot.write_i32(self.weighed)?;
         o_prot.write_field_end()?;
-        o_prot.write_field_begin(&TFieldIdentifier::new("peers", TType::List, 8))?;
-        o_prot.write_list_begin(&TListIdentifier::new(
-            TType::String,
-            self.peers.len() as i32,
-        ))?;
-        for e in &self.peers {
-            o_prot.write_string(e)?;
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
+//
+// DecisionReply
+//
+
+/// Answer to a DecisionQuery.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct DecisionReply {
+    pub number: i64,
+    /// Set where the team's limit is used up: time to come back, in milliseconds. Nothing was charged.
+    pub retry_ms: Option<i64>,
+    /// Unset where no endpoint takes work, or the limit is used up.
+    pub placed: Option<PlacedAt>,
+}
+
+impl DecisionReply {
+    pub fn new<F2, F3>(number: i64, retry_ms: F2, placed: F3) -> DecisionReply
+    where
+        F2: Into<Option<i64>>,
+        F3: Into<Option<PlacedAt>>,
+    {
+        DecisionReply {
+            number,
+            retry_ms: retry_ms.into(),
+            placed: placed.into(),
         }
-        o_prot.write_list_end()?;
-        o_prot.write_field_end()?;
-        o_prot.write_field_begin(&TFieldIdentifier::new("stopping", TType::Bool, 9))?;
-        o_prot.write_bool(self.stopping)?;
-        o_prot.write_field_end()?;
-        if let Some(ref fld_var) = self.heads {
-            o_prot.write_field_begin(&TFieldIdentifier::new("heads", TType::List, 10))?;
-            o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, fld_var.len() as i32))?;
-            for e in fld_var {
-                e.write_to_out_protocol(o_prot)?;
+    }
+}
+
+impl TSerializable for DecisionReply {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<DecisionReply> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<i64> = None;
+        let mut f_2: Option<i64> = None;
+        let mut f_3: Option<PlacedAt> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
             }
-            o_prot.write_list_end()?;
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = i_prot.read_i64()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = i_prot.read_i64()?;
+                    f_2 = Some(val);
+                }
+                3 => {
+                    let val = PlacedAt::read_from_in_protocol(i_prot)?;
+                    f_3 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("DecisionReply.number", &f_1)?;
+        let ret = DecisionReply {
+            number: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            retry_ms: f_2,
+            placed: f_3,
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("DecisionReply");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("number", TType::I64, 1))?;
+        o_prot.write_i64(self.number)?;
+        o_prot.write_field_end()?;
+        if let Some(fld_var) = self.retry_ms {
+            o_prot.write_field_begin(&TFieldIdentifier::new("retry_ms", TType::I64, 2))?;
+            o_prot.write_i64(fld_var)?;
             o_prot.write_field_end()?
         }
-        if let Some(fld_var) = self.reaches_store {
-            o_prot.write_field_begin(&TFieldIdentifier::new("reaches_store", TType::Bool, 11))?;
-            o_prot.write_bool(fld_var)?;
+        if let Some(ref fld_var) = self.placed {
+            o_prot.write_field_begin(&TFieldIdentifier::new("placed", TType::Struct, 3))?;
+            fld_var.write_to_out_protocol(o_prot)?;
             o_prot.write_field_end()?
         }
-        if let Some(fld_var) = self.uptime_ms {
-            o_prot.write_field_begin(&TFieldIdentifier::new("uptime_ms", TType::I64, 12))?;
-            o_prot.write_i64(fld_var)?;
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
+//
+// GiveBack
+//
+
+/// Units that were charged by a coordinator and not used.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct GiveBack {
+    pub team: String,
+    pub units: i64,
+}
+
+impl GiveBack {
+    pub fn new(team: String, units: i64) -> GiveBack {
+        GiveBack { team, units }
+    }
+}
+
+impl TSerializable for GiveBack {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<GiveBack> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<String> = None;
+        let mut f_2: Option<i64> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = i_prot.read_string()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = i_prot.read_i64()?;
+                    f_2 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("GiveBack.team", &f_1)?;
+        verify_required_field_exists("GiveBack.units", &f_2)?;
+        let ret = GiveBack {
+            team: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            units: f_2
+                .expect("auto-generated code should have checked for presence of required fields"),
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("GiveBack");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("team", TType::String, 1))?;
+        o_prot.write_string(&self.team)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("units", TType::I64, 2))?;
+        o_prot.write_i64(self.units)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
+//
+// Decision
+//
+
+/// A datagram to a coordinator, or its answer; one field is set.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Decision {
+    pub query: Option<DecisionQuery>,
+    pub reply: Option<DecisionReply>,
+    pub give_back: Option<GiveBack>,
+}
+
+impl Decision {
+    pub fn new<F1, F2, F3>(query: F1, reply: F2, give_back: F3) -> Decision
+    where
+        F1: Into<Option<DecisionQuery>>,
+        F2: Into<Option<DecisionReply>>,
+        F3: Into<Option<GiveBack>>,
+    {
+        Decision {
+            query: query.into(),
+            reply: reply.into(),
+            give_back: give_back.into(),
+        }
+    }
+}
+
+impl TSerializable for Decision {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Decision> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<DecisionQuery> = None;
+        let mut f_2: Option<DecisionReply> = None;
+        let mut f_3: Option<GiveBack> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = DecisionQuery::read_from_in_protocol(i_prot)?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = DecisionReply::read_from_in_protocol(i_prot)?;
+                    f_2 = Some(val);
+                }
+                3 => {
+                    let val = GiveBack::read_from_in_protocol(i_prot)?;
+                    f_3 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        let ret = Decision {
+            query: f_1,
+            reply: f_2,
+            give_back: f_3,
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("Decision");
+        o_prot.write_struct_begin(&struct_ident)?;
+        if let Some(ref fld_var) = self.query {
+            o_prot.write_field_begin(&TFieldIdentifier::new("query", TType::Struct, 1))?;
+            fld_var.write_to_out_protocol(o_prot)?;
             o_prot.write_field_end()?
         }
-        if let Some(ref fld_var) = self.lease {
-            o_prot.write_field_begin(&TFieldIdentifier::new("lease", TType::Struct, 13))?;
+        if let Some(ref fld_var) = self.reply {
+            o_prot.write_field_begin(&TFieldIdentifier::new("reply", TType::Struct, 2))?;
             fld_var.write_to_out_protocol(o_prot)?;
             o_prot.write_field_end()?
         }
-        if let Some(fld_var) = self.lease_given_up {
-            o_prot.write_field_begin(&TFieldIdentifier::new("lease_given_up", TType::I64, 14))?;
-            o_prot.write_i64(fld_var)?;
+        if let Some(ref fld_var) = self.give_back {
+            o_prot.write_field_begin(&TFieldIdentifier::new("give_back", TType::Struct, 3))?;
+            fld_var.write_to_out_protocol(o_prot)?;
             o_prot.write_field_end()?
         }
         o_prot.write_field_stop()?;
@@ -2579,6 +3561,16 @@
     }
 }
 
+impl Default for Decision {
+    fn default() -> Self {
+        Decision {
+            query: None,
+            reply: None,
+            give_back: None,
+        }
+    }
+}
+
 //
 // RowsQuery
 //
@@ -2776,8 +3768,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<RowChange> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_15 = RowChange::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_15);
+                        let list_elem_18 = RowChange::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_18);
                     }
                     i_prot.read_list_end()?;
                     f_1 = Some(val);
@@ -2842,13 +3834,23 @@
     pub address: String,
     /// Start of its process, in milliseconds since 1970.
     pub incarnation: i64,
+    /// Its data hall.
+    pub hall: Option<String>,
+    /// Processor of its VM, in thousandths of a core.
+    pub cores_milli: Option<i32>,
 }
 
 impl GatewayRow {
-    pub fn new(address: String, incarnation: i64) -> GatewayRow {
+    pub fn new<F3, F4>(address: String, incarnation: i64, hall: F3, cores_milli: F4) -> GatewayRow
+    where
+        F3: Into<Option<String>>,
+        F4: Into<Option<i32>>,
+    {
         GatewayRow {
             address,
             incarnation,
+            hall: hall.into(),
+            cores_milli: cores_milli.into(),
         }
     }
 }
@@ -2858,6 +3860,8 @@
         i_prot.read_struct_begin()?;
         let mut f_1: Option<String> = None;
         let mut f_2: Option<i64> = None;
+        let mut f_3: Option<String> = None;
+        let mut f_4: Option<i32> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -2873,6 +3877,14 @@
                     let val = i_prot.read_i64()?;
                     f_2 = Some(val);
                 }
+                3 => {
+                    let val = i_prot.read_string()?;
+                    f_3 = Some(val);
+                }
+                4 => {
+                    let val = i_prot.read_i32()?;
+                    f_4 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -2887,6 +3899,8 @@
                 .expect("auto-generated code should have checked for presence of required fields"),
             incarnation: f_2
                 .expect("auto-generated code should have checked for presence of required fields"),
+            hall: f_3,
+            cores_milli: f_4,
         };
         Ok(ret)
     }
@@ -2899,6 +3913,16 @@
         o_prot.write_field_begin(&TFieldIdentifier::new("incarnation", TType::I64, 2))?;
         o_prot.write_i64(self.incarnation)?;
         o_prot.write_field_end()?;
+        if let Some(ref fld_var) = self.hall {
+            o_prot.write_field_begin(&TFieldIdentifier::new("hall", TType::String, 3))?;
+            o_prot.write_string(fld_var)?;
+            o_prot.write_field_end()?
+        }
+        if let Some(fld_var) = self.cores_milli {
+            o_prot.write_field_begin(&TFieldIdentifier::new("cores_milli", TType::I32, 4))?;
+            o_prot.write_i32(fld_var)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -2935,9 +3959,9 @@
                     let map_ident = i_prot.read_map_begin()?;
                     let mut val: BTreeMap<String, i64> = BTreeMap::new();
                     for _ in 0..map_ident.size {
-                        let map_key_16 = i_prot.read_string()?;
-                        let map_val_17 = i_prot.read_i64()?;
-                        val.insert(map_key_16, map_val_17);
+                        let map_key_19 = i_prot.read_string()?;
+                        let map_val_20 = i_prot.read_i64()?;
+                        val.insert(map_key_19, map_val_20);
                     }
                     i_prot.read_map_end()?;
                     f_1 = Some(val);
--- a/components/schema/src/settings.rs
+++ b/components/schema/src/settings.rs
@@ -1346,6 +1346,10 @@
     pub usage_due_ms: i64,
     /// Time within which a change of the configuration is to be in force, in milliseconds.
     pub change_due_ms: i64,
+    /// Processor of the VM, in thousandths of a core.
+    pub cores_milli: i32,
+    /// UDP address at which this gateway decides for others of its hall, IP:PORT.
+    pub decisions: String,
 }
 
 impl GatewaySettings {
@@ -1373,6 +1377,8 @@
         usage_window_ms: i64,
         usage_due_ms: i64,
         change_due_ms: i64,
+        cores_milli: i32,
+        decisions: String,
     ) -> GatewaySettings {
         GatewaySettings {
             name,
@@ -1398,6 +1404,8 @@
             usage_window_ms,
             usage_due_ms,
             change_due_ms,
+            cores_milli,
+            decisions,
         }
     }
 }
@@ -1428,6 +1436,8 @@
         let mut f_21: Option<i64> = None;
         let mut f_22: Option<i64> = None;
         let mut f_23: Option<i64> = None;
+        let mut f_24: Option<i32> = None;
+        let mut f_25: Option<String> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -1533,6 +1543,14 @@
                     let val = i_prot.read_i64()?;
                     f_23 = Some(val);
                 }
+                24 => {
+                    let val = i_prot.read_i32()?;
+                    f_24 = Some(val);
+                }
+                25 => {
+                    let val = i_prot.read_string()?;
+                    f_25 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -1563,6 +1581,8 @@
         verify_required_field_exists("GatewaySettings.usage_window_ms", &f_21)?;
         verify_required_field_exists("GatewaySettings.usage_due_ms", &f_22)?;
         verify_required_field_exists("GatewaySettings.change_due_ms", &f_23)?;
+        verify_required_field_exists("GatewaySettings.cores_milli", &f_24)?;
+        verify_required_field_exists("GatewaySettings.decisions", &f_25)?;
         let ret = GatewaySettings {
             name: f_1
                 .expect("auto-generated code should have checked for presence of required fields"),
@@ -1610,6 +1630,10 @@
                 .expect("auto-generated code should have checked for presence of required fields"),
             change_due_ms: f_23
                 .expect("auto-generated code should have checked for presence of required fields"),
+            cores_milli: f_24
+                .expect("auto-generated code should have checked for presence of required fields"),
+            decisions: f_25
+                .expect("auto-generated code should have checked for presence of required fields"),
         };
         Ok(ret)
     }
@@ -1692,6 +1716,12 @@
         o_prot.write_field_begin(&TFieldIdentifier::new("change_due_ms", TType::I64, 23))?;
         o_prot.write_i64(self.change_due_ms)?;
         o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("cores_milli", TType::I32, 24))?;
+        o_prot.write_i32(self.cores_milli)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("decisions", TType::String, 25))?;
+        o_prot.write_string(&self.decisions)?;
+        o_prot.write_field_end()?;
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
--- a/components/schema/thrift/messages.thrift
+++ b/components/schema/thrift/messages.thrift
@@ -251,6 +251,105 @@
   13: optional LeaseTold lease,
   /** Newest epoch of the lease that the sender gave up; it has no order of that epoch under way. */
   14: optional i64 lease_given_up,
+  /** Data hall of the sender. */
+  15: optional string hall,
+  /** Processor of the sender's VM, in thousandths of a core. */
+  16: optional i32 cores_milli,
+  /** Whether the sender decides for gateways of its hall. */
+  17: optional bool coordinates,
+  /** UDP port at which the sender decides for others. */
+  18: optional i32 decisions_port,
+  /** Gateways of the sender's hall, as a coordinator knows them. */
+  19: optional HallCount hall_count,
+  /** Gateways of all halls that may be running, as a coordinator knows them. */
+  20: optional i32 gateways,
+  /** Coordinator that the sender asks first. */
+  21: optional string asks,
+  /** Usage of gateways for which the sender decides. */
+  22: optional list<SourceUsage> forwarded,
+}
+
+/** Gateways of one data hall, the sender included. */
+struct HallCount {
+  1: required i32 heard,
+  /** Heard before and silent now, or listed and not heard yet. */
+  2: required i32 silent,
+}
+
+/** Usage of one process in one window, passed on for it. */
+struct SourceUsage {
+  1: required string gateway,
+  /** Start of its process, in milliseconds since 1970. */
+  2: required i64 incarnation,
+  3: required WindowUsage usage,
+}
+
+/** One part of a prompt. */
+struct PromptPart {
+  1: required i64 id,
+  2: required i32 tokens,
+}
+
+/** Asks a coordinator to charge a request to its team and to place it. */
+struct DecisionQuery {
+  /** Chosen by the sender; the reply echoes it. */
+  1: required i64 number,
+  /** Service that runs the request. */
+  2: required string service_name,
+  /** Team whose limit is charged; none where nothing is to be charged. */
+  3: optional string team,
+  /** Units of the team's limit. */
+  4: required i64 cost,
+  /** Whether the request comes first where the limit is short. */
+  5: required bool urgent,
+  /** Tokens of the whole prompt, 0 for a plain request. */
+  6: required i32 prompt_tokens,
+  /** Tokens of the answer as far as can be guessed, 0 if unknown. */
+  7: required i32 answer_tokens,
+  8: required list<PromptPart> parts,
+  /** Hashes of endpoints that are not to be used. */
+  9: required list<i64> excluded,
+  /** Id of the request, for logs. */
+  10: required string request,
+}
+
+/** Where a request goes, as a coordinator decided. */
+struct PlacedAt {
+  1: required string endpoint,
+  /** IP:PORT. */
+  2: required string address,
+  /** Tokens it is expected to read. */
+  3: required i32 unread_tokens,
+  /** Hash of the prompt's shared beginning, 0 if it has none. */
+  4: required i64 shared_prompt,
+  /** Expected time to its first token, in milliseconds. */
+  5: required i32 expected_ms,
+  /** Expected time to its end, in milliseconds. */
+  6: required i32 hold_ms,
+  /** Endpoints that were weighed. */
+  7: required i32 weighed,
+}
+
+/** Answer to a DecisionQuery. */
+struct DecisionReply {
+  1: required i64 number,
+  /** Set where the team's limit is used up: time to come back, in milliseconds. Nothing was charged. */
+  2: optional i64 retry_ms,
+  /** Unset where no endpoint takes work, or the limit is used up. */
+  3: optional PlacedAt placed,
+}
+
+/** Units that were charged by a coordinator and not used. */
+struct GiveBack {
+  1: required string team,
+  2: required i64 units,
+}
+
+/** A datagram to a coordinator, or its answer; one field is set. */
+struct Decision {
+  1: optional DecisionQuery query,
+  2: optional DecisionReply reply,
+  3: optional GiveBack give_back,
 }
 
 /** Asks another gateway for the rows of a topic. */
@@ -282,6 +381,10 @@
   1: required string address,
   /** Start of its process, in milliseconds since 1970. */
   2: required i64 incarnation,
+  /** Its data hall. */
+  3: optional string hall,
+  /** Processor of its VM, in thousandths of a core. */
+  4: optional i32 cores_milli,
 }
 
 /** Row of one usage window: what is reported for it, whoever reports. */
--- a/components/schema/thrift/settings.thrift
+++ b/components/schema/thrift/settings.thrift
@@ -188,4 +188,8 @@
   22: required i64 usage_due_ms,
   /** Time within which a change of the configuration is to be in force, in milliseconds. */
   23: required i64 change_due_ms,
+  /** Processor of the VM, in thousandths of a core. */
+  24: required i32 cores_milli,
+  /** UDP address at which this gateway decides for others of its hall, IP:PORT. */
+  25: required string decisions,
 }
--- a/components/settings/src/gateway.rs
+++ b/components/settings/src/gateway.rs
@@ -15,6 +15,8 @@
 const DESCRIPTORS: Unit = Unit::count(64, 1 << 20);
 /// Shares such as 0.2, kept in thousandths.
 const SHARE: Unit = Unit::of("", 1000, 0, 1000);
+/// Cores such as 0.25, kept in thousandths.
+const CORES: Unit = Unit::of("", 1000, 1, 1_024_000);
 const COUNT: Unit = Unit::count(0, i32::MAX as i64);
 const UNITS: Unit = Unit::count(0, i64::MAX);
 /// Names of duties in the list `duties`.
@@ -32,6 +34,7 @@
         let message = format!("`{peers}` is no address");
         r.fault("gateway", "peer_ports", &message, "write FIRST,LAST");
     }
+    let decisions = decisions_address(&ports, &address);
     let duties = r.list("orders", "duties", Some(""));
     let settings = GatewaySettings {
         name: r.text("gateway", "name", None),
@@ -57,10 +60,22 @@
         usage_window_ms: r.number(("bounds", "usage_window"), Some("5s"), SECONDS),
         usage_due_ms: r.number(("bounds", "usage_due"), Some("10s"), SECONDS),
         change_due_ms: r.number(("bounds", "change_due"), Some("2000ms"), CHANGE_TIME),
+        cores_milli: r.number(("gateway", "cores"), Some("1"), CORES) as i32,
+        decisions,
     };
     r.finish(settings)
 }
 
+// The second of the peer ports; any free one where there is no second.
+fn decisions_address(ports: &[String], address: &str) -> String {
+    let port = |i: usize| ports.get(i).and_then(|port| port.parse::<u16>().ok());
+    let second = match (port(0), port(1)) {
+        (Some(first), Some(last)) if first < last => first + 1,
+        _ => 0,
+    };
+    format!("{address}:{second}")
+}
+
 fn has(duties: &[String], name: &str) -> bool {
     duties.iter().any(|duty| duty == name)
 }
--- a/components/settings/tests/gateway.rs
+++ b/components/settings/tests/gateway.rs
@@ -12,12 +12,24 @@
 fn a_gateway_is_read_with_its_derived_addresses() {
     let read = read_gateway("g.ini", GOOD).unwrap();
     assert_eq!(read.peers, "10.1.0.14:7600");
+    assert_eq!(read.decisions, "10.1.0.14:7601");
+    assert_eq!(read.cores_milli, 1000);
     assert_eq!(read.metrics, "10.1.0.14:7610");
     assert_eq!(read.seeds, ["10.2.0.4:7600", "10.3.0.34:7600"]);
     assert!(read.reports_usage && read.orders_endpoints);
     assert_eq!(read.repeats_milli, 200);
 }
 
+#[test]
+fn decisions_take_any_free_port_where_there_is_only_one_for_gateways() {
+    let text = GOOD
+        .replace("7600,7615", "7600,7600")
+        .replace("zone = z", "zone = z\ncores = 0.12");
+    let read = read_gateway("g.ini", &text).unwrap();
+    assert_eq!(read.decisions, "10.1.0.14:0");
+    assert_eq!(read.cores_milli, 120);
+}
+
 #[test]
 fn every_fault_is_named_with_its_remedy() {
     let text = GOOD
--- a/components/usage/src/ledger.rs
+++ b/components/usage/src/ledger.rs
@@ -45,6 +45,11 @@
             .unwrap_or_default()
     }
 
+    /// Counts of all processes in a window.
+    pub fn sources(&self, window: i64) -> impl Iterator<Item = (&Source, &Counts)> {
+        self.windows.get(&window).into_iter().flatten()
+    }
+
     /// The sum over all processes.
     pub fn total(&self, window: i64) -> Counts {
         let mut total = Counts::new();
--- a/components/usage/src/lib.rs
+++ b/components/usage/src/lib.rs
@@ -3,8 +3,10 @@
 //! Each gateway tells its counts as totals of its process, so that a message that is lost or comes
 //! twice changes nothing. Pure: time comes in as values.
 
+mod forwarding;
 mod ledger;
 mod reporter;
 
-pub use ledger::{Ledger, Source};
+pub use forwarding::Forwarding;
+pub use ledger::{Counts, Ledger, Source};
 pub use reporter::{Report, Reporter, Step, Terms};
