Count an address that is tried only until the store's list is read

Ruled out: lost reports (all 294 were heard throughout). Change: tried addresses count until the list is read; only coordinators' addresses are passed on. Test: an_address_that_is_tried_counts_only_until_the_stores_list_is_read (fails before). Not measured yet on its own.

--- a/components/gateway/src/control/telling.rs
+++ b/components/gateway/src/control/telling.rs
@@ -125,7 +125,7 @@
             taken: known.told_totals(content),
             lease_epoch: known.lease.may_order(now).unwrap_or(0),
             peers: match says_more {
-                true => known.told_addresses(),
+                true => known.told_addresses(now),
                 false => Vec::new(),
             },
             stopping: self.freshness.is_stopping(),
@@ -200,9 +200,9 @@
         told
     }
 
-    fn told_addresses(&self) -> Vec<String> {
+    fn told_addresses(&self, now: Duration) -> Vec<String> {
         let turn = self.telling.sequence as usize;
-        let addresses = self.peers.addresses(turn, MOST_ADDRESSES);
+        let addresses = self.peers.addresses(now, turn, MOST_ADDRESSES);
         addresses.iter().map(SocketAddr::to_string).collect()
     }
 }
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -236,9 +236,10 @@
         self.addresses.keys().copied().collect()
     }
 
-    /// Addresses of gateways that were heard, at most `most`, beginning at one by `turn`.
-    pub fn addresses(&self, turn: usize, most: usize) -> Vec<SocketAddr> {
-        let heard = self.peers.values().filter(|peer| peer.heard.is_some());
+    /// Addresses of coordinators that are heard, at most `most`, beginning at one by `turn`: whoever starts
+    /// finds all others through them.
+    pub fn addresses(&self, now: Duration, turn: usize, most: usize) -> Vec<SocketAddr> {
+        let heard = self.peers.values().filter(|peer| peer.coordinates(now));
         let all: Vec<SocketAddr> = heard.map(|peer| peer.address).collect();
         let count = all.len().min(most);
         let at = |i: usize| all[(turn * most + i) % all.len()];
--- a/components/gateway/src/peers/halls.rs
+++ b/components/gateway/src/peers/halls.rs
@@ -159,7 +159,11 @@
             heard += count.heard;
             silent += count.silent;
         }
-        silent += self.addresses.len();
+        // Once the store's list is read, an address that is tried is one of a gateway counted already, or of one
+        // that was gone before.
+        if !self.listed {
+            silent += self.addresses.len();
+        }
         if !self.listed && heard == 0 {
             silent = silent.max(ASSUMED);
         }
--- a/components/gateway/tests/peers.rs
+++ b/components/gateway/tests/peers.rs
@@ -65,6 +65,16 @@
     assert_eq!(peers.count(ms(1)).heard_part(), 2.0 / 8.0);
 }
 
+#[test]
+fn an_address_that_is_tried_counts_only_until_the_stores_list_is_read() {
+    let mut peers = peers();
+    peers.learn(ms(0), address(9));
+    peers.hear(ms(1), greeting("b", 1, 1));
+    assert_eq!(peers.count(ms(1)).silent, 1);
+    peers.listed(ms(2), [listed(1), listed(2)].into_iter());
+    assert_eq!(peers.count(ms(2)).silent, 0);
+}
+
 #[test]
 fn the_address_of_a_gateway_that_is_heard_is_nobody_else() {
     let mut peers = peers();
