--- a/components/gateway/src/control/forwarding.rs
+++ b/components/gateway/src/control/forwarding.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use schema::messages::SourceUsage;
+use slog::info;
 use tokio::net::UdpSocket;
 
 use crate::control::telling::Content;
@@ -29,7 +30,12 @@
             return None;
         }
         let windows = known.forwarding.due(self.clock.wall(), epoch);
-        let told = self.usage_to_pass_on(&known, now, windows);
+        if windows.is_empty() {
+            return None;
+        }
+        let told = self.usage_to_pass_on(&known, now, &windows);
+        info!(self.log, "usage passed on"; "windows" => ?windows, "sources" => told.len(),
+            "holder" => %holder, "epoch" => epoch);
         let mut messages = Vec::new();
         for some in told.chunks(news::MOST_FORWARDED) {
             let mut message = self.message_of(&mut known, now, Content::Requests);
@@ -39,15 +45,10 @@
         Some((holder, messages))
     }
 
-    fn usage_to_pass_on(
-        &self,
-        known: &Known,
-        now: Duration,
-        windows: Vec<i64>,
-    ) -> Vec<SourceUsage> {
+    fn usage_to_pass_on(&self, known: &Known, now: Duration, windows: &[i64]) -> Vec<SourceUsage> {
         let own = &self.source.gateway;
         let mut told = Vec::new();
-        for window in windows {
+        for window in windows.iter().copied() {
             let sources = known.ledger.sources(window);
             let passed_on =
                 sources.filter(|(source, _)| known.peers.passes_on_for(now, own, &source.gateway));
