Take small changes of the configuration from coordinators

Ruled out: stale confirmations (digests come each half second). Change: by the size of the last rows: up to 32 KB other gateways are asked first, beyond that the store as before. Test: a_small_change_of_the_configuration_is_taken_from_a_coordinator (fails with the limit at 0).

--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -275,7 +275,7 @@
         .collect()
 }
 
-// A configuration is large, and changes seldom.
+// Until its size is known, a configuration is taken to be large.
 fn follow(topic: Topic, settings: &GatewaySettings) -> Followed {
     let first = match topic {
         Topic::Configuration => AskFirst::Store,
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use replica::{Change, Follower, Step, Table, Told};
+use replica::{Change, Follower, Source as AskFirst, Step, Table, Told};
 use slog::{info, warn};
 use telemetry::Counter;
 use tokio::sync::Notify;
@@ -21,6 +21,9 @@
 /// Pause of a gateway that does not coordinate after it took changes of endpoints: it uses them only when no
 /// coordinator answers. It is well within the time that a leaving endpoint goes on serving (2 s).
 const PULL_PAUSE: Duration = Duration::from_secs(1);
+/// Largest row that is taken from another gateway rather than from the store, in bytes: a third of the gateways
+/// of a hall of 60 take it from one coordinator, half a second on a link of 10 Mbit/s.
+const MOST_PASSED_ON: usize = 32 << 10;
 /// A call of the store is given up so long after another gateway told of a change.
 const OVERTAKEN_TIME: Duration = Duration::from_millis(300);
 /// Gateways that hold calls at the store: one may be cut off or die unnoticed.
@@ -192,6 +195,9 @@
             };
             let known_to = followed.table.known_to().unwrap_or(0);
             followed.follower.caught_up(known_to);
+            if let Some(bytes) = largest(&news) {
+                followed.follower.set_first(first_asked(bytes));
+            }
             news
         };
         for change in &news {
@@ -324,6 +330,19 @@
     }
 }
 
+fn largest(changes: &[Change]) -> Option<usize> {
+    let values = changes.iter().filter_map(|change| change.value.as_ref());
+    values.map(Vec::len).max()
+}
+
+// Large rows would fill the links between gateways; the next change is taken to be as large as the last one.
+fn first_asked(bytes: usize) -> AskFirst {
+    match bytes <= MOST_PASSED_ON {
+        true => AskFirst::Peer,
+        false => AskFirst::Store,
+    }
+}
+
 fn change_of(row: Row) -> Change {
     Change {
         key: row.key,
--- a/components/gateway/tests/common/store.rs
+++ b/components/gateway/tests/common/store.rs
@@ -1,7 +1,7 @@
 //! A store in memory that can be cut off, and orders that are only noted.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -34,6 +34,7 @@
     state: Arc<Mutex<State>>,
     refuses: Arc<AtomicBool>,
     says_nothing: Arc<AtomicBool>,
+    configuration_asks: Arc<AtomicU64>,
     started: Instant,
 }
 
@@ -43,6 +44,7 @@
             state: Arc::default(),
             refuses: Arc::default(),
             says_nothing: Arc::default(),
+            configuration_asks: Arc::default(),
             started: Instant::now(),
         }
     }
@@ -73,6 +75,7 @@
         StoreStandin {
             refuses: Arc::default(),
             says_nothing: Arc::default(),
+            configuration_asks: Arc::default(),
             ..self.clone()
         }
     }
@@ -115,6 +118,17 @@
         self.state.lock().unwrap().lease_looks
     }
 
+    /// Calls of this gateway that asked for the configuration.
+    pub fn configuration_asks(&self) -> u64 {
+        self.configuration_asks.load(Ordering::Relaxed)
+    }
+
+    fn count_ask(&self, topic: Topic) {
+        if topic == Topic::Configuration {
+            self.configuration_asks.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
     fn enter(&self) -> Result<std::sync::MutexGuard<'_, State>, StoreError> {
         match self.refuses.load(Ordering::Relaxed) {
             true => Err(StoreError::Refused),
@@ -174,6 +188,7 @@
 
 impl Store for StoreStandin {
     async fn list(&self, topic: Topic) -> Result<Rows, StoreError> {
+        self.count_ask(topic);
         self.answer_or_say_nothing().await;
         let state = self.enter()?;
         Ok(self.rows(&state, topic, 0, false))
@@ -186,6 +201,7 @@
     }
 
     async fn changes(&self, topic: Topic, after: u64, wait: Duration) -> Result<Rows, StoreError> {
+        self.count_ask(topic);
         let began = Instant::now();
         loop {
             self.answer_or_say_nothing().await;
--- a/components/gateway/tests/coordinating.rs
+++ b/components/gateway/tests/coordinating.rs
@@ -19,6 +19,8 @@
         name: name.into(),
         cores_milli,
         seeds,
+        // Only what is told makes a gateway ask the store.
+        change_due_ms: 60_000,
         ..settings()
     }
 }
@@ -86,3 +88,19 @@
         asking.call("/a/1", &["x-key: k"]).status == 200
     });
 }
+
+#[test]
+fn a_small_change_of_the_configuration_is_taken_from_a_coordinator() {
+    let standin = EndpointStandin::start(|_, e| e.answer(200, "x"));
+    let store = limited_store(&standin);
+    let (_coordinators, asking) = four(&store);
+    let asks_before = asking.store.configuration_asks();
+    let route = route("/new/", Execution::Repeatable);
+    let mut changed = configuration(2, vec![route]);
+    changed.tenants = vec![tenant("t", "k")];
+    store.put_configuration(changed);
+    wait_until("the new route", || {
+        asking.call("/new/1", &["x-key: k"]).status == 200
+    });
+    assert_eq!(asking.store.configuration_asks(), asks_before);
+}
--- a/components/replica/src/follower.rs
+++ b/components/replica/src/follower.rs
@@ -86,6 +86,11 @@
         self.stale = change_due.mul_f64(STALE_PART);
     }
 
+    /// Sets who is asked first for a change that another gateway told of.
+    pub fn set_first(&mut self, first: Source) {
+        self.first = first;
+    }
+
     /// The next step. `watches` says whether this gateway is one of those that hold calls at the
     /// store, `known` whether any rows were taken yet.
     pub fn step(&self, now: Duration, watches: bool, known: bool) -> Step {
