--- a/components/gateway/tests/coordinating.rs
+++ b/components/gateway/tests/coordinating.rs
@@ -94,13 +94,21 @@
     let standin = EndpointStandin::start(|_, e| e.answer(200, "x"));
     let store = limited_store(&standin);
     let (_coordinators, asking) = four(&store);
-    let asks_before = asking.store.configuration_asks();
-    let route = route("/new/", Execution::Repeatable);
-    let mut changed = configuration(2, vec![route]);
-    changed.tenants = vec![tenant("t", "k")];
-    store.put_configuration(changed);
-    wait_until("the new route", || {
-        asking.call("/new/1", &["x-key: k"]).status == 200
+    wait_until("the whole limit", || {
+        served_in_a_second(&asking) as f64 >= LIMIT * 0.75
     });
+    let change = |version: u64, prefix: &str| {
+        let mut changed = configuration(version, vec![route(prefix, Execution::Repeatable)]);
+        changed.tenants = vec![tenant("t", "k")];
+        store.put_configuration(changed);
+        wait_until("the new route", || {
+            let path = format!("{prefix}1");
+            asking.call(&path, &["x-key: k"]).status == 200
+        });
+    };
+    // The first change ends a call that was held at the store before the coordinators were found.
+    change(2, "/second/");
+    let asks_before = asking.store.configuration_asks();
+    change(3, "/third/");
     assert_eq!(asking.store.configuration_asks(), asks_before);
 }
