Show operators which way a request takes

Cause: the users can no longer say which route carries a reply; with 1,400 routes more they searched the file by hand.

--- a/components/directory/src/lib.rs
+++ b/components/directory/src/lib.rs
@@ -5,6 +5,7 @@
 mod clock;
 mod configuration;
 mod endpoint;
+mod explanation;
 mod lookup;
 
 pub use clock::StoreClock;
@@ -12,4 +13,5 @@
     CallerBounds, Configuration, Engine, Execution, Quota, Route, Scaling, Service, Share, Tenant,
 };
 pub use endpoint::{Endpoint, EndpointState};
+pub use explanation::{Explanation, NoWay, ServiceShare, Way};
 pub use lookup::{Directory, Lookup};
--- a/components/directory/src/lookup.rs
+++ b/components/directory/src/lookup.rs
@@ -75,12 +75,21 @@
     }
 
     fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let mut routes = self.indexes_of(host)?.iter();
+        let route = |index: &usize| &self.configuration.routes[*index];
+        let index = routes.find(|index| path.starts_with(&route(index).prefix))?;
+        Some(route(index))
+    }
+
+    /// Routes of a host, the longest prefix first; `None` if no route names it.
+    pub fn routes_of(&self, host: &str) -> Option<Vec<&Route>> {
+        let indexes = self.indexes_of(host)?.iter();
+        Some(indexes.map(|i| &self.configuration.routes[*i]).collect())
+    }
+
+    fn indexes_of(&self, host: &str) -> Option<&Vec<usize>> {
         let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
-        let routes = self.hosts.get(&name.to_ascii_lowercase())?;
-        let mut routes = routes
-            .iter()
-            .map(|index| &self.configuration.routes[*index]);
-        routes.find(|route| path.starts_with(&route.prefix))
+        self.hosts.get(&name.to_ascii_lowercase())
     }
 
     fn tenant_of(&self, key: &str) -> Option<&Tenant> {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -25,6 +25,7 @@
     Explain(Explain),
     Config(Config),
     Replay(Replay),
+    Routes(Routes),
 }
 
 /// run an entry node until SIGTERM or SIGINT, then stop as planned
@@ -69,6 +70,21 @@
     pub configuration: Option<String>,
 }
 
+/// show which route, service and data hall a request takes on the users' platform
+#[derive(FromArgs)]
+#[argh(subcommand, name = "routes")]
+pub struct Routes {
+    /// host that the request names
+    #[argh(positional)]
+    pub host: String,
+    /// path of the request, without its query
+    #[argh(positional)]
+    pub path: String,
+    /// address of the platform's store, IP:PORT
+    #[argh(option)]
+    pub store: String,
+}
+
 /// show what a node knows of itself, its endpoints and the fleet
 #[derive(FromArgs)]
 #[argh(subcommand, name = "status")]
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,6 +7,7 @@
 mod operator;
 mod quickstart;
 mod replay;
+mod routes;
 mod serve;
 mod signals;
 mod status;
@@ -54,6 +55,7 @@
         Command::Explain(args) => explain::run(&args),
         Command::Config(args) => config::run(&args.command),
         Command::Replay(args) => replay::run(&args),
+        Command::Routes(args) => routes::run(&args),
     }
 }
 
--- /dev/null
+++ b/src/cmd/routes.rs
@@ -0,0 +1,61 @@
+//! `croftpond routes`: which route, service and data hall a request takes on the users' platform.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use directory::{Directory, Endpoint};
+use error_stack::{Report, ResultExt};
+use gateway::ports::{Row, Store, Topic};
+use platform::MetadataStore;
+use tokio::runtime::Builder;
+
+use super::{CommandError, Outcome, EXIT_FAILED};
+use crate::cli::Routes;
+
+const NO_ANSWER: CommandError =
+    CommandError("the store gave no rows; check its address, or try again");
+
+/// Runs the command.
+pub fn run(args: &Routes) -> Outcome {
+    let address: SocketAddr = args.store.parse().change_context(CommandError(
+        "the store's address cannot be read; write IP:PORT",
+    ))?;
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .change_context(CommandError("no runtime; raise the limits of the process"))?;
+    let store = MetadataStore::new(address);
+    let (directory, endpoints) = runtime.block_on(read(&store))?;
+    let explanation = directory.explain(&args.host, &args.path, &endpoints);
+    print!("{explanation}");
+    Ok(match explanation.outcome {
+        Ok(_) => ExitCode::SUCCESS,
+        Err(_) => ExitCode::from(EXIT_FAILED),
+    })
+}
+
+async fn read(store: &MetadataStore) -> Result<(Directory, Vec<Endpoint>), Report<CommandError>> {
+    let key = store.configuration_key();
+    let row = store.read(Topic::Configuration, key).await;
+    let row = row.map_err(|error| Report::new(NO_ANSWER).attach(error.to_string()))?;
+    let value = row.and_then(|row| row.value).unwrap_or_default();
+    let configuration = store.configuration(&value).map_err(|fault| {
+        Report::new(CommandError("the configuration cannot be read")).attach(fault.0)
+    })?;
+    let rows = store.list(Topic::Endpoints).await;
+    let rows = rows.map_err(|error| Report::new(NO_ANSWER).attach(error.to_string()))?;
+    let endpoints = rows.rows.iter().filter_map(|row| endpoint_of(store, row));
+    Ok((Directory::new(Arc::new(configuration)), endpoints.collect()))
+}
+
+// An endpoint whose row cannot be read is named and left out.
+fn endpoint_of(store: &MetadataStore, row: &Row) -> Option<Endpoint> {
+    match store.endpoint(&row.key, row.value.as_deref()?) {
+        Ok(endpoint) => Some(endpoint),
+        Err(fault) => {
+            eprintln!("croftpond: endpoint {} left out: {}", row.key, fault.0);
+            None
+        }
+    }
+}
