Ask callers back soon where a gateway refuses with its own part only

Cause: reckoned from the code: at 295 gateways one part is 0.3% of a limit, so a request refused while no coordinator replies was told to come back after minutes though others decide again within 1.5 s. Change: such a refusal names at most 1.5 s. Tests: a_gateway_is_alone_while_its_coordinators_are_silent_and_no_other_took_their_place. A test with real gateways was tried and dropped: coordinators that stop say so, and then the last gateway is no longer one of several.

--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -33,6 +33,9 @@
 const NO_ENDPOINT_RETRY: Duration = Duration::from_millis(400);
 /// Time to come back when endpoints have no room.
 const NO_ROOM_RETRY: Duration = Duration::from_millis(150);
+/// Longest time to come back when this gateway refused with its own part of a limit only: by then it is in touch with the
+/// others again, or others decide in their place (a gateway is silent after 1.5 s).
+const ALONE_RETRY: Duration = Duration::from_millis(1500);
 /// Time to come back when the configuration is not confirmed.
 const UNCONFIRMED_RETRY: Duration = Duration::from_millis(300);
 /// Time to come back, elsewhere, when this gateway stops.
@@ -201,12 +204,16 @@
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         let tenant = job.tenant.as_deref().unwrap_or_default();
+        let longest = match state.fleet.is_alone() {
+            true => ALONE_RETRY,
+            false => Duration::MAX,
+        };
         let Some(quota) = state.quotas.get_mut(tenant) else {
             return Ok(());
         };
         quota.take(now, job.cost, job.is_urgent()).map_err(|wait| {
             self.log_limit(now, &job.head.id, tenant, job.cost, &quota.state());
-            over_limit(wait)
+            over_limit(wait.min(longest))
         })
     }
 
--- a/components/gateway/src/peers/halls.rs
+++ b/components/gateway/src/peers/halls.rs
@@ -50,6 +50,13 @@
     }
 }
 
+impl Fleet {
+    /// Whether this gateway decides with no more than its own part though there are others.
+    pub fn is_alone(&self) -> bool {
+        self.gateways > 1 && self.part <= 1.0 / self.gateways as f64
+    }
+}
+
 impl Peers {
     /// Whether this gateway decides for others of its hall.
     pub fn coordinates(&self, now: Duration) -> bool {
--- a/components/gateway/tests/halls.rs
+++ b/components/gateway/tests/halls.rs
@@ -227,3 +227,17 @@
     let (inside, outside) = (sum(false), sum(true));
     assert!(inside + outside <= 1.02, "{inside} and {outside}");
 }
+
+#[test]
+fn a_gateway_is_alone_while_its_coordinators_are_silent_and_no_other_took_their_place() {
+    let mut world = World::new(6, 50);
+    world.run(SETTLED);
+    let asking = &world.members[200];
+    assert!(!asking.peers.fleet(world.now).coordinators.is_empty());
+    let silent_since = world.now + STEP * 4;
+    let fleet = asking.peers.fleet(silent_since);
+    assert!(fleet.coordinators.is_empty());
+    assert!(fleet.is_alone());
+    let coordinator = world.members[0].peers.fleet(world.now);
+    assert!(!coordinator.is_alone());
+}
