Pass usage on without taking requests out of the messages to coordinators

Cause, found by reading: a message that passes usage on to the lease's holder was composed like one that tells requests, so up to 30 requests and the totals that had changed were marked as told though only the holder got them; the other coordinators learnt the totals within five messages and the requests never. Ruled out: nothing else composes messages for a single target but answers to newcomers, which hold neither. Change: a content of its own for usage; what is due is decided by role in two functions; 'telling' is called messages, as the field does. Not covered by a test of its own (the state is private to the control thread). Not measured on its own.

--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -4,10 +4,10 @@
 mod follow;
 mod forwarding;
 mod lease;
+mod messages;
 mod passing;
 mod reporting;
 mod scaling;
-mod telling;
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -32,9 +32,9 @@
 use crate::clock::Clock;
 use crate::control::follow::Followed;
 use crate::control::lease::OrdersUnderWay;
+use crate::control::messages::SendState;
 pub(crate) use crate::control::passing::{name_of, topic_of, PASSED_ON};
 use crate::control::scaling::Demand;
-use crate::control::telling::Telling;
 use crate::freshness::Freshness;
 use crate::peers::{Fleet, Listed, Peers};
 use crate::ports::{Orders, Store, Topic};
@@ -100,7 +100,7 @@
     pub loads: BTreeMap<String, ServiceLoad>,
     pub taken: BTreeMap<String, u64>,
     pub unsent: Vec<Sent>,
-    pub telling: Telling,
+    pub sending: SendState,
     pub forwarding: Forwarding,
     pub fleet: Fleet,
 }
@@ -166,7 +166,7 @@
             loads: BTreeMap::new(),
             taken: BTreeMap::new(),
             unsent: Vec::new(),
-            telling: Telling::default(),
+            sending: SendState::default(),
             fleet: Fleet::default(),
         };
         Control {
--- a/components/gateway/src/control/exchange.rs
+++ b/components/gateway/src/control/exchange.rs
@@ -11,7 +11,7 @@
 use tokio::net::UdpSocket;
 use usage::Source;
 
-use crate::control::telling::Content;
+use crate::control::messages::Content;
 use crate::control::Shared;
 use crate::news;
 use crate::peers::{is_recent, Hearing};
--- a/components/gateway/src/control/forwarding.rs
+++ b/components/gateway/src/control/forwarding.rs
@@ -7,7 +7,7 @@
 use slog::info;
 use tokio::net::UdpSocket;
 
-use crate::control::telling::Content;
+use crate::control::messages::Content;
 use crate::control::{Known, Shared};
 use crate::news;
 use crate::ports::{Orders, Store};
@@ -38,7 +38,7 @@
             "holder" => %holder, "epoch" => epoch);
         let mut messages = Vec::new();
         for some in told.chunks(news::MOST_FORWARDED) {
-            let mut message = self.message_of(&mut known, now, Content::Requests);
+            let mut message = self.message_of(&mut known, now, Content::Usage);
             message.forwarded = Some(some.iter().cloned().map(Box::new).collect());
             messages.push(schema::encode(&message).unwrap_or_default());
         }
--- a/components/gateway/src/control/telling.rs
+++ b/components/gateway/src/control/messages.rs
@@ -31,9 +31,9 @@
 /// Messages in which all totals are told at least once, so that a lost one is made good.
 const TOTALS_ROUNDS: usize = 5;
 
-/// What was told when.
+/// What was sent when.
 #[derive(Debug, Default)]
-pub(crate) struct Telling {
+pub(crate) struct SendState {
     sequence: i64,
     // To coordinators: everything, and requests only.
     full_at: Duration,
@@ -56,6 +56,20 @@
     Digest,
     /// What was counted and decided alone, for the coordinators of the own hall.
     Report,
+    /// Usage that is passed on, for the holder of the lease.
+    Usage,
+}
+
+impl Content {
+    // Whether it holds requests and totals; each of these is sent once.
+    fn has_requests(self) -> bool {
+        matches!(self, Content::Requests | Content::Full | Content::Report)
+    }
+
+    // Whether it holds the store's state and addresses.
+    fn has_state(self) -> bool {
+        matches!(self, Content::Full | Content::Digest | Content::Report)
+    }
 }
 
 /// Messages that are due, and to whom.
@@ -65,38 +79,12 @@
     /// What is to be sent now. `changed` says that what stands in the store or the lease changed.
     pub fn due(&self, now: Duration, changed: bool, long_prompt: bool) -> Due {
         let mut known = self.known.borrow_mut();
-        let tried = known.peers.tried_addresses();
         // Whoever stops says so, and what it counted last, as often as it can.
         let changed = changed || self.freshness.is_stopping();
-        let digest_due = changed || now >= known.telling.digest_at + LONGEST_PAUSE;
-        if !known.speaks_for_others(now) {
-            if !digest_due {
-                return Due::new();
-            }
-            known.telling.digest_at = now;
-            let coordinators = known.peers.own_coordinators(now);
-            known.peers.expect(now, &coordinators);
-            return vec![(Content::Report, coordinators), (Content::Digest, tried)];
-        }
-        let coordinators = known.peers.coordinators(now);
-        let targets = coordinators.len() + tried.len();
-        let mut due = Due::new();
-        if changed || now >= known.telling.full_at + pause(targets, DATAGRAMS_PER_S) {
-            known.telling.full_at = now;
-            known.peers.expect(now, &coordinators);
-            due.push((Content::Full, coordinators));
-        } else if long_prompt && now >= known.telling.requests_at + gap(targets) {
-            due.push((Content::Requests, coordinators));
-        }
-        if !due.is_empty() {
-            known.telling.requests_at = now;
-        }
-        if digest_due {
-            known.telling.digest_at = now;
-            let members = known.peers.members(now);
-            due.push((Content::Digest, members.union(&tried).copied().collect()));
+        match known.speaks_for_others(now) {
+            true => known.due_of_coordinator(now, changed, long_prompt),
+            false => known.due_of_member(now, changed),
         }
-        due
     }
 
     /// A message, encoded.
@@ -108,28 +96,28 @@
 
     /// A message.
     pub fn message_of(&self, known: &mut Known, now: Duration, content: Content) -> GatewayNews {
-        known.telling.sequence += 1;
-        let says_more = content != Content::Requests;
+        known.sending.sequence += 1;
+        let has_state = content.has_state();
         let coordinates = known.speaks_for_others(now);
         let count = known.peers.hall_count(now);
-        let told_count = HallCount {
+        let reported_count = HallCount {
             heard: count.heard as i32,
             silent: count.silent as i32,
         };
         GatewayNews {
             gateway: self.source.gateway.clone(),
             incarnation: self.source.incarnation,
-            sequence: known.telling.sequence,
+            sequence: known.sending.sequence,
             dispatches: known.dispatches(now, content),
-            usage: self.told_usage(known, content),
-            taken: known.told_totals(content),
+            usage: self.usage_to_send(known, content),
+            taken: known.totals_to_send(content),
             lease_epoch: known.lease.may_order(now).unwrap_or(0),
-            peers: match says_more {
-                true => known.told_addresses(now),
+            peers: match has_state {
+                true => known.addresses_to_send(now),
                 false => Vec::new(),
             },
             stopping: self.freshness.is_stopping(),
-            heads: says_more.then(|| heads_of(known)),
+            heads: has_state.then(|| heads_of(known)),
             reaches_store: Some(known.reaches_store()),
             uptime_ms: Some(now.as_millis() as i64),
             lease: known.lease.head().map(|head| news::lease_of(&head)),
@@ -138,7 +126,7 @@
             cores_milli: Some(known.settings.cores_milli),
             coordinates: Some(coordinates),
             decisions_port: Some(i32::from(self.decisions_port)),
-            hall_count: coordinates.then(|| Box::new(told_count)),
+            hall_count: coordinates.then(|| Box::new(reported_count)),
             gateways: coordinates.then(|| known.peers.count(now).gateways() as i32),
             asks: known.peers.asks(now).map(str::to_string),
             forwarded: None,
@@ -146,14 +134,14 @@
     }
 
     // Own usage of the newest windows.
-    fn told_usage(&self, known: &mut Known, content: Content) -> Vec<WindowUsage> {
+    fn usage_to_send(&self, known: &mut Known, content: Content) -> Vec<WindowUsage> {
         let is_turn = match content {
             Content::Report => true,
             Content::Full => {
-                known.telling.usage_turn += 1;
-                known.telling.usage_turn % USAGE_EVERY == 0
+                known.sending.usage_turn += 1;
+                known.sending.usage_turn % USAGE_EVERY == 0
             }
-            Content::Requests | Content::Digest => false,
+            Content::Requests | Content::Digest | Content::Usage => false,
         };
         if !is_turn && !self.freshness.is_stopping() {
             return Vec::new();
@@ -171,8 +159,41 @@
         self.peers.coordinates(now) || self.lease.may_order(now).is_some()
     }
 
+    fn due_of_member(&mut self, now: Duration, changed: bool) -> Due {
+        if !changed && now < self.sending.digest_at + LONGEST_PAUSE {
+            return Due::new();
+        }
+        self.sending.digest_at = now;
+        let coordinators = self.peers.own_coordinators(now);
+        self.peers.expect(now, &coordinators);
+        let tried = self.peers.tried_addresses();
+        vec![(Content::Report, coordinators), (Content::Digest, tried)]
+    }
+
+    fn due_of_coordinator(&mut self, now: Duration, changed: bool, long_prompt: bool) -> Due {
+        let mut due = Due::new();
+        let coordinators = self.peers.coordinators(now);
+        let tried = self.peers.tried_addresses();
+        let targets = coordinators.len() + tried.len();
+        if changed || now >= self.sending.full_at + pause(targets, DATAGRAMS_PER_S) {
+            self.sending.full_at = now;
+            self.sending.requests_at = now;
+            self.peers.expect(now, &coordinators);
+            due.push((Content::Full, coordinators));
+        } else if long_prompt && now >= self.sending.requests_at + gap(targets) {
+            self.sending.requests_at = now;
+            due.push((Content::Requests, coordinators));
+        }
+        if changed || now >= self.sending.digest_at + LONGEST_PAUSE {
+            self.sending.digest_at = now;
+            let members = self.peers.members(now);
+            due.push((Content::Digest, members.union(&tried).copied().collect()));
+        }
+        due
+    }
+
     fn dispatches(&mut self, now: Duration, content: Content) -> Vec<Dispatch> {
-        if content == Content::Digest {
+        if !content.has_requests() {
             return Vec::new();
         }
         let count = self.unsent.len().min(news::MOST_DISPATCHES);
@@ -181,27 +202,27 @@
     }
 
     // Totals that changed, and some of the others in turn.
-    fn told_totals(&mut self, content: Content) -> BTreeMap<String, i64> {
-        if content == Content::Digest {
+    fn totals_to_send(&mut self, content: Content) -> BTreeMap<String, i64> {
+        if !content.has_requests() {
             return BTreeMap::new();
         }
-        let in_turn = self.telling.totals_turn % TOTALS_ROUNDS;
+        let in_turn = self.sending.totals_turn % TOTALS_ROUNDS;
         if content != Content::Requests {
-            self.telling.totals_turn += 1;
+            self.sending.totals_turn += 1;
         }
         let mut told = BTreeMap::new();
         for (i, (team, total)) in self.taken.iter().enumerate() {
             let is_turn = content != Content::Requests && i % TOTALS_ROUNDS == in_turn;
-            if is_turn || self.telling.totals.get(team) != Some(total) {
+            if is_turn || self.sending.totals.get(team) != Some(total) {
                 told.insert(team.clone(), *total as i64);
-                self.telling.totals.insert(team.clone(), *total);
+                self.sending.totals.insert(team.clone(), *total);
             }
         }
         told
     }
 
-    fn told_addresses(&self, now: Duration) -> Vec<String> {
-        let turn = self.telling.sequence as usize;
+    fn addresses_to_send(&self, now: Duration) -> Vec<String> {
+        let turn = self.sending.sequence as usize;
         let addresses = self.peers.addresses(now, turn, MOST_ADDRESSES);
         addresses.iter().map(SocketAddr::to_string).collect()
     }
--- a/components/gateway/src/peers/halls.rs
+++ b/components/gateway/src/peers/halls.rs
@@ -124,7 +124,7 @@
                 coordinators: Vec::new(),
             };
         }
-        let gateways = self.told_gateways(now).unwrap_or(count.gateways());
+        let gateways = self.reported_gateways(now).unwrap_or(count.gateways());
         Fleet {
             gateways,
             part: 1.0 / gateways.max(1) as f64,
@@ -153,7 +153,7 @@
     /// Gateways of all halls.
     pub fn count(&self, now: Duration) -> PeerCount {
         let own = self.hall_count(now);
-        let told = self.told_count(&self.own.hall, now);
+        let told = self.reported_count(&self.own.hall, now);
         let own = told.filter(|told| told.heard > own.heard).unwrap_or(own);
         let mut heard = own.heard - 1;
         let mut silent = own.silent;
@@ -162,7 +162,7 @@
                 heard: known.iter().filter(|peer| peer.is_heard(now)).count(),
                 silent: known.iter().filter(|peer| peer.is_silent(now)).count(),
             };
-            let count = self.told_count(hall, now).unwrap_or(known);
+            let count = self.reported_count(hall, now).unwrap_or(known);
             heard += count.heard;
             silent += count.silent;
         }
@@ -194,13 +194,13 @@
     }
 
     // What the coordinator of a hall says that hears most.
-    fn told_count(&self, hall: &str, now: Duration) -> Option<HallCount> {
+    fn reported_count(&self, hall: &str, now: Duration) -> Option<HallCount> {
         let peers = self.peers.values().filter(|peer| peer.hall == hall);
         let told = peers.filter_map(|peer| peer.recent(now)?.hall_count);
         told.max_by_key(|count| count.heard)
     }
 
-    fn told_gateways(&self, now: Duration) -> Option<usize> {
+    fn reported_gateways(&self, now: Duration) -> Option<usize> {
         let peers = self.peers.values().filter(|p| p.coordinates(now));
         peers.filter_map(|peer| peer.recent(now)?.gateways).max()
     }
