Wait for a silent stream while no repeat is allowed

A resumable stream that paused for twice its aim was dropped first, and only then was the budget of repeats asked; with 295 gateways the budget of one is 2 of 630 and a seventh of its own requests. Without a repeat the stream was cut though its endpoint was sound. That node's log was not kept: the reading that fits, not proved. Ruled out: a planned stop (it took requests until then), the route's time (12 s, 3.1 s used). Change: the budget is asked while the stream is still open; without a repeat it is waited for. Test: a_silent_stream_is_waited_for_while_no_repeat_is_allowed (failed before).

--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -25,7 +25,9 @@
     Whole,
     CallerLeft,
     TimedOut,
-    Broken(Verdict),
+    Broken,
+    // A repeat was taken from the budget; until then a silent endpoint is waited for.
+    Silent,
 }
 
 pub(crate) struct Relay<D> {
@@ -72,10 +74,14 @@
                 }
                 End::CallerLeft => "caller left",
                 End::TimedOut => "out of time",
-                End::Broken(verdict) => {
-                    events.run.judge(verdict);
+                End::Broken | End::Silent => {
+                    let is_silent = matches!(end, End::Silent);
+                    events.run.judge(match is_silent {
+                        true => Verdict::Silent,
+                        false => Verdict::Faulty,
+                    });
                     drop(events);
-                    next = self.resume(&endpoint).await;
+                    next = self.resume(&endpoint, is_silent).await;
                     if next.is_some() {
                         continue;
                     }
@@ -98,13 +104,16 @@
                 () = self.pieces.closed() => return End::CallerLeft,
                 () = tokio::time::sleep_until(expiry) => return End::TimedOut,
                 () = tokio::time::sleep(patience), if self.may_resume() => {
-                    return End::Broken(Verdict::Silent);
+                    if self.traffic.may_repeat(&self.job.work.service) {
+                        return End::Silent;
+                    }
+                    continue;
                 }
             };
             let end = match next {
                 NextEvent::Event(event) => self.forward(event).await,
                 NextEvent::End => Some(End::Whole),
-                NextEvent::Broken => Some(End::Broken(Verdict::Faulty)),
+                NextEvent::Broken => Some(End::Broken),
             };
             if let Some(end) = end {
                 return end;
@@ -135,9 +144,13 @@
         None
     }
 
-    // Another run that goes on after the last event, if the route allows one.
-    async fn resume(&mut self, from: &str) -> Option<(Event, EventRun<D>)> {
-        while self.may_resume() && self.traffic.may_repeat(&self.job.work.service) {
+    // Another run that goes on after the last event, if the route allows one. `granted` says that the budget gave
+    // a repeat for the first try.
+    async fn resume(&mut self, from: &str, granted: bool) -> Option<(Event, EventRun<D>)> {
+        let mut granted = granted;
+        while self.may_resume()
+            && (std::mem::take(&mut granted) || self.traffic.may_repeat(&self.job.work.service))
+        {
             self.progress.tried.push(from.to_string());
             let expiry = self.traffic.clock.instant(self.job.expiry);
             let placement = self.traffic.place(&self.job, &self.progress).await?;
--- a/components/gateway/tests/requests.rs
+++ b/components/gateway/tests/requests.rs
@@ -183,6 +183,29 @@
     assert_eq!(standin.heads().len(), 1);
 }
 
+#[test]
+fn a_silent_stream_is_waited_for_while_no_repeat_is_allowed() {
+    let standin = EndpointStandin::start(|_, exchange| {
+        exchange.begin_stream();
+        exchange.event(1);
+        // Four times as long as a stream is waited for that may go on elsewhere.
+        std::thread::sleep(Duration::from_millis(400));
+        exchange.event(2);
+        exchange.end_stream();
+    });
+    let mut settings = settings();
+    settings.repeats_milli = 0;
+    settings.repeats_extra = 0;
+    let mut route = route("/a/", RESUMABLE);
+    route.gap_target = Some(Duration::from_millis(50));
+    let endpoints = ["e0", "e1"].map(|id| endpoint(id, standin.address));
+    let configuration = configuration(1, vec![route]);
+    let setup = Setup::serving_with(settings, configuration, endpoints.to_vec());
+    let answer = setup.call("/a/", &[]);
+    assert!(answer.whole, "{}", answer.body);
+    assert_eq!(standin.heads().len(), 1);
+}
+
 #[test]
 fn routes_and_keys_that_do_not_exist_are_told_apart_from_a_missing_configuration() {
     let store = StoreStandin::default();
