Order no endpoints upon an old list of them, and hold calls at the store as soon as it is one's turn

Change: nothing on demand is ordered until the list of endpoints was confirmed 1.3 s after the last one found; a gateway that comes to hold calls ends its rest. Tests: nothing_on_demand_is_given_back_while_the_list_of_endpoints_is_old, nothing_on_demand_is_ordered_in_halls_whose_endpoints_may_not_be_listed_yet (both fail with the old rule). a_gateway_whose_turn_it_is_to_hold_calls_at_the_store_does_so_at_once passes also without the wake-up (the stopping coordinators' last messages bring the change): it guards the behaviour, not this cause.

--- a/components/fleet/src/scaling.rs
+++ b/components/fleet/src/scaling.rs
@@ -100,6 +100,8 @@
     // Most on-demand endpoints that were held before there was a load, and since when.
     found: u32,
     found_at: Duration,
+    // When what is held was confirmed last.
+    as_of: Duration,
     load_since: Option<Duration>,
     loads: VecDeque<(Duration, f64)>,
     orders: BTreeMap<(String, bool), Ordered>,
@@ -111,12 +113,18 @@
 impl Scaler {
     /// Takes what is held and asked for now. `load` is in endpoints that would be busy all the time.
     pub fn observe(&mut self, now: Duration, held: &Fleet, load: f64) {
+        self.observe_as_of(now, now, held, load);
+    }
+
+    /// The same, where what is held was confirmed at `as_of` only: it may be more by now.
+    pub fn observe_as_of(&mut self, now: Duration, as_of: Duration, held: &Fleet, load: f64) {
         self.forget_undone(held);
         self.held = held.clone();
+        self.as_of = as_of;
         let found = firm_of(held);
         if found > self.found && self.load_since.is_none() {
             self.found = found;
-            self.found_at = now;
+            self.found_at = as_of;
         }
         if load > 0.0 {
             self.load_since.get_or_insert(now);
@@ -144,7 +152,7 @@
             let have = expected.get(&hall).copied().unwrap_or_default();
             for reclaimable in [true, false] {
                 let (want, have) = (want.get(reclaimable), have.get(reclaimable));
-                if want != have {
+                if want != have && (reclaimable || self.is_listed()) {
                     orders.extend(self.order(now, &hall, reclaimable, want));
                 }
             }
@@ -201,10 +209,16 @@
     fn may_lower(&self, now: Duration) -> bool {
         match self.load_since {
             Some(since) => now >= since + LEARNING,
-            None => now >= self.found_at + SETTLED,
+            None => self.is_listed(),
         }
     }
 
+    // Whether the endpoints found at the start are all known. An order names a count, so one for a hall whose
+    // endpoints are not known yet would give them back.
+    fn is_listed(&self) -> bool {
+        self.as_of >= self.found_at + SETTLED
+    }
+
     // What is held, or will be once the newest orders have had their effect.
     fn expected(&self, now: Duration, offer: &Offer) -> Fleet {
         let mut expected = self.held.clone();
--- a/components/fleet/tests/scaling.rs
+++ b/components/fleet/tests/scaling.rs
@@ -282,3 +282,30 @@
     );
     assert!(sums(&state).0 >= 8, "{state:?}");
 }
+
+#[test]
+fn nothing_on_demand_is_given_back_while_the_list_of_endpoints_is_old() {
+    let mut scaler = Scaler::default();
+    let known = held(&[("a", 4, 4), ("b", 4, 4), ("c", 4, 4), ("d", 4, 4)]);
+    scaler.observe_as_of(at(2), at(2), &known, 0.0);
+    scaler.observe_as_of(at(5), at(2), &known, 0.0);
+    assert!(!lowers(&scaler.plan(at(5), &offer()), &known));
+    scaler.observe_as_of(at(6), at(6), &known, 0.0);
+    assert!(lowers(&scaler.plan(at(6), &offer()), &known));
+}
+
+#[test]
+fn nothing_on_demand_is_ordered_in_halls_whose_endpoints_may_not_be_listed_yet() {
+    let mut scaler = Scaler::default();
+    let only_on_demand = Offer {
+        reclaimable_price: None,
+        ..offer()
+    };
+    // The other halls hold some too: an order of one would give those back.
+    let known = held(&[("a", 3, 0)]);
+    scaler.observe_as_of(at(2), at(2), &known, 0.0);
+    scaler.observe_as_of(at(5), at(2), &known, 0.0);
+    assert_eq!(scaler.plan(at(5), &only_on_demand), []);
+    scaler.observe_as_of(at(6), at(6), &known, 0.0);
+    assert_ne!(scaler.plan(at(6), &only_on_demand), []);
+}
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -30,7 +30,7 @@
 use usage::{Forwarding, Ledger, Reporter, Source, Terms};
 
 use crate::clock::Clock;
-use crate::control::follow::Followed;
+use crate::control::follow::{Followed, WATCHERS};
 use crate::control::lease::OrdersUnderWay;
 use crate::control::messages::SendState;
 pub(crate) use crate::control::passing::{name_of, topic_of, PASSED_ON};
@@ -103,6 +103,8 @@
     pub sending: SendState,
     pub forwarding: Forwarding,
     pub fleet: Fleet,
+    // Whether this gateway holds calls at the store.
+    pub watches: bool,
 }
 
 /// The control thread before it runs.
@@ -168,6 +170,7 @@
             unsent: Vec::new(),
             sending: SendState::default(),
             fleet: Fleet::default(),
+            watches: false,
         };
         Control {
             parts,
@@ -344,6 +347,13 @@
             known.fleet = fleet.clone();
             let _ = self.updates.send(Update::Fleet(fleet));
         }
+        let watches = known.peers.is_among_first(now, WATCHERS);
+        if watches != known.watches {
+            known.watches = watches;
+            // A rest is as long as others are to bring changes; now this gateway is.
+            let followed = known.followed.values();
+            followed.for_each(|followed| followed.wake.notify_one());
+        }
     }
 }
 
--- a/components/gateway/src/control/scaling.rs
+++ b/components/gateway/src/control/scaling.rs
@@ -9,7 +9,7 @@
 use slog::{info, warn};
 
 use crate::control::{Known, Shared};
-use crate::ports::{OrderReply, Orders, Store};
+use crate::ports::{OrderReply, Orders, Store, Topic};
 
 /// Pause between plans of endpoints.
 const PLAN_PAUSE: Duration = Duration::from_millis(500);
@@ -126,11 +126,14 @@
             return;
         };
         let tokens = known.demand.tokens_per_s(now);
+        let followed = known.followed.get(&Topic::Endpoints);
+        let confirmed = followed.and_then(|followed| followed.follower.confirmed_at());
+        let as_of = confirmed.unwrap_or_default();
         for (service, _) in scaled(&configuration) {
             let load = load_of(&known, service, &tokens).endpoints();
             let held = held_by(known.endpoints.values(), service);
             let scaler = known.scalers.entry(service.clone()).or_default();
-            scaler.observe(now, &held, load);
+            scaler.observe_as_of(now, as_of, &held, load);
         }
     }
 
--- a/components/gateway/tests/coordinating.rs
+++ b/components/gateway/tests/coordinating.rs
@@ -51,6 +51,17 @@
     (vec![first, second, third], asking)
 }
 
+/// Puts a configuration with this route only and waits until the gateway serves it.
+fn change(gateway: &Setup, version: u64, prefix: &str) {
+    let mut changed = configuration(version, vec![route(prefix, Execution::Repeatable)]);
+    changed.tenants = vec![tenant("t", "k")];
+    gateway.store.put_configuration(changed);
+    let path = format!("{prefix}1");
+    wait_until("the new route", || {
+        gateway.call(&path, &["x-key: k"]).status == 200
+    });
+}
+
 fn served_in_a_second(gateway: &Setup) -> usize {
     let started = Instant::now();
     let mut served = 0;
@@ -97,18 +108,25 @@
     wait_until("the whole limit", || {
         served_in_a_second(&asking) as f64 >= LIMIT * 0.75
     });
-    let change = |version: u64, prefix: &str| {
-        let mut changed = configuration(version, vec![route(prefix, Execution::Repeatable)]);
-        changed.tenants = vec![tenant("t", "k")];
-        store.put_configuration(changed);
-        wait_until("the new route", || {
-            let path = format!("{prefix}1");
-            asking.call(&path, &["x-key: k"]).status == 200
-        });
-    };
     // The first change ends a call that was held at the store before the coordinators were found.
-    change(2, "/second/");
+    change(&asking, 2, "/second/");
     let asks_before = asking.store.configuration_asks();
-    change(3, "/third/");
+    change(&asking, 3, "/third/");
     assert_eq!(asking.store.configuration_asks(), asks_before);
 }
+
+#[test]
+fn a_gateway_whose_turn_it_is_to_hold_calls_at_the_store_does_so_at_once() {
+    let standin = EndpointStandin::start(|_, e| e.answer(200, "x"));
+    let store = limited_store(&standin);
+    let (coordinators, asking) = four(&store);
+    wait_until("the whole limit", || {
+        served_in_a_second(&asking) as f64 >= LIMIT * 0.75
+    });
+    // Ends a call that was held from before the coordinators were found; from now on it rests for 39 s.
+    change(&asking, 2, "/second/");
+    for coordinator in coordinators {
+        coordinator.stop();
+    }
+    change(&asking, 3, "/third/");
+}
--- a/components/replica/src/follower.rs
+++ b/components/replica/src/follower.rs
@@ -119,6 +119,11 @@
         self.confirmed_at = self.confirmed_at.max(Some(at));
     }
 
+    /// When all changes up to then were known, on the own clock.
+    pub fn confirmed_at(&self) -> Option<Duration> {
+        self.confirmed_at
+    }
+
     /// Another gateway told of a change that is not known here.
     pub fn newer_told(&mut self, changed_at: u64) {
         if self.newer_told.is_none_or(|known| known < changed_at) {
