Send to all three coordinators of a hall, heard or not

Read from the code: where two of a hall's three were heard, only the first in the order was addressed, be it heard already or not. Two coordinators that each had heard the two others of the other's hall before they read the list never addressed each other: requests, totals and usage between them were lost for good. Ruled out: usage not passed on (the lines are there at each window's end), reports of dead processes (the windows are later). Change: all three of each hall are addressed, beside whoever says that it coordinates. Test: a_coordinator_sends_to_all_three_of_a_hall_until_it_hears_them (failed before).

--- a/components/gateway/src/peers/halls.rs
+++ b/components/gateway/src/peers/halls.rs
@@ -70,15 +70,10 @@
     /// Coordinators of all halls but this gateway, and those that may be coordinators.
     pub fn coordinators(&self, now: Duration) -> BTreeSet<SocketAddr> {
         let halls: BTreeSet<&str> = self.peers.values().map(|p| p.hall.as_str()).collect();
-        let first = halls.into_iter().flat_map(|hall| {
-            let heard = self.peers.values().filter(|p| p.hall == hall);
-            let heard = heard.filter(|peer| peer.coordinates(now)).count();
-            let wanted = match hall == self.own.hall {
-                true => COORDINATORS,
-                false => COORDINATORS.saturating_sub(heard),
-            };
-            self.first_of(hall, now, wanted)
-        });
+        // Also those not heard: a coordinator that waited to be addressed first might never be.
+        let first = halls
+            .into_iter()
+            .flat_map(|hall| self.first_of(hall, now, COORDINATORS));
         let first: BTreeSet<&str> = first.collect();
         let is_meant = |(name, peer): &(&String, &Peer)| {
             peer.coordinates(now) || first.contains(name.as_str())
--- a/components/gateway/tests/halls.rs
+++ b/components/gateway/tests/halls.rs
@@ -241,3 +241,18 @@
     let coordinator = world.members[0].peers.fleet(world.now);
     assert!(!coordinator.is_alone());
 }
+
+#[test]
+fn a_coordinator_sends_to_all_three_of_a_hall_until_it_hears_them() {
+    for missing in 0..3 {
+        let mut world = World::new(2, 3);
+        let hears = (0..3).filter(|other| *other != missing);
+        for other in hears {
+            // Those with an odd number are of the other hall.
+            let (greeting, _) = world.members[2 * other + 1].says(STEP);
+            world.members[0].peers.hear(STEP, greeting);
+        }
+        let targets = world.members[0].peers.coordinators(STEP);
+        assert!(targets.contains(&address(2 * missing + 1)), "{targets:?}");
+    }
+}
