Keep one copy of what the change wrote twice

Cause, from reading the whole change: the size of a prompt that is told at once stood as two constants, giving units of a limit back in two places, the gateway's own name was passed to what knows it, and a gateway that asks composed a digest for nobody each half second. Ruled out: skipping every message without a receiver (a lone gateway would keep what it sent for ever). Change: one constant, State::give_back, one parameter less, no message for nobody. Nothing else behaves otherwise; no test changed. Seen and left: messages that hold requests only still count the halls, due coordinators are sorted at each tally, and an encoding that fails is sent empty without a log line.

--- a/components/gateway/src/control/exchange.rs
+++ b/components/gateway/src/control/exchange.rs
@@ -17,14 +17,12 @@
 use crate::peers::{is_recent, Hearing};
 use crate::ports::{Orders, Store, Topic};
 use crate::tally::Tally;
-use crate::traffic::Update;
+use crate::traffic::{Update, LONG_PROMPT_TOKENS};
 
 /// Largest datagram that is read, in bytes.
 const MAX_DATAGRAM: usize = 8192;
 /// Pause after a failed call of the store.
 const FAILED_PAUSE: Duration = Duration::from_millis(300);
-/// Prompts of which so many tokens are to be read are told at once.
-const URGENT_TOKENS: u32 = 4000;
 
 impl<S: Store + 'static, O: Orders + 'static> Shared<S, O> {
     /// Writes this gateway's row and learns of the others'.
@@ -120,7 +118,10 @@
     // Whether something in the tally is to be told at once.
     fn take_tally(&self, tally: Tally) -> bool {
         let mut known = self.known.borrow_mut();
-        let urgent = tally.sent.iter().any(|s| s.unread_tokens >= URGENT_TOKENS);
+        let urgent = tally
+            .sent
+            .iter()
+            .any(|s| s.unread_tokens >= LONG_PROMPT_TOKENS);
         for (tenant, wall) in tally.begun {
             let window = known.reporter.window_at(wall);
             known.ledger.count(window, &self.source, &tenant);
--- a/components/gateway/src/control/forwarding.rs
+++ b/components/gateway/src/control/forwarding.rs
@@ -46,12 +46,11 @@
     }
 
     fn usage_to_pass_on(&self, known: &Known, now: Duration, windows: &[i64]) -> Vec<SourceUsage> {
-        let own = &self.source.gateway;
         let mut told = Vec::new();
         for window in windows.iter().copied() {
             let sources = known.ledger.sources(window);
             let passed_on =
-                sources.filter(|(source, _)| known.peers.passes_on_for(now, own, &source.gateway));
+                sources.filter(|(source, _)| known.peers.passes_on_for(now, &source.gateway));
             told.extend(passed_on.map(|(s, counts)| news::forwarded_of(window, s, counts)));
         }
         told
--- a/components/gateway/src/control/messages.rs
+++ b/components/gateway/src/control/messages.rs
@@ -166,8 +166,12 @@
         self.sending.digest_at = now;
         let coordinators = self.peers.own_coordinators(now);
         self.peers.expect(now, &coordinators);
+        let mut due = vec![(Content::Report, coordinators)];
         let tried = self.peers.tried_addresses();
-        vec![(Content::Report, coordinators), (Content::Digest, tried)]
+        if !tried.is_empty() {
+            due.push((Content::Digest, tried));
+        }
+        due
     }
 
     fn due_of_coordinator(&mut self, now: Duration, changed: bool, long_prompt: bool) -> Due {
--- a/components/gateway/src/decisions.rs
+++ b/components/gateway/src/decisions.rs
@@ -207,9 +207,7 @@
     fn take_back(&self, give_back: &GiveBack) {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
-        if let Some(quota) = state.quotas.get_mut(&give_back.team) {
-            quota.give_back(now, give_back.units.max(0) as u64);
-        }
+        state.give_back(now, &give_back.team, give_back.units.max(0) as u64);
     }
 
     // A gateway that has no configuration, or does not coordinate, cannot decide for others.
--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -226,9 +226,7 @@
         }
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
-        if let Some(quota) = state.quotas.get_mut(tenant) {
-            quota.give_back(now, job.cost);
-        }
+        state.give_back(now, tenant, job.cost);
     }
 
     /// Chooses an endpoint, or has a coordinator do so; waits a little for one to appear.
--- a/components/gateway/src/peers/halls.rs
+++ b/components/gateway/src/peers/halls.rs
@@ -173,7 +173,8 @@
     }
 
     /// Whether usage of a process is to be passed on by this gateway.
-    pub fn passes_on_for(&self, now: Duration, own: &str, gateway: &str) -> bool {
+    pub fn passes_on_for(&self, now: Duration, gateway: &str) -> bool {
+        let own = self.own.name.as_str();
         let peer = self.peers.get(gateway);
         let asks = peer.and_then(|peer| peer.recent(now)?.asks.as_deref());
         gateway != own && asks.is_none_or(|asks| asks == own)
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -26,7 +26,7 @@
 use crate::tally::{Sent, ServiceLoad, Tally};
 
 /// Prompts of which at least so many tokens are to be read are told to the others at once.
-const LONG_PROMPT_TOKENS: u32 = 4000;
+pub(crate) const LONG_PROMPT_TOKENS: u32 = 4000;
 /// Pause between tallies.
 const TALLY_PAUSE: Duration = Duration::from_millis(100);
 /// Part of an endpoint's connections that gateways use together.
@@ -291,6 +291,13 @@
 }
 
 impl State {
+    /// Gives units of a team's limit back that were charged here and not used.
+    pub fn give_back(&mut self, now: Duration, team: &str, units: u64) {
+        if let Some(quota) = self.quotas.get_mut(team) {
+            quota.give_back(now, units);
+        }
+    }
+
     /// Places a request of another gateway, if some endpoint takes work.
     pub fn place_for_other(
         &mut self,
