Choose an endpoint in one pass over its service's slots

Ruled out: weighing fewer endpoints; the sample's factor and the groups stay as they are. Change: slots of a service stand in one list in the order of groups; a choice works on positions.

--- a/components/routing/src/placement.rs
+++ b/components/routing/src/placement.rs
@@ -6,9 +6,11 @@
 
 mod board;
 mod cache;
+mod choice;
 mod mix;
 mod pace;
 mod queue;
+mod service;
 mod slot;
 mod unknown;
 
--- a/components/routing/src/placement/pace.rs
+++ b/components/routing/src/placement/pace.rs
@@ -1,5 +1,12 @@
 //! How fast the endpoints of a service work, learnt from what they answer.
 
+use std::time::Duration;
+
+use crate::placement::Work;
+
+/// Prompts that take longer to read hold up the tokens of everything that runs beside them, in
+/// milliseconds.
+const HEAVY_MS: f64 = 60.0;
 /// Tokens of prompts that an engine reads in a millisecond, until its own rate is known.
 const FIRST_RATE: f64 = 30.0;
 /// Bounds on a measured rate, in tokens a millisecond.
@@ -57,6 +64,20 @@
         (self.samples >= KNOWN_SAMPLES).then_some(self.rate)
     }
 
+    /// Whether a prompt of so many tokens holds up what runs beside it.
+    pub fn reads_long(&self, tokens: u32) -> bool {
+        f64::from(tokens) / self.rate > HEAVY_MS
+    }
+
+    /// Time that a request is expected to run.
+    pub fn hold_of(&self, work: &Work, unread: u32) -> Duration {
+        let hold_ms = match work.answer_tokens {
+            0 => self.hold_ms,
+            tokens => f64::from(unread) / self.rate + f64::from(tokens) * self.token_ms,
+        };
+        Duration::from_secs_f64(hold_ms / 1000.0)
+    }
+
     /// The first token came `took_ms` after a prompt with nothing ahead was sent. Short prompts tell the
     /// time before reading, long ones the rate; the rate of this one is returned.
     pub fn first_token(&mut self, unread_tokens: u32, took_ms: f64) -> Option<f64> {
--- a/components/routing/src/placement/slot.rs
+++ b/components/routing/src/placement/slot.rs
@@ -6,6 +6,7 @@
 
 use crate::endpoint::Reading;
 use crate::placement::cache::PromptCache;
+use crate::placement::pace::Pace;
 use crate::placement::queue::PromptQueue;
 use crate::placement::Verdict;
 
@@ -22,6 +23,8 @@
 #[derive(Debug)]
 pub(crate) struct Slot {
     pub spec: Endpoint,
+    /// Its place in the order in which engines take light prompts.
+    pub order: u64,
     pub cache: PromptCache,
     pub queue: PromptQueue,
     /// Tokens of prompts read in a millisecond, 0 while unknown.
@@ -47,6 +50,7 @@
         let cold_until = now + spec.cold;
         Slot {
             spec,
+            order: 0,
             cache: PromptCache::new(cache_tokens),
             queue: PromptQueue::default(),
             rate: 0.0,
@@ -62,6 +66,14 @@
         }
     }
 
+    /// Its own rate once it was measured, else that of its service, in tokens a millisecond.
+    pub fn rate_or(&self, pace: Pace) -> f64 {
+        match self.rate > 0.0 {
+            true => self.rate,
+            false => pace.rate,
+        }
+    }
+
     /// Requests expected there now.
     pub fn load(&mut self, now: Duration) -> u32 {
         self.others.retain(|end| *end > now);
