Let gateways that ask hold no endpoints

Cause: each gateway followed the row of every endpoint, also those that place nothing. Ruled out: processor time alone (12% of a core, p50 of decisions well below 40 ms while no rows change); members' own choices (they asked, and got no reply in time). Change: only gateways that place requests, hold the lease, or lost all coordinators follow endpoints, and forget them 10 s later. Whoever finds no coordinator in its hall asks one of each other hall, by the store's list, which now names the port. Rows are passed on up to 32 KB at once; more, and whole tables, come from the store. A gateway that places requests is ready once it knows the endpoints. Weighed on paper (300 gateways, 3,000 endpoints, 300 bytes a row): a rendezvous subset of 16 a service at each member costs 1.4 MB at a start and needs the whole table to be known somewhere to size it; nothing at members and other halls' coordinators as fallback costs nothing at a start and 40 ms at a loss; so the latter. Coordinators that hold their hall only were left: at 3,000 rows they hold 45 MB at most.

--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -29,6 +29,7 @@
 use tokio::task::LocalSet;
 use usage::{Forwarding, Ledger, Reporter, Source, Terms};
 
+use crate::alone::Alone;
 use crate::clock::Clock;
 use crate::control::follow::{Followed, WATCHERS};
 use crate::control::lease::OrdersUnderWay;
@@ -73,6 +74,7 @@
     pub signals: Signals,
     pub clock: Clock,
     pub freshness: Arc<Freshness>,
+    pub alone: Arc<Alone>,
     pub metrics: Arc<Metrics>,
     pub log: Logger,
     pub updates: flume::Sender<Update>,
@@ -105,6 +107,8 @@
     pub fleet: Fleet,
     // Whether this gateway holds calls at the store.
     pub watches: bool,
+    // When the endpoints were needed last, while they are followed.
+    pub endpoints_needed_at: Option<Duration>,
 }
 
 /// The control thread before it runs.
@@ -118,6 +122,7 @@
 pub(crate) struct Shared<S, O> {
     pub clock: Clock,
     pub freshness: Arc<Freshness>,
+    pub alone: Arc<Alone>,
     pub metrics: Arc<Metrics>,
     pub log: Logger,
     pub updates: flume::Sender<Update>,
@@ -146,6 +151,7 @@
             address: parts.sockets.address,
             hall: settings.zone.clone(),
             cores_milli: settings.cores_milli,
+            decisions: None,
         });
         for seed in settings.seeds.iter().filter_map(|seed| seed.parse().ok()) {
             peers.learn(Duration::ZERO, seed);
@@ -171,6 +177,7 @@
             sending: SendState::default(),
             fleet: Fleet::default(),
             watches: false,
+            endpoints_needed_at: None,
         };
         Control {
             parts,
@@ -198,6 +205,7 @@
         let shared = Rc::new(Shared {
             clock: parts.clock,
             freshness: parts.freshness,
+            alone: parts.alone,
             metrics: parts.metrics,
             log: parts.log,
             updates: parts.updates,
@@ -264,6 +272,16 @@
         followed.or_insert_with(|| follow(topic, settings))
     }
 
+    /// Forgets what is known of a topic, as at the start.
+    pub fn forget_rows(&mut self, topic: Topic) {
+        let followed = follow(topic, &self.settings);
+        let old = self.followed.insert(topic, followed);
+        // Whoever waits for changes of the topic goes on waiting.
+        if let (Some(old), Some(new)) = (old, self.followed.get_mut(&topic)) {
+            new.wake = old.wake;
+        }
+    }
+
     /// Whether the store answered the last call.
     pub fn reaches_store(&self) -> bool {
         let mut followed = self.followed.values();
@@ -347,6 +365,7 @@
             known.fleet = fleet.clone();
             let _ = self.updates.send(Update::Fleet(fleet));
         }
+        self.check_need(&mut known, now);
         let watches = known.peers.is_among_first(now, WATCHERS);
         if watches != known.watches {
             known.watches = watches;
--- a/components/gateway/src/control/exchange.rs
+++ b/components/gateway/src/control/exchange.rs
@@ -33,6 +33,7 @@
             incarnation: self.source.incarnation,
             hall: Some(settings.zone.clone()),
             cores_milli: Some(settings.cores_milli),
+            decisions_port: Some(i32::from(self.decisions_port)),
         };
         let value = schema::encode(&row).unwrap_or_default();
         loop {
@@ -55,7 +56,9 @@
         let listed = rows
             .iter()
             .filter_map(|row| news::listed_of(&row.key, row.value.as_deref()?));
-        self.known.borrow_mut().peers.listed(now, listed);
+        let mut known = self.known.borrow_mut();
+        known.peers.listed(now, listed);
+        self.check_need(&mut known, now);
     }
 
     /// Takes tallies of the traffic thread and tells the other gateways.
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -11,19 +11,20 @@
 use telemetry::Counter;
 use tokio::sync::Notify;
 
-use crate::control::Shared;
+use crate::control::passing::MOST_PASSED_ON;
+use crate::control::{Known, Shared};
 use crate::ports::{Orders, Row, Rows, Store, StoreError, Topic};
 use crate::traffic::Update;
 
 /// Pause after changes of endpoints: those that follow soon come with one answer. It is well within
 /// the time that a leaving endpoint goes on serving.
 const GATHER_PAUSE: Duration = Duration::from_millis(250);
-/// Pause of a gateway that does not coordinate after it took changes of endpoints: it uses them only when no
-/// coordinator answers. It is well within the time that a leaving endpoint goes on serving (2 s).
-const PULL_PAUSE: Duration = Duration::from_secs(1);
-/// Largest row that is taken from another gateway rather than from the store, in bytes: a third of the gateways
-/// of a hall of 60 take it from one coordinator, half a second on a link of 10 Mbit/s.
-const MOST_PASSED_ON: usize = 32 << 10;
+/// A gateway that needs the endpoints no more follows them for so long: whoever decides may change to and fro.
+const KEPT_FOR: Duration = Duration::from_secs(10);
+/// Pause between looks at whether the endpoints are needed.
+const NEED_PAUSE: Duration = Duration::from_millis(500);
+/// A gateway that could not read the store's list of gateways follows the endpoints after this time all the same.
+const LIST_TIME: Duration = Duration::from_secs(2);
 /// A call of the store is given up so long after another gateway told of a change.
 const OVERTAKEN_TIME: Duration = Duration::from_millis(300);
 /// Gateways that hold calls at the store: one may be cut off or die unnoticed.
@@ -74,16 +75,16 @@
     pub async fn follow(self: Rc<Self>, topic: Topic) {
         let wake = Arc::clone(&self.known.borrow().followed[&topic].wake);
         loop {
+            if topic == Topic::Endpoints && !self.needs_endpoints() {
+                self.forget_endpoints();
+                let _ = tokio::time::timeout(NEED_PAUSE, wake.notified()).await;
+                continue;
+            }
             match self.next_step(topic) {
                 Step::Rest(time) => {
                     let _ = tokio::time::timeout(time, wake.notified()).await;
                 }
-                Step::Pull => {
-                    self.pull(topic).await;
-                    if topic == Topic::Endpoints && !self.decides() {
-                        tokio::time::sleep(PULL_PAUSE).await;
-                    }
-                }
+                Step::Pull => self.pull(topic).await,
                 Step::List => {
                     let sent = self.clock.now();
                     let result = self.unless_overtaken(topic, self.store.list(topic)).await;
@@ -94,10 +95,37 @@
         }
     }
 
-    // Whether requests are placed here.
-    fn decides(&self) -> bool {
-        let now = self.clock.now();
-        self.known.borrow().peers.coordinates(now)
+    fn needs_endpoints(&self) -> bool {
+        self.known.borrow().endpoints_needed_at.is_some()
+    }
+
+    /// Follows the endpoints where requests are placed or endpoints ordered, and forgets them elsewhere.
+    pub fn check_need(&self, known: &mut Known, now: Duration) {
+        let may_decide = known.peers.is_listed() || now >= LIST_TIME;
+        let decides = may_decide && known.speaks_for_others(now);
+        if decides || self.alone.is_alone(now) {
+            if known.endpoints_needed_at.replace(now).is_none() {
+                info!(self.log, "endpoints followed"; "decides" => decides);
+                known.followed_mut(Topic::Endpoints).wake.notify_one();
+            }
+            return;
+        }
+        let over = known.endpoints_needed_at.filter(|at| now >= *at + KEPT_FOR);
+        if over.is_some() {
+            known.endpoints_needed_at = None;
+        }
+    }
+
+    // Between two steps, so that no answer that is on its way is taken for the whole table.
+    fn forget_endpoints(&self) {
+        let mut known = self.known.borrow_mut();
+        if known.followed[&Topic::Endpoints].table.known_to().is_none() {
+            return;
+        }
+        known.endpoints.clear();
+        known.forget_rows(Topic::Endpoints);
+        info!(self.log, "endpoints forgotten, coordinators decide");
+        let _ = self.updates.send(Update::EndpointsForgotten);
     }
 
     fn next_step(&self, topic: Topic) -> Step {
@@ -186,13 +214,16 @@
         known_to: u64,
         whole: bool,
     ) -> bool {
+        let is_first;
         let news = {
             let mut known = self.known.borrow_mut();
             let followed = known.followed_mut(topic);
+            let was_known = followed.table.known_to().is_some();
             let news = match whole {
                 true => followed.table.take_all(changes, known_to),
                 false => followed.table.take(changes, known_to),
             };
+            is_first = !was_known;
             let known_to = followed.table.known_to().unwrap_or(0);
             followed.follower.caught_up(known_to);
             if let Some(bytes) = largest(&news) {
@@ -207,6 +238,9 @@
                 Topic::Gateways | Topic::Lease | Topic::Usage => {}
             }
         }
+        if is_first && topic == Topic::Endpoints {
+            let _ = self.updates.send(Update::EndpointsKnown);
+        }
         !news.is_empty()
     }
 
--- a/components/gateway/src/control/passing.rs
+++ b/components/gateway/src/control/passing.rs
@@ -23,6 +23,9 @@
 const CONNECT_TIME: Duration = Duration::from_millis(300);
 /// Longest time until the rows have come.
 const PULL_TIME: Duration = Duration::from_millis(900);
+/// Rows that are passed on at once, in bytes; whoever needs more asks the store, whose link is wider. A third of the
+/// gateways of a hall of 60 take that much from one coordinator within half a second on a link of 10 Mbit/s.
+pub(crate) const MOST_PASSED_ON: usize = 32 << 10;
 /// Largest query, in bytes.
 const MAX_QUERY: usize = 256;
 
@@ -96,6 +99,7 @@
         };
         let reply = topic_of(query.topic).and_then(|topic| self.reply_to(topic, query.after));
         let encoded = reply.and_then(|reply| schema::encode(&reply).ok());
+        let encoded = encoded.filter(|bytes| bytes.len() <= MOST_PASSED_ON);
         match encoded {
             Some(bytes) => plain::answer(StatusCode::OK, bytes.into()),
             None => plain::answer(StatusCode::NOT_FOUND, Bytes::new()),
--- a/components/gateway/src/decisions.rs
+++ b/components/gateway/src/decisions.rs
@@ -17,6 +17,7 @@
 use tokio::sync::oneshot;
 
 use crate::job::Job;
+use crate::peers::Fleet;
 use crate::traffic::Traffic;
 
 /// Largest datagram that is read, in bytes.
@@ -27,8 +28,8 @@
 const REPLY_TIME: Duration = Duration::from_millis(40);
 /// A coordinator that did not reply is asked last for this long: as long as it would be heard if it died.
 const PASSED_OVER_FOR: Duration = Duration::from_millis(1500);
-/// Coordinators asked about one request.
-const MOST_ASKED: usize = 3;
+/// Coordinators asked about one request: the three of the own hall and two of others.
+const MOST_ASKED: usize = 5;
 
 /// What was asked for and not answered yet.
 #[derive(Debug, Default)]
@@ -61,10 +62,10 @@
 
 impl Asking {
     // The coordinators in the order in which they are asked: those that did not reply come last.
-    fn order(&self, now: Duration, coordinators: &[SocketAddr]) -> Vec<SocketAddr> {
+    fn order(&self, now: Duration, fleet: &Fleet) -> Vec<SocketAddr> {
         let mut passed_over = self.passed_over.borrow_mut();
         passed_over.retain(|_, until| now < *until);
-        let mut order = coordinators.to_vec();
+        let mut order = [fleet.coordinators.as_slice(), &fleet.others].concat();
         order.sort_by_key(|address| passed_over.contains_key(address));
         order.truncate(MOST_ASKED);
         order
@@ -85,13 +86,17 @@
     /// Asks a coordinator about a request; `None` if there is none or none replies. `charged` says whether its
     /// team was charged for it before.
     pub async fn ask(&self, job: &Job, tried: &[String], charged: bool) -> Option<Decided> {
-        let coordinators = self.state.borrow().fleet.coordinators.clone();
-        if coordinators.is_empty() {
-            return None;
-        }
-        for by in self.asking.order(self.clock.now(), &coordinators) {
+        let order = {
+            let state = self.state.borrow();
+            if state.fleet.decides {
+                return None;
+            }
+            self.asking.order(self.clock.now(), &state.fleet)
+        };
+        for by in order {
             let query = self.query(job, tried, charged);
             if let Some(reply) = self.send_query(by, query).await {
+                self.alone.decided(self.clock.now());
                 let outcome = outcome_of(&reply)?;
                 return Some(Decided { by, outcome });
             }
@@ -99,6 +104,7 @@
             self.metrics.count(Counter::PacketsDropped);
             info!(self.log, "no decision"; "id" => &job.head.id, "coordinator" => %by);
         }
+        self.alone.undecided(self.clock.now());
         None
     }
 
@@ -210,11 +216,11 @@
         state.give_back(now, &give_back.team, give_back.units.max(0) as u64);
     }
 
-    // A gateway that has no configuration, or does not coordinate, cannot decide for others.
+    // A gateway that has no configuration or endpoints yet, or does not coordinate, cannot decide for others.
     fn decide(&self, query: &DecisionQuery) -> Option<DecisionReply> {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
-        if state.directory.is_none() || !state.fleet.coordinators.is_empty() {
+        if state.directory.is_none() || !state.fleet.decides || !state.endpoints_known {
             return None;
         }
         let mut reply = DecisionReply::new(query.number, None, None);
--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -231,13 +231,13 @@
 
     /// Chooses an endpoint, or has a coordinator do so; waits a little for one to appear.
     pub async fn place(&self, job: &Job, progress: &Progress) -> Option<Placement> {
-        if let Some(decided) = self.ask(job, &progress.tried, true).await {
-            if let Outcome::Placed(placement) = decided.outcome {
-                return Some(placement);
-            }
-        }
         let patience = job.arrived + job.route.target / ENDPOINT_WAIT_PART;
         loop {
+            if let Some(decided) = self.ask(job, &progress.tried, true).await {
+                if let Outcome::Placed(placement) = decided.outcome {
+                    return Some(placement);
+                }
+            }
             let now = self.clock.now();
             let placement = {
                 let state = &mut *self.state.borrow_mut();
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! What is spoken on the wire comes from a [`ports::Dialect`], a [`ports::Store`] and
 //! [`ports::Orders`]; nothing here knows their names.
 
+mod alone;
 mod answer;
 mod attempt;
 mod clock;
@@ -25,6 +26,7 @@
 mod tally;
 mod traffic;
 
+pub use alone::Alone;
 pub use clock::Clock;
 pub use events::{Event, EventSplitter, SplitError};
 pub use freshness::Freshness;
--- a/components/gateway/src/news.rs
+++ b/components/gateway/src/news.rs
@@ -68,7 +68,7 @@
         hall: news.hall.clone().unwrap_or_default(),
         cores_milli: news.cores_milli.unwrap_or_default(),
         coordinates: news.coordinates.unwrap_or_default(),
-        decisions: decisions_address(news, from),
+        decisions: decisions_address(news.decisions_port, from),
         hall_count: news.hall_count.as_ref().map(|count| HallCount {
             heard: count.heard.max(0) as usize,
             silent: count.silent.max(0) as usize,
@@ -78,17 +78,19 @@
     }
 }
 
-fn decisions_address(news: &GatewayNews, from: SocketAddr) -> Option<SocketAddr> {
-    let port = u16::try_from(news.decisions_port?).ok()?;
-    Some(SocketAddr::new(from.ip(), port))
+fn decisions_address(port: Option<i32>, gateway: SocketAddr) -> Option<SocketAddr> {
+    let port = u16::try_from(port?).ok()?;
+    Some(SocketAddr::new(gateway.ip(), port))
 }
 
 /// A gateway as its row in the store names it.
 pub(crate) fn listed_of(name: &str, row: &[u8]) -> Option<Listed> {
     let row = schema::decode::<GatewayRow>(row).ok()?;
+    let address: SocketAddr = row.address.parse().ok()?;
     Some(Listed {
         name: name.to_string(),
-        address: row.address.parse().ok()?,
+        address,
+        decisions: decisions_address(row.decisions_port, address),
         hall: row.hall.unwrap_or_default(),
         cores_milli: row.cores_milli.unwrap_or_default(),
     })
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -116,6 +116,11 @@
         }
     }
 
+    /// Whether the store's list of gateways was read.
+    pub fn is_listed(&self) -> bool {
+        self.listed
+    }
+
     /// A message came from a gateway.
     pub fn hear(&mut self, now: Duration, greeting: Greeting) -> Hearing {
         let name = greeting.name.clone();
@@ -130,7 +135,7 @@
         });
         let peer = self.peers.entry(name).or_insert_with(|| {
             let (name, hall) = (greeting.name.clone(), greeting.hall.clone());
-            let cores_milli = greeting.cores_milli;
+            let (cores_milli, decisions) = (greeting.cores_milli, greeting.decisions);
             Peer::listed(
                 now,
                 Listed {
@@ -138,6 +143,7 @@
                     address,
                     hall,
                     cores_milli,
+                    decisions,
                 },
             )
         });
--- a/components/gateway/src/peers/halls.rs
+++ b/components/gateway/src/peers/halls.rs
@@ -36,8 +36,14 @@
     pub gateways: usize,
     /// Part of what all gateways share that is used by what is decided here.
     pub part: f64,
-    /// Where decisions are asked for, the first one first; empty if this gateway decides itself.
+    /// Whether this gateway decides, for itself and others.
+    pub decides: bool,
+    /// Coordinators of the own hall that are heard, the one that is asked first before the others; empty if this
+    /// gateway decides itself.
     pub coordinators: Vec<SocketAddr>,
+    /// Gateways of other halls that are asked when none of the own hall decides: one of each hall, by what the
+    /// store's list says.
+    pub others: Vec<SocketAddr>,
 }
 
 impl Default for Fleet {
@@ -45,7 +51,9 @@
         Fleet {
             gateways: 1,
             part: PeerCount::default().heard_part(),
+            decides: true,
             coordinators: Vec::new(),
+            others: Vec::new(),
         }
     }
 }
@@ -116,14 +124,18 @@
             return Fleet {
                 gateways: count.gateways(),
                 part: count.heard_part(),
+                decides: true,
                 coordinators: Vec::new(),
+                others: Vec::new(),
             };
         }
         let gateways = self.reported_gateways(now).unwrap_or(count.gateways());
         Fleet {
             gateways,
             part: 1.0 / gateways.max(1) as f64,
+            decides: false,
             coordinators: self.deciders(now),
+            others: self.deciders_elsewhere(now),
         }
     }
 
@@ -217,6 +229,20 @@
         addresses.collect()
     }
 
+    // One coordinator of each other hall, in an order that differs from gateway to gateway. They are not heard
+    // here, so these are the ones that the store's list makes coordinators.
+    fn deciders_elsewhere(&self, now: Duration) -> Vec<SocketAddr> {
+        let own = weight(COORDINATION_KEY, &self.own.name);
+        let mut halls: Vec<&str> = self.other_halls().into_keys().collect();
+        halls.sort_unstable_by_key(|hall| weight(own, hall));
+        let of_hall = |hall: &str| {
+            let first = self.first_of(hall, now, COORDINATORS);
+            let chosen = rank(own, first.into_iter(), 1);
+            self.peers[*chosen.first()?].decisions
+        };
+        halls.into_iter().filter_map(of_hall).collect()
+    }
+
     // The gateways of a hall that come first, but this one: the largest, then by an order that all agree on.
     fn first_of(&self, hall: &str, now: Duration, count: usize) -> Vec<&str> {
         let of_hall = self.peers.iter().filter(|(_, peer)| peer.hall == hall);
--- a/components/gateway/src/peers/peer.rs
+++ b/components/gateway/src/peers/peer.rs
@@ -23,6 +23,8 @@
     pub hall: String,
     /// Processor of its VM, in thousandths of a core.
     pub cores_milli: i32,
+    /// Where it decides for others, if it coordinates.
+    pub decisions: Option<SocketAddr>,
 }
 
 /// What a message says of the gateway that sent it.
@@ -59,6 +61,8 @@
     pub address: SocketAddr,
     pub hall: String,
     pub cores_milli: i32,
+    /// Where it decides for others, if it coordinates.
+    pub decisions: Option<SocketAddr>,
     pub listed_at: Duration,
     // The newest message, and when it came.
     pub heard: Option<(Greeting, Duration)>,
@@ -72,6 +76,7 @@
             address: listed.address,
             hall: listed.hall,
             cores_milli: listed.cores_milli,
+            decisions: listed.decisions,
             listed_at: now,
             heard: None,
             due_since: None,
@@ -82,6 +87,7 @@
         self.address = greeting.address;
         self.hall = greeting.hall.clone();
         self.cores_milli = greeting.cores_milli;
+        self.decisions = greeting.decisions.or(self.decisions);
         self.heard = Some((greeting, now));
         self.due_since = None;
     }
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -17,6 +17,7 @@
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
 
+use crate::alone::Alone;
 use crate::clock::Clock;
 use crate::control::{Control, ControlParts, PeerSockets};
 use crate::freshness::Freshness;
@@ -100,6 +101,7 @@
         let clock = Clock::start();
         let settings = Arc::new(parts.settings);
         let freshness = Arc::new(Freshness::default());
+        let alone = Arc::new(Alone::default());
         let metrics = Metrics::new(None).change_context(GatewayError("no metrics"))?;
         let metrics = Arc::new(metrics);
         let (tallies, tallied) = flume::bounded(TALLIES_WAITING);
@@ -118,6 +120,7 @@
             signals: signals.clone(),
             clock,
             freshness: Arc::clone(&freshness),
+            alone: Arc::clone(&alone),
             metrics: Arc::clone(&metrics),
             log: parts.log.clone(),
             updates,
@@ -130,6 +133,7 @@
             dialect: parts.dialect,
             clock,
             freshness,
+            alone,
             metrics,
             log: parts.log,
             settings,
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -17,6 +17,7 @@
 use telemetry::{Counter, Metrics};
 use tokio::sync::Notify;
 
+use crate::alone::Alone;
 use crate::clock::Clock;
 use crate::decisions::{placed_of, Asking};
 use crate::freshness::{Ages, Freshness};
@@ -41,6 +42,10 @@
     Endpoint(Endpoint),
     /// An endpoint is gone.
     EndpointGone(String),
+    /// All endpoints were told of once.
+    EndpointsKnown,
+    /// The endpoints are not followed any more.
+    EndpointsForgotten,
     /// The gateways as they are known now, and who of them decides.
     Fleet(Fleet),
     /// Another gateway sent these.
@@ -64,6 +69,8 @@
 #[derive(Debug)]
 pub(crate) struct State {
     pub board: Board,
+    // Whether the board holds all endpoints.
+    pub endpoints_known: bool,
     pub directory: Option<Rc<Directory>>,
     pub pool: Pool,
     pub quotas: BTreeMap<String, SharedQuota>,
@@ -80,6 +87,7 @@
     pub dialect: D,
     pub clock: Clock,
     pub freshness: Arc<Freshness>,
+    pub alone: Arc<Alone>,
     pub metrics: Arc<Metrics>,
     pub log: Logger,
     pub state: RefCell<State>,
@@ -95,6 +103,7 @@
     pub dialect: D,
     pub clock: Clock,
     pub freshness: Arc<Freshness>,
+    pub alone: Arc<Alone>,
     pub metrics: Arc<Metrics>,
     pub log: Logger,
     pub settings: Arc<GatewaySettings>,
@@ -105,6 +114,7 @@
     pub fn new(parts: TrafficParts<D>) -> Self {
         let state = State {
             board: Board::new(&parts.settings.zone),
+            endpoints_known: false,
             directory: None,
             pool: Pool::default(),
             quotas: BTreeMap::new(),
@@ -118,6 +128,7 @@
             dialect: parts.dialect,
             clock: parts.clock,
             freshness: parts.freshness,
+            alone: parts.alone,
             metrics: parts.metrics,
             log: parts.log,
             state: RefCell::new(state),
@@ -149,6 +160,11 @@
                 state.pool.forget(&id);
                 state.board.remove(&id);
             }
+            Update::EndpointsKnown => state.endpoints_known = true,
+            Update::EndpointsForgotten => {
+                state.endpoints_known = false;
+                state.board.remove_all();
+            }
             Update::Fleet(fleet) => state.set_fleet(now, fleet),
             Update::PeerSent(dispatches) => {
                 for dispatch in dispatches {
@@ -176,7 +192,8 @@
         let state = self.state.borrow();
         let longest = Ages::of(&state.settings).keys;
         let fresh = self.freshness.allows_keys(self.clock.now(), longest);
-        state.directory.is_some() && fresh && !self.freshness.is_stopping()
+        let places = state.endpoints_known || !state.fleet.decides;
+        state.directory.is_some() && places && fresh && !self.freshness.is_stopping()
     }
 
     /// Notes that a job goes to an endpoint.
--- a/components/gateway/tests/common/store.rs
+++ b/components/gateway/tests/common/store.rs
@@ -1,7 +1,7 @@
 //! A store in memory that can be cut off, and orders that are only noted.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -10,7 +10,7 @@
 use gateway::ports::{
     DutyHolder, OrderReply, Orders, Row, RowFault, Rows, Store, StoreError, Topic,
 };
-use schema::messages::LeaseRow;
+use schema::messages::{GatewayRow, LeaseRow};
 use usage::Report;
 
 /// Pause between looks at whether a held call has its answer.
@@ -34,7 +34,7 @@
     state: Arc<Mutex<State>>,
     refuses: Arc<AtomicBool>,
     says_nothing: Arc<AtomicBool>,
-    configuration_asks: Arc<AtomicU64>,
+    asks: Arc<Mutex<BTreeMap<Topic, u64>>>,
     started: Instant,
 }
 
@@ -44,7 +44,7 @@
             state: Arc::default(),
             refuses: Arc::default(),
             says_nothing: Arc::default(),
-            configuration_asks: Arc::default(),
+            asks: Arc::default(),
             started: Instant::now(),
         }
     }
@@ -75,7 +75,7 @@
         StoreStandin {
             refuses: Arc::default(),
             says_nothing: Arc::default(),
-            configuration_asks: Arc::default(),
+            asks: Arc::default(),
             ..self.clone()
         }
     }
@@ -118,15 +118,21 @@
         self.state.lock().unwrap().lease_looks
     }
 
-    /// Calls of this gateway that asked for the configuration.
-    pub fn configuration_asks(&self) -> u64 {
-        self.configuration_asks.load(Ordering::Relaxed)
+    /// Calls of this gateway that asked for rows of a topic.
+    pub fn asks(&self, topic: Topic) -> u64 {
+        let asks = self.asks.lock().unwrap();
+        asks.get(&topic).copied().unwrap_or_default()
+    }
+
+    /// Writes the row of a gateway that does not run.
+    pub fn put_gateway(&self, name: &str, row: &GatewayRow) {
+        let mut state = self.state.lock().unwrap();
+        let value = schema::encode(row).unwrap();
+        write(&mut state, Topic::Gateways, name, Some(value));
     }
 
     fn count_ask(&self, topic: Topic) {
-        if topic == Topic::Configuration {
-            self.configuration_asks.fetch_add(1, Ordering::Relaxed);
-        }
+        *self.asks.lock().unwrap().entry(topic).or_default() += 1;
     }
 
     fn enter(&self) -> Result<std::sync::MutexGuard<'_, State>, StoreError> {
--- a/components/gateway/tests/coordinating.rs
+++ b/components/gateway/tests/coordinating.rs
@@ -9,6 +9,8 @@
     StoreStandin,
 };
 use directory::{Execution, Quota};
+use gateway::ports::Topic;
+use schema::messages::GatewayRow;
 use schema::settings::GatewaySettings;
 
 /// Requests a second and at once that the team's limit lets pass over all four gateways.
@@ -110,9 +112,9 @@
     });
     // The first change ends a call that was held at the store before the coordinators were found.
     change(&asking, 2, "/second/");
-    let asks_before = asking.store.configuration_asks();
+    let asks_before = asking.store.asks(Topic::Configuration);
     change(&asking, 3, "/third/");
-    assert_eq!(asking.store.configuration_asks(), asks_before);
+    assert_eq!(asking.store.asks(Topic::Configuration), asks_before);
 }
 
 #[test]
@@ -130,3 +132,51 @@
     }
     change(&asking, 3, "/third/");
 }
+
+#[test]
+fn a_gateway_that_asks_does_not_read_the_endpoints() {
+    let standin = EndpointStandin::start(|_, e| e.answer(200, "x"));
+    let store = limited_store(&standin);
+    let seeds = || Vec::new();
+    let coordinators = ["g1", "g2", "g3"].map(|name| {
+        let setup = Setup::start(named(name, 500, seeds()), store.for_another());
+        wait_until("a coordinator's readiness", || setup.is_ready());
+        setup
+    });
+    let asking = Setup::start(named("g4", 120, seeds()), store.for_another());
+    wait_until("an answer", || {
+        asking.call("/a/1", &["x-key: k"]).status == 200
+    });
+    assert_eq!(asking.store.asks(Topic::Endpoints), 0);
+    for coordinator in &coordinators {
+        assert!(coordinator.store.asks(Topic::Endpoints) > 0);
+    }
+}
+
+#[test]
+fn a_gateway_whose_hall_has_no_coordinator_asks_one_of_another_hall() {
+    let standin = EndpointStandin::start(|_, e| e.answer(200, "x"));
+    let store = limited_store(&standin);
+    let elsewhere = GatewaySettings {
+        zone: "z2".into(),
+        ..named("g1", 500, Vec::new())
+    };
+    let elsewhere = Setup::start(elsewhere, store.for_another());
+    wait_until("readiness", || elsewhere.is_ready());
+    // Three larger gateways of its hall are listed and do not run.
+    for (i, name) in ["g2", "g3", "g4"].into_iter().enumerate() {
+        let row = GatewayRow {
+            address: format!("127.0.0.1:{}", 9 + i),
+            incarnation: 1,
+            hall: Some("z1".into()),
+            cores_milli: Some(500),
+            decisions_port: Some(9),
+        };
+        store.put_gateway(name, &row);
+    }
+    let asking = Setup::start(named("g5", 120, Vec::new()), store.for_another());
+    wait_until("an answer", || {
+        asking.call("/a/1", &["x-key: k"]).status == 200
+    });
+    assert_eq!(asking.store.asks(Topic::Endpoints), 0);
+}
--- a/components/gateway/tests/halls.rs
+++ b/components/gateway/tests/halls.rs
@@ -37,6 +37,7 @@
             address: address(i),
             hall: format!("h{}", i % halls),
             cores_milli: if i / halls < 3 { 500 } else { 120 },
+            decisions: Some(address(i)),
         });
         let all: Vec<Listed> = listed.collect();
         let members = all.iter().map(|own| {
@@ -163,6 +164,25 @@
     }
 }
 
+#[test]
+fn a_gateway_that_asks_knows_a_coordinator_of_each_other_hall() {
+    let mut world = World::new(6, 50);
+    world.run(SETTLED);
+    for member in world.running() {
+        let fleet = member.peers.fleet(world.now);
+        assert_eq!(fleet.decides, member.peers.coordinates(world.now));
+        let others: BTreeSet<usize> = fleet.others.iter().map(|a| world.by_address[a]).collect();
+        let halls: BTreeSet<&str> = others
+            .iter()
+            .map(|i| world.members[*i].listed.hall.as_str())
+            .collect();
+        let expected = if fleet.decides { 0 } else { 5 };
+        assert_eq!(halls.len(), expected, "{}", member.listed.name);
+        let coordinate = |i: &usize| world.members[*i].peers.coordinates(world.now);
+        assert!(others.iter().all(coordinate));
+    }
+}
+
 #[test]
 fn gateways_say_little_to_each_other_however_many_there_are() {
     let mut world = World::new(6, 50);
--- a/components/gateway/tests/peers.rs
+++ b/components/gateway/tests/peers.rs
@@ -36,6 +36,7 @@
         address: address(port),
         hall: format!("hall of g{port}"),
         cores_milli: 250,
+        decisions: None,
     }
 }
 
--- a/components/replica/src/follower.rs
+++ b/components/replica/src/follower.rs
@@ -94,7 +94,8 @@
     /// The next step. `watches` says whether this gateway is one of those that hold calls at the
     /// store, `known` whether any rows were taken yet.
     pub fn step(&self, now: Duration, watches: bool, known: bool) -> Step {
-        let asks_peer = self.first == Source::Peer || self.store_failures > 0;
+        // A whole table comes from the store, whose link is wider than a gateway's.
+        let asks_peer = (self.first == Source::Peer && known) || self.store_failures > 0;
         if asks_peer && self.may_pull() {
             return Step::Pull;
         }
--- a/components/schema/src/messages.rs
+++ b/components/schema/src/messages.rs
@@ -3838,19 +3838,29 @@
     pub hall: Option<String>,
     /// Processor of its VM, in thousandths of a core.
     pub cores_milli: Option<i32>,
+    /// UDP port at which it decides for others, if it coordinates.
+    pub decisions_port: Option<i32>,
 }
 
 impl GatewayRow {
-    pub fn new<F3, F4>(address: String, incarnation: i64, hall: F3, cores_milli: F4) -> GatewayRow
+    pub fn new<F3, F4, F5>(
+        address: String,
+        incarnation: i64,
+        hall: F3,
+        cores_milli: F4,
+        decisions_port: F5,
+    ) -> GatewayRow
     where
         F3: Into<Option<String>>,
         F4: Into<Option<i32>>,
+        F5: Into<Option<i32>>,
     {
         GatewayRow {
             address,
             incarnation,
             hall: hall.into(),
             cores_milli: cores_milli.into(),
+            decisions_port: decisions_port.into(),
         }
     }
 }
@@ -3862,6 +3872,7 @@
         let mut f_2: Option<i64> = None;
         let mut f_3: Option<String> = None;
         let mut f_4: Option<i32> = None;
+        let mut f_5: Option<i32> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -3885,6 +3896,10 @@
                     let val = i_prot.read_i32()?;
                     f_4 = Some(val);
                 }
+                5 => {
+                    let val = i_prot.read_i32()?;
+                    f_5 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -3901,6 +3916,7 @@
                 .expect("auto-generated code should have checked for presence of required fields"),
             hall: f_3,
             cores_milli: f_4,
+            decisions_port: f_5,
         };
         Ok(ret)
     }
@@ -3923,6 +3939,11 @@
             o_prot.write_i32(fld_var)?;
             o_prot.write_field_end()?
         }
+        if let Some(fld_var) = self.decisions_port {
+            o_prot.write_field_begin(&TFieldIdentifier::new("decisions_port", TType::I32, 5))?;
+            o_prot.write_i32(fld_var)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
--- a/components/schema/thrift/messages.thrift
+++ b/components/schema/thrift/messages.thrift
@@ -385,6 +385,8 @@
   3: optional string hall,
   /** Processor of its VM, in thousandths of a core. */
   4: optional i32 cores_milli,
+  /** UDP port at which it decides for others, if it coordinates. */
+  5: optional i32 decisions_port,
 }
 
 /** Row of one usage window: what is reported for it, whoever reports. */
