--- a/components/directory/src/endpoint.rs
+++ b/components/directory/src/endpoint.rs
@@ -34,6 +34,8 @@
     pub reclaimable: bool,
     /// How much longer it is slow after its start.
     pub cold: Duration,
+    /// Version of its software.
+    pub version: String,
 }
 
 impl Endpoint {
--- a/components/directory/tests/explanations.rs
+++ b/components/directory/tests/explanations.rs
@@ -56,6 +56,7 @@
         state,
         reclaimable: false,
         cold: Duration::ZERO,
+        version: "v1".into(),
     }
 }
 
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -8,6 +8,7 @@
 use http::{response, HeaderMap, HeaderName, Request};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use rollout::Answer;
 use routing::placement::{verdict_without_answer, Placement, Ticket, Verdict};
 use routing::Reading;
 use slog::info;
@@ -33,6 +34,8 @@
     http::header::TRANSFER_ENCODING,
     http::header::UPGRADE,
 ];
+/// Shortest time that an engine's answer is compared with, in seconds: below it the time is that of the way there.
+const SHORTEST_HOLD_S: f64 = 0.02;
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// A request under way at an endpoint. Dropping it closes the connection, unless it was finished.
@@ -48,6 +51,8 @@
     answered: bool,
     verdict: Option<Verdict>,
     sent_at: Duration,
+    placement: Placement,
+    job: SharedJob,
 }
 
 impl<D> Run<D> {
@@ -72,6 +77,21 @@
         state.board.first_token(now, &mut self.ticket);
     }
 
+    // What this run says of its endpoint's version, if a roll-out is under way. The time of an engine's answer is
+    // told in parts of the time expected, since an endpoint of a new version has read no prompts yet.
+    fn evidence(&self, now: Duration, verdict: Verdict) -> Option<Answer> {
+        let took = now.saturating_sub(self.sent_at).as_secs_f64();
+        match verdict {
+            Verdict::Neutral => None,
+            Verdict::Faulty | Verdict::Silent => Some(Answer::Failed),
+            Verdict::Sound if self.job.engine => {
+                let expected = self.placement.hold.as_secs_f64().max(SHORTEST_HOLD_S);
+                Some(Answer::Whole(took / expected * 1000.0))
+            }
+            Verdict::Sound => Some(Answer::Whole(took * 1000.0)),
+        }
+    }
+
     fn verdict_at_drop(&self, now: Duration) -> Verdict {
         let waited = now.saturating_sub(self.sent_at);
         let given = self.expiry.saturating_sub(self.sent_at);
@@ -90,6 +110,11 @@
         let verdict = self.verdict_at_drop(now);
         let mut state = self.traffic.state.borrow_mut();
         state.board.ended(now, &self.ticket, verdict);
+        if let Some(answer) = self.evidence(now, verdict) {
+            let (service, route) = (&self.job.work.service, self.job.asked().route);
+            let told = state.gates.told(&self.placement, service, route, answer);
+            state.tally.told.extend(told);
+        }
         if self.reserved {
             state.pool.closed(&self.endpoint);
         }
@@ -201,6 +226,8 @@
             answered: false,
             verdict: None,
             sent_at: self.clock.now(),
+            placement: placement.clone(),
+            job: Rc::clone(job),
         };
         if !self.connect(job, placement, &mut run).await {
             return Attempted::NotSent;
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -1,5 +1,6 @@
 //! The control thread: what it knows, and the tasks that work on it.
 
+mod carrying;
 mod exchange;
 mod follow;
 mod forwarding;
@@ -7,6 +8,7 @@
 mod messages;
 mod passing;
 mod reporting;
+mod rollouts;
 mod scaling;
 
 use std::cell::RefCell;
@@ -35,6 +37,7 @@
 use crate::control::lease::OrdersUnderWay;
 use crate::control::messages::SendState;
 pub(crate) use crate::control::passing::{name_of, topic_of, PASSED_ON};
+use crate::control::rollouts::Rollouts;
 use crate::control::scaling::Demand;
 use crate::freshness::Freshness;
 use crate::peers::{Fleet, Listed, Peers};
@@ -109,6 +112,7 @@
     pub watches: bool,
     // When the endpoints were needed last, while they are followed.
     pub endpoints_needed_at: Option<Duration>,
+    pub rollouts: Rollouts,
 }
 
 /// The control thread before it runs.
@@ -178,6 +182,7 @@
             fleet: Fleet::default(),
             watches: false,
             endpoints_needed_at: None,
+            rollouts: Rollouts::default(),
         };
         Control {
             parts,
@@ -243,6 +248,7 @@
     let (reporting, ordering) = (Rc::clone(&shared), Rc::clone(&shared));
     tokio::task::spawn_local(async move { reporting.keep_reporting().await });
     tokio::task::spawn_local(async move { ordering.keep_endpoints().await });
+    tokio::task::spawn_local(Rc::clone(&shared).keep_rollouts());
     if let Err(error) = exchange(&shared, sockets, tallies) {
         warn!(shared.log, "no exchange with other gateways; raise the limit of descriptors";
             "cause" => %error);
--- /dev/null
+++ b/components/gateway/src/control/carrying.rs
@@ -0,0 +1,386 @@
+//! Carrying roll-outs out, by whoever holds the lease.
+//!
+//! The decision is written into a row of the gateways' own under a condition before anything follows from it, so
+//! that whoever holds the lease next goes on with it and never decides twice; then the operator's row follows.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use rollout::{Decision, Evidence, Judgement, Order, Progress, Stage, Step};
+use schema::messages::RolloutRow;
+use slog::{info, warn};
+
+use crate::control::rollouts::{Carried, Heard, Status};
+use crate::control::{Known, Shared};
+use crate::news;
+use crate::ports::{Orders, Row, Store, StoreError, Topic};
+use crate::traffic::Update;
+use crate::versions::{is_lost_when_cut, route_hash};
+
+/// Pause between looks at the orders.
+const ROLLOUT_LOOK: Duration = Duration::from_millis(100);
+/// Requests that a version's ready endpoints have to have slots for, in parts of what runs at the service.
+const CARRIED_PART: f64 = 1.0;
+/// Of the time of the slowest call of the store, so much is kept at each further call.
+const CALL_TIME_KEPT: f64 = 0.7;
+
+enum Work {
+    // The rows are to be read first.
+    Load,
+    Step(Step),
+    // The operator's row is to be written.
+    Status(Option<Decision>),
+}
+
+impl<S: Store + 'static, O: Orders + 'static> Shared<S, O> {
+    /// Carries orders out until the process ends, whenever this gateway holds the lease.
+    pub async fn keep_rollouts(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(ROLLOUT_LOOK).await;
+            let services: Vec<String> = {
+                let known = self.known.borrow();
+                known.rollouts.orders.keys().cloned().collect()
+            };
+            for service in services {
+                self.carry(&service).await;
+            }
+        }
+    }
+
+    async fn carry(&self, service: &str) {
+        if self.holder().is_none() {
+            let mut known = self.known.borrow_mut();
+            if let Some(ordered) = known.rollouts.orders.get_mut(service) {
+                ordered.carried = None;
+            }
+            return;
+        }
+        match self.next_work(service) {
+            None => {}
+            Some(Work::Load) => self.load(service).await,
+            Some(Work::Status(decision)) => self.write_status(service, decision).await,
+            Some(Work::Step(Step::Tell(stage))) => self.set_stage(service, stage),
+            Some(Work::Step(Step::Decide(decision, judgement))) => {
+                self.decide_rollout(service, decision, judgement).await;
+            }
+        }
+    }
+
+    fn next_work(&self, service: &str) -> Option<Work> {
+        let now = self.clock.now();
+        let known = &mut *self.known.borrow_mut();
+        let ordered = known.rollouts.orders.get(service)?;
+        let Some(carried) = &ordered.carried else {
+            return Some(Work::Load);
+        };
+        let Some(status) = &carried.status else {
+            return Some(Work::Load);
+        };
+        let wanted = self.store.rollout_status(&ordered.order, carried.decision);
+        if status.value != wanted.value {
+            return Some(Work::Status(carried.decision));
+        }
+        if let Some(decision) = carried.decision {
+            return Some(Work::Step(Step::Tell(Stage::Decided(decision))));
+        }
+        let ordered_at = known.store_clock.moment(carried.ordered_stamp, now);
+        let ordered_at = ordered_at.unwrap_or(now);
+        let (runs, slots) = known.running_and_new_slots(&ordered.order);
+        let evidence = ordered.evidence();
+        let long = known.answers_lost_when_cut(&evidence) as f64;
+        let elapsed = now.saturating_sub(ordered_at).as_secs_f64();
+        let progress = Progress {
+            ordered_at,
+            long_per_s: long / elapsed.max(1.0),
+            call_time: carried.call_time,
+            can_carry: slots > 0 && f64::from(slots) >= f64::from(runs) * CARRIED_PART,
+        };
+        let ordered = known.rollouts.orders.get_mut(service)?;
+        let plan = &mut ordered.carried.as_mut()?.plan;
+        Some(Work::Step(plan.step(now, &evidence, progress)))
+    }
+
+    fn set_stage(&self, service: &str, stage: Stage) {
+        let now = self.clock.now();
+        let mut known = self.known.borrow_mut();
+        let Some(ordered) = known.rollouts.orders.get(service) else {
+            return;
+        };
+        let revision = ordered.order.revision;
+        let heard = Heard {
+            stage,
+            at: now,
+            holder: self.peer_address,
+        };
+        let is_new = known.rollouts.hear(service, revision, heard);
+        drop(known);
+        self.tell_traffic(service, revision, stage);
+        if is_new {
+            info!(self.log, "roll-out stage"; "service" => service, "revision" => revision, "stage" => %stage);
+            self.urgent.notify_one();
+        }
+    }
+
+    /// Takes what another gateway told of a roll-out.
+    pub fn hear_rollouts(&self, news: &schema::messages::GatewayNews) {
+        let now = self.clock.now();
+        for told in news.rollouts.iter().flatten() {
+            let stage = news::heard_stage(told.stage);
+            let (Some(stage), Ok(holder)) = (stage, told.holder.parse()) else {
+                warn!(self.log, "roll-out of another gateway not readable; its version is newer than this one";
+                    "service" => &told.service_name);
+                continue;
+            };
+            let age = Duration::from_millis(told.age_ms.max(0) as u64);
+            let at = now.saturating_sub(age);
+            let heard = Heard { stage, at, holder };
+            let revision = told.revision.max(0) as u64;
+            let mut known = self.known.borrow_mut();
+            let is_new = known.rollouts.hear(&told.service_name, revision, heard);
+            let ordered = known.rollouts.orders.get(&told.service_name);
+            let newest = ordered.and_then(|ordered| ordered.heard);
+            drop(known);
+            if newest.is_some_and(|newest| newest.at == at) {
+                self.tell_traffic(&told.service_name, revision, stage);
+            }
+            if is_new {
+                info!(self.log, "roll-out stage"; "service" => &told.service_name, "revision" => revision,
+                    "stage" => %stage, "holder" => %holder, "age_ms" => told.age_ms);
+            }
+        }
+    }
+
+    fn tell_traffic(&self, service: &str, revision: u64, stage: Stage) {
+        let update = Update::RolloutStage {
+            service: service.to_string(),
+            revision,
+            stage,
+        };
+        if self.updates.send(update).is_err() {
+            warn!(self.log, "the traffic thread is gone");
+        }
+    }
+
+    // Reads what earlier holders wrote, and says that the order was seen.
+    async fn load(&self, service: &str) {
+        let Some((order, stamp)) = self.order_of(service) else {
+            return;
+        };
+        let status_key = self.store.rollout_status(&order, None).key;
+        let row = self
+            .timed(service, self.store.read(Topic::Rollouts, service))
+            .await;
+        let status = self
+            .timed(service, self.store.read(Topic::RolloutStatus, &status_key))
+            .await;
+        let (Ok(row), Ok(status)) = (row, status) else {
+            info!(self.log, "roll-out not read, the store does not answer"; "service" => service);
+            return;
+        };
+        let kept = row.as_ref().and_then(read_row);
+        let kept = kept.filter(|kept| kept.revision == order.revision as i64);
+        let (kept, revision) = match kept {
+            Some(kept) => (kept, row.map_or(0, |row| row.revision)),
+            None => {
+                let first = RolloutRow {
+                    revision: order.revision as i64,
+                    version: order.version.clone(),
+                    ordered_ms: stamp.as_millis() as i64,
+                    decision: None,
+                };
+                let expected = row.map_or(0, |row| row.revision);
+                match self.write_row(service, &first, expected).await {
+                    Ok(revision) => (first, revision),
+                    Err(error) => {
+                        info!(self.log, "roll-out not begun"; "service" => service, "cause" => %error);
+                        return;
+                    }
+                }
+            }
+        };
+        let decision = kept
+            .decision
+            .and_then(news::heard_stage)
+            .and_then(Stage::decision);
+        let mut known = self.known.borrow_mut();
+        let settings = known.settings.clone();
+        let Some(ordered) = known.rollouts.orders.get_mut(service) else {
+            return;
+        };
+        if ordered.order.revision != order.revision {
+            return;
+        }
+        info!(self.log, "roll-out carried out here"; "service" => service, "version" => &order.version,
+            "revision" => order.revision, "decided" => ?decision, "time_ms" => order.time.as_millis() as u64);
+        ordered.carried = Some(Carried {
+            plan: ordered.plan(&settings),
+            ordered_stamp: Duration::from_millis(kept.ordered_ms.max(0) as u64),
+            revision,
+            decision,
+            status: Some(status_of(status)),
+            call_time: Duration::ZERO,
+        });
+    }
+
+    async fn decide_rollout(&self, service: &str, decision: Decision, judgement: Judgement) {
+        let Some((order, row, expected)) = self.decided_row(service, decision) else {
+            return;
+        };
+        info!(self.log, "roll-out judged"; "service" => service, "version" => &order.version,
+            "decision" => ?decision, "finding" => ?judgement.finding,
+            "route" => self.route_name(judgement.route),
+            "new" => judgement.new.0, "new_bad" => judgement.new.1,
+            "old" => judgement.old.0, "old_bad" => judgement.old.1);
+        let written = self.write_row(service, &row, expected).await;
+        if self.note_decision(service, decision, written) {
+            self.set_stage(service, Stage::Decided(decision));
+            self.write_status(service, Some(decision)).await;
+        }
+    }
+
+    // Whether the decision is written.
+    fn note_decision(
+        &self,
+        service: &str,
+        decision: Decision,
+        written: Result<u64, StoreError>,
+    ) -> bool {
+        let mut known = self.known.borrow_mut();
+        let Some(ordered) = known.rollouts.orders.get_mut(service) else {
+            return false;
+        };
+        match (written, &mut ordered.carried) {
+            (Ok(revision), Some(carried)) => {
+                carried.revision = revision;
+                carried.decision = Some(decision);
+                true
+            }
+            (written, _) => {
+                // Whether it was written, and what another holder wrote, is read again.
+                warn!(self.log, "decision of a roll-out not written"; "service" => service,
+                    "written" => ?written);
+                ordered.carried = None;
+                false
+            }
+        }
+    }
+
+    // The route that decided, as operators know it.
+    fn route_name(&self, hash: Option<u64>) -> Option<String> {
+        let known = self.known.borrow();
+        let mut routes = known.configuration.as_ref()?.routes.iter();
+        let route = routes.find(|route| Some(route_hash(&route.name)) == hash)?;
+        Some(route.name.clone())
+    }
+
+    fn decided_row(&self, service: &str, decision: Decision) -> Option<(Order, RolloutRow, u64)> {
+        let known = self.known.borrow();
+        let ordered = known.rollouts.orders.get(service)?;
+        let carried = ordered.carried.as_ref()?;
+        let row = RolloutRow {
+            revision: ordered.order.revision as i64,
+            version: ordered.order.version.clone(),
+            ordered_ms: carried.ordered_stamp.as_millis() as i64,
+            decision: Some(news::stage_of(Stage::Decided(decision))),
+        };
+        Some((ordered.order.clone(), row, carried.revision))
+    }
+
+    async fn write_row(
+        &self,
+        service: &str,
+        row: &RolloutRow,
+        expected: u64,
+    ) -> Result<u64, StoreError> {
+        let value = schema::encode(row).unwrap_or_default();
+        let call = self
+            .store
+            .write(Topic::Rollouts, service, value, Some(expected));
+        self.timed(service, call).await
+    }
+
+    async fn write_status(&self, service: &str, decision: Option<Decision>) {
+        let Some((order, _)) = self.order_of(service) else {
+            return;
+        };
+        let expected = {
+            let known = self.known.borrow();
+            let carried = known
+                .rollouts
+                .orders
+                .get(service)
+                .and_then(|o| o.carried.as_ref());
+            let status = carried.and_then(|carried| carried.status.as_ref());
+            status.map(|status| status.revision)
+        };
+        let wanted = self.store.rollout_status(&order, decision);
+        let call = self.store.write(
+            Topic::RolloutStatus,
+            &wanted.key,
+            wanted.value.clone(),
+            expected,
+        );
+        let written = self.timed(service, call).await;
+        info!(self.log, "roll-out status written"; "service" => service, "decision" => ?decision,
+            "written" => written.is_ok());
+        let mut known = self.known.borrow_mut();
+        let ordered = known.rollouts.orders.get_mut(service);
+        let Some(carried) = ordered.and_then(|ordered| ordered.carried.as_mut()) else {
+            return;
+        };
+        carried.status = match written {
+            Ok(revision) => Some(Status {
+                revision,
+                value: wanted.value,
+            }),
+            Err(StoreError::Conflict(row)) => Some(status_of(row)),
+            // Refused: it stands as it was.
+            Err(StoreError::Refused) => carried.status.take(),
+            Err(_) => None,
+        };
+    }
+
+    fn order_of(&self, service: &str) -> Option<(Order, Duration)> {
+        let known = self.known.borrow();
+        let ordered = known.rollouts.orders.get(service)?;
+        Some((ordered.order.clone(), ordered.stamp))
+    }
+
+    // Notes how long a call of the store took.
+    async fn timed<T>(&self, service: &str, call: impl std::future::Future<Output = T>) -> T {
+        let began = self.clock.now();
+        let result = call.await;
+        let took = self.clock.now().saturating_sub(began);
+        let mut known = self.known.borrow_mut();
+        let ordered = known.rollouts.orders.get_mut(service);
+        if let Some(carried) = ordered.and_then(|ordered| ordered.carried.as_mut()) {
+            carried.call_time = took.max(carried.call_time.mul_f64(CALL_TIME_KEPT));
+        }
+        result
+    }
+}
+
+impl Known {
+    // Answers on routes whose runs are lost when their endpoint ends.
+    fn answers_lost_when_cut(&self, evidence: &Evidence) -> u64 {
+        let configuration = self.configuration.iter();
+        let routes = configuration.flat_map(|configuration| &configuration.routes);
+        let lost = routes.filter(|route| is_lost_when_cut(route));
+        let evidence = lost.filter_map(|route| evidence.routes.get(&route_hash(&route.name)));
+        evidence
+            .map(|route| route.old.all() + route.new_answers())
+            .sum()
+    }
+}
+
+fn read_row(row: &Row) -> Option<RolloutRow> {
+    schema::decode(row.value.as_deref()?).ok()
+}
+
+fn status_of(row: Option<Row>) -> Status {
+    let revision = row.as_ref().map_or(0, |row| row.revision);
+    Status {
+        revision,
+        value: row.and_then(|row| row.value).unwrap_or_default(),
+    }
+}
--- a/components/gateway/src/control/exchange.rs
+++ b/components/gateway/src/control/exchange.rs
@@ -81,6 +81,7 @@
                 }
             }
             self.forward_usage(&socket, now).await;
+            self.send_evidence(&socket, now).await;
         }
     }
 
@@ -132,6 +133,9 @@
         for sent in &tally.sent {
             known.demand.add(sent.at, sent.endpoint, sent.unread_tokens);
         }
+        for told in &tally.told {
+            known.rollouts.note(told);
+        }
         known.unsent.extend(tally.sent);
         known.taken = tally.taken;
         known.loads = tally.loads;
@@ -157,6 +161,9 @@
         for (window, source, begun) in news::heard_forwarded(news) {
             known.ledger.merge(window, &source, begun);
         }
+        for told in news.evidence.iter().flatten() {
+            known.rollouts.hear_evidence(&source, told);
+        }
         if heard == Hearing::Stale {
             return;
         }
@@ -188,6 +195,7 @@
         }
         drop(known);
         self.act(actions);
+        self.hear_rollouts(news);
         for (topic, told) in news::heard_heads(news) {
             self.hear_told(topic, told, from);
         }
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -197,7 +197,7 @@
             info!(self.log, "store answers again"; "topic" => ?topic);
         }
         let changes = rows.rows.into_iter().map(change_of).collect();
-        let changed = self.take_changes(topic, changes, rows.revision, whole);
+        let changed = self.take_changes(topic, changes, rows.revision, rows.stamp, whole);
         // What is confirmed has to be in force first.
         self.confirm(topic, rows.stamp, made);
         if changed {
@@ -206,12 +206,14 @@
         changed
     }
 
-    /// Takes rows of the store or of another gateway, and returns whether anything changed.
+    /// Takes rows of the store or of another gateway as they stood at `stamp` of the store, and returns whether
+    /// anything changed.
     pub fn take_changes(
         &self,
         topic: Topic,
         changes: Vec<Change>,
         known_to: u64,
+        stamp: Duration,
         whole: bool,
     ) -> bool {
         let is_first;
@@ -233,9 +235,13 @@
         };
         for change in &news {
             match topic {
-                Topic::Configuration => self.take_configuration(change),
+                Topic::Configuration => self.take_operator_row(change, stamp),
                 Topic::Endpoints => self.take_endpoint(change),
-                Topic::Gateways | Topic::Lease | Topic::Usage => {}
+                Topic::Gateways
+                | Topic::Lease
+                | Topic::Usage
+                | Topic::Rollouts
+                | Topic::RolloutStatus => {}
             }
         }
         if is_first && topic == Topic::Endpoints {
@@ -301,10 +307,40 @@
         }
     }
 
-    fn take_configuration(&self, change: &Change) {
-        if change.key != self.store.configuration_key() {
+    fn take_operator_row(&self, change: &Change, stamp: Duration) {
+        if change.key == self.store.configuration_key() {
+            self.take_configuration(change);
+        } else if let Some(service) = self.store.rollout_service(&change.key) {
+            self.take_order(&service, change, stamp);
+        }
+    }
+
+    fn take_order(&self, service: &str, change: &Change, stamp: Duration) {
+        let Some(value) = &change.value else {
+            self.known.borrow_mut().rollouts.orders.remove(service);
+            info!(self.log, "roll-out withdrawn"; "service" => service, "revision" => change.revision);
+            let _ = self
+                .updates
+                .send(Update::RolloutWithdrawn(service.to_string()));
             return;
+        };
+        match self.store.rollout_order(value, change.revision) {
+            Ok(order) => {
+                if !self.known.borrow_mut().rollouts.order(order.clone(), stamp) {
+                    return;
+                }
+                info!(self.log, "roll-out ordered"; "service" => service, "version" => &order.version,
+                    "revision" => order.revision, "time_ms" => order.time.as_millis() as u64);
+                let _ = self.updates.send(Update::RolloutOrdered(order));
+            }
+            Err(fault) => {
+                warn!(self.log, "order of a roll-out not readable, it is not carried out";
+                "service" => service, "revision" => change.revision, "cause" => fault.0)
+            }
         }
+    }
+
+    fn take_configuration(&self, change: &Change) {
         let Some(value) = &change.value else {
             return;
         };
--- a/components/gateway/src/control/forwarding.rs
+++ b/components/gateway/src/control/forwarding.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use schema::messages::SourceUsage;
+use schema::messages::{EvidenceTold, SourceUsage};
 use slog::info;
 use tokio::net::UdpSocket;
 
@@ -23,6 +23,23 @@
         }
     }
 
+    /// Sends what this gateway saw endpoints answer to whoever carries a roll-out out.
+    pub async fn send_evidence(&self, socket: &UdpSocket, now: Duration) {
+        let messages: Vec<_> = {
+            let mut known = self.known.borrow_mut();
+            let due = known.rollouts.evidence_due(now, self.peer_address);
+            let message = |(holder, told): (SocketAddr, EvidenceTold)| {
+                let mut message = self.message_of(&mut known, now, Content::Usage);
+                message.evidence = Some(vec![Box::new(told)]);
+                (holder, schema::encode(&message).unwrap_or_default())
+            };
+            due.into_iter().map(message).collect()
+        };
+        for (holder, message) in messages {
+            self.send(socket, &message, holder).await;
+        }
+    }
+
     fn forwarded(&self, now: Duration) -> Option<(SocketAddr, Vec<Vec<u8>>)> {
         let mut known = self.known.borrow_mut();
         let (epoch, holder) = known.peers.lease_holder()?;
--- a/components/gateway/src/control/lease.rs
+++ b/components/gateway/src/control/lease.rs
@@ -52,7 +52,8 @@
     pub fn tick_lease(self: &Rc<Self>, now: Duration) {
         let mut known = self.known.borrow_mut();
         let settings = &known.settings;
-        let has_duties = settings.reports_usage || settings.orders_endpoints;
+        let has_rollouts = !known.rollouts.orders.is_empty();
+        let has_duties = settings.reports_usage || settings.orders_endpoints || has_rollouts;
         if !has_duties {
             return;
         }
--- a/components/gateway/src/control/messages.rs
+++ b/components/gateway/src/control/messages.rs
@@ -130,6 +130,9 @@
             gateways: coordinates.then(|| known.peers.count(now).gateways() as i32),
             asks: known.peers.asks(now).map(str::to_string),
             forwarded: None,
+            rollouts: has_state
+                .then(|| known.rollouts.told(now).into_iter().map(Box::new).collect()),
+            evidence: None,
         }
     }
 
--- a/components/gateway/src/control/passing.rs
+++ b/components/gateway/src/control/passing.rs
@@ -37,7 +37,9 @@
     match topic {
         Topic::Configuration => Some(TopicName::CONFIGURATION),
         Topic::Endpoints => Some(TopicName::ENDPOINTS),
-        Topic::Gateways | Topic::Lease | Topic::Usage => None,
+        Topic::Gateways | Topic::Lease | Topic::Usage | Topic::Rollouts | Topic::RolloutStatus => {
+            None
+        }
     }
 }
 
@@ -66,9 +68,15 @@
             }
             _ => None,
         };
-        if let Some(reply) = pulled {
+        if let (Some(reply), Some((_, told))) = (pulled, newer) {
             let changes = reply.rows.into_iter().map(change_of).collect();
-            self.take_changes(topic, changes, reply.known_to.max(0) as u64, reply.whole);
+            self.take_changes(
+                topic,
+                changes,
+                reply.known_to.max(0) as u64,
+                told.confirmed,
+                reply.whole,
+            );
         }
         let Some((from, told)) = newer else {
             return;
--- a/components/gateway/src/control/scaling.rs
+++ b/components/gateway/src/control/scaling.rs
@@ -5,6 +5,7 @@
 
 use directory::{Configuration, Endpoint, Scaling};
 use fleet::{Fleet, Load, Offer, ScalingOrder};
+use rollout::Order;
 use routing::placement::endpoint_hash;
 use slog::{info, warn};
 
@@ -131,7 +132,11 @@
         let as_of = confirmed.unwrap_or_default();
         for (service, _) in scaled(&configuration) {
             let load = load_of(&known, service, &tokens).endpoints();
-            let held = held_by(known.endpoints.values(), service);
+            let serving = known
+                .endpoints
+                .values()
+                .filter(|e| known.rollouts.counts(e));
+            let held = held_by(serving, service);
             let scaler = known.scalers.entry(service.clone()).or_default();
             scaler.observe_as_of(now, as_of, &held, load);
         }
@@ -145,6 +150,9 @@
         };
         let mut plans = Vec::new();
         for (service, scaling) in scaled(&configuration) {
+            if known.rollouts.is_under_way(service) {
+                continue;
+            }
             let rate = known.loads.get(service).and_then(|load| load.rate);
             let Some(scaler) = known.scalers.get_mut(service) else {
                 continue;
@@ -161,6 +169,19 @@
     }
 }
 
+impl Known {
+    /// Requests that run at a service's serving endpoints, and slots of the ready ones of an ordered version.
+    pub fn running_and_new_slots(&self, order: &Order) -> (u32, u32) {
+        let of_service = self
+            .endpoints
+            .values()
+            .filter(|e| e.service == order.service);
+        let new = of_service.filter(|e| e.version == order.version && e.is_ready());
+        let load = self.loads.get(&order.service).copied().unwrap_or_default();
+        (load.requests, new.map(|endpoint| endpoint.slots).sum())
+    }
+}
+
 fn scaled(configuration: &Configuration) -> impl Iterator<Item = (&String, &Scaling)> {
     let services = configuration.services.iter();
     services.filter_map(|(name, service)| Some((name, service.scaling.as_ref()?)))
--- a/components/gateway/src/decisions.rs
+++ b/components/gateway/src/decisions.rs
@@ -19,6 +19,7 @@
 use crate::job::Job;
 use crate::peers::Fleet;
 use crate::traffic::Traffic;
+use crate::versions::Asked;
 
 /// Largest datagram that is read, in bytes.
 const MAX_DATAGRAM: usize = 8192;
@@ -154,6 +155,7 @@
     fn query(&self, job: &Job, tried: &[String], charged: bool) -> DecisionQuery {
         let parts = job.work.parts.iter();
         let excluded = tried.iter().map(|id| endpoint_hash(id) as i64);
+        let asked = job.asked();
         DecisionQuery {
             number: self.asking.next_number(),
             service_name: job.work.service.clone(),
@@ -170,6 +172,8 @@
                 .collect(),
             excluded: excluded.collect(),
             request: job.head.id.clone(),
+            route: Some(asked.route as i64),
+            is_lost_when_cut: Some(asked.is_lost_when_cut),
         }
     }
 
@@ -233,7 +237,11 @@
             reply.retry_ms = Some(wait.as_millis().min(i64::MAX as u128) as i64);
             return Some(reply);
         }
-        let placed = state.place_for_other(now, &work_of(query), &query.excluded);
+        let asked = Asked {
+            route: query.route.unwrap_or_default() as u64,
+            is_lost_when_cut: query.is_lost_when_cut.unwrap_or_default(),
+        };
+        let placed = state.place_for_other(now, &work_of(query), &query.excluded, asked);
         let unread_tokens = placed.as_ref().map_or(0, |placed| placed.unread_tokens);
         let is_long = self.is_long(unread_tokens.max(0) as u32);
         reply.placed = placed;
@@ -268,6 +276,7 @@
         expected_ms: placement.expected_ms as i32,
         hold_ms: placement.hold.as_millis().min(i32::MAX as u128) as i32,
         weighed: placement.weighed as i32,
+        version: placement.version.clone(),
     }
 }
 
@@ -289,5 +298,6 @@
         hold: Duration::from_millis(placed.hold_ms.max(0) as u64),
         weighed: placed.weighed.max(0) as usize,
         counted: true,
+        version: placed.version.clone(),
     }))
 }
--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -240,9 +240,8 @@
             }
             let now = self.clock.now();
             let placement = {
-                let state = &mut *self.state.borrow_mut();
-                let (board, rng) = (&mut state.board, &mut state.rng);
-                board.choose(now, &job.work, &progress.tried, rng)
+                let mut state = self.state.borrow_mut();
+                state.choose(now, &job.work, &progress.tried, job.asked())
             };
             if placement.is_some() || now >= patience || now >= job.expiry {
                 return placement;
--- a/components/gateway/src/job.rs
+++ b/components/gateway/src/job.rs
@@ -10,6 +10,7 @@
 use routing::placement::Work;
 
 use crate::ports::CallerHead;
+use crate::versions::{is_lost_when_cut, route_hash, Asked};
 
 /// Ranks of a route within one rank of its tenant.
 pub(crate) const ROUTE_RANKS: u8 = 3;
@@ -46,6 +47,14 @@
 }
 
 impl Job {
+    /// What matters for the version that runs it.
+    pub fn asked(&self) -> Asked {
+        Asked {
+            route: route_hash(&self.route.name),
+            is_lost_when_cut: is_lost_when_cut(&self.route),
+        }
+    }
+
     /// Whether it comes first where its tenant's limit is short.
     pub fn is_urgent(&self) -> bool {
         self.route.priority + 1 < ROUTE_RANKS
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod stream;
 mod tally;
 mod traffic;
+mod versions;
 
 pub use alone::Alone;
 pub use clock::Clock;
--- a/components/gateway/src/news.rs
+++ b/components/gateway/src/news.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use replica::Told;
+use rollout::{Counts, Decision, Evidence, Histogram, Stage};
 use routing::placement::PeerDispatch;
 use schema::messages::{
-    Dispatch, GatewayNews, GatewayRow, LeaseTold, SourceUsage, TopicHead, WindowUsage,
+    AnswerCounts, Dispatch, EvidenceTold, GatewayNews, GatewayRow, LeaseTold, RolloutStage,
+    SourceUsage, TopicHead, WindowUsage,
 };
 use state::LeaseHead;
 use usage::Source;
@@ -23,6 +25,9 @@
 /// Processes whose usage is passed on in one message, so that it fits into one datagram: some 200 bytes each.
 pub(crate) const MOST_FORWARDED: usize = 25;
 
+/// Counts of answers told in one message, so that it fits into one datagram: some 60 bytes each.
+const MOST_COUNTS: usize = 100;
+
 /// Longest time that a request is told to run, in milliseconds.
 const MOST_HOLD_MS: u128 = 60_000;
 
@@ -177,3 +182,72 @@
     let addresses = news.peers.iter();
     addresses.filter_map(|text| text.parse().ok()).collect()
 }
+
+/// A stage as it is told.
+pub(crate) fn stage_of(stage: Stage) -> RolloutStage {
+    match stage {
+        Stage::Sample => RolloutStage::SAMPLE,
+        Stage::SwitchLong => RolloutStage::SWITCH_LONG,
+        Stage::SwitchAll => RolloutStage::SWITCH_ALL,
+        Stage::Decided(Decision::Completed) => RolloutStage::COMPLETED,
+        Stage::Decided(Decision::Reverted) => RolloutStage::REVERTED,
+    }
+}
+
+/// A stage as it was heard; `None` for one that this version does not know.
+pub(crate) fn heard_stage(told: RolloutStage) -> Option<Stage> {
+    match told {
+        RolloutStage::SAMPLE => Some(Stage::Sample),
+        RolloutStage::SWITCH_LONG => Some(Stage::SwitchLong),
+        RolloutStage::SWITCH_ALL => Some(Stage::SwitchAll),
+        RolloutStage::COMPLETED => Some(Stage::Decided(Decision::Completed)),
+        RolloutStage::REVERTED => Some(Stage::Decided(Decision::Reverted)),
+        _ => None,
+    }
+}
+
+/// Evidence as it is told.
+pub(crate) fn evidence_of(service: &str, revision: u64, evidence: &Evidence) -> EvidenceTold {
+    let routes = evidence.routes.iter();
+    let answers = routes.flat_map(|(route, of_route)| {
+        let old = counts_of(*route, 0, &of_route.old);
+        let new = of_route.new.iter();
+        new.map(|(endpoint, counts)| counts_of(*route, *endpoint, counts))
+            .chain([old])
+    });
+    EvidenceTold {
+        service_name: service.to_string(),
+        revision: revision as i64,
+        answers: answers.take(MOST_COUNTS).collect(),
+    }
+}
+
+fn counts_of(route: u64, endpoint: u64, counts: &Counts) -> AnswerCounts {
+    let whole = counts.whole.buckets();
+    AnswerCounts {
+        route: route as i64,
+        endpoint: endpoint as i64,
+        failed: counts.failed as i64,
+        whole: whole.map(|(b, n)| (i32::from(b), n as i64)).collect(),
+    }
+}
+
+/// Evidence as it was heard.
+pub(crate) fn heard_evidence(told: &EvidenceTold) -> Evidence {
+    let mut evidence = Evidence::default();
+    for counts in &told.answers {
+        let buckets = counts.whole.iter();
+        let buckets =
+            buckets.filter_map(|(b, n)| Some((u8::try_from(*b).ok()?, (*n).max(0) as u64)));
+        let heard = Counts {
+            failed: counts.failed.max(0) as u64,
+            whole: Histogram::of(buckets),
+        };
+        let route = evidence.routes.entry(counts.route as u64).or_default();
+        match counts.endpoint {
+            0 => route.old.add(&heard),
+            endpoint => route.new.entry(endpoint as u64).or_default().add(&heard),
+        }
+    }
+    evidence
+}
--- a/components/gateway/src/peers/halls.rs
+++ b/components/gateway/src/peers/halls.rs
@@ -17,6 +17,8 @@
 const COORDINATORS: usize = 3;
 /// Gateways of its own hall to which one without any coordinator reports.
 const WIDER_SEARCH: usize = 8;
+/// Gateways that decide, while nothing is known of them.
+const ASSUMED_PLACING: usize = 100;
 /// Key of the order in which gateways of the same size coordinate.
 const COORDINATION_KEY: u64 = 0x636f_6f72;
 
@@ -41,6 +43,8 @@
     /// Coordinators of the own hall that are heard, the one that is asked first before the others; empty if this
     /// gateway decides itself.
     pub coordinators: Vec<SocketAddr>,
+    /// Gateways that decide, this one included, as far as it is known.
+    pub placing: usize,
     /// Gateways of other halls that are asked when none of the own hall decides: one of each hall, by what the
     /// store's list says.
     pub others: Vec<SocketAddr>,
@@ -53,6 +57,7 @@
             part: PeerCount::default().heard_part(),
             decides: true,
             coordinators: Vec::new(),
+            placing: ASSUMED_PLACING,
             others: Vec::new(),
         }
     }
@@ -126,6 +131,7 @@
                 part: count.heard_part(),
                 decides: true,
                 coordinators: Vec::new(),
+                placing: self.coordinators(now).len() + 1,
                 others: Vec::new(),
             };
         }
@@ -135,6 +141,7 @@
             part: 1.0 / gateways.max(1) as f64,
             decides: false,
             coordinators: self.deciders(now),
+            placing: gateways,
             others: self.deciders_elsewhere(now),
         }
     }
--- a/components/gateway/src/ports.rs
+++ b/components/gateway/src/ports.rs
@@ -8,6 +8,7 @@
 use directory::{Configuration, Endpoint};
 use fleet::ScalingOrder;
 use http::{request, HeaderMap, StatusCode};
+use rollout::{Decision, Order};
 use routing::placement::PromptPart;
 use usage::Report;
 
@@ -102,6 +103,10 @@
     Lease,
     /// What is reported for each usage window.
     Usage,
+    /// How far the roll-out of each service is, for whoever holds the lease.
+    Rollouts,
+    /// The same, for the operator.
+    RolloutStatus,
 }
 
 /// One row.
@@ -194,6 +199,24 @@
 
     /// Key of the configuration's row.
     fn configuration_key(&self) -> &'static str;
+
+    /// Service whose roll-out a row of [`Topic::Configuration`] with this key orders, if it does.
+    fn rollout_service(&self, key: &str) -> Option<String>;
+
+    /// Reads such a row.
+    fn rollout_order(&self, value: &[u8], revision: u64) -> Result<Order, RowFault>;
+
+    /// The row of [`Topic::RolloutStatus`] that tells the operator how far an order is.
+    fn rollout_status(&self, order: &Order, decision: Option<Decision>) -> StatusRow;
+}
+
+/// A row for the operator.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StatusRow {
+    /// Its key.
+    pub key: String,
+    /// Its value.
+    pub value: Vec<u8>,
 }
 
 /// Who gives an order, and under which fence.
--- a/components/gateway/src/tally.rs
+++ b/components/gateway/src/tally.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::versions::Told;
+
 /// A request that was sent to an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Sent {
@@ -31,7 +33,7 @@
 
 /// Everything since the last tally.
 #[derive(Clone, Debug, Default)]
-pub struct Tally {
+pub(crate) struct Tally {
     /// Requests sent.
     pub sent: Vec<Sent>,
     /// Tenant and wall time of each request that began to run.
@@ -40,4 +42,6 @@
     pub taken: BTreeMap<String, u64>,
     /// Loads of the services.
     pub loads: BTreeMap<String, ServiceLoad>,
+    /// Answers that speak of the versions in roll-outs that are under way.
+    pub told: Vec<Told>,
 }
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -10,6 +10,7 @@
 use limits::{Limit, QuotaState, RepeatBudget, RepeatTerms, SharedQuota};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use rollout::{Order, Stage};
 use routing::placement::{endpoint_hash, Board, PeerDispatch, Placement, Ticket, Work};
 use schema::messages::PlacedAt;
 use schema::settings::GatewaySettings;
@@ -25,6 +26,7 @@
 use crate::peers::Fleet;
 use crate::pool::Pool;
 use crate::tally::{Sent, ServiceLoad, Tally};
+use crate::versions::{Asked, Gates};
 
 /// Prompts of which at least so many tokens are to be read are told to the others at once.
 pub(crate) const LONG_PROMPT_TOKENS: u32 = 4000;
@@ -63,6 +65,19 @@
     },
     /// The settings changed.
     Settings(Arc<GatewaySettings>),
+    /// A roll-out was ordered.
+    RolloutOrdered(Order),
+    /// The order of a service was withdrawn.
+    RolloutWithdrawn(String),
+    /// The holder said how far a roll-out is.
+    RolloutStage {
+        /// Its service.
+        service: String,
+        /// Revision of its order.
+        revision: u64,
+        /// How far it is.
+        stage: Stage,
+    },
 }
 
 /// Everything the traffic thread decides from.
@@ -79,6 +94,7 @@
     pub fleet: Fleet,
     pub rng: ChaCha8Rng,
     pub settings: Arc<GatewaySettings>,
+    pub gates: Gates,
 }
 
 /// The traffic thread.
@@ -123,6 +139,7 @@
             fleet: Fleet::default(),
             rng: ChaCha8Rng::from_rng(&mut rand::rng()),
             settings: parts.settings,
+            gates: Gates::default(),
         };
         Traffic {
             dialect: parts.dialect,
@@ -184,6 +201,13 @@
                 }
             }
             Update::Settings(settings) => state.settings = settings,
+            Update::RolloutOrdered(order) => state.gates.order(order),
+            Update::RolloutWithdrawn(service) => state.gates.withdraw(&service),
+            Update::RolloutStage {
+                service,
+                revision,
+                stage,
+            } => state.gates.hear(now, &service, revision, stage),
         }
     }
 
@@ -321,13 +345,18 @@
         now: Duration,
         work: &Work,
         excluded: &[i64],
+        asked: Asked,
     ) -> Option<PlacedAt> {
         let excluded = excluded.iter().map(|hash| *hash as u64);
         let excluded: Vec<String> = excluded.filter_map(|hash| self.board.id_of(hash)).collect();
-        let placement = self.board.choose(now, work, &excluded, &mut self.rng)?;
+        let placement = self.choose(now, work, &excluded, asked)?;
         self.board.sent_for_other(now, work, &placement);
         self.tally.sent.push(sent_of(now, &placement));
-        Some(placed_of(&placement))
+        let mut placed = placed_of(&placement);
+        if self.gates.under_way(&work.service).is_none() {
+            placed.version = None;
+        }
+        Some(placed)
     }
 
     /// Picks one of a route's services by weight.
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -119,6 +119,8 @@
         change_due_ms: 2000,
         cores_milli: 250,
         decisions: any(),
+        exposure_milli: 100,
+        exposure_extra: 50,
     }
 }
 
@@ -178,6 +180,15 @@
         state: EndpointState::Ready,
         reclaimable: false,
         cold: Duration::ZERO,
+        version: "v1".into(),
+    }
+}
+
+/// An endpoint of the service `s` with a version.
+pub fn endpoint_of(version: &str, id: &str, address: SocketAddr) -> Endpoint {
+    Endpoint {
+        version: version.into(),
+        ..endpoint(id, address)
     }
 }
 
--- a/components/gateway/tests/common/store.rs
+++ b/components/gateway/tests/common/store.rs
@@ -8,11 +8,14 @@
 use directory::{Configuration, Endpoint};
 use fleet::ScalingOrder;
 use gateway::ports::{
-    DutyHolder, OrderReply, Orders, Row, RowFault, Rows, Store, StoreError, Topic,
+    DutyHolder, OrderReply, Orders, Row, RowFault, Rows, StatusRow, Store, StoreError, Topic,
 };
+use rollout::{Decision, Order};
 use schema::messages::{GatewayRow, LeaseRow};
 use usage::Report;
 
+/// Beginning of the keys of orders.
+const ROLLOUT_PREFIX: &str = "rollout/";
 /// Pause between looks at whether a held call has its answer.
 const LOOK: Duration = Duration::from_millis(2);
 
@@ -66,6 +69,25 @@
         put(&mut state, Topic::Endpoints, &id, Some(index));
     }
 
+    /// Orders a version of the service `s`.
+    pub fn put_order(&self, version: &str, time: Duration) {
+        let mut state = self.state.lock().unwrap();
+        let value = format!("{version} {}", time.as_millis());
+        let key = format!("{ROLLOUT_PREFIX}s");
+        write(
+            &mut state,
+            Topic::Configuration,
+            &key,
+            Some(value.into_bytes()),
+        );
+    }
+
+    /// What the operator reads of the order for the service `s`.
+    pub fn rollout_status(&self) -> Option<String> {
+        let row = self.row(Topic::RolloutStatus, "s")?;
+        String::from_utf8(row.value?).ok()
+    }
+
     pub fn drop_endpoint(&self, id: &str) {
         put(&mut self.state.lock().unwrap(), Topic::Endpoints, id, None);
     }
@@ -255,6 +277,29 @@
     fn configuration_key(&self) -> &'static str {
         "newest"
     }
+
+    fn rollout_service(&self, key: &str) -> Option<String> {
+        key.strip_prefix(ROLLOUT_PREFIX).map(str::to_string)
+    }
+
+    fn rollout_order(&self, value: &[u8], revision: u64) -> Result<Order, RowFault> {
+        let fault = || RowFault("order".into());
+        let text = std::str::from_utf8(value).map_err(|_| fault())?;
+        let (version, ms) = text.split_once(' ').ok_or_else(fault)?;
+        Ok(Order {
+            service: "s".into(),
+            version: version.into(),
+            revision,
+            time: Duration::from_millis(ms.parse().map_err(|_| fault())?),
+        })
+    }
+
+    fn rollout_status(&self, order: &Order, decision: Option<Decision>) -> StatusRow {
+        StatusRow {
+            key: order.service.clone(),
+            value: format!("{} {decision:?}", order.version).into_bytes(),
+        }
+    }
 }
 
 /// Orders and reports as they came.
--- /dev/null
+++ b/components/rollout/src/gate.rs
@@ -0,0 +1,149 @@
+//! How many requests one gateway sends to the new version.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::order::{Decision, Order, Stage};
+
+/// What the holder allows holds for this long after it was said: without a holder nothing goes to a version that
+/// nobody judges. Holders speak every half second.
+const ALLOWED_FOR: Duration = Duration::from_millis(2000);
+/// Part of what the new version may get that is used for evidence. With an order of 12 s and 540 requests a second
+/// the other half is 350 requests: 0.35 s of all requests and 1.5 s of those that run long (simulated, see
+/// docs/decisions/rollouts.md).
+const SAMPLE_PART: f64 = 0.5;
+/// Bounds on how much more or less than the others a route gets.
+const LEAST_NEED: f64 = 0.5;
+const MOST_NEED: f64 = 4.0;
+/// Part of what the new version may get that is used before it is completed; the rest is for what is counted
+/// late.
+const USED_PART: f64 = 0.85;
+
+/// What a version that is not proven may get.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Allowance {
+    /// Part of all requests of the service.
+    pub fraction: f64,
+    /// Requests beside that part, over all gateways.
+    pub extra: f64,
+    /// Gateways that place requests.
+    pub placing: usize,
+}
+
+/// Which endpoints a request may go to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Lane {
+    /// Any.
+    Any,
+    /// Those of another version than this.
+    Not(String),
+    /// Those of this version.
+    Only(String),
+}
+
+/// Counts the requests of one service since its order.
+#[derive(Clone, Debug)]
+pub struct Gate {
+    order: Order,
+    stage: Option<(Stage, Duration)>,
+    placed: u64,
+    placed_new: u64,
+    // Requests that went to the new version, by hash of their route.
+    new_of_route: BTreeMap<u64, u64>,
+}
+
+/// What matters of a request for where it goes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Request {
+    /// Hash of its route.
+    pub route: u64,
+    /// Whether it would be cut off when the old endpoints end.
+    pub runs_long: bool,
+    /// Whether it was sent before; such a request never goes to a version that is not proven.
+    pub is_repeat: bool,
+}
+
+impl Gate {
+    /// A gate for an order of which nothing else is known.
+    pub fn new(order: Order) -> Self {
+        Gate {
+            order,
+            stage: None,
+            placed: 0,
+            placed_new: 0,
+            new_of_route: BTreeMap::new(),
+        }
+    }
+
+    /// The order.
+    pub fn order(&self) -> &Order {
+        &self.order
+    }
+
+    /// The holder said how far the order with this revision is. A decision stays.
+    pub fn hear(&mut self, now: Duration, revision: u64, stage: Stage) {
+        if revision != self.order.revision || self.decision().is_some() {
+            return;
+        }
+        self.stage = Some((stage, now));
+    }
+
+    /// The stage that holds now, `None` if nothing was said of it lately.
+    pub fn stage(&self, now: Duration) -> Option<Stage> {
+        let (stage, at) = self.stage?;
+        let holds = stage.decision().is_some() || now < at + ALLOWED_FOR;
+        holds.then_some(stage)
+    }
+
+    /// The decision, once it is known here.
+    pub fn decision(&self) -> Option<Decision> {
+        self.stage.and_then(|(stage, _)| stage.decision())
+    }
+
+    /// Requests placed since the order, and those of them that went to the new version.
+    pub fn placed(&self) -> (u64, u64) {
+        (self.placed, self.placed_new)
+    }
+
+    /// Where a request goes; `chance` lies between 0 and 1.
+    pub fn lane(&self, now: Duration, allowance: Allowance, request: Request, chance: f64) -> Lane {
+        let old = || Lane::Not(self.order.version.clone());
+        let new = || Lane::Only(self.order.version.clone());
+        let Some(stage) = self.stage(now) else {
+            return old();
+        };
+        let is_drawn = !request.is_repeat
+            && chance < allowance.fraction * self.need_of(request.route)
+            && self.has_room(allowance, SAMPLE_PART);
+        match stage {
+            Stage::Decided(Decision::Completed) => new(),
+            Stage::Decided(Decision::Reverted) => old(),
+            _ if !self.has_room(allowance, USED_PART) => old(),
+            Stage::SwitchAll => new(),
+            Stage::SwitchLong if request.runs_long || is_drawn => new(),
+            Stage::Sample if is_drawn => new(),
+            Stage::Sample | Stage::SwitchLong => old(),
+        }
+    }
+
+    /// A request of a route was placed.
+    pub fn note(&mut self, route: u64, is_new: bool) {
+        self.placed += 1;
+        self.placed_new += u64::from(is_new);
+        *self.new_of_route.entry(route).or_default() += u64::from(is_new);
+    }
+
+    // Each gateway keeps its own part, so all together keep the whole whatever they hear of each other.
+    fn has_room(&self, allowance: Allowance, part: f64) -> bool {
+        let extra = allowance.extra / allowance.placing.max(1) as f64;
+        let most = allowance.fraction * self.placed as f64 + extra;
+        (self.placed_new + 1) as f64 <= most * part
+    }
+
+    // How many times its share a route gets, since all routes need as many answers.
+    fn need_of(&self, route: u64) -> f64 {
+        let own = self.new_of_route.get(&route).copied().unwrap_or_default();
+        let mean = self.placed_new as f64 / self.new_of_route.len().max(1) as f64;
+        ((mean + 1.0) / (own as f64 + 1.0)).clamp(LEAST_NEED, MOST_NEED)
+    }
+}
--- /dev/null
+++ b/components/rollout/src/lib.rs
@@ -0,0 +1,17 @@
+//! Moving the requests of a service to endpoints of another version.
+//!
+//! The operator orders a version and a time. Whoever holds the lease judges the version by what its endpoints
+//! answer beside the old ones and decides once: completed or reverted. Until then every gateway that places
+//! requests lets a small, counted part of them through. Pure: times, answers and chance come in as values.
+
+mod evidence;
+mod gate;
+mod order;
+mod plan;
+mod verdict;
+
+pub use evidence::{Answer, Counts, Evidence, Histogram, RouteEvidence, Side};
+pub use gate::{Allowance, Gate, Lane, Request};
+pub use order::{Decision, Order, Stage};
+pub use plan::{Plan, Progress, Step, Terms};
+pub use verdict::{judge, Finding, Judgement};
--- /dev/null
+++ b/components/rollout/tests/common/mod.rs
@@ -0,0 +1,181 @@
+//! A service in virtual time: gateways that place its requests, and endpoints of two versions.
+
+#![allow(dead_code)]
+
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rollout::{
+    Allowance, Answer, Decision, Evidence, Gate, Lane, Order, Plan, Progress, Request, Side, Stage,
+    Step, Terms,
+};
+
+pub const TERMS: Terms = Terms {
+    fraction: 0.1,
+    extra: 50.0,
+};
+/// Time between steps of the holder.
+const LOOK: Duration = Duration::from_millis(100);
+const GATEWAYS: usize = 12;
+
+/// How a version misbehaves.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fault {
+    None,
+    /// Fails so many of its answers.
+    Fails(f64),
+    /// Answers so many times slower.
+    Slow(f64),
+    /// Fails half of its answers from this part of the order's time on.
+    FailsLater(f64),
+    /// Fails half of its answers on the first route.
+    FailsOnOneRoute,
+    /// One of its endpoints fails all its answers.
+    OneEndpointIll,
+    /// Both versions fail so many answers.
+    BothFail(f64),
+}
+
+/// A service and an order for it.
+#[derive(Clone, Copy, Debug)]
+pub struct World {
+    pub per_s: f64,
+    pub time: Duration,
+    pub fault: Fault,
+    /// Failures by nature, by route.
+    pub natural: [f64; 2],
+}
+
+/// What came of the order.
+#[derive(Clone, Copy, Debug)]
+pub struct Outcome {
+    pub decision: Decision,
+    pub at: Duration,
+    pub requests: u64,
+    pub to_new: u64,
+    /// Bad answers of the new version until the decision.
+    pub bad: u64,
+}
+
+pub fn order(time: Duration) -> Order {
+    Order {
+        service: "s".into(),
+        version: "v2".into(),
+        revision: 7,
+        time,
+    }
+}
+
+impl World {
+    pub fn new(per_s: f64, seconds: u64, fault: Fault) -> Self {
+        World {
+            per_s,
+            time: Duration::from_secs(seconds),
+            fault,
+            natural: [0.004, 0.14],
+        }
+    }
+
+    /// Plays the order until its time is over.
+    pub fn play(&self, seed: u64) -> Outcome {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let allowance = Allowance {
+            fraction: TERMS.fraction,
+            extra: TERMS.extra,
+            placing: GATEWAYS,
+        };
+        let mut gates = vec![Gate::new(order(self.time)); GATEWAYS];
+        let mut plan = Plan::new(order(self.time), TERMS);
+        let mut evidence = Evidence::default();
+        let mut outcome = Outcome {
+            decision: Decision::Reverted,
+            at: Duration::MAX,
+            requests: 0,
+            to_new: 0,
+            bad: 0,
+        };
+        let mut now = Duration::ZERO;
+        let (mut next_look, mut decided) = (Duration::ZERO, None);
+        while now < self.time {
+            now += Duration::from_secs_f64(-rng.random::<f64>().max(1e-9).ln() / self.per_s);
+            if now >= next_look {
+                next_look = now + LOOK;
+                let progress = Progress {
+                    ordered_at: Duration::ZERO,
+                    long_per_s: self.per_s * 0.2,
+                    call_time: Duration::from_millis(6),
+                    can_carry: true,
+                };
+                let step = match decided {
+                    Some(decision) => Step::Tell(Stage::Decided(decision)),
+                    None => plan.step(now, &evidence, progress),
+                };
+                let stage = match step {
+                    Step::Tell(stage) => stage,
+                    Step::Decide(decision, _) => {
+                        decided = Some(decision);
+                        (outcome.decision, outcome.at) = (decision, now);
+                        outcome.bad = bad_answers(&evidence);
+                        Stage::Decided(decision)
+                    }
+                };
+                gates.iter_mut().for_each(|gate| gate.hear(now, 7, stage));
+            }
+            let gate = &mut gates[rng.random_range(0..GATEWAYS)];
+            let route = u64::from(rng.random::<f64>() < 0.19);
+            let request = Request {
+                route,
+                runs_long: rng.random::<f64>() < 0.2,
+                is_repeat: false,
+            };
+            let lane = gate.lane(now, allowance, request, rng.random());
+            let side = match lane {
+                Lane::Only(_) => Side::New,
+                Lane::Any | Lane::Not(_) => Side::Old,
+            };
+            gate.note(route, side == Side::New);
+            outcome.requests += 1;
+            outcome.to_new += u64::from(side == Side::New);
+            let endpoint = rng.random_range(0..4);
+            let answer = self.answer(now, route, side, endpoint, &mut rng);
+            evidence.note(route, side, endpoint, answer);
+        }
+        outcome
+    }
+
+    fn answer(
+        &self,
+        now: Duration,
+        route: u64,
+        side: Side,
+        endpoint: u64,
+        rng: &mut ChaCha8Rng,
+    ) -> Answer {
+        let late = |part: f64| now >= self.time.mul_f64(part);
+        let (extra, times) = match (self.fault, side) {
+            (Fault::BothFail(part), _) => (part, 1.0),
+            (_, Side::Old) | (Fault::None, _) => (0.0, 1.0),
+            (Fault::Fails(part), _) => (part, 1.0),
+            (Fault::Slow(times), _) => (0.0, times),
+            (Fault::FailsLater(part), _) => (if late(part) { 0.5 } else { 0.0 }, 1.0),
+            (Fault::FailsOnOneRoute, _) => (if route == 0 { 0.5 } else { 0.0 }, 1.0),
+            (Fault::OneEndpointIll, _) => (if endpoint == 0 { 1.0 } else { 0.0 }, 1.0),
+        };
+        let fails = self.natural[route as usize] + extra;
+        if rng.random::<f64>() < fails {
+            return Answer::Failed;
+        }
+        // Log-normal, as the sheets say: mean 15 ms, spread 0.5.
+        let normal: f64 = (0..12).map(|_| rng.random::<f64>()).sum::<f64>() - 6.0;
+        Answer::Whole(15.0 * times * (0.5 * normal).exp())
+    }
+}
+
+fn bad_answers(evidence: &Evidence) -> u64 {
+    let new = evidence
+        .routes
+        .values()
+        .flat_map(|route| route.new.values());
+    new.map(|counts| counts.failed).sum()
+}
--- a/components/routing/src/placement.rs
+++ b/components/routing/src/placement.rs
@@ -42,6 +42,30 @@
     pub answer_tokens: u32,
 }
 
+/// Which versions of its service's software may run a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Versions<'a> {
+    /// All.
+    Any,
+    /// All but this one.
+    Not(&'a str),
+    /// This one.
+    Only(&'a str),
+    /// This one, on so many of its endpoints only, so that these are loaded as the others are.
+    Few(&'a str, usize),
+}
+
+impl Versions<'_> {
+    /// Whether an endpoint of a version may run it.
+    pub fn allows(&self, version: &str) -> bool {
+        match self {
+            Versions::Any => true,
+            Versions::Not(other) => version != *other,
+            Versions::Only(only) | Versions::Few(only, _) => version == *only,
+        }
+    }
+}
+
 /// Hashes of a prompt's beginnings: the one at `i` stands for the parts up to `i`.
 pub fn beginnings(parts: &[PromptPart]) -> Vec<u64> {
     let mut hash = 0;
--- a/components/routing/src/placement/board.rs
+++ b/components/routing/src/placement/board.rs
@@ -12,7 +12,7 @@
 use crate::placement::service::ServiceSlots;
 use crate::placement::slot::Slot;
 use crate::placement::unknown::Unknown;
-use crate::placement::{beginnings, endpoint_hash, PeerDispatch, Verdict, Work};
+use crate::placement::{beginnings, endpoint_hash, PeerDispatch, Verdict, Versions, Work};
 
 /// Where a request goes.
 #[derive(Clone, Debug, PartialEq)]
@@ -33,6 +33,8 @@
     pub weighed: usize,
     /// Whether another gateway placed it, and counts it among what it sent.
     pub counted: bool,
+    /// Version of the endpoint's software; `None` while it is slow from its start.
+    pub version: Option<String>,
 }
 
 /// A request under way, as the board counts it.
@@ -285,6 +287,19 @@
         self.unknown(heavy).note(now, age);
     }
 
+    /// Ready endpoints of a service whose version may run a request.
+    pub fn ready_count(&self, service: &str, versions: Versions) -> usize {
+        let slots = self
+            .services
+            .get(service)
+            .into_iter()
+            .flat_map(ServiceSlots::iter);
+        let ready = slots.filter(|slot| slot.spec.is_ready());
+        ready
+            .filter(|slot| versions.allows(&slot.spec.version))
+            .count()
+    }
+
     /// Requests expected at the ready endpoints of a service, and the slots of these.
     pub fn occupancy(&mut self, now: Duration, service: &str) -> (u32, u32) {
         let mut sum = (0, 0);
--- a/components/routing/src/placement/choice.rs
+++ b/components/routing/src/placement/choice.rs
@@ -9,7 +9,7 @@
 use crate::placement::pace::Pace;
 use crate::placement::service::Usable;
 use crate::placement::slot::Slot;
-use crate::placement::{beginnings, Work};
+use crate::placement::{beginnings, Versions, Work};
 
 /// Choices this close are told apart at random, in milliseconds.
 const TIE_MS: f64 = 1.0;
@@ -46,13 +46,14 @@
 }
 
 impl Board {
-    /// The endpoint for a request, or `None` if none takes work. Those in `exclude` are passed
-    /// over; those under suspicion are used only if there is no other.
+    /// The endpoint for a request, or `None` if none takes work. Those in `exclude` and of other `versions` are
+    /// passed over; those under suspicion are used only if there is no other.
     pub fn choose(
         &mut self,
         now: Duration,
         work: &Work,
         exclude: &[String],
+        versions: Versions,
         rng: &mut impl Rng,
     ) -> Option<Placement> {
         let weighing = Weighing {
@@ -66,7 +67,7 @@
         let unknown = self.unknown(heavy).count(now);
         let mix = self.mixes.get(&work.service).copied().unwrap_or_default();
         let slots = self.services.get_mut(&work.service)?;
-        let usable = slots.usable(now, exclude);
+        let usable = slots.usable(now, exclude, versions);
         let usable = slots.grouped(now, usable, work, mix, heavy);
         let shared_prompt = shared_hash(&weighing.hashes);
         let home = slots.home(shared_prompt, usable.group());
@@ -98,6 +99,7 @@
             hold: weighing.pace.hold_of(work, chosen.unread),
             weighed: weighed.len(),
             counted: false,
+            version: (now >= slots.at(chosen.position).cold_until).then(|| spec.version.clone()),
         })
     }
 }
--- a/components/routing/src/placement/service.rs
+++ b/components/routing/src/placement/service.rs
@@ -4,7 +4,7 @@
 
 use crate::placement::mix::Mix;
 use crate::placement::slot::Slot;
-use crate::placement::Work;
+use crate::placement::{Versions, Work};
 use crate::rendezvous::weight;
 
 /// Part of its slots that a group of engines may need before it gets more engines.
@@ -102,14 +102,20 @@
     }
 
     /// The endpoints that take a request: those under suspicion only if there is no other.
-    pub fn usable(&self, now: Duration, exclude: &[String]) -> Vec<usize> {
-        let takes_work = |slot: &Slot| slot.spec.is_ready() && !exclude.contains(&slot.spec.id);
+    pub fn usable(&self, now: Duration, exclude: &[String], versions: Versions) -> Vec<usize> {
+        let takes_work = |slot: &Slot| {
+            let spec = &slot.spec;
+            spec.is_ready() && versions.allows(&spec.version) && !exclude.contains(&spec.id)
+        };
         let all = self.slots.iter().enumerate();
         let mut ready: Vec<usize> = all.filter(|(_, s)| takes_work(s)).map(|(i, _)| i).collect();
         let is_trusted = |position: &usize| now >= self.slots[*position].suspected_until;
         if ready.iter().any(&is_trusted) {
             ready.retain(is_trusted);
         }
+        if let Versions::Few(_, most) = versions {
+            ready.truncate(most);
+        }
         ready
     }
 
--- a/components/routing/tests/placement.rs
+++ b/components/routing/tests/placement.rs
@@ -6,7 +6,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use routing::placement::{
-    endpoint_hash, verdict_without_answer, Board, PeerDispatch, PromptPart, Verdict, Work,
+    endpoint_hash, verdict_without_answer, Board, PeerDispatch, PromptPart, Verdict, Versions, Work,
 };
 
 fn ms(ms: u64) -> Duration {
@@ -23,6 +23,7 @@
         state: EndpointState::Ready,
         reclaimable: false,
         cold: Duration::ZERO,
+        version: "v1".into(),
     }
 }
 
@@ -74,13 +75,15 @@
     let mut board = board(true, &["a", "b", "c"]);
     let mut rng = rng();
     let first = board
-        .choose(ms(0), &prompt(1, 2, 8000), &[], &mut rng)
+        .choose(ms(0), &prompt(1, 2, 8000), &[], Versions::Any, &mut rng)
         .unwrap();
     let ticket = board.sent(ms(0), &prompt(1, 2, 8000), &first);
     board.ended(ms(2000), &ticket, Verdict::Sound);
     for own in 3..20 {
         let again = prompt(1, own, 8000);
-        let next = board.choose(ms(2000 + own), &again, &[], &mut rng).unwrap();
+        let next = board
+            .choose(ms(2000 + own), &again, &[], Versions::Any, &mut rng)
+            .unwrap();
         assert_eq!(next.endpoint, first.endpoint);
         assert_eq!(next.unread_tokens, 4000);
     }
@@ -101,7 +104,7 @@
     );
     let mut rng = rng();
     for own in 0..20 {
-        let choice = board.choose(ms(5), &prompt(0, own, 500), &[], &mut rng);
+        let choice = board.choose(ms(5), &prompt(0, own, 500), &[], Versions::Any, &mut rng);
         assert_eq!(choice.unwrap().endpoint, "b");
     }
 }
@@ -110,15 +113,25 @@
 fn an_endpoint_that_was_silent_is_passed_over_unless_it_is_the_only_one() {
     let mut board = board(false, &["a", "b"]);
     let mut rng = rng();
-    let first = board.choose(ms(0), &plain(), &[], &mut rng).unwrap();
+    let first = board
+        .choose(ms(0), &plain(), &[], Versions::Any, &mut rng)
+        .unwrap();
     let ticket = board.sent(ms(0), &plain(), &first);
     board.ended(ms(300), &ticket, Verdict::Silent);
     for _ in 0..20 {
-        let next = board.choose(ms(301), &plain(), &[], &mut rng).unwrap();
+        let next = board
+            .choose(ms(301), &plain(), &[], Versions::Any, &mut rng)
+            .unwrap();
         assert_ne!(next.endpoint, first.endpoint);
     }
     let other = if first.endpoint == "a" { "b" } else { "a" };
-    let only = board.choose(ms(301), &plain(), &[other.to_string()], &mut rng);
+    let only = board.choose(
+        ms(301),
+        &plain(),
+        &[other.to_string()],
+        Versions::Any,
+        &mut rng,
+    );
     assert_eq!(only.unwrap().endpoint, first.endpoint);
 }
 
@@ -128,7 +141,9 @@
     let mut draining = endpoint("a", "z");
     draining.state = EndpointState::Draining { leaves_in: None };
     board.insert(ms(1), draining);
-    assert!(board.choose(ms(2), &plain(), &[], &mut rng()).is_none());
+    assert!(board
+        .choose(ms(2), &plain(), &[], Versions::Any, &mut rng())
+        .is_none());
 }
 
 #[test]
@@ -162,7 +177,13 @@
         board.peer_sent(ms(at + 400), dispatch);
     }
     let mut weighed = |tokens| {
-        let placement = board.choose(ms(2000), &prompt(1, 2, tokens), &[], &mut rng());
+        let placement = board.choose(
+            ms(2000),
+            &prompt(1, 2, tokens),
+            &[],
+            Versions::Any,
+            &mut rng(),
+        );
         placement.expect("engines are ready").weighed
     };
     assert_eq!(weighed(20_000), ids.len());
@@ -178,7 +199,9 @@
     for own in 0..200 {
         let tokens = if own % 2 == 0 { 300 } else { 3000 };
         let (work, at) = (prompt(2 * own + 1, 2 * own + 2, tokens), ms(own * 1000));
-        let placement = board.choose(at, &work, &[], &mut rng).unwrap();
+        let placement = board
+            .choose(at, &work, &[], Versions::Any, &mut rng)
+            .unwrap();
         let mut ticket = board.sent(at, &work, &placement);
         let took = START_MS + u64::from(placement.unread_tokens) / RATE;
         board.first_token(at + ms(took), &mut ticket);
@@ -189,3 +212,38 @@
     let rate = board.known_rate("s").unwrap();
     assert!((140.0..=160.0).contains(&rate), "{rate}");
 }
+
+#[test]
+fn a_request_goes_only_to_endpoints_of_a_version_that_may_run_it() {
+    let mut board = board(true, &[]);
+    for i in 0..8 {
+        let spec = endpoint(&format!("e{i}"), "z");
+        let version = if i < 4 { "v1" } else { "v2" };
+        board.insert(
+            ms(0),
+            Endpoint {
+                version: version.into(),
+                ..spec
+            },
+        );
+    }
+    let mut rng = rng();
+    let mut chosen = |versions| {
+        let work = prompt(1, 2, 1000);
+        let ids = (0..200).filter_map(|i| {
+            let placed = board.choose(ms(i * 100), &work, &[], versions, &mut rng)?;
+            Some((placed.endpoint, placed.version))
+        });
+        ids.collect::<std::collections::BTreeSet<_>>()
+    };
+    let of = |set: &std::collections::BTreeSet<(String, Option<String>)>, version: &str| {
+        set.iter().all(|(_, v)| v.as_deref() == Some(version))
+    };
+    let old = chosen(Versions::Not("v2"));
+    assert!(!old.is_empty() && of(&old, "v1"), "{old:?}");
+    let new = chosen(Versions::Only("v2"));
+    assert!(!new.is_empty() && of(&new, "v2"), "{new:?}");
+    let few = chosen(Versions::Few("v2", 1));
+    assert!(few.len() == 1 && of(&few, "v2"), "{few:?}");
+    assert!(chosen(Versions::Only("v3")).is_empty());
+}
--- a/components/schema/src/messages.rs
+++ b/components/schema/src/messages.rs
@@ -240,6 +240,67 @@
     }
 }
 
+/// How far a roll-out is.
+#[derive(Copy, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RolloutStage(pub i32);
+
+impl RolloutStage {
+    pub const SAMPLE: RolloutStage = RolloutStage(1);
+    pub const SWITCH_LONG: RolloutStage = RolloutStage(2);
+    pub const SWITCH_ALL: RolloutStage = RolloutStage(3);
+    pub const COMPLETED: RolloutStage = RolloutStage(4);
+    pub const REVERTED: RolloutStage = RolloutStage(5);
+    pub const ENUM_VALUES: &'static [Self] = &[
+        Self::SAMPLE,
+        Self::SWITCH_LONG,
+        Self::SWITCH_ALL,
+        Self::COMPLETED,
+        Self::REVERTED,
+    ];
+}
+
+impl TSerializable for RolloutStage {
+    #[allow(clippy::trivially_copy_pass_by_ref)]
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        o_prot.write_i32(self.0)
+    }
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<RolloutStage> {
+        let enum_value = i_prot.read_i32()?;
+        Ok(RolloutStage::from(enum_value))
+    }
+}
+
+impl From<i32> for RolloutStage {
+    fn from(i: i32) -> Self {
+        match i {
+            1 => RolloutStage::SAMPLE,
+            2 => RolloutStage::SWITCH_LONG,
+            3 => RolloutStage::SWITCH_ALL,
+            4 => RolloutStage::COMPLETED,
+            5 => RolloutStage::REVERTED,
+            _ => RolloutStage(i),
+        }
+    }
+}
+
+impl From<&i32> for RolloutStage {
+    fn from(i: &i32) -> Self {
+        RolloutStage::from(*i)
+    }
+}
+
+impl From<RolloutStage> for i32 {
+    fn from(e: RolloutStage) -> i32 {
+        e.0
+    }
+}
+
+impl From<&RolloutStage> for i32 {
+    fn from(e: &RolloutStage) -> i32 {
+        e.0
+    }
+}
+
 //
 // MemberNews
 //
@@ -2302,10 +2363,14 @@
     pub asks: Option<String>,
     /// Usage of gateways for which the sender decides.
     pub forwarded: Option<Vec<Box<SourceUsage>>>,
+    /// Roll-outs as their holder said, or as the sender heard it.
+    pub rollouts: Option<Vec<Box<RolloutTold>>>,
+    /// What the sender saw endpoints answer since a roll-out was ordered; for the holder.
+    pub evidence: Option<Vec<Box<EvidenceTold>>>,
 }
 
 impl GatewayNews {
-    pub fn new<F10, F11, F12, F13, F14, F15, F16, F17, F18, F19, F20, F21, F22>(
+    pub fn new<F10, F11, F12, F13, F14, F15, F16, F17, F18, F19, F20, F21, F22, F23, F24>(
         gateway: String,
         incarnation: i64,
         sequence: i64,
@@ -2328,6 +2393,8 @@
         gateways: F20,
         asks: F21,
         forwarded: F22,
+        rollouts: F23,
+        evidence: F24,
     ) -> GatewayNews
     where
         F10: Into<Option<Vec<TopicHead>>>,
@@ -2343,6 +2410,8 @@
         F20: Into<Option<i32>>,
         F21: Into<Option<String>>,
         F22: Into<Option<Vec<Box<SourceUsage>>>>,
+        F23: Into<Option<Vec<Box<RolloutTold>>>>,
+        F24: Into<Option<Vec<Box<EvidenceTold>>>>,
     {
         GatewayNews {
             gateway,
@@ -2367,6 +2436,8 @@
             gateways: gateways.into(),
             asks: asks.into(),
             forwarded: forwarded.into(),
+            rollouts: rollouts.into(),
+            evidence: evidence.into(),
         }
     }
 }
@@ -2396,6 +2467,8 @@
         let mut f_20: Option<i32> = None;
         let mut f_21: Option<String> = None;
         let mut f_22: Option<Vec<Box<SourceUsage>>> = None;
+        let mut f_23: Option<Vec<Box<RolloutTold>>> = None;
+        let mut f_24: Option<Vec<Box<EvidenceTold>>> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -2529,6 +2602,28 @@
                     i_prot.read_list_end()?;
                     f_22 = Some(val);
                 }
+                23 => {
+                    let list_ident = i_prot.read_list_begin()?;
+                    let mut val: Vec<Box<RolloutTold>> =
+                        Vec::with_capacity(list_ident.size as usize);
+                    for _ in 0..list_ident.size {
+                        let list_elem_16 = Box::new(RolloutTold::read_from_in_protocol(i_prot)?);
+                        val.push(list_elem_16);
+                    }
+                    i_prot.read_list_end()?;
+                    f_23 = Some(val);
+                }
+                24 => {
+                    let list_ident = i_prot.read_list_begin()?;
+                    let mut val: Vec<Box<EvidenceTold>> =
+                        Vec::with_capacity(list_ident.size as usize);
+                    for _ in 0..list_ident.size {
+                        let list_elem_17 = Box::new(EvidenceTold::read_from_in_protocol(i_prot)?);
+                        val.push(list_elem_17);
+                    }
+                    i_prot.read_list_end()?;
+                    f_24 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -2577,6 +2672,8 @@
             gateways: f_20,
             asks: f_21,
             forwarded: f_22,
+            rollouts: f_23,
+            evidence: f_24,
         };
         Ok(ret)
     }
@@ -2713,6 +2810,461 @@
             o_prot.write_list_end()?;
             o_prot.write_field_end()?
         }
+        if let Some(ref fld_var) = self.rollouts {
+            o_prot.write_field_begin(&TFieldIdentifier::new("rollouts", TType::List, 23))?;
+            o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, fld_var.len() as i32))?;
+            for e in fld_var {
+                e.write_to_out_protocol(o_prot)?;
+            }
+            o_prot.write_list_end()?;
+            o_prot.write_field_end()?
+        }
+        if let Some(ref fld_var) = self.evidence {
+            o_prot.write_field_begin(&TFieldIdentifier::new("evidence", TType::List, 24))?;
+            o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, fld_var.len() as i32))?;
+            for e in fld_var {
+                e.write_to_out_protocol(o_prot)?;
+            }
+            o_prot.write_list_end()?;
+            o_prot.write_field_end()?
+        }
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
+//
+// RolloutTold
+//
+
+/// A roll-out, as the holder of the lease says.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RolloutTold {
+    pub service_name: String,
+    /// Revision of its order.
+    pub revision: i64,
+    pub stage: RolloutStage,
+    /// How long ago the holder said so, in milliseconds.
+    pub age_ms: i32,
+    /// Address of the holder, which takes evidence, IP:PORT.
+    pub holder: String,
+}
+
+impl RolloutTold {
+    pub fn new(
+        service_name: String,
+        revision: i64,
+        stage: RolloutStage,
+        age_ms: i32,
+        holder: String,
+    ) -> RolloutTold {
+        RolloutTold {
+            service_name,
+            revision,
+            stage,
+            age_ms,
+            holder,
+        }
+    }
+}
+
+impl TSerializable for RolloutTold {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<RolloutTold> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<String> = None;
+        let mut f_2: Option<i64> = None;
+        let mut f_3: Option<RolloutStage> = None;
+        let mut f_4: Option<i32> = None;
+        let mut f_5: Option<String> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = i_prot.read_string()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = i_prot.read_i64()?;
+                    f_2 = Some(val);
+                }
+                3 => {
+                    let val = RolloutStage::read_from_in_protocol(i_prot)?;
+                    f_3 = Some(val);
+                }
+                4 => {
+                    let val = i_prot.read_i32()?;
+                    f_4 = Some(val);
+                }
+                5 => {
+                    let val = i_prot.read_string()?;
+                    f_5 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("RolloutTold.service_name", &f_1)?;
+        verify_required_field_exists("RolloutTold.revision", &f_2)?;
+        verify_required_field_exists("RolloutTold.stage", &f_3)?;
+        verify_required_field_exists("RolloutTold.age_ms", &f_4)?;
+        verify_required_field_exists("RolloutTold.holder", &f_5)?;
+        let ret = RolloutTold {
+            service_name: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            revision: f_2
+                .expect("auto-generated code should have checked for presence of required fields"),
+            stage: f_3
+                .expect("auto-generated code should have checked for presence of required fields"),
+            age_ms: f_4
+                .expect("auto-generated code should have checked for presence of required fields"),
+            holder: f_5
+                .expect("auto-generated code should have checked for presence of required fields"),
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("RolloutTold");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("service_name", TType::String, 1))?;
+        o_prot.write_string(&self.service_name)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("revision", TType::I64, 2))?;
+        o_prot.write_i64(self.revision)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("stage", TType::I32, 3))?;
+        self.stage.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("age_ms", TType::I32, 4))?;
+        o_prot.write_i32(self.age_ms)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("holder", TType::String, 5))?;
+        o_prot.write_string(&self.holder)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
+//
+// AnswerCounts
+//
+
+/// Answers of one kind; a bucket is 2 log2 of the time, in milliseconds or thousandths of the time expected.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct AnswerCounts {
+    /// Hash of the route.
+    pub route: i64,
+    /// Hash of the endpoint of the ordered version, 0 for all of the old version.
+    pub endpoint: i64,
+    pub failed: i64,
+    /// Whole answers by bucket.
+    pub whole: BTreeMap<i32, i64>,
+}
+
+impl AnswerCounts {
+    pub fn new(route: i64, endpoint: i64, failed: i64, whole: BTreeMap<i32, i64>) -> AnswerCounts {
+        AnswerCounts {
+            route,
+            endpoint,
+            failed,
+            whole,
+        }
+    }
+}
+
+impl TSerializable for AnswerCounts {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<AnswerCounts> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<i64> = None;
+        let mut f_2: Option<i64> = None;
+        let mut f_3: Option<i64> = None;
+        let mut f_4: Option<BTreeMap<i32, i64>> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = i_prot.read_i64()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = i_prot.read_i64()?;
+                    f_2 = Some(val);
+                }
+                3 => {
+                    let val = i_prot.read_i64()?;
+                    f_3 = Some(val);
+                }
+                4 => {
+                    let map_ident = i_prot.read_map_begin()?;
+                    let mut val: BTreeMap<i32, i64> = BTreeMap::new();
+                    for _ in 0..map_ident.size {
+                        let map_key_18 = i_prot.read_i32()?;
+                        let map_val_19 = i_prot.read_i64()?;
+                        val.insert(map_key_18, map_val_19);
+                    }
+                    i_prot.read_map_end()?;
+                    f_4 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("AnswerCounts.route", &f_1)?;
+        verify_required_field_exists("AnswerCounts.endpoint", &f_2)?;
+        verify_required_field_exists("AnswerCounts.failed", &f_3)?;
+        verify_required_field_exists("AnswerCounts.whole", &f_4)?;
+        let ret = AnswerCounts {
+            route: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            endpoint: f_2
+                .expect("auto-generated code should have checked for presence of required fields"),
+            failed: f_3
+                .expect("auto-generated code should have checked for presence of required fields"),
+            whole: f_4
+                .expect("auto-generated code should have checked for presence of required fields"),
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("AnswerCounts");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("route", TType::I64, 1))?;
+        o_prot.write_i64(self.route)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("endpoint", TType::I64, 2))?;
+        o_prot.write_i64(self.endpoint)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("failed", TType::I64, 3))?;
+        o_prot.write_i64(self.failed)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("whole", TType::Map, 4))?;
+        o_prot.write_map_begin(&TMapIdentifier::new(
+            TType::I32,
+            TType::I64,
+            self.whole.len() as i32,
+        ))?;
+        for (k, v) in &self.whole {
+            o_prot.write_i32(*k)?;
+            o_prot.write_i64(*v)?;
+        }
+        o_prot.write_map_end()?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
+//
+// EvidenceTold
+//
+
+/// Answers since a roll-out was ordered, as sums since then.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct EvidenceTold {
+    pub service_name: String,
+    /// Revision of its order.
+    pub revision: i64,
+    pub answers: Vec<AnswerCounts>,
+}
+
+impl EvidenceTold {
+    pub fn new(service_name: String, revision: i64, answers: Vec<AnswerCounts>) -> EvidenceTold {
+        EvidenceTold {
+            service_name,
+            revision,
+            answers,
+        }
+    }
+}
+
+impl TSerializable for EvidenceTold {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<EvidenceTold> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<String> = None;
+        let mut f_2: Option<i64> = None;
+        let mut f_3: Option<Vec<AnswerCounts>> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = i_prot.read_string()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = i_prot.read_i64()?;
+                    f_2 = Some(val);
+                }
+                3 => {
+                    let list_ident = i_prot.read_list_begin()?;
+                    let mut val: Vec<AnswerCounts> = Vec::with_capacity(list_ident.size as usize);
+                    for _ in 0..list_ident.size {
+                        let list_elem_20 = AnswerCounts::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_20);
+                    }
+                    i_prot.read_list_end()?;
+                    f_3 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("EvidenceTold.service_name", &f_1)?;
+        verify_required_field_exists("EvidenceTold.revision", &f_2)?;
+        verify_required_field_exists("EvidenceTold.answers", &f_3)?;
+        let ret = EvidenceTold {
+            service_name: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            revision: f_2
+                .expect("auto-generated code should have checked for presence of required fields"),
+            answers: f_3
+                .expect("auto-generated code should have checked for presence of required fields"),
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("EvidenceTold");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("service_name", TType::String, 1))?;
+        o_prot.write_string(&self.service_name)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("revision", TType::I64, 2))?;
+        o_prot.write_i64(self.revision)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("answers", TType::List, 3))?;
+        o_prot.write_list_begin(&TListIdentifier::new(
+            TType::Struct,
+            self.answers.len() as i32,
+        ))?;
+        for e in &self.answers {
+            e.write_to_out_protocol(o_prot)?;
+        }
+        o_prot.write_list_end()?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
+//
+// RolloutRow
+//
+
+/// Row of the newest roll-out of a service.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RolloutRow {
+    /// Revision of its order.
+    pub revision: i64,
+    /// The version ordered.
+    pub version: String,
+    /// The store's steady time at which the order was seen first, in milliseconds.
+    pub ordered_ms: i64,
+    /// Unset while it runs.
+    pub decision: Option<RolloutStage>,
+}
+
+impl RolloutRow {
+    pub fn new<F4>(revision: i64, version: String, ordered_ms: i64, decision: F4) -> RolloutRow
+    where
+        F4: Into<Option<RolloutStage>>,
+    {
+        RolloutRow {
+            revision,
+            version,
+            ordered_ms,
+            decision: decision.into(),
+        }
+    }
+}
+
+impl TSerializable for RolloutRow {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<RolloutRow> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<i64> = None;
+        let mut f_2: Option<String> = None;
+        let mut f_3: Option<i64> = None;
+        let mut f_4: Option<RolloutStage> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = i_prot.read_i64()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = i_prot.read_string()?;
+                    f_2 = Some(val);
+                }
+                3 => {
+                    let val = i_prot.read_i64()?;
+                    f_3 = Some(val);
+                }
+                4 => {
+                    let val = RolloutStage::read_from_in_protocol(i_prot)?;
+                    f_4 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("RolloutRow.revision", &f_1)?;
+        verify_required_field_exists("RolloutRow.version", &f_2)?;
+        verify_required_field_exists("RolloutRow.ordered_ms", &f_3)?;
+        let ret = RolloutRow {
+            revision: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            version: f_2
+                .expect("auto-generated code should have checked for presence of required fields"),
+            ordered_ms: f_3
+                .expect("auto-generated code should have checked for presence of required fields"),
+            decision: f_4,
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("RolloutRow");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("revision", TType::I64, 1))?;
+        o_prot.write_i64(self.revision)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("version", TType::String, 2))?;
+        o_prot.write_string(&self.version)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("ordered_ms", TType::I64, 3))?;
+        o_prot.write_i64(self.ordered_ms)?;
+        o_prot.write_field_end()?;
+        if let Some(ref fld_var) = self.decision {
+            o_prot.write_field_begin(&TFieldIdentifier::new("decision", TType::I32, 4))?;
+            fld_var.write_to_out_protocol(o_prot)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -2966,10 +3518,14 @@
     pub excluded: Vec<i64>,
     /// Id of the request, for logs.
     pub request: String,
+    /// Hash of the route.
+    pub route: Option<i64>,
+    /// Whether the run would be lost if its endpoint ended.
+    pub is_lost_when_cut: Option<bool>,
 }
 
 impl DecisionQuery {
-    pub fn new<F3>(
+    pub fn new<F3, F11, F12>(
         number: i64,
         service_name: String,
         team: F3,
@@ -2980,9 +3536,13 @@
         parts: Vec<PromptPart>,
         excluded: Vec<i64>,
         request: String,
+        route: F11,
+        is_lost_when_cut: F12,
     ) -> DecisionQuery
     where
         F3: Into<Option<String>>,
+        F11: Into<Option<i64>>,
+        F12: Into<Option<bool>>,
     {
         DecisionQuery {
             number,
@@ -2995,6 +3555,8 @@
             parts,
             excluded,
             request,
+            route: route.into(),
+            is_lost_when_cut: is_lost_when_cut.into(),
         }
     }
 }
@@ -3012,6 +3574,8 @@
         let mut f_8: Option<Vec<PromptPart>> = None;
         let mut f_9: Option<Vec<i64>> = None;
         let mut f_10: Option<String> = None;
+        let mut f_11: Option<i64> = None;
+        let mut f_12: Option<bool> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -3051,8 +3615,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<PromptPart> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_16 = PromptPart::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_16);
+                        let list_elem_21 = PromptPart::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_21);
                     }
                     i_prot.read_list_end()?;
                     f_8 = Some(val);
@@ -3061,8 +3625,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_17 = i_prot.read_i64()?;
-                        val.push(list_elem_17);
+                        let list_elem_22 = i_prot.read_i64()?;
+                        val.push(list_elem_22);
                     }
                     i_prot.read_list_end()?;
                     f_9 = Some(val);
@@ -3071,6 +3635,14 @@
                     let val = i_prot.read_string()?;
                     f_10 = Some(val);
                 }
+                11 => {
+                    let val = i_prot.read_i64()?;
+                    f_11 = Some(val);
+                }
+                12 => {
+                    let val = i_prot.read_bool()?;
+                    f_12 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -3107,6 +3679,8 @@
                 .expect("auto-generated code should have checked for presence of required fields"),
             request: f_10
                 .expect("auto-generated code should have checked for presence of required fields"),
+            route: f_11,
+            is_lost_when_cut: f_12,
         };
         Ok(ret)
     }
@@ -3159,6 +3733,20 @@
         o_prot.write_field_begin(&TFieldIdentifier::new("request", TType::String, 10))?;
         o_prot.write_string(&self.request)?;
         o_prot.write_field_end()?;
+        if let Some(fld_var) = self.route {
+            o_prot.write_field_begin(&TFieldIdentifier::new("route", TType::I64, 11))?;
+            o_prot.write_i64(fld_var)?;
+            o_prot.write_field_end()?
+        }
+        if let Some(fld_var) = self.is_lost_when_cut {
+            o_prot.write_field_begin(&TFieldIdentifier::new(
+                "is_lost_when_cut",
+                TType::Bool,
+                12,
+            ))?;
+            o_prot.write_bool(fld_var)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -3184,10 +3772,12 @@
     pub hold_ms: i32,
     /// Endpoints that were weighed.
     pub weighed: i32,
+    /// Version of the endpoint, while its answers are evidence in a roll-out.
+    pub version: Option<String>,
 }
 
 impl PlacedAt {
-    pub fn new(
+    pub fn new<F8>(
         endpoint: String,
         address: String,
         unread_tokens: i32,
@@ -3195,7 +3785,11 @@
         expected_ms: i32,
         hold_ms: i32,
         weighed: i32,
-    ) -> PlacedAt {
+        version: F8,
+    ) -> PlacedAt
+    where
+        F8: Into<Option<String>>,
+    {
         PlacedAt {
             endpoint,
             address,
@@ -3204,6 +3798,7 @@
             expected_ms,
             hold_ms,
             weighed,
+            version: version.into(),
         }
     }
 }
@@ -3218,6 +3813,7 @@
         let mut f_5: Option<i32> = None;
         let mut f_6: Option<i32> = None;
         let mut f_7: Option<i32> = None;
+        let mut f_8: Option<String> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -3253,6 +3849,10 @@
                     let val = i_prot.read_i32()?;
                     f_7 = Some(val);
                 }
+                8 => {
+                    let val = i_prot.read_string()?;
+                    f_8 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -3282,6 +3882,7 @@
                 .expect("auto-generated code should have checked for presence of required fields"),
             weighed: f_7
                 .expect("auto-generated code should have checked for presence of required fields"),
+            version: f_8,
         };
         Ok(ret)
     }
@@ -3309,6 +3910,11 @@
         o_prot.write_field_begin(&TFieldIdentifier::new("weighed", TType::I32, 7))?;
         o_prot.write_i32(self.weighed)?;
         o_prot.write_field_end()?;
+        if let Some(ref fld_var) = self.version {
+            o_prot.write_field_begin(&TFieldIdentifier::new("version", TType::String, 8))?;
+            o_prot.write_string(fld_var)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -3768,8 +4374,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<RowChange> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_18 = RowChange::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_18);
+                        let list_elem_23 = RowChange::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_23);
                     }
                     i_prot.read_list_end()?;
                     f_1 = Some(val);
@@ -3980,9 +4586,9 @@
                     let map_ident = i_prot.read_map_begin()?;
                     let mut val: BTreeMap<String, i64> = BTreeMap::new();
                     for _ in 0..map_ident.size {
-                        let map_key_19 = i_prot.read_string()?;
-                        let map_val_20 = i_prot.read_i64()?;
-                        val.insert(map_key_19, map_val_20);
+                        let map_key_24 = i_prot.read_string()?;
+                        let map_val_25 = i_prot.read_i64()?;
+                        val.insert(map_key_24, map_val_25);
                     }
                     i_prot.read_map_end()?;
                     f_1 = Some(val);
--- a/components/schema/src/settings.rs
+++ b/components/schema/src/settings.rs
@@ -1350,6 +1350,10 @@
     pub cores_milli: i32,
     /// UDP address at which this gateway decides for others of its hall, IP:PORT.
     pub decisions: String,
+    /// Part of a service's requests that a version may get that turns out bad, in thousandths.
+    pub exposure_milli: i32,
+    /// Requests that such a version may get beside that part, over all gateways.
+    pub exposure_extra: i32,
 }
 
 impl GatewaySettings {
@@ -1379,6 +1383,8 @@
         change_due_ms: i64,
         cores_milli: i32,
         decisions: String,
+        exposure_milli: i32,
+        exposure_extra: i32,
     ) -> GatewaySettings {
         GatewaySettings {
             name,
@@ -1406,6 +1412,8 @@
             change_due_ms,
             cores_milli,
             decisions,
+            exposure_milli,
+            exposure_extra,
         }
     }
 }
@@ -1438,6 +1446,8 @@
         let mut f_23: Option<i64> = None;
         let mut f_24: Option<i32> = None;
         let mut f_25: Option<String> = None;
+        let mut f_26: Option<i32> = None;
+        let mut f_27: Option<i32> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -1551,6 +1561,14 @@
                     let val = i_prot.read_string()?;
                     f_25 = Some(val);
                 }
+                26 => {
+                    let val = i_prot.read_i32()?;
+                    f_26 = Some(val);
+                }
+                27 => {
+                    let val = i_prot.read_i32()?;
+                    f_27 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -1583,6 +1601,8 @@
         verify_required_field_exists("GatewaySettings.change_due_ms", &f_23)?;
         verify_required_field_exists("GatewaySettings.cores_milli", &f_24)?;
         verify_required_field_exists("GatewaySettings.decisions", &f_25)?;
+        verify_required_field_exists("GatewaySettings.exposure_milli", &f_26)?;
+        verify_required_field_exists("GatewaySettings.exposure_extra", &f_27)?;
         let ret = GatewaySettings {
             name: f_1
                 .expect("auto-generated code should have checked for presence of required fields"),
@@ -1634,6 +1654,10 @@
                 .expect("auto-generated code should have checked for presence of required fields"),
             decisions: f_25
                 .expect("auto-generated code should have checked for presence of required fields"),
+            exposure_milli: f_26
+                .expect("auto-generated code should have checked for presence of required fields"),
+            exposure_extra: f_27
+                .expect("auto-generated code should have checked for presence of required fields"),
         };
         Ok(ret)
     }
@@ -1722,6 +1746,12 @@
         o_prot.write_field_begin(&TFieldIdentifier::new("decisions", TType::String, 25))?;
         o_prot.write_string(&self.decisions)?;
         o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("exposure_milli", TType::I32, 26))?;
+        o_prot.write_i32(self.exposure_milli)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("exposure_extra", TType::I32, 27))?;
+        o_prot.write_i32(self.exposure_extra)?;
+        o_prot.write_field_end()?;
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
--- a/components/schema/thrift/messages.thrift
+++ b/components/schema/thrift/messages.thrift
@@ -267,6 +267,62 @@
   21: optional string asks,
   /** Usage of gateways for which the sender decides. */
   22: optional list<SourceUsage> forwarded,
+  /** Roll-outs as their holder said, or as the sender heard it. */
+  23: optional list<RolloutTold> rollouts,
+  /** What the sender saw endpoints answer since a roll-out was ordered; for the holder. */
+  24: optional list<EvidenceTold> evidence,
+}
+
+/** How far a roll-out is. */
+enum RolloutStage {
+  SAMPLE = 1,
+  SWITCH_LONG = 2,
+  SWITCH_ALL = 3,
+  COMPLETED = 4,
+  REVERTED = 5,
+}
+
+/** A roll-out, as the holder of the lease says. */
+struct RolloutTold {
+  1: required string service_name,
+  /** Revision of its order. */
+  2: required i64 revision,
+  3: required RolloutStage stage,
+  /** How long ago the holder said so, in milliseconds. */
+  4: required i32 age_ms,
+  /** Address of the holder, which takes evidence, IP:PORT. */
+  5: required string holder,
+}
+
+/** Answers of one kind; a bucket is 2 log2 of the time, in milliseconds or thousandths of the time expected. */
+struct AnswerCounts {
+  /** Hash of the route. */
+  1: required i64 route,
+  /** Hash of the endpoint of the ordered version, 0 for all of the old version. */
+  2: required i64 endpoint,
+  3: required i64 failed,
+  /** Whole answers by bucket. */
+  4: required map<i32, i64> whole,
+}
+
+/** Answers since a roll-out was ordered, as sums since then. */
+struct EvidenceTold {
+  1: required string service_name,
+  /** Revision of its order. */
+  2: required i64 revision,
+  3: required list<AnswerCounts> answers,
+}
+
+/** Row of the newest roll-out of a service. */
+struct RolloutRow {
+  /** Revision of its order. */
+  1: required i64 revision,
+  /** The version ordered. */
+  2: required string version,
+  /** The store's steady time at which the order was seen first, in milliseconds. */
+  3: required i64 ordered_ms,
+  /** Unset while it runs. */
+  4: optional RolloutStage decision,
 }
 
 /** Gateways of one data hall, the sender included. */
@@ -311,6 +367,10 @@
   9: required list<i64> excluded,
   /** Id of the request, for logs. */
   10: required string request,
+  /** Hash of the route. */
+  11: optional i64 route,
+  /** Whether the run would be lost if its endpoint ended. */
+  12: optional bool is_lost_when_cut,
 }
 
 /** Where a request goes, as a coordinator decided. */
@@ -328,6 +388,8 @@
   6: required i32 hold_ms,
   /** Endpoints that were weighed. */
   7: required i32 weighed,
+  /** Version of the endpoint, while its answers are evidence in a roll-out. */
+  8: optional string version,
 }
 
 /** Answer to a DecisionQuery. */
--- a/components/schema/thrift/settings.thrift
+++ b/components/schema/thrift/settings.thrift
@@ -192,4 +192,8 @@
   24: required i32 cores_milli,
   /** UDP address at which this gateway decides for others of its hall, IP:PORT. */
   25: required string decisions,
+  /** Part of a service's requests that a version may get that turns out bad, in thousandths. */
+  26: required i32 exposure_milli,
+  /** Requests that such a version may get beside that part, over all gateways. */
+  27: required i32 exposure_extra,
 }
--- a/components/settings/src/gateway.rs
+++ b/components/settings/src/gateway.rs
@@ -62,6 +62,8 @@
         change_due_ms: r.number(("bounds", "change_due"), Some("2000ms"), CHANGE_TIME),
         cores_milli: r.number(("gateway", "cores"), Some("1"), CORES) as i32,
         decisions,
+        exposure_milli: r.number(("bounds", "exposure"), Some("0.1"), SHARE) as i32,
+        exposure_extra: r.number(("bounds", "exposure_extra"), Some("0"), COUNT) as i32,
     };
     r.finish(settings)
 }
--- a/components/settings/tests/gateway.rs
+++ b/components/settings/tests/gateway.rs
@@ -60,7 +60,7 @@
         (_, "seeds") => "10.2.0.4:8229".to_string(),
         (_, "duties") => "usage_reporting,".to_string(),
         (_, "name" | "region" | "zone") => "x".to_string(),
-        (_, "repeats") => "0.2".to_string(),
+        (_, "repeats" | "exposure") => "0.2".to_string(),
         _ => format!("100{unit}"),
     };
     format!("{key} = {value}")
