Ask coordinators that were never heard after a start of all

Ruled out: slow lists of endpoints (followed 50 ms after the start, ready 0.1 s later). Change: the own hall's coordinators of the store's list that were never heard are asked before those of other halls.

--- a/components/gateway/src/peers/halls.rs
+++ b/components/gateway/src/peers/halls.rs
@@ -45,8 +45,8 @@
     pub coordinators: Vec<SocketAddr>,
     /// Gateways that decide, this one included, as far as it is known.
     pub placing: usize,
-    /// Gateways of other halls that are asked when none of the own hall decides: one of each hall, by what the
-    /// store's list says.
+    /// Gateways that are asked when none of those decides, by what the store's list says: the own hall's coordinators
+    /// that were never heard, as after a start of all, then one coordinator of each other hall.
     pub others: Vec<SocketAddr>,
 }
 
@@ -142,7 +142,7 @@
             decides: false,
             coordinators: self.deciders(now),
             placing: gateways,
-            others: self.deciders_elsewhere(now),
+            others: [self.deciders_unheard(now), self.deciders_elsewhere(now)].concat(),
         }
     }
 
@@ -236,6 +236,13 @@
         addresses.collect()
     }
 
+    fn deciders_unheard(&self, now: Duration) -> Vec<SocketAddr> {
+        let first = self.first_of(&self.own.hall, now, COORDINATORS);
+        let peers = first.iter().map(|name| &self.peers[*name]);
+        let unheard = peers.filter(|peer| !peer.is_heard(now));
+        unheard.filter_map(|peer| peer.decisions).collect()
+    }
+
     // One coordinator of each other hall, in an order that differs from gateway to gateway. They are not heard
     // here, so these are the ones that the store's list makes coordinators.
     fn deciders_elsewhere(&self, now: Duration) -> Vec<SocketAddr> {
--- a/components/gateway/tests/halls.rs
+++ b/components/gateway/tests/halls.rs
@@ -276,3 +276,15 @@
         assert!(targets.contains(&address(2 * missing + 1)), "{targets:?}");
     }
 }
+
+#[test]
+fn after_a_start_of_all_a_gateway_asks_the_coordinators_that_it_has_not_heard_yet() {
+    let world = World::new(6, 50);
+    let asking = &world.members[200];
+    let fleet = asking.peers.fleet(world.now);
+    assert!(fleet.coordinators.is_empty());
+    // Number 200 is of the third hall, as the coordinators 2, 8 and 14.
+    let own_hall = [address(2), address(8), address(14)];
+    let first: BTreeSet<SocketAddr> = fleet.others[..3].iter().copied().collect();
+    assert_eq!(first, BTreeSet::from(own_hall));
+}
