Trust no rested connection after silence

A repeat after silence took the newest rested connection of the next endpoint, which may be as silent: the request spent its whole time on two of them (test: 504 after 10 s). Ruled out: the keep-alive of ours (4 s unacknowledged, probes from 1 s of rest): it ends such connections, but later than most deadlines. Calls of the store have a time of their own and drop the connection; rows are pulled on new connections; all else between gateways is datagrams. Change: an attempt after silence opens a new connection, and silence on one connection drops the endpoint's rested ones.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -110,6 +110,10 @@
         let verdict = self.verdict_at_drop(now);
         let mut state = self.traffic.state.borrow_mut();
         state.board.ended(now, &self.ticket, verdict);
+        if verdict == Verdict::Silent {
+            // Its other open connections may say nothing either.
+            state.pool.forget(&self.endpoint);
+        }
         if let Some(answer) = self.evidence(now, verdict) {
             let (service, route) = (&self.job.work.service, self.job.asked().route);
             let told = state.gates.told(&self.placement, service, route, answer);
@@ -198,6 +202,16 @@
     Lost(&'static str),
 }
 
+/// What an attempt goes on from.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Sending {
+    /// Last event that the caller has of this stream.
+    pub last_event: Option<u64>,
+    /// Whether the attempt before it met silence: then a connection that rested is not trusted. Open connections may
+    /// go silent without a reset, all at once, while new ones work.
+    pub after_silence: bool,
+}
+
 enum Reserved {
     /// A connection that rested.
     Rested(Connection),
@@ -213,7 +227,7 @@
         self: &Rc<Self>,
         job: &SharedJob,
         placement: &Placement,
-        last_event: Option<u64>,
+        sending: Sending,
     ) -> Attempted<D> {
         let mut run = Run {
             traffic: Rc::clone(self),
@@ -229,10 +243,10 @@
             placement: placement.clone(),
             job: Rc::clone(job),
         };
-        if !self.connect(job, placement, &mut run).await {
+        if !self.connect(job, placement, sending, &mut run).await {
             return Attempted::NotSent;
         }
-        let request = self.request_of(job, placement, last_event);
+        let request = self.request_of(job, placement, sending.last_event);
         self.metrics.count(Counter::Attempts);
         run.sent_at = self.clock.now();
         let Some(connection) = run.connection.as_mut() else {
@@ -265,8 +279,14 @@
         self.whole_answer(job, run, head, read, body).await
     }
 
-    async fn connect(&self, job: &Job, placement: &Placement, run: &mut Run<D>) -> bool {
-        match self.reserve(job, placement) {
+    async fn connect(
+        &self,
+        job: &Job,
+        placement: &Placement,
+        sending: Sending,
+        run: &mut Run<D>,
+    ) -> bool {
+        match self.reserve(job, placement, sending) {
             Reserved::Rested(connection) => {
                 run.connection = Some(connection);
                 run.reserved = true;
@@ -292,10 +312,13 @@
         }
     }
 
-    fn reserve(&self, job: &Job, placement: &Placement) -> Reserved {
+    fn reserve(&self, job: &Job, placement: &Placement, sending: Sending) -> Reserved {
         let now = self.clock.now();
         let most = self.most_connections(job);
         let mut state = self.state.borrow_mut();
+        if sending.after_silence {
+            state.pool.forget(&placement.endpoint);
+        }
         if let Some(connection) = state.pool.take(now, &placement.endpoint) {
             return Reserved::Rested(connection);
         }
--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -15,7 +15,7 @@
 use tokio::sync::mpsc;
 
 use crate::answer::{Answer, AnswerBody, Refusal};
-use crate::attempt::{Attempted, Reply};
+use crate::attempt::{Attempted, Reply, Sending};
 use crate::decisions::Outcome;
 use crate::freshness::Ages;
 use crate::job::{Job, Progress, SharedJob, ROUTE_RANKS};
@@ -258,6 +258,7 @@
         mut placed: Option<Placement>,
     ) -> Result<Reply<D>, Refusal> {
         let mut unsent = 0;
+        let mut sending = Sending::default();
         loop {
             let placement = match placed.take() {
                 Some(placement) => placement,
@@ -272,7 +273,7 @@
                 "by_coordinator" => placement.counted, "version" => job.version);
             let expiry = self.clock.instant(self.attempt_expiry(job, progress));
             progress.sent += 1;
-            let attempt = self.attempt(job, &placement, None);
+            let attempt = self.attempt(job, &placement, sending);
             let attempted = tokio::time::timeout_at(expiry, attempt).await;
             progress.tried.push(placement.endpoint.clone());
             let outcome = match attempted {
@@ -287,7 +288,10 @@
                 }
                 Ok(Attempted::NotRun) => None,
                 Ok(Attempted::Lost(cause)) => Some(cause),
-                Err(_) => Some("the endpoint gave no answer in time"),
+                Err(_) => {
+                    sending.after_silence = true;
+                    Some("the endpoint gave no answer in time")
+                }
                 Ok(Attempted::Failed { head, body }) => {
                     if !self.may_send_again(job, progress, true) {
                         return Ok(Reply::Whole { head, body });
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -8,7 +8,7 @@
 use tokio::sync::mpsc;
 
 use crate::answer::Piece;
-use crate::attempt::{Attempted, EventRun, NextEvent, Reply};
+use crate::attempt::{Attempted, EventRun, NextEvent, Reply, Sending};
 use crate::events::Event;
 use crate::job::{Progress, SharedJob};
 use crate::ports::Dialect;
@@ -147,6 +147,8 @@
     // Another run that goes on after the last event, if the route allows one. `granted` says that the budget gave
     // a repeat for the first try.
     async fn resume(&mut self, from: &str, granted: bool) -> Option<(Event, EventRun<D>)> {
+        // A repeat is granted before its time where the endpoint is silent.
+        let after_silence = granted;
         let mut granted = granted;
         while self.may_resume()
             && (std::mem::take(&mut granted) || self.traffic.may_repeat(&self.job.work.service))
@@ -157,7 +159,11 @@
             self.progress.sent += 1;
             info!(self.traffic.log, "stream goes on"; "id" => &self.job.head.id, "from" => from,
                 "endpoint" => &placement.endpoint, "after" => self.last_event);
-            let attempt = self.traffic.attempt(&self.job, &placement, self.last_event);
+            let sending = Sending {
+                last_event: self.last_event,
+                after_silence,
+            };
+            let attempt = self.traffic.attempt(&self.job, &placement, sending);
             let attempted = tokio::select! {
                 attempted = tokio::time::timeout_at(expiry, attempt) => attempted.ok()?,
                 () = self.pieces.closed() => return None,
--- a/components/gateway/tests/requests.rs
+++ b/components/gateway/tests/requests.rs
@@ -2,6 +2,10 @@
 
 mod common;
 
+use std::cell::Cell;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::thread;
 use std::time::{Duration, Instant};
 
 use common::{
@@ -351,3 +355,46 @@
     assert!(answer.body.ends_with("id: 2\ndata: e2\n\n"));
     assert_eq!(standin.heads().len(), 1);
 }
+
+thread_local! {
+    // Each connection of a stand-in has a thread of its own.
+    static REQUESTS_OF_CONNECTION: Cell<usize> = const { Cell::new(0) };
+}
+
+#[test]
+fn a_repeat_after_silence_does_not_use_a_connection_that_rested() {
+    let arrived = Arc::new(AtomicUsize::new(0));
+    // Each connection answers once, when both endpoints are asked, and says nothing more.
+    let start = || {
+        let arrived = Arc::clone(&arrived);
+        EndpointStandin::start(move |_, e| {
+            let earlier = REQUESTS_OF_CONNECTION.replace(1);
+            if earlier > 0 {
+                return e.wait_closed();
+            }
+            arrived.fetch_add(1, Ordering::SeqCst);
+            wait_until("requests at both endpoints", || {
+                arrived.load(Ordering::SeqCst) >= 2
+            });
+            e.answer(200, "x");
+        })
+    };
+    let (first, second) = (start(), start());
+    let mut repeatable = route("/a/", Execution::Repeatable);
+    repeatable.target = Duration::from_millis(200);
+    let setup = Setup::serving(
+        configuration(1, vec![repeatable]),
+        vec![
+            endpoint("e1", first.address),
+            endpoint("e2", second.address),
+        ],
+    );
+    thread::scope(|scope| {
+        let call = || assert_eq!(setup.call("/a/1", &[]).status, 200);
+        scope.spawn(call);
+        wait_until("the first request", || arrived.load(Ordering::SeqCst) == 1);
+        call();
+    });
+    assert_eq!((first.heads().len(), second.heads().len()), (1, 1));
+    assert_eq!(setup.call("/a/1", &[]).status, 200);
+}
