Split the traffic thread's state, runs at endpoints and rows of the store by job

Change: state.rs, update.rs, endpoint_run.rs, control/rows.rs and control/need.rs hold what their names say; docs/deciding.md moves to docs/design/ as pages of its own with an index. No behaviour changes: the tests are as they were.

--- a/components/fleet/src/staffing.rs
+++ b/components/fleet/src/staffing.rs
@@ -12,14 +12,14 @@
     utilization: 0.62,
 };
 /// Endpoints that are left when reclaimable ones of some halls vanish. Of 0.62, 0.75, 0.82 and 0.9 the first costs
-/// more than it brings on each day, the last loses credit while all halls are closed (docs/deciding.md).
+/// more than it brings on each day, the last loses credit while all halls are closed (docs/design/hafnarfell-plan.md).
 const SCARCE: Staffing = Staffing {
     spare: 0.5,
     utilization: 0.82,
 };
 /// On-demand endpoints that are held whatever happens, in parts of the load: halls can vanish faster than
 /// on-demand endpoints boot. Tried at 0.9 with few reclaimable ones and at 0.4 with many spread ones: the latter
-/// serves as well and is cheaper (docs/deciding.md); not swept by itself.
+/// serves as well and is cheaper (docs/design/hafnarfell-plan.md); not swept by itself.
 const FIRM_PART: f64 = 0.4;
 /// Halls whose reclaimable endpoints may vanish before others can be ordered and have booted, of all that
 /// hold some: two of four did so within seconds on days of the users' sheets.
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -6,9 +6,11 @@
 mod forwarding;
 mod lease;
 mod messages;
+mod need;
 mod passing;
 mod reporting;
 mod rollouts;
+mod rows;
 mod scaling;
 
 use std::cell::RefCell;
@@ -44,7 +46,7 @@
 use crate::ports::{Orders, Store, Topic};
 use crate::run::{ReadSettings, Signals};
 use crate::tally::{Sent, ServiceLoad, Tally};
-use crate::traffic::Update;
+use crate::update::Update;
 
 /// Pause between looks at signals, peers and the lease.
 const TICK: Duration = Duration::from_millis(100);
--- a/components/gateway/src/control/carrying.rs
+++ b/components/gateway/src/control/carrying.rs
@@ -14,7 +14,7 @@
 use crate::control::{Known, Shared};
 use crate::news;
 use crate::ports::{Orders, Row, Store, StoreError, Topic};
-use crate::traffic::Update;
+use crate::update::Update;
 use crate::versions::{is_lost_when_cut, route_hash};
 
 /// Pause between looks at the orders.
--- a/components/gateway/src/control/exchange.rs
+++ b/components/gateway/src/control/exchange.rs
@@ -17,7 +17,8 @@
 use crate::peers::{is_recent, Hearing};
 use crate::ports::{Orders, Store, Topic};
 use crate::tally::Tally;
-use crate::traffic::{Update, LONG_PROMPT_TOKENS};
+use crate::traffic::LONG_PROMPT_TOKENS;
+use crate::update::Update;
 
 /// Largest datagram that is read, in bytes.
 const MAX_DATAGRAM: usize = 8192;
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -12,19 +12,15 @@
 use tokio::sync::Notify;
 
 use crate::control::passing::MOST_PASSED_ON;
-use crate::control::{Known, Shared};
+use crate::control::Shared;
 use crate::ports::{Orders, Row, Rows, Store, StoreError, Topic};
-use crate::traffic::Update;
+use crate::update::Update;
 
 /// Pause after changes of endpoints: those that follow soon come with one answer. It is well within
 /// the time that a leaving endpoint goes on serving.
 const GATHER_PAUSE: Duration = Duration::from_millis(250);
-/// A gateway that needs the endpoints no more follows them for so long: whoever decides may change to and fro.
-const KEPT_FOR: Duration = Duration::from_secs(10);
 /// Pause between looks at whether the endpoints are needed.
 const NEED_PAUSE: Duration = Duration::from_millis(500);
-/// A gateway that could not read the store's list of gateways follows the endpoints after this time all the same.
-const LIST_TIME: Duration = Duration::from_secs(2);
 /// A call of the store is given up so long after another gateway told of a change.
 const OVERTAKEN_TIME: Duration = Duration::from_millis(300);
 /// Gateways that hold calls at the store: one may be cut off or die unnoticed.
@@ -95,39 +91,6 @@
         }
     }
 
-    fn needs_endpoints(&self) -> bool {
-        self.known.borrow().endpoints_needed_at.is_some()
-    }
-
-    /// Follows the endpoints where requests are placed or endpoints ordered, and forgets them elsewhere.
-    pub fn check_need(&self, known: &mut Known, now: Duration) {
-        let may_decide = known.peers.is_listed() || now >= LIST_TIME;
-        let decides = may_decide && known.speaks_for_others(now);
-        if decides || self.alone.is_alone(now) {
-            if known.endpoints_needed_at.replace(now).is_none() {
-                info!(self.log, "endpoints followed"; "decides" => decides);
-                known.followed_mut(Topic::Endpoints).wake.notify_one();
-            }
-            return;
-        }
-        let over = known.endpoints_needed_at.filter(|at| now >= *at + KEPT_FOR);
-        if over.is_some() {
-            known.endpoints_needed_at = None;
-        }
-    }
-
-    // Between two steps, so that no answer that is on its way is taken for the whole table.
-    fn forget_endpoints(&self) {
-        let mut known = self.known.borrow_mut();
-        if known.followed[&Topic::Endpoints].table.known_to().is_none() {
-            return;
-        }
-        known.endpoints.clear();
-        known.forget_rows(Topic::Endpoints);
-        info!(self.log, "endpoints forgotten, coordinators decide");
-        let _ = self.updates.send(Update::EndpointsForgotten);
-    }
-
     fn next_step(&self, topic: Topic) -> Step {
         let now = self.clock.now();
         let known = self.known.borrow();
@@ -306,98 +269,6 @@
             warn!(self.log, "store does not answer"; "topic" => ?topic, "cause" => %error);
         }
     }
-
-    fn take_operator_row(&self, change: &Change, stamp: Duration) {
-        if change.key == self.store.configuration_key() {
-            self.take_configuration(change);
-        } else if let Some(service) = self.store.rollout_service(&change.key) {
-            self.take_order(&service, change, stamp);
-        }
-    }
-
-    fn take_order(&self, service: &str, change: &Change, stamp: Duration) {
-        let Some(value) = &change.value else {
-            self.known.borrow_mut().rollouts.orders.remove(service);
-            info!(self.log, "roll-out withdrawn"; "service" => service, "revision" => change.revision);
-            let _ = self
-                .updates
-                .send(Update::RolloutWithdrawn(service.to_string()));
-            return;
-        };
-        match self.store.rollout_order(value, change.revision) {
-            Ok(order) => {
-                if !self.known.borrow_mut().rollouts.order(order.clone(), stamp) {
-                    return;
-                }
-                info!(self.log, "roll-out ordered"; "service" => service, "version" => &order.version,
-                    "revision" => order.revision, "time_ms" => order.time.as_millis() as u64);
-                let _ = self.updates.send(Update::RolloutOrdered(order));
-            }
-            Err(fault) => {
-                warn!(self.log, "order of a roll-out not readable, it is not carried out";
-                "service" => service, "revision" => change.revision, "cause" => fault.0)
-            }
-        }
-    }
-
-    fn take_configuration(&self, change: &Change) {
-        let Some(value) = &change.value else {
-            return;
-        };
-        let read = self.store.configuration(value);
-        let mut known = self.known.borrow_mut();
-        known.configuration_readable = read.is_ok();
-        let configuration = match read {
-            Ok(configuration) => configuration,
-            Err(fault) => {
-                warn!(self.log, "configuration not readable; the old one stays in force and is not confirmed";
-                    "revision" => change.revision, "cause" => fault.0);
-                return;
-            }
-        };
-        let in_force = known.configuration.as_ref().map(|c| c.version);
-        if in_force.is_some_and(|version| version >= configuration.version) {
-            return;
-        }
-        let configuration = Arc::new(configuration);
-        known.configuration = Some(Arc::clone(&configuration));
-        let _ = self.updates.send(Update::Configuration(configuration));
-    }
-
-    fn take_endpoint(&self, change: &Change) {
-        let Some(value) = &change.value else {
-            self.drop_endpoint(&change.key);
-            return;
-        };
-        let endpoint = match self.store.endpoint(&change.key, value) {
-            Ok(endpoint) => endpoint,
-            Err(fault) => {
-                warn!(self.log, "endpoint not readable"; "endpoint" => &change.key,
-                    "cause" => fault.0);
-                return;
-            }
-        };
-        let mut known = self.known.borrow_mut();
-        if known.endpoints.get(&change.key) == Some(&endpoint) {
-            return;
-        }
-        info!(self.log, "endpoint changed"; "endpoint" => &change.key,
-            "service" => &endpoint.service, "state" => ?endpoint.state,
-            "revision" => change.revision);
-        if !endpoint.is_ready() {
-            self.endpoint_lost.notify_one();
-        }
-        known.endpoints.insert(change.key.clone(), endpoint.clone());
-        let _ = self.updates.send(Update::Endpoint(endpoint));
-    }
-
-    fn drop_endpoint(&self, id: &str) {
-        if self.known.borrow_mut().endpoints.remove(id).is_some() {
-            info!(self.log, "endpoint gone"; "endpoint" => id);
-            self.endpoint_lost.notify_one();
-            let _ = self.updates.send(Update::EndpointGone(id.to_string()));
-        }
-    }
 }
 
 fn largest(changes: &[Change]) -> Option<usize> {
--- /dev/null
+++ b/components/gateway/src/control/need.rs
@@ -0,0 +1,51 @@
+//! Whether this gateway keeps the endpoints.
+
+use std::time::Duration;
+
+use slog::info;
+
+use crate::control::{Known, Shared};
+use crate::ports::{Orders, Store, Topic};
+use crate::update::Update;
+
+/// A gateway that needs the endpoints no more follows them for so long: whoever decides may change to and fro.
+const KEPT_FOR: Duration = Duration::from_secs(10);
+/// A gateway that could not read the store's list of gateways follows the endpoints after this time all the same.
+const LIST_TIME: Duration = Duration::from_secs(2);
+
+impl<S: Store + 'static, O: Orders + 'static> Shared<S, O> {
+    /// Whether the endpoints are followed here.
+    pub fn needs_endpoints(&self) -> bool {
+        self.known.borrow().endpoints_needed_at.is_some()
+    }
+
+    /// Follows the endpoints where requests are placed or endpoints ordered, and forgets them elsewhere.
+    pub fn check_need(&self, known: &mut Known, now: Duration) {
+        let may_decide = known.peers.is_listed() || now >= LIST_TIME;
+        let decides = may_decide && known.speaks_for_others(now);
+        if decides || self.alone.is_alone(now) {
+            if known.endpoints_needed_at.replace(now).is_none() {
+                info!(self.log, "endpoints followed"; "decides" => decides);
+                known.followed_mut(Topic::Endpoints).wake.notify_one();
+            }
+            return;
+        }
+        let over = known.endpoints_needed_at.filter(|at| now >= *at + KEPT_FOR);
+        if over.is_some() {
+            known.endpoints_needed_at = None;
+        }
+    }
+
+    /// Forgets the endpoints. Between two steps of following them only, so that no answer that is on its way is taken
+    /// for the whole table.
+    pub fn forget_endpoints(&self) {
+        let mut known = self.known.borrow_mut();
+        if known.followed[&Topic::Endpoints].table.known_to().is_none() {
+            return;
+        }
+        known.endpoints.clear();
+        known.forget_rows(Topic::Endpoints);
+        info!(self.log, "endpoints forgotten, coordinators decide");
+        let _ = self.updates.send(Update::EndpointsForgotten);
+    }
+}
--- /dev/null
+++ b/components/gateway/src/control/rows.rs
@@ -0,0 +1,107 @@
+//! Rows of the store, taken into force.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use replica::Change;
+use slog::{info, warn};
+
+use crate::control::Shared;
+use crate::ports::{Orders, Store};
+use crate::update::Update;
+
+impl<S: Store + 'static, O: Orders + 'static> Shared<S, O> {
+    /// Takes a row that the operator wrote.
+    pub fn take_operator_row(&self, change: &Change, stamp: Duration) {
+        if change.key == self.store.configuration_key() {
+            self.take_configuration(change);
+        } else if let Some(service) = self.store.rollout_service(&change.key) {
+            self.take_order(&service, change, stamp);
+        }
+    }
+
+    fn take_order(&self, service: &str, change: &Change, stamp: Duration) {
+        let Some(value) = &change.value else {
+            self.known.borrow_mut().rollouts.orders.remove(service);
+            info!(self.log, "roll-out withdrawn"; "service" => service, "revision" => change.revision);
+            let _ = self
+                .updates
+                .send(Update::RolloutWithdrawn(service.to_string()));
+            return;
+        };
+        match self.store.rollout_order(value, change.revision) {
+            Ok(order) => {
+                if !self.known.borrow_mut().rollouts.order(order.clone(), stamp) {
+                    return;
+                }
+                info!(self.log, "roll-out ordered"; "service" => service, "version" => &order.version,
+                    "revision" => order.revision, "time_ms" => order.time.as_millis() as u64);
+                let _ = self.updates.send(Update::RolloutOrdered(order));
+            }
+            Err(fault) => {
+                warn!(self.log, "order of a roll-out not readable, it is not carried out";
+                "service" => service, "revision" => change.revision, "cause" => fault.0)
+            }
+        }
+    }
+
+    fn take_configuration(&self, change: &Change) {
+        let Some(value) = &change.value else {
+            return;
+        };
+        let read = self.store.configuration(value);
+        let mut known = self.known.borrow_mut();
+        known.configuration_readable = read.is_ok();
+        let configuration = match read {
+            Ok(configuration) => configuration,
+            Err(fault) => {
+                warn!(self.log, "configuration not readable; the old one stays in force and is not confirmed";
+                    "revision" => change.revision, "cause" => fault.0);
+                return;
+            }
+        };
+        let in_force = known.configuration.as_ref().map(|c| c.version);
+        if in_force.is_some_and(|version| version >= configuration.version) {
+            return;
+        }
+        let configuration = Arc::new(configuration);
+        known.configuration = Some(Arc::clone(&configuration));
+        let _ = self.updates.send(Update::Configuration(configuration));
+    }
+
+    /// Takes the row of an endpoint.
+    pub fn take_endpoint(&self, change: &Change) {
+        let Some(value) = &change.value else {
+            self.drop_endpoint(&change.key);
+            return;
+        };
+        let endpoint = match self.store.endpoint(&change.key, value) {
+            Ok(endpoint) => endpoint,
+            Err(fault) => {
+                warn!(self.log, "endpoint not readable"; "endpoint" => &change.key,
+                    "cause" => fault.0);
+                return;
+            }
+        };
+        let mut known = self.known.borrow_mut();
+        if known.endpoints.get(&change.key) == Some(&endpoint) {
+            return;
+        }
+        info!(self.log, "endpoint changed"; "endpoint" => &change.key,
+            "service" => &endpoint.service, "state" => ?endpoint.state,
+            "revision" => change.revision);
+        if !endpoint.is_ready() {
+            self.endpoint_lost.notify_one();
+        }
+        known.endpoints.insert(change.key.clone(), endpoint.clone());
+        let _ = self.updates.send(Update::Endpoint(endpoint));
+    }
+
+    fn drop_endpoint(&self, id: &str) {
+        if self.known.borrow_mut().endpoints.remove(id).is_some() {
+            info!(self.log, "endpoint gone"; "endpoint" => id);
+            self.endpoint_lost.notify_one();
+            let _ = self.updates.send(Update::EndpointGone(id.to_string()));
+        }
+    }
+}
--- /dev/null
+++ b/components/gateway/src/endpoint_run.rs
@@ -0,0 +1,103 @@
+//! A request under way at an endpoint, and what its end says.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use rollout::Answer;
+use routing::placement::{verdict_without_answer, Placement, Ticket, Verdict};
+use transport::Connection;
+
+use crate::job::SharedJob;
+use crate::traffic::Traffic;
+
+/// Shortest time that an engine's answer is compared with, in seconds: below it the time is that of the way there.
+const SHORTEST_HOLD_S: f64 = 0.02;
+
+/// A request under way at an endpoint. Dropping it closes the connection, unless it was finished.
+pub(crate) struct Run<D> {
+    pub traffic: Rc<Traffic<D>>,
+    pub endpoint: String,
+    pub ticket: Ticket,
+    pub connection: Option<Connection>,
+    /// Whether a connection is counted for it.
+    pub reserved: bool,
+    pub expiry: Duration,
+    pub expected: Duration,
+    /// Whether the head of an answer came.
+    pub answered: bool,
+    pub verdict: Option<Verdict>,
+    pub sent_at: Duration,
+    pub placement: Placement,
+    pub job: SharedJob,
+}
+
+impl<D> Run<D> {
+    /// Says how the endpoint did.
+    pub fn judge(&mut self, verdict: Verdict) {
+        self.verdict = Some(verdict);
+    }
+
+    /// The whole answer was read: the connection rests.
+    pub fn finish(mut self, keep_alive: Option<Duration>) {
+        let now = self.traffic.clock.now();
+        if let Some(connection) = self.connection.take() {
+            self.reserved = false;
+            let mut state = self.traffic.state.borrow_mut();
+            state.pool.rest(now, &self.endpoint, connection, keep_alive);
+        }
+    }
+
+    /// Its first token, or its whole answer, came.
+    pub fn first_token(&mut self) {
+        let now = self.traffic.clock.now();
+        let mut state = self.traffic.state.borrow_mut();
+        state.board.first_token(now, &mut self.ticket);
+    }
+
+    // What this run says of its endpoint's version, if a roll-out is under way. The time of an engine's answer is
+    // told in parts of the time expected, since an endpoint of a new version has read no prompts yet.
+    fn evidence(&self, now: Duration, verdict: Verdict) -> Option<Answer> {
+        let took = now.saturating_sub(self.sent_at).as_secs_f64();
+        match verdict {
+            Verdict::Neutral => None,
+            Verdict::Faulty | Verdict::Silent => Some(Answer::Failed),
+            Verdict::Sound if self.job.engine => {
+                let expected = self.placement.hold.as_secs_f64().max(SHORTEST_HOLD_S);
+                Some(Answer::Whole(took / expected * 1000.0))
+            }
+            Verdict::Sound => Some(Answer::Whole(took * 1000.0)),
+        }
+    }
+
+    fn verdict_at_drop(&self, now: Duration) -> Verdict {
+        let waited = now.saturating_sub(self.sent_at);
+        let given = self.expiry.saturating_sub(self.sent_at);
+        match (self.verdict, self.answered) {
+            (Some(verdict), _) => verdict,
+            (None, true) if now >= self.expiry => Verdict::Faulty,
+            (None, true) => Verdict::Neutral,
+            (None, false) => verdict_without_answer(waited, self.expected, given),
+        }
+    }
+}
+
+impl<D> Drop for Run<D> {
+    fn drop(&mut self) {
+        let now = self.traffic.clock.now();
+        let verdict = self.verdict_at_drop(now);
+        let mut state = self.traffic.state.borrow_mut();
+        state.board.ended(now, &self.ticket, verdict);
+        if verdict == Verdict::Silent {
+            // Its other open connections may say nothing either.
+            state.pool.forget(&self.endpoint);
+        }
+        if let Some(answer) = self.evidence(now, verdict) {
+            let (service, route) = (&self.job.work.service, self.job.asked().route);
+            let told = state.gates.told(&self.placement, service, route, answer);
+            state.tally.told.extend(told);
+        }
+        if self.reserved {
+            state.pool.closed(&self.endpoint);
+        }
+    }
+}
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -23,7 +23,8 @@
 use crate::freshness::Freshness;
 use crate::ports::{Dialect, Orders, Store};
 use crate::server::{bind, bind_std, serve_callers, serve_metrics, serve_readiness};
-use crate::traffic::{Traffic, TrafficParts, Update};
+use crate::traffic::{Traffic, TrafficParts};
+use crate::update::Update;
 
 /// Tallies that wait for the control thread; further ones are dropped.
 const TALLIES_WAITING: usize = 256;
--- /dev/null
+++ b/components/gateway/src/state.rs
@@ -0,0 +1,194 @@
+//! Everything the traffic thread decides from.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use directory::{Configuration, Directory, Tenant};
+use limits::{Limit, RepeatBudget, RepeatTerms, SharedQuota};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use routing::placement::{endpoint_hash, Board, Placement, Work};
+use schema::messages::PlacedAt;
+use schema::settings::GatewaySettings;
+
+use crate::decisions::placed_of;
+use crate::peers::Fleet;
+use crate::pool::Pool;
+use crate::tally::{Sent, ServiceLoad, Tally};
+use crate::versions::{Asked, Gates};
+
+/// Everything the traffic thread decides from.
+#[derive(Debug)]
+pub(crate) struct State {
+    pub board: Board,
+    // Whether the board holds all endpoints.
+    pub endpoints_known: bool,
+    pub directory: Option<Rc<Directory>>,
+    pub pool: Pool,
+    pub quotas: BTreeMap<String, SharedQuota>,
+    pub repeats: BTreeMap<String, RepeatBudget>,
+    pub tally: Tally,
+    pub fleet: Fleet,
+    pub rng: ChaCha8Rng,
+    pub settings: Arc<GatewaySettings>,
+    pub gates: Gates,
+}
+
+impl State {
+    /// Nothing known yet.
+    pub fn new(settings: Arc<GatewaySettings>) -> Self {
+        State {
+            board: Board::new(&settings.zone),
+            endpoints_known: false,
+            directory: None,
+            pool: Pool::default(),
+            quotas: BTreeMap::new(),
+            repeats: BTreeMap::new(),
+            tally: Tally::default(),
+            fleet: Fleet::default(),
+            rng: ChaCha8Rng::from_rng(&mut rand::rng()),
+            settings,
+            gates: Gates::default(),
+        }
+    }
+
+    /// Gives units of a team's limit back that were charged here and not used.
+    pub fn give_back(&mut self, now: Duration, team: &str, units: u64) {
+        if let Some(quota) = self.quotas.get_mut(team) {
+            quota.give_back(now, units);
+        }
+    }
+
+    /// Places a request of another gateway, if some endpoint takes work.
+    pub fn place_for_other(
+        &mut self,
+        now: Duration,
+        work: &Work,
+        excluded: &[i64],
+        asked: Asked,
+    ) -> Option<PlacedAt> {
+        let excluded = excluded.iter().map(|hash| *hash as u64);
+        let excluded: Vec<String> = excluded.filter_map(|hash| self.board.id_of(hash)).collect();
+        let placement = self.choose(now, work, &excluded, asked)?;
+        self.board.sent_for_other(now, work, &placement);
+        self.tally.sent.push(sent_of(now, &placement));
+        let mut placed = placed_of(&placement);
+        if self.gates.under_way(&work.service).is_none() {
+            placed.version = None;
+        }
+        Some(placed)
+    }
+
+    /// Picks one of a route's services by weight.
+    pub fn pick_service(&mut self, split: &[directory::Share]) -> Option<String> {
+        let total: u64 = split.iter().map(|share| u64::from(share.weight)).sum();
+        if split.len() < 2 || total == 0 {
+            return split.first().map(|share| share.service.clone());
+        }
+        let mut at = self.rng.random_range(0..total);
+        for share in split {
+            let weight = u64::from(share.weight);
+            if at < weight {
+                return Some(share.service.clone());
+            }
+            at -= weight;
+        }
+        None
+    }
+
+    /// Counts a request of a service.
+    pub fn count_request(&mut self, now: Duration, service: &str) {
+        let terms = self.repeat_terms();
+        let budgets = &mut self.repeats;
+        budgets
+            .entry(service.to_string())
+            .or_insert_with(|| RepeatBudget::new(terms))
+            .request(now);
+    }
+
+    /// Puts a configuration in force.
+    pub fn configure(&mut self, now: Duration, configuration: Arc<Configuration>) {
+        self.board.configure(&configuration);
+        let part = self.fleet.part;
+        let mut quotas = BTreeMap::new();
+        for tenant in &configuration.tenants {
+            let Some(limit) = self.limit_of(tenant) else {
+                continue;
+            };
+            let mut quota = match self.quotas.remove(&tenant.name) {
+                Some(quota) => quota,
+                None => SharedQuota::new(now, limit),
+            };
+            quota.set_limit(now, limit);
+            quota.set_part(now, part);
+            quotas.insert(tenant.name.clone(), quota);
+        }
+        self.quotas = quotas;
+        self.directory = Some(Rc::new(Directory::new(configuration)));
+    }
+
+    // A part of what may be taken beyond the limit evens out the age of the others' news.
+    fn limit_of(&self, tenant: &Tenant) -> Option<Limit> {
+        const SLACK_PART: f64 = 0.25;
+        let quota = tenant.quota?;
+        let slack = match quota.plain_cost {
+            Some(_) => self.settings.quota_slack as f64 * SLACK_PART,
+            None => 0.0,
+        };
+        Some(Limit {
+            rate: quota.rate,
+            burst: quota.burst + slack,
+        })
+    }
+
+    /// Takes how many gateways there are, and who decides.
+    pub fn set_fleet(&mut self, now: Duration, fleet: Fleet) {
+        let part = fleet.part;
+        self.fleet = fleet;
+        for quota in self.quotas.values_mut() {
+            quota.set_part(now, part);
+        }
+    }
+
+    /// What repeats are allowed.
+    pub fn repeat_terms(&self) -> RepeatTerms {
+        RepeatTerms {
+            ratio: f64::from(self.settings.repeats_milli) / 1000.0,
+            extra: f64::from(self.settings.repeats_extra),
+            window: Duration::from_millis(self.settings.repeats_window_ms.max(1) as u64),
+        }
+    }
+
+    /// Loads of the services whose endpoints are ordered.
+    pub fn loads(&mut self, now: Duration) -> BTreeMap<String, ServiceLoad> {
+        let Some(directory) = self.directory.clone() else {
+            return BTreeMap::new();
+        };
+        let services = directory.configuration().services.iter();
+        let scaled = services.filter(|(_, service)| service.scaling.is_some());
+        scaled
+            .map(|(name, _)| {
+                let (requests, slots) = self.board.occupancy(now, name);
+                let load = ServiceLoad {
+                    requests,
+                    slots,
+                    rate: self.board.known_rate(name),
+                };
+                (name.clone(), load)
+            })
+            .collect()
+    }
+}
+
+/// A request as the others are told of it.
+pub(crate) fn sent_of(now: Duration, placement: &Placement) -> Sent {
+    Sent {
+        endpoint: endpoint_hash(&placement.endpoint),
+        unread_tokens: placement.unread_tokens,
+        shared_prompt: placement.shared_prompt,
+        at: now,
+        hold: placement.hold,
+    }
+}
--- /dev/null
+++ b/components/gateway/src/update.rs
@@ -0,0 +1,56 @@
+//! What the control thread tells the traffic thread.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use directory::{Configuration, Endpoint};
+use rollout::{Order, Stage};
+use routing::placement::PeerDispatch;
+use schema::settings::GatewaySettings;
+
+use crate::peers::Fleet;
+
+/// One change of what the traffic thread decides from.
+#[derive(Clone, Debug)]
+pub(crate) enum Update {
+    /// A configuration is in force.
+    Configuration(Arc<Configuration>),
+    /// An endpoint's newest record.
+    Endpoint(Endpoint),
+    /// An endpoint is gone.
+    EndpointGone(String),
+    /// All endpoints were told of once.
+    EndpointsKnown,
+    /// The endpoints are not followed any more.
+    EndpointsForgotten,
+    /// The gateways as they are known now, and who of them decides.
+    Fleet(Fleet),
+    /// Another gateway sent these.
+    PeerSent(Vec<PeerDispatch>),
+    /// Units that tenants took at another gateway since its start.
+    PeerTaken {
+        /// Its name.
+        gateway: String,
+        /// Start of its process.
+        incarnation: i64,
+        /// Totals by tenant.
+        taken: BTreeMap<String, u64>,
+        /// Whether all of it was taken in recent time.
+        recent: bool,
+    },
+    /// The settings changed.
+    Settings(Arc<GatewaySettings>),
+    /// A roll-out was ordered.
+    RolloutOrdered(Order),
+    /// The order of a service was withdrawn.
+    RolloutWithdrawn(String),
+    /// The holder said how far a roll-out is.
+    RolloutStage {
+        /// Its service.
+        service: String,
+        /// Revision of its order.
+        revision: u64,
+        /// How far it is.
+        stage: Stage,
+    },
+}
--- a/components/gateway/src/versions.rs
+++ b/components/gateway/src/versions.rs
@@ -9,7 +9,7 @@
 use routing::placement::{endpoint_hash, Placement, Versions, Work};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::traffic::State;
+use crate::state::State;
 
 /// Fewest endpoints of the ordered version that get a part of the requests: one of them that is ill is then told
 /// from a bad version.
--- a/components/limits/src/shared_quota.rs
+++ b/components/limits/src/shared_quota.rs
@@ -11,7 +11,7 @@
 const MOST_DEBT_SECS: f64 = 4.0;
 
 /// Requests like itself for which one that is not urgent leaves room. Chosen, not swept: at hafnarfell-plan that
-/// is about five urgent prompts of mean size (20 times 1,800 tokens against 7,000; docs/deciding.md).
+/// is about five urgent prompts of mean size (20 times 1,800 tokens against 7,000; docs/design/hafnarfell-plan.md).
 const ROOM_LEFT: f64 = 20.0;
 /// Most of the bucket that is left so.
 const MOST_ROOM_PART: f64 = 0.5;
