Let a stage of a roll-out hold from when its holder said it, and keep serving what is released later

Change: stages carry the time at which the holder said them; once no endpoint of a completed version is left, any serves; half a second after a failed call. An endpoint that stands after a completed roll-out counts whatever its version.

--- a/components/gateway/src/control/carrying.rs
+++ b/components/gateway/src/control/carrying.rs
@@ -19,6 +19,8 @@
 
 /// Pause between looks at the orders.
 const ROLLOUT_LOOK: Duration = Duration::from_millis(100);
+/// Pause after a call of the store without a result.
+const FAILED_PAUSE: Duration = Duration::from_millis(500);
 /// Requests that a version's ready endpoints have to have slots for, in parts of what runs at the service.
 const CARRIED_PART: f64 = 1.0;
 /// Of the time of the slowest call of the store, so much is kept at each further call.
@@ -114,7 +116,7 @@
         };
         let is_new = known.rollouts.hear(service, revision, heard);
         drop(known);
-        self.tell_traffic(service, revision, stage);
+        self.tell_traffic(service, revision, stage, now);
         if is_new {
             info!(self.log, "roll-out stage"; "service" => service, "revision" => revision, "stage" => %stage);
             self.urgent.notify_one();
@@ -141,7 +143,7 @@
             let newest = ordered.and_then(|ordered| ordered.heard);
             drop(known);
             if newest.is_some_and(|newest| newest.at == at) {
-                self.tell_traffic(&told.service_name, revision, stage);
+                self.tell_traffic(&told.service_name, revision, stage, at);
             }
             if is_new {
                 info!(self.log, "roll-out stage"; "service" => &told.service_name, "revision" => revision,
@@ -150,11 +152,12 @@
         }
     }
 
-    fn tell_traffic(&self, service: &str, revision: u64, stage: Stage) {
+    fn tell_traffic(&self, service: &str, revision: u64, stage: Stage, at: Duration) {
         let update = Update::RolloutStage {
             service: service.to_string(),
             revision,
             stage,
+            at,
         };
         if self.updates.send(update).is_err() {
             warn!(self.log, "the traffic thread is gone");
@@ -175,6 +178,7 @@
             .await;
         let (Ok(row), Ok(status)) = (row, status) else {
             info!(self.log, "roll-out not read, the store does not answer"; "service" => service);
+            tokio::time::sleep(FAILED_PAUSE).await;
             return;
         };
         let kept = row.as_ref().and_then(read_row);
@@ -193,6 +197,7 @@
                     Ok(revision) => (first, revision),
                     Err(error) => {
                         info!(self.log, "roll-out not begun"; "service" => service, "cause" => %error);
+                        tokio::time::sleep(FAILED_PAUSE).await;
                         return;
                     }
                 }
@@ -323,6 +328,9 @@
         let written = self.timed(service, call).await;
         info!(self.log, "roll-out status written"; "service" => service, "decision" => ?decision,
             "written" => written.is_ok());
+        if written.is_err() {
+            tokio::time::sleep(FAILED_PAUSE).await;
+        }
         let mut known = self.known.borrow_mut();
         let ordered = known.rollouts.orders.get_mut(service);
         let Some(carried) = ordered.and_then(|ordered| ordered.carried.as_mut()) else {
--- a/components/gateway/src/control/rollouts.rs
+++ b/components/gateway/src/control/rollouts.rs
@@ -208,12 +208,13 @@
         ordered.is_some_and(|ordered| ordered.decision().is_none())
     }
 
-    /// Whether an endpoint counts among those that serve: until a version is completed, those of the old one.
+    /// Whether an endpoint counts among those that serve: not one of an ordered version that is not completed. The
+    /// old ones are gone soon after that.
     pub fn counts(&self, endpoint: &Endpoint) -> bool {
         let Some(ordered) = self.orders.get(&endpoint.service) else {
             return true;
         };
         let is_new = endpoint.version == ordered.order.version;
-        is_new == (ordered.decision() == Some(Decision::Completed))
+        !is_new || ordered.decision() == Some(Decision::Completed)
     }
 }
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -125,7 +125,8 @@
                 service,
                 revision,
                 stage,
-            } => state.gates.hear(now, &service, revision, stage),
+                at,
+            } => state.gates.hear(at, &service, revision, stage),
         }
     }
 
--- a/components/gateway/src/update.rs
+++ b/components/gateway/src/update.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use directory::{Configuration, Endpoint};
 use rollout::{Order, Stage};
@@ -52,5 +53,7 @@
         revision: u64,
         /// How far it is.
         stage: Stage,
+        /// When the holder said so, on the own clock.
+        at: Duration,
     },
 }
--- a/components/gateway/src/versions.rs
+++ b/components/gateway/src/versions.rs
@@ -75,10 +75,10 @@
         self.gates.remove(service);
     }
 
-    /// Takes what the holder said of an order.
-    pub fn hear(&mut self, now: Duration, service: &str, revision: u64, stage: Stage) {
+    /// Takes what the holder said of an order, and when.
+    pub fn hear(&mut self, at: Duration, service: &str, revision: u64, stage: Stage) {
         if let Some(gate) = self.gates.get_mut(service) {
-            gate.hear(now, revision, stage);
+            gate.hear(at, revision, stage);
         }
     }
 
@@ -124,11 +124,12 @@
         let lane = self.lane(now, work, exclude, asked);
         let mut placed = self.choose_in(now, work, exclude, &lane);
         if let (None, Lane::Only(version)) = (&placed, &lane) {
-            // Only a decision leaves no choice.
-            if self.gates.under_way(&work.service).is_some() {
-                let old = Lane::Not(version.clone());
-                placed = self.choose_in(now, work, exclude, &old);
-            }
+            let elsewhere = match self.gates.under_way(&work.service) {
+                Some(_) => Lane::Not(version.clone()),
+                // Endpoints may have been replaced by a later version without an order.
+                None => Lane::Any,
+            };
+            placed = self.choose_in(now, work, exclude, &elsewhere);
         }
         if let (Some(gate), Some(placement)) = (self.gates.gates.get_mut(&work.service), &placed) {
             let is_new = placement.version.as_ref() == Some(&gate.order().version);
--- a/components/gateway/tests/rollouts.rs
+++ b/components/gateway/tests/rollouts.rs
@@ -180,3 +180,22 @@
     call_until_status(&world, &gateway, "v2 None");
     call_until_status(&world, &gateway, "v2 Some(Completed)");
 }
+
+#[test]
+fn endpoints_of_a_later_version_that_nobody_ordered_serve_once_the_ordered_one_is_gone() {
+    let world = World::new(200);
+    let gateway = world.start("g1", Vec::new());
+    world.start_new_version();
+    world.store.put_order("v2", TIME);
+    call_until_status(&world, &gateway, "v2 Some(Completed)");
+    let released = EndpointStandin::start(|_, e| e.answer(200, "released"));
+    world
+        .store
+        .put_endpoint(endpoint_of("v3", "released", released.address));
+    for id in ["old", "new0", "new1", "new2"] {
+        world.store.drop_endpoint(id);
+    }
+    wait_until("an answer of the later version", || {
+        gateway.call("/a/1", &[]).body == "released"
+    });
+}
--- a/components/rollout/src/gate.rs
+++ b/components/rollout/src/gate.rs
@@ -80,12 +80,13 @@
         &self.order
     }
 
-    /// The holder said how far the order with this revision is. A decision stays.
-    pub fn hear(&mut self, now: Duration, revision: u64, stage: Stage) {
-        if revision != self.order.revision || self.decision().is_some() {
+    /// The holder said at a time on the own clock how far the order with this revision is. A decision stays.
+    pub fn hear(&mut self, at: Duration, revision: u64, stage: Stage) {
+        let is_known = self.stage.is_some_and(|(_, known)| known > at);
+        if revision != self.order.revision || is_known || self.decision().is_some() {
             return;
         }
-        self.stage = Some((stage, now));
+        self.stage = Some((stage, at));
     }
 
     /// The stage that holds now, `None` if nothing was said of it lately.
--- a/components/rollout/tests/promises.rs
+++ b/components/rollout/tests/promises.rs
@@ -174,3 +174,14 @@
     assert_eq!(lane(true), Lane::Only("v2".into()));
     assert_eq!(lane(false), Lane::Not("v2".into()));
 }
+
+#[test]
+fn what_the_holder_said_long_ago_holds_no_more_however_it_came() {
+    let mut gate = Gate::new(order(Duration::from_secs(12)));
+    gate.hear(Duration::from_secs(1), 7, Stage::SwitchAll);
+    assert_eq!(lane(&gate, Duration::from_secs(4)), Lane::Not("v2".into()));
+    // Nor does it hide what was said later.
+    gate.hear(Duration::from_secs(4), 7, Stage::Sample);
+    gate.hear(Duration::from_secs(2), 7, Stage::SwitchAll);
+    assert_eq!(gate.stage(Duration::from_secs(5)), Some(Stage::Sample));
+}
