Wait for one holder rather than read one moment in a test

It read, at one moment, that exactly one of two nodes may order; a holder whose renewal is late on a busy machine orders nothing until it is renewed, so there may be none. Change: the test waits until exactly one may order, and fails at any look that finds two, at each look rather than at one. As strict on the promise, which is that there are never two.

--- a/tests/sessions.rs
+++ b/tests/sessions.rs
@@ -528,8 +528,13 @@
 fn the_lease_holder_orders_every_model_endpoint_once() {
     let fleet = fleet(&options());
     wait_until(|| fleet.engines.iter().all(|e| e.models() == ["story"]));
+    // A holder whose renewal is late on a busy machine may order nothing for a while; two may never.
     let holds = |n: &usize| fleet.status(*n)["control"]["orders_allowed"] == true;
-    assert_eq!((0..2).filter(holds).count(), 1);
+    wait_until(|| {
+        let holders = (0..2).filter(holds).count();
+        assert!(holders <= 1, "two nodes may order");
+        holders == 1
+    });
 }
 
 #[test]
