Count requests at cold endpoints of an ordered version as exposure

Cause: a placement named its endpoint's version only once the endpoint was warm, since answers of cold ones are no evidence; the gate that counts exposure read the same field, so requests at cold endpoints of a version counted as the old version's. New endpoints are cold first, so the part that a bad version may get could be passed. Change: a placement names the version always and says apart whether the endpoint is cold.

--- a/components/gateway/src/decisions.rs
+++ b/components/gateway/src/decisions.rs
@@ -276,7 +276,7 @@
         expected_ms: placement.expected_ms as i32,
         hold_ms: placement.hold.as_millis().min(i32::MAX as u128) as i32,
         weighed: placement.weighed as i32,
-        version: placement.version.clone(),
+        version: placement.version.clone().filter(|_| !placement.is_cold),
     }
 }
 
@@ -299,5 +299,6 @@
         weighed: placed.weighed.max(0) as usize,
         counted: true,
         version: placed.version.clone(),
+        is_cold: false,
     }))
 }
--- a/components/gateway/src/versions.rs
+++ b/components/gateway/src/versions.rs
@@ -91,6 +91,9 @@
         answer: Answer,
     ) -> Option<Told> {
         let order = self.under_way(service)?.order();
+        if placement.is_cold {
+            return None;
+        }
         let side = match *placement.version.as_ref()? == order.version {
             true => Side::New,
             false => Side::Old,
--- a/components/gateway/tests/rollouts.rs
+++ b/components/gateway/tests/rollouts.rs
@@ -9,7 +9,7 @@
 use common::{
     configuration, endpoint_of, route, settings, wait_until, EndpointStandin, Setup, StoreStandin,
 };
-use directory::Execution;
+use directory::{Endpoint, Execution};
 use schema::settings::GatewaySettings;
 
 /// Time of the orders: some 100 requests go to the ordered version within it.
@@ -37,12 +37,15 @@
     }
 
     fn start(&self, name: &str, seeds: Vec<String>) -> Setup {
-        let settings = GatewaySettings {
+        self.start_with(GatewaySettings {
             name: name.into(),
             seeds,
             reports_usage: true,
             ..settings()
-        };
+        })
+    }
+
+    fn start_with(&self, settings: GatewaySettings) -> Setup {
         let setup = Setup::start(settings, self.store.for_another());
         wait_until("readiness", || setup.is_ready());
         setup
@@ -199,3 +202,27 @@
         gateway.call("/a/1", &[]).body == "released"
     });
 }
+
+#[test]
+fn requests_at_endpoints_that_are_slow_from_their_start_count_as_exposure() {
+    let world = World::new(200);
+    let gateway = world.start_with(GatewaySettings {
+        reports_usage: true,
+        exposure_extra: 0,
+        ..settings()
+    });
+    for (i, standin) in world.new.iter().enumerate() {
+        let endpoint = endpoint_of("v2", &format!("new{i}"), standin.address);
+        world.store.put_endpoint(Endpoint {
+            cold: Duration::from_secs(600),
+            ..endpoint
+        });
+    }
+    world.store.put_order("v2", TIME);
+    wait_until("the order to be taken up", || world.status_is("v2 None"));
+    // Their answers are no evidence, so the version is not proven.
+    let calls = call_until_status(&world, &gateway, "v2 Some(Reverted)");
+    // Half of what a bad version may get is for evidence.
+    let (got, most) = (world.new_requests(), calls / 20);
+    assert!(got <= most, "{got} of {calls}");
+}
--- a/components/routing/src/placement/board.rs
+++ b/components/routing/src/placement/board.rs
@@ -33,8 +33,10 @@
     pub weighed: usize,
     /// Whether another gateway placed it, and counts it among what it sent.
     pub counted: bool,
-    /// Version of the endpoint's software; `None` while it is slow from its start.
+    /// Version of the endpoint's software; `None` where another gateway placed the request and did not tell it.
     pub version: Option<String>,
+    /// Whether the endpoint is slow from its start, so that its answers say nothing of its version.
+    pub is_cold: bool,
 }
 
 /// A request under way, as the board counts it.
--- a/components/routing/src/placement/choice.rs
+++ b/components/routing/src/placement/choice.rs
@@ -99,7 +99,8 @@
             hold: weighing.pace.hold_of(work, chosen.unread),
             weighed: weighed.len(),
             counted: false,
-            version: (now >= slots.at(chosen.position).cold_until).then(|| spec.version.clone()),
+            version: Some(spec.version.clone()),
+            is_cold: now < slots.at(chosen.position).cold_until,
         })
     }
 }
