Derive what a run knows of its placement, and tell a decision once

From reading the change: a run kept its endpoint, its time and its expected time beside the placement and the job that hold them; the holder told its traffic thread a decision ten times a second for good; the operator's row could have been written without a condition had its revision been unknown (no way to that was found); `Gate::placed` had no caller; a constant was one. Moved lines say team where the type allows it.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -142,12 +142,9 @@
     ) -> Attempted<D> {
         let mut run = Run {
             traffic: Rc::clone(self),
-            endpoint: placement.endpoint.clone(),
             ticket: self.note_sent(job, placement),
             connection: None,
             reserved: false,
-            expiry: job.expiry,
-            expected: Duration::from_secs_f64(placement.expected_ms / 1000.0),
             answered: false,
             verdict: None,
             sent_at: self.clock.now(),
--- a/components/gateway/src/control/carrying.rs
+++ b/components/gateway/src/control/carrying.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use rollout::{Decision, Evidence, Judgement, Order, Progress, Stage, Step};
-use schema::messages::RolloutRow;
+use schema::messages::{GatewayNews, RolloutRow};
 use slog::{info, warn};
 
 use crate::control::rollouts::{Carried, Heard, Status};
@@ -21,8 +21,6 @@
 const ROLLOUT_LOOK: Duration = Duration::from_millis(100);
 /// Pause after a call of the store without a result.
 const FAILED_PAUSE: Duration = Duration::from_millis(500);
-/// Requests that a version's ready endpoints have to have slots for, in parts of what runs at the service.
-const CARRIED_PART: f64 = 1.0;
 /// Of the time of the slowest call of the store, so much is kept at each further call.
 const CALL_TIME_KEPT: f64 = 0.7;
 
@@ -83,7 +81,10 @@
             return Some(Work::Status(carried.decision));
         }
         if let Some(decision) = carried.decision {
-            return Some(Work::Step(Step::Tell(Stage::Decided(decision))));
+            // A decision holds once it was told.
+            let is_told = ordered.decision().is_some();
+            let tell = Work::Step(Step::Tell(Stage::Decided(decision)));
+            return (!is_told).then_some(tell);
         }
         let ordered_at = known.store_clock.moment(carried.ordered_stamp, now);
         let ordered_at = ordered_at.unwrap_or(now);
@@ -95,7 +96,7 @@
             ordered_at,
             long_per_s: long / elapsed.max(1.0),
             call_time: carried.call_time,
-            can_carry: slots > 0 && f64::from(slots) >= f64::from(runs) * CARRIED_PART,
+            can_carry: slots > 0 && slots >= runs,
         };
         let ordered = known.rollouts.orders.get_mut(service)?;
         let plan = &mut ordered.carried.as_mut()?.plan;
@@ -124,7 +125,7 @@
     }
 
     /// Takes what another gateway told of a roll-out.
-    pub fn hear_rollouts(&self, news: &schema::messages::GatewayNews) {
+    pub fn hear_rollouts(&self, news: &GatewayNews) {
         let now = self.clock.now();
         for told in news.rollouts.iter().flatten() {
             let stage = news::heard_stage(told.stage);
@@ -308,22 +309,15 @@
         let Some((order, _)) = self.order_of(service) else {
             return;
         };
-        let expected = {
-            let known = self.known.borrow();
-            let carried = known
-                .rollouts
-                .orders
-                .get(service)
-                .and_then(|o| o.carried.as_ref());
-            let status = carried.and_then(|carried| carried.status.as_ref());
-            status.map(|status| status.revision)
+        let Some(expected) = self.status_revision(service) else {
+            return;
         };
         let wanted = self.store.rollout_status(&order, decision);
         let call = self.store.write(
             Topic::RolloutStatus,
             &wanted.key,
             wanted.value.clone(),
-            expected,
+            Some(expected),
         );
         let written = self.timed(service, call).await;
         info!(self.log, "roll-out status written"; "service" => service, "decision" => ?decision,
@@ -348,6 +342,14 @@
         };
     }
 
+    // Revision of the operator's row, while this gateway carries the order out and has read it.
+    fn status_revision(&self, service: &str) -> Option<u64> {
+        let known = self.known.borrow();
+        let ordered = known.rollouts.orders.get(service)?;
+        let status = ordered.carried.as_ref()?.status.as_ref()?;
+        Some(status.revision)
+    }
+
     fn order_of(&self, service: &str) -> Option<(Order, Duration)> {
         let known = self.known.borrow();
         let ordered = known.rollouts.orders.get(service)?;
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -179,22 +179,20 @@
         stamp: Duration,
         whole: bool,
     ) -> bool {
-        let is_first;
-        let news = {
+        let (news, is_first) = {
             let mut known = self.known.borrow_mut();
             let followed = known.followed_mut(topic);
-            let was_known = followed.table.known_to().is_some();
+            let is_first = followed.table.known_to().is_none();
             let news = match whole {
                 true => followed.table.take_all(changes, known_to),
                 false => followed.table.take(changes, known_to),
             };
-            is_first = !was_known;
             let known_to = followed.table.known_to().unwrap_or(0);
             followed.follower.caught_up(known_to);
             if let Some(bytes) = largest(&news) {
                 followed.follower.set_first(first_asked(bytes));
             }
-            news
+            (news, is_first)
         };
         for change in &news {
             match topic {
--- a/components/gateway/src/endpoint_run.rs
+++ b/components/gateway/src/endpoint_run.rs
@@ -16,13 +16,10 @@
 /// A request under way at an endpoint. Dropping it closes the connection, unless it was finished.
 pub(crate) struct Run<D> {
     pub traffic: Rc<Traffic<D>>,
-    pub endpoint: String,
     pub ticket: Ticket,
     pub connection: Option<Connection>,
     /// Whether a connection is counted for it.
     pub reserved: bool,
-    pub expiry: Duration,
-    pub expected: Duration,
     /// Whether the head of an answer came.
     pub answered: bool,
     pub verdict: Option<Verdict>,
@@ -43,7 +40,9 @@
         if let Some(connection) = self.connection.take() {
             self.reserved = false;
             let mut state = self.traffic.state.borrow_mut();
-            state.pool.rest(now, &self.endpoint, connection, keep_alive);
+            state
+                .pool
+                .rest(now, &self.placement.endpoint, connection, keep_alive);
         }
     }
 
@@ -71,12 +70,13 @@
 
     fn verdict_at_drop(&self, now: Duration) -> Verdict {
         let waited = now.saturating_sub(self.sent_at);
-        let given = self.expiry.saturating_sub(self.sent_at);
+        let given = self.job.expiry.saturating_sub(self.sent_at);
+        let expected = Duration::from_secs_f64(self.placement.expected_ms / 1000.0);
         match (self.verdict, self.answered) {
             (Some(verdict), _) => verdict,
-            (None, true) if now >= self.expiry => Verdict::Faulty,
+            (None, true) if now >= self.job.expiry => Verdict::Faulty,
             (None, true) => Verdict::Neutral,
-            (None, false) => verdict_without_answer(waited, self.expected, given),
+            (None, false) => verdict_without_answer(waited, expected, given),
         }
     }
 }
@@ -89,7 +89,7 @@
         state.board.ended(now, &self.ticket, verdict);
         if verdict == Verdict::Silent {
             // Its other open connections may say nothing either.
-            state.pool.forget(&self.endpoint);
+            state.pool.forget(&self.placement.endpoint);
         }
         if let Some(answer) = self.evidence(now, verdict) {
             let (service, route) = (&self.job.work.service, self.job.asked().route);
@@ -97,7 +97,7 @@
             state.tally.told.extend(told);
         }
         if self.reserved {
-            state.pool.closed(&self.endpoint);
+            state.pool.closed(&self.placement.endpoint);
         }
     }
 }
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -113,26 +113,26 @@
         self.board.configure(&configuration);
         let part = self.fleet.part;
         let mut quotas = BTreeMap::new();
-        for tenant in &configuration.tenants {
-            let Some(limit) = self.limit_of(tenant) else {
+        for team in &configuration.tenants {
+            let Some(limit) = self.limit_of(team) else {
                 continue;
             };
-            let mut quota = match self.quotas.remove(&tenant.name) {
+            let mut quota = match self.quotas.remove(&team.name) {
                 Some(quota) => quota,
                 None => SharedQuota::new(now, limit),
             };
             quota.set_limit(now, limit);
             quota.set_part(now, part);
-            quotas.insert(tenant.name.clone(), quota);
+            quotas.insert(team.name.clone(), quota);
         }
         self.quotas = quotas;
         self.directory = Some(Rc::new(Directory::new(configuration)));
     }
 
     // A part of what may be taken beyond the limit evens out the age of the others' news.
-    fn limit_of(&self, tenant: &Tenant) -> Option<Limit> {
+    fn limit_of(&self, team: &Tenant) -> Option<Limit> {
         const SLACK_PART: f64 = 0.25;
-        let quota = tenant.quota?;
+        let quota = team.quota?;
         let slack = match quota.plain_cost {
             Some(_) => self.settings.quota_slack as f64 * SLACK_PART,
             None => 0.0,
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -65,7 +65,7 @@
         let mut next = Some((first, events));
         while let Some((first, mut events)) = next.take() {
             let end = self.pass(first, &mut events).await;
-            let endpoint = events.run.endpoint.clone();
+            let endpoint = events.run.placement.endpoint.clone();
             let cause = match end {
                 End::Whole => {
                     events.finish();
--- a/components/gateway/src/update.rs
+++ b/components/gateway/src/update.rs
@@ -28,13 +28,13 @@
     Fleet(Fleet),
     /// Another gateway sent these.
     PeerSent(Vec<PeerDispatch>),
-    /// Units that tenants took at another gateway since its start.
+    /// Units that teams took at another gateway since its start.
     PeerTaken {
         /// Its name.
         gateway: String,
         /// Start of its process.
         incarnation: i64,
-        /// Totals by tenant.
+        /// Totals by team.
         taken: BTreeMap<String, u64>,
         /// Whether all of it was taken in recent time.
         recent: bool,
--- a/components/rollout/src/gate.rs
+++ b/components/rollout/src/gate.rs
@@ -101,11 +101,6 @@
         self.stage.and_then(|(stage, _)| stage.decision())
     }
 
-    /// Requests placed since the order, and those of them that went to the new version.
-    pub fn placed(&self) -> (u64, u64) {
-        (self.placed, self.placed_new)
-    }
-
     /// Where a request goes; `chance` lies between 0 and 1.
     pub fn lane(&self, now: Duration, allowance: Allowance, request: Request, chance: f64) -> Lane {
         let old = || Lane::Not(self.order.version.clone());
