--- a/bench/src/decisions.rs
+++ b/bench/src/decisions.rs
@@ -188,7 +188,7 @@
 fn conversation(n: usize) -> Prompt {
     let messages = [
         "system ".repeat(400),
-        format!("tell me of {n} ").repeat(200),
+        format!("report me of {n} ").repeat(200),
     ];
     Prompt::of_messages(&messages)
 }
--- a/bench/src/traces.rs
+++ b/bench/src/traces.rs
@@ -42,7 +42,7 @@
         lost: 0,
         past_target_milli: [5, 20, 5],
     },
-    // Calls that stall past their deadline are told as failed with an unknown outcome.
+    // Calls that stall past their deadline are reported as failed with an unknown outcome.
     Recording {
         name: "habi-april-evening",
         deployment: Deployment::Habi,
--- a/components/control/src/core.rs
+++ b/components/control/src/core.rs
@@ -125,10 +125,13 @@
 
     /// What `status` shows.
     pub fn status(&self, now: Duration) -> CoreStatus {
-        let members = self
-            .cell
-            .members()
-            .map(|m| (m.news.name.clone(), m.news.state, m.news.address.clone()));
+        let members = self.cell.members().map(|m| {
+            (
+                m.gossip.name.clone(),
+                m.gossip.state,
+                m.gossip.address.clone(),
+            )
+        });
         CoreStatus {
             members: members.collect(),
             other_cells: self.cell.other_cells(now),
@@ -183,7 +186,7 @@
                 cells,
             } => {
                 self.cell.set_endpoints(endpoints);
-                // Before the others are heard, what the settings tell of them counts.
+                // Before the others are heard, what the settings name counts.
                 let (known_nodes, known_cells) = self.sizes(now);
                 let sizes = (
                     known_nodes.max(self.seeds + 1),
@@ -379,7 +382,7 @@
                 }
                 Output::DemandHeard(demand) => {
                     let of_member = self.cell.address_of(&demand.source).is_some();
-                    self.shares.hear(now, &demand, of_member);
+                    self.shares.receive(now, &demand, of_member);
                 }
                 Output::MemberChanged(name, MemberState::LEAVING | MemberState::GONE) => {
                     self.shares.drop_member(now, &name, self.cell.size() as u64);
--- a/components/control/src/event.rs
+++ b/components/control/src/event.rs
@@ -52,7 +52,7 @@
         endpoints: Vec<EndpointSpec>,
         /// Teams with their limits.
         teams: Vec<TeamLimit>,
-        /// Cells that the fleet may have, as far as its data halls tell.
+        /// Cells that the fleet may have, as far as its data halls show.
         cells: usize,
     },
     /// A configuration that was put at this node was accepted.
@@ -100,7 +100,7 @@
     },
     /// Use this load of an endpoint, read this long ago.
     UseLoad(String, Load, Duration),
-    /// Use what another cell tells of a pool.
+    /// Use what another cell reports of a pool.
     UseSummary(Summary),
     /// Give an endpoint no new work; its VM goes after this time.
     Leave(String, Duration),
--- a/components/control/src/shares.rs
+++ b/components/control/src/shares.rs
@@ -34,7 +34,7 @@
     of_cells: Quota,
     // Demand of the cell's other nodes, and when it was heard.
     nodes: BTreeMap<String, (u64, Duration)>,
-    told: u64,
+    reported: u64,
 }
 
 /// The parts of all teams.
@@ -71,7 +71,7 @@
                     in_cell: Quota::new(now, nodes, RAISE_IN_CELL),
                     of_cells: Quota::new(now, cells, RAISE_OF_CELLS),
                     nodes: BTreeMap::new(),
-                    told: WHOLE_MILLI,
+                    reported: WHOLE_MILLI,
                 });
             share.limit_milli = team.rate_milli;
         }
@@ -86,7 +86,7 @@
     }
 
     /// Takes the demand of another node of the cell, or of another cell.
-    pub fn hear(&mut self, now: Duration, demand: &TeamDemand, of_member: bool) {
+    pub fn receive(&mut self, now: Duration, demand: &TeamDemand, of_member: bool) {
         let Some(share) = self.shares.get_mut(&demand.team) else {
             return;
         };
@@ -102,9 +102,9 @@
             share
                 .nodes
                 .insert(demand.source.clone(), (heard.rate_milli, now));
-            share.in_cell.hear(&demand.source, heard);
+            share.in_cell.receive(&demand.source, heard);
         } else {
-            share.of_cells.hear(&demand.source, heard);
+            share.of_cells.receive(&demand.source, heard);
         }
     }
 
@@ -116,10 +116,10 @@
         }
     }
 
-    /// What to tell: this node's demands, and those of its cell.
+    /// What to report: this node's demands, and those of its cell.
     pub fn demands(&mut self, now: Duration) -> (Vec<TeamDemand>, Vec<TeamDemand>) {
         self.round += 1;
-        let told = |team: &String, source: &String, rate: u64, round: i64| TeamDemand {
+        let reported = |team: &String, source: &String, rate: u64, round: i64| TeamDemand {
             team: team.clone(),
             source: source.clone(),
             round,
@@ -133,8 +133,8 @@
             let cell: u64 = share.own_milli + share.nodes.values().map(|(r, _)| r).sum::<u64>();
             share.in_cell.set_own(share.own_milli);
             share.of_cells.set_own(cell);
-            own.push(told(team, &self.node, share.own_milli, self.round));
-            of_cell.push(told(team, &self.cell, cell, self.round));
+            own.push(reported(team, &self.node, share.own_milli, self.round));
+            of_cell.push(reported(team, &self.cell, cell, self.round));
         }
         (own, of_cell)
     }
@@ -147,8 +147,8 @@
             let of_cell = share.limit_milli * of_cells / WHOLE_MILLI;
             let in_cell = share.in_cell.part_milli(now, nodes, of_cell);
             let part = of_cells * in_cell / WHOLE_MILLI;
-            if part != share.told {
-                share.told = part;
+            if part != share.reported {
+                share.reported = part;
                 changed.push((team.clone(), part));
             }
         }
--- a/components/control/tests/promises.rs
+++ b/components/control/tests/promises.rs
@@ -76,15 +76,15 @@
         let mut fleet = CoreFleet::start(terms(seed), CALM);
         fleet.publish(3);
         fleet.run(secs(10));
-        // The table is down: only peers can tell.
+        // The table is down: only peers can report.
         fleet.table.faults.lost = 1000;
         fleet.restart(0);
         let before = fleet.peers[0].applied.len();
         while !fleet.peers[0].core.is_current() && fleet.now < secs(60) {
             fleet.step();
         }
-        let told = fleet.peers[0].applied[before..].last().map(|(_, v)| *v);
-        told == Some(3) && fleet.now < secs(13)
+        let reported = fleet.peers[0].applied[before..].last().map(|(_, v)| *v);
+        reported == Some(3) && fleet.now < secs(13)
     });
 }
 
--- a/components/fleet/src/load.rs
+++ b/components/fleet/src/load.rs
@@ -3,7 +3,7 @@
 /// An engine reads prompts and makes tokens in the same steps: of the smaller of the two loads only
 /// this part comes on top.
 const BESIDE_PART: f64 = 0.3;
-/// Part of the slots of a service that its requests should need at most: gateways choose by news that
+/// Part of the slots of a service that its requests should need at most: gateways choose by gossip that
 /// are a little old, so some endpoints run full while others have room.
 const SLOTS_USED: f64 = 0.7;
 
--- a/components/fleet/src/scaling.rs
+++ b/components/fleet/src/scaling.rs
@@ -3,7 +3,7 @@
 //! Reclaimable endpoints are cheap and may vanish a hall at a time, with none to be had there for a
 //! while. So they are spread over all halls where they are to be had, in such a number that the rest
 //! carries the load when some halls vanish; a few on-demand ones stand beside them, and more are ordered
-//! as soon as halls are closed. What is lost is ordered again at once: the refusal tells that a hall is
+//! as soon as halls are closed. What is lost is ordered again at once: the refusal shows that a hall is
 //! closed.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -21,7 +21,7 @@
 /// Endpoints are given back for the highest load over so many boot times: one that is given back too early
 /// is missing for one, and its price until then is small beside that.
 const LOWER_BOOTS: u32 = 4;
-/// Loads are remembered for this long; no boot time that a deployment may tell needs more.
+/// Loads are remembered for this long; no boot time that a deployment may name needs more.
 const REMEMBERED: Duration = Duration::from_secs(240);
 /// Pause after a refused order, until it is given again.
 const REFUSED_PAUSE: Duration = Duration::from_secs(3);
@@ -281,7 +281,7 @@
         }
     }
 
-    // Orders that tell whether closed halls are open again; nothing is planned upon them.
+    // Orders that show whether closed halls are open again; nothing is planned upon them.
     fn look_whether_open(&mut self, now: Duration, offer: &Offer) -> Vec<ScalingOrder> {
         let Some(price) = offer.reclaimable_price else {
             return Vec::new();
--- a/components/fleet/tests/purchases.rs
+++ b/components/fleet/tests/purchases.rs
@@ -20,7 +20,7 @@
     holder: usize,
     epoch: i64,
     vms: BTreeMap<String, Bid>,
-    // Starts so far, to tell a VM bought twice.
+    // Starts so far, to find a VM bought twice.
     starts: BTreeMap<String, u32>,
     seen: VecDeque<BTreeMap<String, Bid>>,
     refuse: bool,
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -63,8 +63,8 @@
 
 /// Sockets over which gateways talk to each other.
 pub(crate) struct PeerSockets {
-    /// For news.
-    pub news: UdpSocket,
+    /// For gossip.
+    pub gossip: UdpSocket,
     /// For rows.
     pub rows: TcpListener,
     /// Address of both.
@@ -135,7 +135,7 @@
     pub source: Source,
     pub peer_address: SocketAddr,
     pub decisions_port: u16,
-    /// Something is to be told to the other gateways at once.
+    /// Something is to be reported to the other gateways at once.
     pub urgent: Notify,
     /// An endpoint does not take work any more.
     pub endpoint_lost: Notify,
@@ -264,11 +264,11 @@
     tallies: flume::Receiver<Tally>,
 ) -> std::io::Result<()> {
     let rows = tokio::net::TcpListener::from_std(sockets.rows)?;
-    let news = Rc::new(tokio::net::UdpSocket::from_std(sockets.news)?);
+    let gossip = Rc::new(tokio::net::UdpSocket::from_std(sockets.gossip)?);
     tokio::task::spawn_local(Rc::clone(shared).pass_on(rows));
     tokio::task::spawn_local(Rc::clone(shared).announce());
-    tokio::task::spawn_local(Rc::clone(shared).hear(Rc::clone(&news)));
-    tokio::task::spawn_local(Rc::clone(shared).tell(news, tallies));
+    tokio::task::spawn_local(Rc::clone(shared).receive(Rc::clone(&gossip)));
+    tokio::task::spawn_local(Rc::clone(shared).report(gossip, tallies));
     Ok(())
 }
 
--- a/components/gateway/src/control/carrying.rs
+++ b/components/gateway/src/control/carrying.rs
@@ -7,12 +7,12 @@
 use std::time::Duration;
 
 use rollout::{Decision, Evidence, Judgement, Order, Progress, Stage, Step};
-use schema::messages::{GatewayNews, RolloutRow};
+use schema::messages::{Gossip, RolloutRow};
 use slog::{info, warn};
 
 use crate::control::rollouts::{Carried, Heard, Status};
 use crate::control::{Known, Shared};
-use crate::news;
+use crate::gossip;
 use crate::ports::{Orders, Row, Store, StoreError, Topic};
 use crate::update::Update;
 use crate::versions::{is_lost_when_cut, route_hash};
@@ -81,10 +81,10 @@
             return Some(Work::Status(carried.decision));
         }
         if let Some(decision) = carried.decision {
-            // A decision holds once it was told.
-            let is_told = ordered.decision().is_some();
-            let tell = Work::Step(Step::Tell(Stage::Decided(decision)));
-            return (!is_told).then_some(tell);
+            // A decision holds once it was reported.
+            let is_reported = ordered.decision().is_some();
+            let report = Work::Step(Step::Tell(Stage::Decided(decision)));
+            return (!is_reported).then_some(report);
         }
         let ordered_at = known.store_clock.moment(carried.ordered_stamp, now);
         let ordered_at = ordered_at.unwrap_or(now);
@@ -115,45 +115,47 @@
             at: now,
             holder: self.peer_address,
         };
-        let is_new = known.rollouts.hear(service, revision, heard);
+        let is_new = known.rollouts.receive(service, revision, heard);
         drop(known);
-        self.tell_traffic(service, revision, stage, now);
+        self.update_traffic(service, revision, stage, now);
         if is_new {
             info!(self.log, "roll-out stage"; "service" => service, "revision" => revision, "stage" => %stage);
             self.urgent.notify_one();
         }
     }
 
-    /// Takes what another gateway told of a roll-out.
-    pub fn hear_rollouts(&self, news: &GatewayNews) {
+    /// Takes what another gateway reported a roll-out.
+    pub fn receive_rollouts(&self, gossip: &Gossip) {
         let now = self.clock.now();
-        for told in news.rollouts.iter().flatten() {
-            let stage = news::heard_stage(told.stage);
-            let (Some(stage), Ok(holder)) = (stage, told.holder.parse()) else {
+        for reported in gossip.rollouts.iter().flatten() {
+            let stage = gossip::received_stage(reported.stage);
+            let (Some(stage), Ok(holder)) = (stage, reported.holder.parse()) else {
                 warn!(self.log, "roll-out of another gateway not readable; its version is newer than this one";
-                    "service" => &told.service_name);
+                    "service" => &reported.service_name);
                 continue;
             };
-            let age = Duration::from_millis(told.age_ms.max(0) as u64);
+            let age = Duration::from_millis(reported.age_ms.max(0) as u64);
             let at = now.saturating_sub(age);
             let heard = Heard { stage, at, holder };
-            let revision = told.revision.max(0) as u64;
+            let revision = reported.revision.max(0) as u64;
             let mut known = self.known.borrow_mut();
-            let is_new = known.rollouts.hear(&told.service_name, revision, heard);
-            let ordered = known.rollouts.orders.get(&told.service_name);
+            let is_new = known
+                .rollouts
+                .receive(&reported.service_name, revision, heard);
+            let ordered = known.rollouts.orders.get(&reported.service_name);
             let newest = ordered.and_then(|ordered| ordered.heard);
             drop(known);
             if newest.is_some_and(|newest| newest.at == at) {
-                self.tell_traffic(&told.service_name, revision, stage, at);
+                self.update_traffic(&reported.service_name, revision, stage, at);
             }
             if is_new {
-                info!(self.log, "roll-out stage"; "service" => &told.service_name, "revision" => revision,
-                    "stage" => %stage, "holder" => %holder, "age_ms" => told.age_ms);
+                info!(self.log, "roll-out stage"; "service" => &reported.service_name, "revision" => revision,
+                    "stage" => %stage, "holder" => %holder, "age_ms" => reported.age_ms);
             }
         }
     }
 
-    fn tell_traffic(&self, service: &str, revision: u64, stage: Stage, at: Duration) {
+    fn update_traffic(&self, service: &str, revision: u64, stage: Stage, at: Duration) {
         let update = Update::RolloutStage {
             service: service.to_string(),
             revision,
@@ -206,7 +208,7 @@
         };
         let decision = kept
             .decision
-            .and_then(news::heard_stage)
+            .and_then(gossip::received_stage)
             .and_then(Stage::decision);
         let mut known = self.known.borrow_mut();
         let settings = known.settings.clone();
@@ -287,7 +289,7 @@
             revision: ordered.order.revision as i64,
             version: ordered.order.version.clone(),
             ordered_ms: carried.ordered_stamp.as_millis() as i64,
-            decision: Some(news::stage_of(Stage::Decided(decision))),
+            decision: Some(gossip::stage_of(Stage::Decided(decision))),
         };
         Some((ordered.order.clone(), row, carried.revision))
     }
--- a/components/gateway/src/control/exchange.rs
+++ b/components/gateway/src/control/exchange.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use schema::messages::{GatewayNews, GatewayRow};
+use schema::messages::{GatewayRow, Gossip};
 use slog::{info, warn};
 use state::LeaseEvent;
 use telemetry::Counter;
@@ -13,8 +13,8 @@
 
 use crate::control::messages::Content;
 use crate::control::Shared;
-use crate::news;
-use crate::peers::{is_recent, Hearing};
+use crate::gossip;
+use crate::peers::{is_recent, Receipt};
 use crate::ports::{Orders, Store, Topic};
 use crate::tally::Tally;
 use crate::traffic::LONG_PROMPT_TOKENS;
@@ -56,14 +56,14 @@
         let now = self.clock.now();
         let listed = rows
             .iter()
-            .filter_map(|row| news::listed_of(&row.key, row.value.as_deref()?));
+            .filter_map(|row| gossip::listed_of(&row.key, row.value.as_deref()?));
         let mut known = self.known.borrow_mut();
         known.peers.listed(now, listed);
         self.check_need(&mut known, now);
     }
 
-    /// Takes tallies of the traffic thread and tells the other gateways.
-    pub async fn tell(self: Rc<Self>, socket: Rc<UdpSocket>, tallies: flume::Receiver<Tally>) {
+    /// Takes tallies of the traffic thread and reports to the other gateways.
+    pub async fn report(self: Rc<Self>, socket: Rc<UdpSocket>, tallies: flume::Receiver<Tally>) {
         loop {
             let mut changed = false;
             let mut long_prompt = false;
@@ -87,19 +87,19 @@
     }
 
     /// Takes the messages of the other gateways.
-    pub async fn hear(self: Rc<Self>, socket: Rc<UdpSocket>) {
+    pub async fn receive(self: Rc<Self>, socket: Rc<UdpSocket>) {
         let mut buffer = vec![0; MAX_DATAGRAM];
         loop {
             let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
                 tokio::time::sleep(FAILED_PAUSE).await;
                 continue;
             };
-            match schema::decode::<GatewayNews>(&buffer[..length]) {
-                Ok(news) => {
+            match schema::decode::<Gossip>(&buffer[..length]) {
+                Ok(gossip) => {
                     let now = self.clock.now();
-                    let was_heard = self.known.borrow().peers.hears(now, &news.gateway);
-                    self.take_news(&news, from);
-                    if !was_heard && !news.stopping && news.gateway != self.source.gateway {
+                    let was_alive = self.known.borrow().peers.is_alive(now, &gossip.gateway);
+                    self.receive_gossip(&gossip, from);
+                    if !was_alive && !gossip.stopping && gossip.gateway != self.source.gateway {
                         let answer = self.message(now, Content::Digest);
                         self.send(&socket, &answer, from).await;
                     }
@@ -120,7 +120,7 @@
         }
     }
 
-    // Whether something in the tally is to be told at once.
+    // Whether something in the tally is to be reported at once.
     fn take_tally(&self, tally: Tally) -> bool {
         let mut known = self.known.borrow_mut();
         let urgent = tally
@@ -134,8 +134,8 @@
         for sent in &tally.sent {
             known.demand.add(sent.at, sent.endpoint, sent.unread_tokens);
         }
-        for told in &tally.told {
-            known.rollouts.note(told);
+        for reported in &tally.reported {
+            known.rollouts.note(reported);
         }
         known.unsent.extend(tally.sent);
         known.taken = tally.taken;
@@ -143,72 +143,76 @@
         urgent
     }
 
-    fn take_news(self: &Rc<Self>, news: &GatewayNews, from: SocketAddr) {
-        if news.gateway == self.source.gateway {
+    fn receive_gossip(self: &Rc<Self>, gossip: &Gossip, from: SocketAddr) {
+        if gossip.gateway == self.source.gateway {
             return;
         }
         self.metrics.count(Counter::PacketsTaken);
         let now = self.clock.now();
         let mut known = self.known.borrow_mut();
-        let was_heard = known.peers.hears(now, &news.gateway);
-        let heard = known.peers.hear(now, news::greeting(news, from));
+        let was_alive = known.peers.is_alive(now, &gossip.gateway);
+        let heard = known.peers.receive(now, gossip::greeting(gossip, from));
         let source = Source {
-            gateway: news.gateway.clone(),
-            incarnation: news.incarnation,
+            gateway: gossip.gateway.clone(),
+            incarnation: gossip.incarnation,
         };
-        for told in &news.usage {
-            known.ledger.merge(told.window, &source, &told.begun);
+        for reported in &gossip.usage {
+            known
+                .ledger
+                .merge(reported.window, &source, &reported.begun);
         }
-        for (window, source, begun) in news::heard_forwarded(news) {
+        for (window, source, begun) in gossip::received_forwarded(gossip) {
             known.ledger.merge(window, &source, begun);
         }
-        for told in news.evidence.iter().flatten() {
-            known.rollouts.hear_evidence(&source, told);
+        for reported in gossip.evidence.iter().flatten() {
+            known.rollouts.receive_evidence(&source, reported);
         }
-        if heard == Hearing::Stale {
+        if heard == Receipt::Stale {
             return;
         }
-        for address in news::heard_addresses(news) {
+        for address in gossip::received_addresses(gossip) {
             known.peers.learn(now, address);
         }
-        if news.lease_epoch > 0 {
-            known.peers.hear_lease(now, news.lease_epoch, from);
+        if gossip.lease_epoch > 0 {
+            known.peers.receive_lease(now, gossip.lease_epoch, from);
         }
         let mut actions = Vec::new();
-        if let Some(head) = news::heard_lease(news) {
+        if let Some(head) = gossip::received_lease(gossip) {
             actions.extend(known.lease.step(now, LeaseEvent::Heard(head)));
         }
-        if let Some(epoch) = news.lease_given_up {
-            known.peers.hear_given_up(now, epoch);
-            actions.extend(known.lease.step(now, LeaseEvent::HeardGivenUp(epoch)));
+        if let Some(epoch) = gossip.lease_given_up {
+            known.peers.receive_given_up(now, epoch);
+            actions.extend(known.lease.step(now, LeaseEvent::GivenUp(epoch)));
         }
-        if news.stopping {
-            known.peers.leave(&news.gateway);
-            if was_heard {
-                info!(self.log, "gateway stops"; "gateway" => &news.gateway);
+        if gossip.stopping {
+            known.peers.leave(&gossip.gateway);
+            if was_alive {
+                info!(self.log, "gateway stops"; "gateway" => &gossip.gateway);
             }
         }
-        let dispatches = news.dispatches.iter();
-        let dispatches: Vec<_> = dispatches.map(|d| news::heard_dispatch(now, d)).collect();
+        let dispatches = gossip.dispatches.iter();
+        let dispatches: Vec<_> = dispatches
+            .map(|d| gossip::received_dispatch(now, d))
+            .collect();
         for dispatch in &dispatches {
             let (at, tokens) = (dispatch.sent_at, dispatch.unread_tokens);
             known.demand.add(at, dispatch.endpoint, tokens);
         }
         drop(known);
         self.act(actions);
-        self.hear_rollouts(news);
-        for (topic, told) in news::heard_heads(news) {
-            self.hear_told(topic, told, from);
+        self.receive_rollouts(gossip);
+        for (topic, reported) in gossip::received_heads(gossip) {
+            self.receive_digest(topic, reported, from);
         }
         if !dispatches.is_empty() {
             self.update(Update::PeerSent(dispatches));
         }
-        if !news.taken.is_empty() {
+        if !gossip.taken.is_empty() {
             self.update(Update::PeerTaken {
-                gateway: news.gateway.clone(),
-                incarnation: news.incarnation,
-                taken: news::heard_totals(news),
-                recent: is_recent(now, news::uptime(news)),
+                gateway: gossip.gateway.clone(),
+                incarnation: gossip.incarnation,
+                taken: gossip::received_totals(gossip),
+                recent: is_recent(now, gossip::uptime(gossip)),
             });
         }
     }
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use replica::{Change, Follower, Source as AskFirst, Step, Table, Told};
+use replica::{Change, Digest, Follower, Source as AskFirst, Step, Table};
 use slog::{info, warn};
 use telemetry::Counter;
 use tokio::sync::Notify;
@@ -21,7 +21,7 @@
 const GATHER_PAUSE: Duration = Duration::from_millis(250);
 /// Pause between looks at whether the endpoints are needed.
 const NEED_PAUSE: Duration = Duration::from_millis(500);
-/// A call of the store is given up so long after another gateway told of a change.
+/// A call of the store is given up so long after another gateway reported a change.
 const OVERTAKEN_TIME: Duration = Duration::from_millis(300);
 /// Gateways that hold calls at the store: one may be cut off or die unnoticed.
 pub(crate) const WATCHERS: usize = 2;
@@ -35,8 +35,8 @@
     pub follower: Follower,
     /// The store's steady time at which the rows were confirmed to be the newest.
     pub confirmed: Duration,
-    /// The gateway that told of newer changes, and what it told.
-    pub newer: Option<(SocketAddr, Told)>,
+    /// The gateway that reported newer changes, and what it reported.
+    pub newer: Option<(SocketAddr, Digest)>,
     /// Ends a rest.
     pub wake: Arc<Notify>,
     // Whether the store's last answer was logged as missing.
@@ -56,9 +56,9 @@
         }
     }
 
-    /// What is told to other gateways, once anything is known.
-    pub fn told(&self) -> Option<Told> {
-        Some(Told {
+    /// What is reported to other gateways, once anything is known.
+    pub fn reported(&self) -> Option<Digest> {
+        Some(Digest {
             known_to: self.table.known_to()?,
             changed_at: self.table.changed_at(),
             confirmed: self.confirmed,
@@ -179,22 +179,22 @@
         stamp: Duration,
         whole: bool,
     ) -> bool {
-        let (news, is_first) = {
+        let (gossip, is_first) = {
             let mut known = self.known.borrow_mut();
             let followed = known.followed_mut(topic);
             let is_first = followed.table.known_to().is_none();
-            let news = match whole {
+            let gossip = match whole {
                 true => followed.table.take_all(changes, known_to),
                 false => followed.table.take(changes, known_to),
             };
             let known_to = followed.table.known_to().unwrap_or(0);
             followed.follower.caught_up(known_to);
-            if let Some(bytes) = largest(&news) {
+            if let Some(bytes) = largest(&gossip) {
                 followed.follower.set_first(first_asked(bytes));
             }
-            (news, is_first)
+            (gossip, is_first)
         };
-        for change in &news {
+        for change in &gossip {
             match topic {
                 Topic::Configuration => self.take_operator_row(change, stamp),
                 Topic::Endpoints => self.take_endpoint(change),
@@ -208,7 +208,7 @@
         if is_first && topic == Topic::Endpoints {
             let _ = self.updates.send(Update::EndpointsKnown);
         }
-        !news.is_empty()
+        !gossip.is_empty()
     }
 
     // The rows known here were the newest at `stamp` of the store, which is `at` here.
@@ -223,34 +223,34 @@
         }
     }
 
-    /// Another gateway told how far it knows a topic.
-    pub fn hear_told(&self, topic: Topic, told: Told, from: SocketAddr) {
+    /// Another gateway reported how far it knows a topic.
+    pub fn receive_digest(&self, topic: Topic, reported: Digest, from: SocketAddr) {
         let mut known = self.known.borrow_mut();
         let followed = known.followed_mut(topic);
-        if !followed.table.covers(told.changed_at) {
-            followed.newer = Some((from, told));
-            followed.follower.newer_told(told.changed_at);
+        if !followed.table.covers(reported.changed_at) {
+            followed.newer = Some((from, reported));
+            followed.follower.newer_reported(reported.changed_at);
             followed.wake.notify_one();
             return;
         }
         drop(known);
-        self.confirm_told(topic, told);
+        self.confirm_digest(topic, reported);
     }
 
-    /// What another gateway told confirms the rows known here, unless a change is missing.
-    pub fn confirm_told(&self, topic: Topic, told: Told) {
+    /// What another gateway reported confirms the rows known here, unless a change is missing.
+    pub fn confirm_digest(&self, topic: Topic, reported: Digest) {
         let now = self.clock.now();
         let mut known = self.known.borrow_mut();
-        let moment = known.store_clock.moment(told.confirmed, now);
+        let moment = known.store_clock.moment(reported.confirmed, now);
         let followed = known.followed_mut(topic);
-        if !followed.table.covers(told.changed_at) {
+        if !followed.table.covers(reported.changed_at) {
             return;
         }
-        followed.table.advance(told.known_to);
-        let is_news = told.confirmed > followed.confirmed;
+        followed.table.advance(reported.known_to);
+        let is_newer = reported.confirmed > followed.confirmed;
         drop(known);
-        if let Some(at) = moment.filter(|_| is_news) {
-            self.confirm(topic, told.confirmed, at);
+        if let Some(at) = moment.filter(|_| is_newer) {
+            self.confirm(topic, reported.confirmed, at);
         }
     }
 
--- a/components/gateway/src/control/forwarding.rs
+++ b/components/gateway/src/control/forwarding.rs
@@ -3,13 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use schema::messages::{EvidenceTold, SourceUsage};
+use schema::messages::{EvidenceReport, SourceUsage};
 use slog::info;
 use tokio::net::UdpSocket;
 
 use crate::control::messages::Content;
 use crate::control::{Known, Shared};
-use crate::news;
+use crate::gossip;
 use crate::ports::{Orders, Store};
 
 impl<S: Store + 'static, O: Orders + 'static> Shared<S, O> {
@@ -28,9 +28,9 @@
         let messages: Vec<_> = {
             let mut known = self.known.borrow_mut();
             let due = known.rollouts.evidence_due(now, self.peer_address);
-            let message = |(holder, told): (SocketAddr, EvidenceTold)| {
+            let message = |(holder, reported): (SocketAddr, EvidenceReport)| {
                 let mut message = self.message_of(&mut known, now, Content::Usage);
-                message.evidence = Some(vec![Box::new(told)]);
+                message.evidence = Some(vec![Box::new(reported)]);
                 (holder, schema::encode(&message).unwrap_or_default())
             };
             due.into_iter().map(message).collect()
@@ -50,11 +50,11 @@
         if windows.is_empty() {
             return None;
         }
-        let told = self.usage_to_pass_on(&known, now, &windows);
-        info!(self.log, "usage passed on"; "windows" => ?windows, "sources" => told.len(),
+        let reported = self.usage_to_pass_on(&known, now, &windows);
+        info!(self.log, "usage passed on"; "windows" => ?windows, "sources" => reported.len(),
             "holder" => %holder, "epoch" => epoch);
         let mut messages = Vec::new();
-        for some in told.chunks(news::MOST_FORWARDED) {
+        for some in reported.chunks(gossip::MOST_FORWARDED) {
             let mut message = self.message_of(&mut known, now, Content::Usage);
             message.forwarded = Some(some.iter().cloned().map(Box::new).collect());
             messages.push(schema::encode(&message).unwrap_or_default());
@@ -63,13 +63,13 @@
     }
 
     fn usage_to_pass_on(&self, known: &Known, now: Duration, windows: &[i64]) -> Vec<SourceUsage> {
-        let mut told = Vec::new();
+        let mut reported = Vec::new();
         for window in windows.iter().copied() {
             let sources = known.ledger.sources(window);
             let passed_on =
                 sources.filter(|(source, _)| known.peers.passes_on_for(now, &source.gateway));
-            told.extend(passed_on.map(|(s, counts)| news::forwarded_of(window, s, counts)));
+            reported.extend(passed_on.map(|(s, counts)| gossip::forwarded_of(window, s, counts)));
         }
-        told
+        reported
     }
 }
--- a/components/gateway/src/control/lease.rs
+++ b/components/gateway/src/control/lease.rs
@@ -94,8 +94,8 @@
         let peers = &known.peers;
         let waits = peers.given_up_within(now, FIRST_FOLLOWERS_TIME)
             && !peers.is_among_first(now, FIRST_FOLLOWERS);
-        let is_led = !peers.coordinates(now) && peers.hears_coordinator(now);
-        !is_led && !waits && !peers.holder_heard(now, HOLDER_SILENCE)
+        let is_led = !peers.coordinates(now) && peers.has_live_coordinator(now);
+        !is_led && !waits && !peers.holder_alive(now, HOLDER_SILENCE)
     }
 
     pub fn act(self: &Rc<Self>, actions: Vec<LeaseAction>) {
--- a/components/gateway/src/control/messages.rs
+++ b/components/gateway/src/control/messages.rs
@@ -1,21 +1,21 @@
 //! What is said to other gateways, when, and to whom.
 //!
-//! A coordinator tells the coordinators of all halls what it decided, and the gateways of its own hall what
-//! stands in the store. Any other gateway tells the coordinators of its hall what it counted.
+//! A coordinator reports to the coordinators of all halls what it decided, and the gateways of its own hall what
+//! stands in the store. Any other gateway reports to the coordinators of its hall what it counted.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use schema::messages::{Dispatch, GatewayNews, HallCount, TopicHead, WindowUsage};
+use schema::messages::{Dispatch, Gossip, HallCount, TopicHead, WindowUsage};
 
 use crate::control::{Known, Shared};
-use crate::news;
+use crate::gossip;
 use crate::ports::{Orders, Store};
 
 /// Datagrams a second that a coordinator sends to others at most, when nothing is urgent.
 const DATAGRAMS_PER_S: f64 = 100.0;
-/// The same for requests that are told at once.
+/// The same for requests that are reported at once.
 const URGENT_DATAGRAMS_PER_S: f64 = 500.0;
 /// Shortest pause between messages to coordinators.
 const SHORTEST_PAUSE: Duration = Duration::from_millis(100);
@@ -26,9 +26,9 @@
 const USAGE_EVERY: i64 = 3;
 /// Addresses passed on in one message.
 const MOST_ADDRESSES: usize = 3;
-/// Newest usage windows that are told.
-const TOLD_WINDOWS: i64 = 3;
-/// Messages in which all totals are told at least once, so that a lost one is made good.
+/// Newest usage windows that are reported.
+const REPORTED_WINDOWS: i64 = 3;
+/// Messages in which all totals are reported at least once, so that a lost one is made good.
 const TOTALS_ROUNDS: usize = 5;
 
 /// What was sent when.
@@ -95,16 +95,16 @@
     }
 
     /// A message.
-    pub fn message_of(&self, known: &mut Known, now: Duration, content: Content) -> GatewayNews {
+    pub fn message_of(&self, known: &mut Known, now: Duration, content: Content) -> Gossip {
         known.sending.sequence += 1;
         let has_state = content.has_state();
         let coordinates = known.speaks_for_others(now);
         let count = known.peers.hall_count(now);
         let reported_count = HallCount {
-            heard: count.heard as i32,
+            alive: count.heard as i32,
             silent: count.silent as i32,
         };
-        GatewayNews {
+        Gossip {
             gateway: self.source.gateway.clone(),
             incarnation: self.source.incarnation,
             sequence: known.sending.sequence,
@@ -120,7 +120,7 @@
             heads: has_state.then(|| heads_of(known)),
             reaches_store: Some(known.reaches_store()),
             uptime_ms: Some(now.as_millis() as i64),
-            lease: known.lease.head().map(|head| news::lease_of(&head)),
+            lease: known.lease.head().map(|head| gossip::lease_of(&head)),
             lease_given_up: known.lease.given_up(),
             hall: Some(known.settings.zone.clone()),
             cores_milli: Some(known.settings.cores_milli),
@@ -130,8 +130,14 @@
             gateways: coordinates.then(|| known.peers.count(now).gateways() as i32),
             asks: known.peers.asks(now).map(str::to_string),
             forwarded: None,
-            rollouts: has_state
-                .then(|| known.rollouts.told(now).into_iter().map(Box::new).collect()),
+            rollouts: has_state.then(|| {
+                known
+                    .rollouts
+                    .reported(now)
+                    .into_iter()
+                    .map(Box::new)
+                    .collect()
+            }),
             evidence: None,
         }
     }
@@ -150,9 +156,11 @@
             return Vec::new();
         }
         let newest = known.reporter.window_at(self.clock.wall());
-        let windows = newest - TOLD_WINDOWS + 1..=newest;
-        let usage = windows.map(|w| news::usage_of(w, known.ledger.of(w, &self.source)));
-        usage.filter(|told| !told.begun.is_empty()).collect()
+        let windows = newest - REPORTED_WINDOWS + 1..=newest;
+        let usage = windows.map(|w| gossip::usage_of(w, known.ledger.of(w, &self.source)));
+        usage
+            .filter(|reported| !reported.begun.is_empty())
+            .collect()
     }
 }
 
@@ -203,9 +211,9 @@
         if !content.has_requests() {
             return Vec::new();
         }
-        let count = self.unsent.len().min(news::MOST_DISPATCHES);
+        let count = self.unsent.len().min(gossip::MOST_DISPATCHES);
         let dispatches = self.unsent.drain(..count);
-        dispatches.map(|s| news::dispatch_of(now, &s)).collect()
+        dispatches.map(|s| gossip::dispatch_of(now, &s)).collect()
     }
 
     // Totals that changed, and some of the others in turn.
@@ -217,15 +225,15 @@
         if content != Content::Requests {
             self.sending.totals_turn += 1;
         }
-        let mut told = BTreeMap::new();
+        let mut reported = BTreeMap::new();
         for (i, (team, total)) in self.taken.iter().enumerate() {
             let is_turn = content != Content::Requests && i % TOTALS_ROUNDS == in_turn;
             if is_turn || self.sending.totals.get(team) != Some(total) {
-                told.insert(team.clone(), *total as i64);
+                reported.insert(team.clone(), *total as i64);
                 self.sending.totals.insert(team.clone(), *total);
             }
         }
-        told
+        reported
     }
 
     fn addresses_to_send(&self, now: Duration) -> Vec<String> {
@@ -241,7 +249,7 @@
     pause.clamp(SHORTEST_PAUSE, LONGEST_PAUSE)
 }
 
-// Shortest time between messages that tell requests at once.
+// Shortest time between messages that report requests at once.
 fn gap(targets: usize) -> Duration {
     Duration::from_secs_f64(targets as f64 / URGENT_DATAGRAMS_PER_S)
 }
@@ -249,6 +257,6 @@
 fn heads_of(known: &Known) -> Vec<TopicHead> {
     let followed = known.followed.iter();
     followed
-        .filter_map(|(topic, followed)| news::head_of(*topic, followed.told()?))
+        .filter_map(|(topic, followed)| gossip::head_of(*topic, followed.reported()?))
         .collect()
 }
--- a/components/gateway/src/control/passing.rs
+++ b/components/gateway/src/control/passing.rs
@@ -50,7 +50,7 @@
 }
 
 impl<S: Store + 'static, O: Orders + 'static> Shared<S, O> {
-    /// Takes the changes of a topic from the gateway that told of them.
+    /// Takes the changes of a topic from the gateway that reported them.
     pub async fn pull(&self, topic: Topic) {
         let (newer, after) = {
             let known = self.known.borrow();
@@ -68,23 +68,23 @@
             }
             _ => None,
         };
-        if let (Some(reply), Some((_, told))) = (pulled, newer) {
+        if let (Some(reply), Some((_, reported))) = (pulled, newer) {
             let changes = reply.rows.into_iter().map(change_of).collect();
             self.take_changes(
                 topic,
                 changes,
                 reply.known_to.max(0) as u64,
-                told.confirmed,
+                reported.confirmed,
                 reply.whole,
             );
         }
-        let Some((from, told)) = newer else {
+        let Some((from, reported)) = newer else {
             return;
         };
-        self.confirm_told(topic, told);
+        self.confirm_digest(topic, reported);
         let mut known = self.known.borrow_mut();
         let followed = known.followed_mut(topic);
-        if !followed.table.covers(told.changed_at) {
+        if !followed.table.covers(reported.changed_at) {
             info!(self.log, "rows not passed on"; "topic" => ?topic, "from" => %from);
             followed.follower.pull_failed();
         }
@@ -122,7 +122,7 @@
         let whole = changes.is_none();
         let rows = changes.unwrap_or_else(|| table.all());
         Some(RowsReply {
-            rows: rows.into_iter().map(told_of).collect(),
+            rows: rows.into_iter().map(reported_of).collect(),
             whole,
             known_to,
         })
@@ -144,15 +144,15 @@
     schema::decode(&bytes).ok()
 }
 
-fn change_of(told: RowChange) -> Change {
+fn change_of(reported: RowChange) -> Change {
     Change {
-        key: told.key,
-        value: told.value,
-        revision: told.revision.max(0) as u64,
+        key: reported.key,
+        value: reported.value,
+        revision: reported.revision.max(0) as u64,
     }
 }
 
-fn told_of(change: Change) -> RowChange {
+fn reported_of(change: Change) -> RowChange {
     RowChange {
         key: change.key,
         value: change.value,
--- a/components/gateway/src/control/reporting.rs
+++ b/components/gateway/src/control/reporting.rs
@@ -45,7 +45,7 @@
         }
     }
 
-    // Nothing is known here of a window before this process, unless others told of it.
+    // Nothing is known here of a window before this process, unless others reported it.
     fn predates_process(&self, report: &Report) -> bool {
         let first = self.known.borrow().reporter.window_at(self.started_wall);
         report.counts.is_empty() && report.window < first
--- a/components/gateway/src/control/rollouts.rs
+++ b/components/gateway/src/control/rollouts.rs
@@ -6,12 +6,12 @@
 
 use directory::Endpoint;
 use rollout::{Decision, Evidence, Order, Plan, Stage, Terms};
-use schema::messages::{EvidenceTold, RolloutTold};
+use schema::messages::{EvidenceReport, RolloutReport};
 use schema::settings::GatewaySettings;
 use usage::Source;
 
-use crate::news;
-use crate::versions::Told;
+use crate::gossip;
+use crate::versions::Digest;
 
 /// Evidence is sent this often while it grows: a bad version is to be found within seconds.
 const EVIDENCE_PAUSE: Duration = Duration::from_millis(300);
@@ -103,7 +103,7 @@
     }
 
     // What was said later holds; a decision stays.
-    fn hear(&mut self, heard: Heard) -> bool {
+    fn receive(&mut self, heard: Heard) -> bool {
         let is_known = self.heard.is_some_and(|known| known.at >= heard.at);
         if is_known || self.decision().is_some() {
             return false;
@@ -115,7 +115,7 @@
 }
 
 impl Rollouts {
-    /// Takes an order that the store told at a time of its own; `false` if it is known.
+    /// Takes an order that the store reported at a time of its own; `false` if it is known.
     pub fn order(&mut self, order: Order, stamp: Duration) -> bool {
         let known = self.orders.get(&order.service);
         if known.is_some_and(|known| known.order.revision >= order.revision) {
@@ -136,28 +136,28 @@
     }
 
     /// Takes what the holder said; `true` if the stage is another than before.
-    pub fn hear(&mut self, service: &str, revision: u64, heard: Heard) -> bool {
+    pub fn receive(&mut self, service: &str, revision: u64, heard: Heard) -> bool {
         let ordered = self.orders.get_mut(service);
         let ordered = ordered.filter(|ordered| ordered.order.revision == revision);
-        ordered.is_some_and(|ordered| ordered.hear(heard))
+        ordered.is_some_and(|ordered| ordered.receive(heard))
     }
 
     /// Notes an answer that this gateway saw.
-    pub fn note(&mut self, told: &Told) {
-        let ordered = self.orders.get_mut(&told.service);
-        if let Some(ordered) = ordered.filter(|o| o.order.revision == told.revision) {
-            let (route, side, endpoint) = (told.route, told.side, told.endpoint);
-            ordered.own.note(route, side, endpoint, told.answer);
+    pub fn note(&mut self, reported: &Digest) {
+        let ordered = self.orders.get_mut(&reported.service);
+        if let Some(ordered) = ordered.filter(|o| o.order.revision == reported.revision) {
+            let (route, side, endpoint) = (reported.route, reported.side, reported.endpoint);
+            ordered.own.note(route, side, endpoint, reported.answer);
             ordered.own_changed = true;
         }
     }
 
     /// Takes what another gateway saw: sums since the order, so the newest replaces what came before.
-    pub fn hear_evidence(&mut self, source: &Source, told: &EvidenceTold) {
-        let ordered = self.orders.get_mut(&told.service_name);
-        let ordered = ordered.filter(|o| o.order.revision == told.revision.max(0) as u64);
+    pub fn receive_evidence(&mut self, source: &Source, reported: &EvidenceReport) {
+        let ordered = self.orders.get_mut(&reported.service_name);
+        let ordered = ordered.filter(|o| o.order.revision == reported.revision.max(0) as u64);
         if let Some(ordered) = ordered {
-            let evidence = news::heard_evidence(told);
+            let evidence = gossip::received_evidence(reported);
             ordered.others.insert(source.clone(), evidence);
         }
     }
@@ -167,7 +167,7 @@
         &mut self,
         now: Duration,
         own: SocketAddr,
-    ) -> Vec<(SocketAddr, EvidenceTold)> {
+    ) -> Vec<(SocketAddr, EvidenceReport)> {
         let mut due = Vec::new();
         for (service, ordered) in &mut self.orders {
             let Some(heard) = ordered.heard.filter(|h| h.stage.decision().is_none()) else {
@@ -179,21 +179,21 @@
             }
             ordered.own_changed = false;
             ordered.sent_at = now;
-            let told = news::evidence_of(service, ordered.order.revision, &ordered.own);
-            due.push((heard.holder, told));
+            let reported = gossip::evidence_of(service, ordered.order.revision, &ordered.own);
+            due.push((heard.holder, reported));
         }
         due
     }
 
-    /// What is known of all orders, as it is told.
-    pub fn told(&self, now: Duration) -> Vec<RolloutTold> {
+    /// What is known of all orders, as it is reported.
+    pub fn reported(&self, now: Duration) -> Vec<RolloutReport> {
         let heard = self.orders.iter().filter_map(|(service, ordered)| {
             let heard = ordered.heard?;
             let age = now.saturating_sub(heard.at).as_millis();
-            Some(RolloutTold {
+            Some(RolloutReport {
                 service_name: service.clone(),
                 revision: ordered.order.revision as i64,
-                stage: news::stage_of(heard.stage),
+                stage: gossip::stage_of(heard.stage),
                 age_ms: age.min(i32::MAX as u128) as i32,
                 holder: heard.holder.to_string(),
             })
--- a/components/gateway/src/decisions.rs
+++ b/components/gateway/src/decisions.rs
@@ -266,7 +266,7 @@
     }
 }
 
-/// A placement as it is told.
+/// A placement as it is reported.
 pub(crate) fn placed_of(placement: &Placement) -> PlacedAt {
     PlacedAt {
         endpoint: placement.endpoint.clone(),
--- a/components/gateway/src/endpoint_run.rs
+++ b/components/gateway/src/endpoint_run.rs
@@ -54,7 +54,7 @@
     }
 
     // What this run says of its endpoint's version, if a roll-out is under way. The time of an engine's answer is
-    // told in parts of the time expected, since an endpoint of a new version has read no prompts yet.
+    // reported in parts of the time expected, since an endpoint of a new version has read no prompts yet.
     fn evidence(&self, now: Duration, verdict: Verdict) -> Option<Answer> {
         let took = now.saturating_sub(self.sent_at).as_secs_f64();
         match verdict {
@@ -93,8 +93,10 @@
         }
         if let Some(answer) = self.evidence(now, verdict) {
             let (service, route) = (&self.job.work.service, self.job.asked().route);
-            let told = state.gates.told(&self.placement, service, route, answer);
-            state.tally.told.extend(told);
+            let reported = state
+                .gates
+                .reported(&self.placement, service, route, answer);
+            state.tally.reported.extend(reported);
         }
         if self.reserved {
             state.pool.closed(&self.placement.endpoint);
--- a/components/gateway/src/news.rs
+++ b/components/gateway/src/gossip.rs
@@ -4,11 +4,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use replica::Told;
+use replica::Digest;
 use rollout::{Counts, Decision, Evidence, Histogram, Stage};
 use routing::placement::PeerDispatch;
 use schema::messages::{
-    AnswerCounts, Dispatch, EvidenceTold, GatewayNews, GatewayRow, LeaseTold, RolloutStage,
+    AnswerCounts, Dispatch, EvidenceReport, GatewayRow, Gossip, LeaseReport, RolloutStage,
     SourceUsage, TopicHead, WindowUsage,
 };
 use state::LeaseHead;
@@ -19,19 +19,19 @@
 use crate::ports::Topic;
 use crate::tally::Sent;
 
-/// Dispatches told in one message, so that it fits into one datagram.
+/// Dispatches reported in one message, so that it fits into one datagram.
 pub(crate) const MOST_DISPATCHES: usize = 30;
 
 /// Processes whose usage is passed on in one message, so that it fits into one datagram: some 200 bytes each.
 pub(crate) const MOST_FORWARDED: usize = 25;
 
-/// Counts of answers told in one message, so that it fits into one datagram: some 60 bytes each.
+/// Counts of answers reported in one message, so that it fits into one datagram: some 60 bytes each.
 const MOST_COUNTS: usize = 100;
 
-/// Longest time that a request is told to run, in milliseconds.
+/// Longest time that a request is reported to run, in milliseconds.
 const MOST_HOLD_MS: u128 = 60_000;
 
-/// A dispatch as it is told.
+/// A dispatch as it is reported.
 pub(crate) fn dispatch_of(now: Duration, sent: &Sent) -> Dispatch {
     Dispatch {
         endpoint: sent.endpoint as i64,
@@ -43,43 +43,43 @@
 }
 
 /// A dispatch as it was heard.
-pub(crate) fn heard_dispatch(now: Duration, told: &Dispatch) -> PeerDispatch {
-    let age = Duration::from_millis(told.age_ms.max(0) as u64);
+pub(crate) fn received_dispatch(now: Duration, reported: &Dispatch) -> PeerDispatch {
+    let age = Duration::from_millis(reported.age_ms.max(0) as u64);
     PeerDispatch {
-        endpoint: told.endpoint as u64,
-        unread_tokens: told.unread_tokens.max(0) as u32,
-        shared_prompt: told.shared_prompt as u64,
+        endpoint: reported.endpoint as u64,
+        unread_tokens: reported.unread_tokens.max(0) as u32,
+        shared_prompt: reported.shared_prompt as u64,
         sent_at: now.saturating_sub(age),
-        hold: Duration::from_millis(told.hold_ms.max(0) as u64),
+        hold: Duration::from_millis(reported.hold_ms.max(0) as u64),
     }
 }
 
 /// Totals by tenant as they were heard.
-pub(crate) fn heard_totals(news: &GatewayNews) -> BTreeMap<String, u64> {
-    let totals = news.taken.iter();
+pub(crate) fn received_totals(gossip: &Gossip) -> BTreeMap<String, u64> {
+    let totals = gossip.taken.iter();
     totals
         .map(|(tenant, total)| (tenant.clone(), (*total).max(0) as u64))
         .collect()
 }
 
-/// The sender of news that came from an address.
-pub(crate) fn greeting(news: &GatewayNews, from: SocketAddr) -> Greeting {
+/// The sender of gossip that came from an address.
+pub(crate) fn greeting(gossip: &Gossip, from: SocketAddr) -> Greeting {
     Greeting {
-        name: news.gateway.clone(),
+        name: gossip.gateway.clone(),
         address: from,
-        incarnation: news.incarnation,
-        sequence: news.sequence,
-        reaches_store: news.reaches_store.unwrap_or(true),
-        hall: news.hall.clone().unwrap_or_default(),
-        cores_milli: news.cores_milli.unwrap_or_default(),
-        coordinates: news.coordinates.unwrap_or_default(),
-        decisions: decisions_address(news.decisions_port, from),
-        hall_count: news.hall_count.as_ref().map(|count| HallCount {
-            heard: count.heard.max(0) as usize,
+        incarnation: gossip.incarnation,
+        sequence: gossip.sequence,
+        reaches_store: gossip.reaches_store.unwrap_or(true),
+        hall: gossip.hall.clone().unwrap_or_default(),
+        cores_milli: gossip.cores_milli.unwrap_or_default(),
+        coordinates: gossip.coordinates.unwrap_or_default(),
+        decisions: decisions_address(gossip.decisions_port, from),
+        hall_count: gossip.hall_count.as_ref().map(|count| HallCount {
+            heard: count.alive.max(0) as usize,
             silent: count.silent.max(0) as usize,
         }),
-        gateways: news.gateways.map(|gateways| gateways.max(0) as usize),
-        asks: news.asks.clone(),
+        gateways: gossip.gateways.map(|gateways| gateways.max(0) as usize),
+        asks: gossip.asks.clone(),
     }
 }
 
@@ -111,79 +111,79 @@
 }
 
 /// Usage that was passed on: window, process and counts.
-pub(crate) fn heard_forwarded(
-    news: &GatewayNews,
+pub(crate) fn received_forwarded(
+    gossip: &Gossip,
 ) -> impl Iterator<Item = (i64, Source, &usage::Counts)> {
-    let forwarded = news.forwarded.iter().flatten();
-    forwarded.map(|told| {
+    let forwarded = gossip.forwarded.iter().flatten();
+    forwarded.map(|reported| {
         let source = Source {
-            gateway: told.gateway.clone(),
-            incarnation: told.incarnation,
+            gateway: reported.gateway.clone(),
+            incarnation: reported.incarnation,
         };
-        (told.usage.window, source, &told.usage.begun)
+        (reported.usage.window, source, &reported.usage.begun)
     })
 }
 
-/// The row of a lease as it is told.
-pub(crate) fn lease_of(head: &LeaseHead) -> LeaseTold {
-    LeaseTold {
+/// The row of a lease as it is reported.
+pub(crate) fn lease_of(head: &LeaseHead) -> LeaseReport {
+    LeaseReport {
         version: head.version as i64,
         epoch: head.epoch,
     }
 }
 
 /// The row of the lease that the sender holds, as it was heard.
-pub(crate) fn heard_lease(news: &GatewayNews) -> Option<LeaseHead> {
-    let told = news.lease.as_ref()?;
+pub(crate) fn received_lease(gossip: &Gossip) -> Option<LeaseHead> {
+    let reported = gossip.lease.as_ref()?;
     Some(LeaseHead {
-        version: told.version.max(0) as u64,
-        holder: news.gateway.clone(),
-        epoch: told.epoch,
+        version: reported.version.max(0) as u64,
+        holder: gossip.gateway.clone(),
+        epoch: reported.epoch,
     })
 }
 
 /// How long the sender has run.
-pub(crate) fn uptime(news: &GatewayNews) -> Duration {
-    Duration::from_millis(news.uptime_ms.unwrap_or(i64::MAX).max(0) as u64)
+pub(crate) fn uptime(gossip: &Gossip) -> Duration {
+    Duration::from_millis(gossip.uptime_ms.unwrap_or(i64::MAX).max(0) as u64)
 }
 
-/// How far a topic is known, as it is told; `None` for topics that are not passed on.
-pub(crate) fn head_of(topic: Topic, told: Told) -> Option<TopicHead> {
+/// How far a topic is known, as it is reported; `None` for topics that are not passed on.
+pub(crate) fn head_of(topic: Topic, reported: Digest) -> Option<TopicHead> {
     Some(TopicHead {
         topic: name_of(topic)?,
-        changed_at: told.changed_at as i64,
-        confirmed_us: told.confirmed.as_micros() as i64,
-        known_to: told.known_to as i64,
+        changed_at: reported.changed_at as i64,
+        confirmed_us: reported.confirmed.as_micros() as i64,
+        known_to: reported.known_to as i64,
     })
 }
 
 /// How far topics are known, as it was heard.
-pub(crate) fn heard_heads(news: &GatewayNews) -> Vec<(Topic, Told)> {
-    let heads = news.heads.iter().flatten();
+pub(crate) fn received_heads(gossip: &Gossip) -> Vec<(Topic, Digest)> {
+    let heads = gossip.heads.iter().flatten();
     heads
         .filter_map(|head| {
-            let told = Told {
+            let reported = Digest {
                 changed_at: head.changed_at.max(0) as u64,
                 known_to: head.known_to.max(0) as u64,
                 confirmed: Duration::from_micros(head.confirmed_us.max(0) as u64),
             };
-            Some((topic_of(head.topic)?, told))
+            Some((topic_of(head.topic)?, reported))
         })
         .collect()
 }
 
-/// Usage as it is told.
+/// Usage as it is reported.
 pub(crate) fn usage_of(window: i64, begun: BTreeMap<String, i64>) -> WindowUsage {
     WindowUsage { window, begun }
 }
 
 /// Addresses as they were heard; what is none is passed over.
-pub(crate) fn heard_addresses(news: &GatewayNews) -> Vec<SocketAddr> {
-    let addresses = news.peers.iter();
+pub(crate) fn received_addresses(gossip: &Gossip) -> Vec<SocketAddr> {
+    let addresses = gossip.peers.iter();
     addresses.filter_map(|text| text.parse().ok()).collect()
 }
 
-/// A stage as it is told.
+/// A stage as it is reported.
 pub(crate) fn stage_of(stage: Stage) -> RolloutStage {
     match stage {
         Stage::Sample => RolloutStage::SAMPLE,
@@ -195,8 +195,8 @@
 }
 
 /// A stage as it was heard; `None` for one that this version does not know.
-pub(crate) fn heard_stage(told: RolloutStage) -> Option<Stage> {
-    match told {
+pub(crate) fn received_stage(reported: RolloutStage) -> Option<Stage> {
+    match reported {
         RolloutStage::SAMPLE => Some(Stage::Sample),
         RolloutStage::SWITCH_LONG => Some(Stage::SwitchLong),
         RolloutStage::SWITCH_ALL => Some(Stage::SwitchAll),
@@ -206,8 +206,8 @@
     }
 }
 
-/// Evidence as it is told.
-pub(crate) fn evidence_of(service: &str, revision: u64, evidence: &Evidence) -> EvidenceTold {
+/// Evidence as it is reported.
+pub(crate) fn evidence_of(service: &str, revision: u64, evidence: &Evidence) -> EvidenceReport {
     let routes = evidence.routes.iter();
     let answers = routes.flat_map(|(route, of_route)| {
         let old = counts_of(*route, 0, &of_route.old);
@@ -215,7 +215,7 @@
         new.map(|(endpoint, counts)| counts_of(*route, *endpoint, counts))
             .chain([old])
     });
-    EvidenceTold {
+    EvidenceReport {
         service_name: service.to_string(),
         revision: revision as i64,
         answers: answers.take(MOST_COUNTS).collect(),
@@ -233,9 +233,9 @@
 }
 
 /// Evidence as it was heard.
-pub(crate) fn heard_evidence(told: &EvidenceTold) -> Evidence {
+pub(crate) fn received_evidence(reported: &EvidenceReport) -> Evidence {
     let mut evidence = Evidence::default();
-    for counts in &told.answers {
+    for counts in &reported.answers {
         let buckets = counts.whole.iter();
         let buckets =
             buckets.filter_map(|(b, n)| Some((u8::try_from(*b).ok()?, (*n).max(0) as u64)));
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -1,6 +1,6 @@
 //! One gateway: the daemon between callers and endpoints as a library.
 //!
-//! A traffic thread serves callers; a control thread follows the store, exchanges news with the
+//! A traffic thread serves callers; a control thread follows the store, exchanges gossip with the
 //! other gateways and carries out the duties of the lease. The two pass typed values over flume.
 //! What is spoken on the wire comes from a [`ports::Dialect`], a [`ports::Store`] and
 //! [`ports::Orders`]; nothing here knows their names.
@@ -14,9 +14,9 @@
 mod endpoint_run;
 mod events;
 mod freshness;
+mod gossip;
 mod handler;
 mod job;
-mod news;
 mod peers;
 mod plain;
 mod pool;
@@ -34,5 +34,5 @@
 pub use clock::Clock;
 pub use events::{Event, EventSplitter, SplitError};
 pub use freshness::Freshness;
-pub use peers::{is_recent, Fleet, Greeting, HallCount, Hearing, Listed, PeerCount, Peers};
+pub use peers::{is_recent, Fleet, Greeting, HallCount, Listed, PeerCount, Peers, Receipt};
 pub use run::{run, Gateway, GatewayError, Listening, Parts, ReadSettings, Signals};
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -40,21 +40,21 @@
     }
 
     /// Part of all gateways that hear each other, this one included.
-    pub fn heard_part(self) -> f64 {
+    pub fn live_part(self) -> f64 {
         (1 + self.heard) as f64 / self.gateways() as f64
     }
 }
 
-/// Whether what another process told first is all of recent time, by how long each has run.
+/// Whether what another process reported first is all of recent time, by how long each has run.
 pub fn is_recent(own_uptime: Duration, uptime: Duration) -> bool {
     uptime <= own_uptime + RECENT
 }
 
 /// What a message of another gateway means.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Hearing {
-    /// It is news.
-    News,
+pub enum Receipt {
+    /// It is gossip.
+    Gossip,
     /// It is older than what is known, or comes twice.
     Stale,
 }
@@ -122,11 +122,11 @@
     }
 
     /// A message came from a gateway.
-    pub fn hear(&mut self, now: Duration, greeting: Greeting) -> Hearing {
+    pub fn receive(&mut self, now: Duration, greeting: Greeting) -> Receipt {
         let name = greeting.name.clone();
         let known = self.peers.get(&name);
         if known.is_some_and(|known| known.is_past(now, &greeting)) {
-            return Hearing::Stale;
+            return Receipt::Stale;
         }
         let address = greeting.address;
         self.addresses.remove(&address);
@@ -147,8 +147,8 @@
                 },
             )
         });
-        peer.hear(now, greeting);
-        Hearing::News
+        peer.receive(now, greeting);
+        Receipt::Gossip
     }
 
     /// Whether this gateway is among the first `count` of the coordinators that are heard and reach the
@@ -167,12 +167,12 @@
     }
 
     /// Whether a gateway is heard.
-    pub fn hears(&self, now: Duration, name: &str) -> bool {
-        self.peers.get(name).is_some_and(|peer| peer.is_heard(now))
+    pub fn is_alive(&self, now: Duration, name: &str) -> bool {
+        self.peers.get(name).is_some_and(|peer| peer.is_alive(now))
     }
 
     /// Whether any coordinator is heard.
-    pub fn hears_coordinator(&self, now: Duration) -> bool {
+    pub fn has_live_coordinator(&self, now: Duration) -> bool {
         self.peers.values().any(|peer| peer.coordinates(now))
     }
 
@@ -187,7 +187,7 @@
     }
 
     /// Another gateway holds the lease under this epoch.
-    pub fn hear_lease(&mut self, now: Duration, epoch: i64, holder: SocketAddr) {
+    pub fn receive_lease(&mut self, now: Duration, epoch: i64, holder: SocketAddr) {
         if self.lease.is_none_or(|known| epoch >= known.epoch) {
             self.lease = Some(HeldLease {
                 epoch,
@@ -203,14 +203,14 @@
     }
 
     /// The holder of the lease under this epoch gave it up.
-    pub fn hear_given_up(&mut self, now: Duration, epoch: i64) {
+    pub fn receive_given_up(&mut self, now: Duration, epoch: i64) {
         if self.given_up.is_none_or(|(known, _)| epoch > known) {
             self.given_up = Some((epoch, now));
         }
     }
 
     /// Whether a holder of the lease was heard within `time` and has not given it up since.
-    pub fn holder_heard(&self, now: Duration, time: Duration) -> bool {
+    pub fn holder_alive(&self, now: Duration, time: Duration) -> bool {
         let given_up = self.given_up.map_or(i64::MIN, |(epoch, _)| epoch);
         self.lease
             .is_some_and(|lease| now < lease.heard_at + time && lease.epoch > given_up)
--- a/components/gateway/src/peers/halls.rs
+++ b/components/gateway/src/peers/halls.rs
@@ -54,7 +54,7 @@
     fn default() -> Self {
         Fleet {
             gateways: 1,
-            part: PeerCount::default().heard_part(),
+            part: PeerCount::default().live_part(),
             decides: true,
             coordinators: Vec::new(),
             placing: ASSUMED_PLACING,
@@ -99,7 +99,7 @@
     pub fn own_coordinators(&self, now: Duration) -> BTreeSet<SocketAddr> {
         let hall = self.own.hall.as_str();
         let mut first = self.first_of(hall, now, COORDINATORS);
-        if !first.iter().any(|name| self.peers[*name].is_heard(now)) {
+        if !first.iter().any(|name| self.peers[*name].is_alive(now)) {
             first = self.first_of(hall, now, WIDER_SEARCH);
         }
         let addresses = first.iter().map(|name| self.peers[*name].address);
@@ -110,7 +110,7 @@
     pub fn members(&self, now: Duration) -> BTreeSet<SocketAddr> {
         let coordinators = self.coordinators(now);
         let own_hall = self.peers.values().filter(|p| p.hall == self.own.hall);
-        let running = own_hall.filter(|p| p.is_heard(now) || p.is_silent(now));
+        let running = own_hall.filter(|p| p.is_alive(now) || p.is_silent(now));
         let addresses = running.map(|peer| peer.address);
         addresses.filter(|a| !coordinators.contains(a)).collect()
     }
@@ -128,7 +128,7 @@
         if self.coordinates(now) {
             return Fleet {
                 gateways: count.gateways(),
-                part: count.heard_part(),
+                part: count.live_part(),
                 decides: true,
                 coordinators: Vec::new(),
                 placing: self.coordinators(now).len() + 1,
@@ -142,7 +142,7 @@
             decides: false,
             coordinators: self.deciders(now),
             placing: gateways,
-            others: [self.deciders_unheard(now), self.deciders_elsewhere(now)].concat(),
+            others: [self.deciders_unseen(now), self.deciders_elsewhere(now)].concat(),
         }
     }
 
@@ -154,12 +154,12 @@
         }
     }
 
-    /// Gateways of the own hall, as far as this one hears them itself. Only that is told to others: a count
+    /// Gateways of the own hall, as far as this one hears them itself. Only that is reported to others: a count
     /// taken from another coordinator would come back from it and never fall.
     pub fn hall_count(&self, now: Duration) -> HallCount {
         let own_hall = || self.peers.values().filter(|p| p.hall == self.own.hall);
         HallCount {
-            heard: 1 + own_hall().filter(|peer| peer.is_heard(now)).count(),
+            heard: 1 + own_hall().filter(|peer| peer.is_alive(now)).count(),
             silent: own_hall().filter(|peer| peer.is_silent(now)).count(),
         }
     }
@@ -167,13 +167,15 @@
     /// Gateways of all halls.
     pub fn count(&self, now: Duration) -> PeerCount {
         let own = self.hall_count(now);
-        let told = self.reported_count(&self.own.hall, now);
-        let own = told.filter(|told| told.heard > own.heard).unwrap_or(own);
+        let reported = self.reported_count(&self.own.hall, now);
+        let own = reported
+            .filter(|reported| reported.heard > own.heard)
+            .unwrap_or(own);
         let mut heard = own.heard - 1;
         let mut silent = own.silent;
         for (hall, known) in self.other_halls() {
             let known = HallCount {
-                heard: known.iter().filter(|peer| peer.is_heard(now)).count(),
+                heard: known.iter().filter(|peer| peer.is_alive(now)).count(),
                 silent: known.iter().filter(|peer| peer.is_silent(now)).count(),
             };
             let count = self.reported_count(hall, now).unwrap_or(known);
@@ -211,8 +213,8 @@
     // What the coordinator of a hall says that hears most.
     fn reported_count(&self, hall: &str, now: Duration) -> Option<HallCount> {
         let peers = self.peers.values().filter(|peer| peer.hall == hall);
-        let told = peers.filter_map(|peer| peer.recent(now)?.hall_count);
-        told.max_by_key(|count| count.heard)
+        let reported = peers.filter_map(|peer| peer.recent(now)?.hall_count);
+        reported.max_by_key(|count| count.heard)
     }
 
     fn reported_gateways(&self, now: Duration) -> Option<usize> {
@@ -236,10 +238,10 @@
         addresses.collect()
     }
 
-    fn deciders_unheard(&self, now: Duration) -> Vec<SocketAddr> {
+    fn deciders_unseen(&self, now: Duration) -> Vec<SocketAddr> {
         let first = self.first_of(&self.own.hall, now, COORDINATORS);
         let peers = first.iter().map(|name| &self.peers[*name]);
-        let unheard = peers.filter(|peer| !peer.is_heard(now));
+        let unheard = peers.filter(|peer| !peer.is_alive(now));
         unheard.filter_map(|peer| peer.decisions).collect()
     }
 
--- a/components/gateway/src/peers/peer.rs
+++ b/components/gateway/src/peers/peer.rs
@@ -83,7 +83,7 @@
         }
     }
 
-    pub fn hear(&mut self, now: Duration, greeting: Greeting) {
+    pub fn receive(&mut self, now: Duration, greeting: Greeting) {
         self.address = greeting.address;
         self.hall = greeting.hall.clone();
         self.cores_milli = greeting.cores_milli;
@@ -98,7 +98,7 @@
         (now < *at + SILENT_AFTER).then_some(greeting)
     }
 
-    pub fn is_heard(&self, now: Duration) -> bool {
+    pub fn is_alive(&self, now: Duration) -> bool {
         self.recent(now).is_some()
     }
 
@@ -111,7 +111,7 @@
     /// Whether it may be running without being heard.
     pub fn is_silent(&self, now: Duration) -> bool {
         match self.heard {
-            Some(_) => !self.is_heard(now),
+            Some(_) => !self.is_alive(now),
             None => now < self.listed_at + TRY_ADDRESS_FOR,
         }
     }
@@ -119,7 +119,7 @@
     /// A message of it is due from now on.
     pub fn expect(&mut self, now: Duration) {
         let overdue = |since: Duration| now >= since + SILENT_AFTER + PASSED_OVER_FOR;
-        if !self.is_heard(now) && self.due_since.is_none_or(overdue) {
+        if !self.is_alive(now) && self.due_since.is_none_or(overdue) {
             self.due_since = Some(now);
         }
     }
@@ -127,7 +127,7 @@
     /// Whether it gave no sign of life when one was due.
     pub fn is_down(&self, now: Duration) -> bool {
         if self.heard.is_some() {
-            return !self.is_heard(now);
+            return !self.is_alive(now);
         }
         let overdue = |since: Duration| now >= since + SILENT_AFTER;
         self.due_since.is_some_and(overdue)
@@ -139,7 +139,7 @@
         let Some((known, _)) = &self.heard else {
             return false;
         };
-        if !self.is_heard(now) && greeting.incarnation != known.incarnation {
+        if !self.is_alive(now) && greeting.incarnation != known.incarnation {
             return false;
         }
         (greeting.incarnation, greeting.sequence) <= (known.incarnation, known.sequence)
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -7,7 +7,7 @@
 
 /// A resting connection is dropped so long before its endpoint would close it.
 const CLOSE_MARGIN: Duration = Duration::from_millis(700);
-/// Longest rest where the endpoint does not tell its own bound.
+/// Longest rest where the endpoint does not name its own bound.
 const LONGEST_REST: Duration = Duration::from_secs(8);
 
 #[derive(Debug)]
--- a/components/gateway/src/ports.rs
+++ b/components/gateway/src/ports.rs
@@ -69,7 +69,7 @@
     pub keep_alive: Option<Duration>,
 }
 
-/// Load that an endpoint tells.
+/// Load that an endpoint reports.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EndpointLoad {
     /// Requests running.
@@ -206,7 +206,7 @@
     /// Reads such a row.
     fn rollout_order(&self, value: &[u8], revision: u64) -> Result<Order, RowFault>;
 
-    /// The row of [`Topic::RolloutStatus`] that tells the operator how far an order is.
+    /// The row of [`Topic::RolloutStatus`] that reports to the operator how far an order is.
     fn rollout_status(&self, order: &Order, decision: Option<Decision>) -> StatusRow;
 }
 
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -239,11 +239,11 @@
 }
 
 fn bind_both(address: SocketAddr) -> std::io::Result<PeerSockets> {
-    let news = UdpSocket::bind(address)?;
-    news.set_nonblocking(true)?;
-    let address = news.local_addr()?;
+    let gossip = UdpSocket::bind(address)?;
+    gossip.set_nonblocking(true)?;
+    let address = gossip.local_addr()?;
     Ok(PeerSockets {
-        news,
+        gossip,
         rows: bind_std(address)?,
         address,
     })
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -129,7 +129,7 @@
         self.directory = Some(Rc::new(Directory::new(configuration)));
     }
 
-    // A part of what may be taken beyond the limit evens out the age of the others' news.
+    // A part of what may be taken beyond the limit evens out the age of the others' gossip.
     fn limit_of(&self, team: &Tenant) -> Option<Limit> {
         const SLACK_PART: f64 = 0.25;
         let quota = team.quota?;
@@ -182,7 +182,7 @@
     }
 }
 
-/// A request as the others are told of it.
+/// A request as the others are reported it.
 pub(crate) fn sent_of(now: Duration, placement: &Placement) -> Sent {
     Sent {
         endpoint: endpoint_hash(&placement.endpoint),
--- a/components/gateway/src/tally.rs
+++ b/components/gateway/src/tally.rs
@@ -1,9 +1,9 @@
-//! What the traffic thread tells the control thread.
+//! What the traffic thread reports the control thread.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::versions::Told;
+use crate::versions::Digest;
 
 /// A request that was sent to an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,5 +43,5 @@
     /// Loads of the services.
     pub loads: BTreeMap<String, ServiceLoad>,
     /// Answers that speak of the versions in roll-outs that are under way.
-    pub told: Vec<Told>,
+    pub reported: Vec<Digest>,
 }
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -1,4 +1,4 @@
-//! The traffic thread: what it takes from the control thread and tells it.
+//! The traffic thread: what it takes from the control thread and reports it.
 
 use std::cell::{Cell, RefCell};
 use std::sync::Arc;
@@ -20,7 +20,7 @@
 use crate::tally::Tally;
 use crate::update::Update;
 
-/// Prompts of which at least so many tokens are to be read are told to the others at once.
+/// Prompts of which at least so many tokens are to be read are reported to the others at once.
 pub(crate) const LONG_PROMPT_TOKENS: u32 = 4000;
 /// Pause between tallies.
 const TALLY_PAUSE: Duration = Duration::from_millis(100);
@@ -114,7 +114,7 @@
             } => {
                 for (tenant, total) in taken {
                     if let Some(quota) = state.quotas.get_mut(&tenant) {
-                        quota.hear(now, &gateway, incarnation, total, recent);
+                        quota.receive(now, &gateway, incarnation, total, recent);
                     }
                 }
             }
@@ -126,7 +126,7 @@
                 revision,
                 stage,
                 at,
-            } => state.gates.hear(at, &service, revision, stage),
+            } => state.gates.receive(at, &service, revision, stage),
         }
     }
 
@@ -144,7 +144,7 @@
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         let ticket = state.board.sent(now, &job.work, placement);
-        // The coordinator that placed it tells the others of it.
+        // The coordinator that placed it reports it to the others.
         if !placement.counted {
             state.tally.sent.push(sent_of(now, placement));
         }
@@ -172,11 +172,11 @@
 
     /// Logs what a limit was refused by.
     pub fn log_limit(&self, now: Duration, id: &str, tenant: &str, cost: u64, quota: &QuotaState) {
-        let heard_ago = now.saturating_sub(quota.others_heard_at);
+        let others_age = now.saturating_sub(quota.others_known_at);
         info!(self.log, "over limit"; "id" => id, "tenant" => tenant,
             "cost" => cost, "level" => quota.level as i64, "part_milli" => (quota.part * 1000.0) as u64,
             "rate" => quota.limit.rate as u64, "burst" => quota.limit.burst as u64, "taken" => quota.taken,
-            "others_taken" => quota.others_taken, "others_ms_ago" => heard_ago.as_millis() as u64);
+            "others_taken" => quota.others_taken, "others_ms_ago" => others_age.as_millis() as u64);
     }
 
     /// Whether a job may be sent once more.
--- a/components/gateway/src/update.rs
+++ b/components/gateway/src/update.rs
@@ -1,4 +1,4 @@
-//! What the control thread tells the traffic thread.
+//! What the control thread passes to the traffic thread.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -20,7 +20,7 @@
     Endpoint(Endpoint),
     /// An endpoint is gone.
     EndpointGone(String),
-    /// All endpoints were told of once.
+    /// All endpoints were reported once.
     EndpointsKnown,
     /// The endpoints are not followed any more.
     EndpointsForgotten,
--- a/components/gateway/src/versions.rs
+++ b/components/gateway/src/versions.rs
@@ -11,7 +11,7 @@
 
 use crate::state::State;
 
-/// Fewest endpoints of the ordered version that get a part of the requests: one of them that is ill is then told
+/// Fewest endpoints of the ordered version that get a part of the requests: one of them that is ill is then distinguished
 /// from a bad version.
 const LEAST_SAMPLED: usize = 3;
 /// Part of the old endpoints as many of the ordered version get a part of the requests: as small as that part, so
@@ -29,7 +29,7 @@
 
 /// An answer that speaks of a version.
 #[derive(Clone, Debug, PartialEq)]
-pub(crate) struct Told {
+pub(crate) struct Digest {
     /// Service of the endpoint.
     pub service: String,
     /// Revision of the order.
@@ -76,20 +76,20 @@
     }
 
     /// Takes what the holder said of an order, and when.
-    pub fn hear(&mut self, at: Duration, service: &str, revision: u64, stage: Stage) {
+    pub fn receive(&mut self, at: Duration, service: &str, revision: u64, stage: Stage) {
         if let Some(gate) = self.gates.get_mut(service) {
-            gate.hear(at, revision, stage);
+            gate.receive(at, revision, stage);
         }
     }
 
     /// What an answer of an endpoint says of a roll-out, if one is under way.
-    pub fn told(
+    pub fn reported(
         &self,
         placement: &Placement,
         service: &str,
         route: u64,
         answer: Answer,
-    ) -> Option<Told> {
+    ) -> Option<Digest> {
         let order = self.under_way(service)?.order();
         if placement.is_cold {
             return None;
@@ -98,7 +98,7 @@
             true => Side::New,
             false => Side::Old,
         };
-        Some(Told {
+        Some(Digest {
             service: service.to_string(),
             revision: order.revision,
             route,
--- a/components/gateway/tests/coordinating.rs
+++ b/components/gateway/tests/coordinating.rs
@@ -21,7 +21,7 @@
         name: name.into(),
         cores_milli,
         seeds,
-        // Only what is told makes a gateway ask the store.
+        // Only what is reported makes a gateway ask the store.
         change_due_ms: 60_000,
         ..settings()
     }
--- a/components/gateway/tests/duties.rs
+++ b/components/gateway/tests/duties.rs
@@ -33,10 +33,12 @@
             .any(|(_, report)| report.counts.get("t") == Some(&1))
     };
     wait_until("the report", || counted(&setup));
-    let mut told: BTreeMap<i64, BTreeMap<String, i64>> = BTreeMap::new();
+    let mut reported: BTreeMap<i64, BTreeMap<String, i64>> = BTreeMap::new();
     for (holder, report) in setup.orders.reports.lock().unwrap().iter() {
         assert!(holder.fence > 0);
-        let first = told.entry(report.window).or_insert(report.counts.clone());
+        let first = reported
+            .entry(report.window)
+            .or_insert(report.counts.clone());
         assert_eq!(*first, report.counts);
         let row = setup
             .store
--- a/components/gateway/tests/halls.rs
+++ b/components/gateway/tests/halls.rs
@@ -74,7 +74,7 @@
                 };
                 let reached = self.members[from].cut_off == self.members[to].cut_off;
                 if reached && self.members[to].runs {
-                    self.members[to].peers.hear(self.now, greeting.clone());
+                    self.members[to].peers.receive(self.now, greeting.clone());
                 }
             }
         }
@@ -266,11 +266,11 @@
 fn a_coordinator_sends_to_all_three_of_a_hall_until_it_hears_them() {
     for missing in 0..3 {
         let mut world = World::new(2, 3);
-        let hears = (0..3).filter(|other| *other != missing);
-        for other in hears {
+        let is_alive = (0..3).filter(|other| *other != missing);
+        for other in is_alive {
             // Those with an odd number are of the other hall.
             let (greeting, _) = world.members[2 * other + 1].says(STEP);
-            world.members[0].peers.hear(STEP, greeting);
+            world.members[0].peers.receive(STEP, greeting);
         }
         let targets = world.members[0].peers.coordinators(STEP);
         assert!(targets.contains(&address(2 * missing + 1)), "{targets:?}");
--- a/components/gateway/tests/peers.rs
+++ b/components/gateway/tests/peers.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use gateway::{is_recent, Greeting, Hearing, Listed, Peers};
+use gateway::{is_recent, Greeting, Listed, Peers, Receipt};
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -54,23 +54,23 @@
 
 #[test]
 fn a_gateway_that_knows_of_nobody_uses_a_small_part_of_what_all_share() {
-    assert!(peers().count(ms(0)).heard_part() <= 0.01);
+    assert!(peers().count(ms(0)).live_part() <= 0.01);
 }
 
 #[test]
 fn gateways_listed_and_not_heard_yet_may_be_running() {
     let mut peers = peers();
     peers.listed(ms(0), (1..=8).map(listed));
-    assert_eq!(peers.count(ms(0)).heard_part(), 1.0 / 8.0);
-    peers.hear(ms(1), greeting("b", 1, 1));
-    assert_eq!(peers.count(ms(1)).heard_part(), 2.0 / 8.0);
+    assert_eq!(peers.count(ms(0)).live_part(), 1.0 / 8.0);
+    peers.receive(ms(1), greeting("b", 1, 1));
+    assert_eq!(peers.count(ms(1)).live_part(), 2.0 / 8.0);
 }
 
 #[test]
 fn an_address_that_is_tried_counts_only_until_the_stores_list_is_read() {
     let mut peers = peers();
     peers.learn(ms(0), address(9));
-    peers.hear(ms(1), greeting("b", 1, 1));
+    peers.receive(ms(1), greeting("b", 1, 1));
     assert_eq!(peers.count(ms(1)).silent, 1);
     peers.listed(ms(2), [listed(1), listed(2)].into_iter());
     assert_eq!(peers.count(ms(2)).silent, 0);
@@ -79,26 +79,32 @@
 #[test]
 fn the_address_of_a_gateway_that_is_heard_is_nobody_else() {
     let mut peers = peers();
-    peers.hear(ms(0), greeting("b", 1, 1));
+    peers.receive(ms(0), greeting("b", 1, 1));
     peers.learn(ms(1), address(2));
-    assert_eq!(peers.count(ms(1)).heard_part(), 1.0);
+    assert_eq!(peers.count(ms(1)).live_part(), 1.0);
 }
 
 #[test]
 fn a_gateway_that_is_alone_uses_everything() {
     let mut peers = peers();
     peers.listed(ms(0), [listed(1)].into_iter());
-    assert_eq!(peers.count(ms(0)).heard_part(), 1.0);
+    assert_eq!(peers.count(ms(0)).live_part(), 1.0);
 }
 
 #[test]
 fn a_process_that_seems_to_have_started_earlier_is_heard_once_the_one_before_is_silent() {
     let mut peers = peers();
-    peers.hear(ms(0), greeting("b", 2_400_000, 9));
-    assert_eq!(peers.hear(ms(100), greeting("b", 5, 1)), Hearing::Stale);
-    assert_eq!(peers.hear(ms(2000), greeting("b", 5, 2)), Hearing::News);
-    assert_eq!(peers.hear(ms(2001), greeting("b", 5, 2)), Hearing::Stale);
-    assert_eq!(peers.hear(ms(2100), greeting("b", 5, 3)), Hearing::News);
+    peers.receive(ms(0), greeting("b", 2_400_000, 9));
+    assert_eq!(peers.receive(ms(100), greeting("b", 5, 1)), Receipt::Stale);
+    assert_eq!(
+        peers.receive(ms(2000), greeting("b", 5, 2)),
+        Receipt::Gossip
+    );
+    assert_eq!(peers.receive(ms(2001), greeting("b", 5, 2)), Receipt::Stale);
+    assert_eq!(
+        peers.receive(ms(2100), greeting("b", 5, 3)),
+        Receipt::Gossip
+    );
 }
 
 #[test]
@@ -115,7 +121,7 @@
         for name in names.iter().filter(|name| **name != own) {
             let reaches_store = unreachable != Some(name);
             let greeting = greeting(name, 1, 1);
-            peers.hear(
+            peers.receive(
                 ms(0),
                 Greeting {
                     reaches_store,
@@ -138,15 +144,15 @@
     let at = Duration::from_secs;
     let long = Duration::from_secs(10);
     let mut peers = peers();
-    peers.hear_lease(at(1), 7, address(2));
-    assert!(peers.holder_heard(at(2), long));
-    peers.hear_given_up(at(2), 7);
-    assert!(!peers.holder_heard(at(2), long));
+    peers.receive_lease(at(1), 7, address(2));
+    assert!(peers.holder_alive(at(2), long));
+    peers.receive_given_up(at(2), 7);
+    assert!(!peers.holder_alive(at(2), long));
     assert!(peers.given_up_within(at(3), at(2)));
-    // Old news of the same holder change nothing.
-    peers.hear_lease(at(3), 7, address(2));
-    assert!(!peers.holder_heard(at(3), long));
-    peers.hear_lease(at(4), 8, address(2));
-    peers.hear_given_up(at(4), 7);
-    assert!(peers.holder_heard(at(4), long));
+    // Old gossip of the same holder change nothing.
+    peers.receive_lease(at(3), 7, address(2));
+    assert!(!peers.holder_alive(at(3), long));
+    peers.receive_lease(at(4), 8, address(2));
+    peers.receive_given_up(at(4), 7);
+    assert!(peers.holder_alive(at(4), long));
 }
--- a/components/gateway/tests/requests.rs
+++ b/components/gateway/tests/requests.rs
@@ -110,9 +110,9 @@
     assert_eq!(answer.status, 504);
     assert!(began.elapsed() < Duration::from_secs(5));
     let head = standin.heads()[0].to_lowercase();
-    let told = head.split("x-deadline: ").nth(1).unwrap();
-    let told: u64 = told.split('\r').next().unwrap().parse().unwrap();
-    assert!(told <= 300, "{told}");
+    let reported = head.split("x-deadline: ").nth(1).unwrap();
+    let reported: u64 = reported.split('\r').next().unwrap().parse().unwrap();
+    assert!(reported <= 300, "{reported}");
 }
 
 #[test]
@@ -211,7 +211,7 @@
 }
 
 #[test]
-fn routes_and_keys_that_do_not_exist_are_told_apart_from_a_missing_configuration() {
+fn routes_and_keys_that_do_not_exist_are_distinguished_from_a_missing_configuration() {
     let store = StoreStandin::default();
     let setup = Setup::start(settings(), store);
     assert!(!setup.is_ready());
@@ -307,7 +307,7 @@
 }
 
 #[test]
-fn a_tenant_beyond_its_limit_is_told_when_to_come_back() {
+fn a_team_beyond_its_limit_learns_when_to_come_back() {
     let standin = EndpointStandin::start(|_, exchange| exchange.answer(200, ""));
     let mut limited = tenant("t", "k");
     limited.quota = Some(Quota {
--- a/components/limits/src/quota.rs
+++ b/components/limits/src/quota.rs
@@ -3,7 +3,7 @@
 //! Each node takes a part of the limit: what it is asked for, and an equal share of what nobody is
 //! asked for, so that a node whose demand jumps, or that has just started, has room. Under a demand
 //! near or past the limit one fifth is shared equally and the rest by demand. A smaller part is
-//! taken at once; a larger one only after it was justified for as long as news needs to reach
+//! taken at once; a larger one only after it was justified for as long as gossip needs to reach
 //! everyone, so that the others have shrunk by then. Nodes that vanish may run on behind a cut,
 //! so their part of the limit stays unused until the platform's list confirms that they are gone
 //! or the fleet's former size is forgotten: two sides of a cut never sum to more than the limit.
@@ -45,7 +45,7 @@
 
 impl Quota {
     /// A node that knows of `fleet` nodes, itself included: it starts with the equal share, which
-    /// the others have to give up once they hear of it. `raise_after` is the time that news needs to reach everyone:
+    /// the others have to give up once they hear of it. `raise_after` is the time that gossip needs to reach everyone:
     /// a larger part must be justified for as long before it is taken.
     pub fn new(now: Duration, fleet: u64, raise_after: Duration) -> Self {
         Quota {
@@ -64,7 +64,7 @@
     }
 
     /// Takes the demand of a peer; old and doubled reports change nothing.
-    pub fn hear(&mut self, peer: &str, demand: Demand) {
+    pub fn receive(&mut self, peer: &str, demand: Demand) {
         let known = self.peers.get(peer);
         let newer = |k: &Demand| demand.round > k.round || demand.heard > k.heard + TAKEOVER_AFTER;
         if known.is_none_or(newer) {
--- a/components/limits/src/shared_quota.rs
+++ b/components/limits/src/shared_quota.rs
@@ -1,6 +1,6 @@
 //! A tenant's limit over all gateways, enforced at each of them.
 //!
-//! Every gateway runs the whole limit as a bucket and charges to it what the others tell that they
+//! Every gateway runs the whole limit as a bucket and charges to it what the others report that they
 //! took. While some of them are silent, it uses only its part, so that the parts of gateways that
 //! do not hear each other add up to the limit.
 
@@ -36,10 +36,10 @@
     pub level: f64,
     /// Units taken here since the start.
     pub taken: u64,
-    /// Units that others took, as far as they told.
+    /// Units that others took, as far as they reported.
     pub others_taken: u64,
-    /// When others told that last, zero if never.
-    pub others_heard_at: Duration,
+    /// When others reported that last, zero if never.
+    pub others_known_at: Duration,
 }
 
 /// One tenant's bucket at one gateway.
@@ -54,7 +54,7 @@
     taken: u64,
     // Totals of other processes, by gateway and incarnation.
     others: BTreeMap<(String, i64), u64>,
-    others_heard_at: Duration,
+    others_known_at: Duration,
 }
 
 impl SharedQuota {
@@ -67,7 +67,7 @@
             filled_at: now,
             taken: 0,
             others: BTreeMap::new(),
-            others_heard_at: Duration::ZERO,
+            others_known_at: Duration::ZERO,
         }
     }
 
@@ -112,9 +112,9 @@
         self.taken = self.taken.saturating_sub(units);
     }
 
-    /// Takes the total that another gateway's process told. The first word of a process charges
+    /// Takes the total that another gateway's process reported. The first word of a process charges
     /// everything if the process is `recent`; else it is mostly history and charges nothing.
-    pub fn hear(
+    pub fn receive(
         &mut self,
         now: Duration,
         gateway: &str,
@@ -123,7 +123,7 @@
         recent: bool,
     ) {
         self.fill(now);
-        self.others_heard_at = now;
+        self.others_known_at = now;
         let key = (gateway.to_string(), incarnation);
         let known = self.others.get(&key).copied();
         let before = known.unwrap_or(if recent { 0 } else { total });
@@ -140,7 +140,7 @@
             level: self.level,
             taken: self.taken,
             others_taken: self.others.values().sum(),
-            others_heard_at: self.others_heard_at,
+            others_known_at: self.others_known_at,
         }
     }
 
--- a/components/limits/src/team.rs
+++ b/components/limits/src/team.rs
@@ -102,7 +102,7 @@
         self.spending.give_back(now, unspent_milli);
     }
 
-    /// Requests asked for since the last call, admitted or not: the demand told to other nodes.
+    /// Requests asked for since the last call, admitted or not: the demand reported to other nodes.
     pub fn take_asked(&mut self) -> u64 {
         std::mem::take(&mut self.asked)
     }
--- a/components/limits/tests/fleet.rs
+++ b/components/limits/tests/fleet.rs
@@ -14,7 +14,7 @@
     Duration::from_millis(ms)
 }
 
-/// Units admitted by gateways that tell each other their totals every 100 ms, in 20 s.
+/// Units admitted by gateways that report to each other their totals every 100 ms, in 20 s.
 fn admitted(gateways: usize, hear: bool, part: f64) -> u64 {
     let mut quotas: Vec<SharedQuota> = (0..gateways)
         .map(|_| SharedQuota::new(Duration::ZERO, LIMIT))
@@ -30,7 +30,7 @@
             let totals: Vec<u64> = quotas.iter().map(SharedQuota::taken).collect();
             for (i, quota) in quotas.iter_mut().enumerate() {
                 for (j, total) in totals.iter().enumerate().filter(|(j, _)| *j != i) {
-                    quota.hear(ms(now), &j.to_string(), 1, *total, true);
+                    quota.receive(ms(now), &j.to_string(), 1, *total, true);
                 }
             }
         }
@@ -39,13 +39,13 @@
 }
 
 #[test]
-fn gateways_that_hear_each_other_keep_the_limit_together() {
+fn gateways_in_touch_keep_the_limit_together() {
     let sum = admitted(8, true, 1.0);
     assert!((19_000..=26_000).contains(&sum), "{sum}");
 }
 
 #[test]
-fn gateways_that_do_not_hear_each_other_keep_it_with_their_parts() {
+fn gateways_out_of_touch_keep_it_with_their_parts() {
     let sum = admitted(8, false, 1.0 / 8.0);
     assert!((19_000..=25_000).contains(&sum), "{sum}");
 }
@@ -69,9 +69,9 @@
 #[test]
 fn what_a_process_took_before_it_was_heard_of_is_not_charged() {
     let mut quota = SharedQuota::new(Duration::ZERO, LIMIT);
-    quota.hear(ms(1), "b", 1, 1_000_000, false);
+    quota.receive(ms(1), "b", 1, 1_000_000, false);
     assert!(quota.take(ms(2), 100, true).is_ok());
-    quota.hear(ms(3), "b", 1, 1_000_500, false);
+    quota.receive(ms(3), "b", 1, 1_000_500, false);
     assert!(quota.take(ms(4), 100, true).is_err());
 }
 
@@ -101,7 +101,7 @@
     }
 }
 
-/// Most units admitted in any 8 s by gateways that tell each other their totals once in `pause` ms,
+/// Most units admitted in any 8 s by gateways that report to each other their totals once in `pause` ms,
 /// each at another moment, while a tenant asks for twelve times its limit.
 fn most_in_a_window(gateways: u64, pause: u64) -> u64 {
     const UNITS: u64 = 10;
@@ -119,12 +119,12 @@
             }
         }
         admitted.push(sum);
-        for told in 0..gateways {
-            if (now + told * pause / gateways).is_multiple_of(pause) {
-                let total = quotas[told as usize].taken();
+        for reported in 0..gateways {
+            if (now + reported * pause / gateways).is_multiple_of(pause) {
+                let total = quotas[reported as usize].taken();
                 let others = quotas.iter_mut().enumerate();
-                for (_, quota) in others.filter(|(i, _)| *i != told as usize) {
-                    quota.hear(ms(now), &told.to_string(), 1, total, true);
+                for (_, quota) in others.filter(|(i, _)| *i != reported as usize) {
+                    quota.receive(ms(now), &reported.to_string(), 1, total, true);
                 }
             }
         }
@@ -140,7 +140,7 @@
 }
 
 #[test]
-fn many_gateways_with_old_news_keep_a_tenth_over_the_limit_in_every_window() {
+fn many_gateways_with_old_gossip_keep_a_tenth_over_the_limit_in_every_window() {
     let most = most_in_a_window(83, 500);
     assert!(most <= 9_900, "{most}");
 }
@@ -165,15 +165,15 @@
             }
         }
         admitted.push(sum);
-        for told in 0..gateways {
-            if !(now + told * pause / gateways).is_multiple_of(pause) {
+        for reported in 0..gateways {
+            if !(now + reported * pause / gateways).is_multiple_of(pause) {
                 continue;
             }
-            let total = quotas[told as usize].taken();
+            let total = quotas[reported as usize].taken();
             let heard = (now.min(pause) * gateways / pause).max(1) as f64;
             let others = quotas.iter_mut().enumerate();
-            for (_, quota) in others.filter(|(i, _)| *i != told as usize) {
-                quota.hear(ms(now), &told.to_string(), 1, total, true);
+            for (_, quota) in others.filter(|(i, _)| *i != reported as usize) {
+                quota.receive(ms(now), &reported.to_string(), 1, total, true);
                 quota.set_part(ms(now), heard / gateways as f64);
             }
         }
--- a/components/limits/tests/promises.rs
+++ b/components/limits/tests/promises.rs
@@ -55,7 +55,7 @@
             for to in 0..n {
                 let parted = cut.is_some_and(|c| (from < c) != (to < c));
                 if from != to && !parted && !self.rng.random_bool(loss) {
-                    self.quotas[to].hear(&format!("n{from}"), demand);
+                    self.quotas[to].receive(&format!("n{from}"), demand);
                 }
             }
         }
--- a/components/membership/src/cell.rs
+++ b/components/membership/src/cell.rs
@@ -1,14 +1,14 @@
-//! One node's part in its cell: everything that is heard and told.
+//! One node's part in its cell: everything that is heard and reported.
 
-mod hear;
 mod probing;
-mod tell;
+mod receive;
+mod send;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use rand::{Rng, RngExt};
-use schema::messages::{Kind, MemberNews, MemberState, Packet, Summary, TeamDemand};
+use schema::messages::{Kind, MemberGossip, MemberState, Packet, Summary, TeamDemand};
 use state::Version;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -41,11 +41,11 @@
 const JOIN_PROBE: i64 = 0;
 /// Contacts that a joining node pings at a time.
 const JOIN_CONTACTS: usize = 3;
-/// Demands of other cells that wait to be told on.
+/// Demands of other cells that wait to be reported on.
 const MAX_RELAYED: usize = 400;
 /// Senders whose version is remembered.
 const MAX_VERSIONS: usize = 1024;
-/// How long the hash of a configuration is told after it changed.
+/// How long the hash of a configuration is reported after it changed.
 const TELL_HASH_FOR: Duration = Duration::from_secs(60);
 
 /// Who this node is.
@@ -83,7 +83,7 @@
     Silent(String),
     /// A peer has this configuration.
     ConfigHeard(String, Version),
-    /// Another cell told of a pool.
+    /// Another cell reported on a pool.
     SummaryHeard(Summary),
     /// A demand of the own cell or of another cell was heard.
     DemandHeard(TeamDemand),
@@ -108,7 +108,7 @@
     demands: Vec<TeamDemand>,
     cell_demands: Vec<TeamDemand>,
     demand_turn: usize,
-    // Demands of other cells heard from them, to be told to the own cell once.
+    // Demands of other cells heard from them, to be reported to the own cell once.
     relayed_demands: Vec<TeamDemand>,
     // Pings made for others: own probe number to (asker's address, asker's probe).
     relayed: BTreeMap<i64, (String, i64)>,
@@ -150,7 +150,7 @@
             next_summary: Duration::ZERO,
             next_join: Duration::ZERO,
         };
-        let own = cell.own_news();
+        let own = cell.own_gossip();
         cell.rumors.add(own, 1);
         cell
     }
@@ -177,9 +177,9 @@
         self.set_contacts(contacts);
         let size = self.size();
         let mut outputs = Vec::new();
-        for news in gone {
-            outputs.push(Output::MemberChanged(news.name.clone(), news.state));
-            self.rumors.add(news, size);
+        for gossip in gone {
+            outputs.push(Output::MemberChanged(gossip.name.clone(), gossip.state));
+            self.rumors.add(gossip, size);
         }
         outputs
     }
@@ -210,12 +210,12 @@
         self.changed(now, changes)
     }
 
-    /// Tells the cell that this node stops.
+    /// Reports to the cell that this node stops.
     pub fn leave(&mut self, now: Duration) -> Vec<Output> {
         self.state = MemberState::LEAVING;
-        let own = self.own_news();
+        let own = self.own_gossip();
         self.rumors.add(own, self.size());
-        self.tell_cell(now)
+        self.send_to_cell(now)
     }
 
     /// Active members, this node included.
@@ -238,8 +238,8 @@
     /// Other cells heard from lately, directly or through members.
     pub fn other_cells(&self, now: Duration) -> usize {
         let direct = self.contacts.live_cells(now);
-        let told = self.summaries.iter().map(|k| k.summary.cell.as_str());
-        let mut cells: BTreeSet<&str> = direct.chain(told).collect();
+        let reported = self.summaries.iter().map(|k| k.summary.cell.as_str());
+        let mut cells: BTreeSet<&str> = direct.chain(reported).collect();
         cells.remove(self.terms.cell.as_str());
         cells.remove("");
         cells.len()
@@ -265,7 +265,7 @@
 
     /// Address of a member.
     pub fn address_of(&self, name: &str) -> Option<&str> {
-        self.members.get(name).map(|m| m.news.address.as_str())
+        self.members.get(name).map(|m| m.gossip.address.as_str())
     }
 
     /// Does what is due.
@@ -276,14 +276,14 @@
         if now >= self.next_news {
             // A little jitter keeps the nodes from telling all at once.
             let jitter = Duration::from_millis(rng.random_range(0..50));
-            self.next_news = now + self.news_interval() + jitter;
-            outputs.extend(self.tell_cell(now));
+            self.next_news = now + self.gossip_interval() + jitter;
+            outputs.extend(self.send_to_cell(now));
             outputs.push(self.read_loads());
         }
         if now >= self.next_summary {
             let jitter = Duration::from_millis(rng.random_range(0..500));
             self.next_summary = now + SUMMARY_INTERVAL - jitter;
-            outputs.extend(self.tell_other_cells(now, rng));
+            outputs.extend(self.send_to_other_cells(now, rng));
         }
         outputs
     }
@@ -292,7 +292,7 @@
     pub fn take(&mut self, now: Duration, packet: &Packet) -> Vec<Output> {
         self.note_version(now, packet);
         let mut outputs = self.take_members(now, packet);
-        outputs.extend(self.take_news(now, packet));
+        outputs.extend(self.receive_gossip(now, packet));
         match packet.kind {
             Kind::PING => outputs.extend(self.answer(now, packet)),
             Kind::ACK => outputs.extend(self.take_ack(packet)),
@@ -302,8 +302,8 @@
         outputs
     }
 
-    fn own_news(&self) -> MemberNews {
-        MemberNews {
+    fn own_gossip(&self) -> MemberGossip {
+        MemberGossip {
             name: self.terms.name.clone(),
             cell: self.terms.cell.clone(),
             address: self.terms.address.clone(),
@@ -313,19 +313,19 @@
     }
 
     fn active_names(&self) -> Vec<&str> {
-        let others = self.members.active().map(|m| m.news.name.as_str());
+        let others = self.members.active().map(|m| m.gossip.name.as_str());
         others.chain([self.terms.name.as_str()]).collect()
     }
 
-    fn news_interval(&self) -> Duration {
+    fn gossip_interval(&self) -> Duration {
         let nodes = (self.size() as u32).min(NODES_AT_MAX);
         (MAX_NEWS_INTERVAL * nodes / NODES_AT_MAX).max(MIN_NEWS_INTERVAL)
     }
 
     fn packet(&mut self, now: Duration, kind: Kind) -> Packet {
         let mut packet = self.sender.packet(kind);
-        let news = self.rumors.take();
-        packet.members = (!news.is_empty()).then_some(news);
+        let gossip = self.rumors.take();
+        packet.members = (!gossip.is_empty()).then_some(gossip);
         packet.config_version = Some(self.config.number);
         if now < self.config_since + TELL_HASH_FOR {
             packet.config_hash = Some(self.config.hash.clone());
@@ -343,18 +343,18 @@
     fn expire(&mut self, now: Duration) -> Vec<Output> {
         let size = self.size();
         let mut outputs = Vec::new();
-        for news in self.members.expire(now) {
-            outputs.push(Output::MemberChanged(news.name.clone(), news.state));
-            self.rumors.add(news, size);
+        for gossip in self.members.expire(now) {
+            outputs.push(Output::MemberChanged(gossip.name.clone(), gossip.state));
+            self.rumors.add(gossip, size);
         }
         outputs
     }
 
     /// Answers a packet whose sender has started again with a lower incarnation than it had: it is
-    /// told what it is known as, and takes a higher one.
+    /// learns what it is known as, and takes a higher one.
     pub fn correct(&mut self, now: Duration, packet: &Packet) -> Option<Output> {
         let to = self.reply_address(packet)?;
-        let known = self.members.get(&packet.sender)?.news.clone();
+        let known = self.members.get(&packet.sender)?.gossip.clone();
         let mut answer = self.packet(now, Kind::NEWS);
         answer.members = Some(vec![known]);
         Some(Self::send(&to, answer))
--- a/components/membership/src/cell/probing.rs
+++ b/components/membership/src/cell/probing.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use rand::{Rng, RngExt};
-use schema::messages::{Kind, MemberNews, Packet};
+use schema::messages::{Kind, MemberGossip, Packet};
 
 use super::{Cell, Output, JOIN_CONTACTS, JOIN_INTERVAL, JOIN_PROBE, REJOIN_INTERVAL};
 use crate::contacts::Contact;
@@ -28,8 +28,8 @@
         let lost = self.members.pick_lost(rng);
         let strangers = self.strangers(if alone { JOIN_CONTACTS } else { 1 }, rng);
         let mut outputs = Vec::new();
-        if let Some(news) = lost {
-            outputs.push(self.join_ping(now, &news.address, Some(&news)));
+        if let Some(gossip) = lost {
+            outputs.push(self.join_ping(now, &gossip.address, Some(&gossip)));
         }
         for contact in strangers {
             outputs.push(self.join_ping(now, &contact.address, None));
@@ -42,7 +42,7 @@
         let known: Vec<&str> = self
             .members
             .active()
-            .map(|m| m.news.address.as_str())
+            .map(|m| m.gossip.address.as_str())
             .collect();
         let stranger = |c: &Contact| {
             let of_cell = c.cell.is_empty() || c.cell == self.terms.cell;
@@ -51,17 +51,17 @@
         self.contacts.pick(count, stranger, rng)
     }
 
-    // A ping that introduces this node, and tells the other what it is taken for.
+    // A ping that introduces this node, and reports to the other what it is taken for.
     pub(super) fn join_ping(
         &mut self,
         now: Duration,
         to: &str,
-        about: Option<&MemberNews>,
+        about: Option<&MemberGossip>,
     ) -> Output {
         let mut packet = self.packet(now, Kind::PING);
         packet.probe = Some(JOIN_PROBE);
         packet.members = Some(
-            [self.own_news()]
+            [self.own_gossip()]
                 .into_iter()
                 .chain(about.cloned())
                 .collect(),
@@ -70,7 +70,11 @@
     }
 
     pub(super) fn probe(&mut self, now: Duration, rng: &mut impl Rng) -> Vec<Output> {
-        let names: Vec<String> = self.members.active().map(|m| m.news.name.clone()).collect();
+        let names: Vec<String> = self
+            .members
+            .active()
+            .map(|m| m.gossip.name.clone())
+            .collect();
         let steps = self.prober.tick(now, names.iter().map(String::as_str), rng);
         let mut outputs = Vec::new();
         for step in steps {
@@ -90,9 +94,9 @@
         let to = self.address_of(member)?.to_string();
         let mut packet = self.packet(now, Kind::PING);
         packet.probe = Some(probe);
-        // News spreads by chance and can miss a node. Each member is pinged in turn, so whoever
+        // Gossip spreads by chance and can miss a node. Each member is pinged in turn, so whoever
         // knows a node without being known to it is heard of before long.
-        let own = self.own_news();
+        let own = self.own_gossip();
         packet.members.get_or_insert_default().push(own);
         Some(Self::send(&to, packet))
     }
@@ -104,8 +108,8 @@
         member: &str,
         rng: &mut impl Rng,
     ) -> Vec<Output> {
-        let others = self.members.active().filter(|m| m.news.name != member);
-        let mut helpers: Vec<String> = others.map(|m| m.news.address.clone()).collect();
+        let others = self.members.active().filter(|m| m.gossip.name != member);
+        let mut helpers: Vec<String> = others.map(|m| m.gossip.address.clone()).collect();
         let mut outputs = Vec::new();
         for _ in 0..HELPERS.min(helpers.len()) {
             let helper = helpers.swap_remove(rng.random_range(0..helpers.len()));
@@ -119,8 +123,8 @@
 
     pub(super) fn suspect(&mut self, now: Duration, member: &str) {
         let size = self.size();
-        if let Some(news) = self.members.suspect(now, member) {
-            self.rumors.add(news, size);
+        if let Some(gossip) = self.members.suspect(now, member) {
+            self.rumors.add(gossip, size);
         }
     }
 
@@ -132,7 +136,9 @@
         ack.probe = packet.probe;
         let known = self.members.get(&packet.sender).filter(|m| !m.is_active());
         if let Some(known) = known {
-            ack.members.get_or_insert_default().push(known.news.clone());
+            ack.members
+                .get_or_insert_default()
+                .push(known.gossip.clone());
         }
         if packet.config_version < Some(self.config.number) {
             ack.config_hash = Some(self.config.hash.clone());
@@ -145,19 +151,20 @@
     }
 
     pub(super) fn reply_address(&self, packet: &Packet) -> Option<String> {
-        let told = packet
+        let reported = packet
             .members
             .iter()
             .flatten()
             .find(|m| m.name == packet.sender);
-        let told = told.map(|m| m.address.clone());
-        told.or_else(|| self.address_of(&packet.sender).map(str::to_string))
+        let reported = reported.map(|m| m.address.clone());
+        reported.or_else(|| self.address_of(&packet.sender).map(str::to_string))
     }
 
     // All that a node that has just started needs to know.
     pub(super) fn welcome(&mut self, now: Duration, to: &str) -> Vec<Output> {
-        let mut members: Vec<MemberNews> = self.members.active().map(|m| m.news.clone()).collect();
-        members.push(self.own_news());
+        let mut members: Vec<MemberGossip> =
+            self.members.active().map(|m| m.gossip.clone()).collect();
+        members.push(self.own_gossip());
         let mut outputs = Vec::new();
         for members in members.chunks(MEMBERS_PER_PACKET) {
             let mut packet = self.packet(now, Kind::NEWS);
@@ -165,7 +172,7 @@
             packet.config_hash = Some(self.config.hash.clone());
             outputs.push(Self::send(to, packet));
         }
-        for part in parts(self.endpoints.all_news(now)) {
+        for part in parts(self.endpoints.all_gossip(now)) {
             let mut packet = self.packet(now, Kind::NEWS);
             packet.endpoints = Some(part);
             outputs.push(Self::send(to, packet));
--- a/components/membership/src/cell/hear.rs
+++ b/components/membership/src/cell/receive.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use schema::messages::{MemberNews, Packet, Summary};
+use schema::messages::{MemberGossip, Packet, Summary};
 use state::Version;
 
 use super::{Cell, Output, MAX_RELAYED, MAX_VERSIONS};
@@ -28,50 +28,50 @@
 
     pub(super) fn take_members(&mut self, now: Duration, packet: &Packet) -> Vec<Output> {
         let mut outputs = Vec::new();
-        for news in packet.members.iter().flatten() {
-            if news.name == self.terms.name {
-                self.refute(news);
-            } else if news.cell == self.terms.cell {
-                outputs.extend(self.merge(now, news));
+        for gossip in packet.members.iter().flatten() {
+            if gossip.name == self.terms.name {
+                self.refute(gossip);
+            } else if gossip.cell == self.terms.cell {
+                outputs.extend(self.merge(now, gossip));
             } else {
                 let contact = Contact {
-                    name: news.name.clone(),
-                    cell: news.cell.clone(),
-                    address: news.address.clone(),
+                    name: gossip.name.clone(),
+                    cell: gossip.cell.clone(),
+                    address: gossip.address.clone(),
                 };
-                self.contacts.hear(now, contact);
+                self.contacts.receive(now, contact);
             }
         }
         outputs
     }
 
-    pub(super) fn merge(&mut self, now: Duration, news: &MemberNews) -> Option<Output> {
-        if !self.members.merge(now, news) {
+    pub(super) fn merge(&mut self, now: Duration, gossip: &MemberGossip) -> Option<Output> {
+        if !self.members.merge(now, gossip) {
             return None;
         }
         let size = self.size();
-        self.rumors.add(news.clone(), size);
-        Some(Output::MemberChanged(news.name.clone(), news.state))
+        self.rumors.add(gossip.clone(), size);
+        Some(Output::MemberChanged(gossip.name.clone(), gossip.state))
     }
 
-    // News that takes this node for something else than it is: a higher incarnation ends it.
-    pub(super) fn refute(&mut self, news: &MemberNews) {
-        let as_it_is = news.state == self.state && news.address == self.terms.address;
-        let newer = news.incarnation > self.terms.incarnation;
-        let wrong = news.incarnation == self.terms.incarnation && !as_it_is;
+    // Gossip that takes this node for something else than it is: a higher incarnation ends it.
+    pub(super) fn refute(&mut self, gossip: &MemberGossip) {
+        let as_it_is = gossip.state == self.state && gossip.address == self.terms.address;
+        let newer = gossip.incarnation > self.terms.incarnation;
+        let wrong = gossip.incarnation == self.terms.incarnation && !as_it_is;
         if !newer && !wrong {
             return;
         }
-        self.terms.incarnation = news.incarnation + 1;
+        self.terms.incarnation = gossip.incarnation + 1;
         self.sender.set_incarnation(self.terms.incarnation);
-        let own = self.own_news();
+        let own = self.own_gossip();
         self.rumors.add(own, self.size());
     }
 
-    pub(super) fn take_news(&mut self, now: Duration, packet: &Packet) -> Vec<Output> {
+    pub(super) fn receive_gossip(&mut self, now: Duration, packet: &Packet) -> Vec<Output> {
         let mut changes = Vec::new();
-        for news in packet.endpoints.iter().flatten() {
-            changes.extend(self.endpoints.hear(now, news));
+        for gossip in packet.endpoints.iter().flatten() {
+            changes.extend(self.endpoints.receive(now, gossip));
         }
         let mut outputs = self.changed(now, changes);
         for summary in packet.summaries.iter().flatten() {
@@ -94,12 +94,12 @@
         named.any(|m| m.cell != self.terms.cell)
     }
 
-    // What another cell tells of its leaving endpoints holds until it tells otherwise.
+    // What another cell reports of its leaving endpoints holds until it reports otherwise.
     pub(super) fn take_summary(&mut self, now: Duration, summary: &Summary) -> Vec<Output> {
         if summary.cell == self.terms.cell {
             return Vec::new();
         }
-        let Some(back) = self.summaries.hear(now, summary) else {
+        let Some(back) = self.summaries.receive(now, summary) else {
             return Vec::new();
         };
         let leaves = summary.leaving.iter().cloned();
@@ -117,7 +117,7 @@
         Some(Output::ConfigHeard(packet.sender.clone(), version))
     }
 
-    // Leaves are told to the cell at once, all other changes with the next news.
+    // Leaves are reported to the cell at once, all other changes with the next gossip.
     pub(super) fn changed(&mut self, now: Duration, changes: Vec<Change>) -> Vec<Output> {
         let leaves = changes.iter().any(|c| matches!(c, Change::Leaves(..)));
         let mut outputs: Vec<Output> = changes
@@ -130,7 +130,7 @@
             })
             .collect();
         if leaves {
-            outputs.extend(self.tell_cell(now));
+            outputs.extend(self.send_to_cell(now));
         }
         outputs
     }
--- a/components/membership/src/cell/tell.rs
+++ b/components/membership/src/cell/send.rs
@@ -1,9 +1,9 @@
-//! What a node tells its own cell and the others.
+//! What a node reports to its own cell and the others.
 
 use std::time::Duration;
 
 use rand::{Rng, RngExt};
-use schema::messages::{Kind, MemberNews, Summary, TeamDemand};
+use schema::messages::{Kind, MemberGossip, Summary, TeamDemand};
 
 use super::{Cell, Output, INTRODUCED, SPEAKERS};
 use crate::members::Member;
@@ -12,8 +12,8 @@
 };
 
 impl Cell {
-    pub(super) fn tell_cell(&mut self, now: Duration) -> Vec<Output> {
-        let mut bodies: Vec<Body> = parts(self.endpoints.news(now))
+    pub(super) fn send_to_cell(&mut self, now: Duration) -> Vec<Output> {
+        let mut bodies: Vec<Body> = parts(self.endpoints.gossip(now))
             .into_iter()
             .map(|endpoints| Body {
                 endpoints,
@@ -25,7 +25,7 @@
         let receivers: Vec<String> = self
             .members
             .reachable()
-            .map(|m| m.news.address.clone())
+            .map(|m| m.gossip.address.clone())
             .collect();
         let mut outputs = Vec::new();
         for body in &bodies {
@@ -37,7 +37,7 @@
         outputs
     }
 
-    // What other cells told this node, told on to the own cell once.
+    // What other cells reported to this node, reported on to the own cell once.
     pub(super) fn relayed(&mut self, now: Duration) -> Vec<Body> {
         let summaries = self.summaries.take_relayed(now);
         let demands = std::mem::take(&mut self.relayed_demands);
@@ -61,7 +61,7 @@
             .collect()
     }
 
-    pub(super) fn tell_other_cells(&mut self, now: Duration, rng: &mut impl Rng) -> Vec<Output> {
+    pub(super) fn send_to_other_cells(&mut self, now: Duration, rng: &mut impl Rng) -> Vec<Output> {
         if !self.has_duty(&format!("speaker {}", self.terms.cell), SPEAKERS) {
             return Vec::new();
         }
@@ -76,16 +76,16 @@
             packet.members = Some(members.clone());
             packet.summaries = Some(summaries.clone());
             outputs.push(Self::send(&contact.address, packet));
-            outputs.extend(self.tell_demands(now, &contact.address, &members));
+            outputs.extend(self.send_demands(now, &contact.address, &members));
         }
         outputs
     }
 
-    pub(super) fn tell_demands(
+    pub(super) fn send_demands(
         &mut self,
         now: Duration,
         to: &str,
-        members: &[MemberNews],
+        members: &[MemberGossip],
     ) -> Vec<Output> {
         let demands = self.cell_demands.clone();
         demands
@@ -99,17 +99,17 @@
             .collect()
     }
 
-    // Other members than this speaker, for the other cells to send to: what they tell is told on to
+    // Other members than this speaker, for the other cells to send to: what they report is reported on to
     // the whole cell, and that work should not fall to the speakers as well.
-    pub(super) fn introduced(&self, rng: &mut impl Rng) -> Vec<MemberNews> {
+    pub(super) fn introduced(&self, rng: &mut impl Rng) -> Vec<MemberGossip> {
         let mut others: Vec<&Member> = self.members.active().collect();
         let mut introduced = Vec::new();
         while introduced.len() < INTRODUCED && !others.is_empty() {
             let member = others.swap_remove(rng.random_range(0..others.len()));
-            introduced.push(member.news.clone());
+            introduced.push(member.gossip.clone());
         }
         if introduced.is_empty() {
-            introduced.push(self.own_news());
+            introduced.push(self.own_gossip());
         }
         introduced
     }
--- a/components/membership/src/contacts.rs
+++ b/components/membership/src/contacts.rs
@@ -40,7 +40,7 @@
     }
 
     /// Takes a contact that was heard just now.
-    pub fn hear(&mut self, now: Duration, contact: Contact) {
+    pub fn receive(&mut self, now: Duration, contact: Contact) {
         self.insert(contact, Some(now));
     }
 
--- a/components/membership/src/endpoints.rs
+++ b/components/membership/src/endpoints.rs
@@ -6,12 +6,12 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use schema::messages::EndpointNews;
+use schema::messages::EndpointGossip;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Nodes that read each endpoint.
 pub const READERS: usize = 2;
-/// Rounds in which news of a leave is told by each node that has heard it.
+/// Rounds in which gossip of a leave is reported by each node that has heard it.
 const LEAVE_ROUNDS: u32 = 4;
 /// A second notice counts when it is sooner than the first by more than this.
 const SOONER: Duration = Duration::from_millis(500);
@@ -149,53 +149,53 @@
         known.leave(now, incarnation, left)
     }
 
-    /// Takes what another node tells.
-    pub fn hear(&mut self, now: Duration, news: &EndpointNews) -> Vec<Change> {
-        let Some(known) = self.known.get_mut(&news.name) else {
+    /// Takes what another node reports.
+    pub fn receive(&mut self, now: Duration, gossip: &EndpointGossip) -> Vec<Change> {
+        let Some(known) = self.known.get_mut(&gossip.name) else {
             return Vec::new();
         };
         let load = Load {
-            running: news.running.max(0) as u32,
-            queued: news.queued.max(0) as u32,
-            incarnation: news.incarnation,
-            leaving_in: news
+            running: gossip.running.max(0) as u32,
+            queued: gossip.queued.max(0) as u32,
+            incarnation: gossip.incarnation,
+            leaving_in: gossip
                 .leaving_in_ms
                 .map(|ms| Duration::from_millis(ms.max(0) as u64)),
         };
-        let age = Duration::from_millis(news.age_ms.clamp(0, MAX_AGE_MS) as u64);
+        let age = Duration::from_millis(gossip.age_ms.clamp(0, MAX_AGE_MS) as u64);
         let at = now.saturating_sub(age);
-        if news.silent {
+        if gossip.silent {
             return load
                 .leaving_in
-                .map_or_else(Vec::new, |left| known.leave(now, news.incarnation, left));
+                .map_or_else(Vec::new, |left| known.leave(now, gossip.incarnation, left));
         }
         known.take(now, load, at)
     }
 
-    /// News to tell the cell: this node's own readings and leaves heard lately.
-    pub fn news(&mut self, now: Duration) -> Vec<EndpointNews> {
-        let mut news = Vec::new();
+    /// Gossip to report to the cell: this node's own readings and leaves heard lately.
+    pub fn gossip(&mut self, now: Duration) -> Vec<EndpointGossip> {
+        let mut gossip = Vec::new();
         for known in self.known.values_mut() {
             let leaving = known.leave_rounds > 0;
             if known.own || leaving {
                 known.leave_rounds = known.leave_rounds.saturating_sub(1);
-                news.push(known.news(now));
+                gossip.push(known.gossip(now));
             }
             known.own = false;
         }
-        news
+        gossip
     }
 
     /// Everything known, for a node that has just started.
-    pub fn all_news(&self, now: Duration) -> Vec<EndpointNews> {
-        let told = self
+    pub fn all_gossip(&self, now: Duration) -> Vec<EndpointGossip> {
+        let reported = self
             .known
             .values()
             .filter(|k| k.load.is_some() || k.leaving_at.is_some());
-        told.map(|k| k.news(now)).collect()
+        reported.map(|k| k.gossip(now)).collect()
     }
 
-    /// For each pool, what the cell tells other cells.
+    /// For each pool, what the cell reports to other cells.
     pub fn totals(&self) -> BTreeMap<&str, Total> {
         let mut totals: BTreeMap<&str, Total> = BTreeMap::new();
         for known in self.known.values() {
@@ -253,7 +253,7 @@
         vec![Change::Leaves(self.spec.name.clone(), left)]
     }
 
-    fn news(&self, now: Duration) -> EndpointNews {
+    fn gossip(&self, now: Duration) -> EndpointGossip {
         let (load, at) = self.load.unwrap_or((
             Load {
                 running: 0,
@@ -264,7 +264,7 @@
             Duration::ZERO,
         ));
         let left = self.leaving_at.map(|at| at.saturating_sub(now));
-        EndpointNews {
+        EndpointGossip {
             name: self.spec.name.clone(),
             incarnation: self.incarnation,
             reading: self.reading,
--- a/components/membership/src/lib.rs
+++ b/components/membership/src/lib.rs
@@ -1,4 +1,4 @@
-//! Which nodes live, and what they tell each other, as a pure state machine.
+//! Which nodes live, and what they report to each other, as a pure state machine.
 //!
 //! Nodes of one cell (a data hall, or the whole of a small fleet) know each other and every load;
 //! cells exchange one summary a pool. Each node probes one member a second, directly and then
--- a/components/membership/src/packets.rs
+++ b/components/membership/src/packets.rs
@@ -1,24 +1,24 @@
 //! Packets and what fits into one.
 
-use schema::messages::{EndpointNews, Kind, Packet, Summary, TeamDemand};
+use schema::messages::{EndpointGossip, Kind, Packet, Summary, TeamDemand};
 use schema::SCHEMA_VERSION;
 
-/// News of endpoints in one packet; with all else a packet stays below the largest datagram.
+/// Gossip of endpoints in one packet; with all else a packet stays below the largest datagram.
 pub const ENDPOINTS_PER_PACKET: usize = 16;
 /// Members in one packet to a node that has just started.
 pub const MEMBERS_PER_PACKET: usize = 16;
 /// Demands in one packet that carries nothing else.
 pub const DEMANDS_PER_PACKET: usize = 20;
-/// Demands of the node itself in a packet with news of endpoints.
+/// Demands of the node itself in a packet with gossip of endpoints.
 pub const OWN_DEMANDS_PER_PACKET: usize = 5;
 /// Summaries in one packet that carries nothing else.
 pub const SUMMARIES_PER_PACKET: usize = 8;
 
-/// What one packet of news carries to all members.
+/// What one packet of gossip carries to all members.
 #[derive(Clone, Debug, Default)]
 pub struct Body {
-    /// News of endpoints.
-    pub endpoints: Vec<EndpointNews>,
+    /// Gossip of endpoints.
+    pub endpoints: Vec<EndpointGossip>,
     /// Summaries of other cells.
     pub summaries: Vec<Summary>,
     /// Demands of this node, or of other cells.
@@ -80,12 +80,13 @@
     }
 }
 
-/// Cuts news into parts that fit into a packet; there is at least one part.
-pub fn parts(news: Vec<EndpointNews>) -> Vec<Vec<EndpointNews>> {
-    if news.is_empty() {
-        return vec![news];
+/// Cuts gossip into parts that fit into a packet; there is at least one part.
+pub fn parts(gossip: Vec<EndpointGossip>) -> Vec<Vec<EndpointGossip>> {
+    if gossip.is_empty() {
+        return vec![gossip];
     }
-    news.chunks(ENDPOINTS_PER_PACKET)
-        .map(<[EndpointNews]>::to_vec)
+    gossip
+        .chunks(ENDPOINTS_PER_PACKET)
+        .map(<[EndpointGossip]>::to_vec)
         .collect()
 }
--- a/components/membership/src/rumors.rs
+++ b/components/membership/src/rumors.rs
@@ -1,31 +1,31 @@
-//! News of members that rides on other packets until enough of them carried it.
+//! Gossip of members that rides on other packets until enough of them carried it.
 
 use std::collections::BTreeMap;
 
-use schema::messages::MemberNews;
+use schema::messages::MemberGossip;
 
-/// Times a piece of news is sent, for each doubling of the cell.
+/// Times a piece of gossip is sent, for each doubling of the cell.
 const SENDS_PER_DOUBLING: u32 = 4;
-/// News of members in one packet.
+/// Gossip of members in one packet.
 const MAX_PER_PACKET: usize = 6;
 
-/// News that is being spread.
+/// Gossip that is being spread.
 #[derive(Debug, Default)]
 pub struct Rumors {
-    news: BTreeMap<String, (u32, MemberNews)>,
+    gossip: BTreeMap<String, (u32, MemberGossip)>,
 }
 
 impl Rumors {
-    /// Spreads news through a cell of this size; newer news of a member replaces older.
-    pub fn add(&mut self, news: MemberNews, cell_size: usize) {
+    /// Spreads gossip through a cell of this size; newer gossip of a member replaces older.
+    pub fn add(&mut self, gossip: MemberGossip, cell_size: usize) {
         let sends = SENDS_PER_DOUBLING * (usize::BITS - cell_size.leading_zeros());
-        self.news.insert(news.name.clone(), (sends, news));
+        self.gossip.insert(gossip.name.clone(), (sends, gossip));
     }
 
-    /// The news for the next packet: that which was sent least.
-    pub fn take(&mut self) -> Vec<MemberNews> {
+    /// The gossip for the next packet: that which was sent least.
+    pub fn take(&mut self) -> Vec<MemberGossip> {
         let mut waiting: Vec<(u32, String)> = self
-            .news
+            .gossip
             .iter()
             .map(|(name, (sends, _))| (*sends, name.clone()))
             .collect();
@@ -35,13 +35,13 @@
         taken.collect()
     }
 
-    fn send(&mut self, name: &str) -> Option<MemberNews> {
-        let (sends, news) = self.news.get_mut(name)?;
+    fn send(&mut self, name: &str) -> Option<MemberGossip> {
+        let (sends, gossip) = self.gossip.get_mut(name)?;
         *sends -= 1;
-        let (left, news) = (*sends, news.clone());
+        let (left, gossip) = (*sends, gossip.clone());
         if left == 0 {
-            self.news.remove(name);
+            self.gossip.remove(name);
         }
-        Some(news)
+        Some(gossip)
     }
 }
--- a/components/membership/src/summaries.rs
+++ b/components/membership/src/summaries.rs
@@ -1,11 +1,11 @@
-//! What other cells tell of their pools.
+//! What other cells report of their pools.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use schema::messages::Summary;
 
-/// Summaries that wait to be told on.
+/// Summaries that wait to be reported on.
 const MAX_RELAYED: usize = 64;
 /// Age at which a summary is forgotten.
 const KEEP: Duration = Duration::from_secs(120);
@@ -13,7 +13,7 @@
 /// A summary and when it was heard.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct KnownSummary {
-    /// What was told.
+    /// What was reported.
     pub summary: Summary,
     /// When it was heard here.
     pub heard: Duration,
@@ -27,10 +27,10 @@
 }
 
 impl Summaries {
-    /// Takes a summary; if it is news, names the endpoints that the one before had as leaving and
+    /// Takes a summary; if it is gossip, names the endpoints that the one before had as leaving and
     /// this one has not. Of one speaker the higher round counts, and another
     /// speaker of the cell counts when it is heard directly or the known one is old.
-    pub fn hear(&mut self, now: Duration, summary: &Summary) -> Option<Vec<String>> {
+    pub fn receive(&mut self, now: Duration, summary: &Summary) -> Option<Vec<String>> {
         let key = (summary.cell.clone(), summary.pool.clone());
         let stale = |known: &KnownSummary| match known.summary.speaker == summary.speaker {
             true => summary.round > known.summary.round,
@@ -49,7 +49,7 @@
         Some(left.into_iter().filter(back).collect())
     }
 
-    /// Keeps what another cell told this node, to be told to the own cell once.
+    /// Keeps what another cell reported to this node, to be reported to the own cell once.
     pub fn relay<'a>(&mut self, summaries: impl Iterator<Item = &'a Summary>) {
         self.relayed.extend(summaries.cloned());
         self.relayed.truncate(MAX_RELAYED);
--- a/components/membership/tests/common/mod.rs
+++ b/components/membership/tests/common/mod.rs
@@ -18,7 +18,7 @@
     pub alive: bool,
     pub leaving: BTreeMap<String, Duration>,
     pub version: Version,
-    pub heard_version: i64,
+    pub received_version: i64,
     pub reads: Vec<String>,
 }
 
@@ -56,7 +56,7 @@
             alive: true,
             leaving: BTreeMap::new(),
             version: Version::default(),
-            heard_version: 0,
+            received_version: 0,
             reads: Vec::new(),
         });
         n
@@ -96,7 +96,7 @@
                 Output::ReadLoads(names) => self.peers[n].reads = names,
                 Output::ConfigHeard(_, version) => {
                     let peer = &mut self.peers[n];
-                    peer.heard_version = peer.heard_version.max(version.number);
+                    peer.received_version = peer.received_version.max(version.number);
                 }
                 _ => {}
             }
--- a/components/membership/tests/promises.rs
+++ b/components/membership/tests/promises.rs
@@ -95,12 +95,12 @@
         net.run(Duration::from_secs(3));
         net.wire.loss = 0.3;
         let name = ENDPOINTS[net.rng.random_range(0..ENDPOINTS.len())];
-        let told = net.rng.random_range(0..net.peers.len());
+        let reported = net.rng.random_range(0..net.peers.len());
         let now = net.now;
-        let outputs = net.peers[told]
+        let outputs = net.peers[reported]
             .cell
             .notice(now, name, Duration::from_secs(30));
-        net.outputs(told, outputs);
+        net.outputs(reported, outputs);
         net.run(LEAVE_KNOWN);
         net.peers.iter().all(|p| p.leaving.contains_key(name))
     });
@@ -189,20 +189,20 @@
             hash: "h5".into(),
         };
         net.peers[first].cell.set_config(now, version.clone());
-        net.peers[first].heard_version = 5;
+        net.peers[first].received_version = 5;
         let until = now + VERSION_KNOWN;
         while net.now < until {
             net.step();
-            // A node that hears of a version fetches it and tells it on.
+            // A node that learns of a version fetches it and passes it on.
             for n in 0..9 {
-                if net.peers[n].heard_version == 5 && net.peers[n].version.number < 5 {
+                if net.peers[n].received_version == 5 && net.peers[n].version.number < 5 {
                     net.peers[n].version = version.clone();
                     let now = net.now;
                     net.peers[n].cell.set_config(now, version.clone());
                 }
             }
         }
-        net.peers.iter().all(|p| p.heard_version == 5)
+        net.peers.iter().all(|p| p.received_version == 5)
     });
 }
 
@@ -238,7 +238,7 @@
     let knows = |p: &common::Peer| {
         p.cell
             .members()
-            .any(|m| m.news.name == "n1" && m.news.state == MemberState::LEAVING)
+            .any(|m| m.gossip.name == "n1" && m.gossip.state == MemberState::LEAVING)
     };
     assert!(net
         .peers
--- a/components/node/src/attempt.rs
+++ b/components/node/src/attempt.rs
@@ -1,4 +1,4 @@
-//! Attempts: each runs on a thread of its own and tells the request's thread what comes.
+//! Attempts: each runs on a thread of its own and reports the request's thread what comes.
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -16,7 +16,7 @@
 /// Stack of an attempt's thread, in bytes: it holds little more than a line of the answer.
 const STACK_BYTES: usize = 128 * 1024;
 
-/// What a request's thread is told.
+/// What a request's thread receives.
 #[derive(Debug)]
 pub enum RunEvent {
     /// The gate lets the request in.
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -12,7 +12,7 @@
 use provider::{body_hash, Notice};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use routing::{CacheEvent, CacheNews, Reading};
+use routing::{CacheEvent, CacheGossip, Reading};
 use schema::messages::{Packet, Summary};
 use schema::settings::{Configuration, PoolKind};
 use slog::{error, info, warn};
@@ -32,7 +32,7 @@
 /// Time between two updates of what `status` shows.
 const STATUS_INTERVAL: Duration = Duration::from_millis(500);
 
-/// What the control thread is told.
+/// What the control thread is reported.
 #[derive(Debug)]
 pub enum ControlEvent {
     /// Something for the control state.
@@ -41,7 +41,7 @@
     Notices(Option<Vec<Notice>>),
     /// The cloud answered with its list, or did not answer.
     Listed(Option<Vec<Contact>>),
-    /// An engine told of changes of its cache.
+    /// An engine reported changes of its cache.
     Cache {
         /// Endpoint.
         endpoint: String,
@@ -207,12 +207,12 @@
         let mut traffic = self.shared.traffic();
         for change in changes {
             let sequence = change.sequence;
-            let news = match change {
-                c if c.cleared => CacheNews::Cleared,
-                c if c.evicted.is_empty() => CacheNews::Stored(c.stored),
-                c => CacheNews::Evicted(c.evicted),
+            let gossip = match change {
+                c if c.cleared => CacheGossip::Cleared,
+                c if c.evicted.is_empty() => CacheGossip::Stored(c.stored),
+                c => CacheGossip::Evicted(c.evicted),
             };
-            let event = CacheEvent { sequence, news };
+            let event = CacheEvent { sequence, gossip };
             traffic.router.cache_event(endpoint, &event);
         }
     }
--- a/components/node/src/jobs.rs
+++ b/components/node/src/jobs.rs
@@ -31,7 +31,7 @@
     pub endpoint: String,
     /// Address.
     pub address: String,
-    /// Whether it is a model engine, which tells of its prefix cache.
+    /// Whether it is a model engine, which reports its prefix cache.
     pub has_cache: bool,
 }
 
@@ -123,7 +123,7 @@
     }
 }
 
-// What an engine tells of its cache. A plain service is never asked: the call would be one of its
+// What an engine reports of its cache. A plain service is never asked: the call would be one of its
 // own. Each worker asks from where it
 // was itself: an event that comes twice changes nothing.
 fn read_cache(
--- a/components/node/src/moves.rs
+++ b/components/node/src/moves.rs
@@ -24,7 +24,7 @@
         self.due.insert(endpoint.to_string(), now + wait);
     }
 
-    /// Plans the streams of all endpoints that are due, and tells their threads.
+    /// Plans the streams of all endpoints that are due, and reports their threads.
     pub fn plan_due(&mut self, now: Duration, traffic: &Traffic) {
         let due: Vec<String> = self
             .due
--- a/components/node/src/traffic.rs
+++ b/components/node/src/traffic.rs
@@ -50,7 +50,7 @@
     pub repeatable: bool,
     /// Whether it is a model stream.
     pub streams: bool,
-    /// Where its thread is told of news.
+    /// Where its thread is reported gossip.
     pub events: Sender<RunEvent>,
 }
 
@@ -165,7 +165,7 @@
             .collect()
     }
 
-    /// Asks a pool's gate for admission; a waiter is told by [`RunEvent::Admitted`].
+    /// Asks a pool's gate for admission; a waiter is reported by [`RunEvent::Admitted`].
     pub fn enter(
         &mut self,
         now: Duration,
@@ -229,7 +229,7 @@
         }
     }
 
-    /// Chooses an endpoint, notes the request as sent there, and tells its address.
+    /// Chooses an endpoint, notes the request as sent there, and reports its address.
     pub fn route(&mut self, now: Duration, ask: &Ask<'_>) -> Option<(Decision, String)> {
         let decision = self.router.choose(now, ask, &mut self.rng)?;
         let endpoint = &decision.chosen.endpoint;
--- a/components/replay/src/report.rs
+++ b/components/replay/src/report.rs
@@ -22,9 +22,9 @@
 pub struct Report {
     /// Figures by class: interactive, standard, batch.
     pub classes: [ClassReport; 3],
-    /// Accepted requests without their whole answer, except those whose outcome is told as unknown.
+    /// Accepted requests without their whole answer, except those whose outcome is reported as unknown.
     pub lost: u64,
-    /// Non-repeatable requests told as "outcome unknown".
+    /// Non-repeatable requests reported as "outcome unknown".
     pub unknown: u64,
     /// Parts that came twice, out of order or from another answer.
     pub wrong_parts: u64,
--- a/components/replay/src/trace.rs
+++ b/components/replay/src/trace.rs
@@ -150,14 +150,15 @@
 /// Reads a trace; blank lines and lines that start with `#` are skipped.
 pub fn parse(text: &str) -> Result<Vec<Line>, TraceError> {
     let lines = text.lines().enumerate();
-    let told = lines.filter(|(_, line)| !line.trim().is_empty() && !line.starts_with('#'));
-    told.map(|(n, line)| {
-        serde_json::from_str(line).map_err(|e| TraceError {
-            line: n + 1,
-            message: e.to_string(),
+    let reported = lines.filter(|(_, line)| !line.trim().is_empty() && !line.starts_with('#'));
+    reported
+        .map(|(n, line)| {
+            serde_json::from_str(line).map_err(|e| TraceError {
+                line: n + 1,
+                message: e.to_string(),
+            })
         })
-    })
-    .collect()
+        .collect()
 }
 
 /// Writes a trace.
--- a/components/replay/src/world/reclaim.rs
+++ b/components/replay/src/world/reclaim.rs
@@ -27,12 +27,12 @@
             self.push(gone_at, Happening::Gone(*engine));
         }
         for node in 0..self.nodes.len() {
-            let news = if node == 0 {
+            let gossip = if node == 0 {
                 Duration::ZERO
             } else {
                 NEWS_DELAY
             };
-            let at = self.now + NOTICE_DELAY + news;
+            let at = self.now + NOTICE_DELAY + gossip;
             self.push(
                 at,
                 Happening::Learned {
--- a/components/replica/src/follower.rs
+++ b/components/replica/src/follower.rs
@@ -13,9 +13,9 @@
 /// Longest such pause.
 const LONGEST_PAUSE: Duration = Duration::from_millis(600);
 
-/// What another gateway tells of a topic.
+/// What another gateway reports a topic.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Told {
+pub struct Digest {
     /// Revision after which nothing changed, as far as it knows.
     pub changed_at: u64,
     /// Revision up to which it knows all changes.
@@ -34,18 +34,18 @@
         /// Time for which the call is held.
         hold: Duration,
     },
-    /// Take the changes from the gateway that told of newer ones.
+    /// Take the changes from the gateway that reported newer ones.
     Pull,
-    /// Nothing until others tell of changes, or this time has passed.
+    /// Nothing until others report changes, or this time has passed.
     Rest(Duration),
 }
 
-/// Who is asked first for a change that another gateway told of.
+/// Who is asked first for a change that another gateway reported.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
     /// The store: for large rows, which would fill the links between gateways.
     Store,
-    /// The gateway that told of it.
+    /// The gateway that reported it.
     Peer,
 }
 
@@ -56,7 +56,7 @@
     hold: Duration,
     stale: Duration,
     confirmed_at: Option<Duration>,
-    newer_told: Option<u64>,
+    newer_reported: Option<u64>,
     // The store cannot be asked, or the last gateway that was asked gave nothing.
     store_failures: u32,
     pull_failed: bool,
@@ -71,7 +71,7 @@
             hold: Duration::ZERO,
             stale: Duration::ZERO,
             confirmed_at: None,
-            newer_told: None,
+            newer_reported: None,
             store_failures: 0,
             pull_failed: false,
             store_next_at: Duration::ZERO,
@@ -86,7 +86,7 @@
         self.stale = change_due.mul_f64(STALE_PART);
     }
 
-    /// Sets who is asked first for a change that another gateway told of.
+    /// Sets who is asked first for a change that another gateway reported.
     pub fn set_first(&mut self, first: Source) {
         self.first = first;
     }
@@ -107,7 +107,7 @@
             return Step::List;
         }
         // After a failure, and where others confirm, the store is asked how things stand now.
-        let may_hold = watches && self.store_failures == 0 && self.newer_told.is_none();
+        let may_hold = watches && self.store_failures == 0 && self.newer_reported.is_none();
         let hold = match may_hold {
             true => self.hold,
             false => Duration::ZERO,
@@ -125,26 +125,27 @@
         self.confirmed_at
     }
 
-    /// Another gateway told of a change that is not known here.
-    pub fn newer_told(&mut self, changed_at: u64) {
-        if self.newer_told.is_none_or(|known| known < changed_at) {
-            self.newer_told = Some(changed_at);
+    /// Another gateway reported a change that is not known here.
+    pub fn newer_reported(&mut self, changed_at: u64) {
+        if self.newer_reported.is_none_or(|known| known < changed_at) {
+            self.newer_reported = Some(changed_at);
             self.pull_failed = false;
         }
     }
 
     /// All changes up to a revision are known.
     pub fn caught_up(&mut self, revision: u64) {
-        self.newer_told.take_if(|told| *told <= revision);
+        self.newer_reported
+            .take_if(|reported| *reported <= revision);
         self.pull_failed = false;
     }
 
     /// Whether a change that is not known here can be had of another gateway.
     pub fn may_pull(&self) -> bool {
-        self.newer_told.is_some() && !self.pull_failed
+        self.newer_reported.is_some() && !self.pull_failed
     }
 
-    /// The gateway that told of changes gave none: the store is asked.
+    /// The gateway that reported changes gave none: the store is asked.
     pub fn pull_failed(&mut self) {
         self.pull_failed = true;
     }
@@ -161,7 +162,7 @@
         let pause = FIRST_PAUSE * (1 << self.store_failures.min(4));
         self.store_failures += 1;
         self.store_next_at = now + pause.min(LONGEST_PAUSE);
-        // Whoever tells of changes next may be asked again.
+        // Whoever reports changes next may be asked again.
         self.pull_failed = false;
     }
 
@@ -171,7 +172,7 @@
     }
 
     fn store_due(&self, now: Duration, watches: bool, known: bool) -> Duration {
-        let ask_now = watches || !known || self.newer_told.is_some();
+        let ask_now = watches || !known || self.newer_reported.is_some();
         let due = match self.confirmed_at {
             Some(at) if !ask_now => at + self.stale,
             _ => now,
--- a/components/replica/src/table.rs
+++ b/components/replica/src/table.rs
@@ -16,7 +16,7 @@
 /// Dropped rows that are remembered at most; a reader behind the oldest of them gets all rows.
 const MOST_DROPPED: usize = 512;
 
-/// Rows by key, dropped ones included, so that older news never undo newer ones.
+/// Rows by key, dropped ones included, so that older gossip never undoes newer ones.
 #[derive(Debug, Default)]
 pub struct Table {
     rows: BTreeMap<String, Change>,
@@ -34,7 +34,7 @@
     }
 
     /// Revision after which nothing changed up to [`Table::known_to`]: that of the newest change, or of
-    /// the list that this copy began with, which does not tell when the rows it lacks were dropped.
+    /// the list that this copy began with, which does not show when the rows it lacks were dropped.
     pub fn changed_at(&self) -> u64 {
         let revisions = self.rows.values().map(|row| row.revision);
         revisions.max().unwrap_or(0).max(self.base)
@@ -52,16 +52,16 @@
 
     /// Takes changes up to a revision and returns those that were not known.
     pub fn take(&mut self, changes: Vec<Change>, known_to: u64) -> Vec<Change> {
-        let news: Vec<Change> = changes
+        let gossip: Vec<Change> = changes
             .into_iter()
-            .filter(|change| self.is_news(change))
+            .filter(|change| self.is_newer(change))
             .collect();
-        for change in &news {
+        for change in &gossip {
             self.rows.insert(change.key.clone(), change.clone());
         }
         self.advance(known_to);
         self.forget_dropped();
-        news
+        gossip
     }
 
     /// Takes all rows as they stood at a revision and returns what changed; rows that are not
@@ -83,9 +83,9 @@
         }
         self.base = self.base.max(known_to);
         self.restarted = false;
-        let mut news = dropped;
-        news.extend(self.take(rows, known_to));
-        news
+        let mut gossip = dropped;
+        gossip.extend(self.take(rows, known_to));
+        gossip
     }
 
     /// The changes after a revision, or `None` if not all of them are known.
@@ -118,7 +118,7 @@
         self.known_to.is_some() && !self.restarted
     }
 
-    fn is_news(&self, change: &Change) -> bool {
+    fn is_newer(&self, change: &Change) -> bool {
         let known = self.rows.get(&change.key);
         known.is_none_or(|known| known.revision < change.revision)
     }
--- a/components/replica/tests/following.rs
+++ b/components/replica/tests/following.rs
@@ -1,4 +1,4 @@
-//! Who is asked for news of the store, and when.
+//! Who is asked for changes of the store, and when.
 
 use std::time::Duration;
 
@@ -61,10 +61,10 @@
 }
 
 #[test]
-fn a_change_is_taken_from_whoever_told_of_it_and_else_from_the_store() {
+fn a_change_is_taken_from_whoever_reported_it_and_else_from_the_store() {
     let mut follower = follower(Source::Peer);
     follower.confirmed(ms(0));
-    follower.newer_told(7);
+    follower.newer_reported(7);
     assert_eq!(follower.step(ms(1), false, true), Step::Pull);
     follower.pull_failed();
     let step = follower.step(ms(2), false, true);
@@ -80,9 +80,9 @@
 }
 
 #[test]
-fn an_answer_of_the_store_that_is_older_than_what_was_told_ends_nothing() {
+fn an_answer_of_the_store_that_is_older_than_what_was_reported_ends_nothing() {
     let mut follower = follower(Source::Peer);
-    follower.newer_told(7);
+    follower.newer_reported(7);
     follower.store_answered(6);
     assert_eq!(follower.step(ms(1), false, true), Step::Pull);
 }
@@ -91,7 +91,7 @@
 fn large_rows_come_from_the_store_and_from_others_only_if_it_does_not_answer() {
     let mut follower = follower(Source::Store);
     follower.confirmed(ms(0));
-    follower.newer_told(7);
+    follower.newer_reported(7);
     let step = follower.step(ms(1), false, true);
     assert_eq!(
         step,
--- a/components/replica/tests/tables.rs
+++ b/components/replica/tests/tables.rs
@@ -45,8 +45,8 @@
 fn a_row_that_is_not_listed_any_more_was_dropped_unless_it_is_newer_than_the_list() {
     let mut table = Table::default();
     table.take(vec![change(1, Some(1), 3), change(2, Some(1), 12)], 12);
-    let news = table.take_all(vec![change(3, Some(1), 7)], 10);
-    assert_eq!(news, [change(1, None, 10), change(3, Some(1), 7)]);
+    let gossip = table.take_all(vec![change(3, Some(1), 7)], 10);
+    assert_eq!(gossip, [change(1, None, 10), change(3, Some(1), 7)]);
     let standing = table.standing();
     assert_eq!(standing, [change(2, Some(1), 12), change(3, Some(1), 7)]);
 }
@@ -96,7 +96,7 @@
 }
 
 #[test]
-fn dropped_rows_are_forgotten_in_the_end_and_the_readers_told() {
+fn dropped_rows_are_forgotten_in_the_end_and_the_readers_know() {
     let mut table = Table::default();
     for revision in 1..=5000 {
         let dropped = Change {
--- a/components/rollout/src/gate.rs
+++ b/components/rollout/src/gate.rs
@@ -81,7 +81,7 @@
     }
 
     /// The holder said at a time on the own clock how far the order with this revision is. A decision stays.
-    pub fn hear(&mut self, at: Duration, revision: u64, stage: Stage) {
+    pub fn receive(&mut self, at: Duration, revision: u64, stage: Stage) {
         let is_known = self.stage.is_some_and(|(_, known)| known > at);
         if revision != self.order.revision || is_known || self.decision().is_some() {
             return;
--- a/components/rollout/src/plan.rs
+++ b/components/rollout/src/plan.rs
@@ -52,7 +52,7 @@
 pub enum Step {
     /// Tell the stage.
     Tell(Stage),
-    /// Write the decision, then tell it.
+    /// Write the decision, then report it.
     Decide(Decision, Judgement),
 }
 
--- a/components/rollout/tests/common/mod.rs
+++ b/components/rollout/tests/common/mod.rs
@@ -120,7 +120,9 @@
                         Stage::Decided(decision)
                     }
                 };
-                gates.iter_mut().for_each(|gate| gate.hear(now, 7, stage));
+                gates
+                    .iter_mut()
+                    .for_each(|gate| gate.receive(now, 7, stage));
             }
             let gate = &mut gates[rng.random_range(0..GATEWAYS)];
             let route = u64::from(rng.random::<f64>() < 0.19);
--- a/components/rollout/tests/promises.rs
+++ b/components/rollout/tests/promises.rs
@@ -119,7 +119,7 @@
 fn without_word_of_the_holder_nothing_goes_to_the_ordered_version() {
     let mut gate = Gate::new(order(Duration::from_secs(12)));
     assert_eq!(lane(&gate, Duration::ZERO), Lane::Not("v2".into()));
-    gate.hear(Duration::ZERO, 7, Stage::SwitchAll);
+    gate.receive(Duration::ZERO, 7, Stage::SwitchAll);
     assert_eq!(lane(&gate, Duration::from_secs(1)), Lane::Only("v2".into()));
     assert_eq!(lane(&gate, Duration::from_secs(3)), Lane::Not("v2".into()));
 }
@@ -127,8 +127,8 @@
 #[test]
 fn a_decision_stays_whoever_says_otherwise_later() {
     let mut gate = Gate::new(order(Duration::from_secs(12)));
-    gate.hear(Duration::ZERO, 7, Stage::Decided(Decision::Completed));
-    gate.hear(Duration::from_secs(1), 7, Stage::Sample);
+    gate.receive(Duration::ZERO, 7, Stage::Decided(Decision::Completed));
+    gate.receive(Duration::from_secs(1), 7, Stage::Sample);
     assert_eq!(gate.decision(), Some(Decision::Completed));
     assert_eq!(
         lane(&gate, Duration::from_secs(60)),
@@ -139,14 +139,14 @@
 #[test]
 fn word_of_another_order_says_nothing() {
     let mut gate = Gate::new(order(Duration::from_secs(12)));
-    gate.hear(Duration::ZERO, 6, Stage::Decided(Decision::Completed));
+    gate.receive(Duration::ZERO, 6, Stage::Decided(Decision::Completed));
     assert_eq!(gate.decision(), None);
 }
 
 #[test]
 fn a_repeat_never_goes_to_a_version_that_is_not_proven() {
     let mut gate = Gate::new(order(Duration::from_secs(12)));
-    gate.hear(Duration::ZERO, 7, Stage::Sample);
+    gate.receive(Duration::ZERO, 7, Stage::Sample);
     let now = Duration::from_millis(1);
     let lane = |is_repeat| {
         let request = Request {
@@ -162,7 +162,7 @@
 #[test]
 fn long_requests_switch_before_the_others() {
     let mut gate = Gate::new(order(Duration::from_secs(12)));
-    gate.hear(Duration::ZERO, 7, Stage::SwitchLong);
+    gate.receive(Duration::ZERO, 7, Stage::SwitchLong);
     let now = Duration::from_millis(1);
     let lane = |runs_long| {
         let request = Request {
@@ -178,10 +178,10 @@
 #[test]
 fn what_the_holder_said_long_ago_holds_no_more_however_it_came() {
     let mut gate = Gate::new(order(Duration::from_secs(12)));
-    gate.hear(Duration::from_secs(1), 7, Stage::SwitchAll);
+    gate.receive(Duration::from_secs(1), 7, Stage::SwitchAll);
     assert_eq!(lane(&gate, Duration::from_secs(4)), Lane::Not("v2".into()));
     // Nor does it hide what was said later.
-    gate.hear(Duration::from_secs(4), 7, Stage::Sample);
-    gate.hear(Duration::from_secs(2), 7, Stage::SwitchAll);
+    gate.receive(Duration::from_secs(4), 7, Stage::Sample);
+    gate.receive(Duration::from_secs(2), 7, Stage::SwitchAll);
     assert_eq!(gate.stage(Duration::from_secs(5)), Some(Stage::Sample));
 }
--- a/components/routing/src/belief.rs
+++ b/components/routing/src/belief.rs
@@ -15,7 +15,7 @@
 
 /// A change of an endpoint's cache.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum CacheNews {
+pub enum CacheGossip {
     /// Blocks were stored.
     Stored(Vec<u64>),
     /// Blocks were evicted.
@@ -30,7 +30,7 @@
     /// Counter of the endpoint, without holes at the source.
     pub sequence: u64,
     /// What changed.
-    pub news: CacheNews,
+    pub gossip: CacheGossip,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -95,10 +95,10 @@
             self.forget(endpoint);
         }
         self.progress.entry(endpoint).or_default().next_sequence = Some(event.sequence + 1);
-        match &event.news {
-            CacheNews::Stored(blocks) => self.store(endpoint, blocks),
-            CacheNews::Evicted(blocks) => self.evict(endpoint, blocks),
-            CacheNews::Cleared => self.forget(endpoint),
+        match &event.gossip {
+            CacheGossip::Stored(blocks) => self.store(endpoint, blocks),
+            CacheGossip::Evicted(blocks) => self.evict(endpoint, blocks),
+            CacheGossip::Cleared => self.forget(endpoint),
         }
     }
 
@@ -162,8 +162,8 @@
         best
     }
 
-    fn event(sequence: u64, news: CacheNews) -> CacheEvent {
-        CacheEvent { sequence, news }
+    fn event(sequence: u64, gossip: CacheGossip) -> CacheEvent {
+        CacheEvent { sequence, gossip }
     }
 
     #[test]
@@ -178,8 +178,8 @@
     #[test]
     fn a_gap_drops_what_was_believed() {
         let mut belief = Belief::default();
-        belief.take_event(1, &event(5, CacheNews::Stored(vec![10])));
-        belief.take_event(1, &event(7, CacheNews::Stored(vec![11])));
+        belief.take_event(1, &event(5, CacheGossip::Stored(vec![10])));
+        belief.take_event(1, &event(7, CacheGossip::Stored(vec![11])));
         assert_eq!(depth(&belief, 1, &[10]), 0);
         assert_eq!(depth(&belief, 1, &[11]), 1);
     }
@@ -187,9 +187,9 @@
     #[test]
     fn late_and_doubled_events_change_nothing() {
         let mut belief = Belief::default();
-        belief.take_event(1, &event(5, CacheNews::Stored(vec![10])));
-        belief.take_event(1, &event(6, CacheNews::Evicted(vec![10])));
-        belief.take_event(1, &event(5, CacheNews::Stored(vec![10])));
+        belief.take_event(1, &event(5, CacheGossip::Stored(vec![10])));
+        belief.take_event(1, &event(6, CacheGossip::Evicted(vec![10])));
+        belief.take_event(1, &event(5, CacheGossip::Stored(vec![10])));
         assert_eq!(depth(&belief, 1, &[10]), 0);
     }
 
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -14,7 +14,7 @@
 mod score;
 
 pub use baseline::Policy;
-pub use belief::{Belief, CacheEvent, CacheNews};
+pub use belief::{Belief, CacheEvent, CacheGossip};
 pub use decision::{Ask, Candidate, Decision};
 pub use endpoint::{EndpointState, Reading};
 pub use prompt::{Prompt, BLOCK_BYTES, BYTES_PER_TOKEN};
--- a/components/routing/src/placement.rs
+++ b/components/routing/src/placement.rs
@@ -1,8 +1,8 @@
 //! Placement of requests on endpoints that other gateways send to as well.
 //!
 //! Each gateway keeps a board: for every endpoint the prompts ahead that are still to be read, the
-//! requests that run there, and the prompt parts it keeps. Gateways tell each other what they sent,
-//! so the boards agree but for the age of the news.
+//! requests that run there, and the prompt parts it keeps. Gateways report to each other what they sent,
+//! so the boards agree but for the age of the gossip.
 
 mod board;
 mod cache;
--- a/components/routing/src/placement/board.rs
+++ b/components/routing/src/placement/board.rs
@@ -33,7 +33,7 @@
     pub weighed: usize,
     /// Whether another gateway placed it, and counts it among what it sent.
     pub counted: bool,
-    /// Version of the endpoint's software; `None` where another gateway placed the request and did not tell it.
+    /// Version of the endpoint's software; `None` where another gateway placed the request and did not report it.
     pub version: Option<String>,
     /// Whether the endpoint is slow from its start, so that its answers say nothing of its version.
     pub is_cold: bool,
@@ -63,7 +63,7 @@
     hashes: HashMap<u64, String>,
     paces: BTreeMap<String, Pace>,
     pub(super) mixes: BTreeMap<String, Mix>,
-    // By weight of prompt: heavy ones are told at once.
+    // By weight of prompt: heavy ones are reported at once.
     unknown_light: Unknown,
     unknown_heavy: Unknown,
     cache_tokens: BTreeMap<String, u64>,
@@ -194,7 +194,7 @@
         ticket
     }
 
-    /// Notes that a request placed here is sent by another gateway, which tells nothing of its end.
+    /// Notes that a request placed here is sent by another gateway, which reports nothing of its end.
     pub fn sent_for_other(&mut self, now: Duration, work: &Work, placement: &Placement) {
         let Some(slot) = self.slot_mut(&placement.endpoint) else {
             return;
@@ -257,14 +257,14 @@
         }
     }
 
-    /// An answer told its endpoint's load.
+    /// An answer reported its endpoint's load.
     pub fn read_load(&mut self, id: &str, reading: Reading) {
         if let Some(slot) = self.slot_mut(id) {
             slot.take_reading(reading);
         }
     }
 
-    /// Another gateway told what it sent.
+    /// Another gateway reported what it sent.
     pub fn peer_sent(&mut self, now: Duration, dispatch: PeerDispatch) {
         let Some(id) = self.id_of(dispatch.endpoint) else {
             return;
--- a/components/routing/src/placement/choice.rs
+++ b/components/routing/src/placement/choice.rs
@@ -11,7 +11,7 @@
 use crate::placement::slot::Slot;
 use crate::placement::{beginnings, Versions, Work};
 
-/// Choices this close are told apart at random, in milliseconds.
+/// Choices this close are distinguished at random, in milliseconds.
 const TIE_MS: f64 = 1.0;
 /// Cost of leaving the data hall: the way there and back, in milliseconds.
 const OTHER_HALL_MS: f64 = 2.0;
@@ -105,7 +105,7 @@
     }
 }
 
-// The one of least cost; those that are as good as it are told apart at random.
+// The one of least cost; those that are as good as it are distinguished at random.
 fn cheapest<'a>(weighed: &'a [Weighed], rng: &mut impl Rng) -> Option<&'a Weighed> {
     let least = weighed.iter().map(|w| w.cost_ms).fold(f64::MAX, f64::min);
     let near = weighed.iter().filter(|w| w.cost_ms <= least + TIE_MS);
--- a/components/routing/src/placement/pace.rs
+++ b/components/routing/src/placement/pace.rs
@@ -78,7 +78,7 @@
         Duration::from_secs_f64(hold_ms / 1000.0)
     }
 
-    /// The first token came `took_ms` after a prompt with nothing ahead was sent. Short prompts tell the
+    /// The first token came `took_ms` after a prompt with nothing ahead was sent. Short prompts show the
     /// time before reading, long ones the rate; the rate of this one is returned.
     pub fn first_token(&mut self, unread_tokens: u32, took_ms: f64) -> Option<f64> {
         if unread_tokens <= START_SAMPLE_TOKENS {
--- a/components/routing/src/placement/slot.rs
+++ b/components/routing/src/placement/slot.rs
@@ -87,7 +87,7 @@
         known.max(self.own) + others
     }
 
-    /// Takes the load that an answer told. An engine tells it once, at the first token; what is known
+    /// Takes the load that an answer reported. An engine reports it once, at the first token; what is known
     /// of each request and its expected end says more.
     pub fn take_reading(&mut self, reading: Reading) {
         if self.is_engine {
--- a/components/routing/src/placement/unknown.rs
+++ b/components/routing/src/placement/unknown.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-/// Requests that others have sent and not told yet, from the age of what they tell: by Little's law
-/// the sum of the ages told in a second.
+/// Requests that others have sent and not reported yet, from the age of what they report: by Little's law
+/// the sum of the ages reported in a second.
 #[derive(Debug, Default)]
 pub(crate) struct Unknown {
     second: u64,
@@ -12,7 +12,7 @@
 }
 
 impl Unknown {
-    /// Another gateway told a request of this age.
+    /// Another gateway reported a request of this age.
     pub fn note(&mut self, now: Duration, age: Duration) {
         self.count(now);
         self.sum += age.as_secs_f64();
--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -14,7 +14,7 @@
 use crate::rendezvous::weight;
 use crate::score::{estimate, Estimate, PoolView, Rates};
 
-/// Choices this close in score are told apart at random, so that nodes with the same stale
+/// Choices this close in score are distinguished at random, so that nodes with the same stale
 /// reading do not all send to one endpoint.
 const TIE_MS: f64 = 4.0;
 /// Share of an earlier turn's tokens expected at the home when this node did not send that turn.
@@ -297,7 +297,7 @@
 
 type Weighed = (u32, Estimate);
 
-// The best, told from its near equals at random, and the next best.
+// The best, chosen from its near equals at random, and the next best.
 fn best_two(weighed: &[Weighed], rng: &mut impl Rng) -> Option<(Weighed, Option<Weighed>)> {
     let least = weighed
         .iter()
--- a/components/routing/tests/placement.rs
+++ b/components/routing/tests/placement.rs
@@ -191,7 +191,7 @@
 }
 
 #[test]
-fn the_rate_of_engines_is_told_apart_from_the_time_before_they_read() {
+fn the_rate_of_engines_is_distinguished_from_the_time_before_they_read() {
     const START_MS: u64 = 30;
     const RATE: u64 = 150;
     let mut board = board(true, &["a"]);
--- a/components/routing/tests/promises.rs
+++ b/components/routing/tests/promises.rs
@@ -1,4 +1,4 @@
-//! What routing must never do, over random news and requests.
+//! What routing must never do, over random gossip and requests.
 
 use std::time::Duration;
 
--- a/components/schema/src/messages.rs
+++ b/components/schema/src/messages.rs
@@ -302,29 +302,29 @@
 }
 
 //
-// MemberNews
+// MemberGossip
 //
 
-/// News of one node.
+/// Gossip of one node.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct MemberNews {
+pub struct MemberGossip {
     pub name: String,
-    /// Cell the node belongs to: the nodes that tell each other everything.
+    /// Cell the node belongs to: the nodes that report to each other everything.
     pub cell: String,
     pub address: String,
     pub incarnation: i64,
     pub state: MemberState,
 }
 
-impl MemberNews {
+impl MemberGossip {
     pub fn new(
         name: String,
         cell: String,
         address: String,
         incarnation: i64,
         state: MemberState,
-    ) -> MemberNews {
-        MemberNews {
+    ) -> MemberGossip {
+        MemberGossip {
             name,
             cell,
             address,
@@ -334,8 +334,8 @@
     }
 }
 
-impl TSerializable for MemberNews {
-    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<MemberNews> {
+impl TSerializable for MemberGossip {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<MemberGossip> {
         i_prot.read_struct_begin()?;
         let mut f_1: Option<String> = None;
         let mut f_2: Option<String> = None;
@@ -376,12 +376,12 @@
             i_prot.read_field_end()?;
         }
         i_prot.read_struct_end()?;
-        verify_required_field_exists("MemberNews.name", &f_1)?;
-        verify_required_field_exists("MemberNews.cell", &f_2)?;
-        verify_required_field_exists("MemberNews.address", &f_3)?;
-        verify_required_field_exists("MemberNews.incarnation", &f_4)?;
-        verify_required_field_exists("MemberNews.state", &f_5)?;
-        let ret = MemberNews {
+        verify_required_field_exists("MemberGossip.name", &f_1)?;
+        verify_required_field_exists("MemberGossip.cell", &f_2)?;
+        verify_required_field_exists("MemberGossip.address", &f_3)?;
+        verify_required_field_exists("MemberGossip.incarnation", &f_4)?;
+        verify_required_field_exists("MemberGossip.state", &f_5)?;
+        let ret = MemberGossip {
             name: f_1
                 .expect("auto-generated code should have checked for presence of required fields"),
             cell: f_2
@@ -396,7 +396,7 @@
         Ok(ret)
     }
     fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
-        let struct_ident = TStructIdentifier::new("MemberNews");
+        let struct_ident = TStructIdentifier::new("MemberGossip");
         o_prot.write_struct_begin(&struct_ident)?;
         o_prot.write_field_begin(&TFieldIdentifier::new("name", TType::String, 1))?;
         o_prot.write_string(&self.name)?;
@@ -419,12 +419,12 @@
 }
 
 //
-// EndpointNews
+// EndpointGossip
 //
 
-/// A reading of one endpoint's load, or news that it leaves.
+/// A reading of one endpoint's load, or gossip that it leaves.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct EndpointNews {
+pub struct EndpointGossip {
     pub name: String,
     /// Incarnation of the endpoint: it grows when its VM is replaced.
     pub incarnation: i64,
@@ -442,7 +442,7 @@
     pub silent: bool,
 }
 
-impl EndpointNews {
+impl EndpointGossip {
     pub fn new<F7>(
         name: String,
         incarnation: i64,
@@ -452,11 +452,11 @@
         age_ms: i32,
         leaving_in_ms: F7,
         silent: bool,
-    ) -> EndpointNews
+    ) -> EndpointGossip
     where
         F7: Into<Option<i32>>,
     {
-        EndpointNews {
+        EndpointGossip {
             name,
             incarnation,
             reading,
@@ -469,8 +469,8 @@
     }
 }
 
-impl TSerializable for EndpointNews {
-    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<EndpointNews> {
+impl TSerializable for EndpointGossip {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<EndpointGossip> {
         i_prot.read_struct_begin()?;
         let mut f_1: Option<String> = None;
         let mut f_2: Option<i64> = None;
@@ -526,14 +526,14 @@
             i_prot.read_field_end()?;
         }
         i_prot.read_struct_end()?;
-        verify_required_field_exists("EndpointNews.name", &f_1)?;
-        verify_required_field_exists("EndpointNews.incarnation", &f_2)?;
-        verify_required_field_exists("EndpointNews.reading", &f_3)?;
-        verify_required_field_exists("EndpointNews.running", &f_4)?;
-        verify_required_field_exists("EndpointNews.queued", &f_5)?;
-        verify_required_field_exists("EndpointNews.age_ms", &f_6)?;
-        verify_required_field_exists("EndpointNews.silent", &f_8)?;
-        let ret = EndpointNews {
+        verify_required_field_exists("EndpointGossip.name", &f_1)?;
+        verify_required_field_exists("EndpointGossip.incarnation", &f_2)?;
+        verify_required_field_exists("EndpointGossip.reading", &f_3)?;
+        verify_required_field_exists("EndpointGossip.running", &f_4)?;
+        verify_required_field_exists("EndpointGossip.queued", &f_5)?;
+        verify_required_field_exists("EndpointGossip.age_ms", &f_6)?;
+        verify_required_field_exists("EndpointGossip.silent", &f_8)?;
+        let ret = EndpointGossip {
             name: f_1
                 .expect("auto-generated code should have checked for presence of required fields"),
             incarnation: f_2
@@ -553,7 +553,7 @@
         Ok(ret)
     }
     fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
-        let struct_ident = TStructIdentifier::new("EndpointNews");
+        let struct_ident = TStructIdentifier::new("EndpointGossip");
         o_prot.write_struct_begin(&struct_ident)?;
         o_prot.write_field_begin(&TFieldIdentifier::new("name", TType::String, 1))?;
         o_prot.write_string(&self.name)?;
@@ -590,7 +590,7 @@
 // Summary
 //
 
-/// Load of one pool in one cell, told by a speaker of that cell.
+/// Load of one pool in one cell, reported by a speaker of that cell.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Summary {
     pub cell: String,
@@ -877,8 +877,8 @@
     pub probe: Option<i64>,
     /// Node that a ping request asks to be probed.
     pub subject: Option<String>,
-    pub members: Option<Vec<MemberNews>>,
-    pub endpoints: Option<Vec<EndpointNews>>,
+    pub members: Option<Vec<MemberGossip>>,
+    pub endpoints: Option<Vec<EndpointGossip>>,
     pub summaries: Option<Vec<Summary>>,
     pub demands: Option<Vec<TeamDemand>>,
     pub config_version: Option<i64>,
@@ -905,8 +905,8 @@
     where
         F6: Into<Option<i64>>,
         F7: Into<Option<String>>,
-        F8: Into<Option<Vec<MemberNews>>>,
-        F9: Into<Option<Vec<EndpointNews>>>,
+        F8: Into<Option<Vec<MemberGossip>>>,
+        F9: Into<Option<Vec<EndpointGossip>>>,
         F10: Into<Option<Vec<Summary>>>,
         F11: Into<Option<Vec<TeamDemand>>>,
         F12: Into<Option<i64>>,
@@ -940,8 +940,8 @@
         let mut f_5: Option<Kind> = None;
         let mut f_6: Option<i64> = None;
         let mut f_7: Option<String> = None;
-        let mut f_8: Option<Vec<MemberNews>> = None;
-        let mut f_9: Option<Vec<EndpointNews>> = None;
+        let mut f_8: Option<Vec<MemberGossip>> = None;
+        let mut f_9: Option<Vec<EndpointGossip>> = None;
         let mut f_10: Option<Vec<Summary>> = None;
         let mut f_11: Option<Vec<TeamDemand>> = None;
         let mut f_12: Option<i64> = None;
@@ -983,9 +983,9 @@
                 }
                 8 => {
                     let list_ident = i_prot.read_list_begin()?;
-                    let mut val: Vec<MemberNews> = Vec::with_capacity(list_ident.size as usize);
+                    let mut val: Vec<MemberGossip> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_1 = MemberNews::read_from_in_protocol(i_prot)?;
+                        let list_elem_1 = MemberGossip::read_from_in_protocol(i_prot)?;
                         val.push(list_elem_1);
                     }
                     i_prot.read_list_end()?;
@@ -993,9 +993,9 @@
                 }
                 9 => {
                     let list_ident = i_prot.read_list_begin()?;
-                    let mut val: Vec<EndpointNews> = Vec::with_capacity(list_ident.size as usize);
+                    let mut val: Vec<EndpointGossip> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_2 = EndpointNews::read_from_in_protocol(i_prot)?;
+                        let list_elem_2 = EndpointGossip::read_from_in_protocol(i_prot)?;
                         val.push(list_elem_2);
                     }
                     i_prot.read_list_end()?;
@@ -1948,7 +1948,7 @@
     pub unread_tokens: i32,
     /// Hash of the prompt's shared parts, 0 if it has none.
     pub shared_prompt: i64,
-    /// Age when told, in milliseconds.
+    /// Age when reported, in milliseconds.
     pub age_ms: i32,
     /// Time that it is expected to run, in milliseconds.
     pub hold_ms: i32,
@@ -2243,26 +2243,26 @@
 }
 
 //
-// LeaseTold
+// LeaseReport
 //
 
 /// The newest row of the lease, as its holder wrote it.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct LeaseTold {
+pub struct LeaseReport {
     /// Version of the row.
     pub version: i64,
     /// Its epoch.
     pub epoch: i64,
 }
 
-impl LeaseTold {
-    pub fn new(version: i64, epoch: i64) -> LeaseTold {
-        LeaseTold { version, epoch }
+impl LeaseReport {
+    pub fn new(version: i64, epoch: i64) -> LeaseReport {
+        LeaseReport { version, epoch }
     }
 }
 
-impl TSerializable for LeaseTold {
-    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<LeaseTold> {
+impl TSerializable for LeaseReport {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<LeaseReport> {
         i_prot.read_struct_begin()?;
         let mut f_1: Option<i64> = None;
         let mut f_2: Option<i64> = None;
@@ -2288,9 +2288,9 @@
             i_prot.read_field_end()?;
         }
         i_prot.read_struct_end()?;
-        verify_required_field_exists("LeaseTold.version", &f_1)?;
-        verify_required_field_exists("LeaseTold.epoch", &f_2)?;
-        let ret = LeaseTold {
+        verify_required_field_exists("LeaseReport.version", &f_1)?;
+        verify_required_field_exists("LeaseReport.epoch", &f_2)?;
+        let ret = LeaseReport {
             version: f_1
                 .expect("auto-generated code should have checked for presence of required fields"),
             epoch: f_2
@@ -2299,7 +2299,7 @@
         Ok(ret)
     }
     fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
-        let struct_ident = TStructIdentifier::new("LeaseTold");
+        let struct_ident = TStructIdentifier::new("LeaseReport");
         o_prot.write_struct_begin(&struct_ident)?;
         o_prot.write_field_begin(&TFieldIdentifier::new("version", TType::I64, 1))?;
         o_prot.write_i64(self.version)?;
@@ -2313,12 +2313,12 @@
 }
 
 //
-// GatewayNews
+// Gossip
 //
 
-/// What a gateway tells the others.
+/// What a gateway reports to the others.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct GatewayNews {
+pub struct Gossip {
     /// Name of the sender.
     pub gateway: String,
     /// Start of the sender's process, in milliseconds since 1970.
@@ -2344,7 +2344,7 @@
     /// How long the sender's process has run, in milliseconds.
     pub uptime_ms: Option<i64>,
     /// Row of the lease that the sender holds.
-    pub lease: Option<LeaseTold>,
+    pub lease: Option<LeaseReport>,
     /// Newest epoch of the lease that the sender gave up; it has no order of that epoch under way.
     pub lease_given_up: Option<i64>,
     /// Data hall of the sender.
@@ -2364,12 +2364,12 @@
     /// Usage of gateways for which the sender decides.
     pub forwarded: Option<Vec<Box<SourceUsage>>>,
     /// Roll-outs as their holder said, or as the sender heard it.
-    pub rollouts: Option<Vec<Box<RolloutTold>>>,
+    pub rollouts: Option<Vec<Box<RolloutReport>>>,
     /// What the sender saw endpoints answer since a roll-out was ordered; for the holder.
-    pub evidence: Option<Vec<Box<EvidenceTold>>>,
+    pub evidence: Option<Vec<Box<EvidenceReport>>>,
 }
 
-impl GatewayNews {
+impl Gossip {
     pub fn new<F10, F11, F12, F13, F14, F15, F16, F17, F18, F19, F20, F21, F22, F23, F24>(
         gateway: String,
         incarnation: i64,
@@ -2395,12 +2395,12 @@
         forwarded: F22,
         rollouts: F23,
         evidence: F24,
-    ) -> GatewayNews
+    ) -> Gossip
     where
         F10: Into<Option<Vec<TopicHead>>>,
         F11: Into<Option<bool>>,
         F12: Into<Option<i64>>,
-        F13: Into<Option<LeaseTold>>,
+        F13: Into<Option<LeaseReport>>,
         F14: Into<Option<i64>>,
         F15: Into<Option<String>>,
         F16: Into<Option<i32>>,
@@ -2410,10 +2410,10 @@
         F20: Into<Option<i32>>,
         F21: Into<Option<String>>,
         F22: Into<Option<Vec<Box<SourceUsage>>>>,
-        F23: Into<Option<Vec<Box<RolloutTold>>>>,
-        F24: Into<Option<Vec<Box<EvidenceTold>>>>,
+        F23: Into<Option<Vec<Box<RolloutReport>>>>,
+        F24: Into<Option<Vec<Box<EvidenceReport>>>>,
     {
-        GatewayNews {
+        Gossip {
             gateway,
             incarnation,
             sequence,
@@ -2442,8 +2442,8 @@
     }
 }
 
-impl TSerializable for GatewayNews {
-    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<GatewayNews> {
+impl TSerializable for Gossip {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Gossip> {
         i_prot.read_struct_begin()?;
         let mut f_1: Option<String> = None;
         let mut f_2: Option<i64> = None;
@@ -2457,7 +2457,7 @@
         let mut f_10: Option<Vec<TopicHead>> = None;
         let mut f_11: Option<bool> = None;
         let mut f_12: Option<i64> = None;
-        let mut f_13: Option<LeaseTold> = None;
+        let mut f_13: Option<LeaseReport> = None;
         let mut f_14: Option<i64> = None;
         let mut f_15: Option<String> = None;
         let mut f_16: Option<i32> = None;
@@ -2467,8 +2467,8 @@
         let mut f_20: Option<i32> = None;
         let mut f_21: Option<String> = None;
         let mut f_22: Option<Vec<Box<SourceUsage>>> = None;
-        let mut f_23: Option<Vec<Box<RolloutTold>>> = None;
-        let mut f_24: Option<Vec<Box<EvidenceTold>>> = None;
+        let mut f_23: Option<Vec<Box<RolloutReport>>> = None;
+        let mut f_24: Option<Vec<Box<EvidenceReport>>> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -2556,7 +2556,7 @@
                     f_12 = Some(val);
                 }
                 13 => {
-                    let val = LeaseTold::read_from_in_protocol(i_prot)?;
+                    let val = LeaseReport::read_from_in_protocol(i_prot)?;
                     f_13 = Some(val);
                 }
                 14 => {
@@ -2604,10 +2604,10 @@
                 }
                 23 => {
                     let list_ident = i_prot.read_list_begin()?;
-                    let mut val: Vec<Box<RolloutTold>> =
+                    let mut val: Vec<Box<RolloutReport>> =
                         Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_16 = Box::new(RolloutTold::read_from_in_protocol(i_prot)?);
+                        let list_elem_16 = Box::new(RolloutReport::read_from_in_protocol(i_prot)?);
                         val.push(list_elem_16);
                     }
                     i_prot.read_list_end()?;
@@ -2615,10 +2615,10 @@
                 }
                 24 => {
                     let list_ident = i_prot.read_list_begin()?;
-                    let mut val: Vec<Box<EvidenceTold>> =
+                    let mut val: Vec<Box<EvidenceReport>> =
                         Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_17 = Box::new(EvidenceTold::read_from_in_protocol(i_prot)?);
+                        let list_elem_17 = Box::new(EvidenceReport::read_from_in_protocol(i_prot)?);
                         val.push(list_elem_17);
                     }
                     i_prot.read_list_end()?;
@@ -2631,16 +2631,16 @@
             i_prot.read_field_end()?;
         }
         i_prot.read_struct_end()?;
-        verify_required_field_exists("GatewayNews.gateway", &f_1)?;
-        verify_required_field_exists("GatewayNews.incarnation", &f_2)?;
-        verify_required_field_exists("GatewayNews.sequence", &f_3)?;
-        verify_required_field_exists("GatewayNews.dispatches", &f_4)?;
-        verify_required_field_exists("GatewayNews.usage", &f_5)?;
-        verify_required_field_exists("GatewayNews.taken", &f_6)?;
-        verify_required_field_exists("GatewayNews.lease_epoch", &f_7)?;
-        verify_required_field_exists("GatewayNews.peers", &f_8)?;
-        verify_required_field_exists("GatewayNews.stopping", &f_9)?;
-        let ret = GatewayNews {
+        verify_required_field_exists("Gossip.gateway", &f_1)?;
+        verify_required_field_exists("Gossip.incarnation", &f_2)?;
+        verify_required_field_exists("Gossip.sequence", &f_3)?;
+        verify_required_field_exists("Gossip.dispatches", &f_4)?;
+        verify_required_field_exists("Gossip.usage", &f_5)?;
+        verify_required_field_exists("Gossip.taken", &f_6)?;
+        verify_required_field_exists("Gossip.lease_epoch", &f_7)?;
+        verify_required_field_exists("Gossip.peers", &f_8)?;
+        verify_required_field_exists("Gossip.stopping", &f_9)?;
+        let ret = Gossip {
             gateway: f_1
                 .expect("auto-generated code should have checked for presence of required fields"),
             incarnation: f_2
@@ -2678,7 +2678,7 @@
         Ok(ret)
     }
     fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
-        let struct_ident = TStructIdentifier::new("GatewayNews");
+        let struct_ident = TStructIdentifier::new("Gossip");
         o_prot.write_struct_begin(&struct_ident)?;
         o_prot.write_field_begin(&TFieldIdentifier::new("gateway", TType::String, 1))?;
         o_prot.write_string(&self.gateway)?;
@@ -2834,12 +2834,12 @@
 }
 
 //
-// RolloutTold
+// RolloutReport
 //
 
 /// A roll-out, as the holder of the lease says.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct RolloutTold {
+pub struct RolloutReport {
     pub service_name: String,
     /// Revision of its order.
     pub revision: i64,
@@ -2850,15 +2850,15 @@
     pub holder: String,
 }
 
-impl RolloutTold {
+impl RolloutReport {
     pub fn new(
         service_name: String,
         revision: i64,
         stage: RolloutStage,
         age_ms: i32,
         holder: String,
-    ) -> RolloutTold {
-        RolloutTold {
+    ) -> RolloutReport {
+        RolloutReport {
             service_name,
             revision,
             stage,
@@ -2868,8 +2868,8 @@
     }
 }
 
-impl TSerializable for RolloutTold {
-    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<RolloutTold> {
+impl TSerializable for RolloutReport {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<RolloutReport> {
         i_prot.read_struct_begin()?;
         let mut f_1: Option<String> = None;
         let mut f_2: Option<i64> = None;
@@ -2910,12 +2910,12 @@
             i_prot.read_field_end()?;
         }
         i_prot.read_struct_end()?;
-        verify_required_field_exists("RolloutTold.service_name", &f_1)?;
-        verify_required_field_exists("RolloutTold.revision", &f_2)?;
-        verify_required_field_exists("RolloutTold.stage", &f_3)?;
-        verify_required_field_exists("RolloutTold.age_ms", &f_4)?;
-        verify_required_field_exists("RolloutTold.holder", &f_5)?;
-        let ret = RolloutTold {
+        verify_required_field_exists("RolloutReport.service_name", &f_1)?;
+        verify_required_field_exists("RolloutReport.revision", &f_2)?;
+        verify_required_field_exists("RolloutReport.stage", &f_3)?;
+        verify_required_field_exists("RolloutReport.age_ms", &f_4)?;
+        verify_required_field_exists("RolloutReport.holder", &f_5)?;
+        let ret = RolloutReport {
             service_name: f_1
                 .expect("auto-generated code should have checked for presence of required fields"),
             revision: f_2
@@ -2930,7 +2930,7 @@
         Ok(ret)
     }
     fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
-        let struct_ident = TStructIdentifier::new("RolloutTold");
+        let struct_ident = TStructIdentifier::new("RolloutReport");
         o_prot.write_struct_begin(&struct_ident)?;
         o_prot.write_field_begin(&TFieldIdentifier::new("service_name", TType::String, 1))?;
         o_prot.write_string(&self.service_name)?;
@@ -3069,21 +3069,21 @@
 }
 
 //
-// EvidenceTold
+// EvidenceReport
 //
 
 /// Answers since a roll-out was ordered, as sums since then.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct EvidenceTold {
+pub struct EvidenceReport {
     pub service_name: String,
     /// Revision of its order.
     pub revision: i64,
     pub answers: Vec<AnswerCounts>,
 }
 
-impl EvidenceTold {
-    pub fn new(service_name: String, revision: i64, answers: Vec<AnswerCounts>) -> EvidenceTold {
-        EvidenceTold {
+impl EvidenceReport {
+    pub fn new(service_name: String, revision: i64, answers: Vec<AnswerCounts>) -> EvidenceReport {
+        EvidenceReport {
             service_name,
             revision,
             answers,
@@ -3091,8 +3091,8 @@
     }
 }
 
-impl TSerializable for EvidenceTold {
-    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<EvidenceTold> {
+impl TSerializable for EvidenceReport {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<EvidenceReport> {
         i_prot.read_struct_begin()?;
         let mut f_1: Option<String> = None;
         let mut f_2: Option<i64> = None;
@@ -3129,10 +3129,10 @@
             i_prot.read_field_end()?;
         }
         i_prot.read_struct_end()?;
-        verify_required_field_exists("EvidenceTold.service_name", &f_1)?;
-        verify_required_field_exists("EvidenceTold.revision", &f_2)?;
-        verify_required_field_exists("EvidenceTold.answers", &f_3)?;
-        let ret = EvidenceTold {
+        verify_required_field_exists("EvidenceReport.service_name", &f_1)?;
+        verify_required_field_exists("EvidenceReport.revision", &f_2)?;
+        verify_required_field_exists("EvidenceReport.answers", &f_3)?;
+        let ret = EvidenceReport {
             service_name: f_1
                 .expect("auto-generated code should have checked for presence of required fields"),
             revision: f_2
@@ -3143,7 +3143,7 @@
         Ok(ret)
     }
     fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
-        let struct_ident = TStructIdentifier::new("EvidenceTold");
+        let struct_ident = TStructIdentifier::new("EvidenceReport");
         o_prot.write_struct_begin(&struct_ident)?;
         o_prot.write_field_begin(&TFieldIdentifier::new("service_name", TType::String, 1))?;
         o_prot.write_string(&self.service_name)?;
@@ -3277,14 +3277,14 @@
 /// Gateways of one data hall, the sender included.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct HallCount {
-    pub heard: i32,
+    pub alive: i32,
     /// Heard before and silent now, or listed and not heard yet.
     pub silent: i32,
 }
 
 impl HallCount {
-    pub fn new(heard: i32, silent: i32) -> HallCount {
-        HallCount { heard, silent }
+    pub fn new(alive: i32, silent: i32) -> HallCount {
+        HallCount { alive, silent }
     }
 }
 
@@ -3315,10 +3315,10 @@
             i_prot.read_field_end()?;
         }
         i_prot.read_struct_end()?;
-        verify_required_field_exists("HallCount.heard", &f_1)?;
+        verify_required_field_exists("HallCount.alive", &f_1)?;
         verify_required_field_exists("HallCount.silent", &f_2)?;
         let ret = HallCount {
-            heard: f_1
+            alive: f_1
                 .expect("auto-generated code should have checked for presence of required fields"),
             silent: f_2
                 .expect("auto-generated code should have checked for presence of required fields"),
@@ -3328,8 +3328,8 @@
     fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
         let struct_ident = TStructIdentifier::new("HallCount");
         o_prot.write_struct_begin(&struct_ident)?;
-        o_prot.write_field_begin(&TFieldIdentifier::new("heard", TType::I32, 1))?;
-        o_prot.write_i32(self.heard)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("alive", TType::I32, 1))?;
+        o_prot.write_i32(self.alive)?;
         o_prot.write_field_end()?;
         o_prot.write_field_begin(&TFieldIdentifier::new("silent", TType::I32, 2))?;
         o_prot.write_i32(self.silent)?;
--- a/components/schema/src/settings.rs
+++ b/components/schema/src/settings.rs
@@ -222,7 +222,7 @@
     pub bootstrap: String,
     /// Calls a second this node may make to the platform.
     pub platform_rate: i32,
-    /// Cell of the node: the nodes that tell each other every load, at most about 32.
+    /// Cell of the node: the nodes that report to each other every load, at most about 32.
     pub cell: String,
     /// Data halls whose endpoints the nodes of the cell read.
     pub cell_halls: Vec<String>,
--- a/components/schema/thrift/messages.thrift
+++ b/components/schema/thrift/messages.thrift
@@ -18,18 +18,18 @@
   GONE = 4,
 }
 
-/** News of one node. */
-struct MemberNews {
+/** Gossip of one node. */
+struct MemberGossip {
   1: required string name,
-  /** Cell the node belongs to: the nodes that tell each other everything. */
+  /** Cell the node belongs to: the nodes that report to each other everything. */
   2: required string cell,
   3: required string address,
   4: required i64 incarnation,
   5: required MemberState state,
 }
 
-/** A reading of one endpoint's load, or news that it leaves. */
-struct EndpointNews {
+/** A reading of one endpoint's load, or gossip that it leaves. */
+struct EndpointGossip {
   1: required string name,
   /** Incarnation of the endpoint: it grows when its VM is replaced. */
   2: required i64 incarnation,
@@ -47,7 +47,7 @@
   8: required bool silent,
 }
 
-/** Load of one pool in one cell, told by a speaker of that cell. */
+/** Load of one pool in one cell, reported by a speaker of that cell. */
 struct Summary {
   1: required string cell,
   2: required string pool,
@@ -85,8 +85,8 @@
   6: optional i64 probe,
   /** Node that a ping request asks to be probed. */
   7: optional string subject,
-  8: optional list<MemberNews> members,
-  9: optional list<EndpointNews> endpoints,
+  8: optional list<MemberGossip> members,
+  9: optional list<EndpointGossip> endpoints,
   10: optional list<Summary> summaries,
   11: optional list<TeamDemand> demands,
   12: optional i64 config_version,
@@ -182,7 +182,7 @@
   2: required i32 unread_tokens,
   /** Hash of the prompt's shared parts, 0 if it has none. */
   3: required i64 shared_prompt,
-  /** Age when told, in milliseconds. */
+  /** Age when reported, in milliseconds. */
   4: required i32 age_ms,
   /** Time that it is expected to run, in milliseconds. */
   5: required i32 hold_ms,
@@ -214,15 +214,15 @@
 }
 
 /** The newest row of the lease, as its holder wrote it. */
-struct LeaseTold {
+struct LeaseReport {
   /** Version of the row. */
   1: required i64 version,
   /** Its epoch. */
   2: required i64 epoch,
 }
 
-/** What a gateway tells the others. */
-struct GatewayNews {
+/** What a gateway reports to the others. */
+struct Gossip {
   /** Name of the sender. */
   1: required string gateway,
   /** Start of the sender's process, in milliseconds since 1970. */
@@ -248,7 +248,7 @@
   /** How long the sender's process has run, in milliseconds. */
   12: optional i64 uptime_ms,
   /** Row of the lease that the sender holds. */
-  13: optional LeaseTold lease,
+  13: optional LeaseReport lease,
   /** Newest epoch of the lease that the sender gave up; it has no order of that epoch under way. */
   14: optional i64 lease_given_up,
   /** Data hall of the sender. */
@@ -268,9 +268,9 @@
   /** Usage of gateways for which the sender decides. */
   22: optional list<SourceUsage> forwarded,
   /** Roll-outs as their holder said, or as the sender heard it. */
-  23: optional list<RolloutTold> rollouts,
+  23: optional list<RolloutReport> rollouts,
   /** What the sender saw endpoints answer since a roll-out was ordered; for the holder. */
-  24: optional list<EvidenceTold> evidence,
+  24: optional list<EvidenceReport> evidence,
 }
 
 /** How far a roll-out is. */
@@ -283,7 +283,7 @@
 }
 
 /** A roll-out, as the holder of the lease says. */
-struct RolloutTold {
+struct RolloutReport {
   1: required string service_name,
   /** Revision of its order. */
   2: required i64 revision,
@@ -306,7 +306,7 @@
 }
 
 /** Answers since a roll-out was ordered, as sums since then. */
-struct EvidenceTold {
+struct EvidenceReport {
   1: required string service_name,
   /** Revision of its order. */
   2: required i64 revision,
@@ -327,7 +327,7 @@
 
 /** Gateways of one data hall, the sender included. */
 struct HallCount {
-  1: required i32 heard,
+  1: required i32 alive,
   /** Heard before and silent now, or listed and not heard yet. */
   2: required i32 silent,
 }
--- a/components/schema/thrift/settings.thrift
+++ b/components/schema/thrift/settings.thrift
@@ -63,7 +63,7 @@
   20: required string bootstrap,
   /** Calls a second this node may make to the platform. */
   21: required i32 platform_rate,
-  /** Cell of the node: the nodes that tell each other every load, at most about 32. */
+  /** Cell of the node: the nodes that report to each other every load, at most about 32. */
   22: required string cell,
   /** Data halls whose endpoints the nodes of the cell read. */
   23: required list<string> cell_halls,
--- a/components/state/src/claim.rs
+++ b/components/state/src/claim.rs
@@ -26,7 +26,7 @@
     pub claim: String,
     /// Node that claims.
     pub node: String,
-    /// SHA-256 of the request, to tell a reused key.
+    /// SHA-256 of the request, to report a reused key.
     pub request_sha256: String,
     /// Time until which the request may be dispatched.
     pub deadline: Duration,
--- a/components/state/src/configuration.rs
+++ b/components/state/src/configuration.rs
@@ -21,7 +21,7 @@
     pub hash: String,
 }
 
-/// What a follower is told.
+/// What a follower receives.
 #[derive(Clone, Debug)]
 pub enum ConfigEvent {
     /// A peer has this version.
@@ -106,7 +106,7 @@
     /// Takes one event and returns what is to be done, in order.
     pub fn step(&mut self, now: Duration, event: ConfigEvent) -> Vec<ConfigAction> {
         match event {
-            ConfigEvent::Heard { peer, version } => self.hear(peer, version),
+            ConfigEvent::Heard { peer, version } => self.receive(peer, version),
             ConfigEvent::Published(version) => self.want(version),
             ConfigEvent::Replied(reply) => self.take_head(reply),
             ConfigEvent::Fetched { hash, body } => return self.take_body(now, &hash, body),
@@ -115,7 +115,7 @@
         self.fetch(now)
     }
 
-    fn hear(&mut self, peer: String, version: Version) {
+    fn receive(&mut self, peer: String, version: Version) {
         self.holders.insert(peer, version.number);
         self.want(version);
     }
