--- a/components/state/src/lease.rs
+++ b/components/state/src/lease.rs
@@ -46,12 +46,12 @@
         /// Its reply.
         reply: Reply,
     },
-    /// The holder told which row it wrote last.
+    /// The holder reported which row it wrote last.
     Heard(LeaseHead),
-    /// A holder told that it gave the lease of this epoch up and has no order under way.
-    HeardGivenUp(i64),
+    /// A holder reported that it gave the lease of this epoch up and has no order under way.
+    GivenUp(i64),
     /// Give the lease up without a write, for the case that the store does not answer this node. What is
-    /// told to others, from [`Lease::given_up`], lets one of them follow at once.
+    /// reported to others, from [`Lease::given_up`], lets one of them follow at once.
     GiveUp,
     /// The node stops: give the lease up.
     Release {
@@ -60,7 +60,7 @@
     },
 }
 
-/// The newest row of a lease, as its holder tells others.
+/// The newest row of a lease, as its holder reports others.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LeaseHead {
     /// Version of the row.
@@ -196,8 +196,8 @@
             }
             LeaseEvent::Replied { call, .. } if call != self.call => {}
             LeaseEvent::Replied { reply, .. } => actions.extend(self.take_reply(now, reply)),
-            LeaseEvent::Heard(head) => actions.extend(self.hear(now, head)),
-            LeaseEvent::HeardGivenUp(epoch) => {
+            LeaseEvent::Heard(head) => actions.extend(self.receive(now, head)),
+            LeaseEvent::GivenUp(epoch) => {
                 self.heard_given_up = self.heard_given_up.max(Some(epoch));
                 self.next_call = self.next_call.min(now);
             }
@@ -217,8 +217,8 @@
         }
     }
 
-    // The row was written before its holder told of it, so its lease began before now.
-    fn hear(&mut self, now: Duration, head: LeaseHead) -> Vec<LeaseAction> {
+    // The row was written before its holder reported it, so its lease began before now.
+    fn receive(&mut self, now: Duration, head: LeaseHead) -> Vec<LeaseAction> {
         if head.version <= self.seen_version || head.holder == self.terms.node {
             return Vec::new();
         }
--- a/components/state/tests/configurations.rs
+++ b/components/state/tests/configurations.rs
@@ -112,14 +112,14 @@
 }
 
 #[test]
-fn an_edit_told_of_a_conflict_never_stands() {
+fn an_edit_that_met_a_conflict_never_stands() {
     check(400, |seed: u64| {
         let world = race(seed);
         let stands = |put: &str| {
             (1..=world.newest()).any(|v| world.row(&history_key(v)).is_some_and(|r| r.put == put))
         };
-        let told = |e: &&Edit| matches!(e.answer, Some(Published::Conflict { .. }));
-        world.edits.iter().filter(told).all(|e| !stands(&e.put))
+        let reported = |e: &&Edit| matches!(e.answer, Some(Published::Conflict { .. }));
+        world.edits.iter().filter(reported).all(|e| !stands(&e.put))
     });
 }
 
@@ -220,7 +220,7 @@
         let mut newest = 0;
         let mut asked = None;
         for step in 0..400 {
-            // News comes for the first half; fetches take a while all the time.
+            // Gossip comes for the first half; fetches take a while all the time.
             let event = if step < 200 && rng.random_bool(0.5) {
                 let number = rng.random_range(0..50);
                 newest = newest.max(number);
--- a/components/state/tests/leases.rs
+++ b/components/state/tests/leases.rs
@@ -39,11 +39,11 @@
     orders: Vec<(Duration, i64)>,
     // When, which epoch, and by whom.
     gained: Vec<(Duration, i64, usize)>,
-    // What holders told each other, to whom, and when it arrives.
-    news: Vec<(Duration, usize, LeaseEvent)>,
+    // What holders reported to each other, to whom, and when it arrives.
+    gossip: Vec<(Duration, usize, LeaseEvent)>,
     // When each order was sent, and by whom.
     sent: Vec<(Duration, usize)>,
-    // Whether holders tell others of the lease.
+    // Whether holders report the lease to others.
     talks: bool,
     writes: u64,
 }
@@ -64,42 +64,42 @@
             members,
             orders: Vec::new(),
             gained: Vec::new(),
-            news: Vec::new(),
+            gossip: Vec::new(),
             sent: Vec::new(),
             talks: false,
             writes: 0,
         }
     }
 
-    /// The holder tells the others of its row; sometimes it gives the lease up. News may take a second.
-    fn tell(&mut self, now: Duration, n: usize) {
+    /// The holder passes the row to the others; sometimes it gives the lease up. Gossip may take a second.
+    fn report(&mut self, now: Duration, n: usize) {
         let Some(head) = self.members[n].lease.head() else {
             return;
         };
-        let mut told = LeaseEvent::Heard(head.clone());
+        let mut reported = LeaseEvent::Heard(head.clone());
         let under_way = self.orders.iter().any(|(arrival, _)| *arrival >= now);
         if !under_way && self.table.rng.random_ratio(1, 20) {
             self.event(now, n, LeaseEvent::GiveUp);
             // One that had lapsed already is not given up.
             if self.members[n].lease.given_up() == Some(head.epoch) {
-                told = LeaseEvent::HeardGivenUp(head.epoch);
+                reported = LeaseEvent::GivenUp(head.epoch);
             }
         }
         for other in (0..NODES).filter(|other| *other != n) {
             if self.table.rng.random_ratio(3, 4) {
                 let delay = Duration::from_millis(self.table.rng.random_range(1..1000));
-                self.news.push((now + delay, other, told.clone()));
+                self.gossip.push((now + delay, other, reported.clone()));
             }
         }
     }
 
     fn deliver(&mut self, now: Duration) {
-        let (due, later) = self.news.drain(..).partition(|(at, ..)| *at <= now);
-        self.news = later;
+        let (due, later) = self.gossip.drain(..).partition(|(at, ..)| *at <= now);
+        self.gossip = later;
         let due: Vec<(Duration, usize, LeaseEvent)> = due;
-        for (_, to, told) in due {
+        for (_, to, reported) in due {
             if now >= self.members[to].paused_until {
-                self.event(now, to, told);
+                self.event(now, to, reported);
             }
         }
     }
@@ -134,7 +134,7 @@
                 continue;
             }
             if self.talks {
-                self.tell(now, n);
+                self.report(now, n);
             }
             self.writes += 1;
             let write = format!("w{}", self.writes);
@@ -313,11 +313,11 @@
     run_until(&mut world, DURATION * 4);
     let (_, epoch, holder) = *world.gained.last().expect("somebody holds the lease");
     let at = DURATION * 4;
-    let told = LeaseEvent::Heard(world.members[holder].lease.head().unwrap());
+    let reported = LeaseEvent::Heard(world.members[holder].lease.head().unwrap());
     world.event(at, holder, LeaseEvent::GiveUp);
     let next = (holder + 1) % NODES;
-    world.event(at, next, told);
-    world.event(at, next, LeaseEvent::HeardGivenUp(epoch));
+    world.event(at, next, reported);
+    world.event(at, next, LeaseEvent::GivenUp(epoch));
     run_until(&mut world, at + MARGIN);
     assert_eq!(
         world.gained.last().map(|g| (g.1, g.2)),
@@ -353,7 +353,7 @@
     assert_eq!(lease.given_up(), Some(2));
     // Another follows, and gives it up in turn.
     lease.step(given_up_at + at(100), heard(3, 3));
-    lease.step(given_up_at + at(200), LeaseEvent::HeardGivenUp(3));
+    lease.step(given_up_at + at(200), LeaseEvent::GivenUp(3));
     let mut writes_at = None;
     for ms in (200..8000).step_by(200) {
         let actions = lease.step(given_up_at + at(ms), tick("b"));
--- a/components/transport/src/peer.rs
+++ b/components/transport/src/peer.rs
@@ -10,7 +10,7 @@
 
 /// Largest datagram, so that none is fragmented on an ordinary network.
 pub const MAX_DATAGRAM: usize = 1400;
-/// How far behind the newest sequence a datagram may come and still be told from a replay.
+/// How far behind the newest sequence a datagram may come and still be reported from a replay.
 const WINDOW: i64 = 64;
 /// Senders whose sequences are remembered.
 const MAX_SENDERS: usize = 4096;
@@ -87,7 +87,7 @@
     window: u64,
 }
 
-/// Tells replayed datagrams by the sender's incarnation and sequence.
+/// Reports replayed datagrams by the sender's incarnation and sequence.
 #[derive(Debug, Default)]
 pub struct ReplayGuard {
     senders: HashMap<String, Seen>,
--- a/components/usage/src/ledger.rs
+++ b/components/usage/src/ledger.rs
@@ -27,10 +27,10 @@
         *counts.entry(tenant.to_string()).or_default() += 1;
     }
 
-    /// Takes the totals that a gateway told; totals only grow within a process.
-    pub fn merge(&mut self, window: i64, source: &Source, told: &Counts) {
+    /// Takes the totals that a gateway reported; totals only grow within a process.
+    pub fn merge(&mut self, window: i64, source: &Source, reported: &Counts) {
         let counts = self.counts(window, source);
-        for (tenant, count) in told {
+        for (tenant, count) in reported {
             let known = counts.entry(tenant.clone()).or_default();
             *known = (*known).max(*count);
         }
--- a/components/usage/src/lib.rs
+++ b/components/usage/src/lib.rs
@@ -1,6 +1,6 @@
 //! Requests that began to run, by window and tenant, merged over all gateways.
 //!
-//! Each gateway tells its counts as totals of its process, so that a message that is lost or comes
+//! Each gateway reports its counts as totals of its process, so that a message that is lost or comes
 //! twice changes nothing. Pure: time comes in as values.
 
 mod forwarding;
--- a/components/usage/tests/promises.rs
+++ b/components/usage/tests/promises.rs
@@ -23,7 +23,7 @@
 }
 
 #[test]
-fn a_total_that_is_told_twice_or_late_counts_once() {
+fn a_total_that_is_reported_twice_or_late_counts_once() {
     let mut ledger = Ledger::default();
     let a = source("a", 1);
     ledger.merge(7, &a, &counts(&[("t", 3)]));
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -1,6 +1,6 @@
 //! A model engine: slots, a token rate, an LRU prefix cache, streams that can be resumed.
 //!
-//! The answer to a prompt is a function of the prompt alone, so that a test can tell a token that
+//! The answer to a prompt is a function of the prompt alone, so that a test can distinguish a token that
 //! was skipped, doubled or taken from another answer.
 
 use std::collections::{HashMap, HashSet};
--- a/tests/golden.rs
+++ b/tests/golden.rs
@@ -62,27 +62,27 @@
 #[test]
 fn a_session_of_callers_and_operators() {
     let fleet = common::fleet(&FleetOptions::default());
-    let mut told = Transcript(String::new());
-    told.chat(&fleet, 0, "hello");
-    told.chat(&fleet, 1, "and again");
-    told.answer("hold at node 0", &fleet.hold(0, "/holds/a", Some("k1")));
-    told.answer("the same at node 1", &fleet.hold(1, "/holds/a", Some("k1")));
-    told.answer(
+    let mut reported = Transcript(String::new());
+    reported.chat(&fleet, 0, "hello");
+    reported.chat(&fleet, 1, "and again");
+    reported.answer("hold at node 0", &fleet.hold(0, "/holds/a", Some("k1")));
+    reported.answer("the same at node 1", &fleet.hold(1, "/holds/a", Some("k1")));
+    reported.answer(
         "its key for another hold",
         &fleet.hold(1, "/holds/b", Some("k1")),
     );
-    told.answer(
+    reported.answer(
         "a path that nobody serves",
         &fleet.hold(0, "/stock/a", None),
     );
     let edited = fleet.configuration.replace(RUSH, "rate = 400/s");
-    told.answer("put of version 1", &fleet.put_config(0, 0, &edited, "hana"));
-    told.answer(
+    reported.answer("put of version 1", &fleet.put_config(0, 0, &edited, "hana"));
+    reported.answer(
         "a racing put",
         &fleet.put_config(1, 0, &fleet.configuration, "tama"),
     );
     wait_until(|| fleet.nodes.iter().all(|n| n.config_version() == 1));
-    told.answer(
+    reported.answer(
         "the edit made again",
         &fleet.put_config(1, 1, &fleet.configuration, "tama"),
     );
@@ -93,7 +93,7 @@
             "{} by {}: {}",
             version["version"], version["author"], version["note"]
         );
-        told.say("history", &line);
+        reported.say("history", &line);
     }
-    insta::assert_snapshot!(told.0);
+    insta::assert_snapshot!(reported.0);
 }
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -172,8 +172,8 @@
     fleet.application.set(Default::default());
     let outcome = caller.join().unwrap();
     // The node that ran it is gone with the answer: it may not be run again, nor called not run.
-    let told = outcome.unwrap_err().to_string();
-    assert!(told.contains("may have run"), "{told}");
+    let reported = outcome.unwrap_err().to_string();
+    assert!(reported.contains("may have run"), "{reported}");
     assert_eq!(fleet.application.runs()["/holds/a"], 1);
 }
 
--- a/tests/sessions.rs
+++ b/tests/sessions.rs
@@ -275,7 +275,7 @@
 }
 
 #[test]
-fn a_lost_answer_is_told_as_unknown_and_never_run_again() {
+fn a_lost_answer_is_reported_as_unknown_and_never_run_again() {
     let fleet = fleet(&options());
     fleet.application.set(ApplicationOptions {
         lose_answers: true,
@@ -483,7 +483,7 @@
 }
 
 #[test]
-fn a_configuration_is_put_takes_force_everywhere_and_a_racing_edit_is_told() {
+fn a_configuration_is_put_takes_force_everywhere_and_a_racing_edit_is_reported() {
     let fleet = fleet(&options());
     let edited = fleet.configuration.replace("rate = 500/s", "rate = 400/s");
     let put = |node, based_on, body: &str, author| fleet.put_config(node, based_on, body, author);
@@ -491,10 +491,10 @@
     assert_eq!(first.as_str().unwrap(), "{\"version\":1}");
     let second = put(1, 0, &fleet.configuration, "tama");
     assert_eq!(second.status_code, 409);
-    let told = second.as_str().unwrap();
+    let reported = second.as_str().unwrap();
     assert!(
-        told.contains("version 1 by hana") && told.contains("remedy"),
-        "{told}"
+        reported.contains("version 1 by hana") && reported.contains("remedy"),
+        "{reported}"
     );
     wait_until(|| fleet.nodes.iter().all(|n| n.config_version() == 1));
     let bad = put(
