Read halls with their regions, the VM's memory and the link between regions from the settings

Cause: a deployment over two regions (30 ms apart, 60 Mbit/s each way) and one whose callers read slowly are to be served; nothing in the gateway's code knew a region beside its own, or the memory that its VM has. Nothing acts on them yet. Ruled out: regions from the store's rows (a gateway must know its own before it reads any).

--- a/components/gateway/src/decisions.rs
+++ b/components/gateway/src/decisions.rs
@@ -174,6 +174,7 @@
             request: job.head.id.clone(),
             route: Some(asked.route as i64),
             is_lost_when_cut: Some(asked.is_lost_when_cut),
+            body_bytes: Some(job.body.len().min(i32::MAX as usize) as i32),
         }
     }
 
@@ -263,6 +264,7 @@
         parts: parts.collect(),
         prompt_tokens: query.prompt_tokens.max(0) as u32,
         answer_tokens: query.answer_tokens.max(0) as u32,
+        body_bytes: query.body_bytes.unwrap_or_default().max(0) as u32,
     }
 }
 
--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -158,6 +158,7 @@
                 parts: head.parts.clone(),
                 prompt_tokens: tokens.0,
                 answer_tokens: head.answer_guess.unwrap_or(tokens.1),
+                body_bytes: body.len().min(u32::MAX as usize) as u32,
             },
             engine: spec.is_some_and(|s| s.engine.is_some()),
             max_connections: spec.map_or(u32::MAX, |s| s.max_connections),
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -121,6 +121,9 @@
         decisions: any(),
         exposure_milli: 100,
         exposure_extra: 50,
+        halls: Default::default(),
+        memory_mib: 0,
+        region_link_kbit: 0,
     }
 }
 
--- a/components/routing/src/placement.rs
+++ b/components/routing/src/placement.rs
@@ -40,6 +40,8 @@
     pub prompt_tokens: u32,
     /// Tokens of the answer as far as can be guessed, 0 if unknown.
     pub answer_tokens: u32,
+    /// Bytes of its body.
+    pub body_bytes: u32,
 }
 
 /// Which versions of its service's software may run a request.
--- a/components/routing/tests/placement.rs
+++ b/components/routing/tests/placement.rs
@@ -56,6 +56,7 @@
         parts: vec![part(shared, tokens / 2), part(own, tokens / 2)],
         prompt_tokens: tokens,
         answer_tokens: 50,
+        body_bytes: 0,
     }
 }
 
--- a/components/schema/src/messages.rs
+++ b/components/schema/src/messages.rs
@@ -3522,10 +3522,12 @@
     pub route: Option<i64>,
     /// Whether the run would be lost if its endpoint ended.
     pub is_lost_when_cut: Option<bool>,
+    /// Bytes of the request's body.
+    pub body_bytes: Option<i32>,
 }
 
 impl DecisionQuery {
-    pub fn new<F3, F11, F12>(
+    pub fn new<F3, F11, F12, F13>(
         number: i64,
         service_name: String,
         team: F3,
@@ -3538,11 +3540,13 @@
         request: String,
         route: F11,
         is_lost_when_cut: F12,
+        body_bytes: F13,
     ) -> DecisionQuery
     where
         F3: Into<Option<String>>,
         F11: Into<Option<i64>>,
         F12: Into<Option<bool>>,
+        F13: Into<Option<i32>>,
     {
         DecisionQuery {
             number,
@@ -3557,6 +3561,7 @@
             request,
             route: route.into(),
             is_lost_when_cut: is_lost_when_cut.into(),
+            body_bytes: body_bytes.into(),
         }
     }
 }
@@ -3576,6 +3581,7 @@
         let mut f_10: Option<String> = None;
         let mut f_11: Option<i64> = None;
         let mut f_12: Option<bool> = None;
+        let mut f_13: Option<i32> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -3643,6 +3649,10 @@
                     let val = i_prot.read_bool()?;
                     f_12 = Some(val);
                 }
+                13 => {
+                    let val = i_prot.read_i32()?;
+                    f_13 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -3681,6 +3691,7 @@
                 .expect("auto-generated code should have checked for presence of required fields"),
             route: f_11,
             is_lost_when_cut: f_12,
+            body_bytes: f_13,
         };
         Ok(ret)
     }
@@ -3747,6 +3758,11 @@
             o_prot.write_bool(fld_var)?;
             o_prot.write_field_end()?
         }
+        if let Some(fld_var) = self.body_bytes {
+            o_prot.write_field_begin(&TFieldIdentifier::new("body_bytes", TType::I32, 13))?;
+            o_prot.write_i32(fld_var)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
--- a/components/schema/src/settings.rs
+++ b/components/schema/src/settings.rs
@@ -1354,6 +1354,12 @@
     pub exposure_milli: i32,
     /// Requests that such a version may get beside that part, over all gateways.
     pub exposure_extra: i32,
+    /// Region by data hall; empty where there is one region only.
+    pub halls: BTreeMap<String, String>,
+    /// Memory of the VM that this process may use, in MiB; 0 sets no bound.
+    pub memory_mib: i32,
+    /// What the link between two regions carries each way, in kilobits a second; 0 where that is not known.
+    pub region_link_kbit: i64,
 }
 
 impl GatewaySettings {
@@ -1385,6 +1391,9 @@
         decisions: String,
         exposure_milli: i32,
         exposure_extra: i32,
+        halls: BTreeMap<String, String>,
+        memory_mib: i32,
+        region_link_kbit: i64,
     ) -> GatewaySettings {
         GatewaySettings {
             name,
@@ -1414,6 +1423,9 @@
             decisions,
             exposure_milli,
             exposure_extra,
+            halls,
+            memory_mib,
+            region_link_kbit,
         }
     }
 }
@@ -1448,6 +1460,9 @@
         let mut f_25: Option<String> = None;
         let mut f_26: Option<i32> = None;
         let mut f_27: Option<i32> = None;
+        let mut f_28: Option<BTreeMap<String, String>> = None;
+        let mut f_29: Option<i32> = None;
+        let mut f_30: Option<i64> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -1569,6 +1584,25 @@
                     let val = i_prot.read_i32()?;
                     f_27 = Some(val);
                 }
+                28 => {
+                    let map_ident = i_prot.read_map_begin()?;
+                    let mut val: BTreeMap<String, String> = BTreeMap::new();
+                    for _ in 0..map_ident.size {
+                        let map_key_8 = i_prot.read_string()?;
+                        let map_val_9 = i_prot.read_string()?;
+                        val.insert(map_key_8, map_val_9);
+                    }
+                    i_prot.read_map_end()?;
+                    f_28 = Some(val);
+                }
+                29 => {
+                    let val = i_prot.read_i32()?;
+                    f_29 = Some(val);
+                }
+                30 => {
+                    let val = i_prot.read_i64()?;
+                    f_30 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -1603,6 +1637,9 @@
         verify_required_field_exists("GatewaySettings.decisions", &f_25)?;
         verify_required_field_exists("GatewaySettings.exposure_milli", &f_26)?;
         verify_required_field_exists("GatewaySettings.exposure_extra", &f_27)?;
+        verify_required_field_exists("GatewaySettings.halls", &f_28)?;
+        verify_required_field_exists("GatewaySettings.memory_mib", &f_29)?;
+        verify_required_field_exists("GatewaySettings.region_link_kbit", &f_30)?;
         let ret = GatewaySettings {
             name: f_1
                 .expect("auto-generated code should have checked for presence of required fields"),
@@ -1658,6 +1695,12 @@
                 .expect("auto-generated code should have checked for presence of required fields"),
             exposure_extra: f_27
                 .expect("auto-generated code should have checked for presence of required fields"),
+            halls: f_28
+                .expect("auto-generated code should have checked for presence of required fields"),
+            memory_mib: f_29
+                .expect("auto-generated code should have checked for presence of required fields"),
+            region_link_kbit: f_30
+                .expect("auto-generated code should have checked for presence of required fields"),
         };
         Ok(ret)
     }
@@ -1752,6 +1795,24 @@
         o_prot.write_field_begin(&TFieldIdentifier::new("exposure_extra", TType::I32, 27))?;
         o_prot.write_i32(self.exposure_extra)?;
         o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("halls", TType::Map, 28))?;
+        o_prot.write_map_begin(&TMapIdentifier::new(
+            TType::String,
+            TType::String,
+            self.halls.len() as i32,
+        ))?;
+        for (k, v) in &self.halls {
+            o_prot.write_string(k)?;
+            o_prot.write_string(v)?;
+        }
+        o_prot.write_map_end()?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("memory_mib", TType::I32, 29))?;
+        o_prot.write_i32(self.memory_mib)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("region_link_kbit", TType::I64, 30))?;
+        o_prot.write_i64(self.region_link_kbit)?;
+        o_prot.write_field_end()?;
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
--- a/components/schema/thrift/messages.thrift
+++ b/components/schema/thrift/messages.thrift
@@ -371,6 +371,8 @@
   11: optional i64 route,
   /** Whether the run would be lost if its endpoint ended. */
   12: optional bool is_lost_when_cut,
+  /** Bytes of the request's body. */
+  13: optional i32 body_bytes,
 }
 
 /** Where a request goes, as a coordinator decided. */
--- a/components/schema/thrift/settings.thrift
+++ b/components/schema/thrift/settings.thrift
@@ -196,4 +196,10 @@
   26: required i32 exposure_milli,
   /** Requests that such a version may get beside that part, over all gateways. */
   27: required i32 exposure_extra,
+  /** Region by data hall; empty where there is one region only. */
+  28: required map<string, string> halls,
+  /** Memory of the VM that this process may use, in MiB; 0 sets no bound. */
+  29: required i32 memory_mib,
+  /** What the link between two regions carries each way, in kilobits a second; 0 where that is not known. */
+  30: required i64 region_link_kbit,
 }
--- a/components/settings/src/gateway.rs
+++ b/components/settings/src/gateway.rs
@@ -1,5 +1,6 @@
 //! Settings of one gateway.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use schema::settings::GatewaySettings;
@@ -18,6 +19,10 @@
 /// Cores such as 0.25, kept in thousandths.
 const CORES: Unit = Unit::of("", 1000, 1, 1_024_000);
 const COUNT: Unit = Unit::count(0, i32::MAX as i64);
+/// Memory of a VM.
+const MEMORY: Unit = Unit::of("MiB", 1, 0, 1 << 24);
+/// Rates such as 60, kept in kilobits a second.
+const RATE: Unit = Unit::of("Mbit/s", 1000, 0, 1_000_000_000);
 const UNITS: Unit = Unit::count(0, i64::MAX);
 /// Names of duties in the list `duties`.
 const USAGE_DUTY: &str = "usage_reporting";
@@ -35,11 +40,14 @@
         r.fault("gateway", "peer_ports", &message, "write FIRST,LAST");
     }
     let decisions = decisions_address(&ports, &address);
+    let zone = r.text("gateway", "zone", None);
+    let region = r.text("gateway", "region", Some(""));
+    let halls = halls(&mut r, &zone, &region);
     let duties = r.list("orders", "duties", Some(""));
     let settings = GatewaySettings {
         name: r.text("gateway", "name", None),
-        region: r.text("gateway", "region", Some("")),
-        zone: r.text("gateway", "zone", None),
+        region,
+        zone,
         callers: r.address("gateway", "callers", None),
         readiness: r.address("gateway", "readiness", None),
         peers,
@@ -64,10 +72,41 @@
         decisions,
         exposure_milli: r.number(("bounds", "exposure"), Some("0.1"), SHARE) as i32,
         exposure_extra: r.number(("bounds", "exposure_extra"), Some("0"), COUNT) as i32,
+        halls,
+        memory_mib: r.number(("bounds", "memory"), Some("0MiB"), MEMORY) as i32,
+        region_link_kbit: r.number(("bounds", "region_link"), Some("0Mbit/s"), RATE),
     };
     r.finish(settings)
 }
 
+// Pairs of hall and region; the own hall must be among them if there are any.
+fn halls(r: &mut Reader<'_>, own: &str, own_region: &str) -> BTreeMap<String, String> {
+    let list = r.list("gateway", "halls", Some(""));
+    let mut halls = BTreeMap::new();
+    for pair in list {
+        match pair.split_once(':') {
+            Some((hall, region)) if !hall.is_empty() && !region.is_empty() => {
+                halls.insert(hall.to_string(), region.to_string());
+            }
+            _ => {
+                let message = format!("`{pair}` names no hall and region");
+                r.fault(
+                    "gateway",
+                    "halls",
+                    &message,
+                    "write HALL:REGION,HALL:REGION",
+                );
+            }
+        }
+    }
+    if !halls.is_empty() && halls.get(own).map(String::as_str) != Some(own_region) {
+        let message = format!("the own hall `{own}` is not listed in region `{own_region}`");
+        let remedy = "list every hall, the own one with the region of this gateway";
+        r.fault("gateway", "halls", &message, remedy);
+    }
+    halls
+}
+
 // The second of the peer ports; any free one where there is no second.
 fn decisions_address(ports: &[String], address: &str) -> String {
     let port = |i: usize| ports.get(i).and_then(|port| port.parse::<u16>().ok());
--- a/components/settings/tests/gateway.rs
+++ b/components/settings/tests/gateway.rs
@@ -45,8 +45,23 @@
     );
 }
 
+#[test]
+fn halls_are_read_with_their_regions_and_the_own_one_must_be_right() {
+    let with = |halls: &str| GOOD.replace("zone = z\n", &format!("zone = z\nhalls = {halls}\n"));
+    let read = read_gateway("g.ini", &with("z:r,y:q,")).unwrap();
+    assert_eq!(read.halls["y"], "q");
+    for wrong in ["y:q", "z:q", "z", "z:r,:q"] {
+        let shown = read_gateway("g.ini", &with(wrong)).unwrap_err().to_string();
+        assert!(shown.contains("gateway: halls"), "{wrong}: {shown}");
+    }
+}
+
 /// Fills the gaps of a template's line with a value that fits its key.
 fn filled(section: &str, line: &str) -> String {
+    // A list that a loop of the template makes.
+    if line.starts_with("halls = {{#zones}}") {
+        return "halls = x:x,".to_string();
+    }
     let line = line.rsplit("}}{{").next().unwrap_or(line);
     let Some((key, value)) = line.split_once(" = ") else {
         return String::new();
