Place requests by region, price the way and keep to a part of the link

Cause: leaving a hall cost the constant 2 ms, so that half of all requests of a deployment over two regions left theirs, 30 ms away; shared prompts had one home for both regions, and nothing bounded what requests take of the link between them. Change: Ways (time to each hall, median of nine echoes that coordinators' messages carry, 2 and 60 ms until then; bytes cost round trips); endpoints of each region are weighed by themselves and a request leaves its own only for a gain above 1.5 times the way; LinkBudget gives each decider a part of a known rate, those of least bytes for their gain first; where only another region could take a request and the link has no room it is refused with the time until there is; other halls' coordinators are asked by region; log lines and counters. An echo is sent only where there are several regions. Ruled out: connection set-up times (endpoints that nobody goes to would never be measured); sums instead of one board (docs/design/regions.md); parts by who is heard (a cut would make them larger).

--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -1,6 +1,7 @@
 //! The control thread: what it knows, and the tasks that work on it.
 
 mod carrying;
+mod echoes;
 mod exchange;
 mod follow;
 mod forwarding;
@@ -31,10 +32,12 @@
 use tokio::runtime::Builder;
 use tokio::sync::Notify;
 use tokio::task::LocalSet;
+use topology::Topology;
 use usage::{Forwarding, Ledger, Reporter, Source, Terms};
 
 use crate::alone::Alone;
 use crate::clock::Clock;
+use crate::control::echoes::Echoes;
 use crate::control::follow::{Followed, WATCHERS};
 use crate::control::lease::OrdersUnderWay;
 use crate::control::messages::SendState;
@@ -108,6 +111,8 @@
     pub taken: BTreeMap<String, u64>,
     pub unsent: Vec<Sent>,
     pub sending: SendState,
+    // Only kept where there are several regions.
+    pub echoes: Option<Echoes>,
     pub forwarding: Forwarding,
     pub fleet: Fleet,
     // Whether this gateway holds calls at the store.
@@ -159,6 +164,8 @@
             cores_milli: settings.cores_milli,
             decisions: None,
         });
+        let topology = Topology::new(&settings.zone, &settings.region, &settings.halls);
+        peers.set_topology(topology.clone());
         for seed in settings.seeds.iter().filter_map(|seed| seed.parse().ok()) {
             peers.learn(Duration::ZERO, seed);
         }
@@ -181,6 +188,7 @@
             taken: BTreeMap::new(),
             unsent: Vec::new(),
             sending: SendState::default(),
+            echoes: topology.has_regions().then(Echoes::default),
             fleet: Fleet::default(),
             watches: false,
             endpoints_needed_at: None,
--- a/components/gateway/src/control/exchange.rs
+++ b/components/gateway/src/control/exchange.rs
@@ -12,7 +12,7 @@
 use usage::Source;
 
 use crate::control::messages::Content;
-use crate::control::Shared;
+use crate::control::{echoes, Known, Shared};
 use crate::gossip;
 use crate::peers::{is_recent, Receipt};
 use crate::ports::{Orders, Store, Topic};
@@ -190,6 +190,7 @@
                 info!(self.log, "gateway stops"; "gateway" => &gossip.gateway);
             }
         }
+        let measured = known.way_shown(now, &self.source.gateway, gossip);
         let dispatches = gossip.dispatches.iter();
         let dispatches: Vec<_> = dispatches
             .map(|d| gossip::received_dispatch(now, d))
@@ -199,6 +200,9 @@
             known.demand.add(at, dispatch.endpoint, tokens);
         }
         drop(known);
+        if let Some((hall, round_trip)) = measured {
+            self.update(Update::WayMeasured { hall, round_trip });
+        }
         self.act(actions);
         self.receive_rollouts(gossip);
         for (topic, reported) in gossip::received_heads(gossip) {
@@ -223,3 +227,20 @@
         }
     }
 }
+
+impl Known {
+    // The sender's hall and the time to it and back, if its message echoes one of this gateway.
+    fn way_shown(
+        &mut self,
+        now: Duration,
+        own: &str,
+        gossip: &Gossip,
+    ) -> Option<(String, Duration)> {
+        let kept = self.echoes.as_mut()?;
+        if gossip.coordinates == Some(true) {
+            kept.heard(now, &gossip.gateway, gossip.uptime_ms?);
+        }
+        let round_trip = echoes::round_trip(now, own, gossip.echo.as_ref()?)?;
+        Some((gossip.hall.clone()?, round_trip))
+    }
+}
--- a/components/gateway/src/control/messages.rs
+++ b/components/gateway/src/control/messages.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use schema::messages::{Dispatch, Gossip, HallCount, TopicHead, WindowUsage};
+use schema::messages::{Dispatch, Echo, Gossip, HallCount, TopicHead, WindowUsage};
 
 use crate::control::{Known, Shared};
 use crate::gossip;
@@ -139,6 +139,7 @@
                     .collect()
             }),
             evidence: None,
+            echo: known.echo_to_send(now, content),
         }
     }
 
@@ -236,6 +237,15 @@
         reported
     }
 
+    // Coordinators' messages to each other show how far halls are.
+    fn echo_to_send(&mut self, now: Duration, content: Content) -> Option<Box<Echo>> {
+        let echoes = self.echoes.as_mut()?;
+        match content {
+            Content::Full => echoes.next(now).map(Box::new),
+            _ => None,
+        }
+    }
+
     fn addresses_to_send(&self, now: Duration) -> Vec<String> {
         let turn = self.sending.sequence as usize;
         let addresses = self.peers.addresses(now, turn, MOST_ADDRESSES);
--- a/components/gateway/src/decisions.rs
+++ b/components/gateway/src/decisions.rs
@@ -57,6 +57,8 @@
     Placed(Placement),
     /// No endpoint takes work.
     Nowhere,
+    /// Only another region could take it, and the link there has no room for so long.
+    LinkFull(Duration),
     /// The team's limit is used up for so long.
     OverLimit(Duration),
 }
@@ -228,7 +230,7 @@
         if state.directory.is_none() || !state.fleet.decides || !state.endpoints_known {
             return None;
         }
-        let mut reply = DecisionReply::new(query.number, None, None);
+        let mut reply = DecisionReply::new(query.number, None, None, None);
         let cost = query.cost.max(0) as u64;
         let quota = query.team.as_ref().and_then(|t| state.quotas.get_mut(t));
         if let Some(Err(wait)) = quota.map(|quota| quota.take(now, cost, query.urgent)) {
@@ -242,11 +244,20 @@
             route: query.route.unwrap_or_default() as u64,
             is_lost_when_cut: query.is_lost_when_cut.unwrap_or_default(),
         };
-        let placed = state.place_for_other(now, &work_of(query), &query.excluded, asked);
-        let unread_tokens = placed.as_ref().map_or(0, |placed| placed.unread_tokens);
-        let is_long = self.is_long(unread_tokens.max(0) as u32);
-        reply.placed = placed;
+        let work = work_of(query);
+        let placed = state.place_for_other(now, &work, &query.excluded, asked);
+        let link_wait = match placed {
+            Some(_) => None,
+            None => state.board.link_wait(now, &work),
+        };
+        reply.link_wait_ms = link_wait.map(|wait| wait.as_millis() as i64 + 1);
         drop(state);
+        let unread_tokens = placed.as_ref().map_or(0, |placed| placed.unread_tokens);
+        let is_long = self.is_long(unread_tokens);
+        if let Some(placement) = &placed {
+            self.note_departure(&query.request, &work, placement);
+        }
+        reply.placed = placed.as_ref().map(placed_of);
         if is_long {
             self.send_tally();
         }
@@ -279,6 +290,10 @@
         hold_ms: placement.hold.as_millis().min(i32::MAX as u128) as i32,
         weighed: placement.weighed as i32,
         version: placement.version.clone().filter(|_| !placement.is_cold),
+        hall: Some(placement.hall.clone()),
+        home_ms: placement
+            .home_ms
+            .map(|ms| ms.min(f64::from(i32::MAX)) as i32),
     }
 }
 
@@ -288,6 +303,10 @@
         let wait = Duration::from_millis(ms.max(0) as u64);
         return Some(Outcome::OverLimit(wait));
     }
+    if let Some(ms) = reply.link_wait_ms {
+        let wait = Duration::from_millis(ms.max(0) as u64);
+        return Some(Outcome::LinkFull(wait));
+    }
     let Some(placed) = &reply.placed else {
         return Some(Outcome::Nowhere);
     };
@@ -302,5 +321,9 @@
         counted: true,
         version: placed.version.clone(),
         is_cold: false,
+        hall: placed.hall.clone().unwrap_or_default(),
+        home_ms: placed.home_ms.map(f64::from),
+        bytes_across: 0,
+        kept_for_link: false,
     }))
 }
--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -13,6 +13,7 @@
 use slog::info;
 use telemetry::{Counter, Timer};
 use tokio::sync::mpsc;
+use topology::Distance;
 
 use crate::answer::{Answer, AnswerBody, Refusal};
 use crate::attempt::{Attempted, Reply, Sending};
@@ -189,7 +190,7 @@
                 progress.charged_by = Some(decided.by);
                 match decided.outcome {
                     Outcome::Placed(placement) => placed = Some(placement),
-                    Outcome::Nowhere => {}
+                    Outcome::Nowhere | Outcome::LinkFull(_) => {}
                     Outcome::OverLimit(wait) => return Err(over_limit(wait)),
                 }
             }
@@ -232,20 +233,35 @@
 
     /// Chooses an endpoint, or has a coordinator do so; waits a little for one to appear.
     pub async fn place(&self, job: &Job, progress: &Progress) -> Option<Placement> {
+        self.find(job, progress).await.ok()
+    }
+
+    // The endpoint, or the time after which it is worth to come back. The link is not waited for.
+    async fn find(&self, job: &Job, progress: &Progress) -> Result<Placement, Duration> {
         let patience = job.arrived + job.route.target / ENDPOINT_WAIT_PART;
         loop {
             if let Some(decided) = self.ask(job, &progress.tried, true).await {
-                if let Outcome::Placed(placement) = decided.outcome {
-                    return Some(placement);
+                match decided.outcome {
+                    Outcome::Placed(placement) => return Ok(placement),
+                    Outcome::LinkFull(wait) => return Err(wait),
+                    Outcome::Nowhere | Outcome::OverLimit(_) => {}
                 }
             }
             let now = self.clock.now();
-            let placement = {
+            let (placement, link_wait) = {
                 let mut state = self.state.borrow_mut();
-                state.choose(now, &job.work, &progress.tried, job.asked())
+                let placement = state.choose(now, &job.work, &progress.tried, job.asked());
+                (placement, state.board.link_wait(now, &job.work))
             };
-            if placement.is_some() || now >= patience || now >= job.expiry {
-                return placement;
+            if let Some(placement) = placement {
+                self.note_departure(&job.head.id, &job.work, &placement);
+                return Ok(placement);
+            }
+            if let Some(wait) = link_wait {
+                return Err(wait);
+            }
+            if now >= patience || now >= job.expiry {
+                return Err(NO_ENDPOINT_RETRY);
             }
             let changed = self.endpoints_changed.notified();
             let _ = tokio::time::timeout(ENDPOINT_LOOK, changed).await;
@@ -263,15 +279,17 @@
         loop {
             let placement = match placed.take() {
                 Some(placement) => placement,
-                None => match self.place(job, progress).await {
-                    Some(placement) => placement,
-                    None => return Err(self.nowhere(progress)),
+                None => match self.find(job, progress).await {
+                    Ok(placement) => placement,
+                    Err(wait) => return Err(self.nowhere(progress, wait)),
                 },
             };
             info!(self.log, "placed"; "id" => &job.head.id, "route" => &job.route.name,
                 "endpoint" => &placement.endpoint, "unread" => placement.unread_tokens,
                 "expected_ms" => placement.expected_ms as u64, "weighed" => placement.weighed,
-                "by_coordinator" => placement.counted, "version" => job.version);
+                "by_coordinator" => placement.counted, "version" => job.version,
+                "hall" => &placement.hall, "distance" => self.distance(&placement.hall),
+                "home_ms" => placement.home_ms.map(|ms| ms as u64));
             let expiry = self.clock.instant(self.attempt_expiry(job, progress));
             progress.sent += 1;
             let attempt = self.attempt(job, &placement, sending);
@@ -283,7 +301,7 @@
                     progress.sent -= 1;
                     unsent += 1;
                     if unsent >= MOST_UNSENT || self.clock.now() >= job.expiry {
-                        return Err(self.nowhere(progress));
+                        return Err(self.nowhere(progress, NO_ENDPOINT_RETRY));
                     }
                     continue;
                 }
@@ -307,6 +325,16 @@
         }
     }
 
+    // How far a hall is, as it is logged.
+    fn distance(&self, hall: &str) -> &'static str {
+        let state = self.state.borrow();
+        match state.board.ways().topology().distance(hall) {
+            Distance::SameHall => "hall",
+            Distance::SameRegion => "region",
+            Distance::OtherRegion => "other region",
+        }
+    }
+
     fn may_send_again(&self, job: &Job, progress: &Progress, ran: bool) -> bool {
         let allowed = job.route.execution.is_repeatable() || (!ran && !progress.maybe_run);
         allowed
@@ -325,11 +353,10 @@
         job.expiry
     }
 
-    fn nowhere(&self, progress: &Progress) -> Refusal {
+    fn nowhere(&self, progress: &Progress, wait: Duration) -> Refusal {
         match progress.maybe_run {
             true => Refusal::maybe_run(Kind::EndpointFailed, "no other endpoint takes work"),
-            false => Refusal::not_run(Kind::NoEndpoint, "no endpoint takes work")
-                .after(NO_ENDPOINT_RETRY),
+            false => Refusal::not_run(Kind::NoEndpoint, "no endpoint takes work").after(wait),
         }
     }
 
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod gossip;
 mod handler;
 mod job;
+mod link_parts;
 mod peers;
 mod plain;
 mod pool;
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use routing::rank;
+use topology::Topology;
 
+pub(crate) use crate::peers::halls::COORDINATORS;
 pub use crate::peers::halls::{Fleet, HallCount};
 pub use crate::peers::peer::{Greeting, Listed};
 use crate::peers::peer::{Peer, TRY_ADDRESS_FOR};
@@ -63,6 +65,7 @@
 #[derive(Debug)]
 pub struct Peers {
     own: Listed,
+    topology: Topology,
     peers: BTreeMap<String, Peer>,
     // Addresses learnt from the settings or others, and since when they are tried.
     addresses: BTreeMap<SocketAddr, Duration>,
@@ -84,6 +87,7 @@
     /// Nobody known yet but the gateway itself.
     pub fn new(own: Listed) -> Self {
         Peers {
+            topology: Topology::new(&own.hall, "", &BTreeMap::new()),
             own,
             peers: BTreeMap::new(),
             addresses: BTreeMap::new(),
@@ -93,6 +97,11 @@
         }
     }
 
+    /// Takes the regions of all halls.
+    pub fn set_topology(&mut self, topology: Topology) {
+        self.topology = topology;
+    }
+
     /// An address at which a gateway may be.
     pub fn learn(&mut self, now: Duration, address: SocketAddr) {
         let is_known = self.peers.values().any(|peer| peer.address == address);
--- a/components/gateway/src/peers/halls.rs
+++ b/components/gateway/src/peers/halls.rs
@@ -14,7 +14,7 @@
 use routing::{rank, weight};
 
 /// Gateways of a hall that coordinate: two may be gone before the hall looks for others.
-const COORDINATORS: usize = 3;
+pub(crate) const COORDINATORS: usize = 3;
 /// Gateways of its own hall to which one without any coordinator reports.
 const WIDER_SEARCH: usize = 8;
 /// Gateways that decide, while nothing is known of them.
@@ -245,12 +245,12 @@
         unheard.filter_map(|peer| peer.decisions).collect()
     }
 
-    // One coordinator of each other hall, in an order that differs from gateway to gateway. They are not heard
-    // here, so these are the ones that the store's list makes coordinators.
+    // One coordinator of each other hall, those of the own region first, else in an order that differs from gateway to
+    // gateway. They are not heard here, so these are the ones that the store's list makes coordinators.
     fn deciders_elsewhere(&self, now: Duration) -> Vec<SocketAddr> {
         let own = weight(COORDINATION_KEY, &self.own.name);
         let mut halls: Vec<&str> = self.other_halls().into_keys().collect();
-        halls.sort_unstable_by_key(|hall| weight(own, hall));
+        halls.sort_unstable_by_key(|hall| (self.topology.distance(hall), weight(own, hall)));
         let of_hall = |hall: &str| {
             let first = self.first_of(hall, now, COORDINATORS);
             let chosen = rank(own, first.into_iter(), 1);
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -10,10 +10,10 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use routing::placement::{endpoint_hash, Board, Placement, Work};
-use schema::messages::PlacedAt;
 use schema::settings::GatewaySettings;
+use topology::Topology;
 
-use crate::decisions::placed_of;
+use crate::link_parts::link_parts;
 use crate::peers::Fleet;
 use crate::pool::Pool;
 use crate::tally::{Sent, ServiceLoad, Tally};
@@ -39,8 +39,8 @@
 impl State {
     /// Nothing known yet.
     pub fn new(settings: Arc<GatewaySettings>) -> Self {
-        State {
-            board: Board::new(&settings.zone),
+        let mut state = State {
+            board: board_of(&settings),
             endpoints_known: false,
             directory: None,
             pool: Pool::default(),
@@ -51,7 +51,9 @@
             rng: ChaCha8Rng::from_rng(&mut rand::rng()),
             settings,
             gates: Gates::default(),
-        }
+        };
+        state.set_link_parts(Duration::ZERO);
+        state
     }
 
     /// Gives units of a team's limit back that were charged here and not used.
@@ -68,17 +70,16 @@
         work: &Work,
         excluded: &[i64],
         asked: Asked,
-    ) -> Option<PlacedAt> {
+    ) -> Option<Placement> {
         let excluded = excluded.iter().map(|hash| *hash as u64);
         let excluded: Vec<String> = excluded.filter_map(|hash| self.board.id_of(hash)).collect();
-        let placement = self.choose(now, work, &excluded, asked)?;
+        let mut placement = self.choose(now, work, &excluded, asked)?;
         self.board.sent_for_other(now, work, &placement);
         self.tally.sent.push(sent_of(now, &placement));
-        let mut placed = placed_of(&placement);
         if self.gates.under_way(&work.service).is_none() {
-            placed.version = None;
+            placement.version = None;
         }
-        Some(placed)
+        Some(placement)
     }
 
     /// Picks one of a route's services by weight.
@@ -150,6 +151,21 @@
         for quota in self.quotas.values_mut() {
             quota.set_part(now, part);
         }
+        self.set_link_parts(now);
+    }
+
+    /// Takes new settings.
+    pub fn set_settings(&mut self, now: Duration, settings: Arc<GatewaySettings>) {
+        self.settings = settings;
+        let kbit = self.settings.region_link_kbit.max(0) as u64;
+        self.board.ways_mut().set_link(kbit);
+        self.set_link_parts(now);
+    }
+
+    fn set_link_parts(&mut self, now: Duration) {
+        let kbit = self.settings.region_link_kbit.max(0) as u64;
+        let parts = link_parts(self.board.ways().topology(), kbit, &self.fleet);
+        self.board.set_link_parts(now, &parts);
     }
 
     /// What repeats are allowed.
@@ -182,6 +198,14 @@
     }
 }
 
+fn board_of(settings: &GatewaySettings) -> Board {
+    let topology = Topology::new(&settings.zone, &settings.region, &settings.halls);
+    let mut board = Board::in_topology(topology);
+    let kbit = settings.region_link_kbit.max(0) as u64;
+    board.ways_mut().set_link(kbit);
+    board
+}
+
 /// A request as the others are reported it.
 pub(crate) fn sent_of(now: Duration, placement: &Placement) -> Sent {
     Sent {
--- a/components/gateway/src/update.rs
+++ b/components/gateway/src/update.rs
@@ -39,6 +39,13 @@
         /// Whether all of it was taken in recent time.
         recent: bool,
     },
+    /// A message to a hall and its echo took so long.
+    WayMeasured {
+        /// The hall.
+        hall: String,
+        /// Time there and back.
+        round_trip: Duration,
+    },
     /// The settings changed.
     Settings(Arc<GatewaySettings>),
     /// A roll-out was ordered.
--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -5,6 +5,7 @@
 mod bucket;
 mod budget;
 mod gate;
+mod link;
 mod quota;
 mod repeats;
 mod shared_quota;
@@ -13,6 +14,7 @@
 pub use bucket::Bucket;
 pub use budget::Budget;
 pub use gate::{Gate, Verdict, Waiter};
+pub use link::{link_part, Decider, LinkBudget};
 pub use quota::{Demand, Quota, FLOOR_MILLI};
 pub use repeats::{RepeatBudget, RepeatTerms};
 pub use shared_quota::{Limit, QuotaState, SharedQuota};
--- a/components/routing/src/placement.rs
+++ b/components/routing/src/placement.rs
@@ -7,16 +7,20 @@
 mod board;
 mod cache;
 mod choice;
+mod departure;
 mod mix;
 mod pace;
 mod queue;
 mod service;
 mod slot;
 mod unknown;
+mod way;
 
 pub use board::{Board, Placement, Ticket};
 pub use cache::PromptCache;
+pub use departure::bytes_across;
 pub use queue::PromptQueue;
+pub use way::Ways;
 
 use std::time::Duration;
 
--- a/components/routing/src/placement/board.rs
+++ b/components/routing/src/placement/board.rs
@@ -5,13 +5,16 @@
 use std::time::Duration;
 
 use directory::{Configuration, Endpoint};
+use topology::Topology;
 
 use crate::endpoint::Reading;
+use crate::placement::departure::{bytes_across, Links};
 use crate::placement::mix::Mix;
 use crate::placement::pace::{with_rate_sample, Pace};
 use crate::placement::service::ServiceSlots;
 use crate::placement::slot::Slot;
 use crate::placement::unknown::Unknown;
+use crate::placement::way::Ways;
 use crate::placement::{beginnings, endpoint_hash, PeerDispatch, Verdict, Versions, Work};
 
 /// Where a request goes.
@@ -37,6 +40,15 @@
     pub version: Option<String>,
     /// Whether the endpoint is slow from its start, so that its answers say nothing of its version.
     pub is_cold: bool,
+    /// Its data hall.
+    pub hall: String,
+    /// Expected time at the best endpoint of the own region, in milliseconds, for a request that leaves it; `None` if
+    /// it stays or no endpoint there takes work.
+    pub home_ms: Option<f64>,
+    /// Bytes on the link between regions that are counted for it, 0 if it stays.
+    pub bytes_across: u64,
+    /// Whether it stays in its region for want of room on the link.
+    pub kept_for_link: bool,
 }
 
 /// A request under way, as the board counts it.
@@ -55,32 +67,36 @@
 /// Everything known of the endpoints of all services.
 #[derive(Debug)]
 pub struct Board {
-    // Own data hall.
-    pub(super) hall: String,
+    pub(super) ways: Ways,
+    pub(super) links: Links,
     pub(super) services: BTreeMap<String, ServiceSlots>,
     // Services by id of the endpoint, and ids by hash.
     service_of: HashMap<String, String>,
     hashes: HashMap<u64, String>,
     paces: BTreeMap<String, Pace>,
     pub(super) mixes: BTreeMap<String, Mix>,
-    // By weight of prompt: heavy ones are reported at once.
-    unknown_light: Unknown,
-    unknown_heavy: Unknown,
+    // By place of the region and weight of prompt: heavy ones are reported at once.
+    pub(super) unknown: BTreeMap<(usize, bool), Unknown>,
     cache_tokens: BTreeMap<String, u64>,
 }
 
 impl Board {
-    /// An empty board of a gateway in a data hall.
+    /// An empty board of a gateway in a data hall, where there is one region.
     pub fn new(hall: &str) -> Self {
+        Self::in_topology(Topology::new(hall, "", &BTreeMap::new()))
+    }
+
+    /// An empty board of a gateway among data halls.
+    pub fn in_topology(topology: Topology) -> Self {
         Board {
-            hall: hall.to_string(),
+            ways: Ways::new(topology),
+            links: Links::default(),
             services: BTreeMap::new(),
             service_of: HashMap::new(),
             hashes: HashMap::new(),
             paces: BTreeMap::new(),
             mixes: BTreeMap::new(),
-            unknown_light: Unknown::default(),
-            unknown_heavy: Unknown::default(),
+            unknown: BTreeMap::new(),
             cache_tokens: BTreeMap::new(),
         }
     }
@@ -93,6 +109,28 @@
             .collect();
     }
 
+    /// Ways to other halls.
+    pub fn ways(&self) -> &Ways {
+        &self.ways
+    }
+
+    /// Ways to other halls, to take what was measured.
+    pub fn ways_mut(&mut self) -> &mut Ways {
+        &mut self.ways
+    }
+
+    /// Sets this gateway's part of the link to each other region, in bytes a second; a region that is not named is
+    /// not bounded.
+    pub fn set_link_parts(&mut self, now: Duration, parts: &BTreeMap<String, f64>) {
+        self.links.set_parts(now, parts);
+    }
+
+    /// Time until the link has room for the request that was chosen for last and for which there was none; `None` if
+    /// it was not the link that held it back.
+    pub fn link_wait(&mut self, now: Duration, work: &Work) -> Option<Duration> {
+        self.links.wait(now, bytes_across(work))
+    }
+
     /// Takes an endpoint's newest record.
     pub fn insert(&mut self, now: Duration, endpoint: Endpoint) {
         if let Some(slot) = self.slot_mut(&endpoint.id) {
@@ -103,6 +141,7 @@
         let cache_tokens = self.cache_tokens.get(&service);
         let mut slot = Slot::new(now, endpoint, cache_tokens.copied().unwrap_or(u64::MAX));
         slot.is_engine = cache_tokens.is_some();
+        slot.region = self.ways.topology().place_of(&slot.spec.zone);
         self.hashes.insert(endpoint_hash(&id), id.clone());
         self.services
             .entry(service.clone())
@@ -151,14 +190,6 @@
         self.paces.get(service)?.known_rate()
     }
 
-    /// Requests of others that are not known here, by weight of their prompts.
-    pub(super) fn unknown(&mut self, heavy: bool) -> &mut Unknown {
-        match heavy {
-            true => &mut self.unknown_heavy,
-            false => &mut self.unknown_light,
-        }
-    }
-
     pub(super) fn pace(&self, service: &str) -> Pace {
         self.paces.get(service).copied().unwrap_or_default()
     }
@@ -228,8 +259,9 @@
         if !ticket.alone {
             return;
         }
-        let took = ms(now.saturating_sub(ticket.sent_at));
-        let service = slot.spec.service.clone();
+        let (service, hall) = (slot.spec.service.clone(), slot.spec.zone.clone());
+        let way = self.ways.beyond_region_ms(&hall);
+        let took = ms(now.saturating_sub(ticket.sent_at)) - way;
         let pace = self.paces.entry(service).or_default();
         let (sample, pace) = (pace.first_token(ticket.unread_tokens, took), *pace);
         if let (Some(sample), Some(slot)) = (sample, self.slot_mut(&ticket.endpoint)) {
@@ -247,10 +279,11 @@
             slot.queue.drop_entry(now, number);
         }
         slot.judge(now, verdict);
-        let service = slot.spec.service.clone();
+        let (service, hall) = (slot.spec.service.clone(), slot.spec.zone.clone());
         if verdict == Verdict::Sound {
+            let way = self.ways.beyond_region_ms(&hall);
             let pace = self.paces.entry(service).or_default();
-            pace.ended(ms(now.saturating_sub(ticket.sent_at)));
+            pace.ended((ms(now.saturating_sub(ticket.sent_at)) - way).max(0.0));
             if let Some(first) = ticket.first_at.filter(|_| ticket.answer_tokens > 0) {
                 pace.answered(ticket.answer_tokens, ms(now.saturating_sub(first)));
             }
@@ -272,7 +305,7 @@
         let Some(slot) = self.slot_mut(&id) else {
             return;
         };
-        let is_engine = slot.is_engine;
+        let (is_engine, region) = (slot.is_engine, slot.region);
         let service = slot.spec.service.clone();
         slot.other_sent(dispatch.sent_at, dispatch.hold);
         if dispatch.unread_tokens > 0 {
@@ -286,7 +319,8 @@
         }
         let age = now.saturating_sub(dispatch.sent_at);
         let heavy = self.pace(&service).reads_long(dispatch.unread_tokens);
-        self.unknown(heavy).note(now, age);
+        let unknown = self.unknown.entry((region, heavy)).or_default();
+        unknown.note(now, age);
     }
 
     /// Ready endpoints of a service whose version may run a request.
--- a/components/routing/src/placement/choice.rs
+++ b/components/routing/src/placement/choice.rs
@@ -1,20 +1,25 @@
 //! The choice of an endpoint for a request.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use rand::seq::IndexedRandom;
 use rand::{Rng, RngExt};
 
 use crate::placement::board::{ms, Board, Placement};
+use crate::placement::departure::{bytes_across, Departure, Places};
+use crate::placement::mix::Mix;
 use crate::placement::pace::Pace;
-use crate::placement::service::Usable;
+use crate::placement::service::{ServiceSlots, Usable};
 use crate::placement::slot::Slot;
+use crate::placement::unknown::Unknown;
+use crate::placement::way::Ways;
 use crate::placement::{beginnings, Versions, Work};
 
+/// Place of the own region among all.
+const OWN_REGION: usize = 0;
 /// Choices this close are distinguished at random, in milliseconds.
 const TIE_MS: f64 = 1.0;
-/// Cost of leaving the data hall: the way there and back, in milliseconds.
-const OTHER_HALL_MS: f64 = 2.0;
 /// Cost of one more request beside the others at an engine, in milliseconds.
 const BESIDE_MS: f64 = 0.3;
 /// Cost of an endpoint whose every answer is faulty, in milliseconds.
@@ -39,6 +44,7 @@
 const HOME_SHARE: f64 = 0.5;
 
 // An endpoint that was weighed.
+#[derive(Clone, Copy)]
 struct Weighed {
     cost_ms: f64,
     unread: u32,
@@ -47,7 +53,9 @@
 
 impl Board {
     /// The endpoint for a request, or `None` if none takes work. Those in `exclude` and of other `versions` are
-    /// passed over; those under suspicion are used only if there is no other.
+    /// passed over; those under suspicion are used only if there is no other. Each region's endpoints are weighed by
+    /// themselves, as its own gateways do; a request leaves the own one only if it gains more than the way, and the
+    /// link has room.
     pub fn choose(
         &mut self,
         now: Duration,
@@ -56,51 +64,68 @@
         versions: Versions,
         rng: &mut impl Rng,
     ) -> Option<Placement> {
+        self.links.begin();
         let weighing = Weighing {
             now,
             work,
             pace: self.pace(&work.service),
+            mix: self.mixes.get(&work.service).copied().unwrap_or_default(),
             hashes: beginnings(&work.parts),
-            hall: self.hall.clone(),
         };
-        let heavy = weighing.pace.reads_long(work.prompt_tokens);
-        let unknown = self.unknown(heavy).count(now);
-        let mix = self.mixes.get(&work.service).copied().unwrap_or_default();
         let slots = self.services.get_mut(&work.service)?;
         let usable = slots.usable(now, exclude, versions);
-        let usable = slots.grouped(now, usable, work, mix, heavy);
-        let shared_prompt = shared_hash(&weighing.hashes);
-        let home = slots.home(shared_prompt, usable.group());
-        let mut weighed = Vec::new();
-        for position in candidates(unknown, &usable, home, rng) {
-            let slot = slots.at_mut(position);
-            let unread = weighing.unread(slot, home == Some(position));
-            let mut cost_ms = weighing.cost_ms(slot, unread);
-            if !usable.is_in_group(position) {
-                cost_ms += match heavy {
-                    true => AMONG_LIGHT_MS,
-                    false => AMONG_HEAVY_MS,
-                };
+        let (mut home, mut away) = (None, None::<(usize, Weighed)>);
+        let mut count = 0;
+        for (region, positions) in slots.by_region(usable) {
+            let best = away.map_or(home, |(_, best)| Some(best));
+            if region != OWN_REGION && !weighing.may_gain(&self.ways, slots, &positions, best) {
+                continue;
+            }
+            let unknown = self.unknown.entry((region, weighing.is_heavy()));
+            let unknown = unknown.or_default();
+            let weighed = weighing.weigh(slots, positions, unknown, &self.ways, rng);
+            count += weighed.len();
+            let cheapest = cheapest(&weighed, rng).copied();
+            match (region, cheapest) {
+                (OWN_REGION, cheapest) => home = cheapest,
+                (_, Some(found)) if best.is_none_or(|best| found.cost_ms < best.cost_ms) => {
+                    away = Some((region, found));
+                }
+                _ => {}
             }
-            weighed.push(Weighed {
-                cost_ms,
-                unread,
-                position,
-            });
         }
-        let chosen = cheapest(&weighed, rng)?;
-        let spec = &slots.at(chosen.position).spec;
+        let home_ms = home.map(|home| home.cost_ms);
+        let mut departure = Departure::Stays;
+        if let Some((region, found)) = away {
+            let places = Places {
+                home_ms,
+                away_ms: found.cost_ms,
+                bytes: bytes_across(work),
+            };
+            let name = self.ways.topology().region_at(region);
+            departure = self.links.decide(now, name, places);
+        }
+        let leaves = departure == Departure::Leaves;
+        let chosen = match leaves {
+            true => away.map(|(_, found)| found)?,
+            false => home?,
+        };
+        let slot = slots.at(chosen.position);
         Some(Placement {
-            endpoint: spec.id.clone(),
-            address: spec.address,
+            endpoint: slot.spec.id.clone(),
+            address: slot.spec.address,
             unread_tokens: chosen.unread,
-            shared_prompt,
+            shared_prompt: shared_hash(&weighing.hashes),
             expected_ms: chosen.cost_ms,
             hold: weighing.pace.hold_of(work, chosen.unread),
-            weighed: weighed.len(),
+            weighed: count,
             counted: false,
-            version: Some(spec.version.clone()),
-            is_cold: now < slots.at(chosen.position).cold_until,
+            version: Some(slot.spec.version.clone()),
+            is_cold: now < slot.cold_until,
+            hall: slot.spec.zone.clone(),
+            home_ms: home_ms.filter(|_| leaves),
+            bytes_across: if leaves { bytes_across(work) } else { 0 },
+            kept_for_link: departure == Departure::Declined,
         })
     }
 }
@@ -121,12 +146,67 @@
     now: Duration,
     work: &'a Work,
     pace: Pace,
+    mix: Mix,
     hashes: Vec<u64>,
-    // Own data hall.
-    hall: String,
 }
 
 impl Weighing<'_> {
+    fn is_heavy(&self) -> bool {
+        self.pace.reads_long(self.work.prompt_tokens)
+    }
+
+    // Whether some of these endpoints could be better than the best one found, were nothing to wait for there.
+    fn may_gain(
+        &self,
+        ways: &Ways,
+        slots: &ServiceSlots,
+        positions: &[usize],
+        best: Option<Weighed>,
+    ) -> bool {
+        let Some(best) = best else {
+            return true;
+        };
+        let halls = positions.iter().map(|at| slots.at(*at).spec.zone.as_str());
+        let halls: BTreeSet<&str> = halls.collect();
+        let costs = halls
+            .into_iter()
+            .map(|hall| ways.cost_ms(hall, self.work.body_bytes));
+        costs.fold(f64::INFINITY, f64::min) < best.cost_ms
+    }
+
+    // What endpoints of one region, or some of them, would cost.
+    fn weigh(
+        &self,
+        slots: &mut ServiceSlots,
+        positions: Vec<usize>,
+        unknown: &mut Unknown,
+        ways: &Ways,
+        rng: &mut impl Rng,
+    ) -> Vec<Weighed> {
+        let heavy = self.is_heavy();
+        let usable = slots.grouped(self.now, positions, self.work, self.mix, heavy);
+        let home = slots.home(shared_hash(&self.hashes), usable.group());
+        let candidates = candidates(unknown.count(self.now), &usable, home, rng);
+        let weighed = candidates.into_iter().map(|position| {
+            let slot = slots.at_mut(position);
+            let unread = self.unread(slot, home == Some(position));
+            let mut cost_ms = self.cost_ms(slot, unread);
+            cost_ms += ways.cost_ms(&slot.spec.zone, self.work.body_bytes);
+            if !usable.is_in_group(position) {
+                cost_ms += match heavy {
+                    true => AMONG_LIGHT_MS,
+                    false => AMONG_HEAVY_MS,
+                };
+            }
+            Weighed {
+                cost_ms,
+                unread,
+                position,
+            }
+        });
+        weighed.collect()
+    }
+
     // Tokens that an endpoint would have to read.
     fn unread(&self, slot: &Slot, is_home: bool) -> u32 {
         let work = self.work;
@@ -163,10 +243,6 @@
             cost += load / slots * pace.hold_ms;
         }
         cost += slot.fault_share * FAULTY_MS;
-        cost += match self.hall == slot.spec.zone {
-            true => 0.0,
-            false => OTHER_HALL_MS,
-        };
         cost += if now < slot.cold_until { COLD_MS } else { 0.0 };
         cost
     }
--- a/components/routing/src/placement/service.rs
+++ b/components/routing/src/placement/service.rs
@@ -1,5 +1,6 @@
 //! The endpoints of one service.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::placement::mix::Mix;
@@ -119,6 +120,16 @@
         ready
     }
 
+    /// Endpoints by place of their region, the own one first.
+    pub fn by_region(&self, positions: Vec<usize>) -> Vec<(usize, Vec<usize>)> {
+        let mut regions: BTreeMap<usize, Vec<usize>> = BTreeMap::new();
+        for position in positions {
+            let region = self.slots[position].region;
+            regions.entry(region).or_default().push(position);
+        }
+        regions.into_iter().collect()
+    }
+
     /// Splits endpoints into those meant for light prompts and those meant for heavy ones.
     pub fn grouped(
         &mut self,
--- a/components/routing/src/placement/slot.rs
+++ b/components/routing/src/placement/slot.rs
@@ -25,6 +25,8 @@
     pub spec: Endpoint,
     /// Its place in the order in which engines take light prompts.
     pub order: u64,
+    /// Place of its region among all, 0 for the own one.
+    pub region: usize,
     pub cache: PromptCache,
     pub queue: PromptQueue,
     /// Tokens of prompts read in a millisecond, 0 while unknown.
@@ -51,6 +53,7 @@
         Slot {
             spec,
             order: 0,
+            region: 0,
             cache: PromptCache::new(cache_tokens),
             queue: PromptQueue::default(),
             rate: 0.0,
--- a/components/schema/src/messages.rs
+++ b/components/schema/src/messages.rs
@@ -2367,10 +2367,12 @@
     pub rollouts: Option<Vec<Box<RolloutReport>>>,
     /// What the sender saw endpoints answer since a roll-out was ordered; for the holder.
     pub evidence: Option<Vec<Box<EvidenceReport>>>,
+    /// Among several regions: when a message of one coordinator came, from which it reckons the way.
+    pub echo: Option<Box<Echo>>,
 }
 
 impl Gossip {
-    pub fn new<F10, F11, F12, F13, F14, F15, F16, F17, F18, F19, F20, F21, F22, F23, F24>(
+    pub fn new<F10, F11, F12, F13, F14, F15, F16, F17, F18, F19, F20, F21, F22, F23, F24, F25>(
         gateway: String,
         incarnation: i64,
         sequence: i64,
@@ -2395,6 +2397,7 @@
         forwarded: F22,
         rollouts: F23,
         evidence: F24,
+        echo: F25,
     ) -> Gossip
     where
         F10: Into<Option<Vec<TopicHead>>>,
@@ -2412,6 +2415,7 @@
         F22: Into<Option<Vec<Box<SourceUsage>>>>,
         F23: Into<Option<Vec<Box<RolloutReport>>>>,
         F24: Into<Option<Vec<Box<EvidenceReport>>>>,
+        F25: Into<Option<Box<Echo>>>,
     {
         Gossip {
             gateway,
@@ -2438,6 +2442,7 @@
             forwarded: forwarded.into(),
             rollouts: rollouts.into(),
             evidence: evidence.into(),
+            echo: echo.into(),
         }
     }
 }
@@ -2469,6 +2474,7 @@
         let mut f_22: Option<Vec<Box<SourceUsage>>> = None;
         let mut f_23: Option<Vec<Box<RolloutReport>>> = None;
         let mut f_24: Option<Vec<Box<EvidenceReport>>> = None;
+        let mut f_25: Option<Box<Echo>> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -2624,6 +2630,10 @@
                     i_prot.read_list_end()?;
                     f_24 = Some(val);
                 }
+                25 => {
+                    let val = Box::new(Echo::read_from_in_protocol(i_prot)?);
+                    f_25 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -2674,6 +2684,7 @@
             forwarded: f_22,
             rollouts: f_23,
             evidence: f_24,
+            echo: f_25,
         };
         Ok(ret)
     }
@@ -2828,6 +2839,98 @@
             o_prot.write_list_end()?;
             o_prot.write_field_end()?
         }
+        if let Some(ref fld_var) = self.echo {
+            o_prot.write_field_begin(&TFieldIdentifier::new("echo", TType::Struct, 25))?;
+            fld_var.write_to_out_protocol(o_prot)?;
+            o_prot.write_field_end()?
+        }
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
+//
+// Echo
+//
+
+/// When a message of another gateway came.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Echo {
+    /// Hash of that gateway's name.
+    pub gateway: i64,
+    /// Its uptime_ms.
+    pub uptime_ms: i64,
+    /// Time since it came, in microseconds.
+    pub held_us: i64,
+}
+
+impl Echo {
+    pub fn new(gateway: i64, uptime_ms: i64, held_us: i64) -> Echo {
+        Echo {
+            gateway,
+            uptime_ms,
+            held_us,
+        }
+    }
+}
+
+impl TSerializable for Echo {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Echo> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<i64> = None;
+        let mut f_2: Option<i64> = None;
+        let mut f_3: Option<i64> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = i_prot.read_i64()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = i_prot.read_i64()?;
+                    f_2 = Some(val);
+                }
+                3 => {
+                    let val = i_prot.read_i64()?;
+                    f_3 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("Echo.gateway", &f_1)?;
+        verify_required_field_exists("Echo.uptime_ms", &f_2)?;
+        verify_required_field_exists("Echo.held_us", &f_3)?;
+        let ret = Echo {
+            gateway: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            uptime_ms: f_2
+                .expect("auto-generated code should have checked for presence of required fields"),
+            held_us: f_3
+                .expect("auto-generated code should have checked for presence of required fields"),
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("Echo");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("gateway", TType::I64, 1))?;
+        o_prot.write_i64(self.gateway)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("uptime_ms", TType::I64, 2))?;
+        o_prot.write_i64(self.uptime_ms)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("held_us", TType::I64, 3))?;
+        o_prot.write_i64(self.held_us)?;
+        o_prot.write_field_end()?;
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -3790,10 +3893,14 @@
     pub weighed: i32,
     /// Version of the endpoint, while its answers are evidence in a roll-out.
     pub version: Option<String>,
+    /// Data hall of the endpoint.
+    pub hall: Option<String>,
+    /// Expected time at the best endpoint of the region that the request leaves, in milliseconds.
+    pub home_ms: Option<i32>,
 }
 
 impl PlacedAt {
-    pub fn new<F8>(
+    pub fn new<F8, F9, F10>(
         endpoint: String,
         address: String,
         unread_tokens: i32,
@@ -3802,9 +3909,13 @@
         hold_ms: i32,
         weighed: i32,
         version: F8,
+        hall: F9,
+        home_ms: F10,
     ) -> PlacedAt
     where
         F8: Into<Option<String>>,
+        F9: Into<Option<String>>,
+        F10: Into<Option<i32>>,
     {
         PlacedAt {
             endpoint,
@@ -3815,6 +3926,8 @@
             hold_ms,
             weighed,
             version: version.into(),
+            hall: hall.into(),
+            home_ms: home_ms.into(),
         }
     }
 }
@@ -3830,6 +3943,8 @@
         let mut f_6: Option<i32> = None;
         let mut f_7: Option<i32> = None;
         let mut f_8: Option<String> = None;
+        let mut f_9: Option<String> = None;
+        let mut f_10: Option<i32> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -3869,6 +3984,14 @@
                     let val = i_prot.read_string()?;
                     f_8 = Some(val);
                 }
+                9 => {
+                    let val = i_prot.read_string()?;
+                    f_9 = Some(val);
+                }
+                10 => {
+                    let val = i_prot.read_i32()?;
+                    f_10 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -3899,6 +4022,8 @@
             weighed: f_7
                 .expect("auto-generated code should have checked for presence of required fields"),
             version: f_8,
+            hall: f_9,
+            home_ms: f_10,
         };
         Ok(ret)
     }
@@ -3931,6 +4056,16 @@
             o_prot.write_string(fld_var)?;
             o_prot.write_field_end()?
         }
+        if let Some(ref fld_var) = self.hall {
+            o_prot.write_field_begin(&TFieldIdentifier::new("hall", TType::String, 9))?;
+            o_prot.write_string(fld_var)?;
+            o_prot.write_field_end()?
+        }
+        if let Some(fld_var) = self.home_ms {
+            o_prot.write_field_begin(&TFieldIdentifier::new("home_ms", TType::I32, 10))?;
+            o_prot.write_i32(fld_var)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -3948,18 +4083,22 @@
     pub retry_ms: Option<i64>,
     /// Unset where no endpoint takes work, or the limit is used up.
     pub placed: Option<PlacedAt>,
+    /// Set where only another region could take it: time until the link there has room, in milliseconds.
+    pub link_wait_ms: Option<i64>,
 }
 
 impl DecisionReply {
-    pub fn new<F2, F3>(number: i64, retry_ms: F2, placed: F3) -> DecisionReply
+    pub fn new<F2, F3, F4>(number: i64, retry_ms: F2, placed: F3, link_wait_ms: F4) -> DecisionReply
     where
         F2: Into<Option<i64>>,
         F3: Into<Option<PlacedAt>>,
+        F4: Into<Option<i64>>,
     {
         DecisionReply {
             number,
             retry_ms: retry_ms.into(),
             placed: placed.into(),
+            link_wait_ms: link_wait_ms.into(),
         }
     }
 }
@@ -3970,6 +4109,7 @@
         let mut f_1: Option<i64> = None;
         let mut f_2: Option<i64> = None;
         let mut f_3: Option<PlacedAt> = None;
+        let mut f_4: Option<i64> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -3989,6 +4129,10 @@
                     let val = PlacedAt::read_from_in_protocol(i_prot)?;
                     f_3 = Some(val);
                 }
+                4 => {
+                    let val = i_prot.read_i64()?;
+                    f_4 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -4002,6 +4146,7 @@
                 .expect("auto-generated code should have checked for presence of required fields"),
             retry_ms: f_2,
             placed: f_3,
+            link_wait_ms: f_4,
         };
         Ok(ret)
     }
@@ -4021,6 +4166,11 @@
             fld_var.write_to_out_protocol(o_prot)?;
             o_prot.write_field_end()?
         }
+        if let Some(fld_var) = self.link_wait_ms {
+            o_prot.write_field_begin(&TFieldIdentifier::new("link_wait_ms", TType::I64, 4))?;
+            o_prot.write_i64(fld_var)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
--- a/components/schema/thrift/messages.thrift
+++ b/components/schema/thrift/messages.thrift
@@ -271,6 +271,18 @@
   23: optional list<RolloutReport> rollouts,
   /** What the sender saw endpoints answer since a roll-out was ordered; for the holder. */
   24: optional list<EvidenceReport> evidence,
+  /** Among several regions: when a message of one coordinator came, from which it reckons the way. */
+  25: optional Echo echo,
+}
+
+/** When a message of another gateway came. */
+struct Echo {
+  /** Hash of that gateway's name. */
+  1: required i64 gateway,
+  /** Its uptime_ms. */
+  2: required i64 uptime_ms,
+  /** Time since it came, in microseconds. */
+  3: required i64 held_us,
 }
 
 /** How far a roll-out is. */
@@ -392,6 +404,10 @@
   7: required i32 weighed,
   /** Version of the endpoint, while its answers are evidence in a roll-out. */
   8: optional string version,
+  /** Data hall of the endpoint. */
+  9: optional string hall,
+  /** Expected time at the best endpoint of the region that the request leaves, in milliseconds. */
+  10: optional i32 home_ms,
 }
 
 /** Answer to a DecisionQuery. */
@@ -401,6 +417,8 @@
   2: optional i64 retry_ms,
   /** Unset where no endpoint takes work, or the limit is used up. */
   3: optional PlacedAt placed,
+  /** Set where only another region could take it: time until the link there has room, in milliseconds. */
+  4: optional i64 link_wait_ms,
 }
 
 /** Units that were charged by a coordinator and not used. */
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -79,6 +79,12 @@
         Applied => "config.applied",
         /// Orders sent to endpoints.
         Orders => "fleet.order",
+        /// Requests sent to another region.
+        RegionSent => "region.sent",
+        /// Bytes of those requests and their answers, as they are counted on the link.
+        RegionBytes => "region.bytes",
+        /// Requests that would have gained in another region and were kept, for want of room on the link.
+        RegionDeclined => "region.declined",
         /// Listener restarts after a failed accept.
         ListenerRestarts => "listener.restart",
     }
--- a/components/topology/src/lib.rs
+++ b/components/topology/src/lib.rs
@@ -81,6 +81,31 @@
         named.chain([self.region.as_str()]).collect()
     }
 
+    /// Place of a hall's region among all: 0 for the own one, then the others by name.
+    pub fn place_of(&self, hall: &str) -> usize {
+        let region = self.region_of(hall);
+        let others = self.regions();
+        let mut others = others.into_iter().filter(|other| *other != self.region);
+        match region == self.region {
+            true => 0,
+            false => others
+                .position(|other| other == region)
+                .map_or(0, |i| i + 1),
+        }
+    }
+
+    /// The region at a place; the own one where there is none.
+    pub fn region_at(&self, place: usize) -> &str {
+        let mut others = self
+            .regions()
+            .into_iter()
+            .filter(|other| *other != self.region);
+        match place {
+            0 => &self.region,
+            place => others.nth(place - 1).unwrap_or(&self.region),
+        }
+    }
+
     /// Whether there is more than one region.
     pub fn has_regions(&self) -> bool {
         self.regions().len() > 1
