--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -37,7 +37,7 @@
 
 use crate::alone::Alone;
 use crate::clock::Clock;
-use crate::control::echoes::Echoes;
+pub use crate::control::echoes::{round_trip, Echoes};
 use crate::control::follow::{Followed, WATCHERS};
 use crate::control::lease::OrdersUnderWay;
 use crate::control::messages::SendState;
--- a/components/gateway/src/control/echoes.rs
+++ b/components/gateway/src/control/echoes.rs
@@ -16,7 +16,7 @@
 
 /// Newest messages of other coordinators.
 #[derive(Debug, Default)]
-pub(crate) struct Echoes {
+pub struct Echoes {
     // When it was sent on the sender's clock, and when it came.
     heard: BTreeMap<String, (i64, Duration)>,
     // Whose message was echoed last.
@@ -48,7 +48,7 @@
 }
 
 /// Time that a message to another gateway and its echo took, if it was one of `own`.
-pub(crate) fn round_trip(now: Duration, own: &str, echo: &Echo) -> Option<Duration> {
+pub fn round_trip(now: Duration, own: &str, echo: &Echo) -> Option<Duration> {
     if echo.gateway != name_hash(own) {
         return None;
     }
--- a/components/gateway/src/control/exchange.rs
+++ b/components/gateway/src/control/exchange.rs
@@ -12,7 +12,7 @@
 use usage::Source;
 
 use crate::control::messages::Content;
-use crate::control::{echoes, Known, Shared};
+use crate::control::{round_trip, Known, Shared};
 use crate::gossip;
 use crate::peers::{is_recent, Receipt};
 use crate::ports::{Orders, Store, Topic};
@@ -240,7 +240,7 @@
         if gossip.coordinates == Some(true) {
             kept.heard(now, &gossip.gateway, gossip.uptime_ms?);
         }
-        let round_trip = echoes::round_trip(now, own, gossip.echo.as_ref()?)?;
-        Some((gossip.hall.clone()?, round_trip))
+        let took = round_trip(now, own, gossip.echo.as_ref()?)?;
+        Some((gossip.hall.clone()?, took))
     }
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 
 pub use alone::Alone;
 pub use clock::Clock;
+pub use control::{round_trip, Echoes};
 pub use events::{Event, EventSplitter, SplitError};
 pub use freshness::Freshness;
 pub use peers::{is_recent, Fleet, Greeting, HallCount, Listed, PeerCount, Peers, Receipt};
