Decide for gateways of another region as theirs would, show regions to operators

Cause: a gateway whose region's coordinators do not reply asks one elsewhere, which has 60 ms to go in the 40 ms that a reply was waited for, and which placed the request in its own region without counting it on the link. Ruled out: asking further than five coordinators (a request would wait longer than it takes to decide alone).

--- a/components/directory/src/explanation.rs
+++ b/components/directory/src/explanation.rs
@@ -14,6 +14,8 @@
     pub version: u64,
     /// The route, or why there is none.
     pub outcome: Result<Way, NoWay>,
+    /// Region by data hall, as far as it is known.
+    pub regions: BTreeMap<String, String>,
 }
 
 /// A route and what stands behind it.
@@ -55,6 +57,7 @@
         Explanation {
             version: self.configuration().version,
             outcome: self.way(host, path, endpoints),
+            regions: BTreeMap::new(),
         }
     }
 
@@ -96,7 +99,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "configuration version {}", self.version)?;
         match &self.outcome {
-            Ok(way) => way.fmt(f),
+            Ok(way) => way.show(f, &self.regions),
             Err(NoWay::UnknownHost) => writeln!(f, "no route: no route names this host"),
             Err(NoWay::NoPrefix(prefixes)) => {
                 writeln!(f, "no route: none of these prefixes begins the path")?;
@@ -106,8 +109,8 @@
     }
 }
 
-impl fmt::Display for Way {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+impl Way {
+    fn show(&self, f: &mut fmt::Formatter<'_>, regions: &BTreeMap<String, String>) -> fmt::Result {
         let route = &self.route;
         writeln!(
             f,
@@ -147,7 +150,10 @@
                 service.name, service.milli
             )?;
             for (hall, count) in &service.ready {
-                writeln!(f, "  {hall}: {count}")?;
+                match regions.get(hall) {
+                    Some(region) => writeln!(f, "  {hall} in {region}: {count}")?,
+                    None => writeln!(f, "  {hall}: {count}")?,
+                }
             }
         }
         Ok(())
--- a/components/directory/tests/explanations.rs
+++ b/components/directory/tests/explanations.rs
@@ -114,3 +114,14 @@
     ];
     assert_eq!(lines, expected);
 }
+
+#[test]
+fn halls_are_named_with_their_regions_where_these_are_known() {
+    let endpoints = [endpoint("e1", "old", "north", EndpointState::Ready)];
+    let mut explanation = directory().explain("a.example", "/x/chat/1", &endpoints);
+    let hall = endpoints[0].zone.clone();
+    assert!(explanation.to_string().contains(&format!("  {hall}: 1\n")));
+    explanation.regions = [(hall.clone(), "r1".to_string())].into();
+    let shown = explanation.to_string();
+    assert!(shown.contains(&format!("  {hall} in r1: 1\n")), "{shown}");
+}
--- a/components/gateway/src/decisions.rs
+++ b/components/gateway/src/decisions.rs
@@ -27,6 +27,8 @@
 /// slow processor is not taken for a lost datagram, and an eighth of the shortest target on the sheets (100 ms) is
 /// left for the next coordinator.
 const REPLY_TIME: Duration = Duration::from_millis(40);
+/// The same for a coordinator of another region: twice the first guess of the way there and back (60 ms) beside it.
+const FAR_REPLY_TIME: Duration = Duration::from_millis(160);
 /// A coordinator that did not reply is asked last for this long: as long as it would be heard if it died.
 const PASSED_OVER_FOR: Duration = Duration::from_millis(1500);
 /// Coordinators asked about one request: the three of the own hall and two of others.
@@ -176,11 +178,25 @@
             request: job.head.id.clone(),
             route: Some(asked.route as i64),
             is_lost_when_cut: Some(asked.is_lost_when_cut),
+            hall: self.hall_to_tell(),
             body_bytes: Some(job.body.len().min(i32::MAX as usize) as i32),
         }
     }
 
+    // Only where there are several regions.
+    fn hall_to_tell(&self) -> Option<String> {
+        let state = self.state.borrow();
+        let topology = state.board.ways().topology();
+        let hall = topology.hall().to_string();
+        topology.has_regions().then_some(hall)
+    }
+
     async fn send_query(&self, by: SocketAddr, query: DecisionQuery) -> Option<DecisionReply> {
+        let is_far = self.state.borrow().fleet.far.contains(&by);
+        let reply_time = match is_far {
+            true => FAR_REPLY_TIME,
+            false => REPLY_TIME,
+        };
         let number = query.number;
         let (sender, reply) = oneshot::channel();
         self.asking.replies.borrow_mut().insert(number, sender);
@@ -189,7 +205,7 @@
             ..Decision::default()
         };
         self.send_decision(&message, by).await;
-        let reply = tokio::time::timeout(REPLY_TIME, reply).await;
+        let reply = tokio::time::timeout(reply_time, reply).await;
         self.asking.replies.borrow_mut().remove(&number);
         reply.ok()?.ok()
     }
@@ -240,9 +256,14 @@
             reply.retry_ms = Some(wait.as_millis().min(i64::MAX as u128) as i64);
             return Some(reply);
         }
+        let topology = state.board.ways().topology();
         let asked = Asked {
             route: query.route.unwrap_or_default() as u64,
             is_lost_when_cut: query.is_lost_when_cut.unwrap_or_default(),
+            home_region: query
+                .hall
+                .as_deref()
+                .map_or(0, |hall| topology.place_of(hall)),
         };
         let work = work_of(query);
         let placed = state.place_for_other(now, &work, &query.excluded, asked);
--- a/components/gateway/src/job.rs
+++ b/components/gateway/src/job.rs
@@ -52,6 +52,7 @@
         Asked {
             route: route_hash(&self.route.name),
             is_lost_when_cut: is_lost_when_cut(&self.route),
+            home_region: 0,
         }
     }
 
--- a/components/gateway/src/peers/halls.rs
+++ b/components/gateway/src/peers/halls.rs
@@ -12,6 +12,7 @@
 use crate::peers::peer::Peer;
 use crate::peers::{PeerCount, Peers, ASSUMED};
 use routing::{rank, weight};
+use topology::Distance;
 
 /// Gateways of a hall that coordinate: two may be gone before the hall looks for others.
 pub(crate) const COORDINATORS: usize = 3;
@@ -48,6 +49,8 @@
     /// Gateways that are asked when none of those decides, by what the store's list says: the own hall's coordinators
     /// that were never heard, as after a start of all, then one coordinator of each other hall.
     pub others: Vec<SocketAddr>,
+    /// Those of `others` that lie in another region.
+    pub far: Vec<SocketAddr>,
 }
 
 impl Default for Fleet {
@@ -59,6 +62,7 @@
             coordinators: Vec::new(),
             placing: ASSUMED_PLACING,
             others: Vec::new(),
+            far: Vec::new(),
         }
     }
 }
@@ -133,16 +137,19 @@
                 coordinators: Vec::new(),
                 placing: self.coordinators(now).len() + 1,
                 others: Vec::new(),
+                far: Vec::new(),
             };
         }
         let gateways = self.reported_gateways(now).unwrap_or(count.gateways());
+        let (near, far) = self.deciders_elsewhere(now);
         Fleet {
             gateways,
             part: 1.0 / gateways.max(1) as f64,
             decides: false,
             coordinators: self.deciders(now),
             placing: gateways,
-            others: [self.deciders_unseen(now), self.deciders_elsewhere(now)].concat(),
+            others: [self.deciders_unseen(now), near, far.clone()].concat(),
+            far,
         }
     }
 
@@ -245,18 +252,21 @@
         unheard.filter_map(|peer| peer.decisions).collect()
     }
 
-    // One coordinator of each other hall, those of the own region first, else in an order that differs from gateway to
+    // One coordinator of each other hall, of the own region and of others, in an order that differs from gateway to
     // gateway. They are not heard here, so these are the ones that the store's list makes coordinators.
-    fn deciders_elsewhere(&self, now: Duration) -> Vec<SocketAddr> {
+    fn deciders_elsewhere(&self, now: Duration) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
         let own = weight(COORDINATION_KEY, &self.own.name);
         let mut halls: Vec<&str> = self.other_halls().into_keys().collect();
-        halls.sort_unstable_by_key(|hall| (self.topology.distance(hall), weight(own, hall)));
+        halls.sort_unstable_by_key(|hall| weight(own, hall));
         let of_hall = |hall: &str| {
             let first = self.first_of(hall, now, COORDINATORS);
             let chosen = rank(own, first.into_iter(), 1);
             self.peers[*chosen.first()?].decisions
         };
-        halls.into_iter().filter_map(of_hall).collect()
+        let is_near = |hall: &&str| self.topology.distance(hall) != Distance::OtherRegion;
+        let (near, far): (Vec<&str>, Vec<&str>) = halls.into_iter().partition(is_near);
+        let deciders = |halls: Vec<&str>| halls.into_iter().filter_map(of_hall).collect();
+        (deciders(near), deciders(far))
     }
 
     // The gateways of a hall that come first, but this one: the largest, then by an order that all agree on.
--- a/components/gateway/src/versions.rs
+++ b/components/gateway/src/versions.rs
@@ -25,6 +25,8 @@
     pub route: u64,
     /// Whether its run would be lost if its endpoint ended.
     pub is_lost_when_cut: bool,
+    /// Place of the region that it comes from, 0 for the own one.
+    pub home_region: usize,
 }
 
 /// An answer that speaks of a version.
@@ -125,14 +127,14 @@
         asked: Asked,
     ) -> Option<Placement> {
         let lane = self.lane(now, work, exclude, asked);
-        let mut placed = self.choose_in(now, work, exclude, &lane);
+        let mut placed = self.choose_in(now, work, exclude, &lane, asked.home_region);
         if let (None, Lane::Only(version)) = (&placed, &lane) {
             let elsewhere = match self.gates.under_way(&work.service) {
                 Some(_) => Lane::Not(version.clone()),
                 // Endpoints may have been replaced by a later version without an order.
                 None => Lane::Any,
             };
-            placed = self.choose_in(now, work, exclude, &elsewhere);
+            placed = self.choose_in(now, work, exclude, &elsewhere, asked.home_region);
         }
         if let (Some(gate), Some(placement)) = (self.gates.gates.get_mut(&work.service), &placed) {
             let is_new = placement.version.as_ref() == Some(&gate.order().version);
@@ -147,6 +149,7 @@
         work: &Work,
         exclude: &[String],
         lane: &Lane,
+        home_region: usize,
     ) -> Option<Placement> {
         let under_way = self.gates.under_way(&work.service);
         let is_sampled = under_way.is_some_and(|gate| gate.stage(now) == Some(Stage::Sample));
@@ -162,8 +165,9 @@
             }
             Lane::Only(version) => Versions::Only(version),
         };
+        let rng = &mut self.rng;
         self.board
-            .choose(now, work, exclude, versions, &mut self.rng)
+            .choose_from(home_region, now, work, exclude, versions, rng)
     }
 
     fn lane(&mut self, now: Duration, work: &Work, exclude: &[String], asked: Asked) -> Lane {
--- a/components/routing/src/placement.rs
+++ b/components/routing/src/placement.rs
@@ -8,6 +8,7 @@
 mod cache;
 mod choice;
 mod departure;
+mod halls;
 mod mix;
 mod pace;
 mod queue;
--- a/components/routing/src/placement/board.rs
+++ b/components/routing/src/placement/board.rs
@@ -8,7 +8,7 @@
 use topology::Topology;
 
 use crate::endpoint::Reading;
-use crate::placement::departure::{bytes_across, Links};
+use crate::placement::departure::Links;
 use crate::placement::mix::Mix;
 use crate::placement::pace::{with_rate_sample, Pace};
 use crate::placement::service::ServiceSlots;
@@ -69,6 +69,8 @@
 pub struct Board {
     pub(super) ways: Ways,
     pub(super) links: Links,
+    // Halls of the endpoints; a slot names its hall by its place here.
+    pub(super) halls: Vec<String>,
     pub(super) services: BTreeMap<String, ServiceSlots>,
     // Services by id of the endpoint, and ids by hash.
     service_of: HashMap<String, String>,
@@ -91,6 +93,7 @@
         Board {
             ways: Ways::new(topology),
             links: Links::default(),
+            halls: Vec::new(),
             services: BTreeMap::new(),
             service_of: HashMap::new(),
             hashes: HashMap::new(),
@@ -109,28 +112,6 @@
             .collect();
     }
 
-    /// Ways to other halls.
-    pub fn ways(&self) -> &Ways {
-        &self.ways
-    }
-
-    /// Ways to other halls, to take what was measured.
-    pub fn ways_mut(&mut self) -> &mut Ways {
-        &mut self.ways
-    }
-
-    /// Sets this gateway's part of the link to each other region, in bytes a second; a region that is not named is
-    /// not bounded.
-    pub fn set_link_parts(&mut self, now: Duration, parts: &BTreeMap<String, f64>) {
-        self.links.set_parts(now, parts);
-    }
-
-    /// Time until the link has room for the request that was chosen for last and for which there was none; `None` if
-    /// it was not the link that held it back.
-    pub fn link_wait(&mut self, now: Duration, work: &Work) -> Option<Duration> {
-        self.links.wait(now, bytes_across(work))
-    }
-
     /// Takes an endpoint's newest record.
     pub fn insert(&mut self, now: Duration, endpoint: Endpoint) {
         if let Some(slot) = self.slot_mut(&endpoint.id) {
@@ -141,6 +122,7 @@
         let cache_tokens = self.cache_tokens.get(&service);
         let mut slot = Slot::new(now, endpoint, cache_tokens.copied().unwrap_or(u64::MAX));
         slot.is_engine = cache_tokens.is_some();
+        slot.hall = self.place_of_hall(&slot.spec.zone);
         slot.region = self.ways.topology().place_of(&slot.spec.zone);
         self.hashes.insert(endpoint_hash(&id), id.clone());
         self.services
--- a/components/routing/src/placement/choice.rs
+++ b/components/routing/src/placement/choice.rs
@@ -1,6 +1,5 @@
 //! The choice of an endpoint for a request.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use rand::seq::IndexedRandom;
@@ -13,11 +12,9 @@
 use crate::placement::service::{ServiceSlots, Usable};
 use crate::placement::slot::Slot;
 use crate::placement::unknown::Unknown;
-use crate::placement::way::Ways;
+use crate::placement::way::OWN_REGION;
 use crate::placement::{beginnings, Versions, Work};
 
-/// Place of the own region among all.
-const OWN_REGION: usize = 0;
 /// Choices this close are distinguished at random, in milliseconds.
 const TIE_MS: f64 = 1.0;
 /// Cost of one more request beside the others at an engine, in milliseconds.
@@ -63,6 +60,19 @@
         exclude: &[String],
         versions: Versions,
         rng: &mut impl Rng,
+    ) -> Option<Placement> {
+        self.choose_from(OWN_REGION, now, work, exclude, versions, rng)
+    }
+
+    /// The same for a request of a gateway in the region at this place.
+    pub fn choose_from(
+        &mut self,
+        home_region: usize,
+        now: Duration,
+        work: &Work,
+        exclude: &[String],
+        versions: Versions,
+        rng: &mut impl Rng,
     ) -> Option<Placement> {
         self.links.begin();
         let weighing = Weighing {
@@ -71,24 +81,25 @@
             pace: self.pace(&work.service),
             mix: self.mixes.get(&work.service).copied().unwrap_or_default(),
             hashes: beginnings(&work.parts),
+            hall_costs: self.hall_costs(home_region, work.body_bytes),
         };
         let slots = self.services.get_mut(&work.service)?;
         let usable = slots.usable(now, exclude, versions);
         let (mut home, mut away) = (None, None::<(usize, Weighed)>);
         let mut count = 0;
-        for (region, positions) in slots.by_region(usable) {
+        for (region, positions) in slots.by_region(usable, home_region) {
             let best = away.map_or(home, |(_, best)| Some(best));
-            if region != OWN_REGION && !weighing.may_gain(&self.ways, slots, &positions, best) {
+            if region != home_region && !weighing.may_gain(slots, &positions, best) {
                 continue;
             }
             let unknown = self.unknown.entry((region, weighing.is_heavy()));
             let unknown = unknown.or_default();
-            let weighed = weighing.weigh(slots, positions, unknown, &self.ways, rng);
+            let weighed = weighing.weigh(slots, positions, unknown, rng);
             count += weighed.len();
             let cheapest = cheapest(&weighed, rng).copied();
-            match (region, cheapest) {
-                (OWN_REGION, cheapest) => home = cheapest,
-                (_, Some(found)) if best.is_none_or(|best| found.cost_ms < best.cost_ms) => {
+            match cheapest {
+                cheapest if region == home_region => home = cheapest,
+                Some(found) if best.is_none_or(|best| found.cost_ms < best.cost_ms) => {
                     away = Some((region, found));
                 }
                 _ => {}
@@ -102,7 +113,13 @@
                 away_ms: found.cost_ms,
                 bytes: bytes_across(work),
             };
-            let name = self.ways.topology().region_at(region);
+            // What crosses the own region's link, for whomever it was decided.
+            let beyond = if region == OWN_REGION {
+                home_region
+            } else {
+                region
+            };
+            let name = self.ways.topology().region_at(beyond);
             departure = self.links.decide(now, name, places);
         }
         let leaves = departure == Departure::Leaves;
@@ -148,6 +165,8 @@
     pace: Pace,
     mix: Mix,
     hashes: Vec<u64>,
+    // What a request must gain in each hall, by the place of the hall on the board.
+    hall_costs: Vec<f64>,
 }
 
 impl Weighing<'_> {
@@ -156,21 +175,13 @@
     }
 
     // Whether some of these endpoints could be better than the best one found, were nothing to wait for there.
-    fn may_gain(
-        &self,
-        ways: &Ways,
-        slots: &ServiceSlots,
-        positions: &[usize],
-        best: Option<Weighed>,
-    ) -> bool {
+    fn may_gain(&self, slots: &ServiceSlots, positions: &[usize], best: Option<Weighed>) -> bool {
         let Some(best) = best else {
             return true;
         };
-        let halls = positions.iter().map(|at| slots.at(*at).spec.zone.as_str());
-        let halls: BTreeSet<&str> = halls.collect();
-        let costs = halls
-            .into_iter()
-            .map(|hall| ways.cost_ms(hall, self.work.body_bytes));
+        let costs = positions
+            .iter()
+            .map(|at| self.hall_costs[slots.at(*at).hall]);
         costs.fold(f64::INFINITY, f64::min) < best.cost_ms
     }
 
@@ -180,7 +191,6 @@
         slots: &mut ServiceSlots,
         positions: Vec<usize>,
         unknown: &mut Unknown,
-        ways: &Ways,
         rng: &mut impl Rng,
     ) -> Vec<Weighed> {
         let heavy = self.is_heavy();
@@ -191,7 +201,7 @@
             let slot = slots.at_mut(position);
             let unread = self.unread(slot, home == Some(position));
             let mut cost_ms = self.cost_ms(slot, unread);
-            cost_ms += ways.cost_ms(&slot.spec.zone, self.work.body_bytes);
+            cost_ms += self.hall_costs[slot.hall];
             if !usable.is_in_group(position) {
                 cost_ms += match heavy {
                     true => AMONG_LIGHT_MS,
--- a/components/routing/src/placement/service.rs
+++ b/components/routing/src/placement/service.rs
@@ -120,14 +120,16 @@
         ready
     }
 
-    /// Endpoints by place of their region, the own one first.
-    pub fn by_region(&self, positions: Vec<usize>) -> Vec<(usize, Vec<usize>)> {
+    /// Endpoints by place of their region, the home first.
+    pub fn by_region(&self, positions: Vec<usize>, home: usize) -> Vec<(usize, Vec<usize>)> {
         let mut regions: BTreeMap<usize, Vec<usize>> = BTreeMap::new();
         for position in positions {
             let region = self.slots[position].region;
             regions.entry(region).or_default().push(position);
         }
-        regions.into_iter().collect()
+        let mut list: Vec<_> = regions.into_iter().collect();
+        list.sort_by_key(|(region, _)| *region != home);
+        list
     }
 
     /// Splits endpoints into those meant for light prompts and those meant for heavy ones.
--- a/components/routing/src/placement/slot.rs
+++ b/components/routing/src/placement/slot.rs
@@ -27,6 +27,8 @@
     pub order: u64,
     /// Place of its region among all, 0 for the own one.
     pub region: usize,
+    /// Place of its hall on the board.
+    pub hall: usize,
     pub cache: PromptCache,
     pub queue: PromptQueue,
     /// Tokens of prompts read in a millisecond, 0 while unknown.
@@ -54,6 +56,7 @@
             spec,
             order: 0,
             region: 0,
+            hall: 0,
             cache: PromptCache::new(cache_tokens),
             queue: PromptQueue::default(),
             rate: 0.0,
--- a/components/routing/src/placement/way.rs
+++ b/components/routing/src/placement/way.rs
@@ -8,6 +8,8 @@
 
 use topology::{Distance, Topology};
 
+/// Place of the own region among all.
+pub(crate) const OWN_REGION: usize = 0;
 /// Time to another hall of the region and back until it was measured, in milliseconds: several times the 0.4 to
 /// 1 ms between halls of one site, so that a request stays in its hall where nothing speaks against it.
 const FIRST_OTHER_HALL_MS: f64 = 2.0;
@@ -79,12 +81,22 @@
     /// What a request of so many bytes must gain in a hall to be sent there, in milliseconds.
     pub fn cost_ms(&self, hall: &str, bytes: u32) -> f64 {
         let once = self.round_trip_ms(hall);
-        if self.topology.distance(hall) != Distance::OtherRegion {
-            return once;
+        match self.topology.distance(hall) {
+            Distance::OtherRegion => self.across_ms(once, bytes),
+            Distance::SameHall | Distance::SameRegion => once,
+        }
+    }
+
+    /// The same for a request of a gateway in the region at this place, which nobody there decided. Ways between two
+    /// other regions are not measured here.
+    pub fn cost_from_ms(&self, home: usize, hall: &str, bytes: u32) -> f64 {
+        let place = self.topology.place_of(hall);
+        match home {
+            OWN_REGION => self.cost_ms(hall, bytes),
+            home if home == place => FIRST_OTHER_HALL_MS,
+            home if place == OWN_REGION => self.across_ms(self.region_ms(home), bytes),
+            _ => self.across_ms(FIRST_OTHER_REGION_MS, bytes),
         }
-        let bytes = f64::from(bytes);
-        let carried = self.link_bytes_ms.map_or(0.0, |rate| bytes / rate);
-        (once * round_trips(bytes) + carried) * WORTH_LEAVING
     }
 
     /// Part of an answer's time that is the way to another region and back, in milliseconds: it says nothing of the
@@ -98,6 +110,18 @@
 }
 
 impl Ways {
+    fn across_ms(&self, once: f64, bytes: u32) -> f64 {
+        let bytes = f64::from(bytes);
+        let carried = self.link_bytes_ms.map_or(0.0, |rate| bytes / rate);
+        (once * round_trips(bytes) + carried) * WORTH_LEAVING
+    }
+
+    fn region_ms(&self, place: usize) -> f64 {
+        let halls = self.topology.halls_of(self.topology.region_at(place));
+        let times = halls.into_iter().map(|hall| self.round_trip_ms(hall));
+        times.fold(f64::INFINITY, f64::min)
+    }
+
     fn median_ms(&self, hall: &str) -> Option<f64> {
         let times = self.measured.get(hall)?;
         let mut sorted: Vec<f64> = times.iter().copied().collect();
--- a/components/routing/tests/regions.rs
+++ b/components/routing/tests/regions.rs
@@ -276,3 +276,23 @@
     let rate = board.known_rate("s").unwrap();
     assert!((130.0..=170.0).contains(&rate), "{rate}");
 }
+
+#[test]
+fn a_request_of_a_gateway_elsewhere_is_placed_in_that_gateways_region() {
+    let mut board = board(&[("a", "a1"), ("b", "b1")]);
+    board.set_link_parts(ms(0), &parts(100_000.0));
+    let region_b = topology().place_of("b2");
+    let work = prompt(2, 300, 1_000);
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let mut placed = |board: &mut Board| {
+        let now = ms(1000);
+        let placed = board.choose_from(region_b, now, &work, &[], Versions::Any, &mut rng);
+        placed.unwrap()
+    };
+    let there = placed(&mut board);
+    assert_eq!((there.endpoint.as_str(), there.bytes_across), ("b", 0));
+    make_wait(&mut board, "b", 2000);
+    let here = placed(&mut board);
+    assert_eq!(here.endpoint, "a");
+    assert!(here.bytes_across > 0, "it crosses the link all the same");
+}
--- a/components/schema/src/messages.rs
+++ b/components/schema/src/messages.rs
@@ -3627,10 +3627,12 @@
     pub is_lost_when_cut: Option<bool>,
     /// Bytes of the request's body.
     pub body_bytes: Option<i32>,
+    /// Data hall of the sender, where there are several regions.
+    pub hall: Option<String>,
 }
 
 impl DecisionQuery {
-    pub fn new<F3, F11, F12, F13>(
+    pub fn new<F3, F11, F12, F13, F14>(
         number: i64,
         service_name: String,
         team: F3,
@@ -3644,12 +3646,14 @@
         route: F11,
         is_lost_when_cut: F12,
         body_bytes: F13,
+        hall: F14,
     ) -> DecisionQuery
     where
         F3: Into<Option<String>>,
         F11: Into<Option<i64>>,
         F12: Into<Option<bool>>,
         F13: Into<Option<i32>>,
+        F14: Into<Option<String>>,
     {
         DecisionQuery {
             number,
@@ -3665,6 +3669,7 @@
             route: route.into(),
             is_lost_when_cut: is_lost_when_cut.into(),
             body_bytes: body_bytes.into(),
+            hall: hall.into(),
         }
     }
 }
@@ -3685,6 +3690,7 @@
         let mut f_11: Option<i64> = None;
         let mut f_12: Option<bool> = None;
         let mut f_13: Option<i32> = None;
+        let mut f_14: Option<String> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -3756,6 +3762,10 @@
                     let val = i_prot.read_i32()?;
                     f_13 = Some(val);
                 }
+                14 => {
+                    let val = i_prot.read_string()?;
+                    f_14 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -3795,6 +3805,7 @@
             route: f_11,
             is_lost_when_cut: f_12,
             body_bytes: f_13,
+            hall: f_14,
         };
         Ok(ret)
     }
@@ -3866,6 +3877,11 @@
             o_prot.write_i32(fld_var)?;
             o_prot.write_field_end()?
         }
+        if let Some(ref fld_var) = self.hall {
+            o_prot.write_field_begin(&TFieldIdentifier::new("hall", TType::String, 14))?;
+            o_prot.write_string(fld_var)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
--- a/components/schema/thrift/messages.thrift
+++ b/components/schema/thrift/messages.thrift
@@ -385,6 +385,8 @@
   12: optional bool is_lost_when_cut,
   /** Bytes of the request's body. */
   13: optional i32 body_bytes,
+  /** Data hall of the sender, where there are several regions. */
+  14: optional string hall,
 }
 
 /** Where a request goes, as a coordinator decided. */
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -83,6 +83,9 @@
     /// address of the platform's store, IP:PORT
     #[argh(option)]
     pub store: String,
+    /// settings file of a gateway, to name the regions of data halls
+    #[argh(option)]
+    pub gateway: Option<String>,
 }
 
 /// show what a node knows of itself, its endpoints and the fleet
--- a/src/cmd/routes.rs
+++ b/src/cmd/routes.rs
@@ -1,5 +1,6 @@
 //! `croftpond routes`: which route, service and data hall a request takes on the users' platform.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -10,7 +11,7 @@
 use platform::MetadataStore;
 use tokio::runtime::Builder;
 
-use super::{CommandError, Outcome, EXIT_FAILED};
+use super::{read_file, CommandError, Outcome, EXIT_FAILED};
 use crate::cli::Routes;
 
 const NO_ANSWER: CommandError =
@@ -27,7 +28,10 @@
         .change_context(CommandError("no runtime; raise the limits of the process"))?;
     let store = MetadataStore::new(address);
     let (directory, endpoints) = runtime.block_on(read(&store))?;
-    let explanation = directory.explain(&args.host, &args.path, &endpoints);
+    let mut explanation = directory.explain(&args.host, &args.path, &endpoints);
+    if let Some(path) = &args.gateway {
+        explanation.regions = regions(path)?;
+    }
     print!("{explanation}");
     Ok(match explanation.outcome {
         Ok(_) => ExitCode::SUCCESS,
@@ -35,6 +39,15 @@
     })
 }
 
+fn regions(path: &str) -> Result<BTreeMap<String, String>, Report<CommandError>> {
+    let settings = settings::read_gateway(path, &read_file(path)?);
+    let settings = settings.map_err(|faults| {
+        let error = CommandError("the settings cannot be read; see `croftpond check --gateway`");
+        Report::new(error).attach(faults.to_string())
+    })?;
+    Ok(settings.halls)
+}
+
 async fn read(store: &MetadataStore) -> Result<(Directory, Vec<Endpoint>), Report<CommandError>> {
     let key = store.configuration_key();
     let row = store.read(Topic::Configuration, key).await;
