--- a/components/gateway/src/decisions.rs
+++ b/components/gateway/src/decisions.rs
@@ -27,6 +27,8 @@
 /// slow processor is not taken for a lost datagram, and an eighth of the shortest target on the sheets (100 ms) is
 /// left for the next coordinator.
 const REPLY_TIME: Duration = Duration::from_millis(40);
+/// The same for a coordinator of another region: twice the first guess of the way there and back (60 ms) beside it.
+const FAR_REPLY_TIME: Duration = Duration::from_millis(160);
 /// A coordinator that did not reply is asked last for this long: as long as it would be heard if it died.
 const PASSED_OVER_FOR: Duration = Duration::from_millis(1500);
 /// Coordinators asked about one request: the three of the own hall and two of others.
@@ -57,6 +59,8 @@
     Placed(Placement),
     /// No endpoint takes work.
     Nowhere,
+    /// Only another region could take it, and the link there has no room for so long.
+    LinkFull(Duration),
     /// The team's limit is used up for so long.
     OverLimit(Duration),
 }
@@ -174,11 +178,25 @@
             request: job.head.id.clone(),
             route: Some(asked.route as i64),
             is_lost_when_cut: Some(asked.is_lost_when_cut),
+            hall: self.hall_to_tell(),
             body_bytes: Some(job.body.len().min(i32::MAX as usize) as i32),
         }
     }
 
+    // Only where there are several regions.
+    fn hall_to_tell(&self) -> Option<String> {
+        let state = self.state.borrow();
+        let topology = state.board.ways().topology();
+        let hall = topology.hall().to_string();
+        topology.has_regions().then_some(hall)
+    }
+
     async fn send_query(&self, by: SocketAddr, query: DecisionQuery) -> Option<DecisionReply> {
+        let is_far = self.state.borrow().fleet.far.contains(&by);
+        let reply_time = match is_far {
+            true => FAR_REPLY_TIME,
+            false => REPLY_TIME,
+        };
         let number = query.number;
         let (sender, reply) = oneshot::channel();
         self.asking.replies.borrow_mut().insert(number, sender);
@@ -187,7 +205,7 @@
             ..Decision::default()
         };
         self.send_decision(&message, by).await;
-        let reply = tokio::time::timeout(REPLY_TIME, reply).await;
+        let reply = tokio::time::timeout(reply_time, reply).await;
         self.asking.replies.borrow_mut().remove(&number);
         reply.ok()?.ok()
     }
@@ -228,7 +246,7 @@
         if state.directory.is_none() || !state.fleet.decides || !state.endpoints_known {
             return None;
         }
-        let mut reply = DecisionReply::new(query.number, None, None);
+        let mut reply = DecisionReply::new(query.number, None, None, None);
         let cost = query.cost.max(0) as u64;
         let quota = query.team.as_ref().and_then(|t| state.quotas.get_mut(t));
         if let Some(Err(wait)) = quota.map(|quota| quota.take(now, cost, query.urgent)) {
@@ -238,15 +256,29 @@
             reply.retry_ms = Some(wait.as_millis().min(i64::MAX as u128) as i64);
             return Some(reply);
         }
+        let topology = state.board.ways().topology();
         let asked = Asked {
             route: query.route.unwrap_or_default() as u64,
             is_lost_when_cut: query.is_lost_when_cut.unwrap_or_default(),
+            home_region: query
+                .hall
+                .as_deref()
+                .map_or(0, |hall| topology.place_of(hall)),
         };
-        let placed = state.place_for_other(now, &work_of(query), &query.excluded, asked);
-        let unread_tokens = placed.as_ref().map_or(0, |placed| placed.unread_tokens);
-        let is_long = self.is_long(unread_tokens.max(0) as u32);
-        reply.placed = placed;
+        let work = work_of(query);
+        let placed = state.place_for_other(now, &work, &query.excluded, asked);
+        let link_wait = match placed {
+            Some(_) => None,
+            None => state.board.link_wait(now, &work),
+        };
+        reply.link_wait_ms = link_wait.map(|wait| wait.as_millis() as i64 + 1);
         drop(state);
+        let unread_tokens = placed.as_ref().map_or(0, |placed| placed.unread_tokens);
+        let is_long = self.is_long(unread_tokens);
+        if let Some(placement) = &placed {
+            self.note_departure(&query.request, &work, placement);
+        }
+        reply.placed = placed.as_ref().map(placed_of);
         if is_long {
             self.send_tally();
         }
@@ -279,6 +311,10 @@
         hold_ms: placement.hold.as_millis().min(i32::MAX as u128) as i32,
         weighed: placement.weighed as i32,
         version: placement.version.clone().filter(|_| !placement.is_cold),
+        hall: Some(placement.hall.clone()),
+        home_ms: placement
+            .home_ms
+            .map(|ms| ms.min(f64::from(i32::MAX)) as i32),
     }
 }
 
@@ -288,6 +324,10 @@
         let wait = Duration::from_millis(ms.max(0) as u64);
         return Some(Outcome::OverLimit(wait));
     }
+    if let Some(ms) = reply.link_wait_ms {
+        let wait = Duration::from_millis(ms.max(0) as u64);
+        return Some(Outcome::LinkFull(wait));
+    }
     let Some(placed) = &reply.placed else {
         return Some(Outcome::Nowhere);
     };
@@ -302,5 +342,9 @@
         counted: true,
         version: placed.version.clone(),
         is_cold: false,
+        hall: placed.hall.clone().unwrap_or_default(),
+        home_ms: placed.home_ms.map(f64::from),
+        bytes_across: 0,
+        kept_for_link: false,
     }))
 }
