Learn the law of model engines from what streams show

Cause: the planner takes reading and holding of a service for loads of which the larger counts, and slots for what an engine bears. An engine reads and makes tokens in the same steps, so both add up, and by how much steps grow is not said by any deployment.

Change: a pure crate.

Ruled out: a histogram of pauses by running requests (events that arrive together bend its low quantiles, and it needs a bucket for each number of running requests); weights by residual (sums of several gateways would not add up).

--- /dev/null
+++ b/components/engine/src/sums.rs
@@ -0,0 +1,127 @@
+//! Sums over samples of engines' steps. Sums of several gateways are added like those of one.
+
+/// Values that make up [`Sums`].
+pub const MOMENTS: usize = 10;
+
+/// What a part of a stream showed of its engine's steps.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Sample {
+    /// Mean time of a step, in milliseconds.
+    pub step_ms: f64,
+    /// Requests that ran at the engine, the stream among them.
+    pub running: f64,
+    /// Tokens of prompts that the engine read in each step.
+    pub read_tokens: f64,
+}
+
+/// Moments of samples.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Sums {
+    /// Number of samples.
+    pub count: f64,
+    /// Sum of the running requests.
+    pub running: f64,
+    /// Sum of the tokens read.
+    pub read: f64,
+    /// Sum of the squares of the running requests.
+    pub running_running: f64,
+    /// Sum of the products of running requests and tokens read.
+    pub running_read: f64,
+    /// Sum of the squares of the tokens read.
+    pub read_read: f64,
+    /// Sum of the times.
+    pub step: f64,
+    /// Sum of the products of running requests and times.
+    pub running_step: f64,
+    /// Sum of the products of tokens read and times.
+    pub read_step: f64,
+    /// Sum of the squares of the times.
+    pub step_step: f64,
+}
+
+impl Sums {
+    /// Adds a sample.
+    pub fn add(&mut self, sample: &Sample) {
+        let (n, r, s) = (sample.running, sample.read_tokens, sample.step_ms);
+        self.merge(&Sums {
+            count: 1.0,
+            running: n,
+            read: r,
+            running_running: n * n,
+            running_read: n * r,
+            read_read: r * r,
+            step: s,
+            running_step: n * s,
+            read_step: r * s,
+            step_step: s * s,
+        });
+    }
+
+    /// Adds what another gateway saw.
+    pub fn merge(&mut self, other: &Sums) {
+        let mine = self.moments();
+        let both: Vec<f64> = mine
+            .iter()
+            .zip(other.moments())
+            .map(|(a, b)| a + b)
+            .collect();
+        *self = Sums::of(&both);
+    }
+
+    /// Lets everything so far count for `part` of what it did.
+    pub fn fade(&mut self, part: f64) {
+        let faded = self.moments().map(|moment| moment * part);
+        *self = Sums::of(&faded);
+    }
+
+    /// All values, in the order of the fields.
+    pub fn moments(&self) -> [f64; MOMENTS] {
+        [
+            self.count,
+            self.running,
+            self.read,
+            self.running_running,
+            self.running_read,
+            self.read_read,
+            self.step,
+            self.running_step,
+            self.read_step,
+            self.step_step,
+        ]
+    }
+
+    /// Sums of these values; empty where there are too few or one of them is no number.
+    pub fn of(moments: &[f64]) -> Self {
+        if moments.len() < MOMENTS || !moments.iter().all(|moment| moment.is_finite()) {
+            return Sums::default();
+        }
+        Sums {
+            count: moments[0],
+            running: moments[1],
+            read: moments[2],
+            running_running: moments[3],
+            running_read: moments[4],
+            read_read: moments[5],
+            step: moments[6],
+            running_step: moments[7],
+            read_step: moments[8],
+            step_step: moments[9],
+        }
+    }
+
+    /// Mean number of running requests.
+    pub fn mean_running(&self) -> f64 {
+        match self.count > 0.0 {
+            true => self.running / self.count,
+            false => 0.0,
+        }
+    }
+
+    /// Mean time of a step, in milliseconds.
+    pub fn mean_step_ms(&self) -> f64 {
+        match self.count > 0.0 {
+            true => self.step / self.count,
+            false => 0.0,
+        }
+    }
+}
