Plan endpoints by the learnt law, by region and in steps

Cause: the holder of the lease knew a reading rate only of its own prompts that met an empty queue, and took reading for nothing until then; endpoints were given back all at once for a load that was too small.

Change: boards sample streams' spans; coordinators tell each other their sums (field 36); Load adds reading and making at the number of running requests that keeps 95 in 100 streams within their bounds; nothing is given back while the law is unknown, and never more than a quarter at once, with 4 s in between. Each region is planned over its own halls.

--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -3,12 +3,14 @@
 mod holding;
 mod load;
 mod moves;
+mod offer;
 mod purchase;
 mod scaling;
 mod staffing;
 
 pub use holding::{plan_holding, Bid, Change, HallOffer, Holding, HoldingPlanner, PoolNeed};
-pub use load::Load;
+pub use load::{Bearing, Load, LoadParts};
 pub use moves::{plan_moves, wait_before_moves, Move, MoveRates, Plan, Stream, Target};
+pub use offer::{Fleet, Held, Offer, ScalingOrder};
 pub use purchase::{Listed, PurchaseAction, PurchaseEvent, Purchases};
-pub use scaling::{Fleet, Held, Offer, Scaler, ScalingOrder};
+pub use scaling::Scaler;
--- a/components/fleet/src/load.rs
+++ b/components/fleet/src/load.rs
@@ -1,34 +1,121 @@
 //! The load of a service, in endpoints that would be busy all the time.
+//!
+//! An engine reads prompts and makes tokens in the same steps, so what the two take of its time adds up. Reading takes
+//! the same time whatever runs beside; making a token takes the less the more requests share its step. So the load is
+//! counted at the most requests that an engine may run: at that number pauses and whole answers are still in time for
+//! nearly all streams while the engine is busy all the time.
 
-/// An engine reads prompts and makes tokens in the same steps: of the smaller of the two loads only
-/// this part comes on top.
-const BESIDE_PART: f64 = 0.3;
-/// Part of the slots of a service that its requests should need at most: gateways choose by gossip that
-/// are a little old, so some endpoints run full while others have room.
+use engine::Law;
+
+/// Part of the slots of plain endpoints that their requests should need at most: gateways choose by gossip that is a
+/// little old, so some endpoints run full while others have room.
 const SLOTS_USED: f64 = 0.7;
+/// Least part of its slots that an engine is taken to bear: bounds that are tighter than that cannot be held by more
+/// endpoints.
+const LEAST_SLOTS_USED: f64 = 0.125;
 
 /// What is asked of the endpoints of a service.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Load {
     /// Tokens of prompts that are to be read in a second.
     pub tokens_per_s: f64,
-    /// Tokens that one endpoint reads in a millisecond; `None` while that is not known, and if it reads
-    /// none.
-    pub rate: Option<f64>,
     /// Requests at the endpoints.
     pub requests: u32,
+    /// Endpoints that they are spread over.
+    pub endpoints: u32,
     /// Requests that one endpoint works on at once.
     pub slots: u32,
+    /// What the endpoints can bear.
+    pub bearing: Bearing,
 }
 
-impl Load {
+/// What endpoints can bear.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Bearing {
+    /// As many requests as they have slots.
+    #[default]
+    Slots,
+    /// Engines of which not enough was seen yet.
+    Unknown,
+    /// Engines that follow a law.
+    Engine {
+        /// Time of their steps.
+        law: Law,
+        /// Longest time for a token that keeps streams within their bounds, in milliseconds.
+        pace_ms: f64,
+    },
+}
+
+/// A load by its parts, in endpoints that would be busy all the time.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LoadParts {
+    /// For reading prompts.
+    pub reading: f64,
+    /// For making tokens, or for holding requests where nothing is read.
+    pub making: f64,
+    /// Requests that one endpoint bears.
+    pub most_running: u32,
+}
+
+impl LoadParts {
     /// Endpoints that would be busy all the time.
     pub fn endpoints(self) -> f64 {
-        let reading = self
-            .rate
-            .map_or(0.0, |rate| self.tokens_per_s / 1000.0 / rate);
-        let usable_slots = f64::from(self.slots.max(1)) * SLOTS_USED;
-        let holding = f64::from(self.requests) / usable_slots;
-        reading.max(holding) + BESIDE_PART * reading.min(holding)
+        self.reading + self.making
+    }
+}
+
+impl Load {
+    /// The load; `None` while it is not known what the endpoints can bear.
+    pub fn parts(self) -> Option<LoadParts> {
+        if self.requests == 0 && self.tokens_per_s <= 0.0 {
+            return Some(LoadParts::default());
+        }
+        match self.bearing {
+            Bearing::Slots => Some(self.holding()),
+            Bearing::Unknown => None,
+            Bearing::Engine { law, pace_ms } => Some(self.of_engines(law, pace_ms)),
+        }
+    }
+
+    fn holding(self) -> LoadParts {
+        let most_running = f64::from(self.slots.max(1)) * SLOTS_USED;
+        LoadParts {
+            reading: 0.0,
+            making: f64::from(self.requests) / most_running,
+            most_running: most_running as u32,
+        }
+    }
+
+    fn of_engines(self, law: Law, pace_ms: f64) -> LoadParts {
+        let reading = self.tokens_per_s / 1000.0 * law.per_read_ms;
+        let made = self.made_per_ms(law, reading);
+        let parts = |most_running: u32| LoadParts {
+            reading,
+            making: made * law.step_ms(f64::from(most_running)) / f64::from(most_running),
+            most_running,
+        };
+        let slots = self.slots.max(1);
+        let least = (f64::from(slots) * LEAST_SLOTS_USED).ceil() as u32;
+        let in_time = |parts: &LoadParts| busy_pace_ms(parts, law) <= pace_ms;
+        let counts = (least..=slots).rev().map(parts);
+        counts.into_iter().find(in_time).unwrap_or(parts(least))
+    }
+
+    // Tokens that all endpoints together make in a millisecond: each running request gets one in each step, and steps
+    // wait while prompts are read.
+    fn made_per_ms(self, law: Law, reading: f64) -> f64 {
+        let endpoints = f64::from(self.endpoints.max(1));
+        let running = f64::from(self.requests);
+        let making_part = (1.0 - reading / endpoints).clamp(0.0, 1.0);
+        running * making_part / law.step_ms(running / endpoints)
+    }
+}
+
+// Time for a token at endpoints that are busy all the time, in milliseconds.
+fn busy_pace_ms(parts: &LoadParts, law: Law) -> f64 {
+    let step_ms = law.step_ms(f64::from(parts.most_running));
+    match parts.making > 0.0 {
+        true => step_ms * parts.endpoints() / parts.making,
+        false => step_ms,
     }
 }
--- a/components/fleet/src/scaling.rs
+++ b/components/fleet/src/scaling.rs
@@ -9,6 +9,9 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
+use crate::offer::{
+    firm_of, lower_firm, raise_firm, reclaimable_of, total_of, Fleet, Offer, ScalingOrder,
+};
 use crate::staffing::{load_of_fleet, Need};
 
 /// On-demand endpoints are given back once no further one was recorded for this long: at the start they
@@ -23,69 +26,17 @@
 const LOWER_BOOTS: u32 = 4;
 /// Loads are remembered for this long; no boot time that a deployment may name needs more.
 const REMEMBERED: Duration = Duration::from_secs(240);
+/// Part of the endpoints that is kept when some are given back: the others take their load first, and what that does
+/// to them is seen before more go.
+const KEPT_PART: f64 = 0.75;
+/// Time after which the effect of giving some back is seen: they end their requests first, and requests run for two
+/// to three seconds.
+const EFFECT_SPAN: Duration = Duration::from_secs(4);
 /// Pause after a refused order, until it is given again.
 const REFUSED_PAUSE: Duration = Duration::from_secs(3);
 /// Time past its boot after which an order without effect is repeated.
 const REPEAT_PAUSE: Duration = Duration::from_secs(2);
 
-/// How endpoints are ordered and what they cost.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Offer {
-    /// Least endpoints in a hall, both classes together.
-    pub least: u32,
-    /// Most endpoints in a hall, both classes together.
-    pub most: u32,
-    /// Time until an ordered endpoint serves.
-    pub boot: Duration,
-    /// Price of a reclaimable one as a part of an on-demand one's, if there are any.
-    pub reclaimable_price: Option<f64>,
-    /// Price of an on-demand endpoint a second, by hall.
-    pub hall_prices: BTreeMap<String, f64>,
-}
-
-/// Endpoints that take work, by price class.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Held {
-    /// On demand.
-    pub firm: u32,
-    /// Reclaimable.
-    pub reclaimable: u32,
-}
-
-impl Held {
-    fn of(&mut self, reclaimable: bool) -> &mut u32 {
-        match reclaimable {
-            true => &mut self.reclaimable,
-            false => &mut self.firm,
-        }
-    }
-
-    fn get(self, reclaimable: bool) -> u32 {
-        match reclaimable {
-            true => self.reclaimable,
-            false => self.firm,
-        }
-    }
-
-    fn total(self) -> u32 {
-        self.firm + self.reclaimable
-    }
-}
-
-/// Endpoints by hall.
-pub type Fleet = BTreeMap<String, Held>;
-
-/// An order: so many endpoints of one class in one hall.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ScalingOrder {
-    /// Data hall.
-    pub hall: String,
-    /// Class.
-    pub reclaimable: bool,
-    /// Count to hold from now on.
-    pub count: u32,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Ordered {
     count: u32,
@@ -103,6 +54,10 @@
     // When what is held was confirmed last.
     as_of: Duration,
     load_since: Option<Duration>,
+    // Whether there is a load that is not known.
+    is_unknown: bool,
+    // When endpoints were given back last under a load.
+    lowered_at: Option<Duration>,
     loads: VecDeque<(Duration, f64)>,
     orders: BTreeMap<(String, bool), Ordered>,
     refused_until: BTreeMap<(String, bool), Duration>,
@@ -126,6 +81,7 @@
             self.found = found;
             self.found_at = as_of;
         }
+        self.is_unknown = false;
         if load > 0.0 {
             self.load_since.get_or_insert(now);
         }
@@ -133,6 +89,14 @@
         self.loads.retain(|(at, _)| now < *at + REMEMBERED);
     }
 
+    /// The same, where there is a load and it is not known how much of it an endpoint can bear.
+    pub fn observe_unknown(&mut self, as_of: Duration, held: &Fleet) {
+        self.forget_undone(held);
+        self.held = held.clone();
+        self.as_of = as_of;
+        self.is_unknown = true;
+    }
+
     /// What was held at the last look.
     pub fn held(&self) -> &Fleet {
         &self.held
@@ -143,10 +107,36 @@
         self.loads.back().map_or(0.0, |(_, load)| *load)
     }
 
+    /// The highest load that endpoints are given back against.
+    pub fn highest_load(&self, now: Duration, offer: &Offer) -> f64 {
+        self.load(now, offer.boot * LOWER_BOOTS)
+    }
+
+    /// Why nothing may be given back now, if so.
+    pub fn keeps(&self, now: Duration) -> Option<&'static str> {
+        if self.is_unknown {
+            return Some("what an endpoint bears is not known");
+        }
+        if !self.closed.is_empty() {
+            return Some("a hall is closed");
+        }
+        if self.lowered_at.is_some_and(|at| now < at + EFFECT_SPAN) {
+            return Some("the last step has not shown its effect");
+        }
+        match self.load_since {
+            Some(since) if now < since + LEARNING => Some("the load is not known for long enough"),
+            None if !self.is_listed() => Some("endpoints still record themselves"),
+            _ => None,
+        }
+    }
+
     /// The orders to give now.
     pub fn plan(&mut self, now: Duration, offer: &Offer) -> Vec<ScalingOrder> {
         let expected = self.expected(now, offer);
         let wanted = self.wanted(now, offer, &expected);
+        if self.load_since.is_some() && total_of(&wanted) < total_of(&expected) {
+            self.lowered_at = Some(now);
+        }
         let mut orders = Vec::new();
         for (hall, want) in wanted {
             let have = expected.get(&hall).copied().unwrap_or_default();
@@ -206,13 +196,6 @@
         recent.map(|(_, load)| *load).fold(0.0, f64::max)
     }
 
-    fn may_lower(&self, now: Duration) -> bool {
-        match self.load_since {
-            Some(since) => now >= since + LEARNING,
-            None => self.is_listed(),
-        }
-    }
-
     // Whether the endpoints found at the start are all known. An order names a count, so one for a hall whose
     // endpoints are not known yet would give them back.
     fn is_listed(&self) -> bool {
@@ -234,13 +217,13 @@
     }
 
     fn wanted(&self, now: Duration, offer: &Offer, expected: &Fleet) -> Fleet {
-        let lower = Need::of(self.load(now, offer.boot * LOWER_BOOTS));
+        let lower = Need::of(self.load_to_keep(now, offer, expected));
         let raise = match self.closed.is_empty() {
             true => Need::of(self.load(now, RAISE_SPAN)),
             // What is missing then cannot be had soon, also not for a load that only paused.
-            false => lower,
+            false => Need::of(self.highest_load(now, offer)),
         };
-        let may_lower = self.may_lower(now) && self.closed.is_empty();
+        let may_lower = self.keeps(now).is_none();
         let mut wanted = expected.clone();
         self.spread_reclaimable(offer, &mut wanted, raise, may_lower.then_some(lower));
         let firm = raise.firm_beside(&reclaimable_of(&wanted));
@@ -251,6 +234,16 @@
         wanted
     }
 
+    // The load that endpoints are kept for: one step gives only some of them back.
+    fn load_to_keep(&self, now: Duration, offer: &Offer, expected: &Fleet) -> f64 {
+        let highest = self.highest_load(now, offer);
+        if self.load_since.is_none() {
+            return highest;
+        }
+        let kept = f64::from(total_of(expected)) * KEPT_PART;
+        highest.max(load_of_fleet(kept as u32))
+    }
+
     // Reclaimable endpoints that were ordered and do not serve yet replace nothing.
     fn firm_to_keep(&self, need: Need) -> u32 {
         let serving = reclaimable_of(&self.held);
@@ -314,47 +307,3 @@
         })
     }
 }
-
-fn firm_of(fleet: &Fleet) -> u32 {
-    fleet.values().map(|h| h.firm).sum()
-}
-
-fn reclaimable_of(fleet: &Fleet) -> Vec<u32> {
-    fleet.values().map(|h| h.reclaimable).collect()
-}
-
-// Adds on-demand endpoints until there are `firm` and each hall holds its least.
-fn raise_firm(offer: &Offer, wanted: &mut Fleet, firm: u32) {
-    for held in wanted.values_mut() {
-        held.firm += offer.least.saturating_sub(held.total());
-    }
-    while firm_of(wanted) < firm {
-        let free = wanted.iter().filter(|(_, held)| held.total() < offer.most);
-        let Some((hall, _)) = free.min_by_key(|(hall, held)| (price_order(offer, hall), held.firm))
-        else {
-            return;
-        };
-        let hall = hall.clone();
-        wanted.entry(hall).or_default().firm += 1;
-    }
-}
-
-// Gives on-demand endpoints back, the dearest first, until there are `firm`.
-fn lower_firm(offer: &Offer, wanted: &mut Fleet, firm: u32) {
-    while firm_of(wanted) > firm {
-        let spare = wanted
-            .iter()
-            .filter(|(_, held)| held.firm > 0 && held.total() > offer.least);
-        let Some((hall, _)) = spare.max_by_key(|(hall, _)| price_order(offer, hall)) else {
-            return;
-        };
-        let hall = hall.clone();
-        wanted.entry(hall).or_default().firm -= 1;
-    }
-}
-
-fn price_order(offer: &Offer, hall: &str) -> u64 {
-    const MICRO: f64 = 1e6;
-    let price = offer.hall_prices.get(hall).copied().unwrap_or_default();
-    (price * MICRO) as u64
-}
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -60,6 +60,7 @@
     pub async fn next(&mut self) -> NextEvent {
         loop {
             if let Some(event) = self.ready.pop_front() {
+                self.run.event();
                 return NextEvent::Event(event);
             }
             let frame = match self.body.frame().await {
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -1,6 +1,7 @@
 //! The control thread: what it knows, and the tasks that work on it.
 
 mod carrying;
+mod engines;
 mod exchange;
 mod follow;
 mod forwarding;
@@ -35,6 +36,7 @@
 
 use crate::alone::Alone;
 use crate::clock::Clock;
+use crate::control::engines::EngineNews;
 use crate::control::follow::{Followed, WATCHERS};
 use crate::control::lease::OrdersUnderWay;
 use crate::control::messages::SendState;
@@ -102,7 +104,9 @@
     pub orders: OrdersUnderWay,
     pub ledger: Ledger,
     pub reporter: Reporter,
-    pub scalers: BTreeMap<String, Scaler>,
+    // By service and region.
+    pub scalers: BTreeMap<(String, String), Scaler>,
+    pub engines: EngineNews,
     pub demand: Demand,
     pub loads: BTreeMap<String, ServiceLoad>,
     pub taken: BTreeMap<String, u64>,
@@ -176,6 +180,7 @@
             peers,
             ledger: Ledger::default(),
             scalers: BTreeMap::new(),
+            engines: EngineNews::default(),
             demand: Demand::default(),
             loads: BTreeMap::new(),
             taken: BTreeMap::new(),
--- a/components/gateway/src/control/exchange.rs
+++ b/components/gateway/src/control/exchange.rs
@@ -170,6 +170,7 @@
         if heard == Receipt::Stale {
             return;
         }
+        known.engines.receive(now, gossip);
         for address in gossip::received_addresses(gossip) {
             known.peers.learn(now, address);
         }
--- a/components/gateway/src/control/messages.rs
+++ b/components/gateway/src/control/messages.rs
@@ -139,6 +139,8 @@
                     .collect()
             }),
             evidence: None,
+            engines: (content == Content::Full && known.engines.is_turn())
+                .then(|| known.engine_reports().into_iter().map(Box::new).collect()),
         }
     }
 
--- a/components/gateway/src/control/scaling.rs
+++ b/components/gateway/src/control/scaling.rs
@@ -1,16 +1,18 @@
 //! Orders of endpoints: what is asked for, and what is planned and ordered for it.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
-use directory::{Configuration, Endpoint, Scaling};
-use fleet::{Fleet, Load, Offer, ScalingOrder};
+use directory::{Configuration, Scaling};
+use fleet::{Bearing, Fleet, Load, Offer, ScalingOrder};
 use rollout::Order;
 use routing::placement::endpoint_hash;
 use slog::{info, warn};
+use topology::Topology;
 
 use crate::control::{Known, Shared};
 use crate::ports::{OrderReply, Orders, Store, Topic};
+use crate::tally::ServiceLoad;
 
 /// Pause between plans of endpoints.
 const PLAN_PAUSE: Duration = Duration::from_millis(500);
@@ -20,6 +22,8 @@
 const DEMAND_SPAN: Duration = Duration::from_secs(5);
 /// Shortest span over which they are averaged.
 const SHORTEST_SPAN: Duration = Duration::from_secs(1);
+/// Part of streams whose pauses and time-outs are to hold at the load that is planned for.
+const IN_TIME_SHARE: f64 = 0.95;
 /// Requests of one second that are kept at most for the count.
 const MOST_SAMPLES: usize = 20_000;
 
@@ -105,7 +109,8 @@
     fn note_reply(&self, service: &str, order: &ScalingOrder, reply: OrderReply) -> bool {
         let now = self.clock.now();
         let mut known = self.known.borrow_mut();
-        let Some(scaler) = known.scalers.get_mut(service) else {
+        let region = topology_of(&known).region_of(&order.hall).to_string();
+        let Some(scaler) = known.scalers.get_mut(&(service.to_string(), region)) else {
             return false;
         };
         match reply {
@@ -126,19 +131,27 @@
         let Some(configuration) = known.configuration.clone() else {
             return;
         };
+        let topology = topology_of(&known);
         let tokens = known.demand.tokens_per_s(now);
         let followed = known.followed.get(&Topic::Endpoints);
         let confirmed = followed.and_then(|followed| followed.follower.confirmed_at());
         let as_of = confirmed.unwrap_or_default();
-        for (service, _) in scaled(&configuration) {
-            let load = load_of(&known, service, &tokens).endpoints();
-            let serving = known
-                .endpoints
-                .values()
-                .filter(|e| known.rollouts.counts(e));
-            let held = held_by(serving, service);
-            let scaler = known.scalers.entry(service.clone()).or_default();
-            scaler.observe_as_of(now, as_of, &held, load);
+        for (service, scaling) in scaled(&configuration) {
+            let bearing = known.bearing_of(service);
+            for region in regions_of(&topology, scaling) {
+                let halls = Halls {
+                    topology: &topology,
+                    region: &region,
+                };
+                let load = load_of(&known, service, halls, &tokens, bearing);
+                let held = held_by(&known, service, halls);
+                let scaler = known.scalers.entry((service.clone(), region.clone()));
+                let scaler = scaler.or_default();
+                match load.parts() {
+                    Some(parts) => scaler.observe_as_of(now, as_of, &held, parts.endpoints()),
+                    None => scaler.observe_unknown(as_of, &held),
+                }
+            }
         }
     }
 
@@ -148,20 +161,38 @@
         let Some(configuration) = known.configuration.clone() else {
             return Vec::new();
         };
+        let topology = topology_of(&known);
+        let tokens = known.demand.tokens_per_s(now);
         let mut plans = Vec::new();
         for (service, scaling) in scaled(&configuration) {
             if known.rollouts.is_under_way(service) {
                 continue;
             }
-            let rate = known.loads.get(service).and_then(|load| load.rate);
-            let Some(scaler) = known.scalers.get_mut(service) else {
-                continue;
-            };
-            let orders = scaler.plan(now, &offer_of(scaling));
-            if !orders.is_empty() {
-                info!(self.log, "endpoints planned"; "service" => service,
-                    "load_milli" => (scaler.newest_load() * 1000.0) as u64,
-                    "held" => ?scaler.held(), "rate" => rate.map(|rate| rate as u64));
+            let bearing = known.bearing_of(service);
+            for region in regions_of(&topology, scaling) {
+                let halls = Halls {
+                    topology: &topology,
+                    region: &region,
+                };
+                let load = load_of(&known, service, halls, &tokens, bearing);
+                let key = (service.clone(), region.clone());
+                let Some(scaler) = known.scalers.get_mut(&key) else {
+                    continue;
+                };
+                let offer = offer_of(scaling, halls);
+                let keeps = scaler.keeps(now);
+                let orders = scaler.plan(now, &offer);
+                if orders.is_empty() {
+                    continue;
+                }
+                let parts = load.parts().unwrap_or_default();
+                info!(self.log, "endpoints planned"; "service" => service, "region" => &region,
+                    "load_milli" => milli(scaler.newest_load()),
+                    "highest_milli" => milli(scaler.highest_load(now, &offer)),
+                    "reading_milli" => milli(parts.reading), "making_milli" => milli(parts.making),
+                    "most_running" => parts.most_running, "running" => load.requests,
+                    "bearing" => ?bearing, "held" => ?scaler.held(),
+                    "keeps" => keeps.unwrap_or("nothing"));
                 plans.push((service.clone(), orders));
             }
         }
@@ -177,46 +208,113 @@
             .values()
             .filter(|e| e.service == order.service);
         let new = of_service.filter(|e| e.version == order.version && e.is_ready());
-        let load = self.loads.get(&order.service).copied().unwrap_or_default();
-        (load.requests, new.map(|endpoint| endpoint.slots).sum())
+        let load = self.loads.get(&order.service);
+        let requests = load.map_or(0, ServiceLoad::requests);
+        (requests, new.map(|endpoint| endpoint.slots).sum())
+    }
+
+    // What the endpoints of a service can bear, by all that gateways saw of them.
+    fn bearing_of(&self, service: &str) -> Bearing {
+        if !self.loads.get(service).is_some_and(|load| load.has_engines) {
+            return Bearing::Slots;
+        }
+        let learnt = self.learnt_of(service);
+        let pace_ms = learnt.allowed.holding(IN_TIME_SHARE);
+        match (learnt.estimate().known(), pace_ms) {
+            (Some(law), Some(pace_ms)) => Bearing::Engine { law, pace_ms },
+            _ => Bearing::Unknown,
+        }
     }
 }
 
+// The data halls of one region.
+#[derive(Clone, Copy)]
+struct Halls<'a> {
+    topology: &'a Topology,
+    region: &'a str,
+}
+
+impl Halls<'_> {
+    fn has(&self, hall: &str) -> bool {
+        self.topology.region_of(hall) == self.region
+    }
+}
+
+fn topology_of(known: &Known) -> Topology {
+    let settings = &known.settings;
+    let own = settings.halls.get(&settings.zone);
+    Topology::new(
+        &settings.zone,
+        own.map_or("", String::as_str),
+        &settings.halls,
+    )
+}
+
+// Requests stay in their region, so each one is planned by itself over its own halls.
+fn regions_of(topology: &Topology, scaling: &Scaling) -> BTreeSet<String> {
+    let halls = scaling.zone_prices.keys();
+    halls
+        .map(|hall| topology.region_of(hall).to_string())
+        .collect()
+}
+
+fn milli(value: f64) -> u64 {
+    (value * 1000.0) as u64
+}
+
 fn scaled(configuration: &Configuration) -> impl Iterator<Item = (&String, &Scaling)> {
     let services = configuration.services.iter();
     services.filter_map(|(name, service)| Some((name, service.scaling.as_ref()?)))
 }
 
-fn offer_of(scaling: &Scaling) -> Offer {
+fn offer_of(scaling: &Scaling, halls: Halls) -> Offer {
+    let prices = scaling.zone_prices.iter();
+    let prices = prices.filter(|(hall, _)| halls.has(hall));
     Offer {
         least: scaling.least,
         most: scaling.most,
         boot: scaling.boot,
         reclaimable_price: scaling.reclaimable_price,
-        hall_prices: scaling.zone_prices.clone(),
+        hall_prices: prices.map(|(hall, price)| (hall.clone(), *price)).collect(),
     }
 }
 
-fn held_by<'a>(endpoints: impl Iterator<Item = &'a Endpoint>, service: &str) -> Fleet {
+fn held_by(known: &Known, service: &str, halls: Halls) -> Fleet {
     let mut held = Fleet::new();
-    for endpoint in endpoints.filter(|e| e.service == service && e.is_ready()) {
-        let zone = held.entry(endpoint.zone.clone()).or_default();
+    let counted = known
+        .endpoints
+        .values()
+        .filter(|e| known.rollouts.counts(e));
+    for endpoint in counted.filter(|e| e.service == service && e.is_ready() && halls.has(&e.zone)) {
+        let hall = held.entry(endpoint.zone.clone()).or_default();
         match endpoint.reclaimable {
-            true => zone.reclaimable += 1,
-            false => zone.firm += 1,
+            true => hall.reclaimable += 1,
+            false => hall.firm += 1,
         }
     }
     held
 }
 
-fn load_of(known: &Known, service: &str, tokens: &HashMap<u64, f64>) -> Load {
-    let load = known.loads.get(service).copied().unwrap_or_default();
-    let of_service = || known.endpoints.values().filter(|e| e.service == service);
-    let read = of_service().filter_map(|e| tokens.get(&endpoint_hash(&e.id)));
-    Load {
-        tokens_per_s: read.sum(),
-        rate: load.rate,
-        requests: load.requests,
-        slots: of_service().next().map_or(1, |e| e.slots),
+fn load_of(
+    known: &Known,
+    service: &str,
+    halls: Halls,
+    tokens: &HashMap<u64, f64>,
+    bearing: Bearing,
+) -> Load {
+    let mut load = Load {
+        bearing,
+        ..Load::default()
+    };
+    let occupied = known.loads.get(service).into_iter().flat_map(|l| &l.halls);
+    for (_, hall) in occupied.filter(|(hall, _)| halls.has(hall)) {
+        load.requests += hall.requests;
+        load.endpoints += hall.endpoints;
+        load.slots = hall.slots / hall.endpoints.max(1);
     }
+    let of_service = known.endpoints.values().filter(|e| e.service == service);
+    let read = of_service.filter(|e| halls.has(&e.zone));
+    let read = read.filter_map(|e| tokens.get(&endpoint_hash(&e.id)));
+    load.tokens_per_s = read.sum();
+    load
 }
--- a/components/gateway/src/endpoint_run.rs
+++ b/components/gateway/src/endpoint_run.rs
@@ -53,6 +53,13 @@
         state.board.first_token(now, &mut self.ticket);
     }
 
+    /// An event of its stream came.
+    pub fn event(&mut self) {
+        let now = self.traffic.clock.now();
+        let mut state = self.traffic.state.borrow_mut();
+        state.board.event(now, &mut self.ticket);
+    }
+
     // What this run says of its endpoint's version, if a roll-out is under way. The time of an engine's answer is
     // reported in parts of the time expected, since an endpoint of a new version has read no prompts yet.
     fn evidence(&self, now: Duration, verdict: Verdict) -> Option<Answer> {
@@ -86,6 +93,13 @@
         let now = self.traffic.clock.now();
         let verdict = self.verdict_at_drop(now);
         let mut state = self.traffic.state.borrow_mut();
+        if self.job.engine {
+            let route = &self.job.route;
+            let whole = route.timeout.saturating_sub(route.target);
+            state
+                .board
+                .stream_ended(now, &self.ticket, route.gap_target, whole);
+        }
         state.board.ended(now, &self.ticket, verdict);
         if verdict == Verdict::Silent {
             // Its other open connections may say nothing either.
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -170,11 +170,10 @@
         let scaled = services.filter(|(_, service)| service.scaling.is_some());
         scaled
             .map(|(name, _)| {
-                let (requests, slots) = self.board.occupancy(now, name);
                 let load = ServiceLoad {
-                    requests,
-                    slots,
-                    rate: self.board.known_rate(name),
+                    halls: self.board.occupancy(now, name),
+                    has_engines: self.board.has_engines(name),
+                    learnt: self.board.learnt(name),
                 };
                 (name.clone(), load)
             })
--- a/components/gateway/src/tally.rs
+++ b/components/gateway/src/tally.rs
@@ -3,6 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use engine::Learnt;
+use routing::placement::HallLoad;
+
 use crate::versions::Digest;
 
 /// A request that was sent to an endpoint.
@@ -21,14 +24,21 @@
 }
 
 /// Load of one service as this gateway sees it.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ServiceLoad {
+    /// What runs at its ready endpoints, by data hall.
+    pub halls: BTreeMap<String, HallLoad>,
+    /// Whether its endpoints are engines.
+    pub has_engines: bool,
+    /// What this gateway saw of its engines since its start.
+    pub learnt: Learnt,
+}
+
+impl ServiceLoad {
     /// Requests at its ready endpoints.
-    pub requests: u32,
-    /// Slots of these.
-    pub slots: u32,
-    /// Tokens of prompts that one of them reads in a millisecond, once that is known.
-    pub rate: Option<f64>,
+    pub fn requests(&self) -> u32 {
+        self.halls.values().map(|hall| hall.requests).sum()
+    }
 }
 
 /// Everything since the last tally.
--- a/components/routing/src/placement.rs
+++ b/components/routing/src/placement.rs
@@ -7,6 +7,7 @@
 mod board;
 mod cache;
 mod choice;
+mod engines;
 mod mix;
 mod pace;
 mod queue;
@@ -16,6 +17,7 @@
 
 pub use board::{Board, Placement, Ticket};
 pub use cache::PromptCache;
+pub use engines::HallLoad;
 pub use queue::PromptQueue;
 
 use std::time::Duration;
--- a/components/routing/src/placement/board.rs
+++ b/components/routing/src/placement/board.rs
@@ -4,9 +4,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use directory::{Configuration, Endpoint};
+use directory::{Configuration, Endpoint, Engine};
+use engine::Learner;
 
 use crate::endpoint::Reading;
+use crate::placement::engines::Span;
 use crate::placement::mix::Mix;
 use crate::placement::pace::{with_rate_sample, Pace};
 use crate::placement::service::ServiceSlots;
@@ -42,7 +44,7 @@
 /// A request under way, as the board counts it.
 #[derive(Clone, Debug)]
 pub struct Ticket {
-    endpoint: String,
+    pub(super) endpoint: String,
     number: Option<u64>,
     sent_at: Duration,
     unread_tokens: u32,
@@ -50,6 +52,8 @@
     first_at: Option<Duration>,
     // Nothing was to be read before it when it was sent.
     alone: bool,
+    // What its events show of the engine.
+    pub(super) span: Span,
 }
 
 /// Everything known of the endpoints of all services.
@@ -66,7 +70,8 @@
     // By weight of prompt: heavy ones are reported at once.
     unknown_light: Unknown,
     unknown_heavy: Unknown,
-    cache_tokens: BTreeMap<String, u64>,
+    pub(super) engines: BTreeMap<String, Engine>,
+    pub(super) learners: BTreeMap<String, Learner>,
 }
 
 impl Board {
@@ -81,15 +86,16 @@
             mixes: BTreeMap::new(),
             unknown_light: Unknown::default(),
             unknown_heavy: Unknown::default(),
-            cache_tokens: BTreeMap::new(),
+            engines: BTreeMap::new(),
+            learners: BTreeMap::new(),
         }
     }
 
-    /// Takes the engines' memory sizes of a configuration.
+    /// Takes what a configuration says of engines.
     pub fn configure(&mut self, configuration: &Configuration) {
         let engines = configuration.services.iter();
-        self.cache_tokens = engines
-            .filter_map(|(name, s)| Some((name.clone(), s.engine.as_ref()?.cache_tokens)))
+        self.engines = engines
+            .filter_map(|(name, s)| Some((name.clone(), s.engine.clone()?)))
             .collect();
     }
 
@@ -100,9 +106,10 @@
             return;
         }
         let (id, service) = (endpoint.id.clone(), endpoint.service.clone());
-        let cache_tokens = self.cache_tokens.get(&service);
-        let mut slot = Slot::new(now, endpoint, cache_tokens.copied().unwrap_or(u64::MAX));
-        slot.is_engine = cache_tokens.is_some();
+        let engine = self.engines.get(&service);
+        let cache_tokens = engine.map_or(u64::MAX, |engine| engine.cache_tokens);
+        let mut slot = Slot::new(now, endpoint, cache_tokens);
+        slot.is_engine = engine.is_some();
         self.hashes.insert(endpoint_hash(&id), id.clone());
         self.services
             .entry(service.clone())
@@ -141,7 +148,7 @@
         slots.map(|slot| &slot.spec)
     }
 
-    fn slot_mut(&mut self, id: &str) -> Option<&mut Slot> {
+    pub(super) fn slot_mut(&mut self, id: &str) -> Option<&mut Slot> {
         let service = self.service_of.get(id)?;
         self.services.get_mut(service)?.get_mut(id)
     }
@@ -173,6 +180,7 @@
             answer_tokens: work.answer_tokens,
             first_at: None,
             alone: false,
+            span: Span::default(),
         };
         let Some(slot) = self.slot_mut(&placement.endpoint) else {
             return ticket;
@@ -302,19 +310,6 @@
             .count()
     }
 
-    /// Requests expected at the ready endpoints of a service, and the slots of these.
-    pub fn occupancy(&mut self, now: Duration, service: &str) -> (u32, u32) {
-        let mut sum = (0, 0);
-        let Some(slots) = self.services.get_mut(service) else {
-            return sum;
-        };
-        for slot in slots.iter_mut().filter(|slot| slot.spec.is_ready()) {
-            sum.0 += slot.load(now);
-            sum.1 += slot.spec.slots;
-        }
-        sum
-    }
-
     // Own requests and those of others alike, so that all gateways see the same mix.
     fn note_mix(&mut self, service: &str, unread_tokens: u32, hold: Duration) {
         let tokens = f64::from(unread_tokens);
--- a/components/routing/src/placement/queue.rs
+++ b/components/routing/src/placement/queue.rs
@@ -22,6 +22,8 @@
     // When the reading of the first entry began.
     front_since: Duration,
     next_number: u64,
+    // Tokens of all prompts so far.
+    pushed_tokens: f64,
 }
 
 impl PromptQueue {
@@ -31,6 +33,7 @@
             self.front_since = now;
         }
         self.next_number += 1;
+        self.pushed_tokens += f64::from(tokens);
         self.entries.push_back(Entry {
             number: self.next_number,
             tokens: f64::from(tokens),
@@ -75,6 +78,11 @@
         })
     }
 
+    /// Tokens of all prompts that were ever queued.
+    pub fn pushed_tokens(&self) -> f64 {
+        self.pushed_tokens
+    }
+
     /// Whether nothing is to be read.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
--- a/components/routing/tests/placement.rs
+++ b/components/routing/tests/placement.rs
@@ -214,6 +214,45 @@
     assert!((140.0..=160.0).contains(&rate), "{rate}");
 }
 
+/// One gateway sends streams in waves to engines that follow a law; each stream's events come at the law's pace.
+#[test]
+fn the_law_of_engines_is_learnt_from_streams() {
+    const BASE_MS: f64 = 3.0;
+    const PER_RUNNING_MS: f64 = 0.1;
+    let mut board = board(true, &["a"]);
+    let mut rng = rng();
+    let mut now = Duration::ZERO;
+    for wave in 0..200_u64 {
+        let running = 1 + (wave * 7) % 24;
+        let work = |own| prompt(1, 1000 * wave + own + 2, 400);
+        let mut tickets: Vec<_> = (0..running)
+            .map(|own| {
+                let work = work(own);
+                let placement = board.choose(now, &work, &[], Versions::Any, &mut rng);
+                board.sent(now, &work, &placement.unwrap())
+            })
+            .collect();
+        for _ in 0..=32 {
+            now += Duration::from_secs_f64((BASE_MS + PER_RUNNING_MS * running as f64) / 1000.0);
+            for ticket in &mut tickets {
+                board.first_token(now, ticket);
+                board.event(now, ticket);
+            }
+        }
+        for ticket in &tickets {
+            board.stream_ended(now, ticket, Some(ms(300)), Duration::from_secs(10));
+            board.ended(now, ticket, Verdict::Sound);
+        }
+    }
+    let learnt = board.learnt("s");
+    let law = learnt.estimate().law;
+    assert!((2.7..=3.3).contains(&law.base_ms), "{law:?}");
+    assert!((0.09..=0.11).contains(&law.per_running_ms), "{law:?}");
+    // 33 events of one token in 10 s, and pauses of 300 ms.
+    let allowed = learnt.allowed.holding(0.95).unwrap();
+    assert!((200.0..=300.0).contains(&allowed), "{allowed}");
+}
+
 #[test]
 fn a_request_goes_only_to_endpoints_of_a_version_that_may_run_it() {
     let mut board = board(true, &[]);
--- a/components/schema/src/messages.rs
+++ b/components/schema/src/messages.rs
@@ -2367,10 +2367,12 @@
     pub rollouts: Option<Vec<Box<RolloutReport>>>,
     /// What the sender saw endpoints answer since a roll-out was ordered; for the holder.
     pub evidence: Option<Vec<Box<EvidenceReport>>>,
+    /// What the sender saw of engines; for coordinators.
+    pub engines: Option<Vec<Box<EngineReport>>>,
 }
 
 impl Gossip {
-    pub fn new<F10, F11, F12, F13, F14, F15, F16, F17, F18, F19, F20, F21, F22, F23, F24>(
+    pub fn new<F10, F11, F12, F13, F14, F15, F16, F17, F18, F19, F20, F21, F22, F23, F24, F36>(
         gateway: String,
         incarnation: i64,
         sequence: i64,
@@ -2395,6 +2397,7 @@
         forwarded: F22,
         rollouts: F23,
         evidence: F24,
+        engines: F36,
     ) -> Gossip
     where
         F10: Into<Option<Vec<TopicHead>>>,
@@ -2412,6 +2415,7 @@
         F22: Into<Option<Vec<Box<SourceUsage>>>>,
         F23: Into<Option<Vec<Box<RolloutReport>>>>,
         F24: Into<Option<Vec<Box<EvidenceReport>>>>,
+        F36: Into<Option<Vec<Box<EngineReport>>>>,
     {
         Gossip {
             gateway,
@@ -2438,6 +2442,7 @@
             forwarded: forwarded.into(),
             rollouts: rollouts.into(),
             evidence: evidence.into(),
+            engines: engines.into(),
         }
     }
 }
@@ -2469,6 +2474,7 @@
         let mut f_22: Option<Vec<Box<SourceUsage>>> = None;
         let mut f_23: Option<Vec<Box<RolloutReport>>> = None;
         let mut f_24: Option<Vec<Box<EvidenceReport>>> = None;
+        let mut f_36: Option<Vec<Box<EngineReport>>> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -2624,6 +2630,17 @@
                     i_prot.read_list_end()?;
                     f_24 = Some(val);
                 }
+                36 => {
+                    let list_ident = i_prot.read_list_begin()?;
+                    let mut val: Vec<Box<EngineReport>> =
+                        Vec::with_capacity(list_ident.size as usize);
+                    for _ in 0..list_ident.size {
+                        let list_elem_18 = Box::new(EngineReport::read_from_in_protocol(i_prot)?);
+                        val.push(list_elem_18);
+                    }
+                    i_prot.read_list_end()?;
+                    f_36 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -2674,6 +2691,7 @@
             forwarded: f_22,
             rollouts: f_23,
             evidence: f_24,
+            engines: f_36,
         };
         Ok(ret)
     }
@@ -2828,6 +2846,133 @@
             o_prot.write_list_end()?;
             o_prot.write_field_end()?
         }
+        if let Some(ref fld_var) = self.engines {
+            o_prot.write_field_begin(&TFieldIdentifier::new("engines", TType::List, 36))?;
+            o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, fld_var.len() as i32))?;
+            for e in fld_var {
+                e.write_to_out_protocol(o_prot)?;
+            }
+            o_prot.write_list_end()?;
+            o_prot.write_field_end()?
+        }
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
+//
+// EngineReport
+//
+
+/// What one gateway saw of a service's engines; reports of several gateways are added.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct EngineReport {
+    pub service_name: String,
+    /// Moments of the times of steps, in the order in which the gateways name them.
+    pub steps: Vec<OrderedFloat<f64>>,
+    /// Streams by the time that they allow for a token.
+    pub allowed: Vec<OrderedFloat<f64>>,
+}
+
+impl EngineReport {
+    pub fn new(
+        service_name: String,
+        steps: Vec<OrderedFloat<f64>>,
+        allowed: Vec<OrderedFloat<f64>>,
+    ) -> EngineReport {
+        EngineReport {
+            service_name,
+            steps,
+            allowed,
+        }
+    }
+}
+
+impl TSerializable for EngineReport {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<EngineReport> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<String> = None;
+        let mut f_2: Option<Vec<OrderedFloat<f64>>> = None;
+        let mut f_3: Option<Vec<OrderedFloat<f64>>> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = i_prot.read_string()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let list_ident = i_prot.read_list_begin()?;
+                    let mut val: Vec<OrderedFloat<f64>> =
+                        Vec::with_capacity(list_ident.size as usize);
+                    for _ in 0..list_ident.size {
+                        let list_elem_19 = OrderedFloat::from(i_prot.read_double()?);
+                        val.push(list_elem_19);
+                    }
+                    i_prot.read_list_end()?;
+                    f_2 = Some(val);
+                }
+                3 => {
+                    let list_ident = i_prot.read_list_begin()?;
+                    let mut val: Vec<OrderedFloat<f64>> =
+                        Vec::with_capacity(list_ident.size as usize);
+                    for _ in 0..list_ident.size {
+                        let list_elem_20 = OrderedFloat::from(i_prot.read_double()?);
+                        val.push(list_elem_20);
+                    }
+                    i_prot.read_list_end()?;
+                    f_3 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("EngineReport.service_name", &f_1)?;
+        verify_required_field_exists("EngineReport.steps", &f_2)?;
+        verify_required_field_exists("EngineReport.allowed", &f_3)?;
+        let ret = EngineReport {
+            service_name: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            steps: f_2
+                .expect("auto-generated code should have checked for presence of required fields"),
+            allowed: f_3
+                .expect("auto-generated code should have checked for presence of required fields"),
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("EngineReport");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("service_name", TType::String, 1))?;
+        o_prot.write_string(&self.service_name)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("steps", TType::List, 2))?;
+        o_prot.write_list_begin(&TListIdentifier::new(
+            TType::Double,
+            self.steps.len() as i32,
+        ))?;
+        for e in &self.steps {
+            o_prot.write_double((*e).into())?;
+        }
+        o_prot.write_list_end()?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("allowed", TType::List, 3))?;
+        o_prot.write_list_begin(&TListIdentifier::new(
+            TType::Double,
+            self.allowed.len() as i32,
+        ))?;
+        for e in &self.allowed {
+            o_prot.write_double((*e).into())?;
+        }
+        o_prot.write_list_end()?;
+        o_prot.write_field_end()?;
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -3009,9 +3154,9 @@
                     let map_ident = i_prot.read_map_begin()?;
                     let mut val: BTreeMap<i32, i64> = BTreeMap::new();
                     for _ in 0..map_ident.size {
-                        let map_key_18 = i_prot.read_i32()?;
-                        let map_val_19 = i_prot.read_i64()?;
-                        val.insert(map_key_18, map_val_19);
+                        let map_key_21 = i_prot.read_i32()?;
+                        let map_val_22 = i_prot.read_i64()?;
+                        val.insert(map_key_21, map_val_22);
                     }
                     i_prot.read_map_end()?;
                     f_4 = Some(val);
@@ -3116,8 +3261,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<AnswerCounts> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_20 = AnswerCounts::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_20);
+                        let list_elem_23 = AnswerCounts::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_23);
                     }
                     i_prot.read_list_end()?;
                     f_3 = Some(val);
@@ -3621,8 +3766,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<PromptPart> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_21 = PromptPart::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_21);
+                        let list_elem_24 = PromptPart::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_24);
                     }
                     i_prot.read_list_end()?;
                     f_8 = Some(val);
@@ -3631,8 +3776,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_22 = i_prot.read_i64()?;
-                        val.push(list_elem_22);
+                        let list_elem_25 = i_prot.read_i64()?;
+                        val.push(list_elem_25);
                     }
                     i_prot.read_list_end()?;
                     f_9 = Some(val);
@@ -4390,8 +4535,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<RowChange> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_23 = RowChange::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_23);
+                        let list_elem_26 = RowChange::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_26);
                     }
                     i_prot.read_list_end()?;
                     f_1 = Some(val);
@@ -4602,9 +4747,9 @@
                     let map_ident = i_prot.read_map_begin()?;
                     let mut val: BTreeMap<String, i64> = BTreeMap::new();
                     for _ in 0..map_ident.size {
-                        let map_key_24 = i_prot.read_string()?;
-                        let map_val_25 = i_prot.read_i64()?;
-                        val.insert(map_key_24, map_val_25);
+                        let map_key_27 = i_prot.read_string()?;
+                        let map_val_28 = i_prot.read_i64()?;
+                        val.insert(map_key_27, map_val_28);
                     }
                     i_prot.read_map_end()?;
                     f_1 = Some(val);
--- a/components/schema/thrift/messages.thrift
+++ b/components/schema/thrift/messages.thrift
@@ -271,6 +271,17 @@
   23: optional list<RolloutReport> rollouts,
   /** What the sender saw endpoints answer since a roll-out was ordered; for the holder. */
   24: optional list<EvidenceReport> evidence,
+  /** What the sender saw of engines; for coordinators. */
+  36: optional list<EngineReport> engines,
+}
+
+/** What one gateway saw of a service's engines; reports of several gateways are added. */
+struct EngineReport {
+  1: required string service_name,
+  /** Moments of the times of steps, in the order in which the gateways name them. */
+  2: required list<double> steps,
+  /** Streams by the time that they allow for a token. */
+  3: required list<double> allowed,
 }
 
 /** How far a roll-out is. */
