Count plans without a law, and say why endpoints were given back

Cause: what coordinators tell each other of engines was merged inside the control thread, where no test reaches it alone; nothing counted how often a plan waits for the law.

--- a/components/engine/src/lib.rs
+++ b/components/engine/src/lib.rs
@@ -9,10 +9,12 @@
 mod fit;
 mod law;
 mod learner;
+mod reports;
 mod sums;
 
 pub use allowed::AllowedPaces;
 pub use fit::Estimate;
 pub use law::Law;
 pub use learner::{Learner, Learnt};
+pub use reports::Reports;
 pub use sums::{Sample, Sums, MOMENTS};
--- a/components/fleet/src/scaling.rs
+++ b/components/fleet/src/scaling.rs
@@ -151,6 +151,12 @@
         orders
     }
 
+    /// Whether an order asks for fewer endpoints than are held.
+    pub fn gives_back(&self, order: &ScalingOrder) -> bool {
+        let held = self.held.get(&order.hall).copied().unwrap_or_default();
+        order.count < held.get(order.reclaimable)
+    }
+
     /// An order was taken.
     pub fn accepted(&mut self, order: &ScalingOrder) {
         if order.reclaimable {
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -36,7 +36,7 @@
 
 use crate::alone::Alone;
 use crate::clock::Clock;
-use crate::control::engines::EngineNews;
+use crate::control::engines::Engines;
 use crate::control::follow::{Followed, WATCHERS};
 use crate::control::lease::OrdersUnderWay;
 use crate::control::messages::SendState;
@@ -106,7 +106,7 @@
     pub reporter: Reporter,
     // By service and region.
     pub scalers: BTreeMap<(String, String), Scaler>,
-    pub engines: EngineNews,
+    pub engines: Engines,
     pub demand: Demand,
     pub loads: BTreeMap<String, ServiceLoad>,
     pub taken: BTreeMap<String, u64>,
@@ -180,7 +180,7 @@
             peers,
             ledger: Ledger::default(),
             scalers: BTreeMap::new(),
-            engines: EngineNews::default(),
+            engines: Engines::default(),
             demand: Demand::default(),
             loads: BTreeMap::new(),
             taken: BTreeMap::new(),
--- a/components/gateway/src/control/messages.rs
+++ b/components/gateway/src/control/messages.rs
@@ -139,8 +139,10 @@
                     .collect()
             }),
             evidence: None,
-            engines: (content == Content::Full && known.engines.is_turn())
-                .then(|| known.engine_reports().into_iter().map(Box::new).collect()),
+            engines: match content {
+                Content::Full => boxed(known.engine_reports()),
+                _ => None,
+            },
         }
     }
 
@@ -262,3 +264,8 @@
         .filter_map(|(topic, followed)| gossip::head_of(*topic, followed.reported()?))
         .collect()
 }
+
+// As the schema holds them.
+fn boxed<T>(list: Option<Vec<T>>) -> Option<Vec<Box<T>>> {
+    Some(list?.into_iter().map(Box::new).collect())
+}
--- a/components/gateway/src/control/scaling.rs
+++ b/components/gateway/src/control/scaling.rs
@@ -8,6 +8,7 @@
 use rollout::Order;
 use routing::placement::endpoint_hash;
 use slog::{info, warn};
+use telemetry::Counter;
 use topology::Topology;
 
 use crate::control::{Known, Shared};
@@ -149,7 +150,10 @@
                 let scaler = scaler.or_default();
                 match load.parts() {
                     Some(parts) => scaler.observe_as_of(now, as_of, &held, parts.endpoints()),
-                    None => scaler.observe_unknown(as_of, &held),
+                    None => {
+                        self.metrics.count(Counter::PlansUnknown);
+                        scaler.observe_unknown(as_of, &held);
+                    }
                 }
             }
         }
@@ -185,6 +189,8 @@
                 if orders.is_empty() {
                     continue;
                 }
+                let back = orders.iter().filter(|order| scaler.gives_back(order));
+                self.metrics.add(Counter::GivenBack, back.count() as u64);
                 let parts = load.parts().unwrap_or_default();
                 info!(self.log, "endpoints planned"; "service" => service, "region" => &region,
                     "load_milli" => milli(scaler.newest_load()),
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -79,6 +79,10 @@
         Applied => "config.applied",
         /// Orders sent to endpoints.
         Orders => "fleet.order",
+        /// Plans of endpoints while it is not known what one bears.
+        PlansUnknown => "fleet.unknown",
+        /// Orders that give endpoints back.
+        GivenBack => "fleet.given_back",
         /// Listener restarts after a failed accept.
         ListenerRestarts => "listener.restart",
     }
