--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -2,6 +2,7 @@
 
 mod carrying;
 mod echoes;
+mod engines;
 mod exchange;
 mod follow;
 mod forwarding;
@@ -38,6 +39,7 @@
 use crate::alone::Alone;
 use crate::clock::Clock;
 pub use crate::control::echoes::{round_trip, Echoes};
+use crate::control::engines::Engines;
 use crate::control::follow::{Followed, WATCHERS};
 use crate::control::lease::OrdersUnderWay;
 use crate::control::messages::SendState;
@@ -105,7 +107,9 @@
     pub orders: OrdersUnderWay,
     pub ledger: Ledger,
     pub reporter: Reporter,
-    pub scalers: BTreeMap<String, Scaler>,
+    // By service and region.
+    pub scalers: BTreeMap<(String, String), Scaler>,
+    pub engines: Engines,
     pub demand: Demand,
     pub loads: BTreeMap<String, ServiceLoad>,
     pub taken: BTreeMap<String, u64>,
@@ -183,6 +187,7 @@
             peers,
             ledger: Ledger::default(),
             scalers: BTreeMap::new(),
+            engines: Engines::default(),
             demand: Demand::default(),
             loads: BTreeMap::new(),
             taken: BTreeMap::new(),
--- a/components/gateway/src/control/messages.rs
+++ b/components/gateway/src/control/messages.rs
@@ -140,6 +140,10 @@
             }),
             evidence: None,
             echo: known.echo_to_send(now, content),
+            engines: match content {
+                Content::Full => boxed(known.engine_reports()),
+                _ => None,
+            },
         }
     }
 
@@ -270,3 +274,8 @@
         .filter_map(|(topic, followed)| gossip::head_of(*topic, followed.reported()?))
         .collect()
 }
+
+// As the schema holds them.
+fn boxed<T>(list: Option<Vec<T>>) -> Option<Vec<Box<T>>> {
+    Some(list?.into_iter().map(Box::new).collect())
+}
--- a/components/routing/src/placement.rs
+++ b/components/routing/src/placement.rs
@@ -8,6 +8,7 @@
 mod cache;
 mod choice;
 mod departure;
+mod engines;
 mod halls;
 mod mix;
 mod pace;
@@ -20,6 +21,7 @@
 pub use board::{Board, Placement, Ticket};
 pub use cache::PromptCache;
 pub use departure::bytes_across;
+pub use engines::HallLoad;
 pub use queue::PromptQueue;
 pub use way::Ways;
 
--- a/components/routing/src/placement/board.rs
+++ b/components/routing/src/placement/board.rs
@@ -4,11 +4,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use directory::{Configuration, Endpoint};
+use directory::{Configuration, Endpoint, Engine};
+use engine::Learner;
 use topology::Topology;
 
 use crate::endpoint::Reading;
 use crate::placement::departure::Links;
+use crate::placement::engines::Span;
 use crate::placement::mix::Mix;
 use crate::placement::pace::{with_rate_sample, Pace};
 use crate::placement::service::ServiceSlots;
@@ -54,7 +56,7 @@
 /// A request under way, as the board counts it.
 #[derive(Clone, Debug)]
 pub struct Ticket {
-    endpoint: String,
+    pub(super) endpoint: String,
     number: Option<u64>,
     sent_at: Duration,
     unread_tokens: u32,
@@ -62,6 +64,8 @@
     first_at: Option<Duration>,
     // Nothing was to be read before it when it was sent.
     alone: bool,
+    // What its events show of the engine.
+    pub(super) span: Span,
 }
 
 /// Everything known of the endpoints of all services.
@@ -79,7 +83,8 @@
     pub(super) mixes: BTreeMap<String, Mix>,
     // By place of the region and weight of prompt: heavy ones are reported at once.
     pub(super) unknown: BTreeMap<(usize, bool), Unknown>,
-    cache_tokens: BTreeMap<String, u64>,
+    pub(super) engines: BTreeMap<String, Engine>,
+    pub(super) learners: BTreeMap<String, Learner>,
 }
 
 impl Board {
@@ -100,15 +105,16 @@
             paces: BTreeMap::new(),
             mixes: BTreeMap::new(),
             unknown: BTreeMap::new(),
-            cache_tokens: BTreeMap::new(),
+            engines: BTreeMap::new(),
+            learners: BTreeMap::new(),
         }
     }
 
-    /// Takes the engines' memory sizes of a configuration.
+    /// Takes what a configuration says of engines.
     pub fn configure(&mut self, configuration: &Configuration) {
         let engines = configuration.services.iter();
-        self.cache_tokens = engines
-            .filter_map(|(name, s)| Some((name.clone(), s.engine.as_ref()?.cache_tokens)))
+        self.engines = engines
+            .filter_map(|(name, s)| Some((name.clone(), s.engine.clone()?)))
             .collect();
     }
 
@@ -119,9 +125,10 @@
             return;
         }
         let (id, service) = (endpoint.id.clone(), endpoint.service.clone());
-        let cache_tokens = self.cache_tokens.get(&service);
-        let mut slot = Slot::new(now, endpoint, cache_tokens.copied().unwrap_or(u64::MAX));
-        slot.is_engine = cache_tokens.is_some();
+        let engine = self.engines.get(&service);
+        let cache_tokens = engine.map_or(u64::MAX, |engine| engine.cache_tokens);
+        let mut slot = Slot::new(now, endpoint, cache_tokens);
+        slot.is_engine = engine.is_some();
         slot.hall = self.place_of_hall(&slot.spec.zone);
         slot.region = self.ways.topology().place_of(&slot.spec.zone);
         self.hashes.insert(endpoint_hash(&id), id.clone());
@@ -162,7 +169,7 @@
         slots.map(|slot| &slot.spec)
     }
 
-    fn slot_mut(&mut self, id: &str) -> Option<&mut Slot> {
+    pub(super) fn slot_mut(&mut self, id: &str) -> Option<&mut Slot> {
         let service = self.service_of.get(id)?;
         self.services.get_mut(service)?.get_mut(id)
     }
@@ -186,6 +193,7 @@
             answer_tokens: work.answer_tokens,
             first_at: None,
             alone: false,
+            span: Span::default(),
         };
         let Some(slot) = self.slot_mut(&placement.endpoint) else {
             return ticket;
@@ -318,19 +326,6 @@
             .count()
     }
 
-    /// Requests expected at the ready endpoints of a service, and the slots of these.
-    pub fn occupancy(&mut self, now: Duration, service: &str) -> (u32, u32) {
-        let mut sum = (0, 0);
-        let Some(slots) = self.services.get_mut(service) else {
-            return sum;
-        };
-        for slot in slots.iter_mut().filter(|slot| slot.spec.is_ready()) {
-            sum.0 += slot.load(now);
-            sum.1 += slot.spec.slots;
-        }
-        sum
-    }
-
     // Own requests and those of others alike, so that all gateways see the same mix.
     fn note_mix(&mut self, service: &str, unread_tokens: u32, hold: Duration) {
         let tokens = f64::from(unread_tokens);
--- a/components/schema/thrift/messages.thrift
+++ b/components/schema/thrift/messages.thrift
@@ -273,6 +273,8 @@
   24: optional list<EvidenceReport> evidence,
   /** Among several regions: when a message of one coordinator came, from which it reckons the way. */
   25: optional Echo echo,
+  /** What the sender saw of engines; for coordinators. */
+  36: optional list<EngineReport> engines,
 }
 
 /** When a message of another gateway came. */
@@ -285,6 +287,15 @@
   3: required i64 held_us,
 }
 
+/** What one gateway saw of a service's engines; reports of several gateways are added. */
+struct EngineReport {
+  1: required string service_name,
+  /** Moments of the times of steps, in the order in which the gateways name them. */
+  2: required list<double> steps,
+  /** Streams by the time that they allow for a token. */
+  3: required list<double> allowed,
+}
+
 /** How far a roll-out is. */
 enum RolloutStage {
   SAMPLE = 1,
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -85,6 +85,10 @@
         RegionBytes => "region.bytes",
         /// Requests that would have gained in another region and were kept, for want of room on the link.
         RegionDeclined => "region.declined",
+        /// Plans of endpoints while it is not known what one bears.
+        PlansUnknown => "fleet.unknown",
+        /// Orders that give endpoints back.
+        GivenBack => "fleet.given_back",
         /// Listener restarts after a failed accept.
         ListenerRestarts => "listener.restart",
     }
