--- a/components/gateway/src/answer.rs
+++ b/components/gateway/src/answer.rs
@@ -3,16 +3,18 @@
 use std::any::Any;
 use std::fmt;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::Bytes;
 use errors::{Kind, Problem};
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderValue, Response, StatusCode};
 use http_body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
+use crate::held::HeldBytes;
+
 /// An answer that ends early; its connection is closed so that it does not look complete.
 #[derive(Clone, Copy, Debug)]
 pub struct CutOff;
@@ -25,18 +27,18 @@
 
 impl std::error::Error for CutOff {}
 
-/// The body of an answer. It may hold a value that is dropped when the answer is over.
+/// The body of an answer. It may keep a value that is dropped when the last byte is written.
 pub(crate) struct AnswerBody {
     content: Content,
-    held: Option<Box<dyn Any>>,
+    guard: Option<Rc<dyn Any>>,
 }
 
 enum Content {
     /// Known as a whole.
-    Whole(Option<Bytes>),
+    Whole(Option<HeldBytes>),
     /// Passed on as it comes.
     Stream {
-        pieces: mpsc::Receiver<Piece>,
+        pieces: mpsc::UnboundedReceiver<Piece>,
         /// It was cut off; what came before is to reach the caller first.
         cut: bool,
     },
@@ -46,48 +48,54 @@
 #[derive(Debug)]
 pub(crate) enum Piece {
     /// Bytes of the body.
-    Data(Bytes),
+    Data(HeldBytes),
     /// The whole end; a channel that closes without it was cut off.
     End,
 }
 
 impl AnswerBody {
     /// A body known as a whole.
-    pub fn whole(bytes: Bytes) -> Self {
+    pub fn whole(bytes: HeldBytes) -> Self {
         AnswerBody {
             content: Content::Whole(Some(bytes)),
-            held: None,
+            guard: None,
         }
     }
 
     /// A body passed on as it comes.
-    pub fn stream(pieces: mpsc::Receiver<Piece>) -> Self {
+    pub fn stream(pieces: mpsc::UnboundedReceiver<Piece>) -> Self {
         AnswerBody {
             content: Content::Stream { pieces, cut: false },
-            held: None,
+            guard: None,
         }
     }
 
-    /// Holds a value until the answer is over.
-    pub fn hold(&mut self, value: impl Any) {
-        self.held = Some(Box::new(value));
+    /// Keeps a value until the last byte of the answer is written.
+    pub fn keep(&mut self, value: impl Any) {
+        self.guard = Some(Rc::new(value));
     }
 }
 
 impl Body for AnswerBody {
-    type Data = Bytes;
+    type Data = HeldBytes;
     type Error = CutOff;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, CutOff>>> {
-        match &mut self.get_mut().content {
-            Content::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+    ) -> Poll<Option<Result<Frame<HeldBytes>, CutOff>>> {
+        let body = self.get_mut();
+        // The server takes bytes long before it can write them.
+        let keeping = |mut bytes: HeldBytes| {
+            bytes.keep(body.guard.clone());
+            Ok(Frame::data(bytes))
+        };
+        match &mut body.content {
+            Content::Whole(bytes) => Poll::Ready(bytes.take().map(keeping)),
             Content::Stream { cut: true, .. } => Poll::Ready(Some(Err(CutOff))),
             Content::Stream { pieces, cut } => match pieces.poll_recv(context) {
                 Poll::Pending => Poll::Pending,
-                Poll::Ready(Some(Piece::Data(bytes))) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+                Poll::Ready(Some(Piece::Data(bytes))) => Poll::Ready(Some(keeping(bytes))),
                 Poll::Ready(Some(Piece::End)) => Poll::Ready(None),
                 Poll::Ready(None) => {
                     // The server flushes while it waits, and drops what is unflushed on an error.
@@ -168,7 +176,7 @@
     pub fn into_answer(self, id: &str) -> Answer {
         let status = self.status();
         let body = self.problem.with_request(id).to_json();
-        let mut answer = Response::new(AnswerBody::whole(Bytes::from(body)));
+        let mut answer = Response::new(AnswerBody::whole(HeldBytes::uncounted(body.into())));
         *answer.status_mut() =
             StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
         let fields = answer.headers_mut();
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -4,10 +4,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{response, HeaderMap, HeaderName, Request};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use memory::Kind;
 use routing::placement::{Placement, Verdict};
 use routing::Reading;
 use slog::info;
@@ -16,6 +16,7 @@
 
 use crate::endpoint_run::Run;
 use crate::events::{Event, EventSplitter};
+use crate::held::Gathered;
 use crate::job::{Job, SharedJob};
 use crate::ports::{AnswerHead, AttemptHead, Dialect};
 use crate::traffic::Traffic;
@@ -24,6 +25,8 @@
 const CONNECT_TIME: Duration = Duration::from_millis(400);
 /// Largest answer that is read as a whole, in bytes.
 const MAX_WHOLE_ANSWER: usize = 8 << 20;
+/// Largest body of a refusal that is read so that its connection can be kept, in bytes.
+const MAX_REFUSAL: usize = 64 << 10;
 /// Fields that concern one connection only.
 const HOP_FIELDS: [HeaderName; 7] = [
     http::header::CONNECTION,
@@ -90,7 +93,10 @@
 /// What an endpoint answered.
 pub(crate) enum Reply<D> {
     /// An answer known as a whole.
-    Whole { head: response::Parts, body: Bytes },
+    Whole {
+        head: response::Parts,
+        body: Gathered,
+    },
     /// A stream whose first event has come.
     Events {
         head: response::Parts,
@@ -104,7 +110,10 @@
     /// An answer of the endpoint.
     Answered(Reply<D>),
     /// An answer that says it failed.
-    Failed { head: response::Parts, body: Bytes },
+    Failed {
+        head: response::Parts,
+        body: Gathered,
+    },
     /// The endpoint says that it did not run the request.
     NotRun,
     /// Nothing was sent.
@@ -259,7 +268,7 @@
         if has_body {
             fields.insert(http::header::CONTENT_LENGTH, job.body.len().into());
         }
-        let mut request = Request::new(FullBody::new(job.body.clone()));
+        let mut request = Request::new(FullBody::new(job.body.bytes()));
         *request.method_mut() = job.parts.method.clone();
         *request.uri_mut() = job.parts.uri.clone();
         *request.headers_mut() = fields;
@@ -281,7 +290,7 @@
 
     async fn declined(&self, mut run: Run<D>, read: &AnswerHead, body: Incoming) -> Attempted<D> {
         run.judge(Verdict::Neutral);
-        let limited = Limited::new(body, MAX_WHOLE_ANSWER);
+        let limited = Limited::new(body, MAX_REFUSAL);
         if limited.collect().await.is_ok() {
             run.finish(read.keep_alive);
         }
@@ -298,8 +307,9 @@
     ) -> Attempted<D> {
         let ran_for = self.clock.now().saturating_sub(run.sent_at);
         self.note_begun(job, ran_for);
-        let limited = Limited::new(body, MAX_WHOLE_ANSWER);
-        let Ok(collected) = limited.collect().await else {
+        let hold = job.caller.account.hold(Kind::Whole);
+        let gathered = self.room.gather(body, hold, MAX_WHOLE_ANSWER, None).await;
+        let Ok(body) = gathered else {
             run.judge(Verdict::Faulty);
             return Attempted::Lost("the endpoint broke its answer off");
         };
@@ -315,7 +325,6 @@
         });
         run.finish(read.keep_alive);
         strip_hop_fields(&mut head.headers);
-        let body = collected.to_bytes();
         match failed {
             true => Attempted::Failed { head, body },
             false => Attempted::Answered(Reply::Whole { head, body }),
--- /dev/null
+++ b/components/gateway/src/body.rs
@@ -0,0 +1,78 @@
+//! Reading a caller's body into memory that is reserved for it.
+
+use std::time::Duration;
+
+use directory::Lookup;
+use errors::Kind;
+use http::request;
+use hyper::body::Incoming;
+use slog::warn;
+use telemetry::Counter;
+
+use crate::answer::Refusal;
+use crate::caller::Caller;
+use crate::handler::{look_up, rank, LAST_RANK, UNROUTED_TIME};
+use crate::held::Gathered;
+use crate::ports::{CallerHead, Dialect};
+use crate::room::GatherError;
+use crate::traffic::Traffic;
+
+impl<D: Dialect + 'static> Traffic<D> {
+    /// Reads a body whole, by a time.
+    pub async fn read_body(
+        &self,
+        parts: &request::Parts,
+        head: &CallerHead,
+        body: Incoming,
+        read_by: Duration,
+        caller: &Caller,
+    ) -> Result<Gathered, Refusal> {
+        let hold = caller.account.hold(memory::Kind::BodyRead);
+        let patience = |bytes| self.body_patience(parts, head, bytes);
+        let reading = self
+            .room
+            .gather(body, hold, self.body_bytes(), Some(&patience));
+        match tokio::time::timeout_at(self.clock.instant(read_by), reading).await {
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(GatherError::TooLarge)) => {
+                Err(Refusal::not_run(Kind::BodyTooLarge, "the body is too large").closing())
+            }
+            Ok(Err(GatherError::Broken)) => {
+                Err(Refusal::not_run(Kind::MalformedBody, "the body broke off").closing())
+            }
+            Ok(Err(GatherError::NoRoom(bytes))) => Err(self.no_room(head, bytes)),
+            Err(_) => Err(Refusal::not_run(Kind::SlowSender, "the body is late").closing()),
+        }
+    }
+
+    // How long a body waits for memory. Its route is looked up only here, since most find some at once.
+    fn body_patience(&self, parts: &request::Parts, head: &CallerHead, bytes: u64) -> Duration {
+        let state = self.state.borrow();
+        let (rank, target) = match state.directory.as_ref().map(|d| look_up(d, parts, head)) {
+            Some(Lookup::Allowed { route, tenant }) => (rank(route, tenant), route.target),
+            _ => (LAST_RANK, UNROUTED_TIME),
+        };
+        memory::body_patience(rank, bytes, target)
+    }
+
+    fn no_room(&self, head: &CallerHead, bytes: u64) -> Refusal {
+        let ledger = self.room.ledger();
+        let back = self.room.retry_after(bytes);
+        self.metrics.count(Counter::MemoryRefused);
+        warn!(self.log, "body refused for want of memory"; "id" => &head.id, "lacks" => bytes,
+            "held_in_all" => ledger.total(), "budget" => ledger.budget().most,
+            "share" => ledger.share(), "retry_after_ms" => back.as_millis() as u64);
+        Refusal::not_run(
+            Kind::TooManyRequests,
+            "the gateway has no memory for the body",
+        )
+        .after(back)
+        .closing()
+    }
+
+    fn body_bytes(&self) -> usize {
+        let state = self.state.borrow();
+        let directory = state.directory.as_ref();
+        directory.map_or(1 << 20, |d| d.configuration().bounds.body_bytes)
+    }
+}
--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -3,11 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use directory::{Directory, Lookup, Route, Tenant};
 use errors::Kind;
 use http::{request, Request, Response};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use routing::placement::{Placement, Work};
 use slog::info;
@@ -16,15 +14,17 @@
 
 use crate::answer::{Answer, AnswerBody, Refusal};
 use crate::attempt::{Attempted, Reply, Sending};
+use crate::caller::Caller;
 use crate::decisions::Outcome;
 use crate::freshness::Ages;
+use crate::held::{Gathered, HeldBytes, KeptBody};
 use crate::job::{Job, Progress, SharedJob, ROUTE_RANKS};
 use crate::ports::{CallerHead, Dialect};
-use crate::stream::{Relay, PIECES_WAITING};
+use crate::stream::Relay;
 use crate::traffic::Traffic;
 
 /// Longest time a request is held whose route is not known yet.
-const UNROUTED_TIME: Duration = Duration::from_secs(2);
+pub(crate) const UNROUTED_TIME: Duration = Duration::from_secs(2);
 /// Part of a request's target for which it waits for an endpoint to appear.
 const ENDPOINT_WAIT_PART: u32 = 6;
 /// Pause between looks for an endpoint.
@@ -43,13 +43,13 @@
 /// Attempts that reached no endpoint, after which a request is given up.
 const MOST_UNSENT: usize = 4;
 /// Least urgent rank.
-const LAST_RANK: u8 = 9;
+pub(crate) const LAST_RANK: u8 = 9;
 /// A first attempt of a repeatable request is waited for at most this many times its target.
 const PATIENCE_TARGETS: u32 = 2;
 
 impl<D: Dialect + 'static> Traffic<D> {
     /// Answers one request.
-    pub async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Answer {
+    pub async fn answer(self: Rc<Self>, request: Request<Incoming>, caller: Rc<Caller>) -> Answer {
         let arrived = self.clock.now();
         let (parts, body) = request.into_parts();
         self.metrics.count(Counter::Accepted);
@@ -65,7 +65,7 @@
             let refusal = Refusal::not_run(Kind::Stopping, "the gateway stops");
             return self.refuse(&id, arrived, refusal.after(STOPPING_RETRY).closing());
         }
-        match self.serve(arrived, parts, head, body).await {
+        match self.serve(arrived, parts, head, body, caller).await {
             Ok(answer) => answer,
             Err(refusal) => self.refuse(&id, arrived, refusal),
         }
@@ -77,11 +77,14 @@
         parts: request::Parts,
         head: CallerHead,
         body: Incoming,
+        caller: Rc<Caller>,
     ) -> Result<Answer, Refusal> {
-        let most_bytes = self.body_bytes();
         let read_by = arrived + head.deadline.unwrap_or(UNROUTED_TIME);
-        let body = self.read_body(body, most_bytes, read_by).await?;
-        let job = self.admit(arrived, parts, head, body)?;
+        caller.asks(&head.id, read_by);
+        let body = self
+            .read_body(&parts, &head, body, read_by, &caller)
+            .await?;
+        let job = self.admit(arrived, parts, head, body, caller)?;
         let job = Rc::new(job);
         let mut progress = Progress::default();
         let placed = self.charge(&job, &mut progress).await?;
@@ -94,38 +97,14 @@
         Ok(answer)
     }
 
-    fn body_bytes(&self) -> usize {
-        let state = self.state.borrow();
-        let directory = state.directory.as_ref();
-        directory.map_or(1 << 20, |d| d.configuration().bounds.body_bytes)
-    }
-
-    async fn read_body(
-        &self,
-        body: Incoming,
-        most: usize,
-        read_by: Duration,
-    ) -> Result<Bytes, Refusal> {
-        let reading = Limited::new(body, most).collect();
-        match tokio::time::timeout_at(self.clock.instant(read_by), reading).await {
-            Ok(Ok(collected)) => Ok(collected.to_bytes()),
-            Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-                Err(Refusal::not_run(Kind::BodyTooLarge, "the body is too large").closing())
-            }
-            Ok(Err(_)) => {
-                Err(Refusal::not_run(Kind::MalformedBody, "the body broke off").closing())
-            }
-            Err(_) => Err(Refusal::not_run(Kind::SlowSender, "the body is late").closing()),
-        }
-    }
-
     // Finds route and tenant and takes the request's cost from the tenant's limit.
     fn admit(
         &self,
         arrived: Duration,
         parts: request::Parts,
         head: CallerHead,
-        body: Bytes,
+        body: Gathered,
+        caller: Rc<Caller>,
     ) -> Result<Job, Refusal> {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
@@ -158,7 +137,7 @@
                 parts: head.parts.clone(),
                 prompt_tokens: tokens.0,
                 answer_tokens: head.answer_guess.unwrap_or(tokens.1),
-                body_bytes: body.len().min(u32::MAX as usize) as u32,
+                body_bytes: body.bytes.len().min(u32::MAX as usize) as u32,
             },
             engine: spec.is_some_and(|s| s.engine.is_some()),
             max_connections: spec.map_or(u32::MAX, |s| s.max_connections),
@@ -169,7 +148,8 @@
             version: directory.configuration().version,
             parts,
             head,
-            body,
+            body: KeptBody::new(body),
+            caller,
             arrived,
             expiry,
         };
@@ -346,13 +326,20 @@
 
     fn reply(self: &Rc<Self>, job: &SharedJob, progress: Progress, reply: Reply<D>) -> Answer {
         match reply {
-            Reply::Whole { head, body } => Response::from_parts(head, AnswerBody::whole(body)),
+            Reply::Whole { head, body } => {
+                let body = HeldBytes::counted(body.bytes, body.hold, &job.caller);
+                Response::from_parts(head, AnswerBody::whole(body))
+            }
             Reply::Events {
                 head,
                 first,
                 events,
             } => {
-                let (pieces, received) = mpsc::channel(PIECES_WAITING);
+                if !job.route.execution.is_repeatable() {
+                    job.body.let_go();
+                }
+                // Bounded by what the pieces hold.
+                let (pieces, received) = mpsc::unbounded_channel();
                 let relay = Relay::new(self, job, progress, pieces);
                 tokio::task::spawn_local(relay.run(first, *events));
                 Response::from_parts(head, AnswerBody::stream(received))
@@ -383,7 +370,11 @@
     }
 }
 
-fn look_up<'a>(directory: &'a Directory, parts: &request::Parts, head: &CallerHead) -> Lookup<'a> {
+pub(crate) fn look_up<'a>(
+    directory: &'a Directory,
+    parts: &request::Parts,
+    head: &CallerHead,
+) -> Lookup<'a> {
     let field = parts.headers.get(http::header::HOST);
     let host = field.and_then(|value| value.to_str().ok());
     let host = host.or(parts.uri.host()).unwrap_or_default();
@@ -395,7 +386,7 @@
 }
 
 // The rank of the tenant comes before that of the route.
-fn rank(route: &Route, tenant: Option<&Tenant>) -> u8 {
+pub(crate) fn rank(route: &Route, tenant: Option<&Tenant>) -> u8 {
     let tenant = tenant.and_then(|t| t.priority).unwrap_or_default();
     let route = route.priority.min(ROUTE_RANKS - 1);
     (tenant.saturating_mul(ROUTE_RANKS) + route).min(LAST_RANK)
--- a/components/gateway/src/job.rs
+++ b/components/gateway/src/job.rs
@@ -4,11 +4,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use directory::Route;
 use http::request;
 use routing::placement::Work;
 
+use crate::caller::Caller;
+use crate::held::KeptBody;
 use crate::ports::CallerHead;
 use crate::versions::{is_lost_when_cut, route_hash, Asked};
 
@@ -22,8 +23,10 @@
     pub parts: request::Parts,
     /// What was read of it.
     pub head: CallerHead,
-    /// Whole body.
-    pub body: Bytes,
+    /// Whole body, while it may be sent once more.
+    pub body: KeptBody,
+    /// Whose request it is.
+    pub caller: Rc<Caller>,
     /// Its route.
     pub route: Route,
     /// Tenant whose key it carries.
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -3,8 +3,11 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use memory::{Hold, Kind, Ledger};
 use transport::Connection;
 
+use crate::room::ENDPOINT_CONNECTION;
+
 /// A resting connection is dropped so long before its endpoint would close it.
 const CLOSE_MARGIN: Duration = Duration::from_millis(700);
 /// Longest rest where the endpoint does not name its own bound.
@@ -17,13 +20,53 @@
 }
 
 /// Resting connections by endpoint, and how many are open.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Pool {
     resting: HashMap<String, Vec<Resting>>,
-    open: HashMap<String, u32>,
+    open: Open,
+}
+
+// Open connections by endpoint, and the memory that all of them hold.
+#[derive(Debug)]
+struct Open {
+    counts: HashMap<String, u32>,
+    hold: Hold,
+}
+
+impl Open {
+    fn add(&mut self, endpoint: &str, most: u32) -> bool {
+        let count = self.counts.get(endpoint).copied().unwrap_or_default();
+        if count >= most || !self.hold.grow(ENDPOINT_CONNECTION) {
+            return false;
+        }
+        self.counts.insert(endpoint.to_string(), count + 1);
+        true
+    }
+
+    fn release(&mut self, endpoint: &str) {
+        let Some(count) = self.counts.get_mut(endpoint) else {
+            return;
+        };
+        *count -= 1;
+        if *count == 0 {
+            self.counts.remove(endpoint);
+        }
+        self.hold.shrink(ENDPOINT_CONNECTION);
+    }
 }
 
 impl Pool {
+    /// No connection yet; what they cost is held in a ledger.
+    pub fn new(ledger: &Ledger) -> Self {
+        Pool {
+            resting: HashMap::new(),
+            open: Open {
+                counts: HashMap::new(),
+                hold: ledger.open().hold(Kind::Connection),
+            },
+        }
+    }
+
     /// Takes a connection that rests and can still be used.
     pub fn take(&mut self, now: Duration, endpoint: &str) -> Option<Connection> {
         let resting = self.resting.get_mut(endpoint)?;
@@ -32,19 +75,14 @@
                 return Some(rest.connection);
             }
             drop(rest);
-            release(&mut self.open, endpoint);
+            self.open.release(endpoint);
         }
         None
     }
 
-    /// Counts a connection that is about to be opened, unless `most` are open.
+    /// Counts a connection that is about to be opened, unless `most` are open or there is no memory for it.
     pub fn reserve(&mut self, endpoint: &str, most: u32) -> bool {
-        let open = self.open.entry(endpoint.to_string()).or_default();
-        if *open >= most {
-            return false;
-        }
-        *open += 1;
-        true
+        self.open.add(endpoint, most)
     }
 
     /// Lets a connection rest.
@@ -69,7 +107,7 @@
 
     /// A connection that was taken or reserved is closed.
     pub fn closed(&mut self, endpoint: &str) {
-        release(&mut self.open, endpoint);
+        self.open.release(endpoint);
     }
 
     /// Drops the resting connections of an endpoint.
@@ -77,7 +115,7 @@
         let resting = self.resting.remove(endpoint).unwrap_or_default();
         for rest in resting {
             drop(rest);
-            release(&mut self.open, endpoint);
+            self.open.release(endpoint);
         }
     }
 
@@ -88,18 +126,9 @@
             let before = resting.len();
             resting.retain(|rest| now < rest.until && rest.connection.is_open());
             for _ in resting.len()..before {
-                release(open, endpoint);
+                open.release(endpoint);
             }
         }
         self.resting.retain(|_, resting| !resting.is_empty());
     }
 }
-
-fn release(open: &mut HashMap<String, u32>, endpoint: &str) {
-    if let Some(count) = open.get_mut(endpoint) {
-        *count -= 1;
-        if *count == 0 {
-            open.remove(endpoint);
-        }
-    }
-}
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -8,16 +8,18 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use directory::CallerBounds;
 use http::{Request, StatusCode};
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use slog::{info, warn};
-use socket2::{Domain, Protocol, Socket, Type};
-use telemetry::Metrics;
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
+use telemetry::{Counter, Metrics};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::caller::{Caller, Watched};
 use crate::plain;
 use crate::ports::Dialect;
 use crate::traffic::Traffic;
@@ -32,7 +34,9 @@
 const REST_LOOK: Duration = Duration::from_millis(500);
 /// Pause between looks at whether callers are still taken.
 const STOP_LOOK: Duration = Duration::from_millis(250);
-/// A head that is not whole by then ends its connection.
+/// Size of the buffers that the kernel has for a caller's connection, in bytes each way, where memory is bounded.
+const SOCKET_BUFFER: usize = 64 << 10;
+/// A connection that waits for a head for so long ends, whatever the configuration says; while none is known, its bound.
 const HEAD_TIME: Duration = Duration::from_secs(60);
 
 /// Binds a listener.
@@ -63,6 +67,11 @@
     let most = descriptors.saturating_sub(KEPT_DESCRIPTORS).max(64) / 2;
     let open = Rc::new(Cell::new(0_usize));
     while !traffic.freshness.is_closed(traffic.clock.now()) {
+        if !traffic.may_accept() {
+            // Those that connect wait in the kernel meanwhile.
+            let _ = tokio::time::timeout(STOP_LOOK, traffic.room.released()).await;
+            continue;
+        }
         let accepted = tokio::time::timeout(STOP_LOOK, listener.accept()).await;
         let Ok(accepted) = accepted else {
             continue;
@@ -75,40 +84,42 @@
                 continue;
             }
         };
-        if open.get() >= most {
+        let caller = match open.get() < most {
+            true => traffic.room.admit(),
+            false => None,
+        };
+        let Some(caller) = caller else {
             warn!(traffic.log, "connection refused"; "open" => open.get());
             continue;
-        }
+        };
         open.set(open.get() + 1);
         let (traffic, open) = (Rc::clone(&traffic), Rc::clone(&open));
         tokio::task::spawn_local(async move {
-            serve_connection(traffic, stream).await;
+            serve_connection(traffic, stream, caller).await;
             open.set(open.get() - 1);
         });
     }
 }
 
-struct Activity {
-    running: Cell<u32>,
-    since: Cell<Duration>,
-}
-
-async fn serve_connection<D: Dialect + 'static>(traffic: Rc<Traffic<D>>, stream: TcpStream) {
+async fn serve_connection<D: Dialect + 'static>(
+    traffic: Rc<Traffic<D>>,
+    stream: TcpStream,
+    caller: Rc<Caller>,
+) {
     let _ = stream.set_nodelay(true);
-    let activity = Rc::new(Activity {
-        running: Cell::new(0),
-        since: Cell::new(traffic.clock.now()),
-    });
+    if traffic.room.is_bounded() {
+        bound_buffers(&stream);
+    }
     let service = service_fn(|request: Request<Incoming>| {
-        let (traffic, activity) = (Rc::clone(&traffic), Rc::clone(&activity));
+        let (traffic, caller) = (Rc::clone(&traffic), Rc::clone(&caller));
         async move {
-            let guard = Busy::new(Rc::clone(&traffic), activity);
-            let mut answer = Rc::clone(&traffic).answer(request).await;
+            let guard = Busy::new(Rc::clone(&traffic), Rc::clone(&caller));
+            let mut answer = Rc::clone(&traffic).answer(request, caller).await;
             if traffic.freshness.is_stopping() {
                 let close = http::HeaderValue::from_static("close");
                 answer.headers_mut().insert(http::header::CONNECTION, close);
             }
-            answer.body_mut().hold(guard);
+            answer.body_mut().keep(guard);
             Ok::<_, Infallible>(answer)
         }
     });
@@ -117,58 +128,98 @@
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIME)
         .max_buf_size(head_bytes(&traffic));
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let watched = Watched {
+        stream,
+        caller: Rc::clone(&caller),
+    };
+    let connection = builder.serve_connection(TokioIo::new(watched), service);
     tokio::pin!(connection);
     let mut look = tokio::time::interval(REST_LOOK);
     look.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         tokio::select! {
             _ = connection.as_mut() => return,
-            _ = look.tick() => {
-                if rests_too_long(&traffic, &activity) {
-                    connection.as_mut().graceful_shutdown();
-                }
-            }
+            () = caller.ended.notified() => return,
+            _ = look.tick() => match due_end(&traffic, &caller) {
+                None => {}
+                Some(DueEnd::AtRest) => connection.as_mut().graceful_shutdown(),
+                Some(DueEnd::Now) => return,
+            },
         }
     }
 }
 
+// What the kernel holds for a caller is out of sight of the ledger, so it is kept small; at the 3 ms to callers that the
+// deployments name it carries 20 MB/s. What is too small for a network only makes it slower.
+fn bound_buffers(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let _ = socket.set_send_buffer_size(SOCKET_BUFFER);
+    let _ = socket.set_recv_buffer_size(SOCKET_BUFFER);
+}
+
+// How a connection is to end.
+enum DueEnd {
+    // Once nothing is under way.
+    AtRest,
+    // As it is.
+    Now,
+}
+
+fn due_end<D>(traffic: &Traffic<D>, caller: &Caller) -> Option<DueEnd> {
+    let now = traffic.clock.now();
+    let bounds = bounds(traffic);
+    let (head_time, idle_time) = (bounds.head_time, bounds.idle_time);
+    if let Some(time) = caller.head_comes_for(now).filter(|time| *time > head_time) {
+        traffic.metrics.count(Counter::SlowHeads);
+        info!(traffic.log, "connection ended"; "cause" => "the head comes too slowly",
+            "ms" => time.as_millis() as u64);
+        return Some(DueEnd::Now);
+    }
+    if caller.gave_up(now, idle_time) {
+        let delivery = caller.delivery(now);
+        traffic.metrics.count(Counter::UntakenAnswers);
+        info!(traffic.log, "answer cut off"; "id" => caller.request_id(),
+            "cause" => "the caller takes nothing and its time is over", "held" => delivery.held,
+            "stalled_ms" => delivery.stalled.as_millis() as u64);
+        return Some(DueEnd::Now);
+    }
+    let rest = caller.rests_for(now)?;
+    (traffic.freshness.is_closed(now) || rest > idle_time).then_some(DueEnd::AtRest)
+}
+
 // Counts a request as running until its answer is over.
 struct Busy<D> {
     traffic: Rc<Traffic<D>>,
-    activity: Rc<Activity>,
+    caller: Rc<Caller>,
 }
 
 impl<D> Busy<D> {
-    fn new(traffic: Rc<Traffic<D>>, activity: Rc<Activity>) -> Self {
-        activity.running.set(activity.running.get() + 1);
+    fn new(traffic: Rc<Traffic<D>>, caller: Rc<Caller>) -> Self {
+        caller.begin();
         traffic.in_flight.set(traffic.in_flight.get() + 1);
-        Busy { traffic, activity }
+        Busy { traffic, caller }
     }
 }
 
 impl<D> Drop for Busy<D> {
     fn drop(&mut self) {
-        let now = self.traffic.clock.now();
-        self.activity.running.set(self.activity.running.get() - 1);
-        self.activity.since.set(now);
+        self.caller.finish();
         self.traffic.in_flight.set(self.traffic.in_flight.get() - 1);
     }
 }
 
-fn rests_too_long<D>(traffic: &Traffic<D>, activity: &Activity) -> bool {
-    if activity.running.get() > 0 {
-        return false;
-    }
-    let now = traffic.clock.now();
-    let rest = now.saturating_sub(activity.since.get());
-    traffic.freshness.is_closed(now) || rest > idle_time(traffic)
-}
-
-fn idle_time<D>(traffic: &Traffic<D>) -> Duration {
+// The bounds in force; before there are any, a connection has the time of the first head.
+fn bounds<D>(traffic: &Traffic<D>) -> CallerBounds {
     let state = traffic.state.borrow();
     let directory = state.directory.as_ref();
-    directory.map_or(HEAD_TIME, |d| d.configuration().bounds.idle_time)
+    match directory {
+        Some(directory) => directory.configuration().bounds.clone(),
+        None => CallerBounds {
+            head_time: HEAD_TIME,
+            idle_time: HEAD_TIME,
+            ..CallerBounds::default()
+        },
+    }
 }
 
 fn head_bytes<D>(traffic: &Traffic<D>) -> usize {
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -7,6 +7,7 @@
 
 use directory::{Configuration, Directory, Tenant};
 use limits::{Limit, RepeatBudget, RepeatTerms, SharedQuota};
+use memory::Ledger;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use routing::placement::{endpoint_hash, Board, Placement, Work};
@@ -38,12 +39,12 @@
 
 impl State {
     /// Nothing known yet.
-    pub fn new(settings: Arc<GatewaySettings>) -> Self {
+    pub fn new(settings: Arc<GatewaySettings>, ledger: &Ledger) -> Self {
         State {
             board: Board::new(&settings.zone),
             endpoints_known: false,
             directory: None,
-            pool: Pool::default(),
+            pool: Pool::new(ledger),
             quotas: BTreeMap::new(),
             repeats: BTreeMap::new(),
             tally: Tally::default(),
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -3,19 +3,23 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use memory::{Hold, Kind};
 use routing::placement::Verdict;
 use slog::info;
+use telemetry::Counter;
 use tokio::sync::mpsc;
 
 use crate::answer::Piece;
 use crate::attempt::{Attempted, EventRun, NextEvent, Reply, Sending};
 use crate::events::Event;
+use crate::held::HeldBytes;
 use crate::job::{Progress, SharedJob};
 use crate::ports::Dialect;
 use crate::traffic::Traffic;
 
-/// Pieces that wait for a caller who reads slowly.
-pub(crate) const PIECES_WAITING: usize = 8;
+/// What an event takes beside its bytes while it waits, in bytes, measured by an allocator that counts.
+const EVENT_OVERHEAD: u64 = 128;
 /// A resumable stream that pauses longer than this many times its aim goes on elsewhere.
 const PATIENCE_GAPS: u32 = 2;
 /// Pause that is in time where the route names none.
@@ -34,11 +38,13 @@
     traffic: Rc<Traffic<D>>,
     job: SharedJob,
     progress: Progress,
-    pieces: mpsc::Sender<Piece>,
+    pieces: mpsc::UnboundedSender<Piece>,
     last_event: Option<u64>,
     passed: u64,
     passed_at: Duration,
     longest_gap: Duration,
+    // Longest time that the endpoint was not read for want of memory.
+    unread: Duration,
 }
 
 impl<D: Dialect + 'static> Relay<D> {
@@ -46,7 +52,7 @@
         traffic: &Rc<Traffic<D>>,
         job: &SharedJob,
         progress: Progress,
-        pieces: mpsc::Sender<Piece>,
+        pieces: mpsc::UnboundedSender<Piece>,
     ) -> Self {
         Relay {
             traffic: Rc::clone(traffic),
@@ -57,6 +63,7 @@
             passed: 0,
             passed_at: traffic.clock.now(),
             longest_gap: Duration::ZERO,
+            unread: Duration::ZERO,
         }
     }
 
@@ -69,13 +76,17 @@
             let cause = match end {
                 End::Whole => {
                     events.finish();
-                    let _ = self.pieces.send(Piece::End).await;
+                    // The caller may have left meanwhile.
+                    let _ = self.pieces.send(Piece::End);
                     "whole"
                 }
                 End::CallerLeft => "caller left",
                 End::TimedOut => "out of time",
                 End::Broken | End::Silent => {
                     let is_silent = matches!(end, End::Silent);
+                    if !is_silent {
+                        self.learn_cut();
+                    }
                     events.run.judge(match is_silent {
                         true => Verdict::Silent,
                         false => Verdict::Faulty,
@@ -125,15 +136,16 @@
         if event.id.is_some() && event.id <= self.last_event {
             return None;
         }
-        let expiry = self.traffic.clock.instant(self.job.expiry);
         let id = event.id;
-        tokio::select! {
-            sent = self.pieces.send(Piece::Data(event.bytes)) => {
-                if sent.is_err() {
-                    return Some(End::CallerLeft);
-                }
-            }
-            () = tokio::time::sleep_until(expiry) => return Some(End::TimedOut),
+        let hold = match self.hold(event.bytes.len()).await {
+            Ok(hold) => hold,
+            Err(end) => return Some(end),
+        };
+        // The splitter's buffer holds other events as well; a copy is counted exactly.
+        let bytes = Bytes::copy_from_slice(&event.bytes);
+        let bytes = HeldBytes::counted(bytes, hold, &self.job.caller);
+        if self.pieces.send(Piece::Data(bytes)).is_err() {
+            return Some(End::CallerLeft);
         }
         let now = self.traffic.clock.now();
         let gap = now.saturating_sub(self.passed_at);
@@ -144,6 +156,34 @@
         None
     }
 
+    // Reserves memory for an event. While there is none the endpoint is not read.
+    async fn hold(&mut self, length: usize) -> Result<Hold, End> {
+        let needed = length as u64 + EVENT_OVERHEAD;
+        let mut hold = self.job.caller.account.hold(Kind::ReadAhead);
+        if self.traffic.room.reserve_ahead_now(&mut hold, needed) {
+            return Ok(hold);
+        }
+        let expiry = self.traffic.clock.instant(self.job.expiry);
+        self.traffic.metrics.count(Counter::MemoryWaits);
+        self.job.caller.set_read_on(false);
+        let end = tokio::select! {
+            () = self.traffic.room.reserve_ahead(&mut hold, needed) => None,
+            () = self.pieces.closed() => Some(End::CallerLeft),
+            () = tokio::time::sleep_until(expiry) => Some(End::TimedOut),
+        };
+        let unread = self.job.caller.set_read_on(true);
+        self.unread = self.unread.max(unread);
+        end.map_or(Ok(hold), Err)
+    }
+
+    // An endpoint that was not read for long and broke off did so for that.
+    fn learn_cut(&self) {
+        if let Some(unread) = self.traffic.room.learn_cut(self.unread) {
+            info!(self.traffic.log, "endpoints end what is not read"; "id" => &self.job.head.id,
+                "after_ms" => unread.as_millis() as u64);
+        }
+    }
+
     // Another run that goes on after the last event, if the route allows one. `granted` says that the budget gave
     // a repeat for the first try.
     async fn resume(&mut self, from: &str, granted: bool) -> Option<(Event, EventRun<D>)> {
@@ -189,6 +229,7 @@
         let held = self.traffic.clock.now().saturating_sub(self.job.arrived);
         info!(self.traffic.log, "stream ended"; "id" => &self.job.head.id, "end" => end,
             "endpoint" => endpoint, "events" => self.passed, "attempts" => self.progress.sent,
+            "unread_ms" => self.unread.as_millis() as u64,
             "longest_gap_ms" => self.longest_gap.as_millis() as u64,
             "ms" => held.as_millis() as u64);
     }
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -16,6 +16,7 @@
 use crate::decisions::Asking;
 use crate::freshness::{Ages, Freshness};
 use crate::job::Job;
+use crate::room::Room;
 use crate::state::{sent_of, State};
 use crate::tally::Tally;
 use crate::update::Update;
@@ -40,6 +41,7 @@
     pub endpoints_changed: Notify,
     pub in_flight: Cell<usize>,
     pub asking: Asking,
+    pub room: Room,
     tallies: flume::Sender<Tally>,
 }
 
@@ -58,7 +60,9 @@
 
 impl<D> Traffic<D> {
     pub fn new(parts: TrafficParts<D>) -> Self {
-        let state = State::new(parts.settings);
+        let mib = parts.settings.memory_mib.max(0) as u64;
+        let room = Room::new(parts.clock, mib);
+        let state = State::new(parts.settings, room.ledger());
         Traffic {
             dialect: parts.dialect,
             clock: parts.clock,
@@ -70,6 +74,7 @@
             endpoints_changed: Notify::new(),
             in_flight: Cell::new(0),
             asking: Asking::default(),
+            room,
             tallies: parts.tallies,
         }
     }
@@ -136,7 +141,8 @@
         let longest = Ages::of(&state.settings).keys;
         let fresh = self.freshness.allows_keys(self.clock.now(), longest);
         let places = state.endpoints_known || !state.fleet.decides;
-        state.directory.is_some() && places && fresh && !self.freshness.is_stopping()
+        let takes = !self.freshness.is_stopping() && !self.room.is_paused();
+        state.directory.is_some() && places && fresh && takes
     }
 
     /// Notes that a job goes to an endpoint.
@@ -233,6 +239,7 @@
                 _ = pause.tick() => {
                     let now = self.clock.now();
                     self.state.borrow_mut().pool.sweep(now);
+                    self.look_at_memory();
                     self.send_tally();
                 }
             }
--- a/components/gateway/tests/common/endpoint.rs
+++ b/components/gateway/tests/common/endpoint.rs
@@ -74,6 +74,11 @@
         self.write("0\r\n\r\n");
     }
 
+    /// The connection.
+    pub fn stream(&self) -> &TcpStream {
+        &self.stream
+    }
+
     /// Closes the connection.
     pub fn close(&mut self) {
         let _ = self.stream.shutdown(Shutdown::Both);
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 mod endpoint;
+pub mod slow;
 mod store;
 
 use std::collections::BTreeMap;
@@ -320,7 +321,12 @@
 pub fn read_answer(stream: &mut TcpStream) -> Answer {
     let mut bytes = Vec::new();
     let _ = stream.read_to_end(&mut bytes);
-    let text = String::from_utf8_lossy(&bytes).into_owned();
+    parse_answer(&bytes)
+}
+
+/// An answer from all bytes that a connection brought.
+pub fn parse_answer(bytes: &[u8]) -> Answer {
+    let text = String::from_utf8_lossy(bytes).into_owned();
     let (head, rest) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
     let status = head.split(' ').nth(1).and_then(|s| s.parse().ok());
     let mut answer = Answer {
--- /dev/null
+++ b/components/gateway/tests/common/slow.rs
@@ -0,0 +1,75 @@
+//! Callers and endpoints that read slowly, behind windows of a few KB.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
+
+use super::endpoint::Exchange;
+use super::{parse_answer, Answer, PATIENCE};
+
+/// Size of the buffers of a slow side, in bytes; the kernel doubles it.
+const WINDOW: usize = 4 << 10;
+
+/// Opens a connection with a small window and sends bytes.
+pub fn open_narrow(address: SocketAddr, request: &[u8]) -> TcpStream {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP)).unwrap();
+    socket.set_recv_buffer_size(WINDOW).unwrap();
+    socket.set_send_buffer_size(WINDOW).unwrap();
+    socket.connect(&address.into()).unwrap();
+    let mut stream = TcpStream::from(socket);
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.write_all(request).unwrap();
+    stream
+}
+
+/// Reads an answer in small pieces with a pause after each, until the connection closes.
+pub fn read_slowly(stream: &mut TcpStream, piece: usize, pause: Duration) -> Answer {
+    let mut bytes = Vec::new();
+    let mut buffer = vec![0; piece];
+    while let Ok(read @ 1..) = stream.read(&mut buffer) {
+        bytes.extend_from_slice(&buffer[..read]);
+        std::thread::sleep(pause);
+    }
+    parse_answer(&bytes)
+}
+
+impl Exchange {
+    /// Gives this end small buffers.
+    pub fn narrow(&self) {
+        let socket = SockRef::from(self.stream());
+        socket.set_send_buffer_size(WINDOW).unwrap();
+    }
+
+    /// Writes a stream of events of so many bytes each, and cuts it off once nothing is read for `patience`. Says whether
+    /// all was written.
+    pub fn stream_within(&mut self, events: u64, bytes: usize, patience: Duration) -> bool {
+        self.narrow();
+        self.begin_stream();
+        let filling = "x".repeat(bytes);
+        (1..=events).all(|n| {
+            let event = format!("id: {n}\ndata: {filling}\n\n");
+            self.write_within(&format!("{:x}\r\n{event}\r\n", event.len()), patience)
+        }) && self.write_within("0\r\n\r\n", patience)
+    }
+
+    /// Answers with a body, and cuts it off once nothing is read for `patience`. Says whether all was written.
+    pub fn answer_within(&mut self, bytes: usize, patience: Duration) -> bool {
+        self.narrow();
+        let id = self.field("x-id").unwrap_or_default();
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signature: s\r\ncontent-length: {bytes}\r\n\r\n"
+        );
+        self.write_within(&head, patience) && self.write_within(&"x".repeat(bytes), patience)
+    }
+
+    fn write_within(&mut self, text: &str, patience: Duration) -> bool {
+        self.stream().set_write_timeout(Some(patience)).unwrap();
+        let written = self.stream().write_all(text.as_bytes()).is_ok();
+        if !written {
+            self.close();
+        }
+        written
+    }
+}
--- /dev/null
+++ b/components/memory/src/ledger.rs
@@ -0,0 +1,267 @@
+//! Bytes held, by kind and by request.
+
+use std::cell::Cell;
+use std::fmt;
+use std::rc::Rc;
+
+use crate::budget::Budget;
+
+/// What bytes are held for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Kind {
+    /// A caller's body that is being read.
+    BodyRead,
+    /// A whole body, kept until it is sent and need not be sent again.
+    BodyKept,
+    /// Events of a stream that the caller has not taken yet.
+    ReadAhead,
+    /// An answer that is known as a whole, or is being read.
+    Whole,
+    /// Open connections at a measured cost each.
+    Connection,
+}
+
+impl Kind {
+    /// All of them.
+    pub const ALL: [Kind; 5] = [
+        Kind::BodyRead,
+        Kind::BodyKept,
+        Kind::ReadAhead,
+        Kind::Whole,
+        Kind::Connection,
+    ];
+
+    fn index(self) -> usize {
+        self as usize
+    }
+}
+
+#[derive(Debug)]
+struct Book {
+    budget: Cell<Budget>,
+    by_kind: [Cell<u64>; Kind::ALL.len()],
+    total: Cell<u64>,
+    peak: Cell<u64>,
+    released: Cell<u64>,
+    // Accounts that hold something other than a connection.
+    holders: Cell<u64>,
+}
+
+/// The ledger of one process. Clones share it.
+#[derive(Clone)]
+pub struct Ledger {
+    book: Rc<Book>,
+    on_release: Rc<dyn Fn()>,
+}
+
+impl fmt::Debug for Ledger {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_tuple("Ledger").field(&self.book).finish()
+    }
+}
+
+impl Ledger {
+    /// An empty ledger; `on_release` is called whenever bytes were given back.
+    pub fn new(budget: Budget, on_release: impl Fn() + 'static) -> Self {
+        let book = Book {
+            budget: Cell::new(budget),
+            by_kind: Default::default(),
+            total: Cell::new(0),
+            peak: Cell::new(0),
+            released: Cell::new(0),
+            holders: Cell::new(0),
+        };
+        Ledger {
+            book: Rc::new(book),
+            on_release: Rc::new(on_release),
+        }
+    }
+
+    /// Opens the account of one request or connection.
+    pub fn open(&self) -> Account {
+        Account {
+            ledger: self.clone(),
+            held: Rc::new(Cell::new(0)),
+        }
+    }
+
+    /// Puts another budget in force. What is held already stays, also beyond it.
+    pub fn set_budget(&self, budget: Budget) {
+        self.book.budget.set(budget);
+    }
+
+    /// The budget in force.
+    pub fn budget(&self) -> Budget {
+        self.book.budget.get()
+    }
+
+    /// Bytes held.
+    pub fn total(&self) -> u64 {
+        self.book.total.get()
+    }
+
+    /// Bytes held of one kind.
+    pub fn held(&self, kind: Kind) -> u64 {
+        self.book.by_kind[kind.index()].get()
+    }
+
+    /// Most bytes held at once since the start.
+    pub fn peak(&self) -> u64 {
+        self.book.peak.get()
+    }
+
+    /// Bytes given back since the start.
+    pub fn released(&self) -> u64 {
+        self.book.released.get()
+    }
+
+    /// Accounts that hold something other than a connection.
+    pub fn holders(&self) -> u64 {
+        self.book.holders.get()
+    }
+
+    /// Bytes that one request may hold while the common part is used up.
+    pub fn share(&self) -> u64 {
+        self.budget().share(self.holders())
+    }
+
+    fn fits(&self, kind: Kind, held: u64, more: u64) -> bool {
+        let budget = self.budget();
+        let total = self.total().saturating_add(more);
+        let is_small = kind == Kind::Connection || held.saturating_add(more) <= self.share();
+        total <= budget.common() || (is_small && budget.most.is_none_or(|most| total <= most))
+    }
+
+    fn add(&self, kind: Kind, bytes: u64) {
+        let held = &self.book.by_kind[kind.index()];
+        held.set(held.get() + bytes);
+        let total = self.total() + bytes;
+        self.book.total.set(total);
+        self.book.peak.set(self.book.peak.get().max(total));
+    }
+
+    fn remove(&self, kind: Kind, bytes: u64) {
+        let held = &self.book.by_kind[kind.index()];
+        held.set(held.get() - bytes);
+        self.book.total.set(self.book.total.get() - bytes);
+    }
+}
+
+/// Bytes held for one request. Clones share it.
+#[derive(Clone, Debug)]
+pub struct Account {
+    ledger: Ledger,
+    held: Rc<Cell<u64>>,
+}
+
+impl Account {
+    /// A hold of no bytes yet.
+    pub fn hold(&self, kind: Kind) -> Hold {
+        Hold {
+            account: self.clone(),
+            kind,
+            bytes: 0,
+        }
+    }
+
+    /// Bytes held for it, connections aside.
+    pub fn held(&self) -> u64 {
+        self.held.get()
+    }
+
+    /// Whether it holds more than its share.
+    pub fn is_beyond_share(&self) -> bool {
+        self.held() > self.ledger.share()
+    }
+
+    fn add(&self, kind: Kind, bytes: u64) {
+        self.ledger.add(kind, bytes);
+        if kind == Kind::Connection || bytes == 0 {
+            return;
+        }
+        if self.held.get() == 0 {
+            let holders = &self.ledger.book.holders;
+            holders.set(holders.get() + 1);
+        }
+        self.held.set(self.held.get() + bytes);
+    }
+
+    fn remove(&self, kind: Kind, bytes: u64) {
+        self.ledger.remove(kind, bytes);
+        if kind == Kind::Connection || bytes == 0 {
+            return;
+        }
+        self.held.set(self.held.get() - bytes);
+        if self.held.get() == 0 {
+            let holders = &self.ledger.book.holders;
+            holders.set(holders.get() - 1);
+        }
+    }
+}
+
+/// Reserved bytes. Dropping gives them back.
+#[derive(Debug)]
+pub struct Hold {
+    account: Account,
+    kind: Kind,
+    bytes: u64,
+}
+
+impl Hold {
+    /// Bytes reserved.
+    pub fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
+    /// Reserves so many bytes more, or none of them.
+    pub fn grow(&mut self, more: u64) -> bool {
+        let account = &self.account;
+        if !account.ledger.fits(self.kind, account.held(), more) {
+            return false;
+        }
+        self.account.add(self.kind, more);
+        self.bytes += more;
+        true
+    }
+
+    /// Takes so many of its bytes into a hold of their own; all of them at most.
+    pub fn split(&mut self, bytes: u64) -> Hold {
+        let bytes = bytes.min(self.bytes);
+        self.bytes -= bytes;
+        Hold {
+            account: self.account.clone(),
+            kind: self.kind,
+            bytes,
+        }
+    }
+
+    /// Gives so many of its bytes back; all of them at most.
+    pub fn shrink(&mut self, bytes: u64) {
+        drop(self.split(bytes));
+    }
+
+    /// The same bytes, held for something else.
+    pub fn change(&mut self, kind: Kind) {
+        self.account.remove(self.kind, self.bytes);
+        self.account.add(kind, self.bytes);
+        self.kind = kind;
+    }
+
+    /// The account that it belongs to.
+    pub fn account(&self) -> &Account {
+        &self.account
+    }
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        if self.bytes == 0 {
+            return;
+        }
+        self.account.remove(self.kind, self.bytes);
+        let ledger = &self.account.ledger;
+        let released = &ledger.book.released;
+        released.set(released.get() + self.bytes);
+        (ledger.on_release)();
+    }
+}
--- a/components/routing/src/placement/board.rs
+++ b/components/routing/src/placement/board.rs
@@ -135,6 +135,11 @@
         slots.get(id).map(|slot| &slot.spec)
     }
 
+    /// How many endpoints it holds.
+    pub fn endpoint_count(&self) -> usize {
+        self.service_of.len()
+    }
+
     /// All endpoints.
     pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
         let slots = self.services.values().flat_map(ServiceSlots::iter);
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -5,5 +5,5 @@
 mod trace;
 
 pub use log::{discard, logger, stdout_logger, LogGuard};
-pub use metrics::{Counter, Metrics, Timer};
+pub use metrics::{Counter, Gauge, Metrics, Timer};
 pub use trace::{Hop, Traces};
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -81,6 +81,38 @@
         Orders => "fleet.order",
         /// Listener restarts after a failed accept.
         ListenerRestarts => "listener.restart",
+        /// Requests refused for want of memory.
+        MemoryRefused => "memory.refused",
+        /// Answers whose endpoint was not read on for a time, for want of memory.
+        MemoryWaits => "memory.wait",
+        /// Answers cut off since their callers read too slowly and others needed the memory.
+        MemoryCut => "memory.cut",
+        /// Times that no connections were taken for want of memory.
+        AcceptPaused => "memory.accept_paused",
+        /// Connections ended since a head took too long.
+        SlowHeads => "caller.slow_head",
+        /// Connections ended since an answer was not taken long after its time.
+        UntakenAnswers => "caller.untaken",
+    }
+}
+
+named! {
+    /// Gauges, in bytes; docs/OPERATIONS.md lists them.
+    Gauge {
+        /// Callers' bodies that are being read.
+        BodiesRead => "memory.bodies_read",
+        /// Callers' bodies kept until they need not be sent again.
+        BodiesKept => "memory.bodies_kept",
+        /// Events that wait for their callers.
+        ReadAhead => "memory.read_ahead",
+        /// Answers known as a whole, or being read.
+        WholeAnswers => "memory.whole_answers",
+        /// Open connections, at a measured cost each.
+        Connections => "memory.connections",
+        /// Most that was held at once.
+        HeldPeak => "memory.held_peak",
+        /// What may be held; 0 sets no bound.
+        Budget => "memory.budget",
     }
 }
 
@@ -134,6 +166,7 @@
     client: StatsdClient,
     counts: BTreeMap<Counter, AtomicU64>,
     timers: BTreeMap<Timer, Histogram>,
+    gauges: BTreeMap<Gauge, AtomicU64>,
 }
 
 impl std::fmt::Debug for Metrics {
@@ -159,10 +192,15 @@
             .iter()
             .map(|timer| (*timer, Histogram::default()))
             .collect();
+        let gauges = Gauge::ALL
+            .iter()
+            .map(|gauge| (*gauge, AtomicU64::new(0)))
+            .collect();
         Ok(Metrics {
             client,
             counts,
             timers,
+            gauges,
         })
     }
 
@@ -187,6 +225,13 @@
         let _ = self.client.time(timer.name(), duration);
     }
 
+    /// Sets a gauge.
+    pub fn set(&self, gauge: Gauge, value: u64) {
+        if let Some(kept) = self.gauges.get(&gauge) {
+            kept.store(value, Ordering::Relaxed);
+        }
+    }
+
     /// What was counted so far.
     pub fn get(&self, counter: Counter) -> u64 {
         self.counts
@@ -194,13 +239,17 @@
             .map_or(0, |c| c.load(Ordering::Relaxed))
     }
 
-    /// All counters and histograms as text, a line each.
+    /// All counters, gauges and histograms as text, a line each.
     pub fn text(&self) -> String {
         let mut text = String::new();
         for (counter, count) in &self.counts {
             let count = count.load(Ordering::Relaxed);
             text += &format!("{} {count}\n", plain_name(counter.name()));
         }
+        for (gauge, value) in &self.gauges {
+            let value = value.load(Ordering::Relaxed);
+            text += &format!("{} {value}\n", plain_name(gauge.name()));
+        }
         for (timer, histogram) in &self.timers {
             text += &histogram.text(&plain_name(timer.name()));
         }
