--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -24,6 +24,7 @@
 use directory::{Configuration, Endpoint, StoreClock};
 use fleet::Scaler;
 use replica::{Follower, Source as AskFirst};
+use routing::weight;
 use schema::settings::GatewaySettings;
 use slog::{info, warn, Logger};
 use state::{Lease, LeaseTerms};
@@ -31,6 +32,7 @@
 use tokio::runtime::Builder;
 use tokio::sync::Notify;
 use tokio::task::LocalSet;
+use topology::Topology;
 use usage::{Forwarding, Ledger, Reporter, Source, Terms};
 
 use crate::alone::Alone;
@@ -48,6 +50,11 @@
 use crate::tally::{Sent, ServiceLoad, Tally};
 use crate::update::Update;
 
+/// A store that answers a call within this time stands in the own region. The way between regions takes longer there
+/// and back, and a store that is near and slow is asked as if it were far: by few.
+const NEAR_STORE: Duration = Duration::from_millis(30);
+/// Key of the points at which gateways do what they would else do all at once.
+const SPREAD_KEY: u64 = 0x7370_7264;
 /// Pause between looks at signals, peers and the lease.
 const TICK: Duration = Duration::from_millis(100);
 /// Pause between looks at the settings file when no signal says that it changed.
@@ -98,6 +105,7 @@
     pub endpoints: BTreeMap<String, Endpoint>,
     pub store_clock: StoreClock,
     pub peers: Peers,
+    pub topology: Topology,
     pub lease: Lease,
     pub orders: OrdersUnderWay,
     pub ledger: Ledger,
@@ -112,6 +120,10 @@
     pub fleet: Fleet,
     // Whether this gateway holds calls at the store.
     pub watches: bool,
+    // Shortest time of a call of the store.
+    pub store_time: Option<Duration>,
+    // Whether the store turned this gateway away when it asked for the list of gateways last.
+    pub list_refused: bool,
     // When the endpoints were needed last, while they are followed.
     pub endpoints_needed_at: Option<Duration>,
     pub rollouts: Rollouts,
@@ -135,6 +147,8 @@
     pub source: Source,
     pub peer_address: SocketAddr,
     pub decisions_port: u16,
+    /// Point of this gateway, 0 to 1, where all would do the same at once.
+    pub spread: f64,
     /// Something is to be reported to the other gateways at once.
     pub urgent: Notify,
     /// An endpoint does not take work any more.
@@ -159,6 +173,10 @@
             cores_milli: settings.cores_milli,
             decisions: None,
         });
+        let topology = Topology::new(&settings.zone, &settings.region, &settings.halls);
+        if topology.has_regions() {
+            peers.expect_halls(topology.halls());
+        }
         for seed in settings.seeds.iter().filter_map(|seed| seed.parse().ok()) {
             peers.learn(Duration::ZERO, seed);
         }
@@ -174,6 +192,7 @@
             endpoints: BTreeMap::new(),
             store_clock: StoreClock::default(),
             peers,
+            topology,
             ledger: Ledger::default(),
             scalers: BTreeMap::new(),
             demand: Demand::default(),
@@ -183,6 +202,8 @@
             sending: SendState::default(),
             fleet: Fleet::default(),
             watches: false,
+            store_time: None,
+            list_refused: false,
             endpoints_needed_at: None,
             rollouts: Rollouts::default(),
         };
@@ -216,6 +237,7 @@
             metrics: parts.metrics,
             log: parts.log,
             updates: parts.updates,
+            spread: spread_of(&self.source.gateway),
             source: self.source,
             peer_address: parts.sockets.address,
             decisions_port: parts.decisions_port,
@@ -290,6 +312,26 @@
         }
     }
 
+    /// Whether this gateway holds calls at the store, for all others or for those of its region.
+    pub fn watches_store(&self, now: Duration) -> bool {
+        match self.topology.has_regions() {
+            true => self.peers.reads_for_region(now, &self.topology, WATCHERS),
+            false => self.peers.is_among_first(now, WATCHERS),
+        }
+    }
+
+    /// A call of the store, or several, took so long.
+    pub fn note_store_call(&mut self, time: Duration) {
+        let shortest = self.store_time.map_or(time, |known| known.min(time));
+        self.store_time = Some(shortest);
+    }
+
+    /// Whether the store lies behind the link to another region, or may.
+    pub fn is_far_from_store(&self) -> bool {
+        let is_near = self.store_time.is_some_and(|time| time < NEAR_STORE);
+        self.topology.has_regions() && !is_near
+    }
+
     /// Whether the store answered the last call.
     pub fn reaches_store(&self) -> bool {
         let mut followed = self.followed.values();
@@ -374,7 +416,7 @@
             let _ = self.updates.send(Update::Fleet(fleet));
         }
         self.check_need(&mut known, now);
-        let watches = known.peers.is_among_first(now, WATCHERS);
+        let watches = known.watches_store(now);
         if watches != known.watches {
             known.watches = watches;
             // A rest is as long as others are to bring changes; now this gateway is.
@@ -384,6 +426,10 @@
     }
 }
 
+fn spread_of(gateway: &str) -> f64 {
+    weight(SPREAD_KEY, gateway) as f64 / u64::MAX as f64
+}
+
 fn lease_terms(settings: &GatewaySettings) -> LeaseTerms {
     let bound = Duration::from_millis(settings.lease_ms.max(0) as u64);
     LeaseTerms {
--- a/components/gateway/src/control/exchange.rs
+++ b/components/gateway/src/control/exchange.rs
@@ -9,21 +9,25 @@
 use state::LeaseEvent;
 use telemetry::Counter;
 use tokio::net::UdpSocket;
+use topology::Distance;
 use usage::Source;
 
 use crate::control::messages::Content;
 use crate::control::Shared;
 use crate::gossip;
+use crate::listing::read_all;
 use crate::peers::{is_recent, Receipt};
-use crate::ports::{Orders, Store, Topic};
+use crate::ports::{Orders, Store, StoreError, Topic};
 use crate::tally::Tally;
 use crate::traffic::LONG_PROMPT_TOKENS;
 use crate::update::Update;
 
 /// Largest datagram that is read, in bytes.
 const MAX_DATAGRAM: usize = 8192;
-/// Pause after a failed call of the store.
+/// Pause after a failed call of the store; it doubles twice.
 const FAILED_PAUSE: Duration = Duration::from_millis(300);
+/// Pause between looks at whether further parts of the list are needed.
+const LIST_LOOK: Duration = Duration::from_millis(100);
 
 impl<S: Store + 'static, O: Orders + 'static> Shared<S, O> {
     /// Writes this gateway's row and learns of the others'.
@@ -37,29 +41,82 @@
             decisions_port: Some(i32::from(self.decisions_port)),
         };
         let value = schema::encode(&row).unwrap_or_default();
-        loop {
-            let written = self
-                .store
-                .write(Topic::Gateways, &settings.name, value.clone(), None)
-                .await;
-            if written.is_ok() {
-                break;
+        let by_halls = self.known.borrow().topology.has_regions();
+        let hall = by_halls.then_some(settings.zone.as_str());
+        let mut failures = 0;
+        while let Err(error) = self
+            .store
+            .announce(hall, &settings.name, value.clone())
+            .await
+        {
+            self.note_unlisted(&error);
+            tokio::time::sleep(self.pause_after(failures)).await;
+            failures += 1;
+        }
+        match by_halls {
+            true => self.list_halls().await,
+            false => self.list_gateways(None).await,
+        }
+    }
+
+    // Reads the halls' parts of the list as they are needed.
+    async fn list_halls(&self) {
+        while !self.known.borrow().peers.is_listed() {
+            let now = self.clock.now();
+            let next = {
+                let known = self.known.borrow();
+                known.peers.next_hall(now, &known.topology)
+            };
+            match next {
+                Some(hall) => self.list_gateways(Some(&hall)).await,
+                None => tokio::time::sleep(LIST_LOOK).await,
             }
-            tokio::time::sleep(FAILED_PAUSE).await;
         }
-        let rows = loop {
-            match self.store.list(Topic::Gateways).await {
-                Ok(rows) => break rows.rows,
-                Err(_) => tokio::time::sleep(FAILED_PAUSE).await,
+    }
+
+    // Reads the store's list of gateways, or its part for one data hall.
+    async fn list_gateways(&self, hall: Option<&str>) {
+        let mut failures = 0;
+        let (sent, list) = loop {
+            let sent = self.clock.now();
+            match read_all(&self.store, Topic::Gateways, hall, self.spread).await {
+                Ok(list) => {
+                    self.note_list(Topic::Gateways, sent, &list);
+                    self.count_bytes(Topic::Gateways, list.rows.bytes);
+                    break (sent, list);
+                }
+                Err(error) => {
+                    self.note_unlisted(&error);
+                    tokio::time::sleep(self.pause_after(failures)).await;
+                    failures += 1;
+                }
             }
         };
         let now = self.clock.now();
-        let listed = rows
-            .iter()
-            .filter_map(|row| gossip::listed_of(&row.key, row.value.as_deref()?));
+        let rows = list.rows.rows.iter();
+        let listed = rows.filter_map(|row| gossip::listed_of(&row.key, row.value.as_deref()?));
         let mut known = self.known.borrow_mut();
-        known.peers.listed(now, listed);
+        // Whoever does not read the other topics itself needs the store's time, to take confirmations of others.
+        let _ = known.store_clock.earliest(sent, now, list.rows.stamp);
+        known.note_store_call(now.saturating_sub(sent));
+        match hall {
+            Some(hall) => known.peers.listed_hall(now, hall, listed),
+            None => known.peers.listed(now, listed),
+        }
         self.check_need(&mut known, now);
+        // Whoever finds the store near asks it now.
+        let followed = known.followed.values();
+        followed.for_each(|followed| followed.wake.notify_one());
+    }
+
+    fn note_unlisted(&self, error: &StoreError) {
+        self.metrics.count(Counter::PlatformUnanswered);
+        self.known.borrow_mut().list_refused = *error == StoreError::Refused;
+    }
+
+    fn pause_after(&self, failures: u32) -> Duration {
+        let pause = FAILED_PAUSE * (1 << failures.min(2));
+        pause.mul_f64(0.75 + self.spread / 2.0)
     }
 
     /// Takes tallies of the traffic thread and reports to the other gateways.
@@ -170,8 +227,10 @@
         if heard == Receipt::Stale {
             return;
         }
-        for address in gossip::received_addresses(gossip) {
-            known.peers.learn(now, address);
+        if known.looks_for_others(now) {
+            for address in gossip::received_addresses(gossip) {
+                known.peers.learn(now, address);
+            }
         }
         if gossip.lease_epoch > 0 {
             known.peers.receive_lease(now, gossip.lease_epoch, from);
@@ -198,11 +257,13 @@
             let (at, tokens) = (dispatch.sent_at, dispatch.unread_tokens);
             known.demand.add(at, dispatch.endpoint, tokens);
         }
+        let hall = gossip.hall.as_deref().unwrap_or_default();
+        let is_far = known.topology.distance(hall) == Distance::OtherRegion;
         drop(known);
         self.act(actions);
         self.receive_rollouts(gossip);
         for (topic, reported) in gossip::received_heads(gossip) {
-            self.receive_digest(topic, reported, from);
+            self.receive_digest(topic, reported, from, is_far);
         }
         if !dispatches.is_empty() {
             self.update(Update::PeerSent(dispatches));
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -13,6 +13,7 @@
 
 use crate::control::passing::MOST_PASSED_ON;
 use crate::control::Shared;
+use crate::listing::{read_all, ReadList};
 use crate::ports::{Orders, Row, Rows, Store, StoreError, Topic};
 use crate::update::Update;
 
@@ -81,31 +82,62 @@
                     let _ = tokio::time::timeout(time, wake.notified()).await;
                 }
                 Step::Pull => self.pull(topic).await,
-                Step::List => {
-                    let sent = self.clock.now();
-                    let result = self.unless_overtaken(topic, self.store.list(topic)).await;
-                    self.take_result(topic, sent, result, true);
-                }
+                Step::List => self.list(topic).await,
                 Step::Changes { hold } => self.ask_for_changes(topic, hold).await,
             }
         }
     }
 
+    async fn list(&self, topic: Topic) {
+        let sent = self.clock.now();
+        let read = read_all(&self.store, topic, None, self.spread);
+        let result = self.unless_overtaken(topic, read).await;
+        if let Ok(list) = &result {
+            self.note_list(topic, sent, list);
+        }
+        self.take_result(topic, sent, result.map(|list| list.rows), true);
+    }
+
+    /// A whole topic, or its part for one data hall, was read from the store.
+    pub fn note_list(&self, topic: Topic, sent: Duration, list: &ReadList) {
+        let took = self.clock.now().saturating_sub(sent);
+        self.metrics.add(Counter::StoreRepeats, list.repeats.into());
+        info!(self.log, "topic read from the store"; "topic" => ?topic,
+            "rows" => list.rows.rows.len(), "bytes" => list.rows.bytes,
+            "repeats" => list.repeats, "time_ms" => took.as_millis() as u64);
+    }
+
+    /// Bytes of rows that came from the store.
+    pub fn count_bytes(&self, topic: Topic, bytes: usize) {
+        let counter = match topic {
+            Topic::Configuration => Counter::StoreConfigurationBytes,
+            Topic::Endpoints => Counter::StoreEndpointsBytes,
+            Topic::Gateways => Counter::StoreGatewaysBytes,
+            Topic::Lease | Topic::Usage | Topic::Rollouts | Topic::RolloutStatus => return,
+        };
+        self.metrics.add(counter, bytes as u64);
+    }
+
     fn next_step(&self, topic: Topic) -> Step {
         let now = self.clock.now();
-        let known = self.known.borrow();
-        let followed = &known.followed[&topic];
-        let watches = known.peers.is_among_first(now, WATCHERS);
+        let mut known = self.known.borrow_mut();
+        let watches = known.watches_store(now);
+        let is_far = known.is_far_from_store();
+        let followed = known.followed_mut(topic);
+        match is_far {
+            true => followed.follower.leave_reading(now, self.spread),
+            false => followed.follower.read_itself(),
+        }
         let can_go_on = followed.table.can_go_on();
         followed.follower.step(now, watches, can_go_on)
     }
 
     // A store that says nothing must not keep a change from here that others know.
-    async fn unless_overtaken(
+    async fn unless_overtaken<T>(
         &self,
         topic: Topic,
-        call: impl Future<Output = Result<Rows, StoreError>>,
-    ) -> Result<Rows, StoreError> {
+        call: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
         let wake = Arc::clone(&self.known.borrow().followed[&topic].wake);
         tokio::pin!(call);
         while !self.known.borrow().followed[&topic].follower.may_pull() {
@@ -119,9 +151,14 @@
     }
 
     async fn ask_for_changes(&self, topic: Topic, hold: Duration) {
-        let after = self.known.borrow().followed[&topic].table.known_to();
+        let (after, patience) = {
+            let known = self.known.borrow();
+            let followed = &known.followed[&topic];
+            let after = followed.table.known_to().unwrap_or(0);
+            (after, followed.follower.patience())
+        };
         let sent = self.clock.now();
-        let call = self.store.changes(topic, after.unwrap_or(0), hold);
+        let call = self.store.changes(topic, after, hold, patience);
         let result = self.unless_overtaken(topic, call).await;
         let changed = self.take_result(topic, sent, result, false);
         if changed && topic == Topic::Endpoints {
@@ -149,6 +186,7 @@
 
     fn take_rows(&self, topic: Topic, sent: Duration, rows: Rows, whole: bool) -> bool {
         let received = self.clock.now();
+        self.count_bytes(topic, rows.bytes);
         let (made, was_missing) = {
             let mut known = self.known.borrow_mut();
             let made = known.store_clock.earliest(sent, received, rows.stamp);
@@ -223,11 +261,16 @@
         }
     }
 
-    /// Another gateway reported how far it knows a topic.
-    pub fn receive_digest(&self, topic: Topic, reported: Digest, from: SocketAddr) {
+    /// Another gateway reported how far it knows a topic. `is_far` says that it lies in another region.
+    pub fn receive_digest(&self, topic: Topic, reported: Digest, from: SocketAddr, is_far: bool) {
+        let now = self.clock.now();
         let mut known = self.known.borrow_mut();
         let followed = known.followed_mut(topic);
         if !followed.table.covers(reported.changed_at) {
+            if is_far && !followed.follower.may_take_from_afar(now) {
+                return;
+            }
+            followed.follower.pull_again(now);
             followed.newer = Some((from, reported));
             followed.follower.newer_reported(reported.changed_at);
             followed.wake.notify_one();
@@ -255,14 +298,17 @@
     }
 
     fn note_failure(&self, topic: Topic, error: &StoreError) {
-        self.metrics.count(Counter::PlatformUnanswered);
         let now = self.clock.now();
         let mut known = self.known.borrow_mut();
         let followed = known.followed_mut(topic);
-        followed.follower.store_failed(now);
+        // That is an answer: whoever reads for others goes on, with all rows.
         if *error == StoreError::HistoryGone {
+            info!(self.log, "history of the store is gone"; "topic" => ?topic);
             followed.table.restart();
+            return;
         }
+        self.metrics.count(Counter::PlatformUnanswered);
+        followed.follower.store_failed(now);
         if !std::mem::replace(&mut followed.reported_missing, true) {
             warn!(self.log, "store does not answer"; "topic" => ?topic, "cause" => %error);
         }
--- a/components/gateway/src/control/messages.rs
+++ b/components/gateway/src/control/messages.rs
@@ -170,6 +170,13 @@
         self.peers.coordinates(now) || self.lease.may_order(now).is_some()
     }
 
+    /// Whether addresses that others name are tried. Where the list is read by halls, a gateway that hears a
+    /// coordinator of its hall needs no more.
+    pub fn looks_for_others(&self, now: Duration) -> bool {
+        let is_led = || self.peers.is_led(now) && !self.speaks_for_others(now);
+        !self.topology.has_regions() || !is_led()
+    }
+
     fn due_of_member(&mut self, now: Duration, changed: bool) -> Due {
         if !changed && now < self.sending.digest_at + LONGEST_PAUSE {
             return Due::new();
--- a/components/gateway/src/control/need.rs
+++ b/components/gateway/src/control/need.rs
@@ -10,8 +10,11 @@
 
 /// A gateway that needs the endpoints no more follows them for so long: whoever decides may change to and fro.
 const KEPT_FOR: Duration = Duration::from_secs(10);
-/// A gateway that could not read the store's list of gateways follows the endpoints after this time all the same.
-const LIST_TIME: Duration = Duration::from_secs(2);
+/// A gateway that the store turns away, and that hears others, follows the endpoints without the store's list of
+/// gateways after this time.
+const REFUSED_TIME: Duration = Duration::from_secs(2);
+/// The same for one whose list does not come: what is slow would be slower if it asked for more.
+const SLOW_TIME: Duration = Duration::from_secs(6);
 
 impl<S: Store + 'static, O: Orders + 'static> Shared<S, O> {
     /// Whether the endpoints are followed here.
@@ -21,7 +24,8 @@
 
     /// Follows the endpoints where requests are placed or endpoints ordered, and forgets them elsewhere.
     pub fn check_need(&self, known: &mut Known, now: Duration) {
-        let may_decide = known.peers.is_listed() || now >= LIST_TIME;
+        let may_decide = known.peers.knows_own_hall()
+            || may_decide_unlisted(now, known.list_refused, known.peers.hears_any(now));
         let decides = may_decide && known.speaks_for_others(now);
         if decides || self.alone.is_alone(now) {
             if known.endpoints_needed_at.replace(now).is_none() {
@@ -49,3 +53,13 @@
         let _ = self.updates.send(Update::EndpointsForgotten);
     }
 }
+
+/// Whether a gateway without the store's list of gateways may decide for itself, `now` after its start. Without others
+/// it has nothing to read either.
+fn may_decide_unlisted(now: Duration, refused: bool, hears_any: bool) -> bool {
+    let time = match refused {
+        true => REFUSED_TIME,
+        false => SLOW_TIME,
+    };
+    hears_any && now >= time
+}
--- a/components/gateway/src/control/passing.rs
+++ b/components/gateway/src/control/passing.rs
@@ -12,7 +12,9 @@
 use schema::messages::{RowChange, RowsQuery, RowsReply, TopicName};
 use schema::MAX_ENCODED_BYTES;
 use slog::info;
+use telemetry::Counter;
 use tokio::net::TcpListener;
+use topology::Distance;
 use transport::{Connection, FullBody};
 
 use crate::control::Shared;
@@ -23,11 +25,13 @@
 const CONNECT_TIME: Duration = Duration::from_millis(300);
 /// Longest time until the rows have come.
 const PULL_TIME: Duration = Duration::from_millis(900);
+/// The same for a page that is asked for again, over a link that is fuller than was thought.
+const SECOND_PULL_TIME: Duration = Duration::from_millis(1800);
 /// Rows that are passed on at once, in bytes; whoever needs more asks the store, whose link is wider. A third of the
 /// gateways of a hall of 60 take that much from one coordinator within half a second on a link of 10 Mbit/s.
 pub(crate) const MOST_PASSED_ON: usize = 32 << 10;
 /// Largest query, in bytes.
-const MAX_QUERY: usize = 256;
+const MAX_QUERY: usize = 512;
 
 /// Topics that gateways pass on.
 pub(crate) const PASSED_ON: [Topic; 2] = [Topic::Configuration, Topic::Endpoints];
@@ -52,41 +56,60 @@
 impl<S: Store + 'static, O: Orders + 'static> Shared<S, O> {
     /// Takes the changes of a topic from the gateway that reported them.
     pub async fn pull(&self, topic: Topic) {
-        let (newer, after) = {
+        let (newer, after, by_pages) = {
             let known = self.known.borrow();
             let followed = &known.followed[&topic];
-            (followed.newer, followed.table.known_to().unwrap_or(0))
+            let after = followed.table.known_to().unwrap_or(0);
+            let by_pages = known.topology.has_regions();
+            (followed.newer, after, by_pages)
         };
-        let pulled = match (newer, name_of(topic)) {
-            (Some((address, _)), Some(name)) => {
-                let query = RowsQuery {
-                    topic: name,
-                    after: after as i64,
-                };
-                let asked = ask(address, &query);
-                tokio::time::timeout(PULL_TIME, asked).await.ok().flatten()
-            }
-            _ => None,
-        };
-        if let (Some(reply), Some((_, reported))) = (pulled, newer) {
-            let changes = reply.rows.into_iter().map(change_of).collect();
-            self.take_changes(
-                topic,
-                changes,
-                reply.known_to.max(0) as u64,
-                reported.confirmed,
-                reply.whole,
-            );
-        }
         let Some((from, reported)) = newer else {
+            self.note_pull_failure(topic, None);
             return;
         };
+        let pulled = match name_of(topic) {
+            Some(name) if by_pages => pull_pages(from, name, after).await,
+            Some(name) => pull_at_once(from, name, after).await,
+            None => None,
+        };
+        if let Some(pulled) = pulled {
+            self.note_pulled(topic, from, &pulled);
+            let changes = pulled.rows.into_iter().map(change_of).collect();
+            let stamp = reported.confirmed;
+            self.take_changes(topic, changes, pulled.known_to, stamp, pulled.whole);
+        }
         self.confirm_digest(topic, reported);
+        let covers = {
+            let known = self.known.borrow();
+            known.followed[&topic].table.covers(reported.changed_at)
+        };
+        if !covers {
+            self.note_pull_failure(topic, Some(from));
+        }
+    }
+
+    fn note_pull_failure(&self, topic: Topic, from: Option<SocketAddr>) {
+        let now = self.clock.now();
         let mut known = self.known.borrow_mut();
-        let followed = known.followed_mut(topic);
-        if !followed.table.covers(reported.changed_at) {
-            info!(self.log, "rows not passed on"; "topic" => ?topic, "from" => %from);
-            followed.follower.pull_failed();
+        known.followed_mut(topic).follower.pull_failed(now);
+        let from = from.map(|from| from.to_string()).unwrap_or_default();
+        info!(self.log, "rows not passed on"; "topic" => ?topic, "from" => from);
+    }
+
+    fn note_pulled(&self, topic: Topic, from: SocketAddr, pulled: &Pulled) {
+        let is_far = {
+            let known = self.known.borrow();
+            let hall = known.peers.hall_at(from);
+            hall.is_some_and(|hall| known.topology.distance(hall) == Distance::OtherRegion)
+        };
+        let counter = match is_far {
+            true => Counter::RowsBytesOtherRegion,
+            false => Counter::RowsBytesOwnRegion,
+        };
+        self.metrics.add(counter, pulled.bytes as u64);
+        if pulled.whole {
+            info!(self.log, "topic taken from another gateway"; "topic" => ?topic, "from" => %from,
+                "rows" => pulled.rows.len(), "bytes" => pulled.bytes, "other_region" => is_far);
         }
     }
 
@@ -105,31 +128,97 @@
         let Ok(query) = schema::decode::<RowsQuery>(&bytes) else {
             return plain::answer(StatusCode::BAD_REQUEST, Bytes::new());
         };
-        let reply = topic_of(query.topic).and_then(|topic| self.reply_to(topic, query.after));
+        let topic = topic_of(query.topic);
+        let reply = topic.and_then(|topic| self.reply_to(topic, &query));
         let encoded = reply.and_then(|reply| schema::encode(&reply).ok());
-        let encoded = encoded.filter(|bytes| bytes.len() <= MOST_PASSED_ON);
+        let is_paged = query.most_bytes.is_some();
+        let encoded = encoded.filter(|bytes| is_paged || bytes.len() <= MOST_PASSED_ON);
         match encoded {
             Some(bytes) => plain::answer(StatusCode::OK, bytes.into()),
             None => plain::answer(StatusCode::NOT_FOUND, Bytes::new()),
         }
     }
 
-    fn reply_to(&self, topic: Topic, after: i64) -> Option<RowsReply> {
+    fn reply_to(&self, topic: Topic, query: &RowsQuery) -> Option<RowsReply> {
         let known = self.known.borrow();
         let table = &known.followed.get(&topic)?.table;
         let known_to = table.known_to()? as i64;
-        let changes = table.since(after.max(0) as u64);
-        let whole = changes.is_none();
-        let rows = changes.unwrap_or_else(|| table.all());
+        let most = query
+            .most_bytes
+            .map_or(usize::MAX, |most| most.max(0) as usize);
+        let after = query.after.max(0) as u64;
+        let page = table.page(after, query.after_key.as_deref(), most);
         Some(RowsReply {
-            rows: rows.into_iter().map(reported_of).collect(),
-            whole,
+            rows: page.rows.into_iter().map(reported_of).collect(),
+            whole: page.whole,
             known_to,
+            more: page.more.then_some(true),
         })
     }
 }
 
-async fn ask(address: SocketAddr, query: &RowsQuery) -> Option<RowsReply> {
+/// Rows that another gateway passed on.
+struct Pulled {
+    rows: Vec<RowChange>,
+    whole: bool,
+    known_to: u64,
+    bytes: usize,
+}
+
+async fn pull_at_once(from: SocketAddr, topic: TopicName, after: u64) -> Option<Pulled> {
+    let query = RowsQuery::new(topic, after as i64, None, None);
+    let asked = tokio::time::timeout(PULL_TIME, ask(from, &query)).await;
+    let (reply, bytes) = asked.ok().flatten()?;
+    Some(Pulled {
+        rows: reply.rows,
+        whole: reply.whole,
+        known_to: reply.known_to.max(0) as u64,
+        bytes,
+    })
+}
+
+// Pages are as they stood one after the other: what changed meanwhile has a higher revision, and comes again.
+async fn pull_pages(from: SocketAddr, topic: TopicName, after: u64) -> Option<Pulled> {
+    let mut pulled: Option<Pulled> = None;
+    loop {
+        let so_far = pulled.as_ref();
+        let last = so_far.and_then(|pulled| pulled.rows.last());
+        let query = RowsQuery::new(
+            topic,
+            after as i64,
+            last.map(|row| row.key.clone()),
+            Some(MOST_PASSED_ON as i32),
+        );
+        let (reply, bytes) = ask_patiently(from, &query).await?;
+        if so_far.is_some_and(|pulled| pulled.whole != reply.whole) {
+            return None;
+        }
+        let taken = pulled.get_or_insert_with(|| Pulled {
+            rows: Vec::new(),
+            whole: reply.whole,
+            known_to: reply.known_to.max(0) as u64,
+            bytes: 0,
+        });
+        taken.bytes += bytes;
+        taken.rows.extend(reply.rows);
+        if reply.more != Some(true) {
+            return pulled;
+        }
+    }
+}
+
+// A page that did not come is asked for once more; those that came are kept.
+async fn ask_patiently(from: SocketAddr, query: &RowsQuery) -> Option<(RowsReply, usize)> {
+    for time in [PULL_TIME, SECOND_PULL_TIME] {
+        let asked = tokio::time::timeout(time, ask(from, query)).await;
+        if let Some(answered) = asked.ok().flatten() {
+            return Some(answered);
+        }
+    }
+    None
+}
+
+async fn ask(address: SocketAddr, query: &RowsQuery) -> Option<(RowsReply, usize)> {
     let mut connection = Connection::open(address, CONNECT_TIME).await.ok()?;
     let mut request = Request::new(FullBody::new(schema::encode(query).ok()?.into()));
     *request.method_mut() = Method::POST;
@@ -141,7 +230,7 @@
     }
     let limited = Limited::new(answer.into_body(), MAX_ENCODED_BYTES);
     let bytes = limited.collect().await.ok()?.to_bytes();
-    schema::decode(&bytes).ok()
+    Some((schema::decode(&bytes).ok()?, bytes.len()))
 }
 
 fn change_of(reported: RowChange) -> Change {
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod gossip;
 mod handler;
 mod job;
+pub mod listing;
 mod peers;
 mod plain;
 mod pool;
--- /dev/null
+++ b/components/gateway/src/listing.rs
@@ -0,0 +1,147 @@
+//! Reading a whole topic from the store, page by page.
+//!
+//! A page that does not come was too large for the link, or the link too slow: it is asked for again smaller, later
+//! and with more patience, and the pages that came are kept. Asked for again as it was, a full link would carry the
+//! same bytes over and over.
+
+use std::time::Duration;
+
+use crate::ports::{Page, PageQuery, Row, Rows, Store, StoreError, Topic};
+
+/// Rows of the first page: the most that the platform's store gives at once.
+const FIRST_LIMIT: usize = 500;
+/// Rows of the smallest page: 10 KB of endpoints, which a link of 10 Mbit/s carries in 8 ms.
+const LEAST_LIMIT: usize = 25;
+/// Longest time without anything of an answer, at first: a round trip over 60 ms and a store that is slow for 1 s.
+pub const FIRST_PATIENCE: Duration = Duration::from_millis(1500);
+/// The same after repeats: the pages speak of seconds in which the store is slow.
+const LONGEST_PATIENCE: Duration = Duration::from_secs(6);
+/// Pause before a page is asked for again; it doubles with each time.
+const FIRST_PAUSE: Duration = Duration::from_millis(200);
+/// Repeats of one page after which the list is given up: it is begun again as the follower of the topic says.
+const MOST_REPEATS: u32 = 3;
+
+/// A list that is being read.
+#[derive(Clone, Debug)]
+pub struct Listing {
+    topic: Topic,
+    hall: Option<String>,
+    rows: Vec<Row>,
+    // Of the first page: changes after it are asked for again.
+    revision: Option<u64>,
+    stamp: Duration,
+    bytes: usize,
+    limit: usize,
+    patience: Duration,
+    // Of the page that is due, and of all.
+    page_repeats: u32,
+    repeats: u32,
+}
+
+impl Listing {
+    /// Nothing read yet of a topic, or of its part for one data hall.
+    pub fn new(topic: Topic, hall: Option<&str>) -> Self {
+        Listing {
+            topic,
+            hall: hall.map(str::to_string),
+            rows: Vec::new(),
+            revision: None,
+            stamp: Duration::ZERO,
+            bytes: 0,
+            limit: FIRST_LIMIT,
+            patience: FIRST_PATIENCE,
+            page_repeats: 0,
+            repeats: 0,
+        }
+    }
+
+    /// The page that is due.
+    pub fn query(&self) -> PageQuery<'_> {
+        PageQuery {
+            topic: self.topic,
+            hall: self.hall.as_deref(),
+            after: self.rows.last().map(|row| row.key.as_str()),
+            limit: self.limit,
+            patience: self.patience,
+        }
+    }
+
+    /// Takes a page and returns whether it was the last one.
+    pub fn take(&mut self, page: Page) -> bool {
+        let is_last = !page.more || page.rows.rows.is_empty();
+        if self.revision.is_none() {
+            self.revision = Some(page.rows.revision);
+            self.stamp = page.rows.stamp;
+        }
+        self.page_repeats = 0;
+        self.bytes += page.rows.bytes;
+        self.rows.extend(page.rows.rows);
+        is_last
+    }
+
+    /// The page did not come. Returns the pause before it is asked for again, `None` once that is to be given up.
+    /// `spread` of 0 to 1 differs from gateway to gateway, so that they do not ask all at once.
+    pub fn missed(&mut self, spread: f64) -> Option<Duration> {
+        if self.page_repeats >= MOST_REPEATS {
+            return None;
+        }
+        let pause = FIRST_PAUSE * (1 << self.page_repeats);
+        self.page_repeats += 1;
+        self.repeats += 1;
+        self.limit = (self.limit / 2).max(LEAST_LIMIT);
+        self.patience = (self.patience * 2).min(LONGEST_PATIENCE);
+        Some(pause.mul_f64(0.5 + spread))
+    }
+
+    /// Pages that were asked for again.
+    pub fn repeats(&self) -> u32 {
+        self.repeats
+    }
+
+    /// The rows read.
+    pub fn into_rows(self) -> Rows {
+        Rows {
+            rows: self.rows,
+            revision: self.revision.unwrap_or_default(),
+            stamp: self.stamp,
+            bytes: self.bytes,
+        }
+    }
+}
+
+/// A list that was read, and how many of its pages were asked for again.
+#[derive(Debug)]
+pub struct ReadList {
+    /// The rows.
+    pub rows: Rows,
+    /// Pages that were asked for again.
+    pub repeats: u32,
+}
+
+/// Reads a whole topic, or its part for one data hall; for `spread` see [`Listing::missed`].
+pub async fn read_all<S: Store>(
+    store: &S,
+    topic: Topic,
+    hall: Option<&str>,
+    spread: f64,
+) -> Result<ReadList, StoreError> {
+    let mut listing = Listing::new(topic, hall);
+    loop {
+        match store.page(listing.query()).await {
+            Ok(page) => {
+                if listing.take(page) {
+                    let repeats = listing.repeats();
+                    let rows = listing.into_rows();
+                    return Ok(ReadList { rows, repeats });
+                }
+            }
+            // Slow, or turned away in the middle; what came is kept.
+            Err(error @ (StoreError::Unanswered | StoreError::Refused)) => {
+                let may_go_on = error == StoreError::Unanswered || listing.revision.is_some();
+                let pause = listing.missed(spread).filter(|_| may_go_on);
+                tokio::time::sleep(pause.ok_or(error)?).await;
+            }
+            Err(error) => return Err(error),
+        }
+    }
+}
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -2,6 +2,7 @@
 
 mod halls;
 mod peer;
+mod regions;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -12,6 +13,7 @@
 pub use crate::peers::halls::{Fleet, HallCount};
 pub use crate::peers::peer::{Greeting, Listed};
 use crate::peers::peer::{Peer, TRY_ADDRESS_FOR};
+use crate::peers::regions::HallLists;
 
 /// A silent gateway is forgotten after this long.
 const FORGET_AFTER: Duration = Duration::from_secs(20);
@@ -66,8 +68,9 @@
     peers: BTreeMap<String, Peer>,
     // Addresses learnt from the settings or others, and since when they are tried.
     addresses: BTreeMap<SocketAddr, Duration>,
-    // Whether the store's list of gateways was read.
+    // Whether the store's list of gateways was read, and what of it where it is read by halls.
     listed: bool,
+    lists: HallLists,
     lease: Option<HeldLease>,
     // Newest epoch that its holder gave up, and when that was heard first.
     given_up: Option<(i64, Duration)>,
@@ -88,6 +91,7 @@
             peers: BTreeMap::new(),
             addresses: BTreeMap::new(),
             listed: false,
+            lists: HallLists::default(),
             lease: None,
             given_up: None,
         }
@@ -104,6 +108,10 @@
     /// The store's list of gateways was read.
     pub fn listed(&mut self, now: Duration, gateways: impl Iterator<Item = Listed>) {
         self.listed = true;
+        self.take_listed(now, gateways);
+    }
+
+    fn take_listed(&mut self, now: Duration, gateways: impl Iterator<Item = Listed>) {
         for listed in gateways {
             let is_own = listed.name == self.own.name || listed.address == self.own.address;
             let is_known = self.peers.values().any(|p| p.address == listed.address);
@@ -176,6 +184,13 @@
         self.peers.values().any(|peer| peer.coordinates(now))
     }
 
+    /// Data hall of the gateway at an address.
+    pub fn hall_at(&self, address: SocketAddr) -> Option<&str> {
+        let mut peers = self.peers.values();
+        let peer = peers.find(|peer| peer.address == address);
+        peer.map(|peer| peer.hall.as_str())
+    }
+
     /// Whether a gateway was heard and has not stopped or been forgotten since.
     pub fn knows(&self, name: &str) -> bool {
         self.peers.contains_key(name)
--- a/components/gateway/src/peers/halls.rs
+++ b/components/gateway/src/peers/halls.rs
@@ -14,7 +14,7 @@
 use routing::{rank, weight};
 
 /// Gateways of a hall that coordinate: two may be gone before the hall looks for others.
-const COORDINATORS: usize = 3;
+pub(super) const COORDINATORS: usize = 3;
 /// Gateways of its own hall to which one without any coordinator reports.
 const WIDER_SEARCH: usize = 8;
 /// Gateways that decide, while nothing is known of them.
@@ -182,6 +182,7 @@
             heard += count.heard;
             silent += count.silent;
         }
+        silent += self.assumed_unread(&own);
         // Once the store's list is read, an address that is tried is one of a gateway counted already, or of one
         // that was gone before.
         if !self.listed {
@@ -201,6 +202,14 @@
         gateway != own && asks.is_none_or(|asks| asks == own)
     }
 
+    // Gateways of halls of which nothing was read or heard yet: as many as in the own one.
+    fn assumed_unread(&self, own: &HallCount) -> usize {
+        let known = self.other_halls();
+        let unread = self.lists.unread().filter(|hall| *hall != self.own.hall);
+        let unknown = unread.filter(|hall| !known.contains_key(hall));
+        unknown.count() * (own.heard + own.silent)
+    }
+
     fn other_halls(&self) -> BTreeMap<&str, Vec<&Peer>> {
         let mut halls: BTreeMap<&str, Vec<&Peer>> = BTreeMap::new();
         let others = self.peers.values().filter(|p| p.hall != self.own.hall);
@@ -260,7 +269,7 @@
     }
 
     // The gateways of a hall that come first, but this one: the largest, then by an order that all agree on.
-    fn first_of(&self, hall: &str, now: Duration, count: usize) -> Vec<&str> {
+    pub(super) fn first_of(&self, hall: &str, now: Duration, count: usize) -> Vec<&str> {
         let of_hall = self.peers.iter().filter(|(_, peer)| peer.hall == hall);
         let up = of_hall.filter(|(_, peer)| !peer.is_down(now));
         let mut ordered: Vec<_> = up.map(|(name, peer)| (place(name, peer), name)).collect();
--- a/components/gateway/src/ports.rs
+++ b/components/gateway/src/ports.rs
@@ -129,6 +129,32 @@
     pub revision: u64,
     /// The store's steady time.
     pub stamp: Duration,
+    /// Length of the answers that carried them, in bytes.
+    pub bytes: usize,
+}
+
+/// Asks for one page of a topic's rows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PageQuery<'a> {
+    /// The topic.
+    pub topic: Topic,
+    /// Data hall whose part of the topic is meant; `None` for a topic that is kept in one part.
+    pub hall: Option<&'a str>,
+    /// Key of the last row that came; the page goes on after it.
+    pub after: Option<&'a str>,
+    /// Rows at most.
+    pub limit: usize,
+    /// Longest time without anything of the answer.
+    pub patience: Duration,
+}
+
+/// One page of a topic's rows, by rising key.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Page {
+    /// The rows.
+    pub rows: Rows,
+    /// Whether others follow.
+    pub more: bool,
 }
 
 /// Why a call of the store has no result.
@@ -164,8 +190,8 @@
 
 /// The store in which everything lasting lies.
 pub trait Store {
-    /// All rows of a topic.
-    fn list(&self, topic: Topic) -> impl Future<Output = Result<Rows, StoreError>>;
+    /// One page of a topic's rows.
+    fn page(&self, query: PageQuery<'_>) -> impl Future<Output = Result<Page, StoreError>>;
 
     /// One row.
     fn read(
@@ -174,12 +200,14 @@
         key: &str,
     ) -> impl Future<Output = Result<Option<Row>, StoreError>>;
 
-    /// Changes of a topic after a revision; the call is held for `wait` if there are none.
+    /// Changes of a topic after a revision; the call is held for `wait` if there are none. Past that, `patience` is
+    /// the longest time without anything of the answer.
     fn changes(
         &self,
         topic: Topic,
         after: u64,
         wait: Duration,
+        patience: Duration,
     ) -> impl Future<Output = Result<Rows, StoreError>>;
 
     /// Writes a row, if it has the expected revision (0: there is none), and returns the new one.
@@ -191,6 +219,14 @@
         expected: Option<u64>,
     ) -> impl Future<Output = Result<u64, StoreError>>;
 
+    /// Writes the row of a gateway into the part of its data hall, or into the topic's only part.
+    fn announce(
+        &self,
+        hall: Option<&str>,
+        gateway: &str,
+        value: Vec<u8>,
+    ) -> impl Future<Output = Result<u64, StoreError>>;
+
     /// Reads a row of [`Topic::Configuration`].
     fn configuration(&self, value: &[u8]) -> Result<Configuration, RowFault>;
 
--- a/components/gateway/tests/common/store.rs
+++ b/components/gateway/tests/common/store.rs
@@ -8,7 +8,8 @@
 use directory::{Configuration, Endpoint};
 use fleet::ScalingOrder;
 use gateway::ports::{
-    DutyHolder, OrderReply, Orders, Row, RowFault, Rows, StatusRow, Store, StoreError, Topic,
+    DutyHolder, OrderReply, Orders, Page, PageQuery, Row, RowFault, Rows, StatusRow, Store,
+    StoreError, Topic,
 };
 use rollout::{Decision, Order};
 use schema::messages::{GatewayRow, LeaseRow};
@@ -16,6 +17,8 @@
 
 /// Beginning of the keys of orders.
 const ROLLOUT_PREFIX: &str = "rollout/";
+/// Way to a store in another region and back.
+const FAR_TIME: Duration = Duration::from_millis(60);
 /// Pause between looks at whether a held call has its answer.
 const LOOK: Duration = Duration::from_millis(2);
 
@@ -37,6 +40,7 @@
     state: Arc<Mutex<State>>,
     refuses: Arc<AtomicBool>,
     says_nothing: Arc<AtomicBool>,
+    is_far: Arc<AtomicBool>,
     asks: Arc<Mutex<BTreeMap<Topic, u64>>>,
     started: Instant,
 }
@@ -47,6 +51,7 @@
             state: Arc::default(),
             refuses: Arc::default(),
             says_nothing: Arc::default(),
+            is_far: Arc::default(),
             asks: Arc::default(),
             started: Instant::now(),
         }
@@ -97,6 +102,7 @@
         StoreStandin {
             refuses: Arc::default(),
             says_nothing: Arc::default(),
+            is_far: Arc::default(),
             asks: Arc::default(),
             ..self.clone()
         }
@@ -112,7 +118,15 @@
         self.says_nothing.store(true, Ordering::Relaxed);
     }
 
+    /// From now on the store lies in another region than this gateway.
+    pub fn put_far(&self) {
+        self.is_far.store(true, Ordering::Relaxed);
+    }
+
     async fn answer_or_say_nothing(&self) {
+        if self.is_far.load(Ordering::Relaxed) {
+            tokio::time::sleep(FAR_TIME).await;
+        }
         if self.says_nothing.load(Ordering::Relaxed) {
             std::future::pending::<()>().await;
         }
@@ -173,6 +187,7 @@
                 .collect(),
             revision: state.revision,
             stamp: self.started.elapsed(),
+            bytes: 0,
         }
     }
 }
@@ -209,17 +224,29 @@
     }
 }
 
+fn is_of_hall(row: &Row, hall: &str) -> bool {
+    let value = row.value.as_deref().unwrap_or_default();
+    schema::decode::<GatewayRow>(value).is_ok_and(|row| row.hall.as_deref() == Some(hall))
+}
+
 fn index_of(value: &[u8]) -> Result<usize, RowFault> {
     let bytes = value.try_into().map_err(|_| RowFault("length".into()))?;
     Ok(u64::from_le_bytes(bytes) as usize)
 }
 
 impl Store for StoreStandin {
-    async fn list(&self, topic: Topic) -> Result<Rows, StoreError> {
-        self.count_ask(topic);
+    async fn page(&self, query: PageQuery<'_>) -> Result<Page, StoreError> {
+        self.count_ask(query.topic);
         self.answer_or_say_nothing().await;
         let state = self.enter()?;
-        Ok(self.rows(&state, topic, 0, false))
+        let mut rows = self.rows(&state, query.topic, 0, false);
+        rows.rows
+            .retain(|row| query.hall.is_none_or(|hall| is_of_hall(row, hall)));
+        rows.rows
+            .retain(|row| query.after.is_none_or(|after| row.key.as_str() > after));
+        let more = rows.rows.len() > query.limit;
+        rows.rows.truncate(query.limit);
+        Ok(Page { rows, more })
     }
 
     async fn read(&self, topic: Topic, key: &str) -> Result<Option<Row>, StoreError> {
@@ -228,7 +255,13 @@
         Ok(state.rows.get(&(topic, key.to_string())).cloned())
     }
 
-    async fn changes(&self, topic: Topic, after: u64, wait: Duration) -> Result<Rows, StoreError> {
+    async fn changes(
+        &self,
+        topic: Topic,
+        after: u64,
+        wait: Duration,
+        _: Duration,
+    ) -> Result<Rows, StoreError> {
         self.count_ask(topic);
         let began = Instant::now();
         loop {
@@ -264,6 +297,15 @@
         Ok(write(&mut state, topic, key, Some(value)))
     }
 
+    async fn announce(
+        &self,
+        _: Option<&str>,
+        gateway: &str,
+        value: Vec<u8>,
+    ) -> Result<u64, StoreError> {
+        self.write(Topic::Gateways, gateway, value, None).await
+    }
+
     fn configuration(&self, value: &[u8]) -> Result<Configuration, RowFault> {
         let index = index_of(value)?;
         Ok(self.state.lock().unwrap().configurations[index].clone())
--- /dev/null
+++ b/components/gateway/tests/listing.rs
@@ -0,0 +1,63 @@
+//! Reading a whole topic over a link that is slow.
+
+use std::time::Duration;
+
+use gateway::listing::{Listing, FIRST_PATIENCE};
+use gateway::ports::{Page, Row, Rows, Topic};
+
+fn page(keys: &[&str], revision: u64, more: bool) -> Page {
+    let rows = keys.iter().map(|key| Row {
+        key: key.to_string(),
+        value: Some(b"v".to_vec()),
+        revision,
+    });
+    Page {
+        rows: Rows {
+            rows: rows.collect(),
+            revision,
+            stamp: Duration::from_secs(revision),
+            bytes: 100,
+        },
+        more,
+    }
+}
+
+#[test]
+fn pages_follow_each_other_and_what_changed_after_the_first_is_asked_for_again() {
+    let mut listing = Listing::new(Topic::Endpoints, None);
+    assert_eq!(listing.query().after, None);
+    assert!(!listing.take(page(&["a", "b"], 3, true)));
+    assert_eq!(listing.query().after, Some("b"));
+    assert!(listing.take(page(&["c"], 4, false)));
+    let rows = listing.into_rows();
+    assert_eq!((rows.rows.len(), rows.revision, rows.bytes), (3, 3, 200));
+    assert_eq!(rows.stamp, Duration::from_secs(3));
+}
+
+#[test]
+fn a_page_that_does_not_come_is_asked_for_smaller_later_and_with_more_patience() {
+    let mut listing = Listing::new(Topic::Endpoints, Some("h1"));
+    listing.take(page(&["a", "b"], 3, true));
+    let (mut limit, mut patience, mut pause) =
+        (listing.query().limit, FIRST_PATIENCE, Duration::ZERO);
+    while let Some(next) = listing.missed(0.5) {
+        let query = listing.query();
+        assert!(query.limit < limit && query.patience >= patience && next > pause);
+        assert_eq!(query.after, Some("b"), "what came is kept");
+        (limit, patience, pause) = (query.limit, query.patience, next);
+    }
+    assert!(patience >= FIRST_PATIENCE * 2);
+    assert_eq!(listing.repeats(), 3, "repeats have an end");
+}
+
+#[test]
+fn gateways_whose_pages_did_not_come_ask_again_at_different_times() {
+    let pause = |spread| Listing::new(Topic::Endpoints, None).missed(spread);
+    assert_ne!(pause(0.1), pause(0.9));
+}
+
+#[test]
+fn an_empty_page_is_the_last_one() {
+    let mut listing = Listing::new(Topic::Gateways, Some("h1"));
+    assert!(listing.take(page(&[], 3, true)));
+}
--- /dev/null
+++ b/components/gateway/tests/two_regions.rs
@@ -0,0 +1,228 @@
+//! Gateways of two regions that follow the store, which stands in region `a`: few of region `b` read it, the others
+//! take rows from them.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use common::{
+    configuration, endpoint, route, settings, tenant, wait_until, EndpointStandin, Setup,
+    StoreStandin,
+};
+use directory::Execution;
+use gateway::ports::Topic;
+use schema::settings::GatewaySettings;
+
+const CHANGE_DUE: Duration = Duration::from_secs(4);
+const CREDENTIAL_AGE: Duration = Duration::from_secs(5);
+const IN_HALL: usize = 3;
+const HALLS: [&str; 4] = ["a1", "a2", "b1", "b2"];
+const READERS: usize = 2;
+
+fn named(hall: &str, index: usize, seeds: Vec<String>) -> GatewaySettings {
+    let region = |hall: &&str| (hall.to_string(), hall[..1].to_string());
+    GatewaySettings {
+        name: format!("{hall}-{index}"),
+        zone: hall.into(),
+        region: hall[..1].into(),
+        halls: HALLS.iter().map(region).collect::<BTreeMap<_, _>>(),
+        seeds,
+        credential_age_ms: CREDENTIAL_AGE.as_millis() as i64,
+        change_due_ms: CHANGE_DUE.as_millis() as i64,
+        ..settings()
+    }
+}
+
+struct World {
+    store: StoreStandin,
+    gateways: Vec<(&'static str, Setup)>,
+}
+
+impl World {
+    /// All gateways of these halls, started at once.
+    fn start(store: &StoreStandin, halls: &[&'static str]) -> Self {
+        Self::start_with(store, halls, |settings| settings, |_, _| {})
+    }
+
+    /// The same with other settings; `prepare` sees the store of each before.
+    fn start_with(
+        store: &StoreStandin,
+        halls: &[&'static str],
+        changed: impl Fn(GatewaySettings) -> GatewaySettings,
+        prepare: impl Fn(&str, &StoreStandin),
+    ) -> Self {
+        let mut gateways: Vec<(&'static str, Setup)> = Vec::new();
+        for hall in halls {
+            for index in 0..IN_HALL {
+                let first = gateways.first();
+                let seeds = first.map(|(_, setup)| setup.gateway.peer_address().to_string());
+                let own = store.for_another();
+                if hall.starts_with('b') {
+                    own.put_far();
+                }
+                prepare(hall, &own);
+                let settings = changed(named(hall, index, seeds.into_iter().collect()));
+                gateways.push((hall, Setup::start(settings, own)));
+            }
+        }
+        World {
+            store: store.clone(),
+            gateways,
+        }
+    }
+
+    fn of<'a>(&'a self, region: &'a str) -> impl Iterator<Item = &'a Setup> {
+        let own = self.gateways.iter();
+        let own = own.filter(move |(hall, _)| hall.starts_with(region));
+        own.map(|(_, setup)| setup)
+    }
+
+    fn asking(&self, region: &str, topic: Topic) -> usize {
+        let asking = self.of(region).filter(|setup| setup.store.asks(topic) > 0);
+        asking.count()
+    }
+
+    fn all_answer(&self, region: &str, path: &str, status: u16) {
+        for setup in self.of(region) {
+            wait_until("the answer", || {
+                setup.call(path, &["x-key: k"]).status == status
+            });
+        }
+    }
+}
+
+fn put_route(store: &StoreStandin, version: u64, prefix: &str) {
+    let mut configuration = configuration(version, vec![route(prefix, Execution::Repeatable)]);
+    configuration.tenants = vec![tenant("t", "k")];
+    store.put_configuration(configuration);
+}
+
+fn store_with_endpoints(standin: &EndpointStandin, count: usize) -> StoreStandin {
+    let store = StoreStandin::default();
+    put_route(&store, 1, "/old/");
+    for i in 0..count {
+        store.put_endpoint(endpoint(&format!("e{i}"), standin.address));
+    }
+    store
+}
+
+#[test]
+fn when_all_start_at_once_two_gateways_of_a_region_read_the_store_and_all_serve() {
+    let standin = EndpointStandin::start(|_, e| e.answer(200, "x"));
+    // Three pages between gateways.
+    let store = store_with_endpoints(&standin, 6_000);
+    let world = World::start(&store, &HALLS);
+    world.all_answer("a", "/old/1", 200);
+    world.all_answer("b", "/old/1", 200);
+    for topic in [Topic::Configuration, Topic::Endpoints] {
+        let asking = world.asking("b", topic);
+        assert!(asking <= READERS, "{asking} read {topic:?}");
+    }
+}
+
+#[test]
+fn a_change_reaches_all_gateways_of_both_regions_without_further_readers() {
+    let standin = EndpointStandin::start(|_, e| e.answer(200, "x"));
+    let store = store_with_endpoints(&standin, 3);
+    let world = World::start(&store, &HALLS);
+    for region in ["a", "b"] {
+        world.all_answer(region, "/old/1", 200);
+    }
+    let changed_at = Instant::now();
+    put_route(&store, 2, "/new/");
+    for region in ["a", "b"] {
+        world.all_answer(region, "/new/1", 200);
+        world.all_answer(region, "/old/1", 404);
+    }
+    assert!(changed_at.elapsed() < CHANGE_DUE, "the change is late");
+    let asking = world.asking("b", Topic::Configuration);
+    assert!(asking <= READERS, "{asking}");
+}
+
+#[test]
+fn after_a_history_that_is_gone_the_readers_of_a_region_list_and_the_others_take() {
+    let standin = EndpointStandin::start(|_, e| e.answer(200, "x"));
+    let store = store_with_endpoints(&standin, 3);
+    let world = World::start(&store, &HALLS);
+    world.all_answer("b", "/old/1", 200);
+    store.forget_history();
+    put_route(&store, 2, "/new/");
+    world.all_answer("b", "/new/1", 200);
+    let asking = world.asking("b", Topic::Configuration);
+    assert!(asking <= READERS, "{asking}");
+}
+
+#[test]
+fn a_region_that_the_store_does_not_reach_takes_changes_from_the_other_region() {
+    let standin = EndpointStandin::start(|_, e| e.answer(200, "x"));
+    let store = store_with_endpoints(&standin, 3);
+    let world = World::start(&store, &HALLS);
+    for region in ["a", "b"] {
+        world.all_answer(region, "/old/1", 200);
+    }
+    world.of("b").for_each(|setup| setup.store.refuse(true));
+    put_route(&world.store, 2, "/new/");
+    world.all_answer("b", "/new/1", 200);
+    // Keys stay confirmed, by the other region.
+    let began = Instant::now();
+    while began.elapsed() < CREDENTIAL_AGE {
+        for setup in world.of("b") {
+            assert_eq!(setup.call("/new/1", &["x-key: k"]).status, 200);
+        }
+    }
+}
+
+#[test]
+fn a_region_without_others_to_hear_is_refused_keys_once_they_are_too_old_and_not_before() {
+    let standin = EndpointStandin::start(|_, e| e.answer(200, "x"));
+    let store = store_with_endpoints(&standin, 3);
+    let world = World::start(&store, &["b1", "b2"]);
+    world.all_answer("b", "/old/1", 200);
+    let cut_at = Instant::now();
+    world.of("b").for_each(|setup| setup.store.refuse(true));
+    world.all_answer("b", "/old/1", 503);
+    assert!(cut_at.elapsed() >= CREDENTIAL_AGE / 2);
+    world.of("b").for_each(|setup| setup.store.refuse(false));
+    world.all_answer("b", "/old/1", 200);
+}
+
+#[test]
+fn where_keys_have_no_bound_a_region_that_starts_without_the_store_serves_by_the_other_region() {
+    let standin = EndpointStandin::start(|_, e| e.answer(200, "x"));
+    let store = store_with_endpoints(&standin, 3);
+    let unbounded = |settings| GatewaySettings {
+        credential_age_ms: 0,
+        ..settings
+    };
+    let world = World::start_with(&store, &HALLS, unbounded, |hall, own| {
+        if hall.starts_with('b') {
+            own.refuse(true);
+        }
+    });
+    world.all_answer("a", "/old/1", 200);
+    world.all_answer("b", "/old/1", 200);
+}
+
+#[test]
+fn a_region_whose_readers_stop_at_once_goes_on_in_time() {
+    let standin = EndpointStandin::start(|_, e| e.answer(200, "x"));
+    let store = store_with_endpoints(&standin, 3);
+    let mut world = World::start(&store, &["b1", "b2"]);
+    world.all_answer("b", "/old/1", 200);
+    let (readers, others) = world
+        .gateways
+        .drain(..)
+        .partition(|(_, setup)| setup.store.asks(Topic::Configuration) > 0);
+    world.gateways = others;
+    let readers: Vec<(&str, Setup)> = readers;
+    assert_eq!(readers.len(), READERS);
+    readers
+        .iter()
+        .for_each(|(_, setup)| setup.store.say_nothing());
+    drop(readers);
+    put_route(&store, 2, "/new/");
+    let changed_at = Instant::now();
+    world.all_answer("b", "/new/1", 200);
+    assert!(changed_at.elapsed() < CHANGE_DUE, "the change is late");
+}
--- a/components/replica/src/follower.rs
+++ b/components/replica/src/follower.rs
@@ -12,6 +12,18 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 /// Longest such pause.
 const LONGEST_PAUSE: Duration = Duration::from_millis(600);
+/// Longest such pause of a gateway that others read for.
+const LONGEST_PAUSE_OF_TAKERS: Duration = Duration::from_millis(1200);
+/// A gateway that others read for asks the store itself after the same age and this part more, each at its own
+/// point of it: all at once they would fill the link that kept the confirmation from them.
+const SPREAD_PART: f64 = 0.2;
+/// Pause before rows that were not passed on are asked for again; it doubles with each time.
+const PULL_PAUSE: Duration = Duration::from_millis(100);
+/// Longest time of an answer past the time for which its call is held; it doubles after a failed call, since one that
+/// is asked for again over a full link fills it the more.
+const FIRST_PATIENCE: Duration = Duration::from_millis(1000);
+/// The most that it doubles to: a call that is lost while the store says nothing ends within it.
+const LONGEST_PATIENCE: Duration = Duration::from_millis(2000);
 
 /// What another gateway reports a topic.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,18 +61,29 @@
     Peer,
 }
 
+// Others read for this gateway: since when it follows, and its point of the spread, 0 to 1.
+#[derive(Clone, Copy, Debug)]
+struct Waits {
+    since: Duration,
+    spread: f64,
+}
+
 /// How one topic is followed.
 #[derive(Debug)]
 pub struct Follower {
     first: Source,
     hold: Duration,
     stale: Duration,
+    spread_time: Duration,
     confirmed_at: Option<Duration>,
     newer_reported: Option<u64>,
     // The store cannot be asked, or the last gateway that was asked gave nothing.
     store_failures: u32,
     pull_failed: bool,
+    pull_failures: u32,
+    pull_next_at: Duration,
     store_next_at: Duration,
+    waits: Option<Waits>,
 }
 
 impl Follower {
@@ -70,11 +93,15 @@
             first,
             hold: Duration::ZERO,
             stale: Duration::ZERO,
+            spread_time: Duration::ZERO,
             confirmed_at: None,
             newer_reported: None,
             store_failures: 0,
             pull_failed: false,
+            pull_failures: 0,
+            pull_next_at: Duration::ZERO,
             store_next_at: Duration::ZERO,
+            waits: None,
         };
         follower.set_change_due(change_due);
         follower
@@ -84,6 +111,7 @@
     pub fn set_change_due(&mut self, change_due: Duration) {
         self.hold = change_due.mul_f64(HOLD_PART);
         self.stale = change_due.mul_f64(STALE_PART);
+        self.spread_time = change_due.mul_f64(SPREAD_PART);
     }
 
     /// Sets who is asked first for a change that another gateway reported.
@@ -91,11 +119,38 @@
         self.first = first;
     }
 
+    /// From now on a few gateways read the store for all of a region: this one takes rows from others, also when it
+    /// knows none, and asks the store itself only once nothing was confirmed for too long. `spread` of 0 to 1 differs
+    /// from gateway to gateway.
+    pub fn leave_reading(&mut self, now: Duration, spread: f64) {
+        self.waits.get_or_insert(Waits { since: now, spread });
+    }
+
+    /// From now on this gateway asks the store like all others.
+    pub fn read_itself(&mut self) {
+        self.waits = None;
+    }
+
+    /// Longest time of an answer past the time for which its call is held.
+    pub fn patience(&self) -> Duration {
+        let doubled = FIRST_PATIENCE * (1 << self.store_failures.min(4));
+        doubled.min(LONGEST_PATIENCE)
+    }
+
+    /// Whether rows may be taken from another region: from there only by those that the store does not answer, and
+    /// once nothing was confirmed here for too long.
+    pub fn may_take_from_afar(&self, now: Duration) -> bool {
+        let overdue = |waits| now >= self.overdue_at(waits);
+        !self.reaches_store() || self.waits.is_none_or(overdue)
+    }
+
     /// The next step. `watches` says whether this gateway is one of those that hold calls at the
     /// store, `known` whether any rows were taken yet.
     pub fn step(&self, now: Duration, watches: bool, known: bool) -> Step {
-        // A whole table comes from the store, whose link is wider than a gateway's.
-        let asks_peer = (self.first == Source::Peer && known) || self.store_failures > 0;
+        // A whole table comes from the store, whose link is wider than a gateway's, unless others read for this one.
+        let asks_peer = (self.first == Source::Peer && known)
+            || self.store_failures > 0
+            || self.waits.is_some();
         if asks_peer && self.may_pull() {
             return Step::Pull;
         }
@@ -133,11 +188,19 @@
         }
     }
 
+    /// A change that was not passed on when it was asked for may be asked for again, of whoever reports it next.
+    pub fn pull_again(&mut self, now: Duration) {
+        if self.waits.is_some() && now >= self.pull_next_at {
+            self.pull_failed = false;
+        }
+    }
+
     /// All changes up to a revision are known.
     pub fn caught_up(&mut self, revision: u64) {
         self.newer_reported
             .take_if(|reported| *reported <= revision);
         self.pull_failed = false;
+        self.pull_failures = 0;
     }
 
     /// Whether a change that is not known here can be had of another gateway.
@@ -145,9 +208,11 @@
         self.newer_reported.is_some() && !self.pull_failed
     }
 
-    /// The gateway that reported changes gave none: the store is asked.
-    pub fn pull_failed(&mut self) {
+    /// The gateway that reported changes gave none: the store is asked, or the next that reports them.
+    pub fn pull_failed(&mut self, now: Duration) {
         self.pull_failed = true;
+        self.pull_next_at = now + PULL_PAUSE * (1 << self.pull_failures.min(4));
+        self.pull_failures += 1;
     }
 
     /// The store answered with everything up to a revision.
@@ -161,7 +226,13 @@
     pub fn store_failed(&mut self, now: Duration) {
         let pause = FIRST_PAUSE * (1 << self.store_failures.min(4));
         self.store_failures += 1;
-        self.store_next_at = now + pause.min(LONGEST_PAUSE);
+        self.store_next_at = now
+            + match self.waits {
+                Some(waits) => pause
+                    .min(LONGEST_PAUSE_OF_TAKERS)
+                    .mul_f64(0.5 + waits.spread),
+                None => pause.min(LONGEST_PAUSE),
+            };
         // Whoever reports changes next may be asked again.
         self.pull_failed = false;
     }
@@ -172,6 +243,9 @@
     }
 
     fn store_due(&self, now: Duration, watches: bool, known: bool) -> Duration {
+        if let Some(waits) = self.waits.filter(|_| !watches) {
+            return self.overdue_at(waits).max(self.store_next_at);
+        }
         let ask_now = watches || !known || self.newer_reported.is_some();
         let due = match self.confirmed_at {
             Some(at) if !ask_now => at + self.stale,
@@ -179,4 +253,9 @@
         };
         due.max(self.store_next_at)
     }
+
+    fn overdue_at(&self, waits: Waits) -> Duration {
+        let stale = self.stale + self.spread_time.mul_f64(waits.spread);
+        self.confirmed_at.unwrap_or(waits.since) + stale
+    }
 }
--- a/components/replica/src/lib.rs
+++ b/components/replica/src/lib.rs
@@ -8,4 +8,4 @@
 mod table;
 
 pub use follower::{Digest, Follower, Source, Step};
-pub use table::{Change, Table};
+pub use table::{Change, Table, TablePage};
--- a/components/replica/src/table.rs
+++ b/components/replica/src/table.rs
@@ -1,6 +1,7 @@
 //! The rows of one topic as far as they are known here.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
 
 /// One row as it was last changed.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -13,6 +14,23 @@
     pub revision: u64,
 }
 
+impl Change {
+    fn bytes(&self) -> usize {
+        self.key.len() + self.value.as_ref().map_or(0, Vec::len)
+    }
+}
+
+/// Rows of a table by rising key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TablePage {
+    /// The rows.
+    pub rows: Vec<Change>,
+    /// Whether they are of all rows, or of the changes asked for.
+    pub whole: bool,
+    /// Whether rows with higher keys follow.
+    pub more: bool,
+}
+
 /// Dropped rows that are remembered at most; a reader behind the oldest of them gets all rows.
 const MOST_DROPPED: usize = 512;
 
@@ -97,6 +115,34 @@
         Some(changes.cloned().collect())
     }
 
+    /// Some rows by rising key, after `from`: the changes after a revision, or all rows if not all changes are known.
+    /// At least one row, and no more once they have `most` bytes.
+    pub fn page(&self, after: u64, from: Option<&str>, most: usize) -> TablePage {
+        let whole = after < self.base;
+        let begin = from.map_or(Bound::Unbounded, Bound::Excluded);
+        let rows = self.rows.range::<str, _>((begin, Bound::Unbounded));
+        let mut wanted = rows
+            .map(|(_, row)| row)
+            .filter(|row| whole || row.revision > after)
+            .peekable();
+        let mut page = TablePage {
+            rows: Vec::new(),
+            whole,
+            more: false,
+        };
+        let mut bytes = 0;
+        while let Some(row) = wanted.next() {
+            bytes += row.bytes();
+            page.rows.push(row.clone());
+            let next = wanted.peek().map(|next| bytes + next.bytes());
+            if next.is_some_and(|bytes| bytes > most) {
+                page.more = true;
+                break;
+            }
+        }
+        page
+    }
+
     /// All rows that stand.
     pub fn standing(&self) -> Vec<Change> {
         let standing = self.rows.values().filter(|row| row.value.is_some());
--- a/components/replica/tests/following.rs
+++ b/components/replica/tests/following.rs
@@ -66,7 +66,7 @@
     follower.confirmed(ms(0));
     follower.newer_reported(7);
     assert_eq!(follower.step(ms(1), false, true), Step::Pull);
-    follower.pull_failed();
+    follower.pull_failed(ms(1));
     let step = follower.step(ms(2), false, true);
     assert_eq!(
         step,
@@ -124,3 +124,95 @@
         Step::Changes { .. }
     ));
 }
+
+fn taker(spread: f64) -> Follower {
+    let mut follower = follower(Source::Store);
+    follower.leave_reading(ms(0), spread);
+    follower
+}
+
+#[test]
+fn a_gateway_that_others_read_for_waits_for_them_at_its_start_and_asks_the_store_in_time() {
+    for spread in [0.0, 0.5, 1.0] {
+        let follower = taker(spread);
+        let Step::Rest(rest) = follower.step(ms(0), false, false) else {
+            panic!("others read");
+        };
+        assert!(
+            rest >= CHANGE_DUE / 2 && rest < CHANGE_DUE * 9 / 10,
+            "{rest:?}"
+        );
+        assert_eq!(follower.step(rest, false, false), Step::List);
+        assert_eq!(follower.step(ms(1), true, false), Step::List, "a reader");
+    }
+}
+
+#[test]
+fn gateways_that_others_read_for_ask_the_store_one_after_the_other() {
+    let rests: Vec<Step> = [0.0, 0.25, 0.5, 1.0]
+        .map(|spread| taker(spread).step(ms(0), false, true))
+        .to_vec();
+    for (i, rest) in rests.iter().enumerate() {
+        assert!(!rests[..i].contains(rest), "{rests:?}");
+    }
+}
+
+#[test]
+fn a_gateway_that_others_read_for_takes_also_large_and_whole_tables_from_them() {
+    let mut follower = taker(0.0);
+    follower.newer_reported(7);
+    assert_eq!(follower.step(ms(1), false, false), Step::Pull);
+}
+
+#[test]
+fn rows_that_were_not_passed_on_are_asked_of_the_next_that_reports_them_and_ever_later() {
+    let mut follower = taker(0.0);
+    let mut asked_at = Vec::new();
+    for now in 0..1000 {
+        follower.pull_again(ms(now));
+        follower.newer_reported(7);
+        match follower.step(ms(now), false, true) {
+            Step::Pull => {
+                follower.pull_failed(ms(now));
+                asked_at.push(now);
+            }
+            step => assert!(matches!(step, Step::Rest(_)), "the store is not asked"),
+        }
+    }
+    let pauses: Vec<u64> = asked_at.windows(2).map(|at| at[1] - at[0]).collect();
+    assert_eq!(pauses, [100, 200, 400]);
+}
+
+#[test]
+fn a_store_that_does_not_answer_is_asked_ever_less_and_waited_for_longer() {
+    let mut follower = taker(0.0);
+    let (mut now, mut pauses, mut patience) = (ms(2000), Vec::new(), Vec::new());
+    for _ in 0..5 {
+        patience.push(follower.patience());
+        follower.store_failed(now);
+        let Step::Rest(rest) = follower.step(now, true, false) else {
+            panic!("a pause follows");
+        };
+        pauses.push(rest);
+        now += rest;
+    }
+    assert!(pauses.windows(2).all(|p| p[0] <= p[1]), "{pauses:?}");
+    assert!(pauses[4] >= pauses[0] * 4, "{pauses:?}");
+    assert!(patience.windows(2).all(|p| p[0] <= p[1]) && patience[4] >= patience[0] * 2);
+}
+
+#[test]
+fn rows_of_another_region_are_taken_only_where_the_store_is_silent_or_nothing_was_confirmed() {
+    let mut taker = taker(0.0);
+    taker.confirmed(ms(0));
+    assert!(!taker.may_take_from_afar(ms(500)));
+    assert!(taker.may_take_from_afar(CHANGE_DUE));
+    taker.confirmed(CHANGE_DUE);
+    assert!(!taker.may_take_from_afar(CHANGE_DUE));
+    taker.store_failed(CHANGE_DUE);
+    assert!(taker.may_take_from_afar(CHANGE_DUE));
+    assert!(
+        follower(Source::Peer).may_take_from_afar(ms(0)),
+        "one region has no afar"
+    );
+}
--- a/components/replica/tests/tables.rs
+++ b/components/replica/tests/tables.rs
@@ -152,3 +152,37 @@
         None => reader.take_all(source.all(), known_to),
     };
 }
+
+#[test]
+fn pages_of_any_size_hold_what_the_whole_table_holds() {
+    fn same(writes: Vec<(u8, Option<u8>)>, most: u8, after: u8) -> TestResult {
+        let mut table = Table::default();
+        table.take(written(&writes), writes.len() as u64);
+        let (after, most) = (u64::from(after) % 20, usize::from(most % 9));
+        let mut rows: Vec<Change> = Vec::new();
+        loop {
+            let from = rows.last().map(|row| row.key.clone());
+            let page = table.page(after, from.as_deref(), most);
+            rows.extend(page.rows);
+            if !page.more {
+                break;
+            }
+        }
+        TestResult::from_bool(table.since(after) == Some(rows))
+    }
+    QuickCheck::new()
+        .tests(CASES)
+        .rng(Gen::from_size_and_seed(20, SEED))
+        .quickcheck(same as fn(Vec<(u8, Option<u8>)>, u8, u8) -> TestResult);
+}
+
+#[test]
+fn a_page_for_a_reader_behind_the_list_that_a_copy_began_with_is_one_of_all_rows() {
+    let mut table = Table::default();
+    table.take_all(vec![change(1, Some(1), 3), change(2, Some(2), 4)], 5);
+    let page = table.page(4, None, 1);
+    assert!(page.whole && page.more);
+    assert_eq!(page.rows, [change(1, Some(1), 3)]);
+    let page = table.page(5, None, 1);
+    assert!(!page.whole && !page.more && page.rows.is_empty());
+}
--- a/components/schema/src/messages.rs
+++ b/components/schema/src/messages.rs
@@ -4203,11 +4203,24 @@
     pub topic: TopicName,
     /// Revision up to which the asking gateway knows all changes, 0 for none.
     pub after: i64,
+    /// Key of the last row that came; the reply goes on after it.
+    pub after_key: Option<String>,
+    /// Bytes of rows at most, but at least one row. Without it the reply holds all rows or is refused.
+    pub most_bytes: Option<i32>,
 }
 
 impl RowsQuery {
-    pub fn new(topic: TopicName, after: i64) -> RowsQuery {
-        RowsQuery { topic, after }
+    pub fn new<F3, F4>(topic: TopicName, after: i64, after_key: F3, most_bytes: F4) -> RowsQuery
+    where
+        F3: Into<Option<String>>,
+        F4: Into<Option<i32>>,
+    {
+        RowsQuery {
+            topic,
+            after,
+            after_key: after_key.into(),
+            most_bytes: most_bytes.into(),
+        }
     }
 }
 
@@ -4216,6 +4229,8 @@
         i_prot.read_struct_begin()?;
         let mut f_1: Option<TopicName> = None;
         let mut f_2: Option<i64> = None;
+        let mut f_3: Option<String> = None;
+        let mut f_4: Option<i32> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -4231,6 +4246,14 @@
                     let val = i_prot.read_i64()?;
                     f_2 = Some(val);
                 }
+                3 => {
+                    let val = i_prot.read_string()?;
+                    f_3 = Some(val);
+                }
+                4 => {
+                    let val = i_prot.read_i32()?;
+                    f_4 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -4245,6 +4268,8 @@
                 .expect("auto-generated code should have checked for presence of required fields"),
             after: f_2
                 .expect("auto-generated code should have checked for presence of required fields"),
+            after_key: f_3,
+            most_bytes: f_4,
         };
         Ok(ret)
     }
@@ -4257,6 +4282,16 @@
         o_prot.write_field_begin(&TFieldIdentifier::new("after", TType::I64, 2))?;
         o_prot.write_i64(self.after)?;
         o_prot.write_field_end()?;
+        if let Some(ref fld_var) = self.after_key {
+            o_prot.write_field_begin(&TFieldIdentifier::new("after_key", TType::String, 3))?;
+            o_prot.write_string(fld_var)?;
+            o_prot.write_field_end()?
+        }
+        if let Some(fld_var) = self.most_bytes {
+            o_prot.write_field_begin(&TFieldIdentifier::new("most_bytes", TType::I32, 4))?;
+            o_prot.write_i32(fld_var)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -4361,14 +4396,20 @@
     pub whole: bool,
     /// Revision up to which all changes are known.
     pub known_to: i64,
+    /// Whether rows with higher keys follow.
+    pub more: Option<bool>,
 }
 
 impl RowsReply {
-    pub fn new(rows: Vec<RowChange>, whole: bool, known_to: i64) -> RowsReply {
+    pub fn new<F4>(rows: Vec<RowChange>, whole: bool, known_to: i64, more: F4) -> RowsReply
+    where
+        F4: Into<Option<bool>>,
+    {
         RowsReply {
             rows,
             whole,
             known_to,
+            more: more.into(),
         }
     }
 }
@@ -4379,6 +4420,7 @@
         let mut f_1: Option<Vec<RowChange>> = None;
         let mut f_2: Option<bool> = None;
         let mut f_3: Option<i64> = None;
+        let mut f_4: Option<bool> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -4404,6 +4446,10 @@
                     let val = i_prot.read_i64()?;
                     f_3 = Some(val);
                 }
+                4 => {
+                    let val = i_prot.read_bool()?;
+                    f_4 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -4421,6 +4467,7 @@
                 .expect("auto-generated code should have checked for presence of required fields"),
             known_to: f_3
                 .expect("auto-generated code should have checked for presence of required fields"),
+            more: f_4,
         };
         Ok(ret)
     }
@@ -4440,6 +4487,11 @@
         o_prot.write_field_begin(&TFieldIdentifier::new("known_to", TType::I64, 3))?;
         o_prot.write_i64(self.known_to)?;
         o_prot.write_field_end()?;
+        if let Some(fld_var) = self.more {
+            o_prot.write_field_begin(&TFieldIdentifier::new("more", TType::Bool, 4))?;
+            o_prot.write_bool(fld_var)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
--- a/components/schema/thrift/messages.thrift
+++ b/components/schema/thrift/messages.thrift
@@ -421,6 +421,10 @@
   1: required TopicName topic,
   /** Revision up to which the asking gateway knows all changes, 0 for none. */
   2: required i64 after,
+  /** Key of the last row that came; the reply goes on after it. */
+  3: optional string after_key,
+  /** Bytes of rows at most, but at least one row. Without it the reply holds all rows or is refused. */
+  4: optional i32 most_bytes,
 }
 
 /** One row, without a value if it was dropped. */
@@ -437,6 +441,8 @@
   2: required bool whole,
   /** Revision up to which all changes are known. */
   3: required i64 known_to,
+  /** Whether rows with higher keys follow. */
+  4: optional bool more,
 }
 
 /** Row of one gateway in the store: where the others reach it. */
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -65,6 +65,18 @@
         ClaimStored => "claim.stored",
         /// Calls to the table.
         TableCalls => "platform.table",
+        /// Bytes of the configuration read from the store.
+        StoreConfigurationBytes => "platform.bytes.configuration",
+        /// Bytes of endpoints read from the store.
+        StoreEndpointsBytes => "platform.bytes.endpoints",
+        /// Bytes of the list of gateways read from the store.
+        StoreGatewaysBytes => "platform.bytes.gateways",
+        /// Pages asked for again since they did not come.
+        StoreRepeats => "platform.repeats",
+        /// Bytes of rows taken from gateways of the own region.
+        RowsBytesOwnRegion => "rows.bytes.own_region",
+        /// Bytes of rows taken from gateways of other regions.
+        RowsBytesOtherRegion => "rows.bytes.other_region",
         /// Calls to the platform without an answer.
         PlatformUnanswered => "platform.unanswered",
         /// Datagrams sent to other nodes.
--- a/src/cmd/routes.rs
+++ b/src/cmd/routes.rs
@@ -6,6 +6,7 @@
 
 use directory::{Directory, Endpoint};
 use error_stack::{Report, ResultExt};
+use gateway::listing::read_all;
 use gateway::ports::{Row, Store, Topic};
 use platform::MetadataStore;
 use tokio::runtime::Builder;
@@ -43,8 +44,9 @@
     let configuration = store.configuration(&value).map_err(|fault| {
         Report::new(CommandError("the configuration cannot be read")).attach(fault.0)
     })?;
-    let rows = store.list(Topic::Endpoints).await;
-    let rows = rows.map_err(|error| Report::new(NO_ANSWER).attach(error.to_string()))?;
+    let list = read_all(store, Topic::Endpoints, None, 0.0).await;
+    let list = list.map_err(|error| Report::new(NO_ANSWER).attach(error.to_string()))?;
+    let rows = list.rows;
     let endpoints = rows.rows.iter().filter_map(|row| endpoint_of(store, row));
     Ok((Directory::new(Arc::new(configuration)), endpoints.collect()))
 }
