--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -8,6 +8,7 @@
 mod messages;
 mod need;
 mod passing;
+mod region;
 mod reporting;
 mod rollouts;
 mod rows;
@@ -24,7 +25,6 @@
 use directory::{Configuration, Endpoint, StoreClock};
 use fleet::Scaler;
 use replica::{Follower, Source as AskFirst};
-use routing::weight;
 use schema::settings::GatewaySettings;
 use slog::{info, warn, Logger};
 use state::{Lease, LeaseTerms};
@@ -37,10 +37,11 @@
 
 use crate::alone::Alone;
 use crate::clock::Clock;
-use crate::control::follow::{Followed, WATCHERS};
+use crate::control::follow::Followed;
 use crate::control::lease::OrdersUnderWay;
 use crate::control::messages::SendState;
 pub(crate) use crate::control::passing::{name_of, topic_of, PASSED_ON};
+use crate::control::region::spread_of;
 use crate::control::rollouts::Rollouts;
 use crate::control::scaling::Demand;
 use crate::freshness::Freshness;
@@ -50,11 +51,6 @@
 use crate::tally::{Sent, ServiceLoad, Tally};
 use crate::update::Update;
 
-/// A store that answers a call within this time stands in the own region. The way between regions takes longer there
-/// and back, and a store that is near and slow is asked as if it were far: by few.
-const NEAR_STORE: Duration = Duration::from_millis(30);
-/// Key of the points at which gateways do what they would else do all at once.
-const SPREAD_KEY: u64 = 0x7370_7264;
 /// Pause between looks at signals, peers and the lease.
 const TICK: Duration = Duration::from_millis(100);
 /// Pause between looks at the settings file when no signal says that it changed.
@@ -312,26 +308,6 @@
         }
     }
 
-    /// Whether this gateway holds calls at the store, for all others or for those of its region.
-    pub fn watches_store(&self, now: Duration) -> bool {
-        match self.topology.has_regions() {
-            true => self.peers.reads_for_region(now, &self.topology, WATCHERS),
-            false => self.peers.is_among_first(now, WATCHERS),
-        }
-    }
-
-    /// A call of the store, or several, took so long.
-    pub fn note_store_call(&mut self, time: Duration) {
-        let shortest = self.store_time.map_or(time, |known| known.min(time));
-        self.store_time = Some(shortest);
-    }
-
-    /// Whether the store lies behind the link to another region, or may.
-    pub fn is_far_from_store(&self) -> bool {
-        let is_near = self.store_time.is_some_and(|time| time < NEAR_STORE);
-        self.topology.has_regions() && !is_near
-    }
-
     /// Whether the store answered the last call.
     pub fn reaches_store(&self) -> bool {
         let mut followed = self.followed.values();
@@ -426,10 +402,6 @@
     }
 }
 
-fn spread_of(gateway: &str) -> f64 {
-    weight(SPREAD_KEY, gateway) as f64 / u64::MAX as f64
-}
-
 fn lease_terms(settings: &GatewaySettings) -> LeaseTerms {
     let bound = Duration::from_millis(settings.lease_ms.max(0) as u64);
     LeaseTerms {
--- a/components/gateway/src/control/need.rs
+++ b/components/gateway/src/control/need.rs
@@ -5,16 +5,12 @@
 use slog::info;
 
 use crate::control::{Known, Shared};
+use crate::listing::may_decide_unlisted;
 use crate::ports::{Orders, Store, Topic};
 use crate::update::Update;
 
 /// A gateway that needs the endpoints no more follows them for so long: whoever decides may change to and fro.
 const KEPT_FOR: Duration = Duration::from_secs(10);
-/// A gateway that the store turns away, and that hears others, follows the endpoints without the store's list of
-/// gateways after this time.
-const REFUSED_TIME: Duration = Duration::from_secs(2);
-/// The same for one whose list does not come: what is slow would be slower if it asked for more.
-const SLOW_TIME: Duration = Duration::from_secs(6);
 
 impl<S: Store + 'static, O: Orders + 'static> Shared<S, O> {
     /// Whether the endpoints are followed here.
@@ -53,13 +49,3 @@
         let _ = self.updates.send(Update::EndpointsForgotten);
     }
 }
-
-/// Whether a gateway without the store's list of gateways may decide for itself, `now` after its start. Without others
-/// it has nothing to read either.
-fn may_decide_unlisted(now: Duration, refused: bool, hears_any: bool) -> bool {
-    let time = match refused {
-        true => REFUSED_TIME,
-        false => SLOW_TIME,
-    };
-    hears_any && now >= time
-}
--- a/components/gateway/src/listing.rs
+++ b/components/gateway/src/listing.rs
@@ -14,12 +14,28 @@
 const LEAST_LIMIT: usize = 25;
 /// Longest time without anything of an answer, at first: a round trip over 60 ms and a store that is slow for 1 s.
 pub const FIRST_PATIENCE: Duration = Duration::from_millis(1500);
-/// The same after repeats: the pages speak of seconds in which the store is slow.
-const LONGEST_PATIENCE: Duration = Duration::from_secs(6);
+/// The same after repeats. A call that is lost while the store says nothing ends within it.
+const LONGEST_PATIENCE: Duration = Duration::from_secs(3);
 /// Pause before a page is asked for again; it doubles with each time.
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
 /// Repeats of one page after which the list is given up: it is begun again as the follower of the topic says.
 const MOST_REPEATS: u32 = 3;
+/// A gateway that the store turns away, and that hears others, follows the endpoints without the store's list of
+/// gateways after this time.
+const REFUSED_TIME: Duration = Duration::from_secs(2);
+/// The same for one whose list does not come: twice the time of a page with its repeats. What is slow would be slower
+/// if every gateway asked for the endpoints too.
+const SLOW_TIME: Duration = Duration::from_secs(6);
+
+/// Whether a gateway without the store's list of gateways may decide for itself, `now` after its start. Without others
+/// it has nothing to read either.
+pub fn may_decide_unlisted(now: Duration, refused: bool, hears_any: bool) -> bool {
+    let time = match refused {
+        true => REFUSED_TIME,
+        false => SLOW_TIME,
+    };
+    hears_any && now >= time
+}
 
 /// A list that is being read.
 #[derive(Clone, Debug)]
--- a/components/gateway/tests/listing.rs
+++ b/components/gateway/tests/listing.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use gateway::listing::{Listing, FIRST_PATIENCE};
+use gateway::listing::{may_decide_unlisted, Listing, FIRST_PATIENCE};
 use gateway::ports::{Page, Row, Rows, Topic};
 
 fn page(keys: &[&str], revision: u64, more: bool) -> Page {
@@ -61,3 +61,24 @@
     let mut listing = Listing::new(Topic::Gateways, Some("h1"));
     assert!(listing.take(page(&[], 3, true)));
 }
+
+#[test]
+fn a_gateway_whose_list_is_slow_reads_the_endpoints_later_than_one_that_is_refused() {
+    let first = |refused| {
+        let mut seconds = 0..60;
+        seconds.find(|s| may_decide_unlisted(Duration::from_secs(*s), refused, true))
+    };
+    let (refused, slow) = (first(true).unwrap(), first(false).unwrap());
+    assert!(refused >= 1 && slow >= refused * 2, "{refused} s, {slow} s");
+}
+
+#[test]
+fn a_gateway_without_the_list_that_hears_nobody_reads_no_endpoints() {
+    for refused in [true, false] {
+        assert!(!may_decide_unlisted(
+            Duration::from_secs(60),
+            refused,
+            false
+        ));
+    }
+}
