--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod held;
 mod job;
 mod link_parts;
+pub mod listing;
 mod peers;
 mod plain;
 mod pool;
