--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -1,6 +1,8 @@
 //! The control thread: what it knows, and the tasks that work on it.
 
 mod carrying;
+mod echoes;
+mod engines;
 mod exchange;
 mod follow;
 mod forwarding;
@@ -8,6 +10,7 @@
 mod messages;
 mod need;
 mod passing;
+mod region;
 mod reporting;
 mod rollouts;
 mod rows;
@@ -31,14 +34,18 @@
 use tokio::runtime::Builder;
 use tokio::sync::Notify;
 use tokio::task::LocalSet;
+use topology::Topology;
 use usage::{Forwarding, Ledger, Reporter, Source, Terms};
 
 use crate::alone::Alone;
 use crate::clock::Clock;
-use crate::control::follow::{Followed, WATCHERS};
+pub use crate::control::echoes::{round_trip, Echoes};
+use crate::control::engines::Engines;
+use crate::control::follow::Followed;
 use crate::control::lease::OrdersUnderWay;
 use crate::control::messages::SendState;
 pub(crate) use crate::control::passing::{name_of, topic_of, PASSED_ON};
+use crate::control::region::spread_of;
 use crate::control::rollouts::Rollouts;
 use crate::control::scaling::Demand;
 use crate::freshness::Freshness;
@@ -98,20 +105,29 @@
     pub endpoints: BTreeMap<String, Endpoint>,
     pub store_clock: StoreClock,
     pub peers: Peers,
+    pub topology: Topology,
     pub lease: Lease,
     pub orders: OrdersUnderWay,
     pub ledger: Ledger,
     pub reporter: Reporter,
-    pub scalers: BTreeMap<String, Scaler>,
+    // By service and region.
+    pub scalers: BTreeMap<(String, String), Scaler>,
+    pub engines: Engines,
     pub demand: Demand,
     pub loads: BTreeMap<String, ServiceLoad>,
     pub taken: BTreeMap<String, u64>,
     pub unsent: Vec<Sent>,
     pub sending: SendState,
+    // Only kept where there are several regions.
+    pub echoes: Option<Echoes>,
     pub forwarding: Forwarding,
     pub fleet: Fleet,
     // Whether this gateway holds calls at the store.
     pub watches: bool,
+    // Shortest time of a call of the store.
+    pub store_time: Option<Duration>,
+    // Whether the store turned this gateway away when it asked for the list of gateways last.
+    pub list_refused: bool,
     // When the endpoints were needed last, while they are followed.
     pub endpoints_needed_at: Option<Duration>,
     pub rollouts: Rollouts,
@@ -135,6 +151,8 @@
     pub source: Source,
     pub peer_address: SocketAddr,
     pub decisions_port: u16,
+    /// Point of this gateway, 0 to 1, where all would do the same at once.
+    pub spread: f64,
     /// Something is to be reported to the other gateways at once.
     pub urgent: Notify,
     /// An endpoint does not take work any more.
@@ -159,9 +177,15 @@
             cores_milli: settings.cores_milli,
             decisions: None,
         });
+        let topology = Topology::new(&settings.zone, &settings.region, &settings.halls);
+        peers.set_topology(topology.clone());
+        if topology.has_regions() {
+            peers.expect_halls(topology.halls());
+        }
         for seed in settings.seeds.iter().filter_map(|seed| seed.parse().ok()) {
             peers.learn(Duration::ZERO, seed);
         }
+        let echoes = topology.has_regions().then(Echoes::default);
         let known = Known {
             lease: Lease::new(lease_terms(&settings)),
             orders: OrdersUnderWay::default(),
@@ -174,15 +198,20 @@
             endpoints: BTreeMap::new(),
             store_clock: StoreClock::default(),
             peers,
+            topology,
             ledger: Ledger::default(),
             scalers: BTreeMap::new(),
+            engines: Engines::default(),
             demand: Demand::default(),
             loads: BTreeMap::new(),
             taken: BTreeMap::new(),
             unsent: Vec::new(),
             sending: SendState::default(),
+            echoes,
             fleet: Fleet::default(),
             watches: false,
+            store_time: None,
+            list_refused: false,
             endpoints_needed_at: None,
             rollouts: Rollouts::default(),
         };
@@ -216,6 +245,7 @@
             metrics: parts.metrics,
             log: parts.log,
             updates: parts.updates,
+            spread: spread_of(&self.source.gateway),
             source: self.source,
             peer_address: parts.sockets.address,
             decisions_port: parts.decisions_port,
@@ -374,7 +404,7 @@
             let _ = self.updates.send(Update::Fleet(fleet));
         }
         self.check_need(&mut known, now);
-        let watches = known.peers.is_among_first(now, WATCHERS);
+        let watches = known.watches_store(now);
         if watches != known.watches {
             known.watches = watches;
             // A rest is as long as others are to bring changes; now this gateway is.
--- a/components/gateway/src/control/messages.rs
+++ b/components/gateway/src/control/messages.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use schema::messages::{Dispatch, Gossip, HallCount, TopicHead, WindowUsage};
+use schema::messages::{Dispatch, Echo, Gossip, HallCount, TopicHead, WindowUsage};
 
 use crate::control::{Known, Shared};
 use crate::gossip;
@@ -139,6 +139,11 @@
                     .collect()
             }),
             evidence: None,
+            echo: known.echo_to_send(now, content),
+            engines: match content {
+                Content::Full => boxed(known.engine_reports()),
+                _ => None,
+            },
         }
     }
 
@@ -170,6 +175,13 @@
         self.peers.coordinates(now) || self.lease.may_order(now).is_some()
     }
 
+    /// Whether addresses that others name are tried. Where the list is read by halls, a gateway that hears a
+    /// coordinator of its hall needs no more.
+    pub fn looks_for_others(&self, now: Duration) -> bool {
+        let is_led = || self.peers.is_led(now) && !self.speaks_for_others(now);
+        !self.topology.has_regions() || !is_led()
+    }
+
     fn due_of_member(&mut self, now: Duration, changed: bool) -> Due {
         if !changed && now < self.sending.digest_at + LONGEST_PAUSE {
             return Due::new();
@@ -236,6 +248,15 @@
         reported
     }
 
+    // Coordinators' messages to each other show how far halls are.
+    fn echo_to_send(&mut self, now: Duration, content: Content) -> Option<Box<Echo>> {
+        let echoes = self.echoes.as_mut()?;
+        match content {
+            Content::Full => echoes.next(now).map(Box::new),
+            _ => None,
+        }
+    }
+
     fn addresses_to_send(&self, now: Duration) -> Vec<String> {
         let turn = self.sending.sequence as usize;
         let addresses = self.peers.addresses(now, turn, MOST_ADDRESSES);
@@ -260,3 +281,8 @@
         .filter_map(|(topic, followed)| gossip::head_of(*topic, followed.reported()?))
         .collect()
 }
+
+// As the schema holds them.
+fn boxed<T>(list: Option<Vec<T>>) -> Option<Vec<Box<T>>> {
+    Some(list?.into_iter().map(Box::new).collect())
+}
--- a/components/gateway/src/control/need.rs
+++ b/components/gateway/src/control/need.rs
@@ -5,13 +5,12 @@
 use slog::info;
 
 use crate::control::{Known, Shared};
+use crate::listing::may_decide_unlisted;
 use crate::ports::{Orders, Store, Topic};
 use crate::update::Update;
 
 /// A gateway that needs the endpoints no more follows them for so long: whoever decides may change to and fro.
 const KEPT_FOR: Duration = Duration::from_secs(10);
-/// A gateway that could not read the store's list of gateways follows the endpoints after this time all the same.
-const LIST_TIME: Duration = Duration::from_secs(2);
 
 impl<S: Store + 'static, O: Orders + 'static> Shared<S, O> {
     /// Whether the endpoints are followed here.
@@ -21,7 +20,8 @@
 
     /// Follows the endpoints where requests are placed or endpoints ordered, and forgets them elsewhere.
     pub fn check_need(&self, known: &mut Known, now: Duration) {
-        let may_decide = known.peers.is_listed() || now >= LIST_TIME;
+        let may_decide = known.peers.knows_own_hall()
+            || may_decide_unlisted(now, known.list_refused, known.peers.hears_any(now));
         let decides = may_decide && known.speaks_for_others(now);
         if decides || self.alone.is_alone(now) {
             if known.endpoints_needed_at.replace(now).is_none() {
--- a/components/gateway/src/peers/halls.rs
+++ b/components/gateway/src/peers/halls.rs
@@ -12,9 +12,10 @@
 use crate::peers::peer::Peer;
 use crate::peers::{PeerCount, Peers, ASSUMED};
 use routing::{rank, weight};
+use topology::Distance;
 
 /// Gateways of a hall that coordinate: two may be gone before the hall looks for others.
-const COORDINATORS: usize = 3;
+pub(crate) const COORDINATORS: usize = 3;
 /// Gateways of its own hall to which one without any coordinator reports.
 const WIDER_SEARCH: usize = 8;
 /// Gateways that decide, while nothing is known of them.
@@ -48,6 +49,8 @@
     /// Gateways that are asked when none of those decides, by what the store's list says: the own hall's coordinators
     /// that were never heard, as after a start of all, then one coordinator of each other hall.
     pub others: Vec<SocketAddr>,
+    /// Those of `others` that lie in another region.
+    pub far: Vec<SocketAddr>,
 }
 
 impl Default for Fleet {
@@ -59,6 +62,7 @@
             coordinators: Vec::new(),
             placing: ASSUMED_PLACING,
             others: Vec::new(),
+            far: Vec::new(),
         }
     }
 }
@@ -133,16 +137,19 @@
                 coordinators: Vec::new(),
                 placing: self.coordinators(now).len() + 1,
                 others: Vec::new(),
+                far: Vec::new(),
             };
         }
         let gateways = self.reported_gateways(now).unwrap_or(count.gateways());
+        let (near, far) = self.deciders_elsewhere(now);
         Fleet {
             gateways,
             part: 1.0 / gateways.max(1) as f64,
             decides: false,
             coordinators: self.deciders(now),
             placing: gateways,
-            others: [self.deciders_unseen(now), self.deciders_elsewhere(now)].concat(),
+            others: [self.deciders_unseen(now), near, far.clone()].concat(),
+            far,
         }
     }
 
@@ -182,6 +189,7 @@
             heard += count.heard;
             silent += count.silent;
         }
+        silent += self.assumed_unread(&own);
         // Once the store's list is read, an address that is tried is one of a gateway counted already, or of one
         // that was gone before.
         if !self.listed {
@@ -201,6 +209,14 @@
         gateway != own && asks.is_none_or(|asks| asks == own)
     }
 
+    // Gateways of halls of which nothing was read or heard yet: as many as in the own one.
+    fn assumed_unread(&self, own: &HallCount) -> usize {
+        let known = self.other_halls();
+        let unread = self.lists.unread().filter(|hall| *hall != self.own.hall);
+        let unknown = unread.filter(|hall| !known.contains_key(hall));
+        unknown.count() * (own.heard + own.silent)
+    }
+
     fn other_halls(&self) -> BTreeMap<&str, Vec<&Peer>> {
         let mut halls: BTreeMap<&str, Vec<&Peer>> = BTreeMap::new();
         let others = self.peers.values().filter(|p| p.hall != self.own.hall);
@@ -245,9 +261,9 @@
         unheard.filter_map(|peer| peer.decisions).collect()
     }
 
-    // One coordinator of each other hall, in an order that differs from gateway to gateway. They are not heard
-    // here, so these are the ones that the store's list makes coordinators.
-    fn deciders_elsewhere(&self, now: Duration) -> Vec<SocketAddr> {
+    // One coordinator of each other hall, of the own region and of others, in an order that differs from gateway to
+    // gateway. They are not heard here, so these are the ones that the store's list makes coordinators.
+    fn deciders_elsewhere(&self, now: Duration) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
         let own = weight(COORDINATION_KEY, &self.own.name);
         let mut halls: Vec<&str> = self.other_halls().into_keys().collect();
         halls.sort_unstable_by_key(|hall| weight(own, hall));
@@ -256,11 +272,14 @@
             let chosen = rank(own, first.into_iter(), 1);
             self.peers[*chosen.first()?].decisions
         };
-        halls.into_iter().filter_map(of_hall).collect()
+        let is_near = |hall: &&str| self.topology.distance(hall) != Distance::OtherRegion;
+        let (near, far): (Vec<&str>, Vec<&str>) = halls.into_iter().partition(is_near);
+        let deciders = |halls: Vec<&str>| halls.into_iter().filter_map(of_hall).collect();
+        (deciders(near), deciders(far))
     }
 
     // The gateways of a hall that come first, but this one: the largest, then by an order that all agree on.
-    fn first_of(&self, hall: &str, now: Duration, count: usize) -> Vec<&str> {
+    pub(super) fn first_of(&self, hall: &str, now: Duration, count: usize) -> Vec<&str> {
         let of_hall = self.peers.iter().filter(|(_, peer)| peer.hall == hall);
         let up = of_hall.filter(|(_, peer)| !peer.is_down(now));
         let mut ordered: Vec<_> = up.map(|(name, peer)| (place(name, peer), name)).collect();
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use limits::{QuotaState, RepeatBudget};
-use routing::placement::{Placement, Ticket};
+use routing::placement::{bytes_across, Placement, Ticket, Work};
 use schema::settings::GatewaySettings;
 use slog::{info, Logger};
 use telemetry::{Counter, Metrics};
@@ -16,6 +16,7 @@
 use crate::decisions::Asking;
 use crate::freshness::{Ages, Freshness};
 use crate::job::Job;
+use crate::room::Room;
 use crate::state::{sent_of, State};
 use crate::tally::Tally;
 use crate::update::Update;
@@ -40,6 +41,7 @@
     pub endpoints_changed: Notify,
     pub in_flight: Cell<usize>,
     pub asking: Asking,
+    pub room: Room,
     tallies: flume::Sender<Tally>,
 }
 
@@ -58,7 +60,9 @@
 
 impl<D> Traffic<D> {
     pub fn new(parts: TrafficParts<D>) -> Self {
-        let state = State::new(parts.settings);
+        let mib = parts.settings.memory_mib.max(0) as u64;
+        let room = Room::new(parts.clock, mib);
+        let state = State::new(parts.settings, room.ledger());
         Traffic {
             dialect: parts.dialect,
             clock: parts.clock,
@@ -70,6 +74,7 @@
             endpoints_changed: Notify::new(),
             in_flight: Cell::new(0),
             asking: Asking::default(),
+            room,
             tallies: parts.tallies,
         }
     }
@@ -118,7 +123,10 @@
                     }
                 }
             }
-            Update::Settings(settings) => state.settings = settings,
+            Update::WayMeasured { hall, round_trip } => {
+                state.board.ways_mut().measured(&hall, round_trip);
+            }
+            Update::Settings(settings) => state.set_settings(now, settings),
             Update::RolloutOrdered(order) => state.gates.order(order),
             Update::RolloutWithdrawn(service) => state.gates.withdraw(&service),
             Update::RolloutStage {
@@ -136,7 +144,8 @@
         let longest = Ages::of(&state.settings).keys;
         let fresh = self.freshness.allows_keys(self.clock.now(), longest);
         let places = state.endpoints_known || !state.fleet.decides;
-        state.directory.is_some() && places && fresh && !self.freshness.is_stopping()
+        let takes = !self.freshness.is_stopping() && !self.room.is_paused();
+        state.directory.is_some() && places && fresh && takes
     }
 
     /// Notes that a job goes to an endpoint.
@@ -155,6 +164,29 @@
         ticket
     }
 
+    /// Counts and logs what was decided about leaving the region.
+    pub fn note_departure(&self, id: &str, work: &Work, placement: &Placement) {
+        if placement.kept_for_link {
+            self.metrics.count(Counter::RegionDeclined);
+            info!(self.log, "kept in region, the link has no room"; "id" => id, "service" => &work.service,
+                "bytes" => bytes_across(work), "expected_ms" => placement.expected_ms as u64);
+        }
+        if placement.bytes_across == 0 {
+            return;
+        }
+        self.metrics.count(Counter::RegionSent);
+        self.metrics
+            .add(Counter::RegionBytes, placement.bytes_across);
+        let way_ms = {
+            let state = self.state.borrow();
+            state.board.ways().round_trip_ms(&placement.hall)
+        };
+        info!(self.log, "leaves region"; "id" => id, "service" => &work.service,
+            "hall" => &placement.hall, "bytes" => placement.bytes_across, "way_ms" => way_ms as u64,
+            "expected_ms" => placement.expected_ms as u64,
+            "home_ms" => placement.home_ms.map(|ms| ms as u64));
+    }
+
     /// Whether the others are to know of a prompt at once.
     pub fn is_long(&self, unread_tokens: u32) -> bool {
         unread_tokens >= LONG_PROMPT_TOKENS
@@ -233,6 +265,7 @@
                 _ = pause.tick() => {
                     let now = self.clock.now();
                     self.state.borrow_mut().pool.sweep(now);
+                    self.look_at_memory();
                     self.send_tally();
                 }
             }
--- a/components/routing/src/placement/board.rs
+++ b/components/routing/src/placement/board.rs
@@ -4,14 +4,19 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use directory::{Configuration, Endpoint};
+use directory::{Configuration, Endpoint, Engine};
+use engine::Learner;
+use topology::Topology;
 
 use crate::endpoint::Reading;
+use crate::placement::departure::Links;
+use crate::placement::engines::Span;
 use crate::placement::mix::Mix;
 use crate::placement::pace::{with_rate_sample, Pace};
 use crate::placement::service::ServiceSlots;
 use crate::placement::slot::Slot;
 use crate::placement::unknown::Unknown;
+use crate::placement::way::Ways;
 use crate::placement::{beginnings, endpoint_hash, PeerDispatch, Verdict, Versions, Work};
 
 /// Where a request goes.
@@ -37,12 +42,21 @@
     pub version: Option<String>,
     /// Whether the endpoint is slow from its start, so that its answers say nothing of its version.
     pub is_cold: bool,
+    /// Its data hall.
+    pub hall: String,
+    /// Expected time at the best endpoint of the own region, in milliseconds, for a request that leaves it; `None` if
+    /// it stays or no endpoint there takes work.
+    pub home_ms: Option<f64>,
+    /// Bytes on the link between regions that are counted for it, 0 if it stays.
+    pub bytes_across: u64,
+    /// Whether it stays in its region for want of room on the link.
+    pub kept_for_link: bool,
 }
 
 /// A request under way, as the board counts it.
 #[derive(Clone, Debug)]
 pub struct Ticket {
-    endpoint: String,
+    pub(super) endpoint: String,
     number: Option<u64>,
     sent_at: Duration,
     unread_tokens: u32,
@@ -50,46 +64,57 @@
     first_at: Option<Duration>,
     // Nothing was to be read before it when it was sent.
     alone: bool,
+    // What its events show of the engine.
+    pub(super) span: Span,
 }
 
 /// Everything known of the endpoints of all services.
 #[derive(Debug)]
 pub struct Board {
-    // Own data hall.
-    pub(super) hall: String,
+    pub(super) ways: Ways,
+    pub(super) links: Links,
+    // Halls of the endpoints; a slot names its hall by its place here.
+    pub(super) halls: Vec<String>,
     pub(super) services: BTreeMap<String, ServiceSlots>,
     // Services by id of the endpoint, and ids by hash.
     service_of: HashMap<String, String>,
     hashes: HashMap<u64, String>,
     paces: BTreeMap<String, Pace>,
     pub(super) mixes: BTreeMap<String, Mix>,
-    // By weight of prompt: heavy ones are reported at once.
-    unknown_light: Unknown,
-    unknown_heavy: Unknown,
-    cache_tokens: BTreeMap<String, u64>,
+    // By place of the region and weight of prompt: heavy ones are reported at once.
+    pub(super) unknown: BTreeMap<(usize, bool), Unknown>,
+    pub(super) engines: BTreeMap<String, Engine>,
+    pub(super) learners: BTreeMap<String, Learner>,
 }
 
 impl Board {
-    /// An empty board of a gateway in a data hall.
+    /// An empty board of a gateway in a data hall, where there is one region.
     pub fn new(hall: &str) -> Self {
+        Self::in_topology(Topology::new(hall, "", &BTreeMap::new()))
+    }
+
+    /// An empty board of a gateway among data halls.
+    pub fn in_topology(topology: Topology) -> Self {
         Board {
-            hall: hall.to_string(),
+            ways: Ways::new(topology),
+            links: Links::default(),
+            halls: Vec::new(),
             services: BTreeMap::new(),
             service_of: HashMap::new(),
             hashes: HashMap::new(),
             paces: BTreeMap::new(),
             mixes: BTreeMap::new(),
-            unknown_light: Unknown::default(),
-            unknown_heavy: Unknown::default(),
-            cache_tokens: BTreeMap::new(),
+            unknown: BTreeMap::new(),
+            engines: BTreeMap::new(),
+            learners: BTreeMap::new(),
         }
     }
 
-    /// Takes the engines' memory sizes of a configuration.
+    /// Takes what a configuration says of engines.
     pub fn configure(&mut self, configuration: &Configuration) {
         let engines = configuration.services.iter();
-        self.cache_tokens = engines
-            .filter_map(|(name, s)| Some((name.clone(), s.engine.as_ref()?.cache_tokens)))
+        self.engines = engines
+            .filter_map(|(name, s)| Some((name.clone(), s.engine.clone()?)))
             .collect();
     }
 
@@ -100,9 +125,12 @@
             return;
         }
         let (id, service) = (endpoint.id.clone(), endpoint.service.clone());
-        let cache_tokens = self.cache_tokens.get(&service);
-        let mut slot = Slot::new(now, endpoint, cache_tokens.copied().unwrap_or(u64::MAX));
-        slot.is_engine = cache_tokens.is_some();
+        let engine = self.engines.get(&service);
+        let cache_tokens = engine.map_or(u64::MAX, |engine| engine.cache_tokens);
+        let mut slot = Slot::new(now, endpoint, cache_tokens);
+        slot.is_engine = engine.is_some();
+        slot.hall = self.place_of_hall(&slot.spec.zone);
+        slot.region = self.ways.topology().place_of(&slot.spec.zone);
         self.hashes.insert(endpoint_hash(&id), id.clone());
         self.services
             .entry(service.clone())
@@ -135,13 +163,18 @@
         slots.get(id).map(|slot| &slot.spec)
     }
 
+    /// How many endpoints it holds.
+    pub fn endpoint_count(&self) -> usize {
+        self.service_of.len()
+    }
+
     /// All endpoints.
     pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
         let slots = self.services.values().flat_map(ServiceSlots::iter);
         slots.map(|slot| &slot.spec)
     }
 
-    fn slot_mut(&mut self, id: &str) -> Option<&mut Slot> {
+    pub(super) fn slot_mut(&mut self, id: &str) -> Option<&mut Slot> {
         let service = self.service_of.get(id)?;
         self.services.get_mut(service)?.get_mut(id)
     }
@@ -151,14 +184,6 @@
         self.paces.get(service)?.known_rate()
     }
 
-    /// Requests of others that are not known here, by weight of their prompts.
-    pub(super) fn unknown(&mut self, heavy: bool) -> &mut Unknown {
-        match heavy {
-            true => &mut self.unknown_heavy,
-            false => &mut self.unknown_light,
-        }
-    }
-
     pub(super) fn pace(&self, service: &str) -> Pace {
         self.paces.get(service).copied().unwrap_or_default()
     }
@@ -173,6 +198,7 @@
             answer_tokens: work.answer_tokens,
             first_at: None,
             alone: false,
+            span: Span::default(),
         };
         let Some(slot) = self.slot_mut(&placement.endpoint) else {
             return ticket;
@@ -228,8 +254,9 @@
         if !ticket.alone {
             return;
         }
-        let took = ms(now.saturating_sub(ticket.sent_at));
-        let service = slot.spec.service.clone();
+        let (service, hall) = (slot.spec.service.clone(), slot.spec.zone.clone());
+        let way = self.ways.beyond_region_ms(&hall);
+        let took = ms(now.saturating_sub(ticket.sent_at)) - way;
         let pace = self.paces.entry(service).or_default();
         let (sample, pace) = (pace.first_token(ticket.unread_tokens, took), *pace);
         if let (Some(sample), Some(slot)) = (sample, self.slot_mut(&ticket.endpoint)) {
@@ -247,10 +274,11 @@
             slot.queue.drop_entry(now, number);
         }
         slot.judge(now, verdict);
-        let service = slot.spec.service.clone();
+        let (service, hall) = (slot.spec.service.clone(), slot.spec.zone.clone());
         if verdict == Verdict::Sound {
+            let way = self.ways.beyond_region_ms(&hall);
             let pace = self.paces.entry(service).or_default();
-            pace.ended(ms(now.saturating_sub(ticket.sent_at)));
+            pace.ended((ms(now.saturating_sub(ticket.sent_at)) - way).max(0.0));
             if let Some(first) = ticket.first_at.filter(|_| ticket.answer_tokens > 0) {
                 pace.answered(ticket.answer_tokens, ms(now.saturating_sub(first)));
             }
@@ -272,7 +300,7 @@
         let Some(slot) = self.slot_mut(&id) else {
             return;
         };
-        let is_engine = slot.is_engine;
+        let (is_engine, region) = (slot.is_engine, slot.region);
         let service = slot.spec.service.clone();
         slot.other_sent(dispatch.sent_at, dispatch.hold);
         if dispatch.unread_tokens > 0 {
@@ -286,7 +314,8 @@
         }
         let age = now.saturating_sub(dispatch.sent_at);
         let heavy = self.pace(&service).reads_long(dispatch.unread_tokens);
-        self.unknown(heavy).note(now, age);
+        let unknown = self.unknown.entry((region, heavy)).or_default();
+        unknown.note(now, age);
     }
 
     /// Ready endpoints of a service whose version may run a request.
@@ -302,19 +331,6 @@
             .count()
     }
 
-    /// Requests expected at the ready endpoints of a service, and the slots of these.
-    pub fn occupancy(&mut self, now: Duration, service: &str) -> (u32, u32) {
-        let mut sum = (0, 0);
-        let Some(slots) = self.services.get_mut(service) else {
-            return sum;
-        };
-        for slot in slots.iter_mut().filter(|slot| slot.spec.is_ready()) {
-            sum.0 += slot.load(now);
-            sum.1 += slot.spec.slots;
-        }
-        sum
-    }
-
     // Own requests and those of others alike, so that all gateways see the same mix.
     fn note_mix(&mut self, service: &str, unread_tokens: u32, hold: Duration) {
         let tokens = f64::from(unread_tokens);
--- a/components/schema/src/messages.rs
+++ b/components/schema/src/messages.rs
@@ -2367,10 +2367,32 @@
     pub rollouts: Option<Vec<Box<RolloutReport>>>,
     /// What the sender saw endpoints answer since a roll-out was ordered; for the holder.
     pub evidence: Option<Vec<Box<EvidenceReport>>>,
+    /// Among several regions: when a message of one coordinator came, from which it reckons the way.
+    pub echo: Option<Box<Echo>>,
+    /// What the sender saw of engines; for coordinators.
+    pub engines: Option<Vec<Box<EngineReport>>>,
 }
 
 impl Gossip {
-    pub fn new<F10, F11, F12, F13, F14, F15, F16, F17, F18, F19, F20, F21, F22, F23, F24>(
+    pub fn new<
+        F10,
+        F11,
+        F12,
+        F13,
+        F14,
+        F15,
+        F16,
+        F17,
+        F18,
+        F19,
+        F20,
+        F21,
+        F22,
+        F23,
+        F24,
+        F25,
+        F36,
+    >(
         gateway: String,
         incarnation: i64,
         sequence: i64,
@@ -2395,6 +2417,8 @@
         forwarded: F22,
         rollouts: F23,
         evidence: F24,
+        echo: F25,
+        engines: F36,
     ) -> Gossip
     where
         F10: Into<Option<Vec<TopicHead>>>,
@@ -2412,6 +2436,8 @@
         F22: Into<Option<Vec<Box<SourceUsage>>>>,
         F23: Into<Option<Vec<Box<RolloutReport>>>>,
         F24: Into<Option<Vec<Box<EvidenceReport>>>>,
+        F25: Into<Option<Box<Echo>>>,
+        F36: Into<Option<Vec<Box<EngineReport>>>>,
     {
         Gossip {
             gateway,
@@ -2438,6 +2464,8 @@
             forwarded: forwarded.into(),
             rollouts: rollouts.into(),
             evidence: evidence.into(),
+            echo: echo.into(),
+            engines: engines.into(),
         }
     }
 }
@@ -2469,6 +2497,8 @@
         let mut f_22: Option<Vec<Box<SourceUsage>>> = None;
         let mut f_23: Option<Vec<Box<RolloutReport>>> = None;
         let mut f_24: Option<Vec<Box<EvidenceReport>>> = None;
+        let mut f_25: Option<Box<Echo>> = None;
+        let mut f_36: Option<Vec<Box<EngineReport>>> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -2624,6 +2654,21 @@
                     i_prot.read_list_end()?;
                     f_24 = Some(val);
                 }
+                25 => {
+                    let val = Box::new(Echo::read_from_in_protocol(i_prot)?);
+                    f_25 = Some(val);
+                }
+                36 => {
+                    let list_ident = i_prot.read_list_begin()?;
+                    let mut val: Vec<Box<EngineReport>> =
+                        Vec::with_capacity(list_ident.size as usize);
+                    for _ in 0..list_ident.size {
+                        let list_elem_18 = Box::new(EngineReport::read_from_in_protocol(i_prot)?);
+                        val.push(list_elem_18);
+                    }
+                    i_prot.read_list_end()?;
+                    f_36 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -2674,6 +2719,8 @@
             forwarded: f_22,
             rollouts: f_23,
             evidence: f_24,
+            echo: f_25,
+            engines: f_36,
         };
         Ok(ret)
     }
@@ -2828,6 +2875,225 @@
             o_prot.write_list_end()?;
             o_prot.write_field_end()?
         }
+        if let Some(ref fld_var) = self.echo {
+            o_prot.write_field_begin(&TFieldIdentifier::new("echo", TType::Struct, 25))?;
+            fld_var.write_to_out_protocol(o_prot)?;
+            o_prot.write_field_end()?
+        }
+        if let Some(ref fld_var) = self.engines {
+            o_prot.write_field_begin(&TFieldIdentifier::new("engines", TType::List, 36))?;
+            o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, fld_var.len() as i32))?;
+            for e in fld_var {
+                e.write_to_out_protocol(o_prot)?;
+            }
+            o_prot.write_list_end()?;
+            o_prot.write_field_end()?
+        }
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
+//
+// Echo
+//
+
+/// When a message of another gateway came.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Echo {
+    /// Hash of that gateway's name.
+    pub gateway: i64,
+    /// Its uptime_ms.
+    pub uptime_ms: i64,
+    /// Time since it came, in microseconds.
+    pub held_us: i64,
+}
+
+impl Echo {
+    pub fn new(gateway: i64, uptime_ms: i64, held_us: i64) -> Echo {
+        Echo {
+            gateway,
+            uptime_ms,
+            held_us,
+        }
+    }
+}
+
+impl TSerializable for Echo {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Echo> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<i64> = None;
+        let mut f_2: Option<i64> = None;
+        let mut f_3: Option<i64> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = i_prot.read_i64()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = i_prot.read_i64()?;
+                    f_2 = Some(val);
+                }
+                3 => {
+                    let val = i_prot.read_i64()?;
+                    f_3 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("Echo.gateway", &f_1)?;
+        verify_required_field_exists("Echo.uptime_ms", &f_2)?;
+        verify_required_field_exists("Echo.held_us", &f_3)?;
+        let ret = Echo {
+            gateway: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            uptime_ms: f_2
+                .expect("auto-generated code should have checked for presence of required fields"),
+            held_us: f_3
+                .expect("auto-generated code should have checked for presence of required fields"),
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("Echo");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("gateway", TType::I64, 1))?;
+        o_prot.write_i64(self.gateway)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("uptime_ms", TType::I64, 2))?;
+        o_prot.write_i64(self.uptime_ms)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("held_us", TType::I64, 3))?;
+        o_prot.write_i64(self.held_us)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
+//
+// EngineReport
+//
+
+/// What one gateway saw of a service's engines; reports of several gateways are added.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct EngineReport {
+    pub service_name: String,
+    /// Moments of the times of steps, in the order in which the gateways name them.
+    pub steps: Vec<OrderedFloat<f64>>,
+    /// Streams by the time that they allow for a token.
+    pub allowed: Vec<OrderedFloat<f64>>,
+}
+
+impl EngineReport {
+    pub fn new(
+        service_name: String,
+        steps: Vec<OrderedFloat<f64>>,
+        allowed: Vec<OrderedFloat<f64>>,
+    ) -> EngineReport {
+        EngineReport {
+            service_name,
+            steps,
+            allowed,
+        }
+    }
+}
+
+impl TSerializable for EngineReport {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<EngineReport> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<String> = None;
+        let mut f_2: Option<Vec<OrderedFloat<f64>>> = None;
+        let mut f_3: Option<Vec<OrderedFloat<f64>>> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = i_prot.read_string()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let list_ident = i_prot.read_list_begin()?;
+                    let mut val: Vec<OrderedFloat<f64>> =
+                        Vec::with_capacity(list_ident.size as usize);
+                    for _ in 0..list_ident.size {
+                        let list_elem_19 = OrderedFloat::from(i_prot.read_double()?);
+                        val.push(list_elem_19);
+                    }
+                    i_prot.read_list_end()?;
+                    f_2 = Some(val);
+                }
+                3 => {
+                    let list_ident = i_prot.read_list_begin()?;
+                    let mut val: Vec<OrderedFloat<f64>> =
+                        Vec::with_capacity(list_ident.size as usize);
+                    for _ in 0..list_ident.size {
+                        let list_elem_20 = OrderedFloat::from(i_prot.read_double()?);
+                        val.push(list_elem_20);
+                    }
+                    i_prot.read_list_end()?;
+                    f_3 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("EngineReport.service_name", &f_1)?;
+        verify_required_field_exists("EngineReport.steps", &f_2)?;
+        verify_required_field_exists("EngineReport.allowed", &f_3)?;
+        let ret = EngineReport {
+            service_name: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            steps: f_2
+                .expect("auto-generated code should have checked for presence of required fields"),
+            allowed: f_3
+                .expect("auto-generated code should have checked for presence of required fields"),
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("EngineReport");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("service_name", TType::String, 1))?;
+        o_prot.write_string(&self.service_name)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("steps", TType::List, 2))?;
+        o_prot.write_list_begin(&TListIdentifier::new(
+            TType::Double,
+            self.steps.len() as i32,
+        ))?;
+        for e in &self.steps {
+            o_prot.write_double((*e).into())?;
+        }
+        o_prot.write_list_end()?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("allowed", TType::List, 3))?;
+        o_prot.write_list_begin(&TListIdentifier::new(
+            TType::Double,
+            self.allowed.len() as i32,
+        ))?;
+        for e in &self.allowed {
+            o_prot.write_double((*e).into())?;
+        }
+        o_prot.write_list_end()?;
+        o_prot.write_field_end()?;
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -3009,9 +3275,9 @@
                     let map_ident = i_prot.read_map_begin()?;
                     let mut val: BTreeMap<i32, i64> = BTreeMap::new();
                     for _ in 0..map_ident.size {
-                        let map_key_18 = i_prot.read_i32()?;
-                        let map_val_19 = i_prot.read_i64()?;
-                        val.insert(map_key_18, map_val_19);
+                        let map_key_21 = i_prot.read_i32()?;
+                        let map_val_22 = i_prot.read_i64()?;
+                        val.insert(map_key_21, map_val_22);
                     }
                     i_prot.read_map_end()?;
                     f_4 = Some(val);
@@ -3116,8 +3382,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<AnswerCounts> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_20 = AnswerCounts::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_20);
+                        let list_elem_23 = AnswerCounts::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_23);
                     }
                     i_prot.read_list_end()?;
                     f_3 = Some(val);
@@ -3524,10 +3790,12 @@
     pub is_lost_when_cut: Option<bool>,
     /// Bytes of the request's body.
     pub body_bytes: Option<i32>,
+    /// Data hall of the sender, where there are several regions.
+    pub hall: Option<String>,
 }
 
 impl DecisionQuery {
-    pub fn new<F3, F11, F12, F13>(
+    pub fn new<F3, F11, F12, F13, F14>(
         number: i64,
         service_name: String,
         team: F3,
@@ -3541,12 +3809,14 @@
         route: F11,
         is_lost_when_cut: F12,
         body_bytes: F13,
+        hall: F14,
     ) -> DecisionQuery
     where
         F3: Into<Option<String>>,
         F11: Into<Option<i64>>,
         F12: Into<Option<bool>>,
         F13: Into<Option<i32>>,
+        F14: Into<Option<String>>,
     {
         DecisionQuery {
             number,
@@ -3562,6 +3832,7 @@
             route: route.into(),
             is_lost_when_cut: is_lost_when_cut.into(),
             body_bytes: body_bytes.into(),
+            hall: hall.into(),
         }
     }
 }
@@ -3582,6 +3853,7 @@
         let mut f_11: Option<i64> = None;
         let mut f_12: Option<bool> = None;
         let mut f_13: Option<i32> = None;
+        let mut f_14: Option<String> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -3621,8 +3893,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<PromptPart> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_21 = PromptPart::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_21);
+                        let list_elem_24 = PromptPart::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_24);
                     }
                     i_prot.read_list_end()?;
                     f_8 = Some(val);
@@ -3631,8 +3903,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_22 = i_prot.read_i64()?;
-                        val.push(list_elem_22);
+                        let list_elem_25 = i_prot.read_i64()?;
+                        val.push(list_elem_25);
                     }
                     i_prot.read_list_end()?;
                     f_9 = Some(val);
@@ -3653,6 +3925,10 @@
                     let val = i_prot.read_i32()?;
                     f_13 = Some(val);
                 }
+                14 => {
+                    let val = i_prot.read_string()?;
+                    f_14 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -3692,6 +3968,7 @@
             route: f_11,
             is_lost_when_cut: f_12,
             body_bytes: f_13,
+            hall: f_14,
         };
         Ok(ret)
     }
@@ -3763,6 +4040,11 @@
             o_prot.write_i32(fld_var)?;
             o_prot.write_field_end()?
         }
+        if let Some(ref fld_var) = self.hall {
+            o_prot.write_field_begin(&TFieldIdentifier::new("hall", TType::String, 14))?;
+            o_prot.write_string(fld_var)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -3790,10 +4072,14 @@
     pub weighed: i32,
     /// Version of the endpoint, while its answers are evidence in a roll-out.
     pub version: Option<String>,
+    /// Data hall of the endpoint.
+    pub hall: Option<String>,
+    /// Expected time at the best endpoint of the region that the request leaves, in milliseconds.
+    pub home_ms: Option<i32>,
 }
 
 impl PlacedAt {
-    pub fn new<F8>(
+    pub fn new<F8, F9, F10>(
         endpoint: String,
         address: String,
         unread_tokens: i32,
@@ -3802,9 +4088,13 @@
         hold_ms: i32,
         weighed: i32,
         version: F8,
+        hall: F9,
+        home_ms: F10,
     ) -> PlacedAt
     where
         F8: Into<Option<String>>,
+        F9: Into<Option<String>>,
+        F10: Into<Option<i32>>,
     {
         PlacedAt {
             endpoint,
@@ -3815,6 +4105,8 @@
             hold_ms,
             weighed,
             version: version.into(),
+            hall: hall.into(),
+            home_ms: home_ms.into(),
         }
     }
 }
@@ -3830,6 +4122,8 @@
         let mut f_6: Option<i32> = None;
         let mut f_7: Option<i32> = None;
         let mut f_8: Option<String> = None;
+        let mut f_9: Option<String> = None;
+        let mut f_10: Option<i32> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -3869,6 +4163,14 @@
                     let val = i_prot.read_string()?;
                     f_8 = Some(val);
                 }
+                9 => {
+                    let val = i_prot.read_string()?;
+                    f_9 = Some(val);
+                }
+                10 => {
+                    let val = i_prot.read_i32()?;
+                    f_10 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -3899,6 +4201,8 @@
             weighed: f_7
                 .expect("auto-generated code should have checked for presence of required fields"),
             version: f_8,
+            hall: f_9,
+            home_ms: f_10,
         };
         Ok(ret)
     }
@@ -3931,6 +4235,16 @@
             o_prot.write_string(fld_var)?;
             o_prot.write_field_end()?
         }
+        if let Some(ref fld_var) = self.hall {
+            o_prot.write_field_begin(&TFieldIdentifier::new("hall", TType::String, 9))?;
+            o_prot.write_string(fld_var)?;
+            o_prot.write_field_end()?
+        }
+        if let Some(fld_var) = self.home_ms {
+            o_prot.write_field_begin(&TFieldIdentifier::new("home_ms", TType::I32, 10))?;
+            o_prot.write_i32(fld_var)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -3948,18 +4262,22 @@
     pub retry_ms: Option<i64>,
     /// Unset where no endpoint takes work, or the limit is used up.
     pub placed: Option<PlacedAt>,
+    /// Set where only another region could take it: time until the link there has room, in milliseconds.
+    pub link_wait_ms: Option<i64>,
 }
 
 impl DecisionReply {
-    pub fn new<F2, F3>(number: i64, retry_ms: F2, placed: F3) -> DecisionReply
+    pub fn new<F2, F3, F4>(number: i64, retry_ms: F2, placed: F3, link_wait_ms: F4) -> DecisionReply
     where
         F2: Into<Option<i64>>,
         F3: Into<Option<PlacedAt>>,
+        F4: Into<Option<i64>>,
     {
         DecisionReply {
             number,
             retry_ms: retry_ms.into(),
             placed: placed.into(),
+            link_wait_ms: link_wait_ms.into(),
         }
     }
 }
@@ -3970,6 +4288,7 @@
         let mut f_1: Option<i64> = None;
         let mut f_2: Option<i64> = None;
         let mut f_3: Option<PlacedAt> = None;
+        let mut f_4: Option<i64> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -3989,6 +4308,10 @@
                     let val = PlacedAt::read_from_in_protocol(i_prot)?;
                     f_3 = Some(val);
                 }
+                4 => {
+                    let val = i_prot.read_i64()?;
+                    f_4 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -4002,6 +4325,7 @@
                 .expect("auto-generated code should have checked for presence of required fields"),
             retry_ms: f_2,
             placed: f_3,
+            link_wait_ms: f_4,
         };
         Ok(ret)
     }
@@ -4021,6 +4345,11 @@
             fld_var.write_to_out_protocol(o_prot)?;
             o_prot.write_field_end()?
         }
+        if let Some(fld_var) = self.link_wait_ms {
+            o_prot.write_field_begin(&TFieldIdentifier::new("link_wait_ms", TType::I64, 4))?;
+            o_prot.write_i64(fld_var)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -4203,11 +4532,24 @@
     pub topic: TopicName,
     /// Revision up to which the asking gateway knows all changes, 0 for none.
     pub after: i64,
+    /// Key of the last row that came; the reply goes on after it.
+    pub after_key: Option<String>,
+    /// Bytes of rows at most, but at least one row. Without it the reply holds all rows or is refused.
+    pub most_bytes: Option<i32>,
 }
 
 impl RowsQuery {
-    pub fn new(topic: TopicName, after: i64) -> RowsQuery {
-        RowsQuery { topic, after }
+    pub fn new<F3, F4>(topic: TopicName, after: i64, after_key: F3, most_bytes: F4) -> RowsQuery
+    where
+        F3: Into<Option<String>>,
+        F4: Into<Option<i32>>,
+    {
+        RowsQuery {
+            topic,
+            after,
+            after_key: after_key.into(),
+            most_bytes: most_bytes.into(),
+        }
     }
 }
 
@@ -4216,6 +4558,8 @@
         i_prot.read_struct_begin()?;
         let mut f_1: Option<TopicName> = None;
         let mut f_2: Option<i64> = None;
+        let mut f_3: Option<String> = None;
+        let mut f_4: Option<i32> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -4231,6 +4575,14 @@
                     let val = i_prot.read_i64()?;
                     f_2 = Some(val);
                 }
+                3 => {
+                    let val = i_prot.read_string()?;
+                    f_3 = Some(val);
+                }
+                4 => {
+                    let val = i_prot.read_i32()?;
+                    f_4 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -4245,6 +4597,8 @@
                 .expect("auto-generated code should have checked for presence of required fields"),
             after: f_2
                 .expect("auto-generated code should have checked for presence of required fields"),
+            after_key: f_3,
+            most_bytes: f_4,
         };
         Ok(ret)
     }
@@ -4257,6 +4611,16 @@
         o_prot.write_field_begin(&TFieldIdentifier::new("after", TType::I64, 2))?;
         o_prot.write_i64(self.after)?;
         o_prot.write_field_end()?;
+        if let Some(ref fld_var) = self.after_key {
+            o_prot.write_field_begin(&TFieldIdentifier::new("after_key", TType::String, 3))?;
+            o_prot.write_string(fld_var)?;
+            o_prot.write_field_end()?
+        }
+        if let Some(fld_var) = self.most_bytes {
+            o_prot.write_field_begin(&TFieldIdentifier::new("most_bytes", TType::I32, 4))?;
+            o_prot.write_i32(fld_var)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -4361,14 +4725,20 @@
     pub whole: bool,
     /// Revision up to which all changes are known.
     pub known_to: i64,
+    /// Whether rows with higher keys follow.
+    pub more: Option<bool>,
 }
 
 impl RowsReply {
-    pub fn new(rows: Vec<RowChange>, whole: bool, known_to: i64) -> RowsReply {
+    pub fn new<F4>(rows: Vec<RowChange>, whole: bool, known_to: i64, more: F4) -> RowsReply
+    where
+        F4: Into<Option<bool>>,
+    {
         RowsReply {
             rows,
             whole,
             known_to,
+            more: more.into(),
         }
     }
 }
@@ -4379,6 +4749,7 @@
         let mut f_1: Option<Vec<RowChange>> = None;
         let mut f_2: Option<bool> = None;
         let mut f_3: Option<i64> = None;
+        let mut f_4: Option<bool> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -4390,8 +4761,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<RowChange> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_23 = RowChange::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_23);
+                        let list_elem_26 = RowChange::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_26);
                     }
                     i_prot.read_list_end()?;
                     f_1 = Some(val);
@@ -4404,6 +4775,10 @@
                     let val = i_prot.read_i64()?;
                     f_3 = Some(val);
                 }
+                4 => {
+                    let val = i_prot.read_bool()?;
+                    f_4 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -4421,6 +4796,7 @@
                 .expect("auto-generated code should have checked for presence of required fields"),
             known_to: f_3
                 .expect("auto-generated code should have checked for presence of required fields"),
+            more: f_4,
         };
         Ok(ret)
     }
@@ -4440,6 +4816,11 @@
         o_prot.write_field_begin(&TFieldIdentifier::new("known_to", TType::I64, 3))?;
         o_prot.write_i64(self.known_to)?;
         o_prot.write_field_end()?;
+        if let Some(fld_var) = self.more {
+            o_prot.write_field_begin(&TFieldIdentifier::new("more", TType::Bool, 4))?;
+            o_prot.write_bool(fld_var)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -4602,9 +4983,9 @@
                     let map_ident = i_prot.read_map_begin()?;
                     let mut val: BTreeMap<String, i64> = BTreeMap::new();
                     for _ in 0..map_ident.size {
-                        let map_key_24 = i_prot.read_string()?;
-                        let map_val_25 = i_prot.read_i64()?;
-                        val.insert(map_key_24, map_val_25);
+                        let map_key_27 = i_prot.read_string()?;
+                        let map_val_28 = i_prot.read_i64()?;
+                        val.insert(map_key_27, map_val_28);
                     }
                     i_prot.read_map_end()?;
                     f_1 = Some(val);
--- a/components/schema/thrift/messages.thrift
+++ b/components/schema/thrift/messages.thrift
@@ -271,6 +271,29 @@
   23: optional list<RolloutReport> rollouts,
   /** What the sender saw endpoints answer since a roll-out was ordered; for the holder. */
   24: optional list<EvidenceReport> evidence,
+  /** Among several regions: when a message of one coordinator came, from which it reckons the way. */
+  25: optional Echo echo,
+  /** What the sender saw of engines; for coordinators. */
+  36: optional list<EngineReport> engines,
+}
+
+/** When a message of another gateway came. */
+struct Echo {
+  /** Hash of that gateway's name. */
+  1: required i64 gateway,
+  /** Its uptime_ms. */
+  2: required i64 uptime_ms,
+  /** Time since it came, in microseconds. */
+  3: required i64 held_us,
+}
+
+/** What one gateway saw of a service's engines; reports of several gateways are added. */
+struct EngineReport {
+  1: required string service_name,
+  /** Moments of the times of steps, in the order in which the gateways name them. */
+  2: required list<double> steps,
+  /** Streams by the time that they allow for a token. */
+  3: required list<double> allowed,
 }
 
 /** How far a roll-out is. */
@@ -373,6 +396,8 @@
   12: optional bool is_lost_when_cut,
   /** Bytes of the request's body. */
   13: optional i32 body_bytes,
+  /** Data hall of the sender, where there are several regions. */
+  14: optional string hall,
 }
 
 /** Where a request goes, as a coordinator decided. */
@@ -392,6 +417,10 @@
   7: required i32 weighed,
   /** Version of the endpoint, while its answers are evidence in a roll-out. */
   8: optional string version,
+  /** Data hall of the endpoint. */
+  9: optional string hall,
+  /** Expected time at the best endpoint of the region that the request leaves, in milliseconds. */
+  10: optional i32 home_ms,
 }
 
 /** Answer to a DecisionQuery. */
@@ -401,6 +430,8 @@
   2: optional i64 retry_ms,
   /** Unset where no endpoint takes work, or the limit is used up. */
   3: optional PlacedAt placed,
+  /** Set where only another region could take it: time until the link there has room, in milliseconds. */
+  4: optional i64 link_wait_ms,
 }
 
 /** Units that were charged by a coordinator and not used. */
@@ -421,6 +452,10 @@
   1: required TopicName topic,
   /** Revision up to which the asking gateway knows all changes, 0 for none. */
   2: required i64 after,
+  /** Key of the last row that came; the reply goes on after it. */
+  3: optional string after_key,
+  /** Bytes of rows at most, but at least one row. Without it the reply holds all rows or is refused. */
+  4: optional i32 most_bytes,
 }
 
 /** One row, without a value if it was dropped. */
@@ -437,6 +472,8 @@
   2: required bool whole,
   /** Revision up to which all changes are known. */
   3: required i64 known_to,
+  /** Whether rows with higher keys follow. */
+  4: optional bool more,
 }
 
 /** Row of one gateway in the store: where the others reach it. */
--- a/src/cmd/routes.rs
+++ b/src/cmd/routes.rs
@@ -1,16 +1,18 @@
 //! `croftpond routes`: which route, service and data hall a request takes on the users' platform.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::Arc;
 
 use directory::{Directory, Endpoint};
 use error_stack::{Report, ResultExt};
+use gateway::listing::read_all;
 use gateway::ports::{Row, Store, Topic};
 use platform::MetadataStore;
 use tokio::runtime::Builder;
 
-use super::{CommandError, Outcome, EXIT_FAILED};
+use super::{read_file, CommandError, Outcome, EXIT_FAILED};
 use crate::cli::Routes;
 
 const NO_ANSWER: CommandError =
@@ -27,7 +29,10 @@
         .change_context(CommandError("no runtime; raise the limits of the process"))?;
     let store = MetadataStore::new(address);
     let (directory, endpoints) = runtime.block_on(read(&store))?;
-    let explanation = directory.explain(&args.host, &args.path, &endpoints);
+    let mut explanation = directory.explain(&args.host, &args.path, &endpoints);
+    if let Some(path) = &args.gateway {
+        explanation.regions = regions(path)?;
+    }
     print!("{explanation}");
     Ok(match explanation.outcome {
         Ok(_) => ExitCode::SUCCESS,
@@ -35,6 +40,15 @@
     })
 }
 
+fn regions(path: &str) -> Result<BTreeMap<String, String>, Report<CommandError>> {
+    let settings = settings::read_gateway(path, &read_file(path)?);
+    let settings = settings.map_err(|faults| {
+        let error = CommandError("the settings cannot be read; see `croftpond check --gateway`");
+        Report::new(error).attach(faults.to_string())
+    })?;
+    Ok(settings.halls)
+}
+
 async fn read(store: &MetadataStore) -> Result<(Directory, Vec<Endpoint>), Report<CommandError>> {
     let key = store.configuration_key();
     let row = store.read(Topic::Configuration, key).await;
@@ -43,8 +57,9 @@
     let configuration = store.configuration(&value).map_err(|fault| {
         Report::new(CommandError("the configuration cannot be read")).attach(fault.0)
     })?;
-    let rows = store.list(Topic::Endpoints).await;
-    let rows = rows.map_err(|error| Report::new(NO_ANSWER).attach(error.to_string()))?;
+    let list = read_all(store, Topic::Endpoints, None, 0.0).await;
+    let list = list.map_err(|error| Report::new(NO_ANSWER).attach(error.to_string()))?;
+    let rows = list.rows;
     let endpoints = rows.rows.iter().filter_map(|row| endpoint_of(store, row));
     Ok((Directory::new(Arc::new(configuration)), endpoints.collect()))
 }
