Begin a fault soak: plan, stand-ins, links, checks

Cause: no run of ours injects faults into real gateways from outside. Ruled out: a subcommand of croftpond (a process of it starts none; the soak starts gateways). Change: workspace member soak/, with a plan drawn from a seed, stand-ins over sockets, and pure checks.

--- /dev/null
+++ b/soak/src/checks/view.rs
@@ -0,0 +1,227 @@
+//! A history by request, and by fault.
+
+use std::collections::BTreeMap;
+
+use crate::history::{Kind, Lack, Place, Record, Seen};
+
+/// A gateway counts as in touch after so long without a fault, in ms (`contactMs`).
+pub(super) const CONTACT: u64 = 3_000;
+
+/// What became of one request.
+pub(super) struct Request<'a> {
+    pub id: &'a str,
+    pub kind: Kind,
+    pub path: &'a str,
+    pub key: &'a str,
+    pub gateway: usize,
+    pub sent: u64,
+    /// Starts of its gateway before it was sent.
+    pub life: usize,
+    pub outcome: Option<(u64, &'a Seen)>,
+    /// When it began at endpoints, and where.
+    pub begun: Vec<(u64, &'a str)>,
+    /// An endpoint ended it badly on purpose.
+    pub broke_off: bool,
+}
+
+impl Request<'_> {
+    /// Status of its answer.
+    pub fn status(&self) -> Option<u16> {
+        match self.outcome {
+            Some((_, Seen::Answered { status, .. })) => Some(*status),
+            _ => None,
+        }
+    }
+
+    /// Whether its connection closed before a head came.
+    pub fn closed(&self) -> bool {
+        let closed = |seen: &Seen| {
+            matches!(
+                seen,
+                Seen::Unanswered {
+                    why: Lack::Closed,
+                    ..
+                }
+            )
+        };
+        self.outcome.is_some_and(|(_, seen)| closed(seen))
+    }
+}
+
+/// A time in which something was wrong.
+struct Span {
+    place: Place,
+    from: u64,
+    to: u64,
+}
+
+/// A history as the checks look at it.
+pub(super) struct View<'a> {
+    pub records: &'a [Record],
+    pub requests: BTreeMap<&'a str, Request<'a>>,
+    /// Configurations and when the store took them.
+    pub configured: Vec<(u64, u64)>,
+    /// End of the run.
+    pub end: u64,
+    faults: Vec<Span>,
+    restarts: Vec<Span>,
+}
+
+impl<'a> View<'a> {
+    /// Reads a history.
+    pub fn of(records: &'a [Record]) -> Self {
+        let end = records.last().map_or(0, |record| record.at);
+        let mut view = View {
+            records,
+            requests: BTreeMap::new(),
+            configured: Vec::new(),
+            end,
+            faults: Vec::new(),
+            restarts: Vec::new(),
+        };
+        let mut lives: BTreeMap<usize, usize> = BTreeMap::new();
+        let mut open: Vec<(Place, u64, usize)> = Vec::new();
+        for record in records {
+            view.read(record, &mut lives, &mut open);
+        }
+        for (place, from, _) in open {
+            view.faults.push(Span {
+                place,
+                from,
+                to: end,
+            });
+        }
+        view
+    }
+
+    fn read(
+        &mut self,
+        record: &'a Record,
+        lives: &mut BTreeMap<usize, usize>,
+        open: &mut Vec<(Place, u64, usize)>,
+    ) {
+        let at = record.at;
+        match &record.seen {
+            Seen::Sent {
+                id,
+                kind,
+                path,
+                key,
+                gateway,
+            } => {
+                let request = Request {
+                    id,
+                    kind: *kind,
+                    path,
+                    key,
+                    gateway: *gateway,
+                    sent: at,
+                    life: lives.get(gateway).copied().unwrap_or(0),
+                    outcome: None,
+                    begun: Vec::new(),
+                    broke_off: false,
+                };
+                self.requests.insert(id, request);
+            }
+            Seen::Answered { id, .. } | Seen::Unanswered { id, .. } => {
+                if let Some(request) = self.requests.get_mut(id.as_str()) {
+                    request.outcome = Some((at, &record.seen));
+                }
+            }
+            Seen::Began { id, endpoint, .. } => {
+                if let Some(request) = self.requests.get_mut(id.as_str()) {
+                    request.begun.push((at, endpoint));
+                }
+            }
+            Seen::BrokeOff { id } => {
+                if let Some(request) = self.requests.get_mut(id.as_str()) {
+                    request.broke_off = true;
+                }
+            }
+            Seen::Configured { version } => self.configured.push((at, *version)),
+            Seen::Fault { place, .. } => self.begin_fault(*place, at, open),
+            Seen::Healed { place, .. } => self.end_fault(*place, at, open),
+            Seen::Started { gateway } => {
+                *lives.entry(*gateway).or_default() += 1;
+                self.restart(*gateway, at, at);
+            }
+            Seen::Asked { gateway } => {
+                let back = self.next_start(*gateway, at);
+                self.restart(*gateway, at, back);
+            }
+            Seen::Gone { gateway, .. } => {
+                let back = self.next_start(*gateway, at);
+                self.restart(*gateway, at, back);
+            }
+            _ => {}
+        }
+    }
+
+    // Faults at one place may overlap; the place is sound again after the last.
+    fn begin_fault(&mut self, place: Place, at: u64, open: &mut Vec<(Place, u64, usize)>) {
+        match open.iter_mut().find(|(open, ..)| *open == place) {
+            Some((_, _, depth)) => *depth += 1,
+            None => open.push((place, at, 1)),
+        }
+    }
+
+    fn end_fault(&mut self, place: Place, to: u64, open: &mut Vec<(Place, u64, usize)>) {
+        let Some(index) = open.iter().position(|(open, ..)| *open == place) else {
+            return;
+        };
+        open[index].2 -= 1;
+        if open[index].2 == 0 {
+            let (place, from, _) = open.remove(index);
+            self.faults.push(Span { place, from, to });
+        }
+    }
+
+    fn restart(&mut self, gateway: usize, from: u64, to: u64) {
+        let place = Place::Gateway(gateway);
+        self.restarts.push(Span { place, from, to });
+    }
+
+    fn next_start(&self, gateway: usize, after: u64) -> u64 {
+        let starts = self.records.iter().filter(|record| record.at >= after);
+        let mut starts = starts.filter(|record| record.seen == Seen::Started { gateway });
+        starts.next().map_or(self.end, |record| record.at)
+    }
+
+    /// Whether a place was without a fault all the time.
+    pub fn is_sound(&self, place: Place, from: u64, to: u64) -> bool {
+        is_clear(&self.faults, place, from, to)
+    }
+
+    /// Whether a gateway and the store were without a fault and a restart for long enough.
+    pub fn is_in_touch(&self, gateway: usize, from: u64, to: u64) -> bool {
+        let from = from.saturating_sub(CONTACT);
+        let place = Place::Gateway(gateway);
+        is_clear(&self.faults, place, from, to)
+            && is_clear(&self.faults, Place::Store, from, to)
+            && is_clear(&self.restarts, place, from, to)
+    }
+
+    /// When the last fault at a place ended before a time.
+    pub fn last_healed(&self, place: Place, before: u64) -> Option<u64> {
+        let ended = self.faults.iter().filter(|span| span.place == place);
+        let ended = ended.map(|span| span.to).filter(|to| *to <= before);
+        ended.max()
+    }
+
+    /// The newest configuration that the store had taken by a time.
+    pub fn newest(&self, at: u64) -> u64 {
+        let taken = self.configured.iter().filter(|(taken, _)| *taken <= at);
+        taken.map(|(_, version)| *version).max().unwrap_or(0)
+    }
+}
+
+fn is_clear(spans: &[Span], place: Place, from: u64, to: u64) -> bool {
+    let mut spans = spans.iter().filter(|span| span.place == place);
+    spans.all(|span| span.to < from || span.from > to)
+}
+
+/// The place of an endpoint, from its id (`eINDEX-INCARNATION`).
+pub(super) fn place_of(endpoint: &str) -> Option<Place> {
+    let index = endpoint.strip_prefix('e')?.split('-').next()?;
+    Some(Place::Endpoint(index.parse().ok()?))
+}
--- /dev/null
+++ b/soak/src/main.rs
@@ -0,0 +1,59 @@
+//! `soak`: plays a plan of faults against gateways on loopback, and judges what was seen.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use soak::{run, Options, Plan};
+
+/// Injects faults into croftpond gateways on loopback and checks what their surroundings saw.
+#[derive(FromArgs)]
+struct Cli {
+    /// seed of the plan (default 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// seconds of the run, at least 30 (default 60)
+    #[argh(option, default = "60")]
+    seconds: u64,
+    /// gateways, 1 to 12 (default 6)
+    #[argh(option, default = "6")]
+    gateways: usize,
+    /// the croftpond program (default target/release/croftpond)
+    #[argh(option, default = "PathBuf::from(\"target/release/croftpond\")")]
+    program: PathBuf,
+    /// folder for settings, logs and the history (default target/soak)
+    #[argh(option, default = "PathBuf::from(\"target/soak\")")]
+    out: PathBuf,
+    /// print the plan and stop
+    #[argh(switch)]
+    plan: bool,
+}
+
+fn main() -> ExitCode {
+    let cli: Cli = argh::from_env();
+    if cli.seconds < 30 || !(1..=12).contains(&cli.gateways) {
+        eprintln!("take at least 30 seconds, and 1 to 12 gateways");
+        return ExitCode::from(2);
+    }
+    let plan = Plan::new(cli.seed, cli.seconds, cli.gateways);
+    print!("{plan}");
+    if cli.plan {
+        return ExitCode::SUCCESS;
+    }
+    let options = Options {
+        program: cli.program,
+        out: cli.out,
+        progress: true,
+    };
+    match run(&plan, &options) {
+        Ok(report) => {
+            print!("{report}");
+            println!("{}", report.to_json());
+            ExitCode::from(u8::from(!report.findings.is_empty()))
+        }
+        Err(error) => {
+            eprintln!("the soak could not run: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/soak/src/plan.rs
@@ -0,0 +1,251 @@
+//! What happens when: drawn from a seed, the same each time.
+
+use std::fmt;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+
+/// Time in which everything starts, in ms.
+const START: u64 = 4_000;
+/// Time before the end at which all gateways are killed, in ms. It holds the 12 s in which the
+/// users' rules let a fleet come back, and some seconds in which all must serve.
+const LAST_FAULT: u64 = 17_000;
+/// Length of a bout of faults, in ms.
+const BOUT: u64 = 4_500;
+/// Calm after a bout, in ms: long enough that gateways count as in touch (3 s) and a bound of 2 s
+/// then runs out.
+const CALM: u64 = 7_000;
+/// Time into a calm at which the operator acts, in ms.
+const CHANGE_IN_CALM: u64 = 3_800;
+
+/// One act from outside.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub enum Act {
+    /// Stops a gateway's process for some ms.
+    Pause { gateway: usize, ms: u64 },
+    /// Kills a gateway and starts it again after some ms.
+    Kill { gateway: usize, ms: u64 },
+    /// Asks a gateway to stop; it is started again when it is gone.
+    Stop { gateway: usize },
+    /// Tells a gateway that its settings may have changed.
+    Reload { gateway: usize },
+    /// Makes the way between a gateway and the store bad for some ms.
+    Link {
+        gateway: usize,
+        how: Way,
+        ms: u64,
+    },
+    /// Makes the way between one region's gateways and the store bad for some ms.
+    Region { how: Way, ms: u64 },
+    /// Makes the way to an endpoint bad for some ms.
+    EndpointLink { endpoint: usize, how: Way, ms: u64 },
+    /// Makes the store bad for some ms.
+    Store { how: Mood, ms: u64 },
+    /// The store forgets its history.
+    Forget,
+    /// The store turns a gateway away for some ms.
+    TurnAway { gateway: usize, ms: u64 },
+    /// The operator writes the next configuration.
+    Configure,
+    /// An endpoint says that it leaves, and is replaced.
+    Leave { endpoint: usize },
+    /// An endpoint ends without a word, and is replaced.
+    Crash { endpoint: usize },
+    /// All gateways are killed and started again.
+    KillAll,
+}
+
+/// What is wrong with a way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum Way {
+    /// Nothing.
+    Sound,
+    /// Bytes take so many ms longer.
+    Delayed(u64),
+    /// Connections are reset and refused.
+    Cut,
+    /// Bytes of neither side arrive.
+    Silent,
+    /// What is asked arrives, what is answered doesn't.
+    OneWay,
+    /// So many bytes a second pass.
+    Thin(u64),
+}
+
+/// What is wrong with the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum Mood {
+    /// Nothing.
+    Good,
+    /// Answers take so many ms longer.
+    Slow(u64),
+    /// Every call gets 503.
+    Down,
+    /// Some calls are done and never answered.
+    Loses,
+    /// Some writes are neither answered nor done until later, if their condition then holds.
+    Late,
+}
+
+/// An act and its time.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Step {
+    /// Milliseconds since the start.
+    pub at: u64,
+    /// What happens.
+    pub act: Act,
+}
+
+/// A whole run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Plan {
+    /// What it is drawn from.
+    pub seed: u64,
+    /// Length of the run, in seconds.
+    pub seconds: u64,
+    /// Gateways.
+    pub gateways: usize,
+    /// Endpoints.
+    pub endpoints: usize,
+    /// Acts in order of time.
+    pub steps: Vec<Step>,
+}
+
+impl Plan {
+    /// Draws a plan.
+    pub fn new(seed: u64, seconds: u64, gateways: usize) -> Self {
+        let endpoints = (gateways + 2).min(8);
+        let last = (seconds * 1000).saturating_sub(LAST_FAULT);
+        let mut draw = Draw {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            gateways,
+            endpoints,
+        };
+        let mut steps = Vec::new();
+        let mut at = START;
+        while at < last {
+            draw.bout(at, last, &mut steps);
+            at += BOUT + CALM;
+        }
+        steps.push(Step {
+            at: last,
+            act: Act::KillAll,
+        });
+        steps.sort_by_key(|step| step.at);
+        Plan {
+            seed,
+            seconds,
+            gateways,
+            endpoints,
+            steps,
+        }
+    }
+}
+
+impl fmt::Display for Plan {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Plan {
+            seed,
+            seconds,
+            gateways,
+            endpoints,
+            steps,
+        } = self;
+        writeln!(
+            f,
+            "plan: seed {seed}, {seconds} s, {gateways} gateways, {endpoints} endpoints"
+        )?;
+        for step in steps {
+            writeln!(f, "  {:>6} ms  {:?}", step.at, step.act)?;
+        }
+        Ok(())
+    }
+}
+
+struct Draw {
+    rng: ChaCha8Rng,
+    gateways: usize,
+    endpoints: usize,
+}
+
+impl Draw {
+    // Overlapping faults, then a calm in which the operator acts.
+    fn bout(&mut self, from: u64, last: u64, steps: &mut Vec<Step>) {
+        let mut at = from;
+        while at < (from + BOUT).min(last) {
+            let longest = (from + BOUT + 500).saturating_sub(at).max(400);
+            let act = self.fault(longest);
+            steps.push(Step { at, act });
+            at += self.rng.random_range(150..1_000);
+        }
+        let change = from + BOUT + CHANGE_IN_CALM;
+        if change < last {
+            let act = Act::Configure;
+            steps.push(Step { at: change, act });
+            let endpoint = self.rng.random_range(0..self.endpoints);
+            let act = Act::Leave { endpoint };
+            steps.push(Step {
+                at: change + 100,
+                act,
+            });
+        }
+    }
+
+    fn fault(&mut self, longest: u64) -> Act {
+        let gateway = self.rng.random_range(0..self.gateways);
+        let endpoint = self.rng.random_range(0..self.endpoints);
+        let ms = self.rng.random_range(200..=longest.max(201));
+        match self.rng.random_range(0..16) {
+            0 | 1 => Act::Pause { gateway, ms },
+            2 | 3 => Act::Kill {
+                gateway,
+                ms: ms.min(1_000),
+            },
+            4 | 5 => Act::Stop { gateway },
+            6 => Act::Reload { gateway },
+            7 | 8 => Act::Link {
+                gateway,
+                how: self.way(),
+                ms,
+            },
+            9 => Act::Region {
+                how: self.way(),
+                ms,
+            },
+            10 => Act::EndpointLink {
+                endpoint,
+                how: self.way(),
+                ms,
+            },
+            11 => Act::Store {
+                how: self.mood(),
+                ms,
+            },
+            12 => Act::Forget,
+            13 => Act::TurnAway { gateway, ms },
+            14 => Act::Configure,
+            _ => Act::Crash { endpoint },
+        }
+    }
+
+    fn way(&mut self) -> Way {
+        match self.rng.random_range(0..5) {
+            0 => Way::Delayed(self.rng.random_range(20..400)),
+            1 => Way::Cut,
+            2 => Way::Silent,
+            3 => Way::OneWay,
+            _ => Way::Thin(self.rng.random_range(2_000..20_000)),
+        }
+    }
+
+    fn mood(&mut self) -> Mood {
+        match self.rng.random_range(0..4) {
+            0 => Mood::Slow(self.rng.random_range(100..900)),
+            1 => Mood::Down,
+            2 => Mood::Loses,
+            _ => Mood::Late,
+        }
+    }
+}
--- /dev/null
+++ b/soak/src/standins/client.rs
@@ -0,0 +1,293 @@
+//! Clients: they keep a connection until it is closed; some read slowly, some leave.
+
+use std::io::{ErrorKind, Result};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::endpoint::events_of;
+use super::operator::{HOST, STEADY_KEY};
+use super::body_of;
+use crate::history::{Body, History, Kind, Lack, Seen};
+use crate::http::{Connection, Head};
+
+/// Time a client gives a request, in ms.
+const DEADLINE_MS: u64 = 4_000;
+/// A client waits so much longer than that.
+const PATIENCE: Duration = Duration::from_millis(1_500);
+/// A new connection is given so long.
+const CONNECT: Duration = Duration::from_secs(1);
+/// A slow client reads such pieces with such pauses.
+const SLOW_PIECE: usize = 32 << 10;
+const SLOW_PAUSE: Duration = Duration::from_millis(25);
+/// A client that leaves does so after that time.
+const LEAVE_AFTER: Duration = Duration::from_millis(25);
+/// Bytes of a large request.
+const LARGE: usize = 200_000;
+
+/// What all clients know.
+pub(crate) struct Shared {
+    pub history: History,
+    /// Addresses of the gateways.
+    pub gateways: Vec<SocketAddr>,
+    /// Which of them said that they are ready.
+    pub ready: Mutex<Vec<bool>>,
+    /// The newest configuration that the store took.
+    pub newest: AtomicU64,
+    /// The run is over.
+    pub over: AtomicBool,
+}
+
+/// One client.
+pub(crate) struct Client {
+    number: usize,
+    made: u64,
+    reads_slowly: bool,
+    rng: ChaCha8Rng,
+    shared: Arc<Shared>,
+    connection: Option<(usize, Connection)>,
+}
+
+struct Asking {
+    id: String,
+    kind: Kind,
+    text: Vec<u8>,
+    leaves: bool,
+}
+
+impl Client {
+    /// A client that draws from a seed of its own.
+    pub fn new(number: usize, seed: u64, shared: &Arc<Shared>) -> Self {
+        Client {
+            number,
+            made: 0,
+            reads_slowly: number % 6 == 5,
+            rng: ChaCha8Rng::seed_from_u64(seed ^ (number as u64) << 32),
+            shared: Arc::clone(shared),
+            connection: None,
+        }
+    }
+
+    /// Sends requests until the run is over.
+    pub fn run(mut self) {
+        while !self.shared.over.load(Ordering::Relaxed) {
+            let pause = self.rng.random_range(10..90);
+            thread::sleep(Duration::from_millis(pause));
+            self.ask();
+        }
+    }
+
+    fn ask(&mut self) {
+        let Some((gateway, mut connection)) = self.connected() else {
+            return;
+        };
+        let asking = self.draw(gateway);
+        let id = asking.id.clone();
+        if connection.send(&asking.text).is_err() {
+            return self.none(id, Lack::Closed);
+        }
+        if asking.leaves {
+            thread::sleep(LEAVE_AFTER);
+            return self.none(id, Lack::Left);
+        }
+        let head = match connection.head() {
+            Ok(head) => head,
+            Err(error) => return self.none(id, lack(error.kind())),
+        };
+        let body = self.body(&mut connection, &head, &asking);
+        let stays = body != Body::Cut && !head.closes();
+        let ended = !matches!(body, Body::Events { ended: false, .. });
+        self.shared.history.note(Seen::Answered {
+            id,
+            status: head.word(1).parse().unwrap_or(0),
+            of: head.field("croftpond-attempt-id").map(str::to_string),
+            signed: head.field("croftpond-response-signature").is_some(),
+            body,
+        });
+        if stays && ended {
+            self.connection = Some((gateway, connection));
+        }
+    }
+
+    fn none(&self, id: String, why: Lack) {
+        self.shared.history.note(Seen::Unanswered { id, why });
+    }
+
+    // The kept connection, if it is as it was left, or a new one.
+    fn connected(&mut self) -> Option<(usize, Connection)> {
+        if let Some((gateway, connection)) = self.connection.take() {
+            match rests(&connection) {
+                Resting::Quiet => return Some((gateway, connection)),
+                Resting::Bytes => self.shared.history.note(Seen::Stray { gateway }),
+                Resting::Closed => {}
+            }
+        }
+        let ready: Vec<usize> = {
+            let ready = self.shared.ready.lock();
+            let ready = ready.unwrap_or_else(PoisonError::into_inner);
+            (0..ready.len()).filter(|&i| ready[i]).collect()
+        };
+        if ready.is_empty() {
+            return None;
+        }
+        let gateway = ready[self.rng.random_range(0..ready.len())];
+        let stream = TcpStream::connect_timeout(&self.shared.gateways[gateway], CONNECT).ok()?;
+        let patience = Duration::from_millis(DEADLINE_MS) + PATIENCE;
+        stream.set_read_timeout(Some(patience)).ok()?;
+        stream.set_write_timeout(Some(patience)).ok()?;
+        Some((gateway, Connection::new(stream)))
+    }
+
+    fn draw(&mut self, gateway: usize) -> Asking {
+        let id = format!("c{}-{}", self.number, self.made);
+        self.made += 1;
+        let newest = self.shared.newest.load(Ordering::SeqCst);
+        let near = newest.saturating_sub(self.rng.random_range(0..4)).max(1);
+        let (kind, path, key) = match self.rng.random_range(0..100) {
+            0..30 => (Kind::Once, "/once/".to_string(), STEADY_KEY.to_string()),
+            30..50 => (Kind::Repeatable, "/rep/".to_string(), STEADY_KEY.to_string()),
+            50..62 => (Kind::Stream, "/str/".to_string(), STEADY_KEY.to_string()),
+            62..75 => (Kind::Resumable, "/res/".to_string(), STEADY_KEY.to_string()),
+            75..88 => (Kind::Repeatable, format!("/n{near}/"), STEADY_KEY.to_string()),
+            _ => (Kind::Repeatable, "/rep/".to_string(), format!("r{near}")),
+        };
+        let path = format!("{path}{id}");
+        let body = match self.rng.random_range(0..20) {
+            0 => LARGE,
+            _ => 16,
+        };
+        let leaves = self.rng.random_range(0..40) == 0;
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nCroftpond-Attempt-Id: {id}\r\n\
+             Croftpond-Credential: {key}\r\nCroftpond-Tenant: forged\r\n\
+             Croftpond-Deadline-Ms: {DEADLINE_MS}\r\nContent-Length: {body}\r\n\r\n"
+        );
+        let mut text = head.into_bytes();
+        text.resize(text.len() + body, b'x');
+        self.shared.history.note(Seen::Sent {
+            id: id.clone(),
+            kind,
+            path,
+            key,
+            gateway,
+        });
+        Asking {
+            id,
+            kind,
+            text,
+            leaves,
+        }
+    }
+
+    fn body(&self, connection: &mut Connection, head: &Head, asking: &Asking) -> Body {
+        let is_stream = matches!(asking.kind, Kind::Stream | Kind::Resumable);
+        if is_stream && head.is_chunked() && head.word(1) == "200" {
+            return self.events(connection, &asking.id);
+        }
+        let read = match head.is_chunked() {
+            true => chunks(connection),
+            false => self.pieces(connection, head.length()),
+        };
+        match read {
+            Ok(bytes) => Body::Whole {
+                right: head.word(1) != "200" || bytes == body_of(&asking.id),
+            },
+            Err(_) => Body::Cut,
+        }
+    }
+
+    fn pieces(&self, connection: &mut Connection, length: usize) -> Result<Vec<u8>> {
+        let mut bytes = Vec::new();
+        while bytes.len() < length {
+            bytes.extend(connection.bytes(SLOW_PIECE.min(length - bytes.len()))?);
+            self.dawdle();
+        }
+        Ok(bytes)
+    }
+
+    fn events(&self, connection: &mut Connection, id: &str) -> Body {
+        let mut text = String::new();
+        let ended = loop {
+            match connection.chunk() {
+                Ok(bytes) if bytes.is_empty() => break true,
+                Ok(bytes) => text += &String::from_utf8_lossy(&bytes),
+                Err(_) => break false,
+            }
+            self.dawdle();
+        };
+        let total = events_of(id);
+        let data = format!("data: {id} {total}");
+        // Without its empty line an event is not whole.
+        let whole: Vec<&str> = text.split_inclusive("\n\n").collect();
+        let whole = whole.into_iter().filter(|event| event.ends_with("\n\n"));
+        let mut own = true;
+        let mut numbers = Vec::new();
+        for event in whole {
+            let (number, rest) = event.split_once('\n').unwrap_or((event, ""));
+            let number = number.strip_prefix("id: ").and_then(|n| n.parse().ok());
+            numbers.push(number.unwrap_or(0));
+            own &= rest.trim_end() == data;
+        }
+        Body::Events {
+            numbers,
+            own,
+            total,
+            ended,
+        }
+    }
+
+    fn dawdle(&self) {
+        if self.reads_slowly {
+            thread::sleep(SLOW_PAUSE);
+        }
+    }
+}
+
+fn chunks(connection: &mut Connection) -> Result<Vec<u8>> {
+    let mut bytes = Vec::new();
+    loop {
+        let chunk = connection.chunk()?;
+        if chunk.is_empty() {
+            return Ok(bytes);
+        }
+        bytes.extend(chunk);
+    }
+}
+
+fn lack(kind: ErrorKind) -> Lack {
+    match kind {
+        ErrorKind::WouldBlock | ErrorKind::TimedOut => Lack::TimedOut,
+        _ => Lack::Closed,
+    }
+}
+
+enum Resting {
+    Quiet,
+    Bytes,
+    Closed,
+}
+
+fn rests(connection: &Connection) -> Resting {
+    if connection.has_buffered() {
+        return Resting::Bytes;
+    }
+    let stream = connection.stream();
+    if stream.set_nonblocking(true).is_err() {
+        return Resting::Closed;
+    }
+    let found = stream.peek(&mut [0]);
+    if stream.set_nonblocking(false).is_err() {
+        return Resting::Closed;
+    }
+    match found {
+        Ok(0) => Resting::Closed,
+        Ok(_) => Resting::Bytes,
+        Err(error) if error.kind() == ErrorKind::WouldBlock => Resting::Quiet,
+        Err(_) => Resting::Closed,
+    }
+}
--- /dev/null
+++ b/soak/src/standins/endpoint.rs
@@ -0,0 +1,239 @@
+//! Endpoints: plain answers and streams, some of which go wrong on purpose.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::Result;
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+use super::{body_of, hash, listen};
+use crate::history::{History, Seen};
+use crate::http::{Connection, Head};
+
+/// Requests at a time; more are turned away.
+const SLOTS: usize = 8;
+/// Longest silence of an endpoint that hangs.
+const HANG: Duration = Duration::from_secs(5);
+/// Pause between the events of a stream.
+const EVENT_GAP: Duration = Duration::from_millis(30);
+/// An endpoint that reads slowly takes a body in such pieces, with such pauses.
+const SLOW_PIECE: usize = 16 << 10;
+const SLOW_PAUSE: Duration = Duration::from_millis(15);
+
+/// How a request goes at an endpoint.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Course {
+    Well,
+    Fails,
+    LosesAnswer,
+    BreaksOff,
+    Hangs,
+    TurnsAway,
+}
+
+struct Inner {
+    id: String,
+    history: History,
+    ended: AtomicBool,
+    running: Mutex<BTreeSet<String>>,
+    open: Mutex<BTreeMap<u64, TcpStream>>,
+    opened: AtomicU64,
+}
+
+/// One incarnation of an endpoint.
+#[derive(Clone)]
+pub(crate) struct Endpoint {
+    /// Where it listens.
+    pub address: SocketAddr,
+    inner: Arc<Inner>,
+}
+
+/// Events of the stream that answers a request.
+pub(crate) fn events_of(id: &str) -> u64 {
+    3 + hash(id) / 100 % 20
+}
+
+fn course(id: &str, endpoint: &str) -> Course {
+    match hash(&format!("{id} {endpoint}")) % 100 {
+        0..=2 => Course::LosesAnswer,
+        3..=5 => Course::BreaksOff,
+        6 => Course::Hangs,
+        7 => Course::Fails,
+        8..=11 => Course::TurnsAway,
+        _ => Course::Well,
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Endpoint {
+    /// Starts an endpoint with an id.
+    pub fn start(id: &str, history: &History) -> Result<Self> {
+        let inner = Arc::new(Inner {
+            id: id.to_string(),
+            history: history.clone(),
+            ended: AtomicBool::new(false),
+            running: Mutex::default(),
+            open: Mutex::default(),
+            opened: AtomicU64::new(0),
+        });
+        let serving = Arc::clone(&inner);
+        let address = listen(move |connection| serving.serve_noted(connection))?;
+        Ok(Endpoint { address, inner })
+    }
+
+    /// Its id.
+    pub fn id(&self) -> &str {
+        &self.inner.id
+    }
+
+    /// Ends it: what it runs breaks off, and it takes nothing more.
+    pub fn end(&self) {
+        for id in lock(&self.inner.running).iter() {
+            self.inner.history.note(Seen::BrokeOff { id: id.clone() });
+        }
+        self.inner.ended.store(true, Ordering::SeqCst);
+        for stream in lock(&self.inner.open).values() {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+}
+
+impl Inner {
+    fn serve_noted(&self, mut connection: Connection) {
+        let Ok(stream) = connection.stream().try_clone() else {
+            return;
+        };
+        let number = self.opened.fetch_add(1, Ordering::Relaxed);
+        lock(&self.open).insert(number, stream);
+        // An error is the end of the connection.
+        let _ = self.serve(&mut connection);
+        let _ = connection.stream().shutdown(Shutdown::Both);
+        lock(&self.open).remove(&number);
+    }
+
+    fn serve(&self, connection: &mut Connection) -> Result<()> {
+        while !self.ended.load(Ordering::SeqCst) {
+            let head = connection.head()?;
+            let id = head.field("croftpond-attempt-id").unwrap_or_default();
+            let id = id.to_string();
+            let reads_slowly = hash(&id) % 8 == 0;
+            let mut left = head.length();
+            while left > 0 {
+                let piece = left.min(SLOW_PIECE);
+                connection.bytes(piece)?;
+                left -= piece;
+                if reads_slowly {
+                    thread::sleep(SLOW_PAUSE);
+                }
+            }
+            self.take(connection, &head, &id)?;
+        }
+        Ok(())
+    }
+
+    fn take(&self, connection: &mut Connection, head: &Head, id: &str) -> Result<()> {
+        let expected = head.field("croftpond-expected-instance");
+        if expected.is_some_and(|expected| expected != self.id) {
+            return not_run(connection, 421, id);
+        }
+        let course = course(id, &self.id);
+        let is_full = lock(&self.running).len() >= SLOTS;
+        if is_full || course == Course::TurnsAway {
+            return not_run(connection, 503, id);
+        }
+        if self.ended.load(Ordering::SeqCst) {
+            return Err(std::io::ErrorKind::ConnectionReset.into());
+        }
+        lock(&self.running).insert(id.to_string());
+        self.history.note(Seen::Began {
+            id: id.to_string(),
+            endpoint: self.id.clone(),
+            path: head.word(1).to_string(),
+            tenant: head.field("croftpond-tenant").map(str::to_string),
+            key_shown: head.field("croftpond-credential").is_some(),
+        });
+        let ran = self.run(connection, head, id, course);
+        lock(&self.running).remove(id);
+        ran
+    }
+
+    fn run(
+        &self,
+        connection: &mut Connection,
+        head: &Head,
+        id: &str,
+        course: Course,
+    ) -> Result<()> {
+        if !matches!(course, Course::Well | Course::Fails) {
+            self.history.note(Seen::BrokeOff { id: id.to_string() });
+        }
+        thread::sleep(Duration::from_millis(3 + hash(id) / 7 % 80));
+        match course {
+            Course::LosesAnswer => Err(std::io::ErrorKind::ConnectionReset.into()),
+            Course::Hangs => {
+                thread::sleep(HANG);
+                Err(std::io::ErrorKind::TimedOut.into())
+            }
+            Course::Fails => plain(connection, 500, id, b"failed"),
+            _ if is_stream(head) => stream(connection, head, id, course),
+            Course::BreaksOff => {
+                let length = body_of(id).len();
+                connection.send(answer_head(200, id, &length.to_string()).as_bytes())?;
+                connection.send(b"half")?;
+                Err(std::io::ErrorKind::ConnectionReset.into())
+            }
+            _ => plain(connection, 200, id, &body_of(id)),
+        }
+    }
+}
+
+fn is_stream(head: &Head) -> bool {
+    head.word(1).starts_with("/str/") || head.word(1).starts_with("/res/")
+}
+
+fn answer_head(status: u16, id: &str, length: &str) -> String {
+    format!(
+        "HTTP/1.1 {status} X\r\ncroftpond-attempt-id: {id}\r\n\
+         croftpond-response-signature: s\r\ncontent-length: {length}\r\n\r\n"
+    )
+}
+
+fn plain(connection: &mut Connection, status: u16, id: &str, body: &[u8]) -> Result<()> {
+    let head = answer_head(status, id, &body.len().to_string());
+    connection.send(&[head.as_bytes(), body].concat())
+}
+
+fn not_run(connection: &mut Connection, status: u16, id: &str) -> Result<()> {
+    let head = format!(
+        "HTTP/1.1 {status} X\r\ncroftpond-attempt-id: {id}\r\ncroftpond-not-executed: 1\r\n\
+         content-length: 0\r\n\r\n"
+    );
+    connection.send(head.as_bytes())
+}
+
+fn stream(connection: &mut Connection, head: &Head, id: &str, course: Course) -> Result<()> {
+    let last = head.field("last-event-id");
+    let from = last.and_then(|text| text.parse().ok()).unwrap_or(0) + 1;
+    let total = events_of(id);
+    let begin = format!(
+        "HTTP/1.1 200 X\r\ncroftpond-attempt-id: {id}\r\ncroftpond-response-signature: s\r\n\
+         content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+    );
+    connection.send(begin.as_bytes())?;
+    for number in from..=total {
+        let event = format!("id: {number}\ndata: {id} {total}\n\n");
+        if course == Course::BreaksOff && number == from + total / 2 {
+            // Partway through an event.
+            connection.send(format!("{:x}\r\n{}", event.len(), &event[..5]).as_bytes())?;
+            return Err(std::io::ErrorKind::ConnectionReset.into());
+        }
+        connection.send(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+        thread::sleep(EVENT_GAP);
+    }
+    connection.send(b"0\r\n\r\n")
+}
--- /dev/null
+++ b/soak/src/standins/operator.rs
@@ -0,0 +1,50 @@
+//! The operator's configurations. Version N has the routes `/nN/` and `/n(N-1)/` and the keys
+//! `rN` and `r(N-1)` beside those that stay, so what is served tells which version is in force.
+
+use serde_json::{json, Value};
+
+/// The key that every version holds.
+pub(crate) const STEADY_KEY: &str = "steady";
+/// The only tenant.
+pub(crate) const TENANT: &str = "t";
+/// Host of all routes.
+pub(crate) const HOST: &str = "h";
+
+/// The configuration of a version.
+pub(crate) fn configuration(version: u64) -> String {
+    let mut routes = vec![
+        route("/once/", "non_idempotent", "a"),
+        route("/rep/", "idempotent", "a"),
+        route("/str/", "streaming", "b"),
+        route("/res/", "streaming", "b"),
+    ];
+    routes[3]["streamResumption"] = json!(true);
+    let mut keys = vec![STEADY_KEY.to_string()];
+    for version in [version - 1, version] {
+        routes.push(route(&format!("/n{version}/"), "idempotent", "a"));
+        keys.push(format!("r{version}"));
+    }
+    json!({
+        "version": version,
+        "routes": routes,
+        "services": [{"name": "a"}, {"name": "b"}],
+        "tenants": [{"name": TENANT, "apiKeys": keys}],
+    })
+    .to_string()
+}
+
+fn route(prefix: &str, kind: &str, service: &str) -> Value {
+    json!({
+        "name": prefix, "host": HOST, "pathPrefix": prefix, "routeKind": kind,
+        "timeoutMs": 5000, "targetLatencyMs": 1000, "service": service, "maxAttempts": 2,
+    })
+}
+
+/// An endpoint's entry.
+pub(crate) fn entry(service: &str, address: &str, hall: &str, state: &str) -> String {
+    json!({
+        "service": service, "address": address, "zone": hall, "slots": 8, "state": state,
+        "version": "v1",
+    })
+    .to_string()
+}
