Promise nothing of a repeatable request that an endpoint failed

Cause: after an endpoint's own failure (5xx) a repeatable request goes to another endpoint; when none was there or the other had no room, it ended with 503 although it had run. Change: a failed attempt marks the request as maybe run, so that it ends with 502. Figures: the two new tests failed before (503) and pass after (502); all tests of the gateway pass.

--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -297,6 +297,8 @@
                     if !self.may_send_again(job, progress, true) {
                         return Ok(Reply::Whole { head, body });
                     }
+                    // An endpoint that fails has run it: whatever ends it now is no promise.
+                    progress.maybe_run = true;
                     continue;
                 }
             };
--- a/components/gateway/tests/requests.rs
+++ b/components/gateway/tests/requests.rs
@@ -89,6 +89,25 @@
     assert_eq!(standin.heads().len(), 2);
 }
 
+#[test]
+fn a_repeatable_request_that_failed_is_not_promised_not_to_run_when_no_other_is_there() {
+    let standin = EndpointStandin::start(|_, exchange| exchange.answer(500, "bad"));
+    let setup = serving(Execution::Repeatable, &[&standin]);
+    assert_eq!(setup.call("/a/", &[]).status, 502);
+    assert_eq!(standin.heads().len(), 1);
+}
+
+#[test]
+fn a_repeatable_request_that_failed_is_not_promised_not_to_run_when_the_other_declines() {
+    let standin = EndpointStandin::start(|number, exchange| match number {
+        0 => exchange.answer(500, "bad"),
+        _ => exchange.decline(),
+    });
+    let setup = serving(Execution::Repeatable, &[&standin, &standin]);
+    assert_eq!(setup.call("/a/", &[]).status, 502);
+    assert_eq!(standin.heads().len(), 2);
+}
+
 #[test]
 fn a_success_without_the_endpoints_proof_is_no_success() {
     let standin = EndpointStandin::start(|_, exchange| {
