--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -3,9 +3,12 @@
 
 mod duties;
 mod requests;
+mod stops;
 mod times;
 mod view;
 
+use std::collections::BTreeMap;
+
 use serde::Serialize;
 
 use crate::history::Record;
@@ -22,10 +25,30 @@
     pub what: String,
 }
 
-/// All findings in a history of so many gateways.
-pub fn all(records: &[Record], gateways: usize) -> Vec<Finding> {
+/// What the checks came to.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Verdicts {
+    /// Cases that each check had to judge; a check without any says nothing.
+    pub judged: BTreeMap<&'static str, usize>,
+    /// Rules broken.
+    pub findings: Vec<Finding>,
+}
+
+impl Verdicts {
+    // One more case; it is a finding if it is bad.
+    fn judge(&mut self, check: &'static str, is_good: bool, at: u64, what: impl Fn() -> String) {
+        *self.judged.entry(check).or_default() += 1;
+        if !is_good {
+            let what = what();
+            self.findings.push(Finding { check, at, what });
+        }
+    }
+}
+
+/// Judges a history of so many gateways.
+pub fn all(records: &[Record], gateways: usize) -> Verdicts {
     let view = View::of(records);
-    let mut findings = Vec::new();
+    let mut verdicts = Verdicts::default();
     for check in [
         requests::own_answers,
         requests::as_asked,
@@ -38,11 +61,11 @@
         times::keys,
         duties::fences,
         duties::reports,
-        times::planned_stops,
-        times::own_ends,
+        stops::planned_stops,
+        stops::own_ends,
     ] {
-        check(&view, &mut findings);
+        check(&view, &mut verdicts);
     }
-    times::recovery(&view, gateways, &mut findings);
-    findings
+    stops::recovery(&view, gateways, &mut verdicts);
+    verdicts
 }
--- a/soak/src/checks/duties.rs
+++ b/soak/src/checks/duties.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use super::view::{View, CONTACT};
-use super::Finding;
+use super::Verdicts;
 use crate::history::{Place, Seen};
 
 /// Lease of the duty, in ms, as in the settings.
@@ -51,61 +51,44 @@
 }
 
 /// Fences rise with each change of the holder, and holders never act in the order A, B, A.
-pub(super) fn fences(view: &View<'_>, findings: &mut Vec<Finding>) {
-    let mut find = |at, what| {
-        findings.push(Finding {
-            check: "fences",
-            at,
-            what,
-        })
-    };
+pub(super) fn fences(view: &View<'_>, verdicts: &mut Verdicts) {
     let calls = calls(view);
     let mut holders: BTreeMap<u64, &str> = BTreeMap::new();
     let mut highest = 0;
-    for call in &calls {
+    for (i, call) in calls.iter().enumerate() {
         let first = *holders.entry(call.fence).or_insert(call.holder);
-        if first != call.holder {
-            let what = format!("fence {} of {first} and {}", call.fence, call.holder);
-            find(call.at, what);
-        }
-        if call.fence < highest && counts(view, call) {
-            let what = format!("{}: fence {} after {highest}", call.holder, call.fence);
-            find(call.at, what);
+        verdicts.judge("fence of one holder", first == call.holder, call.at, || {
+            format!("fence {} of {first} and {}", call.fence, call.holder)
+        });
+        if counts(view, call) {
+            verdicts.judge("fences rise", call.fence >= highest, call.at, || {
+                format!("{}: fence {} after {highest}", call.holder, call.fence)
+            });
+            let again = taken_back(&calls[..i], call);
+            verdicts.judge("not A, B, A", again.is_none(), call.at, || {
+                format!("{} again after {again:?}", call.holder)
+            });
         }
         highest = highest.max(call.fence);
     }
-    for (i, third) in calls.iter().enumerate() {
-        if !counts(view, third) {
-            continue;
-        }
-        let before = &calls[..i];
-        let inside = |call: &&Call<'_>| call.at + LEASE >= third.at;
-        let mut firsts = before.iter().filter(inside);
-        let Some(first) = firsts.find(|call| call.holder == third.holder) else {
-            continue;
-        };
-        let mut between = firsts.filter(|call| call.holder != third.holder);
-        if let Some(second) = between.next() {
-            let what = format!(
-                "{} at {} ms, {} at {} ms, and again",
-                first.holder, first.at, second.holder, second.at
-            );
-            find(third.at, what);
-        }
-    }
+}
+
+// Another holder's call since an earlier one of the same holder, within the lease.
+fn taken_back(before: &[Call<'_>], call: &Call<'_>) -> Option<(u64, String)> {
+    let inside = |earlier: &&Call<'_>| earlier.at + LEASE >= call.at;
+    let mut within = before.iter().filter(inside);
+    within.find(|earlier| earlier.holder == call.holder)?;
+    let other = within.find(|earlier| earlier.holder != call.holder)?;
+    Some((other.at, other.holder.to_string()))
 }
 
 /// No window is told twice differently.
-pub(super) fn reports(view: &View<'_>, findings: &mut Vec<Finding>) {
+pub(super) fn reports(view: &View<'_>, verdicts: &mut Verdicts) {
     let mut told: BTreeMap<i64, &str> = BTreeMap::new();
     for call in calls(view) {
         let first = *told.entry(call.window).or_insert(call.counts);
-        if first != call.counts {
-            findings.push(Finding {
-                check: "reports",
-                at: call.at,
-                what: format!("window {}: {first}, then {}", call.window, call.counts),
-            });
-        }
+        verdicts.judge("reports", first == call.counts, call.at, || {
+            format!("window {}: {first}, then {}", call.window, call.counts)
+        });
     }
 }
--- a/soak/src/checks/requests.rs
+++ b/soak/src/checks/requests.rs
@@ -1,56 +1,58 @@
 //! Checks of single requests, whatever was wrong at the time.
 
 use super::view::View;
-use super::Finding;
-use crate::history::{Body, Seen};
+use super::Verdicts;
+use crate::history::{Body, Record, Seen};
 
 /// Answers that promise that a request has not run and never will.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
+/// Statuses that the soak's endpoints give of their own.
+const ENDPOINT_STATUSES: [u16; 2] = [200, 500];
 /// The only tenant of the soak's configurations.
 const TENANT: &str = "t";
 
 /// One answer to each request, and its own.
-pub(super) fn own_answers(view: &View<'_>, findings: &mut Vec<Finding>) {
-    let mut find = |at, what| {
-        findings.push(Finding {
-            check: "own answers",
-            at,
-            what,
-        })
-    };
+pub(super) fn own_answers(view: &View<'_>, verdicts: &mut Verdicts) {
     for record in view.records {
-        match &record.seen {
-            Seen::Stray { gateway } => {
-                find(record.at, format!("g{gateway}: bytes where no answer was due"));
-            }
-            Seen::Answered {
-                id,
-                status,
-                of,
-                signed,
-                body,
-            } => {
-                if of.as_ref().is_some_and(|of| of != id) {
-                    find(record.at, format!("{id}: the answer to {of:?}"));
-                }
-                if (200..300).contains(status) && !signed {
-                    find(record.at, format!("{id}: {status} of no endpoint"));
-                }
-                if *body == (Body::Whole { right: false }) {
-                    find(record.at, format!("{id}: not the endpoint's body"));
-                }
-                // The soak's endpoints give no other status of their own.
-                if *signed && ![200, 500].contains(status) {
-                    find(record.at, format!("{id}: signed, yet {status}"));
-                }
-            }
-            _ => {}
-        }
+        let wrong = match &record.seen {
+            Seen::Stray { .. } => Some("bytes where no answer was due"),
+            Seen::Answered { .. } => wrong_answer(record),
+            _ => continue,
+        };
+        verdicts.judge("own answers", wrong.is_none(), record.at, || {
+            format!("{wrong:?}: {:?}", record.seen)
+        });
     }
 }
 
+fn wrong_answer(record: &Record) -> Option<&'static str> {
+    let Seen::Answered {
+        id,
+        status,
+        of,
+        signed,
+        body,
+    } = &record.seen
+    else {
+        return None;
+    };
+    let is_foreign = of.as_ref().is_some_and(|of| of != id);
+    let is_forged = (200..300).contains(status) && !signed;
+    let is_altered = *signed && !ENDPOINT_STATUSES.contains(status);
+    let faults = [
+        (is_foreign, "the answer to another request"),
+        (is_forged, "a success of no endpoint"),
+        (is_altered, "an endpoint's answer with another status"),
+        (
+            *body == Body::Whole { right: false },
+            "not the endpoint's body",
+        ),
+    ];
+    faults.into_iter().find_map(|(is, what)| is.then_some(what))
+}
+
 /// Endpoints run only what a client asked for, in its tenant's name and without its key.
-pub(super) fn as_asked(view: &View<'_>, findings: &mut Vec<Finding>) {
+pub(super) fn as_asked(view: &View<'_>, verdicts: &mut Verdicts) {
     for record in view.records {
         let Seen::Began {
             id,
@@ -64,48 +66,47 @@
         };
         let asked = view.requests.get(id.as_str());
         let is_same = asked.is_some_and(|request| request.path == path);
-        if !is_same || tenant.as_deref() != Some(TENANT) || *key_shown {
-            findings.push(Finding {
-                check: "as asked",
-                at: record.at,
-                what: format!("{id}: {path} for {tenant:?}, key shown: {key_shown}"),
-            });
-        }
+        let is_good = is_same && tenant.as_deref() == Some(TENANT) && !key_shown;
+        verdicts.judge("as asked", is_good, record.at, || {
+            format!("{:?}", record.seen)
+        });
     }
 }
 
 /// What may run once is not repeated.
-pub(super) fn once(view: &View<'_>, findings: &mut Vec<Finding>) {
+pub(super) fn once(view: &View<'_>, verdicts: &mut Verdicts) {
     for request in view.requests.values() {
-        if request.kind.runs_once() && request.begun.len() > 1 {
-            findings.push(Finding {
-                check: "once",
-                at: request.begun[1].0,
-                what: format!("{}: began at {:?}", request.id, request.begun),
-            });
+        if !request.kind.runs_once() {
+            continue;
         }
+        let is_good = request.begun.len() <= 1;
+        verdicts.judge("once", is_good, request.sent, || {
+            format!("{}: began at {:?}", request.id, request.begun)
+        });
     }
 }
 
 /// What was refused has not run and never does.
-pub(super) fn refused(view: &View<'_>, findings: &mut Vec<Finding>) {
+pub(super) fn refused(view: &View<'_>, verdicts: &mut Verdicts) {
     for request in view.requests.values() {
         let status = request.status().unwrap_or(0);
-        if PROMISES.contains(&status) && !request.begun.is_empty() {
-            findings.push(Finding {
-                check: "refused",
-                at: request.begun[0].0,
-                what: format!("{}: {status}, yet began at {:?}", request.id, request.begun),
-            });
+        if !PROMISES.contains(&status) {
+            continue;
         }
+        let is_good = request.begun.is_empty();
+        verdicts.judge("refused", is_good, request.sent, || {
+            let Some(began) = request.begun.first() else {
+                return String::new();
+            };
+            format!("{}: {status}, yet began at {began:?}", request.id)
+        });
     }
 }
 
 /// Streams come whole, in order and without doubles.
-pub(super) fn streams(view: &View<'_>, findings: &mut Vec<Finding>) {
+pub(super) fn streams(view: &View<'_>, verdicts: &mut Verdicts) {
     for record in view.records {
         let Seen::Answered {
-            id,
             body:
                 Body::Events {
                     numbers,
@@ -120,12 +121,8 @@
         };
         let in_order = numbers.iter().copied().eq(1..=numbers.len() as u64);
         let is_whole = !ended || numbers.len() as u64 == *total;
-        if !in_order || !is_whole || !own {
-            findings.push(Finding {
-                check: "streams",
-                at: record.at,
-                what: format!("{id}: {numbers:?} of {total}, own: {own}, ended: {ended}"),
-            });
-        }
+        verdicts.judge("streams", in_order && is_whole && *own, record.at, || {
+            format!("{:?}", record.seen)
+        });
     }
 }
--- a/soak/src/checks/times.rs
+++ b/soak/src/checks/times.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use super::view::{place_of, Request, View, CONTACT};
-use super::Finding;
-use crate::history::{Body, Place, Seen};
+use super::view::{place_of, Request, View, CONTACT, NOTE_SLACK};
+use super::Verdicts;
+use crate::history::Seen;
 
 /// Nothing new goes to an endpoint so long after the store took that it leaves, in ms (`drainMs`).
 const LEAVES_AFTER: u64 = 2_000;
@@ -14,17 +14,9 @@
 const REVOKED_AFTER: u64 = 5_000;
 /// Requests sent so long after an effect of a version are not handled by an older one, in ms.
 const BACK_SLACK: u64 = 250;
-/// What the soak's own threads may be late by when they write something down, in ms.
-const NOTE_SLACK: u64 = 300;
-/// A gateway that read a request and closes later than that has lost it, in ms (`lossSlackMs`).
-const LOSS_SLACK: u64 = 200;
-/// All serve again so long after all were killed, in ms (`recoveryS`).
-const RECOVERED_AFTER: u64 = 12_000;
-/// A planned stop looks at requests sent so long before it, in ms: a client's whole deadline.
-const BEFORE_STOP: u64 = 5_500;
 
 /// Nothing new goes to an endpoint that leaves.
-pub(super) fn leaving(view: &View<'_>, findings: &mut Vec<Finding>) {
+pub(super) fn leaving(view: &View<'_>, verdicts: &mut Verdicts) {
     let mut left: BTreeMap<&str, u64> = BTreeMap::new();
     for record in view.records {
         if let Seen::Leaving { endpoint } = &record.seen {
@@ -36,19 +28,16 @@
             let Some(&said) = left.get(endpoint) else {
                 continue;
             };
-            let is_late = at > said + LEAVES_AFTER + NOTE_SLACK;
-            let held = place_of(endpoint);
-            let is_held = held.is_some_and(|p| !view.is_sound(p, at.saturating_sub(CONTACT), at));
-            if is_late && !is_held && view.is_in_touch(request.gateway, at, at) {
-                findings.push(Finding {
-                    check: "leaving",
-                    at,
-                    what: format!(
-                        "{} through g{}: began at {endpoint}, which left at {said} ms",
-                        request.id, request.gateway
-                    ),
-                });
+            let is_held = |place| !view.is_sound(place, at.saturating_sub(CONTACT), at);
+            let is_held = place_of(endpoint).is_some_and(is_held);
+            if at < said || is_held || !view.is_in_touch(request.gateway, at, at) {
+                continue;
             }
+            let is_good = at <= said + LEAVES_AFTER + NOTE_SLACK;
+            verdicts.judge("leaving", is_good, at, || {
+                let (id, gateway) = (request.id, request.gateway);
+                format!("{id} through g{gateway}: began at {endpoint}, leaving since {said} ms")
+            });
         }
     }
 }
@@ -90,28 +79,26 @@
 }
 
 /// A configuration is in force after its bound, at gateways in touch.
-pub(super) fn in_force(view: &View<'_>, findings: &mut Vec<Finding>) {
+pub(super) fn in_force(view: &View<'_>, verdicts: &mut Verdicts) {
     for request in view.requests.values() {
         let Some(shown) = shown(view, request) else {
             continue;
         };
         let before = request.sent.saturating_sub(APPLIES_AFTER + NOTE_SLACK);
         let due = view.newest(before);
-        if shown.newest < due && view.is_in_touch(request.gateway, request.sent, shown.at) {
-            findings.push(Finding {
-                check: "in force",
-                at: shown.at,
-                what: format!(
-                    "{} {} {} at g{}: version {} at most, {due} was due",
-                    request.id, request.path, request.key, request.gateway, shown.newest
-                ),
-            });
+        if !view.is_in_touch(request.gateway, request.sent, shown.at) {
+            continue;
         }
+        verdicts.judge("in force", shown.newest >= due, shown.at, || {
+            let Request { id, path, key, .. } = request;
+            let (gateway, most) = (request.gateway, shown.newest);
+            format!("{id} {path} {key} at g{gateway}: version {most} at most, {due} was due")
+        });
     }
 }
 
 /// Within one life of its process a gateway never goes back to an older configuration.
-pub(super) fn never_back(view: &View<'_>, findings: &mut Vec<Finding>) {
+pub(super) fn never_back(view: &View<'_>, verdicts: &mut Verdicts) {
     let mut lives: BTreeMap<(usize, usize), Vec<(Shown, &Request<'_>)>> = BTreeMap::new();
     for request in view.requests.values() {
         if let Some(shown) = shown(view, request) {
@@ -122,28 +109,23 @@
     for life in lives.values_mut() {
         life.sort_by_key(|(shown, _)| shown.at);
         for (later, request) in &*life {
-            let seen = life
-                .iter()
-                .take_while(|(shown, _)| shown.at + BACK_SLACK < request.sent);
+            let is_before = |shown: &Shown| shown.at + BACK_SLACK < request.sent;
+            let seen = life.iter().take_while(|(shown, _)| is_before(shown));
             let Some((had, by)) = seen.max_by_key(|(shown, _)| shown.oldest) else {
                 continue;
             };
-            if later.newest < had.oldest {
-                findings.push(Finding {
-                    check: "never back",
-                    at: later.at,
-                    what: format!(
-                        "{} at g{}: version {} at most, {} showed {} at {} ms",
-                        request.id, request.gateway, later.newest, by.id, had.oldest, had.at
-                    ),
-                });
-            }
+            let is_good = later.newest >= had.oldest;
+            verdicts.judge("never back", is_good, later.at, || {
+                let (id, gateway, most) = (request.id, request.gateway, later.newest);
+                let shown = format!("{} showed {} at {} ms", by.id, had.oldest, had.at);
+                format!("{id} at g{gateway}: version {most} at most, {shown}")
+            });
         }
     }
 }
 
 /// Keys that were taken away are not served after their bound, by any gateway.
-pub(super) fn keys(view: &View<'_>, findings: &mut Vec<Finding>) {
+pub(super) fn keys(view: &View<'_>, verdicts: &mut Verdicts) {
     for request in view.requests.values() {
         let key = request.key.strip_prefix('r').and_then(|v| v.parse().ok());
         let Some(version): Option<u64> = key else {
@@ -153,113 +135,12 @@
         let Some(&(taken, _)) = taken.next() else {
             continue;
         };
-        if !request.begun.is_empty() && request.sent > taken + REVOKED_AFTER + NOTE_SLACK {
-            findings.push(Finding {
-                check: "keys",
-                at: request.sent,
-                what: format!(
-                    "{} at g{}: {} was taken away at {taken} ms",
-                    request.id, request.gateway, request.key
-                ),
-            });
-        }
-    }
-}
-
-/// A planned stop cuts nothing.
-pub(super) fn planned_stops(view: &View<'_>, findings: &mut Vec<Finding>) {
-    for record in view.records {
-        let Seen::Asked { gateway } = record.seen else {
+        if request.sent <= taken + REVOKED_AFTER + NOTE_SLACK {
             continue;
-        };
-        let asked = record.at;
-        let gone = view.records.iter().find(|r| {
-            let is_gone = matches!(r.seen, Seen::Gone { gateway: g, .. } if g == gateway);
-            is_gone && r.at >= asked
-        });
-        let gone = gone.map_or(view.end, |r| r.at);
-        let during = asked.saturating_sub(BEFORE_STOP)..=gone;
-        for request in view.requests.values() {
-            if request.gateway == gateway && during.contains(&request.sent) {
-                stopped(view, request, asked, findings);
-            }
-        }
-    }
-}
-
-fn stopped(view: &View<'_>, request: &Request<'_>, asked: u64, findings: &mut Vec<Finding>) {
-    let Some((at, seen)) = request.outcome else {
-        return;
-    };
-    let is_cut = match seen {
-        Seen::Answered { body, .. } => {
-            matches!(body, Body::Cut | Body::Events { ended: false, .. })
-        }
-        // Sent when the connection closed, and not read: allowed.
-        _ => request.closed() && (!request.begun.is_empty() || at > request.sent + LOSS_SLACK),
-    };
-    let from = request.sent.saturating_sub(CONTACT);
-    let place = Place::Gateway(request.gateway);
-    let endpoints = request.begun.iter().filter_map(|(_, id)| place_of(id));
-    let mut places = endpoints.chain([place]);
-    let is_planned = places.all(|place| view.is_sound(place, from, at));
-    if is_cut && at >= asked && is_planned && !request.broke_off {
-        findings.push(Finding {
-            check: "planned stop",
-            at,
-            what: format!(
-                "{} at g{}, sent {} ms, asked to stop {asked} ms, began {:?}: {seen:?}",
-                request.id, request.gateway, request.sent, request.begun
-            ),
-        });
-    }
-}
-
-/// No process ends by itself.
-pub(super) fn own_ends(view: &View<'_>, findings: &mut Vec<Finding>) {
-    for record in view.records {
-        if let Seen::Gone { gateway, own: true } = record.seen {
-            findings.push(Finding {
-                check: "own ends",
-                at: record.at,
-                what: format!("g{gateway} ended by itself"),
-            });
-        }
-    }
-}
-
-/// After the last process was gone, all gateways serve again.
-pub(super) fn recovery(view: &View<'_>, gateways: usize, findings: &mut Vec<Finding>) {
-    let gone = view.records.iter().rev();
-    let mut gone = gone.filter(|record| matches!(record.seen, Seen::Gone { .. }));
-    let Some(last) = gone.next() else {
-        return;
-    };
-    let due = last.at + RECOVERED_AFTER;
-    let after = view.requests.values().filter(|r| r.sent > due);
-    let mut served = vec![0; gateways];
-    let (mut sent, mut good) = (0, 0);
-    for request in after {
-        sent += 1;
-        if request.status() == Some(200) {
-            good += 1;
-            served[request.gateway] += 1;
         }
-    }
-    if good * 4 < sent || sent == 0 {
-        findings.push(Finding {
-            check: "recovery",
-            at: due,
-            what: format!("{good} of {sent} requests served"),
+        verdicts.judge("keys", request.begun.is_empty(), request.sent, || {
+            let (id, gateway, key) = (request.id, request.gateway, request.key);
+            format!("{id} at g{gateway}: {key} was taken away at {taken} ms")
         });
     }
-    for (gateway, served) in served.into_iter().enumerate() {
-        if served == 0 {
-            findings.push(Finding {
-                check: "recovery",
-                at: due,
-                what: format!("g{gateway} serves nothing"),
-            });
-        }
-    }
 }
--- a/soak/src/checks/view.rs
+++ b/soak/src/checks/view.rs
@@ -7,6 +7,9 @@
 /// A gateway counts as in touch after so long without a fault, in ms (`contactMs`).
 pub(super) const CONTACT: u64 = 3_000;
 
+/// What the soak's own threads may be late by when they write something down, in ms.
+pub(super) const NOTE_SLACK: u64 = 300;
+
 /// What became of one request.
 pub(super) struct Request<'a> {
     pub id: &'a str,
--- a/soak/src/gateways.rs
+++ b/soak/src/gateways.rs
@@ -56,7 +56,8 @@
 fn address(index: usize, port: u16) -> SocketAddr {
     let text = format!("{}:{port}", ip(index));
     // Built of numbers in range just above.
-    text.parse().unwrap_or_else(|_| ([127, 0, 0, 1], port).into())
+    text.parse()
+        .unwrap_or_else(|_| ([127, 0, 0, 1], port).into())
 }
 
 impl Gateway {
--- a/soak/src/link.rs
+++ b/soak/src/link.rs
@@ -111,13 +111,13 @@
         loop {
             match self.way() {
                 Way::Silent => thread::sleep(LOOK),
-                Way::OneWay if answers => thread::sleep(LOOK),
+                Way::Answerless if answers => thread::sleep(LOOK),
                 Way::Delayed(ms) => return thread::sleep(Duration::from_millis(ms)),
                 Way::Thin(rate) => {
                     let seconds = length as f64 / rate as f64;
                     return thread::sleep(Duration::from_secs_f64(seconds));
                 }
-                Way::Sound | Way::Cut | Way::OneWay => return,
+                Way::Sound | Way::Cut | Way::Answerless => return,
             }
         }
     }
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -49,7 +49,7 @@
         Ok(report) => {
             print!("{report}");
             println!("{}", report.to_json());
-            ExitCode::from(u8::from(!report.findings.is_empty()))
+            ExitCode::from(u8::from(!report.is_sound()))
         }
         Err(error) => {
             eprintln!("the soak could not run: {error}");
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -32,11 +32,7 @@
     /// Tells a gateway that its settings may have changed.
     Reload { gateway: usize },
     /// Makes the way between a gateway and the store bad for some ms.
-    Link {
-        gateway: usize,
-        how: Way,
-        ms: u64,
-    },
+    Link { gateway: usize, how: Way, ms: u64 },
     /// Makes the way between one region's gateways and the store bad for some ms.
     Region { how: Way, ms: u64 },
     /// Makes the way to an endpoint bad for some ms.
@@ -69,7 +65,7 @@
     /// Bytes of neither side arrive.
     Silent,
     /// What is asked arrives, what is answered doesn't.
-    OneWay,
+    Answerless,
     /// So many bytes a second pass.
     Thin(u64),
 }
@@ -235,7 +231,7 @@
             0 => Way::Delayed(self.rng.random_range(20..400)),
             1 => Way::Cut,
             2 => Way::Silent,
-            3 => Way::OneWay,
+            3 => Way::Answerless,
             _ => Way::Thin(self.rng.random_range(2_000..20_000)),
         }
     }
--- a/soak/src/report.rs
+++ b/soak/src/report.rs
@@ -5,7 +5,7 @@
 
 use serde::Serialize;
 
-use crate::checks::Finding;
+use crate::checks::{Finding, Verdicts};
 use crate::history::{Record, Seen};
 use crate::plan::Plan;
 
@@ -35,13 +35,13 @@
     pub starts: usize,
     /// Largest memory of a gateway's last process, in kB.
     pub peak_kb: u64,
-    /// What broke a rule; a good run has none.
-    pub findings: Vec<Finding>,
+    /// What the checks came to.
+    pub verdicts: Verdicts,
 }
 
 impl Report {
     /// Counts what was seen.
-    pub fn new(plan: &Plan, records: &[Record], findings: Vec<Finding>, peak_kb: u64) -> Self {
+    pub fn new(plan: &Plan, records: &[Record], verdicts: Verdicts, peak_kb: u64) -> Self {
         let mut report = Report {
             seed: plan.seed,
             seconds: plan.seconds,
@@ -53,7 +53,7 @@
             reports: 0,
             starts: 0,
             peak_kb,
-            findings,
+            verdicts,
         };
         for record in records {
             match &record.seen {
@@ -71,6 +71,11 @@
         report
     }
 
+    /// Whether no rule was broken.
+    pub fn is_sound(&self) -> bool {
+        self.verdicts.findings.is_empty()
+    }
+
     /// The report as one line of JSON.
     pub fn to_json(&self) -> String {
         // Numbers and texts can always be written.
@@ -81,20 +86,25 @@
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Report { seed, .. } = self;
-        let verdict = match self.findings.is_empty() {
+        let verdict = match self.is_sound() {
             true => "sound",
             false => "BROKEN",
         };
         writeln!(f, "seed {seed}: {verdict}")?;
         writeln!(f, "  sent {}, begun {}", self.sent, self.begun)?;
-        writeln!(f, "  answers {:?}, none {:?}", self.answers, self.unanswered)?;
+        writeln!(
+            f,
+            "  answers {:?}, none {:?}",
+            self.answers, self.unanswered
+        )?;
         writeln!(
             f,
             "  reports {}, starts {}, peak {} kB",
             self.reports, self.starts, self.peak_kb
         )?;
+        writeln!(f, "  judged {:?}", self.verdicts.judged)?;
         let mut by_check: BTreeMap<&str, Vec<&Finding>> = BTreeMap::new();
-        for finding in &self.findings {
+        for finding in &self.verdicts.findings {
             by_check.entry(finding.check).or_default().push(finding);
         }
         for (check, findings) in by_check {
--- a/soak/src/standins/client.rs
+++ b/soak/src/standins/client.rs
@@ -10,9 +10,9 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::body_of;
 use super::endpoint::events_of;
 use super::operator::{HOST, STEADY_KEY};
-use super::body_of;
 use crate::history::{Body, History, Kind, Lack, Seen};
 use crate::http::{Connection, Head};
 
@@ -150,10 +150,18 @@
         let near = newest.saturating_sub(self.rng.random_range(0..4)).max(1);
         let (kind, path, key) = match self.rng.random_range(0..100) {
             0..30 => (Kind::Once, "/once/".to_string(), STEADY_KEY.to_string()),
-            30..50 => (Kind::Repeatable, "/rep/".to_string(), STEADY_KEY.to_string()),
+            30..50 => (
+                Kind::Repeatable,
+                "/rep/".to_string(),
+                STEADY_KEY.to_string(),
+            ),
             50..62 => (Kind::Stream, "/str/".to_string(), STEADY_KEY.to_string()),
             62..75 => (Kind::Resumable, "/res/".to_string(), STEADY_KEY.to_string()),
-            75..88 => (Kind::Repeatable, format!("/n{near}/"), STEADY_KEY.to_string()),
+            75..88 => (
+                Kind::Repeatable,
+                format!("/n{near}/"),
+                STEADY_KEY.to_string(),
+            ),
             _ => (Kind::Repeatable, "/rep/".to_string(), format!("r{near}")),
         };
         let path = format!("{path}{id}");
--- a/soak/src/standins/endpoint.rs
+++ b/soak/src/standins/endpoint.rs
@@ -121,7 +121,7 @@
             let head = connection.head()?;
             let id = head.field("croftpond-attempt-id").unwrap_or_default();
             let id = id.to_string();
-            let reads_slowly = hash(&id) % 8 == 0;
+            let reads_slowly = hash(&id).is_multiple_of(8);
             let mut left = head.length();
             while left > 0 {
                 let piece = left.min(SLOW_PIECE);
--- a/soak/src/standins/store.rs
+++ b/soak/src/standins/store.rs
@@ -108,7 +108,7 @@
     fn fate(&self, gateway: usize, writes: bool) -> Fate {
         let mut rows = self.lock();
         rows.calls += 1;
-        let third = rows.calls % 3 == 0;
+        let third = rows.calls.is_multiple_of(3);
         if rows.turned_away.contains(&gateway) {
             return Fate::Refuse;
         }
--- /dev/null
+++ b/soak/tests/checks.rs
@@ -0,0 +1,352 @@
+//! Each check passes over a sound history, and finds the one thing that breaks its rule.
+
+use soak::checks::all;
+use soak::{Body, Kind, Lack, Place, Record, Seen};
+
+/// A history under way, at a time in ms.
+#[derive(Default)]
+struct Told {
+    records: Vec<Record>,
+}
+
+impl Told {
+    fn at(mut self, at: u64, seen: Seen) -> Self {
+        self.records.push(Record { at, seen });
+        self
+    }
+
+    // A gateway that runs from the start, with the first configuration.
+    fn begin() -> Self {
+        let started = Seen::Started { gateway: 0 };
+        Told::default()
+            .at(0, Seen::Configured { version: 1 })
+            .at(1, started)
+    }
+
+    fn sent(self, at: u64, id: &str, kind: Kind, path: &str, key: &str) -> Self {
+        let sent = Seen::Sent {
+            id: id.into(),
+            kind,
+            path: path.into(),
+            key: key.into(),
+            gateway: 0,
+        };
+        self.at(at, sent)
+    }
+
+    fn once(self, at: u64, id: &str) -> Self {
+        self.sent(at, id, Kind::Once, "/once/", "steady")
+    }
+
+    fn began(self, at: u64, id: &str, path: &str) -> Self {
+        let began = Seen::Began {
+            id: id.into(),
+            endpoint: "e0-1".into(),
+            path: path.into(),
+            tenant: Some("t".into()),
+            key_shown: false,
+        };
+        self.at(at, began)
+    }
+
+    fn answered(self, at: u64, id: &str, status: u16) -> Self {
+        let signed = status == 200;
+        let answered = Seen::Answered {
+            id: id.into(),
+            status,
+            of: signed.then(|| id.to_string()),
+            signed,
+            body: Body::Whole { right: true },
+        };
+        self.at(at, answered)
+    }
+
+    fn streamed(self, at: u64, id: &str, numbers: &[u64], ended: bool) -> Self {
+        let answered = Seen::Answered {
+            id: id.into(),
+            status: 200,
+            of: Some(id.into()),
+            signed: true,
+            body: Body::Events {
+                numbers: numbers.to_vec(),
+                own: true,
+                total: 3,
+                ended,
+            },
+        };
+        self.at(at, answered)
+    }
+
+    fn reported(self, at: u64, holder: &str, fence: u64, window: i64) -> Self {
+        let reported = Seen::Reported {
+            holder: holder.into(),
+            fence,
+            window,
+            counts: "{\"t\":1}".into(),
+        };
+        self.at(at, reported)
+    }
+
+    fn findings(&self) -> Vec<&'static str> {
+        let verdicts = all(&self.records, 1);
+        verdicts.findings.iter().map(|f| f.check).collect()
+    }
+}
+
+fn served() -> Told {
+    Told::begin()
+        .once(5_000, "a")
+        .began(5_001, "a", "/once/")
+        .answered(5_010, "a", 200)
+}
+
+#[test]
+fn a_sound_history_has_no_findings() {
+    let told = served()
+        .once(5_020, "b")
+        .answered(5_030, "b", 503)
+        .sent(5_040, "s", Kind::Stream, "/str/", "steady")
+        .began(5_041, "s", "/str/")
+        .streamed(5_100, "s", &[1, 2, 3], true)
+        .sent(5_200, "u", Kind::Stream, "/str/", "steady")
+        .began(5_201, "u", "/str/")
+        .at(5_202, Seen::BrokeOff { id: "u".into() })
+        .streamed(5_300, "u", &[1, 2], false)
+        .reported(5_400, "g0", 1, 1)
+        .reported(5_500, "g0", 1, 1)
+        .reported(5_600, "g1", 2, 2);
+    assert_eq!(told.findings(), Vec::<&str>::new());
+}
+
+#[test]
+fn an_answer_to_another_request_is_found() {
+    let answered = Seen::Answered {
+        id: "a".into(),
+        status: 200,
+        of: Some("b".into()),
+        signed: true,
+        body: Body::Whole { right: true },
+    };
+    let told = Told::begin().once(5_000, "a").at(5_010, answered);
+    assert_eq!(told.findings(), ["own answers"]);
+}
+
+#[test]
+fn a_success_that_no_endpoint_made_is_found() {
+    let mut told = served();
+    for record in &mut told.records {
+        if let Seen::Answered { signed, .. } = &mut record.seen {
+            *signed = false;
+        }
+    }
+    assert_eq!(told.findings(), ["own answers"]);
+}
+
+#[test]
+fn another_body_and_bytes_without_a_request_are_found() {
+    let mut told = served().at(5_020, Seen::Stray { gateway: 0 });
+    for record in &mut told.records {
+        if let Seen::Answered { body, .. } = &mut record.seen {
+            *body = Body::Whole { right: false };
+        }
+    }
+    assert_eq!(told.findings(), ["own answers", "own answers"]);
+}
+
+#[test]
+fn a_request_that_nobody_sent_is_found() {
+    let told = served().began(5_020, "x", "/once/");
+    assert_eq!(told.findings(), ["as asked"]);
+}
+
+#[test]
+fn a_key_shown_to_an_endpoint_is_found() {
+    let mut told = served();
+    for record in &mut told.records {
+        if let Seen::Began { key_shown, .. } = &mut record.seen {
+            *key_shown = true;
+        }
+    }
+    assert_eq!(told.findings(), ["as asked"]);
+}
+
+#[test]
+fn a_second_run_of_what_may_run_once_is_found() {
+    let told = served().began(5_020, "a", "/once/");
+    assert_eq!(told.findings(), ["once"]);
+}
+
+#[test]
+fn a_run_after_a_refusal_is_found() {
+    let told = Told::begin()
+        .once(5_000, "a")
+        .answered(5_010, "a", 503)
+        .began(9_000, "a", "/once/");
+    assert_eq!(told.findings(), ["refused"]);
+}
+
+#[test]
+fn a_gap_a_double_and_an_early_end_of_a_stream_are_found() {
+    for (numbers, ended) in [(&[1, 3][..], false), (&[1, 2, 2, 3], true), (&[1, 2], true)] {
+        let told = Told::begin()
+            .sent(5_000, "s", Kind::Resumable, "/res/", "steady")
+            .began(5_001, "s", "/res/")
+            .streamed(5_100, "s", numbers, ended);
+        assert_eq!(told.findings(), ["streams"], "{numbers:?}");
+    }
+}
+
+fn leaving(paused: bool) -> Told {
+    let leaving = Seen::Leaving {
+        endpoint: "e0-1".into(),
+    };
+    let told = Told::begin().at(5_000, leaving);
+    let (place, what) = (Place::Gateway(0), "pause".to_string());
+    let told = match paused {
+        true => told
+            .at(
+                5_100,
+                Seen::Fault {
+                    place,
+                    what: what.clone(),
+                },
+            )
+            .at(6_500, Seen::Healed { place, what }),
+        false => told,
+    };
+    told.once(8_000, "a")
+        .began(8_001, "a", "/once/")
+        .answered(8_010, "a", 200)
+}
+
+#[test]
+fn new_work_at_an_endpoint_that_left_is_found_at_gateways_in_touch() {
+    assert_eq!(leaving(false).findings(), ["leaving"]);
+    assert_eq!(leaving(true).findings(), Vec::<&str>::new());
+}
+
+#[test]
+fn a_configuration_that_is_not_in_force_is_found() {
+    let told = Told::begin()
+        .at(5_000, Seen::Configured { version: 2 })
+        .sent(8_000, "a", Kind::Repeatable, "/n2/", "steady")
+        .answered(8_010, "a", 404);
+    assert_eq!(told.findings(), ["in force"]);
+}
+
+#[test]
+fn a_gateway_that_goes_back_to_an_older_configuration_is_found() {
+    let went_back = |restarted: bool| {
+        let told = Told::begin()
+            .at(5_000, Seen::Configured { version: 2 })
+            .sent(5_100, "a", Kind::Repeatable, "/n2/", "steady")
+            .began(5_101, "a", "/n2/")
+            .answered(5_110, "a", 200);
+        let told = match restarted {
+            true => told.at(5_200, Seen::Started { gateway: 0 }),
+            false => told,
+        };
+        told.sent(6_000, "b", Kind::Repeatable, "/n2/", "steady")
+            .answered(6_010, "b", 404)
+    };
+    assert_eq!(went_back(false).findings(), ["never back"]);
+    assert_eq!(went_back(true).findings(), Vec::<&str>::new());
+}
+
+#[test]
+fn a_key_served_after_it_was_taken_away_is_found_even_at_a_gateway_out_of_touch() {
+    let (place, what) = (Place::Store, "Down".to_string());
+    let told = Told::begin()
+        .at(4_000, Seen::Configured { version: 2 })
+        .at(5_000, Seen::Configured { version: 3 })
+        .at(5_001, Seen::Fault { place, what })
+        .sent(11_000, "a", Kind::Repeatable, "/rep/", "r1")
+        .began(11_001, "a", "/rep/")
+        .answered(11_010, "a", 200);
+    assert_eq!(told.findings(), ["keys"]);
+}
+
+#[test]
+fn fences_that_fall_or_serve_two_holders_are_found() {
+    let told = Told::begin()
+        .reported(5_000, "g0", 2, 1)
+        .reported(9_000, "g1", 1, 2);
+    assert_eq!(told.findings(), ["fences rise"]);
+    let told = Told::begin()
+        .reported(5_000, "g0", 2, 1)
+        .reported(9_000, "g1", 2, 2);
+    assert_eq!(told.findings(), ["fence of one holder"]);
+}
+
+#[test]
+fn holders_that_act_in_turn_within_the_lease_are_found() {
+    let told = Told::begin()
+        .reported(5_000, "g0", 1, 1)
+        .reported(6_000, "g1", 2, 2)
+        .reported(7_000, "g0", 3, 3);
+    assert_eq!(told.findings(), ["not A, B, A"]);
+}
+
+#[test]
+fn a_window_told_twice_differently_is_found() {
+    let mut told = Told::begin().reported(5_000, "g0", 1, 7);
+    told = told.reported(9_000, "g0", 1, 7);
+    if let Some(Record {
+        seen: Seen::Reported { counts, .. },
+        ..
+    }) = told.records.last_mut()
+    {
+        *counts = "{\"t\":2}".into();
+    }
+    assert_eq!(told.findings(), ["reports"]);
+}
+
+#[test]
+fn a_request_cut_by_a_planned_stop_is_found_unless_its_endpoint_broke_off() {
+    let cut = |broke_off: bool| {
+        let told = Told::begin().once(5_000, "a").began(5_001, "a", "/once/");
+        let told = match broke_off {
+            true => told.at(5_002, Seen::BrokeOff { id: "a".into() }),
+            false => told,
+        };
+        let (id, why) = ("a".to_string(), Lack::Closed);
+        told.at(5_100, Seen::Asked { gateway: 0 })
+            .at(5_200, Seen::Unanswered { id, why })
+    };
+    assert_eq!(cut(false).findings(), ["planned stop"]);
+    assert_eq!(cut(true).findings(), Vec::<&str>::new());
+}
+
+#[test]
+fn a_process_that_ends_by_itself_is_found() {
+    let told = served()
+        .at(
+            5_100,
+            Seen::Gone {
+                gateway: 0,
+                own: true,
+            },
+        )
+        .once(18_000, "b")
+        .began(18_001, "b", "/once/")
+        .answered(18_010, "b", 200)
+        .once(19_000, "c");
+    assert_eq!(told.findings(), ["own ends"]);
+}
+
+#[test]
+fn a_gateway_that_serves_nothing_after_its_restart_is_found() {
+    let told = served()
+        .at(
+            5_100,
+            Seen::Gone {
+                gateway: 0,
+                own: false,
+            },
+        )
+        .at(5_500, Seen::Started { gateway: 0 })
+        .once(18_000, "b")
+        .answered(18_010, "b", 503)
+        .once(19_000, "c");
+    assert_eq!(told.findings(), ["recovery", "recovery"]);
+}
