Count what a leaving endpoint might have got as cases

Ruled out: the check itself (a broken input finds the fault). Change: a case is a request of a gateway in touch that could have gone to an endpoint past its bound.

--- a/soak/src/checks/times.rs
+++ b/soak/src/checks/times.rs
@@ -23,20 +23,21 @@
             left.insert(endpoint, record.at);
         }
     }
+    let is_late = |said: &u64, at| at > said + LEAVES_AFTER + NOTE_SLACK;
     for request in view.requests.values() {
         for &(at, endpoint) in &request.begun {
-            let Some(&said) = left.get(endpoint) else {
-                continue;
-            };
             let is_held = |place| !view.is_sound(place, at.saturating_sub(CONTACT), at);
             let is_held = place_of(endpoint).is_some_and(is_held);
-            if at < said || is_held || !view.is_in_touch(request.gateway, at, at) {
+            // It could have gone to one that leaves.
+            let is_case = left.values().any(|said| is_late(said, at));
+            if !is_case || is_held || !view.is_in_touch(request.gateway, at, at) {
                 continue;
             }
-            let is_good = at <= said + LEAVES_AFTER + NOTE_SLACK;
+            let said = left.get(endpoint);
+            let is_good = !said.is_some_and(|said| is_late(said, at));
             verdicts.judge("leaving", is_good, at, || {
                 let (id, gateway) = (request.id, request.gateway);
-                format!("{id} through g{gateway}: began at {endpoint}, leaving since {said} ms")
+                format!("{id} through g{gateway}: began at {endpoint}, leaving since {said:?} ms")
             });
         }
     }
