Check limits and the budget of repeats over all gateways, and stop gateways in calm times

Ruled out: nothing. Change: a limited tenant, a low budget of repeats, two checks with a broken input each; three planned stops in each calm, drawn apart so that a seed keeps its faults.

--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -2,6 +2,7 @@
 //! clock. Bounds are those of the users' rules, and stand in the settings that the soak writes.
 
 mod duties;
+mod limits;
 mod requests;
 mod stops;
 mod times;
@@ -59,6 +60,8 @@
         times::in_force,
         times::never_back,
         times::keys,
+        limits::quotas,
+        limits::repeats,
         duties::fences,
         duties::reports,
         stops::planned_stops,
--- a/soak/src/checks/requests.rs
+++ b/soak/src/checks/requests.rs
@@ -8,8 +8,9 @@
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 /// Statuses that the soak's endpoints give of their own.
 const ENDPOINT_STATUSES: [u16; 2] = [200, 500];
-/// The only tenant of the soak's configurations.
-const TENANT: &str = "t";
+/// The tenants of the soak's configurations, and the key of the second.
+const TENANTS: [&str; 2] = ["t", "f"];
+pub(super) const LIMITED_KEY: &str = "few";
 
 /// One answer to each request, and its own.
 pub(super) fn own_answers(view: &View<'_>, verdicts: &mut Verdicts) {
@@ -66,7 +67,9 @@
         };
         let asked = view.requests.get(id.as_str());
         let is_same = asked.is_some_and(|request| request.path == path);
-        let is_good = is_same && tenant.as_deref() == Some(TENANT) && !key_shown;
+        let is_limited = asked.is_some_and(|request| request.key == LIMITED_KEY);
+        let owner = TENANTS[usize::from(is_limited)];
+        let is_good = is_same && tenant.as_deref() == Some(owner) && !key_shown;
         verdicts.judge("as asked", is_good, record.at, || {
             format!("{:?}", record.seen)
         });
--- a/soak/src/checks/view.rs
+++ b/soak/src/checks/view.rs
@@ -21,6 +21,8 @@
     /// Starts of its gateway before it was sent.
     pub life: usize,
     pub outcome: Option<(u64, &'a Seen)>,
+    /// Times that it arrived at endpoints, also where it was turned away.
+    pub arrived: usize,
     /// When it began at endpoints, and where.
     pub begun: Vec<(u64, &'a str)>,
     /// An endpoint ended it badly on purpose.
@@ -28,6 +30,14 @@
 }
 
 impl Request<'_> {
+    /// The service that it is for, by the operator's routes.
+    pub fn service(&self) -> &'static str {
+        match self.kind {
+            Kind::Stream | Kind::Resumable => "b",
+            Kind::Once | Kind::Repeatable => "a",
+        }
+    }
+
     /// Status of its answer.
     pub fn status(&self) -> Option<u16> {
         match self.outcome {
@@ -62,6 +72,8 @@
 pub(super) struct View<'a> {
     pub records: &'a [Record],
     pub requests: BTreeMap<&'a str, Request<'a>>,
+    /// When requests arrived at endpoints past their first time, by service.
+    pub repeats: BTreeMap<&'static str, Vec<u64>>,
     /// Configurations and when the store took them.
     pub configured: Vec<(u64, u64)>,
     /// End of the run.
@@ -77,6 +89,7 @@
         let mut view = View {
             records,
             requests: BTreeMap::new(),
+            repeats: BTreeMap::new(),
             configured: Vec::new(),
             end,
             faults: Vec::new(),
@@ -121,6 +134,7 @@
                     sent: at,
                     life: lives.get(gateway).copied().unwrap_or(0),
                     outcome: None,
+                    arrived: 0,
                     begun: Vec::new(),
                     broke_off: false,
                 };
@@ -131,7 +145,9 @@
                     request.outcome = Some((at, &record.seen));
                 }
             }
+            Seen::TurnedAway { id } => self.arrive(id, at),
             Seen::Began { id, endpoint, .. } => {
+                self.arrive(id, at);
                 if let Some(request) = self.requests.get_mut(id.as_str()) {
                     request.begun.push((at, endpoint));
                 }
@@ -160,6 +176,17 @@
         }
     }
 
+    fn arrive(&mut self, id: &str, at: u64) {
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        request.arrived += 1;
+        if request.arrived > 1 {
+            let service = request.service();
+            self.repeats.entry(service).or_default().push(at);
+        }
+    }
+
     // Faults at one place may overlap; the place is sound again after the last.
     fn begin_fault(&mut self, place: Place, at: u64, open: &mut Vec<(Place, u64, usize)>) {
         match open.iter_mut().find(|(open, ..)| *open == place) {
--- a/soak/src/gateways.rs
+++ b/soak/src/gateways.rs
@@ -151,8 +151,8 @@
          readiness = {ip}:{READY_PORT}\npeer_ports = 7600,7615\nseeds = {seeds}\n\
          [store]\naddress = {store}\n[orders]\naddress = {reports}\nduties = usage_reporting\n\
          [bounds]\ndescriptors = 1000\nmemory = 260MiB\ncredential_age = 5000ms\n\
-         change_due = 2000ms\nstop_grace = 8s\nrepeats = 0.2\nrepeats_extra = 56\n\
-         repeats_window = 10s\nlease = 3000ms\nusage_window = 2s\nusage_due = 4s\n",
+         change_due = 2000ms\nstop_grace = 8s\nrepeats = 0.05\nrepeats_extra = 10\n\
+         repeats_window = 10s\nlease = 3000ms\nusage_window = 2s\nusage_due = 4s\nquota_slack = 30\n",
         ip = ip(index),
         seeds = seeds.join(","),
     )
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -95,6 +95,8 @@
         tenant: Option<String>,
         key_shown: bool,
     },
+    /// An endpoint turns a request away without running it.
+    TurnedAway { id: String },
     /// An endpoint ends a request badly on purpose.
     BrokeOff { id: String },
     /// The store took the word that an endpoint leaves.
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -20,6 +20,11 @@
 /// Time into a calm at which the operator acts, in ms.
 const CHANGE_IN_CALM: u64 = 3_800;
 
+/// Time into a calm at which gateways are asked to stop, in ms: after the bounds of the change.
+const STOPS_IN_CALM: [u64; 3] = [6_300, 6_450, 6_600];
+/// Makes the draw of these stops another than that of the faults, so that a seed keeps its faults.
+const STOPS_SALT: u64 = 0x5707;
+
 /// One act from outside.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub enum Act {
@@ -119,10 +124,16 @@
             gateways,
             endpoints,
         };
+        let mut stops = Draw {
+            rng: ChaCha8Rng::seed_from_u64(seed ^ STOPS_SALT),
+            gateways,
+            endpoints,
+        };
         let mut steps = Vec::new();
         let mut at = START;
         while at < last {
             draw.bout(at, last, &mut steps);
+            stops.stops(at, last, &mut steps);
             at += BOUT + CALM;
         }
         steps.push(Step {
@@ -189,6 +200,18 @@
         }
     }
 
+    // Planned stops with nothing else wrong, one after another.
+    fn stops(&mut self, from: u64, last: u64, steps: &mut Vec<Step>) {
+        for stop in STOPS_IN_CALM {
+            let at = from + BOUT + stop;
+            let gateway = self.rng.random_range(0..self.gateways);
+            if at < last {
+                let act = Act::Stop { gateway };
+                steps.push(Step { at, act });
+            }
+        }
+    }
+
     fn fault(&mut self, longest: u64) -> Act {
         let gateway = self.rng.random_range(0..self.gateways);
         let endpoint = self.rng.random_range(0..self.endpoints);
--- a/soak/src/standins/client.rs
+++ b/soak/src/standins/client.rs
@@ -12,7 +12,7 @@
 
 use super::body_of;
 use super::endpoint::events_of;
-use super::operator::{HOST, STEADY_KEY};
+use super::operator::{HOST, LIMITED_KEY, STEADY_KEY};
 use crate::history::{Body, History, Kind, Lack, Seen};
 use crate::http::{Connection, Head};
 
@@ -148,7 +148,8 @@
         self.made += 1;
         let newest = self.shared.newest.load(Ordering::SeqCst);
         let near = newest.saturating_sub(self.rng.random_range(0..4)).max(1);
-        let (kind, path, key) = match self.rng.random_range(0..100) {
+        let (kind, path, key) = match self.rng.random_range(0..115) {
+            100.. => (Kind::Once, "/once/".to_string(), LIMITED_KEY.to_string()),
             0..30 => (Kind::Once, "/once/".to_string(), STEADY_KEY.to_string()),
             30..50 => (
                 Kind::Repeatable,
--- a/soak/src/standins/endpoint.rs
+++ b/soak/src/standins/endpoint.rs
@@ -144,6 +144,7 @@
         let course = course(id, &self.id);
         let is_full = lock(&self.running).len() >= SLOTS;
         if is_full || course == Course::TurnsAway {
+            self.history.note(Seen::TurnedAway { id: id.to_string() });
             return not_run(connection, 503, id);
         }
         if self.ended.load(Ordering::SeqCst) {
--- a/soak/src/standins/operator.rs
+++ b/soak/src/standins/operator.rs
@@ -5,8 +5,13 @@
 
 /// The key that every version holds.
 pub(crate) const STEADY_KEY: &str = "steady";
-/// The only tenant.
-pub(crate) const TENANT: &str = "t";
+/// The tenant without a limit, and one with a low one and its key.
+const TENANT: &str = "t";
+const LIMITED_TENANT: &str = "f";
+pub(crate) const LIMITED_KEY: &str = "few";
+/// Its limit, in requests a second, and what it may ask for at once.
+const LIMIT: f64 = 5.0;
+const BURST: f64 = 5.0;
 /// Host of all routes.
 pub(crate) const HOST: &str = "h";
 
@@ -28,7 +33,10 @@
         "version": version,
         "routes": routes,
         "services": [{"name": "a"}, {"name": "b"}],
-        "tenants": [{"name": TENANT, "apiKeys": keys}],
+        "tenants": [
+            {"name": TENANT, "apiKeys": keys},
+            {"name": LIMITED_TENANT, "apiKeys": [LIMITED_KEY], "ratePerS": LIMIT, "burst": BURST},
+        ],
     })
     .to_string()
 }
--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -350,3 +350,36 @@
         .once(19_000, "c");
     assert_eq!(told.findings(), ["recovery", "recovery"]);
 }
+
+#[test]
+fn more_of_a_limited_tenant_than_its_limit_is_found_over_all_gateways() {
+    let mut told = Told::begin();
+    for number in 0..200 {
+        let (at, id) = (5_000 + number * 40, format!("a{number}"));
+        told = told.sent(at, &id, Kind::Once, "/once/", "few");
+        told = told.began(at, &id, "/once/");
+        if let Some(Record {
+            seen: Seen::Began { tenant, .. },
+            ..
+        }) = told.records.last_mut()
+        {
+            *tenant = Some("f".into());
+        }
+    }
+    let findings = told.findings();
+    assert!(!findings.is_empty() && findings.iter().all(|f| *f == "limits"));
+}
+
+#[test]
+fn more_repeats_than_their_budget_are_found_also_where_endpoints_turned_them_away() {
+    let mut told = Told::begin();
+    for number in 0..40 {
+        let id = format!("a{number}");
+        let at = 5_000 + number * 10;
+        told = told.sent(at, &id, Kind::Repeatable, "/rep/", "steady");
+        told = told.at(at + 1, Seen::TurnedAway { id: id.clone() });
+        told = told.began(at + 2, &id, "/rep/");
+    }
+    let findings = told.findings();
+    assert!(!findings.is_empty() && findings.iter().all(|f| *f == "repeats"));
+}
