--- a/soak/src/standins/endpoint.rs
+++ b/soak/src/standins/endpoint.rs
@@ -121,7 +121,7 @@
             let head = connection.head()?;
             let id = head.field("croftpond-attempt-id").unwrap_or_default();
             let id = id.to_string();
-            let reads_slowly = hash(&id) % 8 == 0;
+            let reads_slowly = hash(&id).is_multiple_of(8);
             let mut left = head.length();
             while left > 0 {
                 let piece = left.min(SLOW_PIECE);
@@ -144,6 +144,7 @@
         let course = course(id, &self.id);
         let is_full = lock(&self.running).len() >= SLOTS;
         if is_full || course == Course::TurnsAway {
+            self.history.note(Seen::TurnedAway { id: id.to_string() });
             return not_run(connection, 503, id);
         }
         if self.ended.load(Ordering::SeqCst) {
