--- a/components/routing/src/placement.rs
+++ b/components/routing/src/placement.rs
@@ -14,6 +14,7 @@
 mod queue;
 mod service;
 mod slot;
+mod speed;
 mod unknown;
 mod way;
 
--- a/components/routing/src/placement/board.rs
+++ b/components/routing/src/placement/board.rs
@@ -10,7 +10,7 @@
 use crate::endpoint::Reading;
 use crate::placement::departure::Links;
 use crate::placement::mix::Mix;
-use crate::placement::pace::{with_rate_sample, Pace};
+use crate::placement::pace::Pace;
 use crate::placement::service::ServiceSlots;
 use crate::placement::slot::Slot;
 use crate::placement::unknown::Unknown;
@@ -245,9 +245,9 @@
         let way = self.ways.beyond_region_ms(&hall);
         let took = ms(now.saturating_sub(ticket.sent_at)) - way;
         let pace = self.paces.entry(service).or_default();
-        let (sample, pace) = (pace.first_token(ticket.unread_tokens, took), *pace);
+        let sample = pace.first_token(ticket.unread_tokens, took);
         if let (Some(sample), Some(slot)) = (sample, self.slot_mut(&ticket.endpoint)) {
-            slot.rate = with_rate_sample(slot.rate_or(pace), sample);
+            slot.read_at(sample);
         }
     }
 
--- a/components/routing/src/placement/choice.rs
+++ b/components/routing/src/placement/choice.rs
@@ -237,7 +237,7 @@
     // Expected time to the first token there, and what the request would cost others.
     fn cost_ms(&self, slot: &mut Slot, unread: u32) -> f64 {
         let (now, pace) = (self.now, self.pace);
-        let rate = slot.rate_or(pace);
+        let rate = slot.rate(pace);
         let load = f64::from(slot.load(now));
         let slots = f64::from(slot.spec.slots.max(1));
         let excess = (load + 1.0 - slots).max(0.0);
--- a/components/routing/src/placement/slot.rs
+++ b/components/routing/src/placement/slot.rs
@@ -8,6 +8,7 @@
 use crate::placement::cache::PromptCache;
 use crate::placement::pace::Pace;
 use crate::placement::queue::PromptQueue;
+use crate::placement::speed::Speed;
 use crate::placement::Verdict;
 
 /// First time an endpoint is passed over after it was silent; it doubles with each time in a row.
@@ -31,8 +32,7 @@
     pub hall: usize,
     pub cache: PromptCache,
     pub queue: PromptQueue,
-    /// Tokens of prompts read in a millisecond, 0 while unknown.
-    pub rate: f64,
+    speed: Speed,
     /// Requests of this gateway that run there.
     pub own: u32,
     /// Running share of faulty answers.
@@ -59,7 +59,7 @@
             hall: 0,
             cache: PromptCache::new(cache_tokens),
             queue: PromptQueue::default(),
-            rate: 0.0,
+            speed: Speed::default(),
             own: 0,
             fault_share: 0.0,
             suspected_until: Duration::ZERO,
@@ -72,12 +72,14 @@
         }
     }
 
-    /// Its own rate once it was measured, else that of its service, in tokens a millisecond.
-    pub fn rate_or(&self, pace: Pace) -> f64 {
-        match self.rate > 0.0 {
-            true => self.rate,
-            false => pace.rate,
-        }
+    /// Tokens of prompts that it reads in a millisecond, from its service's rate and what was measured of its own.
+    pub fn rate(&self, pace: Pace) -> f64 {
+        self.speed.rate(pace)
+    }
+
+    /// It read a prompt at so many tokens a millisecond.
+    pub fn read_at(&mut self, rate: f64) {
+        self.speed.note(rate);
     }
 
     /// Requests expected there now.
--- /dev/null
+++ b/components/routing/tests/speeds.rs
@@ -0,0 +1,103 @@
+//! Endpoints of one service that work at different speeds.
+
+use std::time::Duration;
+
+use directory::{Configuration, Endpoint, EndpointState, Engine, Service};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use routing::placement::{Board, Placement, PromptPart, Verdict, Versions, Work};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn board(ids: &[&str]) -> Board {
+    let mut board = Board::new("z");
+    let engine = Engine {
+        slots: 16,
+        cache_tokens: 100_000,
+        tokens_per_event: 1,
+    };
+    let service = Service {
+        max_connections: 10,
+        engine: Some(engine),
+        scaling: None,
+    };
+    board.configure(&Configuration {
+        services: [("s".to_string(), service)].into(),
+        ..Configuration::default()
+    });
+    for id in ids {
+        let endpoint = Endpoint {
+            id: id.to_string(),
+            service: "s".into(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            zone: "z".into(),
+            slots: 16,
+            state: EndpointState::Ready,
+            reclaimable: false,
+            cold: Duration::ZERO,
+            version: "v1".into(),
+        };
+        board.insert(ms(0), endpoint);
+    }
+    board
+}
+
+fn prompt(own: u64, tokens: u32) -> Work {
+    Work {
+        service: "s".into(),
+        parts: vec![PromptPart { id: own, tokens }],
+        prompt_tokens: tokens,
+        answer_tokens: 50,
+        body_bytes: 0,
+    }
+}
+
+fn choose(board: &mut Board, at: Duration, work: &Work, not: &[String]) -> Placement {
+    let mut rng = ChaCha8Rng::seed_from_u64(at.as_millis() as u64);
+    let placed = board.choose(at, work, not, Versions::Any, &mut rng);
+    placed.expect("an endpoint is ready")
+}
+
+/// Sends a prompt to an endpoint that reads so many tokens a millisecond, where nothing else runs.
+fn read_at(board: &mut Board, at: Duration, tokens: u32, rate: u32, not: &str) {
+    let work = prompt(1_000_000 + at.as_millis() as u64, tokens);
+    let placed = choose(board, at, &work, &[not.to_string()]);
+    let mut ticket = board.sent(at, &work, &placed);
+    let first = at + ms(5 + u64::from(tokens / rate));
+    board.first_token(first, &mut ticket);
+    board.ended(first + ms(50), &ticket, Verdict::Sound);
+}
+
+#[test]
+fn a_faster_endpoint_gets_more_prompts() {
+    let mut board = board(&["slow", "fast"]);
+    for round in 0..60 {
+        let at = ms(round * 2000);
+        read_at(&mut board, at, 6_000, 100, "fast");
+        read_at(&mut board, at + ms(1000), 6_000, 130, "slow");
+    }
+    let mut fast = 0;
+    for i in 0..100 {
+        let at = ms(1_000_000 + i * 1000);
+        let placed = choose(&mut board, at, &prompt(i + 1, 6_000), &[]);
+        fast += usize::from(placed.endpoint == "fast");
+    }
+    assert_eq!(fast, 100, "nothing waits anywhere");
+}
+
+#[test]
+fn an_endpoint_measured_once_while_the_rate_was_a_guess_is_not_held_slow_for_good() {
+    let mut board = board(&["once", "often"]);
+    read_at(&mut board, ms(0), 6_000, 100, "often");
+    for round in 1..60 {
+        read_at(&mut board, ms(round * 1000), 6_000, 100, "once");
+    }
+    let mut expected_ms = |not: &str| {
+        let placed = choose(&mut board, ms(100_000), &prompt(1, 6_000), &[not.into()]);
+        placed.expected_ms
+    };
+    let (once, often) = (expected_ms("often"), expected_ms("once"));
+    assert!(once < often * 1.2, "{once} {often}");
+}
