Serve at endpoints under suspicion at home rather than refuse for want of the link

Cause: endpoints under suspicion were left out when any other, in whatever region, was trusted; with the link full such a request was refused though home could serve it (test silent_endpoints_at_home_..., failed before). And the time of an answer through another region counted its way against the version of the endpoint in a roll-out. Change: suspicion is looked at by region, and costs 1 s where several regions have endpoints; evidence is less by the way to another region. Tests of routing passed, existing ones unchanged; clippy of routing and gateway is clean.

--- a/components/gateway/src/endpoint_run.rs
+++ b/components/gateway/src/endpoint_run.rs
@@ -55,8 +55,8 @@
 
     // What this run says of its endpoint's version, if a roll-out is under way. The time of an engine's answer is
     // reported in parts of the time expected, since an endpoint of a new version has read no prompts yet.
-    fn evidence(&self, now: Duration, verdict: Verdict) -> Option<Answer> {
-        let took = now.saturating_sub(self.sent_at).as_secs_f64();
+    fn evidence(&self, now: Duration, way: Duration, verdict: Verdict) -> Option<Answer> {
+        let took = now.saturating_sub(self.sent_at + way).as_secs_f64();
         match verdict {
             Verdict::Neutral => None,
             Verdict::Faulty | Verdict::Silent => Some(Answer::Failed),
@@ -91,7 +91,10 @@
             // Its other open connections may say nothing either.
             state.pool.forget(&self.placement.endpoint);
         }
-        if let Some(answer) = self.evidence(now, verdict) {
+        // The way to another region is none of the version's doing.
+        let way_ms = state.board.ways().beyond_region_ms(&self.placement.hall);
+        let way = Duration::from_secs_f64(way_ms / 1000.0);
+        if let Some(answer) = self.evidence(now, way, verdict) {
             let (service, route) = (&self.job.work.service, self.job.asked().route);
             let reported = state
                 .gates
--- a/components/routing/src/placement/choice.rs
+++ b/components/routing/src/placement/choice.rs
@@ -21,6 +21,9 @@
 const BESIDE_MS: f64 = 0.3;
 /// Cost of an endpoint whose every answer is faulty, in milliseconds.
 const FAULTY_MS: f64 = 1000.0;
+/// Cost of an endpoint that was silent, while another region has endpoints too, in milliseconds: as much as one whose
+/// every answer is faulty.
+const SUSPECTED_MS: f64 = FAULTY_MS;
 /// Cost of an endpoint that has just started, in milliseconds.
 const COLD_MS: f64 = 20.0;
 /// Prompts read one after the other for longer than this make a pause that a caller notices, in
@@ -75,19 +78,22 @@
         rng: &mut impl Rng,
     ) -> Option<Placement> {
         self.links.begin();
-        let weighing = Weighing {
+        let mut weighing = Weighing {
             now,
             work,
             pace: self.pace(&work.service),
             mix: self.mixes.get(&work.service).copied().unwrap_or_default(),
             hashes: beginnings(&work.parts),
             hall_costs: self.hall_costs(home_region, work.body_bytes),
+            has_choice: false,
         };
         let slots = self.services.get_mut(&work.service)?;
         let usable = slots.usable(now, exclude, versions);
+        let regions = slots.by_region(usable, home_region);
+        weighing.has_choice = regions.len() > 1;
         let (mut home, mut away) = (None, None::<(usize, Weighed)>);
         let mut count = 0;
-        for (region, positions) in slots.by_region(usable, home_region) {
+        for (region, positions) in regions {
             let best = away.map_or(home, |(_, best)| Some(best));
             if region != home_region && !weighing.may_gain(slots, &positions, best) {
                 continue;
@@ -167,6 +173,8 @@
     hashes: Vec<u64>,
     // What a request must gain in each hall, by the place of the hall on the board.
     hall_costs: Vec<f64>,
+    // Whether there are endpoints in several regions.
+    has_choice: bool,
 }
 
 impl Weighing<'_> {
@@ -202,6 +210,9 @@
             let unread = self.unread(slot, home == Some(position));
             let mut cost_ms = self.cost_ms(slot, unread);
             cost_ms += self.hall_costs[slot.hall];
+            if self.has_choice && slot.is_suspected(self.now) {
+                cost_ms += SUSPECTED_MS;
+            }
             if !usable.is_in_group(position) {
                 cost_ms += match heavy {
                     true => AMONG_LIGHT_MS,
--- a/components/routing/src/placement/service.rs
+++ b/components/routing/src/placement/service.rs
@@ -1,6 +1,6 @@
 //! The endpoints of one service.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::placement::mix::Mix;
@@ -102,7 +102,7 @@
         }
     }
 
-    /// The endpoints that take a request: those under suspicion only if there is no other.
+    /// The endpoints that take a request: those under suspicion only if there is no other in their region.
     pub fn usable(&self, now: Duration, exclude: &[String], versions: Versions) -> Vec<usize> {
         let takes_work = |slot: &Slot| {
             let spec = &slot.spec;
@@ -110,10 +110,11 @@
         };
         let all = self.slots.iter().enumerate();
         let mut ready: Vec<usize> = all.filter(|(_, s)| takes_work(s)).map(|(i, _)| i).collect();
-        let is_trusted = |position: &usize| now >= self.slots[*position].suspected_until;
-        if ready.iter().any(&is_trusted) {
-            ready.retain(is_trusted);
-        }
+        let region = |position: &usize| self.slots[*position].region;
+        let is_trusted = |position: &usize| !self.slots[*position].is_suspected(now);
+        let trusted = ready.iter().filter(|position| is_trusted(position));
+        let trusted: BTreeSet<usize> = trusted.map(region).collect();
+        ready.retain(|position| is_trusted(position) || !trusted.contains(&region(position)));
         if let Versions::Few(_, most) = versions {
             ready.truncate(most);
         }
--- a/components/routing/src/placement/slot.rs
+++ b/components/routing/src/placement/slot.rs
@@ -82,6 +82,11 @@
         self.speed.note(rate);
     }
 
+    /// Whether it is passed over while there is another.
+    pub fn is_suspected(&self, now: Duration) -> bool {
+        now < self.suspected_until
+    }
+
     /// Requests expected there now.
     pub fn load(&mut self, now: Duration) -> u32 {
         self.others.retain(|end| *end > now);
--- a/components/routing/tests/regions.rs
+++ b/components/routing/tests/regions.rs
@@ -296,3 +296,17 @@
     assert_eq!(here.endpoint, "a");
     assert!(here.bytes_across > 0, "it crosses the link all the same");
 }
+
+#[test]
+fn silent_endpoints_at_home_are_used_only_when_the_link_has_no_room() {
+    let mut board = board(&[("a", "a1"), ("b", "b1")]);
+    let work = prompt(2, 300, 1_000);
+    let first = choose(&mut board, ms(0), &work).unwrap();
+    assert_eq!(first.endpoint, "a");
+    let ticket = board.sent(ms(0), &work, &first);
+    board.ended(ms(10), &ticket, Verdict::Silent);
+    assert_eq!(choose(&mut board, ms(20), &work).unwrap().endpoint, "b");
+    board.set_link_parts(ms(20), &parts(10.0));
+    let placed = choose(&mut board, ms(20), &work).unwrap();
+    assert!(placed.endpoint == "a" && placed.kept_for_link);
+}
