Take an echo from behind a full link for a long way

Cause: an echo that took longer than 2 s was dropped, so that a link filled at once left the short way standing, and with it the reason to send more through it. Change: it counts as 2 s; the median keeps a single one, as of a process that stood still, from counting.

--- a/components/gateway/src/control/echoes.rs
+++ b/components/gateway/src/control/echoes.rs
@@ -11,7 +11,8 @@
 
 /// A message that came longer ago is not echoed: as long as its sender counts as heard.
 const LONGEST_HELD: Duration = Duration::from_millis(1500);
-/// A way that took longer shows a process or VM that stood still.
+/// Longer ways count as this long: a message behind a full link, which must not be taken for a short way, or one to a
+/// process that stood still.
 const LONGEST_WAY: Duration = Duration::from_secs(2);
 
 /// Newest messages of other coordinators.
@@ -55,7 +56,7 @@
     let sent = Duration::from_millis(u64::try_from(echo.uptime_ms).ok()?);
     let held = Duration::from_micros(u64::try_from(echo.held_us).ok()?);
     let way = now.checked_sub(sent)?.checked_sub(held)?;
-    (way < LONGEST_WAY).then_some(way)
+    Some(way.min(LONGEST_WAY))
 }
 
 fn name_hash(name: &str) -> i64 {
