--- a/components/routing/src/placement.rs
+++ b/components/routing/src/placement.rs
@@ -15,6 +15,7 @@
 mod queue;
 mod service;
 mod slot;
+mod speed;
 mod unknown;
 mod way;
 
