Take no rows of the other region while the own one is in time, and count no overtaken call as failed

Ruled out: nothing. Change: rows of another region only where the store does not answer, or nothing was confirmed for too long; a call that others overtook behind the link is neither an answer nor a failure; a coordinator there that took a configuration tells its hall at once, not with its next message (up to 0.5 s).

--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -147,7 +147,16 @@
             }
         }
         let answered = tokio::time::timeout(OVERTAKEN_TIME, call).await;
-        answered.unwrap_or(Err(StoreError::Unanswered))
+        answered.unwrap_or(Err(self.overtaken()))
+    }
+
+    // Behind the link a call may just be slower than that of the region's other reader: whoever counted it as failed
+    // would be followed by a third one, and fill the link the more.
+    fn overtaken(&self) -> StoreError {
+        match self.known.borrow().is_far_from_store() {
+            true => StoreError::Overtaken,
+            false => StoreError::Unanswered,
+        }
     }
 
     async fn ask_for_changes(&self, topic: Topic, hold: Duration) {
@@ -301,6 +310,9 @@
         let now = self.clock.now();
         let mut known = self.known.borrow_mut();
         let followed = known.followed_mut(topic);
+        if *error == StoreError::Overtaken {
+            return;
+        }
         // That is an answer: whoever reads for others goes on, with all rows.
         if *error == StoreError::HistoryGone {
             info!(self.log, "history of the store is gone"; "topic" => ?topic);
--- a/components/gateway/src/control/need.rs
+++ b/components/gateway/src/control/need.rs
@@ -40,7 +40,10 @@
     /// for the whole table.
     pub fn forget_endpoints(&self) {
         let mut known = self.known.borrow_mut();
-        if known.followed[&Topic::Endpoints].table.known_to().is_none() {
+        let followed = known.followed_mut(Topic::Endpoints);
+        if followed.table.known_to().is_none() {
+            // Whoever needs them later waits for others from then on.
+            followed.follower.read_itself();
             return;
         }
         known.endpoints.clear();
--- a/components/gateway/src/control/passing.rs
+++ b/components/gateway/src/control/passing.rs
@@ -76,7 +76,11 @@
             self.note_pulled(topic, from, &pulled);
             let changes = pulled.rows.into_iter().map(change_of).collect();
             let stamp = reported.confirmed;
-            self.take_changes(topic, changes, pulled.known_to, stamp, pulled.whole);
+            let changed = self.take_changes(topic, changes, pulled.known_to, stamp, pulled.whole);
+            // Behind the link a coordinator hears of a change from a reader, and its hall from it.
+            if changed && by_pages && topic == Topic::Configuration {
+                self.urgent.notify_one();
+            }
         }
         self.confirm_digest(topic, reported);
         let covers = {
--- a/components/gateway/src/ports.rs
+++ b/components/gateway/src/ports.rs
@@ -164,6 +164,8 @@
     Refused,
     /// No answer came: a write may have been done, or may yet be.
     Unanswered,
+    /// Others reported what was asked for before an answer came.
+    Overtaken,
     /// Changes since the given revision are not known any more.
     HistoryGone,
     /// A row had another revision than expected; the row as it is.
@@ -177,6 +179,7 @@
         match self {
             StoreError::Refused => write!(f, "refused"),
             StoreError::Unanswered => write!(f, "unanswered"),
+            StoreError::Overtaken => write!(f, "overtaken"),
             StoreError::HistoryGone => write!(f, "history gone"),
             StoreError::Conflict(_) => write!(f, "conflict"),
             StoreError::Malformed(what) => write!(f, "malformed {what}"),
--- a/components/replica/src/follower.rs
+++ b/components/replica/src/follower.rs
@@ -138,10 +138,10 @@
     }
 
     /// Whether rows may be taken from another region: from there only by those that the store does not answer, and
-    /// once nothing was confirmed here for too long.
+    /// where others read, once nothing was confirmed here for too long.
     pub fn may_take_from_afar(&self, now: Duration) -> bool {
         let overdue = |waits| now >= self.overdue_at(waits);
-        !self.reaches_store() || self.waits.is_none_or(overdue)
+        !self.reaches_store() || self.waits.is_some_and(overdue)
     }
 
     /// The next step. `watches` says whether this gateway is one of those that hold calls at the
