--- a/components/fleet/tests/load.rs
+++ b/components/fleet/tests/load.rs
@@ -23,6 +23,13 @@
     per_read_ms: 1.0 / 101.0,
 };
 
+/// Steps that do not grow with what runs, of engines with many slots: reading is most of the load.
+const STEPS_THAT_DO_NOT_GROW: Law = Law {
+    base_ms: 4.23,
+    per_running_ms: 0.0008,
+    per_read_ms: 1.0 / 64.2,
+};
+
 /// A load as gateways see it at so many endpoints, where `made` tokens are made and `read` ones read in a ms.
 fn seen(law: Law, slots: u32, endpoints: u32, made: f64, read: f64) -> Load {
     let spread = f64::from(endpoints);
@@ -74,6 +81,21 @@
     assert!((23.0..=24.0).contains(&seen.endpoints()), "{seen:?}");
 }
 
+#[test]
+fn where_steps_do_not_grow_reading_is_most_of_the_load() {
+    // 450,000 prompt tokens read in a second, 40 tokens made in a millisecond; 64 requests share each step.
+    // 730 tokens in 14 s allow 19 ms a token.
+    let bearing = Bearing::Engine {
+        law: STEPS_THAT_DO_NOT_GROW,
+        pace_ms: 19.0,
+    };
+    let load = seen(STEPS_THAT_DO_NOT_GROW, 64, 40, 40.0, 450.0);
+    let seen = parts(Load { bearing, ..load });
+    assert_eq!(seen.most_running, 64, "{seen:?}");
+    assert!((seen.reading - 7.0).abs() < 0.05, "{seen:?}");
+    assert!((2.5..=2.8).contains(&seen.making), "{seen:?}");
+}
+
 #[test]
 fn tighter_bounds_of_streams_ask_for_more_endpoints() {
     let load = seen(MUCH_MAKING_BESIDE_READING, 64, 60, 61.0, 529.0);
