--- a/components/gateway/tests/duties.rs
+++ b/components/gateway/tests/duties.rs
@@ -3,11 +3,13 @@
 mod common;
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use common::{
     configuration, endpoint, route, settings, tenant, wait_until, EndpointStandin, Setup,
 };
-use directory::Execution;
+use directory::{Endpoint, Execution, Scaling};
+use fleet::ScalingOrder;
 use gateway::ports::{OrderReply, Topic};
 use schema::messages::UsageRow;
 
@@ -61,3 +63,44 @@
     wait_until("more looks", || setup.store.lease_looks() > looked + 2);
     assert_eq!(setup.orders.reports.lock().unwrap().len(), reported);
 }
+
+/// A gateway that orders endpoints in two data halls: four are found in the first and dearer one.
+fn ordering(regions: [&str; 2]) -> Setup {
+    let standin = EndpointStandin::start(|_, exchange| exchange.answer(200, ""));
+    let mut scaled = configuration(1, vec![route("/a/", Execution::Once)]);
+    scaled.services.get_mut("s").unwrap().scaling = Some(Scaling {
+        least: 1,
+        most: 10,
+        boot: Duration::from_secs(4),
+        reclaimable_price: None,
+        zone_prices: BTreeMap::from([("z1".to_string(), 1.0), ("z2".to_string(), 0.5)]),
+    });
+    let mut settings = settings();
+    settings.orders_endpoints = true;
+    let halls = ["z1", "z2"].into_iter().zip(regions);
+    settings.halls = halls.map(|(h, r)| (h.to_string(), r.to_string())).collect();
+    let found = (0..4).map(|i| Endpoint {
+        slots: 8,
+        ..endpoint(&format!("e{i}"), standin.address)
+    });
+    Setup::serving_with(settings, scaled, found.collect())
+}
+
+fn orders_until_second_hall_has_one(setup: &Setup) -> Vec<ScalingOrder> {
+    let orders = || -> Vec<ScalingOrder> {
+        let orders = setup.orders.orders.lock().unwrap();
+        orders.iter().map(|(_, order)| order.clone()).collect()
+    };
+    wait_until("an order in the second hall", || {
+        orders().iter().any(|order| order.hall == "z2")
+    });
+    orders()
+}
+
+#[test]
+fn what_one_region_needs_is_not_given_back_for_an_endpoint_of_another() {
+    let one = orders_until_second_hall_has_one(&ordering(["r", "r"]));
+    assert!(one.iter().any(|o| o.hall == "z1" && o.count < 4), "{one:?}");
+    let two = orders_until_second_hall_has_one(&ordering(["r", "q"]));
+    assert!(two.iter().all(|o| o.hall == "z2"), "{two:?}");
+}
