Plan each region's load in one place

Cause: what is asked was worked out twice, in looks and in plans, in two long functions. Change: region_loads; no change of behaviour.

--- a/components/gateway/src/control/scaling.rs
+++ b/components/gateway/src/control/scaling.rs
@@ -7,6 +7,7 @@
 use fleet::{Bearing, Fleet, Load, Offer, ScalingOrder};
 use rollout::Order;
 use routing::placement::endpoint_hash;
+use schema::settings::GatewaySettings;
 use slog::{info, warn};
 use telemetry::Counter;
 use topology::Topology;
@@ -110,7 +111,9 @@
     fn note_reply(&self, service: &str, order: &ScalingOrder, reply: OrderReply) -> bool {
         let now = self.clock.now();
         let mut known = self.known.borrow_mut();
-        let region = topology_of(&known).region_of(&order.hall).to_string();
+        let region = topology_of(&known.settings)
+            .region_of(&order.hall)
+            .to_string();
         let Some(scaler) = known.scalers.get_mut(&(service.to_string(), region)) else {
             return false;
         };
@@ -129,31 +132,16 @@
     fn observe_load(&self) {
         let now = self.clock.now();
         let mut known = self.known.borrow_mut();
-        let Some(configuration) = known.configuration.clone() else {
-            return;
-        };
-        let topology = topology_of(&known);
-        let tokens = known.demand.tokens_per_s(now);
         let followed = known.followed.get(&Topic::Endpoints);
         let confirmed = followed.and_then(|followed| followed.follower.confirmed_at());
         let as_of = confirmed.unwrap_or_default();
-        for (service, scaling) in scaled(&configuration) {
-            let bearing = known.bearing_of(service);
-            for region in regions_of(&topology, scaling) {
-                let halls = Halls {
-                    topology: &topology,
-                    region: &region,
-                };
-                let load = load_of(&known, service, halls, &tokens, bearing);
-                let held = held_by(&known, service, halls);
-                let scaler = known.scalers.entry((service.clone(), region.clone()));
-                let scaler = scaler.or_default();
-                match load.parts() {
-                    Some(parts) => scaler.observe_as_of(now, as_of, &held, parts.endpoints()),
-                    None => {
-                        self.metrics.count(Counter::PlansUnknown);
-                        scaler.observe_unknown(as_of, &held);
-                    }
+        for asked in known.region_loads(now) {
+            let scaler = known.scalers.entry(asked.key).or_default();
+            match asked.load.parts() {
+                Some(parts) => scaler.observe_as_of(now, as_of, &asked.held, parts.endpoints()),
+                None => {
+                    self.metrics.count(Counter::PlansUnknown);
+                    scaler.observe_unknown(as_of, &asked.held);
                 }
             }
         }
@@ -162,47 +150,40 @@
     fn plan(&self) -> Vec<(String, Vec<ScalingOrder>)> {
         let now = self.clock.now();
         let mut known = self.known.borrow_mut();
-        let Some(configuration) = known.configuration.clone() else {
-            return Vec::new();
-        };
-        let topology = topology_of(&known);
-        let tokens = known.demand.tokens_per_s(now);
-        let mut plans = Vec::new();
-        for (service, scaling) in scaled(&configuration) {
-            if known.rollouts.is_under_way(service) {
-                continue;
-            }
-            let bearing = known.bearing_of(service);
-            for region in regions_of(&topology, scaling) {
-                let halls = Halls {
-                    topology: &topology,
-                    region: &region,
-                };
-                let load = load_of(&known, service, halls, &tokens, bearing);
-                let key = (service.clone(), region.clone());
-                let Some(scaler) = known.scalers.get_mut(&key) else {
-                    continue;
-                };
-                let offer = offer_of(scaling, halls);
-                let keeps = scaler.keeps(now);
-                let orders = scaler.plan(now, &offer);
-                if orders.is_empty() {
-                    continue;
-                }
-                let back = orders.iter().filter(|order| scaler.gives_back(order));
-                self.metrics.add(Counter::GivenBack, back.count() as u64);
-                let parts = load.parts().unwrap_or_default();
-                info!(self.log, "endpoints planned"; "service" => service, "region" => &region,
-                    "load_milli" => milli(scaler.newest_load()),
-                    "highest_milli" => milli(scaler.highest_load(now, &offer)),
-                    "reading_milli" => milli(parts.reading), "making_milli" => milli(parts.making),
-                    "most_running" => parts.most_running, "running" => load.requests,
-                    "bearing" => ?bearing, "held" => ?scaler.held(),
-                    "keeps" => keeps.unwrap_or("nothing"));
-                plans.push((service.clone(), orders));
-            }
+        let asked = known.region_loads(now);
+        let asked = asked.into_iter();
+        asked
+            .filter_map(|asked| self.plan_region(now, &mut known, asked))
+            .collect()
+    }
+
+    fn plan_region(
+        &self,
+        now: Duration,
+        known: &mut Known,
+        asked: RegionLoad,
+    ) -> Option<(String, Vec<ScalingOrder>)> {
+        let (service, region) = &asked.key;
+        if known.rollouts.is_under_way(service) {
+            return None;
         }
-        plans
+        let scaler = known.scalers.get_mut(&asked.key)?;
+        let keeps = scaler.keeps(now);
+        let orders = scaler.plan(now, &asked.offer);
+        if orders.is_empty() {
+            return None;
+        }
+        let back = orders.iter().filter(|order| scaler.gives_back(order));
+        self.metrics.add(Counter::GivenBack, back.count() as u64);
+        let parts = asked.load.parts().unwrap_or_default();
+        info!(self.log, "endpoints planned"; "service" => service, "region" => region,
+            "load_milli" => milli(scaler.newest_load()),
+            "highest_milli" => milli(scaler.highest_load(now, &asked.offer)),
+            "reading_milli" => milli(parts.reading), "making_milli" => milli(parts.making),
+            "most_running" => parts.most_running, "running" => asked.load.requests,
+            "bearing" => ?asked.load.bearing, "held" => ?scaler.held(),
+            "keeps" => keeps.unwrap_or("nothing"));
+        Some((service.clone(), orders))
     }
 }
 
@@ -219,6 +200,33 @@
         (requests, new.map(|endpoint| endpoint.slots).sum())
     }
 
+    // What is asked of each service whose endpoints are ordered, in each region. Requests stay in their region, so
+    // each one is planned by itself over its own halls.
+    fn region_loads(&mut self, now: Duration) -> Vec<RegionLoad> {
+        let Some(configuration) = self.configuration.clone() else {
+            return Vec::new();
+        };
+        let topology = topology_of(&self.settings);
+        let tokens = self.demand.tokens_per_s(now);
+        let mut asked = Vec::new();
+        for (service, scaling) in scaled(&configuration) {
+            let bearing = self.bearing_of(service);
+            for region in regions_of(&topology, scaling) {
+                let halls = Halls {
+                    topology: &topology,
+                    region: &region,
+                };
+                asked.push(RegionLoad {
+                    load: load_of(self, service, halls, &tokens, bearing),
+                    held: held_by(self, service, halls),
+                    offer: offer_of(scaling, halls),
+                    key: (service.clone(), region),
+                });
+            }
+        }
+        asked
+    }
+
     // What the endpoints of a service can bear, by all that gateways saw of them.
     fn bearing_of(&self, service: &str) -> Bearing {
         if !self.loads.get(service).is_some_and(|load| load.has_engines) {
@@ -233,6 +241,14 @@
     }
 }
 
+// What is asked of a service in one region, and what is held and offered there.
+struct RegionLoad {
+    key: (String, String),
+    load: Load,
+    held: Fleet,
+    offer: Offer,
+}
+
 // The data halls of one region.
 #[derive(Clone, Copy)]
 struct Halls<'a> {
@@ -246,8 +262,7 @@
     }
 }
 
-fn topology_of(known: &Known) -> Topology {
-    let settings = &known.settings;
+fn topology_of(settings: &GatewaySettings) -> Topology {
     let own = settings.halls.get(&settings.zone);
     Topology::new(
         &settings.zone,
@@ -256,7 +271,6 @@
     )
 }
 
-// Requests stay in their region, so each one is planned by itself over its own halls.
 fn regions_of(topology: &Topology, scaling: &Scaling) -> BTreeSet<String> {
     let halls = scaling.zone_prices.keys();
     halls
