Let regions share what they hold for the scatter of their loads

Ruled out: planning both regions as one again (a wave of one region would be served over the link); less for what must be left after a loss (the link may be full or cut then). Change: a region among n holds scatter by the square root of the whole load, as its part; what must be left after a loss stays. Test: regions_that_lend_each_other_room_hold_less_for_scatter_and_as_much_for_a_loss.

--- a/components/fleet/src/scaling.rs
+++ b/components/fleet/src/scaling.rs
@@ -47,6 +47,8 @@
 /// knows as much as the last.
 #[derive(Debug, Default)]
 pub struct Scaler {
+    // Regions of the service that lend each other room, this one included; 0 counts as one.
+    regions: u32,
     held: Fleet,
     // Most on-demand endpoints that were held before there was a load, and since when.
     found: u32,
@@ -66,6 +68,14 @@
 }
 
 impl Scaler {
+    /// The planner of one of so many regions that lend each other room.
+    pub fn among(regions: usize) -> Self {
+        Scaler {
+            regions: regions as u32,
+            ..Scaler::default()
+        }
+    }
+
     /// Takes what is held and asked for now. `load` is in endpoints that would be busy all the time.
     pub fn observe(&mut self, now: Duration, held: &Fleet, load: f64) {
         self.observe_as_of(now, now, held, load);
@@ -196,7 +206,7 @@
     // The highest load of some time; before there was any, the one that the fleet is for.
     fn load(&self, now: Duration, span: Duration) -> f64 {
         if self.load_since.is_none() {
-            return load_of_fleet(self.found);
+            return load_of_fleet(self.found, self.regions);
         }
         let recent = self.loads.iter().filter(|(at, _)| now < *at + span);
         recent.map(|(_, load)| *load).fold(0.0, f64::max)
@@ -223,11 +233,11 @@
     }
 
     fn wanted(&self, now: Duration, offer: &Offer, expected: &Fleet) -> Fleet {
-        let lower = Need::of(self.load_to_keep(now, offer, expected));
+        let lower = self.need(self.load_to_keep(now, offer, expected));
         let raise = match self.closed.is_empty() {
-            true => Need::of(self.load(now, RAISE_SPAN)),
+            true => self.need(self.load(now, RAISE_SPAN)),
             // What is missing then cannot be had soon, also not for a load that only paused.
-            false => Need::of(self.highest_load(now, offer)),
+            false => self.need(self.highest_load(now, offer)),
         };
         let may_lower = self.keeps(now).is_none();
         let mut wanted = expected.clone();
@@ -247,7 +257,7 @@
             return highest;
         }
         let kept = f64::from(total_of(expected)) * KEPT_PART;
-        highest.max(load_of_fleet(kept as u32))
+        highest.max(load_of_fleet(kept as u32, self.regions))
     }
 
     // Reclaimable endpoints that were ordered and do not serve yet replace nothing.
@@ -257,6 +267,10 @@
         need.firm_beside(&serving).max(for_all)
     }
 
+    fn need(&self, load: f64) -> Need {
+        Need::of(load, self.regions)
+    }
+
     // As many reclaimable endpoints in each open hall as make the whole cheapest.
     fn spread_reclaimable(
         &self,
@@ -285,7 +299,7 @@
         let Some(price) = offer.reclaimable_price else {
             return Vec::new();
         };
-        let need = Need::of(self.load(now, RAISE_SPAN));
+        let need = self.need(self.load(now, RAISE_SPAN));
         let count = need.reclaimable_each(offer.hall_prices.len(), offer.most, price);
         let closed: Vec<String> = self.closed.iter().cloned().collect();
         let looks = closed.iter();
--- a/components/fleet/src/staffing.rs
+++ b/components/fleet/src/staffing.rs
@@ -37,6 +37,16 @@
 }
 
 impl Staffing {
+    // The same for one of several regions that lend each other room: loads scatter apart from each other, so the
+    // square root is that of the whole load, and each region holds its part of it. Two regions
+    // of the same load hold 0.7 of what each would need alone.
+    fn lent_between(self, regions: u32) -> Self {
+        Staffing {
+            spare: self.spare / f64::from(regions.max(1)).sqrt(),
+            ..self
+        }
+    }
+
     fn endpoints(self, load: f64) -> u32 {
         let by_scatter = load + self.spare * load.sqrt();
         by_scatter.max(load / self.utilization).ceil().max(0.0) as u32
@@ -50,9 +60,9 @@
     }
 }
 
-/// The load that a fleet of this size is taken to be for while none is known.
-pub(crate) fn load_of_fleet(endpoints: u32) -> f64 {
-    ROOMY.load(endpoints)
+/// The load that a fleet of this size in one of so many regions is taken to be for while none is known.
+pub(crate) fn load_of_fleet(endpoints: u32, regions: u32) -> f64 {
+    ROOMY.lent_between(regions).load(endpoints)
 }
 
 /// What a load asks for.
@@ -69,10 +79,11 @@
 }
 
 impl Need {
-    /// What a load asks for, which is given in endpoints that would be busy all the time.
-    pub fn of(load: f64) -> Self {
+    /// What a load of one of so many regions asks for, which is given in endpoints that would be busy all the time.
+    /// What must be left after a loss is each region's own: the link to the others may be full or cut then.
+    pub fn of(load: f64, regions: u32) -> Self {
         Need {
-            all: ROOMY.endpoints(load),
+            all: ROOMY.lent_between(regions).endpoints(load),
             after_loss: SCARCE.endpoints(load),
             firm: ((load * FIRM_PART).ceil() as u32).max(1),
             alone: ALONE.endpoints(load),
--- a/components/fleet/tests/scaling.rs
+++ b/components/fleet/tests/scaling.rs
@@ -323,6 +323,29 @@
     assert!((0..200).all(|now| (sum(now) - 16.0).abs() < 1e-6));
 }
 
+/// Two regions with a load of 9 each: what both hold for scatter is what one fleet of 18 would, and each still carries
+/// its load alone when two of its three halls vanish.
+#[test]
+fn regions_that_lend_each_other_room_hold_less_for_scatter_and_as_much_for_a_loss() {
+    let hold = |scaler: &mut Scaler| {
+        let mut state = held(&[("a", 3, 7), ("b", 3, 7), ("c", 3, 7), ("d", 0, 0)]);
+        settle(scaler, &mut state, 9.0, (0, 120));
+        state
+    };
+    let alone = hold(&mut Scaler::default());
+    let lending = hold(&mut Scaler::among(2));
+    let total = |state: &Fleet| sums(state).0 + sums(state).1;
+    assert!(total(&lending) < total(&alone), "{lending:?} {alone:?}");
+    assert!(f64::from(total(&lending)) >= 9.0 / 0.5, "{lending:?}");
+    let mut reclaimable: Vec<u32> = lending.values().map(|held| held.reclaimable).collect();
+    reclaimable.sort_unstable();
+    let left: u32 = reclaimable[..2].iter().sum();
+    assert!(
+        f64::from(left + sums(&lending).0) * 0.9 >= 9.0,
+        "{lending:?}"
+    );
+}
+
 #[test]
 fn what_is_held_stays_while_it_is_not_known_what_an_endpoint_bears() {
     let mut scaler = Scaler::default();
--- a/components/gateway/src/control/scaling.rs
+++ b/components/gateway/src/control/scaling.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use directory::{Configuration, Scaling};
-use fleet::{Bearing, Fleet, Load, Offer, ScalingOrder};
+use fleet::{Bearing, Fleet, Load, Offer, Scaler, ScalingOrder};
 use rollout::Order;
 use routing::placement::endpoint_hash;
 use schema::settings::GatewaySettings;
@@ -136,7 +136,8 @@
         let confirmed = followed.and_then(|followed| followed.follower.confirmed_at());
         let as_of = confirmed.unwrap_or_default();
         for asked in known.region_loads(now) {
-            let scaler = known.scalers.entry(asked.key).or_default();
+            let scaler = known.scalers.entry(asked.key);
+            let scaler = scaler.or_insert_with(|| Scaler::among(asked.regions));
             match asked.load.parts() {
                 Some(parts) => scaler.observe_as_of(now, as_of, &asked.held, parts.endpoints()),
                 None => {
@@ -211,7 +212,9 @@
         let mut asked = Vec::new();
         for (service, scaling) in scaled(&configuration) {
             let bearing = self.bearing_of(service);
-            for region in regions_of(&topology, scaling) {
+            let regions = regions_of(&topology, scaling);
+            let count = regions.len();
+            for region in regions {
                 let halls = Halls {
                     topology: &topology,
                     region: &region,
@@ -221,6 +224,7 @@
                     held: held_by(self, service, halls),
                     offer: offer_of(scaling, halls),
                     key: (service.clone(), region),
+                    regions: count,
                 });
             }
         }
@@ -243,7 +247,10 @@
 
 // What is asked of a service in one region, and what is held and offered there.
 struct RegionLoad {
+    // Service and region.
     key: (String, String),
+    // Regions in which the service has endpoints.
+    regions: usize,
     load: Load,
     held: Fleet,
     offer: Offer,
