Wait for others longer where the store is slow, and don't take tables through links of coordinators that are only slow

A start over a slow store counted as overdue before anybody could have read it. Ruled out: the link (22 MB in 30 s); the store's answers (5 ms near, 70 ms far). Change: pages between gateways behind the link only, near the store much at once comes from it as before; behind the link a hall's coordinators that are heard count as lost only once they left all requests undecided for 2 to 4 s; others are waited for from the reading of the own hall's list and three calls of the store more; a gateway listed and not heard is awaited for 0.6 s (1 s before).

--- a/components/gateway/src/alone.rs
+++ b/components/gateway/src/alone.rs
@@ -16,12 +16,15 @@
 pub struct Alone {
     decided_us: AtomicU64,
     undecided_us: AtomicU64,
+    // First of the requests without a decision since the last that had one.
+    since_us: AtomicU64,
 }
 
 impl Alone {
     /// A coordinator decided about a request.
     pub fn decided(&self, now: Duration) {
         self.decided_us.store(micros(now), Ordering::Relaxed);
+        self.since_us.store(0, Ordering::Relaxed);
     }
 
     /// No coordinator decided about a request.
@@ -31,6 +34,18 @@
             return;
         }
         self.undecided_us.store(micros(now), Ordering::Relaxed);
+        let first = self.since_us.load(Ordering::Relaxed);
+        if first == 0 {
+            self.since_us.store(micros(now), Ordering::Relaxed);
+        }
+    }
+
+    /// For how long no coordinator has decided about any request, as far as there were some.
+    pub fn undecided_for(&self, now: Duration) -> Duration {
+        match self.since_us.load(Ordering::Relaxed) {
+            0 => Duration::ZERO,
+            at => now.saturating_sub(Duration::from_micros(at)),
+        }
     }
 
     /// Whether requests were left without a decision lately.
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -123,9 +123,13 @@
         let mut known = self.known.borrow_mut();
         let watches = known.watches_store(now);
         let is_far = known.is_far_from_store();
+        let others_begin = known.others_begin(now);
         let followed = known.followed_mut(topic);
         match is_far {
-            true => followed.follower.leave_reading(now, self.spread),
+            true => {
+                followed.follower.leave_reading(now, self.spread);
+                followed.follower.others_begin(others_begin);
+            }
             false => followed.follower.read_itself(),
         }
         let can_go_on = followed.table.can_go_on();
--- a/components/gateway/src/control/need.rs
+++ b/components/gateway/src/control/need.rs
@@ -12,6 +12,10 @@
 /// A gateway that needs the endpoints no more follows them for so long: whoever decides may change to and fro.
 const KEPT_FOR: Duration = Duration::from_secs(10);
 
+/// Coordinators that are heard may leave requests undecided for so long, and up to twice as long at some gateways, before
+/// these decide themselves: their links may be full, which passes, or carry nothing one way, which does not.
+const SLOW_COORDINATORS_TIME: Duration = Duration::from_secs(2);
+
 impl<S: Store + 'static, O: Orders + 'static> Shared<S, O> {
     /// Whether the endpoints are followed here.
     pub fn needs_endpoints(&self) -> bool {
@@ -23,7 +27,7 @@
         let may_decide = known.peers.knows_own_hall()
             || may_decide_unlisted(now, known.list_refused, known.peers.hears_any(now));
         let decides = may_decide && known.speaks_for_others(now);
-        if decides || self.alone.is_alone(now) {
+        if decides || self.has_lost_coordinators(known, now) {
             if known.endpoints_needed_at.replace(now).is_none() {
                 info!(self.log, "endpoints followed"; "decides" => decides);
                 known.followed_mut(Topic::Endpoints).wake.notify_one();
@@ -36,6 +40,17 @@
         }
     }
 
+    // Where a hall's coordinators are heard and only slow, a gateway behind the link that took the endpoints through their
+    // links would slow them down further.
+    fn has_lost_coordinators(&self, known: &Known, now: Duration) -> bool {
+        let may_be_slow = known.is_far_from_store() && known.peers.is_led(now);
+        let waits = match may_be_slow {
+            true => SLOW_COORDINATORS_TIME.mul_f64(1.0 + self.spread),
+            false => Duration::ZERO,
+        };
+        self.alone.is_alone(now) && self.alone.undecided_for(now) >= waits
+    }
+
     /// Forgets the endpoints. Between two steps of following them only, so that no answer that is on its way is taken
     /// for the whole table.
     pub fn forget_endpoints(&self) {
--- a/components/gateway/src/control/passing.rs
+++ b/components/gateway/src/control/passing.rs
@@ -60,7 +60,8 @@
             let known = self.known.borrow();
             let followed = &known.followed[&topic];
             let after = followed.table.known_to().unwrap_or(0);
-            let by_pages = known.topology.has_regions();
+            // Near the store its link is wider than a gateway's: much at once comes from there.
+            let by_pages = known.is_far_from_store();
             (followed.newer, after, by_pages)
         };
         let Some((from, reported)) = newer else {
--- a/components/gateway/src/peers/regions.rs
+++ b/components/gateway/src/peers/regions.rs
@@ -18,9 +18,9 @@
 /// coordinates or reads: when all start at once, each finds few others in the list. Three round trips over 60 ms
 /// and the next message, which is due at once.
 const SETTLE_TIME: Duration = Duration::from_millis(300);
-/// A gateway that was listed and not heard yet is taken to read the store for so long; the next messages are due
-/// within half of it.
-const AWAITED_FOR: Duration = Duration::from_millis(1000);
+/// A gateway that was listed and not heard yet is taken to read the store for so long: its answer to the first message,
+/// which is due within 0.5 s.
+const AWAITED_FOR: Duration = Duration::from_millis(600);
 /// A gateway that reads the store for its region and is not heard for so long is followed by another: two messages
 /// are due in that time.
 const READER_SILENCE: Duration = Duration::from_millis(1000);
@@ -72,6 +72,11 @@
         self.listed || self.lists.own_at.is_some()
     }
 
+    /// When the gateways of the own hall were read from the store's list.
+    pub fn own_hall_read_at(&self) -> Option<Duration> {
+        self.lists.own_at
+    }
+
     /// The hall whose part is to be read next, if any: the own one; then, where this gateway coordinates or hears
     /// no coordinator of its hall, those of its region and after them the others.
     pub fn next_hall(&self, now: Duration, topology: &Topology) -> Option<String> {
--- a/components/gateway/tests/common/store.rs
+++ b/components/gateway/tests/common/store.rs
@@ -1,7 +1,7 @@
 //! A store in memory that can be cut off, and orders that are only noted.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -17,8 +17,6 @@
 
 /// Beginning of the keys of orders.
 const ROLLOUT_PREFIX: &str = "rollout/";
-/// Way to a store in another region and back.
-const FAR_TIME: Duration = Duration::from_millis(60);
 /// Pause between looks at whether a held call has its answer.
 const LOOK: Duration = Duration::from_millis(2);
 
@@ -40,7 +38,7 @@
     state: Arc<Mutex<State>>,
     refuses: Arc<AtomicBool>,
     says_nothing: Arc<AtomicBool>,
-    is_far: Arc<AtomicBool>,
+    call_ms: Arc<AtomicU64>,
     asks: Arc<Mutex<BTreeMap<Topic, u64>>>,
     started: Instant,
 }
@@ -51,7 +49,7 @@
             state: Arc::default(),
             refuses: Arc::default(),
             says_nothing: Arc::default(),
-            is_far: Arc::default(),
+            call_ms: Arc::default(),
             asks: Arc::default(),
             started: Instant::now(),
         }
@@ -102,7 +100,7 @@
         StoreStandin {
             refuses: Arc::default(),
             says_nothing: Arc::default(),
-            is_far: Arc::default(),
+            call_ms: Arc::default(),
             asks: Arc::default(),
             ..self.clone()
         }
@@ -118,14 +116,16 @@
         self.says_nothing.store(true, Ordering::Relaxed);
     }
 
-    /// From now on the store lies in another region than this gateway.
-    pub fn put_far(&self) {
-        self.is_far.store(true, Ordering::Relaxed);
+    /// From now on calls of this gateway for rows take so long: the store lies in another region, or is slow.
+    pub fn take(&self, time: Duration) {
+        let ms = time.as_millis() as u64;
+        self.call_ms.store(ms, Ordering::Relaxed);
     }
 
     async fn answer_or_say_nothing(&self) {
-        if self.is_far.load(Ordering::Relaxed) {
-            tokio::time::sleep(FAR_TIME).await;
+        let call_time = Duration::from_millis(self.call_ms.load(Ordering::Relaxed));
+        if call_time > Duration::ZERO {
+            tokio::time::sleep(call_time).await;
         }
         if self.says_nothing.load(Ordering::Relaxed) {
             std::future::pending::<()>().await;
--- a/components/gateway/tests/two_regions.rs
+++ b/components/gateway/tests/two_regions.rs
@@ -19,6 +19,10 @@
 const IN_HALL: usize = 3;
 const HALLS: [&str; 4] = ["a1", "a2", "b1", "b2"];
 const READERS: usize = 2;
+/// Way to a store in another region and back.
+const FAR_TIME: Duration = Duration::from_millis(60);
+/// A store that is slow, behind a full link.
+const SLOW_TIME: Duration = Duration::from_millis(900);
 
 fn named(hall: &str, index: usize, seeds: Vec<String>) -> GatewaySettings {
     let region = |hall: &&str| (hall.to_string(), hall[..1].to_string());
@@ -59,7 +63,7 @@
                 let seeds = first.map(|(_, setup)| setup.gateway.peer_address().to_string());
                 let own = store.for_another();
                 if hall.starts_with('b') {
-                    own.put_far();
+                    own.take(FAR_TIME);
                 }
                 prepare(hall, &own);
                 let settings = changed(named(hall, index, seeds.into_iter().collect()));
@@ -121,6 +125,23 @@
     }
 }
 
+#[test]
+fn when_all_start_at_once_over_a_slow_link_no_more_gateways_read_the_store() {
+    let standin = EndpointStandin::start(|_, e| e.answer(200, "x"));
+    let store = store_with_endpoints(&standin, 3);
+    let world = World::start_with(
+        &store,
+        &["b1", "b2"],
+        |settings| settings,
+        |_, own| own.take(SLOW_TIME),
+    );
+    world.all_answer("b", "/old/1", 200);
+    for topic in [Topic::Configuration, Topic::Endpoints] {
+        let asking = world.asking("b", topic);
+        assert!(asking <= READERS, "{asking} read {topic:?}");
+    }
+}
+
 #[test]
 fn a_change_reaches_all_gateways_of_both_regions_without_further_readers() {
     let standin = EndpointStandin::start(|_, e| e.answer(200, "x"));
--- a/components/replica/src/follower.rs
+++ b/components/replica/src/follower.rs
@@ -126,6 +126,13 @@
         self.waits.get_or_insert(Waits { since: now, spread });
     }
 
+    /// Where others read for this one, they cannot have begun before this time.
+    pub fn others_begin(&mut self, at: Duration) {
+        if let Some(waits) = &mut self.waits {
+            waits.since = waits.since.max(at);
+        }
+    }
+
     /// From now on this gateway asks the store like all others.
     pub fn read_itself(&mut self) {
         self.waits = None;
