Measure what connections, streams and bodies take with an allocator that counts

Cause: the ledger's constants were guesses. `Gateway::metrics` and `Metrics::gauge` show the gauges to tests.

--- a/components/gateway/src/room.rs
+++ b/components/gateway/src/room.rs
@@ -19,9 +19,9 @@
 use crate::traffic::Traffic;
 
 /// Cost of a caller's connection that has served a request, in bytes, measured by an allocator that counts.
-pub(crate) const CALLER_CONNECTION: u64 = 16 << 10;
-/// Cost of a connection to an endpoint, in bytes, measured in the same way.
-pub(crate) const ENDPOINT_CONNECTION: u64 = 16 << 10;
+pub(crate) const CALLER_CONNECTION: u64 = 24 << 10;
+/// Cost of a connection to an endpoint and of the request on it, bodies aside, in bytes, measured in the same way.
+pub(crate) const ENDPOINT_CONNECTION: u64 = 36 << 10;
 /// Where memory has no bound, a stream is read ahead up to this many bytes only: some hundred events, as many as the
 /// kernel's buffers hold besides.
 const UNBOUNDED_AHEAD: u64 = 128 << 10;
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -88,6 +88,7 @@
     listening: Listening,
     peer_address: SocketAddr,
     signals: Signals,
+    metrics: Arc<Metrics>,
     traffic: JoinHandle<()>,
 }
 
@@ -130,6 +131,7 @@
         });
         let (store, orders) = (parts.store, parts.orders);
         spawn("control", move || control.run(store, orders))?;
+        let shown = Arc::clone(&metrics);
         let traffic = TrafficParts {
             dialect: parts.dialect,
             clock,
@@ -151,6 +153,7 @@
             listening,
             peer_address,
             signals,
+            metrics: shown,
             traffic,
         })
     }
@@ -165,6 +168,11 @@
         self.peer_address
     }
 
+    /// What it shows of itself.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
     /// Flags that signals set.
     pub fn signals(&self) -> &Signals {
         &self.signals
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -232,6 +232,12 @@
         }
     }
 
+    /// Value of a gauge.
+    pub fn gauge(&self, gauge: Gauge) -> u64 {
+        let value = self.gauges.get(&gauge);
+        value.map_or(0, |value| value.load(Ordering::Relaxed))
+    }
+
     /// What was counted so far.
     pub fn get(&self, counter: Counter) -> u64 {
         self.counts
