End the gateways when the soak is stopped, and write a configuration just before all are killed

Cause: an interrupted soak left its gateways running; no plan changed anything shortly before the last fault. Ruled out: nothing. Change: SIGINT and SIGTERM end the run with its processes; a last configuration 60 ms before the kill of all.

--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -12,6 +12,8 @@
 /// Time before the end at which all gateways are killed, in ms. It holds the 12 s in which the
 /// users' rules let a fleet come back, and some seconds in which all must serve.
 const LAST_FAULT: u64 = 17_000;
+/// Time before that at which the operator writes a last configuration, in ms.
+const CHANGE_BEFORE_LAST: u64 = 60;
 /// Length of a bout of faults, in ms.
 const BOUT: u64 = 4_500;
 /// Calm after a bout, in ms: long enough that gateways count as in touch (3 s) and a bound of 2 s
@@ -136,6 +138,11 @@
             stops.stops(at, last, &mut steps);
             at += BOUT + CALM;
         }
+        // A configuration just before: what the store took must be in force when all are back.
+        steps.push(Step {
+            at: last.saturating_sub(CHANGE_BEFORE_LAST),
+            act: Act::Configure,
+        });
         steps.push(Step {
             at: last,
             act: Act::KillAll,
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -10,6 +10,9 @@
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::flag;
+
 use crate::checks;
 use crate::gateways::{Around, Gateway};
 use crate::history::History;
@@ -44,7 +47,15 @@
     let mut soak = Soak::start(plan, options)?;
     let mut steps = plan.steps.iter().peekable();
     let mut told = 0;
+    let stopped = Arc::new(AtomicBool::new(false));
+    for signal in [SIGINT, SIGTERM] {
+        flag::register(signal, Arc::clone(&stopped))?;
+    }
     while soak.history.now() < plan.seconds * 1000 {
+        if stopped.load(Ordering::Relaxed) {
+            // The gateways end with `soak`.
+            return Err(io::ErrorKind::Interrupted.into());
+        }
         while let Some(step) = steps.next_if(|step| step.at <= soak.history.now()) {
             soak.act(&step.act)?;
         }
