Give each soak a folder of its own

Cause: three short runs at a time with one folder failed (own ends): each run's gateways, when started again, read the settings that another run had written there. Ruled out: the gateway (two runs of one build with one folder give it each time; three with folders of their own pass). Change: a folder SEED-PROCESS for each run.

--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -21,7 +21,7 @@
     /// the croftpond program (default target/release/croftpond)
     #[argh(option, default = "PathBuf::from(\"target/release/croftpond\")")]
     program: PathBuf,
-    /// folder for settings, logs and the history (default target/soak)
+    /// folder in which the run makes one of its own (default target/soak)
     #[argh(option, default = "PathBuf::from(\"target/soak\")")]
     out: PathBuf,
     /// print the plan and stop
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -4,7 +4,7 @@
 mod ready;
 
 use std::io;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
@@ -36,15 +36,22 @@
 pub struct Options {
     /// The croftpond program.
     pub program: PathBuf,
-    /// Folder for settings, logs and the history.
+    /// Folder in which each run makes one of its own.
     pub out: PathBuf,
     /// Whether progress is printed.
     pub progress: bool,
 }
 
-/// Plays a plan and judges what was seen.
+/// Plays a plan and judges what was seen. Settings, logs and the history go to a folder of this run.
 pub fn run(plan: &Plan, options: &Options) -> io::Result<Report> {
-    let mut soak = Soak::start(plan, options)?;
+    // Runs side by side would start each other's gateways from one folder.
+    let folder = format!("{}-{}", plan.seed, std::process::id());
+    let out = options.out.join(folder);
+    std::fs::create_dir_all(&out)?;
+    if options.progress {
+        eprintln!("in {}", out.display());
+    }
+    let mut soak = Soak::start(plan, options, &out)?;
     let mut steps = plan.steps.iter().peekable();
     let mut told = 0;
     let stopped = Arc::new(AtomicBool::new(false));
@@ -74,7 +81,7 @@
     let memory = soak.gateways.iter().map(Gateway::peak_memory).max();
     let records = soak.finish();
     let text = serde_json::to_vec(&records)?;
-    std::fs::write(options.out.join("history.json"), text)?;
+    std::fs::write(out.join("history.json"), text)?;
     let verdicts = checks::all(&records, plan.gateways);
     Ok(Report::new(plan, &records, verdicts, memory.unwrap_or(0)))
 }
@@ -103,8 +110,7 @@
 }
 
 impl Soak {
-    fn start(plan: &Plan, options: &Options) -> io::Result<Self> {
-        std::fs::create_dir_all(&options.out)?;
+    fn start(plan: &Plan, options: &Options, out: &Path) -> io::Result<Self> {
         let history = History::begin();
         let store = Store::new();
         let reports = take_reports(history.clone())?;
@@ -123,12 +129,7 @@
                 reports,
                 gateways: plan.gateways,
             };
-            gateways.push(Gateway::new(
-                index,
-                &options.program,
-                &options.out,
-                &around,
-            )?);
+            gateways.push(Gateway::new(index, &options.program, out, &around)?);
             links.push(link);
             region.push(far);
         }
