--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -174,7 +174,9 @@
                 .push(thread::spawn(move || ask_ready(&shared, index, ready)));
         }
         for number in 0..CLIENTS * self.gateways.len() {
-            let client = Client::new(number, self.seed, &self.shared);
+            // One client stays with each gateway, so that each is asked until the end.
+            let only = (number % CLIENTS == 0).then_some(number / CLIENTS);
+            let client = Client::new(number, only, self.seed, &self.shared);
             self.clients.push(thread::spawn(move || client.run()));
         }
         Ok(())
--- a/soak/src/standins/client.rs
+++ b/soak/src/standins/client.rs
@@ -48,6 +48,8 @@
     number: usize,
     made: u64,
     reads_slowly: bool,
+    /// The only gateway that it calls; else any that takes clients.
+    only: Option<usize>,
     rng: ChaCha8Rng,
     shared: Arc<Shared>,
     connection: Option<(usize, Connection)>,
@@ -62,10 +64,11 @@
 
 impl Client {
     /// A client that draws from a seed of its own.
-    pub fn new(number: usize, seed: u64, shared: &Arc<Shared>) -> Self {
+    pub fn new(number: usize, only: Option<usize>, seed: u64, shared: &Arc<Shared>) -> Self {
         Client {
             number,
             made: 0,
+            only,
             reads_slowly: number % 6 == 5,
             rng: ChaCha8Rng::seed_from_u64(seed ^ (number as u64) << 32),
             shared: Arc::clone(shared),
@@ -130,7 +133,9 @@
         let ready: Vec<usize> = {
             let ready = self.shared.ready.lock();
             let ready = ready.unwrap_or_else(PoisonError::into_inner);
-            (0..ready.len()).filter(|&i| ready[i]).collect()
+            let candidates = (0..ready.len()).filter(|&i| ready[i]);
+            let candidates = candidates.filter(|&i| self.only.is_none_or(|only| only == i));
+            candidates.collect()
         };
         if ready.is_empty() {
             return None;
