Put placing into a module of its own, and reckon parts of the link by the most gateways known

Cause: a gateway that forgets those it does not hear (20 s) would take the part of all that decide alone; handler.rs had grown.

--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -13,25 +13,19 @@
 use slog::info;
 use telemetry::{Counter, Timer};
 use tokio::sync::mpsc;
-use topology::Distance;
 
 use crate::answer::{Answer, AnswerBody, Refusal};
 use crate::attempt::{Attempted, Reply, Sending};
 use crate::decisions::Outcome;
 use crate::freshness::Ages;
 use crate::job::{Job, Progress, SharedJob, ROUTE_RANKS};
+use crate::placing::NO_ENDPOINT_RETRY;
 use crate::ports::{CallerHead, Dialect};
 use crate::stream::{Relay, PIECES_WAITING};
 use crate::traffic::Traffic;
 
 /// Longest time a request is held whose route is not known yet.
 const UNROUTED_TIME: Duration = Duration::from_secs(2);
-/// Part of a request's target for which it waits for an endpoint to appear.
-const ENDPOINT_WAIT_PART: u32 = 6;
-/// Pause between looks for an endpoint.
-const ENDPOINT_LOOK: Duration = Duration::from_millis(20);
-/// Time to come back when no endpoint takes work.
-const NO_ENDPOINT_RETRY: Duration = Duration::from_millis(400);
 /// Time to come back when endpoints have no room.
 const NO_ROOM_RETRY: Duration = Duration::from_millis(150);
 /// Longest time to come back when this gateway refused with its own part of a limit only: by then it is in touch with the
@@ -231,43 +225,6 @@
         state.give_back(now, tenant, job.cost);
     }
 
-    /// Chooses an endpoint, or has a coordinator do so; waits a little for one to appear.
-    pub async fn place(&self, job: &Job, progress: &Progress) -> Option<Placement> {
-        self.find(job, progress).await.ok()
-    }
-
-    // The endpoint, or the time after which it is worth to come back. The link is not waited for.
-    async fn find(&self, job: &Job, progress: &Progress) -> Result<Placement, Duration> {
-        let patience = job.arrived + job.route.target / ENDPOINT_WAIT_PART;
-        loop {
-            if let Some(decided) = self.ask(job, &progress.tried, true).await {
-                match decided.outcome {
-                    Outcome::Placed(placement) => return Ok(placement),
-                    Outcome::LinkFull(wait) => return Err(wait),
-                    Outcome::Nowhere | Outcome::OverLimit(_) => {}
-                }
-            }
-            let now = self.clock.now();
-            let (placement, link_wait) = {
-                let mut state = self.state.borrow_mut();
-                let placement = state.choose(now, &job.work, &progress.tried, job.asked());
-                (placement, state.board.link_wait(now, &job.work))
-            };
-            if let Some(placement) = placement {
-                self.note_departure(&job.head.id, &job.work, &placement);
-                return Ok(placement);
-            }
-            if let Some(wait) = link_wait {
-                return Err(wait);
-            }
-            if now >= patience || now >= job.expiry {
-                return Err(NO_ENDPOINT_RETRY);
-            }
-            let changed = self.endpoints_changed.notified();
-            let _ = tokio::time::timeout(ENDPOINT_LOOK, changed).await;
-        }
-    }
-
     async fn run_attempts(
         self: &Rc<Self>,
         job: &SharedJob,
@@ -284,12 +241,7 @@
                     Err(wait) => return Err(self.nowhere(progress, wait)),
                 },
             };
-            info!(self.log, "placed"; "id" => &job.head.id, "route" => &job.route.name,
-                "endpoint" => &placement.endpoint, "unread" => placement.unread_tokens,
-                "expected_ms" => placement.expected_ms as u64, "weighed" => placement.weighed,
-                "by_coordinator" => placement.counted, "version" => job.version,
-                "hall" => &placement.hall, "distance" => self.distance(&placement.hall),
-                "home_ms" => placement.home_ms.map(|ms| ms as u64));
+            self.log_placed(job, &placement);
             let expiry = self.clock.instant(self.attempt_expiry(job, progress));
             progress.sent += 1;
             let attempt = self.attempt(job, &placement, sending);
@@ -325,16 +277,6 @@
         }
     }
 
-    // How far a hall is, as it is logged.
-    fn distance(&self, hall: &str) -> &'static str {
-        let state = self.state.borrow();
-        match state.board.ways().topology().distance(hall) {
-            Distance::SameHall => "hall",
-            Distance::SameRegion => "region",
-            Distance::OtherRegion => "other region",
-        }
-    }
-
     fn may_send_again(&self, job: &Job, progress: &Progress, ran: bool) -> bool {
         let allowed = job.route.execution.is_repeatable() || (!ran && !progress.maybe_run);
         allowed
--- a/components/gateway/src/link_parts.rs
+++ b/components/gateway/src/link_parts.rs
@@ -5,20 +5,26 @@
 use limits::{link_part, Decider};
 use topology::Topology;
 
-use crate::peers::{Fleet, COORDINATORS};
+use crate::peers::COORDINATORS;
 
 /// Bytes a second by other region, of links that carry `kbit` kilobits a second each way; none where that is not known:
-/// then only the way itself is weighed.
-pub fn link_parts(topology: &Topology, kbit: u64, fleet: &Fleet) -> BTreeMap<String, f64> {
+/// then only the way itself is weighed. `gateways` are the most that were ever known: those that fell silent may be
+/// alone as well.
+pub fn link_parts(
+    topology: &Topology,
+    kbit: u64,
+    decides: bool,
+    gateways: usize,
+) -> BTreeMap<String, f64> {
     if kbit == 0 {
         return BTreeMap::new();
     }
     let regions = topology.regions().into_iter();
     let others = regions.filter(|region| *region != topology.region());
     let part = |region: &str| {
-        let decider = match fleet.decides {
+        let decider = match decides {
             true => Decider::Coordinator(most_coordinators(topology, region)),
-            false => Decider::Alone(fleet.gateways),
+            false => Decider::Alone(gateways),
         };
         link_part(kbit, decider)
     };
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -31,6 +31,8 @@
     pub repeats: BTreeMap<String, RepeatBudget>,
     pub tally: Tally,
     pub fleet: Fleet,
+    // The most gateways that were ever known.
+    most_gateways: usize,
     pub rng: ChaCha8Rng,
     pub settings: Arc<GatewaySettings>,
     pub gates: Gates,
@@ -48,6 +50,7 @@
             repeats: BTreeMap::new(),
             tally: Tally::default(),
             fleet: Fleet::default(),
+            most_gateways: 1,
             rng: ChaCha8Rng::from_rng(&mut rand::rng()),
             settings,
             gates: Gates::default(),
@@ -147,6 +150,7 @@
     /// Takes how many gateways there are, and who decides.
     pub fn set_fleet(&mut self, now: Duration, fleet: Fleet) {
         let part = fleet.part;
+        self.most_gateways = self.most_gateways.max(fleet.gateways);
         self.fleet = fleet;
         for quota in self.quotas.values_mut() {
             quota.set_part(now, part);
@@ -164,7 +168,12 @@
 
     fn set_link_parts(&mut self, now: Duration) {
         let kbit = self.settings.region_link_kbit.max(0) as u64;
-        let parts = link_parts(self.board.ways().topology(), kbit, &self.fleet);
+        let parts = link_parts(
+            self.board.ways().topology(),
+            kbit,
+            self.fleet.decides,
+            self.most_gateways,
+        );
         self.board.set_link_parts(now, &parts);
     }
 
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use limits::{QuotaState, RepeatBudget};
-use routing::placement::{bytes_across, Placement, Ticket, Work};
+use routing::placement::{Placement, Ticket};
 use schema::settings::GatewaySettings;
 use slog::{info, Logger};
 use telemetry::{Counter, Metrics};
@@ -158,29 +158,6 @@
         ticket
     }
 
-    /// Counts and logs what was decided about leaving the region.
-    pub fn note_departure(&self, id: &str, work: &Work, placement: &Placement) {
-        if placement.kept_for_link {
-            self.metrics.count(Counter::RegionDeclined);
-            info!(self.log, "kept in region, the link has no room"; "id" => id, "service" => &work.service,
-                "bytes" => bytes_across(work), "expected_ms" => placement.expected_ms as u64);
-        }
-        if placement.bytes_across == 0 {
-            return;
-        }
-        self.metrics.count(Counter::RegionSent);
-        self.metrics
-            .add(Counter::RegionBytes, placement.bytes_across);
-        let way_ms = {
-            let state = self.state.borrow();
-            state.board.ways().round_trip_ms(&placement.hall)
-        };
-        info!(self.log, "leaves region"; "id" => id, "service" => &work.service,
-            "hall" => &placement.hall, "bytes" => placement.bytes_across, "way_ms" => way_ms as u64,
-            "expected_ms" => placement.expected_ms as u64,
-            "home_ms" => placement.home_ms.map(|ms| ms as u64));
-    }
-
     /// Whether the others are to know of a prompt at once.
     pub fn is_long(&self, unread_tokens: u32) -> bool {
         unread_tokens >= LONG_PROMPT_TOKENS
