Learn that the store is near also from the calls for rows, and test that large changes come from it there

Cause: a gateway near a store that was slow at its start stayed behind the link for good, since only its first calls were timed. Ruled out: nothing. Change: each answer about rows counts; a test that fails if pages are used near the store (shown by that change made and undone).

--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -203,6 +203,7 @@
         let (made, was_missing) = {
             let mut known = self.known.borrow_mut();
             let made = known.store_clock.earliest(sent, received, rows.stamp);
+            known.note_store_call(received.saturating_sub(sent));
             let followed = known.followed_mut(topic);
             followed.follower.store_answered(rows.revision);
             (made, std::mem::take(&mut followed.reported_missing))
--- a/components/gateway/tests/two_regions.rs
+++ b/components/gateway/tests/two_regions.rs
@@ -142,6 +142,26 @@
     }
 }
 
+#[test]
+fn near_the_store_a_large_change_comes_from_it_and_not_through_links_of_gateways() {
+    let standin = EndpointStandin::start(|_, e| e.answer(200, "x"));
+    let store = store_with_endpoints(&standin, 3);
+    let world = World::start(&store, &["a1", "a2"]);
+    world.all_answer("a", "/old/1", 200);
+    let asks: Vec<u64> = world
+        .of("a")
+        .map(|setup| setup.store.asks(Topic::Endpoints))
+        .collect();
+    for i in 0..6_000 {
+        store.put_endpoint(endpoint(&format!("later{i}"), standin.address));
+    }
+    for (setup, before) in world.of("a").zip(asks) {
+        wait_until("the store to be asked", || {
+            setup.store.asks(Topic::Endpoints) > before
+        });
+    }
+}
+
 #[test]
 fn a_change_reaches_all_gateways_of_both_regions_without_further_readers() {
     let standin = EndpointStandin::start(|_, e| e.answer(200, "x"));
