--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -190,6 +190,10 @@
         if read.not_run {
             return self.declined(run, &read, body).await;
         }
+        if !job.route.execution.is_repeatable() {
+            // It runs, so it is not sent again, and its answer needs the memory.
+            job.body.let_go();
+        }
         if job.route.execution.is_stream() && head.status.is_success() {
             return self.first_event(job, run, head, read, body).await;
         }
--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -290,6 +290,7 @@
     fn may_send_again(&self, job: &Job, progress: &Progress, ran: bool) -> bool {
         let allowed = job.route.execution.is_repeatable() || (!ran && !progress.maybe_run);
         allowed
+            && job.body.is_kept()
             && progress.sent < job.route.max_attempts
             && self.clock.now() < job.expiry
             && self.may_repeat(&job.work.service)
@@ -335,9 +336,6 @@
                 first,
                 events,
             } => {
-                if !job.route.execution.is_repeatable() {
-                    job.body.let_go();
-                }
                 // Bounded by what the pieces hold.
                 let (pieces, received) = mpsc::unbounded_channel();
                 let relay = Relay::new(self, job, progress, pieces);
--- a/components/gateway/src/held.rs
+++ b/components/gateway/src/held.rs
@@ -116,6 +116,11 @@
             .unwrap_or_default()
     }
 
+    /// Whether the request can be sent once more, as far as its body goes.
+    pub fn is_kept(&self) -> bool {
+        self.kept.borrow().is_some()
+    }
+
     /// The request is not sent again: gives the memory back.
     pub fn let_go(&self) {
         self.kept.borrow_mut().take();
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -218,7 +218,8 @@
 
     fn may_resume(&self) -> bool {
         let route = &self.job.route;
-        route.execution.is_repeatable() && self.progress.sent < route.max_attempts
+        let repeatable = route.execution.is_repeatable() && self.job.body.is_kept();
+        repeatable && self.progress.sent < route.max_attempts
     }
 
     fn patience(&self) -> Duration {
--- a/components/gateway/tests/common/slow.rs
+++ b/components/gateway/tests/common/slow.rs
@@ -64,6 +64,22 @@
         self.write_within(&head, patience) && self.write_within(&"x".repeat(bytes), patience)
     }
 
+    /// Reads the body of its request in pieces of so many bytes with a pause after each. Returns how many came.
+    pub fn read_body_slowly(&mut self, piece: usize, pause: Duration) -> usize {
+        let length = self.field("content-length").and_then(|n| n.parse().ok());
+        let length: usize = length.unwrap_or(0);
+        let mut buffer = vec![0; piece];
+        let mut read = 0;
+        while read < length {
+            match self.stream().read(&mut buffer) {
+                Ok(more @ 1..) => read += more,
+                _ => break,
+            }
+            std::thread::sleep(pause);
+        }
+        read
+    }
+
     fn write_within(&mut self, text: &str, patience: Duration) -> bool {
         self.stream().set_write_timeout(Some(patience)).unwrap();
         let written = self.stream().write_all(text.as_bytes()).is_ok();
--- a/components/gateway/tests/slow.rs
+++ b/components/gateway/tests/slow.rs
@@ -287,3 +287,44 @@
     wait_until("readiness", || setup.is_ready());
     assert_eq!(setup.call("/a/", &[]).status, 200);
 }
+
+#[test]
+fn bodies_that_wait_for_slow_endpoints_do_not_keep_their_answers_out() {
+    let standin = EndpointStandin::start(|_, exchange| {
+        assert_eq!(
+            exchange.read_body_slowly(8 << 10, Duration::from_millis(1)),
+            1_000_000
+        );
+        exchange.answer_within(1_000_000, Duration::from_secs(20));
+    });
+    let setup = serving_on(SMALL_VM_MIB, patient_route(Execution::Once), &standin);
+    // Bodies of 5 MB fill the common part; the answers need as much.
+    let callers: Vec<TcpStream> = (0..5).map(|_| post(&setup, 1_000_000, 1_000_000)).collect();
+    for mut caller in callers {
+        let answer = read_answer(&mut caller);
+        assert_eq!((answer.status, answer.whole), (200, true));
+    }
+}
+
+#[test]
+fn slow_callers_of_slow_endpoints_get_whole_answers_while_the_gateway_stops() {
+    let (told, written) = flume::unbounded();
+    let standin = EndpointStandin::start(move |_, exchange| {
+        let read = exchange.read_body_slowly(4 << 10, Duration::from_millis(1));
+        let all = exchange.stream_within(300, EVENT, UNREAD);
+        let _ = told.send(all && read == 500_000);
+    });
+    let setup = serving_on(SMALL_VM_MIB, patient_route(STREAM), &standin);
+    let mut callers: Vec<TcpStream> = (0..6).map(|_| post(&setup, 500_000, 500_000)).collect();
+    wait_until("all requests at the endpoint", || {
+        standin.heads().len() == callers.len()
+    });
+    setup.stop();
+    for _ in &callers {
+        assert!(written.recv_timeout(Duration::from_secs(20)).unwrap());
+    }
+    for caller in &mut callers {
+        let answer = read_slowly(caller, 64 << 10, Duration::from_millis(1));
+        assert_eq!((answer.whole, events_of(&answer.body)), (true, 300));
+    }
+}
