--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -12,7 +12,7 @@
 use routing::Reading;
 use slog::info;
 use telemetry::Counter;
-use transport::{Connection, ConnectionError, FullBody};
+use transport::{ConnectionError, FullBody};
 
 use crate::endpoint_run::Run;
 use crate::events::{Event, EventSplitter};
@@ -21,8 +21,6 @@
 use crate::ports::{AnswerHead, AttemptHead, Dialect};
 use crate::traffic::Traffic;
 
-/// Longest time that a new connection may take.
-const CONNECT_TIME: Duration = Duration::from_millis(400);
 /// Largest answer that is read as a whole, in bytes.
 const MAX_WHOLE_ANSWER: usize = 8 << 20;
 /// Largest body of a refusal that is read so that its connection can be kept, in bytes.
@@ -132,15 +130,6 @@
     pub after_silence: bool,
 }
 
-enum Reserved {
-    /// A connection that rested.
-    Rested(Connection),
-    /// One may be opened.
-    New,
-    /// As many are open as may be.
-    Full,
-}
-
 impl<D: Dialect + 'static> Traffic<D> {
     /// Sends a job to the endpoint chosen for it.
     pub async fn attempt(
@@ -200,55 +189,6 @@
         self.whole_answer(job, run, head, read, body).await
     }
 
-    async fn connect(
-        &self,
-        job: &Job,
-        placement: &Placement,
-        sending: Sending,
-        run: &mut Run<D>,
-    ) -> bool {
-        match self.reserve(job, placement, sending) {
-            Reserved::Rested(connection) => {
-                run.connection = Some(connection);
-                run.reserved = true;
-                return true;
-            }
-            Reserved::Full => {
-                run.judge(Verdict::Neutral);
-                return false;
-            }
-            Reserved::New => run.reserved = true,
-        }
-        match Connection::open(placement.address, CONNECT_TIME).await {
-            Ok(connection) => {
-                run.connection = Some(connection);
-                true
-            }
-            Err(error) => {
-                run.judge(Verdict::Silent);
-                info!(self.log, "endpoint unreachable"; "id" => &job.head.id,
-                    "endpoint" => &placement.endpoint, "cause" => %error);
-                false
-            }
-        }
-    }
-
-    fn reserve(&self, job: &Job, placement: &Placement, sending: Sending) -> Reserved {
-        let now = self.clock.now();
-        let most = self.most_connections(job);
-        let mut state = self.state.borrow_mut();
-        if sending.after_silence {
-            state.pool.forget(&placement.endpoint);
-        }
-        if let Some(connection) = state.pool.take(now, &placement.endpoint) {
-            return Reserved::Rested(connection);
-        }
-        match state.pool.reserve(&placement.endpoint, most) {
-            true => Reserved::New,
-            false => Reserved::Full,
-        }
-    }
-
     fn request_of(
         &self,
         job: &Job,
--- a/components/gateway/src/body.rs
+++ b/components/gateway/src/body.rs
@@ -11,10 +11,10 @@
 
 use crate::answer::Refusal;
 use crate::caller::Caller;
+use crate::gather::GatherError;
 use crate::handler::{look_up, rank, LAST_RANK, UNROUTED_TIME};
 use crate::held::Gathered;
 use crate::ports::{CallerHead, Dialect};
-use crate::room::GatherError;
 use crate::traffic::Traffic;
 
 impl<D: Dialect + 'static> Traffic<D> {
--- a/components/gateway/src/caller.rs
+++ b/components/gateway/src/caller.rs
@@ -102,6 +102,11 @@
         self.waiting.set(self.waiting.get() + bytes);
     }
 
+    /// Bytes of an answer that wait for it.
+    pub fn waiting(&self) -> u64 {
+        self.waiting.get()
+    }
+
     /// Bytes of an answer wait no longer.
     pub fn remove_waiting(&self, bytes: u64) {
         self.waiting.set(self.waiting.get() - bytes);
--- a/components/gateway/src/pool.rs
+++ b/components/gateway/src/pool.rs
@@ -26,6 +26,15 @@
     open: Open,
 }
 
+/// Why no further connection may be opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Unopened {
+    /// As many are open as may be.
+    Full,
+    /// There is no memory for one.
+    NoMemory,
+}
+
 // Open connections by endpoint, and the memory that all of them hold.
 #[derive(Debug)]
 struct Open {
@@ -34,13 +43,16 @@
 }
 
 impl Open {
-    fn add(&mut self, endpoint: &str, most: u32) -> bool {
+    fn add(&mut self, endpoint: &str, most: u32) -> Result<(), Unopened> {
         let count = self.counts.get(endpoint).copied().unwrap_or_default();
-        if count >= most || !self.hold.grow(ENDPOINT_CONNECTION) {
-            return false;
+        if count >= most {
+            return Err(Unopened::Full);
+        }
+        if !self.hold.grow(ENDPOINT_CONNECTION) {
+            return Err(Unopened::NoMemory);
         }
         self.counts.insert(endpoint.to_string(), count + 1);
-        true
+        Ok(())
     }
 
     fn release(&mut self, endpoint: &str) {
@@ -81,7 +93,7 @@
     }
 
     /// Counts a connection that is about to be opened, unless `most` are open or there is no memory for it.
-    pub fn reserve(&mut self, endpoint: &str, most: u32) -> bool {
+    pub fn reserve(&mut self, endpoint: &str, most: u32) -> Result<(), Unopened> {
         self.open.add(endpoint, most)
     }
 
--- a/components/gateway/src/room.rs
+++ b/components/gateway/src/room.rs
@@ -4,10 +4,6 @@
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body::Body;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use memory::{slowest, Budget, Hold, Kind, Ledger, PauseGate, ReleaseRate, Tables, Terms, Turn};
 use slog::{info, warn};
 use telemetry::{Counter, Gauge};
@@ -15,7 +11,6 @@
 
 use crate::caller::Caller;
 use crate::clock::Clock;
-use crate::held::Gathered;
 use crate::traffic::Traffic;
 
 /// Cost of a caller's connection that has served a request, in bytes, measured by an allocator that counts.
@@ -30,24 +25,11 @@
 const LEAST_CUT: Duration = Duration::from_secs(1);
 /// Time between two looks at what is held above which this process stood still meanwhile; they are due each 0.1 s.
 const LONGEST_LOOK: Duration = Duration::from_secs(1);
-/// A body that is read grows by at least this part of itself, so that it is seldom moved.
-const GROWTH_DIVISOR: usize = 8;
-
-/// Why a body is not known as a whole.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum GatherError {
-    /// It is larger than it may be.
-    TooLarge,
-    /// It broke off.
-    Broken,
-    /// There was no memory in time for so many bytes more.
-    NoRoom(u64),
-}
 
 /// Memory for callers and endpoints.
 #[derive(Debug)]
 pub(crate) struct Room {
-    clock: Clock,
+    pub(crate) clock: Clock,
     ledger: Ledger,
     released: Rc<Notify>,
     waiting: Cell<u32>,
@@ -141,94 +123,24 @@
     }
 
     /// Reserves bytes of an answer that is read ahead, if there is room now.
-    pub fn reserve_ahead_now(&self, hold: &mut Hold, bytes: u64) -> bool {
-        let held = hold.account().held();
-        let ahead = self.is_bounded() || held == 0 || held + bytes <= UNBOUNDED_AHEAD;
+    pub fn reserve_ahead_now(&self, caller: &Caller, hold: &mut Hold, bytes: u64) -> bool {
+        let waiting = caller.waiting();
+        let ahead = self.is_bounded() || waiting == 0 || waiting + bytes <= UNBOUNDED_AHEAD;
         ahead && hold.grow(bytes)
     }
 
     /// The same, once there is room. Cancelling reserves nothing.
-    pub async fn reserve_ahead(&self, hold: &mut Hold, bytes: u64) {
+    pub async fn reserve_ahead(&self, caller: &Caller, hold: &mut Hold, bytes: u64) {
         let _waiting = Waiting::new(&self.waiting);
         loop {
             let released = self.released.notified();
-            if self.reserve_ahead_now(hold, bytes) {
+            if self.reserve_ahead_now(caller, hold, bytes) {
                 return;
             }
             released.await;
         }
     }
 
-    /// Reads a body as a whole. Where there is no memory, waits for it as long as `patience` says for the bytes that
-    /// are still needed; without an end if it says nothing. An answer reserves its length before anything of it is read:
-    /// answers that are read in part can then not wait for each other.
-    pub async fn gather(
-        &self,
-        mut body: Incoming,
-        mut hold: Hold,
-        most: usize,
-        patience: Option<&dyn Fn(u64) -> Duration>,
-    ) -> Result<Gathered, GatherError> {
-        let expected = body.size_hint().exact().map(|length| length as usize);
-        if expected.is_some_and(|length| length > most) {
-            return Err(GatherError::TooLarge);
-        }
-        if patience.is_none() {
-            self.reserve(&mut hold, expected.unwrap_or(0) as u64).await;
-        }
-        let mut bytes: Vec<u8> = Vec::new();
-        let mut latest = None;
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|_| GatherError::Broken)?;
-            let Ok(data) = frame.into_data() else {
-                continue;
-            };
-            let length = bytes.len() + data.len();
-            if length > most {
-                return Err(GatherError::TooLarge);
-            }
-            self.grow_for(&mut hold, length, expected);
-            if let Some(lacks) = (length as u64).checked_sub(hold.bytes()).filter(|n| *n > 0) {
-                let waits = self.reserve(&mut hold, lacks);
-                match patience {
-                    None => waits.await,
-                    Some(patience) => {
-                        let needed = expected.unwrap_or(length).max(length) - bytes.len();
-                        let needed = needed as u64;
-                        let until =
-                            *latest.get_or_insert_with(|| self.clock.now() + patience(needed));
-                        let waited = tokio::time::timeout_at(self.clock.instant(until), waits);
-                        waited.await.map_err(|_| GatherError::NoRoom(needed))?;
-                    }
-                }
-            }
-            if bytes.capacity() < length {
-                bytes.reserve_exact(hold.bytes() as usize - bytes.len());
-            }
-            bytes.extend_from_slice(&data);
-        }
-        if expected.is_some_and(|expected| expected != bytes.len()) {
-            return Err(GatherError::Broken);
-        }
-        Ok(Gathered {
-            bytes: Bytes::from(bytes),
-            hold,
-        })
-    }
-
-    // Takes more than is needed at once, if there is plenty.
-    fn grow_for(&self, hold: &mut Hold, length: usize, expected: Option<usize>) {
-        let held = hold.bytes() as usize;
-        if length <= held {
-            return;
-        }
-        let roomy = held + held / GROWTH_DIVISOR;
-        let wanted = length
-            .max(roomy)
-            .min(expected.unwrap_or(usize::MAX).max(length));
-        hold.grow((wanted - held) as u64);
-    }
-
     /// When a caller who was refused for want of so many bytes is to come back.
     pub fn retry_after(&self, bytes: u64) -> Duration {
         self.rate.get().wait_for(bytes)
@@ -270,7 +182,8 @@
             let callers = callers.iter().filter_map(Weak::upgrade);
             callers.for_each(|caller| caller.excuse(now));
         }
-        if self.waiting.get() == 0 {
+        // Where memory has no bound nobody waits for another one.
+        if self.waiting.get() == 0 || !self.is_bounded() {
             return None;
         }
         let callers: Vec<Rc<Caller>> = callers.iter().filter_map(Weak::upgrade).collect();
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -159,19 +159,21 @@
     // Reserves memory for an event. While there is none the endpoint is not read.
     async fn hold(&mut self, length: usize) -> Result<Hold, End> {
         let needed = length as u64 + EVENT_OVERHEAD;
-        let mut hold = self.job.caller.account.hold(Kind::ReadAhead);
-        if self.traffic.room.reserve_ahead_now(&mut hold, needed) {
+        let caller = Rc::clone(&self.job.caller);
+        let room = &self.traffic.room;
+        let mut hold = caller.account.hold(Kind::ReadAhead);
+        if room.reserve_ahead_now(&caller, &mut hold, needed) {
             return Ok(hold);
         }
         let expiry = self.traffic.clock.instant(self.job.expiry);
         self.traffic.metrics.count(Counter::MemoryWaits);
-        self.job.caller.set_read_on(false);
+        caller.set_read_on(false);
         let end = tokio::select! {
-            () = self.traffic.room.reserve_ahead(&mut hold, needed) => None,
+            () = room.reserve_ahead(&caller, &mut hold, needed) => None,
             () = self.pieces.closed() => Some(End::CallerLeft),
             () = tokio::time::sleep_until(expiry) => Some(End::TimedOut),
         };
-        let unread = self.job.caller.set_read_on(true);
+        let unread = caller.set_read_on(true);
         self.unread = self.unread.max(unread);
         end.map_or(Ok(hold), Err)
     }
--- a/components/gateway/tests/slow.rs
+++ b/components/gateway/tests/slow.rs
@@ -328,3 +328,25 @@
         assert_eq!((answer.whole, events_of(&answer.body)), (true, 300));
     }
 }
+
+#[test]
+fn where_memory_has_no_bound_a_caller_that_reads_nothing_for_long_is_kept() {
+    let standin = EndpointStandin::start(|_, exchange| {
+        exchange.stream_within(500, LARGE_EVENT, Duration::from_secs(20));
+    });
+    let setup = serving_on(
+        0,
+        patient_route(Execution::Stream { resumable: true }),
+        &standin,
+    );
+    // Its body stays, since it may be sent again, and is more than what is read ahead.
+    let mut caller = post(&setup, 500_000, 500_000);
+    let began = Instant::now();
+    wait_until(
+        "longer than a caller that reads nothing is kept in need",
+        || began.elapsed() > Duration::from_millis(3500),
+    );
+    let answer = read_answer(&mut caller);
+    assert_eq!((answer.whole, events_of(&answer.body)), (true, 500));
+    assert_eq!(standin.heads().len(), 1);
+}
--- a/components/memory/src/ledger.rs
+++ b/components/memory/src/ledger.rs
@@ -169,11 +169,6 @@
         self.held.get()
     }
 
-    /// Whether it holds more than its share.
-    pub fn is_beyond_share(&self) -> bool {
-        self.held() > self.ledger.share()
-    }
-
     fn add(&self, kind: Kind, bytes: u64) {
         self.ledger.add(kind, bytes);
         if kind == Kind::Connection || bytes == 0 {
@@ -246,11 +241,6 @@
         self.account.add(kind, self.bytes);
         self.kind = kind;
     }
-
-    /// The account that it belongs to.
-    pub fn account(&self) -> &Account {
-        &self.account
-    }
 }
 
 impl Drop for Hold {
--- a/components/memory/tests/promises.rs
+++ b/components/memory/tests/promises.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use memory::{
-    slowest, Budget, Delivery, Hold, Kind, Ledger, PauseGate, ReleaseRate, Tables, Terms, Turn,
+    body_patience, slowest, Budget, Delivery, Hold, Kind, Ledger, PauseGate, ReleaseRate, Tables,
+    Terms, Turn,
 };
 use quickcheck::{quickcheck, Arbitrary, Gen};
 
@@ -199,3 +200,20 @@
     assert_eq!(slowest(&deliveries, seen(10)), None);
     assert_eq!(slowest(&deliveries, seen(9)), Some(0));
 }
+
+#[test]
+fn less_urgent_and_larger_bodies_are_refused_first_and_none_waits_past_an_eighth_of_its_target() {
+    let target = Duration::from_secs(2);
+    let (small, large) = (1 << 10, 4 << 20);
+    let urgent = body_patience(0, small, target);
+    assert_eq!(urgent, target / 8);
+    assert!(body_patience(5, small, target) < urgent);
+    assert!(body_patience(0, large, target) < urgent);
+    let least = body_patience(u8::MAX, u64::MAX, target);
+    assert!(least < body_patience(5, large, target));
+    let long_target = Duration::from_secs(60);
+    assert_eq!(
+        body_patience(0, small, long_target),
+        Duration::from_millis(400)
+    );
+}
