Order what is lost again also while engines are not known

Cause: a gateway that starts beside a load had found nothing before it, so until the law was known it would have ordered nothing for what vanished. Change: what it finds first is what it keeps. The test fails without it.

--- a/components/fleet/src/scaling.rs
+++ b/components/fleet/src/scaling.rs
@@ -48,7 +48,8 @@
 #[derive(Debug, Default)]
 pub struct Scaler {
     held: Fleet,
-    // Most on-demand endpoints that were held before there was a load, and since when.
+    // Most on-demand endpoints that were held before there was a load, or all that were found beside one, and since
+    // when.
     found: u32,
     found_at: Duration,
     // When what is held was confirmed last.
@@ -89,12 +90,17 @@
         self.loads.retain(|(at, _)| now < *at + REMEMBERED);
     }
 
-    /// The same, where there is a load and it is not known how much of it an endpoint can bear.
+    /// The same, where there is a load and it is not known how much of it an endpoint can bear. Whoever starts beside
+    /// a load takes what it finds for what is needed, so that what is lost meanwhile is ordered again.
     pub fn observe_unknown(&mut self, as_of: Duration, held: &Fleet) {
         self.forget_undone(held);
         self.held = held.clone();
         self.as_of = as_of;
         self.is_unknown = true;
+        if self.found == 0 {
+            self.found = total_of(held);
+            self.found_at = as_of;
+        }
     }
 
     /// What was held at the last look.
--- a/components/fleet/tests/scaling.rs
+++ b/components/fleet/tests/scaling.rs
@@ -401,3 +401,34 @@
     }
     assert!(total(&state) >= 80, "{state:?}");
 }
+
+#[test]
+fn what_is_lost_is_ordered_again_though_it_is_not_known_what_an_endpoint_bears() {
+    let mut scaler = Scaler::default();
+    let mut state = held(&[("a", 2, 6), ("b", 2, 6), ("c", 1, 6), ("d", 1, 6)]);
+    for now in 0..6 {
+        scaler.observe_unknown(at(now), &state);
+        for order in scaler.plan(at(now), &offer()) {
+            carry_out(&mut state, order);
+        }
+    }
+    let total = |state: &Fleet| sums(state).0 + sums(state).1;
+    let before = total(&state);
+    assert!(before <= 32, "{state:?}");
+    for hall in ["c", "d"] {
+        state.entry(hall.into()).or_default().reclaimable = 0;
+    }
+    for now in 6..16 {
+        scaler.observe_unknown(at(now), &state);
+        for order in scaler.plan(at(now), &offer()) {
+            if order.reclaimable && ["c", "d"].contains(&order.hall.as_str()) {
+                scaler.refused(at(now), &order);
+                continue;
+            }
+            scaler.accepted(&order);
+            carry_out(&mut state, order);
+        }
+    }
+    // 12 reclaimable ones are left: on-demand ones take the place of most that were lost.
+    assert!(total(&state) >= 18 && sums(&state).0 > 6, "{state:?}");
+}
