Let a gateway that hears no coordinator read other halls' lists one after the other

The reading that fits, not shown by a trace: after all were killed each gateway that heard none of its hall after 1.5 s read five lists at once. Change: one hall's list a second while nobody answers, the region's first. What is logged and counted of reads moved to control/accounts.rs.

--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -1,5 +1,6 @@
 //! The control thread: what it knows, and the tasks that work on it.
 
+mod accounts;
 mod carrying;
 mod exchange;
 mod follow;
--- /dev/null
+++ b/components/gateway/src/control/accounts.rs
@@ -0,0 +1,32 @@
+//! What was read from the store, as operators see it.
+
+use std::time::Duration;
+
+use slog::info;
+use telemetry::Counter;
+
+use crate::control::Shared;
+use crate::listing::ReadList;
+use crate::ports::{Orders, Store, Topic};
+
+impl<S: Store + 'static, O: Orders + 'static> Shared<S, O> {
+    /// A whole topic, or its part for one data hall, was read from the store.
+    pub fn note_list(&self, topic: Topic, sent: Duration, list: &ReadList) {
+        let took = self.clock.now().saturating_sub(sent);
+        self.metrics.add(Counter::StoreRepeats, list.repeats.into());
+        info!(self.log, "topic read from the store"; "topic" => ?topic,
+            "rows" => list.rows.rows.len(), "bytes" => list.rows.bytes,
+            "repeats" => list.repeats, "time_ms" => took.as_millis() as u64);
+    }
+
+    /// Bytes of rows that came from the store.
+    pub fn count_bytes(&self, topic: Topic, bytes: usize) {
+        let counter = match topic {
+            Topic::Configuration => Counter::StoreConfigurationBytes,
+            Topic::Endpoints => Counter::StoreEndpointsBytes,
+            Topic::Gateways => Counter::StoreGatewaysBytes,
+            Topic::Lease | Topic::Usage | Topic::Rollouts | Topic::RolloutStatus => return,
+        };
+        self.metrics.add(counter, bytes as u64);
+    }
+}
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -13,7 +13,7 @@
 
 use crate::control::passing::MOST_PASSED_ON;
 use crate::control::Shared;
-use crate::listing::{read_all, ReadList};
+use crate::listing::read_all;
 use crate::ports::{Orders, Row, Rows, Store, StoreError, Topic};
 use crate::update::Update;
 
@@ -98,26 +98,6 @@
         self.take_result(topic, sent, result.map(|list| list.rows), true);
     }
 
-    /// A whole topic, or its part for one data hall, was read from the store.
-    pub fn note_list(&self, topic: Topic, sent: Duration, list: &ReadList) {
-        let took = self.clock.now().saturating_sub(sent);
-        self.metrics.add(Counter::StoreRepeats, list.repeats.into());
-        info!(self.log, "topic read from the store"; "topic" => ?topic,
-            "rows" => list.rows.rows.len(), "bytes" => list.rows.bytes,
-            "repeats" => list.repeats, "time_ms" => took.as_millis() as u64);
-    }
-
-    /// Bytes of rows that came from the store.
-    pub fn count_bytes(&self, topic: Topic, bytes: usize) {
-        let counter = match topic {
-            Topic::Configuration => Counter::StoreConfigurationBytes,
-            Topic::Endpoints => Counter::StoreEndpointsBytes,
-            Topic::Gateways => Counter::StoreGatewaysBytes,
-            Topic::Lease | Topic::Usage | Topic::Rollouts | Topic::RolloutStatus => return,
-        };
-        self.metrics.add(counter, bytes as u64);
-    }
-
     fn next_step(&self, topic: Topic) -> Step {
         let now = self.clock.now();
         let mut known = self.known.borrow_mut();
--- a/components/gateway/src/peers/regions.rs
+++ b/components/gateway/src/peers/regions.rs
@@ -26,12 +26,16 @@
 const READER_SILENCE: Duration = Duration::from_millis(1000);
 /// A gateway that hears no coordinator of its hall for so long after its start looks for others.
 const LONELY_AFTER: Duration = Duration::from_millis(1500);
+/// Pause between the halls' lists that it reads then: one that answers is enough, and each list is a call.
+const LONELY_PAUSE: Duration = Duration::from_millis(1000);
 
 /// What was read of the store's list, hall by hall.
 #[derive(Debug, Default)]
 pub(super) struct HallLists {
     unread: BTreeSet<String>,
     own_at: Option<Duration>,
+    // When the part of another hall was read last.
+    other_at: Option<Duration>,
 }
 
 impl HallLists {
@@ -61,8 +65,9 @@
     ) {
         self.take_listed(now, gateways);
         self.lists.unread.remove(hall);
-        if hall == self.own.hall {
-            self.lists.own_at = Some(now);
+        match hall == self.own.hall {
+            true => self.lists.own_at = Some(now),
+            false => self.lists.other_at = Some(now),
         }
         self.listed = !self.lists.lacks_any();
     }
@@ -78,7 +83,8 @@
     }
 
     /// The hall whose part is to be read next, if any: the own one; then, where this gateway coordinates or hears
-    /// no coordinator of its hall, those of its region and after them the others.
+    /// no coordinator of its hall, those of its region and after them the others, one after the other where it only
+    /// looks for somebody.
     pub fn next_hall(&self, now: Duration, topology: &Topology) -> Option<String> {
         let own = &self.own.hall;
         if self.lists.unread.contains(own) {
@@ -139,6 +145,8 @@
     fn is_lonely(&self, now: Duration) -> bool {
         let since = self.lists.own_at;
         let waited = since.is_some_and(|at| now >= at + LONELY_AFTER);
-        waited && !self.coordinates(now) && !self.is_led(now)
+        let has_read = |at: Duration| now < at + LONELY_PAUSE;
+        let pauses = self.lists.other_at.is_some_and(has_read);
+        waited && !pauses && !self.coordinates(now) && !self.is_led(now)
     }
 }
