Count late work at a leaving endpoint from when its gateway gave it up

Change: such a request counts as sent at the latest when its gateway gave it up; one given up after the bound is still found (test).

--- a/soak/src/checks/times.rs
+++ b/soak/src/checks/times.rs
@@ -34,6 +34,9 @@
                 continue;
             }
             let said = left.get(endpoint);
+            // What its gateway had given up by then it did not send later: the bytes lay on the way,
+            // or the endpoint's thread had no turn.
+            let at = request.given_up().map_or(at, |given_up| at.min(given_up));
             let is_good = !said.is_some_and(|said| is_late(said, at));
             verdicts.judge("leaving", is_good, at, || {
                 let (id, gateway) = (request.id, request.gateway);
--- a/soak/src/checks/view.rs
+++ b/soak/src/checks/view.rs
@@ -10,6 +10,9 @@
 /// What the soak's own threads may be late by when they write something down, in ms.
 pub(super) const NOTE_SLACK: u64 = 300;
 
+/// Answers of a gateway that gives up a request which may have run.
+const GIVEN_UP: [u16; 2] = [502, 504];
+
 /// What became of one request.
 pub(super) struct Request<'a> {
     pub id: &'a str,
@@ -46,6 +49,16 @@
         }
     }
 
+    /// When its gateway answered that it doesn't know how it ended.
+    pub fn given_up(&self) -> Option<u64> {
+        match self.outcome {
+            Some((at, Seen::Answered { status, signed, .. })) => {
+                (!signed && GIVEN_UP.contains(status)).then_some(at)
+            }
+            _ => None,
+        }
+    }
+
     /// Whether its connection closed before a head came.
     pub fn closed(&self) -> bool {
         let closed = |seen: &Seen| {
--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -383,3 +383,19 @@
     let findings = told.findings();
     assert!(!findings.is_empty() && findings.iter().all(|f| *f == "repeats"));
 }
+
+#[test]
+fn work_that_arrives_late_counts_as_sent_when_its_gateway_gave_it_up() {
+    let given_up = |at: u64| {
+        let leaving = Seen::Leaving {
+            endpoint: "e0-1".into(),
+        };
+        Told::begin()
+            .once(4_900, "a")
+            .at(5_000, leaving)
+            .answered(at, "a", 502)
+            .began(9_000, "a", "/once/")
+    };
+    assert_eq!(given_up(7_000).findings(), Vec::<&str>::new());
+    assert_eq!(given_up(8_000).findings(), ["leaving"]);
+}
