--- a/soak/src/checks/limits.rs
+++ b/soak/src/checks/limits.rs
@@ -4,9 +4,9 @@
 use super::view::View;
 use super::Verdicts;
 
-/// Window of a tenant's limit, in ms (`quotaWindowS`).
+/// Window of a team's limit, in ms (`quotaWindowS`).
 const QUOTA_WINDOW: u64 = 8_000;
-/// The limited tenant's requests in a window: 5 a second and 5 at once, a tenth over
+/// The limited team's requests in a window: 5 a second and 5 at once, a tenth over
 /// (`quotaOverage`), and 30 (`quotaTolerance`, as in the settings).
 const QUOTA_MOST: usize = 80;
 /// Window of the budget of repeats, in ms (`budgetWindowS`).
@@ -21,7 +21,7 @@
     before(from + length) - before(from)
 }
 
-/// A tenant's requests that run stay within its limit.
+/// A team's requests that run stay within its limit.
 pub(super) fn quotas(view: &View<'_>, verdicts: &mut Verdicts) {
     let limited = view.requests.values().filter(|r| r.key == LIMITED_KEY);
     let mut runs: Vec<u64> = limited.flat_map(|r| r.begun.iter().map(|b| b.0)).collect();
@@ -29,7 +29,7 @@
     for &from in &runs {
         let ran = within(&runs, from, QUOTA_WINDOW);
         verdicts.judge("limits", ran <= QUOTA_MOST, from, || {
-            format!("{ran} requests of the limited tenant in {QUOTA_WINDOW} ms")
+            format!("{ran} requests of the limited team in {QUOTA_WINDOW} ms")
         });
     }
 }
--- a/soak/src/checks/requests.rs
+++ b/soak/src/checks/requests.rs
@@ -8,8 +8,8 @@
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 /// Statuses that the soak's endpoints give of their own.
 const ENDPOINT_STATUSES: [u16; 2] = [200, 500];
-/// The tenants of the soak's configurations, and the key of the second.
-const TENANTS: [&str; 2] = ["t", "f"];
+/// The teams of the soak's configurations, and the key of the second.
+const TEAMS: [&str; 2] = ["t", "f"];
 pub(super) const LIMITED_KEY: &str = "few";
 
 /// One answer to each request, and its own.
@@ -52,13 +52,13 @@
     faults.into_iter().find_map(|(is, what)| is.then_some(what))
 }
 
-/// Endpoints run only what a client asked for, in its tenant's name and without its key.
+/// Endpoints run only what a client asked for, in its team's name and without its key.
 pub(super) fn as_asked(view: &View<'_>, verdicts: &mut Verdicts) {
     for record in view.records {
         let Seen::Began {
             id,
             path,
-            tenant,
+            team,
             key_shown,
             ..
         } = &record.seen
@@ -68,8 +68,8 @@
         let asked = view.requests.get(id.as_str());
         let is_same = asked.is_some_and(|request| request.path == path);
         let is_limited = asked.is_some_and(|request| request.key == LIMITED_KEY);
-        let owner = TENANTS[usize::from(is_limited)];
-        let is_good = is_same && tenant.as_deref() == Some(owner) && !key_shown;
+        let owner = TEAMS[usize::from(is_limited)];
+        let is_good = is_same && team.as_deref() == Some(owner) && !key_shown;
         verdicts.judge("as asked", is_good, record.at, || {
             format!("{:?}", record.seen)
         });
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -92,7 +92,7 @@
         id: String,
         endpoint: String,
         path: String,
-        tenant: Option<String>,
+        team: Option<String>,
         key_shown: bool,
     },
     /// An endpoint turns a request away without running it.
--- a/soak/src/standins/endpoint.rs
+++ b/soak/src/standins/endpoint.rs
@@ -155,7 +155,7 @@
             id: id.to_string(),
             endpoint: self.id.clone(),
             path: head.word(1).to_string(),
-            tenant: head.field("croftpond-tenant").map(str::to_string),
+            team: head.field("croftpond-tenant").map(str::to_string),
             key_shown: head.field("croftpond-credential").is_some(),
         });
         let ran = self.run(connection, head, id, course);
--- a/soak/src/standins/operator.rs
+++ b/soak/src/standins/operator.rs
@@ -5,9 +5,9 @@
 
 /// The key that every version holds.
 pub(crate) const STEADY_KEY: &str = "steady";
-/// The tenant without a limit, and one with a low one and its key.
-const TENANT: &str = "t";
-const LIMITED_TENANT: &str = "f";
+/// The team without a limit, and one with a low one and its key.
+const TEAM: &str = "t";
+const LIMITED_TEAM: &str = "f";
 pub(crate) const LIMITED_KEY: &str = "few";
 /// Its limit, in requests a second, and what it may ask for at once.
 const LIMIT: f64 = 5.0;
@@ -34,8 +34,8 @@
         "routes": routes,
         "services": [{"name": "a"}, {"name": "b"}],
         "tenants": [
-            {"name": TENANT, "apiKeys": keys},
-            {"name": LIMITED_TENANT, "apiKeys": [LIMITED_KEY], "ratePerS": LIMIT, "burst": BURST},
+            {"name": TEAM, "apiKeys": keys},
+            {"name": LIMITED_TEAM, "apiKeys": [LIMITED_KEY], "ratePerS": LIMIT, "burst": BURST},
         ],
     })
     .to_string()
--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -43,7 +43,7 @@
             id: id.into(),
             endpoint: "e0-1".into(),
             path: path.into(),
-            tenant: Some("t".into()),
+            team: Some("t".into()),
             key_shown: false,
         };
         self.at(at, began)
@@ -352,18 +352,18 @@
 }
 
 #[test]
-fn more_of_a_limited_tenant_than_its_limit_is_found_over_all_gateways() {
+fn more_of_a_limited_team_than_its_limit_is_found_over_all_gateways() {
     let mut told = Told::begin();
     for number in 0..200 {
         let (at, id) = (5_000 + number * 40, format!("a{number}"));
         told = told.sent(at, &id, Kind::Once, "/once/", "few");
         told = told.began(at, &id, "/once/");
         if let Some(Record {
-            seen: Seen::Began { tenant, .. },
+            seen: Seen::Began { team, .. },
             ..
         }) = told.records.last_mut()
         {
-            *tenant = Some("f".into());
+            *team = Some("f".into());
         }
     }
     let findings = told.findings();
