Set callers' buffers once, show held bytes less often, and play 200 silent callers on 160 MiB

Change: buffers' sizes are set on the listener and inherited, two calls fewer a connection; gauges are set each 0.3 s.

--- a/components/gateway/src/room.rs
+++ b/components/gateway/src/room.rs
@@ -26,6 +26,9 @@
 /// Time between two looks at what is held above which this process stood still meanwhile; they are due each 0.1 s.
 const LONGEST_LOOK: Duration = Duration::from_secs(1);
 
+/// Pause between two times that what is held is shown.
+const SHOW_PAUSE: Duration = Duration::from_millis(300);
+
 /// Memory for callers and endpoints.
 #[derive(Debug)]
 pub(crate) struct Room {
@@ -38,6 +41,7 @@
     cut_after: Cell<Option<Duration>>,
     callers: RefCell<Vec<Weak<Caller>>>,
     looked_at: Cell<Duration>,
+    shown_at: Cell<Duration>,
 }
 
 // Counts one that waits for memory, until it has it or leaves.
@@ -72,6 +76,7 @@
             cut_after: Cell::default(),
             callers: RefCell::default(),
             looked_at: Cell::default(),
+            shown_at: Cell::default(),
         }
     }
 
@@ -209,7 +214,10 @@
         };
         let turn = self.room.look(now, Budget::of_vm(mib, tables));
         self.note_turn(turn);
-        self.show_memory();
+        if now.saturating_sub(self.room.shown_at.get()) >= SHOW_PAUSE {
+            self.room.shown_at.set(now);
+            self.show_memory();
+        }
         let Some(caller) = self.room.victim(now) else {
             return;
         };
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -64,6 +64,9 @@
     listener: TcpListener,
     descriptors: usize,
 ) {
+    if traffic.room.is_bounded() {
+        bound_buffers(&traffic, &listener);
+    }
     let most = descriptors.saturating_sub(KEPT_DESCRIPTORS).max(64) / 2;
     let open = Rc::new(Cell::new(0_usize));
     while !traffic.freshness.is_closed(traffic.clock.now()) {
@@ -107,9 +110,6 @@
     caller: Rc<Caller>,
 ) {
     let _ = stream.set_nodelay(true);
-    if traffic.room.is_bounded() {
-        bound_buffers(&stream);
-    }
     let service = service_fn(|request: Request<Incoming>| {
         let (traffic, caller) = (Rc::clone(&traffic), Rc::clone(&caller));
         async move {
@@ -150,11 +150,16 @@
 }
 
 // What the kernel holds for a caller is out of sight of the ledger, so it is kept small; at the 3 ms to callers that the
-// deployments name it carries 20 MB/s. What is too small for a network only makes it slower.
-fn bound_buffers(stream: &TcpStream) {
-    let socket = SockRef::from(stream);
-    let _ = socket.set_send_buffer_size(SOCKET_BUFFER);
-    let _ = socket.set_recv_buffer_size(SOCKET_BUFFER);
+// deployments name it carries 20 MB/s. What is too small for a network only makes it slower. Accepted connections inherit
+// the sizes.
+fn bound_buffers<D>(traffic: &Traffic<D>, listener: &TcpListener) {
+    let socket = SockRef::from(listener);
+    let set = socket
+        .set_send_buffer_size(SOCKET_BUFFER)
+        .and_then(|()| socket.set_recv_buffer_size(SOCKET_BUFFER));
+    if let Err(error) = set {
+        warn!(traffic.log, "callers' buffers are not bounded"; "cause" => %error);
+    }
 }
 
 // How a connection is to end.
--- a/components/gateway/tests/common/slow.rs
+++ b/components/gateway/tests/common/slow.rs
@@ -12,6 +12,9 @@
 /// Size of the buffers of a slow side, in bytes; the kernel doubles it.
 const WINDOW: usize = 4 << 10;
 
+/// Bytes that a stand-in writes at once; it makes no more of an answer at a time.
+const PIECE: usize = 16 << 10;
+
 /// Opens a connection with a small window and sends bytes.
 pub fn open_narrow(address: SocketAddr, request: &[u8]) -> TcpStream {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP)).unwrap();
@@ -61,7 +64,12 @@
         let head = format!(
             "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signature: s\r\ncontent-length: {bytes}\r\n\r\n"
         );
-        self.write_within(&head, patience) && self.write_within(&"x".repeat(bytes), patience)
+        let piece = "x".repeat(PIECE);
+        self.write_within(&head, patience)
+            && (0..bytes).step_by(PIECE).all(|at| {
+                let length = PIECE.min(bytes - at);
+                self.write_within(&piece[..length], patience)
+            })
     }
 
     /// Reads the body of its request in pieces of so many bytes with a pause after each. Returns how many came.
--- a/components/gateway/tests/memory_use.rs
+++ b/components/gateway/tests/memory_use.rs
@@ -221,29 +221,28 @@
 }
 
 #[test]
-fn callers_that_read_nothing_take_no_more_than_the_budget() {
+fn two_hundred_callers_that_read_nothing_keep_a_gateway_of_160_mib_below_120() {
     let _alone = alone();
     let standin = EndpointStandin::start(|_, exchange| {
         exchange.answer_within(1_000_000, Duration::from_secs(20));
     });
-    let setup = serving(16, Execution::Once, &standin);
+    let setup = serving(160, Execution::Once, &standin);
     let (_, before) = settle(&setup);
     PEAK.store(before, Ordering::Relaxed);
     let request = request_text("/a/", &[]);
-    let callers: Vec<TcpStream> = (0..40)
+    let callers: Vec<TcpStream> = (0..200)
         .map(|_| open_narrow(setup.address(), request.as_bytes()))
         .collect();
     wait_until("all requests at the endpoint", || {
         standin.heads().len() == callers.len()
     });
     settle(&setup);
-    let budget = setup.gateway.metrics().gauge(Gauge::Budget) as usize;
-    // The stand-in makes each answer as a text of its own.
-    let of_standin = 40 * 1_000_000;
-    let peak = PEAK.load(Ordering::Relaxed) - before;
-    assert!(peak < of_standin + budget + budget / 10, "{peak}");
-    let most = setup.gateway.metrics().gauge(Gauge::HeldPeak) as usize;
-    assert!(most <= budget, "{most}");
+    let metrics = setup.gateway.metrics();
+    let (budget, most) = (metrics.gauge(Gauge::Budget), metrics.gauge(Gauge::HeldPeak));
+    assert!((budget / 2..=budget).contains(&most), "{most} of {budget}");
+    let peak = PEAK.load(Ordering::Relaxed);
+    assert!(peak < 120 << 20, "{peak}");
+    assert!(peak < budget as usize * 11 / 10, "{peak}");
     drop(callers);
     end(setup);
 }
