--- a/components/gateway/src/room.rs
+++ b/components/gateway/src/room.rs
@@ -14,9 +14,9 @@
 use crate::traffic::Traffic;
 
 /// Cost of a caller's connection that has served a request, in bytes, measured by an allocator that counts.
-pub(crate) const CALLER_CONNECTION: u64 = 24 << 10;
+pub(crate) const CALLER_CONNECTION: u64 = 20 << 10;
 /// Cost of a connection to an endpoint and of the request on it, bodies aside, in bytes, measured in the same way.
-pub(crate) const ENDPOINT_CONNECTION: u64 = 36 << 10;
+pub(crate) const ENDPOINT_CONNECTION: u64 = 40 << 10;
 /// Where memory has no bound, a stream is read ahead up to this many bytes only: some hundred events, as many as the
 /// kernel's buffers hold besides.
 const UNBOUNDED_AHEAD: u64 = 128 << 10;
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -112,7 +112,8 @@
     let _ = stream.set_nodelay(true);
     let service = service_fn(|request: Request<Incoming>| {
         let (traffic, caller) = (Rc::clone(&traffic), Rc::clone(&caller));
-        async move {
+        // In a box of its own it takes nothing while the connection rests.
+        Box::pin(async move {
             let guard = Busy::new(Rc::clone(&traffic), Rc::clone(&caller));
             let mut answer = Rc::clone(&traffic).answer(request, caller).await;
             if traffic.freshness.is_stopping() {
@@ -121,7 +122,7 @@
             }
             answer.body_mut().keep(guard);
             Ok::<_, Infallible>(answer)
-        }
+        })
     });
     let mut builder = Builder::new();
     builder
