--- a/components/gateway/src/room.rs
+++ b/components/gateway/src/room.rs
@@ -14,9 +14,9 @@
 use crate::traffic::Traffic;
 
 /// Cost of a caller's connection that has served a request, in bytes, measured by an allocator that counts.
-pub(crate) const CALLER_CONNECTION: u64 = 24 << 10;
+pub(crate) const CALLER_CONNECTION: u64 = 20 << 10;
 /// Cost of a connection to an endpoint and of the request on it, bodies aside, in bytes, measured in the same way.
-pub(crate) const ENDPOINT_CONNECTION: u64 = 36 << 10;
+pub(crate) const ENDPOINT_CONNECTION: u64 = 40 << 10;
 /// Where memory has no bound, a stream is read ahead up to this many bytes only: some hundred events, as many as the
 /// kernel's buffers hold besides.
 const UNBOUNDED_AHEAD: u64 = 128 << 10;
@@ -26,6 +26,9 @@
 /// Time between two looks at what is held above which this process stood still meanwhile; they are due each 0.1 s.
 const LONGEST_LOOK: Duration = Duration::from_secs(1);
 
+/// Pause between two times that what is held is shown.
+const SHOW_PAUSE: Duration = Duration::from_millis(300);
+
 /// Memory for callers and endpoints.
 #[derive(Debug)]
 pub(crate) struct Room {
@@ -38,6 +41,7 @@
     cut_after: Cell<Option<Duration>>,
     callers: RefCell<Vec<Weak<Caller>>>,
     looked_at: Cell<Duration>,
+    shown_at: Cell<Duration>,
 }
 
 // Counts one that waits for memory, until it has it or leaves.
@@ -72,6 +76,7 @@
             cut_after: Cell::default(),
             callers: RefCell::default(),
             looked_at: Cell::default(),
+            shown_at: Cell::default(),
         }
     }
 
@@ -209,7 +214,10 @@
         };
         let turn = self.room.look(now, Budget::of_vm(mib, tables));
         self.note_turn(turn);
-        self.show_memory();
+        if now.saturating_sub(self.room.shown_at.get()) >= SHOW_PAUSE {
+            self.room.shown_at.set(now);
+            self.show_memory();
+        }
         let Some(caller) = self.room.victim(now) else {
             return;
         };
