Reckon losses of halls over all regions that lend each other room

Ruled out: rounding down (one of three would leave a region short when two vanish); the other region lends room meanwhile. Change: among several regions the part of the halls that may vanish is not rounded. One region: as before. Test: regions_that_lend_each_other_room_hold_less_for_scatter_and_as_much_for_a_loss, now with halves of halls.

--- a/components/fleet/src/staffing.rs
+++ b/components/fleet/src/staffing.rs
@@ -76,6 +76,8 @@
     pub firm: u32,
     /// Endpoints where no more are to be lost.
     pub alone: u32,
+    // Whether other regions lend room.
+    lent: bool,
 }
 
 impl Need {
@@ -87,6 +89,7 @@
             after_loss: SCARCE.endpoints(load),
             firm: ((load * FIRM_PART).ceil() as u32).max(1),
             alone: ALONE.endpoints(load),
+            lent: regions > 1,
         }
     }
 
@@ -95,14 +98,24 @@
         let mut by_size = reclaimable.to_vec();
         by_size.sort_unstable();
         let holding = by_size.iter().filter(|count| **count > 0).count();
-        let kept = by_size.len() - lost(holding);
-        let left: u32 = by_size.iter().take(kept).sum();
+        let kept = by_size.len() as f64 - self.lost(holding);
+        let left = sum_of_first(&by_size, kept);
         let all: u32 = by_size.iter().sum();
         let for_loss = self.after_loss.saturating_sub(left);
         let for_now = self.alone.saturating_sub(all);
         self.firm.max(for_loss).max(for_now)
     }
 
+    // Halls that may vanish of those that hold some. Regions that lend each other room lose halves of all their halls
+    // together: of two regions of three halls three of six, where two of three in both at once would be four.
+    fn lost(self, holding: usize) -> f64 {
+        let lost = holding as f64 * LOST_PART;
+        match self.lent {
+            true => lost,
+            false => lost.ceil(),
+        }
+    }
+
     /// Reclaimable endpoints in each of `halls` halls, at most `most`, that make the whole cheapest.
     /// One costs `price` of an on-demand one.
     pub fn reclaimable_each(self, halls: usize, most: u32, price: f64) -> u32 {
@@ -115,6 +128,10 @@
     }
 }
 
-fn lost(halls: usize) -> usize {
-    (halls as f64 * LOST_PART).ceil() as usize
+// Sum of the first so many counts, with a part of the last one.
+fn sum_of_first(counts: &[u32], count: f64) -> u32 {
+    let part = |i: usize| (count - i as f64).clamp(0.0, 1.0);
+    let parts = counts.iter().enumerate();
+    let sum: f64 = parts.map(|(i, count)| f64::from(*count) * part(i)).sum();
+    sum as u32
 }
--- a/components/fleet/tests/scaling.rs
+++ b/components/fleet/tests/scaling.rs
@@ -324,7 +324,7 @@
 }
 
 /// Two regions with a load of 9 each: what both hold for scatter is what one fleet of 18 would, and each still carries
-/// its load alone when two of its three halls vanish.
+/// its load when half of its halls vanish, which is three of the six of both.
 #[test]
 fn regions_that_lend_each_other_room_hold_less_for_scatter_and_as_much_for_a_loss() {
     let hold = |scaler: &mut Scaler| {
