--- a/components/fleet/src/scaling.rs
+++ b/components/fleet/src/scaling.rs
@@ -47,8 +47,11 @@
 /// knows as much as the last.
 #[derive(Debug, Default)]
 pub struct Scaler {
+    // Regions of the service that lend each other room, this one included; 0 counts as one.
+    regions: u32,
     held: Fleet,
-    // Most on-demand endpoints that were held before there was a load, and since when.
+    // Most on-demand endpoints that were held before there was a load, or all that were found beside one, and since
+    // when.
     found: u32,
     found_at: Duration,
     // When what is held was confirmed last.
@@ -66,6 +69,14 @@
 }
 
 impl Scaler {
+    /// The planner of one of so many regions that lend each other room.
+    pub fn among(regions: usize) -> Self {
+        Scaler {
+            regions: regions as u32,
+            ..Scaler::default()
+        }
+    }
+
     /// Takes what is held and asked for now. `load` is in endpoints that would be busy all the time.
     pub fn observe(&mut self, now: Duration, held: &Fleet, load: f64) {
         self.observe_as_of(now, now, held, load);
@@ -89,12 +100,17 @@
         self.loads.retain(|(at, _)| now < *at + REMEMBERED);
     }
 
-    /// The same, where there is a load and it is not known how much of it an endpoint can bear.
+    /// The same, where there is a load and it is not known how much of it an endpoint can bear. Whoever starts beside
+    /// a load takes what it finds for what is needed, so that what is lost meanwhile is ordered again.
     pub fn observe_unknown(&mut self, as_of: Duration, held: &Fleet) {
         self.forget_undone(held);
         self.held = held.clone();
         self.as_of = as_of;
         self.is_unknown = true;
+        if self.found == 0 {
+            self.found = total_of(held);
+            self.found_at = as_of;
+        }
     }
 
     /// What was held at the last look.
@@ -196,7 +212,7 @@
     // The highest load of some time; before there was any, the one that the fleet is for.
     fn load(&self, now: Duration, span: Duration) -> f64 {
         if self.load_since.is_none() {
-            return load_of_fleet(self.found);
+            return load_of_fleet(self.found, self.regions);
         }
         let recent = self.loads.iter().filter(|(at, _)| now < *at + span);
         recent.map(|(_, load)| *load).fold(0.0, f64::max)
@@ -223,11 +239,11 @@
     }
 
     fn wanted(&self, now: Duration, offer: &Offer, expected: &Fleet) -> Fleet {
-        let lower = Need::of(self.load_to_keep(now, offer, expected));
+        let lower = self.need(self.load_to_keep(now, offer, expected));
         let raise = match self.closed.is_empty() {
-            true => Need::of(self.load(now, RAISE_SPAN)),
+            true => self.need(self.load(now, RAISE_SPAN)),
             // What is missing then cannot be had soon, also not for a load that only paused.
-            false => Need::of(self.highest_load(now, offer)),
+            false => self.need(self.highest_load(now, offer)),
         };
         let may_lower = self.keeps(now).is_none();
         let mut wanted = expected.clone();
@@ -247,7 +263,7 @@
             return highest;
         }
         let kept = f64::from(total_of(expected)) * KEPT_PART;
-        highest.max(load_of_fleet(kept as u32))
+        highest.max(load_of_fleet(kept as u32, self.regions))
     }
 
     // Reclaimable endpoints that were ordered and do not serve yet replace nothing.
@@ -257,6 +273,10 @@
         need.firm_beside(&serving).max(for_all)
     }
 
+    fn need(&self, load: f64) -> Need {
+        Need::of(load, self.regions)
+    }
+
     // As many reclaimable endpoints in each open hall as make the whole cheapest.
     fn spread_reclaimable(
         &self,
@@ -285,7 +305,7 @@
         let Some(price) = offer.reclaimable_price else {
             return Vec::new();
         };
-        let need = Need::of(self.load(now, RAISE_SPAN));
+        let need = self.need(self.load(now, RAISE_SPAN));
         let count = need.reclaimable_each(offer.hall_prices.len(), offer.most, price);
         let closed: Vec<String> = self.closed.iter().cloned().collect();
         let looks = closed.iter();
--- a/components/fleet/src/staffing.rs
+++ b/components/fleet/src/staffing.rs
@@ -37,6 +37,16 @@
 }
 
 impl Staffing {
+    // The same for one of several regions that lend each other room: loads scatter apart from each other, so the
+    // square root is that of the whole load, and each region holds its part of it. Two regions
+    // of the same load hold 0.7 of what each would need alone.
+    fn lent_between(self, regions: u32) -> Self {
+        Staffing {
+            spare: self.spare / f64::from(regions.max(1)).sqrt(),
+            ..self
+        }
+    }
+
     fn endpoints(self, load: f64) -> u32 {
         let by_scatter = load + self.spare * load.sqrt();
         by_scatter.max(load / self.utilization).ceil().max(0.0) as u32
@@ -50,9 +60,9 @@
     }
 }
 
-/// The load that a fleet of this size is taken to be for while none is known.
-pub(crate) fn load_of_fleet(endpoints: u32) -> f64 {
-    ROOMY.load(endpoints)
+/// The load that a fleet of this size in one of so many regions is taken to be for while none is known.
+pub(crate) fn load_of_fleet(endpoints: u32, regions: u32) -> f64 {
+    ROOMY.lent_between(regions).load(endpoints)
 }
 
 /// What a load asks for.
@@ -66,16 +76,20 @@
     pub firm: u32,
     /// Endpoints where no more are to be lost.
     pub alone: u32,
+    // Whether other regions lend room.
+    lent: bool,
 }
 
 impl Need {
-    /// What a load asks for, which is given in endpoints that would be busy all the time.
-    pub fn of(load: f64) -> Self {
+    /// What a load of one of so many regions asks for, which is given in endpoints that would be busy all the time.
+    /// What must be left after a loss is each region's own: the link to the others may be full or cut then.
+    pub fn of(load: f64, regions: u32) -> Self {
         Need {
-            all: ROOMY.endpoints(load),
+            all: ROOMY.lent_between(regions).endpoints(load),
             after_loss: SCARCE.endpoints(load),
             firm: ((load * FIRM_PART).ceil() as u32).max(1),
             alone: ALONE.endpoints(load),
+            lent: regions > 1,
         }
     }
 
@@ -84,14 +98,24 @@
         let mut by_size = reclaimable.to_vec();
         by_size.sort_unstable();
         let holding = by_size.iter().filter(|count| **count > 0).count();
-        let kept = by_size.len() - lost(holding);
-        let left: u32 = by_size.iter().take(kept).sum();
+        let kept = by_size.len() as f64 - self.lost(holding);
+        let left = sum_of_first(&by_size, kept);
         let all: u32 = by_size.iter().sum();
         let for_loss = self.after_loss.saturating_sub(left);
         let for_now = self.alone.saturating_sub(all);
         self.firm.max(for_loss).max(for_now)
     }
 
+    // Halls that may vanish of those that hold some. Regions that lend each other room lose halves of all their halls
+    // together: of two regions of three halls three of six, where two of three in both at once would be four.
+    fn lost(self, holding: usize) -> f64 {
+        let lost = holding as f64 * LOST_PART;
+        match self.lent {
+            true => lost,
+            false => lost.ceil(),
+        }
+    }
+
     /// Reclaimable endpoints in each of `halls` halls, at most `most`, that make the whole cheapest.
     /// One costs `price` of an on-demand one.
     pub fn reclaimable_each(self, halls: usize, most: u32, price: f64) -> u32 {
@@ -104,6 +128,10 @@
     }
 }
 
-fn lost(halls: usize) -> usize {
-    (halls as f64 * LOST_PART).ceil() as usize
+// Sum of the first so many counts, with a part of the last one.
+fn sum_of_first(counts: &[u32], count: f64) -> u32 {
+    let part = |i: usize| (count - i as f64).clamp(0.0, 1.0);
+    let parts = counts.iter().enumerate();
+    let sum: f64 = parts.map(|(i, count)| f64::from(*count) * part(i)).sum();
+    sum as u32
 }
--- a/components/fleet/tests/scaling.rs
+++ b/components/fleet/tests/scaling.rs
@@ -323,6 +323,29 @@
     assert!((0..200).all(|now| (sum(now) - 16.0).abs() < 1e-6));
 }
 
+/// Two regions with a load of 9 each: what both hold for scatter is what one fleet of 18 would, and each still carries
+/// its load when half of its halls vanish, which is three of the six of both.
+#[test]
+fn regions_that_lend_each_other_room_hold_less_for_scatter_and_as_much_for_a_loss() {
+    let hold = |scaler: &mut Scaler| {
+        let mut state = held(&[("a", 3, 7), ("b", 3, 7), ("c", 3, 7), ("d", 0, 0)]);
+        settle(scaler, &mut state, 9.0, (0, 120));
+        state
+    };
+    let alone = hold(&mut Scaler::default());
+    let lending = hold(&mut Scaler::among(2));
+    let total = |state: &Fleet| sums(state).0 + sums(state).1;
+    assert!(total(&lending) < total(&alone), "{lending:?} {alone:?}");
+    assert!(f64::from(total(&lending)) >= 9.0 / 0.5, "{lending:?}");
+    let mut reclaimable: Vec<u32> = lending.values().map(|held| held.reclaimable).collect();
+    reclaimable.sort_unstable();
+    let left: u32 = reclaimable[..2].iter().sum();
+    assert!(
+        f64::from(left + sums(&lending).0) * 0.9 >= 9.0,
+        "{lending:?}"
+    );
+}
+
 #[test]
 fn what_is_held_stays_while_it_is_not_known_what_an_endpoint_bears() {
     let mut scaler = Scaler::default();
@@ -401,3 +424,34 @@
     }
     assert!(total(&state) >= 80, "{state:?}");
 }
+
+#[test]
+fn what_is_lost_is_ordered_again_though_it_is_not_known_what_an_endpoint_bears() {
+    let mut scaler = Scaler::default();
+    let mut state = held(&[("a", 2, 6), ("b", 2, 6), ("c", 1, 6), ("d", 1, 6)]);
+    for now in 0..6 {
+        scaler.observe_unknown(at(now), &state);
+        for order in scaler.plan(at(now), &offer()) {
+            carry_out(&mut state, order);
+        }
+    }
+    let total = |state: &Fleet| sums(state).0 + sums(state).1;
+    let before = total(&state);
+    assert!(before <= 32, "{state:?}");
+    for hall in ["c", "d"] {
+        state.entry(hall.into()).or_default().reclaimable = 0;
+    }
+    for now in 6..16 {
+        scaler.observe_unknown(at(now), &state);
+        for order in scaler.plan(at(now), &offer()) {
+            if order.reclaimable && ["c", "d"].contains(&order.hall.as_str()) {
+                scaler.refused(at(now), &order);
+                continue;
+            }
+            scaler.accepted(&order);
+            carry_out(&mut state, order);
+        }
+    }
+    // 12 reclaimable ones are left: on-demand ones take the place of most that were lost.
+    assert!(total(&state) >= 18 && sums(&state).0 > 6, "{state:?}");
+}
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -13,7 +13,7 @@
 
 use crate::control::passing::MOST_PASSED_ON;
 use crate::control::Shared;
-use crate::listing::{read_all, ReadList};
+use crate::listing::read_all;
 use crate::ports::{Orders, Row, Rows, Store, StoreError, Topic};
 use crate::update::Update;
 
@@ -98,34 +98,18 @@
         self.take_result(topic, sent, result.map(|list| list.rows), true);
     }
 
-    /// A whole topic, or its part for one data hall, was read from the store.
-    pub fn note_list(&self, topic: Topic, sent: Duration, list: &ReadList) {
-        let took = self.clock.now().saturating_sub(sent);
-        self.metrics.add(Counter::StoreRepeats, list.repeats.into());
-        info!(self.log, "topic read from the store"; "topic" => ?topic,
-            "rows" => list.rows.rows.len(), "bytes" => list.rows.bytes,
-            "repeats" => list.repeats, "time_ms" => took.as_millis() as u64);
-    }
-
-    /// Bytes of rows that came from the store.
-    pub fn count_bytes(&self, topic: Topic, bytes: usize) {
-        let counter = match topic {
-            Topic::Configuration => Counter::StoreConfigurationBytes,
-            Topic::Endpoints => Counter::StoreEndpointsBytes,
-            Topic::Gateways => Counter::StoreGatewaysBytes,
-            Topic::Lease | Topic::Usage | Topic::Rollouts | Topic::RolloutStatus => return,
-        };
-        self.metrics.add(counter, bytes as u64);
-    }
-
     fn next_step(&self, topic: Topic) -> Step {
         let now = self.clock.now();
         let mut known = self.known.borrow_mut();
         let watches = known.watches_store(now);
         let is_far = known.is_far_from_store();
+        let others_begin = known.others_begin(now);
         let followed = known.followed_mut(topic);
         match is_far {
-            true => followed.follower.leave_reading(now, self.spread),
+            true => {
+                followed.follower.leave_reading(now, self.spread);
+                followed.follower.others_begin(others_begin);
+            }
             false => followed.follower.read_itself(),
         }
         let can_go_on = followed.table.can_go_on();
@@ -147,7 +131,16 @@
             }
         }
         let answered = tokio::time::timeout(OVERTAKEN_TIME, call).await;
-        answered.unwrap_or(Err(StoreError::Unanswered))
+        answered.unwrap_or(Err(self.overtaken()))
+    }
+
+    // Behind the link a call may just be slower than that of the region's other reader: whoever counted it as failed
+    // would be followed by a third one, and fill the link the more.
+    fn overtaken(&self) -> StoreError {
+        match self.known.borrow().is_far_from_store() {
+            true => StoreError::Overtaken,
+            false => StoreError::Unanswered,
+        }
     }
 
     async fn ask_for_changes(&self, topic: Topic, hold: Duration) {
@@ -190,6 +183,7 @@
         let (made, was_missing) = {
             let mut known = self.known.borrow_mut();
             let made = known.store_clock.earliest(sent, received, rows.stamp);
+            known.note_store_call(received.saturating_sub(sent));
             let followed = known.followed_mut(topic);
             followed.follower.store_answered(rows.revision);
             (made, std::mem::take(&mut followed.reported_missing))
@@ -301,6 +295,9 @@
         let now = self.clock.now();
         let mut known = self.known.borrow_mut();
         let followed = known.followed_mut(topic);
+        if *error == StoreError::Overtaken {
+            return;
+        }
         // That is an answer: whoever reads for others goes on, with all rows.
         if *error == StoreError::HistoryGone {
             info!(self.log, "history of the store is gone"; "topic" => ?topic);
--- a/components/gateway/src/control/passing.rs
+++ b/components/gateway/src/control/passing.rs
@@ -60,7 +60,8 @@
             let known = self.known.borrow();
             let followed = &known.followed[&topic];
             let after = followed.table.known_to().unwrap_or(0);
-            let by_pages = known.topology.has_regions();
+            // Near the store its link is wider than a gateway's: much at once comes from there.
+            let by_pages = known.is_far_from_store();
             (followed.newer, after, by_pages)
         };
         let Some((from, reported)) = newer else {
@@ -76,7 +77,11 @@
             self.note_pulled(topic, from, &pulled);
             let changes = pulled.rows.into_iter().map(change_of).collect();
             let stamp = reported.confirmed;
-            self.take_changes(topic, changes, pulled.known_to, stamp, pulled.whole);
+            let changed = self.take_changes(topic, changes, pulled.known_to, stamp, pulled.whole);
+            // Behind the link a coordinator hears of a change from a reader, and its hall from it.
+            if changed && by_pages && topic == Topic::Configuration {
+                self.urgent.notify_one();
+            }
         }
         self.confirm_digest(topic, reported);
         let covers = {
--- a/components/gateway/src/endpoint_run.rs
+++ b/components/gateway/src/endpoint_run.rs
@@ -10,8 +10,11 @@
 use crate::job::SharedJob;
 use crate::traffic::Traffic;
 
-/// Shortest time that an engine's answer is compared with, in seconds: below it the time is that of the way there.
-const SHORTEST_HOLD_S: f64 = 0.02;
+/// Shortest time that answers are compared by in a roll-out, in seconds: below it the time is that of the way there and of
+/// busy processors. A new version gets a small part of the requests, so its connections rest between them and its quick
+/// answers come some ms later; without this, good versions of a service that answers within 1 ms were reverted in 4 of 8
+/// runs beside load.
+const SHORTEST_TIME_S: f64 = 0.02;
 
 /// A request under way at an endpoint. Dropping it closes the connection, unless it was finished.
 pub(crate) struct Run<D> {
@@ -62,16 +65,16 @@
 
     // What this run says of its endpoint's version, if a roll-out is under way. The time of an engine's answer is
     // reported in parts of the time expected, since an endpoint of a new version has read no prompts yet.
-    fn evidence(&self, now: Duration, verdict: Verdict) -> Option<Answer> {
-        let took = now.saturating_sub(self.sent_at).as_secs_f64();
+    fn evidence(&self, now: Duration, way: Duration, verdict: Verdict) -> Option<Answer> {
+        let took = now.saturating_sub(self.sent_at + way).as_secs_f64();
         match verdict {
             Verdict::Neutral => None,
             Verdict::Faulty | Verdict::Silent => Some(Answer::Failed),
             Verdict::Sound if self.job.engine => {
-                let expected = self.placement.hold.as_secs_f64().max(SHORTEST_HOLD_S);
+                let expected = self.placement.hold.as_secs_f64().max(SHORTEST_TIME_S);
                 Some(Answer::Whole(took / expected * 1000.0))
             }
-            Verdict::Sound => Some(Answer::Whole(took * 1000.0)),
+            Verdict::Sound => Some(Answer::Whole(took.max(SHORTEST_TIME_S) * 1000.0)),
         }
     }
 
@@ -105,7 +108,10 @@
             // Its other open connections may say nothing either.
             state.pool.forget(&self.placement.endpoint);
         }
-        if let Some(answer) = self.evidence(now, verdict) {
+        // The way to another region is none of the version's doing.
+        let way_ms = state.board.ways().beyond_region_ms(&self.placement.hall);
+        let way = Duration::from_secs_f64(way_ms / 1000.0);
+        if let Some(answer) = self.evidence(now, way, verdict) {
             let (service, route) = (&self.job.work.service, self.job.asked().route);
             let reported = state
                 .gates
--- a/components/replica/src/follower.rs
+++ b/components/replica/src/follower.rs
@@ -126,6 +126,13 @@
         self.waits.get_or_insert(Waits { since: now, spread });
     }
 
+    /// Where others read for this one, they cannot have begun before this time.
+    pub fn others_begin(&mut self, at: Duration) {
+        if let Some(waits) = &mut self.waits {
+            waits.since = waits.since.max(at);
+        }
+    }
+
     /// From now on this gateway asks the store like all others.
     pub fn read_itself(&mut self) {
         self.waits = None;
@@ -138,10 +145,10 @@
     }
 
     /// Whether rows may be taken from another region: from there only by those that the store does not answer, and
-    /// once nothing was confirmed here for too long.
+    /// where others read, once nothing was confirmed here for too long.
     pub fn may_take_from_afar(&self, now: Duration) -> bool {
         let overdue = |waits| now >= self.overdue_at(waits);
-        !self.reaches_store() || self.waits.is_none_or(overdue)
+        !self.reaches_store() || self.waits.is_some_and(overdue)
     }
 
     /// The next step. `watches` says whether this gateway is one of those that hold calls at the
