Pass over samples of engines that cannot be

Tests: samples_that_cannot_be_of_an_engine_are_passed_over and a_stream_whose_endpoint_was_listed_anew_says_nothing_of_the_engine, both failed before.

--- a/components/engine/src/learner.rs
+++ b/components/engine/src/learner.rs
@@ -48,8 +48,11 @@
 }
 
 impl Learner {
-    /// Notes what a part of a stream showed.
+    /// Notes what a part of a stream showed; what cannot be of an engine is passed over.
     pub fn note(&mut self, now: Duration, sample: Sample) {
+        if !sample.is_sound() {
+            return;
+        }
         self.fade(now);
         let taken = Sample {
             step_ms: self.trusted(&sample),
--- a/components/engine/src/sums.rs
+++ b/components/engine/src/sums.rs
@@ -14,6 +14,15 @@
     pub read_tokens: f64,
 }
 
+impl Sample {
+    /// Whether it can be of an engine: its time passed, something ran, and no fewer tokens were read than none.
+    pub fn is_sound(&self) -> bool {
+        let is_positive = |value: f64| value.is_finite() && value > 0.0;
+        let reads = self.read_tokens.is_finite() && self.read_tokens >= 0.0;
+        is_positive(self.step_ms) && is_positive(self.running) && reads
+    }
+}
+
 /// Moments of samples.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Sums {
--- a/components/engine/tests/law.rs
+++ b/components/engine/tests/law.rs
@@ -160,6 +160,30 @@
     assert!(estimate.law.base_ms > 0.0 && estimate.law.per_read_ms > 0.0);
 }
 
+/// A gateway whose list of endpoints is read anew in the middle of a stream once gave such samples.
+#[test]
+fn samples_that_cannot_be_of_an_engine_are_passed_over() {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let mut learner = Learner::default();
+    for i in 0..2000 {
+        learner.note(at(i), sample(&mut rng, &LAWS[0], 24.0));
+    }
+    assert!(learner.learnt().estimate().known().is_some());
+    let before = *learner.learnt();
+    let sound = sample(&mut rng, &LAWS[0], 24.0);
+    for read_tokens in [-5000.0, f64::NAN, f64::INFINITY] {
+        let sample = Sample {
+            read_tokens,
+            ..sound
+        };
+        learner.note(at(2000), sample);
+    }
+    for step_ms in [0.0, -1.0, f64::NAN] {
+        learner.note(at(2000), Sample { step_ms, ..sound });
+    }
+    assert_eq!(*learner.learnt(), before);
+}
+
 #[test]
 fn sums_that_are_no_numbers_are_passed_over() {
     let mut told = [1.0; engine::MOMENTS];
--- a/components/routing/src/placement/engines.rs
+++ b/components/routing/src/placement/engines.rs
@@ -120,6 +120,10 @@
         let (Some(start), Some(end)) = (span.start, self.look(now, &ticket.endpoint)) else {
             return;
         };
+        // An endpoint that was dropped and listed anew meanwhile counts from the beginning.
+        if end.pushed_tokens < start.pushed_tokens {
+            return;
+        }
         let Some((per_event, learner)) = self.learner_of(&ticket.endpoint) else {
             return;
         };
--- a/components/routing/tests/placement.rs
+++ b/components/routing/tests/placement.rs
@@ -287,3 +287,24 @@
     assert!(few.len() == 1 && of(&few, "v2"), "{few:?}");
     assert!(chosen(Versions::Only("v3")).is_empty());
 }
+
+#[test]
+fn a_stream_whose_endpoint_was_listed_anew_says_nothing_of_the_engine() {
+    let mut board = board(true, &["a"]);
+    let mut rng = rng();
+    let work = prompt(1, 2, 40_000);
+    let placement = board.choose(ms(0), &work, &[], Versions::Any, &mut rng);
+    let placement = placement.unwrap();
+    let mut ticket = board.sent(ms(0), &work, &placement);
+    board.first_token(ms(10), &mut ticket);
+    board.event(ms(10), &mut ticket);
+    let endpoint = board.endpoint("a").unwrap().clone();
+    board.remove("a");
+    board.insert(ms(20), endpoint);
+    for i in 0..40 {
+        board.event(ms(20 + 5 * i), &mut ticket);
+    }
+    board.stream_ended(ms(300), &ticket, None, Duration::from_secs(10));
+    let steps = board.learnt("s").steps;
+    assert!(steps.read >= 0.0, "{steps:?}");
+}
