Name what gateways learn of each other reports, and build the tests' boards in one place

Cause: the read-through: told and heard in new modules, which the field calls reports and received; three test files of placement configured the same board. No behaviour, no assertion.

--- a/components/engine/src/allowed.rs
+++ b/components/engine/src/allowed.rs
@@ -54,11 +54,15 @@
         &self.counts
     }
 
-    /// Counts as they were told.
+    /// Counts as another gateway reported them.
     pub fn of(counts: &[f64]) -> Self {
         let mut paces = AllowedPaces::default();
-        for (count, told) in paces.counts.iter_mut().zip(counts) {
-            *count = if told.is_finite() { told.max(0.0) } else { 0.0 };
+        for (count, reported) in paces.counts.iter_mut().zip(counts) {
+            *count = if reported.is_finite() {
+                reported.max(0.0)
+            } else {
+                0.0
+            };
         }
         paces
     }
--- a/components/engine/src/fit.rs
+++ b/components/engine/src/fit.rs
@@ -103,17 +103,17 @@
         [sums.running, sums.running_running, sums.running_read],
         [sums.read, sums.running_read, sums.read_read],
     ];
-    let mut told = [sums.step, sums.running_step, sums.read_step];
+    let mut weighted = [sums.step, sums.running_step, sums.read_step];
     for i in 0..3 {
         for value in &mut precision[i] {
             *value *= weight;
         }
         let own = 1.0 / (prior[i] * PRIOR_DEVIATION).powi(2);
         precision[i][i] += own;
-        told[i] = told[i] * weight + own * prior[i];
+        weighted[i] = weighted[i] * weight + own * prior[i];
     }
     let covariance = inverse(&precision);
-    let values = covariance.map(|row| row.iter().zip(told).map(|(a, b)| a * b).sum());
+    let values = covariance.map(|row| row.iter().zip(weighted).map(|(a, b)| a * b).sum());
     (values, covariance)
 }
 
--- a/components/engine/src/lib.rs
+++ b/components/engine/src/lib.rs
@@ -3,7 +3,7 @@
 //! An engine works in steps: one makes a token for each request that runs and reads a piece of the prompts that
 //! wait. A step takes a base, a part for each running request and the time of what it reads ([`Law`]). Gateways see
 //! how long the events of a stream take ([`Sample`]) and add up what they see ([`Sums`]); sums of several gateways
-//! are added in turn, so whoever has heard of all knows the law as if it had seen every stream itself.
+//! are added in turn, so whoever has the reports of all knows the law as if it had seen every stream itself.
 
 mod allowed;
 mod fit;
--- a/components/engine/tests/law.rs
+++ b/components/engine/tests/law.rs
@@ -186,9 +186,9 @@
 
 #[test]
 fn sums_that_are_no_numbers_are_passed_over() {
-    let mut told = [1.0; engine::MOMENTS];
-    told[3] = f64::NAN;
-    assert_eq!(Sums::of(&told), Sums::default());
+    let mut moments = [1.0; engine::MOMENTS];
+    moments[3] = f64::NAN;
+    assert_eq!(Sums::of(&moments), Sums::default());
     assert_eq!(Sums::of(&[1.0, 2.0]), Sums::default());
 }
 
--- a/components/engine/tests/reports.rs
+++ b/components/engine/tests/reports.rs
@@ -29,7 +29,7 @@
 }
 
 #[test]
-fn whoever_saw_nothing_itself_knows_the_law_from_what_others_told() {
+fn whoever_saw_nothing_itself_knows_the_law_from_what_others_reported() {
     let mut reports = Reports::default();
     for (i, gateway) in ["g1", "g2", "g3", "g4"].into_iter().enumerate() {
         let few = seen(20, i as u32);
@@ -54,7 +54,7 @@
 }
 
 #[test]
-fn what_a_gateway_told_long_ago_is_forgotten() {
+fn what_a_gateway_reported_long_ago_is_forgotten() {
     let mut reports = Reports::default();
     reports.receive(at(1), "g1", of_service(seen(50, 0)));
     reports.receive(at(200), "g2", of_service(seen(10, 0)));
--- a/components/gateway/src/control/echoes.rs
+++ b/components/gateway/src/control/echoes.rs
@@ -1,6 +1,6 @@
 //! How long messages between coordinators take, from echoes of the times at which they were sent.
 //!
-//! Each message tells when one message of one other coordinator came; the next one tells of another. So no message
+//! Each message says when one message of one other coordinator came, the next one when one of another did. So no message
 //! is sent for measuring, and clocks of two processes are never compared. Pure.
 
 use std::collections::BTreeMap;
@@ -9,7 +9,7 @@
 use routing::weight;
 use schema::messages::Echo;
 
-/// A message that came longer ago is not echoed: as long as its sender counts as heard.
+/// A message that came longer ago is not echoed: as long as its sender counts as alive.
 const LONGEST_HELD: Duration = Duration::from_millis(1500);
 /// Longer ways count as this long: a message behind a full link, which must not be taken for a short way, or one to a
 /// process that stood still.
@@ -19,26 +19,26 @@
 #[derive(Debug, Default)]
 pub struct Echoes {
     // When it was sent on the sender's clock, and when it came.
-    heard: BTreeMap<String, (i64, Duration)>,
+    received: BTreeMap<String, (i64, Duration)>,
     // Whose message was echoed last.
     last: String,
 }
 
 impl Echoes {
     /// A message of a coordinator came, sent at `uptime_ms` on its clock.
-    pub fn heard(&mut self, now: Duration, gateway: &str, uptime_ms: i64) {
-        self.heard.insert(gateway.to_string(), (uptime_ms, now));
+    pub fn receive(&mut self, now: Duration, gateway: &str, uptime_ms: i64) {
+        self.received.insert(gateway.to_string(), (uptime_ms, now));
     }
 
     /// The echo for the next message, of each coordinator in turn.
     pub fn next(&mut self, now: Duration) -> Option<Echo> {
-        self.heard.retain(|_, (_, at)| now < *at + LONGEST_HELD);
+        self.received.retain(|_, (_, at)| now < *at + LONGEST_HELD);
         let after = (
             std::ops::Bound::Excluded(self.last.clone()),
             std::ops::Bound::Unbounded,
         );
-        let next = self.heard.range(after).next();
-        let (name, (uptime_ms, at)) = next.or_else(|| self.heard.iter().next())?;
+        let next = self.received.range(after).next();
+        let (name, (uptime_ms, at)) = next.or_else(|| self.received.iter().next())?;
         self.last = name.clone();
         Some(Echo {
             gateway: name_hash(name),
--- a/components/gateway/src/control/exchange.rs
+++ b/components/gateway/src/control/exchange.rs
@@ -300,7 +300,7 @@
     ) -> Option<(String, Duration)> {
         let kept = self.echoes.as_mut()?;
         if gossip.coordinates == Some(true) {
-            kept.heard(now, &gossip.gateway, gossip.uptime_ms?);
+            kept.receive(now, &gossip.gateway, gossip.uptime_ms?);
         }
         let took = round_trip(now, own, gossip.echo.as_ref()?)?;
         Some((gossip.hall.clone()?, took))
--- a/components/routing/tests/regions.rs
+++ b/components/routing/tests/regions.rs
@@ -1,9 +1,11 @@
 //! Where requests go among several regions.
 
+mod common;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use directory::{Configuration, Endpoint, EndpointState, Engine, Service};
+use directory::{Endpoint, EndpointState};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use routing::placement::{
@@ -38,20 +40,7 @@
 /// A board of a gateway in hall a1 with endpoints named by their halls.
 fn board(endpoints: &[(&str, &str)]) -> Board {
     let mut board = Board::in_topology(topology());
-    let engine = Engine {
-        slots: 16,
-        cache_tokens: 100_000,
-        tokens_per_event: 1,
-    };
-    let service = Service {
-        max_connections: 10,
-        engine: Some(engine),
-        scaling: None,
-    };
-    board.configure(&Configuration {
-        services: [("s".to_string(), service)].into(),
-        ..Configuration::default()
-    });
+    common::configure(&mut board, 16);
     for (id, hall) in endpoints {
         board.insert(ms(0), endpoint(id, hall));
     }
--- a/components/routing/tests/speeds.rs
+++ b/components/routing/tests/speeds.rs
@@ -1,8 +1,10 @@
 //! Endpoints of one service that work at different speeds.
 
+mod common;
+
 use std::time::Duration;
 
-use directory::{Configuration, Endpoint, EndpointState, Engine, Service};
+use directory::{Endpoint, EndpointState};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use routing::placement::{Board, Placement, PromptPart, Verdict, Versions, Work};
@@ -13,20 +15,7 @@
 
 fn board(ids: &[&str]) -> Board {
     let mut board = Board::new("z");
-    let engine = Engine {
-        slots: 16,
-        cache_tokens: 100_000,
-        tokens_per_event: 1,
-    };
-    let service = Service {
-        max_connections: 10,
-        engine: Some(engine),
-        scaling: None,
-    };
-    board.configure(&Configuration {
-        services: [("s".to_string(), service)].into(),
-        ..Configuration::default()
-    });
+    common::configure(&mut board, 16);
     for id in ids {
         let endpoint = Endpoint {
             id: id.to_string(),
--- a/components/routing/tests/waves.rs
+++ b/components/routing/tests/waves.rs
@@ -1,9 +1,11 @@
 //! Two regions whose busy times alternate, each with a coordinator that hears of the other's requests late.
 
+mod common;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use directory::{Configuration, Endpoint, EndpointState, Engine, Service};
+use directory::{Endpoint, EndpointState};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use routing::placement::{endpoint_hash, Board, PeerDispatch, PromptPart, Versions, Work};
@@ -34,20 +36,7 @@
         let regions = ["a", "b"].map(|region| (format!("{region}1"), region.to_string()));
         let topology = Topology::new(&format!("{name}1"), name, &BTreeMap::from(regions));
         let mut board = Board::in_topology(topology);
-        let engine = Engine {
-            slots: 64,
-            cache_tokens: 100_000,
-            tokens_per_event: 1,
-        };
-        let service = Service {
-            max_connections: 10,
-            engine: Some(engine),
-            scaling: None,
-        };
-        board.configure(&Configuration {
-            services: [("s".to_string(), service)].into(),
-            ..Configuration::default()
-        });
+        common::configure(&mut board, 64);
         for (region, i) in (0..ENDPOINTS).flat_map(|i| [("a", i), ("b", i)]) {
             let endpoint = Endpoint {
                 id: format!("{region}-{i}"),
