--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -7,6 +7,7 @@
 mod exchange;
 mod follow;
 mod forwarding;
+mod known;
 mod lease;
 mod messages;
 mod need;
@@ -18,56 +19,37 @@
 mod scaling;
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
-use directory::{Configuration, Endpoint, StoreClock};
-use fleet::Scaler;
-use replica::{Follower, Source as AskFirst};
 use schema::settings::GatewaySettings;
 use slog::{info, warn, Logger};
-use state::{Lease, LeaseTerms};
 use telemetry::Metrics;
 use tokio::runtime::Builder;
 use tokio::sync::Notify;
 use tokio::task::LocalSet;
-use topology::Topology;
-use usage::{Forwarding, Ledger, Reporter, Source, Terms};
+use usage::Source;
 
 use crate::alone::Alone;
 use crate::clock::Clock;
 pub use crate::control::echoes::{round_trip, Echoes};
-use crate::control::engines::Engines;
-use crate::control::follow::Followed;
-use crate::control::lease::OrdersUnderWay;
-use crate::control::messages::SendState;
+use crate::control::known::change_due;
+pub(crate) use crate::control::known::Known;
 pub(crate) use crate::control::passing::{name_of, topic_of, PASSED_ON};
 use crate::control::region::spread_of;
-use crate::control::rollouts::Rollouts;
-use crate::control::scaling::Demand;
 use crate::freshness::Freshness;
-use crate::peers::{Fleet, Listed, Peers};
-use crate::ports::{Orders, Store, Topic};
+use crate::ports::{Orders, Store};
 use crate::run::{ReadSettings, Signals};
-use crate::tally::{Sent, ServiceLoad, Tally};
+use crate::tally::Tally;
 use crate::update::Update;
 
 /// Pause between looks at signals, peers and the lease.
 const TICK: Duration = Duration::from_millis(100);
 /// Pause between looks at the settings file when no signal says that it changed.
 const SETTINGS_LOOK: Duration = Duration::from_secs(1);
-/// Key of the lease's row.
-const LEASE_KEY: &str = "duties";
-/// A renewal holds this much longer than the bound on its holders.
-const LEASE_MARGIN: Duration = Duration::from_millis(500);
-/// Pause between renewals of the lease.
-const LEASE_PAUSE: Duration = Duration::from_secs(1);
-/// Part of the time within which usage is due after which a window is settled.
-const SETTLE_PART: f64 = 0.45;
 
 /// Sockets over which gateways talk to each other.
 pub(crate) struct PeerSockets {
@@ -96,44 +78,6 @@
     pub decisions_port: u16,
 }
 
-/// Everything the control thread knows.
-pub(crate) struct Known {
-    pub settings: Arc<GatewaySettings>,
-    pub configuration: Option<Arc<Configuration>>,
-    // Whether the newest configuration could be read; else the one in force is not the newest.
-    pub configuration_readable: bool,
-    pub followed: BTreeMap<Topic, Followed>,
-    pub endpoints: BTreeMap<String, Endpoint>,
-    pub store_clock: StoreClock,
-    pub peers: Peers,
-    pub topology: Topology,
-    pub lease: Lease,
-    pub orders: OrdersUnderWay,
-    pub ledger: Ledger,
-    pub reporter: Reporter,
-    // By service and region.
-    pub scalers: BTreeMap<(String, String), Scaler>,
-    pub engines: Engines,
-    pub demand: Demand,
-    pub loads: BTreeMap<String, ServiceLoad>,
-    pub taken: BTreeMap<String, u64>,
-    pub unsent: Vec<Sent>,
-    pub sending: SendState,
-    // Only kept where there are several regions.
-    pub echoes: Option<Echoes>,
-    pub forwarding: Forwarding,
-    pub fleet: Fleet,
-    // Whether this gateway holds calls at the store.
-    pub watches: bool,
-    // Shortest time of a call of the store.
-    pub store_time: Option<Duration>,
-    // Whether the store turned this gateway away when it asked for the list of gateways last.
-    pub list_refused: bool,
-    // When the endpoints were needed last, while they are followed.
-    pub endpoints_needed_at: Option<Duration>,
-    pub rollouts: Rollouts,
-}
-
 /// The control thread before it runs.
 pub(crate) struct Control {
     parts: ControlParts,
@@ -171,51 +115,7 @@
             gateway: settings.name.clone(),
             incarnation: parts.clock.wall().as_millis() as i64,
         };
-        let mut peers = Peers::new(Listed {
-            name: settings.name.clone(),
-            address: parts.sockets.address,
-            hall: settings.zone.clone(),
-            cores_milli: settings.cores_milli,
-            decisions: None,
-        });
-        let topology = Topology::new(&settings.zone, &settings.region, &settings.halls);
-        peers.set_topology(topology.clone());
-        if topology.has_regions() {
-            peers.expect_halls(topology.halls());
-        }
-        for seed in settings.seeds.iter().filter_map(|seed| seed.parse().ok()) {
-            peers.learn(Duration::ZERO, seed);
-        }
-        let echoes = topology.has_regions().then(Echoes::default);
-        let known = Known {
-            lease: Lease::new(lease_terms(&settings)),
-            orders: OrdersUnderWay::default(),
-            reporter: Reporter::new(usage_terms(&settings)),
-            forwarding: Forwarding::new(usage_terms(&settings)),
-            followed: followed_topics(&settings),
-            settings,
-            configuration: None,
-            configuration_readable: true,
-            endpoints: BTreeMap::new(),
-            store_clock: StoreClock::default(),
-            peers,
-            topology,
-            ledger: Ledger::default(),
-            scalers: BTreeMap::new(),
-            engines: Engines::default(),
-            demand: Demand::default(),
-            loads: BTreeMap::new(),
-            taken: BTreeMap::new(),
-            unsent: Vec::new(),
-            sending: SendState::default(),
-            echoes,
-            fleet: Fleet::default(),
-            watches: false,
-            store_time: None,
-            list_refused: false,
-            endpoints_needed_at: None,
-            rollouts: Rollouts::default(),
-        };
+        let known = Known::new(settings, parts.sockets.address);
         Control {
             parts,
             source,
@@ -303,51 +203,6 @@
     Ok(())
 }
 
-impl Known {
-    /// How a topic that is passed on is followed.
-    pub fn followed_mut(&mut self, topic: Topic) -> &mut Followed {
-        let settings = &self.settings;
-        let followed = self.followed.entry(topic);
-        followed.or_insert_with(|| follow(topic, settings))
-    }
-
-    /// Forgets what is known of a topic, as at the start.
-    pub fn forget_rows(&mut self, topic: Topic) {
-        let followed = follow(topic, &self.settings);
-        let old = self.followed.insert(topic, followed);
-        // Whoever waits for changes of the topic goes on waiting.
-        if let (Some(old), Some(new)) = (old, self.followed.get_mut(&topic)) {
-            new.wake = old.wake;
-        }
-    }
-
-    /// Whether the store answered the last call.
-    pub fn reaches_store(&self) -> bool {
-        let mut followed = self.followed.values();
-        followed.all(|followed| followed.follower.reaches_store())
-    }
-}
-
-fn followed_topics(settings: &GatewaySettings) -> BTreeMap<Topic, Followed> {
-    let topics = PASSED_ON.into_iter();
-    topics
-        .map(|topic| (topic, follow(topic, settings)))
-        .collect()
-}
-
-// Until its size is known, a configuration is taken to be large.
-fn follow(topic: Topic, settings: &GatewaySettings) -> Followed {
-    let first = match topic {
-        Topic::Configuration => AskFirst::Store,
-        _ => AskFirst::Peer,
-    };
-    Followed::new(Follower::new(first, change_due(settings)))
-}
-
-fn change_due(settings: &GatewaySettings) -> Duration {
-    Duration::from_millis(settings.change_due_ms.max(0) as u64)
-}
-
 impl<S: Store + 'static, O: Orders + 'static> Shared<S, O> {
     async fn tick(self: Rc<Self>, signals: Signals, read_settings: ReadSettings) {
         let mut looked_at = Duration::ZERO;
@@ -414,23 +269,3 @@
         }
     }
 }
-
-fn lease_terms(settings: &GatewaySettings) -> LeaseTerms {
-    let bound = Duration::from_millis(settings.lease_ms.max(0) as u64);
-    LeaseTerms {
-        key: LEASE_KEY.to_string(),
-        node: settings.name.clone(),
-        duration: bound + 2 * LEASE_MARGIN,
-        margin: LEASE_MARGIN,
-        interval: LEASE_PAUSE,
-    }
-}
-
-fn usage_terms(settings: &GatewaySettings) -> Terms {
-    let due = Duration::from_millis(settings.usage_due_ms.max(0) as u64);
-    Terms {
-        window: Duration::from_millis(settings.usage_window_ms.max(1) as u64),
-        settle: due.mul_f64(SETTLE_PART),
-        due,
-    }
-}
--- /dev/null
+++ b/components/gateway/src/control/known.rs
@@ -0,0 +1,192 @@
+//! What the control thread knows, and what it begins with.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use directory::{Configuration, Endpoint, StoreClock};
+use fleet::Scaler;
+use replica::{Follower, Source as AskFirst};
+use schema::settings::GatewaySettings;
+use state::{Lease, LeaseTerms};
+use topology::Topology;
+use usage::{Forwarding, Ledger, Reporter, Terms};
+
+use crate::control::engines::Engines;
+use crate::control::follow::Followed;
+use crate::control::lease::OrdersUnderWay;
+use crate::control::messages::SendState;
+use crate::control::rollouts::Rollouts;
+use crate::control::scaling::Demand;
+use crate::control::{Echoes, PASSED_ON};
+use crate::peers::{Fleet, Listed, Peers};
+use crate::ports::Topic;
+use crate::tally::{Sent, ServiceLoad};
+
+/// Key of the lease's row.
+const LEASE_KEY: &str = "duties";
+/// A renewal holds this much longer than the bound on its holders.
+const LEASE_MARGIN: Duration = Duration::from_millis(500);
+/// Pause between renewals of the lease.
+const LEASE_PAUSE: Duration = Duration::from_secs(1);
+/// Part of the time within which usage is due after which a window is settled.
+const SETTLE_PART: f64 = 0.45;
+/// Everything the control thread knows.
+pub(crate) struct Known {
+    pub settings: Arc<GatewaySettings>,
+    pub configuration: Option<Arc<Configuration>>,
+    // Whether the newest configuration could be read; else the one in force is not the newest.
+    pub configuration_readable: bool,
+    pub followed: BTreeMap<Topic, Followed>,
+    pub endpoints: BTreeMap<String, Endpoint>,
+    pub store_clock: StoreClock,
+    pub peers: Peers,
+    pub topology: Topology,
+    pub lease: Lease,
+    pub orders: OrdersUnderWay,
+    pub ledger: Ledger,
+    pub reporter: Reporter,
+    // By service and region.
+    pub scalers: BTreeMap<(String, String), Scaler>,
+    pub engines: Engines,
+    pub demand: Demand,
+    pub loads: BTreeMap<String, ServiceLoad>,
+    pub taken: BTreeMap<String, u64>,
+    pub unsent: Vec<Sent>,
+    pub sending: SendState,
+    // Only kept where there are several regions.
+    pub echoes: Option<Echoes>,
+    pub forwarding: Forwarding,
+    pub fleet: Fleet,
+    // Whether this gateway holds calls at the store.
+    pub watches: bool,
+    // Shortest time of a call of the store.
+    pub store_time: Option<Duration>,
+    // Whether the store turned this gateway away when it asked for the list of gateways last.
+    pub list_refused: bool,
+    // When the endpoints were needed last, while they are followed.
+    pub endpoints_needed_at: Option<Duration>,
+    pub rollouts: Rollouts,
+}
+
+impl Known {
+    /// Nothing known but the settings; other gateways reach this one at `address`.
+    pub fn new(settings: Arc<GatewaySettings>, address: SocketAddr) -> Self {
+        let topology = Topology::new(&settings.zone, &settings.region, &settings.halls);
+        let peers = first_peers(&settings, &topology, address);
+        let echoes = topology.has_regions().then(Echoes::default);
+        Known {
+            lease: Lease::new(lease_terms(&settings)),
+            orders: OrdersUnderWay::default(),
+            reporter: Reporter::new(usage_terms(&settings)),
+            forwarding: Forwarding::new(usage_terms(&settings)),
+            followed: followed_topics(&settings),
+            settings,
+            configuration: None,
+            configuration_readable: true,
+            endpoints: BTreeMap::new(),
+            store_clock: StoreClock::default(),
+            peers,
+            topology,
+            ledger: Ledger::default(),
+            scalers: BTreeMap::new(),
+            engines: Engines::default(),
+            demand: Demand::default(),
+            loads: BTreeMap::new(),
+            taken: BTreeMap::new(),
+            unsent: Vec::new(),
+            sending: SendState::default(),
+            echoes,
+            fleet: Fleet::default(),
+            watches: false,
+            store_time: None,
+            list_refused: false,
+            endpoints_needed_at: None,
+            rollouts: Rollouts::default(),
+        }
+    }
+
+    /// How a topic that is passed on is followed.
+    pub fn followed_mut(&mut self, topic: Topic) -> &mut Followed {
+        let settings = &self.settings;
+        let followed = self.followed.entry(topic);
+        followed.or_insert_with(|| follow(topic, settings))
+    }
+
+    /// Forgets what is known of a topic, as at the start.
+    pub fn forget_rows(&mut self, topic: Topic) {
+        let followed = follow(topic, &self.settings);
+        let old = self.followed.insert(topic, followed);
+        // Whoever waits for changes of the topic goes on waiting.
+        if let (Some(old), Some(new)) = (old, self.followed.get_mut(&topic)) {
+            new.wake = old.wake;
+        }
+    }
+
+    /// Whether the store answered the last call.
+    pub fn reaches_store(&self) -> bool {
+        let mut followed = self.followed.values();
+        followed.all(|followed| followed.follower.reaches_store())
+    }
+}
+
+// The gateways that the settings name.
+fn first_peers(settings: &GatewaySettings, topology: &Topology, address: SocketAddr) -> Peers {
+    let mut peers = Peers::new(Listed {
+        name: settings.name.clone(),
+        address,
+        hall: settings.zone.clone(),
+        cores_milli: settings.cores_milli,
+        decisions: None,
+    });
+    peers.set_topology(topology.clone());
+    if topology.has_regions() {
+        peers.expect_halls(topology.halls());
+    }
+    for seed in settings.seeds.iter().filter_map(|seed| seed.parse().ok()) {
+        peers.learn(Duration::ZERO, seed);
+    }
+    peers
+}
+
+fn followed_topics(settings: &GatewaySettings) -> BTreeMap<Topic, Followed> {
+    let topics = PASSED_ON.into_iter();
+    topics
+        .map(|topic| (topic, follow(topic, settings)))
+        .collect()
+}
+
+// Until its size is known, a configuration is taken to be large.
+fn follow(topic: Topic, settings: &GatewaySettings) -> Followed {
+    let first = match topic {
+        Topic::Configuration => AskFirst::Store,
+        _ => AskFirst::Peer,
+    };
+    Followed::new(Follower::new(first, change_due(settings)))
+}
+
+/// Time within which a change is to be in force.
+pub(super) fn change_due(settings: &GatewaySettings) -> Duration {
+    Duration::from_millis(settings.change_due_ms.max(0) as u64)
+}
+
+fn lease_terms(settings: &GatewaySettings) -> LeaseTerms {
+    let bound = Duration::from_millis(settings.lease_ms.max(0) as u64);
+    LeaseTerms {
+        key: LEASE_KEY.to_string(),
+        node: settings.name.clone(),
+        duration: bound + 2 * LEASE_MARGIN,
+        margin: LEASE_MARGIN,
+        interval: LEASE_PAUSE,
+    }
+}
+
+fn usage_terms(settings: &GatewaySettings) -> Terms {
+    let due = Duration::from_millis(settings.usage_due_ms.max(0) as u64);
+    Terms {
+        window: Duration::from_millis(settings.usage_window_ms.max(1) as u64),
+        settle: due.mul_f64(SETTLE_PART),
+        due,
+    }
+}
