Plan a round on what was observed, with the one topology

Cause: read-through of the change. The planner built a topology of its own from the settings beside the one that the control thread holds, and the holder reckoned each region's load twice a round or more (once to observe, once for each plan, up to six): every endpoint and up to 20,000 samples each time. Ruled out: caching by time. Change: observe_load returns the loads, plans use them; topology_of is gone. A plan never used more of them than the offer and the log's figures, since what is held is the scaler's own.

--- a/components/gateway/src/control/scaling.rs
+++ b/components/gateway/src/control/scaling.rs
@@ -7,7 +7,6 @@
 use fleet::{Bearing, Fleet, Load, Offer, Scaler, ScalingOrder};
 use rollout::Order;
 use routing::placement::endpoint_hash;
-use schema::settings::GatewaySettings;
 use slog::{info, warn};
 use telemetry::Counter;
 use topology::Topology;
@@ -79,19 +78,19 @@
         if !self.known.borrow().settings.orders_endpoints {
             return;
         }
-        self.observe_load();
+        let asked = self.observe_load();
         // A hall that turns out to be closed changes the plan for the others.
         for _ in 0..MOST_PLANS {
-            if self.holder().is_none() || !self.carry_out_plan().await {
+            if self.holder().is_none() || !self.carry_out_plan(&asked).await {
                 return;
             }
         }
     }
 
     // Returns whether a hall that was open refused an order.
-    async fn carry_out_plan(&self) -> bool {
+    async fn carry_out_plan(&self, asked: &[RegionLoad]) -> bool {
         let mut hall_closed = false;
-        for (service, orders) in self.plan() {
+        for (service, orders) in self.plan(asked) {
             for order in orders {
                 let Some(holder) = self.holder() else {
                     return false;
@@ -111,9 +110,7 @@
     fn note_reply(&self, service: &str, order: &ScalingOrder, reply: OrderReply) -> bool {
         let now = self.clock.now();
         let mut known = self.known.borrow_mut();
-        let region = topology_of(&known.settings)
-            .region_of(&order.hall)
-            .to_string();
+        let region = known.topology.region_of(&order.hall).to_string();
         let Some(scaler) = known.scalers.get_mut(&(service.to_string(), region)) else {
             return false;
         };
@@ -129,14 +126,15 @@
         false
     }
 
-    fn observe_load(&self) {
+    fn observe_load(&self) -> Vec<RegionLoad> {
         let now = self.clock.now();
         let mut known = self.known.borrow_mut();
         let followed = known.followed.get(&Topic::Endpoints);
         let confirmed = followed.and_then(|followed| followed.follower.confirmed_at());
         let as_of = confirmed.unwrap_or_default();
-        for asked in known.region_loads(now) {
-            let scaler = known.scalers.entry(asked.key);
+        let loads = known.region_loads(now);
+        for asked in &loads {
+            let scaler = known.scalers.entry(asked.key.clone());
             let scaler = scaler.or_insert_with(|| Scaler::among(asked.regions));
             match asked.load.parts() {
                 Some(parts) => scaler.observe_as_of(now, as_of, &asked.held, parts.endpoints()),
@@ -146,13 +144,13 @@
                 }
             }
         }
+        loads
     }
 
-    fn plan(&self) -> Vec<(String, Vec<ScalingOrder>)> {
+    fn plan(&self, asked: &[RegionLoad]) -> Vec<(String, Vec<ScalingOrder>)> {
         let now = self.clock.now();
         let mut known = self.known.borrow_mut();
-        let asked = known.region_loads(now);
-        let asked = asked.into_iter();
+        let asked = asked.iter();
         asked
             .filter_map(|asked| self.plan_region(now, &mut known, asked))
             .collect()
@@ -162,7 +160,7 @@
         &self,
         now: Duration,
         known: &mut Known,
-        asked: RegionLoad,
+        asked: &RegionLoad,
     ) -> Option<(String, Vec<ScalingOrder>)> {
         let (service, region) = &asked.key;
         if known.rollouts.is_under_way(service) {
@@ -207,7 +205,7 @@
         let Some(configuration) = self.configuration.clone() else {
             return Vec::new();
         };
-        let topology = topology_of(&self.settings);
+        let topology = self.topology.clone();
         let tokens = self.demand.tokens_per_s(now);
         let mut asked = Vec::new();
         for (service, scaling) in scaled(&configuration) {
@@ -269,15 +267,6 @@
     }
 }
 
-fn topology_of(settings: &GatewaySettings) -> Topology {
-    let own = settings.halls.get(&settings.zone);
-    Topology::new(
-        &settings.zone,
-        own.map_or("", String::as_str),
-        &settings.halls,
-    )
-}
-
 fn regions_of(topology: &Topology, scaling: &Scaling) -> BTreeSet<String> {
     let halls = scaling.zone_prices.keys();
     halls
