Keep the platform's names in platform/ alone

Cause: the soak's stand-ins spelled the platform's fields and calls a second time. Ruled out: moving the soak into platform/, which is to stay small. Fields are written in small letters by the soak's clients now.

--- a/soak/src/standins/client.rs
+++ b/soak/src/standins/client.rs
@@ -7,6 +7,7 @@
 use std::thread;
 use std::time::Duration;
 
+use platform::names;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -108,8 +109,8 @@
         self.shared.history.note(Seen::Answered {
             id,
             status: head.word(1).parse().unwrap_or(0),
-            of: head.field("croftpond-attempt-id").map(str::to_string),
-            signed: head.field("croftpond-response-signature").is_some(),
+            of: head.field(names::ATTEMPT_ID).map(str::to_string),
+            signed: head.field(names::SIGNATURE).is_some(),
             body,
         });
         if stays && ended {
@@ -177,9 +178,12 @@
         };
         let leaves = self.rng.random_range(0..40) == 0;
         let head = format!(
-            "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nCroftpond-Attempt-Id: {id}\r\n\
-             Croftpond-Credential: {key}\r\nCroftpond-Tenant: forged\r\n\
-             Croftpond-Deadline-Ms: {DEADLINE_MS}\r\nContent-Length: {body}\r\n\r\n"
+            "POST {path} HTTP/1.1\r\nHost: {HOST}\r\n{}: {id}\r\n{}: {key}\r\n{}: forged\r\n\
+             {}: {DEADLINE_MS}\r\nContent-Length: {body}\r\n\r\n",
+            names::ATTEMPT_ID,
+            names::CREDENTIAL,
+            names::TENANT,
+            names::DEADLINE_MS
         );
         let mut text = head.into_bytes();
         text.resize(text.len() + body, b'x');
--- a/soak/src/standins/endpoint.rs
+++ b/soak/src/standins/endpoint.rs
@@ -8,6 +8,8 @@
 use std::thread;
 use std::time::Duration;
 
+use platform::names::{ATTEMPT_ID, CREDENTIAL, EXPECTED_INSTANCE, NOT_EXECUTED, SIGNATURE, TENANT};
+
 use super::{body_of, hash, listen};
 use crate::history::{History, Seen};
 use crate::http::{Connection, Head};
@@ -119,7 +121,7 @@
     fn serve(&self, connection: &mut Connection) -> Result<()> {
         while !self.ended.load(Ordering::SeqCst) {
             let head = connection.head()?;
-            let id = head.field("croftpond-attempt-id").unwrap_or_default();
+            let id = head.field(ATTEMPT_ID).unwrap_or_default();
             let id = id.to_string();
             let reads_slowly = hash(&id).is_multiple_of(8);
             let mut left = head.length();
@@ -137,7 +139,7 @@
     }
 
     fn take(&self, connection: &mut Connection, head: &Head, id: &str) -> Result<()> {
-        let expected = head.field("croftpond-expected-instance");
+        let expected = head.field(EXPECTED_INSTANCE);
         if expected.is_some_and(|expected| expected != self.id) {
             return not_run(connection, 421, id);
         }
@@ -155,8 +157,8 @@
             id: id.to_string(),
             endpoint: self.id.clone(),
             path: head.word(1).to_string(),
-            team: head.field("croftpond-tenant").map(str::to_string),
-            key_shown: head.field("croftpond-credential").is_some(),
+            team: head.field(TENANT).map(str::to_string),
+            key_shown: head.field(CREDENTIAL).is_some(),
         });
         let ran = self.run(connection, head, id, course);
         lock(&self.running).remove(id);
@@ -199,8 +201,8 @@
 
 fn answer_head(status: u16, id: &str, length: &str) -> String {
     format!(
-        "HTTP/1.1 {status} X\r\ncroftpond-attempt-id: {id}\r\n\
-         croftpond-response-signature: s\r\ncontent-length: {length}\r\n\r\n"
+        "HTTP/1.1 {status} X\r\n{ATTEMPT_ID}: {id}\r\n\
+         {SIGNATURE}: s\r\ncontent-length: {length}\r\n\r\n"
     )
 }
 
@@ -211,7 +213,7 @@
 
 fn not_run(connection: &mut Connection, status: u16, id: &str) -> Result<()> {
     let head = format!(
-        "HTTP/1.1 {status} X\r\ncroftpond-attempt-id: {id}\r\ncroftpond-not-executed: 1\r\n\
+        "HTTP/1.1 {status} X\r\n{ATTEMPT_ID}: {id}\r\n{NOT_EXECUTED}: 1\r\n\
          content-length: 0\r\n\r\n"
     );
     connection.send(head.as_bytes())
@@ -222,7 +224,7 @@
     let from = last.and_then(|text| text.parse().ok()).unwrap_or(0) + 1;
     let total = events_of(id);
     let begin = format!(
-        "HTTP/1.1 200 X\r\ncroftpond-attempt-id: {id}\r\ncroftpond-response-signature: s\r\n\
+        "HTTP/1.1 200 X\r\n{ATTEMPT_ID}: {id}\r\n{SIGNATURE}: s\r\n\
          content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
     );
     connection.send(begin.as_bytes())?;
--- a/soak/src/standins/operator.rs
+++ b/soak/src/standins/operator.rs
@@ -1,6 +1,7 @@
 //! The operator's configurations. Version N has the routes `/nN/` and `/n(N-1)/` and the keys
 //! `rN` and `r(N-1)` beside those that stay, so what is served tells which version is in force.
 
+use platform::names::{API_KEYS, STREAM_RESUMPTION};
 use serde_json::{json, Value};
 
 /// The key that every version holds.
@@ -23,7 +24,7 @@
         route("/str/", "streaming", "b"),
         route("/res/", "streaming", "b"),
     ];
-    routes[3]["streamResumption"] = json!(true);
+    routes[3][STREAM_RESUMPTION] = json!(true);
     let mut keys = vec![STEADY_KEY.to_string()];
     for version in [version - 1, version] {
         routes.push(route(&format!("/n{version}/"), "idempotent", "a"));
@@ -34,8 +35,8 @@
         "routes": routes,
         "services": [{"name": "a"}, {"name": "b"}],
         "tenants": [
-            {"name": TEAM, "apiKeys": keys},
-            {"name": LIMITED_TEAM, "apiKeys": [LIMITED_KEY], "ratePerS": LIMIT, "burst": BURST},
+            {"name": TEAM, API_KEYS: keys},
+            {"name": LIMITED_TEAM, API_KEYS: [LIMITED_KEY], "ratePerS": LIMIT, "burst": BURST},
         ],
     })
     .to_string()
--- a/soak/src/standins/store.rs
+++ b/soak/src/standins/store.rs
@@ -8,6 +8,7 @@
 
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine as _;
+use platform::names;
 use serde_json::{json as value, Value};
 
 use super::{json, listen};
@@ -161,9 +162,9 @@
             .map(|(key, text)| (key, unescaped(text)))
             .collect();
         match path {
-            "/v1/rows-get" => (200, self.get(&query)),
-            "/v1/rows-feed" => self.feed(&query),
-            "/v1/rows-tx" => self.transact(body),
+            names::ROWS_GET => (200, self.get(&query)),
+            names::ROWS_FEED => self.feed(&query),
+            names::ROWS_TX => self.transact(body),
             _ => (404, value!({})),
         }
     }
@@ -292,12 +293,9 @@
                 return;
             };
             let body: Value = serde_json::from_slice(&body).unwrap_or_default();
-            let fence = head.field("croftpond-fencing-token");
+            let fence = head.field(names::FENCING_TOKEN);
             history.note(Seen::Reported {
-                holder: head
-                    .field("croftpond-duty-holder")
-                    .unwrap_or_default()
-                    .into(),
+                holder: head.field(names::DUTY_HOLDER).unwrap_or_default().into(),
                 fence: fence.and_then(|text| text.parse().ok()).unwrap_or(0),
                 window: body["windowNumber"].as_i64().unwrap_or(-1),
                 counts: body["counts"].to_string(),
