Name what a request asks for in the logs, and see whether an endpoint ended when it cut an answer off

The logs could not tell the hypotheses on endpoints that end in a row apart: a caller's next try has a new id. Lines of attempts now carry a fingerprint of method, host, path, team and body; after a cut answer one connection shows whether the endpoint ended (endpoints that said they leave are not asked). No decision changed.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -165,6 +165,7 @@
                 run.judge(Verdict::Silent);
                 info!(self.log, "answer lost"; "id" => &job.head.id,
                     "endpoint" => &placement.endpoint, "cause" => %error);
+                self.look_after_cut(job, placement);
                 return Attempted::Lost("the endpoint closed the connection without an answer");
             }
             Err(_) => return Attempted::NotSent,
@@ -243,8 +244,8 @@
     }
 
     async fn whole_answer(
-        &self,
-        job: &Job,
+        self: &Rc<Self>,
+        job: &SharedJob,
         mut run: Run<D>,
         mut head: response::Parts,
         read: AnswerHead,
@@ -256,6 +257,7 @@
         let gathered = self.room.gather(body, hold, MAX_WHOLE_ANSWER, None).await;
         let Ok(body) = gathered else {
             run.judge(Verdict::Faulty);
+            self.look_after_cut(job, &run.placement);
             return Attempted::Lost("the endpoint broke its answer off");
         };
         let failed = head.status.is_server_error();
@@ -277,8 +279,8 @@
     }
 
     async fn first_event(
-        &self,
-        job: &Job,
+        self: &Rc<Self>,
+        job: &SharedJob,
         run: Run<D>,
         mut head: response::Parts,
         read: AnswerHead,
@@ -306,8 +308,11 @@
                     events: Box::new(events),
                 })
             }
-            NextEvent::End | NextEvent::Broken => {
+            end @ (NextEvent::End | NextEvent::Broken) => {
                 events.run.judge(Verdict::Faulty);
+                if matches!(end, NextEvent::Broken) {
+                    self.look_after_cut(job, &events.run.placement);
+                }
                 Attempted::Lost("the stream broke off before its first event")
             }
         }
--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -7,6 +7,7 @@
 use errors::Kind;
 use http::{request, Request, Response};
 use hyper::body::Incoming;
+use quarantine::{Content, Fingerprint};
 use routing::placement::{Placement, Work};
 use slog::info;
 use telemetry::{Counter, Timer};
@@ -126,7 +127,10 @@
         let spec = directory.configuration().services.get(&service);
         let expiry = arrived + head.deadline.unwrap_or(route.timeout).min(route.timeout);
         let tokens = head.tokens.unwrap_or_default();
+        let team = tenant.map(|tenant| tenant.name.as_str());
+        let content = Fingerprint::of(&content_of(&parts, team, &body.bytes));
         let job = Job {
+            content,
             work: Work {
                 service: service.clone(),
                 parts: head.parts.clone(),
@@ -339,15 +343,29 @@
     }
 }
 
+fn content_of<'a>(parts: &'a request::Parts, team: Option<&'a str>, body: &'a [u8]) -> Content<'a> {
+    let target = parts.uri.path_and_query();
+    Content {
+        method: parts.method.as_str(),
+        host: host_of(parts),
+        target: target.map_or("", |target| target.as_str()),
+        team,
+        body,
+    }
+}
+
+fn host_of(parts: &request::Parts) -> &str {
+    let field = parts.headers.get(http::header::HOST);
+    let host = field.and_then(|value| value.to_str().ok());
+    host.or(parts.uri.host()).unwrap_or_default()
+}
+
 pub(crate) fn look_up<'a>(
     directory: &'a Directory,
     parts: &request::Parts,
     head: &CallerHead,
 ) -> Lookup<'a> {
-    let field = parts.headers.get(http::header::HOST);
-    let host = field.and_then(|value| value.to_str().ok());
-    let host = host.or(parts.uri.host()).unwrap_or_default();
-    directory.look_up(host, parts.uri.path(), head.key.as_deref())
+    directory.look_up(host_of(parts), parts.uri.path(), head.key.as_deref())
 }
 
 fn over_limit(wait: Duration) -> Refusal {
--- a/components/gateway/src/job.rs
+++ b/components/gateway/src/job.rs
@@ -6,6 +6,7 @@
 
 use directory::Route;
 use http::request;
+use quarantine::Fingerprint;
 use routing::placement::Work;
 
 use crate::caller::Caller;
@@ -27,6 +28,8 @@
     pub body: KeptBody,
     /// Whose request it is.
     pub caller: Rc<Caller>,
+    /// What it asks for, the same for each try of its caller.
+    pub content: Fingerprint,
     /// Its route.
     pub route: Route,
     /// Tenant whose key it carries.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod clock;
 mod connecting;
 mod control;
+mod cut;
 mod decisions;
 mod endpoint_run;
 mod events;
--- a/components/gateway/src/placing.rs
+++ b/components/gateway/src/placing.rs
@@ -58,7 +58,7 @@
 
     /// Logs where a request goes.
     pub fn log_placed(&self, job: &Job, placement: &Placement) {
-        info!(self.log, "placed"; "id" => &job.head.id, "route" => &job.route.name,
+        info!(self.log, "placed"; "id" => &job.head.id, "content" => %job.content, "route" => &job.route.name,
             "endpoint" => &placement.endpoint, "unread" => placement.unread_tokens,
             "expected_ms" => placement.expected_ms as u64, "weighed" => placement.weighed,
             "by_coordinator" => placement.counted, "version" => job.version,
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -86,6 +86,8 @@
                     let is_silent = matches!(end, End::Silent);
                     if !is_silent {
                         self.learn_cut();
+                        self.traffic
+                            .look_after_cut(&self.job, &events.run.placement);
                     }
                     events.run.judge(match is_silent {
                         true => Verdict::Silent,
@@ -199,7 +201,7 @@
             let expiry = self.traffic.clock.instant(self.job.expiry);
             let placement = self.traffic.place(&self.job, &self.progress).await?;
             self.progress.sent += 1;
-            info!(self.traffic.log, "stream goes on"; "id" => &self.job.head.id, "from" => from,
+            info!(self.traffic.log, "stream goes on"; "id" => &self.job.head.id, "content" => %self.job.content, "from" => from,
                 "endpoint" => &placement.endpoint, "after" => self.last_event);
             let sending = Sending {
                 last_event: self.last_event,
@@ -230,7 +232,7 @@
 
     fn close(&self, end: &str, endpoint: &str) {
         let held = self.traffic.clock.now().saturating_sub(self.job.arrived);
-        info!(self.traffic.log, "stream ended"; "id" => &self.job.head.id, "end" => end,
+        info!(self.traffic.log, "stream ended"; "id" => &self.job.head.id, "content" => %self.job.content, "end" => end,
             "endpoint" => endpoint, "events" => self.passed, "attempts" => self.progress.sent,
             "unread_ms" => self.unread.as_millis() as u64,
             "longest_gap_ms" => self.longest_gap.as_millis() as u64,
