--- /dev/null
+++ b/components/gateway/tests/common/mortal.rs
@@ -0,0 +1,98 @@
+//! An endpoint that one request ends, with all that runs there.
+
+use std::io::Write;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+
+use super::endpoint::read_head;
+
+/// What ends an endpoint that begins it.
+pub const DEADLY: &str = "/a/deadly";
+/// What an endpoint begins and doesn't end.
+pub const LONG: &str = "/a/long";
+
+#[derive(Default)]
+struct State {
+    ended: AtomicBool,
+    open: Mutex<Vec<TcpStream>>,
+    paths: Mutex<Vec<String>>,
+}
+
+/// An endpoint that answers everything but [`DEADLY`] and [`LONG`].
+#[derive(Clone)]
+pub struct Mortal {
+    pub address: SocketAddr,
+    state: Arc<State>,
+}
+
+impl Mortal {
+    pub fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let mortal = Mortal {
+            address,
+            state: Arc::default(),
+        };
+        let serving = mortal.clone();
+        thread::spawn(move || serving.listen(listener));
+        mortal
+    }
+
+    pub fn has_ended(&self) -> bool {
+        self.state.ended.load(Ordering::SeqCst)
+    }
+
+    /// Paths of the requests that arrived.
+    pub fn paths(&self) -> Vec<String> {
+        self.state.paths.lock().unwrap().clone()
+    }
+
+    /// Ends it from outside.
+    pub fn end(&self) {
+        self.state.ended.store(true, Ordering::SeqCst);
+        // Wakes the listener, which ends with the thread that holds it.
+        drop(TcpStream::connect(self.address));
+    }
+
+    // New connections are refused before the open ones close, as when a process ends.
+    fn listen(&self, listener: TcpListener) {
+        for stream in listener.incoming().flatten() {
+            if self.has_ended() {
+                break;
+            }
+            self.state
+                .open
+                .lock()
+                .unwrap()
+                .push(stream.try_clone().unwrap());
+            let serving = self.clone();
+            thread::spawn(move || serving.serve(stream));
+        }
+        drop(listener);
+        for stream in self.state.open.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    fn serve(&self, mut stream: TcpStream) {
+        while let Some(head) = read_head(&mut stream) {
+            let path = head.split(' ').nth(1).unwrap_or_default().to_string();
+            self.state.paths.lock().unwrap().push(path.clone());
+            match path.as_str() {
+                DEADLY => self.end(),
+                LONG => {}
+                _ => answer(&mut stream, &head),
+            }
+        }
+    }
+}
+
+fn answer(stream: &mut TcpStream, head: &str) {
+    let id = head.lines().find_map(|line| line.strip_prefix("x-id: "));
+    let id = id.unwrap_or_default();
+    let text =
+        format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signature: s\r\ncontent-length: 1\r\n\r\nx");
+    let _ = stream.write_all(text.as_bytes());
+}
