Hold back a request whose endpoints ended under it, at every gateway and through restarts

Cause: what a gateway learnt of a run that ended with its endpoint went by the endpoint and the attempt's id. The caller's next try has another id and may come to any gateway; a cut stream was sent on to the next endpoint. Class: evidence kept under a name that does not outlive its owner. Ruled out: load (the first endpoints of a wave held 3 to 10 runs). Change: a fingerprint of the content collects the endpoints that ended under it (an answer cut off and no connection to be had; not those that said they leave). After two the gateway sends it on no more, after three every gateway refuses it as not run (503 with the time left), 15 minutes at first, then longer. Coordinators tell each other every end at once, all gateways hear what is held, one row of the store keeps it for a start of all. A whole run clears a content, and speaks for one that many ask for. Everything is bounded.

--- a/components/directory/src/clock.rs
+++ b/components/directory/src/clock.rs
@@ -33,6 +33,13 @@
         Duration::from_micros(micros as u64).clamp(sent, received)
     }
 
+    /// The latest time of the store at a moment, or `None` if no answer has bounded it.
+    pub fn time_at(&self, now: Duration) -> Option<Duration> {
+        let (offset, at) = self.offset?;
+        let micros = now.as_micros() as i128 - offset + drift(at, now);
+        Some(Duration::from_micros(u64::try_from(micros).ok()?))
+    }
+
     /// The earliest moment at which the store's time can have been `stamp`, or `None` if no answer
     /// of this store has bounded it.
     pub fn moment(&self, stamp: Duration, now: Duration) -> Option<Duration> {
--- a/components/errors/src/kind.rs
+++ b/components/errors/src/kind.rs
@@ -40,6 +40,8 @@
     Overloaded,
     /// No endpoint of the pool can be used now.
     NoEndpoint,
+    /// The endpoints that ran this request ended, so it is sent to none for a time.
+    Quarantined,
     /// The node is stopping.
     Stopping,
     /// The deadline passed.
@@ -82,6 +84,7 @@
             Kind::TooManyRequests
             | Kind::Overloaded
             | Kind::NoEndpoint
+            | Kind::Quarantined
             | Kind::Stopping
             | Kind::ClaimUnconfirmed
             | Kind::PlatformUnavailable => 503,
@@ -103,6 +106,9 @@
             Kind::TeamLimit => "slow down, or ask the operators to raise the team's limit",
             Kind::Overloaded => "retry after the time given, or use a higher class",
             Kind::NoEndpoint => "retry after the time given; operators: see `croftpond status`",
+            Kind::Quarantined => {
+                "change the request, or retry after the time given; operators: see OPERATIONS"
+            }
             Kind::Stopping => "retry at once through the balancer",
             Kind::DeadlinePassed => "allow more time in Croftpond-Deadline-Ms",
             Kind::ClaimUnconfirmed => "retry with the same Idempotency-Key",
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -165,7 +165,7 @@
                 run.judge(Verdict::Silent);
                 info!(self.log, "answer lost"; "id" => &job.head.id,
                     "endpoint" => &placement.endpoint, "cause" => %error);
-                self.look_after_cut(job, placement);
+                self.look_after_cut(job, placement).await;
                 return Attempted::Lost("the endpoint closed the connection without an answer");
             }
             Err(_) => return Attempted::NotSent,
@@ -257,7 +257,7 @@
         let gathered = self.room.gather(body, hold, MAX_WHOLE_ANSWER, None).await;
         let Ok(body) = gathered else {
             run.judge(Verdict::Faulty);
-            self.look_after_cut(job, &run.placement);
+            self.look_after_cut(job, &run.placement).await;
             return Attempted::Lost("the endpoint broke its answer off");
         };
         let failed = head.status.is_server_error();
@@ -270,6 +270,9 @@
             true => Verdict::Faulty,
             false => Verdict::Sound,
         });
+        if !failed {
+            self.note_whole(job);
+        }
         run.finish(read.keep_alive);
         strip_hop_fields(&mut head.headers);
         match failed {
@@ -311,7 +314,7 @@
             end @ (NextEvent::End | NextEvent::Broken) => {
                 events.run.judge(Verdict::Faulty);
                 if matches!(end, NextEvent::Broken) {
-                    self.look_after_cut(job, &events.run.placement);
+                    self.look_after_cut(job, &events.run.placement).await;
                 }
                 Attempted::Lost("the stream broke off before its first event")
             }
--- /dev/null
+++ b/components/gateway/src/contents.rs
@@ -0,0 +1,104 @@
+//! Requests that end their endpoints, as the traffic thread meets them.
+
+use std::time::Duration;
+
+use errors::Kind;
+use quarantine::{Fingerprint, Held, Word};
+use routing::placement::endpoint_hash;
+use slog::{info, warn};
+use telemetry::Counter;
+
+use crate::answer::Refusal;
+use crate::job::{Job, Progress};
+use crate::traffic::Traffic;
+
+impl<D> Traffic<D> {
+    /// Why a job is sent to no endpoint, if its content is held back. Callers are told the whole time: a try before its end
+    /// is refused as well.
+    pub fn held_back(&self, job: &Job, progress: &Progress) -> Option<Refusal> {
+        let now = self.clock.now();
+        let left = {
+            let state = self.state.borrow();
+            state.quarantine.held_for(now, job.content)?
+        };
+        let message = "the endpoints that ran this request ended";
+        self.metrics.count(Counter::QuarantineRefused);
+        Some(match progress.maybe_run {
+            true => Refusal::maybe_run(Kind::EndpointFailed, message),
+            false => Refusal::not_run(Kind::Quarantined, message).after(left),
+        })
+    }
+
+    /// Whether a job that was cut off may be sent on, as far as its content goes.
+    pub fn may_go_on(&self, job: &Job) -> bool {
+        let now = self.clock.now();
+        let state = self.state.borrow();
+        state.quarantine.may_repeat(now, job.content)
+    }
+
+    /// An endpoint ended while it ran a job.
+    pub fn note_end(&self, job: &Job, endpoint: &str) {
+        let word = Word::Ended {
+            content: job.content,
+            endpoint: endpoint_hash(endpoint),
+        };
+        if self.take_word(word) {
+            self.state.borrow_mut().tally.words.push(word);
+            // The next gateway that is asked for the same has to know.
+            self.send_tally();
+        }
+    }
+
+    /// A job ran to its end.
+    pub fn note_whole(&self, job: &Job) {
+        let word = Word::Whole(job.content);
+        if self.take_word(word) {
+            self.state.borrow_mut().tally.words.push(word);
+        }
+    }
+
+    /// Takes what other gateways saw.
+    pub fn take_words(&self, words: &[Word]) {
+        for word in words {
+            self.take_word(*word);
+        }
+    }
+
+    fn take_word(&self, word: Word) -> bool {
+        let now = self.clock.now();
+        let (Word::Ended { content, .. } | Word::Whole(content)) = word;
+        self.change(now, content, |quarantine| quarantine.take(now, word))
+    }
+
+    /// Takes what others hold back.
+    pub fn take_held(&self, held: &[Held]) {
+        let now = self.clock.now();
+        for held in held {
+            self.change(now, held.content, |quarantine| {
+                quarantine.take_held(now, *held)
+            });
+        }
+    }
+
+    // Changes the quarantine, and says what it does to a content.
+    fn change(
+        &self,
+        now: Duration,
+        content: Fingerprint,
+        change: impl FnOnce(&mut quarantine::Quarantine) -> bool,
+    ) -> bool {
+        let mut state = self.state.borrow_mut();
+        let before = state.quarantine.held_for(now, content);
+        let changed = change(&mut state.quarantine);
+        let after = state.quarantine.held_for(now, content);
+        match (before, after) {
+            (None, Some(left)) => {
+                self.metrics.count(Counter::Quarantined);
+                warn!(self.log, "request quarantined"; "content" => %content, "for_s" => left.as_secs());
+            }
+            (Some(_), None) => info!(self.log, "request let go"; "content" => %content),
+            _ => {}
+        }
+        changed
+    }
+}
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -12,6 +12,7 @@
 mod messages;
 mod need;
 mod passing;
+mod quarantine;
 mod region;
 mod reporting;
 mod rollouts;
@@ -182,6 +183,7 @@
     tokio::task::spawn_local(async move { reporting.keep_reporting().await });
     tokio::task::spawn_local(async move { ordering.keep_endpoints().await });
     tokio::task::spawn_local(Rc::clone(&shared).keep_rollouts());
+    tokio::task::spawn_local(Rc::clone(&shared).keep_quarantine());
     if let Err(error) = exchange(&shared, sockets, tallies) {
         warn!(shared.log, "no exchange with other gateways; raise the limit of descriptors";
             "cause" => %error);
--- a/components/gateway/src/control/accounts.rs
+++ b/components/gateway/src/control/accounts.rs
@@ -25,7 +25,11 @@
             Topic::Configuration => Counter::StoreConfigurationBytes,
             Topic::Endpoints => Counter::StoreEndpointsBytes,
             Topic::Gateways => Counter::StoreGatewaysBytes,
-            Topic::Lease | Topic::Usage | Topic::Rollouts | Topic::RolloutStatus => return,
+            Topic::Lease
+            | Topic::Usage
+            | Topic::Rollouts
+            | Topic::RolloutStatus
+            | Topic::Quarantine => return,
         };
         self.metrics.add(counter, bytes as u64);
     }
--- a/components/gateway/src/control/exchange.rs
+++ b/components/gateway/src/control/exchange.rs
@@ -194,6 +194,7 @@
         for reported in &tally.reported {
             known.rollouts.note(reported);
         }
+        self.take_own_words(&mut known, tally.words);
         known.unsent.extend(tally.sent);
         known.taken = tally.taken;
         known.loads = tally.loads;
@@ -267,6 +268,7 @@
         }
         self.act(actions);
         self.receive_rollouts(gossip);
+        self.receive_contents(gossip);
         for (topic, reported) in gossip::received_heads(gossip) {
             self.receive_digest(topic, reported, from, is_far);
         }
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -234,7 +234,8 @@
                 | Topic::Lease
                 | Topic::Usage
                 | Topic::Rollouts
-                | Topic::RolloutStatus => {}
+                | Topic::RolloutStatus
+                | Topic::Quarantine => {}
             }
         }
         if is_first && topic == Topic::Endpoints {
--- a/components/gateway/src/control/known.rs
+++ b/components/gateway/src/control/known.rs
@@ -7,6 +7,7 @@
 
 use directory::{Configuration, Endpoint, StoreClock};
 use fleet::Scaler;
+use quarantine::Quarantine;
 use replica::{Follower, Source as AskFirst};
 use schema::settings::GatewaySettings;
 use state::{Lease, LeaseTerms};
@@ -17,6 +18,7 @@
 use crate::control::follow::Followed;
 use crate::control::lease::OrdersUnderWay;
 use crate::control::messages::SendState;
+use crate::control::quarantine::Words;
 use crate::control::rollouts::Rollouts;
 use crate::control::scaling::Demand;
 use crate::control::{Echoes, PASSED_ON};
@@ -68,6 +70,8 @@
     // When the endpoints were needed last, while they are followed.
     pub endpoints_needed_at: Option<Duration>,
     pub rollouts: Rollouts,
+    pub quarantine: Quarantine,
+    pub words: Words,
 }
 
 impl Known {
@@ -104,6 +108,8 @@
             list_refused: false,
             endpoints_needed_at: None,
             rollouts: Rollouts::default(),
+            quarantine: Quarantine::default(),
+            words: Words::default(),
         }
     }
 
--- a/components/gateway/src/control/messages.rs
+++ b/components/gateway/src/control/messages.rs
@@ -45,6 +45,13 @@
     usage_turn: i64,
 }
 
+impl SendState {
+    /// Counts up with each message.
+    pub fn turn(&self) -> usize {
+        self.sequence.max(0) as usize
+    }
+}
+
 /// What a message holds beside who sent it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Content {
@@ -81,9 +88,10 @@
         let mut known = self.known.borrow_mut();
         // Whoever stops says so, and what it counted last, as often as it can.
         let changed = changed || self.freshness.is_stopping();
+        let has_words = known.words.take_new();
         match known.speaks_for_others(now) {
-            true => known.due_of_coordinator(now, changed, long_prompt),
-            false => known.due_of_member(now, changed),
+            true => known.due_of_coordinator(now, changed, long_prompt || has_words),
+            false => known.due_of_member(now, changed || has_words),
         }
     }
 
@@ -144,6 +152,14 @@
                 Content::Full => boxed(known.engine_reports()),
                 _ => None,
             },
+            contents: match content.has_requests() {
+                true => boxed(known.words.next()),
+                false => None,
+            },
+            held: match has_state {
+                true => boxed(known.held_to_send(now)),
+                false => None,
+            },
         }
     }
 
--- a/components/gateway/src/control/passing.rs
+++ b/components/gateway/src/control/passing.rs
@@ -41,9 +41,12 @@
     match topic {
         Topic::Configuration => Some(TopicName::CONFIGURATION),
         Topic::Endpoints => Some(TopicName::ENDPOINTS),
-        Topic::Gateways | Topic::Lease | Topic::Usage | Topic::Rollouts | Topic::RolloutStatus => {
-            None
-        }
+        Topic::Gateways
+        | Topic::Lease
+        | Topic::Usage
+        | Topic::Rollouts
+        | Topic::RolloutStatus
+        | Topic::Quarantine => None,
     }
 }
 
--- a/components/gateway/src/cut.rs
+++ b/components/gateway/src/cut.rs
@@ -14,17 +14,22 @@
 
 /// Longest time that a connection to the endpoint may take; whoever closed connections and then takes none is gone.
 const LOOK_TIME: Duration = Duration::from_millis(400);
+/// What is sent on waits this long for the look: an ended endpoint's VM refuses within a way there and back.
+const LOOK_WAIT: Duration = Duration::from_millis(100);
 /// How long the endpoint is taken to keep a connection on which nothing was sent: long enough for the next request, short
 /// enough that it isn't closed under one.
 const LOOK_KEEP: Duration = Duration::from_secs(1);
 
 impl<D: Dialect + 'static> Traffic<D> {
-    /// An endpoint cut an answer off. Looks whether it ended, also if the caller leaves meanwhile.
-    pub fn look_after_cut(
-        self: &Rc<Self>,
-        job: &SharedJob,
-        placement: &Placement,
-    ) -> JoinHandle<()> {
+    /// An endpoint cut an answer off. Looks whether it ended, also if the caller leaves meanwhile; what is sent on next waits
+    /// a moment for that.
+    pub async fn look_after_cut(self: &Rc<Self>, job: &SharedJob, placement: &Placement) {
+        let look = self.look(job, placement);
+        // Slower looks end on their own.
+        let _ = tokio::time::timeout(LOOK_WAIT, look).await;
+    }
+
+    fn look(self: &Rc<Self>, job: &SharedJob, placement: &Placement) -> JoinHandle<()> {
         let (traffic, job, placement) = (Rc::clone(self), Rc::clone(job), placement.clone());
         tokio::task::spawn_local(async move {
             if traffic.was_to_leave(&placement.endpoint) {
@@ -33,6 +38,9 @@
             let has_ended = traffic.has_ended(&job, &placement).await;
             info!(traffic.log, "answer cut off"; "id" => &job.head.id, "content" => %job.content,
                 "endpoint" => &placement.endpoint, "endpoint_ended" => has_ended);
+            if has_ended == Some(true) {
+                traffic.note_end(&job, &placement.endpoint);
+            }
         })
     }
 
--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -83,6 +83,9 @@
         let job = self.admit(arrived, parts, head, body, caller)?;
         let job = Rc::new(job);
         let mut progress = Progress::default();
+        if let Some(refusal) = self.held_back(&job, &progress) {
+            return Err(refusal);
+        }
         let placed = self.charge(&job, &mut progress).await?;
         let served = self.run_attempts(&job, &mut progress, placed).await;
         if served.is_err() && !progress.maybe_run {
@@ -225,6 +228,10 @@
                     Err(wait) => return Err(self.nowhere(progress, wait)),
                 },
             };
+            // Word of it may have come meanwhile.
+            if let Some(refusal) = self.held_back(job, progress) {
+                return Err(refusal);
+            }
             self.log_placed(job, &placement);
             let expiry = self.clock.instant(self.attempt_expiry(job, progress));
             progress.sent += 1;
@@ -269,6 +276,7 @@
             && job.body.is_kept()
             && progress.sent < job.route.max_attempts
             && self.clock.now() < job.expiry
+            && self.may_go_on(job)
             && self.may_repeat(&job.work.service)
     }
 
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod caller;
 mod clock;
 mod connecting;
+mod contents;
 mod control;
 mod cut;
 mod decisions;
--- a/components/gateway/src/ports.rs
+++ b/components/gateway/src/ports.rs
@@ -107,6 +107,8 @@
     Rollouts,
     /// The same, for the operator.
     RolloutStatus,
+    /// Contents that are held back.
+    Quarantine,
 }
 
 /// One row.
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -8,6 +8,7 @@
 use directory::{Configuration, Directory, Tenant};
 use limits::{Limit, RepeatBudget, RepeatTerms, SharedQuota};
 use memory::Ledger;
+use quarantine::Quarantine;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use routing::placement::{endpoint_hash, Board, Placement, Work};
@@ -37,6 +38,7 @@
     pub rng: ChaCha8Rng,
     pub settings: Arc<GatewaySettings>,
     pub gates: Gates,
+    pub quarantine: Quarantine,
 }
 
 impl State {
@@ -55,6 +57,7 @@
             rng: ChaCha8Rng::from_rng(&mut rand::rng()),
             settings,
             gates: Gates::default(),
+            quarantine: Quarantine::default(),
         };
         state.set_link_parts(Duration::ZERO);
         state
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -76,6 +76,7 @@
             let cause = match end {
                 End::Whole => {
                     events.finish();
+                    self.traffic.note_whole(&self.job);
                     // The caller may have left meanwhile.
                     let _ = self.pieces.send(Piece::End);
                     "whole"
@@ -86,14 +87,16 @@
                     let is_silent = matches!(end, End::Silent);
                     if !is_silent {
                         self.learn_cut();
-                        self.traffic
-                            .look_after_cut(&self.job, &events.run.placement);
                     }
+                    let placement = events.run.placement.clone();
                     events.run.judge(match is_silent {
                         true => Verdict::Silent,
                         false => Verdict::Faulty,
                     });
                     drop(events);
+                    if !is_silent {
+                        self.traffic.look_after_cut(&self.job, &placement).await;
+                    }
                     next = self.resume(&endpoint, is_silent).await;
                     if next.is_some() {
                         continue;
@@ -223,7 +226,7 @@
     fn may_resume(&self) -> bool {
         let route = &self.job.route;
         let repeatable = route.execution.is_repeatable() && self.job.body.is_kept();
-        repeatable && self.progress.sent < route.max_attempts
+        repeatable && self.progress.sent < route.max_attempts && self.traffic.may_go_on(&self.job)
     }
 
     fn patience(&self) -> Duration {
--- a/components/gateway/src/tally.rs
+++ b/components/gateway/src/tally.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use engine::Learnt;
+use quarantine::Word;
 use routing::placement::HallLoad;
 
 use crate::versions::Digest;
@@ -54,4 +55,6 @@
     pub loads: BTreeMap<String, ServiceLoad>,
     /// Answers that speak of the versions in roll-outs that are under way.
     pub reported: Vec<Digest>,
+    /// What was seen of contents whose endpoints ended.
+    pub words: Vec<Word>,
 }
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -126,6 +126,14 @@
             Update::WayMeasured { hall, round_trip } => {
                 state.board.ways_mut().measured(&hall, round_trip);
             }
+            Update::Words(words) => {
+                drop(state);
+                self.take_words(&words);
+            }
+            Update::Held(held) => {
+                drop(state);
+                self.take_held(&held);
+            }
             Update::Settings(settings) => state.set_settings(now, settings),
             Update::RolloutOrdered(order) => state.gates.order(order),
             Update::RolloutWithdrawn(service) => state.gates.withdraw(&service),
--- a/components/gateway/src/update.rs
+++ b/components/gateway/src/update.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use directory::{Configuration, Endpoint};
+use quarantine::{Held, Word};
 use rollout::{Order, Stage};
 use routing::placement::PeerDispatch;
 use schema::settings::GatewaySettings;
@@ -46,6 +47,10 @@
         /// Time there and back.
         round_trip: Duration,
     },
+    /// Other gateways saw endpoints end under these contents, or run them to their end.
+    Words(Vec<Word>),
+    /// Other gateways, or the store, hold these contents back or let them go.
+    Held(Vec<Held>),
     /// The settings changed.
     Settings(Arc<GatewaySettings>),
     /// A roll-out was ordered.
--- a/components/gateway/tests/common/store.rs
+++ b/components/gateway/tests/common/store.rs
@@ -167,6 +167,11 @@
         write(&mut state, Topic::Gateways, name, Some(value));
     }
 
+    /// Writes a row as it is.
+    pub fn put_row(&self, topic: Topic, key: &str, value: Vec<u8>) {
+        write(&mut self.state.lock().unwrap(), topic, key, Some(value));
+    }
+
     fn count_ask(&self, topic: Topic) {
         *self.asks.lock().unwrap().entry(topic).or_default() += 1;
     }
--- a/components/gateway/tests/deadly.rs
+++ b/components/gateway/tests/deadly.rs
@@ -7,12 +7,16 @@
 
 mod common;
 
-use common::mortal::DEADLY;
+use std::thread;
+
+use common::mortal::{DEADLY, LONG};
 use common::{
-    configuration, endpoint, route, settings, wait_until, Answer, Lines, Mortal, Setup,
-    StoreStandin,
+    configuration, endpoint, request_text, route, send, settings, wait_until, Answer,
+    EndpointStandin, Lines, Mortal, Setup, StoreStandin,
 };
-use directory::Execution;
+use directory::{Endpoint, EndpointState, Execution};
+use gateway::ports::Topic;
+use schema::messages::QuarantineRow;
 use schema::settings::GatewaySettings;
 
 /// Endpoints that may end under one request before a gateway knows: three prove it, and the second gateway may send it once
@@ -65,13 +69,24 @@
     store
 }
 
-/// Gateways that know each other.
-fn three(store: &StoreStandin) -> Vec<Logged> {
-    let first = Logged::start("g1", Vec::new(), store.clone());
-    let seeds = || vec![first.setup.gateway.peer_address().to_string()];
-    let second = Logged::start("g2", seeds(), store.for_another());
-    let third = Logged::start("g3", seeds(), store.for_another());
-    vec![first, second, third]
+/// Gateways that know each other; from the fourth on they ask the first three.
+fn several(count: usize, store: &StoreStandin) -> Vec<Logged> {
+    let mut all = vec![Logged::start("g1", Vec::new(), store.clone())];
+    while all.len() < count {
+        let seed = all[0].setup.gateway.peer_address().to_string();
+        let name = format!("g{}", all.len() + 1);
+        all.push(Logged::start(&name, vec![seed], store.for_another()));
+    }
+    all
+}
+
+/// Asks two gateways, and waits until all know.
+fn let_all_know(gateways: &[Logged]) {
+    gateways[0].ask_deadly(0);
+    gateways[1].ask_deadly(1);
+    wait_until("all gateways to know of it", || {
+        gateways.iter().all(Logged::holds)
+    });
 }
 
 fn ended(endpoints: &[Mortal]) -> usize {
@@ -81,12 +96,8 @@
 #[test]
 fn a_request_that_ends_its_endpoints_reaches_no_more_of_them_through_any_gateway() {
     let endpoints = start_endpoints();
-    let gateways = three(&store(&endpoints));
-    gateways[0].ask_deadly(0);
-    gateways[1].ask_deadly(1);
-    wait_until("all gateways to know of it", || {
-        gateways.iter().all(Logged::holds)
-    });
+    let gateways = several(3, &store(&endpoints));
+    let_all_know(&gateways);
     for number in 2..2 + ENDPOINTS {
         let refused = gateways[number % gateways.len()].ask_deadly(number);
         assert_eq!(refused.status, 503, "{}", refused.head);
@@ -98,3 +109,137 @@
         assert_eq!(gateway.setup.call("/a/other", &[]).status, 200);
     }
 }
+
+#[test]
+fn gateways_that_ask_coordinators_tell_them_and_hear_of_it() {
+    let endpoints = start_endpoints();
+    let store = store(&endpoints);
+    let mut gateways = several(5, &store);
+    // Those that ask see it first.
+    gateways.reverse();
+    let_all_know(&gateways);
+    for (number, gateway) in gateways.iter().enumerate() {
+        assert_eq!(gateway.ask_deadly(2 + number).status, 503);
+    }
+    assert!(ended(&endpoints) <= MAY_END);
+}
+
+#[test]
+fn a_gateway_that_starts_later_hears_of_it_from_the_others() {
+    let endpoints = start_endpoints();
+    let store = store(&endpoints);
+    let gateways = several(2, &store);
+    let_all_know(&gateways);
+    let before = ended(&endpoints);
+    let seed = gateways[0].setup.gateway.peer_address().to_string();
+    let late = Logged::start("late", vec![seed], store.for_another());
+    wait_until("it to hear", || late.holds());
+    assert_eq!(late.ask_deadly(2).status, 503);
+    assert_eq!(ended(&endpoints), before);
+}
+
+#[test]
+fn a_gateway_that_starts_when_no_other_is_left_finds_it_in_the_store() {
+    let endpoints = start_endpoints();
+    let first = store(&endpoints);
+    let gateways = several(2, &first);
+    let_all_know(&gateways);
+    let is_kept = || first.row(Topic::Quarantine, "held").is_some();
+    wait_until("the row", is_kept);
+    let row = first.row(Topic::Quarantine, "held").unwrap();
+    let before = ended(&endpoints);
+    let left = store(&endpoints);
+    left.put_row(Topic::Quarantine, "held", row.value.unwrap());
+    let late = Logged::start("late", Vec::new(), left);
+    wait_until("it to read", || late.holds());
+    assert_eq!(late.ask_deadly(2).status, 503);
+    assert_eq!(ended(&endpoints), before);
+}
+
+#[test]
+fn a_row_that_cannot_be_read_is_passed_over_and_written_anew() {
+    let endpoints = start_endpoints();
+    let store = store(&endpoints);
+    store.put_row(Topic::Quarantine, "held", b"of another writer".to_vec());
+    let gateways = several(2, &store);
+    let_all_know(&gateways);
+    wait_until("a row that can be read", || {
+        let row = store.row(Topic::Quarantine, "held").unwrap();
+        let read = schema::decode::<QuarantineRow>(&row.value.unwrap());
+        read.is_ok_and(|read| read.held.len() == 1)
+    });
+}
+
+#[test]
+fn answers_that_are_cut_off_by_an_endpoint_that_lives_hold_nothing_back() {
+    let standin = EndpointStandin::start(|number, exchange| match number {
+        0..8 => exchange.close(),
+        _ => exchange.answer(200, "x"),
+    });
+    let store = StoreStandin::default();
+    store.put_configuration(configuration(1, vec![route("/a/", Execution::Once)]));
+    store.put_endpoint(endpoint("e", standin.address));
+    let gateway = Logged::start("g1", Vec::new(), store);
+    for _ in 0..8 {
+        assert_eq!(gateway.setup.call("/a/1", &[]).status, 502);
+    }
+    assert_eq!(gateway.setup.call("/a/1", &[]).status, 200);
+    assert!(!gateway.holds());
+}
+
+/// Asks for what does not end, on a thread of its own.
+fn ask_long(gateway: &Logged) -> thread::JoinHandle<Answer> {
+    let address = gateway.setup.address();
+    thread::spawn(move || send(address, &request_text(LONG, &[])))
+}
+
+fn has_long(mortal: &Mortal) -> bool {
+    mortal.paths().iter().any(|path| path == LONG)
+}
+
+#[test]
+fn endpoints_that_said_they_leave_hold_nothing_back_when_they_end() {
+    let store = StoreStandin::default();
+    store.put_configuration(configuration(1, vec![route("/a/", Execution::Once)]));
+    let gateway = Logged::start("g1", Vec::new(), store.clone());
+    // The fourth is reached although three have ended.
+    for number in 0..4 {
+        let mortal = Mortal::start();
+        let record = endpoint(&format!("e{number}"), mortal.address);
+        store.put_endpoint(record.clone());
+        let asked = ask_long(&gateway);
+        wait_until("the request", || has_long(&mortal));
+        store.put_endpoint(Endpoint {
+            state: EndpointState::Draining { leaves_in: None },
+            ..record
+        });
+        let changes = 2 * (number + 1);
+        wait_until("the record", || {
+            gateway.lines.count("endpoint changed") >= changes
+        });
+        mortal.end();
+        assert_eq!(asked.join().unwrap().status, 502);
+    }
+    assert!(!gateway.holds());
+}
+
+#[test]
+fn what_ran_beside_a_deadly_request_goes_on_elsewhere() {
+    let store = StoreStandin::default();
+    let routes = vec![
+        route("/a/", Execution::Repeatable),
+        route(DEADLY, Execution::Once),
+    ];
+    store.put_configuration(configuration(1, routes));
+    let first = Mortal::start();
+    store.put_endpoint(endpoint("e1", first.address));
+    let gateway = Logged::start("g1", Vec::new(), store.clone());
+    let _asked = ask_long(&gateway);
+    wait_until("the request", || has_long(&first));
+    gateway.ask_deadly(0);
+    assert!(first.has_ended());
+    let second = Mortal::start();
+    store.put_endpoint(endpoint("e2", second.address));
+    wait_until("the request again", || has_long(&second));
+    assert!(!gateway.holds());
+}
--- a/components/quarantine/tests/fingerprints.rs
+++ b/components/quarantine/tests/fingerprints.rs
@@ -13,8 +13,9 @@
 
 #[test]
 fn a_request_that_comes_again_has_the_same_fingerprint() {
+    let copy = b"body".to_vec();
     let again = Content {
-        body: &b"body".to_vec(),
+        body: &copy,
         ..ASKED
     };
     assert_eq!(Fingerprint::of(&ASKED), Fingerprint::of(&again));
--- a/components/schema/src/messages.rs
+++ b/components/schema/src/messages.rs
@@ -2371,6 +2371,10 @@
     pub echo: Option<Box<Echo>>,
     /// What the sender saw of engines; for coordinators.
     pub engines: Option<Vec<Box<EngineReport>>>,
+    /// What the sender, or a gateway that it decides for, saw of contents whose endpoints ended; for coordinators.
+    pub contents: Option<Vec<Box<ContentReport>>>,
+    /// Contents that the sender holds back; at most a few a message, the new ones first.
+    pub held: Option<Vec<Box<HeldContent>>>,
 }
 
 impl Gossip {
@@ -2392,6 +2396,8 @@
         F24,
         F25,
         F36,
+        F37,
+        F38,
     >(
         gateway: String,
         incarnation: i64,
@@ -2419,6 +2425,8 @@
         evidence: F24,
         echo: F25,
         engines: F36,
+        contents: F37,
+        held: F38,
     ) -> Gossip
     where
         F10: Into<Option<Vec<TopicHead>>>,
@@ -2438,6 +2446,8 @@
         F24: Into<Option<Vec<Box<EvidenceReport>>>>,
         F25: Into<Option<Box<Echo>>>,
         F36: Into<Option<Vec<Box<EngineReport>>>>,
+        F37: Into<Option<Vec<Box<ContentReport>>>>,
+        F38: Into<Option<Vec<Box<HeldContent>>>>,
     {
         Gossip {
             gateway,
@@ -2466,6 +2476,8 @@
             evidence: evidence.into(),
             echo: echo.into(),
             engines: engines.into(),
+            contents: contents.into(),
+            held: held.into(),
         }
     }
 }
@@ -2499,6 +2511,8 @@
         let mut f_24: Option<Vec<Box<EvidenceReport>>> = None;
         let mut f_25: Option<Box<Echo>> = None;
         let mut f_36: Option<Vec<Box<EngineReport>>> = None;
+        let mut f_37: Option<Vec<Box<ContentReport>>> = None;
+        let mut f_38: Option<Vec<Box<HeldContent>>> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -2669,6 +2683,28 @@
                     i_prot.read_list_end()?;
                     f_36 = Some(val);
                 }
+                37 => {
+                    let list_ident = i_prot.read_list_begin()?;
+                    let mut val: Vec<Box<ContentReport>> =
+                        Vec::with_capacity(list_ident.size as usize);
+                    for _ in 0..list_ident.size {
+                        let list_elem_19 = Box::new(ContentReport::read_from_in_protocol(i_prot)?);
+                        val.push(list_elem_19);
+                    }
+                    i_prot.read_list_end()?;
+                    f_37 = Some(val);
+                }
+                38 => {
+                    let list_ident = i_prot.read_list_begin()?;
+                    let mut val: Vec<Box<HeldContent>> =
+                        Vec::with_capacity(list_ident.size as usize);
+                    for _ in 0..list_ident.size {
+                        let list_elem_20 = Box::new(HeldContent::read_from_in_protocol(i_prot)?);
+                        val.push(list_elem_20);
+                    }
+                    i_prot.read_list_end()?;
+                    f_38 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -2721,6 +2757,8 @@
             evidence: f_24,
             echo: f_25,
             engines: f_36,
+            contents: f_37,
+            held: f_38,
         };
         Ok(ret)
     }
@@ -2889,6 +2927,340 @@
             o_prot.write_list_end()?;
             o_prot.write_field_end()?
         }
+        if let Some(ref fld_var) = self.contents {
+            o_prot.write_field_begin(&TFieldIdentifier::new("contents", TType::List, 37))?;
+            o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, fld_var.len() as i32))?;
+            for e in fld_var {
+                e.write_to_out_protocol(o_prot)?;
+            }
+            o_prot.write_list_end()?;
+            o_prot.write_field_end()?
+        }
+        if let Some(ref fld_var) = self.held {
+            o_prot.write_field_begin(&TFieldIdentifier::new("held", TType::List, 38))?;
+            o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, fld_var.len() as i32))?;
+            for e in fld_var {
+                e.write_to_out_protocol(o_prot)?;
+            }
+            o_prot.write_list_end()?;
+            o_prot.write_field_end()?
+        }
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
+//
+// ContentReport
+//
+
+/// What one gateway saw of the content of a request.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct ContentReport {
+    /// Fingerprint of the content.
+    pub content: i64,
+    /// Hash of the endpoint that ended while it ran it; unset if it ran to its end.
+    pub ended: Option<i64>,
+}
+
+impl ContentReport {
+    pub fn new<F2>(content: i64, ended: F2) -> ContentReport
+    where
+        F2: Into<Option<i64>>,
+    {
+        ContentReport {
+            content,
+            ended: ended.into(),
+        }
+    }
+}
+
+impl TSerializable for ContentReport {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<ContentReport> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<i64> = None;
+        let mut f_2: Option<i64> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = i_prot.read_i64()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = i_prot.read_i64()?;
+                    f_2 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("ContentReport.content", &f_1)?;
+        let ret = ContentReport {
+            content: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            ended: f_2,
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("ContentReport");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("content", TType::I64, 1))?;
+        o_prot.write_i64(self.content)?;
+        o_prot.write_field_end()?;
+        if let Some(fld_var) = self.ended {
+            o_prot.write_field_begin(&TFieldIdentifier::new("ended", TType::I64, 2))?;
+            o_prot.write_i64(fld_var)?;
+            o_prot.write_field_end()?
+        }
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
+//
+// HeldContent
+//
+
+/// A content that is sent to no endpoint.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct HeldContent {
+    /// Its fingerprint.
+    pub content: i64,
+    /// Time left in milliseconds, 0 if it was let go.
+    pub left_ms: i64,
+    /// How often it was held back so far.
+    pub times: i32,
+}
+
+impl HeldContent {
+    pub fn new(content: i64, left_ms: i64, times: i32) -> HeldContent {
+        HeldContent {
+            content,
+            left_ms,
+            times,
+        }
+    }
+}
+
+impl TSerializable for HeldContent {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<HeldContent> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<i64> = None;
+        let mut f_2: Option<i64> = None;
+        let mut f_3: Option<i32> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = i_prot.read_i64()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = i_prot.read_i64()?;
+                    f_2 = Some(val);
+                }
+                3 => {
+                    let val = i_prot.read_i32()?;
+                    f_3 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("HeldContent.content", &f_1)?;
+        verify_required_field_exists("HeldContent.left_ms", &f_2)?;
+        verify_required_field_exists("HeldContent.times", &f_3)?;
+        let ret = HeldContent {
+            content: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            left_ms: f_2
+                .expect("auto-generated code should have checked for presence of required fields"),
+            times: f_3
+                .expect("auto-generated code should have checked for presence of required fields"),
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("HeldContent");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("content", TType::I64, 1))?;
+        o_prot.write_i64(self.content)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("left_ms", TType::I64, 2))?;
+        o_prot.write_i64(self.left_ms)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("times", TType::I32, 3))?;
+        o_prot.write_i32(self.times)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
+//
+// KeptContent
+//
+
+/// The same, as the store keeps it.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct KeptContent {
+    /// Its fingerprint.
+    pub content: i64,
+    /// The store's steady time until which it is held back, in milliseconds.
+    pub until_ms: i64,
+    /// How often it was held back so far.
+    pub times: i32,
+}
+
+impl KeptContent {
+    pub fn new(content: i64, until_ms: i64, times: i32) -> KeptContent {
+        KeptContent {
+            content,
+            until_ms,
+            times,
+        }
+    }
+}
+
+impl TSerializable for KeptContent {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<KeptContent> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<i64> = None;
+        let mut f_2: Option<i64> = None;
+        let mut f_3: Option<i32> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = i_prot.read_i64()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = i_prot.read_i64()?;
+                    f_2 = Some(val);
+                }
+                3 => {
+                    let val = i_prot.read_i32()?;
+                    f_3 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("KeptContent.content", &f_1)?;
+        verify_required_field_exists("KeptContent.until_ms", &f_2)?;
+        verify_required_field_exists("KeptContent.times", &f_3)?;
+        let ret = KeptContent {
+            content: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            until_ms: f_2
+                .expect("auto-generated code should have checked for presence of required fields"),
+            times: f_3
+                .expect("auto-generated code should have checked for presence of required fields"),
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("KeptContent");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("content", TType::I64, 1))?;
+        o_prot.write_i64(self.content)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("until_ms", TType::I64, 2))?;
+        o_prot.write_i64(self.until_ms)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("times", TType::I32, 3))?;
+        o_prot.write_i32(self.times)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
+//
+// QuarantineRow
+//
+
+/// Row of everything that is held back.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct QuarantineRow {
+    pub held: Vec<KeptContent>,
+}
+
+impl QuarantineRow {
+    pub fn new(held: Vec<KeptContent>) -> QuarantineRow {
+        QuarantineRow { held }
+    }
+}
+
+impl TSerializable for QuarantineRow {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<QuarantineRow> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<Vec<KeptContent>> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let list_ident = i_prot.read_list_begin()?;
+                    let mut val: Vec<KeptContent> = Vec::with_capacity(list_ident.size as usize);
+                    for _ in 0..list_ident.size {
+                        let list_elem_21 = KeptContent::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_21);
+                    }
+                    i_prot.read_list_end()?;
+                    f_1 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("QuarantineRow.held", &f_1)?;
+        let ret = QuarantineRow {
+            held: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("QuarantineRow");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("held", TType::List, 1))?;
+        o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, self.held.len() as i32))?;
+        for e in &self.held {
+            e.write_to_out_protocol(o_prot)?;
+        }
+        o_prot.write_list_end()?;
+        o_prot.write_field_end()?;
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -3031,8 +3403,8 @@
                     let mut val: Vec<OrderedFloat<f64>> =
                         Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_19 = OrderedFloat::from(i_prot.read_double()?);
-                        val.push(list_elem_19);
+                        let list_elem_22 = OrderedFloat::from(i_prot.read_double()?);
+                        val.push(list_elem_22);
                     }
                     i_prot.read_list_end()?;
                     f_2 = Some(val);
@@ -3042,8 +3414,8 @@
                     let mut val: Vec<OrderedFloat<f64>> =
                         Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_20 = OrderedFloat::from(i_prot.read_double()?);
-                        val.push(list_elem_20);
+                        let list_elem_23 = OrderedFloat::from(i_prot.read_double()?);
+                        val.push(list_elem_23);
                     }
                     i_prot.read_list_end()?;
                     f_3 = Some(val);
@@ -3275,9 +3647,9 @@
                     let map_ident = i_prot.read_map_begin()?;
                     let mut val: BTreeMap<i32, i64> = BTreeMap::new();
                     for _ in 0..map_ident.size {
-                        let map_key_21 = i_prot.read_i32()?;
-                        let map_val_22 = i_prot.read_i64()?;
-                        val.insert(map_key_21, map_val_22);
+                        let map_key_24 = i_prot.read_i32()?;
+                        let map_val_25 = i_prot.read_i64()?;
+                        val.insert(map_key_24, map_val_25);
                     }
                     i_prot.read_map_end()?;
                     f_4 = Some(val);
@@ -3382,8 +3754,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<AnswerCounts> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_23 = AnswerCounts::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_23);
+                        let list_elem_26 = AnswerCounts::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_26);
                     }
                     i_prot.read_list_end()?;
                     f_3 = Some(val);
@@ -3893,8 +4265,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<PromptPart> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_24 = PromptPart::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_24);
+                        let list_elem_27 = PromptPart::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_27);
                     }
                     i_prot.read_list_end()?;
                     f_8 = Some(val);
@@ -3903,8 +4275,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_25 = i_prot.read_i64()?;
-                        val.push(list_elem_25);
+                        let list_elem_28 = i_prot.read_i64()?;
+                        val.push(list_elem_28);
                     }
                     i_prot.read_list_end()?;
                     f_9 = Some(val);
@@ -4761,8 +5133,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<RowChange> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_26 = RowChange::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_26);
+                        let list_elem_29 = RowChange::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_29);
                     }
                     i_prot.read_list_end()?;
                     f_1 = Some(val);
@@ -4983,9 +5355,9 @@
                     let map_ident = i_prot.read_map_begin()?;
                     let mut val: BTreeMap<String, i64> = BTreeMap::new();
                     for _ in 0..map_ident.size {
-                        let map_key_27 = i_prot.read_string()?;
-                        let map_val_28 = i_prot.read_i64()?;
-                        val.insert(map_key_27, map_val_28);
+                        let map_key_30 = i_prot.read_string()?;
+                        let map_val_31 = i_prot.read_i64()?;
+                        val.insert(map_key_30, map_val_31);
                     }
                     i_prot.read_map_end()?;
                     f_1 = Some(val);
--- a/components/schema/thrift/messages.thrift
+++ b/components/schema/thrift/messages.thrift
@@ -275,6 +275,43 @@
   25: optional Echo echo,
   /** What the sender saw of engines; for coordinators. */
   36: optional list<EngineReport> engines,
+  /** What the sender, or a gateway that it decides for, saw of contents whose endpoints ended; for coordinators. */
+  37: optional list<ContentReport> contents,
+  /** Contents that the sender holds back; at most a few a message, the new ones first. */
+  38: optional list<HeldContent> held,
+}
+
+/** What one gateway saw of the content of a request. */
+struct ContentReport {
+  /** Fingerprint of the content. */
+  1: required i64 content,
+  /** Hash of the endpoint that ended while it ran it; unset if it ran to its end. */
+  2: optional i64 ended,
+}
+
+/** A content that is sent to no endpoint. */
+struct HeldContent {
+  /** Its fingerprint. */
+  1: required i64 content,
+  /** Time left in milliseconds, 0 if it was let go. */
+  2: required i64 left_ms,
+  /** How often it was held back so far. */
+  3: required i32 times,
+}
+
+/** The same, as the store keeps it. */
+struct KeptContent {
+  /** Its fingerprint. */
+  1: required i64 content,
+  /** The store's steady time until which it is held back, in milliseconds. */
+  2: required i64 until_ms,
+  /** How often it was held back so far. */
+  3: required i32 times,
+}
+
+/** Row of everything that is held back. */
+struct QuarantineRow {
+  1: required list<KeptContent> held,
 }
 
 /** When a message of another gateway came. */
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -103,6 +103,10 @@
         GivenBack => "fleet.given_back",
         /// Listener restarts after a failed accept.
         ListenerRestarts => "listener.restart",
+        /// Contents held back since the endpoints that ran them ended.
+        Quarantined => "quarantine.held",
+        /// Requests refused since their content is held back.
+        QuarantineRefused => "quarantine.refused",
         /// Requests refused for want of memory.
         MemoryRefused => "memory.refused",
         /// Answers whose endpoint was not read on for a time, for want of memory.
