Read what is held back again while other gateways are silent

Cause: a gateway that is cut off from all others but reaches the store counts as in touch, and had read the row of what is held back once. Change: while gateways are silent, or none is heard, whoever keeps the row reads it every second. No call more while all are heard.

--- a/components/gateway/src/control/quarantine.rs
+++ b/components/gateway/src/control/quarantine.rs
@@ -28,6 +28,9 @@
 const ROW_KEY: &str = "held";
 /// Pause between looks at whether the row is to be read or written.
 const LOOK: Duration = Duration::from_millis(100);
+/// While gateways are silent the row is read again this often: those behind a cut write there what they hold back. Well
+/// within the shortest time after which a gateway in touch is to know (3 s).
+const READ_AGAIN: Duration = Duration::from_secs(1);
 /// Pause after a call of the store without a result.
 const FAILED_PAUSE: Duration = Duration::from_millis(500);
 
@@ -69,6 +72,7 @@
 #[derive(Debug)]
 pub(crate) struct KeptRow {
     revision: u64,
+    read_at: Duration,
     // How often each content was held back, and whether it is now.
     kept: BTreeMap<Fingerprint, (u32, bool)>,
 }
@@ -138,12 +142,20 @@
             };
             row = match row {
                 _ if !is_first => None,
-                None => self.read_kept().await,
-                Some(row) => self.write_kept(row).await,
+                Some(row) if !self.is_stale(&row, now) => self.write_kept(row).await,
+                _ => self.read_kept().await,
             };
         }
     }
 
+    // Whether others may have written the row that can't tell this gateway.
+    fn is_stale(&self, row: &KeptRow, now: Duration) -> bool {
+        let known = self.known.borrow();
+        let others = known.peers.count(now);
+        let is_cut_off = others.silent > 0 || others.heard == 0;
+        is_cut_off && now >= row.read_at + READ_AGAIN
+    }
+
     async fn read_kept(&self) -> Option<KeptRow> {
         let sent = self.clock.now();
         match self.store.read(Topic::Quarantine, ROW_KEY).await {
@@ -178,6 +190,7 @@
         self.tell_traffic(Vec::new(), changed);
         KeptRow {
             revision,
+            read_at: now,
             kept: held.iter().map(summary_of).collect(),
         }
     }
@@ -217,7 +230,11 @@
             .await;
         info!(self.log, "quarantine written"; "contents" => held.len(), "written" => written.is_ok());
         match written {
-            Ok(revision) => Some(KeptRow { revision, kept }),
+            Ok(revision) => Some(KeptRow {
+                revision,
+                kept,
+                ..row
+            }),
             Err(StoreError::Conflict(row)) => Some(self.take_row(row)),
             Err(_) => {
                 tokio::time::sleep(FAILED_PAUSE).await;
--- a/components/gateway/tests/common/store.rs
+++ b/components/gateway/tests/common/store.rs
@@ -255,6 +255,7 @@
     }
 
     async fn read(&self, topic: Topic, key: &str) -> Result<Option<Row>, StoreError> {
+        self.count_ask(topic);
         let mut state = self.enter()?;
         renew_lease(&mut state, topic, key);
         Ok(state.rows.get(&(topic, key.to_string())).cloned())
--- a/components/gateway/tests/deadly.rs
+++ b/components/gateway/tests/deadly.rs
@@ -16,7 +16,7 @@
 };
 use directory::{Endpoint, EndpointState, Execution};
 use gateway::ports::Topic;
-use schema::messages::QuarantineRow;
+use schema::messages::{GatewayRow, QuarantineRow};
 use schema::settings::GatewaySettings;
 
 /// Endpoints that may end under one request before a gateway knows: three prove it, and the second gateway may send it once
@@ -141,21 +141,47 @@
 #[test]
 fn a_gateway_that_starts_when_no_other_is_left_finds_it_in_the_store() {
     let endpoints = start_endpoints();
-    let first = store(&endpoints);
-    let gateways = several(2, &first);
-    let_all_know(&gateways);
-    let is_kept = || first.row(Topic::Quarantine, "held").is_some();
-    wait_until("the row", is_kept);
-    let row = first.row(Topic::Quarantine, "held").unwrap();
+    let held = kept_row(&store(&endpoints));
     let before = ended(&endpoints);
     let left = store(&endpoints);
-    left.put_row(Topic::Quarantine, "held", row.value.unwrap());
+    left.put_row(Topic::Quarantine, "held", held);
     let late = Logged::start("late", Vec::new(), left);
     wait_until("it to read", || late.holds());
     assert_eq!(late.ask_deadly(2).status, 503);
     assert_eq!(ended(&endpoints), before);
 }
 
+/// The row that two gateways write once they know; their endpoints are left to the caller.
+fn kept_row(store: &StoreStandin) -> Vec<u8> {
+    let gateways = several(2, store);
+    let_all_know(&gateways);
+    let row = || store.row(Topic::Quarantine, "held");
+    wait_until("the row", || row().is_some());
+    row().unwrap().value.unwrap()
+}
+
+#[test]
+fn a_gateway_that_hears_no_other_goes_on_reading_what_they_hold_back() {
+    let endpoints = start_endpoints();
+    let held = kept_row(&store(&endpoints));
+    let behind_cut = store(&endpoints);
+    let row = GatewayRow {
+        // Nobody listens there.
+        address: "127.0.0.1:9".into(),
+        incarnation: 1,
+        hall: None,
+        cores_milli: None,
+        decisions_port: None,
+    };
+    behind_cut.put_gateway("silent", &row);
+    let gateway = Logged::start("g", Vec::new(), behind_cut.clone());
+    let asks = || behind_cut.asks(Topic::Quarantine);
+    wait_until("the first look", || asks() > 0);
+    assert!(!gateway.holds());
+    behind_cut.put_row(Topic::Quarantine, "held", held);
+    wait_until("it to read again", || gateway.holds());
+}
+
 #[test]
 fn a_row_that_cannot_be_read_is_passed_over_and_written_anew() {
     let endpoints = start_endpoints();
