Take an endpoint that starts again for another process, and a bad entry for nothing but itself

Cause (found by reading, no rule seen broken): state of an endpoint's process lay under its id, so after a restart under that id runs, kept prompts, suspicion, what others sent, evidence and connections spoke of another process, and an endpoint that ended three times under one content counted once. Change: id and birth make an incarnation, which is the key of what belongs to the process; speed stays with the VM. A new birth ends what ran there at once, also on silent connections, and counts as an end for what was cut off there.

--- a/components/directory/src/endpoint.rs
+++ b/components/directory/src/endpoint.rs
@@ -15,11 +15,14 @@
     },
 }
 
-/// One start of one endpoint.
+/// One start of one endpoint: with the same id at another `born` it is another process, which holds and knows nothing.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Endpoint {
-    /// Unique id of this start.
+    /// Its id, which it may keep when it starts again.
     pub id: String,
+    /// When it started by its own clock, in milliseconds since 1970; `None` if it doesn't say. It only tells starts apart: the
+    /// clock may step, so a lower one is as good as a higher one.
+    pub born_ms: Option<u64>,
     /// Service it runs.
     pub service: String,
     /// Where it listens.
@@ -39,6 +42,12 @@
 }
 
 impl Endpoint {
+    /// Whether another record of this id speaks of the same process.
+    pub fn is_same_start(&self, other: &Endpoint) -> bool {
+        let owner = |endpoint: &Endpoint| (endpoint.born_ms, endpoint.address);
+        owner(self) == owner(other) && self.service == other.service
+    }
+
     /// Whether it takes new work.
     pub fn is_ready(&self) -> bool {
         self.state == EndpointState::Ready
--- a/components/directory/tests/explanations.rs
+++ b/components/directory/tests/explanations.rs
@@ -48,6 +48,7 @@
 
 fn endpoint(id: &str, service: &str, hall: &str, state: EndpointState) -> Endpoint {
     Endpoint {
+        born_ms: None,
         id: id.into(),
         service: service.into(),
         address: "10.0.0.1:1".parse().unwrap(),
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -132,6 +132,22 @@
 }
 
 impl<D: Dialect + 'static> Traffic<D> {
+    /// Sends a job to the endpoint chosen for it, and gives it up once that is known to have started again.
+    pub async fn attempt_unless_restarted(
+        self: &Rc<Self>,
+        job: &SharedJob,
+        placement: &Placement,
+        sending: Sending,
+    ) -> Attempted<D> {
+        let ended = tokio::select! {
+            biased;
+            attempted = self.attempt(job, placement, sending) => return attempted,
+            () = self.restarted(placement) => "the endpoint started again",
+        };
+        self.look_after_cut(job, placement).await;
+        Attempted::Lost(ended)
+    }
+
     /// Sends a job to the endpoint chosen for it.
     pub async fn attempt(
         self: &Rc<Self>,
--- a/components/gateway/src/contents.rs
+++ b/components/gateway/src/contents.rs
@@ -4,7 +4,6 @@
 
 use errors::Kind;
 use quarantine::{Fingerprint, Held, Word};
-use routing::placement::endpoint_hash;
 use slog::{info, warn};
 use telemetry::Counter;
 
@@ -37,10 +36,10 @@
     }
 
     /// An endpoint ended while it ran a job.
-    pub fn note_end(&self, job: &Job, endpoint: &str) {
+    pub fn note_end(&self, content: Fingerprint, incarnation: u64) {
         let word = Word::Ended {
-            content: job.content,
-            endpoint: endpoint_hash(endpoint),
+            content,
+            endpoint: incarnation,
         };
         if self.take_word(word) {
             self.state.borrow_mut().tally.words.push(word);
--- a/components/gateway/src/control/rows.rs
+++ b/components/gateway/src/control/rows.rs
@@ -5,6 +5,7 @@
 
 use replica::Change;
 use slog::{info, warn};
+use telemetry::Counter;
 
 use crate::control::Shared;
 use crate::ports::{Orders, Store};
@@ -78,8 +79,11 @@
         let endpoint = match self.store.endpoint(&change.key, value) {
             Ok(endpoint) => endpoint,
             Err(fault) => {
-                warn!(self.log, "endpoint not readable"; "endpoint" => &change.key,
-                    "cause" => fault.0);
+                // It may be another writer's: it names no endpoint, not even the one that it named before.
+                self.metrics.count(Counter::EntriesPassedOver);
+                warn!(self.log, "entry passed over"; "endpoint" => &change.key,
+                    "revision" => change.revision, "cause" => fault.0);
+                self.drop_endpoint(&change.key);
                 return;
             }
         };
@@ -87,9 +91,11 @@
         if known.endpoints.get(&change.key) == Some(&endpoint) {
             return;
         }
+        let known_start = known.endpoints.get(&change.key);
+        let is_new_start = known_start.is_some_and(|known| !known.is_same_start(&endpoint));
         info!(self.log, "endpoint changed"; "endpoint" => &change.key,
-            "service" => &endpoint.service, "state" => ?endpoint.state,
-            "revision" => change.revision);
+            "service" => &endpoint.service, "state" => ?endpoint.state, "born_ms" => endpoint.born_ms,
+            "started_again" => is_new_start, "revision" => change.revision);
         if !endpoint.is_ready() {
             self.endpoint_lost.notify_one();
         }
--- a/components/gateway/src/control/scaling.rs
+++ b/components/gateway/src/control/scaling.rs
@@ -6,7 +6,7 @@
 use directory::{Configuration, Scaling};
 use fleet::{Bearing, Fleet, Load, Offer, Scaler, ScalingOrder};
 use rollout::Order;
-use routing::placement::endpoint_hash;
+use routing::placement::incarnation;
 use slog::{info, warn};
 use telemetry::Counter;
 use topology::Topology;
@@ -330,7 +330,7 @@
     }
     let of_service = known.endpoints.values().filter(|e| e.service == service);
     let read = of_service.filter(|e| halls.has(&e.zone));
-    let read = read.filter_map(|e| tokens.get(&endpoint_hash(&e.id)));
+    let read = read.filter_map(|e| tokens.get(&incarnation(&e.id, e.born_ms)));
     load.tokens_per_s = read.sum();
     load
 }
--- a/components/gateway/src/cut.rs
+++ b/components/gateway/src/cut.rs
@@ -1,10 +1,13 @@
 //! Whether an endpoint ended when an answer of it was cut off.
 
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 
+use quarantine::Fingerprint;
 use routing::placement::Placement;
 use slog::info;
+use telemetry::Counter;
 use tokio::task::JoinHandle;
 use transport::Connection;
 
@@ -19,6 +22,74 @@
 /// How long the endpoint is taken to keep a connection on which nothing was sent: long enough for the next request, short
 /// enough that it isn't closed under one.
 const LOOK_KEEP: Duration = Duration::from_secs(1);
+/// A record that says that an endpoint started again comes within this time of its end: some seconds until it runs, and the
+/// way through the store.
+const RECORD_TIME: Duration = Duration::from_secs(10);
+/// Cut answers remembered for that long; the oldest give way.
+const MOST_CUTS: usize = 512;
+
+/// What ran where when it was cut off by an endpoint that took connections again.
+#[derive(Debug, Default)]
+pub(crate) struct Cuts {
+    cuts: VecDeque<Cut>,
+}
+
+#[derive(Debug)]
+struct Cut {
+    content: Fingerprint,
+    incarnation: u64,
+    at: Duration,
+}
+
+impl Cuts {
+    fn note(&mut self, now: Duration, content: Fingerprint, incarnation: u64) {
+        self.cuts.retain(|cut| now < cut.at + RECORD_TIME);
+        if self.cuts.len() >= MOST_CUTS {
+            self.cuts.pop_front();
+        }
+        self.cuts.push_back(Cut {
+            content,
+            incarnation,
+            at: now,
+        });
+    }
+
+    // Contents that a process ran which has ended.
+    fn take(&mut self, now: Duration, incarnation: u64) -> Vec<Fingerprint> {
+        let of_process = |cut: &Cut| cut.incarnation == incarnation && now < cut.at + RECORD_TIME;
+        let found = self.cuts.iter().filter(|cut| of_process(cut));
+        let contents = found.map(|cut| cut.content).collect();
+        self.cuts.retain(|cut| cut.incarnation != incarnation);
+        contents
+    }
+}
+
+impl<D> Traffic<D> {
+    /// An endpoint's record says that this start of it has ended.
+    pub fn note_restart(&self, now: Duration, incarnation: u64) {
+        self.metrics.count(Counter::Restarts);
+        let contents = self.state.borrow_mut().cuts.take(now, incarnation);
+        for content in contents {
+            self.note_end(content, incarnation);
+        }
+    }
+
+    /// Waits until it is known that the endpoint of a request started again: what ran there is lost, also where its
+    /// connection is silent.
+    pub async fn restarted(&self, placement: &Placement) {
+        loop {
+            let changed = self.endpoints_changed.notified();
+            if self.is_over(placement) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    fn is_over(&self, placement: &Placement) -> bool {
+        self.state.borrow().board.is_over(placement)
+    }
+}
 
 impl<D: Dialect + 'static> Traffic<D> {
     /// An endpoint cut an answer off. Looks whether it ended, also if the caller leaves meanwhile; what is sent on next waits
@@ -35,17 +106,24 @@
             if traffic.was_to_leave(&placement.endpoint) {
                 return;
             }
-            let has_ended = traffic.has_ended(&job, &placement).await;
+            let has_ended = match traffic.is_over(&placement) {
+                true => Some(true),
+                false => traffic.takes_no_connection(&job, &placement).await,
+            };
             info!(traffic.log, "answer cut off"; "id" => &job.head.id, "content" => %job.content,
                 "endpoint" => &placement.endpoint, "endpoint_ended" => has_ended);
             if has_ended == Some(true) {
-                traffic.note_end(&job, &placement.endpoint);
+                return traffic.note_end(job.content, placement.incarnation);
             }
+            // It may have started again already.
+            let now = traffic.clock.now();
+            let mut state = traffic.state.borrow_mut();
+            state.cuts.note(now, job.content, placement.incarnation);
         })
     }
 
     // Whether no connection can be made any more; `None` if none may be opened.
-    async fn has_ended(&self, job: &SharedJob, placement: &Placement) -> Option<bool> {
+    async fn takes_no_connection(&self, job: &SharedJob, placement: &Placement) -> Option<bool> {
         let most = self.most_connections(job);
         let endpoint = &placement.endpoint;
         let reserved = self.state.borrow_mut().pool.reserve(endpoint, most);
--- a/components/gateway/src/decisions.rs
+++ b/components/gateway/src/decisions.rs
@@ -311,6 +311,7 @@
         hold_ms: placement.hold.as_millis().min(i32::MAX as u128) as i32,
         weighed: placement.weighed as i32,
         version: placement.version.clone().filter(|_| !placement.is_cold),
+        incarnation: Some(placement.incarnation as i64),
         hall: Some(placement.hall.clone()),
         home_ms: placement
             .home_ms
@@ -333,6 +334,10 @@
     };
     Some(Outcome::Placed(Placement {
         endpoint: placed.endpoint.clone(),
+        incarnation: match placed.incarnation {
+            Some(incarnation) => incarnation as u64,
+            None => endpoint_hash(&placed.endpoint),
+        },
         address: placed.address.parse().ok()?,
         unread_tokens: placed.unread_tokens.max(0) as u32,
         shared_prompt: placed.shared_prompt as u64,
--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -235,7 +235,7 @@
             self.log_placed(job, &placement);
             let expiry = self.clock.instant(self.attempt_expiry(job, progress));
             progress.sent += 1;
-            let attempt = self.attempt(job, &placement, sending);
+            let attempt = self.attempt_unless_restarted(job, &placement, sending);
             let attempted = tokio::time::timeout_at(expiry, attempt).await;
             progress.tried.push(placement.endpoint.clone());
             let outcome = match attempted {
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -11,10 +11,11 @@
 use quarantine::Quarantine;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use routing::placement::{endpoint_hash, Board, Placement, Work};
+use routing::placement::{Board, Placement, Work};
 use schema::settings::GatewaySettings;
 use topology::Topology;
 
+use crate::cut::Cuts;
 use crate::link_parts::link_parts;
 use crate::peers::Fleet;
 use crate::pool::Pool;
@@ -39,6 +40,7 @@
     pub settings: Arc<GatewaySettings>,
     pub gates: Gates,
     pub quarantine: Quarantine,
+    pub cuts: Cuts,
 }
 
 impl State {
@@ -58,6 +60,7 @@
             settings,
             gates: Gates::default(),
             quarantine: Quarantine::default(),
+            cuts: Cuts::default(),
         };
         state.set_link_parts(Duration::ZERO);
         state
@@ -221,7 +224,7 @@
 /// A request as the others are reported it.
 pub(crate) fn sent_of(now: Duration, placement: &Placement) -> Sent {
     Sent {
-        endpoint: endpoint_hash(&placement.endpoint),
+        endpoint: placement.incarnation,
         unread_tokens: placement.unread_tokens,
         shared_prompt: placement.shared_prompt,
         at: now,
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -114,10 +114,12 @@
         }
         let expiry = self.traffic.clock.instant(self.job.expiry);
         let patience = self.patience();
+        let placement = events.run.placement.clone();
         loop {
             let next = tokio::select! {
                 next = events.next() => next,
                 () = self.pieces.closed() => return End::CallerLeft,
+                () = self.traffic.restarted(&placement) => return End::Broken,
                 () = tokio::time::sleep_until(expiry) => return End::TimedOut,
                 () = tokio::time::sleep(patience), if self.may_resume() => {
                     if self.traffic.may_repeat(&self.job.work.service) {
@@ -210,7 +212,9 @@
                 last_event: self.last_event,
                 after_silence,
             };
-            let attempt = self.traffic.attempt(&self.job, &placement, sending);
+            let attempt = self
+                .traffic
+                .attempt_unless_restarted(&self.job, &placement, sending);
             let attempted = tokio::select! {
                 attempted = tokio::time::timeout_at(expiry, attempt) => attempted.ok()?,
                 () = self.pieces.closed() => return None,
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use limits::{QuotaState, RepeatBudget};
-use routing::placement::{Placement, Ticket};
+use routing::placement::{incarnation, Placement, Ticket};
 use schema::settings::GatewaySettings;
 use slog::{info, Logger};
 use telemetry::{Counter, Metrics};
@@ -90,11 +90,18 @@
                 state.configure(now, configuration);
             }
             Update::Endpoint(endpoint) => {
-                if !endpoint.is_ready() {
+                let known = state.board.endpoint(&endpoint.id);
+                let ended = known.filter(|known| !known.is_same_start(&endpoint));
+                let ended = ended.map(|known| incarnation(&known.id, known.born_ms));
+                if ended.is_some() || !endpoint.is_ready() {
                     state.pool.forget(&endpoint.id);
                 }
                 state.board.insert(now, endpoint);
+                drop(state);
                 self.endpoints_changed.notify_waiters();
+                if let Some(incarnation) = ended {
+                    self.note_restart(now, incarnation);
+                }
             }
             Update::EndpointGone(id) => {
                 state.pool.forget(&id);
--- a/components/gateway/src/versions.rs
+++ b/components/gateway/src/versions.rs
@@ -6,7 +6,7 @@
 use directory::Route;
 use rand::RngExt;
 use rollout::{Allowance, Answer, Gate, Lane, Order, Request, Side, Stage};
-use routing::placement::{endpoint_hash, Placement, Versions, Work};
+use routing::placement::{Placement, Versions, Work};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::state::State;
@@ -105,7 +105,7 @@
             revision: order.revision,
             route,
             side,
-            endpoint: endpoint_hash(&placement.endpoint),
+            endpoint: placement.incarnation,
             answer,
         })
     }
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -181,6 +181,7 @@
 /// An endpoint of the service `s` as it records itself.
 pub fn endpoint(id: &str, address: SocketAddr) -> Endpoint {
     Endpoint {
+        born_ms: None,
         id: id.into(),
         service: "s".into(),
         address,
--- a/components/routing/src/placement.rs
+++ b/components/routing/src/placement.rs
@@ -92,10 +92,19 @@
     xxhash_rust::xxh3::xxh3_64(id.as_bytes())
 }
 
+/// Hash under which gateways name one start of an endpoint to each other: what they say of it ends with the process.
+pub fn incarnation(id: &str, born_ms: Option<u64>) -> u64 {
+    let id_hash = endpoint_hash(id);
+    match born_ms {
+        Some(born) => xxhash_rust::xxh3::xxh3_64_with_seed(&born.to_le_bytes(), id_hash),
+        None => id_hash,
+    }
+}
+
 /// What another gateway sent to an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PeerDispatch {
-    /// [`endpoint_hash`] of the endpoint.
+    /// [`incarnation`] of the endpoint.
     pub endpoint: u64,
     /// Tokens that the endpoint is expected to read.
     pub unread_tokens: u32,
--- a/components/routing/src/placement/board.rs
+++ b/components/routing/src/placement/board.rs
@@ -17,13 +17,17 @@
 use crate::placement::slot::Slot;
 use crate::placement::unknown::Unknown;
 use crate::placement::way::Ways;
-use crate::placement::{beginnings, endpoint_hash, PeerDispatch, Verdict, Versions, Work};
+use crate::placement::{
+    beginnings, endpoint_hash, incarnation, PeerDispatch, Verdict, Versions, Work,
+};
 
 /// Where a request goes.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Placement {
     /// Id of the endpoint.
     pub endpoint: String,
+    /// The start of it that is meant, as [`incarnation`].
+    pub incarnation: u64,
     /// Its address.
     pub address: SocketAddr,
     /// Tokens it is expected to read.
@@ -57,6 +61,7 @@
 #[derive(Clone, Debug)]
 pub struct Ticket {
     pub(super) endpoint: String,
+    incarnation: u64,
     number: Option<u64>,
     sent_at: Duration,
     unread_tokens: u32,
@@ -120,18 +125,28 @@
 
     /// Takes an endpoint's newest record.
     pub fn insert(&mut self, now: Duration, endpoint: Endpoint) {
-        if let Some(slot) = self.slot_mut(&endpoint.id) {
-            slot.spec = endpoint;
-            return;
+        let known = self.slot_mut(&endpoint.id);
+        let mut speed = None;
+        if let Some(slot) = known {
+            if slot.spec.is_same_start(&endpoint) {
+                slot.spec = endpoint;
+                return;
+            }
+            // What ran there, what it kept and how it answered ended with the process. How fast it reads is its VM's.
+            let is_same_vm = slot.spec.address.ip() == endpoint.address.ip();
+            speed = is_same_vm.then_some(slot.speed);
+            self.remove(&endpoint.id);
         }
         let (id, service) = (endpoint.id.clone(), endpoint.service.clone());
         let engine = self.engines.get(&service);
         let cache_tokens = engine.map_or(u64::MAX, |engine| engine.cache_tokens);
         let mut slot = Slot::new(now, endpoint, cache_tokens);
+        slot.speed = speed.unwrap_or_default();
         slot.is_engine = engine.is_some();
         slot.hall = self.place_of_hall(&slot.spec.zone);
         slot.region = self.ways.topology().place_of(&slot.spec.zone);
-        self.hashes.insert(endpoint_hash(&id), id.clone());
+        let hashes = [endpoint_hash(&id), slot.incarnation()];
+        self.hashes.extend(hashes.map(|hash| (hash, id.clone())));
         self.services
             .entry(service.clone())
             .or_default()
@@ -144,7 +159,7 @@
         let Some(service) = self.service_of.remove(id) else {
             return;
         };
-        self.hashes.remove(&endpoint_hash(id));
+        self.hashes.retain(|_, known| known != id);
         if let Some(slots) = self.services.get_mut(&service) {
             slots.remove(id);
         }
@@ -179,6 +194,22 @@
         self.services.get_mut(service)?.get_mut(id)
     }
 
+    // The slot of the process that a request went to, if that still runs as far as is known.
+    fn slot_of(&mut self, ticket: &Ticket) -> Option<&mut Slot> {
+        let slot = self.slot_mut(&ticket.endpoint)?;
+        (slot.incarnation() == ticket.incarnation).then_some(slot)
+    }
+
+    pub(super) fn is_current(&mut self, ticket: &Ticket) -> bool {
+        self.slot_of(ticket).is_some()
+    }
+
+    /// Whether an endpoint started again since a request was placed there.
+    pub fn is_over(&self, placement: &Placement) -> bool {
+        let known = self.endpoint(&placement.endpoint);
+        known.is_some_and(|known| incarnation(&known.id, known.born_ms) != placement.incarnation)
+    }
+
     /// Tokens that an engine of a service reads in a millisecond, once that is known.
     pub fn known_rate(&self, service: &str) -> Option<f64> {
         self.paces.get(service)?.known_rate()
@@ -192,6 +223,7 @@
     pub fn sent(&mut self, now: Duration, work: &Work, placement: &Placement) -> Ticket {
         let mut ticket = Ticket {
             endpoint: placement.endpoint.clone(),
+            incarnation: placement.incarnation,
             number: None,
             sent_at: now,
             unread_tokens: placement.unread_tokens,
@@ -200,7 +232,7 @@
             alone: false,
             span: Span::default(),
         };
-        let Some(slot) = self.slot_mut(&placement.endpoint) else {
+        let Some(slot) = self.slot_of(&ticket) else {
             return ticket;
         };
         slot.own += 1;
@@ -236,14 +268,14 @@
         self.note_mix(&work.service, placement.unread_tokens, placement.hold);
     }
 
-    /// Id of the endpoint with this hash.
+    /// Id of the endpoint with this hash, of its id or of its present start.
     pub fn id_of(&self, hash: u64) -> Option<String> {
         self.hashes.get(&hash).cloned()
     }
 
     /// The first token of a request came.
     pub fn first_token(&mut self, now: Duration, ticket: &mut Ticket) {
-        let Some(slot) = self.slot_mut(&ticket.endpoint) else {
+        let Some(slot) = self.slot_of(ticket) else {
             return;
         };
         let Some(number) = ticket.number.take() else {
@@ -266,7 +298,7 @@
 
     /// A request ended.
     pub fn ended(&mut self, now: Duration, ticket: &Ticket, verdict: Verdict) {
-        let Some(slot) = self.slot_mut(&ticket.endpoint) else {
+        let Some(slot) = self.slot_of(ticket) else {
             return;
         };
         slot.own = slot.own.saturating_sub(1);
--- a/components/routing/src/placement/choice.rs
+++ b/components/routing/src/placement/choice.rs
@@ -136,6 +136,7 @@
         let slot = slots.at(chosen.position);
         Some(Placement {
             endpoint: slot.spec.id.clone(),
+            incarnation: slot.incarnation(),
             address: slot.spec.address,
             unread_tokens: chosen.unread,
             shared_prompt: shared_hash(&weighing.hashes),
--- a/components/routing/src/placement/engines.rs
+++ b/components/routing/src/placement/engines.rs
@@ -47,6 +47,9 @@
 impl Board {
     /// An event of a stream came from its engine.
     pub fn event(&mut self, now: Duration, ticket: &mut Ticket) {
+        if !self.is_current(ticket) {
+            return;
+        }
         let span = &mut ticket.span;
         span.total += 1;
         if span.start.is_some() {
@@ -70,6 +73,9 @@
         gap: Option<Duration>,
         whole: Duration,
     ) {
+        if !self.is_current(ticket) {
+            return;
+        }
         if ticket.span.events >= LEAST_EVENTS {
             self.take_sample(now, ticket);
         }
--- a/components/routing/src/placement/slot.rs
+++ b/components/routing/src/placement/slot.rs
@@ -9,7 +9,7 @@
 use crate::placement::pace::Pace;
 use crate::placement::queue::PromptQueue;
 use crate::placement::speed::Speed;
-use crate::placement::Verdict;
+use crate::placement::{incarnation, Verdict};
 
 /// First time an endpoint is passed over after it was silent; it doubles with each time in a row.
 const FIRST_SUSPICION: Duration = Duration::from_millis(250);
@@ -32,7 +32,7 @@
     pub hall: usize,
     pub cache: PromptCache,
     pub queue: PromptQueue,
-    speed: Speed,
+    pub speed: Speed,
     /// Requests of this gateway that run there.
     pub own: u32,
     /// Running share of faulty answers.
@@ -72,6 +72,11 @@
         }
     }
 
+    /// The start that this is, as gateways name it.
+    pub fn incarnation(&self) -> u64 {
+        incarnation(&self.spec.id, self.spec.born_ms)
+    }
+
     /// Tokens of prompts that it reads in a millisecond, from its service's rate and what was measured of its own.
     pub fn rate(&self, pace: Pace) -> f64 {
         self.speed.rate(pace)
--- a/components/routing/tests/placement.rs
+++ b/components/routing/tests/placement.rs
@@ -15,6 +15,7 @@
 
 fn endpoint(id: &str, zone: &str) -> Endpoint {
     Endpoint {
+        born_ms: None,
         id: id.into(),
         service: "s".into(),
         address: "127.0.0.1:1".parse().unwrap(),
--- a/components/routing/tests/regions.rs
+++ b/components/routing/tests/regions.rs
@@ -25,6 +25,7 @@
 
 fn endpoint(id: &str, hall: &str) -> Endpoint {
     Endpoint {
+        born_ms: None,
         id: id.into(),
         service: "s".into(),
         address: "127.0.0.1:1".parse().unwrap(),
--- a/components/routing/tests/speeds.rs
+++ b/components/routing/tests/speeds.rs
@@ -18,6 +18,7 @@
     common::configure(&mut board, 16);
     for id in ids {
         let endpoint = Endpoint {
+            born_ms: None,
             id: id.to_string(),
             service: "s".into(),
             address: "127.0.0.1:1".parse().unwrap(),
--- a/components/routing/tests/waves.rs
+++ b/components/routing/tests/waves.rs
@@ -39,6 +39,7 @@
         common::configure(&mut board, 64);
         for (region, i) in (0..ENDPOINTS).flat_map(|i| [("a", i), ("b", i)]) {
             let endpoint = Endpoint {
+                born_ms: None,
                 id: format!("{region}-{i}"),
                 service: "s".into(),
                 address: "127.0.0.1:1".parse().unwrap(),
--- a/components/schema/src/messages.rs
+++ b/components/schema/src/messages.rs
@@ -4448,10 +4448,12 @@
     pub hall: Option<String>,
     /// Expected time at the best endpoint of the region that the request leaves, in milliseconds.
     pub home_ms: Option<i32>,
+    /// Hash of the start of the endpoint that is meant; without it that of its id.
+    pub incarnation: Option<i64>,
 }
 
 impl PlacedAt {
-    pub fn new<F8, F9, F10>(
+    pub fn new<F8, F9, F10, F11>(
         endpoint: String,
         address: String,
         unread_tokens: i32,
@@ -4462,11 +4464,13 @@
         version: F8,
         hall: F9,
         home_ms: F10,
+        incarnation: F11,
     ) -> PlacedAt
     where
         F8: Into<Option<String>>,
         F9: Into<Option<String>>,
         F10: Into<Option<i32>>,
+        F11: Into<Option<i64>>,
     {
         PlacedAt {
             endpoint,
@@ -4479,6 +4483,7 @@
             version: version.into(),
             hall: hall.into(),
             home_ms: home_ms.into(),
+            incarnation: incarnation.into(),
         }
     }
 }
@@ -4496,6 +4501,7 @@
         let mut f_8: Option<String> = None;
         let mut f_9: Option<String> = None;
         let mut f_10: Option<i32> = None;
+        let mut f_11: Option<i64> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -4543,6 +4549,10 @@
                     let val = i_prot.read_i32()?;
                     f_10 = Some(val);
                 }
+                11 => {
+                    let val = i_prot.read_i64()?;
+                    f_11 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -4575,6 +4585,7 @@
             version: f_8,
             hall: f_9,
             home_ms: f_10,
+            incarnation: f_11,
         };
         Ok(ret)
     }
@@ -4617,6 +4628,11 @@
             o_prot.write_i32(fld_var)?;
             o_prot.write_field_end()?
         }
+        if let Some(fld_var) = self.incarnation {
+            o_prot.write_field_begin(&TFieldIdentifier::new("incarnation", TType::I64, 11))?;
+            o_prot.write_i64(fld_var)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
--- a/components/schema/thrift/messages.thrift
+++ b/components/schema/thrift/messages.thrift
@@ -458,6 +458,8 @@
   9: optional string hall,
   /** Expected time at the best endpoint of the region that the request leaves, in milliseconds. */
   10: optional i32 home_ms,
+  /** Hash of the start of the endpoint that is meant; without it that of its id. */
+  11: optional i64 incarnation,
 }
 
 /** Answer to a DecisionQuery. */
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -103,6 +103,10 @@
         GivenBack => "fleet.given_back",
         /// Listener restarts after a failed accept.
         ListenerRestarts => "listener.restart",
+        /// Entries of endpoints that can't be read.
+        EntriesPassedOver => "entries.passed_over",
+        /// Endpoints that started again under their id.
+        Restarts => "endpoint.started_again",
         /// Contents held back since the endpoints that ran them ended.
         Quarantined => "quarantine.held",
         /// Requests refused since their content is held back.
--- a/soak/src/standins/operator.rs
+++ b/soak/src/standins/operator.rs
@@ -53,7 +53,7 @@
 pub(crate) fn entry(service: &str, address: &str, hall: &str, state: &str) -> String {
     json!({
         "service": service, "address": address, "zone": hall, "slots": 8, "state": state,
-        "version": "v1",
+        "version": "v1", "coldRemainingMs": 0, "sequence": 1,
     })
     .to_string()
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -74,8 +74,10 @@
     let config = r#"{"version":1,"routes":[{"name":"r","host":"h","pathPrefix":"/a/",
         "routeKind":"non_idempotent","timeoutMs":5000,"service":"s"}],"services":[{"name":"s"}],
         "tenants":[{"name":"t","apiKeys":["k"]}]}"#;
-    let entry =
-        format!(r#"{{"service":"s","address":"{worker}","zone":"z","slots":4,"state":"ready"}}"#);
+    let entry = format!(
+        r#"{{"service":"s","address":"{worker}","zone":"z","version":"v1","slots":4,"state":"ready",
+            "coldRemainingMs":0,"sequence":1}}"#
+    );
     let config = row("op", "config", config);
     let entry = row("servers", "i-1", &entry);
     let started = Instant::now();
