Read what bounds a promise from a clock that goes on while the VM is suspended

Cause (found by reading): a gateway's clock was the steady one, which stands while a VM is suspended. On waking, its word on keys, its lease, parts of limits and retries, the silence of peers and its callers' deadlines seemed younger than they were; and a request that was admitted before could be sent after its time (also after a freeze). Not tested under suspension: the holder of the lease and the reader of the store, which use the same clock.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -169,6 +169,11 @@
         if !self.connect(job, placement, sending, &mut run).await {
             return Attempted::NotSent;
         }
+        // Opening a connection takes a while, in which the VM may be frozen or suspended.
+        if !self.may_still_send(job) {
+            run.judge(Verdict::Neutral);
+            return Attempted::NotSent;
+        }
         let request = self.request_of(job, placement, sending.last_event);
         self.metrics.count(Counter::Attempts);
         run.sent_at = self.clock.now();
--- a/components/gateway/src/body.rs
+++ b/components/gateway/src/body.rs
@@ -32,7 +32,7 @@
         let reading = self
             .room
             .gather(body, hold, self.body_bytes(), Some(&patience));
-        match tokio::time::timeout_at(self.clock.instant(read_by), reading).await {
+        match self.clock.timeout_at(read_by, reading).await {
             Ok(Ok(body)) => Ok(body),
             Ok(Err(GatherError::TooLarge)) => {
                 Err(Refusal::not_run(Kind::BodyTooLarge, "the body is too large").closing())
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -28,14 +28,14 @@
 
 use schema::settings::GatewaySettings;
 use slog::{info, warn, Logger};
-use telemetry::Metrics;
+use telemetry::{Counter, Metrics};
 use tokio::runtime::Builder;
 use tokio::sync::Notify;
 use tokio::task::LocalSet;
 use usage::Source;
 
 use crate::alone::Alone;
-use crate::clock::Clock;
+use crate::clock::{Clock, Suspensions};
 pub use crate::control::echoes::{round_trip, Echoes};
 use crate::control::known::change_due;
 pub(crate) use crate::control::known::Known;
@@ -208,8 +208,12 @@
 impl<S: Store + 'static, O: Orders + 'static> Shared<S, O> {
     async fn tick(self: Rc<Self>, signals: Signals, read_settings: ReadSettings) {
         let mut looked_at = Duration::ZERO;
+        let mut suspensions = Suspensions::new(self.clock);
         loop {
             tokio::time::sleep(TICK).await;
+            if let Some(time) = suspensions.look() {
+                self.note_suspension(time);
+            }
             let now = self.clock.now();
             if signals.stop.load(Ordering::Relaxed) {
                 self.freshness.stop(now);
@@ -224,6 +228,16 @@
         }
     }
 
+    // What is known here is older than the runtime's timers say.
+    fn note_suspension(&self, time: Duration) {
+        self.metrics.count(Counter::Suspensions);
+        warn!(self.log, "the VM was suspended"; "ms" => time.as_millis() as u64);
+        let known = self.known.borrow();
+        let followed = known.followed.values();
+        followed.for_each(|followed| followed.wake.notify_one());
+        self.urgent.notify_one();
+    }
+
     fn take_settings(&self, read: Option<GatewaySettings>, asked: bool) {
         let Some(settings) = read else {
             if asked {
--- a/components/gateway/src/gather.rs
+++ b/components/gateway/src/gather.rs
@@ -64,7 +64,7 @@
                         let needed = needed as u64;
                         let until =
                             *latest.get_or_insert_with(|| self.clock.now() + patience(needed));
-                        let waited = tokio::time::timeout_at(self.clock.instant(until), waits);
+                        let waited = self.clock.timeout_at(until, waits);
                         waited.await.map_err(|_| GatherError::NoRoom(needed))?;
                     }
                 }
--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -107,10 +107,6 @@
     ) -> Result<Job, Refusal> {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
-        let unconfirmed = || {
-            let message = "the configuration is not confirmed";
-            Refusal::not_run(Kind::PlatformUnavailable, message).after(UNCONFIRMED_RETRY)
-        };
         let directory = state.directory.clone().ok_or_else(unconfirmed)?;
         let ages = Ages::of(&state.settings);
         let (route, tenant) = match look_up(&directory, &parts, &head) {
@@ -123,7 +119,8 @@
                 return Err(Refusal::not_run(Kind::UnknownTeam, "unknown key"));
             }
         };
-        if directory.needs_key(route) && !self.freshness.allows_keys(now, ages.keys) {
+        let needs_key = directory.needs_key(route);
+        if needs_key && !self.freshness.allows_keys(now, ages.keys) {
             return Err(unconfirmed());
         }
         let service = state.pick_service(&route.split).unwrap_or_default();
@@ -134,6 +131,7 @@
         let content = Fingerprint::of(&content_of(&parts, team, &body.bytes));
         let job = Job {
             content,
+            needs_key,
             work: Work {
                 service: service.clone(),
                 parts: head.parts.clone(),
@@ -233,10 +231,13 @@
                 return Err(refusal);
             }
             self.log_placed(job, &placement);
-            let expiry = self.clock.instant(self.attempt_expiry(job, progress));
+            if let Some(refusal) = self.overtaken(job, progress) {
+                return Err(refusal);
+            }
+            let expiry = self.attempt_expiry(job, progress);
             progress.sent += 1;
             let attempt = self.attempt_unless_restarted(job, &placement, sending);
-            let attempted = tokio::time::timeout_at(expiry, attempt).await;
+            let attempted = self.clock.timeout_at(expiry, attempt).await;
             progress.tried.push(placement.endpoint.clone());
             let outcome = match attempted {
                 Ok(Attempted::Answered(reply)) => return Ok(reply),
@@ -270,6 +271,30 @@
         }
     }
 
+    // Why a job is not sent any more: the VM may have been frozen or suspended since it was admitted.
+    fn overtaken(&self, job: &Job, progress: &Progress) -> Option<Refusal> {
+        if self.may_still_send(job) {
+            return None;
+        }
+        Some(match (progress.maybe_run, self.clock.now() >= job.expiry) {
+            (true, true) => Refusal::maybe_run(Kind::DeadlinePassed, "late"),
+            (true, false) => Refusal::maybe_run(Kind::EndpointFailed, "not sent on"),
+            (false, true) => {
+                let message = "the time was over before it was sent";
+                Refusal::not_run(Kind::Overloaded, message).after(NO_ROOM_RETRY)
+            }
+            (false, false) => unconfirmed(),
+        })
+    }
+
+    /// Whether a job's time is not over and its key may be used now. Looked at last before it is sent.
+    pub fn may_still_send(&self, job: &Job) -> bool {
+        let now = self.clock.now();
+        let ages = Ages::of(&self.state.borrow().settings);
+        let may_use_key = !job.needs_key || self.freshness.allows_keys(now, ages.keys);
+        now < job.expiry && may_use_key
+    }
+
     fn may_send_again(&self, job: &Job, progress: &Progress, ran: bool) -> bool {
         let allowed = job.route.execution.is_repeatable() || (!ran && !progress.maybe_run);
         allowed
@@ -376,6 +401,11 @@
     directory.look_up(host_of(parts), parts.uri.path(), head.key.as_deref())
 }
 
+fn unconfirmed() -> Refusal {
+    let message = "the configuration is not confirmed";
+    Refusal::not_run(Kind::PlatformUnavailable, message).after(UNCONFIRMED_RETRY)
+}
+
 fn over_limit(wait: Duration) -> Refusal {
     Refusal::not_run(Kind::TeamLimit, "the tenant's limit is used up").after(wait)
 }
--- a/components/gateway/src/job.rs
+++ b/components/gateway/src/job.rs
@@ -30,6 +30,8 @@
     pub caller: Rc<Caller>,
     /// What it asks for, the same for each try of its caller.
     pub content: Fingerprint,
+    /// Whether it is served for its key only.
+    pub needs_key: bool,
     /// Its route.
     pub route: Route,
     /// Tenant whose key it carries.
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -61,6 +61,8 @@
     pub store: Box<dyn FnOnce() -> S + Send>,
     /// Makes the client of the service that takes orders, in the control thread.
     pub orders: Box<dyn FnOnce() -> O + Send>,
+    /// Clock that it lives by.
+    pub clock: Clock,
     /// Log.
     pub log: Logger,
 }
@@ -100,7 +102,7 @@
         S: Store + 'static,
         O: Orders + 'static,
     {
-        let clock = Clock::start();
+        let clock = parts.clock;
         let settings = Arc::new(parts.settings);
         let freshness = Arc::new(Freshness::default());
         let alone = Arc::new(Alone::default());
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -112,7 +112,7 @@
         if let Some(end) = self.forward(first).await {
             return end;
         }
-        let expiry = self.traffic.clock.instant(self.job.expiry);
+        let (clock, expiry) = (self.traffic.clock, self.job.expiry);
         let patience = self.patience();
         let placement = events.run.placement.clone();
         loop {
@@ -120,7 +120,7 @@
                 next = events.next() => next,
                 () = self.pieces.closed() => return End::CallerLeft,
                 () = self.traffic.restarted(&placement) => return End::Broken,
-                () = tokio::time::sleep_until(expiry) => return End::TimedOut,
+                () = clock.sleep_until(expiry) => return End::TimedOut,
                 () = tokio::time::sleep(patience), if self.may_resume() => {
                     if self.traffic.may_repeat(&self.job.work.service) {
                         return End::Silent;
@@ -172,13 +172,13 @@
         if room.reserve_ahead_now(&caller, &mut hold, needed) {
             return Ok(hold);
         }
-        let expiry = self.traffic.clock.instant(self.job.expiry);
+        let (clock, expiry) = (self.traffic.clock, self.job.expiry);
         self.traffic.metrics.count(Counter::MemoryWaits);
         caller.set_read_on(false);
         let end = tokio::select! {
             () = room.reserve_ahead(&caller, &mut hold, needed) => None,
             () = self.pieces.closed() => Some(End::CallerLeft),
-            () = tokio::time::sleep_until(expiry) => Some(End::TimedOut),
+            () = clock.sleep_until(expiry) => Some(End::TimedOut),
         };
         let unread = caller.set_read_on(true);
         self.unread = self.unread.max(unread);
@@ -203,7 +203,7 @@
             && (std::mem::take(&mut granted) || self.traffic.may_repeat(&self.job.work.service))
         {
             self.progress.tried.push(from.to_string());
-            let expiry = self.traffic.clock.instant(self.job.expiry);
+            let (clock, expiry) = (self.traffic.clock, self.job.expiry);
             let placement = self.traffic.place(&self.job, &self.progress).await?;
             self.progress.sent += 1;
             info!(self.traffic.log, "stream goes on"; "id" => &self.job.head.id, "content" => %self.job.content, "from" => from,
@@ -216,7 +216,7 @@
                 .traffic
                 .attempt_unless_restarted(&self.job, &placement, sending);
             let attempted = tokio::select! {
-                attempted = tokio::time::timeout_at(expiry, attempt) => attempted.ok()?,
+                attempted = clock.timeout_at(expiry, attempt) => attempted.ok()?,
                 () = self.pieces.closed() => return None,
             };
             if let Attempted::Answered(Reply::Events { first, events, .. }) = attempted {
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -16,7 +16,7 @@
 
 use directory::{Configuration, Endpoint, EndpointState, Execution, Route, Service, Share, Tenant};
 use gateway::ports::{AnswerHead, AttemptHead, CallerHead, Dialect, EndpointLoad, HeadFault};
-use gateway::{Gateway, Parts};
+use gateway::{Clock, Gateway, Parts};
 use http::{request, HeaderMap, HeaderValue, StatusCode};
 use schema::settings::GatewaySettings;
 use slog::Logger;
@@ -215,6 +215,15 @@
     }
 
     pub fn start_with_log(settings: GatewaySettings, store: StoreStandin, log: Logger) -> Self {
+        Self::start_with_clock(settings, store, log, Clock::start())
+    }
+
+    pub fn start_with_clock(
+        settings: GatewaySettings,
+        store: StoreStandin,
+        log: Logger,
+        clock: Clock,
+    ) -> Self {
         let orders = OrdersStandin::default();
         let (own_store, own_orders) = (store.clone(), orders.clone());
         let gateway = Gateway::start(Parts {
@@ -223,6 +232,7 @@
             dialect: PlainHeads,
             store: Box::new(move || own_store),
             orders: Box::new(move || own_orders),
+            clock,
             log,
         });
         let gateway = gateway.expect("the gateway starts");
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -105,6 +105,8 @@
         ListenerRestarts => "listener.restart",
         /// Entries of endpoints that can't be read.
         EntriesPassedOver => "entries.passed_over",
+        /// Suspensions of the VM that the gateway noticed.
+        Suspensions => "vm.suspended",
         /// Endpoints that started again under their id.
         Restarts => "endpoint.started_again",
         /// Contents held back since the endpoints that ran them ended.
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use error_stack::{Report, ResultExt};
-use gateway::Parts;
+use gateway::{Clock, Parts};
 use platform::{CloudApi, Heads, MetadataStore};
 use schema::settings::GatewaySettings;
 
@@ -31,6 +31,7 @@
         dialect: Heads,
         store: Box::new(move || MetadataStore::new(store)),
         orders: Box::new(move || CloudApi::new(orders)),
+        clock: Clock::start(),
         log,
     };
     gateway::run(parts).change_context(CommandError("the gateway could not start"))?;
