Tell the newest ends first, and lose no tally when the control thread is behind

Cause (found by reading, not run): words waited in the order in which they came, so behind the 2,000 runs of a hall that vanished the next one would be told after several seconds; a tally that found the queue full was dropped, with counts of usage and words in it; and every change of an endpoint woke all waits for restarts. Change: new words go first, a tally is put back, restarts have a signal of their own.

--- a/components/gateway/src/control/quarantine.rs
+++ b/components/gateway/src/control/quarantine.rs
@@ -20,7 +20,7 @@
 const SENDS: u8 = 3;
 /// Words in one message, so that it fits into one datagram: some 20 bytes each.
 const MOST_WORDS: usize = 60;
-/// Words that wait to be sent; the oldest give way. An endpoint that ends with 100 others leaves some 2,000.
+/// Words that wait to be sent; those that were sent before give way. 100 endpoints that end at once leave some 2,000.
 const MOST_WAITING: usize = 2048;
 /// Contents held back that one message names: some 30 bytes each.
 const MOST_HELD: usize = 16;
@@ -45,9 +45,10 @@
     /// Adds a word that is to be sent.
     pub fn add(&mut self, word: Word) {
         if self.waiting.len() >= MOST_WAITING {
-            self.waiting.pop_front();
+            self.waiting.pop_back();
         }
-        self.waiting.push_back((word, SENDS));
+        // New ones go first: behind thousands of old ones they would come after the time within which all are to know.
+        self.waiting.push_front((word, SENDS));
         self.has_new = true;
     }
 
--- a/components/gateway/src/cut.rs
+++ b/components/gateway/src/cut.rs
@@ -68,6 +68,7 @@
     /// An endpoint's record says that this start of it has ended.
     pub fn note_restart(&self, now: Duration, incarnation: u64) {
         self.metrics.count(Counter::Restarts);
+        self.endpoint_restarted.notify_waiters();
         let contents = self.state.borrow_mut().cuts.take(now, incarnation);
         for content in contents {
             self.note_end(content, incarnation);
@@ -78,7 +79,7 @@
     /// connection is silent.
     pub async fn restarted(&self, placement: &Placement) {
         loop {
-            let changed = self.endpoints_changed.notified();
+            let changed = self.endpoint_restarted.notified();
             if self.is_over(placement) {
                 return;
             }
--- a/components/gateway/src/tally.rs
+++ b/components/gateway/src/tally.rs
@@ -58,3 +58,13 @@
     /// What was seen of contents whose endpoints ended.
     pub words: Vec<Word>,
 }
+
+impl Tally {
+    /// Takes back what could not be handed over; totals and loads are taken anew with the next tally.
+    pub fn put_back(&mut self, earlier: Tally) {
+        self.sent.splice(0..0, earlier.sent);
+        self.begun.splice(0..0, earlier.begun);
+        self.reported.splice(0..0, earlier.reported);
+        self.words.splice(0..0, earlier.words);
+    }
+}
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -4,10 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use flume::TrySendError;
 use limits::{QuotaState, RepeatBudget};
 use routing::placement::{incarnation, Placement, Ticket};
 use schema::settings::GatewaySettings;
-use slog::{info, Logger};
+use slog::{info, warn, Logger};
 use telemetry::{Counter, Metrics};
 use tokio::sync::Notify;
 
@@ -39,6 +40,7 @@
     pub log: Logger,
     pub state: RefCell<State>,
     pub endpoints_changed: Notify,
+    pub endpoint_restarted: Notify,
     pub in_flight: Cell<usize>,
     pub asking: Asking,
     pub room: Room,
@@ -72,6 +74,7 @@
             log: parts.log,
             state: RefCell::new(state),
             endpoints_changed: Notify::new(),
+            endpoint_restarted: Notify::new(),
             in_flight: Cell::new(0),
             asking: Asking::default(),
             room,
@@ -240,7 +243,12 @@
             .collect();
         tally.loads = state.loads(now);
         drop(state);
-        let _ = self.tallies.try_send(tally);
+        match self.tallies.try_send(tally) {
+            Ok(()) => {}
+            // The control thread is behind: what was counted goes with the next tally.
+            Err(TrySendError::Full(tally)) => self.state.borrow_mut().tally.put_back(tally),
+            Err(TrySendError::Disconnected(_)) => warn!(self.log, "the control thread is gone"),
+        }
     }
 
     /// Takes updates and sends tallies until the control thread is gone.
