--- a/components/gateway/src/cut.rs
+++ b/components/gateway/src/cut.rs
@@ -111,7 +111,7 @@
                 true => Some(true),
                 false => traffic.takes_no_connection(&job, &placement).await,
             };
-            info!(traffic.log, "answer cut off"; "id" => &job.head.id, "content" => %job.content,
+            info!(traffic.log, "endpoint cut an answer off"; "id" => &job.head.id, "content" => %job.content,
                 "endpoint" => &placement.endpoint, "endpoint_ended" => has_ended);
             if has_ended == Some(true) {
                 return traffic.note_end(job.content, placement.incarnation);
--- a/components/gateway/tests/restarts.rs
+++ b/components/gateway/tests/restarts.rs
@@ -117,7 +117,7 @@
     for start in 1..=3 {
         assert_eq!(setup.call("/a/1", &[]).status, 502);
         wait_until("the look", || {
-            lines.count("answer cut off") >= start as usize
+            lines.count("endpoint cut an answer off") >= start as usize
         });
         store.put_endpoint(born(start, endpoint("e", standin.address)));
         wait_until("the record", || {
