Let the soak ask again and again for what ends its endpoints

One caller at any gateway; endpoints that it ends start again under their id with another birth; a check that no more than three are reached once gateways in touch could know, and a history that breaks it.

--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -1,6 +1,7 @@
 //! What must be true of a history. The checks know nothing but what was written down, and read no
 //! clock. Bounds are those of the users' rules, and stand in the settings that the soak writes.
 
+mod deadly;
 mod duties;
 mod limits;
 mod requests;
@@ -62,6 +63,7 @@
         times::keys,
         limits::quotas,
         limits::repeats,
+        deadly::held_back,
         duties::fences,
         duties::reports,
         stops::planned_stops,
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -20,6 +20,7 @@
 use crate::plan::Plan;
 use crate::report::Report;
 use crate::standins::client::{Client, Shared};
+use crate::standins::deadly::ask_deadly;
 use crate::standins::endpoint::Endpoint;
 use crate::standins::store::{take_reports, Store};
 use acts::Later;
@@ -68,6 +69,7 @@
         }
         soak.do_due()?;
         soak.look_at_processes()?;
+        soak.look_at_endpoints();
         if options.progress && soak.history.now() >= told + PROGRESS {
             told = soak.history.now();
             eprintln!(
@@ -173,6 +175,9 @@
             self.clients
                 .push(thread::spawn(move || ask_ready(&shared, index, ready)));
         }
+        let (shared, seed) = (Arc::clone(&self.shared), self.seed);
+        self.clients
+            .push(thread::spawn(move || ask_deadly(&shared, seed)));
         for number in 0..CLIENTS * self.gateways.len() {
             // One client stays with each gateway, so that each is asked until the end.
             let only = (number % CLIENTS == 0).then_some(number / CLIENTS);
--- a/soak/src/run/acts.rs
+++ b/soak/src/run/acts.rs
@@ -21,6 +21,8 @@
 const SERVES_ON: u64 = 4_000;
 /// An endpoint that is gone is replaced after that time, in ms.
 const REPLACED: u64 = 700;
+/// An endpoint that its request ended starts again under its id after that time, in ms.
+const STARTS_AGAIN: u64 = 900;
 
 /// What is done later.
 pub(super) enum Later {
@@ -34,6 +36,7 @@
     TakeBack(usize),
     End(usize, Endpoint),
     Replace(usize),
+    StartAgain(usize, String),
 }
 
 impl Soak {
@@ -155,6 +158,7 @@
                 self.after(REPLACED, Later::Replace(index));
             }
             Later::Replace(index) => self.start_endpoint(index)?,
+            Later::StartAgain(index, id) => self.start_endpoint_as(index, &id)?,
         }
         Ok(())
     }
@@ -236,16 +240,34 @@
     pub(super) fn start_endpoint(&mut self, index: usize) -> io::Result<()> {
         self.incarnations += 1;
         let id = format!("e{index}-{}", self.incarnations);
-        let endpoint = Endpoint::start(&id, &self.history)?;
+        self.start_endpoint_as(index, &id)
+    }
+
+    fn start_endpoint_as(&mut self, index: usize, id: &str) -> io::Result<()> {
+        let endpoint = Endpoint::start(id, &self.history)?;
         let link = Link::to(endpoint.address)?;
         self.record_endpoint(index, &endpoint, &link, "ready");
         self.endpoints[index] = Some((endpoint, link));
         Ok(())
     }
 
+    /// Endpoints that a request ended: nothing goes there any more, until they start again.
+    pub(super) fn look_at_endpoints(&mut self) {
+        for index in 0..self.endpoints.len() {
+            let ended = |(endpoint, _): &mut (Endpoint, Link)| endpoint.has_ended();
+            let Some((endpoint, link)) = self.endpoints[index].take_if(ended) else {
+                continue;
+            };
+            link.set(Way::Cut);
+            let id = endpoint.id().to_string();
+            self.after(STARTS_AGAIN, Later::StartAgain(index, id));
+        }
+    }
+
     fn record_endpoint(&self, index: usize, endpoint: &Endpoint, link: &Link, state: &str) {
         let service = ["a", "b"][index / 2 % 2];
-        let text = entry(service, &link.address.to_string(), hall(index), state);
+        let address = link.address.to_string();
+        let text = entry(service, &address, hall(index), state, endpoint.born);
         self.store.put("servers", endpoint.id(), Some(&text));
     }
 
--- a/soak/src/standins.rs
+++ b/soak/src/standins.rs
@@ -2,6 +2,7 @@
 //! down what it sees; only these files know the platform's names.
 
 pub(crate) mod client;
+pub(crate) mod deadly;
 pub(crate) mod endpoint;
 pub(crate) mod operator;
 pub(crate) mod store;
--- a/soak/src/standins/endpoint.rs
+++ b/soak/src/standins/endpoint.rs
@@ -10,6 +10,7 @@
 
 use platform::names::{ATTEMPT_ID, CREDENTIAL, EXPECTED_INSTANCE, NOT_EXECUTED, SIGNATURE, TENANT};
 
+use super::deadly::DEADLY;
 use super::{body_of, hash, listen};
 use crate::history::{History, Seen};
 use crate::http::{Connection, Head};
@@ -49,6 +50,8 @@
 pub(crate) struct Endpoint {
     /// Where it listens.
     pub address: SocketAddr,
+    /// When it started, in ms since the start of the run.
+    pub born: Option<u64>,
     inner: Arc<Inner>,
 }
 
@@ -85,7 +88,11 @@
         });
         let serving = Arc::clone(&inner);
         let address = listen(move |connection| serving.serve_noted(connection))?;
-        Ok(Endpoint { address, inner })
+        Ok(Endpoint {
+            address,
+            born: Some(history.now()),
+            inner,
+        })
     }
 
     /// Its id.
@@ -95,17 +102,26 @@
 
     /// Ends it: what it runs breaks off, and it takes nothing more.
     pub fn end(&self) {
-        for id in lock(&self.inner.running).iter() {
-            self.inner.history.note(Seen::BrokeOff { id: id.clone() });
+        self.inner.end();
+    }
+
+    /// Whether it ended.
+    pub fn has_ended(&self) -> bool {
+        self.inner.ended.load(Ordering::SeqCst)
+    }
+}
+
+impl Inner {
+    fn end(&self) {
+        for id in lock(&self.running).iter() {
+            self.history.note(Seen::BrokeOff { id: id.clone() });
         }
-        self.inner.ended.store(true, Ordering::SeqCst);
-        for stream in lock(&self.inner.open).values() {
+        self.ended.store(true, Ordering::SeqCst);
+        for stream in lock(&self.open).values() {
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
-}
 
-impl Inner {
     fn serve_noted(&self, mut connection: Connection) {
         let Ok(stream) = connection.stream().try_clone() else {
             return;
@@ -160,6 +176,10 @@
             team: head.field(TENANT).map(str::to_string),
             key_shown: head.field(CREDENTIAL).is_some(),
         });
+        if head.word(1) == DEADLY {
+            self.end();
+            return Err(std::io::ErrorKind::ConnectionReset.into());
+        }
         let ran = self.run(connection, head, id, course);
         lock(&self.running).remove(id);
         ran
--- a/soak/src/standins/operator.rs
+++ b/soak/src/standins/operator.rs
@@ -50,10 +50,19 @@
 }
 
 /// An endpoint's entry.
-pub(crate) fn entry(service: &str, address: &str, hall: &str, state: &str) -> String {
-    json!({
+pub(crate) fn entry(
+    service: &str,
+    address: &str,
+    hall: &str,
+    state: &str,
+    born: Option<u64>,
+) -> String {
+    let mut entry = json!({
         "service": service, "address": address, "zone": hall, "slots": 8, "state": state,
         "version": "v1", "coldRemainingMs": 0, "sequence": 1,
-    })
-    .to_string()
+    });
+    if let Some(born) = born {
+        entry["born"] = json!(born);
+    }
+    entry.to_string()
 }
--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -399,3 +399,28 @@
     assert_eq!(given_up(7_000).findings(), Vec::<&str>::new());
     assert_eq!(given_up(8_000).findings(), ["leaving"]);
 }
+
+/// Asks for what is deadly once a second; it ends an endpoint the first `reaches` times.
+fn deadly(reaches: usize) -> Told {
+    (0..12).fold(Told::begin(), |told, number| {
+        let (id, at) = (format!("d{number}"), 5_000 + 1_000 * number as u64);
+        let told = told.sent(at, &id, Kind::Repeatable, "/rep/deadly", "steady");
+        match number < reaches {
+            true => told
+                .began(at + 1, &id, "/rep/deadly")
+                .answered(at + 2, &id, 502),
+            false => told.answered(at + 2, &id, 503),
+        }
+    })
+}
+
+#[test]
+fn a_request_that_goes_on_ending_endpoints_is_found() {
+    assert!(deadly(3).findings().is_empty());
+    // The third ends one at 7 s; gateways know at 10.3 s.
+    assert!(deadly(9).findings().is_empty());
+    assert_eq!(
+        deadly(10).findings(),
+        ["held back", "held back", "held back"]
+    );
+}
