--- /dev/null
+++ b/components/gateway/src/admission.rs
@@ -0,0 +1,135 @@
+//! Admitting a request: its route, its team, what it costs and how long it has.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use directory::{Directory, Lookup, Route, Tenant};
+use errors::Kind;
+use http::request;
+use quarantine::{Content, Fingerprint};
+use routing::placement::Work;
+
+use crate::answer::Refusal;
+use crate::caller::Caller;
+use crate::freshness::Ages;
+use crate::held::{Gathered, KeptBody};
+use crate::job::{Job, ROUTE_RANKS};
+use crate::ports::CallerHead;
+use crate::traffic::Traffic;
+
+/// Time to come back when the configuration is not confirmed.
+const UNCONFIRMED_RETRY: Duration = Duration::from_millis(300);
+/// Least urgent rank.
+pub(crate) const LAST_RANK: u8 = 9;
+
+impl<D> Traffic<D> {
+    /// Finds route and tenant, and what the request takes of the tenant's limit.
+    pub fn admit(
+        &self,
+        arrived: Duration,
+        parts: request::Parts,
+        head: CallerHead,
+        body: Gathered,
+        caller: Rc<Caller>,
+    ) -> Result<Job, Refusal> {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let directory = state.directory.clone().ok_or_else(unconfirmed)?;
+        let ages = Ages::of(&state.settings);
+        let (route, tenant) = match look_up(&directory, &parts, &head) {
+            Lookup::Allowed { route, tenant } => (route, tenant),
+            _ if !self.freshness.is_confirmed(now, ages.denials) => return Err(unconfirmed()),
+            Lookup::NoRoute => {
+                return Err(Refusal::not_run(Kind::UnknownRoute, "no route"));
+            }
+            Lookup::UnknownKey => {
+                return Err(Refusal::not_run(Kind::UnknownTeam, "unknown key"));
+            }
+        };
+        let needs_key = directory.needs_key(route);
+        if needs_key && !self.freshness.allows_keys(now, ages.keys) {
+            return Err(unconfirmed());
+        }
+        let service = state.pick_service(&route.split).unwrap_or_default();
+        let spec = directory.configuration().services.get(&service);
+        let expiry = arrived + head.deadline.unwrap_or(route.timeout).min(route.timeout);
+        let tokens = head.tokens.unwrap_or_default();
+        let team = tenant.map(|tenant| tenant.name.as_str());
+        let content = Fingerprint::of(&content_of(&parts, team, &body.bytes));
+        let job = Job {
+            content,
+            needs_key,
+            work: Work {
+                service: service.clone(),
+                parts: head.parts.clone(),
+                prompt_tokens: tokens.0,
+                answer_tokens: head.answer_guess.unwrap_or(tokens.1),
+                body_bytes: body.bytes.len().min(u32::MAX as usize) as u32,
+            },
+            engine: spec.is_some_and(|s| s.engine.is_some()),
+            max_connections: spec.map_or(u32::MAX, |s| s.max_connections),
+            cost: tenant.map_or(0, |t| cost_of(&head, t)),
+            priority: rank(route, tenant),
+            tenant: tenant.map(|t| t.name.clone()),
+            route: route.clone(),
+            version: directory.configuration().version,
+            parts,
+            head,
+            body: KeptBody::new(body),
+            caller,
+            arrived,
+            expiry,
+        };
+        Ok(job)
+    }
+}
+
+fn content_of<'a>(parts: &'a request::Parts, team: Option<&'a str>, body: &'a [u8]) -> Content<'a> {
+    let target = parts.uri.path_and_query();
+    Content {
+        method: parts.method.as_str(),
+        host: host_of(parts),
+        target: target.map_or("", |target| target.as_str()),
+        team,
+        body,
+    }
+}
+
+fn host_of(parts: &request::Parts) -> &str {
+    let field = parts.headers.get(http::header::HOST);
+    let host = field.and_then(|value| value.to_str().ok());
+    host.or(parts.uri.host()).unwrap_or_default()
+}
+
+/// What a configuration says of a request.
+pub(crate) fn look_up<'a>(
+    directory: &'a Directory,
+    parts: &request::Parts,
+    head: &CallerHead,
+) -> Lookup<'a> {
+    directory.look_up(host_of(parts), parts.uri.path(), head.key.as_deref())
+}
+
+/// The configuration is not known to be the newest.
+pub(crate) fn unconfirmed() -> Refusal {
+    let message = "the configuration is not confirmed";
+    Refusal::not_run(Kind::PlatformUnavailable, message).after(UNCONFIRMED_RETRY)
+}
+
+/// The rank of the tenant comes before that of the route.
+pub(crate) fn rank(route: &Route, tenant: Option<&Tenant>) -> u8 {
+    let tenant = tenant.and_then(|t| t.priority).unwrap_or_default();
+    let route = route.priority.min(ROUTE_RANKS - 1);
+    (tenant.saturating_mul(ROUTE_RANKS) + route).min(LAST_RANK)
+}
+
+// Units of its tenant's limit that a request takes.
+fn cost_of(head: &CallerHead, tenant: &Tenant) -> u64 {
+    let Some(plain) = tenant.quota.and_then(|quota| quota.plain_cost) else {
+        return 1;
+    };
+    let tokens = head.tokens;
+    tokens.map_or(plain, |(prompt, answer)| {
+        u64::from(prompt) + u64::from(answer)
+    })
+}
--- /dev/null
+++ b/components/gateway/src/attempts.rs
@@ -0,0 +1,149 @@
+//! Sending a request to endpoints until one answers it or it may not be sent again.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use errors::Kind;
+use routing::placement::Placement;
+
+use crate::admission::unconfirmed;
+use crate::answer::Refusal;
+use crate::attempt::{Attempted, Reply, Sending};
+use crate::freshness::Ages;
+use crate::job::{Job, Progress, SharedJob};
+use crate::placing::NO_ENDPOINT_RETRY;
+use crate::ports::Dialect;
+use crate::traffic::Traffic;
+
+/// Time to come back when endpoints have no room.
+const NO_ROOM_RETRY: Duration = Duration::from_millis(150);
+/// Attempts that reached no endpoint, after which a request is given up.
+const MOST_UNSENT: usize = 4;
+/// A first attempt of a repeatable request is waited for at most this many times its target.
+const PATIENCE_TARGETS: u32 = 2;
+
+impl<D: Dialect + 'static> Traffic<D> {
+    /// Runs attempts until one is answered, or says why none is.
+    pub async fn run_attempts(
+        self: &Rc<Self>,
+        job: &SharedJob,
+        progress: &mut Progress,
+        mut placed: Option<Placement>,
+    ) -> Result<Reply<D>, Refusal> {
+        let mut unsent = 0;
+        let mut sending = Sending::default();
+        loop {
+            let placement = match placed.take() {
+                Some(placement) => placement,
+                None => match self.find(job, progress).await {
+                    Ok(placement) => placement,
+                    Err(wait) => return Err(self.nowhere(progress, wait)),
+                },
+            };
+            // Word of it may have come meanwhile.
+            if let Some(refusal) = self.held_back(job, progress) {
+                return Err(refusal);
+            }
+            self.log_placed(job, &placement);
+            if let Some(refusal) = self.overtaken(job, progress) {
+                return Err(refusal);
+            }
+            let expiry = self.attempt_expiry(job, progress);
+            progress.sent += 1;
+            let attempt = self.attempt_unless_restarted(job, &placement, sending);
+            let attempted = self.clock.timeout_at(expiry, attempt).await;
+            progress.tried.push(placement.endpoint.clone());
+            let outcome = match attempted {
+                Ok(Attempted::Answered(reply)) => return Ok(reply),
+                Ok(Attempted::NotSent) => {
+                    progress.sent -= 1;
+                    unsent += 1;
+                    if unsent >= MOST_UNSENT || self.clock.now() >= job.expiry {
+                        return Err(self.nowhere(progress, NO_ENDPOINT_RETRY));
+                    }
+                    continue;
+                }
+                Ok(Attempted::NotRun) => None,
+                Ok(Attempted::Lost(cause)) => Some(cause),
+                Err(_) => {
+                    sending.after_silence = true;
+                    Some("the endpoint gave no answer in time")
+                }
+                Ok(Attempted::Failed { head, body }) => {
+                    if !self.may_send_again(job, progress, true) {
+                        return Ok(Reply::Whole { head, body });
+                    }
+                    // An endpoint that fails has run it: whatever ends it now is no promise.
+                    progress.maybe_run = true;
+                    continue;
+                }
+            };
+            progress.maybe_run |= outcome.is_some();
+            if !self.may_send_again(job, progress, outcome.is_some()) {
+                return Err(self.given_up(job, progress, outcome));
+            }
+        }
+    }
+
+    // Why a job is not sent any more: the VM may have been frozen or suspended since it was admitted.
+    fn overtaken(&self, job: &Job, progress: &Progress) -> Option<Refusal> {
+        if self.may_still_send(job) {
+            return None;
+        }
+        Some(match (progress.maybe_run, self.clock.now() >= job.expiry) {
+            (true, true) => Refusal::maybe_run(Kind::DeadlinePassed, "late"),
+            (true, false) => Refusal::maybe_run(Kind::EndpointFailed, "not sent on"),
+            (false, true) => {
+                let message = "the time was over before it was sent";
+                Refusal::not_run(Kind::Overloaded, message).after(NO_ROOM_RETRY)
+            }
+            (false, false) => unconfirmed(),
+        })
+    }
+
+    /// Whether a job's time is not over and its key may be used now. Looked at last before it is sent.
+    pub fn may_still_send(&self, job: &Job) -> bool {
+        let now = self.clock.now();
+        let ages = Ages::of(&self.state.borrow().settings);
+        let may_use_key = !job.needs_key || self.freshness.allows_keys(now, ages.keys);
+        now < job.expiry && may_use_key
+    }
+
+    fn may_send_again(&self, job: &Job, progress: &Progress, ran: bool) -> bool {
+        let allowed = job.route.execution.is_repeatable() || (!ran && !progress.maybe_run);
+        allowed
+            && job.body.is_kept()
+            && progress.sent < job.route.max_attempts
+            && self.clock.now() < job.expiry
+            && self.may_go_on(job)
+            && self.may_repeat(&job.work.service)
+    }
+
+    // A repeatable request with another attempt left does not wait for its deadline.
+    fn attempt_expiry(&self, job: &Job, progress: &Progress) -> Duration {
+        let repeats = job.route.execution.is_repeatable();
+        if repeats && progress.sent + 1 < job.route.max_attempts {
+            let patience = self.clock.now() + job.route.target * PATIENCE_TARGETS;
+            return patience.min(job.expiry);
+        }
+        job.expiry
+    }
+
+    fn nowhere(&self, progress: &Progress, wait: Duration) -> Refusal {
+        match progress.maybe_run {
+            true => Refusal::maybe_run(Kind::EndpointFailed, "no other endpoint takes work"),
+            false => Refusal::not_run(Kind::NoEndpoint, "no endpoint takes work").after(wait),
+        }
+    }
+
+    fn given_up(&self, job: &Job, progress: &Progress, cause: Option<&str>) -> Refusal {
+        let out_of_time = self.clock.now() >= job.expiry;
+        match (progress.maybe_run, out_of_time) {
+            (true, true) => Refusal::maybe_run(Kind::DeadlinePassed, cause.unwrap_or("late")),
+            (true, false) => Refusal::maybe_run(Kind::EndpointFailed, cause.unwrap_or("lost")),
+            (false, _) => {
+                Refusal::not_run(Kind::Overloaded, "the endpoint has no room").after(NO_ROOM_RETRY)
+            }
+        }
+    }
+}
--- a/components/gateway/src/body.rs
+++ b/components/gateway/src/body.rs
@@ -9,10 +9,11 @@
 use slog::warn;
 use telemetry::Counter;
 
+use crate::admission::{look_up, rank, LAST_RANK};
 use crate::answer::Refusal;
 use crate::caller::Caller;
 use crate::gather::GatherError;
-use crate::handler::{look_up, rank, LAST_RANK, UNROUTED_TIME};
+use crate::handler::UNROUTED_TIME;
 use crate::held::Gathered;
 use crate::ports::{CallerHead, Dialect};
 use crate::traffic::Traffic;
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -7,6 +7,7 @@
 mod exchange;
 mod follow;
 mod forwarding;
+mod kept;
 mod known;
 mod lease;
 mod messages;
--- /dev/null
+++ b/components/gateway/src/control/kept.rs
@@ -0,0 +1,181 @@
+//! The store's row of what is held back, for gateways that start when no other is left or hear no other.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use quarantine::{Fingerprint, Held};
+use schema::messages::{KeptContent, QuarantineRow};
+use slog::{info, warn};
+
+use crate::control::follow::WATCHERS;
+use crate::control::quarantine::times_of;
+use crate::control::Shared;
+use crate::ports::{Orders, PageQuery, Row, Store, StoreError, Topic};
+
+/// Key of the row that keeps them.
+const ROW_KEY: &str = "held";
+/// Pause between looks at whether the row is to be read or written.
+const LOOK: Duration = Duration::from_millis(100);
+/// While gateways are silent the row is read again this often: those behind a cut write there what they hold back. Well
+/// within the shortest time after which a gateway in touch is to know (3 s).
+const READ_AGAIN: Duration = Duration::from_secs(1);
+/// Longest time without anything of the row.
+const READ_TIME: Duration = Duration::from_millis(1500);
+/// Pause after a call of the store without a result.
+const FAILED_PAUSE: Duration = Duration::from_millis(500);
+
+/// The row as it is known here.
+#[derive(Debug)]
+pub(crate) struct KeptRow {
+    revision: u64,
+    read_at: Duration,
+    // How often each content was held back, and whether it is now.
+    kept: BTreeMap<Fingerprint, (u32, bool)>,
+}
+
+impl<S: Store + 'static, O: Orders + 'static> Shared<S, O> {
+    /// Keeps the row until the process ends, while this gateway is among the first that reach the store.
+    pub async fn keep_quarantine(self: Rc<Self>) {
+        // Whoever starts may be asked for what is held back before it hears of it from another: after a start of all, two
+        // to four more endpoints ended within 0.3 s (three runs of the soak).
+        let mut row = self.read_kept().await;
+        loop {
+            tokio::time::sleep(LOOK).await;
+            let now = self.clock.now();
+            let is_first = {
+                let known = self.known.borrow();
+                known.peers.is_listed() && known.peers.is_among_first(now, WATCHERS)
+            };
+            row = match row {
+                _ if !is_first => None,
+                Some(row) if !self.is_stale(&row, now) => self.write_kept(row).await,
+                _ => self.read_kept().await,
+            };
+        }
+    }
+
+    // Whether others may have written the row that can't tell this gateway.
+    fn is_stale(&self, row: &KeptRow, now: Duration) -> bool {
+        let known = self.known.borrow();
+        let others = known.peers.count(now);
+        let is_cut_off = others.silent > 0 || others.heard == 0;
+        is_cut_off && now >= row.read_at + READ_AGAIN
+    }
+
+    async fn read_kept(&self) -> Option<KeptRow> {
+        let sent = self.clock.now();
+        let query = PageQuery {
+            topic: Topic::Quarantine,
+            hall: None,
+            after: None,
+            limit: 1,
+            patience: READ_TIME,
+        };
+        match self.store.page(query).await {
+            Ok(page) => {
+                let mut rows = page.rows.rows.into_iter();
+                let row = rows.find(|row| row.key == ROW_KEY);
+                Some(self.take_row(row, page.rows.stamp))
+            }
+            Err(error) => {
+                info!(self.log, "quarantine not read"; "cause" => %error,
+                    "ms" => self.clock.now().saturating_sub(sent).as_millis() as u64);
+                tokio::time::sleep(FAILED_PAUSE).await;
+                None
+            }
+        }
+    }
+
+    // Takes what earlier gateways kept, as it stood at a time of the store.
+    fn take_row(&self, row: Option<Row>, store_now: Duration) -> KeptRow {
+        let now = self.clock.now();
+        let revision = row.as_ref().map_or(0, |row| row.revision);
+        let kept = row.as_ref().map_or_else(Vec::new, |row| self.read_row(row));
+        let mut known = self.known.borrow_mut();
+        let held: Vec<Held> = kept.iter().map(|k| kept_held(k, store_now)).collect();
+        let changed: Vec<Held> = held
+            .iter()
+            .copied()
+            .filter(|held| known.quarantine.take_held(now, *held))
+            .collect();
+        drop(known);
+        if !changed.is_empty() {
+            info!(self.log, "quarantine taken from the store"; "contents" => changed.len());
+            self.urgent.notify_one();
+        }
+        self.tell_traffic(Vec::new(), changed);
+        KeptRow {
+            revision,
+            read_at: now,
+            kept: held.iter().map(summary_of).collect(),
+        }
+    }
+
+    fn read_row(&self, row: &Row) -> Vec<KeptContent> {
+        let value = row.value.as_deref().unwrap_or_default();
+        match schema::decode::<QuarantineRow>(value) {
+            Ok(read) => read.held,
+            Err(error) => {
+                warn!(self.log, "quarantine not readable, it is written anew"; "cause" => ?error,
+                    "revision" => row.revision);
+                Vec::new()
+            }
+        }
+    }
+
+    // Writes what the row lacks.
+    async fn write_kept(&self, row: KeptRow) -> Option<KeptRow> {
+        let now = self.clock.now();
+        let (held, store_now) = {
+            let known = self.known.borrow();
+            let held: Vec<Held> = known.quarantine.all(now).collect();
+            (held, known.store_clock.time_at(now))
+        };
+        let kept: BTreeMap<_, _> = held.iter().map(summary_of).collect();
+        let Some(store_now) = store_now.filter(|_| kept != row.kept) else {
+            return Some(row);
+        };
+        let value = QuarantineRow {
+            held: held.iter().map(|h| kept_of(h, store_now)).collect(),
+        };
+        let value = schema::encode(&value).unwrap_or_default();
+        let expected = Some(row.revision);
+        let written = self
+            .store
+            .write(Topic::Quarantine, ROW_KEY, value, expected)
+            .await;
+        info!(self.log, "quarantine written"; "contents" => held.len(), "written" => written.is_ok());
+        match written {
+            Ok(revision) => Some(KeptRow {
+                revision,
+                kept,
+                ..row
+            }),
+            Err(StoreError::Conflict(row)) => Some(self.take_row(row, store_now)),
+            Err(_) => {
+                tokio::time::sleep(FAILED_PAUSE).await;
+                None
+            }
+        }
+    }
+}
+
+fn kept_of(held: &Held, store_now: Duration) -> KeptContent {
+    let until = store_now.saturating_add(held.left);
+    let until_ms = until.as_millis().min(i64::MAX as u128) as i64;
+    KeptContent::new(held.content.0 as i64, until_ms, times_of(held))
+}
+
+fn kept_held(kept: &KeptContent, store_now: Duration) -> Held {
+    let until = Duration::from_millis(kept.until_ms.max(0) as u64);
+    Held {
+        content: Fingerprint(kept.content as u64),
+        left: until.saturating_sub(store_now),
+        times: kept.times.max(1) as u32,
+    }
+}
+
+fn summary_of(held: &Held) -> (Fingerprint, (u32, bool)) {
+    (held.content, (held.times, !held.left.is_zero()))
+}
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -5,9 +5,11 @@
 //! What is spoken on the wire comes from a [`ports::Dialect`], a [`ports::Store`] and
 //! [`ports::Orders`]; nothing here knows their names.
 
+mod admission;
 mod alone;
 mod answer;
 mod attempt;
+mod attempts;
 mod body;
 mod caller;
 mod clock;
--- a/components/routing/tests/restarts.rs
+++ b/components/routing/tests/restarts.rs
@@ -1,8 +1,10 @@
 //! An endpoint that starts again under its id is another process: it runs, keeps and owes nothing of the one before.
 
+mod common;
+
 use std::time::Duration;
 
-use directory::{Configuration, Endpoint, EndpointState, Engine, Service};
+use directory::{Endpoint, EndpointState};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use routing::placement::{
@@ -29,20 +31,7 @@
 
 fn board() -> Board {
     let mut board = Board::new("z");
-    let engine = Engine {
-        slots: 16,
-        cache_tokens: 100_000,
-        tokens_per_event: 1,
-    };
-    let service = Service {
-        max_connections: 10,
-        engine: Some(engine),
-        scaling: None,
-    };
-    board.configure(&Configuration {
-        services: [("s".to_string(), service)].into(),
-        ..Configuration::default()
-    });
+    common::configure(&mut board, 16);
     board.insert(NOW, endpoint("a", Some(1)));
     board
 }
