--- a/components/gateway/src/contents.rs
+++ b/components/gateway/src/contents.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use errors::Kind;
-use quarantine::{Fingerprint, Held, Word};
+use quarantine::{Fingerprint, Held, Observation};
 use slog::{info, warn};
 use telemetry::Counter;
 
@@ -35,14 +35,14 @@
         state.quarantine.may_repeat(now, job.content)
     }
 
-    /// An endpoint ended while it ran a job.
+    /// An endpoint ended while it ran a content.
     pub fn note_end(&self, content: Fingerprint, incarnation: u64) {
-        let word = Word::Ended {
+        let observation = Observation::Ended {
             content,
             endpoint: incarnation,
         };
-        if self.take_word(word) {
-            self.state.borrow_mut().tally.words.push(word);
+        if self.take_observation(observation) {
+            self.state.borrow_mut().tally.observations.push(observation);
             // The next gateway that is asked for the same has to know.
             self.send_tally();
         }
@@ -50,23 +50,23 @@
 
     /// A job ran to its end.
     pub fn note_whole(&self, job: &Job) {
-        let word = Word::Whole(job.content);
-        if self.take_word(word) {
-            self.state.borrow_mut().tally.words.push(word);
+        let observation = Observation::Whole(job.content);
+        if self.take_observation(observation) {
+            self.state.borrow_mut().tally.observations.push(observation);
         }
     }
 
     /// Takes what other gateways saw.
-    pub fn take_words(&self, words: &[Word]) {
-        for word in words {
-            self.take_word(*word);
+    pub fn take_observations(&self, observations: &[Observation]) {
+        for observation in observations {
+            self.take_observation(*observation);
         }
     }
 
-    fn take_word(&self, word: Word) -> bool {
+    fn take_observation(&self, observation: Observation) -> bool {
         let now = self.clock.now();
-        let (Word::Ended { content, .. } | Word::Whole(content)) = word;
-        self.change(now, content, |quarantine| quarantine.take(now, word))
+        let (Observation::Ended { content, .. } | Observation::Whole(content)) = observation;
+        self.change(now, content, |quarantine| quarantine.take(now, observation))
     }
 
     /// Takes what others hold back.
--- a/components/gateway/src/control/exchange.rs
+++ b/components/gateway/src/control/exchange.rs
@@ -194,7 +194,7 @@
         for reported in &tally.reported {
             known.rollouts.note(reported);
         }
-        self.take_own_words(&mut known, tally.words);
+        self.take_own_observations(&mut known, tally.observations);
         known.unsent.extend(tally.sent);
         known.taken = tally.taken;
         known.loads = tally.loads;
--- a/components/gateway/src/control/known.rs
+++ b/components/gateway/src/control/known.rs
@@ -18,7 +18,7 @@
 use crate::control::follow::Followed;
 use crate::control::lease::OrdersUnderWay;
 use crate::control::messages::SendState;
-use crate::control::quarantine::Words;
+use crate::control::quarantine::ObservationQueue;
 use crate::control::rollouts::Rollouts;
 use crate::control::scaling::Demand;
 use crate::control::{Echoes, PASSED_ON};
@@ -71,7 +71,7 @@
     pub endpoints_needed_at: Option<Duration>,
     pub rollouts: Rollouts,
     pub quarantine: Quarantine,
-    pub words: Words,
+    pub observations: ObservationQueue,
 }
 
 impl Known {
@@ -109,7 +109,7 @@
             endpoints_needed_at: None,
             rollouts: Rollouts::default(),
             quarantine: Quarantine::default(),
-            words: Words::default(),
+            observations: ObservationQueue::default(),
         }
     }
 
--- a/components/gateway/src/control/messages.rs
+++ b/components/gateway/src/control/messages.rs
@@ -88,10 +88,10 @@
         let mut known = self.known.borrow_mut();
         // Whoever stops says so, and what it counted last, as often as it can.
         let changed = changed || self.freshness.is_stopping();
-        let has_words = known.words.take_new();
+        let has_observations = known.observations.take_new();
         match known.speaks_for_others(now) {
-            true => known.due_of_coordinator(now, changed, long_prompt || has_words),
-            false => known.due_of_member(now, changed || has_words),
+            true => known.due_of_coordinator(now, changed, long_prompt || has_observations),
+            false => known.due_of_member(now, changed || has_observations),
         }
     }
 
@@ -153,7 +153,7 @@
                 _ => None,
             },
             contents: match content.has_requests() {
-                true => boxed(known.words.next()),
+                true => boxed(known.observations.next()),
                 false => None,
             },
             held: match has_state {
--- a/components/gateway/src/control/quarantine.rs
+++ b/components/gateway/src/control/quarantine.rs
@@ -1,11 +1,11 @@
-//! Word of contents that end their endpoints: heard and passed on.
+//! Observations of contents that end their endpoints: heard and passed on.
 //!
 //! Gateways that coordinate tell each other each end; all others hear what is held back.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use quarantine::{Fingerprint, Held, Word};
+use quarantine::{Fingerprint, Held, Observation};
 use schema::messages::{ContentReport, Gossip, HeldContent};
 use slog::warn;
 
@@ -13,30 +13,30 @@
 use crate::ports::{Orders, Store};
 use crate::update::Update;
 
-/// Messages in which each word is sent, so that a lost one is made good.
+/// Messages in which each observation is sent, so that a lost one is made good.
 const SENDS: u8 = 3;
-/// Words in one message, so that it fits into one datagram: some 20 bytes each.
-const MOST_WORDS: usize = 60;
-/// Words that wait to be sent; those that were sent before give way. 100 endpoints that end at once leave some 2,000.
+/// Observations in one message, so that it fits into one datagram: some 20 bytes each.
+const MOST_OBSERVATIONS: usize = 60;
+/// Observations that wait to be sent; those that were sent before give way. 100 endpoints that end at once leave some 2,000.
 const MOST_WAITING: usize = 2048;
 /// Contents held back that one message names: some 30 bytes each.
 const MOST_HELD: usize = 16;
 
-/// Words on their way to the other gateways.
+/// Observations on their way to the other gateways.
 #[derive(Debug, Default)]
-pub(crate) struct Words {
-    waiting: VecDeque<(Word, u8)>,
+pub(crate) struct ObservationQueue {
+    waiting: VecDeque<(Observation, u8)>,
     has_new: bool,
 }
 
-impl Words {
-    /// Adds a word that is to be sent.
-    pub fn add(&mut self, word: Word) {
+impl ObservationQueue {
+    /// Adds an observation that is to be sent.
+    pub fn add(&mut self, observation: Observation) {
         if self.waiting.len() >= MOST_WAITING {
             self.waiting.pop_back();
         }
         // New ones go first: behind thousands of old ones they would come after the time within which all are to know.
-        self.waiting.push_front((word, SENDS));
+        self.waiting.push_front((observation, SENDS));
         self.has_new = true;
     }
 
@@ -45,27 +45,29 @@
         std::mem::take(&mut self.has_new)
     }
 
-    /// The words of the next message.
+    /// The observations of the next message.
     pub fn next(&mut self) -> Option<Vec<ContentReport>> {
-        let count = self.waiting.len().min(MOST_WORDS);
+        let count = self.waiting.len().min(MOST_OBSERVATIONS);
         let sent: Vec<_> = self.waiting.drain(..count).collect();
         let again = sent.iter().filter(|(_, left)| *left > 1);
         self.waiting
-            .extend(again.map(|(word, left)| (*word, left - 1)));
-        let reports = sent.iter().map(|(word, _)| report_of(*word));
+            .extend(again.map(|(observation, left)| (*observation, left - 1)));
+        let reports = sent
+            .iter()
+            .map(|(observation, _)| reported_observation(*observation));
         (count > 0).then(|| reports.collect())
     }
 }
 
 impl<S: Store + 'static, O: Orders + 'static> Shared<S, O> {
     /// Takes what the traffic thread saw.
-    pub fn take_own_words(&self, known: &mut Known, words: Vec<Word>) {
+    pub fn take_own_observations(&self, known: &mut Known, observations: Vec<Observation>) {
         let now = self.clock.now();
-        for word in words {
-            if known.take_word(now, word).changes_hold {
+        for observation in observations {
+            if known.take_observation(now, observation).changes_hold {
                 self.urgent.notify_one();
             }
-            known.words.add(word);
+            known.observations.add(observation);
         }
     }
 
@@ -77,13 +79,14 @@
         let passes_on = gossip.coordinates == Some(false);
         let mut news = Vec::new();
         let mut is_urgent = false;
-        for word in gossip.contents.iter().flatten().map(|r| word_of(r)) {
-            let taken = known.take_word(now, word);
+        for reported in gossip.contents.iter().flatten() {
+            let observation = received_observation(reported);
+            let taken = known.take_observation(now, observation);
             is_urgent |= taken.changes_hold;
             if taken.is_news {
-                news.push(word);
+                news.push(observation);
                 if passes_on {
-                    known.words.add(word);
+                    known.observations.add(observation);
                 }
             }
         }
@@ -98,9 +101,9 @@
         self.tell_traffic(news, changed);
     }
 
-    pub(super) fn tell_traffic(&self, words: Vec<Word>, held: Vec<Held>) {
+    pub(super) fn tell_traffic(&self, observations: Vec<Observation>, held: Vec<Held>) {
         let updates = [
-            (!words.is_empty()).then_some(Update::Words(words)),
+            (!observations.is_empty()).then_some(Update::Observations(observations)),
             (!held.is_empty()).then_some(Update::Held(held)),
         ];
         for update in updates.into_iter().flatten() {
@@ -111,7 +114,7 @@
     }
 }
 
-// What a word changed.
+// What an observation changed.
 struct Taken {
     is_news: bool,
     // Whether its content is held back since then, or let go.
@@ -119,10 +122,10 @@
 }
 
 impl Known {
-    fn take_word(&mut self, now: Duration, word: Word) -> Taken {
-        let (Word::Ended { content, .. } | Word::Whole(content)) = word;
+    fn take_observation(&mut self, now: Duration, observation: Observation) -> Taken {
+        let (Observation::Ended { content, .. } | Observation::Whole(content)) = observation;
         let was_held = self.quarantine.held_for(now, content).is_some();
-        let is_news = self.quarantine.take(now, word);
+        let is_news = self.quarantine.take(now, observation);
         let is_held = self.quarantine.held_for(now, content).is_some();
         Taken {
             is_news,
@@ -139,23 +142,23 @@
     }
 }
 
-fn report_of(word: Word) -> ContentReport {
-    match word {
-        Word::Ended { content, endpoint } => {
+fn reported_observation(observation: Observation) -> ContentReport {
+    match observation {
+        Observation::Ended { content, endpoint } => {
             ContentReport::new(content.0 as i64, Some(endpoint as i64))
         }
-        Word::Whole(content) => ContentReport::new(content.0 as i64, None),
+        Observation::Whole(content) => ContentReport::new(content.0 as i64, None),
     }
 }
 
-fn word_of(reported: &ContentReport) -> Word {
+fn received_observation(reported: &ContentReport) -> Observation {
     let content = Fingerprint(reported.content as u64);
     match reported.ended {
-        Some(endpoint) => Word::Ended {
+        Some(endpoint) => Observation::Ended {
             content,
             endpoint: endpoint as u64,
         },
-        None => Word::Whole(content),
+        None => Observation::Whole(content),
     }
 }
 
--- a/components/gateway/src/tally.rs
+++ b/components/gateway/src/tally.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use engine::Learnt;
-use quarantine::Word;
+use quarantine::Observation;
 use routing::placement::HallLoad;
 
 use crate::versions::Digest;
@@ -56,7 +56,7 @@
     /// Answers that speak of the versions in roll-outs that are under way.
     pub reported: Vec<Digest>,
     /// What was seen of contents whose endpoints ended.
-    pub words: Vec<Word>,
+    pub observations: Vec<Observation>,
 }
 
 impl Tally {
@@ -65,6 +65,6 @@
         self.sent.splice(0..0, earlier.sent);
         self.begun.splice(0..0, earlier.begun);
         self.reported.splice(0..0, earlier.reported);
-        self.words.splice(0..0, earlier.words);
+        self.observations.splice(0..0, earlier.observations);
     }
 }
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -136,9 +136,9 @@
             Update::WayMeasured { hall, round_trip } => {
                 state.board.ways_mut().measured(&hall, round_trip);
             }
-            Update::Words(words) => {
+            Update::Observations(observations) => {
                 drop(state);
-                self.take_words(&words);
+                self.take_observations(&observations);
             }
             Update::Held(held) => {
                 drop(state);
--- a/components/gateway/src/update.rs
+++ b/components/gateway/src/update.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use directory::{Configuration, Endpoint};
-use quarantine::{Held, Word};
+use quarantine::{Held, Observation};
 use rollout::{Order, Stage};
 use routing::placement::PeerDispatch;
 use schema::settings::GatewaySettings;
@@ -48,7 +48,7 @@
         round_trip: Duration,
     },
     /// Other gateways saw endpoints end under these contents, or run them to their end.
-    Words(Vec<Word>),
+    Observations(Vec<Observation>),
     /// Other gateways, or the store, hold these contents back or let them go.
     Held(Vec<Held>),
     /// The settings changed.
--- a/components/quarantine/src/quarantine.rs
+++ b/components/quarantine/src/quarantine.rs
@@ -32,7 +32,7 @@
 
 /// What one gateway saw of a content, as the others hear it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Word {
+pub enum Observation {
     /// An endpoint, by its hash, ended while it ran it.
     Ended {
         /// The content.
@@ -89,10 +89,10 @@
 
 impl Quarantine {
     /// Takes what this or another gateway saw. Returns whether it was news; what comes twice counts once.
-    pub fn take(&mut self, now: Duration, word: Word) -> bool {
-        match word {
-            Word::Ended { content, endpoint } => self.note_end(now, content, endpoint),
-            Word::Whole(content) => self.note_whole(now, content),
+    pub fn take(&mut self, now: Duration, observation: Observation) -> bool {
+        match observation {
+            Observation::Ended { content, endpoint } => self.note_end(now, content, endpoint),
+            Observation::Whole(content) => self.note_whole(now, content),
         }
     }
 
@@ -164,7 +164,7 @@
         let known = self.holds.get_mut(&heard.content);
         match known {
             Some(hold) if hold.times > heard.times => return false,
-            // The shorter time is the nearer one to when it was held back, or the word that it was let go.
+            // The shorter time is the nearer one to when it was held back, or says that it was let go.
             Some(hold) if hold.times == heard.times => hold.until = hold.until.min(until),
             _ => {
                 let hold = Hold {
--- a/components/quarantine/tests/promises.rs
+++ b/components/quarantine/tests/promises.rs
@@ -2,15 +2,15 @@
 
 use std::time::Duration;
 
-use quarantine::{Fingerprint, Held, Quarantine, Word};
+use quarantine::{Fingerprint, Held, Observation, Quarantine};
 use quickcheck::quickcheck;
 
 const DEADLY: Fingerprint = Fingerprint(7);
 const NOW: Duration = Duration::from_secs(100);
 const HOUR: Duration = Duration::from_secs(3600);
 
-fn ended(content: Fingerprint, endpoint: u64) -> Word {
-    Word::Ended { content, endpoint }
+fn ended(content: Fingerprint, endpoint: u64) -> Observation {
+    Observation::Ended { content, endpoint }
 }
 
 fn after_ends(endpoints: &[u64]) -> Quarantine {
@@ -46,8 +46,8 @@
 #[test]
 fn a_whole_run_clears_a_content_and_speaks_for_it_for_a_while() {
     let mut quarantine = after_ends(&[1, 2]);
-    assert!(quarantine.take(NOW, Word::Whole(DEADLY)));
-    assert!(!quarantine.take(NOW, Word::Whole(DEADLY)), "no news");
+    assert!(quarantine.take(NOW, Observation::Whole(DEADLY)));
+    assert!(!quarantine.take(NOW, Observation::Whole(DEADLY)), "no news");
     for endpoint in 3..10 {
         quarantine.take(NOW, ended(DEADLY, endpoint));
     }
@@ -63,7 +63,7 @@
 fn a_content_that_was_under_way_elsewhere_and_ran_whole_is_let_go_everywhere() {
     let mut here = after_ends(&[1, 2, 3]);
     let mut there = after_ends(&[1, 2, 3]);
-    assert!(here.take(NOW, Word::Whole(DEADLY)));
+    assert!(here.take(NOW, Observation::Whole(DEADLY)));
     assert!(!is_held(&here, NOW));
     for held in here.reported(NOW, 0, 8) {
         there.take_held(NOW, held);
