--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -104,6 +104,8 @@
     pub urgent: Notify,
     /// An endpoint does not take work any more.
     pub endpoint_lost: Notify,
+    /// The store answers a gateway that it didn't answer before.
+    pub store_answers: Notify,
     pub started_wall: Duration,
     pub known: RefCell<Known>,
     pub store: S,
@@ -154,6 +156,7 @@
             decisions_port: parts.decisions_port,
             urgent: Notify::new(),
             endpoint_lost: Notify::new(),
+            store_answers: Notify::new(),
             started_wall: parts.clock.wall(),
             known: RefCell::new(self.known),
             store: store(),
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -190,6 +190,7 @@
         };
         if was_missing {
             info!(self.log, "store answers again"; "topic" => ?topic);
+            self.store_answers.notify_waiters();
         }
         let changes = rows.rows.into_iter().map(change_of).collect();
         let changed = self.take_changes(topic, changes, rows.revision, rows.stamp, whole);
--- a/components/gateway/src/control/kept.rs
+++ b/components/gateway/src/control/kept.rs
@@ -37,9 +37,7 @@
 impl<S: Store + 'static, O: Orders + 'static> Shared<S, O> {
     /// Keeps the row until the process ends, while this gateway is among the first that reach the store.
     pub async fn keep_quarantine(self: Rc<Self>) {
-        // Whoever starts may be asked for what is held back before it hears of it from another: after a start of all, two
-        // to four more endpoints ended within 0.3 s (three runs of the soak).
-        let mut row = self.read_kept().await;
+        let mut row = Some(self.read_first().await);
         loop {
             tokio::time::sleep(LOOK).await;
             let now = self.clock.now();
@@ -52,6 +50,22 @@
                 Some(row) if !self.is_stale(&row, now) => self.write_kept(row).await,
                 _ => self.read_kept().await,
             };
+            if is_first && row.is_none() {
+                tokio::time::sleep(FAILED_PAUSE).await;
+            }
+        }
+    }
+
+    // Whoever starts may be asked for what is held back before it hears of it from another: after a start of all, two to
+    // five more endpoints ended until the row was read late (five runs of the soak). Where the store doesn't answer yet,
+    // the row comes when the configuration does.
+    async fn read_first(&self) -> KeptRow {
+        loop {
+            let answers = self.store_answers.notified();
+            if let Some(row) = self.read_kept().await {
+                return row;
+            }
+            let _ = tokio::time::timeout(FAILED_PAUSE, answers).await;
         }
     }
 
@@ -81,7 +95,6 @@
             Err(error) => {
                 info!(self.log, "quarantine not read"; "cause" => %error,
                     "ms" => self.clock.now().saturating_sub(sent).as_millis() as u64);
-                tokio::time::sleep(FAILED_PAUSE).await;
                 None
             }
         }
@@ -153,10 +166,7 @@
                 ..row
             }),
             Err(StoreError::Conflict(row)) => Some(self.take_row(row, store_now)),
-            Err(_) => {
-                tokio::time::sleep(FAILED_PAUSE).await;
-                None
-            }
+            Err(_) => None,
         }
     }
 }
--- a/components/gateway/tests/deadly.rs
+++ b/components/gateway/tests/deadly.rs
@@ -182,6 +182,31 @@
     wait_until("it to read again", || gateway.holds());
 }
 
+#[test]
+fn a_gateway_that_starts_while_the_store_is_away_reads_what_is_held_back_with_its_first_answers() {
+    let endpoints = start_endpoints();
+    let held = kept_row(&store(&endpoints));
+    let before = ended(&endpoints);
+    // Those that it hears know of nothing, and two of them keep the row.
+    let others = several(4, &store(&endpoints));
+    let away = store(&endpoints);
+    away.put_row(Topic::Quarantine, "held", held);
+    away.refuse(true);
+    let lines = Lines::default();
+    let settings = GatewaySettings {
+        name: "late".into(),
+        seeds: vec![others[0].setup.gateway.peer_address().to_string()],
+        ..settings()
+    };
+    let setup = Setup::start_with_log(settings, away.clone(), lines.logger());
+    wait_until("a look in vain", || lines.count("quarantine not read") > 0);
+    away.refuse(false);
+    wait_until("it to read", || lines.count(HELD) > 0);
+    wait_until("readiness", || setup.is_ready());
+    assert_eq!(setup.call(DEADLY, &[]).status, 503);
+    assert_eq!(ended(&endpoints), before);
+}
+
 #[test]
 fn a_row_that_cannot_be_read_is_passed_over_and_written_anew() {
     let endpoints = start_endpoints();
