--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -104,7 +104,7 @@
     pub urgent: Notify,
     /// An endpoint does not take work any more.
     pub endpoint_lost: Notify,
-    /// The store answers a gateway that it didn't answer before.
+    /// The store answered with rows.
     pub store_answers: Notify,
     pub started_wall: Duration,
     pub known: RefCell<Known>,
--- a/components/gateway/src/control/exchange.rs
+++ b/components/gateway/src/control/exchange.rs
@@ -92,6 +92,7 @@
                 }
             }
         };
+        self.store_answers.notify_waiters();
         let now = self.clock.now();
         let rows = list.rows.rows.iter();
         let listed = rows.filter_map(|row| gossip::listed_of(&row.key, row.value.as_deref()?));
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -188,9 +188,9 @@
             followed.follower.store_answered(rows.revision);
             (made, std::mem::take(&mut followed.reported_missing))
         };
+        self.store_answers.notify_waiters();
         if was_missing {
             info!(self.log, "store answers again"; "topic" => ?topic);
-            self.store_answers.notify_waiters();
         }
         let changes = rows.rows.into_iter().map(change_of).collect();
         let changed = self.take_changes(topic, changes, rows.revision, rows.stamp, whole);
