Read and log what endpoints say of themselves in answers: that they leave, or ask for a pause

Cause looked for: whether requests reached endpoints that leave, or asked for rest, because nobody read the words or because something decided earlier sent all the same. Nothing logged told the two apart, nor that an endpoint turned a request away. Change: the platform's heads decode both words into the answer's head (not from a 421, which another process gives), and the gateway logs and counts them. Nothing acts on them.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -195,6 +195,7 @@
         let (head, body) = answer.into_parts();
         let read = self.dialect.read_answer(head.status, &head.headers);
         self.take_load(&placement.endpoint, &read);
+        self.hear(job, placement, head.status, &read);
         if read.id.as_deref() != Some(job.head.id.as_str()) {
             run.judge(Verdict::Faulty);
             return Attempted::Lost("the endpoint answered another request");
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod ports;
 mod room;
 mod run;
+mod said;
 mod server;
 mod state;
 mod stream;
--- a/components/gateway/src/ports.rs
+++ b/components/gateway/src/ports.rs
@@ -67,6 +67,10 @@
     pub load: Option<EndpointLoad>,
     /// How long the endpoint keeps the connection when it rests.
     pub keep_alive: Option<Duration>,
+    /// Whether the endpoint says that it leaves.
+    pub leaving: bool,
+    /// Time for which the endpoint, turning a request away, asks this gateway for a pause.
+    pub pause: Option<Result<Duration, HeadFault>>,
 }
 
 /// Load that an endpoint reports.
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -92,6 +92,8 @@
                 queued: 0,
             }),
             keep_alive: None,
+            leaving: fields.contains_key("x-leaving"),
+            pause: number(fields, "x-pause-ms").map(|ms| Ok(Duration::from_millis(ms))),
         }
     }
 }
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -109,6 +109,10 @@
         Suspensions => "vm.suspended",
         /// Endpoints that started again under their id.
         Restarts => "endpoint.started_again",
+        /// Answers in which an endpoint said that it leaves.
+        LeavingSaid => "endpoint.leaving_said",
+        /// Answers in which an endpoint asked for a pause.
+        PauseAsked => "endpoint.pause_asked",
         /// Contents held back since the endpoints that ran them ended.
         Quarantined => "quarantine.held",
         /// Requests refused since their content is held back.
