--- a/components/gateway/tests/common/endpoint.rs
+++ b/components/gateway/tests/common/endpoint.rs
@@ -4,6 +4,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
+use std::time::Duration;
 
 /// One request as it arrived, and the connection to answer on.
 pub struct Exchange {
@@ -41,11 +42,28 @@
         ));
     }
 
+    /// Answers well, and says that the endpoint leaves.
+    pub fn answer_leaving(&mut self) {
+        let id = self.field("x-id").unwrap_or_default();
+        self.write(&format!(
+            "HTTP/1.1 200 X\r\nx-id: {id}\r\nx-signature: s\r\nx-leaving: 1\r\ncontent-length: 1\r\n\r\nx"
+        ));
+    }
+
     /// Says that the request was not run.
     pub fn decline(&mut self) {
+        self.decline_with("");
+    }
+
+    /// The same, and asks for a pause.
+    pub fn decline_for(&mut self, pause: Duration) {
+        self.decline_with(&format!("x-pause-ms: {}\r\n", pause.as_millis()));
+    }
+
+    fn decline_with(&mut self, line: &str) {
         let id = self.field("x-id").unwrap_or_default();
         self.write(&format!(
-            "HTTP/1.1 503 X\r\nx-id: {id}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
+            "HTTP/1.1 503 X\r\nx-id: {id}\r\nx-not-run: 1\r\n{line}content-length: 0\r\n\r\n"
         ));
     }
 
