Let the soak's endpoints leave untold and ask for pauses, and judge what gateways send them since

Cause it guards against: an endpoint's word in an answer that changes nothing for the next request. Ruled out: that the checks find nothing.

--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -5,6 +5,7 @@
 mod duties;
 mod limits;
 mod requests;
+mod said;
 mod stops;
 mod times;
 mod view;
@@ -58,6 +59,8 @@
         requests::refused,
         requests::streams,
         times::leaving,
+        said::leaving,
+        said::pauses,
         times::in_force,
         times::never_back,
         times::keys,
--- /dev/null
+++ b/soak/src/checks/said.rs
@@ -0,0 +1,97 @@
+//! What endpoints said in answers binds the gateway that heard it, in touch or not.
+
+use super::view::{place_of, Request, View, CONTACT, NOTE_SLACK};
+use super::Verdicts;
+use crate::history::{Place, Seen};
+
+/// Nothing that is sent so long after a gateway passed on an answer whose endpoint leaves reaches that, in ms (`drainMs`).
+const LEAVES_AFTER: u64 = 2_000;
+/// Requests may cross the word of an endpoint that asks for a pause for so long, in ms.
+const PAUSE_FROM: u64 = 500;
+/// Requests that may reach it within the pause after that.
+const MOST_IN_PAUSE: usize = 2;
+
+/// A gateway sends nothing to an endpoint that told it that it leaves.
+pub(super) fn leaving(view: &View<'_>, verdicts: &mut Verdicts) {
+    for record in view.records {
+        let Seen::SaidLeaving { id, endpoint } = &record.seen else {
+            continue;
+        };
+        let Some(teller) = view.requests.get(id.as_str()) else {
+            continue;
+        };
+        // An answer that was not passed on to its caller binds nobody.
+        let Some(passed_on) = passed_on(teller) else {
+            continue;
+        };
+        let due = passed_on + LEAVES_AFTER;
+        for request in told(view, teller, passed_on) {
+            if request.sent <= due {
+                continue;
+            }
+            let reached = request.arrived.iter().any(|(_, at)| at == endpoint);
+            verdicts.judge("leaving, as told", !reached, request.sent, || {
+                let (id, gateway) = (request.id, request.gateway);
+                format!("{id} through g{gateway}: reached {endpoint}, which told it of {passed_on} ms that it leaves")
+            });
+        }
+    }
+}
+
+/// A gateway gives an endpoint the pause that it asked for.
+pub(super) fn pauses(view: &View<'_>, verdicts: &mut Verdicts) {
+    for record in view.records {
+        let Seen::AskedPause { id, endpoint, ms } = &record.seen else {
+            continue;
+        };
+        let Some(teller) = view.requests.get(id.as_str()) else {
+            continue;
+        };
+        let (from, to) = (record.at + PAUSE_FROM, record.at + ms);
+        // Its word, or what crossed it, may lie on a way that is bad.
+        let is_held = |place| !view.is_sound(place, record.at.saturating_sub(CONTACT), to);
+        if place_of(endpoint).is_some_and(is_held) {
+            continue;
+        }
+        let mut reached: Vec<(u64, &str)> = Vec::new();
+        for request in told(view, teller, record.at) {
+            let at_it = request.arrived.iter().filter(|(_, at)| at == endpoint);
+            let within = at_it.filter(|(at, _)| (from..=to).contains(at));
+            reached.extend(within.map(|(at, _)| (*at, request.id)));
+        }
+        let is_good = reached.len() <= MOST_IN_PAUSE;
+        verdicts.judge("pauses", is_good, record.at, || {
+            let gateway = teller.gateway;
+            format!("g{gateway} was asked by {endpoint} for {ms} ms and sent {reached:?}")
+        });
+    }
+}
+
+// When the gateway had passed an answer on; the client writes it down when it has read it.
+fn passed_on(teller: &Request<'_>) -> Option<u64> {
+    match teller.outcome {
+        Some((at, Seen::Answered { signed: true, .. })) => Some(at),
+        _ => None,
+    }
+}
+
+// Requests through the same life of the gateway that was told, as long as it was not paused since.
+fn told<'a, 'v>(
+    view: &'a View<'v>,
+    teller: &'a Request<'v>,
+    at: u64,
+) -> impl Iterator<Item = &'a Request<'v>> {
+    let of_life = view
+        .requests
+        .values()
+        .filter(|request| request.gateway == teller.gateway && request.life == teller.life);
+    of_life.filter(move |request| {
+        let last = request.arrived.iter().map(|(at, _)| *at).max();
+        let last = last.unwrap_or(request.sent).max(at);
+        view.is_sound(
+            Place::Gateway(teller.gateway),
+            at.saturating_sub(NOTE_SLACK),
+            last,
+        )
+    })
+}
--- a/soak/src/checks/view.rs
+++ b/soak/src/checks/view.rs
@@ -24,8 +24,8 @@
     /// Starts of its gateway before it was sent.
     pub life: usize,
     pub outcome: Option<(u64, &'a Seen)>,
-    /// Times that it arrived at endpoints, also where it was turned away.
-    pub arrived: usize,
+    /// When it arrived at endpoints, also where it was turned away, and where.
+    pub arrived: Vec<(u64, &'a str)>,
     /// When it began at endpoints, and where.
     pub begun: Vec<(u64, &'a str)>,
     /// An endpoint ended it badly on purpose.
@@ -147,7 +147,7 @@
                     sent: at,
                     life: lives.get(gateway).copied().unwrap_or(0),
                     outcome: None,
-                    arrived: 0,
+                    arrived: Vec::new(),
                     begun: Vec::new(),
                     broke_off: false,
                 };
@@ -158,9 +158,9 @@
                     request.outcome = Some((at, &record.seen));
                 }
             }
-            Seen::TurnedAway { id } => self.arrive(id, at),
+            Seen::TurnedAway { id, endpoint } => self.arrive(id, endpoint, at),
             Seen::Began { id, endpoint, .. } => {
-                self.arrive(id, at);
+                self.arrive(id, endpoint, at);
                 if let Some(request) = self.requests.get_mut(id.as_str()) {
                     request.begun.push((at, endpoint));
                 }
@@ -189,12 +189,12 @@
         }
     }
 
-    fn arrive(&mut self, id: &str, at: u64) {
+    fn arrive(&mut self, id: &str, endpoint: &'a str, at: u64) {
         let Some(request) = self.requests.get_mut(id) else {
             return;
         };
-        request.arrived += 1;
-        if request.arrived > 1 {
+        request.arrived.push((at, endpoint));
+        if request.arrived.len() > 1 {
             let service = request.service();
             self.repeats.entry(service).or_default().push(at);
         }
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -96,7 +96,15 @@
         key_shown: bool,
     },
     /// An endpoint turns a request away without running it.
-    TurnedAway { id: String },
+    TurnedAway { id: String, endpoint: String },
+    /// An endpoint is about to say in its answer to a request that it leaves.
+    SaidLeaving { id: String, endpoint: String },
+    /// An endpoint is about to turn a request away and to ask its gateway for a pause of some ms.
+    AskedPause {
+        id: String,
+        endpoint: String,
+        ms: u64,
+    },
     /// An endpoint ends a request badly on purpose.
     BrokeOff { id: String },
     /// The store took the word that an endpoint leaves.
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -26,6 +26,10 @@
 const STOPS_IN_CALM: [u64; 3] = [6_300, 6_450, 6_600];
 /// Makes the draw of these stops another than that of the faults, so that a seed keeps its faults.
 const STOPS_SALT: u64 = 0x5707;
+/// The same for what endpoints say of themselves.
+const SAID_SALT: u64 = 0x5a1d;
+/// Time, in ms, for which an endpoint asks for a pause: past the half second within which requests may cross its word.
+const PAUSES: std::ops::Range<u64> = 1_500..5_000;
 
 /// One act from outside.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
@@ -54,6 +58,10 @@
     Configure,
     /// An endpoint says that it leaves, and is replaced.
     Leave { endpoint: usize },
+    /// An endpoint leaves and says so in its answers only, and is replaced.
+    LeaveUntold { endpoint: usize },
+    /// For some ms an endpoint turns all away and asks for a pause until then.
+    AskPause { endpoint: usize, ms: u64 },
     /// An endpoint ends without a word, and is replaced.
     Crash { endpoint: usize },
     /// All gateways are killed and started again.
@@ -131,11 +139,17 @@
             gateways,
             endpoints,
         };
+        let mut said = Draw {
+            rng: ChaCha8Rng::seed_from_u64(seed ^ SAID_SALT),
+            gateways,
+            endpoints,
+        };
         let mut steps = Vec::new();
         let mut at = START;
         while at < last {
             draw.bout(at, last, &mut steps);
             stops.stops(at, last, &mut steps);
+            said.said(at, last, &mut steps);
             at += BOUT + CALM;
         }
         // A configuration just before: what the store took must be in force when all are back.
@@ -219,6 +233,22 @@
         }
     }
 
+    // Endpoints that leave untold or ask for a pause, amid the faults and in the calm after them.
+    fn said(&mut self, from: u64, last: u64, steps: &mut Vec<Step>) {
+        for part in [from..from + BOUT, from + BOUT..from + BOUT + CALM] {
+            let mut at = || self.rng.random_range(part.clone());
+            let (leave_at, pause_at) = (at(), at());
+            let endpoint = self.rng.random_range(0..self.endpoints);
+            let leave = Act::LeaveUntold { endpoint };
+            let endpoint = self.rng.random_range(0..self.endpoints);
+            let ms = self.rng.random_range(PAUSES);
+            let pause = Act::AskPause { endpoint, ms };
+            let acts = [(leave_at, leave), (pause_at, pause)].into_iter();
+            let acts = acts.filter(|(at, _)| *at < last);
+            steps.extend(acts.map(|(at, act)| Step { at, act }));
+        }
+    }
+
     fn fault(&mut self, longest: u64) -> Act {
         let gateway = self.rng.random_range(0..self.gateways);
         let endpoint = self.rng.random_range(0..self.endpoints);
--- a/soak/src/run/acts.rs
+++ b/soak/src/run/acts.rs
@@ -103,6 +103,12 @@
             }
             Act::Configure => self.configures += 1,
             Act::Leave { endpoint } => self.leave(*endpoint),
+            Act::LeaveUntold { endpoint } => self.leave_untold(*endpoint),
+            Act::AskPause { endpoint, ms } => {
+                if let Some((endpoint, _)) = &self.endpoints[*endpoint] {
+                    endpoint.ask_pause(*ms);
+                }
+            }
             Act::Crash { endpoint } => self.crash(*endpoint),
         }
         Ok(())
@@ -275,12 +281,21 @@
         let Some((endpoint, link)) = self.endpoints[index].take() else {
             return;
         };
+        endpoint.leave();
         self.record_endpoint(index, &endpoint, &link, "draining");
         let id = endpoint.id().to_string();
         self.history.note(Seen::Leaving { endpoint: id });
         self.after(SERVES_ON, Later::End(index, endpoint));
     }
 
+    fn leave_untold(&mut self, index: usize) {
+        let Some((endpoint, _)) = self.endpoints[index].take() else {
+            return;
+        };
+        endpoint.leave();
+        self.after(SERVES_ON, Later::End(index, endpoint));
+    }
+
     fn crash(&mut self, index: usize) {
         let Some((endpoint, link)) = self.endpoints[index].take() else {
             return;
--- a/soak/src/standins/endpoint.rs
+++ b/soak/src/standins/endpoint.rs
@@ -8,7 +8,9 @@
 use std::thread;
 use std::time::Duration;
 
-use platform::names::{ATTEMPT_ID, CREDENTIAL, EXPECTED_INSTANCE, NOT_EXECUTED, SIGNATURE, TENANT};
+use platform::names::{
+    ATTEMPT_ID, CREDENTIAL, EXPECTED_INSTANCE, NOT_EXECUTED, SERVER_LEAVING, SIGNATURE, TENANT,
+};
 
 use super::deadly::DEADLY;
 use super::{body_of, hash, listen};
@@ -40,6 +42,9 @@
     id: String,
     history: History,
     ended: AtomicBool,
+    leaving: AtomicBool,
+    // Time of the history until which it wants nothing, in ms.
+    paused_until: AtomicU64,
     running: Mutex<BTreeSet<String>>,
     open: Mutex<BTreeMap<u64, TcpStream>>,
     opened: AtomicU64,
@@ -82,6 +87,8 @@
             id: id.to_string(),
             history: history.clone(),
             ended: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
+            paused_until: AtomicU64::new(0),
             running: Mutex::default(),
             open: Mutex::default(),
             opened: AtomicU64::new(0),
@@ -105,6 +112,17 @@
         self.inner.end();
     }
 
+    /// From now on its answers say that it leaves.
+    pub fn leave(&self) {
+        self.inner.leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// For some ms it turns all away and asks for a pause until then.
+    pub fn ask_pause(&self, ms: u64) {
+        let until = self.inner.history.now() + ms;
+        self.inner.paused_until.store(until, Ordering::SeqCst);
+    }
+
     /// Whether it ended.
     pub fn has_ended(&self) -> bool {
         self.inner.ended.load(Ordering::SeqCst)
@@ -157,13 +175,19 @@
     fn take(&self, connection: &mut Connection, head: &Head, id: &str) -> Result<()> {
         let expected = head.field(EXPECTED_INSTANCE);
         if expected.is_some_and(|expected| expected != self.id) {
-            return not_run(connection, 421, id);
+            return not_run(connection, 421, id, "");
         }
+        let paused_until = self.paused_until.load(Ordering::SeqCst);
+        let pause = paused_until.saturating_sub(self.history.now());
         let course = course(id, &self.id);
         let is_full = lock(&self.running).len() >= SLOTS;
-        if is_full || course == Course::TurnsAway {
-            self.history.note(Seen::TurnedAway { id: id.to_string() });
-            return not_run(connection, 503, id);
+        if is_full || course == Course::TurnsAway || pause > 0 {
+            self.history.note(Seen::TurnedAway {
+                id: id.to_string(),
+                endpoint: self.id.clone(),
+            });
+            let said = self.say(id) + &self.say_pause(id, pause);
+            return not_run(connection, 503, id, &said);
         }
         if self.ended.load(Ordering::SeqCst) {
             return Err(std::io::ErrorKind::ConnectionReset.into());
@@ -185,6 +209,31 @@
         ran
     }
 
+    // Field of an answer that says that it leaves.
+    fn say(&self, id: &str) -> String {
+        if !self.leaving.load(Ordering::SeqCst) {
+            return String::new();
+        }
+        self.history.note(Seen::SaidLeaving {
+            id: id.to_string(),
+            endpoint: self.id.clone(),
+        });
+        format!("{SERVER_LEAVING}: 1\r\n")
+    }
+
+    // Field of an answer that asks for a pause of some ms.
+    fn say_pause(&self, id: &str, ms: u64) -> String {
+        if ms == 0 {
+            return String::new();
+        }
+        self.history.note(Seen::AskedPause {
+            id: id.to_string(),
+            endpoint: self.id.clone(),
+            ms,
+        });
+        format!("retry-after: {}.{:03}\r\n", ms / 1000, ms % 1000)
+    }
+
     fn run(
         &self,
         connection: &mut Connection,
@@ -202,15 +251,16 @@
                 thread::sleep(HANG);
                 Err(std::io::ErrorKind::TimedOut.into())
             }
-            Course::Fails => plain(connection, 500, id, b"failed"),
-            _ if is_stream(head) => stream(connection, head, id, course),
+            Course::Fails => plain(connection, 500, id, &self.say(id), b"failed"),
+            _ if is_stream(head) => stream(connection, head, id, &self.say(id), course),
             Course::BreaksOff => {
                 let length = body_of(id).len();
-                connection.send(answer_head(200, id, &length.to_string()).as_bytes())?;
+                let said = self.say(id);
+                connection.send(answer_head(200, id, &said, &length.to_string()).as_bytes())?;
                 connection.send(b"half")?;
                 Err(std::io::ErrorKind::ConnectionReset.into())
             }
-            _ => plain(connection, 200, id, &body_of(id)),
+            _ => plain(connection, 200, id, &self.say(id), &body_of(id)),
         }
     }
 }
@@ -219,32 +269,44 @@
     head.word(1).starts_with("/str/") || head.word(1).starts_with("/res/")
 }
 
-fn answer_head(status: u16, id: &str, length: &str) -> String {
+fn answer_head(status: u16, id: &str, said: &str, length: &str) -> String {
     format!(
-        "HTTP/1.1 {status} X\r\n{ATTEMPT_ID}: {id}\r\n\
+        "HTTP/1.1 {status} X\r\n{ATTEMPT_ID}: {id}\r\n{said}\
          {SIGNATURE}: s\r\ncontent-length: {length}\r\n\r\n"
     )
 }
 
-fn plain(connection: &mut Connection, status: u16, id: &str, body: &[u8]) -> Result<()> {
-    let head = answer_head(status, id, &body.len().to_string());
+fn plain(
+    connection: &mut Connection,
+    status: u16,
+    id: &str,
+    said: &str,
+    body: &[u8],
+) -> Result<()> {
+    let head = answer_head(status, id, said, &body.len().to_string());
     connection.send(&[head.as_bytes(), body].concat())
 }
 
-fn not_run(connection: &mut Connection, status: u16, id: &str) -> Result<()> {
+fn not_run(connection: &mut Connection, status: u16, id: &str, said: &str) -> Result<()> {
     let head = format!(
-        "HTTP/1.1 {status} X\r\n{ATTEMPT_ID}: {id}\r\n{NOT_EXECUTED}: 1\r\n\
+        "HTTP/1.1 {status} X\r\n{ATTEMPT_ID}: {id}\r\n{NOT_EXECUTED}: 1\r\n{said}\
          content-length: 0\r\n\r\n"
     );
     connection.send(head.as_bytes())
 }
 
-fn stream(connection: &mut Connection, head: &Head, id: &str, course: Course) -> Result<()> {
+fn stream(
+    connection: &mut Connection,
+    head: &Head,
+    id: &str,
+    said: &str,
+    course: Course,
+) -> Result<()> {
     let last = head.field("last-event-id");
     let from = last.and_then(|text| text.parse().ok()).unwrap_or(0) + 1;
     let total = events_of(id);
     let begin = format!(
-        "HTTP/1.1 200 X\r\n{ATTEMPT_ID}: {id}\r\n{SIGNATURE}: s\r\n\
+        "HTTP/1.1 200 X\r\n{ATTEMPT_ID}: {id}\r\n{said}{SIGNATURE}: s\r\n\
          content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
     );
     connection.send(begin.as_bytes())?;
--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -377,7 +377,13 @@
         let id = format!("a{number}");
         let at = 5_000 + number * 10;
         told = told.sent(at, &id, Kind::Repeatable, "/rep/", "steady");
-        told = told.at(at + 1, Seen::TurnedAway { id: id.clone() });
+        told = told.at(
+            at + 1,
+            Seen::TurnedAway {
+                id: id.clone(),
+                endpoint: "e0-1".into(),
+            },
+        );
         told = told.began(at + 2, &id, "/rep/");
     }
     let findings = told.findings();
@@ -424,3 +430,66 @@
         ["held back", "held back", "held back"]
     );
 }
+
+// A gateway is told by an endpoint's answer to `a`, and sends `b` at a later time.
+fn told_leaving(sent: u64) -> Told {
+    let said = Seen::SaidLeaving {
+        id: "a".into(),
+        endpoint: "e0-1".into(),
+    };
+    Told::begin()
+        .once(5_000, "a")
+        .began(5_001, "a", "/once/")
+        .at(5_005, said)
+        .answered(5_010, "a", 200)
+        .once(sent, "b")
+        .began(sent + 5, "b", "/once/")
+        .answered(sent + 10, "b", 200)
+}
+
+#[test]
+fn work_sent_after_the_bound_to_an_endpoint_that_told_of_leaving_is_found() {
+    assert_eq!(told_leaving(7_020).findings(), ["leaving, as told"]);
+    assert_eq!(told_leaving(7_000).findings(), Vec::<&str>::new());
+}
+
+#[test]
+fn a_restart_excuses_work_for_an_endpoint_that_told_of_leaving() {
+    let mut told = told_leaving(9_000);
+    let started = Record {
+        at: 6_000,
+        seen: Seen::Started { gateway: 0 },
+    };
+    told.records.insert(6, started);
+    assert_eq!(told.findings(), Vec::<&str>::new());
+}
+
+// An endpoint asks for 3 s; so many requests reach it after that.
+fn asked_pause(requests: u64) -> Told {
+    let turned = |id: &str| Seen::TurnedAway {
+        id: id.into(),
+        endpoint: "e0-1".into(),
+    };
+    let asked = Seen::AskedPause {
+        id: "a".into(),
+        endpoint: "e0-1".into(),
+        ms: 3_000,
+    };
+    let mut told = Told::begin()
+        .once(5_000, "a")
+        .at(5_001, turned("a"))
+        .at(5_002, asked)
+        .answered(5_010, "a", 503);
+    for number in 0..requests {
+        let (id, at) = (format!("b{number}"), 6_000 + number * 100);
+        told = told.once(at, &id).at(at + 1, turned(&id));
+        told = told.answered(at + 5, &id, 503);
+    }
+    told
+}
+
+#[test]
+fn a_third_request_within_a_pause_that_was_asked_for_is_found() {
+    assert_eq!(asked_pause(2).findings(), Vec::<&str>::new());
+    assert_eq!(asked_pause(3).findings(), ["pauses"]);
+}
--- a/soak/tests/plan.rs
+++ b/soak/tests/plan.rs
@@ -30,5 +30,5 @@
             }
         }
     }
-    assert_eq!(kinds.len(), 14, "{kinds:?}");
+    assert_eq!(kinds.len(), 16, "{kinds:?}");
 }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -26,6 +26,8 @@
         "streams",
         "in force",
         "leaving",
+        "leaving, as told",
+        "pauses",
         "held back",
     ] {
         assert!(report.verdicts.judged.contains_key(check), "{report}");
