--- a/components/gateway/src/ports.rs
+++ b/components/gateway/src/ports.rs
@@ -63,7 +63,7 @@
     pub not_run: bool,
     /// Whether its body is not what the endpoint made.
     pub altered: bool,
-    /// Load of the endpoint.
+    /// Load of the endpoint that is meant.
     pub load: Option<EndpointLoad>,
     /// How long the endpoint keeps the connection when it rests.
     pub keep_alive: Option<Duration>,
--- a/components/gateway/src/said.rs
+++ b/components/gateway/src/said.rs
@@ -115,6 +115,6 @@
             at: self.clock.now(),
         };
         let mut state = self.state.borrow_mut();
-        state.board.read_load(&placement.endpoint, reading);
+        state.board.read_load(placement, reading);
     }
 }
--- a/components/gateway/tests/said.rs
+++ b/components/gateway/tests/said.rs
@@ -10,7 +10,7 @@
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use common::{
     configuration, endpoint, route, settings, wait_until, EndpointStandin, Lines, Setup,
@@ -24,6 +24,8 @@
 const REQUESTS: usize = 30;
 /// Longer than any test runs.
 const PAUSE: Duration = Duration::from_secs(600);
+/// A connection that may be used again is kept for so long.
+const RESTS_FOR: Duration = Duration::from_secs(8);
 
 fn steady() -> EndpointStandin {
     EndpointStandin::start(|_, exchange| exchange.answer(200, "steady"))
@@ -189,7 +191,9 @@
     let steady = steady();
     let setup = start(&store(Execution::Once, both(&leaving, &steady)));
     call_until_asked(&setup, &leaving);
+    let asked = Instant::now();
     wait_until("the connection to close", || closed.load(Ordering::SeqCst));
+    assert!(asked.elapsed() < RESTS_FOR / 2, "by its time");
 }
 
 #[test]
--- a/components/routing/src/placement/board.rs
+++ b/components/routing/src/placement/board.rs
@@ -321,9 +321,10 @@
         }
     }
 
-    /// An answer reported its endpoint's load.
-    pub fn read_load(&mut self, id: &str, reading: Reading) {
-        if let Some(slot) = self.slot_mut(id) {
+    /// An answer reported the load of the start of an endpoint that a request was placed at.
+    pub fn read_load(&mut self, placement: &Placement, reading: Reading) {
+        let slot = self.slot_mut(&placement.endpoint);
+        if let Some(slot) = slot.filter(|slot| slot.incarnation() == placement.incarnation) {
             slot.take_reading(reading);
         }
     }
--- a/components/routing/tests/restarts.rs
+++ b/components/routing/tests/restarts.rs
@@ -10,6 +10,7 @@
 use routing::placement::{
     incarnation, Board, PeerDispatch, Placement, PromptPart, Verdict, Versions, Work,
 };
+use routing::Reading;
 
 const NOW: Duration = Duration::from_secs(10);
 const TOKENS: u32 = 4000;
@@ -132,3 +133,24 @@
     assert!(!board.is_over(&placed));
     assert_eq!(choose(&mut board).unread_tokens, 0);
 }
+
+#[test]
+fn a_load_that_the_old_process_reported_is_not_the_new_ones() {
+    let mut board = Board::new("z");
+    board.insert(NOW, endpoint("a", Some(1)));
+    let plain = Work {
+        service: "s".into(),
+        ..Work::default()
+    };
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let placed = board.choose(NOW, &plain, &[], Versions::Any, &mut rng);
+    let placed = placed.expect("an endpoint");
+    let reading = Reading {
+        running: 5,
+        queued: 0,
+        at: NOW,
+    };
+    board.insert(NOW, endpoint("a", Some(2)));
+    board.read_load(&placed, reading);
+    assert_eq!(board.occupancy(NOW, "s")["z"].requests, 0);
+}
