Show that a holder of the lease which was suspended for longer than it gives it up

Cause looked for: the lease read from a clock that stands while the VM is suspended; reading showed it is read from the one that counts, but no test held it. Change: a test on the injected clock (lease of 60 s, suspended for 60 s, the store refuses). Ruled out on the way: a stand-in store that never answers keeps the renewal under way for ever, which the platform's client does not (1.5 s a call). The reader of the store under suspension has no test yet.

--- a/components/gateway/tests/suspended.rs
+++ b/components/gateway/tests/suspended.rs
@@ -118,3 +118,19 @@
     assert_eq!(asked.join().unwrap().status, 504);
     assert!(started.elapsed() < Duration::from_secs(5), "by its timer");
 }
+
+#[test]
+fn a_holder_of_the_lease_that_was_suspended_for_longer_than_it_gives_it_up() {
+    let store = store_with_key();
+    let long_lease = GatewaySettings {
+        reports_usage: true,
+        lease_ms: 60_000,
+        ..settings()
+    };
+    let gateway = Suspendable::start(long_lease, &store);
+    wait_until("the lease", || gateway.lines.count("lease gained") > 0);
+    // Nothing tells it that another holds the lease by now.
+    store.refuse(true);
+    gateway.suspend(Duration::from_secs(60));
+    wait_until("it to give it up", || gateway.lines.count("lease lost") > 0);
+}
