--- a/soak/src/checks/deadly.rs
+++ b/soak/src/checks/deadly.rs
@@ -31,8 +31,12 @@
         reached += request.begun.len();
         verdicts.judge("held back", reached <= MOST_AFTER, request.sent, || {
             let gateway = request.gateway;
+            let build = match request.is_older {
+                true => " (older build)",
+                false => "",
+            };
             format!(
-                "{} through g{gateway}: the {reached}th after {known} ms, {} in all",
+                "{} through g{gateway}{build}: the {reached}th after {known} ms, {} in all",
                 request.id,
                 ends.len()
             )
--- a/soak/src/checks/said.rs
+++ b/soak/src/checks/said.rs
@@ -17,7 +17,9 @@
         let Seen::SaidLeaving { id, endpoint } = &record.seen else {
             continue;
         };
-        let Some(teller) = view.requests.get(id.as_str()) else {
+        let teller = view.requests.get(id.as_str());
+        // Older builds don't know these words.
+        let Some(teller) = teller.filter(|teller| !teller.is_older) else {
             continue;
         };
         // An answer that was not passed on to its caller binds nobody.
@@ -44,7 +46,9 @@
         let Seen::AskedPause { id, endpoint, ms } = &record.seen else {
             continue;
         };
-        let Some(teller) = view.requests.get(id.as_str()) else {
+        let teller = view.requests.get(id.as_str());
+        // Older builds don't know these words.
+        let Some(teller) = teller.filter(|teller| !teller.is_older) else {
             continue;
         };
         let (from, to) = (record.at + PAUSE_FROM, record.at + ms);
--- a/soak/src/checks/view.rs
+++ b/soak/src/checks/view.rs
@@ -1,6 +1,6 @@
 //! A history by request, and by fault.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::history::{Kind, Lack, Place, Record, Seen};
 
@@ -21,6 +21,8 @@
     pub key: &'a str,
     pub gateway: usize,
     pub sent: u64,
+    /// Whether its gateway was of an older build.
+    pub is_older: bool,
     /// Starts of its gateway before it was sent.
     pub life: usize,
     pub outcome: Option<(u64, &'a Seen)>,
@@ -93,6 +95,8 @@
     pub end: u64,
     faults: Vec<Span>,
     restarts: Vec<Span>,
+    // Gateways that are of the older build so far.
+    older: BTreeSet<usize>,
 }
 
 impl<'a> View<'a> {
@@ -107,6 +111,7 @@
             end,
             faults: Vec::new(),
             restarts: Vec::new(),
+            older: BTreeSet::new(),
         };
         let mut lives: BTreeMap<usize, usize> = BTreeMap::new();
         let mut open: Vec<(Place, u64, usize)> = Vec::new();
@@ -145,6 +150,7 @@
                     key,
                     gateway: *gateway,
                     sent: at,
+                    is_older: self.older.contains(gateway),
                     life: lives.get(gateway).copied().unwrap_or(0),
                     outcome: None,
                     arrived: Vec::new(),
@@ -175,8 +181,12 @@
             Seen::Healed { place, .. } => self.end_fault(*place, at, open),
             Seen::Started { gateway } => {
                 *lives.entry(*gateway).or_default() += 1;
+                self.older.remove(gateway);
                 self.restart(*gateway, at, at);
             }
+            Seen::RunsOlder { gateway } => {
+                self.older.insert(*gateway);
+            }
             Seen::Asked { gateway } => {
                 let back = self.next_start(*gateway, at);
                 self.restart(*gateway, at, back);
--- a/soak/src/gateways.rs
+++ b/soak/src/gateways.rs
@@ -35,13 +35,24 @@
     pub gateways: usize,
 }
 
+/// The programs that gateways run.
+#[derive(Clone, Debug)]
+pub struct Programs {
+    /// The one under test.
+    pub current: PathBuf,
+    /// An earlier build, if there is one beside it.
+    pub older: Option<PathBuf>,
+}
+
 /// One gateway; its process is ended with this value.
 pub(crate) struct Gateway {
     /// Where clients reach it.
     pub callers: SocketAddr,
     /// Where it says whether it is ready.
     pub ready: SocketAddr,
-    program: PathBuf,
+    /// Whether its next start is of the older build.
+    pub is_older: bool,
+    programs: Programs,
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
@@ -62,11 +73,12 @@
 
 impl Gateway {
     /// Writes the settings of a gateway that does not run yet.
-    pub fn new(index: usize, program: &Path, out: &Path, around: &Around) -> io::Result<Self> {
+    pub fn new(index: usize, programs: &Programs, out: &Path, around: &Around) -> io::Result<Self> {
         let gateway = Gateway {
             callers: address(index, CALLERS_PORT),
             ready: address(index, READY_PORT),
-            program: program.to_path_buf(),
+            is_older: programs.older.is_some(),
+            programs: programs.clone(),
             settings: out.join(format!("g{index}.ini")),
             log: out.join(format!("g{index}.log")),
             child: None,
@@ -80,7 +92,9 @@
     /// Starts the process.
     pub fn start(&mut self) -> io::Result<()> {
         let log = File::options().append(true).open(&self.log)?;
-        let child = Command::new(&self.program)
+        let older = self.programs.older.as_ref().filter(|_| self.is_older);
+        let program = older.unwrap_or(&self.programs.current);
+        let child = Command::new(program)
             .args(["gateway", "--settings"])
             .arg(&self.settings)
             .stdin(Stdio::null())
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -124,6 +124,8 @@
     Healed { place: Place, what: String },
     /// A gateway was started.
     Started { gateway: usize },
+    /// A gateway that was just started is of the older build.
+    RunsOlder { gateway: usize },
     /// A gateway was asked to stop.
     Asked { gateway: usize },
     /// A gateway's process is gone; `own` if nobody asked or ended it.
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -11,6 +11,7 @@
 mod run;
 mod standins;
 
+pub use gateways::Programs;
 pub use history::{Body, History, Kind, Lack, Place, Record, Seen};
 pub use plan::{Act, Plan, Step};
 pub use report::Report;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
-use soak::{run, Options, Plan};
+use soak::{run, Options, Plan, Programs};
 
 /// Injects faults into croftpond gateways on loopback and checks what their surroundings saw.
 #[derive(FromArgs)]
@@ -21,6 +21,9 @@
     /// the croftpond program (default target/release/croftpond)
     #[argh(option, default = "PathBuf::from(\"target/release/croftpond\")")]
     program: PathBuf,
+    /// an earlier build of the program: all gateways begin as it, and are replaced one after the other
+    #[argh(option)]
+    older: Option<PathBuf>,
     /// folder in which the run makes one of its own (default target/soak)
     #[argh(option, default = "PathBuf::from(\"target/soak\")")]
     out: PathBuf,
@@ -36,12 +39,19 @@
         return ExitCode::from(2);
     }
     let plan = Plan::new(cli.seed, cli.seconds, cli.gateways);
+    let plan = match cli.older {
+        Some(_) => plan.with_older(),
+        None => plan,
+    };
     print!("{plan}");
     if cli.plan {
         return ExitCode::SUCCESS;
     }
     let options = Options {
-        program: cli.program,
+        programs: Programs {
+            current: cli.program,
+            older: cli.older,
+        },
         out: cli.out,
         progress: true,
     };
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -64,6 +64,8 @@
     AskPause { endpoint: usize, ms: u64 },
     /// An endpoint ends without a word, and is replaced.
     Crash { endpoint: usize },
+    /// A gateway is asked to stop, and its next starts are of the older build or of the one under test.
+    Replace { gateway: usize, older: bool },
     /// All gateways are killed and started again.
     KillAll,
 }
@@ -120,6 +122,8 @@
     pub gateways: usize,
     /// Endpoints.
     pub endpoints: usize,
+    /// Whether all gateways begin as an older build.
+    pub has_older: bool,
     /// Acts in order of time.
     pub steps: Vec<Step>,
 }
@@ -167,9 +171,31 @@
             seconds,
             gateways,
             endpoints,
+            has_older: false,
             steps,
         }
     }
+
+    /// The same with gateways that begin as an older build and are replaced one after the other; half of them are taken back
+    /// and replaced again.
+    pub fn with_older(mut self) -> Self {
+        let last = (self.seconds * 1000).saturating_sub(LAST_FAULT);
+        let all = 0..self.gateways;
+        let half = 0..self.gateways / 2;
+        let forward = all.map(|gateway| (gateway, false));
+        let back = half.clone().map(|gateway| (gateway, true));
+        let again = half.map(|gateway| (gateway, false));
+        let replaced: Vec<(usize, bool)> = forward.chain(back).chain(again).collect();
+        let gap = last.saturating_sub(START) / (replaced.len() as u64 + 1);
+        for (number, (gateway, older)) in (1..).zip(replaced) {
+            let at = START + gap * number;
+            let act = Act::Replace { gateway, older };
+            self.steps.push(Step { at, act });
+        }
+        self.steps.sort_by_key(|step| step.at);
+        self.has_older = true;
+        self
+    }
 }
 
 impl fmt::Display for Plan {
@@ -180,6 +206,7 @@
             gateways,
             endpoints,
             steps,
+            ..
         } = self;
         writeln!(
             f,
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -14,7 +14,7 @@
 use signal_hook::flag;
 
 use crate::checks;
-use crate::gateways::{Around, Gateway};
+use crate::gateways::{Around, Gateway, Programs};
 use crate::history::History;
 use crate::link::Link;
 use crate::plan::Plan;
@@ -35,8 +35,8 @@
 
 /// How a plan is played.
 pub struct Options {
-    /// The croftpond program.
-    pub program: PathBuf,
+    /// The croftpond programs.
+    pub programs: Programs,
     /// Folder in which each run makes one of its own.
     pub out: PathBuf,
     /// Whether progress is printed.
@@ -131,7 +131,7 @@
                 reports,
                 gateways: plan.gateways,
             };
-            gateways.push(Gateway::new(index, &options.program, out, &around)?);
+            gateways.push(Gateway::new(index, &options.programs, out, &around)?);
             links.push(link);
             region.push(far);
         }
--- a/soak/src/run/acts.rs
+++ b/soak/src/run/acts.rs
@@ -68,6 +68,10 @@
                 }
             }
             Act::Stop { gateway } => self.ask_to_stop(*gateway)?,
+            Act::Replace { gateway, older } => {
+                self.gateways[*gateway].is_older = *older;
+                self.ask_to_stop(*gateway)?;
+            }
             Act::Reload { gateway } => self.gateways[*gateway].signal(Signal::HUP)?,
             Act::Link { gateway, how, ms } => {
                 self.fault(Place::Gateway(*gateway), how);
@@ -201,6 +205,9 @@
         self.killed[index] = false;
         self.gateways[index].start()?;
         self.history.note(Seen::Started { gateway: index });
+        if self.gateways[index].is_older {
+            self.history.note(Seen::RunsOlder { gateway: index });
+        }
         Ok(())
     }
 
--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -464,6 +464,17 @@
     assert_eq!(told.findings(), Vec::<&str>::new());
 }
 
+#[test]
+fn a_gateway_of_an_older_build_is_not_judged_by_words_that_it_does_not_know() {
+    let mut told = told_leaving(9_000);
+    let older = Record {
+        at: 2,
+        seen: Seen::RunsOlder { gateway: 0 },
+    };
+    told.records.insert(2, older);
+    assert_eq!(told.findings(), Vec::<&str>::new());
+}
+
 // An endpoint asks for 3 s; so many requests reach it after that.
 fn asked_pause(requests: u64) -> Told {
     let turned = |id: &str| Seen::TurnedAway {
--- a/soak/tests/plan.rs
+++ b/soak/tests/plan.rs
@@ -32,3 +32,22 @@
     }
     assert_eq!(kinds.len(), 16, "{kinds:?}");
 }
+
+#[test]
+fn an_older_build_is_replaced_forward_and_back_and_forward_before_the_last_fault() {
+    let plan = Plan::new(7, 60, 6).with_older();
+    let (mut older, mut seen) = ([true; 6], Vec::new());
+    for step in &plan.steps {
+        if let Act::Replace { gateway, older: to } = step.act {
+            assert_ne!(older[gateway], to);
+            older[gateway] = to;
+            seen.push(older.iter().filter(|older| **older).count());
+        }
+    }
+    assert_eq!(seen, [5, 4, 3, 2, 1, 0, 1, 2, 3, 2, 1, 0]);
+    assert_eq!(plan.steps.last().unwrap().act, Act::KillAll);
+    assert!(plan
+        .steps
+        .iter()
+        .any(|step| matches!(step.act, Act::Kill { .. })));
+}
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -2,7 +2,7 @@
 
 use std::path::PathBuf;
 
-use soak::{run, Options, Plan};
+use soak::{run, Options, Plan, Programs};
 
 /// Any seed must do; a fixed one has the same plan each time.
 const SEED: u64 = 1;
@@ -13,7 +13,10 @@
 #[test]
 fn gateways_keep_their_promises_through_a_bout_of_faults_and_come_back() {
     let options = Options {
-        program: PathBuf::from(env!("CARGO_BIN_EXE_croftpond")),
+        programs: Programs {
+            current: PathBuf::from(env!("CARGO_BIN_EXE_croftpond")),
+            older: None,
+        },
         out: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak"),
         progress: false,
     };
