Tell the end of a pause as the time to come back only where every endpoint paused

Cause: found by reading the change: a refusal told the end of another endpoint's pause although one that had merely no room was open, so callers would have stayed away for minutes. The request's own list of endpoints tried hid the open one. Change: the time is that of the first endpoint of the service to want requests, and, where a coordinator decides, only if it found none for a request that was tried nowhere; a coordinator that names an endpoint again which wants nothing ends the request as not run.

--- a/components/gateway/src/attempts.rs
+++ b/components/gateway/src/attempts.rs
@@ -48,6 +48,10 @@
                 return Err(refusal);
             }
             if !self.is_wanted(&placement) {
+                // A coordinator that names it again has no other one.
+                if progress.tried.contains(&placement.endpoint) {
+                    return Err(refused(progress, Nowhere::NO_ENDPOINT));
+                }
                 progress.tried.push(placement.endpoint);
                 continue;
             }
@@ -139,11 +143,8 @@
             (true, true) => Refusal::maybe_run(Kind::DeadlinePassed, cause.unwrap_or("late")),
             (true, false) => Refusal::maybe_run(Kind::EndpointFailed, cause.unwrap_or("lost")),
             (false, _) => {
-                let wait = self.pause_left(job, &[]).unwrap_or_default();
-                let wait = match wait > NO_ROOM_RETRY {
-                    true => self.paused_for(wait).wait,
-                    false => NO_ROOM_RETRY,
-                };
+                let pause = self.pause_left(job, progress);
+                let wait = pause.map_or(NO_ROOM_RETRY, |left| self.paused_for(left).wait);
                 Refusal::not_run(Kind::Overloaded, "the endpoint has no room").after(wait)
             }
         }
--- a/components/gateway/src/placing.rs
+++ b/components/gateway/src/placing.rs
@@ -77,7 +77,7 @@
             if let Some(wait) = link_wait {
                 return Err(Nowhere::link_full(wait));
             }
-            let pause = self.pause_left(job, &progress.tried);
+            let pause = self.pause_left(job, progress);
             if let Some(left) = pause.filter(|left| now.saturating_add(*left) > patience) {
                 return Err(self.paused_for(left));
             }
--- a/components/gateway/src/said.rs
+++ b/components/gateway/src/said.rs
@@ -10,7 +10,7 @@
 use slog::{info, warn};
 use telemetry::Counter;
 
-use crate::job::Job;
+use crate::job::{Job, Progress};
 use crate::placing::Nowhere;
 use crate::ports::AnswerHead;
 use crate::traffic::Traffic;
@@ -55,15 +55,17 @@
         self.standing(placement) == Standing::Leaving
     }
 
-    /// Time until an endpoint that a job was not tried at wants requests again; `None` if one does now, or none is there.
-    pub fn pause_left(&self, job: &Job, tried: &[String]) -> Option<Duration> {
+    /// Time until the first endpoint of a job's service wants requests, if all of them paused.
+    pub fn pause_left(&self, job: &Job, progress: &Progress) -> Option<Duration> {
         let now = self.clock.now();
         let state = self.state.borrow();
-        let board = &state.board;
+        let service = &job.work.service;
         let left = match state.endpoints_known {
-            true => board.time_to_open(now, &job.work, tried),
-            // A coordinator knows of no other one.
-            false => board.notices().least_pause(now, &job.work.service),
+            true => state.board.time_to_open(now, service),
+            // A coordinator found none, so all that it knows are closed to this gateway.
+            false if progress.tried.is_empty() => state.board.notices().least_pause(now, service),
+            // Those that the job was tried at may be open.
+            false => None,
         };
         left.filter(|left| !left.is_zero())
     }
--- a/components/gateway/tests/said.rs
+++ b/components/gateway/tests/said.rs
@@ -292,3 +292,24 @@
     wait_until("the stream's line", || lines.count("stream ended") > 0);
     assert_eq!(lines.count("endpoint cut an answer off"), 0);
 }
+
+#[test]
+fn a_pause_of_one_endpoint_is_not_told_as_the_time_to_come_back_while_another_is_open() {
+    let full = || EndpointStandin::start(|_, exchange| exchange.decline());
+    let wait = |gateway: &Setup| {
+        let answer = gateway.call("/a/1", &[]);
+        assert_eq!(answer.status, 503);
+        let wait = answer.field("retry-after").unwrap().parse::<f64>();
+        wait.unwrap()
+    };
+    let (busy, open) = (busy(), full());
+    let store = store(Execution::Repeatable, both(&busy, &open));
+    let (coordinators, asking) = four(&store);
+    for gateway in [&coordinators[0], &asking] {
+        for _ in 0..3 {
+            let wait = wait(gateway);
+            assert!(wait < 60.0, "{wait}");
+        }
+    }
+    assert!(busy.heads().len() <= 2);
+}
--- a/components/routing/src/placement/exclusion.rs
+++ b/components/routing/src/placement/exclusion.rs
@@ -7,7 +7,6 @@
 use crate::placement::board::Board;
 use crate::placement::service::ServiceSlots;
 use crate::placement::slot::Slot;
-use crate::placement::Work;
 
 /// Endpoints that a request is not to go to, beside those that are not ready or leave.
 #[derive(Clone, Copy, Debug, Default)]
@@ -54,14 +53,12 @@
         &mut self.notices
     }
 
-    /// Time until an endpoint that was not tried takes a request, as far as pauses go: zero if one does now, `None` if none is
-    /// there.
-    pub fn time_to_open(&self, now: Duration, work: &Work, tried: &[String]) -> Option<Duration> {
-        let slots = self.services.get(&work.service).into_iter();
-        let slots = slots.flat_map(ServiceSlots::iter);
-        let could_take =
-            slots.filter(|slot| slot.spec.is_ready() && !tried.contains(&slot.spec.id));
-        let times = could_take.filter_map(|slot| match standing(now, slot, &self.notices) {
+    /// Time until an endpoint takes a request, as far as pauses go: zero if one does now, `None` if none is there.
+    pub fn time_to_open(&self, now: Duration, service: &str) -> Option<Duration> {
+        let slots = self.services.get(service).into_iter();
+        let ready = slots.flat_map(ServiceSlots::iter);
+        let ready = ready.filter(|slot| slot.spec.is_ready());
+        let times = ready.filter_map(|slot| match standing(now, slot, &self.notices) {
             Standing::Open => Some(Duration::ZERO),
             Standing::Paused(left) => Some(left),
             Standing::Leaving => None,
