Show that an answer of the store which lay on the way through a suspension confirms no key

Cause looked for: the age of a confirmation reckoned from a clock that stands while the VM is suspended, at a gateway that reads the store. Change: the stand-in store can leave an answer on the way; the test suspends the VM meanwhile, and a key that the answer names is refused. Ruled out: a later answer that confirms it (the store refuses all others).

--- a/components/gateway/tests/common/store.rs
+++ b/components/gateway/tests/common/store.rs
@@ -1,7 +1,7 @@
 //! A store in memory that can be cut off, and orders that are only noted.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -38,6 +38,8 @@
     state: Arc<Mutex<State>>,
     refuses: Arc<AtomicBool>,
     says_nothing: Arc<AtomicBool>,
+    holds_answers: Arc<AtomicBool>,
+    answers_held: Arc<AtomicUsize>,
     call_ms: Arc<AtomicU64>,
     asks: Arc<Mutex<BTreeMap<Topic, u64>>>,
     started: Instant,
@@ -49,6 +51,8 @@
             state: Arc::default(),
             refuses: Arc::default(),
             says_nothing: Arc::default(),
+            holds_answers: Arc::default(),
+            answers_held: Arc::default(),
             call_ms: Arc::default(),
             asks: Arc::default(),
             started: Instant::now(),
@@ -100,6 +104,8 @@
         StoreStandin {
             refuses: Arc::default(),
             says_nothing: Arc::default(),
+            holds_answers: Arc::default(),
+            answers_held: Arc::default(),
             call_ms: Arc::default(),
             asks: Arc::default(),
             ..self.clone()
@@ -116,6 +122,25 @@
         self.says_nothing.store(true, Ordering::Relaxed);
     }
 
+    /// Changes that it answers this gateway with from now on lie on the way, or no more.
+    pub fn hold_answers(&self, holds: bool) {
+        self.holds_answers.store(holds, Ordering::Relaxed);
+    }
+
+    /// Answers that lay on the way so far.
+    pub fn answers_held(&self) -> usize {
+        self.answers_held.load(Ordering::Relaxed)
+    }
+
+    async fn lie_on_the_way(&self) {
+        if self.holds_answers.load(Ordering::Relaxed) {
+            self.answers_held.fetch_add(1, Ordering::Relaxed);
+        }
+        while self.holds_answers.load(Ordering::Relaxed) {
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
     /// From now on calls of this gateway for rows take so long: the store lies in another region, or is slow.
     pub fn take(&self, time: Duration) {
         let ms = time.as_millis() as u64;
@@ -272,15 +297,16 @@
         let began = Instant::now();
         loop {
             self.answer_or_say_nothing().await;
-            {
+            let rows = {
                 let state = self.enter()?;
                 if after < state.forgets_before {
                     return Err(StoreError::HistoryGone);
                 }
-                let rows = self.rows(&state, topic, after, true);
-                if !rows.rows.is_empty() || began.elapsed() >= wait {
-                    return Ok(rows);
-                }
+                self.rows(&state, topic, after, true)
+            };
+            if !rows.rows.is_empty() || began.elapsed() >= wait {
+                self.lie_on_the_way().await;
+                return Ok(rows);
             }
             tokio::time::sleep(LOOK).await;
         }
--- a/components/gateway/tests/suspended.rs
+++ b/components/gateway/tests/suspended.rs
@@ -134,3 +134,31 @@
     gateway.suspend(Duration::from_secs(60));
     wait_until("it to give it up", || gateway.lines.count("lease lost") > 0);
 }
+
+#[test]
+fn an_answer_of_the_store_that_lay_on_the_way_through_a_suspension_confirms_no_key() {
+    let store = store_with_key();
+    let standin = EndpointStandin::start(|_, exchange| exchange.answer(200, "x"));
+    store.put_endpoint(endpoint("e", standin.address));
+    let fail_closed = GatewaySettings {
+        credential_age_ms: 60_000,
+        ..settings()
+    };
+    let gateway = Suspendable::start(fail_closed, &store);
+    wait_until("readiness", || gateway.setup.is_ready());
+    let call = || gateway.setup.call("/b/1", &["x-key: k"]).status;
+    let mut changed = configuration(2, vec![route("/b/", Execution::Once)]);
+    changed.tenants = vec![tenant("t", "k")];
+    store.hold_answers(true);
+    store.put_configuration(changed);
+    // The store has answered; nothing else does from now on.
+    wait_until("the answer to be made", || store.answers_held() > 0);
+    store.refuse(true);
+    gateway.suspend(Duration::from_secs(60));
+    store.hold_answers(false);
+    wait_until("the configuration", || {
+        gateway.lines.count("configuration in force") > 1
+    });
+    assert_eq!(call(), 503);
+    assert!(standin.heads().is_empty());
+}
