--- a/soak/src/checks/said.rs
+++ b/soak/src/checks/said.rs
@@ -27,8 +27,11 @@
             continue;
         };
         let due = passed_on + LEAVES_AFTER;
-        for request in told(view, teller, passed_on) {
-            if request.sent <= due {
+        for request in told(view, teller) {
+            let from = passed_on.saturating_sub(NOTE_SLACK);
+            // A gateway that stood meanwhile is excused; one whose way to the store is bad is not.
+            let has_run = view.has_run(teller.gateway, from, last_seen(request));
+            if request.sent <= due || !has_run {
                 continue;
             }
             let reached = request.arrived.iter().any(|(_, at)| at == endpoint);
@@ -54,11 +57,12 @@
         let (from, to) = (record.at + PAUSE_FROM, record.at + ms);
         // Its word, or what crossed it, may lie on a way that is bad.
         let is_held = |place| !view.is_sound(place, record.at.saturating_sub(CONTACT), to);
-        if place_of(endpoint).is_some_and(is_held) {
+        // A restart of the gateway excuses as well: it is another life.
+        if place_of(endpoint).is_some_and(is_held) || is_held(Place::Gateway(teller.gateway)) {
             continue;
         }
         let mut reached: Vec<(u64, &str)> = Vec::new();
-        for request in told(view, teller, record.at) {
+        for request in told(view, teller) {
             let at_it = request.arrived.iter().filter(|(_, at)| at == endpoint);
             let within = at_it.filter(|(at, _)| (from..=to).contains(at));
             reached.extend(within.map(|(at, _)| (*at, request.id)));
@@ -79,23 +83,17 @@
     }
 }
 
-// Requests through the same life of the gateway that was told, as long as it was not paused since.
+// When a request had reached its last endpoint, or was sent.
+fn last_seen(request: &Request<'_>) -> u64 {
+    let last = request.arrived.iter().map(|(at, _)| *at).max();
+    last.unwrap_or(request.sent)
+}
+
+// Requests through the same life of the gateway that was told.
 fn told<'a, 'v>(
     view: &'a View<'v>,
     teller: &'a Request<'v>,
-    at: u64,
 ) -> impl Iterator<Item = &'a Request<'v>> {
-    let of_life = view
-        .requests
-        .values()
-        .filter(|request| request.gateway == teller.gateway && request.life == teller.life);
-    of_life.filter(move |request| {
-        let last = request.arrived.iter().map(|(at, _)| *at).max();
-        let last = last.unwrap_or(request.sent).max(at);
-        view.is_sound(
-            Place::Gateway(teller.gateway),
-            at.saturating_sub(NOTE_SLACK),
-            last,
-        )
-    })
+    let requests = view.requests.values();
+    requests.filter(|request| request.gateway == teller.gateway && request.life == teller.life)
 }
--- a/soak/src/checks/view.rs
+++ b/soak/src/checks/view.rs
@@ -10,6 +10,9 @@
 /// What the soak's own threads may be late by when they write something down, in ms.
 pub(super) const NOTE_SLACK: u64 = 300;
 
+/// What a fault is called in which a process stands.
+pub(super) const PAUSE: &str = "pause";
+
 /// Answers of a gateway that gives up a request which may have run.
 const GIVEN_UP: [u16; 2] = [502, 504];
 
@@ -95,6 +98,8 @@
     pub end: u64,
     faults: Vec<Span>,
     restarts: Vec<Span>,
+    // Times in which a gateway's process stood.
+    pauses: Vec<Span>,
     // Gateways that are of the older build so far.
     older: BTreeSet<usize>,
 }
@@ -111,6 +116,7 @@
             end,
             faults: Vec::new(),
             restarts: Vec::new(),
+            pauses: Vec::new(),
             older: BTreeSet::new(),
         };
         let mut lives: BTreeMap<usize, usize> = BTreeMap::new();
@@ -177,8 +183,23 @@
                 }
             }
             Seen::Configured { version } => self.configured.push((at, *version)),
-            Seen::Fault { place, .. } => self.begin_fault(*place, at, open),
-            Seen::Healed { place, .. } => self.end_fault(*place, at, open),
+            Seen::Fault { place, what } => {
+                if what.contains(PAUSE) {
+                    let (place, to) = (*place, u64::MAX);
+                    self.pauses.push(Span {
+                        place,
+                        from: at,
+                        to,
+                    });
+                }
+                self.begin_fault(*place, at, open);
+            }
+            Seen::Healed { place, what } => {
+                if what == PAUSE {
+                    self.end_pauses(*place, at);
+                }
+                self.end_fault(*place, at, open);
+            }
             Seen::Started { gateway } => {
                 *lives.entry(*gateway).or_default() += 1;
                 self.older.remove(gateway);
@@ -229,6 +250,13 @@
         }
     }
 
+    fn end_pauses(&mut self, place: Place, at: u64) {
+        let open = self.pauses.iter_mut().filter(|span| span.to == u64::MAX);
+        for span in open.filter(|span| span.place == place) {
+            span.to = at;
+        }
+    }
+
     fn restart(&mut self, gateway: usize, from: u64, to: u64) {
         let place = Place::Gateway(gateway);
         self.restarts.push(Span { place, from, to });
@@ -245,6 +273,11 @@
         is_clear(&self.faults, place, from, to)
     }
 
+    /// Whether a gateway's process stood at no time.
+    pub fn has_run(&self, gateway: usize, from: u64, to: u64) -> bool {
+        is_clear(&self.pauses, Place::Gateway(gateway), from, to)
+    }
+
     /// Whether a gateway and the store were without a fault and a restart for long enough.
     pub fn is_in_touch(&self, gateway: usize, from: u64, to: u64) -> bool {
         let from = from.saturating_sub(CONTACT);
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -1,10 +1,11 @@
 //! `soak`: plays a plan of faults against gateways on loopback, and judges what was seen.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use argh::FromArgs;
-use soak::{run, Options, Plan, Programs};
+use soak::checks::all;
+use soak::{run, Options, Plan, Programs, Record, Report};
 
 /// Injects faults into croftpond gateways on loopback and checks what their surroundings saw.
 #[derive(FromArgs)]
@@ -27,6 +28,9 @@
     /// folder in which the run makes one of its own (default target/soak)
     #[argh(option, default = "PathBuf::from(\"target/soak\")")]
     out: PathBuf,
+    /// judge the history of an earlier run, in this file, again and stop
+    #[argh(option)]
+    judge: Option<PathBuf>,
     /// print the plan and stop
     #[argh(switch)]
     plan: bool,
@@ -47,6 +51,15 @@
     if cli.plan {
         return ExitCode::SUCCESS;
     }
+    if let Some(history) = &cli.judge {
+        return match judge_again(&plan, history) {
+            Ok(report) => tell(&report),
+            Err(error) => {
+                eprintln!("{} can't be judged: {error}", history.display());
+                ExitCode::from(2)
+            }
+        };
+    }
     let options = Options {
         programs: Programs {
             current: cli.program,
@@ -56,14 +69,22 @@
         progress: true,
     };
     match run(&plan, &options) {
-        Ok(report) => {
-            print!("{report}");
-            println!("{}", report.to_json());
-            ExitCode::from(u8::from(!report.is_sound()))
-        }
+        Ok(report) => tell(&report),
         Err(error) => {
             eprintln!("the soak could not run: {error}");
             ExitCode::from(2)
         }
     }
 }
+
+fn judge_again(plan: &Plan, history: &Path) -> std::io::Result<Report> {
+    let records: Vec<Record> = serde_json::from_slice(&std::fs::read(history)?)?;
+    let verdicts = all(&records, plan.gateways);
+    Ok(Report::new(plan, &records, verdicts, 0))
+}
+
+fn tell(report: &Report) -> ExitCode {
+    print!("{report}");
+    println!("{}", report.to_json());
+    ExitCode::from(u8::from(!report.is_sound()))
+}
--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -475,6 +475,38 @@
     assert_eq!(told.findings(), Vec::<&str>::new());
 }
 
+#[test]
+fn a_pause_of_the_gateway_excuses_work_for_an_endpoint_that_told_of_leaving_and_a_bad_way_to_the_store_does_not(
+) {
+    let with_fault = |fault: &str, healed: &str| {
+        let mut told = told_leaving(9_000);
+        let place = Place::Gateway(0);
+        let (fault, healed) = (fault.to_string(), healed.to_string());
+        let begins = Seen::Fault { place, what: fault };
+        let ends = Seen::Healed {
+            place,
+            what: healed,
+        };
+        told.records.insert(
+            6,
+            Record {
+                at: 6_000,
+                seen: begins,
+            },
+        );
+        told.records.insert(
+            7,
+            Record {
+                at: 6_500,
+                seen: ends,
+            },
+        );
+        told.findings()
+    };
+    assert_eq!(with_fault("\"pause\"", "pause"), Vec::<&str>::new());
+    assert_eq!(with_fault("Silent", "link"), ["leaving, as told"]);
+}
+
 // An endpoint asks for 3 s; so many requests reach it after that.
 fn asked_pause(requests: u64) -> Told {
     let turned = |id: &str| Seen::TurnedAway {
