--- a/components/gateway/src/control/exchange.rs
+++ b/components/gateway/src/control/exchange.rs
@@ -18,6 +18,7 @@
 use crate::listing::read_all;
 use crate::peers::{is_recent, Receipt};
 use crate::ports::{Orders, Store, StoreError, Topic};
+use crate::sights::received_sight;
 use crate::tally::Tally;
 use crate::traffic::LONG_PROMPT_TOKENS;
 use crate::update::Update;
@@ -197,6 +198,7 @@
         }
         self.take_own_observations(&mut known, tally.observations);
         known.unsent.extend(tally.sent);
+        known.sights.extend(tally.sights);
         known.taken = tally.taken;
         known.loads = tally.loads;
         urgent
@@ -279,6 +281,10 @@
         if !dispatches.is_empty() {
             self.update(Update::PeerSent(dispatches));
         }
+        if let Some(told) = &gossip.sights {
+            let sights = told.iter().map(|told| received_sight(now, told));
+            self.update(Update::PeerSaw(sights.collect()));
+        }
         if !gossip.taken.is_empty() {
             self.update(Update::PeerTaken {
                 gateway: gossip.gateway.clone(),
--- a/components/gateway/src/control/known.rs
+++ b/components/gateway/src/control/known.rs
@@ -9,6 +9,7 @@
 use fleet::Scaler;
 use quarantine::Quarantine;
 use replica::{Follower, Source as AskFirst};
+use routing::placement::Sight;
 use schema::settings::GatewaySettings;
 use state::{Lease, LeaseTerms};
 use topology::Topology;
@@ -57,6 +58,8 @@
     pub loads: BTreeMap<String, ServiceLoad>,
     pub taken: BTreeMap<String, u64>,
     pub unsent: Vec<Sent>,
+    /// What answers showed that the other coordinators were not told yet.
+    pub sights: Vec<Sight>,
     pub sending: SendState,
     // Only kept where there are several regions.
     pub echoes: Option<Echoes>,
@@ -103,6 +106,7 @@
             loads: BTreeMap::new(),
             taken: BTreeMap::new(),
             unsent: Vec::new(),
+            sights: Vec::new(),
             sending: SendState::default(),
             echoes,
             fleet: Fleet::default(),
--- a/components/gateway/src/control/messages.rs
+++ b/components/gateway/src/control/messages.rs
@@ -7,11 +7,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use schema::messages::{Dispatch, Echo, Gossip, HallCount, TopicHead, WindowUsage};
+use schema::messages::{Dispatch, Echo, Gossip, HallCount, Sight, TopicHead, WindowUsage};
 
 use crate::control::{Known, Shared};
 use crate::gossip;
 use crate::ports::{Orders, Store};
+use crate::sights::{sight_of, MOST_TOLD};
 
 /// Datagrams a second that a coordinator sends to others at most, when nothing is urgent.
 const DATAGRAMS_PER_S: f64 = 100.0;
@@ -160,6 +161,7 @@
                 true => boxed(known.held_to_send(now)),
                 false => None,
             },
+            sights: known.sights_to_send(now, content),
             day_ms: has_state.then(|| (now.as_micros() as i64 + known.day.vote_us()) / 1000),
         }
     }
@@ -245,6 +247,16 @@
         dispatches.map(|s| gossip::dispatch_of(now, &s)).collect()
     }
 
+    // What waits longer than until the next message is told by nobody.
+    fn sights_to_send(&mut self, now: Duration, content: Content) -> Option<Vec<Sight>> {
+        if !content.has_requests() || self.sights.is_empty() {
+            return None;
+        }
+        let sights = std::mem::take(&mut self.sights);
+        let newest = sights.iter().rev().take(MOST_TOLD);
+        Some(newest.map(|s| sight_of(now, s)).collect())
+    }
+
     // Totals that changed, and some of the others in turn.
     fn totals_to_send(&mut self, content: Content) -> BTreeMap<String, i64> {
         if !content.has_requests() {
--- a/components/gateway/src/decisions.rs
+++ b/components/gateway/src/decisions.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use routing::placement::{endpoint_hash, Placement, PromptPart, Work};
+use routing::placement::{endpoint_hash, Placement, PromptPart, Slowdown, Work};
 use schema::messages::{self, Decision, DecisionQuery, DecisionReply, GiveBack, PlacedAt};
 use slog::info;
 use telemetry::Counter;
@@ -18,6 +18,7 @@
 
 use crate::job::Job;
 use crate::peers::Fleet;
+use crate::sights::slowdown_of;
 use crate::traffic::Traffic;
 use crate::versions::Asked;
 
@@ -149,6 +150,7 @@
             if let Some(give_back) = message.give_back {
                 self.take_back(&give_back);
             }
+            self.take_told(message.sights.as_ref());
             if let Some(reply) = message.query.and_then(|query| self.decide(&query)) {
                 let message = Decision {
                     reply: Some(reply),
@@ -184,6 +186,7 @@
             hall: self.hall_to_tell(),
             body_bytes: Some(job.body.len().min(i32::MAX as usize) as i32),
             closed: self.closed_to_tell(&job.work.service),
+            sights: self.sights.take(self.clock.now()),
         }
     }
 
@@ -254,6 +257,7 @@
 
     // A gateway that has no configuration or endpoints yet, or does not coordinate, cannot decide for others.
     fn decide(&self, query: &DecisionQuery) -> Option<DecisionReply> {
+        self.take_told(query.sights.as_ref());
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         if state.directory.is_none() || !state.fleet.decides || !state.endpoints_known {
@@ -330,6 +334,10 @@
         home_ms: placement
             .home_ms
             .map(|ms| ms.min(f64::from(i32::MAX)) as i32),
+        slowdown_percent: match placement.slowdown {
+            Slowdown::NONE => None,
+            slowdown => Some(slowdown.percent() as i32),
+        },
     }
 }
 
@@ -365,5 +373,6 @@
         home_ms: placed.home_ms.map(f64::from),
         bytes_across: 0,
         kept_for_link: false,
+        slowdown: slowdown_of(placed.slowdown_percent).unwrap_or(Slowdown::NONE),
     }))
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -38,6 +38,7 @@
 mod run;
 mod said;
 mod server;
+mod sights;
 mod state;
 mod stream;
 mod tally;
--- a/components/gateway/src/placing.rs
+++ b/components/gateway/src/placing.rs
@@ -94,7 +94,7 @@
         info!(self.log, "placed"; "id" => &job.head.id, "content" => %job.content, "route" => &job.route.name,
             "endpoint" => &placement.endpoint, "unread" => placement.unread_tokens,
             "expected_ms" => placement.expected_ms as u64, "weighed" => placement.weighed,
-            "by_coordinator" => placement.counted, "version" => job.version,
+            "slowdown" => placement.slowdown.percent(), "by_coordinator" => placement.counted, "version" => job.version,
             "hall" => &placement.hall, "distance" => self.distance(&placement.hall),
             "home_ms" => placement.home_ms.map(|ms| ms as u64));
     }
--- a/components/gateway/src/ports.rs
+++ b/components/gateway/src/ports.rs
@@ -9,7 +9,7 @@
 use fleet::ScalingOrder;
 use http::{request, HeaderMap, StatusCode};
 use rollout::{Decision, Order};
-use routing::placement::PromptPart;
+use routing::placement::{PromptPart, Slowdown};
 use usage::Report;
 
 /// The head of a caller's request, as far as it is acted on.
@@ -32,7 +32,7 @@
 }
 
 /// A head that cannot be read; names the field.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HeadFault(pub &'static str);
 
 /// What is set anew for each attempt.
@@ -74,12 +74,14 @@
 }
 
 /// Load that an endpoint reports.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct EndpointLoad {
     /// Requests running.
     pub running: u32,
     /// Requests waiting.
     pub queued: u32,
+    /// How long work takes there now, if it says so.
+    pub slowdown: Option<Result<Slowdown, HeadFault>>,
 }
 
 /// Heads of requests and answers.
--- a/components/gateway/src/said.rs
+++ b/components/gateway/src/said.rs
@@ -6,7 +6,6 @@
 use notices::Standing;
 use rand::RngExt;
 use routing::placement::Placement;
-use routing::Reading;
 use slog::{info, warn};
 use telemetry::Counter;
 
@@ -25,7 +24,7 @@
     /// its record says later: without that, ten requests in six seconds went on through the gateway that had been told, to an
     /// endpoint that left while the store was silent, as the logs of a day of faults showed.
     pub fn hear(&self, job: &Job, placement: &Placement, status: StatusCode, read: &AnswerHead) {
-        self.take_load(placement, read);
+        self.see_load(&job.head.id, placement, read);
         let (id, endpoint) = (&job.head.id, &placement.endpoint);
         if read.not_run {
             info!(self.log, "endpoint turned a request away"; "id" => id, "endpoint" => endpoint,
@@ -106,17 +105,4 @@
         let notices = state.board.notices_mut();
         notices.note_pause(now, placement.incarnation, &job.work.service, pause);
     }
-
-    fn take_load(&self, placement: &Placement, read: &AnswerHead) {
-        let Some(load) = read.load else {
-            return;
-        };
-        let reading = Reading {
-            running: load.running,
-            queued: load.queued,
-            at: self.clock.now(),
-        };
-        let mut state = self.state.borrow_mut();
-        state.board.read_load(placement, reading);
-    }
 }
--- a/components/gateway/src/tally.rs
+++ b/components/gateway/src/tally.rs
@@ -5,7 +5,7 @@
 
 use engine::Learnt;
 use quarantine::Observation;
-use routing::placement::HallLoad;
+use routing::placement::{HallLoad, Sight};
 
 use crate::versions::Digest;
 
@@ -47,6 +47,8 @@
 pub(crate) struct Tally {
     /// Requests sent.
     pub sent: Vec<Sent>,
+    /// What answers showed that the others place requests by.
+    pub sights: Vec<Sight>,
     /// Tenant and wall time of each request that began to run.
     pub begun: Vec<(String, Duration)>,
     /// Units that tenants took since the start.
@@ -63,6 +65,7 @@
     /// Takes back what could not be handed over; totals and loads are taken anew with the next tally.
     pub fn put_back(&mut self, earlier: Tally) {
         self.sent.splice(0..0, earlier.sent);
+        self.sights.splice(0..0, earlier.sights);
         self.begun.splice(0..0, earlier.begun);
         self.reported.splice(0..0, earlier.reported);
         self.observations.splice(0..0, earlier.observations);
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -18,6 +18,7 @@
 use crate::freshness::{Ages, Freshness};
 use crate::job::Job;
 use crate::room::Room;
+use crate::sights::Sights;
 use crate::state::{sent_of, State};
 use crate::tally::Tally;
 use crate::update::Update;
@@ -43,6 +44,7 @@
     pub endpoint_restarted: Notify,
     pub in_flight: Cell<usize>,
     pub asking: Asking,
+    pub sights: Sights,
     pub room: Room,
     tallies: flume::Sender<Tally>,
 }
@@ -77,6 +79,7 @@
             endpoint_restarted: Notify::new(),
             in_flight: Cell::new(0),
             asking: Asking::default(),
+            sights: Sights::default(),
             room,
             tallies: parts.tallies,
         }
@@ -121,6 +124,10 @@
                     state.board.peer_sent(now, dispatch);
                 }
             }
+            Update::PeerSaw(sights) => {
+                drop(state);
+                self.take_sights(&sights);
+            }
             Update::PeerTaken {
                 gateway,
                 incarnation,
--- a/components/gateway/src/update.rs
+++ b/components/gateway/src/update.rs
@@ -7,7 +7,7 @@
 use directory::{Configuration, Endpoint};
 use quarantine::{Held, Observation};
 use rollout::{Order, Stage};
-use routing::placement::PeerDispatch;
+use routing::placement::{PeerDispatch, Sight};
 use schema::settings::GatewaySettings;
 
 use crate::peers::Fleet;
@@ -29,6 +29,8 @@
     Fleet(Fleet),
     /// Another gateway sent these.
     PeerSent(Vec<PeerDispatch>),
+    /// Answers showed another gateway these.
+    PeerSaw(Vec<Sight>),
     /// Units that teams took at another gateway since its start.
     PeerTaken {
         /// Its name.
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -18,6 +18,7 @@
 use gateway::ports::{AnswerHead, AttemptHead, CallerHead, Dialect, EndpointLoad, HeadFault};
 use gateway::{Clock, Gateway, Parts};
 use http::{request, HeaderMap, HeaderValue, StatusCode};
+use routing::placement::Slowdown;
 use schema::settings::GatewaySettings;
 use slog::Logger;
 
@@ -90,6 +91,10 @@
             load: number(fields, "x-load").map(|running| EndpointLoad {
                 running: running as u32,
                 queued: 0,
+                slowdown: number(fields, "x-slowdown").map(|percent| {
+                    let slowdown = Slowdown::from_percent(percent as u32);
+                    slowdown.ok_or(HeadFault("no slowdown"))
+                }),
             }),
             keep_alive: None,
             leaving: fields.contains_key("x-leaving"),
--- a/components/gateway/tests/skew.rs
+++ b/components/gateway/tests/skew.rs
@@ -90,6 +90,7 @@
         hall: None,
         home_ms: None,
         incarnation: None,
+        slowdown_percent: None,
     });
     DecisionReply::new(query.number, None, placed, None)
 }
--- a/components/routing/src/placement.rs
+++ b/components/routing/src/placement.rs
@@ -15,7 +15,9 @@
 mod pace;
 mod queue;
 mod service;
+mod sight;
 mod slot;
+mod slowdown;
 mod speed;
 mod unknown;
 mod way;
@@ -26,6 +28,8 @@
 pub use engines::HallLoad;
 pub use exclusion::Exclusion;
 pub use queue::PromptQueue;
+pub use sight::Sight;
+pub use slowdown::Slowdown;
 pub use way::Ways;
 
 use std::time::Duration;
--- a/components/routing/src/placement/board.rs
+++ b/components/routing/src/placement/board.rs
@@ -9,7 +9,6 @@
 use notices::{Notices, Standing};
 use topology::Topology;
 
-use crate::endpoint::Reading;
 use crate::placement::departure::Links;
 use crate::placement::engines::Span;
 use crate::placement::exclusion::standing;
@@ -17,6 +16,7 @@
 use crate::placement::pace::Pace;
 use crate::placement::service::ServiceSlots;
 use crate::placement::slot::Slot;
+use crate::placement::slowdown::{Memory, Slowdown};
 use crate::placement::unknown::Unknown;
 use crate::placement::way::Ways;
 use crate::placement::{
@@ -57,6 +57,8 @@
     pub bytes_across: u64,
     /// Whether it stays in its region for want of room on the link.
     pub kept_for_link: bool,
+    /// How long work is taken to need there.
+    pub slowdown: Slowdown,
 }
 
 /// A request under way, as the board counts it.
@@ -71,6 +73,8 @@
     first_at: Option<Duration>,
     // Nothing was to be read before it when it was sent.
     alone: bool,
+    // How long work was taken to need there when it was sent, in parts of the mean.
+    slowdown: f64,
     // What its events show of the engine.
     pub(super) span: Span,
 }
@@ -84,9 +88,11 @@
     pub(super) halls: Vec<String>,
     pub(super) services: BTreeMap<String, ServiceSlots>,
     // Services by id of the endpoint, and ids by hash.
-    service_of: HashMap<String, String>,
+    pub(super) service_of: HashMap<String, String>,
     hashes: HashMap<u64, String>,
-    paces: BTreeMap<String, Pace>,
+    pub(super) paces: BTreeMap<String, Pace>,
+    // What word of how long work takes is worth, by service.
+    pub(super) memories: BTreeMap<String, Memory>,
     pub(super) mixes: BTreeMap<String, Mix>,
     // By place of the region and weight of prompt: heavy ones are reported at once.
     pub(super) unknown: BTreeMap<(usize, bool), Unknown>,
@@ -111,6 +117,7 @@
             service_of: HashMap::new(),
             hashes: HashMap::new(),
             paces: BTreeMap::new(),
+            memories: BTreeMap::new(),
             mixes: BTreeMap::new(),
             unknown: BTreeMap::new(),
             engines: BTreeMap::new(),
@@ -234,6 +241,7 @@
             answer_tokens: work.answer_tokens,
             first_at: None,
             alone: false,
+            slowdown: self.against_usual(&placement.endpoint, now),
             span: Span::default(),
         };
         let Some(slot) = self.slot_of(&ticket) else {
@@ -292,7 +300,8 @@
         }
         let (service, hall) = (slot.spec.service.clone(), slot.spec.zone.clone());
         let way = self.ways.beyond_region_ms(&hall);
-        let took = ms(now.saturating_sub(ticket.sent_at)) - way;
+        let slowdown = self.slowdown_since(now, ticket);
+        let took = (ms(now.saturating_sub(ticket.sent_at)) - way) / slowdown;
         let pace = self.paces.entry(service).or_default();
         let sample = pace.first_token(ticket.unread_tokens, took);
         if let (Some(sample), Some(slot)) = (sample, self.slot_mut(&ticket.endpoint)) {
@@ -300,6 +309,11 @@
         }
     }
 
+    // How long work took at the endpoint of a request while that ran, in parts of the mean.
+    fn slowdown_since(&self, now: Duration, ticket: &Ticket) -> f64 {
+        (ticket.slowdown + self.against_usual(&ticket.endpoint, now)) / 2.0
+    }
+
     /// A request ended.
     pub fn ended(&mut self, now: Duration, ticket: &Ticket, verdict: Verdict) {
         let Some(slot) = self.slot_of(ticket) else {
@@ -310,25 +324,24 @@
             slot.queue.drop_entry(now, number);
         }
         slot.judge(now, verdict);
+        let (speed, told) = (slot.speed(), slot.told);
         let (service, hall) = (slot.spec.service.clone(), slot.spec.zone.clone());
         if verdict == Verdict::Sound {
             let way = self.ways.beyond_region_ms(&hall);
+            let slowdown = self.slowdown_since(now, ticket);
+            let on_the_whole = self.memory(&service).on_the_whole(told);
             let pace = self.paces.entry(service).or_default();
-            pace.ended((ms(now.saturating_sub(ticket.sent_at)) - way).max(0.0));
+            let slowness = speed.slowness(*pace) * on_the_whole;
+            pace.ended((ms(now.saturating_sub(ticket.sent_at)) - way).max(0.0) / slowdown);
             if let Some(first) = ticket.first_at.filter(|_| ticket.answer_tokens > 0) {
-                pace.answered(ticket.answer_tokens, ms(now.saturating_sub(first)));
+                pace.answered(
+                    ticket.answer_tokens,
+                    ms(now.saturating_sub(first)) / slowness,
+                );
             }
         }
     }
 
-    /// An answer reported the load of the start of an endpoint that a request was placed at.
-    pub fn read_load(&mut self, placement: &Placement, reading: Reading) {
-        let slot = self.slot_mut(&placement.endpoint);
-        if let Some(slot) = slot.filter(|slot| slot.incarnation() == placement.incarnation) {
-            slot.take_reading(reading);
-        }
-    }
-
     /// Another gateway reported what it sent.
     pub fn peer_sent(&mut self, now: Duration, dispatch: PeerDispatch) {
         let Some(id) = self.id_of(dispatch.endpoint) else {
--- a/components/routing/src/placement/choice.rs
+++ b/components/routing/src/placement/choice.rs
@@ -12,6 +12,7 @@
 use crate::placement::pace::Pace;
 use crate::placement::service::{ServiceSlots, Usable};
 use crate::placement::slot::Slot;
+use crate::placement::slowdown::Memory;
 use crate::placement::unknown::Unknown;
 use crate::placement::way::OWN_REGION;
 use crate::placement::{beginnings, Versions, Work};
@@ -20,6 +21,9 @@
 const TIE_MS: f64 = 1.0;
 /// Cost of one more request beside the others at an engine, in milliseconds.
 const BESIDE_MS: f64 = 0.3;
+/// With this power of the taken part of an engine's slots a request costs the next ones: nearly nothing at a half, and the
+/// whole time until a slot is free where it takes the last one.
+const TAKEN_SLOTS_POWER: i32 = 4;
 /// Cost of an endpoint whose every answer is faulty, in milliseconds.
 const FAULTY_MS: f64 = 1000.0;
 /// Cost of an endpoint that was silent, while another region has endpoints too, in milliseconds: as much as one whose
@@ -88,6 +92,7 @@
             now,
             work,
             pace: self.pace(&work.service),
+            memory: self.memory(&work.service),
             mix: self.mixes.get(&work.service).copied().unwrap_or_default(),
             hashes: beginnings(&work.parts),
             hall_costs: self.hall_costs(home_region, work.body_bytes),
@@ -140,6 +145,7 @@
             false => home?,
         };
         let slot = slots.at(chosen.position);
+        let hold = weighing.pace.hold_of(work, chosen.unread);
         Some(Placement {
             endpoint: slot.spec.id.clone(),
             incarnation: slot.incarnation(),
@@ -147,7 +153,7 @@
             unread_tokens: chosen.unread,
             shared_prompt: shared_hash(&weighing.hashes),
             expected_ms: chosen.cost_ms,
-            hold: weighing.pace.hold_of(work, chosen.unread),
+            hold: hold.mul_f64(slot.slowness(weighing.pace, &weighing.memory)),
             weighed: count,
             counted: false,
             version: Some(slot.spec.version.clone()),
@@ -156,6 +162,7 @@
             home_ms: home_ms.filter(|_| leaves),
             bytes_across: if leaves { bytes_across(work) } else { 0 },
             kept_for_link: departure == Departure::Declined,
+            slowdown: weighing.memory.expected(now, slot.told),
         })
     }
 }
@@ -176,6 +183,7 @@
     now: Duration,
     work: &'a Work,
     pace: Pace,
+    memory: Memory,
     mix: Mix,
     hashes: Vec<u64>,
     // What a request must gain in each hall, by the place of the hall on the board.
@@ -255,11 +263,16 @@
     // Expected time to the first token there, and what the request would cost others.
     fn cost_ms(&self, slot: &mut Slot, unread: u32) -> f64 {
         let (now, pace) = (self.now, self.pace);
-        let rate = slot.rate(pace);
+        let slowdown = self.memory.against_usual(now, slot.told);
+        let rate = slot.rate(pace) / slowdown;
         let load = f64::from(slot.load(now));
         let slots = f64::from(slot.spec.slots.max(1));
         let excess = (load + 1.0 - slots).max(0.0);
-        let mut cost = excess * pace.hold_ms / slots;
+        let hold_ms = pace.hold_ms * slowdown;
+        let mut cost = excess * hold_ms / slots;
+        if slot.is_engine {
+            cost += taken_slot_ms((load + 1.0) / slots, hold_ms / slots);
+        }
         if self.work.prompt_tokens > 0 {
             let ahead = ms(slot.queue.wait(now, rate));
             let reading = f64::from(unread) / rate;
@@ -268,7 +281,8 @@
                 cost += (load * HELD_UP_MS).min(MOST_HELD_UP_MS);
             }
         } else {
-            cost += load / slots * pace.hold_ms;
+            let slower_ms = hold_ms - pace.hold_ms;
+            cost += load / slots * hold_ms + slower_ms.max(0.0);
         }
         cost += slot.fault_share * FAULTY_MS;
         cost += if now < slot.cold_until { COLD_MS } else { 0.0 };
@@ -276,6 +290,13 @@
     }
 }
 
+// What a request costs those that come after it, by the slots that are taken with it: where most are, the next ones wait
+// for one or push less urgent requests out, whose prompts are read again. `free_ms` is the time until a slot is free when
+// all are taken.
+fn taken_slot_ms(part: f64, free_ms: f64) -> f64 {
+    free_ms * part.min(1.0).powi(TAKEN_SLOTS_POWER)
+}
+
 // All endpoints, or some of them at random where many requests of others are not known yet: if all
 // gateways took the best one they know of, they would all take the same.
 fn candidates(
--- a/components/routing/src/placement/engines.rs
+++ b/components/routing/src/placement/engines.rs
@@ -29,6 +29,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Look {
     at: Duration,
+    // The engine's own time, which is the clock's unless work takes longer than usual.
+    work_ms: f64,
     running: u32,
     pushed_tokens: f64,
 }
@@ -136,8 +138,10 @@
             return;
         };
         let steps = f64::from(span.events) * per_event;
+        let passed_ms = ms(now.saturating_sub(start.at)).max(f64::MIN_POSITIVE);
+        let work_part = (end.work_ms - start.work_ms) / passed_ms;
         let sample = Sample {
-            step_ms: ms(span.last_at.saturating_sub(start.at)) / steps,
+            step_ms: ms(span.last_at.saturating_sub(start.at)) * work_part / steps,
             running: f64::from(start.running + end.running) / 2.0,
             read_tokens: (end.pushed_tokens - start.pushed_tokens) / steps,
         };
@@ -146,9 +150,13 @@
 
     // Only engines that prompts were sent to from here are looked at; a gateway that follows no endpoints sees none.
     fn look(&mut self, now: Duration, endpoint: &str) -> Option<Look> {
-        let slot = self.slot_mut(endpoint).filter(|slot| slot.is_engine)?;
+        let service = self.service_of.get(endpoint)?;
+        let memory = self.memories.entry(service.clone()).or_default();
+        let slots = self.services.get_mut(service)?;
+        let slot = slots.get_mut(endpoint).filter(|slot| slot.is_engine)?;
         Some(Look {
             at: now,
+            work_ms: slot.work_ms(now, memory),
             running: slot.load(now).max(1),
             pushed_tokens: slot.queue.pushed_tokens(),
         })
--- a/components/routing/src/placement/slot.rs
+++ b/components/routing/src/placement/slot.rs
@@ -4,10 +4,10 @@
 
 use directory::Endpoint;
 
-use crate::endpoint::Reading;
 use crate::placement::cache::PromptCache;
 use crate::placement::pace::Pace;
 use crate::placement::queue::PromptQueue;
+use crate::placement::slowdown::{Memory, Slowdown, Told};
 use crate::placement::speed::Speed;
 use crate::placement::{incarnation, Verdict};
 
@@ -20,6 +20,23 @@
 /// A reading older than this says nothing any more.
 const READING_AGE: Duration = Duration::from_secs(1);
 
+/// Requests that were sent so shortly before an endpoint said how many it has may not have reached it by then.
+const ON_THE_WAY: Duration = Duration::from_millis(10);
+
+// How many requests an endpoint said it had.
+#[derive(Clone, Copy, Debug)]
+struct Reading {
+    requests: u32,
+    at: Duration,
+}
+
+// A request of another gateway.
+#[derive(Clone, Copy, Debug)]
+struct Expected {
+    sent_at: Duration,
+    ends_at: Duration,
+}
+
 /// One endpoint on the board.
 #[derive(Debug)]
 pub(crate) struct Slot {
@@ -36,6 +53,10 @@
     pub cache: PromptCache,
     pub queue: PromptQueue,
     pub speed: Speed,
+    /// What it told of how long work takes there.
+    pub told: Option<Told>,
+    // Time up to then, in milliseconds, as long as it was for its work.
+    work_ms: f64,
     /// Requests of this gateway that run there.
     pub own: u32,
     /// Running share of faulty answers.
@@ -44,8 +65,8 @@
     silent_in_row: u32,
     reading: Option<Reading>,
     own_at_reading: u32,
-    // When the requests of others that were sent since the reading are expected to end.
-    others: Vec<Duration>,
+    // Requests of others, at an engine all, elsewhere those sent since the reading.
+    others: Vec<Expected>,
     /// Whether it reads prompts.
     pub is_engine: bool,
     /// When it stops being slow after its start.
@@ -64,6 +85,8 @@
             cache: PromptCache::new(cache_tokens),
             queue: PromptQueue::default(),
             speed: Speed::default(),
+            told: None,
+            work_ms: 0.0,
             own: 0,
             fault_share: 0.0,
             suspected_until: Duration::ZERO,
@@ -81,9 +104,19 @@
         self.incarnation
     }
 
-    /// Tokens of prompts that it reads in a millisecond, from its service's rate and what was measured of its own.
+    /// Tokens of prompts that it reads in a millisecond when work takes as long as on the whole, from its service's rate and
+    /// what was measured of its own.
     pub fn rate(&self, pace: Pace) -> f64 {
-        self.speed.rate(pace)
+        self.speed().rate(pace)
+    }
+
+    /// How fast it reads beside the others, as far as it doesn't tell that itself: what was measured of its own is off by
+    /// whatever was read beside.
+    pub fn speed(&self) -> Speed {
+        match self.told {
+            Some(_) => Speed::default(),
+            None => self.speed,
+        }
     }
 
     /// It read a prompt at so many tokens a millisecond.
@@ -91,6 +124,24 @@
         self.speed.note(rate);
     }
 
+    /// It told how long work takes there.
+    pub fn hear_slowdown(&mut self, at: Duration, slowdown: Slowdown, memory: &mut Memory) {
+        self.work_ms = self.work_ms(at, memory);
+        self.told = Some(memory.hear(self.told, at, slowdown));
+    }
+
+    /// Time that a request takes there, in parts of what it takes at the service's endpoints on the whole.
+    pub fn slowness(&self, pace: Pace, memory: &Memory) -> f64 {
+        self.speed().slowness(pace) * memory.on_the_whole(self.told)
+    }
+
+    /// Time that passed for its work, in milliseconds: less than the clock's while work takes longer than usual.
+    pub fn work_ms(&self, now: Duration, memory: &Memory) -> f64 {
+        let since = self.told.map_or(Duration::ZERO, |told| told.at());
+        let passed_ms = now.saturating_sub(since).as_secs_f64() * 1000.0;
+        self.work_ms + passed_ms / memory.against_usual(now, self.told)
+    }
+
     /// Whether it is passed over while there is another.
     pub fn is_suspected(&self, now: Duration) -> bool {
         now < self.suspected_until
@@ -98,31 +149,66 @@
 
     /// Requests expected there now.
     pub fn load(&mut self, now: Duration) -> u32 {
-        self.others.retain(|end| *end > now);
+        self.others.retain(|other| other.ends_at > now);
         let others = self.others.len() as u32;
         if self.is_engine {
             return self.own + others;
         }
         let fresh = self.reading.filter(|r| now < r.at + READING_AGE);
-        let read = fresh.map_or(0, |r| r.running + r.queued);
+        let read = fresh.map_or(0, |r| r.requests);
         let known = (read + self.own).saturating_sub(self.own_at_reading.min(read));
         known.max(self.own) + others
     }
 
-    /// Takes the load that an answer reported. An engine reports it once, at the first token; what is known
-    /// of each request and its expected end says more.
-    pub fn take_reading(&mut self, reading: Reading) {
+    /// It said how many requests it had. Returns how many were expected. `hold` is the time of a request at the service.
+    pub fn hear_requests(&mut self, at: Duration, requests: u32, hold: Duration) -> u32 {
         if self.is_engine {
-            return;
+            return self.correct(at, requests, hold);
+        }
+        let expected = self.load(at);
+        if self.reading.is_none_or(|known| known.at <= at) {
+            let own_at_reading = self.own;
+            self.reading = Some(Reading { requests, at });
+            self.own_at_reading = own_at_reading;
+            self.others.retain(|other| other.sent_at >= at);
+        }
+        expected
+    }
+
+    // What is known of each request at an engine and of its expected end says more than one count, but guesses of how
+    // long answers are go far off: those that are due soonest are taken to have ended, or as many to run on.
+    fn correct(&mut self, at: Duration, requests: u32, hold: Duration) -> u32 {
+        let arrived = |other: &Expected| other.sent_at + ON_THE_WAY <= at;
+        self.others.retain(|other| other.ends_at > at);
+        let others = self.others.iter().filter(|other| arrived(other)).count() as u32;
+        let expected = self.own + others;
+        let ended = expected.saturating_sub(requests).min(others);
+        for _ in 0..ended {
+            let running = self
+                .others
+                .iter()
+                .enumerate()
+                .filter(|(_, other)| arrived(other));
+            let next = running.min_by_key(|(_, other)| other.ends_at);
+            if let Some((position, _)) = next {
+                self.others.swap_remove(position);
+            }
+        }
+        for _ in 0..requests.saturating_sub(expected) {
+            self.others.push(Expected {
+                sent_at: at.saturating_sub(ON_THE_WAY),
+                ends_at: at + hold / 2,
+            });
         }
-        self.reading = Some(reading);
-        self.own_at_reading = self.own;
-        self.others.clear();
+        expected
     }
 
     /// Another gateway sent a request that is expected to run for `hold`.
     pub fn other_sent(&mut self, sent_at: Duration, hold: Duration) {
-        self.others.push(sent_at + hold);
+        self.others.push(Expected {
+            sent_at,
+            ends_at: sent_at + hold,
+        });
     }
 
     /// Draws conclusions from the end of a request.
--- a/components/routing/src/placement/speed.rs
+++ b/components/routing/src/placement/speed.rs
@@ -26,6 +26,11 @@
         self.samples = (self.samples + 1).min(MOST_SAMPLES);
     }
 
+    /// Time that work takes there, in parts of what it takes at the service's endpoints on the whole.
+    pub fn slowness(&self, pace: Pace) -> f64 {
+        pace.rate / self.rate(pace)
+    }
+
     /// Tokens that it reads in a millisecond, as far as is known: its service's rate until it was measured itself.
     pub fn rate(&self, pace: Pace) -> f64 {
         let samples = f64::from(self.samples);
--- a/components/routing/tests/restarts.rs
+++ b/components/routing/tests/restarts.rs
@@ -8,9 +8,8 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use routing::placement::{
-    incarnation, Board, PeerDispatch, Placement, PromptPart, Verdict, Versions, Work,
+    incarnation, Board, PeerDispatch, Placement, PromptPart, Sight, Verdict, Versions, Work,
 };
-use routing::Reading;
 
 const NOW: Duration = Duration::from_secs(10);
 const TOKENS: u32 = 4000;
@@ -145,12 +144,13 @@
     let mut rng = ChaCha8Rng::seed_from_u64(1);
     let placed = board.choose(NOW, &plain, &[], Versions::Any, &mut rng);
     let placed = placed.expect("an endpoint");
-    let reading = Reading {
-        running: 5,
-        queued: 0,
+    let sight = Sight {
+        endpoint: placed.incarnation,
         at: NOW,
+        requests: Some(5),
+        slowdown: None,
     };
     board.insert(NOW, endpoint("a", Some(2)));
-    board.read_load(&placed, reading);
+    board.see(sight);
     assert_eq!(board.occupancy(NOW, "s")["z"].requests, 0);
 }
--- a/components/schema/src/messages.rs
+++ b/components/schema/src/messages.rs
@@ -2312,6 +2312,111 @@
     }
 }
 
+//
+// Sight
+//
+
+/// What an answer showed of the endpoint that made it.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Sight {
+    /// Hash of the start of the endpoint.
+    pub endpoint: i64,
+    /// Time since then, in milliseconds.
+    pub age_ms: i32,
+    /// How long work took there, in parts of 100 of the usual.
+    pub slowdown_percent: Option<i32>,
+    /// Requests that ran or waited there.
+    pub requests: Option<i32>,
+}
+
+impl Sight {
+    pub fn new<F3, F4>(endpoint: i64, age_ms: i32, slowdown_percent: F3, requests: F4) -> Sight
+    where
+        F3: Into<Option<i32>>,
+        F4: Into<Option<i32>>,
+    {
+        Sight {
+            endpoint,
+            age_ms,
+            slowdown_percent: slowdown_percent.into(),
+            requests: requests.into(),
+        }
+    }
+}
+
+impl TSerializable for Sight {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Sight> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<i64> = None;
+        let mut f_2: Option<i32> = None;
+        let mut f_3: Option<i32> = None;
+        let mut f_4: Option<i32> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = i_prot.read_i64()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = i_prot.read_i32()?;
+                    f_2 = Some(val);
+                }
+                3 => {
+                    let val = i_prot.read_i32()?;
+                    f_3 = Some(val);
+                }
+                4 => {
+                    let val = i_prot.read_i32()?;
+                    f_4 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("Sight.endpoint", &f_1)?;
+        verify_required_field_exists("Sight.age_ms", &f_2)?;
+        let ret = Sight {
+            endpoint: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            age_ms: f_2
+                .expect("auto-generated code should have checked for presence of required fields"),
+            slowdown_percent: f_3,
+            requests: f_4,
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("Sight");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("endpoint", TType::I64, 1))?;
+        o_prot.write_i64(self.endpoint)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("age_ms", TType::I32, 2))?;
+        o_prot.write_i32(self.age_ms)?;
+        o_prot.write_field_end()?;
+        if let Some(fld_var) = self.slowdown_percent {
+            o_prot.write_field_begin(&TFieldIdentifier::new("slowdown_percent", TType::I32, 3))?;
+            o_prot.write_i32(fld_var)?;
+            o_prot.write_field_end()?
+        }
+        if let Some(fld_var) = self.requests {
+            o_prot.write_field_begin(&TFieldIdentifier::new("requests", TType::I32, 4))?;
+            o_prot.write_i32(fld_var)?;
+            o_prot.write_field_end()?
+        }
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
 //
 // Gossip
 //
@@ -2377,6 +2482,8 @@
     pub held: Option<Vec<Box<HeldContent>>>,
     /// Time of day that the sender votes for, in milliseconds since 1970, when it was sent.
     pub day_ms: Option<i64>,
+    /// What answers showed of endpoints.
+    pub sights: Option<Vec<Sight>>,
 }
 
 impl Gossip {
@@ -2401,6 +2508,7 @@
         F37,
         F38,
         F39,
+        F40,
     >(
         gateway: String,
         incarnation: i64,
@@ -2431,6 +2539,7 @@
         contents: F37,
         held: F38,
         day_ms: F39,
+        sights: F40,
     ) -> Gossip
     where
         F10: Into<Option<Vec<TopicHead>>>,
@@ -2453,6 +2562,7 @@
         F37: Into<Option<Vec<Box<ContentReport>>>>,
         F38: Into<Option<Vec<Box<HeldContent>>>>,
         F39: Into<Option<i64>>,
+        F40: Into<Option<Vec<Sight>>>,
     {
         Gossip {
             gateway,
@@ -2484,6 +2594,7 @@
             contents: contents.into(),
             held: held.into(),
             day_ms: day_ms.into(),
+            sights: sights.into(),
         }
     }
 }
@@ -2520,6 +2631,7 @@
         let mut f_37: Option<Vec<Box<ContentReport>>> = None;
         let mut f_38: Option<Vec<Box<HeldContent>>> = None;
         let mut f_39: Option<i64> = None;
+        let mut f_40: Option<Vec<Sight>> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -2716,6 +2828,16 @@
                     let val = i_prot.read_i64()?;
                     f_39 = Some(val);
                 }
+                40 => {
+                    let list_ident = i_prot.read_list_begin()?;
+                    let mut val: Vec<Sight> = Vec::with_capacity(list_ident.size as usize);
+                    for _ in 0..list_ident.size {
+                        let list_elem_21 = Sight::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_21);
+                    }
+                    i_prot.read_list_end()?;
+                    f_40 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -2771,6 +2893,7 @@
             contents: f_37,
             held: f_38,
             day_ms: f_39,
+            sights: f_40,
         };
         Ok(ret)
     }
@@ -2962,6 +3085,15 @@
             o_prot.write_i64(fld_var)?;
             o_prot.write_field_end()?
         }
+        if let Some(ref fld_var) = self.sights {
+            o_prot.write_field_begin(&TFieldIdentifier::new("sights", TType::List, 40))?;
+            o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, fld_var.len() as i32))?;
+            for e in fld_var {
+                e.write_to_out_protocol(o_prot)?;
+            }
+            o_prot.write_list_end()?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -3248,8 +3380,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<KeptContent> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_21 = KeptContent::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_21);
+                        let list_elem_22 = KeptContent::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_22);
                     }
                     i_prot.read_list_end()?;
                     f_1 = Some(val);
@@ -3420,8 +3552,8 @@
                     let mut val: Vec<OrderedFloat<f64>> =
                         Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_22 = OrderedFloat::from(i_prot.read_double()?);
-                        val.push(list_elem_22);
+                        let list_elem_23 = OrderedFloat::from(i_prot.read_double()?);
+                        val.push(list_elem_23);
                     }
                     i_prot.read_list_end()?;
                     f_2 = Some(val);
@@ -3431,8 +3563,8 @@
                     let mut val: Vec<OrderedFloat<f64>> =
                         Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_23 = OrderedFloat::from(i_prot.read_double()?);
-                        val.push(list_elem_23);
+                        let list_elem_24 = OrderedFloat::from(i_prot.read_double()?);
+                        val.push(list_elem_24);
                     }
                     i_prot.read_list_end()?;
                     f_3 = Some(val);
@@ -3664,9 +3796,9 @@
                     let map_ident = i_prot.read_map_begin()?;
                     let mut val: BTreeMap<i32, i64> = BTreeMap::new();
                     for _ in 0..map_ident.size {
-                        let map_key_24 = i_prot.read_i32()?;
-                        let map_val_25 = i_prot.read_i64()?;
-                        val.insert(map_key_24, map_val_25);
+                        let map_key_25 = i_prot.read_i32()?;
+                        let map_val_26 = i_prot.read_i64()?;
+                        val.insert(map_key_25, map_val_26);
                     }
                     i_prot.read_map_end()?;
                     f_4 = Some(val);
@@ -3771,8 +3903,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<AnswerCounts> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_26 = AnswerCounts::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_26);
+                        let list_elem_27 = AnswerCounts::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_27);
                     }
                     i_prot.read_list_end()?;
                     f_3 = Some(val);
@@ -4183,10 +4315,12 @@
     pub hall: Option<String>,
     /// Hashes of starts of endpoints that want nothing from the sender, since they leave or asked it for a pause; at most a few.
     pub closed: Option<Vec<i64>>,
+    /// What answers showed of endpoints since the last query; at most a few.
+    pub sights: Option<Vec<Sight>>,
 }
 
 impl DecisionQuery {
-    pub fn new<F3, F11, F12, F13, F14, F15>(
+    pub fn new<F3, F11, F12, F13, F14, F15, F16>(
         number: i64,
         service_name: String,
         team: F3,
@@ -4202,6 +4336,7 @@
         body_bytes: F13,
         hall: F14,
         closed: F15,
+        sights: F16,
     ) -> DecisionQuery
     where
         F3: Into<Option<String>>,
@@ -4210,6 +4345,7 @@
         F13: Into<Option<i32>>,
         F14: Into<Option<String>>,
         F15: Into<Option<Vec<i64>>>,
+        F16: Into<Option<Vec<Sight>>>,
     {
         DecisionQuery {
             number,
@@ -4227,6 +4363,7 @@
             body_bytes: body_bytes.into(),
             hall: hall.into(),
             closed: closed.into(),
+            sights: sights.into(),
         }
     }
 }
@@ -4249,6 +4386,7 @@
         let mut f_13: Option<i32> = None;
         let mut f_14: Option<String> = None;
         let mut f_15: Option<Vec<i64>> = None;
+        let mut f_16: Option<Vec<Sight>> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -4288,8 +4426,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<PromptPart> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_27 = PromptPart::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_27);
+                        let list_elem_28 = PromptPart::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_28);
                     }
                     i_prot.read_list_end()?;
                     f_8 = Some(val);
@@ -4298,8 +4436,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_28 = i_prot.read_i64()?;
-                        val.push(list_elem_28);
+                        let list_elem_29 = i_prot.read_i64()?;
+                        val.push(list_elem_29);
                     }
                     i_prot.read_list_end()?;
                     f_9 = Some(val);
@@ -4328,12 +4466,22 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_29 = i_prot.read_i64()?;
-                        val.push(list_elem_29);
+                        let list_elem_30 = i_prot.read_i64()?;
+                        val.push(list_elem_30);
                     }
                     i_prot.read_list_end()?;
                     f_15 = Some(val);
                 }
+                16 => {
+                    let list_ident = i_prot.read_list_begin()?;
+                    let mut val: Vec<Sight> = Vec::with_capacity(list_ident.size as usize);
+                    for _ in 0..list_ident.size {
+                        let list_elem_31 = Sight::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_31);
+                    }
+                    i_prot.read_list_end()?;
+                    f_16 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -4375,6 +4523,7 @@
             body_bytes: f_13,
             hall: f_14,
             closed: f_15,
+            sights: f_16,
         };
         Ok(ret)
     }
@@ -4460,6 +4609,15 @@
             o_prot.write_list_end()?;
             o_prot.write_field_end()?
         }
+        if let Some(ref fld_var) = self.sights {
+            o_prot.write_field_begin(&TFieldIdentifier::new("sights", TType::List, 16))?;
+            o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, fld_var.len() as i32))?;
+            for e in fld_var {
+                e.write_to_out_protocol(o_prot)?;
+            }
+            o_prot.write_list_end()?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -4493,10 +4651,12 @@
     pub home_ms: Option<i32>,
     /// Hash of the start of the endpoint that is meant; without it that of its id.
     pub incarnation: Option<i64>,
+    /// How long work is taken to need there, in parts of 100 of the usual; unset where the endpoints tell nothing of it.
+    pub slowdown_percent: Option<i32>,
 }
 
 impl PlacedAt {
-    pub fn new<F8, F9, F10, F11>(
+    pub fn new<F8, F9, F10, F11, F12>(
         endpoint: String,
         address: String,
         unread_tokens: i32,
@@ -4508,12 +4668,14 @@
         hall: F9,
         home_ms: F10,
         incarnation: F11,
+        slowdown_percent: F12,
     ) -> PlacedAt
     where
         F8: Into<Option<String>>,
         F9: Into<Option<String>>,
         F10: Into<Option<i32>>,
         F11: Into<Option<i64>>,
+        F12: Into<Option<i32>>,
     {
         PlacedAt {
             endpoint,
@@ -4527,6 +4689,7 @@
             hall: hall.into(),
             home_ms: home_ms.into(),
             incarnation: incarnation.into(),
+            slowdown_percent: slowdown_percent.into(),
         }
     }
 }
@@ -4545,6 +4708,7 @@
         let mut f_9: Option<String> = None;
         let mut f_10: Option<i32> = None;
         let mut f_11: Option<i64> = None;
+        let mut f_12: Option<i32> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -4596,6 +4760,10 @@
                     let val = i_prot.read_i64()?;
                     f_11 = Some(val);
                 }
+                12 => {
+                    let val = i_prot.read_i32()?;
+                    f_12 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -4629,6 +4797,7 @@
             hall: f_9,
             home_ms: f_10,
             incarnation: f_11,
+            slowdown_percent: f_12,
         };
         Ok(ret)
     }
@@ -4676,6 +4845,11 @@
             o_prot.write_i64(fld_var)?;
             o_prot.write_field_end()?
         }
+        if let Some(fld_var) = self.slowdown_percent {
+            o_prot.write_field_begin(&TFieldIdentifier::new("slowdown_percent", TType::I32, 12))?;
+            o_prot.write_i32(fld_var)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -4864,19 +5038,23 @@
     pub query: Option<DecisionQuery>,
     pub reply: Option<DecisionReply>,
     pub give_back: Option<GiveBack>,
+    /// What answers showed of endpoints and cannot wait for the next query.
+    pub sights: Option<Vec<Sight>>,
 }
 
 impl Decision {
-    pub fn new<F1, F2, F3>(query: F1, reply: F2, give_back: F3) -> Decision
+    pub fn new<F1, F2, F3, F4>(query: F1, reply: F2, give_back: F3, sights: F4) -> Decision
     where
         F1: Into<Option<DecisionQuery>>,
         F2: Into<Option<DecisionReply>>,
         F3: Into<Option<GiveBack>>,
+        F4: Into<Option<Vec<Sight>>>,
     {
         Decision {
             query: query.into(),
             reply: reply.into(),
             give_back: give_back.into(),
+            sights: sights.into(),
         }
     }
 }
@@ -4887,6 +5065,7 @@
         let mut f_1: Option<DecisionQuery> = None;
         let mut f_2: Option<DecisionReply> = None;
         let mut f_3: Option<GiveBack> = None;
+        let mut f_4: Option<Vec<Sight>> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -4906,6 +5085,16 @@
                     let val = GiveBack::read_from_in_protocol(i_prot)?;
                     f_3 = Some(val);
                 }
+                4 => {
+                    let list_ident = i_prot.read_list_begin()?;
+                    let mut val: Vec<Sight> = Vec::with_capacity(list_ident.size as usize);
+                    for _ in 0..list_ident.size {
+                        let list_elem_32 = Sight::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_32);
+                    }
+                    i_prot.read_list_end()?;
+                    f_4 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -4917,6 +5106,7 @@
             query: f_1,
             reply: f_2,
             give_back: f_3,
+            sights: f_4,
         };
         Ok(ret)
     }
@@ -4938,6 +5128,15 @@
             fld_var.write_to_out_protocol(o_prot)?;
             o_prot.write_field_end()?
         }
+        if let Some(ref fld_var) = self.sights {
+            o_prot.write_field_begin(&TFieldIdentifier::new("sights", TType::List, 4))?;
+            o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, fld_var.len() as i32))?;
+            for e in fld_var {
+                e.write_to_out_protocol(o_prot)?;
+            }
+            o_prot.write_list_end()?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -4949,6 +5148,7 @@
             query: None,
             reply: None,
             give_back: None,
+            sights: Some(Vec::new()),
         }
     }
 }
@@ -5192,8 +5392,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<RowChange> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_30 = RowChange::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_30);
+                        let list_elem_33 = RowChange::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_33);
                     }
                     i_prot.read_list_end()?;
                     f_1 = Some(val);
@@ -5414,9 +5614,9 @@
                     let map_ident = i_prot.read_map_begin()?;
                     let mut val: BTreeMap<String, i64> = BTreeMap::new();
                     for _ in 0..map_ident.size {
-                        let map_key_31 = i_prot.read_string()?;
-                        let map_val_32 = i_prot.read_i64()?;
-                        val.insert(map_key_31, map_val_32);
+                        let map_key_34 = i_prot.read_string()?;
+                        let map_val_35 = i_prot.read_i64()?;
+                        val.insert(map_key_34, map_val_35);
                     }
                     i_prot.read_map_end()?;
                     f_1 = Some(val);
--- a/components/schema/thrift/messages.thrift
+++ b/components/schema/thrift/messages.thrift
@@ -221,6 +221,18 @@
   2: required i64 epoch,
 }
 
+/** What an answer showed of the endpoint that made it. */
+struct Sight {
+  /** Hash of the start of the endpoint. */
+  1: required i64 endpoint,
+  /** Time since then, in milliseconds. */
+  2: required i32 age_ms,
+  /** How long work took there, in parts of 100 of the usual. */
+  3: optional i32 slowdown_percent,
+  /** Requests that ran or waited there. */
+  4: optional i32 requests,
+}
+
 /** What a gateway reports to the others. */
 struct Gossip {
   /** Name of the sender. */
@@ -281,6 +293,8 @@
   38: optional list<HeldContent> held,
   /** Time of day that the sender votes for, in milliseconds since 1970, when it was sent. */
   39: optional i64 day_ms,
+  /** What answers showed of endpoints. */
+  40: optional list<Sight> sights,
 }
 
 /** What one gateway saw of the content of a request. */
@@ -439,6 +453,8 @@
   14: optional string hall,
   /** Hashes of starts of endpoints that want nothing from the sender, since they leave or asked it for a pause; at most a few. */
   15: optional list<i64> closed,
+  /** What answers showed of endpoints since the last query; at most a few. */
+  16: optional list<Sight> sights,
 }
 
 /** Where a request goes, as a coordinator decided. */
@@ -464,6 +480,8 @@
   10: optional i32 home_ms,
   /** Hash of the start of the endpoint that is meant; without it that of its id. */
   11: optional i64 incarnation,
+  /** How long work is taken to need there, in parts of 100 of the usual; unset where the endpoints tell nothing of it. */
+  12: optional i32 slowdown_percent,
 }
 
 /** Answer to a DecisionQuery. */
@@ -488,6 +506,8 @@
   1: optional DecisionQuery query,
   2: optional DecisionReply reply,
   3: optional GiveBack give_back,
+  /** What answers showed of endpoints and cannot wait for the next query. */
+  4: optional list<Sight> sights,
 }
 
 /** Asks another gateway for the rows of a topic. */
--- a/soak/src/standins/endpoint.rs
+++ b/soak/src/standins/endpoint.rs
@@ -9,7 +9,8 @@
 use std::time::Duration;
 
 use platform::names::{
-    ATTEMPT_ID, CREDENTIAL, EXPECTED_INSTANCE, NOT_EXECUTED, SERVER_LEAVING, SIGNATURE, TENANT,
+    ATTEMPT_ID, CREDENTIAL, EXPECTED_INSTANCE, INSTANCE_LOAD, NOT_EXECUTED, SERVER_LEAVING,
+    SIGNATURE, TENANT,
 };
 
 use super::deadly::DEADLY;
@@ -27,6 +28,29 @@
 const SLOW_PIECE: usize = 16 << 10;
 const SLOW_PAUSE: Duration = Duration::from_millis(15);
 
+/// Time for which work takes as long as usual or longer, of a machine that is shared.
+const SWING: Duration = Duration::from_millis(400);
+/// How long work takes in every third such time, in parts of the usual.
+const SLOW_FACTOR: u32 = 3;
+
+/// What an endpoint says of how long work takes there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Telling {
+    Nothing,
+    Truth,
+    Lies,
+    Nonsense,
+}
+
+fn telling(endpoint: &str) -> Telling {
+    match hash(endpoint) % 4 {
+        0 => Telling::Nothing,
+        1 => Telling::Truth,
+        2 => Telling::Lies,
+        _ => Telling::Nonsense,
+    }
+}
+
 /// How a request goes at an endpoint.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Course {
@@ -209,16 +233,39 @@
         ran
     }
 
-    // Field of an answer that says that it leaves.
+    // How long work takes now, in parts of the usual.
+    fn slowdown(&self) -> u32 {
+        let swings = self.history.now() / SWING.as_millis() as u64 + hash(&self.id);
+        match swings % 3 {
+            0 => SLOW_FACTOR,
+            _ => 1,
+        }
+    }
+
+    // Field of an answer with its load.
+    fn say_load(&self) -> String {
+        let running = lock(&self.running).len();
+        let slowdown = self.slowdown();
+        let told = match telling(&self.id) {
+            Telling::Nothing => String::new(),
+            Telling::Truth => format!(",{}", slowdown * 100),
+            Telling::Lies => format!(",{}", 100 * SLOW_FACTOR / slowdown),
+            Telling::Nonsense => [",", ",x", ",-1", ",0,250"][slowdown as usize].into(),
+        };
+        format!("{INSTANCE_LOAD}: {running},0,{SLOTS}{told}\r\n")
+    }
+
+    // Fields of an answer that tell its load and, if so, that it leaves.
     fn say(&self, id: &str) -> String {
+        let load = self.say_load();
         if !self.leaving.load(Ordering::SeqCst) {
-            return String::new();
+            return load;
         }
         self.history.note(Seen::SaidLeaving {
             id: id.to_string(),
             endpoint: self.id.clone(),
         });
-        format!("{SERVER_LEAVING}: 1\r\n")
+        format!("{load}{SERVER_LEAVING}: 1\r\n")
     }
 
     // Field of an answer that asks for a pause of some ms.
@@ -244,7 +291,8 @@
         if !matches!(course, Course::Well | Course::Fails) {
             self.history.note(Seen::BrokeOff { id: id.to_string() });
         }
-        thread::sleep(Duration::from_millis(3 + hash(id) / 7 % 80));
+        let work = Duration::from_millis(3 + hash(id) / 7 % 80);
+        thread::sleep(work * self.slowdown());
         match course {
             Course::LosesAnswer => Err(std::io::ErrorKind::ConnectionReset.into()),
             Course::Hangs => {
