List gateways by data hall, and let only coordinators look at the lease and hold calls

What grows faster than the fleet: the list, by gateways x gateways; the refused rows, by how far the fleet passes the part's rate. What held only while the fleet was small: until a gateway has read who else runs it takes itself for a coordinator, so all of them race for the lease.

Change: a gateway writes its row into its hall's part and reads that part only, as it did where there are several regions; coordinators read the others. The two that read the store look at the lease first, the other coordinators a second later, all others if no coordinator was heard 1.5 s after their list. Ruled out: one part read in ranges (986 rows in one part take 5 s at its rate, and are refused meanwhile).

--- a/components/gateway/src/control/exchange.rs
+++ b/components/gateway/src/control/exchange.rs
@@ -42,7 +42,7 @@
             decisions_port: Some(i32::from(self.decisions_port)),
         };
         let value = schema::encode(&row).unwrap_or_default();
-        let by_halls = self.known.borrow().topology.has_regions();
+        let by_halls = self.known.borrow().topology.has_halls();
         let hall = by_halls.then_some(settings.zone.as_str());
         let mut failures = 0;
         while let Err(error) = self
--- a/components/gateway/src/control/known.rs
+++ b/components/gateway/src/control/known.rs
@@ -155,7 +155,7 @@
         decisions: None,
     });
     peers.set_topology(topology.clone());
-    if topology.has_regions() {
+    if topology.has_halls() {
         peers.expect_halls(topology.halls());
     }
     for seed in settings.seeds.iter().filter_map(|seed| seed.parse().ok()) {
--- a/components/gateway/src/control/lease.rs
+++ b/components/gateway/src/control/lease.rs
@@ -8,6 +8,7 @@
 use state::{LeaseAction, LeaseEvent, Reply, TableCall};
 
 use crate::control::{Known, Shared};
+use crate::listing::may_decide_unlisted;
 use crate::ports::{DutyHolder, OrderReply, Orders, Store, StoreError, Topic};
 
 /// Others look at the lease only if its holder was not heard for this long.
@@ -17,8 +18,7 @@
 const UNRENEWED: Duration = Duration::from_millis(1700);
 /// An order without an answer may be carried out for this long: the pages say "seconds" and give no figure.
 const LATE_ORDER: Duration = Duration::from_secs(5);
-/// Gateways that look first at a lease that was given up, and for how long, so that not all write at once.
-const FIRST_FOLLOWERS: usize = 2;
+/// For how long only those that read the store look at a lease that was given up, or whose holder is silent.
 const FIRST_FOLLOWERS_TIME: Duration = Duration::from_secs(1);
 
 /// Orders of this gateway that may not have ended yet.
@@ -89,13 +89,20 @@
         (self.freshness.is_stopping() || turned_away) && known.orders.are_settled(now)
     }
 
-    // Coordinators look at the lease once its holder is silent, all others only if there is no coordinator. Where it was given up, two of them look first.
+    // Those that read the store look at the lease once its holder is silent, the other coordinators a little later, so that
+    // not all write at once; gateways that do not coordinate only if there is no coordinator.
     fn is_candidate(&self, now: Duration, known: &Known) -> bool {
         let peers = &known.peers;
+        let may_lead = match peers.coordinates(now) {
+            // Until it has read who else runs, each of a fleet that starts at once takes itself for a coordinator.
+            true => peers.knows_own_hall() || may_decide_unlisted(now, known.list_refused, true),
+            false => !peers.has_live_coordinator(now),
+        };
+        let is_first = known.watches_store(now);
         let waits = peers.given_up_within(now, FIRST_FOLLOWERS_TIME)
-            && !peers.is_among_first(now, FIRST_FOLLOWERS);
-        let is_led = !peers.coordinates(now) && peers.has_live_coordinator(now);
-        !is_led && !waits && !peers.holder_alive(now, HOLDER_SILENCE)
+            || peers.holder_alive(now, HOLDER_SILENCE + FIRST_FOLLOWERS_TIME)
+            || !peers.has_waited_for_coordinators(now);
+        may_lead && (is_first || !waits) && !peers.holder_alive(now, HOLDER_SILENCE)
     }
 
     pub fn act(self: &Rc<Self>, actions: Vec<LeaseAction>) {
--- a/components/gateway/src/control/region.rs
+++ b/components/gateway/src/control/region.rs
@@ -19,7 +19,7 @@
 impl Known {
     /// Whether this gateway holds calls at the store, for all others or for those of its region.
     pub fn watches_store(&self, now: Duration) -> bool {
-        match self.topology.has_regions() {
+        match self.topology.has_halls() {
             true => self.peers.reads_for_region(now, &self.topology, WATCHERS),
             false => self.peers.is_among_first(now, WATCHERS),
         }
--- a/components/gateway/src/peers/regions.rs
+++ b/components/gateway/src/peers/regions.rs
@@ -1,8 +1,9 @@
-//! Gateways of a deployment of several regions: which data halls' parts of the store's list are read here, and who
-//! reads the store for a region.
+//! Gateways of a deployment of several data halls: which halls' parts of the store's list are read here, and who reads
+//! the store for a region.
 //!
-//! The store stands in one of the regions, and the link between them is thin. A gateway reads the part of its own
-//! hall; only those that coordinate, and those that hear none of their hall who does, read the others.
+//! A gateway reads the part of its own hall; only those that coordinate, and those that hear none of their hall who does,
+//! read the others. So what a start of all costs a gateway and the store grows with a hall, not with the fleet; and where
+//! the store stands in another region, its thin link carries little.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -125,6 +126,12 @@
         self.peers.values().any(|peer| peer.is_alive(now))
     }
 
+    /// Whether coordinators had the time to be heard since the own hall's list was read.
+    pub fn has_waited_for_coordinators(&self, now: Duration) -> bool {
+        let since = self.lists.own_at;
+        since.is_none_or(|at| now >= at + LONELY_AFTER)
+    }
+
     fn may_read(&self, name: &str, peer: &Peer, now: Duration) -> bool {
         match &peer.heard {
             Some((greeting, at)) => {
--- a/components/topology/src/lib.rs
+++ b/components/topology/src/lib.rs
@@ -106,6 +106,11 @@
         }
     }
 
+    /// Whether there is more than one hall.
+    pub fn has_halls(&self) -> bool {
+        self.halls().len() > 1
+    }
+
     /// Whether there is more than one region.
     pub fn has_regions(&self) -> bool {
         self.regions().len() > 1
