Let coordinators that have just begun say so

Change: a coordinator without configuration or endpoints answers that it starts; nothing is charged; the asking gateway asks again until a sixth of the request's aim is over and then refuses it as not run, with a time to come back. It reads no table, since somebody is there. Older gateways find nothing placed in such an answer and decide themselves, as before. Ruled out: a longer wait before a table is read (a coordinator that is really gone would be missed for as long).

--- a/components/gateway/src/decisions.rs
+++ b/components/gateway/src/decisions.rs
@@ -32,6 +32,8 @@
 const FAR_REPLY_TIME: Duration = Duration::from_millis(160);
 /// A coordinator that did not reply is asked last for this long: as long as it would be heard if it died.
 const PASSED_OVER_FOR: Duration = Duration::from_millis(1500);
+/// Pause before coordinators that have just begun are asked again.
+const STARTING_LOOK: Duration = Duration::from_millis(50);
 /// Endpoints that want nothing from the asking gateway, as one query names them: 10 bytes each, so that it stays one small
 /// datagram. The gateway looks again before it sends.
 const MOST_CLOSED: usize = 48;
@@ -67,6 +69,8 @@
     LinkFull(Duration),
     /// The team's limit is used up for so long.
     OverLimit(Duration),
+    /// The coordinators have just begun, and know too little yet.
+    Starting,
 }
 
 impl Asking {
@@ -102,21 +106,50 @@
             }
             self.asking.order(self.clock.now(), &state.fleet)
         };
+        let mut starting = None;
         for by in order {
             let query = self.query(job, tried, charged);
             if let Some(reply) = self.send_query(by, query).await {
+                // One that has just begun is there, and is no reason to read all endpoints here.
                 self.alone.decided(self.clock.now());
-                let outcome = outcome_of(&reply)?;
-                return Some(Decided { by, outcome });
+                match outcome_of(&reply)? {
+                    Outcome::Starting => starting = Some(by),
+                    outcome => return Some(Decided { by, outcome }),
+                }
+                continue;
             }
             self.asking.pass_over(self.clock.now(), by);
             self.metrics.count(Counter::PacketsDropped);
             info!(self.log, "no decision"; "id" => &job.head.id, "coordinator" => %by);
         }
+        if let Some(by) = starting {
+            let outcome = Outcome::Starting;
+            return Some(Decided { by, outcome });
+        }
         self.alone.undecided(self.clock.now());
         None
     }
 
+    /// The same, once a coordinator knows enough; they are asked again until then, for as long as a request waits for an
+    /// endpoint.
+    pub async fn ask_patiently(
+        &self,
+        job: &Job,
+        tried: &[String],
+        charged: bool,
+    ) -> Option<Decided> {
+        loop {
+            let decided = self.ask(job, tried, charged).await;
+            let starts = decided
+                .as_ref()
+                .is_some_and(|d| matches!(d.outcome, Outcome::Starting));
+            if !starts || self.clock.now() + STARTING_LOOK >= self.waits_until(job) {
+                return decided;
+            }
+            tokio::time::sleep(STARTING_LOOK).await;
+        }
+    }
+
     /// Gives units back that a coordinator charged and that were not used.
     pub async fn give_back_to(&self, by: SocketAddr, team: &str, units: u64) {
         let give_back = GiveBack {
@@ -255,15 +288,20 @@
         state.give_back(now, &give_back.team, give_back.units.max(0) as u64);
     }
 
-    // A gateway that has no configuration or endpoints yet, or does not coordinate, cannot decide for others.
+    // A gateway that does not coordinate cannot decide for others, nor can one that has no configuration or endpoints yet:
+    // it says so, since it will soon.
     fn decide(&self, query: &DecisionQuery) -> Option<DecisionReply> {
         self.take_told(query.sights.as_ref());
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
-        if state.directory.is_none() || !state.fleet.decides || !state.endpoints_known {
+        if !state.fleet.decides {
             return None;
         }
-        let mut reply = DecisionReply::new(query.number, None, None, None);
+        let mut reply = DecisionReply::new(query.number, None, None, None, None);
+        if state.directory.is_none() || !state.endpoints_known {
+            reply.starting = Some(true);
+            return Some(reply);
+        }
         let cost = query.cost.max(0) as u64;
         let quota = query.team.as_ref().and_then(|t| state.quotas.get_mut(t));
         if let Some(Err(wait)) = quota.map(|quota| quota.take(now, cost, query.urgent)) {
@@ -347,6 +385,9 @@
         let wait = Duration::from_millis(ms.max(0) as u64);
         return Some(Outcome::OverLimit(wait));
     }
+    if reply.starting == Some(true) {
+        return Some(Outcome::Starting);
+    }
     if let Some(ms) = reply.link_wait_ms {
         let wait = Duration::from_millis(ms.max(0) as u64);
         return Some(Outcome::LinkFull(wait));
--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -17,6 +17,7 @@
 use crate::decisions::Outcome;
 use crate::held::HeldBytes;
 use crate::job::{Job, Progress, SharedJob};
+use crate::placing::Nowhere;
 use crate::ports::{CallerHead, Dialect};
 use crate::stream::Relay;
 use crate::traffic::Traffic;
@@ -89,7 +90,7 @@
         progress: &mut Progress,
     ) -> Result<Option<Placement>, Refusal> {
         let mut placed = None;
-        match self.ask(job, &[], false).await {
+        match self.ask_patiently(job, &[], false).await {
             None => self.charge_here(job)?,
             Some(decided) => {
                 progress.charged_by = Some(decided.by);
@@ -97,6 +98,7 @@
                     Outcome::Placed(placement) => placed = Some(placement),
                     Outcome::Nowhere | Outcome::LinkFull(_) => {}
                     Outcome::OverLimit(wait) => return Err(over_limit(wait)),
+                    Outcome::Starting => return Err(starting()),
                 }
             }
         }
@@ -179,6 +181,12 @@
     }
 }
 
+// Without a coordinator's decision nothing was charged, and there is no endpoint to go to.
+fn starting() -> Refusal {
+    let Nowhere { cause, wait } = Nowhere::STARTING;
+    Refusal::not_run(Kind::PlatformUnavailable, cause).after(wait)
+}
+
 fn over_limit(wait: Duration) -> Refusal {
     Refusal::not_run(Kind::TeamLimit, "the tenant's limit is used up").after(wait)
 }
--- a/components/gateway/src/placing.rs
+++ b/components/gateway/src/placing.rs
@@ -34,6 +34,12 @@
         wait: NO_ENDPOINT_RETRY,
     };
 
+    /// Those who place requests do not know the endpoints yet.
+    pub const STARTING: Nowhere = Nowhere {
+        cause: "the coordinators have just begun",
+        wait: NO_ENDPOINT_RETRY,
+    };
+
     fn link_full(wait: Duration) -> Self {
         Nowhere {
             cause: "no endpoint of this region takes work, and the link to others is full",
@@ -50,12 +56,13 @@
 
     /// The endpoint, or why there is none. Neither the link nor the end of a pause that comes too late is waited for.
     pub async fn find(&self, job: &Job, progress: &Progress) -> Result<Placement, Nowhere> {
-        let patience = job.arrived + job.route.target / ENDPOINT_WAIT_PART;
+        let patience = self.waits_until(job);
         loop {
-            if let Some(decided) = self.ask(job, &progress.tried, true).await {
+            if let Some(decided) = self.ask_patiently(job, &progress.tried, true).await {
                 match decided.outcome {
                     Outcome::Placed(placement) => return Ok(placement),
                     Outcome::LinkFull(wait) => return Err(Nowhere::link_full(wait)),
+                    Outcome::Starting => return Err(Nowhere::STARTING),
                     Outcome::Nowhere | Outcome::OverLimit(_) => {}
                 }
             }
@@ -89,6 +96,11 @@
         }
     }
 
+    /// Until when a request waits for an endpoint to appear.
+    pub fn waits_until(&self, job: &Job) -> Duration {
+        job.arrived + job.route.target / ENDPOINT_WAIT_PART
+    }
+
     /// Logs where a request goes.
     pub fn log_placed(&self, job: &Job, placement: &Placement) {
         info!(self.log, "placed"; "id" => &job.head.id, "content" => %job.content, "route" => &job.route.name,
--- a/components/gateway/tests/skew.rs
+++ b/components/gateway/tests/skew.rs
@@ -92,7 +92,7 @@
         incarnation: None,
         slowdown_percent: None,
     });
-    DecisionReply::new(query.number, None, placed, None)
+    DecisionReply::new(query.number, None, placed, None, None)
 }
 
 #[test]
--- a/components/schema/src/messages.rs
+++ b/components/schema/src/messages.rs
@@ -4869,20 +4869,30 @@
     pub placed: Option<PlacedAt>,
     /// Set where only another region could take it: time until the link there has room, in milliseconds.
     pub link_wait_ms: Option<i64>,
+    /// Set where the coordinator does not know the endpoints yet, since it has just begun: nothing was charged.
+    pub starting: Option<bool>,
 }
 
 impl DecisionReply {
-    pub fn new<F2, F3, F4>(number: i64, retry_ms: F2, placed: F3, link_wait_ms: F4) -> DecisionReply
+    pub fn new<F2, F3, F4, F5>(
+        number: i64,
+        retry_ms: F2,
+        placed: F3,
+        link_wait_ms: F4,
+        starting: F5,
+    ) -> DecisionReply
     where
         F2: Into<Option<i64>>,
         F3: Into<Option<PlacedAt>>,
         F4: Into<Option<i64>>,
+        F5: Into<Option<bool>>,
     {
         DecisionReply {
             number,
             retry_ms: retry_ms.into(),
             placed: placed.into(),
             link_wait_ms: link_wait_ms.into(),
+            starting: starting.into(),
         }
     }
 }
@@ -4894,6 +4904,7 @@
         let mut f_2: Option<i64> = None;
         let mut f_3: Option<PlacedAt> = None;
         let mut f_4: Option<i64> = None;
+        let mut f_5: Option<bool> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -4917,6 +4928,10 @@
                     let val = i_prot.read_i64()?;
                     f_4 = Some(val);
                 }
+                5 => {
+                    let val = i_prot.read_bool()?;
+                    f_5 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -4931,6 +4946,7 @@
             retry_ms: f_2,
             placed: f_3,
             link_wait_ms: f_4,
+            starting: f_5,
         };
         Ok(ret)
     }
@@ -4955,6 +4971,11 @@
             o_prot.write_i64(fld_var)?;
             o_prot.write_field_end()?
         }
+        if let Some(fld_var) = self.starting {
+            o_prot.write_field_begin(&TFieldIdentifier::new("starting", TType::Bool, 5))?;
+            o_prot.write_bool(fld_var)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -5167,19 +5188,29 @@
     pub after_key: Option<String>,
     /// Bytes of rows at most, but at least one row. Without it the reply holds all rows or is refused.
     pub most_bytes: Option<i32>,
+    /// Whether the reply may come deflated.
+    pub takes_deflated: Option<bool>,
 }
 
 impl RowsQuery {
-    pub fn new<F3, F4>(topic: TopicName, after: i64, after_key: F3, most_bytes: F4) -> RowsQuery
+    pub fn new<F3, F4, F5>(
+        topic: TopicName,
+        after: i64,
+        after_key: F3,
+        most_bytes: F4,
+        takes_deflated: F5,
+    ) -> RowsQuery
     where
         F3: Into<Option<String>>,
         F4: Into<Option<i32>>,
+        F5: Into<Option<bool>>,
     {
         RowsQuery {
             topic,
             after,
             after_key: after_key.into(),
             most_bytes: most_bytes.into(),
+            takes_deflated: takes_deflated.into(),
         }
     }
 }
@@ -5191,6 +5222,7 @@
         let mut f_2: Option<i64> = None;
         let mut f_3: Option<String> = None;
         let mut f_4: Option<i32> = None;
+        let mut f_5: Option<bool> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -5214,6 +5246,10 @@
                     let val = i_prot.read_i32()?;
                     f_4 = Some(val);
                 }
+                5 => {
+                    let val = i_prot.read_bool()?;
+                    f_5 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -5230,6 +5266,7 @@
                 .expect("auto-generated code should have checked for presence of required fields"),
             after_key: f_3,
             most_bytes: f_4,
+            takes_deflated: f_5,
         };
         Ok(ret)
     }
@@ -5252,6 +5289,11 @@
             o_prot.write_i32(fld_var)?;
             o_prot.write_field_end()?
         }
+        if let Some(fld_var) = self.takes_deflated {
+            o_prot.write_field_begin(&TFieldIdentifier::new("takes_deflated", TType::Bool, 5))?;
+            o_prot.write_bool(fld_var)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
--- a/components/schema/thrift/messages.thrift
+++ b/components/schema/thrift/messages.thrift
@@ -493,6 +493,8 @@
   3: optional PlacedAt placed,
   /** Set where only another region could take it: time until the link there has room, in milliseconds. */
   4: optional i64 link_wait_ms,
+  /** Set where the coordinator does not know the endpoints yet, since it has just begun: nothing was charged. */
+  5: optional bool starting,
 }
 
 /** Units that were charged by a coordinator and not used. */
@@ -519,6 +521,8 @@
   3: optional string after_key,
   /** Bytes of rows at most, but at least one row. Without it the reply holds all rows or is refused. */
   4: optional i32 most_bytes,
+  /** Whether the reply may come deflated. */
+  5: optional bool takes_deflated,
 }
 
 /** One row, without a value if it was dropped. */
