Lower a fleet of thousands at once to twice the load that was seen

A step of a quarter shows its effect where an endpoint more or less is a quarter; among thousands it shows nothing. Change: a step keeps what carries twice the highest load seen and four standard deviations of its scatter; where three quarters of the fleet are less than that, as everywhere up to a hundred, it is as before. Ruled out: a shorter pause between steps (their effect takes as long at any size). A load taken for half of what it is still finds room.

--- a/components/fleet/src/scaling.rs
+++ b/components/fleet/src/scaling.rs
@@ -37,6 +37,12 @@
 /// Time past its boot after which an order without effect is repeated.
 const REPEAT_PAUSE: Duration = Duration::from_secs(2);
 
+/// The highest load seen is believed to be off by this factor at most while its effect on fewer endpoints is not seen: what
+/// is learnt of engines counts as known at a tenth, and the load may rise meanwhile.
+const LOAD_ERROR: f64 = 2.0;
+/// Standard deviations of the scatter of a load, beside that.
+const SCATTER: f64 = 4.0;
+
 #[derive(Clone, Copy, Debug)]
 struct Ordered {
     count: u32,
@@ -263,7 +269,8 @@
             return highest;
         }
         let kept = f64::from(total_of(expected)) * KEPT_PART;
-        highest.max(load_of_fleet(kept as u32, self.regions))
+        let step = load_of_fleet(kept as u32, self.regions);
+        highest.max(step.min(likely_at_most(highest)))
     }
 
     // Reclaimable endpoints that were ordered and do not serve yet replace nothing.
@@ -333,3 +340,9 @@
         })
     }
 }
+
+// What a load may be at most, if so much was seen of it. A fleet that could carry several times that shows nothing by a step
+// of a quarter; it is lowered to what carries this at once, and in steps from there.
+fn likely_at_most(load: f64) -> f64 {
+    LOAD_ERROR * (load + SCATTER * load.sqrt())
+}
--- a/components/fleet/tests/scaling.rs
+++ b/components/fleet/tests/scaling.rs
@@ -455,3 +455,52 @@
     // 12 reclaimable ones are left: on-demand ones take the place of most that were lost.
     assert!(total(&state) >= 18 && sums(&state).0 > 6, "{state:?}");
 }
+
+/// Halls of a fleet of thousands, each with so many reclaimable endpoints.
+fn thousands(each: u32) -> Fleet {
+    held(&["a", "b", "c", "d"].map(|hall| (hall, 1, each)))
+}
+
+fn offer_of_thousands() -> Offer {
+    Offer {
+        most: 5_000,
+        ..offer()
+    }
+}
+
+/// Endpoints that are held once a load was seen for as long as it has to be, carried out at once.
+fn held_after(secs: u64, each: u32, load: f64) -> u32 {
+    let mut scaler = Scaler::default();
+    let mut held = thousands(each);
+    for now in 0..=secs {
+        scaler.observe(at(now), &held, load);
+        for order in scaler.plan(at(now), &offer_of_thousands()) {
+            scaler.accepted(&order);
+            carry_out(&mut held, order);
+        }
+    }
+    let (firm, reclaimable) = sums(&held);
+    firm + reclaimable
+}
+
+#[test]
+fn of_thousands_found_beside_a_load_of_a_hundred_nearly_all_are_given_back_at_once() {
+    // A step of a quarter would leave thousands.
+    let left = held_after(5, 2_500, 100.0);
+    assert!(left < 800, "{left}");
+    // What would carry the load if it were twice as high is still there.
+    assert!(left > 400, "{left}");
+}
+
+#[test]
+fn half_of_a_fleet_of_a_hundred_is_given_back_in_steps() {
+    let left = held_after(5, 25, 30.0);
+    assert!(left >= 75, "{left}");
+}
+
+#[test]
+fn a_load_that_was_taken_for_half_of_what_it_is_still_finds_room() {
+    let (seen, load) = (100.0, 200.0);
+    let left = held_after(5, 2_500, seen);
+    assert!(f64::from(left) > 1.5 * load, "{left}");
+}
