Count a starting gateway's looks at the lease for longer than its first look

Cause: the test of what a gateway that asks calls the store for passed with the lease's rule as it was before: its settings have no duties, and it was over before the first look (0.1 s). Change: it reports usage and is called for 0.4 s.

--- a/components/gateway/tests/starting.rs
+++ b/components/gateway/tests/starting.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread;
+use std::time::{Duration, Instant};
 
 use common::{
     configuration, endpoint, route, settings, wait_until, EndpointStandin, Setup, StoreStandin,
@@ -20,6 +21,8 @@
 use schema::settings::GatewaySettings;
 
 const MAX_DATAGRAM: usize = 8192;
+/// Within this time a gateway has looked several times at whether a holder of the lease is missed.
+const FIRST_LOOKS: Duration = Duration::from_millis(400);
 
 /// A coordinator that has just begun until it is told that it knows the endpoints.
 struct Coordinator {
@@ -101,6 +104,7 @@
     let halls = ["z1", "z2"].map(|hall| (hall.to_string(), "r".to_string()));
     let settings = GatewaySettings {
         cores_milli: 120,
+        reports_usage: true,
         region: "r".into(),
         halls: halls.into(),
         ..settings()
@@ -128,7 +132,8 @@
     let standin = EndpointStandin::start(|_, e| e.answer(200, "x"));
     let (asking, coordinator) = start(&standin);
     coordinator.knows.store(true, Ordering::SeqCst);
-    for _ in 0..20 {
+    let started = Instant::now();
+    while started.elapsed() < FIRST_LOOKS {
         assert_eq!(asking.call("/a/1", &[]).status, 200);
     }
     let asks = |topic| asking.store.asks(topic);
