Cut an endpoint's count of requests to what one may have, and keep few sights that wait

Cause (found reading the change): a count is any number of 32 bits, and an engine's count is made up by as many expected requests, so one wrong figure would take all memory; with nobody to tell, sights that wait for the next message were kept for good. Test: a_count_that_no_endpoint_can_have_is_cut_to_what_one_may.

--- a/components/gateway/src/control/exchange.rs
+++ b/components/gateway/src/control/exchange.rs
@@ -198,7 +198,7 @@
         }
         self.take_own_observations(&mut known, tally.observations);
         known.unsent.extend(tally.sent);
-        known.sights.extend(tally.sights);
+        known.keep_sights(tally.sights);
         known.taken = tally.taken;
         known.loads = tally.loads;
         urgent
--- a/components/gateway/src/control/messages.rs
+++ b/components/gateway/src/control/messages.rs
@@ -7,7 +7,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use schema::messages::{Dispatch, Echo, Gossip, HallCount, Sight, TopicHead, WindowUsage};
+use routing::placement::Sight;
+use schema::messages::{self, Dispatch, Echo, Gossip, HallCount, TopicHead, WindowUsage};
 
 use crate::control::{Known, Shared};
 use crate::gossip;
@@ -247,13 +248,20 @@
         dispatches.map(|s| gossip::dispatch_of(now, &s)).collect()
     }
 
+    /// Keeps what is to be told, the newest of it where nobody is told for long.
+    pub fn keep_sights(&mut self, sights: Vec<Sight>) {
+        self.sights.extend(sights);
+        let older = self.sights.len().saturating_sub(MOST_TOLD);
+        self.sights.drain(..older);
+    }
+
     // What waits longer than until the next message is told by nobody.
-    fn sights_to_send(&mut self, now: Duration, content: Content) -> Option<Vec<Sight>> {
+    fn sights_to_send(&mut self, now: Duration, content: Content) -> Option<Vec<messages::Sight>> {
         if !content.has_requests() || self.sights.is_empty() {
             return None;
         }
         let sights = std::mem::take(&mut self.sights);
-        let newest = sights.iter().rev().take(MOST_TOLD);
+        let newest = sights.iter().rev();
         Some(newest.map(|s| sight_of(now, s)).collect())
     }
 
--- a/components/routing/src/placement/sight.rs
+++ b/components/routing/src/placement/sight.rs
@@ -48,7 +48,7 @@
         let Some(slot) = self.slot_mut(id) else {
             return false;
         };
-        slot.hear_requests(at, requests, hold).abs_diff(requests) >= NOTABLE_REQUESTS
+        slot.hear_requests(at, requests, hold) >= NOTABLE_REQUESTS
     }
 
     /// How long work is taken to need at an endpoint, in parts of the mean of its service.
--- a/components/routing/src/placement/slot.rs
+++ b/components/routing/src/placement/slot.rs
@@ -20,6 +20,8 @@
 /// A reading older than this says nothing any more.
 const READING_AGE: Duration = Duration::from_secs(1);
 
+/// Requests that an endpoint has at most, running and waiting, for each slot. A count beyond is a fault of the figure.
+const MOST_IN_SLOTS: u32 = 8;
 /// Requests that were sent so shortly before an endpoint said how many it has may not have reached it by then.
 const ON_THE_WAY: Duration = Duration::from_millis(10);
 
@@ -160,16 +162,22 @@
         known.max(self.own) + others
     }
 
-    /// It said how many requests it had. Returns how many were expected. `hold` is the time of a request at the service.
+    /// It said how many requests it had. Returns how far that is from what was expected. `hold` is the time of a request at
+    /// the service.
     pub fn hear_requests(&mut self, at: Duration, requests: u32, hold: Duration) -> u32 {
+        let requests = requests.min(self.spec.slots.saturating_mul(MOST_IN_SLOTS));
+        let expected = self.expect_by_count(at, requests, hold);
+        expected.abs_diff(requests)
+    }
+
+    fn expect_by_count(&mut self, at: Duration, requests: u32, hold: Duration) -> u32 {
         if self.is_engine {
             return self.correct(at, requests, hold);
         }
         let expected = self.load(at);
         if self.reading.is_none_or(|known| known.at <= at) {
-            let own_at_reading = self.own;
             self.reading = Some(Reading { requests, at });
-            self.own_at_reading = own_at_reading;
+            self.own_at_reading = self.own;
             self.others.retain(|other| other.sent_at >= at);
         }
         expected
@@ -183,23 +191,19 @@
         let others = self.others.iter().filter(|other| arrived(other)).count() as u32;
         let expected = self.own + others;
         let ended = expected.saturating_sub(requests).min(others);
-        for _ in 0..ended {
-            let running = self
-                .others
-                .iter()
-                .enumerate()
-                .filter(|(_, other)| arrived(other));
-            let next = running.min_by_key(|(_, other)| other.ends_at);
-            if let Some((position, _)) = next {
-                self.others.swap_remove(position);
-            }
-        }
-        for _ in 0..requests.saturating_sub(expected) {
-            self.others.push(Expected {
-                sent_at: at.saturating_sub(ON_THE_WAY),
-                ends_at: at + hold / 2,
-            });
-        }
+        self.others.sort_unstable_by_key(|other| other.ends_at);
+        let mut left = ended;
+        self.others.retain(|other| {
+            let has_ended = left > 0 && arrived(other);
+            left -= u32::from(has_ended);
+            !has_ended
+        });
+        let runs_on = Expected {
+            sent_at: at.saturating_sub(ON_THE_WAY),
+            ends_at: at + hold / 2,
+        };
+        let more = requests.saturating_sub(expected) as usize;
+        self.others.extend(std::iter::repeat_n(runs_on, more));
         expected
     }
 
--- a/components/routing/tests/counts.rs
+++ b/components/routing/tests/counts.rs
@@ -112,3 +112,17 @@
     count(&mut board, ms(90), 9);
     assert_eq!(expected(&mut board, "plain", ms(130)), 5);
 }
+
+#[test]
+fn a_count_that_no_endpoint_can_have_is_cut_to_what_one_may() {
+    let mut board = board("s");
+    count(&mut board, ms(100), u32::MAX);
+    let engine = expected(&mut board, "s", ms(101));
+    let mut board = self::board("plain");
+    count(&mut board, ms(100), u32::MAX);
+    let plain = expected(&mut board, "plain", ms(101));
+    assert!(
+        engine <= 8 * SLOTS && plain <= 8 * SLOTS,
+        "{engine} {plain}"
+    );
+}
