Pass rows on by pages to whoever the store turns away, and confirm a configuration behind it

Change: a gateway that the store doesn't answer takes rows in pages, as behind a link between regions. A confirmation goes through the same channel, behind the configuration that it confirms. Ruled out: a larger bound on rows (holds at no twice the size); a margin on keys' age (the time that a thread is behind has no bound). Tests: a_gateway_that_the_store_turns_away_hears_of_leaving_endpoints_amid_thousands_of_changes fails without the pages (20 s, run so) and takes 0.3 s with them. No test brings about the moment between the two threads; it is held by the order in one channel.

--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -255,7 +255,9 @@
         followed.follower.confirmed(at);
         let in_force = known.configuration.is_some() && known.configuration_readable;
         if topic == Topic::Configuration && in_force {
-            self.freshness.confirm(at);
+            // Behind the configuration that it confirms: until that is in force there, requests go by the one before, and
+            // its keys may not be taken for confirmed.
+            let _ = self.updates.send(Update::Confirmed(at));
         }
     }
 
--- a/components/gateway/src/control/passing.rs
+++ b/components/gateway/src/control/passing.rs
@@ -67,8 +67,9 @@
             let known = self.known.borrow();
             let followed = &known.followed[&topic];
             let after = followed.table.known_to().unwrap_or(0);
-            // Near the store its link is wider than a gateway's: much at once comes from there.
-            let by_pages = known.is_far_from_store();
+            // Near the store its link is wider than a gateway's: much at once comes from there, unless it turns this gateway
+            // away.
+            let by_pages = known.is_far_from_store() || !followed.follower.reaches_store();
             (followed.newer, after, by_pages)
         };
         let Some((from, reported)) = newer else {
@@ -85,7 +86,7 @@
             let changes = pulled.rows.into_iter().map(change_of).collect();
             let stamp = reported.confirmed;
             let changed = self.take_changes(topic, changes, pulled.known_to, stamp, pulled.whole);
-            // Behind the link a coordinator hears of a change from a reader, and its hall from it.
+            // Behind the link, or turned away, a coordinator hears of a change from a reader, and its hall from it.
             if changed && by_pages && topic == Topic::Configuration {
                 self.urgent.notify_one();
             }
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -95,6 +95,7 @@
                 self.metrics.count(Counter::Applied);
                 state.configure(now, configuration);
             }
+            Update::Confirmed(at) => self.freshness.confirm(at),
             Update::Endpoint(endpoint) => {
                 let known = state.board.endpoint(&endpoint.id);
                 let ended = known.filter(|known| !known.is_same_start(&endpoint));
--- a/components/gateway/src/update.rs
+++ b/components/gateway/src/update.rs
@@ -17,6 +17,8 @@
 pub(crate) enum Update {
     /// A configuration is in force.
     Configuration(Arc<Configuration>),
+    /// The configuration that was passed last was the newest at this time, on the own clock.
+    Confirmed(Duration),
     /// An endpoint's newest record.
     Endpoint(Endpoint),
     /// An endpoint is gone.
--- a/components/gateway/tests/passing.rs
+++ b/components/gateway/tests/passing.rs
@@ -8,7 +8,7 @@
     configuration, endpoint, route, settings, tenant, wait_until, EndpointStandin, Setup,
     StoreStandin,
 };
-use directory::Execution;
+use directory::{EndpointState, Execution};
 use schema::settings::GatewaySettings;
 
 const CREDENTIAL_AGE: Duration = Duration::from_secs(3);
@@ -169,3 +169,36 @@
         pair.second.call("/new/1", &["x-key: k"]).status == 200
     });
 }
+
+#[test]
+fn a_gateway_that_the_store_turns_away_hears_of_leaving_endpoints_amid_thousands_of_changes() {
+    const OTHERS: u64 = 4_000;
+    /// Half of them would go to each of the two.
+    const CALLS: usize = 40;
+    let leaving = EndpointStandin::start(|_, e| e.answer(200, "leaving"));
+    let steady = EndpointStandin::start(|_, e| e.answer(200, "steady"));
+    let store = store_with(1, "/a/");
+    store.put_endpoint(endpoint("e1", leaving.address));
+    store.put_endpoint(endpoint("e2", steady.address));
+    let pair = pair(&store);
+    // All of it comes to the first gateway at once.
+    pair.first.store.refuse(true);
+    let mut left = endpoint("e1", leaving.address);
+    left.state = EndpointState::Draining { leaves_in: None };
+    store.put_endpoint(left);
+    // Names that don't shrink: together more than one gateway passes on to another at once.
+    for number in 0..OTHERS {
+        let name = format!("{:016x}", xxhash_rust::xxh3::xxh3_64(&number.to_le_bytes()));
+        let mut other = endpoint(&name, steady.address);
+        other.service = "other".into();
+        store.put_endpoint(other);
+    }
+    pair.first.store.refuse(false);
+    let call = || pair.second.call("/a/1", &["x-key: k"]);
+    wait_until("the leaving one to get nothing more", || {
+        let before = leaving.heads().len();
+        let served = (0..CALLS).filter(|_| call().status == 200).count();
+        served == CALLS && leaving.heads().len() == before
+    });
+    assert!(steady.heads().len() >= CALLS);
+}
