Log when a confirmation finds no traffic thread, and keep the board's rates to itself

Cause (found reading the change): a failed send of a confirmation left no line, and a field was opened to its neighbours for a draft.

--- a/components/gateway/src/control/exchange.rs
+++ b/components/gateway/src/control/exchange.rs
@@ -295,7 +295,8 @@
         }
     }
 
-    fn update(&self, update: Update) {
+    /// Passes a change on to the traffic thread.
+    pub fn update(&self, update: Update) {
         if self.updates.send(update).is_err() {
             warn!(self.log, "the traffic thread is gone");
         }
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -257,7 +257,7 @@
         if topic == Topic::Configuration && in_force {
             // Behind the configuration that it confirms: until that is in force there, requests go by the one before, and
             // its keys may not be taken for confirmed.
-            let _ = self.updates.send(Update::Confirmed(at));
+            self.update(Update::Confirmed(at));
         }
     }
 
--- a/components/routing/src/placement/board.rs
+++ b/components/routing/src/placement/board.rs
@@ -90,7 +90,7 @@
     // Services by id of the endpoint, and ids by hash.
     pub(super) service_of: HashMap<String, String>,
     hashes: HashMap<u64, String>,
-    pub(super) paces: BTreeMap<String, Pace>,
+    paces: BTreeMap<String, Pace>,
     // What word of how long work takes is worth, by service.
     pub(super) memories: BTreeMap<String, Memory>,
     pub(super) mixes: BTreeMap<String, Mix>,
