--- a/components/gateway/src/ports.rs
+++ b/components/gateway/src/ports.rs
@@ -8,6 +8,7 @@
 use directory::{Configuration, Endpoint};
 use fleet::ScalingOrder;
 use http::{request, HeaderMap, StatusCode};
+use limits::SendRate;
 use rollout::{Decision, Order};
 use routing::placement::{PromptPart, Slowdown};
 use usage::Report;
@@ -71,6 +72,22 @@
     pub leaving: bool,
     /// Time for which the endpoint, turning a request away, asks this gateway for a pause.
     pub pause: Option<Result<Duration, HeadFault>>,
+    /// What it says of the rate at which the endpoint that is meant takes requests.
+    pub limit: LimitSaid,
+}
+
+/// What an answer says of the rate at which its endpoint takes requests of all gateways together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum LimitSaid {
+    /// The endpoint names no limit.
+    #[default]
+    NoLimit,
+    /// The endpoint takes no more than this.
+    Limit(SendRate),
+    /// Another process answered.
+    OtherProcess,
+    /// What it says cannot be read.
+    Fault(HeadFault),
 }
 
 /// Load that an endpoint reports.
--- a/components/gateway/src/said.rs
+++ b/components/gateway/src/said.rs
@@ -11,7 +11,7 @@
 
 use crate::job::{Job, Progress};
 use crate::placing::Nowhere;
-use crate::ports::AnswerHead;
+use crate::ports::{AnswerHead, LimitSaid};
 use crate::traffic::Traffic;
 
 /// Part of a pause by which those who are to come back after it are spread, at random: they would all come at its end.
@@ -41,6 +41,7 @@
                     "endpoint" => endpoint, "cause" => fault.0);
             }
         }
+        self.hear_limit(job, placement, read.limit);
     }
 
     /// Whether an endpoint wants requests of this gateway. Looked at last before one is sent: a coordinator that chose it
@@ -96,6 +97,22 @@
         }
     }
 
+    fn hear_limit(&self, job: &Job, placement: &Placement, said: LimitSaid) {
+        let (id, endpoint) = (&job.head.id, &placement.endpoint);
+        match said {
+            LimitSaid::NoLimit | LimitSaid::OtherProcess => {}
+            LimitSaid::Limit(rate) => {
+                self.metrics.count(Counter::LimitNamed);
+                info!(self.log, "endpoint names a limit"; "id" => id, "endpoint" => endpoint,
+                    "per_s" => rate.per_s());
+            }
+            LimitSaid::Fault(fault) => {
+                warn!(self.log, "limit passed over; the endpoint has to name requests a second"; "id" => id,
+                    "endpoint" => endpoint, "cause" => fault.0);
+            }
+        }
+    }
+
     fn hear_pause(&self, job: &Job, placement: &Placement, pause: Duration) {
         self.metrics.count(Counter::PauseAsked);
         info!(self.log, "endpoint asks for a pause"; "id" => &job.head.id,
--- a/components/gateway/tests/common/endpoint.rs
+++ b/components/gateway/tests/common/endpoint.rs
@@ -50,6 +50,14 @@
         ));
     }
 
+    /// Answers well, and names a limit: requests a second of all gateways together.
+    pub fn answer_limited(&mut self, limit: &str) {
+        let id = self.field("x-id").unwrap_or_default();
+        self.write(&format!(
+            "HTTP/1.1 200 X\r\nx-id: {id}\r\nx-signature: s\r\nx-limit: {limit}\r\ncontent-length: 1\r\n\r\nx"
+        ));
+    }
+
     /// Answers well, and says how long work takes there now, in parts of 100.
     pub fn answer_at(&mut self, slowdown: u32) {
         let id = self.field("x-id").unwrap_or_default();
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -15,9 +15,12 @@
 use std::time::{Duration, Instant};
 
 use directory::{Configuration, Endpoint, EndpointState, Execution, Route, Service, Share, Tenant};
-use gateway::ports::{AnswerHead, AttemptHead, CallerHead, Dialect, EndpointLoad, HeadFault};
+use gateway::ports::{
+    AnswerHead, AttemptHead, CallerHead, Dialect, EndpointLoad, HeadFault, LimitSaid,
+};
 use gateway::{Clock, Gateway, Parts};
 use http::{request, HeaderMap, HeaderValue, StatusCode};
+use limits::SendRate;
 use routing::placement::Slowdown;
 use schema::settings::GatewaySettings;
 use slog::Logger;
@@ -99,6 +102,13 @@
             keep_alive: None,
             leaving: fields.contains_key("x-leaving"),
             pause: number(fields, "x-pause-ms").map(|ms| Ok(Duration::from_millis(ms))),
+            limit: match text(fields, "x-limit") {
+                None => LimitSaid::NoLimit,
+                Some(text) => {
+                    let rate = text.parse().ok().and_then(SendRate::from_per_s);
+                    rate.map_or(LimitSaid::Fault(HeadFault("no rate")), LimitSaid::Limit)
+                }
+            },
         }
     }
 }
--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -8,6 +8,7 @@
 mod link;
 mod quota;
 mod repeats;
+mod send_rate;
 mod shared_quota;
 mod team;
 
@@ -17,5 +18,6 @@
 pub use link::{link_part, Decider, LinkBudget};
 pub use quota::{Demand, Quota, FLOOR_MILLI};
 pub use repeats::{RepeatBudget, RepeatTerms};
+pub use send_rate::SendRate;
 pub use shared_quota::{Limit, QuotaState, SharedQuota};
 pub use team::{Limits, Refused, TeamMeter};
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -115,6 +115,8 @@
         LeavingSaid => "endpoint.leaving_said",
         /// Answers in which an endpoint asked for a pause.
         PauseAsked => "endpoint.pause_asked",
+        /// Answers in which an endpoint named a limit.
+        LimitNamed => "endpoint.limit_named",
         /// Contents held back since the endpoints that ran them ended.
         Quarantined => "quarantine.held",
         /// Requests refused since their content is held back.
