--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -18,6 +18,7 @@
 use crate::held::Gathered;
 use crate::job::{Job, SharedJob};
 use crate::ports::{AnswerHead, AttemptHead, Dialect};
+use crate::sends::Grant;
 use crate::traffic::Traffic;
 
 /// Largest answer that is read as a whole, in bytes.
@@ -128,6 +129,8 @@
     /// Whether the attempt before it met silence: then a connection that rested is not trusted. Open connections may
     /// go silent without a reset, all at once, while new ones work.
     pub after_silence: bool,
+    /// Whether the limit of the endpoint allows it.
+    pub grant: Grant,
 }
 
 impl<D: Dialect + 'static> Traffic<D> {
@@ -169,8 +172,9 @@
             return Attempted::NotSent;
         }
         // Opening a connection takes a while, in which the VM may be frozen or suspended, and the endpoint say that it wants
-        // nothing more.
-        if !self.may_still_send(job) || !self.is_wanted(placement) {
+        // nothing more, or name a limit.
+        let is_wanted = self.is_wanted(placement) && self.is_granted(placement, sending.grant);
+        if !self.may_still_send(job) || !is_wanted {
             run.judge(Verdict::Neutral);
             return Attempted::NotSent;
         }
@@ -194,7 +198,7 @@
         run.answered = true;
         let (head, body) = answer.into_parts();
         let read = self.dialect.read_answer(head.status, &head.headers);
-        self.hear(job, placement, head.status, &read);
+        self.hear(job, placement, run.sent_at, head.status, &read);
         if read.id.as_deref() != Some(job.head.id.as_str()) {
             run.judge(Verdict::Faulty);
             return Attempted::Lost("the endpoint answered another request");
--- a/components/gateway/src/attempts.rs
+++ b/components/gateway/src/attempts.rs
@@ -55,6 +55,10 @@
                 progress.tried.push(placement.endpoint);
                 continue;
             }
+            let Some(grant) = self.grant(job, progress, &placement).await else {
+                continue;
+            };
+            sending.grant = grant;
             self.log_placed(job, &placement);
             let expiry = self.attempt_expiry(job, progress);
             progress.sent += 1;
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -40,8 +40,8 @@
 use crate::clock::{Clock, Suspensions};
 pub use crate::control::deflated::{inflate, Encoded, LastDeflated};
 pub use crate::control::echoes::{round_trip, Echoes};
-use crate::control::known::change_due;
 pub(crate) use crate::control::known::Known;
+use crate::control::known::{change_due, PeerAddresses};
 pub(crate) use crate::control::passing::{name_of, topic_of, PASSED_ON};
 use crate::control::region::spread_of;
 use crate::freshness::Freshness;
@@ -123,7 +123,12 @@
             incarnation: parts.clock.wall().as_millis() as i64,
         };
         let day_us = parts.clock.day_reading_us();
-        let known = Known::new(settings, parts.sockets.address, day_us);
+        let peers = parts.sockets.address;
+        let listening = PeerAddresses {
+            peers,
+            decisions: SocketAddr::new(peers.ip(), parts.decisions_port),
+        };
+        let known = Known::new(settings, listening, day_us);
         Control {
             parts,
             source,
--- a/components/gateway/src/control/exchange.rs
+++ b/components/gateway/src/control/exchange.rs
@@ -15,6 +15,7 @@
 use crate::control::messages::Content;
 use crate::control::{round_trip, Known, Shared};
 use crate::gossip;
+use crate::limit_reports::received_limits;
 use crate::listing::read_all;
 use crate::peers::{is_recent, Receipt};
 use crate::ports::{Orders, Store, StoreError, Topic};
@@ -199,6 +200,7 @@
         self.take_own_observations(&mut known, tally.observations);
         known.unsent.extend(tally.sent);
         known.keep_sights(tally.sights);
+        known.limits.extend(tally.limits);
         known.taken = tally.taken;
         known.loads = tally.loads;
         urgent
@@ -285,6 +287,10 @@
             let sights = told.iter().map(|told| received_sight(now, told));
             self.update(Update::PeerSaw(sights.collect()));
         }
+        let limits = received_limits(now, gossip.limits.as_ref());
+        if !limits.is_empty() {
+            self.update(Update::PeerHeardLimits(limits));
+        }
         if !gossip.taken.is_empty() {
             self.update(Update::PeerTaken {
                 gateway: gossip.gateway.clone(),
--- a/components/gateway/src/control/known.rs
+++ b/components/gateway/src/control/known.rs
@@ -24,6 +24,7 @@
 use crate::control::scaling::Demand;
 use crate::control::{Echoes, PASSED_ON};
 use crate::day::Day;
+use crate::limit_reports::UntoldLimits;
 use crate::peers::{Fleet, Listed, Peers};
 use crate::ports::Topic;
 use crate::tally::{Sent, ServiceLoad};
@@ -60,6 +61,8 @@
     pub unsent: Vec<Sent>,
     /// What answers showed that the other coordinators were not told yet.
     pub sights: Vec<Sight>,
+    /// Limits of endpoints that the other coordinators were not told yet.
+    pub limits: UntoldLimits,
     pub sending: SendState,
     // Only kept where there are several regions.
     pub echoes: Option<Echoes>,
@@ -80,11 +83,20 @@
     pub day: Day,
 }
 
+/// Where other gateways reach this one.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PeerAddresses {
+    /// For gossip.
+    pub peers: SocketAddr,
+    /// For decisions.
+    pub decisions: SocketAddr,
+}
+
 impl Known {
-    /// Nothing known but the settings; other gateways reach this one at `address`.
-    pub fn new(settings: Arc<GatewaySettings>, address: SocketAddr, day_us: i64) -> Self {
+    /// Nothing known but the settings.
+    pub fn new(settings: Arc<GatewaySettings>, listening: PeerAddresses, day_us: i64) -> Self {
         let topology = Topology::new(&settings.zone, &settings.region, &settings.halls);
-        let peers = first_peers(&settings, &topology, address);
+        let peers = first_peers(&settings, &topology, listening);
         let echoes = topology.has_regions().then(Echoes::default);
         Known {
             lease: Lease::new(lease_terms(&settings)),
@@ -107,6 +119,7 @@
             taken: BTreeMap::new(),
             unsent: Vec::new(),
             sights: Vec::new(),
+            limits: UntoldLimits::default(),
             sending: SendState::default(),
             echoes,
             fleet: Fleet::default(),
@@ -146,13 +159,13 @@
 }
 
 // The gateways that the settings name.
-fn first_peers(settings: &GatewaySettings, topology: &Topology, address: SocketAddr) -> Peers {
+fn first_peers(settings: &GatewaySettings, topology: &Topology, listening: PeerAddresses) -> Peers {
     let mut peers = Peers::new(Listed {
         name: settings.name.clone(),
-        address,
+        address: listening.peers,
         hall: settings.zone.clone(),
         cores_milli: settings.cores_milli,
-        decisions: None,
+        decisions: Some(listening.decisions),
     });
     peers.set_topology(topology.clone());
     if topology.has_halls() {
--- a/components/gateway/src/control/messages.rs
+++ b/components/gateway/src/control/messages.rs
@@ -163,6 +163,11 @@
                 false => None,
             },
             sights: known.sights_to_send(now, content),
+            limits: match content.has_requests() {
+                true => known.limits.take(now),
+                false => None,
+            },
+            keeps_accounts: Some(true),
             day_ms: has_state.then(|| (now.as_micros() as i64 + known.day.vote_us()) / 1000),
         }
     }
--- a/components/gateway/src/decisions.rs
+++ b/components/gateway/src/decisions.rs
@@ -17,6 +17,7 @@
 use tokio::sync::oneshot;
 
 use crate::job::Job;
+use crate::limit_reports::{received_limit, received_limits, report_of_limit};
 use crate::peers::Fleet;
 use crate::sights::slowdown_of;
 use crate::traffic::Traffic;
@@ -27,9 +28,9 @@
 /// A reply is waited for this long: some hundred times the way within a hall (0.4 ms there and back), so that a
 /// slow processor is not taken for a lost datagram, and an eighth of the shortest target on the sheets (100 ms) is
 /// left for the next coordinator.
-const REPLY_TIME: Duration = Duration::from_millis(40);
+pub(crate) const REPLY_TIME: Duration = Duration::from_millis(40);
 /// The same for a coordinator of another region: twice the first guess of the way there and back (60 ms) beside it.
-const FAR_REPLY_TIME: Duration = Duration::from_millis(160);
+pub(crate) const FAR_REPLY_TIME: Duration = Duration::from_millis(160);
 /// A coordinator that did not reply is asked last for this long: as long as it would be heard if it died.
 const PASSED_OVER_FOR: Duration = Duration::from_millis(1500);
 /// Pause before coordinators that have just begun are asked again.
@@ -112,6 +113,7 @@
             if let Some(reply) = self.send_query(by, query).await {
                 // One that has just begun is there, and is no reason to read all endpoints here.
                 self.alone.decided(self.clock.now());
+                self.take_placed_limit(&reply);
                 match outcome_of(&reply)? {
                     Outcome::Starting => starting = Some(by),
                     outcome => return Some(Decided { by, outcome }),
@@ -130,6 +132,20 @@
         None
     }
 
+    fn take_placed_limit(&self, reply: &DecisionReply) {
+        let placed = reply.placed.as_ref();
+        let Some(report) = placed.and_then(|placed| placed.limit.as_ref()) else {
+            return;
+        };
+        let Some(limit) = received_limit(self.clock.now(), report) else {
+            return;
+        };
+        let keeper = placed.and_then(|placed| placed.keeper.as_ref());
+        let keeper = keeper.and_then(|keeper| keeper.parse().ok());
+        self.sends_asked.note_keeper(limit.start, keeper);
+        self.take_limit(&limit);
+    }
+
     /// The same, once a coordinator knows enough; they are asked again until then, for as long as a request waits for an
     /// endpoint.
     pub async fn ask_patiently(
@@ -184,6 +200,17 @@
                 self.take_back(&give_back);
             }
             self.take_told(message.sights.as_ref());
+            if let Some(reply) = message.send_reply {
+                self.take_send_reply(reply);
+            }
+            let send_query = message.send_query.as_ref();
+            if let Some(reply) = send_query.and_then(|query| self.answer_send(query)) {
+                let message = Decision {
+                    send_reply: Some(reply),
+                    ..Decision::default()
+                };
+                self.send_decision(&message, from).await;
+            }
             if let Some(reply) = message.query.and_then(|query| self.decide(&query)) {
                 let message = Decision {
                     reply: Some(reply),
@@ -220,6 +247,7 @@
             body_bytes: Some(job.body.len().min(i32::MAX as usize) as i32),
             closed: self.closed_to_tell(&job.work.service),
             sights: self.sights.take(self.clock.now()),
+            limits: self.untold_limits.borrow_mut().take(self.clock.now()),
         }
     }
 
@@ -259,7 +287,8 @@
         reply.ok()?.ok()
     }
 
-    async fn send_decision(&self, message: &Decision, to: SocketAddr) {
+    /// Sends one datagram; what is lost is asked for again.
+    pub async fn send_decision(&self, message: &Decision, to: SocketAddr) {
         let socket = self.asking.socket.borrow().clone();
         let (Some(socket), Ok(bytes)) = (socket, schema::encode(message)) else {
             self.metrics.count(Counter::PacketsDropped);
@@ -293,6 +322,11 @@
     fn decide(&self, query: &DecisionQuery) -> Option<DecisionReply> {
         self.take_told(query.sights.as_ref());
         let now = self.clock.now();
+        for limit in received_limits(now, query.limits.as_ref()) {
+            if self.take_limit(&limit) {
+                self.tell_limit(limit);
+            }
+        }
         let mut state = self.state.borrow_mut();
         if !state.fleet.decides {
             return None;
@@ -334,7 +368,9 @@
         if let Some(placement) = &placed {
             self.note_departure(&query.request, &work, placement);
         }
-        reply.placed = placed.as_ref().map(placed_of);
+        reply.placed = placed
+            .as_ref()
+            .map(|placed| self.placed_with_limit(now, placed));
         if is_long {
             self.send_tally();
         }
@@ -342,6 +378,25 @@
     }
 }
 
+impl<D> Traffic<D> {
+    // With the limit of the endpoint, and who grants the send.
+    fn placed_with_limit(&self, now: Duration, placement: &Placement) -> PlacedAt {
+        let state = self.state.borrow();
+        let start = placement.incarnation;
+        let Some(limit) = state.board.notices().limit_notice(start) else {
+            return placed_of(placement);
+        };
+        let keeper = limit
+            .rate
+            .and_then(|_| state.keeper(start, &placement.hall));
+        PlacedAt {
+            limit: Some(report_of_limit(now, &limit)),
+            keeper: keeper.map(|keeper| keeper.address().to_string()),
+            ..placed_of(placement)
+        }
+    }
+}
+
 fn work_of(query: &DecisionQuery) -> Work {
     let parts = query.parts.iter().map(|part| PromptPart {
         id: part.id as u64,
@@ -376,6 +431,8 @@
             Slowdown::NONE => None,
             slowdown => Some(slowdown.percent() as i32),
         },
+        limit: None,
+        keeper: None,
     }
 }
 
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -80,6 +80,7 @@
         }),
         gateways: gossip.gateways.map(|gateways| gateways.max(0) as usize),
         asks: gossip.asks.clone(),
+        keeps_accounts: gossip.keeps_accounts.unwrap_or_default(),
     }
 }
 
--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -90,7 +90,7 @@
         progress: &mut Progress,
     ) -> Result<Option<Placement>, Refusal> {
         let mut placed = None;
-        match self.ask_patiently(job, &[], false).await {
+        match Box::pin(self.ask_patiently(job, &[], false)).await {
             None => self.charge_here(job)?,
             Some(decided) => {
                 progress.charged_by = Some(decided.by);
--- a/components/gateway/src/job.rs
+++ b/components/gateway/src/job.rs
@@ -80,6 +80,8 @@
     pub tried: Vec<String>,
     /// Times that it was sent.
     pub sent: u32,
+    /// Times that a send to an endpoint that names a limit was not granted.
+    pub ungranted: usize,
     /// Whether some endpoint may have run it.
     pub maybe_run: bool,
     /// The coordinator that charged its tenant; none if that was done here.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod handler;
 mod held;
 mod job;
+mod limit_reports;
 mod link_parts;
 pub mod listing;
 mod peers;
@@ -37,6 +38,7 @@
 mod room;
 mod run;
 mod said;
+mod sends;
 mod server;
 mod sights;
 mod state;
@@ -53,5 +55,7 @@
 pub use events::{Event, EventSplitter, SplitError};
 pub use freshness::Freshness;
 pub use link_parts::link_parts;
-pub use peers::{is_recent, Fleet, Greeting, HallCount, Listed, PeerCount, Peers, Receipt};
+pub use peers::{
+    is_recent, AccountKeeper, Fleet, Greeting, HallCount, Listed, PeerCount, Peers, Receipt,
+};
 pub use run::{run, Gateway, GatewayError, Listening, Parts, ReadSettings, Signals};
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -12,7 +12,7 @@
 use topology::Topology;
 
 pub(crate) use crate::peers::halls::COORDINATORS;
-pub use crate::peers::halls::{Fleet, HallCount};
+pub use crate::peers::halls::{AccountKeeper, Fleet, HallCount};
 pub use crate::peers::peer::{Greeting, Listed};
 use crate::peers::peer::{Peer, TRY_ADDRESS_FOR};
 use crate::peers::regions::HallLists;
--- a/components/gateway/src/peers/halls.rs
+++ b/components/gateway/src/peers/halls.rs
@@ -51,6 +51,20 @@
     pub others: Vec<SocketAddr>,
     /// Those of `others` that lie in another region.
     pub far: Vec<SocketAddr>,
+    /// Coordinators of all halls that keep accounts of endpoints that name limits, this one included; empty if this
+    /// gateway does not decide.
+    pub keepers: Vec<AccountKeeper>,
+}
+
+/// A coordinator that keeps accounts of endpoints that name limits.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AccountKeeper {
+    /// Its name.
+    pub name: String,
+    /// Its data hall.
+    pub hall: String,
+    /// Where it is asked.
+    pub address: SocketAddr,
 }
 
 impl Default for Fleet {
@@ -63,6 +77,7 @@
             placing: ASSUMED_PLACING,
             others: Vec::new(),
             far: Vec::new(),
+            keepers: Vec::new(),
         }
     }
 }
@@ -138,6 +153,7 @@
                 placing: self.coordinators(now).len() + 1,
                 others: Vec::new(),
                 far: Vec::new(),
+                keepers: self.keepers(now),
             };
         }
         let gateways = self.reported_gateways(now).unwrap_or(count.gateways());
@@ -150,6 +166,7 @@
             placing: gateways,
             others: [self.deciders_unseen(now), near, far.clone()].concat(),
             far,
+            keepers: Vec::new(),
         }
     }
 
@@ -248,6 +265,24 @@
         rank(weight(0, &self.own.name), heard, COORDINATORS)
     }
 
+    fn keepers(&self, now: Duration) -> Vec<AccountKeeper> {
+        let others = self.peers.iter().filter_map(|(name, peer)| {
+            let greeting = peer.recent(now)?;
+            let keeps = greeting.coordinates && greeting.keeps_accounts;
+            Some(AccountKeeper {
+                name: name.clone(),
+                hall: peer.hall.clone(),
+                address: greeting.decisions.filter(|_| keeps)?,
+            })
+        });
+        let own = self.own.decisions.map(|address| AccountKeeper {
+            name: self.own.name.clone(),
+            hall: self.own.hall.clone(),
+            address,
+        });
+        others.chain(own).collect()
+    }
+
     fn deciders(&self, now: Duration) -> Vec<SocketAddr> {
         let names = self.decider_names(now).into_iter();
         let addresses = names.filter_map(|name| self.peers[name].recent(now)?.decisions);
--- a/components/gateway/src/peers/peer.rs
+++ b/components/gateway/src/peers/peer.rs
@@ -54,6 +54,8 @@
     pub gateways: Option<usize>,
     /// Coordinator that it asks first.
     pub asks: Option<String>,
+    /// Whether it keeps accounts of endpoints that name limits, if it coordinates.
+    pub keeps_accounts: bool,
 }
 
 #[derive(Clone, Debug)]
--- a/components/gateway/src/placing.rs
+++ b/components/gateway/src/placing.rs
@@ -9,6 +9,7 @@
 
 use crate::decisions::Outcome;
 use crate::job::{Job, Progress};
+use crate::sends::Grant;
 use crate::traffic::Traffic;
 
 /// Part of a request's target for which it waits for an endpoint to appear.
@@ -49,16 +50,27 @@
 }
 
 impl<D> Traffic<D> {
-    /// Chooses an endpoint, or has a coordinator do so; waits a little for one to appear.
-    pub async fn place(&self, job: &Job, progress: &Progress) -> Option<Placement> {
-        self.find(job, progress).await.ok()
+    /// Chooses an endpoint that the request may be sent to, or has a coordinator do so; waits a little for one to appear.
+    pub async fn place_granted(
+        &self,
+        job: &Job,
+        progress: &mut Progress,
+    ) -> Option<(Placement, Grant)> {
+        loop {
+            let placement = self.find(job, progress).await.ok()?;
+            if let Some(grant) = self.grant(job, progress, &placement).await {
+                return Some((placement, grant));
+            }
+        }
     }
 
     /// The endpoint, or why there is none. Neither the link nor the end of a pause that comes too late is waited for.
     pub async fn find(&self, job: &Job, progress: &Progress) -> Result<Placement, Nowhere> {
         let patience = self.waits_until(job);
         loop {
-            if let Some(decided) = self.ask_patiently(job, &progress.tried, true).await {
+            // Boxed, so that a request that runs holds no memory for it.
+            let asked = Box::pin(self.ask_patiently(job, &progress.tried, true)).await;
+            if let Some(decided) = asked {
                 match decided.outcome {
                     Outcome::Placed(placement) => return Ok(placement),
                     Outcome::LinkFull(wait) => return Err(Nowhere::link_full(wait)),
--- a/components/gateway/src/said.rs
+++ b/components/gateway/src/said.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use http::StatusCode;
-use notices::Standing;
+use notices::{LimitNotice, Standing};
 use rand::RngExt;
 use routing::placement::Placement;
 use slog::{info, warn};
@@ -23,7 +23,14 @@
     /// Takes what an endpoint says of itself in an answer. It is kept by the start of the endpoint that was meant, whatever
     /// its record says later: without that, ten requests in six seconds went on through the gateway that had been told, to an
     /// endpoint that left while the store was silent, as the logs of a day of faults showed.
-    pub fn hear(&self, job: &Job, placement: &Placement, status: StatusCode, read: &AnswerHead) {
+    pub fn hear(
+        &self,
+        job: &Job,
+        placement: &Placement,
+        asked_at: Duration,
+        status: StatusCode,
+        read: &AnswerHead,
+    ) {
         self.see_load(&job.head.id, placement, read);
         let (id, endpoint) = (&job.head.id, &placement.endpoint);
         if read.not_run {
@@ -41,7 +48,12 @@
                     "endpoint" => endpoint, "cause" => fault.0);
             }
         }
-        self.hear_limit(job, placement, read.limit);
+        let is_answer = read.id.as_deref() == Some(id.as_str());
+        match read.limit {
+            // A surplus answer was asked for earlier.
+            LimitSaid::NoLimit if !is_answer => {}
+            said => self.hear_limit(job, placement, asked_at, said),
+        }
     }
 
     /// Whether an endpoint wants requests of this gateway. Looked at last before one is sent: a coordinator that chose it
@@ -97,20 +109,36 @@
         }
     }
 
-    fn hear_limit(&self, job: &Job, placement: &Placement, said: LimitSaid) {
+    fn hear_limit(&self, job: &Job, placement: &Placement, asked_at: Duration, said: LimitSaid) {
         let (id, endpoint) = (&job.head.id, &placement.endpoint);
-        match said {
-            LimitSaid::NoLimit | LimitSaid::OtherProcess => {}
+        let rate = match said {
+            LimitSaid::OtherProcess => return,
+            LimitSaid::NoLimit => None,
             LimitSaid::Limit(rate) => {
                 self.metrics.count(Counter::LimitNamed);
                 info!(self.log, "endpoint names a limit"; "id" => id, "endpoint" => endpoint,
                     "per_s" => rate.per_s());
+                Some(rate)
             }
             LimitSaid::Fault(fault) => {
                 warn!(self.log, "limit passed over; the endpoint has to name requests a second"; "id" => id,
                     "endpoint" => endpoint, "cause" => fault.0);
+                return;
             }
+        };
+        let limit = LimitNotice {
+            start: placement.incarnation,
+            service: job.work.service.clone(),
+            rate,
+            asked_at,
+        };
+        if !self.take_limit(&limit) {
+            return;
+        }
+        if rate.is_none() {
+            info!(self.log, "endpoint names no limit any more"; "id" => id, "endpoint" => endpoint);
         }
+        self.tell_limit(limit);
     }
 
     fn hear_pause(&self, job: &Job, placement: &Placement, pause: Duration) {
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use directory::{Configuration, Directory, Tenant};
-use limits::{Limit, RepeatBudget, RepeatTerms, SharedQuota};
+use limits::{Limit, RepeatBudget, RepeatTerms, SendAccounts, SharedQuota};
 use memory::Ledger;
 use quarantine::Quarantine;
 use rand::{RngExt, SeedableRng};
@@ -41,6 +41,8 @@
     pub gates: Gates,
     pub quarantine: Quarantine,
     pub cuts: Cuts,
+    /// Accounts of endpoints that name limits, those that this gateway keeps.
+    pub accounts: SendAccounts,
 }
 
 impl State {
@@ -61,6 +63,7 @@
             gates: Gates::default(),
             quarantine: Quarantine::default(),
             cuts: Cuts::default(),
+            accounts: SendAccounts::default(),
         };
         state.set_link_parts(Duration::ZERO);
         state
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -204,13 +204,17 @@
         {
             self.progress.tried.push(from.to_string());
             let (clock, expiry) = (self.traffic.clock, self.job.expiry);
-            let placement = self.traffic.place(&self.job, &self.progress).await?;
+            let (placement, grant) = self
+                .traffic
+                .place_granted(&self.job, &mut self.progress)
+                .await?;
             self.progress.sent += 1;
             info!(self.traffic.log, "stream goes on"; "id" => &self.job.head.id, "content" => %self.job.content, "from" => from,
                 "endpoint" => &placement.endpoint, "after" => self.last_event);
             let sending = Sending {
                 last_event: self.last_event,
                 after_silence,
+                grant,
             };
             let attempt = self
                 .traffic
--- a/components/gateway/src/tally.rs
+++ b/components/gateway/src/tally.rs
@@ -7,6 +7,7 @@
 use quarantine::Observation;
 use routing::placement::{HallLoad, Sight};
 
+use crate::limit_reports::UntoldLimits;
 use crate::versions::Digest;
 
 /// A request that was sent to an endpoint.
@@ -49,6 +50,8 @@
     pub sent: Vec<Sent>,
     /// What answers showed that the others place requests by.
     pub sights: Vec<Sight>,
+    /// What endpoints said of their limits.
+    pub limits: UntoldLimits,
     /// Tenant and wall time of each request that began to run.
     pub begun: Vec<(String, Duration)>,
     /// Units that tenants took since the start.
@@ -66,6 +69,8 @@
     pub fn put_back(&mut self, earlier: Tally) {
         self.sent.splice(0..0, earlier.sent);
         self.sights.splice(0..0, earlier.sights);
+        let later = std::mem::replace(&mut self.limits, earlier.limits);
+        self.limits.extend(later);
         self.begun.splice(0..0, earlier.begun);
         self.reported.splice(0..0, earlier.reported);
         self.observations.splice(0..0, earlier.observations);
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -17,7 +17,9 @@
 use crate::decisions::Asking;
 use crate::freshness::{Ages, Freshness};
 use crate::job::Job;
+use crate::limit_reports::UntoldLimits;
 use crate::room::Room;
+use crate::sends::SendsAsked;
 use crate::sights::Sights;
 use crate::state::{sent_of, State};
 use crate::tally::Tally;
@@ -45,6 +47,8 @@
     pub in_flight: Cell<usize>,
     pub asking: Asking,
     pub sights: Sights,
+    pub sends_asked: SendsAsked,
+    pub untold_limits: RefCell<UntoldLimits>,
     pub room: Room,
     tallies: flume::Sender<Tally>,
 }
@@ -80,6 +84,8 @@
             in_flight: Cell::new(0),
             asking: Asking::default(),
             sights: Sights::default(),
+            sends_asked: SendsAsked::default(),
+            untold_limits: RefCell::default(),
             room,
             tallies: parts.tallies,
         }
@@ -129,6 +135,11 @@
                 drop(state);
                 self.take_sights(&sights);
             }
+            Update::PeerHeardLimits(limits) => {
+                for limit in &limits {
+                    state.board.notices_mut().note_limit(limit);
+                }
+            }
             Update::PeerTaken {
                 gateway,
                 incarnation,
--- a/components/gateway/src/update.rs
+++ b/components/gateway/src/update.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use directory::{Configuration, Endpoint};
+use notices::LimitNotice;
 use quarantine::{Held, Observation};
 use rollout::{Order, Stage};
 use routing::placement::{PeerDispatch, Sight};
@@ -33,6 +34,8 @@
     PeerSent(Vec<PeerDispatch>),
     /// Answers showed another gateway these.
     PeerSaw(Vec<Sight>),
+    /// Endpoints named these limits to another gateway, or none any more.
+    PeerHeardLimits(Vec<LimitNotice>),
     /// Units that teams took at another gateway since its start.
     PeerTaken {
         /// Its name.
--- a/components/gateway/tests/halls.rs
+++ b/components/gateway/tests/halls.rs
@@ -141,6 +141,7 @@
             hall_count: coordinates.then(|| self.peers.hall_count(now)),
             gateways: coordinates.then(|| self.peers.count(now).gateways()),
             asks: self.peers.asks(now).map(str::to_string),
+            keeps_accounts: true,
         };
         (greeting, targets)
     }
--- a/components/gateway/tests/peers.rs
+++ b/components/gateway/tests/peers.rs
@@ -27,6 +27,7 @@
         hall_count: None,
         gateways: None,
         asks: None,
+        keeps_accounts: true,
     }
 }
 
--- a/components/gateway/tests/readers.rs
+++ b/components/gateway/tests/readers.rs
@@ -87,6 +87,7 @@
             hall_count: None,
             gateways: None,
             asks: None,
+            keeps_accounts: true,
         }
     }
 }
--- a/components/gateway/tests/skew.rs
+++ b/components/gateway/tests/skew.rs
@@ -91,6 +91,8 @@
         home_ms: None,
         incarnation: None,
         slowdown_percent: None,
+        limit: None,
+        keeper: None,
     });
     DecisionReply::new(query.number, None, placed, None, None)
 }
--- a/components/gateway/tests/starting.rs
+++ b/components/gateway/tests/starting.rs
@@ -89,6 +89,8 @@
         home_ms: None,
         incarnation: None,
         slowdown_percent: None,
+        limit: None,
+        keeper: None,
     };
     DecisionReply::new(query.number, None, Some(placed), None, None)
 }
--- a/components/notices/tests/promises.rs
+++ b/components/notices/tests/promises.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use notices::{Notices, Standing};
+use limits::SendRate;
+use notices::{LimitNotice, Notices, Standing};
 use quickcheck::quickcheck;
 
 const S: &str = "s";
@@ -70,3 +71,53 @@
         true
     }
 }
+
+fn limit(per_s: Option<f64>, asked_at: Duration) -> LimitNotice {
+    LimitNotice {
+        start: 1,
+        service: S.into(),
+        rate: per_s.map(|per_s| SendRate::from_per_s(per_s).unwrap()),
+        asked_at,
+    }
+}
+
+// Guards against an answer that overtook another and brings back a limit that has changed or ended.
+#[test]
+fn of_what_an_endpoint_says_of_its_limit_the_newest_request_decides() {
+    let mut notices = Notices::default();
+    assert!(!notices.note_limit(&limit(None, ms(5))), "it named none");
+    assert!(notices.note_limit(&limit(Some(4.0), ms(10))));
+    assert!(notices.note_limit(&limit(Some(1.0), ms(30))));
+    assert!(!notices.note_limit(&limit(Some(4.0), ms(20))));
+    assert_eq!(notices.limit(1), SendRate::from_per_s(1.0));
+    assert!(notices.note_limit(&limit(None, ms(40))));
+    assert!(!notices.note_limit(&limit(Some(1.0), ms(35))));
+    assert_eq!(notices.limit(1), None);
+    assert_eq!(notices.limit(2), None);
+}
+
+// Guards against word that grows younger with each gateway that passes it on, until it outlives the end of the limit.
+#[test]
+fn a_limit_that_is_passed_on_stays_as_old_as_it_was() {
+    let mut notices = Notices::default();
+    assert!(notices.note_limit(&limit(Some(4.0), ms(10))));
+    for hop in 1..100 {
+        assert!(!notices.note_limit(&limit(Some(4.0), ms(10 + hop))));
+    }
+    assert!(notices.note_limit(&limit(None, ms(11))));
+}
+
+#[test]
+fn a_limit_that_is_used_up_closes_an_endpoint_until_a_send_is_granted_or_it_ends() {
+    let mut notices = Notices::default();
+    notices.note_spent(ms(0), 1, ms(500));
+    assert_eq!(notices.standing(ms(0), 1), Standing::Open, "no limit");
+    notices.note_limit(&limit(Some(4.0), ms(10)));
+    notices.note_spent(ms(20), 1, ms(500));
+    assert_eq!(notices.standing(ms(120), 1), Standing::Spent(ms(400)));
+    assert_eq!(notices.least_pause(ms(120), S), Some(ms(400)));
+    notices.note_pause(ms(120), 1, S, ms(3000));
+    assert_eq!(notices.standing(ms(120), 1), Standing::Paused(ms(3000)));
+    notices.note_limit(&limit(None, ms(50)));
+    assert_eq!(notices.standing(ms(3120), 1), Standing::Open);
+}
--- a/components/routing/src/placement/choice.rs
+++ b/components/routing/src/placement/choice.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use notices::Notices;
 use rand::seq::IndexedRandom;
 use rand::{Rng, RngExt};
 
@@ -31,6 +32,10 @@
 const SUSPECTED_MS: f64 = FAULTY_MS;
 /// Cost of an endpoint that has just started, in milliseconds.
 const COLD_MS: f64 = 20.0;
+/// A send to an endpoint that names a limit costs this part of the time between two of them, and at most so much, in
+/// milliseconds.
+const SCARCE_PART: f64 = 0.25;
+const MOST_SCARCE_MS: f64 = 500.0;
 /// Prompts read one after the other for longer than this make a pause that a caller notices, in
 /// milliseconds.
 const NOTICED_PAUSE_MS: f64 = 350.0;
@@ -97,6 +102,7 @@
             hashes: beginnings(&work.parts),
             hall_costs: self.hall_costs(home_region, work.body_bytes),
             has_choice: false,
+            notices: &self.notices,
         };
         let slots = self.services.get_mut(&work.service)?;
         let usable = slots.usable(now, exclusion, versions, &self.notices);
@@ -190,6 +196,7 @@
     hall_costs: Vec<f64>,
     // Whether there are endpoints in several regions.
     has_choice: bool,
+    notices: &'a Notices,
 }
 
 impl Weighing<'_> {
@@ -285,9 +292,21 @@
             cost += load / slots * hold_ms + slower_ms.max(0.0);
         }
         cost += slot.fault_share * FAULTY_MS;
+        cost += self.scarcity_ms(slot);
         cost += if now < slot.cold_until { COLD_MS } else { 0.0 };
         cost
     }
+
+    // What a send to an endpoint that names a limit costs the request that would have it otherwise.
+    fn scarcity_ms(&self, slot: &Slot) -> f64 {
+        let limit = match self.notices.is_empty() {
+            true => None,
+            false => self.notices.limit(slot.incarnation()),
+        };
+        limit.map_or(0.0, |rate| {
+            (SCARCE_PART * 1000.0 / rate.per_s()).min(MOST_SCARCE_MS)
+        })
+    }
 }
 
 // What a request costs those that come after it, by the slots that are taken with it: where most are, the next ones wait
--- a/components/routing/src/placement/exclusion.rs
+++ b/components/routing/src/placement/exclusion.rs
@@ -28,7 +28,7 @@
         }
         match standing(now, slot, notices) {
             Standing::Open => true,
-            Standing::Leaving => false,
+            Standing::Leaving | Standing::Spent(_) => false,
             Standing::Paused(_) => !self.sent_here,
         }
     }
@@ -53,14 +53,14 @@
         &mut self.notices
     }
 
-    /// Time until an endpoint takes a request, as far as pauses go: zero if one does now, `None` if none is there.
+    /// Time until an endpoint takes a request, as far as pauses and limits go: zero if one does now, `None` if none is there.
     pub fn time_to_open(&self, now: Duration, service: &str) -> Option<Duration> {
         let slots = self.services.get(service).into_iter();
         let ready = slots.flat_map(ServiceSlots::iter);
         let ready = ready.filter(|slot| slot.spec.is_ready());
         let times = ready.filter_map(|slot| match standing(now, slot, &self.notices) {
             Standing::Open => Some(Duration::ZERO),
-            Standing::Paused(left) => Some(left),
+            Standing::Paused(left) | Standing::Spent(left) => Some(left),
             Standing::Leaving => None,
         });
         times.min()
--- a/components/schema/src/messages.rs
+++ b/components/schema/src/messages.rs
@@ -2417,6 +2417,109 @@
     }
 }
 
+//
+// LimitReport
+//
+
+/// What an endpoint said of the rate at which it takes requests of all gateways together.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct LimitReport {
+    /// Hash of the start of the endpoint.
+    pub endpoint: i64,
+    pub service_name: String,
+    /// Time since the request was sent whose answer said so, in milliseconds.
+    pub asked_ms_ago: i32,
+    /// Requests a second; unset if it named no limit.
+    pub per_s: Option<OrderedFloat<f64>>,
+}
+
+impl LimitReport {
+    pub fn new<F4>(endpoint: i64, service_name: String, asked_ms_ago: i32, per_s: F4) -> LimitReport
+    where
+        F4: Into<Option<OrderedFloat<f64>>>,
+    {
+        LimitReport {
+            endpoint,
+            service_name,
+            asked_ms_ago,
+            per_s: per_s.into(),
+        }
+    }
+}
+
+impl TSerializable for LimitReport {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<LimitReport> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<i64> = None;
+        let mut f_2: Option<String> = None;
+        let mut f_3: Option<i32> = None;
+        let mut f_4: Option<OrderedFloat<f64>> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = i_prot.read_i64()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = i_prot.read_string()?;
+                    f_2 = Some(val);
+                }
+                3 => {
+                    let val = i_prot.read_i32()?;
+                    f_3 = Some(val);
+                }
+                4 => {
+                    let val = OrderedFloat::from(i_prot.read_double()?);
+                    f_4 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("LimitReport.endpoint", &f_1)?;
+        verify_required_field_exists("LimitReport.service_name", &f_2)?;
+        verify_required_field_exists("LimitReport.asked_ms_ago", &f_3)?;
+        let ret = LimitReport {
+            endpoint: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            service_name: f_2
+                .expect("auto-generated code should have checked for presence of required fields"),
+            asked_ms_ago: f_3
+                .expect("auto-generated code should have checked for presence of required fields"),
+            per_s: f_4,
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("LimitReport");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("endpoint", TType::I64, 1))?;
+        o_prot.write_i64(self.endpoint)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("service_name", TType::String, 2))?;
+        o_prot.write_string(&self.service_name)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("asked_ms_ago", TType::I32, 3))?;
+        o_prot.write_i32(self.asked_ms_ago)?;
+        o_prot.write_field_end()?;
+        if let Some(fld_var) = self.per_s {
+            o_prot.write_field_begin(&TFieldIdentifier::new("per_s", TType::Double, 4))?;
+            o_prot.write_double(fld_var.into())?;
+            o_prot.write_field_end()?
+        }
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
 //
 // Gossip
 //
@@ -2484,6 +2587,10 @@
     pub day_ms: Option<i64>,
     /// What answers showed of endpoints.
     pub sights: Option<Vec<Sight>>,
+    /// What endpoints said of their limits; for coordinators.
+    pub limits: Option<Vec<LimitReport>>,
+    /// Whether the sender keeps accounts of endpoints that name limits.
+    pub keeps_accounts: Option<bool>,
 }
 
 impl Gossip {
@@ -2509,6 +2616,8 @@
         F38,
         F39,
         F40,
+        F41,
+        F42,
     >(
         gateway: String,
         incarnation: i64,
@@ -2540,6 +2649,8 @@
         held: F38,
         day_ms: F39,
         sights: F40,
+        limits: F41,
+        keeps_accounts: F42,
     ) -> Gossip
     where
         F10: Into<Option<Vec<TopicHead>>>,
@@ -2563,6 +2674,8 @@
         F38: Into<Option<Vec<Box<HeldContent>>>>,
         F39: Into<Option<i64>>,
         F40: Into<Option<Vec<Sight>>>,
+        F41: Into<Option<Vec<LimitReport>>>,
+        F42: Into<Option<bool>>,
     {
         Gossip {
             gateway,
@@ -2595,6 +2708,8 @@
             held: held.into(),
             day_ms: day_ms.into(),
             sights: sights.into(),
+            limits: limits.into(),
+            keeps_accounts: keeps_accounts.into(),
         }
     }
 }
@@ -2632,6 +2747,8 @@
         let mut f_38: Option<Vec<Box<HeldContent>>> = None;
         let mut f_39: Option<i64> = None;
         let mut f_40: Option<Vec<Sight>> = None;
+        let mut f_41: Option<Vec<LimitReport>> = None;
+        let mut f_42: Option<bool> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -2838,6 +2955,20 @@
                     i_prot.read_list_end()?;
                     f_40 = Some(val);
                 }
+                41 => {
+                    let list_ident = i_prot.read_list_begin()?;
+                    let mut val: Vec<LimitReport> = Vec::with_capacity(list_ident.size as usize);
+                    for _ in 0..list_ident.size {
+                        let list_elem_22 = LimitReport::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_22);
+                    }
+                    i_prot.read_list_end()?;
+                    f_41 = Some(val);
+                }
+                42 => {
+                    let val = i_prot.read_bool()?;
+                    f_42 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -2894,6 +3025,8 @@
             held: f_38,
             day_ms: f_39,
             sights: f_40,
+            limits: f_41,
+            keeps_accounts: f_42,
         };
         Ok(ret)
     }
@@ -3094,6 +3227,20 @@
             o_prot.write_list_end()?;
             o_prot.write_field_end()?
         }
+        if let Some(ref fld_var) = self.limits {
+            o_prot.write_field_begin(&TFieldIdentifier::new("limits", TType::List, 41))?;
+            o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, fld_var.len() as i32))?;
+            for e in fld_var {
+                e.write_to_out_protocol(o_prot)?;
+            }
+            o_prot.write_list_end()?;
+            o_prot.write_field_end()?
+        }
+        if let Some(fld_var) = self.keeps_accounts {
+            o_prot.write_field_begin(&TFieldIdentifier::new("keeps_accounts", TType::Bool, 42))?;
+            o_prot.write_bool(fld_var)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -3380,8 +3527,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<KeptContent> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_22 = KeptContent::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_22);
+                        let list_elem_23 = KeptContent::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_23);
                     }
                     i_prot.read_list_end()?;
                     f_1 = Some(val);
@@ -3552,8 +3699,8 @@
                     let mut val: Vec<OrderedFloat<f64>> =
                         Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_23 = OrderedFloat::from(i_prot.read_double()?);
-                        val.push(list_elem_23);
+                        let list_elem_24 = OrderedFloat::from(i_prot.read_double()?);
+                        val.push(list_elem_24);
                     }
                     i_prot.read_list_end()?;
                     f_2 = Some(val);
@@ -3563,8 +3710,8 @@
                     let mut val: Vec<OrderedFloat<f64>> =
                         Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_24 = OrderedFloat::from(i_prot.read_double()?);
-                        val.push(list_elem_24);
+                        let list_elem_25 = OrderedFloat::from(i_prot.read_double()?);
+                        val.push(list_elem_25);
                     }
                     i_prot.read_list_end()?;
                     f_3 = Some(val);
@@ -3796,9 +3943,9 @@
                     let map_ident = i_prot.read_map_begin()?;
                     let mut val: BTreeMap<i32, i64> = BTreeMap::new();
                     for _ in 0..map_ident.size {
-                        let map_key_25 = i_prot.read_i32()?;
-                        let map_val_26 = i_prot.read_i64()?;
-                        val.insert(map_key_25, map_val_26);
+                        let map_key_26 = i_prot.read_i32()?;
+                        let map_val_27 = i_prot.read_i64()?;
+                        val.insert(map_key_26, map_val_27);
                     }
                     i_prot.read_map_end()?;
                     f_4 = Some(val);
@@ -3903,8 +4050,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<AnswerCounts> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_27 = AnswerCounts::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_27);
+                        let list_elem_28 = AnswerCounts::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_28);
                     }
                     i_prot.read_list_end()?;
                     f_3 = Some(val);
@@ -4317,10 +4464,12 @@
     pub closed: Option<Vec<i64>>,
     /// What answers showed of endpoints since the last query; at most a few.
     pub sights: Option<Vec<Sight>>,
+    /// What endpoints said of their limits since the last query; at most a few.
+    pub limits: Option<Vec<LimitReport>>,
 }
 
 impl DecisionQuery {
-    pub fn new<F3, F11, F12, F13, F14, F15, F16>(
+    pub fn new<F3, F11, F12, F13, F14, F15, F16, F17>(
         number: i64,
         service_name: String,
         team: F3,
@@ -4337,6 +4486,7 @@
         hall: F14,
         closed: F15,
         sights: F16,
+        limits: F17,
     ) -> DecisionQuery
     where
         F3: Into<Option<String>>,
@@ -4346,6 +4496,7 @@
         F14: Into<Option<String>>,
         F15: Into<Option<Vec<i64>>>,
         F16: Into<Option<Vec<Sight>>>,
+        F17: Into<Option<Vec<LimitReport>>>,
     {
         DecisionQuery {
             number,
@@ -4364,6 +4515,7 @@
             hall: hall.into(),
             closed: closed.into(),
             sights: sights.into(),
+            limits: limits.into(),
         }
     }
 }
@@ -4387,6 +4539,7 @@
         let mut f_14: Option<String> = None;
         let mut f_15: Option<Vec<i64>> = None;
         let mut f_16: Option<Vec<Sight>> = None;
+        let mut f_17: Option<Vec<LimitReport>> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -4426,8 +4579,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<PromptPart> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_28 = PromptPart::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_28);
+                        let list_elem_29 = PromptPart::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_29);
                     }
                     i_prot.read_list_end()?;
                     f_8 = Some(val);
@@ -4436,8 +4589,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_29 = i_prot.read_i64()?;
-                        val.push(list_elem_29);
+                        let list_elem_30 = i_prot.read_i64()?;
+                        val.push(list_elem_30);
                     }
                     i_prot.read_list_end()?;
                     f_9 = Some(val);
@@ -4466,8 +4619,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_30 = i_prot.read_i64()?;
-                        val.push(list_elem_30);
+                        let list_elem_31 = i_prot.read_i64()?;
+                        val.push(list_elem_31);
                     }
                     i_prot.read_list_end()?;
                     f_15 = Some(val);
@@ -4476,12 +4629,22 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<Sight> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_31 = Sight::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_31);
+                        let list_elem_32 = Sight::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_32);
                     }
                     i_prot.read_list_end()?;
                     f_16 = Some(val);
                 }
+                17 => {
+                    let list_ident = i_prot.read_list_begin()?;
+                    let mut val: Vec<LimitReport> = Vec::with_capacity(list_ident.size as usize);
+                    for _ in 0..list_ident.size {
+                        let list_elem_33 = LimitReport::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_33);
+                    }
+                    i_prot.read_list_end()?;
+                    f_17 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -4524,6 +4687,7 @@
             hall: f_14,
             closed: f_15,
             sights: f_16,
+            limits: f_17,
         };
         Ok(ret)
     }
@@ -4618,6 +4782,15 @@
             o_prot.write_list_end()?;
             o_prot.write_field_end()?
         }
+        if let Some(ref fld_var) = self.limits {
+            o_prot.write_field_begin(&TFieldIdentifier::new("limits", TType::List, 17))?;
+            o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, fld_var.len() as i32))?;
+            for e in fld_var {
+                e.write_to_out_protocol(o_prot)?;
+            }
+            o_prot.write_list_end()?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -4653,10 +4826,14 @@
     pub incarnation: Option<i64>,
     /// How long work is taken to need there, in parts of 100 of the usual; unset where the endpoints tell nothing of it.
     pub slowdown_percent: Option<i32>,
+    /// The newest that it said of its limit; unset if it never named one.
+    pub limit: Option<LimitReport>,
+    /// Where the account of its limit is kept, IP:PORT; unset if it named none.
+    pub keeper: Option<String>,
 }
 
 impl PlacedAt {
-    pub fn new<F8, F9, F10, F11, F12>(
+    pub fn new<F8, F9, F10, F11, F12, F13, F14>(
         endpoint: String,
         address: String,
         unread_tokens: i32,
@@ -4669,6 +4846,8 @@
         home_ms: F10,
         incarnation: F11,
         slowdown_percent: F12,
+        limit: F13,
+        keeper: F14,
     ) -> PlacedAt
     where
         F8: Into<Option<String>>,
@@ -4676,6 +4855,8 @@
         F10: Into<Option<i32>>,
         F11: Into<Option<i64>>,
         F12: Into<Option<i32>>,
+        F13: Into<Option<LimitReport>>,
+        F14: Into<Option<String>>,
     {
         PlacedAt {
             endpoint,
@@ -4690,6 +4871,8 @@
             home_ms: home_ms.into(),
             incarnation: incarnation.into(),
             slowdown_percent: slowdown_percent.into(),
+            limit: limit.into(),
+            keeper: keeper.into(),
         }
     }
 }
@@ -4709,6 +4892,8 @@
         let mut f_10: Option<i32> = None;
         let mut f_11: Option<i64> = None;
         let mut f_12: Option<i32> = None;
+        let mut f_13: Option<LimitReport> = None;
+        let mut f_14: Option<String> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -4764,6 +4949,14 @@
                     let val = i_prot.read_i32()?;
                     f_12 = Some(val);
                 }
+                13 => {
+                    let val = LimitReport::read_from_in_protocol(i_prot)?;
+                    f_13 = Some(val);
+                }
+                14 => {
+                    let val = i_prot.read_string()?;
+                    f_14 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -4798,6 +4991,8 @@
             home_ms: f_10,
             incarnation: f_11,
             slowdown_percent: f_12,
+            limit: f_13,
+            keeper: f_14,
         };
         Ok(ret)
     }
@@ -4850,6 +5045,16 @@
             o_prot.write_i32(fld_var)?;
             o_prot.write_field_end()?
         }
+        if let Some(ref fld_var) = self.limit {
+            o_prot.write_field_begin(&TFieldIdentifier::new("limit", TType::Struct, 13))?;
+            fld_var.write_to_out_protocol(o_prot)?;
+            o_prot.write_field_end()?
+        }
+        if let Some(ref fld_var) = self.keeper {
+            o_prot.write_field_begin(&TFieldIdentifier::new("keeper", TType::String, 14))?;
+            o_prot.write_string(fld_var)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -5049,6 +5254,216 @@
     }
 }
 
+//
+// SendQuery
+//
+
+/// Asks the coordinator that keeps the account of an endpoint's limit for one send.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct SendQuery {
+    /// Chosen by the sender; the reply echoes it.
+    pub number: i64,
+    /// What the sender knows of the limit.
+    pub limit: LimitReport,
+    /// Data hall of the endpoint.
+    pub hall: String,
+    /// Whether the request comes first where sends are short.
+    pub urgent: bool,
+    /// Id of the request, for logs.
+    pub request: String,
+}
+
+impl SendQuery {
+    pub fn new(
+        number: i64,
+        limit: LimitReport,
+        hall: String,
+        urgent: bool,
+        request: String,
+    ) -> SendQuery {
+        SendQuery {
+            number,
+            limit,
+            hall,
+            urgent,
+            request,
+        }
+    }
+}
+
+impl TSerializable for SendQuery {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<SendQuery> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<i64> = None;
+        let mut f_2: Option<LimitReport> = None;
+        let mut f_3: Option<String> = None;
+        let mut f_4: Option<bool> = None;
+        let mut f_5: Option<String> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = i_prot.read_i64()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = LimitReport::read_from_in_protocol(i_prot)?;
+                    f_2 = Some(val);
+                }
+                3 => {
+                    let val = i_prot.read_string()?;
+                    f_3 = Some(val);
+                }
+                4 => {
+                    let val = i_prot.read_bool()?;
+                    f_4 = Some(val);
+                }
+                5 => {
+                    let val = i_prot.read_string()?;
+                    f_5 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("SendQuery.number", &f_1)?;
+        verify_required_field_exists("SendQuery.limit", &f_2)?;
+        verify_required_field_exists("SendQuery.hall", &f_3)?;
+        verify_required_field_exists("SendQuery.urgent", &f_4)?;
+        verify_required_field_exists("SendQuery.request", &f_5)?;
+        let ret = SendQuery {
+            number: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            limit: f_2
+                .expect("auto-generated code should have checked for presence of required fields"),
+            hall: f_3
+                .expect("auto-generated code should have checked for presence of required fields"),
+            urgent: f_4
+                .expect("auto-generated code should have checked for presence of required fields"),
+            request: f_5
+                .expect("auto-generated code should have checked for presence of required fields"),
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("SendQuery");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("number", TType::I64, 1))?;
+        o_prot.write_i64(self.number)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("limit", TType::Struct, 2))?;
+        self.limit.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("hall", TType::String, 3))?;
+        o_prot.write_string(&self.hall)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("urgent", TType::Bool, 4))?;
+        o_prot.write_bool(self.urgent)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("request", TType::String, 5))?;
+        o_prot.write_string(&self.request)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
+//
+// SendReply
+//
+
+/// Answer to a SendQuery.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct SendReply {
+    pub number: i64,
+    /// Time to ask again, in milliseconds; unset if the send was granted.
+    pub retry_ms: Option<i64>,
+    /// What the keeper knows of the limit.
+    pub limit: LimitReport,
+}
+
+impl SendReply {
+    pub fn new<F2>(number: i64, retry_ms: F2, limit: LimitReport) -> SendReply
+    where
+        F2: Into<Option<i64>>,
+    {
+        SendReply {
+            number,
+            retry_ms: retry_ms.into(),
+            limit,
+        }
+    }
+}
+
+impl TSerializable for SendReply {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<SendReply> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<i64> = None;
+        let mut f_2: Option<i64> = None;
+        let mut f_3: Option<LimitReport> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = i_prot.read_i64()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = i_prot.read_i64()?;
+                    f_2 = Some(val);
+                }
+                3 => {
+                    let val = LimitReport::read_from_in_protocol(i_prot)?;
+                    f_3 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("SendReply.number", &f_1)?;
+        verify_required_field_exists("SendReply.limit", &f_3)?;
+        let ret = SendReply {
+            number: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            retry_ms: f_2,
+            limit: f_3
+                .expect("auto-generated code should have checked for presence of required fields"),
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("SendReply");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("number", TType::I64, 1))?;
+        o_prot.write_i64(self.number)?;
+        o_prot.write_field_end()?;
+        if let Some(fld_var) = self.retry_ms {
+            o_prot.write_field_begin(&TFieldIdentifier::new("retry_ms", TType::I64, 2))?;
+            o_prot.write_i64(fld_var)?;
+            o_prot.write_field_end()?
+        }
+        o_prot.write_field_begin(&TFieldIdentifier::new("limit", TType::Struct, 3))?;
+        self.limit.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
 //
 // Decision
 //
@@ -5061,21 +5476,34 @@
     pub give_back: Option<GiveBack>,
     /// What answers showed of endpoints and cannot wait for the next query.
     pub sights: Option<Vec<Sight>>,
+    pub send_query: Option<SendQuery>,
+    pub send_reply: Option<SendReply>,
 }
 
 impl Decision {
-    pub fn new<F1, F2, F3, F4>(query: F1, reply: F2, give_back: F3, sights: F4) -> Decision
+    pub fn new<F1, F2, F3, F4, F5, F6>(
+        query: F1,
+        reply: F2,
+        give_back: F3,
+        sights: F4,
+        send_query: F5,
+        send_reply: F6,
+    ) -> Decision
     where
         F1: Into<Option<DecisionQuery>>,
         F2: Into<Option<DecisionReply>>,
         F3: Into<Option<GiveBack>>,
         F4: Into<Option<Vec<Sight>>>,
+        F5: Into<Option<SendQuery>>,
+        F6: Into<Option<SendReply>>,
     {
         Decision {
             query: query.into(),
             reply: reply.into(),
             give_back: give_back.into(),
             sights: sights.into(),
+            send_query: send_query.into(),
+            send_reply: send_reply.into(),
         }
     }
 }
@@ -5087,6 +5515,8 @@
         let mut f_2: Option<DecisionReply> = None;
         let mut f_3: Option<GiveBack> = None;
         let mut f_4: Option<Vec<Sight>> = None;
+        let mut f_5: Option<SendQuery> = None;
+        let mut f_6: Option<SendReply> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -5110,12 +5540,20 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<Sight> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_32 = Sight::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_32);
+                        let list_elem_34 = Sight::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_34);
                     }
                     i_prot.read_list_end()?;
                     f_4 = Some(val);
                 }
+                5 => {
+                    let val = SendQuery::read_from_in_protocol(i_prot)?;
+                    f_5 = Some(val);
+                }
+                6 => {
+                    let val = SendReply::read_from_in_protocol(i_prot)?;
+                    f_6 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -5128,6 +5566,8 @@
             reply: f_2,
             give_back: f_3,
             sights: f_4,
+            send_query: f_5,
+            send_reply: f_6,
         };
         Ok(ret)
     }
@@ -5158,6 +5598,16 @@
             o_prot.write_list_end()?;
             o_prot.write_field_end()?
         }
+        if let Some(ref fld_var) = self.send_query {
+            o_prot.write_field_begin(&TFieldIdentifier::new("send_query", TType::Struct, 5))?;
+            fld_var.write_to_out_protocol(o_prot)?;
+            o_prot.write_field_end()?
+        }
+        if let Some(ref fld_var) = self.send_reply {
+            o_prot.write_field_begin(&TFieldIdentifier::new("send_reply", TType::Struct, 6))?;
+            fld_var.write_to_out_protocol(o_prot)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -5170,6 +5620,8 @@
             reply: None,
             give_back: None,
             sights: Some(Vec::new()),
+            send_query: None,
+            send_reply: None,
         }
     }
 }
@@ -5434,8 +5886,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<RowChange> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_33 = RowChange::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_33);
+                        let list_elem_35 = RowChange::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_35);
                     }
                     i_prot.read_list_end()?;
                     f_1 = Some(val);
@@ -5656,9 +6108,9 @@
                     let map_ident = i_prot.read_map_begin()?;
                     let mut val: BTreeMap<String, i64> = BTreeMap::new();
                     for _ in 0..map_ident.size {
-                        let map_key_34 = i_prot.read_string()?;
-                        let map_val_35 = i_prot.read_i64()?;
-                        val.insert(map_key_34, map_val_35);
+                        let map_key_36 = i_prot.read_string()?;
+                        let map_val_37 = i_prot.read_i64()?;
+                        val.insert(map_key_36, map_val_37);
                     }
                     i_prot.read_map_end()?;
                     f_1 = Some(val);
--- a/components/schema/thrift/messages.thrift
+++ b/components/schema/thrift/messages.thrift
@@ -233,6 +233,17 @@
   4: optional i32 requests,
 }
 
+/** What an endpoint said of the rate at which it takes requests of all gateways together. */
+struct LimitReport {
+  /** Hash of the start of the endpoint. */
+  1: required i64 endpoint,
+  2: required string service_name,
+  /** Time since the request was sent whose answer said so, in milliseconds. */
+  3: required i32 asked_ms_ago,
+  /** Requests a second; unset if it named no limit. */
+  4: optional double per_s,
+}
+
 /** What a gateway reports to the others. */
 struct Gossip {
   /** Name of the sender. */
@@ -295,6 +306,10 @@
   39: optional i64 day_ms,
   /** What answers showed of endpoints. */
   40: optional list<Sight> sights,
+  /** What endpoints said of their limits; for coordinators. */
+  41: optional list<LimitReport> limits,
+  /** Whether the sender keeps accounts of endpoints that name limits. */
+  42: optional bool keeps_accounts,
 }
 
 /** What one gateway saw of the content of a request. */
@@ -455,6 +470,8 @@
   15: optional list<i64> closed,
   /** What answers showed of endpoints since the last query; at most a few. */
   16: optional list<Sight> sights,
+  /** What endpoints said of their limits since the last query; at most a few. */
+  17: optional list<LimitReport> limits,
 }
 
 /** Where a request goes, as a coordinator decided. */
@@ -482,6 +499,10 @@
   11: optional i64 incarnation,
   /** How long work is taken to need there, in parts of 100 of the usual; unset where the endpoints tell nothing of it. */
   12: optional i32 slowdown_percent,
+  /** The newest that it said of its limit; unset if it never named one. */
+  13: optional LimitReport limit,
+  /** Where the account of its limit is kept, IP:PORT; unset if it named none. */
+  14: optional string keeper,
 }
 
 /** Answer to a DecisionQuery. */
@@ -503,6 +524,29 @@
   2: required i64 units,
 }
 
+/** Asks the coordinator that keeps the account of an endpoint's limit for one send. */
+struct SendQuery {
+  /** Chosen by the sender; the reply echoes it. */
+  1: required i64 number,
+  /** What the sender knows of the limit. */
+  2: required LimitReport limit,
+  /** Data hall of the endpoint. */
+  3: required string hall,
+  /** Whether the request comes first where sends are short. */
+  4: required bool urgent,
+  /** Id of the request, for logs. */
+  5: required string request,
+}
+
+/** Answer to a SendQuery. */
+struct SendReply {
+  1: required i64 number,
+  /** Time to ask again, in milliseconds; unset if the send was granted. */
+  2: optional i64 retry_ms,
+  /** What the keeper knows of the limit. */
+  3: required LimitReport limit,
+}
+
 /** A datagram to a coordinator, or its answer; one field is set. */
 struct Decision {
   1: optional DecisionQuery query,
@@ -510,6 +554,8 @@
   3: optional GiveBack give_back,
   /** What answers showed of endpoints and cannot wait for the next query. */
   4: optional list<Sight> sights,
+  5: optional SendQuery send_query,
+  6: optional SendReply send_reply,
 }
 
 /** Asks another gateway for the rows of a topic. */
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -117,6 +117,10 @@
         PauseAsked => "endpoint.pause_asked",
         /// Answers in which an endpoint named a limit.
         LimitNamed => "endpoint.limit_named",
+        /// Sends to endpoints that name limits that were granted to this gateway.
+        SendsGranted => "endpoint.sends_granted",
+        /// Sends to endpoints that name limits that were not granted.
+        SendsRefused => "endpoint.sends_refused",
         /// Contents held back since the endpoints that ran them ended.
         Quarantined => "quarantine.held",
         /// Requests refused since their content is held back.
