Let the soak's endpoints name limits, and check what all gateways together send them

The check "named limits" counts, in each 4 s from 3 s after the first word, what comes from gateways that passed it on half a second before and that nothing befell, against 1.5 times the limit and 5 (the users' rule).

--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -4,6 +4,7 @@
 mod deadly;
 mod duties;
 mod limits;
+mod named;
 mod requests;
 mod said;
 mod stops;
@@ -61,6 +62,7 @@
         times::leaving,
         said::leaving,
         said::pauses,
+        named::limits,
         times::in_force,
         times::never_back,
         times::keys,
--- a/soak/src/checks/said.rs
+++ b/soak/src/checks/said.rs
@@ -23,7 +23,7 @@
             continue;
         };
         // An answer that was not passed on to its caller binds nobody.
-        let Some(passed_on) = passed_on(teller) else {
+        let Some(passed_on) = teller.passed_on() else {
             continue;
         };
         let due = passed_on + LEAVES_AFTER;
@@ -75,14 +75,6 @@
     }
 }
 
-// When the gateway had passed an answer on; the client writes it down when it has read it.
-fn passed_on(teller: &Request<'_>) -> Option<u64> {
-    match teller.outcome {
-        Some((at, Seen::Answered { signed: true, .. })) => Some(at),
-        _ => None,
-    }
-}
-
 // When a request had reached its last endpoint, or was sent.
 fn last_seen(request: &Request<'_>) -> u64 {
     let last = request.arrived.iter().map(|(at, _)| *at).max();
--- a/soak/src/checks/view.rs
+++ b/soak/src/checks/view.rs
@@ -54,6 +54,14 @@
         }
     }
 
+    /// When its gateway had passed an endpoint's answer on; the client writes it down when it has read it.
+    pub fn passed_on(&self) -> Option<u64> {
+        match self.outcome {
+            Some((at, Seen::Answered { signed: true, .. })) => Some(at),
+            _ => None,
+        }
+    }
+
     /// When its gateway answered that it doesn't know how it ended.
     pub fn given_up(&self) -> Option<u64> {
         match self.outcome {
@@ -281,10 +289,13 @@
     /// Whether a gateway and the store were without a fault and a restart for long enough.
     pub fn is_in_touch(&self, gateway: usize, from: u64, to: u64) -> bool {
         let from = from.saturating_sub(CONTACT);
+        self.is_undisturbed(gateway, from, to) && is_clear(&self.faults, Place::Store, from, to)
+    }
+
+    /// Whether a gateway was without a fault and a restart all the time.
+    pub fn is_undisturbed(&self, gateway: usize, from: u64, to: u64) -> bool {
         let place = Place::Gateway(gateway);
-        is_clear(&self.faults, place, from, to)
-            && is_clear(&self.faults, Place::Store, from, to)
-            && is_clear(&self.restarts, place, from, to)
+        is_clear(&self.faults, place, from, to) && is_clear(&self.restarts, place, from, to)
     }
 
     /// When the last fault at a place ended before a time.
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -105,6 +105,13 @@
         endpoint: String,
         ms: u64,
     },
+    /// An endpoint is about to name a limit, in thousandths of a request a second, as it does until a time in ms.
+    NamedLimit {
+        id: String,
+        endpoint: String,
+        milli: u64,
+        until: u64,
+    },
     /// An endpoint ends a request badly on purpose.
     BrokeOff { id: String },
     /// The store took the word that an endpoint leaves.
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -31,6 +31,13 @@
 /// Time, in ms, for which an endpoint asks for a pause: past the half second within which requests may cross its word.
 const PAUSES: std::ops::Range<u64> = 1_500..5_000;
 
+/// The same for limits that endpoints name.
+const LIMIT_SALT: u64 = 0x11317;
+/// Limits that endpoints name, in thousandths of a request a second.
+const LIMITS: [u64; 5] = [0, 300, 1_000, 4_000, 10_000];
+/// Time, in ms, for which an endpoint names one: several windows of the users' rule past the time until gateways are in touch.
+const LIMITED_FOR: std::ops::Range<u64> = 8_000..12_000;
+
 /// One act from outside.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub enum Act {
@@ -62,6 +69,12 @@
     LeaveUntold { endpoint: usize },
     /// For some ms an endpoint turns all away and asks for a pause until then.
     AskPause { endpoint: usize, ms: u64 },
+    /// For some ms an endpoint names a limit, in thousandths of a request a second.
+    NameLimit {
+        endpoint: usize,
+        milli: u64,
+        ms: u64,
+    },
     /// An endpoint ends without a word, and is replaced.
     Crash { endpoint: usize },
     /// A gateway is asked to stop, and its next starts are of the older build or of the one under test.
@@ -148,12 +161,18 @@
             gateways,
             endpoints,
         };
+        let mut limits = Draw {
+            rng: ChaCha8Rng::seed_from_u64(seed ^ LIMIT_SALT),
+            gateways,
+            endpoints,
+        };
         let mut steps = Vec::new();
         let mut at = START;
         while at < last {
             draw.bout(at, last, &mut steps);
             stops.stops(at, last, &mut steps);
             said.said(at, last, &mut steps);
+            limits.limits(at, last, &mut steps);
             at += BOUT + CALM;
         }
         // A configuration just before: what the store took must be in force when all are back.
@@ -276,6 +295,25 @@
         }
     }
 
+    // Endpoints in need, amid the faults and in the calm after them.
+    fn limits(&mut self, from: u64, last: u64, steps: &mut Vec<Step>) {
+        for part in [from..from + BOUT, from + BOUT..from + BOUT + CALM] {
+            let at = self.rng.random_range(part);
+            let endpoint = self.rng.random_range(0..self.endpoints);
+            let milli = LIMITS[self.rng.random_range(0..LIMITS.len())];
+            let ms = self.rng.random_range(LIMITED_FOR);
+            if at < last {
+                let ms = ms.min(last - at);
+                let act = Act::NameLimit {
+                    endpoint,
+                    milli,
+                    ms,
+                };
+                steps.push(Step { at, act });
+            }
+        }
+    }
+
     fn fault(&mut self, longest: u64) -> Act {
         let gateway = self.rng.random_range(0..self.gateways);
         let endpoint = self.rng.random_range(0..self.endpoints);
--- a/soak/src/run/acts.rs
+++ b/soak/src/run/acts.rs
@@ -113,6 +113,15 @@
                     endpoint.ask_pause(*ms);
                 }
             }
+            Act::NameLimit {
+                endpoint,
+                milli,
+                ms,
+            } => {
+                if let Some((endpoint, _)) = &self.endpoints[*endpoint] {
+                    endpoint.name_limit(*milli, *ms);
+                }
+            }
             Act::Crash { endpoint } => self.crash(*endpoint),
         }
         Ok(())
--- a/soak/src/standins/endpoint.rs
+++ b/soak/src/standins/endpoint.rs
@@ -10,7 +10,7 @@
 
 use platform::names::{
     ATTEMPT_ID, CREDENTIAL, EXPECTED_INSTANCE, INSTANCE_LOAD, NOT_EXECUTED, SERVER_LEAVING,
-    SIGNATURE, TENANT,
+    SERVER_LIMIT, SIGNATURE, TENANT,
 };
 
 use super::deadly::DEADLY;
@@ -62,6 +62,13 @@
     TurnsAway,
 }
 
+// A limit, in thousandths of a request a second, and the time of the history until which it is named, in ms.
+#[derive(Clone, Copy)]
+struct NamedLimit {
+    milli: u64,
+    until: u64,
+}
+
 struct Inner {
     id: String,
     history: History,
@@ -69,6 +76,7 @@
     leaving: AtomicBool,
     // Time of the history until which it wants nothing, in ms.
     paused_until: AtomicU64,
+    limit: Mutex<Option<NamedLimit>>,
     running: Mutex<BTreeSet<String>>,
     open: Mutex<BTreeMap<u64, TcpStream>>,
     opened: AtomicU64,
@@ -113,6 +121,7 @@
             ended: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             paused_until: AtomicU64::new(0),
+            limit: Mutex::default(),
             running: Mutex::default(),
             open: Mutex::default(),
             opened: AtomicU64::new(0),
@@ -147,6 +156,12 @@
         self.inner.paused_until.store(until, Ordering::SeqCst);
     }
 
+    /// For some ms its answers name a limit, in thousandths of a request a second.
+    pub fn name_limit(&self, milli: u64, ms: u64) {
+        let until = self.inner.history.now() + ms;
+        *lock(&self.inner.limit) = Some(NamedLimit { milli, until });
+    }
+
     /// Whether it ended.
     pub fn has_ended(&self) -> bool {
         self.inner.ended.load(Ordering::SeqCst)
@@ -255,9 +270,25 @@
         format!("{INSTANCE_LOAD}: {running},0,{SLOTS}{told}\r\n")
     }
 
-    // Fields of an answer that tell its load and, if so, that it leaves.
+    // Field of an answer that names its limit, if it has one.
+    fn say_limit(&self, id: &str) -> String {
+        let now = self.history.now();
+        let limit = *lock(&self.limit);
+        let Some(NamedLimit { milli, until }) = limit.filter(|limit| now < limit.until) else {
+            return String::new();
+        };
+        self.history.note(Seen::NamedLimit {
+            id: id.to_string(),
+            endpoint: self.id.clone(),
+            milli,
+            until,
+        });
+        format!("{SERVER_LIMIT}: {}.{:03}\r\n", milli / 1000, milli % 1000)
+    }
+
+    // Fields of an answer that tell its load, its limit and, if so, that it leaves.
     fn say(&self, id: &str) -> String {
-        let load = self.say_load();
+        let load = self.say_load() + &self.say_limit(id);
         if !self.leaving.load(Ordering::SeqCst) {
             return load;
         }
--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -536,3 +536,43 @@
     assert_eq!(asked_pause(2).findings(), Vec::<&str>::new());
     assert_eq!(asked_pause(3).findings(), ["pauses"]);
 }
+
+// An endpoint names 1 request a second from 5 s to 17 s; from 6 s on so many reach it, by turns through two gateways.
+fn named_limit(per_s: u64, restarts: bool) -> Told {
+    let send = |told: Told, at: u64, id: &str, gateway: usize| {
+        let sent = Seen::Sent {
+            id: id.into(),
+            kind: Kind::Once,
+            path: "/once/".into(),
+            key: "steady".into(),
+            gateway,
+        };
+        let named = Seen::NamedLimit {
+            id: id.into(),
+            endpoint: "e0-1".into(),
+            milli: 1_000,
+            until: 17_000,
+        };
+        let told = told.at(at, sent).began(at + 1, id, "/once/");
+        told.at(at + 2, named).answered(at + 5, id, 200)
+    };
+    let told = Told::begin().at(1, Seen::Started { gateway: 1 });
+    let mut told = send(told, 5_000, "a", 0);
+    for number in 0..per_s * 10 {
+        let at = 6_000 + number * 1_000 / per_s;
+        let gateway = (number % 2) as usize;
+        if restarts {
+            told = told.at(at - 1, Seen::Started { gateway });
+        }
+        told = send(told, at, &format!("b{number}"), gateway);
+    }
+    told
+}
+
+// Guards against gateways that each keep to a limit while their sum is past it.
+#[test]
+fn requests_past_a_limit_that_an_endpoint_named_are_found_over_all_gateways() {
+    assert_eq!(named_limit(2, false).findings(), Vec::<&str>::new());
+    assert_eq!(named_limit(4, false).findings(), ["named limits"]);
+    assert_eq!(named_limit(4, true).findings(), Vec::<&str>::new());
+}
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -31,6 +31,7 @@
         "leaving",
         "leaving, as told",
         "pauses",
+        "named limits",
         "held back",
     ] {
         assert!(report.verdicts.judged.contains_key(check), "{report}");
