--- a/components/gateway/src/attempts.rs
+++ b/components/gateway/src/attempts.rs
@@ -148,7 +148,8 @@
             (true, false) => Refusal::maybe_run(Kind::EndpointFailed, cause.unwrap_or("lost")),
             (false, _) => {
                 let pause = self.pause_left(job, progress);
-                let wait = pause.map_or(NO_ROOM_RETRY, |left| self.paused_for(left).wait);
+                let service = &job.work.service;
+                let wait = pause.map_or(NO_ROOM_RETRY, |left| self.paused_for(service, left).wait);
                 Refusal::not_run(Kind::Overloaded, "the endpoint has no room").after(wait)
             }
         }
--- a/components/gateway/src/placing.rs
+++ b/components/gateway/src/placing.rs
@@ -98,7 +98,7 @@
             }
             let pause = self.pause_left(job, progress);
             if let Some(left) = pause.filter(|left| now.saturating_add(*left) > patience) {
-                return Err(self.paused_for(left));
+                return Err(self.paused_for(&job.work.service, left));
             }
             if now >= patience || now >= job.expiry {
                 return Err(Nowhere::NO_ENDPOINT);
--- a/components/gateway/src/said.rs
+++ b/components/gateway/src/said.rs
@@ -67,7 +67,7 @@
         self.standing(placement) == Standing::Leaving
     }
 
-    /// Time until the first endpoint of a job's service wants requests, if all of them paused.
+    /// Time until the first endpoint of a job's service wants requests, if all of them paused or their limits are used up.
     pub fn pause_left(&self, job: &Job, progress: &Progress) -> Option<Duration> {
         let now = self.clock.now();
         let state = self.state.borrow();
@@ -82,12 +82,17 @@
         left.filter(|left| !left.is_zero())
     }
 
-    /// Why a request is refused while all its endpoints are paused.
-    pub fn paused_for(&self, left: Duration) -> Nowhere {
+    /// Why a request of a service is refused while all its endpoints are paused, or their limits used up.
+    pub fn paused_for(&self, service: &str, left: Duration) -> Nowhere {
         let spread = left.mul_f64(SPREAD_PART).min(MOST_SPREAD);
-        let part = self.state.borrow_mut().rng.random::<f64>();
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let part = state.rng.random::<f64>();
         Nowhere {
-            cause: "the endpoints asked for a pause",
+            cause: match state.board.notices().is_any_spent(now, service) {
+                true => "the limits that the endpoints named are used up",
+                false => "the endpoints asked for a pause",
+            },
             wait: left.saturating_add(spread.mul_f64(part)),
         }
     }
--- a/components/gateway/tests/skew.rs
+++ b/components/gateway/tests/skew.rs
@@ -130,3 +130,34 @@
     assert_eq!((leaving.heads().len(), busy.heads().len()), (1, 1));
     assert!(steady.heads().len() >= REQUESTS);
 }
+
+// Guards against sends past an endpoint's limit while those who place requests keep no account of it.
+#[test]
+fn an_endpoint_that_names_a_limit_gets_nothing_where_earlier_coordinators_keep_no_account() {
+    let in_need = EndpointStandin::start(|_, exchange| exchange.answer_limited("1"));
+    let steady = EndpointStandin::start(|_, exchange| exchange.answer(200, "x"));
+    let endpoints = [("e1", &in_need), ("e2", &steady)];
+    let endpoints = endpoints.map(|(id, standin)| endpoint(id, standin.address));
+    let store = StoreStandin::default();
+    store.put_configuration(configuration(1, vec![route("/a/", Execution::Repeatable)]));
+    for endpoint in endpoints.clone() {
+        store.put_endpoint(endpoint);
+    }
+    let coordinator = EarlierCoordinator::start(endpoints.to_vec());
+    coordinator.list(&store);
+    let settings = GatewaySettings {
+        cores_milli: 120,
+        ..settings()
+    };
+    let asking = Setup::start(settings, store);
+    wait_until("readiness", || asking.is_ready());
+    wait_until("it to tell its limit", || {
+        asking.call("/a/1", &[]);
+        !in_need.heads().is_empty()
+    });
+    for _ in 0..REQUESTS {
+        assert_eq!(asking.call("/a/1", &[]).status, 200);
+    }
+    assert_eq!(in_need.heads().len(), 1);
+    assert!(steady.heads().len() >= REQUESTS);
+}
--- a/components/notices/src/notices.rs
+++ b/components/notices/src/notices.rs
@@ -183,6 +183,12 @@
         left.min()
     }
 
+    /// Whether the limit of some endpoint of a service is used up.
+    pub fn is_any_spent(&self, now: Duration, service: &str) -> bool {
+        let mut of_service = self.notices.iter().filter(|(_, n)| n.service == service);
+        of_service.any(|(_, notice)| matches!(notice.standing(now), Standing::Spent(_)))
+    }
+
     fn notice(&mut self, start: u64, service: &str) -> &mut Notice {
         self.notices.get_or_insert_mut(start, || Notice {
             service: service.to_string(),
