Plan endpoints for what limits take away of them, and let a keeper's own requests not wait behind those it turned away

A keeper noted the time it told others as its own: the line of those that were turned away ran ahead of its own requests, so its callers were never sent there while others asked. It notes only what its own requests were told. And the planner counted an endpoint under a limit as a whole one: what the limit takes away, by its slots and the time of a request, is needed beside the load (limited_milli in "endpoints planned"), unless nothing is asked of the service.

--- a/components/fleet/src/load.rs
+++ b/components/fleet/src/load.rs
@@ -25,6 +25,8 @@
     pub endpoints: u32,
     /// Requests that one endpoint works on at once.
     pub slots: u32,
+    /// What the limits that endpoints name take away of them, in endpoints.
+    pub limited: f64,
     /// What the endpoints can bear.
     pub bearing: Bearing,
 }
@@ -77,6 +79,16 @@
         }
     }
 
+    /// Endpoints that the load would keep busy all the time, and those that stand in for what limits take away; `None` while
+    /// it is not known what the endpoints can bear.
+    pub fn needed(self) -> Option<f64> {
+        let busy = self.parts()?.endpoints();
+        Some(match busy > 0.0 {
+            true => busy + self.limited,
+            false => 0.0,
+        })
+    }
+
     fn holding(self) -> LoadParts {
         let most_running = f64::from(self.slots.max(1)) * SLOTS_USED;
         LoadParts {
--- a/components/fleet/tests/load.rs
+++ b/components/fleet/tests/load.rs
@@ -39,6 +39,7 @@
         requests: (made * law.base_ms / free).round() as u32,
         endpoints,
         slots,
+        limited: 0.0,
         bearing: Bearing::Engine {
             law,
             pace_ms: PACE_MS,
@@ -120,6 +121,7 @@
         requests: 10,
         endpoints: 4,
         slots: 16,
+        limited: 0.0,
         bearing: Bearing::Unknown,
     };
     assert_eq!(load.parts(), None);
@@ -139,8 +141,31 @@
         requests: 160,
         endpoints: 20,
         slots: 16,
+        limited: 0.0,
         bearing: Bearing::Slots,
     };
     let endpoints = parts(load).endpoints();
     assert!((14.0..=15.0).contains(&endpoints), "{endpoints}");
 }
+
+// Guards against a plan that counts an endpoint under a limit as a whole one.
+#[test]
+fn what_limits_take_away_of_endpoints_is_needed_beside_a_load_and_not_without_one() {
+    let load = Load {
+        requests: 160,
+        endpoints: 20,
+        slots: 16,
+        ..Load::default()
+    };
+    let limited = Load {
+        limited: 1.5,
+        ..load
+    };
+    let more = limited.needed().unwrap() - load.needed().unwrap();
+    assert!((more - 1.5).abs() < 1e-9, "{more}");
+    let idle = Load {
+        requests: 0,
+        ..limited
+    };
+    assert_eq!(idle.needed(), Some(0.0));
+}
--- a/components/gateway/src/control/scaling.rs
+++ b/components/gateway/src/control/scaling.rs
@@ -136,8 +136,8 @@
         for asked in &loads {
             let scaler = known.scalers.entry(asked.key.clone());
             let scaler = scaler.or_insert_with(|| Scaler::among(asked.regions));
-            match asked.load.parts() {
-                Some(parts) => scaler.observe_as_of(now, as_of, &asked.held, parts.endpoints()),
+            match asked.load.needed() {
+                Some(needed) => scaler.observe_as_of(now, as_of, &asked.held, needed),
                 None => {
                     self.metrics.count(Counter::PlansUnknown);
                     scaler.observe_unknown(as_of, &asked.held);
@@ -179,7 +179,7 @@
             "load_milli" => milli(scaler.newest_load()),
             "highest_milli" => milli(scaler.highest_load(now, &asked.offer)),
             "reading_milli" => milli(parts.reading), "making_milli" => milli(parts.making),
-            "most_running" => parts.most_running, "running" => asked.load.requests,
+            "limited_milli" => milli(asked.load.limited), "most_running" => parts.most_running, "running" => asked.load.requests,
             "bearing" => ?asked.load.bearing, "held" => ?scaler.held(),
             "keeps" => keeps.unwrap_or("nothing"));
         Some((service.clone(), orders))
@@ -327,6 +327,7 @@
         load.requests += hall.requests;
         load.endpoints += hall.endpoints;
         load.slots = hall.slots / hall.endpoints.max(1);
+        load.limited += f64::from(hall.limited_milli) / 1000.0;
     }
     let of_service = known.endpoints.values().filter(|e| e.service == service);
     let read = of_service.filter(|e| halls.has(&e.zone));
--- a/components/gateway/src/sends.rs
+++ b/components/gateway/src/sends.rs
@@ -129,11 +129,7 @@
             part: self.fleet.part,
             urgent,
         };
-        let granted = self.accounts.take(now, start, terms);
-        if let Err(wait) = granted {
-            self.board.notices_mut().note_spent(now, start, wait);
-        }
-        granted
+        self.accounts.take(now, start, terms)
     }
 }
 
--- a/components/routing/src/placement/engines.rs
+++ b/components/routing/src/placement/engines.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use engine::{Learner, Learnt, Sample};
+use limits::SendRate;
 
 use crate::placement::board::{ms, takes_work, Board, Ticket};
 
@@ -44,6 +45,8 @@
     pub endpoints: u32,
     /// Slots of these.
     pub slots: u32,
+    /// What the limits that they name take away of them, in thousandths of an endpoint.
+    pub limited_milli: u32,
 }
 
 impl Board {
@@ -106,6 +109,7 @@
     /// What runs at the ready endpoints of a service, by data hall.
     pub fn occupancy(&mut self, now: Duration, service: &str) -> BTreeMap<String, HallLoad> {
         let mut halls: BTreeMap<String, HallLoad> = BTreeMap::new();
+        let hold_ms = self.pace(service).hold_ms;
         let Some(slots) = self.services.get_mut(service) else {
             return halls;
         };
@@ -120,6 +124,9 @@
                 hall.requests += requests;
                 hall.endpoints += 1;
                 hall.slots += slot.spec.slots;
+                let limit = notices.limit(slot.incarnation());
+                let taken = limit.map(|rate| taken_milli(rate, slot.spec.slots, hold_ms));
+                hall.limited_milli += taken.unwrap_or_default();
             }
         }
         halls
@@ -172,3 +179,10 @@
         ))
     }
 }
+
+// What a limit takes away of an endpoint that would otherwise run one request after the other in each of its slots.
+fn taken_milli(limit: SendRate, slots: u32, hold_ms: f64) -> u32 {
+    let bears_per_s = f64::from(slots.max(1)) * 1000.0 / hold_ms.max(1.0);
+    let left = (limit.per_s() / bears_per_s).min(1.0);
+    ((1.0 - left) * 1000.0) as u32
+}
