Keep what endpoints say of themselves for as many as twice the whole fleet has

Cause: a gateway remembered 4,096 starts of endpoints that said something of themselves, where the whole fleet has 9,998 endpoints: if all named limits, coordinators, which hear all of them, would forget what they were told. Found by reckoning (docs/CAPACITY.md); the test fails with 4,096. The table grows with what was said instead of being laid out for all at the start. Accounts likewise.

--- a/components/limits/src/send_account.rs
+++ b/components/limits/src/send_account.rs
@@ -7,7 +7,7 @@
 use crate::SendRate;
 
 /// Endpoints whose accounts are kept. One that gives way begins empty again.
-pub const MOST_ACCOUNTS: usize = 4096;
+pub const MOST_ACCOUNTS: usize = 32_768;
 /// Sends that an account holds at most.
 const MOST_HELD: f64 = 3.0;
 /// What less urgent requests leave in an account for urgent ones.
--- a/components/notices/src/notices.rs
+++ b/components/notices/src/notices.rs
@@ -1,14 +1,12 @@
 //! Notices by the start of the endpoint that gave them.
 
-use std::num::NonZeroUsize;
 use std::time::Duration;
 
 use limits::SendRate;
 use lru::LruCache;
 
-/// Starts of endpoints remembered, those with the newest notices: 840 endpoints that all ask for a pause while a fleet of
-/// them is replaced a few times. Some 150 bytes each, reckoned.
-const MOST_NOTICES: NonZeroUsize = NonZeroUsize::new(4096).unwrap();
+/// Starts of endpoints remembered, those with the newest notices. Some 200 bytes each, for those that said something only.
+const MOST_NOTICES: usize = 32_768;
 
 /// What comes again by way of other gateways seems to have been asked for later, by the time on the way. It is the same if
 /// it is no newer than this, and stays as old as it was.
@@ -84,7 +82,7 @@
 impl Default for Notices {
     fn default() -> Self {
         Notices {
-            notices: LruCache::new(MOST_NOTICES),
+            notices: LruCache::unbounded(),
         }
     }
 }
@@ -190,6 +188,9 @@
     }
 
     fn notice(&mut self, start: u64, service: &str) -> &mut Notice {
+        if self.notices.len() >= MOST_NOTICES && !self.notices.contains(&start) {
+            self.notices.pop_lru();
+        }
         self.notices.get_or_insert_mut(start, || Notice {
             service: service.to_string(),
             is_leaving: false,
--- a/components/notices/tests/promises.rs
+++ b/components/notices/tests/promises.rs
@@ -121,3 +121,18 @@
     notices.note_limit(&limit(None, ms(50)));
     assert_eq!(notices.standing(ms(3120), 1), Standing::Open);
 }
+
+// Guards against limits that are forgotten where every endpoint of a fleet of twice ten thousand names one.
+#[test]
+fn twenty_thousand_endpoints_may_name_limits_at_once() {
+    const ENDPOINTS: u64 = 20_000;
+    let mut notices = Notices::default();
+    for start in 0..ENDPOINTS {
+        let said = LimitNotice {
+            start,
+            ..limit(Some(1.0), ms(start))
+        };
+        assert!(notices.note_limit(&said));
+    }
+    assert!((0..ENDPOINTS).all(|start| notices.limit(start).is_some()));
+}
