Let the soak's limits wait for the next start of an endpoint that is away

Traced in the run's history: the endpoint that was to name a limit at 12,020 ms had left at 7,372 and its next start came at about 12,070, sooner or later than the act by some 50 ms. The limit is now kept for the place and named by whoever starts there while it holds. The test's assertion stays.

--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -21,7 +21,7 @@
 use crate::report::Report;
 use crate::standins::client::{Client, Shared};
 use crate::standins::deadly::ask_deadly;
-use crate::standins::endpoint::Endpoint;
+use crate::standins::endpoint::{Endpoint, NamedLimit};
 use crate::standins::store::{take_reports, Store};
 use acts::Later;
 use ready::ask_ready;
@@ -98,6 +98,7 @@
     asked: Vec<Option<u64>>,
     killed: Vec<bool>,
     endpoints: Vec<Option<(Endpoint, Link)>>,
+    limits: Vec<Option<NamedLimit>>,
     incarnations: u64,
     version: u64,
     configures: u32,
@@ -152,6 +153,7 @@
             killed: vec![false; plan.gateways],
             gateways,
             endpoints: vec![None; plan.endpoints],
+            limits: vec![None; plan.endpoints],
             incarnations: 0,
             version: 0,
             configures: 1,
--- a/soak/src/run/acts.rs
+++ b/soak/src/run/acts.rs
@@ -10,7 +10,7 @@
 use crate::history::{Place, Seen};
 use crate::link::Link;
 use crate::plan::{Act, Mood, Way};
-use crate::standins::endpoint::Endpoint;
+use crate::standins::endpoint::{Endpoint, NamedLimit};
 use crate::standins::operator::{configuration, entry};
 
 /// A gateway that was asked to stop is killed after that time, in ms.
@@ -117,11 +117,7 @@
                 endpoint,
                 milli,
                 ms,
-            } => {
-                if let Some((endpoint, _)) = &self.endpoints[*endpoint] {
-                    endpoint.name_limit(*milli, *ms);
-                }
-            }
+            } => self.name_limit(*endpoint, *milli, *ms),
             Act::Crash { endpoint } => self.crash(*endpoint),
         }
         Ok(())
@@ -267,6 +263,9 @@
 
     fn start_endpoint_as(&mut self, index: usize, id: &str) -> io::Result<()> {
         let endpoint = Endpoint::start(id, &self.history)?;
+        if let Some(limit) = self.limits[index] {
+            endpoint.name_limit(limit);
+        }
         let link = Link::to(endpoint.address)?;
         self.record_endpoint(index, &endpoint, &link, "ready");
         self.endpoints[index] = Some((endpoint, link));
@@ -312,6 +311,16 @@
         self.after(SERVES_ON, Later::End(index, endpoint));
     }
 
+    // An endpoint that is away names its limit when the next one starts in its place.
+    fn name_limit(&mut self, index: usize, milli: u64, ms: u64) {
+        let until = self.history.now() + ms;
+        let limit = NamedLimit { milli, until };
+        self.limits[index] = Some(limit);
+        if let Some((endpoint, _)) = &self.endpoints[index] {
+            endpoint.name_limit(limit);
+        }
+    }
+
     fn crash(&mut self, index: usize) {
         let Some((endpoint, link)) = self.endpoints[index].take() else {
             return;
--- a/soak/src/standins/endpoint.rs
+++ b/soak/src/standins/endpoint.rs
@@ -62,11 +62,13 @@
     TurnsAway,
 }
 
-// A limit, in thousandths of a request a second, and the time of the history until which it is named, in ms.
+/// A limit that an endpoint names.
 #[derive(Clone, Copy)]
-struct NamedLimit {
-    milli: u64,
-    until: u64,
+pub(crate) struct NamedLimit {
+    /// Thousandths of a request a second.
+    pub milli: u64,
+    /// Time of the history until which it is named, in ms.
+    pub until: u64,
 }
 
 struct Inner {
@@ -156,10 +158,9 @@
         self.inner.paused_until.store(until, Ordering::SeqCst);
     }
 
-    /// For some ms its answers name a limit, in thousandths of a request a second.
-    pub fn name_limit(&self, milli: u64, ms: u64) {
-        let until = self.inner.history.now() + ms;
-        *lock(&self.inner.limit) = Some(NamedLimit { milli, until });
+    /// Its answers name a limit from now on.
+    pub fn name_limit(&self, limit: NamedLimit) {
+        *lock(&self.inner.limit) = Some(limit);
     }
 
     /// Whether it ended.
