End a limit in the soak's check with the start of the endpoint that named it

Traced in its history and g3's log: the endpoint e0-1 named 4 a second up to 9,327 ms, ended under the deadly request at 9,687 and started again under its id at 10,595 (started_again true, another birth); the new start named nothing, so what it got is allowed. The check went by the id. Each start is now written down and ends what the one before said; the bound and the windows are as before. Tests: checks.rs, that a later start under the same id isn't judged by the earlier one's limit.

--- a/soak/src/checks/named.rs
+++ b/soak/src/checks/named.rs
@@ -21,7 +21,31 @@
     told: BTreeMap<(usize, usize), u64>,
 }
 
-impl Phase<'_> {
+impl<'a> Phase<'a> {
+    fn begin(endpoint: &'a str, from: u64, (milli, until): (u64, u64)) -> Self {
+        Phase {
+            endpoint,
+            milli,
+            from,
+            until,
+            told: BTreeMap::new(),
+        }
+    }
+
+    fn end(&mut self, at: u64) {
+        self.until = self.until.min(at);
+    }
+
+    // A gateway passed an answer on that names the limit.
+    fn tell(&mut self, teller: &Request<'_>) {
+        let Some(passed_on) = teller.passed_on() else {
+            return;
+        };
+        let told = self.told.entry((teller.gateway, teller.life));
+        let told = told.or_insert(passed_on);
+        *told = passed_on.min(*told);
+    }
+
     fn allowed(&self) -> usize {
         (self.milli * WINDOW * 3 / 2 / 1_000_000 + 5) as usize
     }
@@ -73,42 +97,40 @@
 
 fn phases<'a>(view: &'a View<'_>) -> Vec<Phase<'a>> {
     let mut phases: Vec<Phase<'a>> = Vec::new();
+    // By endpoint, its place among the phases while its start and its limit stay the same.
+    let mut open: BTreeMap<&str, usize> = BTreeMap::new();
     for record in view.records {
-        let Seen::NamedLimit {
-            id,
-            endpoint,
-            milli,
-            until,
-        } = &record.seen
-        else {
-            continue;
-        };
-        let newest = phases.iter_mut().rev().find(|p| p.endpoint == endpoint);
-        let is_same = newest
-            .as_ref()
-            .is_some_and(|p| (p.milli, p.until) == (*milli, *until));
-        if let Some(newest) = newest.filter(|_| !is_same) {
-            newest.until = newest.until.min(record.at);
-        }
-        if !is_same {
-            phases.push(Phase {
+        let (id, endpoint, named) = match &record.seen {
+            Seen::EndpointStarted { endpoint } => {
+                if let Some(number) = open.remove(endpoint.as_str()) {
+                    phases[number].end(record.at);
+                }
+                continue;
+            }
+            Seen::NamedLimit {
+                id,
                 endpoint,
-                milli: *milli,
-                from: record.at,
-                until: *until,
-                told: BTreeMap::new(),
-            });
-        }
-        let phase = phases.iter_mut().rev().find(|p| p.endpoint == endpoint);
-        let teller = view.requests.get(id.as_str());
-        // Older builds don't know the word.
-        let teller = teller.filter(|teller| !teller.is_older);
-        if let (Some(phase), Some(teller)) = (phase, teller) {
-            if let Some(passed_on) = teller.passed_on() {
-                let told = phase.told.entry((teller.gateway, teller.life));
-                let told = told.or_insert(passed_on);
-                *told = passed_on.min(*told);
+                milli,
+                until,
+            } => (id.as_str(), endpoint.as_str(), (*milli, *until)),
+            _ => continue,
+        };
+        let known = open.get(endpoint).copied();
+        let number = match known {
+            Some(number) if (phases[number].milli, phases[number].until) == named => number,
+            known => {
+                if let Some(before) = known {
+                    phases[before].end(record.at);
+                }
+                phases.push(Phase::begin(endpoint, record.at, named));
+                open.insert(endpoint, phases.len() - 1);
+                phases.len() - 1
             }
+        };
+        // Older builds don't know the word.
+        let teller = view.requests.get(id).filter(|teller| !teller.is_older);
+        if let Some(teller) = teller {
+            phases[number].tell(teller);
         }
     }
     phases
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -97,6 +97,8 @@
     },
     /// An endpoint turns a request away without running it.
     TurnedAway { id: String, endpoint: String },
+    /// An endpoint started, maybe again under its id: what it said before holds no more.
+    EndpointStarted { endpoint: String },
     /// An endpoint is about to say in its answer to a request that it leaves.
     SaidLeaving { id: String, endpoint: String },
     /// An endpoint is about to turn a request away and to ask its gateway for a pause of some ms.
--- a/soak/src/standins/endpoint.rs
+++ b/soak/src/standins/endpoint.rs
@@ -128,6 +128,9 @@
             open: Mutex::default(),
             opened: AtomicU64::new(0),
         });
+        history.note(Seen::EndpointStarted {
+            endpoint: id.to_string(),
+        });
         let serving = Arc::clone(&inner);
         let address = listen(move |connection| serving.serve_noted(connection))?;
         Ok(Endpoint {
--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -576,3 +576,24 @@
     assert_eq!(named_limit(4, false).findings(), ["named limits"]);
     assert_eq!(named_limit(4, true).findings(), Vec::<&str>::new());
 }
+
+// Guards against the check taking the word of an earlier start for that of one under the same id.
+#[test]
+fn a_limit_ends_with_the_start_of_the_endpoint_that_named_it() {
+    let mut told = named_limit(4, false);
+    let ends = told.records.iter().position(|record| record.at >= 6_400);
+    let started = Seen::EndpointStarted {
+        endpoint: "e0-1".into(),
+    };
+    let record = Record {
+        at: 6_400,
+        seen: started,
+    };
+    told.records.insert(ends.unwrap(), record);
+    let is_named = |record: &Record| {
+        let is_limit = matches!(record.seen, Seen::NamedLimit { .. });
+        is_limit && record.at > 6_400
+    };
+    told.records.retain(|record| !is_named(record));
+    assert_eq!(told.findings(), Vec::<&str>::new());
+}
