--- a/components/gateway/tests/skew.rs
+++ b/components/gateway/tests/skew.rs
@@ -97,19 +97,14 @@
     DecisionReply::new(query.number, None, placed, None, None)
 }
 
-#[test]
-fn what_endpoints_told_a_gateway_binds_it_whatever_an_earlier_coordinator_decides() {
-    let leaving = EndpointStandin::start(|_, exchange| exchange.answer_leaving());
-    let busy = EndpointStandin::start(|_, exchange| exchange.decline_for(PAUSE));
-    let steady = EndpointStandin::start(|_, exchange| exchange.answer(200, "x"));
-    let standins = [("e1", &leaving), ("e2", &busy), ("e3", &steady)];
-    let endpoints = standins.map(|(id, standin)| endpoint(id, standin.address));
+/// An earlier coordinator, and a gateway of today that asks it.
+fn earlier_and_asking(endpoints: Vec<Endpoint>) -> (EarlierCoordinator, Setup) {
     let store = StoreStandin::default();
     store.put_configuration(configuration(1, vec![route("/a/", Execution::Repeatable)]));
     for endpoint in endpoints.clone() {
         store.put_endpoint(endpoint);
     }
-    let coordinator = EarlierCoordinator::start(endpoints.to_vec());
+    let coordinator = EarlierCoordinator::start(endpoints);
     coordinator.list(&store);
     let settings = GatewaySettings {
         cores_milli: 120,
@@ -117,6 +112,17 @@
     };
     let asking = Setup::start(settings, store);
     wait_until("readiness", || asking.is_ready());
+    (coordinator, asking)
+}
+
+#[test]
+fn what_endpoints_told_a_gateway_binds_it_whatever_an_earlier_coordinator_decides() {
+    let leaving = EndpointStandin::start(|_, exchange| exchange.answer_leaving());
+    let busy = EndpointStandin::start(|_, exchange| exchange.decline_for(PAUSE));
+    let steady = EndpointStandin::start(|_, exchange| exchange.answer(200, "x"));
+    let standins = [("e1", &leaving), ("e2", &busy), ("e3", &steady)];
+    let endpoints = standins.map(|(id, standin)| endpoint(id, standin.address));
+    let (coordinator, asking) = earlier_and_asking(endpoints.to_vec());
     wait_until("both to tell it", || {
         asking.call("/a/1", &[]);
         !leaving.heads().is_empty() && !busy.heads().is_empty()
@@ -138,19 +144,7 @@
     let steady = EndpointStandin::start(|_, exchange| exchange.answer(200, "x"));
     let endpoints = [("e1", &in_need), ("e2", &steady)];
     let endpoints = endpoints.map(|(id, standin)| endpoint(id, standin.address));
-    let store = StoreStandin::default();
-    store.put_configuration(configuration(1, vec![route("/a/", Execution::Repeatable)]));
-    for endpoint in endpoints.clone() {
-        store.put_endpoint(endpoint);
-    }
-    let coordinator = EarlierCoordinator::start(endpoints.to_vec());
-    coordinator.list(&store);
-    let settings = GatewaySettings {
-        cores_milli: 120,
-        ..settings()
-    };
-    let asking = Setup::start(settings, store);
-    wait_until("readiness", || asking.is_ready());
+    let (_coordinator, asking) = earlier_and_asking(endpoints.to_vec());
     wait_until("it to tell its limit", || {
         asking.call("/a/1", &[]);
         !in_need.heads().is_empty()
