Bound the line of those that a keeper turned away, so that a rush isn't told long after it is over

What callers saw: where all endpoints of a service name limits, refusals told 4 s to come back for minutes after a rush, with a send free each second. Cause: each refusal moved the account's line on by one send without a bound; only what was told was cut at 4 s. Change: the line itself ends where the longest time that is told does. What is granted is as before.

--- a/components/limits/src/send_account.rs
+++ b/components/limits/src/send_account.rs
@@ -35,7 +35,7 @@
 struct SendAccount {
     held: f64,
     filled_at: Duration,
-    // The latest time that somebody who was turned away was told.
+    // The time that the next one who is turned away is told at the earliest.
     line: Duration,
 }
 
@@ -62,10 +62,10 @@
             return Ok(());
         }
         let wait = wait_for(wanted - self.held, per_s);
-        self.line = self.line.max(now + wait);
-        let in_line = self.line - now;
-        self.line += wait_for(1.0, per_s);
-        Err(in_line.min(wait.max(LONGEST_LINE)))
+        let told = self.line.max(now + wait);
+        let longest = now + wait.max(LONGEST_LINE);
+        self.line = (told + wait_for(1.0, per_s)).min(longest);
+        Err(told.min(longest) - now)
     }
 }
 
--- a/components/limits/tests/sends.rs
+++ b/components/limits/tests/sends.rs
@@ -246,3 +246,24 @@
     assert!(take(1_500, true).is_ok());
     assert!(take(3_500, false).is_ok());
 }
+
+// Guards against a rush whose line is told to others long after it is over.
+#[test]
+fn after_a_rush_the_time_to_come_back_is_that_of_the_next_send_again() {
+    let mut accounts = SendAccounts::default();
+    let terms = SendTerms {
+        rate: SendRate::from_per_s(1.0).unwrap(),
+        part: 1.0,
+        urgent: true,
+    };
+    let mut take = |ms| accounts.take(Duration::from_millis(ms), START, terms);
+    for _ in 0..1_000 {
+        let wait = take(0).unwrap_err();
+        assert!(wait <= Duration::from_secs(4), "{wait:?}");
+    }
+    // The line is over; what was saved up is taken, and the next send is a second away.
+    for _ in 0..3 {
+        assert_eq!(take(6_000), Ok(()));
+    }
+    assert_eq!(take(6_000), Err(Duration::from_secs(1)));
+}
