Let questions for decisions and for sends wait for their replies in one place

The wait for a reply (a number, a map of those that wait, a time, a late reply dropped) stood in decisions.rs and again in sends.rs; both go by Replies now. What a placement says of a limit moves from decisions.rs to sends.rs, where the rest of it is. The soak's check takes a limit and its end as two figures instead of a pair. Behaviour is meant to be the same; no test or bound changed. Ruled out: one numbering for both kinds of question, since replies tell which kind they are.

--- a/components/gateway/src/decisions.rs
+++ b/components/gateway/src/decisions.rs
@@ -3,8 +3,8 @@
 //! A query is one datagram, as is its reply. Nothing depends on either: whoever gets no reply in time asks the next
 //! coordinator and at last decides itself, with its own small part of the limits.
 
-use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,11 +14,11 @@
 use slog::info;
 use telemetry::Counter;
 use tokio::net::UdpSocket;
-use tokio::sync::oneshot;
 
 use crate::job::Job;
-use crate::limit_reports::{received_limit, received_limits, report_of_limit};
+use crate::limit_reports::received_limits;
 use crate::peers::Fleet;
+use crate::replies::Replies;
 use crate::sights::slowdown_of;
 use crate::traffic::Traffic;
 use crate::versions::Asked;
@@ -45,8 +45,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Asking {
     socket: RefCell<Option<Rc<UdpSocket>>>,
-    replies: RefCell<HashMap<i64, oneshot::Sender<DecisionReply>>>,
-    number: Cell<i64>,
+    replies: Replies<DecisionReply>,
     passed_over: RefCell<BTreeMap<SocketAddr, Duration>>,
 }
 
@@ -89,11 +88,6 @@
         let mut passed_over = self.passed_over.borrow_mut();
         passed_over.insert(coordinator, now + PASSED_OVER_FOR);
     }
-
-    fn next_number(&self) -> i64 {
-        self.number.set(self.number.get() + 1);
-        self.number.get()
-    }
 }
 
 impl<D> Traffic<D> {
@@ -132,20 +126,6 @@
         None
     }
 
-    fn take_placed_limit(&self, reply: &DecisionReply) {
-        let placed = reply.placed.as_ref();
-        let Some(report) = placed.and_then(|placed| placed.limit.as_ref()) else {
-            return;
-        };
-        let Some(limit) = received_limit(self.clock.now(), report) else {
-            return;
-        };
-        let keeper = placed.and_then(|placed| placed.keeper.as_ref());
-        let keeper = keeper.and_then(|keeper| keeper.parse().ok());
-        self.sends_asked.note_keeper(limit.start, keeper);
-        self.take_limit(&limit);
-    }
-
     /// The same, once a coordinator knows enough; they are asked again until then, for as long as a request waits for an
     /// endpoint.
     pub async fn ask_patiently(
@@ -194,14 +174,14 @@
                 continue;
             };
             if let Some(reply) = message.reply {
-                self.take_reply(reply);
+                self.asking.replies.take(reply.number, reply);
             }
             if let Some(give_back) = message.give_back {
                 self.take_back(&give_back);
             }
             self.take_told(message.sights.as_ref());
             if let Some(reply) = message.send_reply {
-                self.take_send_reply(reply);
+                self.sends_asked.replies.take(reply.number, reply);
             }
             let send_query = message.send_query.as_ref();
             if let Some(reply) = send_query.and_then(|query| self.answer_send(query)) {
@@ -226,7 +206,7 @@
         let excluded = tried.iter().map(|id| endpoint_hash(id) as i64);
         let asked = job.asked();
         DecisionQuery {
-            number: self.asking.next_number(),
+            number: self.asking.replies.next_number(),
             service_name: job.work.service.clone(),
             team: job.tenant.clone().filter(|_| !charged),
             cost: job.cost as i64,
@@ -275,16 +255,14 @@
             false => REPLY_TIME,
         };
         let number = query.number;
-        let (sender, reply) = oneshot::channel();
-        self.asking.replies.borrow_mut().insert(number, sender);
+        let reply = self.asking.replies.expect(number);
         let message = Decision {
             query: Some(query),
             ..Decision::default()
         };
         self.send_decision(&message, by).await;
-        let reply = tokio::time::timeout(reply_time, reply).await;
-        self.asking.replies.borrow_mut().remove(&number);
-        reply.ok()?.ok()
+        let replies = &self.asking.replies;
+        replies.within(reply_time, number, reply).await
     }
 
     /// Sends one datagram; what is lost is asked for again.
@@ -303,14 +281,6 @@
         }
     }
 
-    fn take_reply(&self, reply: DecisionReply) {
-        let waiting = self.asking.replies.borrow_mut().remove(&reply.number);
-        // A reply that comes too late is for nobody.
-        if let Some(waiting) = waiting {
-            let _ = waiting.send(reply);
-        }
-    }
-
     fn take_back(&self, give_back: &GiveBack) {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
@@ -378,25 +348,6 @@
     }
 }
 
-impl<D> Traffic<D> {
-    // With the limit of the endpoint, and who grants the send.
-    fn placed_with_limit(&self, now: Duration, placement: &Placement) -> PlacedAt {
-        let state = self.state.borrow();
-        let start = placement.incarnation;
-        let Some(limit) = state.board.notices().limit_notice(start) else {
-            return placed_of(placement);
-        };
-        let keeper = limit
-            .rate
-            .and_then(|_| state.keeper(start, &placement.hall));
-        PlacedAt {
-            limit: Some(report_of_limit(now, &limit)),
-            keeper: keeper.map(|keeper| keeper.address().to_string()),
-            ..placed_of(placement)
-        }
-    }
-}
-
 fn work_of(query: &DecisionQuery) -> Work {
     let parts = query.parts.iter().map(|part| PromptPart {
         id: part.id as u64,
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod plain;
 mod pool;
 pub mod ports;
+mod replies;
 mod room;
 mod run;
 mod said;
--- a/components/gateway/src/sends.rs
+++ b/components/gateway/src/sends.rs
@@ -3,8 +3,7 @@
 //! One coordinator keeps the account of such an endpoint, and every send is granted by it: what gateways count for themselves
 //! adds up to more than the limit. Whoever cannot reach the keeper sends nothing there.
 
-use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -12,15 +11,15 @@
 use lru::LruCache;
 use notices::LimitNotice;
 use routing::placement::Placement;
-use schema::messages::{Decision, SendQuery, SendReply};
+use schema::messages::{Decision, DecisionReply, PlacedAt, SendQuery, SendReply};
 use slog::info;
 use telemetry::Counter;
-use tokio::sync::oneshot;
 use topology::Distance;
 
-use crate::decisions::{FAR_REPLY_TIME, REPLY_TIME};
+use crate::decisions::{placed_of, FAR_REPLY_TIME, REPLY_TIME};
 use crate::job::{Job, Progress};
 use crate::limit_reports::{received_limit, report_of_limit};
+use crate::replies::Replies;
 use crate::state::State;
 use crate::traffic::Traffic;
 
@@ -34,8 +33,7 @@
 /// Queries that keepers have not replied to yet, and the keepers that coordinators named.
 #[derive(Debug)]
 pub(crate) struct SendsAsked {
-    replies: RefCell<HashMap<i64, oneshot::Sender<SendReply>>>,
-    number: Cell<i64>,
+    pub replies: Replies<SendReply>,
     // By the hash of the endpoint's start; as many as there may be accounts.
     keepers: RefCell<LruCache<u64, SocketAddr>>,
 }
@@ -43,8 +41,7 @@
 impl Default for SendsAsked {
     fn default() -> Self {
         SendsAsked {
-            replies: RefCell::default(),
-            number: Cell::default(),
+            replies: Replies::default(),
             keepers: RefCell::new(LruCache::unbounded()),
         }
     }
@@ -219,8 +216,8 @@
         placement: &Placement,
         limit: &LimitNotice,
     ) -> Result<(), Duration> {
-        let number = self.sends_asked.number.get() + 1;
-        self.sends_asked.number.set(number);
+        let replies = &self.sends_asked.replies;
+        let number = replies.next_number();
         let query = SendQuery {
             number,
             limit: report_of_limit(self.clock.now(), limit),
@@ -232,17 +229,13 @@
             send_query: Some(query),
             ..Decision::default()
         };
-        let (sender, reply) = oneshot::channel();
-        let replies = &self.sends_asked.replies;
-        replies.borrow_mut().insert(number, sender);
+        let reply = replies.expect(number);
         self.send_decision(&message, keeper).await;
         let reply_time = match self.is_beyond_region(&placement.hall) {
             true => FAR_REPLY_TIME,
             false => REPLY_TIME,
         };
-        let reply = tokio::time::timeout(reply_time, reply).await;
-        replies.borrow_mut().remove(&number);
-        let Ok(Ok(reply)) = reply else {
+        let Some(reply) = replies.within(reply_time, number, reply).await else {
             return Err(KEEPER_PAUSE);
         };
         let now = self.clock.now();
@@ -304,12 +297,35 @@
         })
     }
 
-    /// Takes a keeper's reply.
-    pub fn take_send_reply(&self, reply: SendReply) {
-        let waiting = self.sends_asked.replies.borrow_mut().remove(&reply.number);
-        // A reply that comes too late is for nobody.
-        if let Some(waiting) = waiting {
-            let _ = waiting.send(reply);
+    /// Takes what a coordinator says of the limit of the endpoint that it placed a request on, and who keeps its account.
+    pub fn take_placed_limit(&self, reply: &DecisionReply) {
+        let placed = reply.placed.as_ref();
+        let Some(report) = placed.and_then(|placed| placed.limit.as_ref()) else {
+            return;
+        };
+        let Some(limit) = received_limit(self.clock.now(), report) else {
+            return;
+        };
+        let keeper = placed.and_then(|placed| placed.keeper.as_ref());
+        let keeper = keeper.and_then(|keeper| keeper.parse().ok());
+        self.sends_asked.note_keeper(limit.start, keeper);
+        self.take_limit(&limit);
+    }
+
+    /// A placement as it is reported, with the limit of its endpoint and who grants the send.
+    pub fn placed_with_limit(&self, now: Duration, placement: &Placement) -> PlacedAt {
+        let state = self.state.borrow();
+        let start = placement.incarnation;
+        let Some(limit) = state.board.notices().limit_notice(start) else {
+            return placed_of(placement);
+        };
+        let keeper = limit
+            .rate
+            .and_then(|_| state.keeper(start, &placement.hall));
+        PlacedAt {
+            limit: Some(report_of_limit(now, &limit)),
+            keeper: keeper.map(|keeper| keeper.address().to_string()),
+            ..placed_of(placement)
         }
     }
 }
--- a/soak/src/checks/named.rs
+++ b/soak/src/checks/named.rs
@@ -22,7 +22,7 @@
 }
 
 impl<'a> Phase<'a> {
-    fn begin(endpoint: &'a str, from: u64, (milli, until): (u64, u64)) -> Self {
+    fn begin(endpoint: &'a str, from: u64, milli: u64, until: u64) -> Self {
         Phase {
             endpoint,
             milli,
@@ -32,6 +32,10 @@
         }
     }
 
+    fn is_same(&self, milli: u64, until: u64) -> bool {
+        self.milli == milli && self.until == until
+    }
+
     fn end(&mut self, at: u64) {
         self.until = self.until.min(at);
     }
@@ -100,7 +104,7 @@
     // By endpoint, its place among the phases while its start and its limit stay the same.
     let mut open: BTreeMap<&str, usize> = BTreeMap::new();
     for record in view.records {
-        let (id, endpoint, named) = match &record.seen {
+        let (id, endpoint, milli, until) = match &record.seen {
             Seen::EndpointStarted { endpoint } => {
                 if let Some(number) = open.remove(endpoint.as_str()) {
                     phases[number].end(record.at);
@@ -112,17 +116,17 @@
                 endpoint,
                 milli,
                 until,
-            } => (id.as_str(), endpoint.as_str(), (*milli, *until)),
+            } => (id.as_str(), endpoint.as_str(), *milli, *until),
             _ => continue,
         };
         let known = open.get(endpoint).copied();
         let number = match known {
-            Some(number) if (phases[number].milli, phases[number].until) == named => number,
+            Some(number) if phases[number].is_same(milli, until) => number,
             known => {
                 if let Some(before) = known {
                     phases[before].end(record.at);
                 }
-                phases.push(Phase::begin(endpoint, record.at, named));
+                phases.push(Phase::begin(endpoint, record.at, milli, until));
                 open.insert(endpoint, phases.len() - 1);
                 phases.len() - 1
             }
