Read the store's era from its answers and log it with revisions

Observed: after a restore of the store, gateways listed its rows 120 times a second and applied none for 8 s. No log line said which copy of the store had answered, or how its revisions compared to the known ones.

Change: the Store-Era header is read from every answer of the store, including refusals. A restore is logged on a line of its own and counted as platform.restored. A missing or unreadable era does not fail the call; an unreadable one is logged the first time. The era does not affect any decision yet.

--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -5,6 +5,7 @@
 mod deflated;
 mod echoes;
 mod engines;
+mod era;
 mod exchange;
 mod follow;
 mod forwarding;
@@ -230,6 +231,7 @@
             }
             let now = self.clock.now();
             self.look_at_day(now);
+            self.check_store_era();
             if signals.stop.load(Ordering::Relaxed) {
                 self.freshness.stop(now);
             }
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -306,7 +306,8 @@
         }
         // That is an answer: whoever reads for others goes on, with all rows.
         if *error == StoreError::HistoryGone {
-            info!(self.log, "history of the store is gone"; "topic" => ?topic);
+            info!(self.log, "history of the store is gone"; "topic" => ?topic,
+                "known_to" => followed.table.known_to(), "era" => self.store.era().newest);
             followed.table.restart();
             return;
         }
--- a/components/gateway/src/control/known.rs
+++ b/components/gateway/src/control/known.rs
@@ -26,7 +26,7 @@
 use crate::day::Day;
 use crate::limit_reports::UntoldLimits;
 use crate::peers::{Fleet, Listed, Peers};
-use crate::ports::Topic;
+use crate::ports::{StoreEra, Topic};
 use crate::tally::{Sent, ServiceLoad};
 
 /// Key of the lease's row.
@@ -46,6 +46,8 @@
     pub followed: BTreeMap<Topic, Followed>,
     pub endpoints: BTreeMap<String, Endpoint>,
     pub store_clock: StoreClock,
+    /// Era of the store at the last check.
+    pub store_era: StoreEra,
     pub peers: Peers,
     pub topology: Topology,
     pub lease: Lease,
@@ -109,6 +111,7 @@
             configuration_readable: true,
             endpoints: BTreeMap::new(),
             store_clock: StoreClock::default(),
+            store_era: StoreEra::default(),
             peers,
             topology,
             ledger: Ledger::default(),
--- a/components/gateway/src/ports.rs
+++ b/components/gateway/src/ports.rs
@@ -158,6 +158,15 @@
     pub bytes: usize,
 }
 
+/// The store's era as reported in its answers. The era increases by one each time the store is restored from an older copy.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StoreEra {
+    /// Highest era reported so far, `None` if there is none.
+    pub newest: Option<u64>,
+    /// Number of answers whose era could not be parsed.
+    pub unreadable_answers: u64,
+}
+
 /// Asks for one page of a topic's rows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PageQuery<'a> {
@@ -255,6 +264,9 @@
         value: Vec<u8>,
     ) -> impl Future<Output = Result<u64, StoreError>>;
 
+    /// The era reported in answers so far, including error answers.
+    fn era(&self) -> StoreEra;
+
     /// Reads a row of [`Topic::Configuration`].
     fn configuration(&self, value: &[u8]) -> Result<Configuration, RowFault>;
 
--- a/components/gateway/tests/common/store.rs
+++ b/components/gateway/tests/common/store.rs
@@ -9,7 +9,7 @@
 use fleet::ScalingOrder;
 use gateway::ports::{
     DutyHolder, OrderReply, Orders, Page, PageQuery, Row, RowFault, Rows, StatusRow, Store,
-    StoreError, Topic,
+    StoreEra, StoreError, Topic,
 };
 use rollout::{Decision, Order};
 use schema::messages::{GatewayRow, LeaseRow};
@@ -27,11 +27,21 @@
     configurations: Vec<Configuration>,
     endpoints: Vec<Endpoint>,
     forgets_before: u64,
+    // Incremented by each restore.
+    era: u64,
+    snapshot: Option<Snapshot>,
     // Another gateway renews the lease before each look at it.
     lease_renewed: bool,
     lease_looks: u64,
 }
 
+// State that a restore brings back.
+#[derive(Clone)]
+struct Snapshot {
+    rows: BTreeMap<(Topic, String), Row>,
+    revision: u64,
+}
+
 /// The store as one gateway sees it.
 #[derive(Clone)]
 pub struct StoreStandin {
@@ -42,6 +52,7 @@
     answers_held: Arc<AtomicUsize>,
     call_ms: Arc<AtomicU64>,
     asks: Arc<Mutex<BTreeMap<Topic, u64>>>,
+    reported_era: Arc<Mutex<StoreEra>>,
     started: Instant,
 }
 
@@ -55,6 +66,7 @@
             answers_held: Arc::default(),
             call_ms: Arc::default(),
             asks: Arc::default(),
+            reported_era: Arc::default(),
             started: Instant::now(),
         }
     }
@@ -123,6 +135,7 @@
             answers_held: Arc::default(),
             call_ms: Arc::default(),
             asks: Arc::default(),
+            reported_era: Arc::default(),
             ..self.clone()
         }
     }
@@ -179,6 +192,31 @@
         state.forgets_before = state.revision;
     }
 
+    /// Takes a snapshot of the rows and the revision, replacing any earlier one.
+    pub fn take_snapshot(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.snapshot = Some(Snapshot {
+            rows: state.rows.clone(),
+            revision: state.revision,
+        });
+    }
+
+    /// Restores the snapshot: later writes are lost, and their revisions are assigned again.
+    pub fn restore_snapshot(&self) {
+        let mut state = self.state.lock().unwrap();
+        let Snapshot { rows, revision } = state.snapshot.clone().expect("no snapshot taken");
+        (state.rows, state.revision) = (rows, revision);
+        state.era += 1;
+    }
+
+    /// Advances the revision by writing a row of a topic that gateways don't read.
+    pub fn advance_revision(&self, count: u64) {
+        let mut state = self.state.lock().unwrap();
+        for _ in 0..count {
+            put(&mut state, Topic::RolloutStatus, "other", Some(0));
+        }
+    }
+
     pub fn row(&self, topic: Topic, key: &str) -> Option<Row> {
         let state = self.state.lock().unwrap();
         state.rows.get(&(topic, key.to_string())).cloned()
@@ -217,9 +255,11 @@
     }
 
     fn enter(&self) -> Result<std::sync::MutexGuard<'_, State>, StoreError> {
+        let state = self.state.lock().unwrap();
+        self.reported_era.lock().unwrap().newest = Some(state.era);
         match self.refuses.load(Ordering::Relaxed) {
             true => Err(StoreError::Refused),
-            false => Ok(self.state.lock().unwrap()),
+            false => Ok(state),
         }
     }
 
@@ -314,7 +354,7 @@
             self.answer_or_say_nothing().await;
             let rows = {
                 let state = self.enter()?;
-                if after < state.forgets_before {
+                if after < state.forgets_before || after > state.revision {
                     return Err(StoreError::HistoryGone);
                 }
                 self.rows(&state, topic, after, true)
@@ -353,6 +393,10 @@
         self.write(Topic::Gateways, gateway, value, None).await
     }
 
+    fn era(&self) -> StoreEra {
+        *self.reported_era.lock().unwrap()
+    }
+
     fn configuration(&self, value: &[u8]) -> Result<Configuration, RowFault> {
         // What follows makes a row long.
         let index = value.get(..8).unwrap_or_default();
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -79,6 +79,8 @@
         RowsBytesOtherRegion => "rows.bytes.other_region",
         /// Calls to the platform without an answer.
         PlatformUnanswered => "platform.unanswered",
+        /// Restores of the store from an older copy that this gateway detected.
+        StoreRestored => "platform.restored",
         /// Datagrams sent to other nodes.
         PacketsSent => "peer.sent",
         /// Bytes of those datagrams.
