Drop rows that a full copy from another gateway lists as dropped

Effect: a gateway that takes all rows of a topic from another gateway kept a row that the store had dropped, for as long as the gateway ran: an endpoint that was gone continued to be placed.

Cause: the row was dropped, written and dropped again. The other gateway had received the first drop and then listed the rows after the last one. It passed on the first drop, and the reader counted the key of that drop as the key of an existing row.

The new test failed before this change: the row still stood. The fault has not been seen outside of tests.

Why it works: only rows with a value count as listed; others are dropped at the revision of the list.

--- a/components/replica/src/table.rs
+++ b/components/replica/src/table.rs
@@ -85,7 +85,9 @@
     /// Takes all rows as they stood at a revision and returns what changed; rows that are not
     /// among them and are older have been dropped.
     pub fn take_all(&mut self, rows: Vec<Change>, known_to: u64) -> Vec<Change> {
-        let listed: BTreeSet<String> = rows.iter().map(|row| row.key.clone()).collect();
+        // A dropped row does not count as listed: a newer value of it may be known here.
+        let standing = rows.iter().filter(|row| row.value.is_some());
+        let listed: BTreeSet<String> = standing.map(|row| row.key.clone()).collect();
         let unlisted = self.rows.values().filter(|row| {
             row.value.is_some() && row.revision <= known_to && !listed.contains(&row.key)
         });
--- a/components/replica/tests/tables.rs
+++ b/components/replica/tests/tables.rs
@@ -73,6 +73,19 @@
     assert!(stale.covers(fresh.changed_at()));
 }
 
+// Guards against counting a dropped row of the source as listed, which kept the reader's newer row.
+#[test]
+fn a_row_is_dropped_when_all_rows_of_another_copy_hold_only_an_older_drop_of_it() {
+    let mut source = Table::default();
+    source.take(vec![change(1, None, 1)], 1);
+    let mut reader = Table::default();
+    reader.take_all(vec![change(1, Some(2), 2)], 2);
+    // The list omits the row that was dropped again at 3, so the source keeps only the drop at 1.
+    source.take_all(Vec::new(), 3);
+    pull(&mut reader, &source);
+    assert!(reader.standing().is_empty());
+}
+
 #[test]
 fn a_copy_that_began_with_a_list_is_covered_by_whoever_knows_the_changes_up_to_it() {
     let mut older = Table::default();
