--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -3,6 +3,7 @@
 mod accounts;
 mod carrying;
 mod deflated;
+mod departures;
 mod echoes;
 mod engines;
 mod era;
@@ -232,6 +233,7 @@
             let now = self.clock.now();
             self.look_at_day(now);
             self.check_store_era();
+            self.recheck_endpoints(now);
             if signals.stop.load(Ordering::Relaxed) {
                 self.freshness.stop(now);
             }
--- a/components/gateway/src/control/accounts.rs
+++ b/components/gateway/src/control/accounts.rs
@@ -16,7 +16,7 @@
         self.metrics.add(Counter::StoreRepeats, list.repeats.into());
         info!(self.log, "topic read from the store"; "topic" => ?topic,
             "rows" => list.rows.rows.len(), "bytes" => list.rows.bytes,
-            "revision" => list.rows.revision, "era" => self.store.era().newest,
+            "revision" => list.rows.revision.number, "era" => self.store.era().newest,
             "repeats" => list.repeats, "time_ms" => took.as_millis() as u64);
     }
 
--- a/components/gateway/src/control/carrying.rs
+++ b/components/gateway/src/control/carrying.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use replica::Revision;
 use rollout::{Decision, Evidence, Judgement, Order, Progress, Stage, Step};
 use schema::messages::{Gossip, RolloutRow};
 use slog::{info, warn};
@@ -13,7 +14,7 @@
 use crate::control::rollouts::{Carried, Heard, Status};
 use crate::control::{Known, Shared};
 use crate::gossip;
-use crate::ports::{Orders, Row, Store, StoreError, Topic};
+use crate::ports::{Orders, ReadRow, Row, Store, StoreError, Topic};
 use crate::update::Update;
 use crate::versions::{is_lost_when_cut, route_hash};
 
@@ -179,15 +180,16 @@
         let status = self
             .timed(service, self.store.read(Topic::RolloutStatus, &status_key))
             .await;
-        let (Ok(row), Ok(status)) = (row, status) else {
+        let (Ok(read), Ok(status)) = (row, status) else {
             info!(self.log, "roll-out not read, the store does not answer"; "service" => service);
             tokio::time::sleep(FAILED_PAUSE).await;
             return;
         };
-        let kept = row.as_ref().and_then(read_row);
+        let kept = read.row.as_ref().and_then(read_row);
         let kept = kept.filter(|kept| kept.revision == order.revision as i64);
+        let expected = expected_revision(&read);
         let (kept, revision) = match kept {
-            Some(kept) => (kept, row.map_or(0, |row| row.revision)),
+            Some(kept) => (kept, expected),
             None => {
                 let first = RolloutRow {
                     revision: order.revision as i64,
@@ -195,7 +197,6 @@
                     ordered_ms: stamp.as_millis() as i64,
                     decision: None,
                 };
-                let expected = row.map_or(0, |row| row.revision);
                 match self.write_row(service, &first, expected).await {
                     Ok(revision) => (first, revision),
                     Err(error) => {
@@ -225,7 +226,7 @@
             ordered_stamp: Duration::from_millis(kept.ordered_ms.max(0) as u64),
             revision,
             decision,
-            status: Some(status_of(status)),
+            status: Some(status_of(status.row)),
             call_time: Duration::ZERO,
         });
     }
@@ -251,7 +252,7 @@
         &self,
         service: &str,
         decision: Decision,
-        written: Result<u64, StoreError>,
+        written: Result<Revision, StoreError>,
     ) -> bool {
         let mut known = self.known.borrow_mut();
         let Some(ordered) = known.rollouts.orders.get_mut(service) else {
@@ -281,7 +282,11 @@
         Some(route.name.clone())
     }
 
-    fn decided_row(&self, service: &str, decision: Decision) -> Option<(Order, RolloutRow, u64)> {
+    fn decided_row(
+        &self,
+        service: &str,
+        decision: Decision,
+    ) -> Option<(Order, RolloutRow, Revision)> {
         let known = self.known.borrow();
         let ordered = known.rollouts.orders.get(service)?;
         let carried = ordered.carried.as_ref()?;
@@ -298,8 +303,8 @@
         &self,
         service: &str,
         row: &RolloutRow,
-        expected: u64,
-    ) -> Result<u64, StoreError> {
+        expected: Revision,
+    ) -> Result<Revision, StoreError> {
         let value = schema::encode(row).unwrap_or_default();
         let call = self
             .store
@@ -345,7 +350,7 @@
     }
 
     // Revision of the operator's row, while this gateway carries the order out and has read it.
-    fn status_revision(&self, service: &str) -> Option<u64> {
+    fn status_revision(&self, service: &str) -> Option<Revision> {
         let known = self.known.borrow();
         let ordered = known.rollouts.orders.get(service)?;
         let status = ordered.carried.as_ref()?.status.as_ref()?;
@@ -385,12 +390,18 @@
     }
 }
 
+// Expected revision for the next write of the row.
+fn expected_revision(read: &ReadRow) -> Revision {
+    let row = read.row.as_ref();
+    row.map_or(Revision::ABSENT, |row| row.revision)
+}
+
 fn read_row(row: &Row) -> Option<RolloutRow> {
     schema::decode(row.value.as_deref()?).ok()
 }
 
 fn status_of(row: Option<Row>) -> Status {
-    let revision = row.as_ref().map_or(0, |row| row.revision);
+    let revision = row.as_ref().map_or(Revision::ABSENT, |row| row.revision);
     Status {
         revision,
         value: row.and_then(|row| row.value).unwrap_or_default(),
--- a/components/gateway/src/control/deflated.rs
+++ b/components/gateway/src/control/deflated.rs
@@ -72,7 +72,10 @@
 }
 
 fn has_same_rows(one: &RowsReply, other: &RowsReply) -> bool {
-    one.rows == other.rows && one.whole == other.whole && one.more == other.more
+    one.rows == other.rows
+        && one.whole == other.whole
+        && one.more == other.more
+        && one.era == other.era
 }
 
 /// The reply that was deflated; `None` if it was not, or is larger than any may be.
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use replica::{Change, Digest, Follower, Source as AskFirst, Step, Table};
+use replica::{Change, Digest, Follower, Revision, Source as AskFirst, Step, Table};
 use slog::{info, warn};
 use telemetry::Counter;
 use tokio::sync::Notify;
@@ -42,6 +42,8 @@
     pub newer: Option<(SocketAddr, Digest)>,
     /// Ends a rest.
     pub wake: Arc<Notify>,
+    // Newest era for which the table was restarted, once each.
+    listed_for_era: Option<u64>,
     // Whether the store's last answer was logged as missing.
     reported_missing: bool,
 }
@@ -55,10 +57,22 @@
             confirmed: Duration::ZERO,
             newer: None,
             wake: Arc::new(Notify::new()),
+            listed_for_era: None,
             reported_missing: false,
         }
     }
 
+    /// Whether the rows are of an earlier era of the store than the given one.
+    pub fn is_older_than_era(&self, era: Option<u64>) -> bool {
+        let known = self.table.known_to().map(|known_to| known_to.era);
+        known.is_some_and(|known| Some(known) < era)
+    }
+
+    /// Whether the rows are of the era of a revision and include all changes up to it.
+    fn is_current_at(&self, revision: Revision) -> bool {
+        self.table.is_same_era(revision) && self.table.covers(revision)
+    }
+
     /// What is reported to other gateways, once anything is known.
     pub fn reported(&self) -> Option<Digest> {
         Some(Digest {
@@ -114,6 +128,12 @@
             }
             false => followed.follower.read_itself(),
         }
+        let newest_era = self.store.era().newest;
+        if followed.is_older_than_era(newest_era) && followed.listed_for_era < newest_era {
+            // The known revision may denote a different change in the new era.
+            followed.listed_for_era = newest_era;
+            followed.table.restart();
+        }
         let can_go_on = followed.table.can_go_on();
         followed.follower.step(now, watches, can_go_on)
     }
@@ -149,7 +169,7 @@
         let (after, patience) = {
             let known = self.known.borrow();
             let followed = &known.followed[&topic];
-            let after = followed.table.known_to().unwrap_or(0);
+            let after = followed.table.known_to().unwrap_or_default();
             (after, followed.follower.patience())
         };
         let sent = self.clock.now();
@@ -188,6 +208,9 @@
             known.note_store_call(received.saturating_sub(sent));
             let followed = known.followed_mut(topic);
             followed.follower.store_answered(rows.revision);
+            if !whole {
+                followed.follower.history_available();
+            }
             (made, std::mem::take(&mut followed.reported_missing))
         };
         self.store_answers.notify_waiters();
@@ -196,8 +219,11 @@
         }
         let changes = rows.rows.into_iter().map(change_of).collect();
         let changed = self.take_changes(topic, changes, rows.revision, rows.stamp, whole);
-        // What is confirmed has to be in force first.
-        self.confirm(topic, rows.stamp, made);
+        // Changes have to be in force before they are confirmed. The answer may be of another era than the known rows.
+        let is_current = self.known.borrow().followed[&topic].is_current_at(rows.revision);
+        if is_current {
+            self.confirm(topic, rows.stamp, made);
+        }
         if changed {
             self.urgent.notify_one();
         }
@@ -210,28 +236,34 @@
         &self,
         topic: Topic,
         changes: Vec<Change>,
-        known_to: u64,
+        known_to: Revision,
         stamp: Duration,
         whole: bool,
     ) -> bool {
-        let (gossip, is_first) = {
+        let (gossip, is_first, is_restored) = {
             let mut known = self.known.borrow_mut();
             let followed = known.followed_mut(topic);
             let is_first = followed.table.known_to().is_none();
+            let is_restored = whole && followed.is_older_than_era(Some(known_to.era));
+            if is_restored {
+                // The store's steady time may have been reset by the restore.
+                followed.confirmed = Duration::ZERO;
+            }
             let gossip = match whole {
                 true => followed.table.take_all(changes, known_to),
                 false => followed.table.take(changes, known_to),
             };
-            let known_to = followed.table.known_to().unwrap_or(0);
+            let known_to = followed.table.known_to().unwrap_or_default();
             followed.follower.caught_up(known_to);
             if let Some(bytes) = largest(&gossip) {
                 followed.follower.set_first(first_asked(bytes));
             }
-            (gossip, is_first)
+            (gossip, is_first, is_restored)
         };
         for change in &gossip {
             match topic {
                 Topic::Configuration => self.take_operator_row(change, stamp),
+                Topic::Endpoints if is_restored => self.take_restored_endpoint(change),
                 Topic::Endpoints => self.take_endpoint(change),
                 Topic::Gateways
                 | Topic::Lease
@@ -253,7 +285,7 @@
         let followed = known.followed_mut(topic);
         followed.confirmed = followed.confirmed.max(stamp);
         followed.follower.confirmed(at);
-        let in_force = known.configuration.is_some() && known.configuration_readable;
+        let in_force = known.configuration.is_some() && known.is_configuration_current;
         if topic == Topic::Configuration && in_force {
             // Behind the configuration that it confirms: until that is in force there, requests go by the one before, and
             // its keys may not be taken for confirmed.
@@ -286,7 +318,7 @@
         let mut known = self.known.borrow_mut();
         let moment = known.store_clock.moment(reported.confirmed, now);
         let followed = known.followed_mut(topic);
-        if !followed.table.covers(reported.changed_at) {
+        if !followed.table.is_confirmed_by(&reported) {
             return;
         }
         followed.table.advance(reported.known_to);
@@ -307,8 +339,10 @@
         // That is an answer: whoever reads for others goes on, with all rows.
         if *error == StoreError::HistoryGone {
             info!(self.log, "history of the store is gone"; "topic" => ?topic,
-                "known_to" => followed.table.known_to(), "era" => self.store.era().newest);
+                "known_to" => followed.table.known_to().map(|known_to| known_to.number),
+                "era" => self.store.era().newest);
             followed.table.restart();
+            followed.follower.history_gone(now);
             return;
         }
         self.metrics.count(Counter::PlatformUnanswered);
--- a/components/gateway/src/control/kept.rs
+++ b/components/gateway/src/control/kept.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use quarantine::{Fingerprint, Held};
+use replica::Revision;
 use schema::messages::{KeptContent, QuarantineRow};
 use slog::{info, warn};
 
@@ -28,7 +29,7 @@
 /// The row as it is known here.
 #[derive(Debug)]
 pub(crate) struct KeptRow {
-    revision: u64,
+    revision: Revision,
     read_at: Duration,
     // How often each content was held back, and whether it is now.
     kept: BTreeMap<Fingerprint, (u32, bool)>,
@@ -74,7 +75,9 @@
         let known = self.known.borrow();
         let others = known.peers.count(now);
         let is_cut_off = others.silent > 0 || others.heard == 0;
-        is_cut_off && now >= row.read_at + READ_AGAIN
+        // A store restored from an older copy may lack the latest write.
+        let is_restored = Some(row.revision.era) < known.store_era.newest;
+        is_restored || (is_cut_off && now >= row.read_at + READ_AGAIN)
     }
 
     async fn read_kept(&self) -> Option<KeptRow> {
@@ -90,7 +93,7 @@
             Ok(page) => {
                 let mut rows = page.rows.rows.into_iter();
                 let row = rows.find(|row| row.key == ROW_KEY);
-                Some(self.take_row(row, page.rows.stamp))
+                Some(self.take_row(row, page.rows.revision, page.rows.stamp))
             }
             Err(error) => {
                 info!(self.log, "quarantine not read"; "cause" => %error,
@@ -100,10 +103,11 @@
         }
     }
 
-    // Takes what earlier gateways kept, as it stood at a time of the store.
-    fn take_row(&self, row: Option<Row>, store_now: Duration) -> KeptRow {
+    // Takes what earlier gateways kept, as of a revision and a time of the store.
+    fn take_row(&self, row: Option<Row>, store_revision: Revision, store_now: Duration) -> KeptRow {
         let now = self.clock.now();
-        let revision = row.as_ref().map_or(0, |row| row.revision);
+        let number = row.as_ref().map_or(0, |row| row.revision.number);
+        let revision = Revision::new(store_revision.era, number);
         let kept = row.as_ref().map_or_else(Vec::new, |row| self.read_row(row));
         let mut known = self.known.borrow_mut();
         let held: Vec<Held> = kept.iter().map(|k| kept_held(k, store_now)).collect();
@@ -131,7 +135,7 @@
             Ok(read) => read.held,
             Err(error) => {
                 warn!(self.log, "quarantine not readable, it is written anew"; "cause" => ?error,
-                    "revision" => row.revision);
+                    "revision" => row.revision.number);
                 Vec::new()
             }
         }
@@ -165,7 +169,10 @@
                 kept,
                 ..row
             }),
-            Err(StoreError::Conflict(row)) => Some(self.take_row(row, store_now)),
+            Err(StoreError::Conflict(found)) => {
+                let store_revision = found.as_ref().map_or(row.revision, |found| found.revision);
+                Some(self.take_row(found, store_revision, store_now))
+            }
             Err(_) => None,
         }
     }
--- a/components/gateway/src/control/known.rs
+++ b/components/gateway/src/control/known.rs
@@ -15,6 +15,7 @@
 use topology::Topology;
 use usage::{Forwarding, Ledger, Reporter, Terms};
 
+use crate::control::departures::Departures;
 use crate::control::engines::Engines;
 use crate::control::follow::Followed;
 use crate::control::lease::OrdersUnderWay;
@@ -41,10 +42,11 @@
 pub(crate) struct Known {
     pub settings: Arc<GatewaySettings>,
     pub configuration: Option<Arc<Configuration>>,
-    // Whether the newest configuration could be read; else the one in force is not the newest.
-    pub configuration_readable: bool,
+    // Whether the store's row holds the configuration in force. An unreadable or older row confirms nothing.
+    pub is_configuration_current: bool,
     pub followed: BTreeMap<Topic, Followed>,
     pub endpoints: BTreeMap<String, Endpoint>,
+    pub departures: Departures,
     pub store_clock: StoreClock,
     /// Era of the store at the last check.
     pub store_era: StoreEra,
@@ -108,8 +110,9 @@
             followed: followed_topics(&settings),
             settings,
             configuration: None,
-            configuration_readable: true,
+            is_configuration_current: true,
             endpoints: BTreeMap::new(),
+            departures: Departures::default(),
             store_clock: StoreClock::default(),
             store_era: StoreEra::default(),
             peers,
--- a/components/gateway/src/control/lease.rs
+++ b/components/gateway/src/control/lease.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use fleet::Scaler;
+use replica::Revision;
 use slog::info;
 use state::{LeaseAction, LeaseEvent, Reply, TableCall};
 
 use crate::control::{Known, Shared};
 use crate::listing::may_decide_unlisted;
-use crate::ports::{DutyHolder, OrderReply, Orders, Store, StoreError, Topic};
+use crate::ports::{DutyHolder, OrderReply, Orders, ReadRow, Store, StoreError, Topic};
 
 /// Others look at the lease only if its holder was not heard for this long.
 const HOLDER_SILENCE: Duration = Duration::from_millis(2500);
@@ -131,29 +132,29 @@
     async fn call_table(&self, call: &TableCall) -> Reply {
         match call {
             TableCall::Read(key) => match self.store.read(Topic::Lease, key).await {
-                Ok(row) => Reply::Row(row.and_then(|row| {
-                    Some(state::Row {
-                        version: row.revision,
-                        value: row.value?,
-                    })
-                })),
-                Err(StoreError::Refused) => Reply::Refused,
-                Err(_) => Reply::Unanswered,
+                Ok(read) => Reply::Row(lease_row(read)),
+                Err(error) => error_reply(&error),
             },
             TableCall::Transact(writes) => {
                 let Some(write) = writes.first() else {
                     return Reply::Refused;
                 };
-                let value = write.value.clone();
+                // The lease has versions without an era, and the store compares numbers only.
+                let expected = Revision::new(0, write.expect);
                 let written = self
                     .store
-                    .write(Topic::Lease, &write.key, value, Some(write.expect))
+                    .write(
+                        Topic::Lease,
+                        &write.key,
+                        write.value.clone(),
+                        Some(expected),
+                    )
                     .await;
                 match written {
-                    Ok(version) => Reply::Committed { version },
-                    Err(StoreError::Conflict(_)) => Reply::Conflict,
-                    Err(StoreError::Refused) => Reply::Refused,
-                    Err(_) => Reply::Unanswered,
+                    Ok(revision) => Reply::Committed {
+                        version: revision.number,
+                    },
+                    Err(error) => error_reply(&error),
                 }
             }
         }
@@ -175,3 +176,19 @@
         self.known.borrow_mut().orders.ended(now, answered);
     }
 }
+
+fn lease_row(read: ReadRow) -> Option<state::Row> {
+    let row = read.row?;
+    Some(state::Row {
+        version: row.revision.number,
+        value: row.value?,
+    })
+}
+
+fn error_reply(error: &StoreError) -> Reply {
+    match error {
+        StoreError::Conflict(_) => Reply::Conflict,
+        StoreError::Refused => Reply::Refused,
+        _ => Reply::Unanswered,
+    }
+}
--- a/components/gateway/src/control/passing.rs
+++ b/components/gateway/src/control/passing.rs
@@ -9,7 +9,7 @@
 use http::{HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use replica::Change;
+use replica::{Change, Revision};
 use schema::messages::{RowChange, RowsQuery, RowsReply, TopicName};
 use schema::MAX_ENCODED_BYTES;
 use slog::info;
@@ -20,6 +20,7 @@
 
 use crate::control::deflated::{inflate, Encoded};
 use crate::control::Shared;
+use crate::gossip::{received_revision, reported_era};
 use crate::plain;
 use crate::ports::{Orders, Store, Topic};
 
@@ -66,7 +67,7 @@
         let (newer, after, by_pages) = {
             let known = self.known.borrow();
             let followed = &known.followed[&topic];
-            let after = followed.table.known_to().unwrap_or(0);
+            let after = followed.table.known_to().unwrap_or_default();
             // Near the store its link is wider than a gateway's: much at once comes from there, unless it turns this gateway
             // away.
             let by_pages = known.is_far_from_store() || !followed.follower.reaches_store();
@@ -83,7 +84,9 @@
         };
         if let Some(pulled) = pulled {
             self.note_pulled(topic, from, &pulled);
-            let changes = pulled.rows.into_iter().map(change_of).collect();
+            let era = pulled.known_to.era;
+            let rows = pulled.rows.into_iter();
+            let changes = rows.map(|row| change_of(row, era)).collect();
             let stamp = reported.confirmed;
             let changed = self.take_changes(topic, changes, pulled.known_to, stamp, pulled.whole);
             // Behind the link, or turned away, a coordinator hears of a change from a reader, and its hall from it.
@@ -162,17 +165,18 @@
     fn reply_to(&self, topic: Topic, query: &RowsQuery) -> Option<RowsReply> {
         let known = self.known.borrow();
         let table = &known.followed.get(&topic)?.table;
-        let known_to = table.known_to()? as i64;
+        let known_to = table.known_to()?;
         let most = query
             .most_bytes
             .map_or(usize::MAX, |most| most.max(0) as usize);
-        let after = query.after.max(0) as u64;
+        let after = received_revision(query.after, query.after_era);
         let page = table.page(after, query.after_key.as_deref(), most);
         Some(RowsReply {
             rows: page.rows.into_iter().map(reported_of).collect(),
             whole: page.whole,
-            known_to,
+            known_to: known_to.number as i64,
             more: page.more.then_some(true),
+            era: reported_era(known_to.era),
         })
     }
 }
@@ -181,43 +185,57 @@
 struct Pulled {
     rows: Vec<RowChange>,
     whole: bool,
-    known_to: u64,
+    known_to: Revision,
     bytes: usize,
 }
 
-async fn pull_at_once(from: SocketAddr, topic: TopicName, after: u64) -> Option<Pulled> {
-    let query = RowsQuery::new(topic, after as i64, None, None, Some(true));
+async fn pull_at_once(from: SocketAddr, topic: TopicName, after: Revision) -> Option<Pulled> {
+    let query = rows_query(topic, after, None, None);
     let asked = tokio::time::timeout(PULL_TIME, ask(from, &query)).await;
     let (reply, bytes) = asked.ok().flatten()?;
     Some(Pulled {
+        known_to: received_revision(reply.known_to, reply.era),
         rows: reply.rows,
         whole: reply.whole,
-        known_to: reply.known_to.max(0) as u64,
         bytes,
     })
 }
 
+fn rows_query(
+    topic: TopicName,
+    after: Revision,
+    after_key: Option<String>,
+    most_bytes: Option<i32>,
+) -> RowsQuery {
+    RowsQuery {
+        topic,
+        after: after.number as i64,
+        after_key,
+        most_bytes,
+        takes_deflated: Some(true),
+        after_era: reported_era(after.era),
+    }
+}
+
 // Pages are as they stood one after the other: what changed meanwhile has a higher revision, and comes again.
-async fn pull_pages(from: SocketAddr, topic: TopicName, after: u64) -> Option<Pulled> {
+async fn pull_pages(from: SocketAddr, topic: TopicName, after: Revision) -> Option<Pulled> {
     let mut pulled: Option<Pulled> = None;
     loop {
         let so_far = pulled.as_ref();
         let last = so_far.and_then(|pulled| pulled.rows.last());
-        let query = RowsQuery::new(
-            topic,
-            after as i64,
-            last.map(|row| row.key.clone()),
-            Some(MOST_PASSED_ON as i32),
-            Some(true),
-        );
+        let last_key = last.map(|row| row.key.clone());
+        let query = rows_query(topic, after, last_key, Some(MOST_PASSED_ON as i32));
         let (reply, bytes) = ask_patiently(from, &query).await?;
-        if so_far.is_some_and(|pulled| pulled.whole != reply.whole) {
+        let known_to = received_revision(reply.known_to, reply.era);
+        let is_consistent =
+            |pulled: &Pulled| pulled.whole == reply.whole && pulled.known_to.era == known_to.era;
+        if !so_far.is_none_or(is_consistent) {
             return None;
         }
         let taken = pulled.get_or_insert_with(|| Pulled {
             rows: Vec::new(),
             whole: reply.whole,
-            known_to: reply.known_to.max(0) as u64,
+            known_to,
             bytes: 0,
         });
         taken.bytes += bytes;
@@ -259,11 +277,11 @@
     Some((reply.ok()?, bytes.len()))
 }
 
-fn change_of(reported: RowChange) -> Change {
+fn change_of(reported: RowChange, era: u64) -> Change {
     Change {
         key: reported.key,
         value: reported.value,
-        revision: reported.revision.max(0) as u64,
+        revision: Revision::new(era, reported.revision.max(0) as u64),
     }
 }
 
@@ -271,6 +289,6 @@
     RowChange {
         key: change.key,
         value: change.value,
-        revision: change.revision as i64,
+        revision: change.revision.number as i64,
     }
 }
--- a/components/gateway/src/control/reporting.rs
+++ b/components/gateway/src/control/reporting.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use replica::Revision;
 use schema::messages::UsageRow;
 use slog::info;
 use usage::{Report, Step};
@@ -57,7 +58,10 @@
         };
         let value = schema::encode(&row).unwrap_or_default();
         let key = format!("{:012}", report.window);
-        let written = self.store.write(Topic::Usage, &key, value, Some(0)).await;
+        let written = self
+            .store
+            .write(Topic::Usage, &key, value, Some(Revision::ABSENT))
+            .await;
         let sources = self.known.borrow().ledger.sources(report.window).count();
         info!(self.log, "usage settled"; "window" => report.window, "sources" => sources,
             "requests" => report.counts.values().sum::<i64>(), "written" => written.is_ok());
--- a/components/gateway/src/control/rollouts.rs
+++ b/components/gateway/src/control/rollouts.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use directory::Endpoint;
+use replica::Revision;
 use rollout::{Decision, Evidence, Order, Plan, Stage, Terms};
 use schema::messages::{EvidenceReport, RolloutReport};
 use schema::settings::GatewaySettings;
@@ -56,7 +57,7 @@
     /// The store's steady time of the order, as the first holder wrote it.
     pub ordered_stamp: Duration,
     /// Revision of the row that keeps the decision.
-    pub revision: u64,
+    pub revision: Revision,
     /// The decision in that row.
     pub decision: Option<Decision>,
     /// Revision of the operator's row, and what stands there; `None` until it was read.
@@ -68,8 +69,8 @@
 /// The operator's row as it stands.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Status {
-    /// Its revision, 0 if there is none.
-    pub revision: u64,
+    /// Its revision, [`Revision::ABSENT`] if there is none.
+    pub revision: Revision,
     /// Its value.
     pub value: Vec<u8>,
 }
--- a/components/gateway/src/control/rows.rs
+++ b/components/gateway/src/control/rows.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use directory::Endpoint;
 use replica::Change;
 use slog::{info, warn};
 use telemetry::Counter;
@@ -24,13 +25,13 @@
     fn take_order(&self, service: &str, change: &Change, stamp: Duration) {
         let Some(value) = &change.value else {
             self.known.borrow_mut().rollouts.orders.remove(service);
-            info!(self.log, "roll-out withdrawn"; "service" => service, "revision" => change.revision);
+            info!(self.log, "roll-out withdrawn"; "service" => service, "revision" => change.revision.number);
             let _ = self
                 .updates
                 .send(Update::RolloutWithdrawn(service.to_string()));
             return;
         };
-        match self.store.rollout_order(value, change.revision) {
+        match self.store.rollout_order(value, change.revision.number) {
             Ok(order) => {
                 if !self.known.borrow_mut().rollouts.order(order.clone(), stamp) {
                     return;
@@ -41,28 +42,34 @@
             }
             Err(fault) => {
                 warn!(self.log, "order of a roll-out not readable, it is not carried out";
-                "service" => service, "revision" => change.revision, "cause" => fault.0)
+                "service" => service, "revision" => change.revision.number, "cause" => fault.0)
             }
         }
     }
 
     fn take_configuration(&self, change: &Change) {
+        let mut known = self.known.borrow_mut();
+        known.is_configuration_current = false;
         let Some(value) = &change.value else {
             return;
         };
-        let read = self.store.configuration(value);
-        let mut known = self.known.borrow_mut();
-        known.configuration_readable = read.is_ok();
-        let configuration = match read {
+        let configuration = match self.store.configuration(value) {
             Ok(configuration) => configuration,
             Err(fault) => {
                 warn!(self.log, "configuration not readable; the old one stays in force and is not confirmed";
-                    "revision" => change.revision, "cause" => fault.0);
+                    "revision" => change.revision.number, "cause" => fault.0);
                 return;
             }
         };
         let in_force = known.configuration.as_ref().map(|c| c.version);
-        if in_force.is_some_and(|version| version >= configuration.version) {
+        if in_force.is_some_and(|version| version > configuration.version) {
+            info!(self.log, "configuration older than the one in force; ignored and not confirmed";
+                "version" => configuration.version, "in_force" => in_force,
+                "era" => change.revision.era, "revision" => change.revision.number);
+            return;
+        }
+        known.is_configuration_current = true;
+        if in_force == Some(configuration.version) {
             return;
         }
         let configuration = Arc::new(configuration);
@@ -72,8 +79,30 @@
 
     /// Takes the row of an endpoint.
     pub fn take_endpoint(&self, change: &Change) {
+        self.take_endpoint_row(change, false);
+    }
+
+    /// Takes the row of an endpoint from the first list of a restored store. The row may be outdated, or missing while
+    /// the endpoint is running.
+    pub fn take_restored_endpoint(&self, change: &Change) {
+        let now = self.clock.now();
+        let mut known = self.known.borrow_mut();
+        let is_ready = known
+            .endpoints
+            .get(&change.key)
+            .is_some_and(Endpoint::is_ready);
+        if change.value.is_none() && is_ready {
+            known.departures.defer_drop(now, &change.key);
+            return;
+        }
+        drop(known);
+        self.take_endpoint_row(change, true);
+    }
+
+    fn take_endpoint_row(&self, change: &Change, is_from_restored_list: bool) {
+        let era = change.revision.era;
         let Some(value) = &change.value else {
-            self.drop_endpoint(&change.key);
+            self.drop_endpoint(&change.key, era);
             return;
         };
         let endpoint = match self.store.endpoint(&change.key, value) {
@@ -82,12 +111,19 @@
                 // It may be another writer's: it names no endpoint, not even the one that it named before.
                 self.metrics.count(Counter::EntriesPassedOver);
                 warn!(self.log, "entry passed over"; "endpoint" => &change.key,
-                    "revision" => change.revision, "cause" => fault.0);
-                self.drop_endpoint(&change.key);
+                    "revision" => change.revision.number, "cause" => fault.0);
+                self.drop_endpoint(&change.key, era);
                 return;
             }
         };
+        let now = self.clock.now();
         let mut known = self.known.borrow_mut();
+        if !endpoint.is_ready() {
+            known.departures.record_draining(now, &endpoint, era);
+        }
+        let endpoint = known
+            .departures
+            .apply_departure(now, endpoint, era, is_from_restored_list);
         if known.endpoints.get(&change.key) == Some(&endpoint) {
             return;
         }
@@ -95,7 +131,7 @@
         let is_new_start = known_start.is_some_and(|known| !known.is_same_start(&endpoint));
         info!(self.log, "endpoint changed"; "endpoint" => &change.key,
             "service" => &endpoint.service, "state" => ?endpoint.state, "born_ms" => endpoint.born_ms,
-            "started_again" => is_new_start, "revision" => change.revision);
+            "started_again" => is_new_start, "era" => era, "revision" => change.revision.number);
         if !endpoint.is_ready() {
             self.endpoint_lost.notify_one();
         }
@@ -103,8 +139,11 @@
         let _ = self.updates.send(Update::Endpoint(endpoint));
     }
 
-    fn drop_endpoint(&self, id: &str) {
-        if self.known.borrow_mut().endpoints.remove(id).is_some() {
+    fn drop_endpoint(&self, id: &str, era: u64) {
+        let now = self.clock.now();
+        let mut known = self.known.borrow_mut();
+        if let Some(endpoint) = known.endpoints.remove(id) {
+            known.departures.record_dropped(now, &endpoint, era);
             info!(self.log, "endpoint gone"; "endpoint" => id);
             self.endpoint_lost.notify_one();
             let _ = self.updates.send(Update::EndpointGone(id.to_string()));
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use replica::Digest;
+use replica::{Digest, Revision};
 use rollout::{Counts, Decision, Evidence, Histogram, Stage};
 use routing::placement::PeerDispatch;
 use schema::messages::{
@@ -152,20 +152,36 @@
 pub(crate) fn head_of(topic: Topic, reported: Digest) -> Option<TopicHead> {
     Some(TopicHead {
         topic: name_of(topic)?,
-        changed_at: reported.changed_at as i64,
+        changed_at: reported.changed_at.number as i64,
         confirmed_us: reported.confirmed.as_micros() as i64,
-        known_to: reported.known_to as i64,
+        known_to: reported.known_to.number as i64,
+        era: reported_era(reported.known_to.era),
     })
 }
 
+/// Encodes an era for a message. Era 0 is left unset, as by builds and stores without eras.
+pub(crate) fn reported_era(era: u64) -> Option<i64> {
+    (era > 0).then_some(era as i64)
+}
+
+fn received_era(reported: Option<i64>) -> u64 {
+    reported.unwrap_or_default().max(0) as u64
+}
+
+/// Decodes a revision from a message.
+pub(crate) fn received_revision(number: i64, era: Option<i64>) -> Revision {
+    Revision::new(received_era(era), number.max(0) as u64)
+}
+
 /// How far topics are known, as it was heard.
 pub(crate) fn received_heads(gossip: &Gossip) -> Vec<(Topic, Digest)> {
     let heads = gossip.heads.iter().flatten();
     heads
         .filter_map(|head| {
+            let revision = |number| received_revision(number, head.era);
             let reported = Digest {
-                changed_at: head.changed_at.max(0) as u64,
-                known_to: head.known_to.max(0) as u64,
+                changed_at: revision(head.changed_at),
+                known_to: revision(head.known_to),
                 confirmed: Duration::from_micros(head.confirmed_us.max(0) as u64),
             };
             Some((topic_of(head.topic)?, reported))
--- a/components/gateway/src/listing.rs
+++ b/components/gateway/src/listing.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use replica::Revision;
+
 use crate::ports::{Page, PageQuery, Row, Rows, Store, StoreError, Topic};
 
 /// Rows of the first page: the most that the platform's store gives at once.
@@ -44,7 +46,7 @@
     hall: Option<String>,
     rows: Vec<Row>,
     // Of the first page: changes after it are asked for again.
-    revision: Option<u64>,
+    revision: Option<Revision>,
     stamp: Duration,
     bytes: usize,
     limit: usize,
@@ -82,8 +84,15 @@
         }
     }
 
-    /// Takes a page and returns whether it was the last one.
+    /// Takes a page and returns whether it was the last one. A page of another era of the store is dropped and restarts
+    /// the list.
     pub fn take(&mut self, page: Page) -> bool {
+        let era = page.rows.revision.era;
+        if self.revision.is_some_and(|first| first.era != era) {
+            self.revision = None;
+            self.rows.clear();
+            return false;
+        }
         let is_last = !page.more || page.rows.rows.is_empty();
         if self.revision.is_none() {
             self.revision = Some(page.rows.revision);
--- a/components/gateway/src/ports.rs
+++ b/components/gateway/src/ports.rs
@@ -9,6 +9,7 @@
 use fleet::ScalingOrder;
 use http::{request, HeaderMap, StatusCode};
 use limits::SendRate;
+use replica::Revision;
 use rollout::{Decision, Order};
 use routing::placement::{PromptPart, Slowdown};
 use usage::Report;
@@ -142,7 +143,7 @@
     /// Value, `None` if the row was dropped.
     pub value: Option<Vec<u8>>,
     /// Revision of the store that wrote it.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// Rows of a topic at one moment, or changes up to it.
@@ -151,13 +152,22 @@
     /// The rows.
     pub rows: Vec<Row>,
     /// Newest revision of the store.
-    pub revision: u64,
+    pub revision: Revision,
     /// The store's steady time.
     pub stamp: Duration,
     /// Length of the answers that carried them, in bytes.
     pub bytes: usize,
 }
 
+/// Result of reading one key.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ReadRow {
+    /// The row, if there is one.
+    pub row: Option<Row>,
+    /// Newest revision of the store.
+    pub revision: Revision,
+}
+
 /// The store's era as reported in its answers. The era increases by one each time the store is restored from an older copy.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct StoreEra {
@@ -231,30 +241,27 @@
     fn page(&self, query: PageQuery<'_>) -> impl Future<Output = Result<Page, StoreError>>;
 
     /// One row.
-    fn read(
-        &self,
-        topic: Topic,
-        key: &str,
-    ) -> impl Future<Output = Result<Option<Row>, StoreError>>;
+    fn read(&self, topic: Topic, key: &str) -> impl Future<Output = Result<ReadRow, StoreError>>;
 
     /// Changes of a topic after a revision; the call is held for `wait` if there are none. Past that, `patience` is
     /// the longest time without anything of the answer.
     fn changes(
         &self,
         topic: Topic,
-        after: u64,
+        after: Revision,
         wait: Duration,
         patience: Duration,
     ) -> impl Future<Output = Result<Rows, StoreError>>;
 
-    /// Writes a row, if it has the expected revision (0: there is none), and returns the new one.
+    /// Writes a row, if it has the expected revision ([`Revision::ABSENT`]: there is none), and returns the new one. The
+    /// store compares numbers only: callers have to read a row again before they expect a revision of an earlier era.
     fn write(
         &self,
         topic: Topic,
         key: &str,
         value: Vec<u8>,
-        expected: Option<u64>,
-    ) -> impl Future<Output = Result<u64, StoreError>>;
+        expected: Option<Revision>,
+    ) -> impl Future<Output = Result<Revision, StoreError>>;
 
     /// Writes the row of a gateway into the part of its data hall, or into the topic's only part.
     fn announce(
@@ -262,7 +269,7 @@
         hall: Option<&str>,
         gateway: &str,
         value: Vec<u8>,
-    ) -> impl Future<Output = Result<u64, StoreError>>;
+    ) -> impl Future<Output = Result<Revision, StoreError>>;
 
     /// The era reported in answers so far, including error answers.
     fn era(&self) -> StoreEra;
--- a/components/gateway/tests/common/store.rs
+++ b/components/gateway/tests/common/store.rs
@@ -8,9 +8,10 @@
 use directory::{Configuration, Endpoint};
 use fleet::ScalingOrder;
 use gateway::ports::{
-    DutyHolder, OrderReply, Orders, Page, PageQuery, Row, RowFault, Rows, StatusRow, Store,
-    StoreEra, StoreError, Topic,
+    DutyHolder, OrderReply, Orders, Page, PageQuery, ReadRow, Row, RowFault, Rows, StatusRow,
+    Store, StoreEra, StoreError, Topic,
 };
+use replica::Revision;
 use rollout::{Decision, Order};
 use schema::messages::{GatewayRow, LeaseRow};
 use usage::Report;
@@ -264,13 +265,14 @@
     }
 
     fn rows(&self, state: &State, topic: Topic, after: u64, with_gone: bool) -> Rows {
+        let era = state.era;
         let of_topic = state.rows.iter().filter(|((t, _), _)| *t == topic);
-        let rows = of_topic.map(|(_, row)| row.clone());
+        let rows = of_topic.map(|(_, row)| with_era(row, era));
         Rows {
             rows: rows
-                .filter(|r| r.revision > after && (with_gone || r.value.is_some()))
+                .filter(|r| r.revision.number > after && (with_gone || r.value.is_some()))
                 .collect(),
-            revision: state.revision,
+            revision: Revision::new(era, state.revision),
             stamp: self.started.elapsed(),
             bytes: 0,
         }
@@ -287,12 +289,20 @@
     let row = Row {
         key: key.to_string(),
         value,
-        revision: state.revision,
+        revision: Revision::new(state.era, state.revision),
     };
     state.rows.insert((topic, key.to_string()), row);
     state.revision
 }
 
+// Answers report rows in the current era, whatever the era in which they were written.
+fn with_era(row: &Row, era: u64) -> Row {
+    Row {
+        revision: Revision::new(era, row.revision.number),
+        ..row.clone()
+    }
+}
+
 fn renew_lease(state: &mut State, topic: Topic, key: &str) {
     if topic != Topic::Lease {
         return;
@@ -334,21 +344,26 @@
         Ok(Page { rows, more })
     }
 
-    async fn read(&self, topic: Topic, key: &str) -> Result<Option<Row>, StoreError> {
+    async fn read(&self, topic: Topic, key: &str) -> Result<ReadRow, StoreError> {
         self.count_ask(topic);
         let mut state = self.enter()?;
         renew_lease(&mut state, topic, key);
-        Ok(state.rows.get(&(topic, key.to_string())).cloned())
+        let row = state.rows.get(&(topic, key.to_string()));
+        Ok(ReadRow {
+            row: row.map(|row| with_era(row, state.era)),
+            revision: Revision::new(state.era, state.revision),
+        })
     }
 
     async fn changes(
         &self,
         topic: Topic,
-        after: u64,
+        after: Revision,
         wait: Duration,
         _: Duration,
     ) -> Result<Rows, StoreError> {
         self.count_ask(topic);
+        let after = after.number;
         let began = Instant::now();
         loop {
             self.answer_or_say_nothing().await;
@@ -372,16 +387,19 @@
         topic: Topic,
         key: &str,
         value: Vec<u8>,
-        expected: Option<u64>,
-    ) -> Result<u64, StoreError> {
+        expected: Option<Revision>,
+    ) -> Result<Revision, StoreError> {
         let mut state = self.enter()?;
         renew_lease(&mut state, topic, key);
-        let found = state.rows.get(&(topic, key.to_string())).cloned();
-        let revision = found.as_ref().map_or(0, |row| row.revision);
-        if expected.is_some_and(|expected| expected != revision) {
-            return Err(StoreError::Conflict(found));
+        let found = state.rows.get(&(topic, key.to_string()));
+        let number = found.map_or(0, |row| row.revision.number);
+        if expected.is_some_and(|expected| expected.number != number) {
+            return Err(StoreError::Conflict(
+                found.map(|row| with_era(row, state.era)),
+            ));
         }
-        Ok(write(&mut state, topic, key, Some(value)))
+        let number = write(&mut state, topic, key, Some(value));
+        Ok(Revision::new(state.era, number))
     }
 
     async fn announce(
@@ -389,7 +407,7 @@
         _: Option<&str>,
         gateway: &str,
         value: Vec<u8>,
-    ) -> Result<u64, StoreError> {
+    ) -> Result<Revision, StoreError> {
         self.write(Topic::Gateways, gateway, value, None).await
     }
 
--- a/components/gateway/tests/listing.rs
+++ b/components/gateway/tests/listing.rs
@@ -4,8 +4,14 @@
 
 use gateway::listing::{may_decide_unlisted, Listing, FIRST_PATIENCE};
 use gateway::ports::{Page, Row, Rows, Topic};
+use replica::Revision;
 
-fn page(keys: &[&str], revision: u64, more: bool) -> Page {
+fn page(keys: &[&str], number: u64, more: bool) -> Page {
+    page_in_era(0, keys, number, more)
+}
+
+fn page_in_era(era: u64, keys: &[&str], number: u64, more: bool) -> Page {
+    let revision = Revision::new(era, number);
     let rows = keys.iter().map(|key| Row {
         key: key.to_string(),
         value: Some(b"v".to_vec()),
@@ -15,7 +21,7 @@
         rows: Rows {
             rows: rows.collect(),
             revision,
-            stamp: Duration::from_secs(revision),
+            stamp: Duration::from_secs(number),
             bytes: 100,
         },
         more,
@@ -30,7 +36,10 @@
     assert_eq!(listing.query().after, Some("b"));
     assert!(listing.take(page(&["c"], 4, false)));
     let rows = listing.into_rows();
-    assert_eq!((rows.rows.len(), rows.revision, rows.bytes), (3, 3, 200));
+    assert_eq!(
+        (rows.rows.len(), rows.revision.number, rows.bytes),
+        (3, 3, 200)
+    );
     assert_eq!(rows.stamp, Duration::from_secs(3));
 }
 
@@ -82,3 +91,15 @@
         ));
     }
 }
+
+#[test]
+fn a_list_restarts_if_the_store_is_restored_between_pages() {
+    let mut listing = Listing::new(Topic::Endpoints, None);
+    assert!(!listing.take(page(&["a", "b"], 30, true)));
+    assert!(!listing.take(page_in_era(1, &["c"], 20, false)));
+    assert_eq!(listing.query().after, None);
+    assert!(listing.take(page_in_era(1, &["a", "c"], 20, false)));
+    let rows = listing.into_rows();
+    assert_eq!(rows.revision, Revision::new(1, 20));
+    assert_eq!(rows.rows.len(), 2);
+}
--- a/components/gateway/tests/restored.rs
+++ b/components/gateway/tests/restored.rs
@@ -6,11 +6,12 @@
 use std::time::{Duration, Instant};
 
 use common::{
-    configuration, endpoint, route, settings, wait_until, EndpointStandin, Lines, Setup,
+    configuration, endpoint, route, settings, tenant, wait_until, EndpointStandin, Lines, Setup,
     StoreStandin,
 };
-use directory::{Endpoint, EndpointState, Execution};
+use directory::{Configuration, Endpoint, EndpointState, Execution};
 use gateway::ports::Topic;
+use schema::settings::GatewaySettings;
 
 fn put_route(store: &StoreStandin, version: u64, prefix: &str) {
     let routes = vec![route(prefix, Execution::Repeatable)];
@@ -38,17 +39,17 @@
     assert_eq!(setup.call("/a/1", &[]).status, 200);
 }
 
-/// Time within which a change is to be in force: that of the settings and what this machine needs.
+/// Time within which a change has to be in force: that of the settings, with a margin for scheduling.
 const CHANGE_DUE: Duration = Duration::from_millis(2300);
 
-/// A gateway that knows revisions which the store then lost, and its endpoint.
-struct Restored {
+/// A gateway that knows revisions that the store lost in a restore, and its endpoint.
+struct RestoredStore {
     setup: Setup,
     store: StoreStandin,
     standin: EndpointStandin,
 }
 
-fn restored() -> Restored {
+fn setup_restored_store() -> RestoredStore {
     let standin = EndpointStandin::start(|_, e| e.answer(200, "x"));
     let store = StoreStandin::default();
     put_route(&store, 1, "/a/");
@@ -61,7 +62,7 @@
     store.put_endpoint(endpoint("e1", standin.address));
     wait_until("the second route", || setup.call("/b/1", &[]).status == 200);
     store.restore_snapshot();
-    Restored {
+    RestoredStore {
         setup,
         store,
         standin,
@@ -69,8 +70,8 @@
 }
 
 #[test]
-fn a_configuration_that_a_restored_store_took_is_in_force_in_time() {
-    let restored = restored();
+fn a_configuration_written_after_a_store_restore_is_in_force_in_time() {
+    let restored = setup_restored_store();
     put_route(&restored.store, 3, "/c/");
     let written = Instant::now();
     wait_until("the third route", || {
@@ -80,29 +81,198 @@
 }
 
 #[test]
-fn an_endpoint_that_leaves_after_the_store_was_restored_gets_no_new_request() {
-    let restored = restored();
+fn an_endpoint_draining_after_a_store_restore_gets_no_new_requests() {
+    let restored = setup_restored_store();
     restored.store.put_endpoint(Endpoint {
         state: EndpointState::Draining { leaves_in: None },
         ..endpoint("e1", restored.standin.address)
     });
     let written = Instant::now();
-    wait_until("the endpoint to be left alone", || {
+    wait_until("the endpoint to get no requests", || {
         restored.setup.call("/b/1", &[]).status == 503
     });
     assert!(written.elapsed() < CHANGE_DUE, "{:?}", written.elapsed());
 }
 
 #[test]
-fn a_restored_store_is_not_asked_for_all_rows_over_and_over() {
-    let restored = restored();
+fn a_restored_store_is_not_listed_repeatedly() {
+    let restored = setup_restored_store();
     let asks = || {
         let topics = [Topic::Configuration, Topic::Endpoints];
         topics.map(|topic| restored.store.asks(topic)).iter().sum()
     };
     let before: u64 = asks();
     let began = Instant::now();
-    wait_until("a while", || began.elapsed() > CHANGE_DUE);
-    // A list, and a held call each 0.6 s, of two topics.
+    wait_until("the end of the observation period", || {
+        began.elapsed() > CHANGE_DUE
+    });
+    // One list and a held call every 0.6 s for each of two topics.
     assert!(asks() - before < 20, "{} calls", asks() - before);
 }
+
+fn configuration_with_key(version: u64, key: &str) -> Configuration {
+    Configuration {
+        tenants: vec![tenant("t", key)],
+        ..configuration(version, vec![route("/a/", Execution::Repeatable)])
+    }
+}
+
+#[test]
+fn an_older_configuration_in_a_restored_store_neither_takes_effect_nor_confirms_keys() {
+    let standin = EndpointStandin::start(|_, e| e.answer(200, "x"));
+    let store = StoreStandin::default();
+    store.put_configuration(configuration_with_key(1, "old"));
+    store.put_endpoint(endpoint("e1", standin.address));
+    let settings = GatewaySettings {
+        credential_age_ms: 1500,
+        ..settings()
+    };
+    let setup = Setup::start(settings, store.clone());
+    wait_until("readiness", || setup.is_ready());
+    store.take_snapshot();
+    store.put_configuration(configuration_with_key(2, "new"));
+    let status = |key| setup.call("/a/1", &[&format!("x-key: {key}")]).status;
+    wait_until("the new key", || status("new") == 200);
+    store.restore_snapshot();
+    wait_until("the confirmation to expire", || {
+        assert_ne!(status("old"), 200, "the old key was revoked");
+        status("new") == 503
+    });
+    store.put_configuration(configuration_with_key(2, "new"));
+    wait_until("the new key to be confirmed", || status("new") == 200);
+    assert_eq!(status("old"), 401);
+}
+
+/// Whether all requests succeed until a condition holds.
+fn is_served_until(setup: &Setup, mut condition: impl FnMut() -> bool) -> bool {
+    let mut is_served = true;
+    wait_until("the condition", || {
+        is_served &= setup.call("/a/1", &[]).status == 200;
+        condition()
+    });
+    is_served
+}
+
+/// Starts a gateway that has read the era of its store, and collects its log lines.
+fn start_logged(store: &StoreStandin) -> (Setup, Lines) {
+    put_route(store, 1, "/a/");
+    let lines = Lines::default();
+    let setup = Setup::start_with_log(settings(), store.clone(), lines.logger());
+    wait_until("readiness", || setup.is_ready());
+    wait_until("the first era", || {
+        lines.count("era read from the store") == 1
+    });
+    (setup, lines)
+}
+
+fn restore_and_wait(store: &StoreStandin, lines: &Lines) {
+    let lists = lines.count("topic read from the store");
+    store.restore_snapshot();
+    wait_until("both topics to be listed", || {
+        lines.count("topic read from the store") >= lists + 2
+    });
+}
+
+#[test]
+fn a_draining_endpoint_stays_draining_if_a_restored_store_lists_it_as_ready() {
+    let standin = EndpointStandin::start(|_, e| e.answer(200, "x"));
+    let store = StoreStandin::default();
+    store.put_endpoint(endpoint("e1", standin.address));
+    let (setup, lines) = start_logged(&store);
+    store.take_snapshot();
+    store.put_endpoint(Endpoint {
+        state: EndpointState::Draining { leaves_in: None },
+        ..endpoint("e1", standin.address)
+    });
+    wait_until("the endpoint to get no requests", || {
+        setup.call("/a/1", &[]).status == 503
+    });
+    restore_and_wait(&store, &lines);
+    let began = Instant::now();
+    wait_until("the end of the observation period", || {
+        assert_eq!(setup.call("/a/1", &[]).status, 503);
+        began.elapsed() > CHANGE_DUE
+    });
+    // A new start at the same address counts as a new endpoint.
+    store.put_endpoint(Endpoint {
+        born_ms: Some(7),
+        ..endpoint("e1", standin.address)
+    });
+    wait_until("the next start", || setup.call("/a/1", &[]).status == 200);
+}
+
+#[test]
+fn an_endpoint_whose_row_a_restored_store_lost_stays_in_use_until_the_rewrite_timeout() {
+    let standin = EndpointStandin::start(|_, e| e.answer(200, "x"));
+    let store = StoreStandin::default();
+    let (setup, lines) = start_logged(&store);
+    store.take_snapshot();
+    store.put_endpoint(endpoint("e1", standin.address));
+    wait_until("the endpoint", || setup.call("/a/1", &[]).status == 200);
+    restore_and_wait(&store, &lines);
+    let restored = Instant::now();
+    assert!(is_served_until(&setup, || {
+        restored.elapsed() > Duration::from_secs(1)
+    }));
+    wait_until(
+        "the endpoint that does not rewrite its row to be gone",
+        || setup.call("/a/1", &[]).status == 503,
+    );
+    assert_eq!(lines.count("endpoint gone"), 1);
+    store.put_endpoint(endpoint("e1", standin.address));
+    wait_until("the endpoint again", || {
+        setup.call("/a/1", &[]).status == 200
+    });
+    assert!(is_served_until(&setup, || {
+        restored.elapsed() > Duration::from_secs(6)
+    }));
+}
+
+#[test]
+fn an_endpoint_dropped_before_a_store_restore_is_not_used_until_its_row_would_have_expired() {
+    let standin = EndpointStandin::start(|_, e| e.answer(200, "x"));
+    let store = StoreStandin::default();
+    store.put_endpoint(endpoint("e1", standin.address));
+    let (setup, lines) = start_logged(&store);
+    store.take_snapshot();
+    store.drop_endpoint("e1");
+    wait_until("the endpoint to be gone", || {
+        setup.call("/a/1", &[]).status == 503
+    });
+    restore_and_wait(&store, &lines);
+    let began = Instant::now();
+    wait_until("the end of the observation period", || {
+        assert_eq!(setup.call("/a/1", &[]).status, 503);
+        began.elapsed() > CHANGE_DUE
+    });
+    // The row would have expired by then if the endpoint were not running.
+    wait_until("the endpoint", || setup.call("/a/1", &[]).status == 200);
+}
+
+#[test]
+fn a_gateway_refused_by_the_store_gets_changes_after_a_restore_from_another_gateway() {
+    let standin = EndpointStandin::start(|_, e| e.answer(200, "x"));
+    let store = StoreStandin::default();
+    put_route(&store, 1, "/a/");
+    store.put_endpoint(endpoint("e1", standin.address));
+    let first = Setup::start(settings(), store.clone());
+    let second_settings = GatewaySettings {
+        name: "g2".into(),
+        seeds: vec![first.gateway.peer_address().to_string()],
+        ..settings()
+    };
+    let second = Setup::start(second_settings, store.for_another());
+    wait_until("readiness", || first.is_ready() && second.is_ready());
+    second.store.refuse(true);
+    store.take_snapshot();
+    store.advance_revision(500);
+    put_route(&store, 2, "/b/");
+    wait_until("the second route", || {
+        second.call("/b/1", &[]).status == 200
+    });
+    store.restore_snapshot();
+    put_route(&store, 3, "/c/");
+    let written = Instant::now();
+    wait_until("the third route", || second.call("/c/1", &[]).status == 200);
+    assert!(written.elapsed() < CHANGE_DUE, "{:?}", written.elapsed());
+}
--- a/components/replica/src/follower.rs
+++ b/components/replica/src/follower.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::revision::Revision;
+
 /// A call of the store is held so long, in parts of the time within which a change is to be in force.
 const HOLD_PART: f64 = 0.3;
 /// Past this age of the last confirmation a gateway asks the store itself, in the same parts. A
@@ -29,9 +31,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Digest {
     /// Revision after which nothing changed, as far as it knows.
-    pub changed_at: u64,
-    /// Revision up to which it knows all changes.
-    pub known_to: u64,
+    pub changed_at: Revision,
+    /// Revision up to which it knows all changes, of the same era.
+    pub known_to: Revision,
     /// The store's steady time at which that was confirmed.
     pub confirmed: Duration,
 }
@@ -76,9 +78,11 @@
     stale: Duration,
     spread_time: Duration,
     confirmed_at: Option<Duration>,
-    newer_reported: Option<u64>,
+    newer_reported: Option<Revision>,
     // The store cannot be asked, or the last gateway that was asked gave nothing.
     store_failures: u32,
+    // Consecutive calls for changes that failed because the store's history was gone.
+    history_failures: u32,
     pull_failed: bool,
     pull_failures: u32,
     pull_next_at: Duration,
@@ -97,6 +101,7 @@
             confirmed_at: None,
             newer_reported: None,
             store_failures: 0,
+            history_failures: 0,
             pull_failed: false,
             pull_failures: 0,
             pull_next_at: Duration::ZERO,
@@ -188,7 +193,7 @@
     }
 
     /// Another gateway reported a change that is not known here.
-    pub fn newer_reported(&mut self, changed_at: u64) {
+    pub fn newer_reported(&mut self, changed_at: Revision) {
         if self.newer_reported.is_none_or(|known| known < changed_at) {
             self.newer_reported = Some(changed_at);
             self.pull_failed = false;
@@ -203,7 +208,7 @@
     }
 
     /// All changes up to a revision are known.
-    pub fn caught_up(&mut self, revision: u64) {
+    pub fn caught_up(&mut self, revision: Revision) {
         self.newer_reported
             .take_if(|reported| *reported <= revision);
         self.pull_failed = false;
@@ -223,12 +228,27 @@
     }
 
     /// The store answered with everything up to a revision.
-    pub fn store_answered(&mut self, known_to: u64) {
+    pub fn store_answered(&mut self, known_to: Revision) {
         self.store_failures = 0;
         self.store_next_at = Duration::ZERO;
         self.caught_up(known_to);
     }
 
+    /// The store answered a call for changes, so its history reaches back to the known revision.
+    pub fn history_available(&mut self) {
+        self.history_failures = 0;
+    }
+
+    /// The store no longer has the changes after the known revision. The first failure leads to a list at once,
+    /// consecutive ones back off exponentially.
+    pub fn history_gone(&mut self, now: Duration) {
+        if let Some(repeats) = self.history_failures.checked_sub(1) {
+            let pause = FIRST_PAUSE * (1 << repeats.min(4));
+            self.store_next_at = now + pause.min(LONGEST_PAUSE);
+        }
+        self.history_failures += 1;
+    }
+
     /// The store did not answer.
     pub fn store_failed(&mut self, now: Duration) {
         let pause = FIRST_PAUSE * (1 << self.store_failures.min(4));
--- a/components/replica/src/lib.rs
+++ b/components/replica/src/lib.rs
@@ -5,7 +5,9 @@
 //! others report come in as values, the next step comes out.
 
 mod follower;
+mod revision;
 mod table;
 
 pub use follower::{Digest, Follower, Source, Step};
+pub use revision::Revision;
 pub use table::{Change, Table, TablePage};
--- a/components/replica/src/table.rs
+++ b/components/replica/src/table.rs
@@ -3,6 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Bound;
 
+use crate::follower::Digest;
+use crate::revision::Revision;
+
 /// One row as it was last changed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Change {
@@ -11,7 +14,7 @@
     /// Its value, `None` once it was dropped.
     pub value: Option<Vec<u8>>,
     /// Revision of the store that changed it.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 impl Change {
@@ -39,37 +42,56 @@
 pub struct Table {
     rows: BTreeMap<String, Change>,
     // Every change after this revision is known.
-    base: u64,
-    known_to: Option<u64>,
+    base: Revision,
+    known_to: Option<Revision>,
     // The store does not know the changes since then any more: its rows have to be listed.
     restarted: bool,
 }
 
 impl Table {
     /// Revision up to which all changes are known, `None` before the first answer.
-    pub fn known_to(&self) -> Option<u64> {
+    pub fn known_to(&self) -> Option<Revision> {
         self.known_to
     }
 
     /// Revision after which nothing changed up to [`Table::known_to`]: that of the newest change, or of
     /// the list that this copy began with, which does not show when the rows it lacks were dropped.
-    pub fn changed_at(&self) -> u64 {
+    pub fn changed_at(&self) -> Revision {
         let revisions = self.rows.values().map(|row| row.revision);
-        revisions.max().unwrap_or(0).max(self.base)
+        revisions.max().unwrap_or_default().max(self.base)
     }
 
     /// Whether all changes up to a revision are known.
-    pub fn covers(&self, revision: u64) -> bool {
+    pub fn covers(&self, revision: Revision) -> bool {
         self.known_to.is_some_and(|known_to| known_to >= revision)
     }
 
-    /// Nothing changed between what is known here and a revision.
-    pub fn advance(&mut self, known_to: u64) {
-        self.known_to = self.known_to.max(Some(known_to));
+    /// Whether a digest confirms that the known rows are current. A digest of another era does not, even if its
+    /// revision numbers are higher.
+    pub fn is_confirmed_by(&self, reported: &Digest) -> bool {
+        self.covers(reported.changed_at) && self.is_same_era(reported.known_to)
     }
 
-    /// Takes changes up to a revision and returns those that were not known.
-    pub fn take(&mut self, changes: Vec<Change>, known_to: u64) -> Vec<Change> {
+    /// Whether the known rows are of the era of a revision.
+    pub fn is_same_era(&self, revision: Revision) -> bool {
+        self.known_to
+            .is_some_and(|known_to| known_to.era == revision.era)
+    }
+
+    /// Nothing changed between what is known here and a revision of the same era. Other eras are ignored.
+    pub fn advance(&mut self, known_to: Revision) {
+        if self.known_to.is_none() || self.is_same_era(known_to) {
+            self.known_to = self.known_to.max(Some(known_to));
+        }
+    }
+
+    /// Takes changes up to a revision and returns those that were not known. Changes of another era are
+    /// ignored; those of a later era require a list first.
+    pub fn take(&mut self, changes: Vec<Change>, known_to: Revision) -> Vec<Change> {
+        if self.known_to.is_some() && !self.is_same_era(known_to) {
+            self.restarted |= !self.covers(known_to);
+            return Vec::new();
+        }
         let gossip: Vec<Change> = changes
             .into_iter()
             .filter(|change| self.is_newer(change))
@@ -83,8 +105,12 @@
     }
 
     /// Takes all rows as they stood at a revision and returns what changed; rows that are not
-    /// among them and are older have been dropped.
-    pub fn take_all(&mut self, rows: Vec<Change>, known_to: u64) -> Vec<Change> {
+    /// among them and are older have been dropped. Rows of an earlier era are ignored.
+    pub fn take_all(&mut self, rows: Vec<Change>, known_to: Revision) -> Vec<Change> {
+        let is_of_later_era = |known: Revision| known.era > known_to.era;
+        if self.known_to.is_some_and(is_of_later_era) {
+            return Vec::new();
+        }
         // A dropped row does not count as listed: a newer value of it may be known here.
         let standing = rows.iter().filter(|row| row.value.is_some());
         let listed: BTreeSet<String> = standing.map(|row| row.key.clone()).collect();
@@ -102,6 +128,7 @@
             self.rows.insert(change.key.clone(), change.clone());
         }
         self.base = self.base.max(known_to);
+        self.known_to = self.known_to.max(Some(known_to));
         self.restarted = false;
         let mut gossip = dropped;
         gossip.extend(self.take(rows, known_to));
@@ -109,7 +136,7 @@
     }
 
     /// The changes after a revision, or `None` if not all of them are known.
-    pub fn since(&self, after: u64) -> Option<Vec<Change>> {
+    pub fn since(&self, after: Revision) -> Option<Vec<Change>> {
         if after < self.base {
             return None;
         }
@@ -119,7 +146,7 @@
 
     /// Some rows by rising key, after `from`: the changes after a revision, or all rows if not all changes are known.
     /// At least one row, and no more once they have `most` bytes.
-    pub fn page(&self, after: u64, from: Option<&str>, most: usize) -> TablePage {
+    pub fn page(&self, after: Revision, from: Option<&str>, most: usize) -> TablePage {
         let whole = after < self.base;
         let begin = from.map_or(Bound::Unbounded, Bound::Excluded);
         let rows = self.rows.range::<str, _>((begin, Bound::Unbounded));
@@ -145,6 +172,11 @@
         page
     }
 
+    /// The row with a key, including a dropped one.
+    pub fn row(&self, key: &str) -> Option<&Change> {
+        self.rows.get(key)
+    }
+
     /// All rows that stand.
     pub fn standing(&self) -> Vec<Change> {
         let standing = self.rows.values().filter(|row| row.value.is_some());
@@ -173,7 +205,7 @@
 
     fn forget_dropped(&mut self) {
         let dropped = self.rows.values().filter(|row| row.value.is_none());
-        let mut revisions: Vec<u64> = dropped.map(|row| row.revision).collect();
+        let mut revisions: Vec<Revision> = dropped.map(|row| row.revision).collect();
         if revisions.len() <= MOST_DROPPED {
             return;
         }
--- a/components/replica/tests/following.rs
+++ b/components/replica/tests/following.rs
@@ -2,10 +2,14 @@
 
 use std::time::Duration;
 
-use replica::{Follower, Source, Step};
+use replica::{Follower, Revision, Source, Step};
 
 const CHANGE_DUE: Duration = Duration::from_secs(2);
 
+fn rev(number: u64) -> Revision {
+    Revision::new(0, number)
+}
+
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
@@ -22,7 +26,7 @@
 #[test]
 fn a_watcher_holds_calls_at_the_store() {
     let mut watcher = follower(Source::Peer);
-    watcher.store_answered(1);
+    watcher.store_answered(rev(1));
     watcher.confirmed(ms(10));
     let step = watcher.step(ms(11), true, true);
     assert!(
@@ -64,7 +68,7 @@
 fn a_change_is_taken_from_whoever_reported_it_and_else_from_the_store() {
     let mut follower = follower(Source::Peer);
     follower.confirmed(ms(0));
-    follower.newer_reported(7);
+    follower.newer_reported(rev(7));
     assert_eq!(follower.step(ms(1), false, true), Step::Pull);
     follower.pull_failed(ms(1));
     let step = follower.step(ms(2), false, true);
@@ -74,7 +78,7 @@
             hold: Duration::ZERO
         }
     );
-    follower.store_answered(7);
+    follower.store_answered(rev(7));
     follower.confirmed(ms(3));
     assert!(matches!(follower.step(ms(3), false, true), Step::Rest(_)));
 }
@@ -82,8 +86,8 @@
 #[test]
 fn an_answer_of_the_store_that_is_older_than_what_was_reported_ends_nothing() {
     let mut follower = follower(Source::Peer);
-    follower.newer_reported(7);
-    follower.store_answered(6);
+    follower.newer_reported(rev(7));
+    follower.store_answered(rev(6));
     assert_eq!(follower.step(ms(1), false, true), Step::Pull);
 }
 
@@ -91,7 +95,7 @@
 fn large_rows_come_from_the_store_and_from_others_only_if_it_does_not_answer() {
     let mut follower = follower(Source::Store);
     follower.confirmed(ms(0));
-    follower.newer_reported(7);
+    follower.newer_reported(rev(7));
     let step = follower.step(ms(1), false, true);
     assert_eq!(
         step,
@@ -101,7 +105,7 @@
     );
     follower.store_failed(ms(2));
     assert_eq!(follower.step(ms(2), false, true), Step::Pull);
-    follower.caught_up(7);
+    follower.caught_up(rev(7));
     assert!(matches!(follower.step(ms(3), false, true), Step::Rest(_)));
 }
 
@@ -117,7 +121,7 @@
     }
     assert!((10..=25).contains(&calls), "{calls}");
     assert!(!follower.reaches_store());
-    follower.store_answered(1);
+    follower.store_answered(rev(1));
     assert!(follower.reaches_store());
     assert!(matches!(
         follower.step(ms(10_000), true, true),
@@ -160,7 +164,7 @@
 #[test]
 fn a_gateway_that_others_read_for_takes_also_large_and_whole_tables_from_them() {
     let mut follower = taker(0.0);
-    follower.newer_reported(7);
+    follower.newer_reported(rev(7));
     assert_eq!(follower.step(ms(1), false, false), Step::Pull);
 }
 
@@ -170,7 +174,7 @@
     let mut asked_at = Vec::new();
     for now in 0..1000 {
         follower.pull_again(ms(now));
-        follower.newer_reported(7);
+        follower.newer_reported(rev(7));
         match follower.step(ms(now), false, true) {
             Step::Pull => {
                 follower.pull_failed(ms(now));
--- a/components/schema/src/messages.rs
+++ b/components/schema/src/messages.rs
@@ -2156,15 +2156,27 @@
     pub confirmed_us: i64,
     /// Revision up to which the gateway knows all changes.
     pub known_to: i64,
+    /// Store era of both revisions; 0 if unset.
+    pub era: Option<i64>,
 }
 
 impl TopicHead {
-    pub fn new(topic: TopicName, changed_at: i64, confirmed_us: i64, known_to: i64) -> TopicHead {
+    pub fn new<F5>(
+        topic: TopicName,
+        changed_at: i64,
+        confirmed_us: i64,
+        known_to: i64,
+        era: F5,
+    ) -> TopicHead
+    where
+        F5: Into<Option<i64>>,
+    {
         TopicHead {
             topic,
             changed_at,
             confirmed_us,
             known_to,
+            era: era.into(),
         }
     }
 }
@@ -2176,6 +2188,7 @@
         let mut f_2: Option<i64> = None;
         let mut f_3: Option<i64> = None;
         let mut f_4: Option<i64> = None;
+        let mut f_5: Option<i64> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -2199,6 +2212,10 @@
                     let val = i_prot.read_i64()?;
                     f_4 = Some(val);
                 }
+                5 => {
+                    let val = i_prot.read_i64()?;
+                    f_5 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -2219,6 +2236,7 @@
                 .expect("auto-generated code should have checked for presence of required fields"),
             known_to: f_4
                 .expect("auto-generated code should have checked for presence of required fields"),
+            era: f_5,
         };
         Ok(ret)
     }
@@ -2237,6 +2255,11 @@
         o_prot.write_field_begin(&TFieldIdentifier::new("known_to", TType::I64, 4))?;
         o_prot.write_i64(self.known_to)?;
         o_prot.write_field_end()?;
+        if let Some(fld_var) = self.era {
+            o_prot.write_field_begin(&TFieldIdentifier::new("era", TType::I64, 5))?;
+            o_prot.write_i64(fld_var)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -5642,20 +5665,24 @@
     pub most_bytes: Option<i32>,
     /// Whether the reply may come deflated.
     pub takes_deflated: Option<bool>,
+    /// Store era of `after`; 0 if unset.
+    pub after_era: Option<i64>,
 }
 
 impl RowsQuery {
-    pub fn new<F3, F4, F5>(
+    pub fn new<F3, F4, F5, F6>(
         topic: TopicName,
         after: i64,
         after_key: F3,
         most_bytes: F4,
         takes_deflated: F5,
+        after_era: F6,
     ) -> RowsQuery
     where
         F3: Into<Option<String>>,
         F4: Into<Option<i32>>,
         F5: Into<Option<bool>>,
+        F6: Into<Option<i64>>,
     {
         RowsQuery {
             topic,
@@ -5663,6 +5690,7 @@
             after_key: after_key.into(),
             most_bytes: most_bytes.into(),
             takes_deflated: takes_deflated.into(),
+            after_era: after_era.into(),
         }
     }
 }
@@ -5675,6 +5703,7 @@
         let mut f_3: Option<String> = None;
         let mut f_4: Option<i32> = None;
         let mut f_5: Option<bool> = None;
+        let mut f_6: Option<i64> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -5702,6 +5731,10 @@
                     let val = i_prot.read_bool()?;
                     f_5 = Some(val);
                 }
+                6 => {
+                    let val = i_prot.read_i64()?;
+                    f_6 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -5719,6 +5752,7 @@
             after_key: f_3,
             most_bytes: f_4,
             takes_deflated: f_5,
+            after_era: f_6,
         };
         Ok(ret)
     }
@@ -5746,6 +5780,11 @@
             o_prot.write_bool(fld_var)?;
             o_prot.write_field_end()?
         }
+        if let Some(fld_var) = self.after_era {
+            o_prot.write_field_begin(&TFieldIdentifier::new("after_era", TType::I64, 6))?;
+            o_prot.write_i64(fld_var)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -5852,18 +5891,28 @@
     pub known_to: i64,
     /// Whether rows with higher keys follow.
     pub more: Option<bool>,
+    /// Store era of all revisions; 0 if unset.
+    pub era: Option<i64>,
 }
 
 impl RowsReply {
-    pub fn new<F4>(rows: Vec<RowChange>, whole: bool, known_to: i64, more: F4) -> RowsReply
+    pub fn new<F4, F5>(
+        rows: Vec<RowChange>,
+        whole: bool,
+        known_to: i64,
+        more: F4,
+        era: F5,
+    ) -> RowsReply
     where
         F4: Into<Option<bool>>,
+        F5: Into<Option<i64>>,
     {
         RowsReply {
             rows,
             whole,
             known_to,
             more: more.into(),
+            era: era.into(),
         }
     }
 }
@@ -5875,6 +5924,7 @@
         let mut f_2: Option<bool> = None;
         let mut f_3: Option<i64> = None;
         let mut f_4: Option<bool> = None;
+        let mut f_5: Option<i64> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -5904,6 +5954,10 @@
                     let val = i_prot.read_bool()?;
                     f_4 = Some(val);
                 }
+                5 => {
+                    let val = i_prot.read_i64()?;
+                    f_5 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -5922,6 +5976,7 @@
             known_to: f_3
                 .expect("auto-generated code should have checked for presence of required fields"),
             more: f_4,
+            era: f_5,
         };
         Ok(ret)
     }
@@ -5946,6 +6001,11 @@
             o_prot.write_bool(fld_var)?;
             o_prot.write_field_end()?
         }
+        if let Some(fld_var) = self.era {
+            o_prot.write_field_begin(&TFieldIdentifier::new("era", TType::I64, 5))?;
+            o_prot.write_i64(fld_var)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
--- a/components/schema/thrift/messages.thrift
+++ b/components/schema/thrift/messages.thrift
@@ -211,6 +211,8 @@
   3: required i64 confirmed_us,
   /** Revision up to which the gateway knows all changes. */
   4: required i64 known_to,
+  /** Store era of both revisions; 0 if unset. */
+  5: optional i64 era,
 }
 
 /** The newest row of the lease, as its holder wrote it. */
@@ -569,6 +571,8 @@
   4: optional i32 most_bytes,
   /** Whether the reply may come deflated. */
   5: optional bool takes_deflated,
+  /** Store era of `after`; 0 if unset. */
+  6: optional i64 after_era,
 }
 
 /** One row, without a value if it was dropped. */
@@ -587,6 +591,8 @@
   3: required i64 known_to,
   /** Whether rows with higher keys follow. */
   4: optional bool more,
+  /** Store era of all revisions; 0 if unset. */
+  5: optional i64 era,
 }
 
 /** Row of one gateway in the store: where the others reach it. */
--- a/src/cmd/routes.rs
+++ b/src/cmd/routes.rs
@@ -51,9 +51,9 @@
 
 async fn read(store: &MetadataStore) -> Result<(Directory, Vec<Endpoint>), Report<CommandError>> {
     let key = store.configuration_key();
-    let row = store.read(Topic::Configuration, key).await;
-    let row = row.map_err(|error| Report::new(NO_ANSWER).attach(error.to_string()))?;
-    let value = row.and_then(|row| row.value).unwrap_or_default();
+    let read = store.read(Topic::Configuration, key).await;
+    let read = read.map_err(|error| Report::new(NO_ANSWER).attach(error.to_string()))?;
+    let value = read.row.and_then(|row| row.value).unwrap_or_default();
     let configuration = store.configuration(&value).map_err(|fault| {
         Report::new(CommandError("the configuration cannot be read")).attach(fault.0)
     })?;
