Keep lease fences rising across store eras, and forget the lease row's version when the era changes

Possible effect: after the store is restored from an older copy, its lease row names an earlier holder and epoch. The next holder took that epoch plus one, which had already been issued in the seconds that the store lost, so two holders had the same fence. A candidate's write that expected a reused version could also take a lease that is held.

Change: - Replies of the store to successful reads and writes, and the heads that holders report, carry the era. LeaseReport gets an optional field for it. - When a higher era is seen, the known row is forgotten, the reply to a pending call is ignored, and the row is read again. A reply from a lower era is handled as unanswered. - In an era above 0 a new epoch is above the seen one and above era * 2^40 + the version that its write expects. So fences rise even if all processes restart and lose their state, and if the row was overwritten with a lower epoch. - Until a write is seen in an era that the store was restored into, a row without a holder, or whose holder gave the lease up, does not let a candidate take the lease at once. The row has to stay unchanged for a whole lease. - A holder reports the row as its head only if it wrote it.

Evidence: 200 seeded runs per test, each of four nodes with pauses, cuts, lost and late calls, restores and process restarts. With the change of eras ignored, epochs_have_one_holder_each_across_restores and order_epochs_never_decrease_across_restores fail.

Left: such an overwrite costs the holder its lease until the next renewal; the store compares numbers only.

--- a/components/control/src/core.rs
+++ b/components/control/src/core.rs
@@ -283,7 +283,14 @@
         match id {
             CallId::Head => self.follow(now, ConfigEvent::Replied(reply), rng),
             CallId::Lease(call) => {
-                let actions = self.lease.step(now, LeaseEvent::Replied { call, reply });
+                let actions = self.lease.step(
+                    now,
+                    LeaseEvent::Replied {
+                        call,
+                        era: None,
+                        reply,
+                    },
+                );
                 self.lease_actions(now, actions, rng)
             }
         }
@@ -354,7 +361,14 @@
                     Admitted::Yes => actions.push(Action::Table(CallId::Lease(call), table)),
                     Admitted::No => {
                         let reply = Reply::Refused;
-                        let more = self.lease.step(now, LeaseEvent::Replied { call, reply });
+                        let more = self.lease.step(
+                            now,
+                            LeaseEvent::Replied {
+                                call,
+                                era: None,
+                                reply,
+                            },
+                        );
                         actions.extend(self.lease_actions(now, more, rng));
                     }
                 },
--- a/components/gateway/src/control/lease.rs
+++ b/components/gateway/src/control/lease.rs
@@ -118,9 +118,9 @@
                 LeaseAction::Call { call, table } => {
                     let shared = Rc::clone(self);
                     tokio::task::spawn_local(async move {
-                        let reply = shared.call_table(&table).await;
+                        let (era, reply) = shared.call_table(&table).await;
                         let now = shared.clock.now();
-                        let event = LeaseEvent::Replied { call, reply };
+                        let event = LeaseEvent::Replied { call, era, reply };
                         let actions = shared.known.borrow_mut().lease.step(now, event);
                         shared.act(actions);
                     });
@@ -129,17 +129,18 @@
         }
     }
 
-    async fn call_table(&self, call: &TableCall) -> Reply {
+    // Returns the reply and the era of the store that sent it, if known.
+    async fn call_table(&self, call: &TableCall) -> (Option<u64>, Reply) {
         match call {
             TableCall::Read(key) => match self.store.read(Topic::Lease, key).await {
-                Ok(read) => Reply::Row(lease_row(read)),
-                Err(error) => error_reply(&error),
+                Ok(read) => (Some(read.revision.era), Reply::Row(lease_row(read))),
+                Err(error) => (None, error_reply(&error)),
             },
             TableCall::Transact(writes) => {
                 let Some(write) = writes.first() else {
-                    return Reply::Refused;
+                    return (None, Reply::Refused);
                 };
-                // The lease has versions without an era, and the store compares numbers only.
+                // The store compares only numbers; `Lease` expects only versions of the era that it knows.
                 let expected = Revision::new(0, write.expect);
                 let written = self
                     .store
@@ -151,10 +152,10 @@
                     )
                     .await;
                 match written {
-                    Ok(revision) => Reply::Committed {
-                        version: revision.number,
-                    },
-                    Err(error) => error_reply(&error),
+                    Ok(Revision { era, number }) => {
+                        (Some(era), Reply::Committed { version: number })
+                    }
+                    Err(error) => (None, error_reply(&error)),
                 }
             }
         }
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -130,6 +130,7 @@
     LeaseReport {
         version: head.version as i64,
         epoch: head.epoch,
+        era: reported_era(head.era),
     }
 }
 
@@ -140,6 +141,7 @@
         version: reported.version.max(0) as u64,
         holder: gossip.gateway.clone(),
         epoch: reported.epoch,
+        era: received_era(reported.era),
     })
 }
 
--- a/components/schema/src/messages.rs
+++ b/components/schema/src/messages.rs
@@ -2276,11 +2276,20 @@
     pub version: i64,
     /// Its epoch.
     pub epoch: i64,
+    /// Store era of the version; 0 if unset.
+    pub era: Option<i64>,
 }
 
 impl LeaseReport {
-    pub fn new(version: i64, epoch: i64) -> LeaseReport {
-        LeaseReport { version, epoch }
+    pub fn new<F3>(version: i64, epoch: i64, era: F3) -> LeaseReport
+    where
+        F3: Into<Option<i64>>,
+    {
+        LeaseReport {
+            version,
+            epoch,
+            era: era.into(),
+        }
     }
 }
 
@@ -2289,6 +2298,7 @@
         i_prot.read_struct_begin()?;
         let mut f_1: Option<i64> = None;
         let mut f_2: Option<i64> = None;
+        let mut f_3: Option<i64> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -2304,6 +2314,10 @@
                     let val = i_prot.read_i64()?;
                     f_2 = Some(val);
                 }
+                3 => {
+                    let val = i_prot.read_i64()?;
+                    f_3 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -2318,6 +2332,7 @@
                 .expect("auto-generated code should have checked for presence of required fields"),
             epoch: f_2
                 .expect("auto-generated code should have checked for presence of required fields"),
+            era: f_3,
         };
         Ok(ret)
     }
@@ -2330,6 +2345,11 @@
         o_prot.write_field_begin(&TFieldIdentifier::new("epoch", TType::I64, 2))?;
         o_prot.write_i64(self.epoch)?;
         o_prot.write_field_end()?;
+        if let Some(fld_var) = self.era {
+            o_prot.write_field_begin(&TFieldIdentifier::new("era", TType::I64, 3))?;
+            o_prot.write_i64(fld_var)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
--- a/components/schema/thrift/messages.thrift
+++ b/components/schema/thrift/messages.thrift
@@ -221,6 +221,8 @@
   1: required i64 version,
   /** Its epoch. */
   2: required i64 epoch,
+  /** Store era of the version; 0 if unset. */
+  3: optional i64 era,
 }
 
 /** What an answer showed of the endpoint that made it. */
--- a/components/state/src/lease.rs
+++ b/components/state/src/lease.rs
@@ -14,6 +14,11 @@
 
 use crate::table::{Reply, Row, TableCall, Write, ABSENT};
 
+/// Number of epochs reserved for each restore of the table: one per version of the row.
+const EPOCHS_PER_ERA: i64 = 1 << 40;
+/// Highest era with an epoch range of its own; keeps epochs within `i64`.
+const MAX_ERA: u64 = 1 << 22;
+
 /// Fixed terms of a lease.
 #[derive(Clone, Debug)]
 pub struct LeaseTerms {
@@ -43,6 +48,8 @@
     Replied {
         /// Number of the call.
         call: u32,
+        /// Era of the table that replied; `None` if the reply carries none.
+        era: Option<u64>,
         /// Its reply.
         reply: Reply,
     },
@@ -65,6 +72,8 @@
 pub struct LeaseHead {
     /// Version of the row.
     pub version: u64,
+    /// Era of the table in which the version is valid.
+    pub era: u64,
     /// Its holder.
     pub holder: String,
     /// Its epoch.
@@ -104,6 +113,8 @@
 #[derive(Debug)]
 pub struct Lease {
     terms: LeaseTerms,
+    // Highest known era of the table; versions are compared only within one era.
+    era: Option<u64>,
     seen_version: u64,
     seen_row: Option<LeaseRow>,
     seen_at: Option<Duration>,
@@ -118,6 +129,8 @@
     heard_given_up: Option<i64>,
     // A write met another version than the one seen: look again before the next.
     stale: bool,
+    // The table was restored from an older copy and no write was seen since, so the row may lack the holder.
+    row_may_be_outdated: bool,
     next_call: Duration,
     call: u32,
 }
@@ -127,6 +140,8 @@
     pub fn new(terms: LeaseTerms) -> Self {
         Lease {
             terms,
+            era: None,
+            row_may_be_outdated: false,
             seen_version: ABSENT,
             seen_row: None,
             seen_at: None,
@@ -159,8 +174,13 @@
     /// The row that this node wrote last, while it holds the lease.
     pub fn head(&self) -> Option<LeaseHead> {
         let held = self.held.as_ref()?;
+        // After a restore the row may be that of an earlier holder until the next renewal.
+        self.seen_row
+            .as_ref()
+            .filter(|row| row.holder == self.terms.node)?;
         Some(LeaseHead {
             version: self.seen_version,
+            era: self.era.unwrap_or_default(),
             holder: self.terms.node.clone(),
             epoch: held.epoch,
         })
@@ -195,7 +215,9 @@
                 actions.extend(self.tick(now, write, candidate))
             }
             LeaseEvent::Replied { call, .. } if call != self.call => {}
-            LeaseEvent::Replied { reply, .. } => actions.extend(self.take_reply(now, reply)),
+            LeaseEvent::Replied { era, reply, .. } => {
+                actions.extend(self.take_reply_from_era(now, era, reply));
+            }
             LeaseEvent::Heard(head) => actions.extend(self.receive(now, head)),
             LeaseEvent::GivenUp(epoch) => {
                 self.heard_given_up = self.heard_given_up.max(Some(epoch));
@@ -219,7 +241,11 @@
 
     // The row was written before its holder reported it, so its lease began before now.
     fn receive(&mut self, now: Duration, head: LeaseHead) -> Vec<LeaseAction> {
-        if head.version <= self.seen_version || head.holder == self.terms.node {
+        if head.holder == self.terms.node {
+            return Vec::new();
+        }
+        self.enter_era(now, head.era);
+        if self.era > Some(head.era) || head.version <= self.seen_version {
             return Vec::new();
         }
         let row = LeaseRow {
@@ -233,6 +259,43 @@
         actions
     }
 
+    // When the era increases, forgets the row and ignores the pending call: a later era reuses versions, and the call
+    // may have been made in either era.
+    fn enter_era(&mut self, now: Duration, era: u64) {
+        // A node that has just started cannot tell how recent the restore is.
+        self.row_may_be_outdated |= self.era.unwrap_or_default() < era;
+        if self.era.is_some_and(|known| known < era) {
+            self.seen_version = ABSENT;
+            self.seen_row = None;
+            self.seen_at = None;
+            self.pending = None;
+            self.unsettled = None;
+            self.stale = true;
+            self.call += 1;
+            self.next_call = now;
+        }
+        self.era = self.era.max(Some(era));
+    }
+
+    // Handles a reply from an earlier era as unanswered, and ignores one that reveals a new era. The row is read again.
+    fn take_reply_from_era(
+        &mut self,
+        now: Duration,
+        era: Option<u64>,
+        reply: Reply,
+    ) -> Vec<LeaseAction> {
+        let call = self.call;
+        if let Some(era) = era {
+            self.enter_era(now, era);
+        }
+        let is_from_earlier_era = era.is_some() && era < self.era;
+        match call == self.call {
+            true if is_from_earlier_era => self.take_reply(now, Reply::Unanswered),
+            true => self.take_reply(now, reply),
+            false => Vec::new(),
+        }
+    }
+
     fn give_up(&mut self) -> Vec<LeaseAction> {
         let Some(held) = self.held.take() else {
             return Vec::new();
@@ -260,10 +323,9 @@
         if self.unsettled.is_some() || self.stale || !self.may_write(now, candidate) {
             return self.read(now);
         }
-        let epoch = match (&self.held, &self.seen_row) {
-            (Some(held), _) => held.epoch,
-            (None, Some(row)) => row.epoch + 1,
-            (None, None) => 1,
+        let epoch = match &self.held {
+            Some(held) => held.epoch,
+            None => self.next_epoch(),
         };
         let holder = self.terms.node.clone();
         self.write(
@@ -276,6 +338,17 @@
         )
     }
 
+    // Returns an epoch above all earlier ones. After a restore the row may lack the latest epochs, or hold the write of a
+    // node that does not know of the restore; only its version still rises with each change of holder.
+    fn next_epoch(&self) -> i64 {
+        let seen = self.seen_row.as_ref().map_or(0, |row| row.epoch);
+        let first_of_era = match self.era.unwrap_or_default().min(MAX_ERA) {
+            0 => 0,
+            era => era as i64 * EPOCHS_PER_ERA + self.seen_version as i64 % EPOCHS_PER_ERA,
+        };
+        seen.max(first_of_era) + 1
+    }
+
     // A holder renews; a candidate writes once the row has not changed for a whole lease.
     fn may_write(&self, now: Duration, candidate: bool) -> bool {
         if self.held.is_some() {
@@ -284,10 +357,11 @@
         let Some(seen_at) = self.seen_at else {
             return false;
         };
-        let free = self
+        let has_no_holder = self
             .seen_row
             .as_ref()
             .is_none_or(|row| row.holder.is_empty());
+        let free = has_no_holder && !self.row_may_be_outdated;
         candidate && (free || now >= seen_at + self.terms.duration || self.may_follow(now))
     }
 
@@ -299,7 +373,7 @@
         let rested = self
             .held_at
             .is_none_or(|at| now >= at + self.terms.duration);
-        given_up && rested
+        given_up && rested && !self.row_may_be_outdated
     }
 
     fn read(&mut self, now: Duration) -> Vec<LeaseAction> {
@@ -388,6 +462,8 @@
     }
 
     fn see(&mut self, now: Duration, version: u64, row: Option<LeaseRow>) {
+        // The first row seen in an era may come from the older copy; a different version shows a later write.
+        self.row_may_be_outdated &= self.seen_at.is_none();
         self.seen_version = version;
         self.seen_row = row;
         self.seen_at = Some(now);
--- a/components/state/tests/leases.rs
+++ b/components/state/tests/leases.rs
@@ -4,7 +4,8 @@
 
 use fakes::{check, FakeTable, ROUGH};
 use rand::RngExt;
-use state::{Lease, LeaseAction, LeaseEvent, LeaseHead, LeaseTerms, Reply, TableCall};
+use schema::messages::LeaseRow;
+use state::{Lease, LeaseAction, LeaseEvent, LeaseHead, LeaseTerms, Reply, Row, TableCall};
 
 const STEP: Duration = Duration::from_millis(20);
 const STEPS: u32 = 4000;
@@ -45,6 +46,8 @@
     sent: Vec<(Duration, usize)>,
     // Whether holders report the lease to others.
     talks: bool,
+    // Whether the table is restored from older copies and processes restart.
+    has_restores: bool,
     writes: u64,
 }
 
@@ -67,10 +70,31 @@
             gossip: Vec::new(),
             sent: Vec::new(),
             talks: false,
+            has_restores: false,
             writes: 0,
         }
     }
 
+    /// Takes or restores a snapshot of the table at random; a restore also restarts some or all processes.
+    fn restore_at_random(&mut self, now: Duration) {
+        if self.table.rng.random_ratio(1, 150) {
+            self.table.take_snapshot();
+        }
+        if self.table.rng.random_ratio(1, 400) {
+            self.table.restore_snapshot();
+            let restart_all = self.table.rng.random_ratio(1, 3);
+            for n in 0..NODES {
+                if restart_all || self.table.rng.random_ratio(1, 8) {
+                    self.members[n].lease = Lease::new(terms(n));
+                    // Orders that were already sent still arrive.
+                    let offset = self.table.rng.random_range(0..9999);
+                    self.members[n].offset = Duration::from_secs(offset);
+                    self.members[n].paused_until = now + DURATION;
+                }
+            }
+        }
+    }
+
     /// The holder passes the row to the others; sometimes it gives the lease up. Gossip may take a second.
     fn report(&mut self, now: Duration, n: usize) {
         let Some(head) = self.members[n].lease.head() else {
@@ -124,9 +148,11 @@
     }
 
     fn step(&mut self, now: Duration) {
-        for (n, call, reply) in self.table.advance(now) {
+        for answer in self.table.advance_with_eras(now) {
+            let n = answer.caller;
             let when = now.max(self.members[n].paused_until);
-            self.event(when, n, LeaseEvent::Replied { call, reply });
+            let (call, era, reply) = (answer.call, answer.era, answer.reply);
+            self.event(when, n, LeaseEvent::Replied { call, era, reply });
         }
         self.deliver(now);
         for n in 0..NODES {
@@ -182,9 +208,20 @@
     run_world(world)
 }
 
+// Restores the table at random and restarts processes without their state.
+fn run_with_restores(seed: u64) -> World {
+    let mut world = World::new(seed);
+    world.talks = seed.is_multiple_of(2);
+    world.has_restores = true;
+    run_world(world)
+}
+
 fn run_world(mut world: World) -> World {
     for step in 0..STEPS {
         let now = STEP * step;
+        if world.has_restores {
+            world.restore_at_random(now);
+        }
         if world.table.rng.random_ratio(1, 200) {
             let n = world.table.rng.random_range(0..NODES);
             let pause = Duration::from_millis(world.table.rng.random_range(100..20_000));
@@ -223,6 +260,70 @@
     });
 }
 
+#[test]
+fn epochs_have_one_holder_each_across_restores() {
+    check(200, |seed: u64| {
+        let gained = run_with_restores(seed).gained;
+        let mut holders = std::collections::BTreeMap::new();
+        gained
+            .iter()
+            .all(|(_, epoch, n)| *holders.entry(*epoch).or_insert(*n) == *n)
+    });
+}
+
+#[test]
+fn order_epochs_never_decrease_across_restores() {
+    check(200, |seed: u64| {
+        let mut orders = run_with_restores(seed).orders;
+        orders.sort();
+        orders.windows(2).all(|w| w[0].1 <= w[1].1)
+    });
+}
+
+#[test]
+fn orders_are_sent_across_restores() {
+    let worlds: Vec<World> = (0..10).map(run_with_restores).collect();
+    let orders: usize = worlds.iter().map(|world| world.orders.len()).sum();
+    let eras: u64 = worlds.iter().map(|world| world.table.era).sum();
+    assert!(orders > 500 && eras > 50, "{orders} orders in {eras} eras");
+}
+
+// A node that does not know of a restore may overwrite the row under a reused version, with an epoch of the earlier era.
+#[test]
+fn epochs_rise_with_the_version_of_the_row_after_a_restore() {
+    let epoch_after = |version: u64| {
+        let mut lease = Lease::new(terms(0));
+        let row = LeaseRow {
+            holder: "n1".into(),
+            epoch: 5,
+            write: "w".into(),
+        };
+        let value = schema::encode(&row).unwrap();
+        let tick = |write: &str| LeaseEvent::Tick {
+            write: write.into(),
+            candidate: true,
+        };
+        let actions = lease.step(Duration::ZERO, tick("a"));
+        let LeaseAction::Call { call, .. } = actions[0] else {
+            panic!("{actions:?}");
+        };
+        let reply = Reply::Row(Some(Row { version, value }));
+        let era = Some(1);
+        lease.step(Duration::ZERO, LeaseEvent::Replied { call, era, reply });
+        let actions = lease.step(DURATION, tick("b"));
+        let LeaseAction::Call {
+            table: TableCall::Transact(writes),
+            ..
+        } = &actions[0]
+        else {
+            panic!("{actions:?}");
+        };
+        schema::decode::<LeaseRow>(&writes[0].value).unwrap().epoch
+    };
+    assert!(epoch_after(20) > 5);
+    assert!(epoch_after(21) > epoch_after(20));
+}
+
 #[test]
 fn the_lease_is_held_and_used_again_and_again() {
     let orders: usize = (0..10).map(|seed| run(seed).orders.len()).sum();
@@ -335,6 +436,7 @@
     let heard = |version, epoch| {
         LeaseEvent::Heard(LeaseHead {
             version,
+            era: 0,
             holder: "n1".into(),
             epoch,
         })
@@ -347,7 +449,14 @@
         panic!("{actions:?}");
     };
     let reply = Reply::Committed { version: 2 };
-    lease.step(DURATION, LeaseEvent::Replied { call, reply });
+    lease.step(
+        DURATION,
+        LeaseEvent::Replied {
+            call,
+            era: None,
+            reply,
+        },
+    );
     let given_up_at = DURATION + at(2000);
     lease.step(given_up_at, LeaseEvent::GiveUp);
     assert_eq!(lease.given_up(), Some(2));
@@ -364,7 +473,14 @@
                     table: TableCall::Read(_),
                 } => {
                     let reply = Reply::Unanswered;
-                    lease.step(given_up_at + at(ms), LeaseEvent::Replied { call, reply });
+                    lease.step(
+                        given_up_at + at(ms),
+                        LeaseEvent::Replied {
+                            call,
+                            era: None,
+                            reply,
+                        },
+                    );
                 }
                 LeaseAction::Call { .. } => writes_at = writes_at.or(Some(at(ms))),
                 LeaseAction::Gained(_) | LeaseAction::Lost => {}
@@ -384,6 +500,7 @@
     let mut lease = Lease::new(terms(9));
     let head = LeaseHead {
         version: 1,
+        era: 0,
         holder: "n0".into(),
         epoch: 4,
     };
--- a/fakes/src/table.rs
+++ b/fakes/src/table.rs
@@ -22,10 +22,25 @@
     Answer {
         caller: usize,
         call: u32,
+        // Era of the table when it replied; `None` if it did not.
+        era: Option<u64>,
         reply: Reply,
     },
 }
 
+/// Answer to a table call.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Index of the caller.
+    pub caller: usize,
+    /// Number of the call.
+    pub call: u32,
+    /// Era of the table when it replied; `None` if it did not.
+    pub era: Option<u64>,
+    /// Its reply.
+    pub reply: Reply,
+}
+
 /// Faults in thousandths of the calls.
 #[derive(Clone, Copy, Debug)]
 pub struct Faults {
@@ -66,6 +81,9 @@
     pub rng: ChaCha8Rng,
     /// Calls taken so far.
     pub calls: u64,
+    /// Era; increases by one with each restore.
+    pub era: u64,
+    snapshot: BTreeMap<String, Row>,
     queue: Vec<Timed<Happening>>,
 }
 
@@ -77,6 +95,8 @@
             faults,
             rng: ChaCha8Rng::seed_from_u64(seed),
             calls: 0,
+            era: 0,
+            snapshot: BTreeMap::new(),
             queue: Vec::new(),
         }
     }
@@ -90,6 +110,7 @@
         let unanswered = Happening::Answer {
             caller,
             call,
+            era: None,
             reply: Reply::Unanswered,
         };
         let timeout = now + CALL_TIMEOUT;
@@ -100,6 +121,7 @@
             let refused = Happening::Answer {
                 caller,
                 call,
+                era: None,
                 reply: Reply::Refused,
             };
             return self.push(now + delay, refused);
@@ -127,6 +149,12 @@
 
     /// The answers that have come by `now`, after the effects that have.
     pub fn advance(&mut self, now: Duration) -> Vec<(usize, u32, Reply)> {
+        let answers = self.advance_with_eras(now).into_iter();
+        answers.map(|a| (a.caller, a.call, a.reply)).collect()
+    }
+
+    /// Like [`FakeTable::advance`], with the era of the table in each answer.
+    pub fn advance_with_eras(&mut self, now: Duration) -> Vec<Answer> {
         let mut answers = Vec::new();
         loop {
             let due = self.queue.iter().enumerate().filter(|(_, t)| t.at <= now);
@@ -138,8 +166,14 @@
                 Happening::Answer {
                     caller,
                     call,
+                    era,
                     reply,
-                } => answers.push((caller, call, reply)),
+                } => answers.push(Answer {
+                    caller,
+                    call,
+                    era,
+                    reply,
+                }),
                 Happening::Effect {
                     caller,
                     call,
@@ -154,6 +188,7 @@
                             Happening::Answer {
                                 caller,
                                 call,
+                                era: Some(self.era),
                                 reply,
                             },
                         );
@@ -163,6 +198,17 @@
         }
     }
 
+    /// Replaces the snapshot with the current rows.
+    pub fn take_snapshot(&mut self) {
+        self.snapshot = self.rows.clone();
+    }
+
+    /// Restores the last snapshot and starts a new era, which reuses the versions written since then.
+    pub fn restore_snapshot(&mut self) {
+        self.rows = self.snapshot.clone();
+        self.era += 1;
+    }
+
     fn push(&mut self, at: Duration, what: Happening) {
         self.queue.push(Timed { at, what });
     }
