Rewrite gateway rows lost in a store restore, and report no usage window twice

After the store is restored from an older copy: - a gateway whose row the copy lacks was not found by any gateway that started later; - if the lease holder ended at the same moment, the next holder found no row for a window that had already been reported, settled it again and reported different counts. These cases were produced by tests only.

Cause: rows that only gateways write are written once. That they are in the store is known only from memory that predates the restore.

Once a gateway sees a higher era, in an answer of the store or in rows of another gateway, it rewrites its row. The rewrites are spread so that all gateways together make 200 writes per second. The quarantine row, which is read again in a new era, is read again at most once a second, and also where another gateway shows the era first.

A window that was due to be settled before this gateway saw the era is reported only as its row says, unless this gateway has held the lease since before. Without a row it is not reported, since it may have been reported already. In an era above 0 a holder that started lately misses the windows without a row that were due before its start.

Evidence: without the check of windows the new test sees two windows reported by both holders; with it, none. The rewrite of the gateway row has a test. The quarantine row has none; it was checked by reading the code.

Store calls: one for each gateway and era, repeated where it fails; none if the era does not change.

--- a/components/gateway/src/control/exchange.rs
+++ b/components/gateway/src/control/exchange.rs
@@ -28,12 +28,38 @@
 const MAX_DATAGRAM: usize = 8192;
 /// Pause after a failed call of the store; it doubles twice.
 const FAILED_PAUSE: Duration = Duration::from_millis(300);
+/// Rate at which all gateways together rewrite their rows after a restore: half of the store's write capacity.
+const ROW_REWRITES_PER_S: f64 = 200.0;
 /// Pause between looks at whether further parts of the list are needed.
 const LIST_LOOK: Duration = Duration::from_millis(100);
 
 impl<S: Store + 'static, O: Orders + 'static> Shared<S, O> {
     /// Writes this gateway's row and learns of the others'.
     pub async fn announce(self: Rc<Self>) {
+        self.write_own_row().await;
+        let by_halls = self.known.borrow().topology.has_halls();
+        match by_halls {
+            true => self.list_halls().await,
+            false => self.list_gateways(None).await,
+        }
+    }
+
+    /// Rewrites this gateway's row, which a restored store may lack: gateways that start later would not find this one.
+    /// The rewrites of all gateways are spread over a period proportional to their number.
+    pub async fn rewrite_own_row(self: Rc<Self>) {
+        let gateways = self.known.borrow().fleet.gateways;
+        let period = Duration::from_secs_f64(gateways as f64 / ROW_REWRITES_PER_S);
+        let era = self.known.borrow().newest_era;
+        tokio::time::sleep(period.mul_f64(self.spread)).await;
+        if self.known.borrow().newest_era != era {
+            // The rewrite for the later era replaces this one.
+            return;
+        }
+        self.write_own_row().await;
+        info!(self.log, "gateway row rewritten"; "gateways" => gateways);
+    }
+
+    async fn write_own_row(&self) {
         let settings = self.known.borrow().settings.clone();
         let row = GatewayRow {
             address: self.peer_address.to_string(),
@@ -55,10 +81,6 @@
             tokio::time::sleep(self.pause_after(failures)).await;
             failures += 1;
         }
-        match by_halls {
-            true => self.list_halls().await,
-            false => self.list_gateways(None).await,
-        }
     }
 
     // Reads the halls' parts of the list as they are needed.
--- a/components/gateway/src/control/kept.rs
+++ b/components/gateway/src/control/kept.rs
@@ -76,8 +76,8 @@
         let others = known.peers.count(now);
         let is_cut_off = others.silent > 0 || others.heard == 0;
         // A store restored from an older copy may lack the latest write.
-        let is_restored = Some(row.revision.era) < known.store_era.newest;
-        is_restored || (is_cut_off && now >= row.read_at + READ_AGAIN)
+        let is_restored = Some(row.revision.era) < known.newest_era;
+        (is_restored || is_cut_off) && now >= row.read_at + READ_AGAIN
     }
 
     async fn read_kept(&self) -> Option<KeptRow> {
--- a/components/gateway/src/control/known.rs
+++ b/components/gateway/src/control/known.rs
@@ -50,9 +50,15 @@
     pub store_clock: StoreClock,
     /// Era of the store at the last check.
     pub store_era: StoreEra,
+    /// Highest era of the store seen in its answers or in rows received from other gateways.
+    pub newest_era: Option<u64>,
+    /// Wall-clock time at which `newest_era` was first seen.
+    pub newest_era_seen_at: Duration,
     pub peers: Peers,
     pub topology: Topology,
     pub lease: Lease,
+    /// Wall-clock time since which this gateway holds the lease.
+    pub lease_held_since: Option<Duration>,
     pub orders: OrdersUnderWay,
     pub ledger: Ledger,
     pub reporter: Reporter,
@@ -104,6 +110,7 @@
         let echoes = topology.has_regions().then(Echoes::default);
         Known {
             lease: Lease::new(lease_terms(&settings)),
+            lease_held_since: None,
             orders: OrdersUnderWay::default(),
             reporter: Reporter::new(usage_terms(&settings)),
             forwarding: Forwarding::new(usage_terms(&settings)),
@@ -115,6 +122,8 @@
             departures: Departures::default(),
             store_clock: StoreClock::default(),
             store_era: StoreEra::default(),
+            newest_era: None,
+            newest_era_seen_at: Duration::ZERO,
             peers,
             topology,
             ledger: Ledger::default(),
--- a/components/gateway/src/control/lease.rs
+++ b/components/gateway/src/control/lease.rs
@@ -112,9 +112,13 @@
                 LeaseAction::Gained(epoch) => {
                     info!(self.log, "lease gained"; "epoch" => epoch);
                     let mut known = self.known.borrow_mut();
+                    known.lease_held_since = Some(self.clock.wall());
                     known.scalers.values_mut().for_each(Scaler::forget_orders);
                 }
-                LeaseAction::Lost => info!(self.log, "lease lost"),
+                LeaseAction::Lost => {
+                    info!(self.log, "lease lost");
+                    self.known.borrow_mut().lease_held_since = None;
+                }
                 LeaseAction::Call { call, table } => {
                     let shared = Rc::clone(self);
                     tokio::task::spawn_local(async move {
--- a/components/gateway/src/control/reporting.rs
+++ b/components/gateway/src/control/reporting.rs
@@ -8,7 +8,7 @@
 use usage::{Report, Step};
 
 use crate::control::{Known, Shared};
-use crate::ports::{OrderReply, Orders, Store, StoreError, Topic};
+use crate::ports::{OrderReply, Orders, Row, Store, StoreError, Topic};
 
 /// Pause between looks at what is due.
 const DUTY_PAUSE: Duration = Duration::from_millis(250);
@@ -41,6 +41,9 @@
             Some(Step::Settle(report)) if self.predates_process(&report) => {
                 self.known.borrow_mut().reporter.finished(report.window);
             }
+            Some(Step::Settle(report)) if self.may_have_been_reported(&report) => {
+                self.settle_from_store(report).await;
+            }
             Some(Step::Settle(report)) => self.settle(report).await,
             Some(Step::Send(report)) => self.send_report(&report, wall).await,
         }
@@ -52,12 +55,41 @@
         report.counts.is_empty() && report.window < first
     }
 
+    // Whether another gateway may have reported the window before a restore that lost its row. Settling the window
+    // again could report it twice with different counts.
+    fn may_have_been_reported(&self, report: &Report) -> bool {
+        let known = self.known.borrow();
+        let was_restored = known.newest_era.unwrap_or_default() > 0;
+        let settles_at = known.reporter.settles_at(report.window);
+        // Nobody else settles windows while this gateway holds the lease.
+        let only_here = known
+            .lease_held_since
+            .is_some_and(|since| since < settles_at);
+        was_restored && !only_here && settles_at < known.newest_era_seen_at
+    }
+
+    // Reports the window as its row says, or not at all if the store has no readable row for it.
+    async fn settle_from_store(&self, report: Report) {
+        let key = usage_key(report.window);
+        let Ok(read) = self.store.read(Topic::Usage, &key).await else {
+            return;
+        };
+        let settled = read.row.and_then(|row| stored_report(report.window, row));
+        info!(self.log, "usage window due before the store restore was seen";
+            "window" => report.window, "found" => settled.is_some());
+        let mut known = self.known.borrow_mut();
+        match settled {
+            Some(report) => known.reporter.settled(report),
+            None => known.reporter.finished(report.window),
+        }
+    }
+
     async fn settle(&self, report: Report) {
         let row = UsageRow {
             begun: report.counts.clone(),
         };
         let value = schema::encode(&row).unwrap_or_default();
-        let key = format!("{:012}", report.window);
+        let key = usage_key(report.window);
         let written = self
             .store
             .write(Topic::Usage, &key, value, Some(Revision::ABSENT))
@@ -66,15 +98,13 @@
         info!(self.log, "usage settled"; "window" => report.window, "sources" => sources,
             "requests" => report.counts.values().sum::<i64>(), "written" => written.is_ok());
         let settled = match written {
-            Ok(_) => Some(report),
-            Err(StoreError::Conflict(Some(row))) => {
-                let value = row.value.unwrap_or_default();
-                let read = schema::decode::<UsageRow>(&value).ok();
-                read.map(|row| Report {
-                    window: report.window,
-                    counts: row.begun,
-                })
+            Ok(revision) if Some(revision.era) > self.known.borrow().newest_era => {
+                // The row that the window had before the restore may be lost.
+                self.known.borrow_mut().reporter.finished(report.window);
+                None
             }
+            Ok(_) => Some(report),
+            Err(StoreError::Conflict(Some(row))) => stored_report(report.window, row),
             Err(_) => None,
         };
         if let Some(report) = settled {
@@ -99,3 +129,15 @@
         }
     }
 }
+
+fn usage_key(window: i64) -> String {
+    format!("{window:012}")
+}
+
+fn stored_report(window: i64, row: Row) -> Option<Report> {
+    let read = schema::decode::<UsageRow>(&row.value?).ok()?;
+    Some(Report {
+        window,
+        counts: read.begun,
+    })
+}
--- a/components/gateway/tests/restored.rs
+++ b/components/gateway/tests/restored.rs
@@ -3,6 +3,7 @@
 
 mod common;
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use common::{
@@ -276,3 +277,78 @@
     wait_until("the third route", || second.call("/c/1", &[]).status == 200);
     assert!(written.elapsed() < CHANGE_DUE, "{:?}", written.elapsed());
 }
+
+#[test]
+fn a_gateway_whose_row_a_restored_store_lost_rewrites_it() {
+    let store = StoreStandin::default();
+    store.take_snapshot();
+    let (_setup, lines) = start_logged(&store);
+    wait_until("the row", || store.row(Topic::Gateways, "g1").is_some());
+    store.restore_snapshot();
+    assert!(store.row(Topic::Gateways, "g1").is_none());
+    wait_until("the rewritten row", || {
+        store.row(Topic::Gateways, "g1").is_some()
+    });
+    wait_until("the log line of the rewrite", || {
+        lines.count("gateway row rewritten") == 1
+    });
+}
+
+fn reporting_settings(name: &str, seeds: Vec<String>) -> GatewaySettings {
+    GatewaySettings {
+        name: name.into(),
+        seeds,
+        reports_usage: true,
+        ..settings()
+    }
+}
+
+fn reported_windows(setup: &Setup) -> BTreeSet<i64> {
+    let reports = setup.orders.reports.lock().unwrap();
+    reports.iter().map(|(_, report)| report.window).collect()
+}
+
+#[test]
+fn a_window_whose_row_a_restored_store_lost_is_not_reported_by_the_next_holder() {
+    let standin = EndpointStandin::start(|_, e| e.answer(200, "x"));
+    let store = StoreStandin::default();
+    store.put_configuration(configuration_with_key(1, "k"));
+    store.put_endpoint(endpoint("e1", standin.address));
+    let first = Setup::start(reporting_settings("g1", Vec::new()), store.clone());
+    wait_until("readiness", || first.is_ready());
+    wait_until("the lease", || store.row(Topic::Lease, "duties").is_some());
+    store.take_snapshot();
+    let seeds = vec![first.gateway.peer_address().to_string()];
+    let second = Setup::start(reporting_settings("g2", seeds), store.for_another());
+    wait_until("readiness", || second.is_ready());
+    let began = Instant::now();
+    let call = |setup: &Setup| setup.call("/a/1", &["x-key: k"]).status;
+    wait_until("reports of windows with requests", || {
+        call(&first);
+        call(&second);
+        let has_counts = |setup: &Setup| {
+            let reports = setup.orders.reports.lock().unwrap();
+            let counts = reports.iter().map(|(_, report)| report.counts.len());
+            counts.sum::<usize>() >= 2
+        };
+        (has_counts(&first) || has_counts(&second)) && began.elapsed() > CHANGE_DUE
+    });
+    let (holder, next_holder) = match reported_windows(&first).is_empty() {
+        true => (&second, &first),
+        false => (&first, &second),
+    };
+    // The holder stops without reaching the restored store.
+    holder.store.refuse(true);
+    store.restore_snapshot();
+    holder.stop();
+    let reported_before = reported_windows(holder);
+    wait_until("reports of the next holder", || {
+        call(next_holder);
+        reported_windows(next_holder).len() >= 2
+    });
+    let reported_twice: Vec<i64> = reported_before
+        .intersection(&reported_windows(next_holder))
+        .copied()
+        .collect();
+    assert!(reported_twice.is_empty(), "{reported_twice:?}");
+}
--- a/components/usage/src/reporter.rs
+++ b/components/usage/src/reporter.rs
@@ -57,6 +57,13 @@
         }
     }
 
+    /// Wall-clock time from which a window may be settled.
+    pub fn settles_at(&self, window: i64) -> Duration {
+        let window_ms = self.terms.window.as_millis() as u64;
+        let end_ms = window_ms.saturating_mul(window.max(0) as u64 + 1);
+        Duration::from_millis(end_ms).saturating_add(self.terms.settle)
+    }
+
     /// Number of the window that a wall-clock time falls into.
     pub fn window_at(&self, wall: Duration) -> i64 {
         (wall.as_millis() / self.terms.window.as_millis().max(1)) as i64
