Continue roll-outs across a restore of the store, and accept an order that follows one with a higher revision

Possible effects after the store is restored from an older copy: an order was identified by the revision of its row, and only a higher revision counted as new. - An order given after the restore was ignored until the revisions had caught up. - An order that the copy lacks was withdrawn. When the operator rewrote it, it started over, without its evidence and its request counts. - A decision whose row was lost could have been made again, with a different outcome.

Change: an order belongs to the era of its row. - In a later era, an order with the same service, version and time continues under its new revision, with its evidence, counts and stage.

Evidence: two new tests. An order that is rewritten continues, and the next one is accepted under a lower revision; an order that is not rewritten is withdrawn. Rewriting a lost decision has no test; it was checked by reading the code.

Left: stages and evidence between gateways name an order by its revision number without the era, so gateways that have taken the new revision and gateways that have not briefly ignore each other's evidence, and one that reaches an order with a reused number late may take the word of another order for it. Where the store's steady time goes back too, the time of an order that began before runs from later on.

--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -233,7 +233,7 @@
             let now = self.clock.now();
             self.look_at_day(now);
             self.check_store_era();
-            self.recheck_endpoints(now);
+            self.recheck_rows(now);
             if signals.stop.load(Ordering::Relaxed) {
                 self.freshness.stop(now);
             }
--- a/components/gateway/src/control/carrying.rs
+++ b/components/gateway/src/control/carrying.rs
@@ -186,16 +186,22 @@
             return;
         };
         let kept = read.row.as_ref().and_then(read_row);
-        let kept = kept.filter(|kept| kept.revision == order.revision as i64);
+        let is_of_order = |kept: &RolloutRow| {
+            kept.revision == order.revision as i64 && kept.version == order.version
+        };
+        let kept = kept.filter(is_of_order);
         let expected = expected_revision(&read);
+        // A restored store may lack a decision that already took effect; it must not be made again.
+        let known_decision = self.decision_of(service);
         let (kept, revision) = match kept {
-            Some(kept) => (kept, expected),
-            None => {
+            Some(kept) if kept.decision.is_some() || known_decision.is_none() => (kept, expected),
+            kept => {
+                let stamp_ms = stamp.as_millis() as i64;
                 let first = RolloutRow {
                     revision: order.revision as i64,
                     version: order.version.clone(),
-                    ordered_ms: stamp.as_millis() as i64,
-                    decision: None,
+                    ordered_ms: kept.map_or(stamp_ms, |kept| kept.ordered_ms),
+                    decision: known_decision.map(|d| gossip::stage_of(Stage::Decided(d))),
                 };
                 match self.write_row(service, &first, expected).await {
                     Ok(revision) => (first, revision),
@@ -213,10 +219,12 @@
             .and_then(Stage::decision);
         let mut known = self.known.borrow_mut();
         let settings = known.settings.clone();
+        // The store was restored while the rows were read.
+        let is_outdated = Some(revision.era) < known.newest_era;
         let Some(ordered) = known.rollouts.orders.get_mut(service) else {
             return;
         };
-        if ordered.order.revision != order.revision {
+        if ordered.order.revision != order.revision || is_outdated {
             return;
         }
         info!(self.log, "roll-out carried out here"; "service" => service, "version" => &order.version,
@@ -357,6 +365,11 @@
         Some(status.revision)
     }
 
+    fn decision_of(&self, service: &str) -> Option<Decision> {
+        let known = self.known.borrow();
+        known.rollouts.orders.get(service)?.decision()
+    }
+
     fn order_of(&self, service: &str) -> Option<(Order, Duration)> {
         let known = self.known.borrow();
         let ordered = known.rollouts.orders.get(service)?;
--- a/components/gateway/src/control/departures.rs
+++ b/components/gateway/src/control/departures.rs
@@ -29,8 +29,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Departures {
     departed: BTreeMap<String, Departure>,
-    // When the rows of endpoints in an unknown state are evaluated again.
-    rechecks: BTreeMap<String, Duration>,
+    // When rows in an unknown state are evaluated again.
+    rechecks: BTreeMap<(Topic, String), Duration>,
 }
 
 impl Departures {
@@ -81,7 +81,8 @@
         }
         if departure.is_dropped {
             let recheck_at = now + ROW_EXPIRY;
-            self.rechecks.insert(endpoint.id.clone(), recheck_at);
+            let row_key = (Topic::Endpoints, endpoint.id.clone());
+            self.rechecks.insert(row_key, recheck_at);
         }
         Endpoint {
             state: EndpointState::Draining { leaves_in: None },
@@ -89,50 +90,56 @@
         }
     }
 
-    /// Defers dropping an endpoint whose row a restored store lacks, since it may be running and rewrite the row.
-    pub fn defer_drop(&mut self, now: Duration, id: &str) {
+    /// Defers taking a row that a restored store lacks or has an older value of, as its writer may rewrite it.
+    pub fn defer_row(&mut self, now: Duration, topic: Topic, key: &str) {
         let recheck_at = now + ROW_REWRITE_TIMEOUT;
-        self.rechecks.insert(id.to_string(), recheck_at);
+        self.rechecks.insert((topic, key.to_string()), recheck_at);
     }
 
-    /// Removes expired departures and returns the endpoints whose rows are due for evaluation.
-    fn take_due(&mut self, now: Duration) -> Vec<String> {
+    /// Removes expired departures and returns the keys of the rows that are due for evaluation.
+    fn take_due(&mut self, now: Duration) -> Vec<(Topic, String)> {
         self.departed
             .retain(|_, departure| now < departure.recorded_at + DEPARTURE_RETENTION);
         let due = self.rechecks.iter().filter(|(_, at)| now >= **at);
-        let due: Vec<String> = due.map(|(id, _)| id.clone()).collect();
-        for id in &due {
-            self.rechecks.remove(id);
-            self.departed
-                .retain(|other, d| other != id || !d.is_dropped);
+        let due: Vec<(Topic, String)> = due.map(|(row_key, _)| row_key.clone()).collect();
+        for row_key in &due {
+            self.rechecks.remove(row_key);
+            let (topic, key) = row_key;
+            let is_dropped = self.departed.get(key).is_some_and(|d| d.is_dropped);
+            if *topic == Topic::Endpoints && is_dropped {
+                self.departed.remove(key);
+            }
         }
         due
     }
 }
 
 impl<S: Store + 'static, O: Orders + 'static> Shared<S, O> {
-    /// Takes the rows of endpoints again whose state was unknown after a restore of the store.
-    pub fn recheck_endpoints(&self, now: Duration) {
-        let rows: Vec<Change> = {
-            let mut known = self.known.borrow_mut();
-            let due = known.departures.take_due(now);
-            due.iter().filter_map(|id| known.endpoint_row(id)).collect()
-        };
-        for row in &rows {
-            self.take_endpoint(row);
+    /// Evaluates rows again whose state was unknown after a restore of the store.
+    pub fn recheck_rows(&self, now: Duration) {
+        let due = self.known.borrow_mut().departures.take_due(now);
+        for (topic, key) in due {
+            let Some((row, stamp)) = self.known.borrow().row(topic, &key) else {
+                continue;
+            };
+            match topic {
+                Topic::Endpoints => self.take_endpoint(&row),
+                _ => self.take_operator_row(&row, stamp),
+            }
         }
     }
 }
 
 impl Known {
-    // The row of an endpoint; a dropped one if the table no longer remembers it.
-    fn endpoint_row(&self, id: &str) -> Option<Change> {
-        let table = &self.followed.get(&Topic::Endpoints)?.table;
+    // Returns a row, as dropped if it is not in the table, and the time at which its topic was last confirmed.
+    fn row(&self, topic: Topic, key: &str) -> Option<(Change, Duration)> {
+        let followed = self.followed.get(&topic)?;
         let dropped = || Change {
-            key: id.to_string(),
+            key: key.to_string(),
             value: None,
-            revision: table.known_to().unwrap_or_default(),
+            revision: followed.table.known_to().unwrap_or_default(),
         };
-        Some(table.row(id).cloned().unwrap_or_else(dropped))
+        let row = followed.table.row(key).cloned();
+        Some((row.unwrap_or_else(dropped), followed.confirmed))
     }
 }
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -262,6 +262,9 @@
         };
         for change in &gossip {
             match topic {
+                Topic::Configuration if is_restored => {
+                    self.take_restored_operator_row(change, stamp);
+                }
                 Topic::Configuration => self.take_operator_row(change, stamp),
                 Topic::Endpoints if is_restored => self.take_restored_endpoint(change),
                 Topic::Endpoints => self.take_endpoint(change),
--- a/components/gateway/src/control/rollouts.rs
+++ b/components/gateway/src/control/rollouts.rs
@@ -30,11 +30,24 @@
     pub holder: SocketAddr,
 }
 
+/// Effect of an order read from the store on the known order of its service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum OrderChange {
+    /// The order is the known one, or older.
+    Unchanged,
+    /// The order is a new one.
+    New,
+    /// The order is the known one, rewritten in a restored store under another revision.
+    Renumbered,
+}
+
 /// One order.
 #[derive(Debug)]
 pub(crate) struct Ordered {
     /// The order.
     pub order: Order,
+    /// Era of the store that its revision belongs to.
+    pub era: u64,
     /// The store's steady time at which it was seen first.
     pub stamp: Duration,
     /// What was said of it.
@@ -103,6 +116,18 @@
         Plan::new(self.order.clone(), terms)
     }
 
+    // Moves the order to the revision under which it was rewritten in a restored store. Evidence and stage are kept.
+    fn renumber(&mut self, order: Order, era: u64) -> OrderChange {
+        let is_renumbered = self.order.revision != order.revision;
+        self.era = era;
+        self.order = order;
+        self.carried = None;
+        match is_renumbered {
+            true => OrderChange::Renumbered,
+            false => OrderChange::Unchanged,
+        }
+    }
+
     // What was said later holds; a decision stays.
     fn receive(&mut self, heard: Heard) -> bool {
         let is_known = self.heard.is_some_and(|known| known.at >= heard.at);
@@ -116,13 +141,19 @@
 }
 
 impl Rollouts {
-    /// Takes an order that the store reported at a time of its own; `false` if it is known.
-    pub fn order(&mut self, order: Order, stamp: Duration) -> bool {
-        let known = self.orders.get(&order.service);
-        if known.is_some_and(|known| known.order.revision >= order.revision) {
-            return false;
+    /// Takes an order that the store reported in an era and at a steady time of its own.
+    pub fn order(&mut self, order: Order, era: u64, stamp: Duration) -> OrderChange {
+        if let Some(known) = self.orders.get_mut(&order.service) {
+            let is_older = known.era == era && known.order.revision >= order.revision;
+            if is_older || known.era > era {
+                return OrderChange::Unchanged;
+            }
+            if known.era < era && known.order.is_same_request(&order) {
+                return known.renumber(order, era);
+            }
         }
         let ordered = Ordered {
+            era,
             stamp,
             heard: None,
             own: Evidence::default(),
@@ -133,7 +164,14 @@
             order,
         };
         self.orders.insert(ordered.order.service.clone(), ordered);
-        true
+        OrderChange::New
+    }
+
+    /// Discards what was read of roll-out rows, so that the rows are read again: a restored store may lack them.
+    pub fn invalidate_carried(&mut self) {
+        for ordered in self.orders.values_mut() {
+            ordered.carried = None;
+        }
     }
 
     /// Takes what the holder said; `true` if the stage is another than before.
--- a/components/gateway/src/control/rows.rs
+++ b/components/gateway/src/control/rows.rs
@@ -5,11 +5,13 @@
 
 use directory::Endpoint;
 use replica::Change;
+use rollout::Order;
 use slog::{info, warn};
 use telemetry::Counter;
 
+use crate::control::rollouts::OrderChange;
 use crate::control::Shared;
-use crate::ports::{Orders, Store};
+use crate::ports::{Orders, Store, Topic};
 use crate::update::Update;
 
 impl<S: Store + 'static, O: Orders + 'static> Shared<S, O> {
@@ -22,6 +24,32 @@
         }
     }
 
+    /// Takes a row that the operator wrote, from the first list of a restored store. A row that lacks the known order of
+    /// its service, or holds another one, is deferred, as the operator may rewrite the order.
+    pub fn take_restored_operator_row(&self, change: &Change, stamp: Duration) {
+        let now = self.clock.now();
+        let service = self.store.rollout_service(&change.key);
+        let mut known = self.known.borrow_mut();
+        let known_order = service.and_then(|service| known.rollouts.orders.get(&service));
+        let is_different =
+            known_order.is_some_and(|known| !self.matches_order(change, &known.order));
+        if is_different {
+            known
+                .departures
+                .defer_row(now, Topic::Configuration, &change.key);
+            return;
+        }
+        drop(known);
+        self.take_operator_row(change, stamp);
+    }
+
+    // Whether a row holds the same request as a known order.
+    fn matches_order(&self, change: &Change, known: &Order) -> bool {
+        let value = change.value.as_ref();
+        let read = value.and_then(|value| self.store.rollout_order(value, known.revision).ok());
+        read.is_some_and(|read| read.is_same_request(known))
+    }
+
     fn take_order(&self, service: &str, change: &Change, stamp: Duration) {
         let Some(value) = &change.value else {
             self.known.borrow_mut().rollouts.orders.remove(service);
@@ -33,12 +61,25 @@
         };
         match self.store.rollout_order(value, change.revision.number) {
             Ok(order) => {
-                if !self.known.borrow_mut().rollouts.order(order.clone(), stamp) {
+                let era = change.revision.era;
+                let mut known = self.known.borrow_mut();
+                let order_change = known.rollouts.order(order.clone(), era, stamp);
+                drop(known);
+                if order_change == OrderChange::Unchanged {
+                    return;
+                }
+                if order_change == OrderChange::Renumbered {
+                    info!(self.log, "roll-out order rewritten"; "service" => service,
+                        "era" => era, "revision" => order.revision);
+                    self.update(Update::RolloutRenumbered {
+                        service: order.service,
+                        revision: order.revision,
+                    });
                     return;
                 }
                 info!(self.log, "roll-out ordered"; "service" => service, "version" => &order.version,
-                    "revision" => order.revision, "time_ms" => order.time.as_millis() as u64);
-                let _ = self.updates.send(Update::RolloutOrdered(order));
+                    "era" => era, "revision" => order.revision, "time_ms" => order.time.as_millis() as u64);
+                self.update(Update::RolloutOrdered(order));
             }
             Err(fault) => {
                 warn!(self.log, "order of a roll-out not readable, it is not carried out";
@@ -92,7 +133,9 @@
             .get(&change.key)
             .is_some_and(Endpoint::is_ready);
         if change.value.is_none() && is_ready {
-            known.departures.defer_drop(now, &change.key);
+            known
+                .departures
+                .defer_row(now, Topic::Endpoints, &change.key);
             return;
         }
         drop(known);
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -165,6 +165,9 @@
             }
             Update::Settings(settings) => state.set_settings(now, settings),
             Update::RolloutOrdered(order) => state.gates.order(order),
+            Update::RolloutRenumbered { service, revision } => {
+                state.gates.renumber(&service, revision);
+            }
             Update::RolloutWithdrawn(service) => state.gates.withdraw(&service),
             Update::RolloutStage {
                 service,
--- a/components/gateway/src/update.rs
+++ b/components/gateway/src/update.rs
@@ -62,6 +62,13 @@
     Settings(Arc<GatewaySettings>),
     /// A roll-out was ordered.
     RolloutOrdered(Order),
+    /// The order of a service was rewritten in a restored store under another revision.
+    RolloutRenumbered {
+        /// The service.
+        service: String,
+        /// New revision of its order.
+        revision: u64,
+    },
     /// The order of a service was withdrawn.
     RolloutWithdrawn(String),
     /// The holder said how far a roll-out is.
--- a/components/gateway/src/versions.rs
+++ b/components/gateway/src/versions.rs
@@ -63,12 +63,16 @@
 }
 
 impl Gates {
-    /// Takes an order; one of the same revision is known already.
+    /// Takes a new order, which replaces an earlier one of its service.
     pub fn order(&mut self, order: Order) {
-        let known = self.gates.get(&order.service);
-        if known.is_none_or(|gate| gate.order().revision < order.revision) {
-            let service = order.service.clone();
-            self.gates.insert(service, Gate::new(order));
+        let service = order.service.clone();
+        self.gates.insert(service, Gate::new(order));
+    }
+
+    /// Sets the revision of a service's order after it was rewritten in a restored store.
+    pub fn renumber(&mut self, service: &str, revision: u64) {
+        if let Some(gate) = self.gates.get_mut(service) {
+            gate.renumber(revision);
         }
     }
 
--- a/components/gateway/tests/restored.rs
+++ b/components/gateway/tests/restored.rs
@@ -294,6 +294,39 @@
     });
 }
 
+#[test]
+fn an_order_rewritten_after_a_store_restore_continues() {
+    let store = StoreStandin::default();
+    let (_setup, lines) = start_logged(&store);
+    store.take_snapshot();
+    let time = Duration::from_secs(60);
+    store.advance_revision(10);
+    store.put_order("v2", time);
+    wait_until("the order", || lines.count("roll-out ordered") == 1);
+    restore_and_wait(&store, &lines);
+    store.put_order("v2", time);
+    wait_until("the rewritten order", || {
+        lines.count("roll-out order rewritten") == 1
+    });
+    assert_eq!(lines.count("roll-out withdrawn"), 0);
+    // A new order is taken although its revision is lower than that of the order lost in the restore.
+    store.put_order("v3", time);
+    wait_until("the new order", || lines.count("roll-out ordered") == 2);
+}
+
+#[test]
+fn an_order_not_rewritten_after_a_store_restore_is_withdrawn() {
+    let store = StoreStandin::default();
+    let (_setup, lines) = start_logged(&store);
+    store.take_snapshot();
+    store.put_order("v2", Duration::from_secs(60));
+    wait_until("the order", || lines.count("roll-out ordered") == 1);
+    restore_and_wait(&store, &lines);
+    wait_until("the withdrawal of the order", || {
+        lines.count("roll-out withdrawn") == 1
+    });
+}
+
 fn reporting_settings(name: &str, seeds: Vec<String>) -> GatewaySettings {
     GatewaySettings {
         name: name.into(),
--- a/components/rollout/src/gate.rs
+++ b/components/rollout/src/gate.rs
@@ -80,6 +80,11 @@
         &self.order
     }
 
+    /// Sets the revision of the order after it was rewritten in a restored store. Counts and stage are kept.
+    pub fn renumber(&mut self, revision: u64) {
+        self.order.revision = revision;
+    }
+
     /// The holder said at a time on the own clock how far the order with this revision is. A decision stays.
     pub fn receive(&mut self, at: Duration, revision: u64, stage: Stage) {
         let is_known = self.stage.is_some_and(|(_, known)| known > at);
--- a/components/rollout/src/order.rs
+++ b/components/rollout/src/order.rs
@@ -16,6 +16,14 @@
     pub time: Duration,
 }
 
+impl Order {
+    /// Whether both orders have the same service, version and time, regardless of their revisions.
+    pub fn is_same_request(&self, other: &Order) -> bool {
+        let request = |order: &Order| (order.service.clone(), order.version.clone(), order.time);
+        request(self) == request(other)
+    }
+}
+
 /// How an order ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decision {
