Name as the release in production, and keep its golden bytes

Cause: deploy/system.toml named the landing before the last one. The two kinds of questions for a send are read by the test as well. Figures: components/schema/tests/earlier.rs passes with six releases, beside today's optional fields for eras.

--- a/components/schema/tests/earlier.rs
+++ b/components/schema/tests/earlier.rs
@@ -13,9 +13,11 @@
 use thrift::protocol::TSerializable;
 
 /// Released builds that may run beside today's.
-const RELEASES: [&str; 5] = ["bd65777", "07b763e", "34be26a", "c0f3eb4", "52ca913"];
+const RELEASES: [&str; 6] = [
+    "bd65777", "07b763e", "34be26a", "c0f3eb4", "52ca913", "703a9ca",
+];
 /// Fields of the newest of them, a line each: struct, number, whether it is required, type, name.
-const FIELDS: &str = include_str!("golden/52ca913/fields.txt");
+const FIELDS: &str = include_str!("golden/703a9ca/fields.txt");
 const SCHEMA: &str = include_str!("../thrift/messages.thrift");
 
 fn folder(release: &str) -> PathBuf {
@@ -32,7 +34,11 @@
 fn again_as(kind: &str, bytes: &[u8]) -> Vec<u8> {
     match kind {
         "gossip" => again::<Gossip>(bytes),
-        "decision-query" | "decision-reply" | "decision-give-back" => again::<Decision>(bytes),
+        "decision-query"
+        | "decision-reply"
+        | "decision-give-back"
+        | "decision-send-query"
+        | "decision-send-reply" => again::<Decision>(bytes),
         "rows-query" => again::<RowsQuery>(bytes),
         "rows-reply" => again::<RowsReply>(bytes),
         "gateway-row" => again::<GatewayRow>(bytes),
