Restore the soak's store from older copies, and rewrite lost operator and endpoint rows

The soak's store could forget its history, refuse calls, lose answers and apply writes late, but it was never restored from an older copy.

Change: - The store keeps a log of its writes and returns its era in every answer. - In each bout the store goes down and is restored from a copy that is 0.2 to 6 s older than its going down. This restore is 3.2 s before the change in the calm, when gateways count as in touch again. About half of the bouts have another restore during the other faults. - Rows of the operator and of endpoints that the copy lacks are rewritten within 1.6 s, each at its own moment.

The other faults of a seed stay the same.

--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -38,6 +38,16 @@
 /// Time, in ms, for which an endpoint names one: several windows of the users' rule past the time until gateways are in touch.
 const LIMITED_FOR: std::ops::Range<u64> = 8_000..12_000;
 
+/// Salt of the generator for store restores, so that the other faults of a seed stay the same.
+const RESTORE_SALT: u64 = 0x4e57;
+/// Time, in ms, for which the store is down before a restore.
+const RESTORE_DOWNTIME: std::ops::Range<u64> = 100..2_500;
+/// Age of the restored copy, in ms, when the store goes down.
+const RESTORE_COPY_AGE: std::ops::Range<u64> = 200..6_000;
+
+/// Time, in ms, from a restore until the change in a calm: slightly more than gateways need to count as in touch.
+const RESTORE_BEFORE_CHANGE: u64 = 3_200;
+
 /// One act from outside.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub enum Act {
@@ -59,6 +69,8 @@
     Store { how: Mood, ms: u64 },
     /// The store forgets its history.
     Forget,
+    /// The store is down for `away_ms`, then is restored from a copy taken `age_ms` before it went down.
+    Restore { away_ms: u64, age_ms: u64 },
     /// The store turns a gateway away for some ms.
     TurnAway { gateway: usize, ms: u64 },
     /// The operator writes the next configuration.
@@ -166,10 +178,16 @@
             gateways,
             endpoints,
         };
+        let mut restores = Draw {
+            rng: ChaCha8Rng::seed_from_u64(seed ^ RESTORE_SALT),
+            gateways,
+            endpoints,
+        };
         let mut steps = Vec::new();
         let mut at = START;
         while at < last {
             draw.bout(at, last, &mut steps);
+            restores.restores(at, last, &mut steps);
             stops.stops(at, last, &mut steps);
             said.said(at, last, &mut steps);
             limits.limits(at, last, &mut steps);
@@ -314,6 +332,29 @@
         }
     }
 
+    // One restore in each calm, early enough that gateways are in touch again before its change,
+    // and in about half of the bouts another one during the faults.
+    fn restores(&mut self, from: u64, last: u64, steps: &mut Vec<Step>) {
+        let during_faults = self
+            .rng
+            .random_range(from + RESTORE_DOWNTIME.end..from + BOUT);
+        let has_second = self.rng.random_ratio(1, 2);
+        let before_change = from + BOUT + CHANGE_IN_CALM - RESTORE_BEFORE_CHANGE;
+        let restore_times = [
+            Some(during_faults).filter(|_| has_second),
+            Some(before_change),
+        ];
+        for restored_at in restore_times.into_iter().flatten() {
+            let away_ms = self.rng.random_range(RESTORE_DOWNTIME);
+            let age_ms = self.rng.random_range(RESTORE_COPY_AGE);
+            if restored_at < last {
+                let at = restored_at - away_ms;
+                let act = Act::Restore { away_ms, age_ms };
+                steps.push(Step { at, act });
+            }
+        }
+    }
+
     fn fault(&mut self, longest: u64) -> Act {
         let gateway = self.rng.random_range(0..self.gateways);
         let endpoint = self.rng.random_range(0..self.endpoints);
--- a/soak/src/run/acts.rs
+++ b/soak/src/run/acts.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use rustix::process::Signal;
 
@@ -12,6 +13,7 @@
 use crate::plan::{Act, Mood, Way};
 use crate::standins::endpoint::{Endpoint, NamedLimit};
 use crate::standins::operator::{configuration, entry};
+use crate::standins::store::LostRow;
 
 /// A gateway that was asked to stop is killed after that time, in ms.
 const GRACE: u64 = 8_000;
@@ -24,6 +26,15 @@
 /// An endpoint that its request ended starts again under its id after that time, in ms.
 const STARTS_AGAIN: u64 = 900;
 
+/// Time, in ms, from a restore until the first lost row is rewritten.
+const REWRITE_DELAY: u64 = 100;
+/// Time between rewrites of lost rows, in ms.
+const REWRITE_INTERVAL: u64 = 130;
+/// Period over which these rewrites are spread, in ms; further rows start over at its beginning.
+const REWRITE_PERIOD: u64 = 1_500;
+/// Time, in ms, from a restore until a restored row that its writer had deleted expires.
+const EXPIRY_DELAY: u64 = 3_600;
+
 /// What is done later.
 pub(super) enum Later {
     Continue(usize),
@@ -34,6 +45,8 @@
     MendEndpoint(usize, Link),
     MendStore,
     TakeBack(usize),
+    Restore(Duration),
+    Rewrite(LostRow),
     End(usize, Endpoint),
     Replace(usize),
     StartAgain(usize, String),
@@ -99,6 +112,12 @@
                 self.store.forget();
                 self.healed(Place::Store, "forget");
             }
+            Act::Restore { away_ms, age_ms } => {
+                self.fault(Place::Store, "restore");
+                self.store.set_down(true);
+                let age = Duration::from_millis(*away_ms + *age_ms);
+                self.after(*away_ms, Later::Restore(age));
+            }
             Act::TurnAway { gateway, ms } => {
                 // Those that it serves find no sound store either: it is the store's fault.
                 self.fault(Place::Store, "turned away");
@@ -163,6 +182,18 @@
                 self.store.set(Mood::Good);
                 self.healed(Place::Store, "mood");
             }
+            Later::Restore(age) => {
+                for (number, lost) in (0..).zip(self.store.restore(age)) {
+                    let at = match lost.is_deleted {
+                        true => EXPIRY_DELAY,
+                        false => REWRITE_DELAY + number * REWRITE_INTERVAL % REWRITE_PERIOD,
+                    };
+                    self.after(at, Later::Rewrite(lost));
+                }
+                self.store.set_down(false);
+                self.healed(Place::Store, "restore");
+            }
+            Later::Rewrite(lost) => self.store.rewrite(&lost),
             Later::TakeBack(gateway) => {
                 self.store.turn_away(gateway, false);
                 self.healed(Place::Store, "turned away");
--- a/soak/src/standins.rs
+++ b/soak/src/standins.rs
@@ -50,8 +50,12 @@
 
 /// An answer in JSON.
 pub(crate) fn json(status: u16, body: &str) -> String {
-    format!(
-        "HTTP/1.1 {status} X\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
-        body.len()
-    )
+    json_with_header(status, "", body)
+}
+
+/// An answer in JSON with further header lines, each with its line end.
+pub(crate) fn json_with_header(status: u16, header: &str, body: &str) -> String {
+    let length = body.len();
+    let type_line = "content-type: application/json";
+    format!("HTTP/1.1 {status} X\r\n{type_line}\r\n{header}content-length: {length}\r\n\r\n{body}")
 }
--- a/soak/src/standins/store.rs
+++ b/soak/src/standins/store.rs
@@ -11,7 +11,7 @@
 use platform::names;
 use serde_json::{json as value, Value};
 
-use super::{json, listen};
+use super::{json, json_with_header, listen};
 use crate::history::{History, Seen};
 use crate::http::{Connection, Head};
 use crate::plan::Mood;
@@ -23,14 +23,32 @@
 
 type Key = (String, String, String);
 
+/// A row's text, `None` if the row is deleted, and the revision of its last write.
+type StoredRow = (Option<String>, u64);
+
+/// A write and the time at which it was applied.
+struct Write {
+    at: Instant,
+    key: Key,
+    row: StoredRow,
+}
+
 #[derive(Default)]
 struct Rows {
-    rows: BTreeMap<Key, (Option<String>, u64)>,
+    rows: BTreeMap<Key, StoredRow>,
     newest: u64,
+    // All writes that led to `rows`, oldest first.
+    log: Vec<Write>,
+    // Number of restores.
+    era: u64,
+    // Last values written by the operator and endpoints, which a restore keeps.
+    last_put: BTreeMap<Key, Option<String>>,
     forgotten: u64,
     calls: u64,
     mood: Option<Mood>,
     turned_away: BTreeSet<usize>,
+    // Number of outages in progress; restores can overlap.
+    outages: u32,
 }
 
 /// The store.
@@ -40,6 +58,13 @@
     started: Instant,
 }
 
+/// A row whose last write by the operator or an endpoint was lost in a restore.
+pub(crate) struct LostRow {
+    key: Key,
+    /// Whether the lost write was a deletion, so that the restored row expires instead of being rewritten.
+    pub is_deleted: bool,
+}
+
 /// What becomes of a call.
 enum Fate {
     Answer,
@@ -72,8 +97,32 @@
     pub fn put(&self, table: &str, key: &str, text: Option<&str>) {
         let key = (table.to_string(), String::new(), key.to_string());
         let encoded = text.map(|text| STANDARD.encode(text));
-        self.lock().write(key, encoded);
+        let mut rows = self.lock();
+        rows.last_put.insert(key.clone(), encoded.clone());
+        rows.write(key, encoded);
+        self.rows.1.notify_all();
+    }
+
+    /// Restores the rows as of `age` ago. Later writes are lost, and their revisions are reused.
+    /// Returns the rows whose last write by the operator or an endpoint was lost.
+    pub fn restore(&self, age: Duration) -> Vec<LostRow> {
+        let mut rows = self.lock();
+        let snapshot_at = Instant::now().checked_sub(age).unwrap_or(self.started);
+        rows.restore(snapshot_at);
         self.rows.1.notify_all();
+        rows.lost_rows()
+    }
+
+    /// Rewrites the last value from the operator or endpoint, unless the row already has it.
+    pub fn rewrite(&self, lost: &LostRow) {
+        let mut rows = self.lock();
+        let Some(text) = rows.last_put.get(&lost.key).cloned() else {
+            return;
+        };
+        if rows.text(&lost.key) != text {
+            rows.write(lost.key.clone(), text);
+            self.rows.1.notify_all();
+        }
     }
 
     /// Sets what is wrong with it.
@@ -83,7 +132,17 @@
 
     /// Whether the operator reaches it.
     pub fn is_down(&self) -> bool {
-        self.lock().mood == Some(Mood::Down)
+        let rows = self.lock();
+        rows.outages > 0 || rows.mood == Some(Mood::Down)
+    }
+
+    /// Starts or ends an outage. The store refuses calls while any outage lasts.
+    pub fn set_down(&self, down: bool) {
+        let mut rows = self.lock();
+        match down {
+            true => rows.outages += 1,
+            false => rows.outages -= 1,
+        }
     }
 
     /// Turns a gateway away, or no more.
@@ -110,7 +169,7 @@
         let mut rows = self.lock();
         rows.calls += 1;
         let third = rows.calls.is_multiple_of(3);
-        if rows.turned_away.contains(&gateway) {
+        if rows.outages > 0 || rows.turned_away.contains(&gateway) {
             return Fate::Refuse;
         }
         match rows.mood {
@@ -135,9 +194,9 @@
             match self.fate(gateway, writes) {
                 Fate::Answer => {
                     let (status, answer) = self.call(&head, &body);
-                    connection.send(json(status, &answer.to_string()).as_bytes())?;
+                    connection.send(self.response(status, &answer).as_bytes())?;
                 }
-                Fate::Refuse => connection.send(json(503, "{}").as_bytes())?,
+                Fate::Refuse => connection.send(self.response(503, &value!({})).as_bytes())?,
                 Fate::Lose => {
                     self.call(&head, &body);
                     return drain(connection);
@@ -169,6 +228,11 @@
         }
     }
 
+    fn response(&self, status: u16, body: &Value) -> String {
+        let era = format!("{}: {}\r\n", names::STORE_ERA, self.lock().era);
+        json_with_header(status, &era, &body.to_string())
+    }
+
     fn answer(&self, rows: Vec<Value>, more: bool, newest: u64) -> Value {
         let now_ms = self.started.elapsed().as_millis() as u64;
         value!({"rows": rows, "more": more, "ver": newest, "now_ms": now_ms})
@@ -197,7 +261,7 @@
         let until = Instant::now() + wait;
         let mut rows = self.lock();
         loop {
-            if after < rows.forgotten {
+            if after < rows.forgotten || after > rows.newest {
                 return (410, value!({}));
             }
             let changed = rows.rows.iter();
@@ -241,10 +305,39 @@
 impl Rows {
     fn write(&mut self, key: Key, text: Option<String>) {
         self.newest += 1;
-        self.rows.insert(key, (text, self.newest));
+        let row = (text, self.newest);
+        self.log.push(Write {
+            at: Instant::now(),
+            key: key.clone(),
+            row: row.clone(),
+        });
+        self.rows.insert(key, row);
+    }
+
+    fn restore(&mut self, snapshot_at: Instant) {
+        self.log.retain(|write| write.at <= snapshot_at);
+        let writes = self.log.iter();
+        self.rows = writes.map(|w| (w.key.clone(), w.row.clone())).collect();
+        self.newest = self.log.last().map_or(0, |write| write.row.1);
+        self.forgotten = self.forgotten.min(self.newest);
+        self.era += 1;
+    }
+
+    fn lost_rows(&self) -> Vec<LostRow> {
+        let written = self.last_put.iter();
+        let lost = written.filter(|(key, text)| self.text(key) != **text);
+        let lost = lost.map(|(key, text)| LostRow {
+            key: key.clone(),
+            is_deleted: text.is_none(),
+        });
+        lost.collect()
+    }
+
+    fn text(&self, key: &Key) -> Option<String> {
+        self.rows.get(key).and_then(|row| row.0.clone())
     }
 
-    fn there(&self, key: &Key) -> Option<&(Option<String>, u64)> {
+    fn there(&self, key: &Key) -> Option<&StoredRow> {
         self.rows.get(key).filter(|row| row.0.is_some())
     }
 
@@ -258,7 +351,7 @@
     (text("table"), text("part"), text("privateKey"))
 }
 
-fn row_body(key: &Key, row: &(Option<String>, u64)) -> Value {
+fn row_body(key: &Key, row: &StoredRow) -> Value {
     let (text, ver) = row;
     value!({
         "table": key.0, "part": key.1, "privateKey": key.2, "value": text, "ver": ver,
