Report a window settled before the first look at the store's era

Found by reading the change: a window whose row was written before the control thread had looked at the era once (the first 100 ms, or as long as no row is known) counted as settled in a newer era and wasn't reported, also where the store names none. Era 0 is what stands until then.

--- a/components/gateway/src/control/reporting.rs
+++ b/components/gateway/src/control/reporting.rs
@@ -98,7 +98,7 @@
         info!(self.log, "usage settled"; "window" => report.window, "sources" => sources,
             "requests" => report.counts.values().sum::<i64>(), "written" => written.is_ok());
         let settled = match written {
-            Ok(revision) if Some(revision.era) > self.known.borrow().newest_era => {
+            Ok(revision) if revision.era > self.known.borrow().newest_era.unwrap_or_default() => {
                 // The row that the window had before the restore may be lost.
                 self.known.borrow_mut().reporter.finished(report.window);
                 None
