Log each decision about a retry and each placed request that was not sent

Change: a line for each retry granted or refused, with the counts it is based on, and one for each placement that did not leave. No decision changes.

--- a/components/gateway/src/placing.rs
+++ b/components/gateway/src/placing.rs
@@ -129,6 +129,11 @@
             "home_ms" => placement.home_ms.map(|ms| ms as u64));
     }
 
+    /// Logs that a placed request did not leave this gateway, so no endpoint received it.
+    pub fn log_not_sent(&self, job: &Job, placement: &Placement) {
+        info!(self.log, "not sent"; "id" => &job.head.id, "endpoint" => &placement.endpoint);
+    }
+
     /// Counts and logs a placement in another region, and one kept in this region because the link was full.
     pub fn record_region_departure(&self, id: &str, work: &Work, placement: &Placement) {
         if placement.is_link_limited {
--- a/components/gateway/src/retry.rs
+++ b/components/gateway/src/retry.rs
@@ -68,6 +68,7 @@
             let lost_cause = match result {
                 Ok(AttemptOutcome::Answered(answer)) => return Ok(answer),
                 Ok(AttemptOutcome::NotSent) => {
+                    self.log_not_sent(job, &placement);
                     progress.sent -= 1;
                     unsent += 1;
                     if unsent >= MAX_UNSENT || self.clock.now() >= job.expiry {
@@ -131,7 +132,7 @@
             && progress.sent < job.route.max_attempts
             && self.clock.now() < job.expiry
             && self.quarantine_allows_retry(job)
-            && self.try_spend_retry(&job.work.service)
+            && self.try_spend_retry(job)
     }
 
     // When an attempt times out. A repeatable request with another attempt left doesn't wait until its deadline.
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -125,7 +125,7 @@
                 () = self.traffic.wait_for_restart(&placement) => return StreamEnd::Broken,
                 () = clock.sleep_until(expiry) => return StreamEnd::TimedOut,
                 () = tokio::time::sleep(stall_timeout), if self.can_resume() => {
-                    if self.traffic.try_spend_retry(&self.job.work.service) {
+                    if self.traffic.try_spend_retry(&self.job) {
                         return StreamEnd::Stalled;
                     }
                     continue;
@@ -208,7 +208,7 @@
         let mut has_retry = has_retry;
         while self.can_resume()
             && (std::mem::take(&mut has_retry)
-                || self.traffic.try_spend_retry(&self.job.work.service))
+                || self.traffic.try_spend_retry(&self.job))
         {
             self.progress.tried.push(from.to_string());
             let (clock, expiry) = (self.traffic.clock, self.job.expiry);
@@ -235,6 +235,9 @@
             {
                 return Some((first, *events));
             }
+            if matches!(outcome, AttemptOutcome::NotSent) {
+                self.traffic.log_not_sent(&self.job, &placement);
+            }
             self.progress.tried.push(placement.endpoint);
         }
         None
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -231,21 +231,27 @@
             "others_taken" => quota.others_taken, "others_ms_ago" => others_age.as_millis() as u64);
     }
 
-    /// Spends a retry of the service's budget, if it has one left.
-    pub fn try_spend_retry(&self, service: &str) -> bool {
+    /// Spends a retry of the budget of the job's service, if there is one left.
+    pub fn try_spend_retry(&self, job: &Job) -> bool {
         let now = self.clock.now();
+        let service = &job.work.service;
         let mut state = self.state.borrow_mut();
         let gateways = state.fleet.gateways;
         let terms = state.retry_terms();
         let budgets = &mut state.retry_budgets;
         let budget = budgets
-            .entry(service.to_string())
+            .entry(service.clone())
             .or_insert_with(|| RetryBudget::new(terms));
+        let before = budget.state(now, gateways);
         let allowed = budget.try_spend(now, gateways);
+        drop(state);
         self.metrics.count(match allowed {
             true => Counter::Retries,
             false => Counter::RetryBudgetExhausted,
         });
+        info!(self.log, "retry"; "id" => &job.head.id, "service" => service, "granted" => allowed,
+            "requests" => before.requests, "retries" => before.retries,
+            "allowed" => before.allowed as u64, "gateways" => gateways, "uptime_ms" => now.as_millis() as u64);
         allowed
     }
 
--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -20,7 +20,7 @@
 pub use budget::AttemptBudget;
 pub use link::{link_part_bytes_per_s, Decider, LinkBudget};
 pub use quota::{PeerDemand, QuotaPart, MIN_EQUAL_PART_MILLI};
-pub use retry_budget::{RetryBudget, RetryTerms};
+pub use retry_budget::{RetryBudget, RetryBudgetState, RetryTerms};
 pub use send_account::{SendAccounts, SendTerms, MAX_SEND_ACCOUNTS};
 pub use send_rate::SendRate;
 pub use shared_quota::{QuotaState, RateLimit, SharedQuota};
--- a/components/limits/src/retry_budget.rs
+++ b/components/limits/src/retry_budget.rs
@@ -22,6 +22,17 @@
     pub window: Duration,
 }
 
+/// What a decision about a retry is based on, for logs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryBudgetState {
+    /// Requests counted in the window.
+    pub requests: u64,
+    /// Retries counted in the window.
+    pub retries: u64,
+    /// Retries that this gateway may make in the window.
+    pub allowed: f64,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Slice {
     number: u64,
@@ -53,16 +64,25 @@
     /// Takes one retry. Returns false if this gateway's part of the budget has none left. `gateways` is the number of
     /// gateways that share the fixed allowance.
     pub fn try_spend(&mut self, now: Duration, gateways: usize) -> bool {
+        let state = self.state(now, gateways);
+        if (state.retries + 1) as f64 > state.allowed {
+            return false;
+        }
+        self.current_slice(now).retries += 1;
+        true
+    }
+
+    /// The current state, for logs.
+    pub fn state(&mut self, now: Duration, gateways: usize) -> RetryBudgetState {
         self.current_slice(now);
         let requests: u64 = self.slices.iter().map(|s| s.requests).sum();
         let retries: u64 = self.slices.iter().map(|s| s.retries).sum();
         let own_extra = self.terms.extra / gateways.max(1) as f64;
-        let allowed = USED_PART * (self.terms.ratio * requests as f64 + own_extra);
-        if (retries + 1) as f64 > allowed {
-            return false;
+        RetryBudgetState {
+            requests,
+            retries,
+            allowed: USED_PART * (self.terms.ratio * requests as f64 + own_extra),
         }
-        self.current_slice(now).retries += 1;
-        true
     }
 
     fn current_slice(&mut self, now: Duration) -> &mut Slice {
