--- /dev/null
+++ b/components/limits/tests/retry_budgets.rs
@@ -0,0 +1,181 @@
+//! Retries of all gateways of a service, counted at the endpoints as the budget promises it: in every window, the retries
+//! of all processes stay within a ratio of the callers' requests and a fixed allowance.
+
+use std::time::Duration;
+
+use limits::{RetryBudget, RetryTerms};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Length of a step of the model.
+const STEP_MS: u64 = 10;
+/// Time between the end of a process and the start of its successor.
+const RESTART_MS: u64 = 500;
+/// Time after its start at which a process has counted the gateways.
+const COUNTED_AFTER_MS: u64 = 100;
+const WINDOW_MS: u64 = 10_000;
+
+/// A time span in milliseconds, from the first to before the second.
+type Span = (u64, u64);
+
+/// What happens to a fleet of gateways that serves one service.
+struct Scenario {
+    seed: u64,
+    gateways: usize,
+    requests_per_s: f64,
+    terms: RetryTerms,
+    length_ms: u64,
+    /// Spans in which each request fails and is tried again as long as retries are granted, `tries` times.
+    failures: Vec<Span>,
+    tries: u32,
+    /// Spans in which the load is multiplied by `crowd`.
+    crowds: Vec<Span>,
+    crowd: f64,
+    /// Kills, and the share of the gateways that each one strikes.
+    kills: Vec<(u64, f64)>,
+}
+
+impl Scenario {
+    /// The day on which the retries of several generations of processes added up.
+    fn killed_while_endpoints_fail() -> Self {
+        Scenario {
+            seed: 6402,
+            gateways: 7,
+            requests_per_s: 157.0,
+            terms: terms(0.2, 54.0),
+            length_ms: 40_000,
+            failures: vec![(13_000, 23_000)],
+            tries: 1,
+            crowds: Vec::new(),
+            crowd: 1.0,
+            kills: vec![(15_000, 1.0), (17_500, 1.0), (20_000, 1.0), (22_500, 1.0)],
+        }
+    }
+}
+
+fn terms(ratio: f64, extra: f64) -> RetryTerms {
+    RetryTerms {
+        ratio,
+        extra,
+        window: ms(WINDOW_MS),
+    }
+}
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// The process of one gateway. Its clock starts with it.
+struct Process {
+    budget: RetryBudget,
+    started_ms: u64,
+}
+
+impl Process {
+    fn new(terms: RetryTerms, started_ms: u64) -> Self {
+        Process {
+            budget: RetryBudget::new(terms),
+            started_ms,
+        }
+    }
+
+    fn record_request(&mut self, now_ms: u64) {
+        self.budget.record_request(ms(now_ms - self.started_ms));
+    }
+
+    fn try_spend(&mut self, now_ms: u64, gateways: usize) -> bool {
+        let uptime = now_ms - self.started_ms;
+        let known = if uptime < COUNTED_AFTER_MS {
+            1
+        } else {
+            gateways
+        };
+        self.budget.try_spend(ms(uptime), known)
+    }
+}
+
+/// Requests and retries of all processes, by time in milliseconds.
+#[derive(Default)]
+struct History {
+    requests: Vec<u64>,
+    retries: Vec<u64>,
+}
+
+impl History {
+    fn play(scenario: &Scenario) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(scenario.seed);
+        let mut history = History::default();
+        let mut processes: Vec<Process> = (0..scenario.gateways)
+            .map(|_| Process::new(scenario.terms, 0))
+            .collect();
+        for now in (0..scenario.length_ms).step_by(STEP_MS as usize) {
+            for (at, share) in &scenario.kills {
+                if *at == now {
+                    for process in &mut processes {
+                        if rng.random_bool(*share) {
+                            *process = Process::new(scenario.terms, now + RESTART_MS);
+                        }
+                    }
+                }
+            }
+            let is_within =
+                |spans: &[Span]| spans.iter().any(|(from, to)| (*from..*to).contains(&now));
+            let crowd = if is_within(&scenario.crowds) {
+                scenario.crowd
+            } else {
+                1.0
+            };
+            let expected = scenario.requests_per_s * crowd * STEP_MS as f64 / 1000.0;
+            let count = expected as u64 + u64::from(rng.random_bool(expected.fract()));
+            for _ in 0..count {
+                history.requests.push(now);
+                let process = &mut processes[rng.random_range(0..scenario.gateways)];
+                if now < process.started_ms {
+                    continue;
+                }
+                process.record_request(now);
+                if is_within(&scenario.failures) {
+                    for _ in 0..scenario.tries {
+                        if process.try_spend(now, scenario.gateways) {
+                            history.retries.push(now);
+                        }
+                    }
+                }
+            }
+        }
+        history
+    }
+
+    /// Largest number of retries beyond what a window allows; negative if all windows stay within it.
+    fn worst_excess(&self, terms: RetryTerms) -> f64 {
+        let starts = self.retries.iter().copied();
+        let starts = starts.chain((0..*self.retries.last().unwrap_or(&0)).step_by(50));
+        starts
+            .map(|start| self.excess(terms, start))
+            .fold(f64::NEG_INFINITY, f64::max)
+    }
+
+    // The requests of the window, of the one before it or of the one half a window before it count, whichever are most.
+    fn excess(&self, terms: RetryTerms, start: u64) -> f64 {
+        let window = terms.window.as_millis() as u64;
+        let requests = [0, window / 2, window].map(|back| match start.checked_sub(back) {
+            Some(from) => count(&self.requests, from, from + window),
+            None => count(&self.requests, 0, start + window - back),
+        });
+        let requests = requests.into_iter().max().unwrap_or(0);
+        let retries = count(&self.retries, start, start + window);
+        retries as f64 - (terms.ratio * requests as f64 + terms.extra)
+    }
+}
+
+fn count(times: &[u64], from: u64, to: u64) -> usize {
+    times.partition_point(|at| *at < to) - times.partition_point(|at| *at < from)
+}
+
+// Guards against retries of a process and of those that it replaced adding up to more than one budget.
+#[test]
+fn retries_of_gateways_that_are_killed_again_and_again_stay_within_one_budget() {
+    let scenario = Scenario::killed_while_endpoints_fail();
+    let excess = History::play(&scenario).worst_excess(scenario.terms);
+    assert!(excess <= 0.0, "{excess} retries beyond the budget");
+}
