--- a/components/limits/tests/retry_budgets.rs
+++ b/components/limits/tests/retry_budgets.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use limits::{RetryBudget, RetryTerms};
+use quickcheck::quickcheck;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -36,6 +37,45 @@
 }
 
 impl Scenario {
+    /// A fleet without failures.
+    fn quiet(seed: u64) -> Self {
+        Scenario {
+            seed,
+            gateways: 7,
+            requests_per_s: 180.0,
+            terms: terms(0.2, 54.0),
+            length_ms: 40_000,
+            failures: Vec::new(),
+            tries: 3,
+            crowds: Vec::new(),
+            crowd: 1.0,
+            kills: Vec::new(),
+        }
+    }
+
+    /// Failures and crowds of random lengths at random times.
+    fn random(seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut spans = |count: usize, longest: u64| -> Vec<Span> {
+            let starts = (0..count).map(|_| rng.random_range(10_000..30_000));
+            let starts: Vec<u64> = starts.collect();
+            let spans = starts
+                .into_iter()
+                .map(|from| (from, from + rng.random_range(100..longest)));
+            spans.collect()
+        };
+        let (failures, crowds) = (spans(4, 6_000), spans(3, 8_000));
+        Scenario {
+            gateways: [1, 7, 40][seed as usize % 3],
+            requests_per_s: [30.0, 180.0, 700.0][seed as usize / 3 % 3],
+            failures,
+            crowds,
+            crowd: rng.random_range(0.0..5.0),
+            tries: rng.random_range(1..4),
+            ..Scenario::quiet(seed)
+        }
+    }
+
     /// The day on which the retries of several generations of processes added up.
     fn killed_while_endpoints_fail() -> Self {
         Scenario {
@@ -179,3 +219,95 @@
     let excess = History::play(&scenario).worst_excess(scenario.terms);
     assert!(excess <= 0.0, "{excess} retries beyond the budget");
 }
+
+// Guards against retries being forgotten before their window is over: two pulses of failures nine seconds apart.
+#[test]
+fn retries_of_two_pulses_of_failures_within_one_window_stay_within_one_budget() {
+    for length in (200..1_000).step_by(100) {
+        let scenario = Scenario {
+            failures: vec![(9_990 - length, 9_990), (19_000, 19_000 + length)],
+            ..Scenario::quiet(length)
+        };
+        let excess = History::play(&scenario).worst_excess(scenario.terms);
+        assert!(
+            excess <= 0.0,
+            "{length} ms: {excess} retries beyond the budget"
+        );
+    }
+}
+
+// Guards against requests that earn retries for a window without counting for it: a crowd that ends before the window with
+// the failures begins.
+#[test]
+fn retries_after_a_crowd_stay_within_the_budget_of_their_window() {
+    for length in [1_000, 2_500, 5_000] {
+        let crowd_from = 12_000;
+        for pause in (0..8_000).step_by(500) {
+            let failures_from = crowd_from + length + pause;
+            let scenario = Scenario {
+                crowds: vec![(crowd_from, crowd_from + length)],
+                crowd: 8.0,
+                failures: vec![(failures_from, failures_from + 3_000)],
+                requests_per_s: 40.0,
+                ..Scenario::quiet(length + pause)
+            };
+            let excess = History::play(&scenario).worst_excess(scenario.terms);
+            assert!(
+                excess <= 0.0,
+                "{length} {pause}: {excess} retries beyond the budget"
+            );
+        }
+    }
+}
+
+// Guards against any pattern of load and failures that makes retries exceed the budget of a window.
+#[test]
+fn retries_stay_within_the_budget_for_random_loads_and_failures() {
+    for seed in 0..200 {
+        let scenario = Scenario::random(seed);
+        let excess = History::play(&scenario).worst_excess(scenario.terms);
+        assert!(
+            excess <= 0.0,
+            "seed {seed}: {excess} retries beyond the budget"
+        );
+    }
+}
+
+// Guards against a budget that is kept by granting little of it.
+#[test]
+fn failures_that_last_get_at_least_four_fifths_of_the_budget() {
+    let scenario = Scenario {
+        failures: vec![(15_000, 40_000)],
+        ..Scenario::quiet(2)
+    };
+    let history = History::play(&scenario);
+    for start in (15_000..30_000).step_by(1_000) {
+        let requests = count(&history.requests, start, start + WINDOW_MS) as f64;
+        let allowed = scenario.terms.ratio * requests + scenario.terms.extra;
+        let granted = count(&history.retries, start, start + WINDOW_MS) as f64;
+        assert!(
+            granted >= 0.8 * allowed,
+            "{granted} of {allowed} from {start} ms"
+        );
+    }
+}
+
+quickcheck! {
+    fn retries_stay_within_the_budget_in_every_window(events: Vec<(u8, bool)>) -> bool {
+        let gateways = 4;
+        let own_part = terms(0.2, 4.0);
+        let mut budget = RetryBudget::new(terms(0.2, 16.0));
+        let mut now = 0;
+        let mut history = History::default();
+        for (pause, is_retry) in events {
+            now += u64::from(pause) * 4;
+            if !is_retry {
+                budget.record_request(ms(now));
+                history.requests.push(now);
+            } else if budget.try_spend(ms(now), gateways) {
+                history.retries.push(now);
+            }
+        }
+        history.worst_excess(own_part) <= 0.0
+    }
+}
--- a/components/limits/tests/shared_quotas.rs
+++ b/components/limits/tests/shared_quotas.rs
@@ -1,9 +1,8 @@
-//! Rate limits and retry budgets that several gateways enforce together.
+//! Rate limits that several gateways enforce together.
 
 use std::time::Duration;
 
-use limits::{RateLimit, RetryBudget, RetryTerms, SharedQuota};
-use quickcheck::quickcheck;
+use limits::{RateLimit, SharedQuota};
 
 const LIMIT: RateLimit = RateLimit {
     rate: 1000.0,
@@ -75,32 +74,6 @@
     assert!(quota.take(ms(4), 100, true).is_err());
 }
 
-quickcheck! {
-    fn retries_stay_within_the_budget_in_every_window(events: Vec<(u8, bool)>) -> bool {
-        let terms = RetryTerms { ratio: 0.2, extra: 16.0, window: Duration::from_secs(10) };
-        let gateways = 4;
-        let mut budget = RetryBudget::new(terms);
-        let mut now = Duration::ZERO;
-        let mut log: Vec<(Duration, bool)> = Vec::new();
-        for (pause, is_retry) in events {
-            now += ms(u64::from(pause) * 4);
-            if !is_retry {
-                budget.record_request(now);
-                log.push((now, false));
-            } else if budget.try_spend(now, gateways) {
-                log.push((now, true));
-            }
-        }
-        log.iter().all(|(end, _)| {
-            let inside = |(at, _): &&(Duration, bool)| *at <= *end && *at + ms(9_000) > *end;
-            let retries = log.iter().filter(inside).filter(|(_, r)| *r).count() as f64;
-            // The budget counts in slices, so the window that it counts is between 9 s and 10 s long.
-            let requests = log.iter().filter(|(at, r)| !r && *at <= *end && *at + terms.window > *end);
-            retries <= terms.ratio * requests.count() as f64 + terms.extra / gateways as f64
-        })
-    }
-}
-
 /// Maximum units admitted in any 8 s by gateways that report their totals to each other every `pause_ms`,
 /// each at a different moment, while a tenant requests twelve times its limit.
 fn max_in_a_window(gateways: u64, pause_ms: u64) -> u64 {
