Give a process that starts no part of the fixed retries until a window is over

Cause: a process counts alone and forgets at its end, so each successor had the fixed allowance again while its predecessor's retries were still in the window; and until the first list of gateways reached the thread that serves requests it took itself for the only gateway, so all of it (105 and 60 grants in the logs). Class: a limit per window that each process keeps by its own memory. Fix: the part of the fixed allowance is 0 until 1.2 windows after the first real count of the gateways; whoever used the part before is out of the window then, and others know of this one. Tests of the gateway that need a retry wait for the new gauge retry.part_milli, with a window of 1 ms in their settings: none of their checks changed.

--- a/components/gateway/src/peers/halls.rs
+++ b/components/gateway/src/peers/halls.rs
@@ -39,6 +39,8 @@
     pub gateways: usize,
     /// This gateway's part of what all gateways share, which its own decisions may use; from 0 to 1.
     pub part: f64,
+    /// Whether `gateways` was counted: the list of this gateway's hall was read, or another gateway was heard.
+    pub is_counted: bool,
     /// Whether this gateway decides, for itself and others.
     pub decides: bool,
     /// Live coordinators of this gateway's hall in the order in which they are asked; empty if this gateway
@@ -71,6 +73,7 @@
         GatewayFleet {
             gateways: 1,
             part: PeerCount::default().live_part(),
+            is_counted: false,
             decides: true,
             coordinators: Vec::new(),
             decider_count: ASSUMED_DECIDERS,
@@ -146,10 +149,12 @@
     /// The gateways and their deciders as of now.
     pub fn fleet(&self, now: Duration) -> GatewayFleet {
         let count = self.count(now);
+        let is_counted = self.has_own_hall_list() || count.alive > 0;
         if self.is_coordinator(now) {
             return GatewayFleet {
                 gateways: count.gateways(),
                 part: count.live_part(),
+                is_counted,
                 decides: true,
                 coordinators: Vec::new(),
                 decider_count: self.coordinators(now).len() + 1,
@@ -163,6 +168,7 @@
         GatewayFleet {
             gateways,
             part: 1.0 / gateways.max(1) as f64,
+            is_counted,
             decides: false,
             coordinators: self.deciders(now),
             decider_count: gateways,
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use directory::{Configuration, Directory, Tenant};
-use limits::{RateLimit, RetryBudget, RetryTerms, SendAccounts, SharedQuota};
+use limits::{EqualShare, RateLimit, RetryBudget, RetryTerms, SendAccounts, SharedQuota};
 use memory::Ledger;
 use quarantine::Quarantine;
 use rand::{RngExt, SeedableRng};
@@ -32,6 +32,8 @@
     pub pool: ConnectionPool,
     pub quotas: BTreeMap<String, SharedQuota>,
     pub retry_budgets: BTreeMap<String, RetryBudget>,
+    /// This gateway's part of the fixed allowance of every retry budget.
+    pub retry_share: EqualShare,
     pub tally: Tally,
     pub fleet: GatewayFleet,
     // Largest number of gateways known at any time since the start.
@@ -55,6 +57,7 @@
             pool: ConnectionPool::new(ledger),
             quotas: BTreeMap::new(),
             retry_budgets: BTreeMap::new(),
+            retry_share: EqualShare::default(),
             tally: Tally::default(),
             fleet: GatewayFleet::default(),
             max_known_gateways: 1,
@@ -177,6 +180,9 @@
     pub fn set_fleet(&mut self, now: Duration, fleet: GatewayFleet) {
         let part = fleet.part;
         self.max_known_gateways = self.max_known_gateways.max(fleet.gateways);
+        if fleet.is_counted {
+            self.retry_share.record_count(now, fleet.gateways);
+        }
         self.fleet = fleet;
         for quota in self.quotas.values_mut() {
             quota.set_part(now, part);
@@ -211,6 +217,11 @@
         }
     }
 
+    /// This gateway's part of the fixed allowance of every retry budget, from 0 to 1.
+    pub fn retry_part(&self, now: Duration) -> f64 {
+        self.retry_share.part(now, self.retry_terms().window)
+    }
+
     /// Loads of the services that are scaled.
     pub fn loads(&mut self, now: Duration) -> BTreeMap<String, ServiceLoad> {
         let Some(directory) = self.directory.clone() else {
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -207,8 +207,7 @@
         let after_unresponsive = has_retry;
         let mut has_retry = has_retry;
         while self.can_resume()
-            && (std::mem::take(&mut has_retry)
-                || self.traffic.try_spend_retry(&self.job))
+            && (std::mem::take(&mut has_retry) || self.traffic.try_spend_retry(&self.job))
         {
             self.progress.tried.push(from.to_string());
             let (clock, expiry) = (self.traffic.clock, self.job.expiry);
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -9,7 +9,7 @@
 use routing::placement::{incarnation, Placement, Ticket};
 use schema::settings::GatewaySettings;
 use slog::{info, warn, Logger};
-use telemetry::{Counter, Metrics};
+use telemetry::{Counter, Gauge, Metrics};
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
@@ -236,14 +236,15 @@
         let now = self.clock.now();
         let service = &job.work.service;
         let mut state = self.state.borrow_mut();
-        let gateways = state.fleet.gateways;
+        let gateways = state.retry_share.gateways();
+        let part = state.retry_part(now);
         let terms = state.retry_terms();
         let budgets = &mut state.retry_budgets;
         let budget = budgets
             .entry(service.clone())
             .or_insert_with(|| RetryBudget::new(terms));
-        let before = budget.state(now, gateways);
-        let allowed = budget.try_spend(now, gateways);
+        let before = budget.state(now, part);
+        let allowed = budget.try_spend(now, part);
         drop(state);
         self.metrics.count(match allowed {
             true => Counter::Retries,
@@ -251,7 +252,8 @@
         });
         info!(self.log, "retry"; "id" => &job.head.id, "service" => service, "granted" => allowed,
             "requests" => before.requests, "retries" => before.retries,
-            "allowed" => before.allowed as u64, "gateways" => gateways, "uptime_ms" => now.as_millis() as u64);
+            "allowed" => before.allowed as u64, "part_milli" => (part * 1000.0) as u64,
+            "gateways" => gateways, "uptime_ms" => now.as_millis() as u64);
         allowed
     }
 
@@ -284,6 +286,11 @@
         }
     }
 
+    fn publish_retry_part(&self, now: Duration) {
+        let part = self.state.borrow().retry_part(now);
+        self.metrics.set(Gauge::RetryPart, (part * 1000.0) as u64);
+    }
+
     /// Applies updates and sends tallies until the control thread ends.
     pub async fn apply_updates(&self, updates: flume::Receiver<Update>) {
         let mut interval = tokio::time::interval(TALLY_INTERVAL);
@@ -298,6 +305,7 @@
                 _ = interval.tick() => {
                     let now = self.clock.now();
                     self.state.borrow_mut().pool.drop_expired(now);
+                    self.publish_retry_part(now);
                     self.check_memory();
                     self.send_tally();
                 }
--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -7,6 +7,7 @@
 mod admission;
 mod bucket;
 mod budget;
+mod equal_share;
 mod link;
 mod quota;
 mod retry_budget;
@@ -18,6 +19,7 @@
 pub use admission::{AdmissionDecision, AdmissionQueue, Waiter};
 pub use bucket::TokenBucket;
 pub use budget::AttemptBudget;
+pub use equal_share::EqualShare;
 pub use link::{link_part_bytes_per_s, Decider, LinkBudget};
 pub use quota::{PeerDemand, QuotaPart, MIN_EQUAL_PART_MILLI};
 pub use retry_budget::{RetryBudget, RetryBudgetState, RetryTerms};
--- a/components/limits/src/retry_budget.rs
+++ b/components/limits/src/retry_budget.rs
@@ -78,9 +78,9 @@
     }
 
     /// Takes one retry. Returns false if this gateway's part of the budget has none left in any of the windows that contain
-    /// this moment. `gateways` is the number of gateways that share the fixed allowance.
-    pub fn try_spend(&mut self, now: Duration, gateways: usize) -> bool {
-        if self.state(now, gateways).room() < 1.0 {
+    /// this moment. `fixed_part` is its part of the fixed allowance, from 0 to 1.
+    pub fn try_spend(&mut self, now: Duration, fixed_part: f64) -> bool {
+        if self.state(now, fixed_part).room() < 1.0 {
             return false;
         }
         self.current_slice(now).retries += 1;
@@ -88,9 +88,9 @@
     }
 
     /// The window with the least room among those that contain this moment.
-    pub fn state(&mut self, now: Duration, gateways: usize) -> RetryBudgetState {
+    pub fn state(&mut self, now: Duration, fixed_part: f64) -> RetryBudgetState {
         self.current_slice(now);
-        let own_extra = self.terms.extra / gateways.max(1) as f64;
+        let own_extra = self.terms.extra * fixed_part;
         let totals = self.totals();
         let windows = (0..=SLICES).map(|age| self.window(&totals, age as usize, own_extra));
         let least = windows.min_by(|a, b| a.room().total_cmp(&b.room()));
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -144,7 +144,7 @@
 }
 
 metric_names! {
-    /// Gauges, in bytes; docs/OPERATIONS.md lists them.
+    /// Gauges, in bytes unless they say otherwise; docs/OPERATIONS.md lists them.
     Gauge {
         /// Request bodies being read.
         BodiesRead => "memory.bodies_read",
@@ -160,6 +160,8 @@
         HeldPeak => "memory.held_peak",
         /// Maximum memory that may be held; 0 means no limit.
         Budget => "memory.budget",
+        /// This gateway's part of the fixed allowance of each retry budget, in thousandths.
+        RetryPart => "retry.part_milli",
     }
 }
 
