Share the fixed retries by the largest count of gateways

What could be seen: each gateway's part of the fixed allowance grew as soon as it heard fewer others: upon a stop, and 20 s after it was cut off from them, while those use their own parts. Cause: the part was the allowance divided by the gateways known at that moment. Class: a shared limit divided by a momentary count. Fix: the part follows the largest number that was counted since the process started; numbers that are partly assumed (100 others while none is known, halls that were not read) are no count, are not passed on to members, and don't shrink a part for good. Evidence: retries_of_gateways_that_no_longer_hear_each_other_stay_within_one_budget was 288 beyond the budget before and passes; an_assumed_count_of_gateways_is_not_reported_as_counted.

--- a/components/gateway/src/control/messages.rs
+++ b/components/gateway/src/control/messages.rs
@@ -142,7 +142,9 @@
             coordinates: Some(coordinates),
             decisions_port: Some(i32::from(self.decisions_port)),
             hall_count: coordinates.then(|| Box::new(reported_count)),
-            gateways: coordinates.then(|| state.peers.count(now).gateways() as i32),
+            // A count that is partly assumed would make members keep to parts that are too small.
+            gateways: (coordinates && state.peers.has_counted(now))
+                .then(|| state.peers.count(now).gateways() as i32),
             asks: state.peers.preferred_coordinator(now).map(str::to_string),
             forwarded: None,
             rollouts: has_state.then(|| {
--- a/components/gateway/src/peers/halls.rs
+++ b/components/gateway/src/peers/halls.rs
@@ -39,7 +39,7 @@
     pub gateways: usize,
     /// This gateway's part of what all gateways share, which its own decisions may use; from 0 to 1.
     pub part: f64,
-    /// Whether `gateways` was counted: the list of this gateway's hall was read, or another gateway was heard.
+    /// Whether `gateways` was counted and not partly assumed.
     pub is_counted: bool,
     /// Whether this gateway decides, for itself and others.
     pub decides: bool,
@@ -149,12 +149,11 @@
     /// The gateways and their deciders as of now.
     pub fn fleet(&self, now: Duration) -> GatewayFleet {
         let count = self.count(now);
-        let is_counted = self.has_own_hall_list() || count.alive > 0;
         if self.is_coordinator(now) {
             return GatewayFleet {
                 gateways: count.gateways(),
                 part: count.live_part(),
-                is_counted,
+                is_counted: self.has_counted(now),
                 decides: true,
                 coordinators: Vec::new(),
                 decider_count: self.coordinators(now).len() + 1,
@@ -163,12 +162,13 @@
                 keepers: self.keepers(now),
             };
         }
-        let gateways = self.reported_gateways(now).unwrap_or(count.gateways());
+        let reported = self.reported_gateways(now);
+        let gateways = reported.unwrap_or(count.gateways());
         let (near, far) = self.other_hall_deciders(now);
         GatewayFleet {
             gateways,
             part: 1.0 / gateways.max(1) as f64,
-            is_counted,
+            is_counted: reported.is_some(),
             decides: false,
             coordinators: self.deciders(now),
             decider_count: gateways,
@@ -196,6 +196,13 @@
         }
     }
 
+    /// Whether [`count`](Self::count) assumes no gateways: of each hall a list was read or a gateway was heard.
+    pub fn has_counted(&self, now: Duration) -> bool {
+        let has_heard = self.peers.values().any(|peer| peer.is_alive(now));
+        let own = self.hall_count(now);
+        (self.listed || has_heard) && self.assumed_unread_gateways(&own) == 0
+    }
+
     /// Counts of the gateways of all halls.
     pub fn count(&self, now: Duration) -> PeerCount {
         let own = self.hall_count(now);
--- a/components/gateway/tests/peers.rs
+++ b/components/gateway/tests/peers.rs
@@ -58,6 +58,20 @@
     assert!(peers().count(ms(0)).live_part() <= 0.01);
 }
 
+// Guards against a part of a shared limit that follows from an assumed number of gateways.
+#[test]
+fn an_assumed_count_of_gateways_is_not_reported_as_counted() {
+    let mut peers = peers();
+    assert!(!peers.fleet(ms(0)).is_counted);
+    peers.set_halls(["hall of g1", "hall of g2"].into());
+    peers.apply_hall_list(ms(100), "hall of g1", std::iter::empty());
+    assert!(!peers.fleet(ms(200)).is_counted);
+    peers.apply_hall_list(ms(300), "hall of g2", [listed(2)].into_iter());
+    assert!(peers.fleet(ms(400)).is_counted);
+    // The list was read, so what was counted stays known when the other gateway falls silent.
+    assert!(peers.fleet(ms(30_000)).is_counted);
+}
+
 #[test]
 fn listed_gateways_without_a_message_yet_count_as_possibly_running() {
     let mut peers = peers();
--- a/components/limits/src/equal_share.rs
+++ b/components/limits/src/equal_share.rs
@@ -8,14 +8,15 @@
 /// One gateway's equal part.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct EqualShare {
-    gateways: usize,
+    // The largest count so far: gateways that are no longer heard may go on using their parts.
+    max_gateways: usize,
     counted_since: Option<Duration>,
 }
 
 impl EqualShare {
     /// Records how many gateways share the allowance, this one included.
     pub fn record_count(&mut self, now: Duration, gateways: usize) {
-        self.gateways = gateways.max(1);
+        self.max_gateways = self.max_gateways.max(gateways).max(1);
         self.counted_since.get_or_insert(now);
     }
 
@@ -24,13 +25,13 @@
     pub fn part(&self, now: Duration, window: Duration) -> f64 {
         let wait = window.mul_f64(1.0 + NOTICE_PART);
         match self.counted_since {
-            Some(since) if now >= since + wait => 1.0 / self.gateways as f64,
+            Some(since) if now >= since + wait => 1.0 / self.max_gateways as f64,
             _ => 0.0,
         }
     }
 
-    /// Number of gateways that share the allowance; 0 if not known yet.
+    /// Number of gateways that share the allowance, the most that were ever counted; 0 if not known yet.
     pub fn gateways(&self) -> usize {
-        self.gateways
+        self.max_gateways
     }
 }
--- a/components/limits/tests/retry_budgets.rs
+++ b/components/limits/tests/retry_budgets.rs
@@ -34,6 +34,8 @@
     crowd: f64,
     /// Kills, and the share of the gateways that each one strikes.
     kills: Vec<(u64, f64)>,
+    /// Spans in which each gateway counts only itself.
+    unheard: Vec<Span>,
 }
 
 impl Scenario {
@@ -50,6 +52,7 @@
             crowds: Vec::new(),
             crowd: 1.0,
             kills: Vec::new(),
+            unheard: Vec::new(),
         }
     }
 
@@ -95,6 +98,7 @@
             crowds: Vec::new(),
             crowd: 1.0,
             kills: vec![(15_000, 1.0), (17_500, 1.0), (20_000, 1.0), (22_500, 1.0)],
+            unheard: Vec::new(),
         }
     }
 }
@@ -169,11 +173,16 @@
                     }
                 }
             }
-            for process in &mut processes {
-                process.record_count(now, scenario.gateways);
-            }
             let is_within =
                 |spans: &[Span]| spans.iter().any(|(from, to)| (*from..*to).contains(&now));
+            let counted = if is_within(&scenario.unheard) {
+                1
+            } else {
+                scenario.gateways
+            };
+            for process in &mut processes {
+                process.record_count(now, counted);
+            }
             let crowd = if is_within(&scenario.crowds) {
                 scenario.crowd
             } else {
@@ -274,6 +283,19 @@
     }
 }
 
+// Guards against a part of the fixed allowance that grows while other gateways, which are not heard, use theirs.
+#[test]
+fn retries_of_gateways_that_no_longer_hear_each_other_stay_within_one_budget() {
+    let scenario = Scenario {
+        requests_per_s: 20.0,
+        failures: vec![(26_000, 34_000)],
+        unheard: vec![(25_000, 40_000)],
+        ..Scenario::quiet(4)
+    };
+    let excess = History::play(&scenario).worst_excess(scenario.terms);
+    assert!(excess <= 0.0, "{excess} retries beyond the budget");
+}
+
 // Guards against any pattern of load, failures and kills that makes retries exceed the budget of a window.
 #[test]
 fn retries_stay_within_the_budget_for_random_loads_failures_and_kills() {
