Count a retry until a window after it arrived

What endpoints could see: retries that are held up by a cut or by an endpoint that stands still arrive together with those of a later window. Cause: a retry counted from when it was granted, for one window; a request that waits for its answer behind a cut may arrive seconds later. Class: a promise about arrivals that is kept about grants. Fix: a retry is in flight, and counts in every window that contains the present, from its grant until the endpoint answered or the connection was closed; from then on it counts for a window. A retry that was not sent is returned to the budget.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -18,6 +18,7 @@
 use crate::events::{Event, EventSplitter};
 use crate::job::{Job, SharedJob};
 use crate::ports::{AnswerHead, AttemptHead, Dialect};
+use crate::retry_permit::RetryPermit;
 use crate::sends::Grant;
 use crate::traffic::Traffic;
 
@@ -122,7 +123,7 @@
 }
 
 /// Options of one attempt.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct SendOptions {
     /// Id of the last event that was forwarded to the caller; the attempt resumes the stream after it.
     pub last_event: Option<u64>,
@@ -131,6 +132,8 @@
     pub after_unresponsive: bool,
     /// Whether the endpoint's limit allows the send.
     pub grant: Grant,
+    /// The retry of the budget that this attempt uses; none for a first attempt.
+    pub permit: Option<Rc<RetryPermit>>,
 }
 
 impl<D: Dialect + 'static> Traffic<D> {
@@ -168,7 +171,7 @@
             placement: placement.clone(),
             job: Rc::clone(job),
         };
-        if !self.connect(job, placement, options, &mut run).await {
+        if !self.connect(job, placement, &options, &mut run).await {
             return AttemptOutcome::NotSent;
         }
         // While the connection was opened the VM may have been frozen or suspended, and the endpoint may have announced that
@@ -182,9 +185,11 @@
         let request = self.build_request(job, placement, options.last_event);
         self.metrics.count(Counter::Attempts);
         run.sent_at = self.clock.now();
+        let permit = options.permit.as_ref();
         let Some(connection) = run.connection.as_mut() else {
             return AttemptOutcome::NotSent;
         };
+        permit.inspect(|permit| permit.record_sent());
         let answer = match connection.send(request).await {
             Ok(answer) => answer,
             Err(ConnectionError::Broken(error)) => {
@@ -196,8 +201,12 @@
                     "the endpoint closed the connection without an answer",
                 );
             }
-            Err(_) => return AttemptOutcome::NotSent,
+            Err(_) => {
+                permit.inspect(|permit| permit.record_not_sent());
+                return AttemptOutcome::NotSent;
+            }
         };
+        permit.inspect(|permit| permit.record_arrived());
         run.has_answer_head = true;
         let (head, body) = answer.into_parts();
         let read = self.dialect.read_answer(head.status, &head.headers);
--- a/components/gateway/src/connecting.rs
+++ b/components/gateway/src/connecting.rs
@@ -32,7 +32,7 @@
         &self,
         job: &Job,
         placement: &Placement,
-        options: SendOptions,
+        options: &SendOptions,
         run: &mut EndpointRun<D>,
     ) -> bool {
         match self.connection_source(job, placement, options) {
@@ -65,7 +65,7 @@
         &self,
         job: &Job,
         placement: &Placement,
-        options: SendOptions,
+        options: &SendOptions,
     ) -> ConnectionSource {
         let now = self.clock.now();
         let max = self.max_endpoint_connections(job);
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod ports;
 mod request_quarantine;
 mod retry;
+mod retry_permit;
 mod run;
 mod sends;
 mod server;
--- a/components/gateway/src/retry.rs
+++ b/components/gateway/src/retry.rs
@@ -13,6 +13,7 @@
 use crate::job::{Job, Progress, SharedJob};
 use crate::placing::NoPlacement;
 use crate::ports::Dialect;
+use crate::retry_permit::RetryPermit;
 use crate::traffic::Traffic;
 
 /// Retry delay for the caller when endpoints have no room.
@@ -62,7 +63,7 @@
             self.log_placed(job, &placement);
             let expiry = self.attempt_expiry(job, progress);
             progress.sent += 1;
-            let attempt = self.attempt_unless_restarted(job, &placement, options);
+            let attempt = self.attempt_unless_restarted(job, &placement, options.clone());
             let result = self.clock.timeout_at(expiry, attempt).await;
             progress.tried.push(placement.endpoint.clone());
             let lost_cause = match result {
@@ -83,7 +84,8 @@
                     Some("the endpoint gave no answer in time")
                 }
                 Ok(AttemptOutcome::Failed { head, body }) => {
-                    if !self.try_retry(job, progress, true) {
+                    options.permit = self.take_retry_if_allowed(job, progress, true);
+                    if options.permit.is_none() {
                         return Ok(EndpointAnswer::Whole { head, body });
                     }
                     // An endpoint that answers with a failure has run the request, so no later refusal may say that it
@@ -93,7 +95,8 @@
                 }
             };
             progress.maybe_run |= lost_cause.is_some();
-            if !self.try_retry(job, progress, lost_cause.is_some()) {
+            options.permit = self.take_retry_if_allowed(job, progress, lost_cause.is_some());
+            if options.permit.is_none() {
                 return Err(self.failure_refusal(job, progress, lost_cause));
             }
         }
@@ -124,15 +127,20 @@
         now < job.expiry && can_use_key
     }
 
-    // Whether a job can be sent again; spends from the retry budget if so.
-    fn try_retry(&self, job: &Job, progress: &Progress, has_run: bool) -> bool {
+    // Takes a retry from the budget if a job can be sent again.
+    fn take_retry_if_allowed(
+        &self,
+        job: &Job,
+        progress: &Progress,
+        has_run: bool,
+    ) -> Option<Rc<RetryPermit>> {
         let is_allowed = job.route.execution.is_repeatable() || (!has_run && !progress.maybe_run);
-        is_allowed
+        let can_retry = is_allowed
             && job.body.is_kept()
             && progress.sent < job.route.max_attempts
             && self.clock.now() < job.expiry
-            && self.quarantine_allows_retry(job)
-            && self.try_spend_retry(job)
+            && self.quarantine_allows_retry(job);
+        can_retry.then(|| self.take_retry(job)).flatten()
     }
 
     // When an attempt times out. A repeatable request with another attempt left doesn't wait until its deadline.
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -1,5 +1,6 @@
 //! State of the traffic thread that its decisions are based on.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -19,6 +20,7 @@
 use crate::interrupted::InterruptedRuns;
 use crate::link_parts::link_parts;
 use crate::peers::GatewayFleet;
+use crate::retry_permit::SharedRetryBudget;
 use crate::tally::{SentRequest, ServiceLoad, Tally};
 use crate::versions::{RequestTraits, RolloutGates};
 
@@ -31,7 +33,7 @@
     pub directory: Option<Rc<Directory>>,
     pub pool: ConnectionPool,
     pub quotas: BTreeMap<String, SharedQuota>,
-    pub retry_budgets: BTreeMap<String, RetryBudget>,
+    pub retry_budgets: BTreeMap<String, SharedRetryBudget>,
     /// This gateway's part of the fixed allowance of every retry budget.
     pub retry_share: EqualShare,
     pub tally: Tally,
@@ -132,12 +134,19 @@
 
     /// Adds a request to the retry budget of a service.
     pub fn count_request(&mut self, now: Duration, service: &str) {
-        let terms = self.retry_terms();
-        let budgets = &mut self.retry_budgets;
-        budgets
-            .entry(service.to_string())
-            .or_insert_with(|| RetryBudget::new(terms))
-            .record_request(now);
+        let budget = self.retry_budget(service);
+        budget.borrow_mut().record_request(now);
+    }
+
+    /// The retry budget of a service.
+    pub fn retry_budget(&mut self, service: &str) -> SharedRetryBudget {
+        if let Some(budget) = self.retry_budgets.get(service) {
+            return Rc::clone(budget);
+        }
+        let budget = Rc::new(RefCell::new(RetryBudget::new(self.retry_terms())));
+        self.retry_budgets
+            .insert(service.to_string(), Rc::clone(&budget));
+        budget
     }
 
     /// Applies a configuration.
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -16,6 +16,7 @@
 use crate::events::Event;
 use crate::job::{Progress, SharedJob};
 use crate::ports::Dialect;
+use crate::retry_permit::RetryPermit;
 use crate::traffic::Traffic;
 
 /// Memory of a queued event besides its payload, in bytes, measured with a counting allocator.
@@ -31,7 +32,7 @@
     TimedOut,
     Broken,
     // No event came in time, and a retry was taken from the retry budget; without one the endpoint is waited for.
-    Stalled,
+    Stalled(Rc<RetryPermit>),
 }
 
 /// Forwards one stream to its caller.
@@ -84,8 +85,12 @@
                 }
                 StreamEnd::CallerLeft => "caller left",
                 StreamEnd::TimedOut => "out of time",
-                StreamEnd::Broken | StreamEnd::Stalled => {
-                    let is_stalled = matches!(end, StreamEnd::Stalled);
+                StreamEnd::Broken | StreamEnd::Stalled(_) => {
+                    let permit = match end {
+                        StreamEnd::Stalled(permit) => Some(permit),
+                        _ => None,
+                    };
+                    let is_stalled = permit.is_some();
                     if !is_stalled {
                         self.learn_unread_timeout();
                     }
@@ -100,7 +105,7 @@
                             .check_after_interruption(&self.job, &placement)
                             .await;
                     }
-                    next = self.resume(&endpoint, is_stalled).await;
+                    next = self.resume(&endpoint, permit).await;
                     if next.is_some() {
                         continue;
                     }
@@ -125,8 +130,8 @@
                 () = self.traffic.wait_for_restart(&placement) => return StreamEnd::Broken,
                 () = clock.sleep_until(expiry) => return StreamEnd::TimedOut,
                 () = tokio::time::sleep(stall_timeout), if self.can_resume() => {
-                    if self.traffic.try_spend_retry(&self.job) {
-                        return StreamEnd::Stalled;
+                    if let Some(permit) = self.traffic.take_retry(&self.job) {
+                        return StreamEnd::Stalled(permit);
                     }
                     continue;
                 }
@@ -200,15 +205,17 @@
         }
     }
 
-    // Resumes the stream after the last event at another endpoint, if the route allows it. `has_retry` says whether a retry
-    // was already taken from the budget for the first attempt.
-    async fn resume(&mut self, from: &str, has_retry: bool) -> Option<(Event, EndpointStream<D>)> {
-        // Only a stalled endpoint has its retry taken in advance.
-        let after_unresponsive = has_retry;
-        let mut has_retry = has_retry;
-        while self.can_resume()
-            && (std::mem::take(&mut has_retry) || self.traffic.try_spend_retry(&self.job))
-        {
+    // Resumes the stream after the last event at another endpoint, if the route allows it. `stall_permit` is the retry that
+    // was already taken from the budget if the endpoint stalled.
+    async fn resume(
+        &mut self,
+        from: &str,
+        mut stall_permit: Option<Rc<RetryPermit>>,
+    ) -> Option<(Event, EndpointStream<D>)> {
+        let after_unresponsive = stall_permit.is_some();
+        while self.can_resume() {
+            let taken = stall_permit.take();
+            let permit = taken.or_else(|| self.traffic.take_retry(&self.job))?;
             self.progress.tried.push(from.to_string());
             let (clock, expiry) = (self.traffic.clock, self.job.expiry);
             let (placement, grant) = self
@@ -222,6 +229,7 @@
                 last_event: self.last_event,
                 after_unresponsive,
                 grant,
+                permit: Some(permit),
             };
             let attempt = self
                 .traffic
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -1,11 +1,12 @@
 //! The traffic thread: its updates from the control thread, and its tallies for it.
 
 use std::cell::{Cell, RefCell};
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use flume::TrySendError;
-use limits::{QuotaState, RetryBudget};
+use limits::QuotaState;
 use routing::placement::{incarnation, Placement, Ticket};
 use schema::settings::GatewaySettings;
 use slog::{info, warn, Logger};
@@ -19,6 +20,7 @@
 use crate::job::Job;
 use crate::limit_reports::PendingLimits;
 use crate::memory_manager::MemoryManager;
+use crate::retry_permit::RetryPermit;
 use crate::sends::SendQueries;
 use crate::sights::PendingSights;
 use crate::state::{sent_request, State};
@@ -231,21 +233,17 @@
             "others_taken" => quota.others_taken, "others_ms_ago" => others_age.as_millis() as u64);
     }
 
-    /// Spends a retry of the budget of the job's service, if there is one left.
-    pub fn try_spend_retry(&self, job: &Job) -> bool {
+    /// Takes a retry from the budget of the job's service, if there is one left.
+    pub fn take_retry(&self, job: &Job) -> Option<Rc<RetryPermit>> {
         let now = self.clock.now();
         let service = &job.work.service;
         let mut state = self.state.borrow_mut();
         let gateways = state.retry_share.gateways();
         let part = state.retry_part(now);
-        let terms = state.retry_terms();
-        let budgets = &mut state.retry_budgets;
-        let budget = budgets
-            .entry(service.clone())
-            .or_insert_with(|| RetryBudget::new(terms));
-        let before = budget.state(now, part);
-        let allowed = budget.try_spend(now, part);
+        let budget = state.retry_budget(service);
         drop(state);
+        let before = budget.borrow_mut().state(now, part);
+        let allowed = budget.borrow_mut().try_spend(now, part);
         self.metrics.count(match allowed {
             true => Counter::Retries,
             false => Counter::RetryBudgetExhausted,
@@ -254,7 +252,7 @@
             "requests" => before.requests, "retries" => before.retries,
             "allowed" => before.allowed as u64, "part_milli" => (part * 1000.0) as u64,
             "gateways" => gateways, "uptime_ms" => now.as_millis() as u64);
-        allowed
+        allowed.then(|| Rc::new(RetryPermit::new(&budget, self.clock)))
     }
 
     /// Maximum number of connections to one endpoint of a service that this gateway opens.
--- a/components/limits/src/retry_budget.rs
+++ b/components/limits/src/retry_budget.rs
@@ -60,6 +60,8 @@
     slices: Vec<Slice>,
     // Number of the newest slice.
     newest: u64,
+    // Retries that may still arrive. They count in every window that contains the present.
+    in_flight: u32,
 }
 
 impl RetryBudget {
@@ -69,6 +71,7 @@
             terms,
             slices: vec![Slice::default(); 2 * SLICES as usize + 2],
             newest: 0,
+            in_flight: 0,
         }
     }
 
@@ -78,15 +81,27 @@
     }
 
     /// Takes one retry. Returns false if this gateway's part of the budget has none left in any of the windows that contain
-    /// this moment. `fixed_part` is its part of the fixed allowance, from 0 to 1.
+    /// this moment. `fixed_part` is its part of the fixed allowance, from 0 to 1. A retry that was taken has to be settled or
+    /// canceled.
     pub fn try_spend(&mut self, now: Duration, fixed_part: f64) -> bool {
         if self.state(now, fixed_part).room() < 1.0 {
             return false;
         }
-        self.current_slice(now).retries += 1;
+        self.in_flight += 1;
         true
     }
 
+    /// Records that a retry arrived, or can no longer arrive. It counts until a window after this moment.
+    pub fn settle(&mut self, now: Duration) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.current_slice(now).retries += 1;
+    }
+
+    /// Returns a retry that was not sent.
+    pub fn cancel(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
     /// The window with the least room among those that contain this moment.
     pub fn state(&mut self, now: Duration, fixed_part: f64) -> RetryBudgetState {
         self.current_slice(now);
@@ -112,7 +127,7 @@
         let earned = EARNED_LATER * f64::from(before) + (1.0 - EARNED_LATER) * f64::from(within);
         RetryBudgetState {
             requests: u64::from(before + within),
-            retries: u64::from(totals[age + 1].retries),
+            retries: u64::from(totals[age + 1].retries + self.in_flight),
             allowed: self.terms.ratio * earned + own_extra,
         }
     }
