Don't count a gateway by its name and by its address

Cause: until the list is read, an address that a gateway was reached at counts as a possible gateway beside the one that was heard, and the largest count stays. Fix: such a count is no count. Evidence: a_count_with_addresses_of_unknown_gateways_is_not_reported_as_counted failed before.

--- a/components/gateway/src/peers/halls.rs
+++ b/components/gateway/src/peers/halls.rs
@@ -196,11 +196,12 @@
         }
     }
 
-    /// Whether [`count`](Self::count) assumes no gateways: of each hall a list was read or a gateway was heard.
+    /// Whether [`count`](Self::count) assumes no gateways: of each hall a list was read or a gateway was heard, and no address
+    /// is counted that may belong to one of them.
     pub fn has_counted(&self, now: Duration) -> bool {
         let has_heard = self.peers.values().any(|peer| peer.is_alive(now));
-        let own = self.hall_count(now);
-        (self.listed || has_heard) && self.assumed_unread_gateways(&own) == 0
+        let has_all_names = self.listed || has_heard && self.addresses.is_empty();
+        has_all_names && self.assumed_unread_gateways(&self.hall_count(now)) == 0
     }
 
     /// Counts of the gateways of all halls.
--- a/components/gateway/tests/peers.rs
+++ b/components/gateway/tests/peers.rs
@@ -72,6 +72,20 @@
     assert!(peers.fleet(ms(30_000)).is_counted);
 }
 
+// Guards against a gateway that is counted twice, by its name and by an address that it was reached at before.
+#[test]
+fn a_count_with_addresses_of_unknown_gateways_is_not_reported_as_counted() {
+    let mut peers = peers();
+    peers.add_address(ms(0), address(9));
+    assert_eq!(
+        peers.receive(ms(0), greeting("g2", 1, 1)),
+        Receipt::Accepted
+    );
+    assert!(!peers.fleet(ms(100)).is_counted);
+    peers.apply_list(ms(200), [listed(2)].into_iter());
+    assert!(peers.fleet(ms(300)).is_counted);
+}
+
 #[test]
 fn listed_gateways_without_a_message_yet_count_as_possibly_running() {
     let mut peers = peers();
