transport: reset connections that are closed with unsent bytes

Cause: closing a socket leaves the kernel to deliver what lies in its send buffer. Class: an effect that outlives whoever accounts for it.

--- a/components/transport/src/connection.rs
+++ b/components/transport/src/connection.rs
@@ -47,7 +47,7 @@
 
 impl std::error::Error for ConnectionError {}
 
-/// An open connection. Dropping it closes the socket at once, even while a request is in progress.
+/// An open connection. Dropping it resets the socket at once, even while a request is in progress.
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<FullBody>,
@@ -66,6 +66,7 @@
             }
         };
         set_dead_peer_detection(&stream);
+        discard_unsent_bytes_on_close(&stream);
         let handshake = Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -114,6 +115,12 @@
     }
 }
 
+// Without this, the kernel goes on sending what a closed connection had not delivered, so an abandoned request could arrive
+// after its retry.
+fn discard_unsent_bytes_on_close(stream: &TcpStream) {
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
+
 // A machine that loses power does not close its connections: without the timeout and the keep-alive
 // probes, a connection to it would hang.
 fn set_dead_peer_detection(stream: &TcpStream) {
