Keep to the part of an endpoint's connections while other gateways are not heard

What endpoints could see: 20 s after gateways lost sight of each other each took a larger part of the connections that an endpoint accepts of all, while the others keep theirs open. Fix: the largest count, as for retries.

--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -34,8 +34,8 @@
     pub pool: ConnectionPool,
     pub quotas: BTreeMap<String, SharedQuota>,
     pub retry_budgets: BTreeMap<String, SharedRetryBudget>,
-    /// This gateway's part of the fixed allowance of every retry budget.
-    pub retry_share: EqualShare,
+    /// This gateway's equal part of what all gateways share.
+    pub equal_share: EqualShare,
     pub tally: Tally,
     pub fleet: GatewayFleet,
     // Largest number of gateways known at any time since the start.
@@ -59,7 +59,7 @@
             pool: ConnectionPool::new(ledger),
             quotas: BTreeMap::new(),
             retry_budgets: BTreeMap::new(),
-            retry_share: EqualShare::default(),
+            equal_share: EqualShare::default(),
             tally: Tally::default(),
             fleet: GatewayFleet::default(),
             max_known_gateways: 1,
@@ -190,7 +190,7 @@
         let part = fleet.part;
         self.max_known_gateways = self.max_known_gateways.max(fleet.gateways);
         if fleet.is_counted {
-            self.retry_share.record_count(now, fleet.gateways);
+            self.equal_share.record_count(now, fleet.gateways);
         }
         self.fleet = fleet;
         for quota in self.quotas.values_mut() {
@@ -228,7 +228,7 @@
 
     /// This gateway's part of the fixed allowance of every retry budget, from 0 to 1.
     pub fn retry_part(&self, now: Duration) -> f64 {
-        self.retry_share.part(now, self.retry_terms().window)
+        self.equal_share.part(now, self.retry_terms().window)
     }
 
     /// Loads of the services that are scaled.
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -238,7 +238,7 @@
         let now = self.clock.now();
         let service = &job.work.service;
         let mut state = self.state.borrow_mut();
-        let gateways = state.retry_share.gateways();
+        let gateways = state.equal_share.gateways();
         let part = state.retry_part(now);
         let budget = state.retry_budget(service);
         drop(state);
@@ -257,8 +257,10 @@
 
     /// Maximum number of connections to one endpoint of a service that this gateway opens.
     pub fn max_endpoint_connections(&self, job: &Job) -> u32 {
-        let gateways = self.state.borrow().fleet.gateways as f64;
-        let part = f64::from(job.max_connections) * CONNECTIONS_USED_FRACTION / gateways;
+        let state = self.state.borrow();
+        // Gateways that are no longer heard may keep their connections.
+        let gateways = state.equal_share.gateways().max(state.fleet.gateways);
+        let part = f64::from(job.max_connections) * CONNECTIONS_USED_FRACTION / gateways as f64;
         (part as u32).max(2)
     }
 
