Give a process that starts during a roll-out no part of the extra exposure

What endpoints of an undecided version could see: each gateway that is killed during an order has its part of the extra requests (exposureTolerance) again when it starts, so kills of all add up to several times the allowance. Fix: an order that is in the first rows that a process reads was there before it, and gives it the fraction of its own requests only.

--- a/components/gateway/src/control/departures.rs
+++ b/components/gateway/src/control/departures.rs
@@ -124,7 +124,7 @@
             };
             match topic {
                 Topic::Endpoints => self.apply_endpoint(&row),
-                _ => self.apply_operator_row(&row, stamp),
+                _ => self.apply_operator_row(&row, stamp, false),
             }
         }
     }
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -268,7 +268,7 @@
                 Topic::Configuration if is_restored => {
                     self.apply_restored_operator_row(change, stamp);
                 }
-                Topic::Configuration => self.apply_operator_row(change, stamp),
+                Topic::Configuration => self.apply_operator_row(change, stamp, is_first),
                 Topic::Endpoints if is_restored => self.apply_restored_endpoint(change),
                 Topic::Endpoints => self.apply_endpoint(change),
                 Topic::Gateways
--- a/components/gateway/src/control/rows.rs
+++ b/components/gateway/src/control/rows.rs
@@ -16,11 +16,12 @@
 
 impl<S: Store + 'static, O: Orders + 'static> Shared<S, O> {
     /// Applies a row that the operator wrote.
-    pub fn apply_operator_row(&self, change: &Change, stamp: Duration) {
+    /// `predates_process` says whether the row was there when this process started.
+    pub fn apply_operator_row(&self, change: &Change, stamp: Duration, predates_process: bool) {
         if change.key == self.store.configuration_key() {
             self.apply_configuration(change);
         } else if let Some(service) = self.store.rollout_service(&change.key) {
-            self.apply_rollout_order(&service, change, stamp);
+            self.apply_rollout_order(&service, change, stamp, predates_process);
         }
     }
 
@@ -40,7 +41,7 @@
             return;
         }
         drop(state);
-        self.apply_operator_row(change, stamp);
+        self.apply_operator_row(change, stamp, false);
     }
 
     // Whether a row holds the same request as a known order.
@@ -50,7 +51,13 @@
         read.is_some_and(|read| read.is_same_request(known))
     }
 
-    fn apply_rollout_order(&self, service: &str, change: &Change, stamp: Duration) {
+    fn apply_rollout_order(
+        &self,
+        service: &str,
+        change: &Change,
+        stamp: Duration,
+        predates_process: bool,
+    ) {
         let Some(value) = &change.value else {
             self.state.borrow_mut().rollouts.orders.remove(service);
             info!(self.log, "roll-out withdrawn"; "service" => service, "revision" => change.revision.number);
@@ -78,8 +85,12 @@
                     return;
                 }
                 info!(self.log, "roll-out ordered"; "service" => service, "version" => &order.version,
-                    "era" => era, "revision" => order.revision, "time_ms" => order.time_limit.as_millis() as u64);
-                self.update(Update::RolloutOrdered(order));
+                    "era" => era, "revision" => order.revision, "time_ms" => order.time_limit.as_millis() as u64,
+                    "predates_process" => predates_process);
+                self.update(Update::RolloutOrdered {
+                    order,
+                    predates_process,
+                });
             }
             Err(fault) => {
                 warn!(self.log, "roll-out order not readable; it is not carried out";
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -169,7 +169,10 @@
                 self.merge_held(&held);
             }
             Update::Settings(settings) => state.set_settings(now, settings),
-            Update::RolloutOrdered(order) => state.gates.order(order),
+            Update::RolloutOrdered {
+                order,
+                predates_process,
+            } => state.gates.order(order, predates_process),
             Update::RolloutRenumbered { service, revision } => {
                 state.gates.renumber(&service, revision);
             }
--- a/components/gateway/src/update.rs
+++ b/components/gateway/src/update.rs
@@ -56,7 +56,11 @@
     /// New settings.
     Settings(Arc<GatewaySettings>),
     /// A roll-out was ordered.
-    RolloutOrdered(Order),
+    RolloutOrdered {
+        order: Order,
+        /// Whether the order was there when this process started.
+        predates_process: bool,
+    },
     /// The order of a service was rewritten in a restored store under another revision.
     RolloutRenumbered {
         service: String,
--- a/components/gateway/src/versions.rs
+++ b/components/gateway/src/versions.rs
@@ -65,9 +65,13 @@
 
 impl RolloutGates {
     /// Adds a new order, which replaces an earlier one of the same service.
-    pub fn order(&mut self, order: Order) {
+    pub fn order(&mut self, order: Order, predates_process: bool) {
         let service = order.service.clone();
-        self.gates.insert(service, VersionSelector::new(order));
+        let mut selector = VersionSelector::new(order);
+        if predates_process {
+            selector.withhold_extra();
+        }
+        self.gates.insert(service, selector);
     }
 
     /// Sets the revision of a service's order after it was rewritten in a restored store.
--- a/components/gateway/tests/rollouts.rs
+++ b/components/gateway/tests/rollouts.rs
@@ -100,6 +100,34 @@
     assert_eq!(fixture.old.heads().len(), before);
 }
 
+// Guards against processes that replace each other during an order and use the same part of the extra requests.
+#[test]
+fn a_gateway_that_starts_during_an_order_exposes_only_the_fraction_of_its_own_requests() {
+    const CALLS: usize = 2000;
+    let fixture = Fixture::new(200);
+    fixture.start_new_version();
+    fixture.store.put_order("v2", Duration::from_secs(60));
+    let gateway = fixture.start_with(GatewaySettings {
+        exposure_milli: 100,
+        exposure_extra: 1000,
+        reports_usage: true,
+        ..settings()
+    });
+    let mut calls = 0;
+    wait_until("a sampled request", || {
+        gateway.call("/a/1", &[]);
+        calls += 1;
+        fixture.new_requests() > 0
+    });
+    for _ in 0..CALLS {
+        gateway.call("/a/1", &[]);
+    }
+    // Half of the fraction is for the sample.
+    let max = (calls + CALLS) / 20;
+    let exposed = fixture.new_requests();
+    assert!(exposed <= max, "{exposed} of {max}");
+}
+
 /// The old endpoint answers within 1 ms and the new ones 8 ms later, as idle connections do on busy processors. A difference
 /// that no caller notices must not count against a version.
 #[test]
--- a/components/rollout/src/version_selector.rs
+++ b/components/rollout/src/version_selector.rs
@@ -49,6 +49,8 @@
     placed_new: u64,
     // Requests placed at the new version, by hash of their route.
     new_of_route: BTreeMap<u64, u64>,
+    // Whether this process has a part of the extra requests.
+    has_extra: bool,
 }
 
 /// The properties of a request that its version depends on.
@@ -71,9 +73,15 @@
             placed: 0,
             placed_new: 0,
             new_of_route: BTreeMap::new(),
+            has_extra: true,
         }
     }
 
+    /// Gives this process no part of the extra requests: a process that it replaced may have used that part.
+    pub fn withhold_extra(&mut self) {
+        self.has_extra = false;
+    }
+
     /// The order.
     pub fn order(&self) -> &Order {
         &self.order
@@ -142,7 +150,10 @@
 
     // Each gateway stays within its own part, so the total stays within the limit without communication.
     fn has_exposure_left(&self, allowance: Allowance, part: f64) -> bool {
-        let extra = allowance.extra / allowance.placing_gateways.max(1) as f64;
+        let extra = match self.has_extra {
+            true => allowance.extra / allowance.placing_gateways.max(1) as f64,
+            false => 0.0,
+        };
         let limit = allowance.fraction * self.placed as f64 + extra;
         (self.placed_new + 1) as f64 <= limit * part
     }
--- a/components/rollout/tests/guarantees.rs
+++ b/components/rollout/tests/guarantees.rs
@@ -140,6 +140,24 @@
     );
 }
 
+// Guards against a process that starts during an order and uses the part of the extra requests that the process before it
+// may have used.
+#[test]
+fn a_process_that_started_during_an_order_exposes_only_the_fraction_of_its_own_requests() {
+    let mut selector = VersionSelector::new(order(Duration::from_secs(12)));
+    selector.withhold_extra();
+    selector.receive(Duration::ZERO, 7, Stage::SwitchAll);
+    let mut exposed = 0;
+    for placed in 1..=1000 {
+        let versions = select_versions(&selector, Duration::from_millis(1));
+        let is_new = versions == VersionFilter::Only("v2".into());
+        selector.record_placement(1, is_new);
+        exposed += u32::from(is_new);
+        assert!(exposed <= placed / 10, "{exposed} of {placed}");
+    }
+    assert!(exposed > 0);
+}
+
 #[test]
 fn a_known_decision_is_not_replaced_by_a_later_stage() {
     let mut selector = VersionSelector::new(order(Duration::from_secs(12)));
