soak: kill all gateways twice while all endpoints fail

In half of the bouts all endpoints now fail for 2 to 4 s while all gateways are killed at 0.6 and 2.1 s of that, 40 ms apart; drawn with a salt of its own, so a seed keeps its other faults.

--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -48,6 +48,16 @@
 /// Time, in ms, from a restore until the change in a calm: slightly more than gateways need to count as in touch.
 const RESTORE_BEFORE_CHANGE: u64 = 3_200;
 
+/// Salt of the generator for failures of all endpoints.
+const FAILURE_SALT: u64 = 0xfa11;
+/// Time, in ms, for which all endpoints fail.
+const FAILURE_TIME: std::ops::Range<u64> = 2_000..4_000;
+/// Times into such a failure, in ms, at which all gateways are killed one after the other.
+const KILLS_IN_FAILURE: [u64; 2] = [600, 2_100];
+/// Time between two of these kills, in ms, and for which a killed gateway is down.
+const KILL_GAP: u64 = 40;
+const KILL_DOWNTIME: u64 = 300;
+
 /// One act from outside.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub enum Act {
@@ -87,6 +97,8 @@
         milli: u64,
         ms: u64,
     },
+    /// For some ms every request fails at all endpoints.
+    FailAll { ms: u64 },
     /// An endpoint ends without a word, and is replaced.
     Crash { endpoint: usize },
     /// A gateway is asked to stop, and its next starts are of the older build or of the one under test.
@@ -183,6 +195,11 @@
             gateways,
             endpoints,
         };
+        let mut failures = Draw {
+            rng: ChaCha8Rng::seed_from_u64(seed ^ FAILURE_SALT),
+            gateways,
+            endpoints,
+        };
         let mut steps = Vec::new();
         let mut at = START;
         while at < last {
@@ -191,6 +208,7 @@
             stops.stops(at, last, &mut steps);
             said.said(at, last, &mut steps);
             limits.limits(at, last, &mut steps);
+            failures.failures(at, last, &mut steps);
             at += BOUT + CALM;
         }
         // A configuration just before: what the store took must be in force when all are back.
@@ -355,6 +373,26 @@
         }
     }
 
+    // In half of the bouts all endpoints fail while all gateways are killed twice, so that retries of several generations of
+    // processes fall into one window.
+    fn failures(&mut self, from: u64, last: u64, steps: &mut Vec<Step>) {
+        let ms = self.rng.random_range(FAILURE_TIME);
+        let at = from + self.rng.random_range(0..500);
+        if !self.rng.random_ratio(1, 2) || at + ms >= last {
+            return;
+        }
+        let act = Act::FailAll { ms };
+        steps.push(Step { at, act });
+        for into in KILLS_IN_FAILURE {
+            for gateway in 0..self.gateways {
+                let at = at + into + KILL_GAP * gateway as u64;
+                let ms = KILL_DOWNTIME;
+                let act = Act::Kill { gateway, ms };
+                steps.push(Step { at, act });
+            }
+        }
+    }
+
     fn fault(&mut self, longest: u64) -> Act {
         let gateway = self.rng.random_range(0..self.gateways);
         let endpoint = self.rng.random_range(0..self.endpoints);
--- a/soak/src/run/acts.rs
+++ b/soak/src/run/acts.rs
@@ -132,6 +132,10 @@
                     endpoint.ask_pause(*ms);
                 }
             }
+            Act::FailAll { ms } => {
+                let endpoints = self.endpoints.iter().flatten();
+                endpoints.for_each(|(endpoint, _)| endpoint.fail_all(*ms));
+            }
             Act::NameLimit {
                 endpoint,
                 milli,
--- a/soak/src/standins/endpoint.rs
+++ b/soak/src/standins/endpoint.rs
@@ -78,6 +78,8 @@
     leaving: AtomicBool,
     // Time of the history until which it wants nothing, in ms.
     paused_until: AtomicU64,
+    // Time of the history until which every request fails, in ms.
+    failing_until: AtomicU64,
     limit: Mutex<Option<NamedLimit>>,
     running: Mutex<BTreeSet<String>>,
     open: Mutex<BTreeMap<u64, TcpStream>>,
@@ -123,6 +125,7 @@
             ended: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             paused_until: AtomicU64::new(0),
+            failing_until: AtomicU64::new(0),
             limit: Mutex::default(),
             running: Mutex::default(),
             open: Mutex::default(),
@@ -161,6 +164,12 @@
         self.inner.paused_until.store(until, Ordering::SeqCst);
     }
 
+    /// For some ms every request fails.
+    pub fn fail_all(&self, ms: u64) {
+        let until = self.inner.history.now() + ms;
+        self.inner.failing_until.store(until, Ordering::SeqCst);
+    }
+
     /// Its answers name a limit from now on.
     pub fn name_limit(&self, limit: NamedLimit) {
         *lock(&self.inner.limit) = Some(limit);
@@ -222,7 +231,11 @@
         }
         let paused_until = self.paused_until.load(Ordering::SeqCst);
         let pause = paused_until.saturating_sub(self.history.now());
-        let course = course(id, &self.id);
+        let is_failing = self.history.now() < self.failing_until.load(Ordering::SeqCst);
+        let course = match is_failing {
+            true => Course::Fails,
+            false => course(id, &self.id),
+        };
         let is_full = lock(&self.running).len() >= SLOTS;
         if is_full || course == Course::TurnsAway || pause > 0 {
             self.history.note(Seen::TurnedAway {
