--- a/components/gateway/src/retry_permit.rs
+++ b/components/gateway/src/retry_permit.rs
@@ -11,7 +11,7 @@
 pub(crate) type SharedRetryBudget = Rc<RefCell<RetryBudget>>;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Progress {
+enum PermitState {
     Unsent,
     Sent,
     Settled,
@@ -22,7 +22,7 @@
 pub(crate) struct RetryPermit {
     budget: SharedRetryBudget,
     clock: Clock,
-    progress: Cell<Progress>,
+    state: Cell<PermitState>,
 }
 
 impl RetryPermit {
@@ -31,23 +31,23 @@
         RetryPermit {
             budget: Rc::clone(budget),
             clock,
-            progress: Cell::new(Progress::Unsent),
+            state: Cell::new(PermitState::Unsent),
         }
     }
 
     /// Records that the request is about to be sent.
     pub fn record_sent(&self) {
-        self.progress.set(Progress::Sent);
+        self.state.set(PermitState::Sent);
     }
 
     /// Records that no part of the request was sent after all.
     pub fn record_not_sent(&self) {
-        self.progress.set(Progress::Unsent);
+        self.state.set(PermitState::Unsent);
     }
 
     /// Records that the endpoint received the request.
     pub fn record_arrived(&self) {
-        if self.progress.replace(Progress::Settled) == Progress::Sent {
+        if self.state.replace(PermitState::Settled) == PermitState::Sent {
             self.budget.borrow_mut().settle(self.clock.now());
         }
     }
@@ -55,11 +55,11 @@
 
 impl Drop for RetryPermit {
     fn drop(&mut self) {
-        match self.progress.get() {
-            Progress::Unsent => self.budget.borrow_mut().cancel(),
-            // The connection of an abandoned attempt is closed, so the request can no longer arrive.
-            Progress::Sent => self.budget.borrow_mut().settle(self.clock.now()),
-            Progress::Settled => {}
+        match self.state.get() {
+            PermitState::Unsent => self.budget.borrow_mut().cancel(),
+            // The connection of an abandoned attempt was reset, so the request can no longer arrive.
+            PermitState::Sent => self.budget.borrow_mut().settle(self.clock.now()),
+            PermitState::Settled => {}
         }
     }
 }
--- a/components/limits/src/retry_budget.rs
+++ b/components/limits/src/retry_budget.rs
@@ -4,7 +4,7 @@
 //! gateway keeps to its part without messages: the retries that its own requests earn, and a part of the fixed allowance.
 //!
 //! Most of the retries that a request earns are for the windows that begin after it, the others for those that contain
-//! it. So in each window the parts of all gateways add up to no more than a mean of what the requests of this window and
+//! it. So in each window the parts of all gateways add up to a weighted mean of what the requests of this window and
 //! those of the one before it allow, whatever the load does and however long each process has run.
 
 use std::time::Duration;
