Log each attempt that ends without an answer, and count the gateways that are alive

Cause: logs couldn't tell whether requests at a gateway without paths to the endpoints fail on idle connections that are dead or on new ones. Change: `no answer` says how long the connection had been idle and whether the kernel waits for an acknowledgement; connections to endpoints are opened by a dialer that tests can redirect; gauge gateway.alive_peers. No decision changes.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -164,6 +164,7 @@
             traffic: Rc::clone(self),
             ticket: self.record_sent(job, placement),
             connection: None,
+            idle_time: None,
             is_counted: false,
             has_answer_head: false,
             health: None,
--- a/components/gateway/src/connecting.rs
+++ b/components/gateway/src/connecting.rs
@@ -1,14 +1,15 @@
 //! Gets the connection of an attempt: an idle one or a new one.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use routing::placement::{HealthSignal, Placement};
 use slog::{info, warn};
 use telemetry::Counter;
-use transport::Connection;
+use transport::{Connection, ConnectionError};
 
 use crate::attempt::SendOptions;
-use crate::connection_pool::ReserveError;
+use crate::connection_pool::{ReserveError, ReusedConnection};
 use crate::endpoint_run::EndpointRun;
 use crate::job::Job;
 use crate::ports::Dialect;
@@ -19,7 +20,7 @@
 
 enum ConnectionSource {
     /// An idle connection of the pool.
-    Idle(Connection),
+    Idle(ReusedConnection),
     /// A connection can be opened.
     New,
     /// No connection can be opened now.
@@ -36,8 +37,9 @@
         run: &mut EndpointRun<D>,
     ) -> bool {
         match self.connection_source(job, placement, options) {
-            ConnectionSource::Idle(connection) => {
-                run.connection = Some(connection);
+            ConnectionSource::Idle(reused) => {
+                run.connection = Some(reused.connection);
+                run.idle_time = Some(reused.idle_time);
                 run.is_counted = true;
                 return true;
             }
@@ -47,7 +49,8 @@
             }
             ConnectionSource::New => run.is_counted = true,
         }
-        match Connection::open(placement.address, CONNECT_TIMEOUT).await {
+        let opened = self.open_connection(placement.address).await;
+        match opened {
             Ok(connection) => {
                 run.connection = Some(connection);
                 true
@@ -61,6 +64,11 @@
         }
     }
 
+    async fn open_connection(&self, address: SocketAddr) -> Result<Connection, ConnectionError> {
+        let dialed = self.dialer.dial(address, CONNECT_TIMEOUT).await;
+        Connection::over(dialed.map_err(ConnectionError::Unreachable)?).await
+    }
+
     fn connection_source(
         &self,
         job: &Job,
@@ -73,8 +81,8 @@
         if options.after_unresponsive {
             state.pool.drop_idle(&placement.endpoint);
         }
-        if let Some(connection) = state.pool.take_idle(now, &placement.endpoint) {
-            return ConnectionSource::Idle(connection);
+        if let Some(reused) = state.pool.take_idle(now, &placement.endpoint) {
+            return ConnectionSource::Idle(reused);
         }
         let Err(cause) = state.pool.reserve(&placement.endpoint, max) else {
             return ConnectionSource::New;
--- a/components/gateway/src/connection_pool.rs
+++ b/components/gateway/src/connection_pool.rs
@@ -16,9 +16,18 @@
 #[derive(Debug)]
 struct IdleConnection {
     connection: Connection,
+    idle_since: Duration,
     expires_at: Duration,
 }
 
+/// An idle connection that was taken from the pool.
+#[derive(Debug)]
+pub(crate) struct ReusedConnection {
+    pub connection: Connection,
+    /// Time for which it was idle.
+    pub idle_time: Duration,
+}
+
 /// Idle connections and number of open connections, by endpoint.
 #[derive(Debug)]
 pub(crate) struct ConnectionPool {
@@ -80,11 +89,14 @@
     }
 
     /// Removes and returns an idle connection that is still usable.
-    pub fn take_idle(&mut self, now: Duration, endpoint: &str) -> Option<Connection> {
+    pub fn take_idle(&mut self, now: Duration, endpoint: &str) -> Option<ReusedConnection> {
         let idle = self.idle.get_mut(endpoint)?;
         while let Some(entry) = idle.pop() {
             if now < entry.expires_at && entry.connection.is_open() && entry.connection.is_idle() {
-                return Some(entry.connection);
+                return Some(ReusedConnection {
+                    connection: entry.connection,
+                    idle_time: now.saturating_sub(entry.idle_since),
+                });
             }
             drop(entry);
             self.open.release(endpoint);
@@ -113,6 +125,7 @@
         let idle = self.idle.entry(endpoint.to_string()).or_default();
         idle.push(IdleConnection {
             connection,
+            idle_since: now,
             expires_at: now + idle_time.min(MAX_IDLE_TIME),
         });
     }
--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -32,7 +32,7 @@
 
 use schema::settings::GatewaySettings;
 use slog::{info, warn, Logger};
-use telemetry::{Counter, Metrics};
+use telemetry::{Counter, Gauge, Metrics};
 use tokio::runtime::Builder;
 use tokio::sync::Notify;
 use tokio::task::LocalSet;
@@ -302,6 +302,8 @@
         let mut state = self.state.borrow_mut();
         state.peers.tick(now);
         let fleet = state.peers.fleet(now);
+        let alive = state.peers.count(now).alive;
+        self.metrics.set(Gauge::AlivePeers, alive as u64);
         if fleet != state.fleet {
             let count = state.peers.count(now);
             info!(self.log, "gateways changed"; "heard" => count.alive, "silent" => count.silent,
--- a/components/gateway/src/endpoint_run.rs
+++ b/components/gateway/src/endpoint_run.rs
@@ -5,6 +5,7 @@
 
 use rollout::Answer;
 use routing::placement::{signal_without_answer, HealthSignal, Placement, Ticket};
+use slog::info;
 use transport::Connection;
 
 use crate::job::SharedJob;
@@ -20,6 +21,8 @@
     pub traffic: Rc<Traffic<D>>,
     pub ticket: Ticket,
     pub connection: Option<Connection>,
+    /// How long the connection was idle before; `None` for a new one.
+    pub idle_time: Option<Duration>,
     /// Whether the connection pool counts a connection for it.
     pub is_counted: bool,
     /// Whether the head of an answer was received.
@@ -89,6 +92,20 @@
         }
     }
 
+    // Logs an attempt that was sent and got no answer, with what is known of its connection.
+    fn log_without_answer(&self, now: Duration) {
+        let Some(connection) = self.connection.as_ref().filter(|_| !self.has_answer_head) else {
+            return;
+        };
+        let status = connection.tcp_status();
+        let acknowledged = status.map(|status| status.acknowledged_ago.as_millis() as u64);
+        let ms = |time: Duration| time.as_millis() as u64;
+        info!(self.traffic.log, "no answer"; "id" => &self.job.head.id, "endpoint" => &self.placement.endpoint,
+            "ms" => ms(now.saturating_sub(self.sent_at)), "idle_ms" => self.idle_time.map(ms),
+            "acknowledged_ms_ago" => acknowledged,
+            "unacknowledged" => status.map(|status| status.has_unacknowledged));
+    }
+
     fn health_at_drop(&self, now: Duration) -> HealthSignal {
         let waited = now.saturating_sub(self.sent_at);
         let timeout = self.job.expiry.saturating_sub(self.sent_at);
@@ -105,6 +122,7 @@
 impl<D> Drop for EndpointRun<D> {
     fn drop(&mut self) {
         let now = self.traffic.clock.now();
+        self.log_without_answer(now);
         let health = self.health_at_drop(now);
         let mut state = self.traffic.state.borrow_mut();
         if self.job.is_engine {
--- a/components/gateway/src/interrupted.rs
+++ b/components/gateway/src/interrupted.rs
@@ -131,17 +131,24 @@
         let endpoint = &placement.endpoint;
         let reserved = self.state.borrow_mut().pool.reserve(endpoint, max);
         reserved.ok()?;
-        let opened = Connection::open(placement.address, CHECK_CONNECT_TIMEOUT).await;
+        let dialed = self
+            .dialer
+            .dial(placement.address, CHECK_CONNECT_TIMEOUT)
+            .await;
+        let opened = match dialed {
+            Ok(stream) => Connection::over(stream).await.ok(),
+            Err(_) => None,
+        };
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         match opened {
-            Ok(connection) => {
+            Some(connection) => {
                 state
                     .pool
                     .put_idle(now, endpoint, connection, Some(CHECK_KEEP_ALIVE));
                 Some(false)
             }
-            Err(_) => {
+            None => {
                 state.pool.record_closed(endpoint);
                 Some(true)
             }
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -16,6 +16,7 @@
 use tokio::net::TcpListener;
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
+use transport::Dialer;
 
 use crate::clock::Clock;
 use crate::control::{Control, ControlParts, PeerSockets};
@@ -59,6 +60,8 @@
     pub store: Box<dyn FnOnce() -> S + Send>,
     /// Creates the client of the service that takes orders, in the control thread.
     pub orders: Box<dyn FnOnce() -> O + Send>,
+    /// Opens connections to endpoints.
+    pub dialer: Dialer,
     /// Clock of the gateway.
     pub clock: Clock,
     pub log: Logger,
@@ -140,6 +143,7 @@
             metrics,
             log: parts.log,
             settings,
+            dialer: parts.dialer,
             tallies,
         };
         let (bound, listening) = flume::bounded(1);
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -12,6 +12,7 @@
 use slog::{info, warn, Logger};
 use telemetry::{Counter, Gauge, Metrics};
 use tokio::sync::Notify;
+use transport::Dialer;
 
 use crate::clock::Clock;
 use crate::coordinator_contact::CoordinatorContact;
@@ -52,6 +53,8 @@
     pub send_queries: SendQueries,
     pub pending_limits: RefCell<PendingLimits>,
     pub room: MemoryManager,
+    /// Opens connections to endpoints.
+    pub dialer: Dialer,
     tallies: flume::Sender<Tally>,
 }
 
@@ -65,6 +68,7 @@
     pub metrics: Arc<Metrics>,
     pub log: Logger,
     pub settings: Arc<GatewaySettings>,
+    pub dialer: Dialer,
     pub tallies: flume::Sender<Tally>,
 }
 
@@ -89,6 +93,7 @@
             send_queries: SendQueries::default(),
             pending_limits: RefCell::default(),
             room,
+            dialer: parts.dialer,
             tallies: parts.tallies,
         }
     }
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -25,9 +25,10 @@
 use schema::settings::GatewaySettings;
 use slog::Logger;
 use telemetry::Gauge;
+use transport::Dialer;
 
 pub use crashing::CrashingEndpoint;
-pub use endpoint::FakeEndpoint;
+pub use endpoint::{Exchange, FakeEndpoint};
 pub use log_lines::LogLines;
 pub use store::{FakeOrders, FakeStore};
 
@@ -248,6 +249,26 @@
         store: FakeStore,
         log: Logger,
         clock: Clock,
+    ) -> Self {
+        Self::start_with(settings, store, log, clock, Dialer::default())
+    }
+
+    /// Starts a gateway whose connections to endpoints are opened by `dialer`.
+    pub fn start_with_dialer(
+        settings: GatewaySettings,
+        store: FakeStore,
+        log: Logger,
+        dialer: Dialer,
+    ) -> Self {
+        Self::start_with(settings, store, log, Clock::start(), dialer)
+    }
+
+    fn start_with(
+        settings: GatewaySettings,
+        store: FakeStore,
+        log: Logger,
+        clock: Clock,
+        dialer: Dialer,
     ) -> Self {
         let orders = FakeOrders::default();
         let (own_store, own_orders) = (store.clone(), orders.clone());
@@ -257,6 +278,7 @@
             dialect: PlainDialect,
             store: Box::new(move || own_store),
             orders: Box::new(move || own_orders),
+            dialer,
             clock,
             log,
         });
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -162,6 +162,8 @@
         Budget => "memory.budget",
         /// This gateway's part of the fixed allowance of each retry budget, in thousandths.
         RetryPart => "retry.part_milli",
+        /// Other gateways that are alive, a count.
+        AlivePeers => "gateway.alive_peers",
     }
 }
 
--- a/components/transport/src/connection.rs
+++ b/components/transport/src/connection.rs
@@ -14,6 +14,8 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use crate::tcp::{Dialer, SharedStream, TcpStatus};
+
 /// A request body that is held in memory as a whole.
 pub type FullBody = Full<Bytes>;
 
@@ -50,6 +52,7 @@
 /// An open connection. Dropping it resets the socket at once, even while a request is in progress.
 #[derive(Debug)]
 pub struct Connection {
+    stream: SharedStream,
     sender: SendRequest<FullBody>,
     driver: JoinHandle<()>,
 }
@@ -57,25 +60,33 @@
 impl Connection {
     /// Connects to `address`; `timeout` limits the TCP connect. Must be called inside a `LocalSet`.
     pub async fn open(address: SocketAddr, timeout: Duration) -> Result<Self, ConnectionError> {
-        let connecting = tokio::time::timeout(timeout, TcpStream::connect(address));
-        let stream = match connecting.await {
-            Ok(connected) => connected.map_err(ConnectionError::Unreachable)?,
-            Err(_) => {
-                let error = std::io::Error::from(std::io::ErrorKind::TimedOut);
-                return Err(ConnectionError::Unreachable(error));
-            }
-        };
+        let dialed = Dialer::default().dial(address, timeout).await;
+        Self::over(dialed.map_err(ConnectionError::Unreachable)?).await
+    }
+
+    /// Uses a stream that is connected. Must be called inside a `LocalSet`.
+    pub async fn over(stream: TcpStream) -> Result<Self, ConnectionError> {
         set_dead_peer_detection(&stream);
         discard_unsent_bytes_on_close(&stream);
+        let stream = SharedStream::new(stream);
         let handshake = Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(stream.clone()))
             .await;
         let (sender, connection) = handshake.map_err(ConnectionError::Broken)?;
         let driver = tokio::task::spawn_local(async move {
             let _ = connection.await;
         });
-        Ok(Connection { sender, driver })
+        Ok(Connection {
+            stream,
+            sender,
+            driver,
+        })
+    }
+
+    /// What the kernel reports of the connection, where the platform supports that.
+    pub fn tcp_status(&self) -> Option<TcpStatus> {
+        self.stream.status()
     }
 
     /// Whether the connection is open, as far as this side has noticed.
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -9,6 +9,7 @@
 mod peer;
 mod resume;
 mod service;
+mod tcp;
 mod wire;
 
 pub use auth::{sign, verify, Key, TAG_BYTES};
@@ -22,6 +23,7 @@
 pub use peer::{open_packet, seal_packet, PacketError, ReplayGuard, MAX_DATAGRAM_BYTES};
 pub use resume::{issue_resume_token, verify_resume_token, ResumeError};
 pub use service::{call_service, ServiceCall, ServiceReply};
+pub use tcp::{Dialer, Target, TcpStatus};
 pub use wire::{
     CacheEventBody, ChatMessage, ChatRequest, ChunkLine, GenerateBody, LoadBody, OrderBody, Refusal,
 };
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -7,6 +7,7 @@
 use gateway::{Clock, Parts};
 use platform::{CloudApi, MetadataStore, PlatformDialect};
 use schema::settings::GatewaySettings;
+use transport::Dialer;
 
 use super::{read_file, CommandError, Outcome, EXIT_FAULTS};
 use crate::cli::Gateway;
@@ -31,6 +32,7 @@
         dialect: PlatformDialect,
         store: Box::new(move || MetadataStore::new(store)),
         orders: Box::new(move || CloudApi::new(orders)),
+        dialer: Dialer::default(),
         clock: Clock::start(),
         log,
     };
