--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -5,6 +5,7 @@
 pub mod crashing;
 mod endpoint;
 mod log_lines;
+pub mod paths;
 pub mod slow_io;
 mod store;
 
