Open connections to endpoints through another gateway when the own path fails

Cause: an endpoint could be reached over the gateway's own path only, and what failed there was held against one endpoint at a time; every request tried four of them anew. Requests were also written on idle connections whose path was dead. Change: a connect that fails or takes longer than 80 ms is tried through other coordinators as well (CONNECT on the TCP port beside the one for placement queries) and the first way that works is used, so no request waits for a conclusion about whose fault it is. The gateway keeps the request and all decisions; the other one passes bytes, connects to endpoints that it knows, for gateways that it knows, over its own path only, and answers 503 at once while its own paths are lost. An idle connection is reused after a second only while its hall has answered within a second. A request that the endpoint's kernel doesn't acknowledge makes the gateway try the path, and is sent again if it may be repeated. A failure that may be the path's is no evidence about an endpoint's version or end.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -1,17 +1,19 @@
 //! One attempt of a request at one endpoint.
 
 use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
-use http::{response, HeaderMap, HeaderName, Request};
+use http::{response, HeaderMap, HeaderName, Request, Response};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use memory::Kind;
 use routing::placement::{HealthSignal, Placement};
 use slog::info;
 use telemetry::Counter;
-use transport::{ConnectionError, FullBody};
+use transport::{Connection, ConnectionError, FullBody};
 
 use crate::buffers::BufferedBody;
 use crate::endpoint_run::EndpointRun;
@@ -165,8 +167,10 @@
             ticket: self.record_sent(job, placement),
             connection: None,
             idle_time: None,
+            relay: None,
             is_counted: false,
             has_answer_head: false,
+            has_whole_answer: false,
             health: None,
             sent_at: self.clock.now(),
             placement: placement.clone(),
@@ -183,7 +187,6 @@
             run.set_health(HealthSignal::Inconclusive);
             return AttemptOutcome::NotSent;
         }
-        let request = self.build_request(job, placement, options.last_event);
         self.metrics.count(Counter::Attempts);
         run.sent_at = self.clock.now();
         let permit = options.permit.as_ref();
@@ -191,7 +194,15 @@
             return AttemptOutcome::NotSent;
         };
         permit.inspect(|permit| permit.record_sent());
-        let answer = match connection.send(request).await {
+        let last_event = options.last_event;
+        let sent = self
+            .send_request(job, placement, last_event, run.relay, connection)
+            .await;
+        let Some(sent) = sent else {
+            run.set_health(HealthSignal::Inconclusive);
+            return AttemptOutcome::Lost("the path to the endpoint was lost");
+        };
+        let answer = match sent {
             Ok(answer) => answer,
             Err(ConnectionError::Broken(error)) => {
                 run.set_health(HealthSignal::Unresponsive);
@@ -209,6 +220,7 @@
         };
         permit.inspect(|permit| permit.record_arrived());
         run.has_answer_head = true;
+        run.record_received();
         let (head, body) = answer.into_parts();
         let read = self.dialect.read_answer(head.status, &head.headers);
         self.apply_answer_head(job, placement, run.sent_at, head.status, &read);
@@ -229,6 +241,26 @@
         self.whole_answer(job, run, head, read, body).await
     }
 
+    // Sends the request of a job. Returns `None` if the path to the endpoint is lost and the job can be repeated.
+    async fn send_request(
+        &self,
+        job: &Job,
+        placement: &Placement,
+        last_event: Option<u64>,
+        relay: Option<SocketAddr>,
+        connection: &mut Connection,
+    ) -> Option<Result<Response<Incoming>, ConnectionError>> {
+        // Pinned in place, since `select` would hold moved futures twice.
+        let watched = connection.watch();
+        let mut lost_path = pin!(self.wait_for_lost_path(job, placement, relay, watched));
+        let mut sending = pin!(connection.send(self.build_request(job, placement, last_event)));
+        tokio::select! {
+            biased;
+            sent = &mut sending => Some(sent),
+            () = &mut lost_path => None,
+        }
+    }
+
     fn build_request(
         &self,
         job: &Job,
@@ -299,6 +331,7 @@
             return AttemptOutcome::Lost("the answer is not what the endpoint made");
         }
         run.record_first_token();
+        run.has_whole_answer = true;
         run.set_health(match failed {
             true => HealthSignal::Faulty,
             false => HealthSignal::Healthy,
--- a/components/gateway/src/connection_pool.rs
+++ b/components/gateway/src/connection_pool.rs
@@ -1,11 +1,13 @@
 //! Pool of keep-alive connections to endpoints.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use memory::{Kind, Ledger, Reservation};
 use transport::Connection;
 
+use crate::connecting::OpenedConnection;
 use crate::memory_manager::ENDPOINT_CONNECTION_BYTES;
 
 /// An idle connection is dropped this long before its endpoint would close it.
@@ -16,6 +18,7 @@
 #[derive(Debug)]
 struct IdleConnection {
     connection: Connection,
+    relay: Option<SocketAddr>,
     idle_since: Duration,
     expires_at: Duration,
 }
@@ -24,6 +27,8 @@
 #[derive(Debug)]
 pub(crate) struct ReusedConnection {
     pub connection: Connection,
+    /// Gateway through which it goes; `None` for the gateway's own path.
+    pub relay: Option<SocketAddr>,
     /// Time for which it was idle.
     pub idle_time: Duration,
 }
@@ -88,14 +93,24 @@
         }
     }
 
-    /// Removes and returns an idle connection that is still usable.
-    pub fn take_idle(&mut self, now: Duration, endpoint: &str) -> Option<ReusedConnection> {
+    /// Removes and returns an idle connection that is still usable. `can_reuse` decides by the gateway through which the
+    /// connection goes, if any, and by its idle time; connections that it rejects are dropped.
+    pub fn take_idle(
+        &mut self,
+        now: Duration,
+        endpoint: &str,
+        can_reuse: impl Fn(Option<SocketAddr>, Duration) -> bool,
+    ) -> Option<ReusedConnection> {
         let idle = self.idle.get_mut(endpoint)?;
         while let Some(entry) = idle.pop() {
-            if now < entry.expires_at && entry.connection.is_open() && entry.connection.is_idle() {
+            let idle_time = now.saturating_sub(entry.idle_since);
+            let is_usable =
+                now < entry.expires_at && entry.connection.is_open() && entry.connection.is_idle();
+            if is_usable && can_reuse(entry.relay, idle_time) {
                 return Some(ReusedConnection {
                     connection: entry.connection,
-                    idle_time: now.saturating_sub(entry.idle_since),
+                    relay: entry.relay,
+                    idle_time,
                 });
             }
             drop(entry);
@@ -114,7 +129,7 @@
         &mut self,
         now: Duration,
         endpoint: &str,
-        connection: Connection,
+        OpenedConnection { connection, relay }: OpenedConnection,
         keep_alive: Option<Duration>,
     ) {
         let idle_time = keep_alive.map_or(MAX_IDLE_TIME, |k| k.saturating_sub(KEEP_ALIVE_MARGIN));
@@ -125,6 +140,7 @@
         let idle = self.idle.entry(endpoint.to_string()).or_default();
         idle.push(IdleConnection {
             connection,
+            relay,
             idle_since: now,
             expires_at: now + idle_time.min(MAX_IDLE_TIME),
         });
@@ -144,12 +160,26 @@
         }
     }
 
+    /// Drops the idle connections of an endpoint that don't go through another gateway.
+    pub fn drop_idle_of_own_path(&mut self, endpoint: &str) {
+        self.retain_idle(|of, entry| of != endpoint || entry.relay.is_some());
+    }
+
+    /// Drops the idle connections that go through gateways for which `is_usable` is false.
+    pub fn drop_idle_of_relays(&mut self, is_usable: impl Fn(SocketAddr) -> bool) {
+        self.retain_idle(|_, entry| entry.relay.is_none_or(&is_usable));
+    }
+
     /// Drops idle connections that have expired or were closed.
     pub fn drop_expired(&mut self, now: Duration) {
+        self.retain_idle(|_, entry| now < entry.expires_at && entry.connection.is_open());
+    }
+
+    fn retain_idle(&mut self, should_keep: impl Fn(&str, &IdleConnection) -> bool) {
         let open = &mut self.open;
         for (endpoint, idle) in &mut self.idle {
             let before = idle.len();
-            idle.retain(|entry| now < entry.expires_at && entry.connection.is_open());
+            idle.retain(|entry| should_keep(endpoint, entry));
             for _ in idle.len()..before {
                 open.release(endpoint);
             }
--- a/components/gateway/src/endpoint_run.rs
+++ b/components/gateway/src/endpoint_run.rs
@@ -1,5 +1,6 @@
 //! A request in flight at an endpoint, and the health signal that its end gives.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,6 +9,7 @@
 use slog::info;
 use transport::Connection;
 
+use crate::connecting::OpenedConnection;
 use crate::job::SharedJob;
 use crate::traffic::Traffic;
 
@@ -23,10 +25,14 @@
     pub connection: Option<Connection>,
     /// How long the connection was idle before; `None` for a new one.
     pub idle_time: Option<Duration>,
+    /// Gateway through which the connection goes; `None` for the gateway's own path.
+    pub relay: Option<SocketAddr>,
     /// Whether the connection pool counts a connection for it.
     pub is_counted: bool,
     /// Whether the head of an answer was received.
     pub has_answer_head: bool,
+    /// Whether a whole answer was received.
+    pub has_whole_answer: bool,
     pub health: Option<HealthSignal>,
     pub sent_at: Duration,
     pub placement: Placement,
@@ -48,10 +54,21 @@
         let now = self.traffic.clock.now();
         if let Some(connection) = self.connection.take() {
             self.is_counted = false;
+            let relay = self.relay;
+            let opened = OpenedConnection { connection, relay };
             let mut state = self.traffic.state.borrow_mut();
             state
                 .pool
-                .put_idle(now, &self.placement.endpoint, connection, keep_alive);
+                .put_idle(now, &self.placement.endpoint, opened, keep_alive);
+        }
+    }
+
+    /// Records that bytes of the endpoint arrived, which proves the path.
+    pub fn record_received(&self) {
+        if self.relay.is_none() {
+            let now = self.traffic.clock.now();
+            let mut state = self.traffic.state.borrow_mut();
+            state.paths.record_received(now, &self.placement.hall);
         }
     }
 
@@ -64,6 +81,7 @@
 
     /// Records that an event of the stream was received.
     pub fn record_event(&mut self) {
+        self.record_received();
         let now = self.traffic.clock.now();
         let mut state = self.traffic.state.borrow_mut();
         state.balancer.event(now, &mut self.ticket);
@@ -106,6 +124,17 @@
             "unacknowledged" => status.map(|status| status.has_unacknowledged));
     }
 
+    // Whether the attempt may have failed because of the path to the endpoint. Then it says nothing about the endpoint's
+    // version.
+    fn has_path_fault(&self, now: Duration) -> bool {
+        let connection = self.connection.as_ref();
+        let status = connection.and_then(Connection::tcp_status);
+        let is_unacknowledged = status.is_some_and(|status| status.has_unacknowledged);
+        let state = self.traffic.state.borrow();
+        let is_doubted = state.paths.is_doubted(now, self.placement.address);
+        !self.has_whole_answer && (self.relay.is_some() || is_unacknowledged || is_doubted)
+    }
+
     fn health_at_drop(&self, now: Duration) -> HealthSignal {
         let waited = now.saturating_sub(self.sent_at);
         let timeout = self.job.expiry.saturating_sub(self.sent_at);
@@ -124,6 +153,7 @@
         let now = self.traffic.clock.now();
         self.log_without_answer(now);
         let health = self.health_at_drop(now);
+        let has_path_fault = self.has_path_fault(now);
         let mut state = self.traffic.state.borrow_mut();
         if self.job.is_engine {
             let route = &self.job.route;
@@ -143,7 +173,10 @@
             .network_costs()
             .region_round_trip_ms(&self.placement.hall);
         let round_trip = Duration::from_secs_f64(round_trip_ms / 1000.0);
-        if let Some(answer) = self.evidence(now, round_trip, health) {
+        let evidence = self.evidence(now, round_trip, health);
+        if let Some(answer) =
+            evidence.filter(|_| health == HealthSignal::Healthy || !has_path_fault)
+        {
             let (service, route) = (&self.job.work.service, self.job.request_traits().route);
             let reported = state
                 .gates
--- a/components/gateway/src/interrupted.rs
+++ b/components/gateway/src/interrupted.rs
@@ -9,14 +9,11 @@
 use slog::info;
 use telemetry::Counter;
 use tokio::task::JoinHandle;
-use transport::Connection;
 
 use crate::job::SharedJob;
 use crate::ports::Dialect;
 use crate::traffic::Traffic;
 
-/// Connect timeout of the check. An endpoint that closed connections and accepts no new one counts as ended.
-const CHECK_CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time that the next attempt waits for the check. The VM of an ended endpoint refuses a connection within one round trip.
 const CHECK_WAIT: Duration = Duration::from_millis(100);
 /// Keep-alive time assumed for the connection of a check, on which nothing was sent: long enough for the next request,
@@ -125,32 +122,25 @@
         })
     }
 
-    // Whether the endpoint accepts no new connection; `None` if the pool allows none.
+    // Whether the endpoint accepts no new connection; `None` if the pool allows none, or if this gateway has lost its
+    // paths to the endpoints.
     async fn refuses_connections(&self, job: &SharedJob, placement: &Placement) -> Option<bool> {
         let max = self.max_endpoint_connections(job);
         let endpoint = &placement.endpoint;
         let reserved = self.state.borrow_mut().pool.reserve(endpoint, max);
         reserved.ok()?;
-        let dialed = self
-            .dialer
-            .dial(placement.address, CHECK_CONNECT_TIMEOUT)
-            .await;
-        let opened = match dialed {
-            Ok(stream) => Connection::over(stream).await.ok(),
-            Err(_) => None,
-        };
+        let opened = self.open_connection(&job.head.id, placement).await;
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         match opened {
-            Some(connection) => {
-                state
-                    .pool
-                    .put_idle(now, endpoint, connection, Some(CHECK_KEEP_ALIVE));
+            Ok(opened) => {
+                let keep_alive = Some(CHECK_KEEP_ALIVE);
+                state.pool.put_idle(now, endpoint, opened, keep_alive);
                 Some(false)
             }
-            None => {
+            Err(unreachable) => {
                 state.pool.record_closed(endpoint);
-                Some(true)
+                unreachable.is_endpoint_fault.then_some(true)
             }
         }
     }
--- a/components/gateway/src/memory_manager.rs
+++ b/components/gateway/src/memory_manager.rs
@@ -20,7 +20,7 @@
 /// Memory of a caller's connection that has served a request, in bytes, measured with a counting allocator.
 pub(crate) const CALLER_CONNECTION_BYTES: u64 = 20 << 10;
 /// Memory of a connection to an endpoint and of the request on it without bodies, in bytes, measured in the same way.
-pub(crate) const ENDPOINT_CONNECTION_BYTES: u64 = 40 << 10;
+pub(crate) const ENDPOINT_CONNECTION_BYTES: u64 = 42 << 10;
 /// Read-ahead of a stream in bytes when memory has no limit: some hundred events, about as many as the kernel's buffers
 /// hold in addition.
 const UNBOUNDED_READ_AHEAD_BYTES: u64 = 128 << 10;
--- a/components/gateway/src/peers/halls.rs
+++ b/components/gateway/src/peers/halls.rs
@@ -6,7 +6,7 @@
 //! decides for itself.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use crate::peers::peer::Peer;
@@ -22,6 +22,8 @@
 const ASSUMED_DECIDERS: usize = 100;
 /// Hash key of the order in which gateways with the same CPU capacity become coordinators.
 const COORDINATION_KEY: u64 = 0x636f_6f72;
+/// Hash key of the order in which a gateway asks relays.
+const RELAY_KEY: u64 = 0x7265_6c61;
 
 /// Counts of the gateways of one hall.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -57,6 +59,11 @@
     /// Coordinators of all halls that keep accounts of endpoints with a named limit, this gateway included;
     /// empty if this gateway does not decide.
     pub keepers: Vec<AccountKeeper>,
+    /// Gateways that may open connections to endpoints for this one, in the order in which it asks them: coordinators,
+    /// since these know the endpoints; those of its own hall first, those of other regions last.
+    pub relays: Vec<SocketAddr>,
+    /// IP addresses of the other gateways that are heard or listed.
+    pub known: BTreeSet<IpAddr>,
 }
 
 /// A coordinator that keeps accounts of endpoints with a named limit.
@@ -80,6 +87,8 @@
             fallback_deciders: Vec::new(),
             far_deciders: Vec::new(),
             keepers: Vec::new(),
+            relays: Vec::new(),
+            known: BTreeSet::new(),
         }
     }
 }
@@ -160,21 +169,27 @@
                 fallback_deciders: Vec::new(),
                 far_deciders: Vec::new(),
                 keepers: self.keepers(now),
+                relays: self.live_relays(now),
+                known: self.known_addresses(),
             };
         }
         let reported = self.reported_gateways(now);
         let gateways = reported.unwrap_or(count.gateways());
         let (near, far) = self.other_hall_deciders(now);
+        let deciders = self.deciders(now);
+        let relays = [deciders.clone(), near.clone(), far.clone()].concat();
         GatewayFleet {
             gateways,
             part: 1.0 / gateways.max(1) as f64,
             is_counted: reported.is_some(),
             decides: false,
-            coordinators: self.deciders(now),
+            coordinators: deciders,
             decider_count: gateways,
             fallback_deciders: [self.unheard_deciders(now), near, far.clone()].concat(),
             far_deciders: far,
             keepers: Vec::new(),
+            relays,
+            known: self.known_addresses(),
         }
     }
 
@@ -303,6 +318,30 @@
         others.chain(own).collect()
     }
 
+    // Live coordinators of all halls: by distance, then in an order that differs between gateways, so that those of a hall
+    // without paths don't all ask the same one.
+    fn live_relays(&self, now: Duration) -> Vec<SocketAddr> {
+        let own = weight(RELAY_KEY, &self.own.name);
+        let live = self.peers.iter().filter_map(|(name, peer)| {
+            let status = peer.recent_status(now)?;
+            let address = status.decisions.filter(|_| status.is_coordinator)?;
+            let distance = self.topology.distance(&peer.hall);
+            let is_far = distance == Distance::OtherRegion;
+            Some((
+                (is_far, peer.hall != self.own.hall, weight(own, name)),
+                address,
+            ))
+        });
+        let mut live: Vec<_> = live.collect();
+        live.sort_unstable();
+        live.into_iter().map(|(_, address)| address).collect()
+    }
+
+    fn known_addresses(&self) -> BTreeSet<IpAddr> {
+        let peers = self.peers.values();
+        peers.map(|peer| peer.address.ip()).collect()
+    }
+
     fn deciders(&self, now: Duration) -> Vec<SocketAddr> {
         let names = self.decider_names(now).into_iter();
         let addresses = names.filter_map(|name| self.peers[name].recent_status(now)?.decisions);
--- /dev/null
+++ b/components/gateway/src/relay.rs
@@ -0,0 +1,197 @@
+//! Opens connections to endpoints for other gateways that have lost their own paths to them.
+//!
+//! The other gateway keeps the request and all decisions about it; this one only passes bytes. It connects to endpoints
+//! that it knows, for gateways that it knows, and only over its own path: a tunnel never leads to a third gateway.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use memory::{Kind, Reservation};
+use slog::{info, warn};
+use telemetry::Counter;
+use tokio::net::{TcpListener, TcpStream};
+use transport::{pass_bytes, TUNNEL_BUFFER_BYTES};
+
+use crate::simple_http::{self, ACCEPT_RETRY_DELAY};
+use crate::traffic::Traffic;
+
+/// Time for the connect to an endpoint: two round trips between regions. The gateway that asked tries another relay
+/// after that.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time for receiving the head of a request.
+const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(1);
+/// Maximum number of connections from other gateways.
+const MAX_TUNNELS: usize = 1024;
+/// Memory of a tunnel: a buffer for each direction, and both connections.
+const TUNNEL_BYTES: u64 = 2 * TUNNEL_BUFFER_BYTES as u64 + (8 << 10);
+
+// Counts a connection from another gateway while it is open.
+struct OpenTunnel(Rc<Cell<usize>>);
+
+impl OpenTunnel {
+    fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        OpenTunnel(Rc::clone(count))
+    }
+}
+
+impl Drop for OpenTunnel {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Serves tunnels to other gateways until the runtime ends.
+pub(crate) async fn serve_tunnels<D: 'static>(traffic: Rc<Traffic<D>>, listener: TcpListener) {
+    loop {
+        let (stream, from) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                warn!(traffic.log, "accept failed"; "cause" => %error);
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                continue;
+            }
+        };
+        if traffic.open_tunnels.get() >= MAX_TUNNELS {
+            warn!(traffic.log, "connection refused"; "from" => %from, "open" => MAX_TUNNELS);
+            continue;
+        }
+        let counted = OpenTunnel::new(&traffic.open_tunnels);
+        let traffic = Rc::clone(&traffic);
+        tokio::task::spawn_local(serve_connection(traffic, stream, from, counted));
+    }
+}
+
+async fn serve_connection<D: 'static>(
+    traffic: Rc<Traffic<D>>,
+    stream: TcpStream,
+    from: SocketAddr,
+    counted: OpenTunnel,
+) {
+    let counted = Rc::new(counted);
+    let service = service_fn(|request| {
+        let (traffic, counted) = (Rc::clone(&traffic), Rc::clone(&counted));
+        async move { Ok::<_, Infallible>(traffic.answer_connect(request, from, counted).await) }
+    });
+    let mut builder = Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_READ_TIMEOUT)
+        .keep_alive(false);
+    let serving = builder.serve_connection(TokioIo::new(stream), service);
+    if let Err(error) = serving.with_upgrades().await {
+        info!(traffic.log, "relay request failed"; "from" => %from, "cause" => %error);
+    }
+}
+
+impl<D: 'static> Traffic<D> {
+    async fn answer_connect(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+        from: SocketAddr,
+        counted: Rc<OpenTunnel>,
+    ) -> Response<Full<Bytes>> {
+        let endpoint = request.uri().authority();
+        let endpoint = endpoint.and_then(|authority| authority.as_str().parse().ok());
+        let opened = match endpoint {
+            Some(endpoint) if request.method() == Method::CONNECT => {
+                self.open_for_other(from, endpoint).await
+            }
+            _ => Err(StatusCode::BAD_REQUEST),
+        };
+        let (stream, memory, endpoint) = match opened {
+            Ok(opened) => opened,
+            Err(status) => {
+                self.metrics.count(Counter::TunnelsRefused);
+                info!(self.log, "tunnel refused"; "from" => %from, "to" => request.uri().to_string(),
+                    "status" => status.as_u16());
+                return simple_http::answer(status, Bytes::new());
+            }
+        };
+        self.metrics.count(Counter::TunnelsOpened);
+        tokio::task::spawn_local(async move {
+            let started = self.clock.now();
+            let passed = run_tunnel(request, stream).await;
+            drop((memory, counted));
+            let elapsed = self.clock.now().saturating_sub(started);
+            let bytes = passed.as_ref().ok();
+            info!(self.log, "tunnel ended"; "from" => %from, "to" => %endpoint,
+                "ms" => elapsed.as_millis() as u64, "sent" => bytes.map(|bytes| bytes.sent),
+                "received" => bytes.map(|bytes| bytes.received),
+                "cause" => passed.as_ref().err().map(ToString::to_string));
+        });
+        simple_http::answer(StatusCode::OK, Bytes::new())
+    }
+
+    async fn open_for_other(
+        self: &Rc<Self>,
+        from: SocketAddr,
+        endpoint: SocketAddr,
+    ) -> Result<(TcpStream, Reservation, SocketAddr), StatusCode> {
+        let now = self.clock.now();
+        let hall = {
+            let state = self.state.borrow();
+            if !state.fleet.known.contains(&from.ip()) {
+                return Err(StatusCode::FORBIDDEN);
+            }
+            let hall = state.balancer.hall_at(endpoint).map(str::to_string);
+            let hall = hall.ok_or(StatusCode::NOT_FOUND)?;
+            if self.freshness.is_stopping() {
+                return Err(StatusCode::SERVICE_UNAVAILABLE);
+            }
+            if state.paths.are_all_lost(now) {
+                drop(state);
+                tokio::task::spawn_local(Rc::clone(self).probe(hall, endpoint));
+                return Err(StatusCode::SERVICE_UNAVAILABLE);
+            }
+            hall
+        };
+        let mut memory = self
+            .room
+            .ledger()
+            .open_account()
+            .reservation(Kind::Connection);
+        if !memory.grow(TUNNEL_BYTES) {
+            return Err(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        match self.dial_own_path(&hall, endpoint, CONNECT_TIMEOUT).await {
+            Ok(stream) => Ok((stream, memory, endpoint)),
+            Err(error) if error.kind() == std::io::ErrorKind::TimedOut => {
+                Err(StatusCode::GATEWAY_TIMEOUT)
+            }
+            Err(_) => Err(StatusCode::BAD_GATEWAY),
+        }
+    }
+
+    // Finds out whether this gateway reaches an endpoint again.
+    async fn probe(self: Rc<Self>, hall: String, endpoint: SocketAddr) {
+        if let Err(error) = self.dial_own_path(&hall, endpoint, CONNECT_TIMEOUT).await {
+            info!(self.log, "endpoint still unreachable"; "address" => %endpoint, "cause" => %error);
+        }
+    }
+}
+
+async fn run_tunnel(
+    request: Request<Incoming>,
+    endpoint: TcpStream,
+) -> std::io::Result<transport::TunnelBytes> {
+    let upgraded = hyper::upgrade::on(request).await;
+    let upgraded = upgraded.map_err(std::io::Error::other)?;
+    let parts = upgraded.downcast::<TokioIo<TcpStream>>();
+    let parts = parts.map_err(|_| std::io::Error::other("the stream has another type"))?;
+    if !parts.read_buf.is_empty() {
+        let message = "bytes before the tunnel was open";
+        return Err(std::io::Error::other(message));
+    }
+    pass_bytes(parts.io.into_inner(), endpoint).await
+}
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -23,6 +23,7 @@
 use crate::coordinator_contact::CoordinatorContact;
 use crate::freshness::Freshness;
 use crate::ports::{Dialect, Orders, Store};
+use crate::relay::serve_tunnels;
 use crate::server::{bind, bind_std, serve_callers, serve_metrics, serve_readiness};
 use crate::traffic::{Traffic, TrafficParts};
 use crate::update::Update;
@@ -115,7 +116,7 @@
         let sockets = peer_sockets(&settings.peers)?;
         let peer_address = sockets.address;
         let decisions = bind_decisions(&settings.decisions)?;
-        let decisions_port = port_of(&decisions)?;
+        let decisions_port = decisions.address.port();
         info!(parts.log, "start"; "gateway" => &settings.name, "zone" => &settings.zone,
             "callers" => &settings.callers);
         let control = Control::new(ControlParts {
@@ -218,53 +219,65 @@
         .change_context(GatewayError("a thread could not start"))
 }
 
-// Binds one port for both UDP and TCP. If the settings leave the port open, tries several free ones.
+// Sockets of the traffic thread for other gateways, on one port.
+struct DecisionSockets {
+    /// Placement queries.
+    queries: UdpSocket,
+    /// Tunnels to endpoints.
+    tunnels: std::net::TcpListener,
+    address: SocketAddr,
+}
+
 fn peer_sockets(address: &str) -> Result<PeerSockets, Report<GatewayError>> {
+    let (gossip, rows, address) = bind_both(address)?;
+    Ok(PeerSockets {
+        gossip,
+        rows,
+        address,
+    })
+}
+
+fn bind_decisions(address: &str) -> Result<DecisionSockets, Report<GatewayError>> {
+    let (queries, tunnels, address) = bind_both(address)?;
+    Ok(DecisionSockets {
+        queries,
+        tunnels,
+        address,
+    })
+}
+
+// Binds one port for both UDP and TCP. If the settings leave the port open, tries several free ones.
+fn bind_both(
+    address: &str,
+) -> Result<(UdpSocket, std::net::TcpListener, SocketAddr), Report<GatewayError>> {
     const TRIES: usize = 20;
     let address = parse(address)?;
-    let mut bound = bind_both(address);
+    let mut bound = try_bind_both(address);
     for _ in 1..TRIES {
         if bound.is_ok() || address.port() != 0 {
             break;
         }
-        bound = bind_both(address);
+        bound = try_bind_both(address);
     }
     bound
         .change_context(GatewayError(NOT_BOUND))
         .attach_with(|| address.to_string())
 }
 
-fn bind_decisions(address: &str) -> Result<UdpSocket, Report<GatewayError>> {
-    let not_bound = GatewayError(NOT_BOUND);
-    let socket = UdpSocket::bind(parse(address)?).change_context(not_bound)?;
-    socket
-        .set_nonblocking(true)
-        .change_context(GatewayError(NOT_BOUND))?;
-    Ok(socket)
-}
-
-fn port_of(socket: &UdpSocket) -> Result<u16, Report<GatewayError>> {
-    let address = socket.local_addr();
-    let address = address.change_context(GatewayError("a bound address could not be read"))?;
-    Ok(address.port())
-}
-
-fn bind_both(address: SocketAddr) -> std::io::Result<PeerSockets> {
-    let gossip = UdpSocket::bind(address)?;
-    gossip.set_nonblocking(true)?;
-    let address = gossip.local_addr()?;
-    Ok(PeerSockets {
-        gossip,
-        rows: bind_std(address)?,
-        address,
-    })
+fn try_bind_both(
+    address: SocketAddr,
+) -> std::io::Result<(UdpSocket, std::net::TcpListener, SocketAddr)> {
+    let datagrams = UdpSocket::bind(address)?;
+    datagrams.set_nonblocking(true)?;
+    let address = datagrams.local_addr()?;
+    Ok((datagrams, bind_std(address)?, address))
 }
 
 type Bound = flume::Sender<Result<Listening, Report<GatewayError>>>;
 
 fn run_traffic<D: Dialect + 'static>(
     parts: TrafficParts<D>,
-    decisions: UdpSocket,
+    decisions: DecisionSockets,
     updates: flume::Receiver<Update>,
     bound: &Bound,
 ) {
@@ -316,7 +329,7 @@
 
 async fn serve<D: Dialect + 'static>(
     traffic: Rc<Traffic<D>>,
-    decisions: UdpSocket,
+    decisions: DecisionSockets,
     updates: flume::Receiver<Update>,
     bound: &Bound,
 ) {
@@ -340,7 +353,16 @@
         let metrics = Arc::clone(&traffic.metrics);
         tokio::task::spawn_local(serve_metrics(metrics, listener));
     }
-    match tokio::net::UdpSocket::from_std(decisions) {
+    match TcpListener::from_std(decisions.tunnels) {
+        Ok(listener) => {
+            tokio::task::spawn_local(serve_tunnels(Rc::clone(&traffic), listener));
+        }
+        Err(error) => {
+            warn!(traffic.log, "cannot open connections for other gateways; raise the limit of file descriptors";
+            "cause" => %error)
+        }
+    }
+    match tokio::net::UdpSocket::from_std(decisions.queries) {
         Ok(socket) => {
             tokio::task::spawn_local(Rc::clone(&traffic).serve_decisions(socket));
         }
@@ -365,7 +387,8 @@
     loop {
         tokio::time::sleep(STOP_POLL_INTERVAL).await;
         let now = traffic.clock.now();
-        let is_drained = traffic.in_flight.get() == 0 && traffic.freshness.is_closed(now);
+        let is_idle = traffic.in_flight.get() == 0 && traffic.open_tunnels.get() == 0;
+        let is_drained = is_idle && traffic.freshness.is_closed(now);
         if is_drained || now >= drain_deadline {
             break;
         }
--- a/components/gateway/src/simple_http.rs
+++ b/components/gateway/src/simple_http.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpListener;
 
 /// Delay after a failed accept.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+pub(crate) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Maximum time to receive a request head, which also bounds how long a connection is idle.
 const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(15);
 /// Maximum number of open connections.
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -12,6 +12,7 @@
 use quarantine::Quarantine;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use reachability::{Paths, Relays};
 use routing::placement::{Balancer, Exclusion, Placement, Work};
 use schema::settings::GatewaySettings;
 use topology::Topology;
@@ -32,6 +33,10 @@
     pub endpoints_known: bool,
     pub directory: Option<Rc<Directory>>,
     pub pool: ConnectionPool,
+    /// This gateway's own paths to the endpoints.
+    pub paths: Paths,
+    /// Gateways through which it reaches endpoints otherwise.
+    pub relays: Relays,
     pub quotas: BTreeMap<String, SharedQuota>,
     pub retry_budgets: BTreeMap<String, SharedRetryBudget>,
     /// This gateway's equal part of what all gateways share.
@@ -57,6 +62,8 @@
             endpoints_known: false,
             directory: None,
             pool: ConnectionPool::new(ledger),
+            paths: Paths::default(),
+            relays: Relays::default(),
             quotas: BTreeMap::new(),
             retry_budgets: BTreeMap::new(),
             equal_share: EqualShare::default(),
@@ -192,6 +199,10 @@
         if fleet.is_counted {
             self.equal_share.record_count(now, fleet.gateways);
         }
+        self.relays.set_candidates(fleet.relays.clone());
+        let relays = &self.relays;
+        self.pool
+            .drop_idle_of_relays(|relay| relays.is_candidate(relay));
         self.fleet = fleet;
         for quota in self.quotas.values_mut() {
             quota.set_part(now, part);
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -48,6 +48,9 @@
     pub endpoints_changed: Notify,
     pub endpoint_restarted: Notify,
     pub in_flight: Cell<usize>,
+    /// Connections from gateways for which this one opens connections to endpoints.
+    pub open_tunnels: Rc<Cell<usize>>,
+    pub had_lost_paths: Cell<bool>,
     pub decision_queries: DecisionQueries,
     pub pending_sights: PendingSights,
     pub send_queries: SendQueries,
@@ -88,6 +91,8 @@
             endpoints_changed: Notify::new(),
             endpoint_restarted: Notify::new(),
             in_flight: Cell::new(0),
+            open_tunnels: Rc::default(),
+            had_lost_paths: Cell::new(false),
             decision_queries: DecisionQueries::default(),
             pending_sights: PendingSights::default(),
             send_queries: SendQueries::default(),
--- a/components/gateway/tests/lost_paths.rs
+++ b/components/gateway/tests/lost_paths.rs
@@ -93,3 +93,13 @@
     assert_eq!(gateways[0].statuses("/a/"), [200; REQUESTS]);
     assert_eq!(gateways[0].statuses("/once/"), [200; REQUESTS]);
 }
+// Guards against failing all callers of a gateway whose connects to endpoints are refused, while another gateway reaches
+// them.
+#[test]
+fn a_gateway_whose_connects_to_endpoints_are_refused_serves_through_another_gateway() {
+    let endpoints = start_endpoints();
+    let gateways = start_gateways(2, &store(&endpoints));
+    gateways[0].paths.set(PathState::Refused);
+    assert_eq!(gateways[0].statuses("/a/"), [200; REQUESTS]);
+    assert_eq!(gateways[0].statuses("/once/"), [200; REQUESTS]);
+}
--- a/components/routing/src/placement/balancer.rs
+++ b/components/routing/src/placement/balancer.rs
@@ -198,6 +198,12 @@
         endpoints.get(id).map(|entry| &entry.spec)
     }
 
+    /// Returns the data hall of the endpoint at an address.
+    pub fn hall_at(&self, address: SocketAddr) -> Option<&str> {
+        let endpoint = self.endpoints().find(|known| known.address == address);
+        endpoint.map(|known| known.zone.as_str())
+    }
+
     /// Returns the number of endpoints.
     pub fn endpoint_count(&self) -> usize {
         self.service_of.len()
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -140,6 +140,12 @@
         SlowHeads => "caller.slow_head",
         /// Connections closed because the caller did not read an answer until long after its time.
         UnreadAnswers => "caller.untaken",
+        /// Connections to endpoints that were opened through another gateway.
+        RelayedConnections => "endpoint.relayed",
+        /// Connections to endpoints that this gateway opened for others.
+        TunnelsOpened => "tunnel.opened",
+        /// Connections that other gateways asked for and this one did not open.
+        TunnelsRefused => "tunnel.refused",
     }
 }
 
@@ -164,6 +170,8 @@
         RetryPart => "retry.part_milli",
         /// Other gateways that are alive, a count.
         AlivePeers => "gateway.alive_peers",
+        /// 1 while the paths to all endpoints seem to be lost, else 0.
+        PathsLost => "endpoint.paths_lost",
     }
 }
 
--- a/components/transport/src/connection.rs
+++ b/components/transport/src/connection.rs
@@ -89,6 +89,11 @@
         self.stream.status()
     }
 
+    /// A handle for inspecting the connection while a request is sent on it.
+    pub fn watch(&self) -> WatchedConnection {
+        WatchedConnection(self.stream.clone())
+    }
+
     /// Whether the connection is open, as far as this side has noticed.
     pub fn is_open(&self) -> bool {
         !self.sender.is_closed()
@@ -120,6 +125,17 @@
     }
 }
 
+/// A handle for inspecting a connection, which it keeps open.
+#[derive(Clone, Debug)]
+pub struct WatchedConnection(SharedStream);
+
+impl WatchedConnection {
+    /// What the kernel reports of the connection, where the platform supports that.
+    pub fn tcp_status(&self) -> Option<TcpStatus> {
+        self.0.status()
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
@@ -134,7 +150,7 @@
 
 // A machine that loses power does not close its connections: without the timeout and the keep-alive
 // probes, a connection to it would hang.
-fn set_dead_peer_detection(stream: &TcpStream) {
+pub(crate) fn set_dead_peer_detection(stream: &TcpStream) {
     let _ = stream.set_nodelay(true);
     let socket = SockRef::from(stream);
     let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -10,10 +10,11 @@
 mod resume;
 mod service;
 mod tcp;
+mod tunnel;
 mod wire;
 
 pub use auth::{sign, verify, Key, TAG_BYTES};
-pub use connection::{Connection, ConnectionError, FullBody};
+pub use connection::{Connection, ConnectionError, FullBody, WatchedConnection};
 pub use engine::{
     has_status_line, AttemptEnd, Engine, EngineError, GenerateRequest, GenerationEvent, HttpEngine,
     LoadReport,
@@ -24,6 +25,7 @@
 pub use resume::{issue_resume_token, verify_resume_token, ResumeError};
 pub use service::{call_service, ServiceCall, ServiceReply};
 pub use tcp::{Dialer, Target, TcpStatus};
+pub use tunnel::{open_tunnel, pass_bytes, TunnelBytes, TunnelError, TUNNEL_BUFFER_BYTES};
 pub use wire::{
     CacheEventBody, ChatMessage, ChatRequest, ChunkLine, GenerateBody, LoadBody, OrderBody, Refusal,
 };
--- /dev/null
+++ b/components/transport/src/tunnel.rs
@@ -0,0 +1,114 @@
+//! Tunnels: TCP connections that another gateway opens, by HTTP's CONNECT method (RFC 9110, section 9.3.6).
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use http_body_util::Empty;
+use hyper::client::conn::http1::Builder;
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use tokio::net::TcpStream;
+
+use crate::connection::set_dead_peer_detection;
+
+/// Size of the buffer for the bytes that pass in one direction.
+pub const TUNNEL_BUFFER_BYTES: usize = 16 << 10;
+
+/// Why there is no tunnel.
+#[derive(Debug)]
+pub enum TunnelError {
+    /// The relay could not be reached, or broke off.
+    Relay(io::Error),
+    /// The relay opened no connection and answered with this status.
+    Refused(StatusCode),
+}
+
+impl fmt::Display for TunnelError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            TunnelError::Relay(error) => write!(f, "relay cannot be used: {error}"),
+            TunnelError::Refused(status) => write!(f, "relay opened no connection: {status}"),
+        }
+    }
+}
+
+impl std::error::Error for TunnelError {}
+
+/// Connects to `relay`, which connects to `address`. Returns a stream whose other end is at `address`. Must be called
+/// inside a `LocalSet`; `timeout` limits the connect to the relay.
+pub async fn open_tunnel(
+    relay: SocketAddr,
+    address: SocketAddr,
+    timeout: Duration,
+) -> Result<TcpStream, TunnelError> {
+    let connected = tokio::time::timeout(timeout, TcpStream::connect(relay)).await;
+    let connected = connected.map_err(|_| io::Error::from(io::ErrorKind::TimedOut));
+    let stream = connected
+        .and_then(|connected| connected)
+        .map_err(TunnelError::Relay)?;
+    set_dead_peer_detection(&stream);
+    let handshake = Builder::new().handshake(TokioIo::new(stream)).await;
+    let (mut sender, connection) = handshake.map_err(broken)?;
+    tokio::task::spawn_local(connection.with_upgrades());
+    let mut request = Request::new(Empty::<Bytes>::new());
+    *request.method_mut() = Method::CONNECT;
+    let authority = address.to_string();
+    *request.uri_mut() = authority.parse().map_err(broken)?;
+    let host = authority.parse().map_err(broken)?;
+    request.headers_mut().insert(http::header::HOST, host);
+    let answer = sender.send_request(request).await.map_err(broken)?;
+    if !answer.status().is_success() {
+        return Err(TunnelError::Refused(answer.status()));
+    }
+    let upgraded = hyper::upgrade::on(answer).await.map_err(broken)?;
+    let parts = upgraded.downcast::<TokioIo<TcpStream>>();
+    let parts = parts.map_err(|_| broken("the stream has another type"))?;
+    // Endpoints send nothing before they have received a request.
+    match parts.read_buf.is_empty() {
+        true => Ok(parts.io.into_inner()),
+        false => Err(broken("bytes before the first request")),
+    }
+}
+
+fn broken(error: impl Into<Box<dyn std::error::Error + Send + Sync>>) -> TunnelError {
+    TunnelError::Relay(io::Error::other(error))
+}
+
+/// Numbers of bytes that passed a tunnel.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TunnelBytes {
+    /// From the gateway to the endpoint.
+    pub sent: u64,
+    /// From the endpoint to the gateway.
+    pub received: u64,
+}
+
+/// Passes bytes between a gateway and an endpoint until both have finished, or either connection fails.
+///
+/// A failed connection resets the other one: an answer that was cut off must not look complete. So does a call that is
+/// dropped.
+pub async fn pass_bytes(
+    mut gateway: TcpStream,
+    mut endpoint: TcpStream,
+) -> io::Result<TunnelBytes> {
+    for stream in [&gateway, &endpoint] {
+        set_dead_peer_detection(stream);
+        SockRef::from(stream).set_linger(Some(Duration::ZERO))?;
+    }
+    let (sent, received) = tokio::io::copy_bidirectional_with_sizes(
+        &mut gateway,
+        &mut endpoint,
+        TUNNEL_BUFFER_BYTES,
+        TUNNEL_BUFFER_BYTES,
+    )
+    .await?;
+    // Both sides have finished: what the kernel still holds is to be delivered.
+    for stream in [&gateway, &endpoint] {
+        SockRef::from(stream).set_linger(None)?;
+    }
+    Ok(TunnelBytes { sent, received })
+}
