Probe doubted paths in the background, and test connections through other gateways

Change: a doubted path that requests need is probed each second, one at a time, and pooled connections through other gateways are dropped once the path is proven; the check of an unacknowledged request ends with its first verdict.

--- a/components/gateway/src/connecting.rs
+++ b/components/gateway/src/connecting.rs
@@ -7,6 +7,7 @@
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use routing::placement::{HealthSignal, Placement};
@@ -140,11 +141,15 @@
             state.pool.drop_idle(&placement.endpoint);
         }
         let (paths, relays) = (&state.paths, &state.relays);
+        let is_doubted = paths.is_doubted(now, placement.address);
         let can_reuse = |relay: Option<SocketAddr>, idle_time| match relay {
-            Some(relay) => relays.is_candidate(relay),
+            Some(relay) => is_doubted && relays.is_candidate(relay),
             None => paths.can_reuse(now, &placement.hall, placement.address, idle_time),
         };
         if let Some(reused) = state.pool.take_idle(now, &placement.endpoint, can_reuse) {
+            if reused.relay.is_some() {
+                state.paths.record_relayed(now, placement.address);
+            }
             return ConnectionSource::Idle(reused);
         }
         let Err(cause) = state.pool.reserve(&placement.endpoint, max) else {
@@ -283,12 +288,15 @@
                 state.paths.record_connected(now, hall, address);
             }
             (Way::Own, false) => {
-                state.paths.record_failed(now, placement.address);
+                let (hall, address) = (&placement.hall, placement.address);
+                state.paths.record_failed(now, hall, address);
                 state.pool.drop_idle_of_own_path(&placement.endpoint);
             }
             (Way::Relay(relay), true) => {
+                let (hall, address) = (&placement.hall, placement.address);
                 state.relays.record_opened(relay);
-                state.paths.record_failed(now, placement.address);
+                state.paths.record_failed(now, hall, address);
+                state.paths.record_relayed(now, address);
                 state.pool.drop_idle_of_own_path(&placement.endpoint);
             }
             (Way::Relay(relay), false) => state.relays.record_failed(now, relay),
@@ -304,7 +312,7 @@
     }
 }
 
-impl<D> Traffic<D> {
+impl<D: 'static> Traffic<D> {
     /// Connects to an endpoint over the gateway's own path.
     pub async fn dial_own_path(
         &self,
@@ -317,13 +325,29 @@
         let mut state = self.state.borrow_mut();
         match dialed {
             Ok(_) => state.paths.record_connected(now, hall, endpoint),
-            Err(_) => state.paths.record_failed(now, endpoint),
+            Err(_) => state.paths.record_failed(now, hall, endpoint),
         }
         drop(state);
         self.note_lost_paths(now);
         dialed
     }
 
+    /// Probes at most one doubted path that is due.
+    pub fn probe_doubted_path(self: &Rc<Self>) {
+        let now = self.clock.now();
+        let due = self.state.borrow_mut().paths.next_probe(now);
+        if let Some((hall, endpoint)) = due {
+            tokio::task::spawn_local(Rc::clone(self).probe(hall, endpoint));
+        }
+    }
+
+    /// Finds out whether this gateway reaches an endpoint.
+    pub async fn probe(self: Rc<Self>, hall: String, endpoint: SocketAddr) {
+        let dialed = self.dial_own_path(&hall, endpoint, CONNECT_TIMEOUT).await;
+        info!(self.log, "path probed"; "address" => %endpoint,
+            "cause" => dialed.err().map(|error| error.to_string()));
+    }
+
     /// Logs when the paths to all endpoints are lost, and when they are back.
     pub fn note_lost_paths(&self, now: Duration) {
         let are_lost = self.state.borrow().paths.are_all_lost(now);
--- a/components/gateway/src/path_watch.rs
+++ b/components/gateway/src/path_watch.rs
@@ -32,8 +32,11 @@
         while let Some(is_lost) =
             Box::pin(self.check_acknowledgement(job, placement, relay, &watched)).await
         {
-            if is_lost && job.route.execution.is_repeatable() {
-                return;
+            match is_lost {
+                true if job.route.execution.is_repeatable() => return,
+                // It may have run: the endpoint's answer, or the kernel's verdict, is waited for.
+                true => break,
+                false => {}
             }
         }
         drop(watched);
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -172,13 +172,6 @@
             Err(_) => Err(StatusCode::BAD_GATEWAY),
         }
     }
-
-    // Finds out whether this gateway reaches an endpoint again.
-    async fn probe(self: Rc<Self>, hall: String, endpoint: SocketAddr) {
-        if let Err(error) = self.dial_own_path(&hall, endpoint, CONNECT_TIMEOUT).await {
-            info!(self.log, "endpoint still unreachable"; "address" => %endpoint, "cause" => %error);
-        }
-    }
 }
 
 async fn run_tunnel(
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -90,6 +90,7 @@
 pub struct Gateway {
     listening: Listening,
     peer_address: SocketAddr,
+    tunnel_address: SocketAddr,
     signals: Signals,
     metrics: Arc<Metrics>,
     traffic: JoinHandle<()>,
@@ -116,7 +117,8 @@
         let sockets = peer_sockets(&settings.peers)?;
         let peer_address = sockets.address;
         let decisions = bind_decisions(&settings.decisions)?;
-        let decisions_port = decisions.address.port();
+        let tunnel_address = decisions.address;
+        let decisions_port = tunnel_address.port();
         info!(parts.log, "start"; "gateway" => &settings.name, "zone" => &settings.zone,
             "callers" => &settings.callers);
         let control = Control::new(ControlParts {
@@ -157,6 +159,7 @@
         Ok(Gateway {
             listening,
             peer_address,
+            tunnel_address,
             signals,
             metrics: shared_metrics,
             traffic,
@@ -173,6 +176,11 @@
         self.peer_address
     }
 
+    /// Address at which it opens connections to endpoints for other gateways.
+    pub fn tunnel_address(&self) -> SocketAddr {
+        self.tunnel_address
+    }
+
     pub fn metrics(&self) -> &Metrics {
         &self.metrics
     }
@@ -372,7 +380,7 @@
         }
     }
     let following = Rc::clone(&traffic);
-    tokio::task::spawn_local(async move { following.apply_updates(updates).await });
+    tokio::task::spawn_local(following.apply_updates(updates));
     while !traffic.freshness.is_stopping() {
         tokio::time::sleep(STOP_POLL_INTERVAL).await;
     }
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -303,9 +303,11 @@
         let part = self.state.borrow().retry_part(now);
         self.metrics.set(Gauge::RetryPart, (part * 1000.0) as u64);
     }
+}
 
+impl<D: 'static> Traffic<D> {
     /// Applies updates and sends tallies until the control thread ends.
-    pub async fn apply_updates(&self, updates: flume::Receiver<Update>) {
+    pub async fn apply_updates(self: Rc<Self>, updates: flume::Receiver<Update>) {
         let mut interval = tokio::time::interval(TALLY_INTERVAL);
         interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
@@ -320,6 +322,7 @@
                     self.state.borrow_mut().pool.drop_expired(now);
                     self.publish_retry_part(now);
                     self.check_memory();
+                    self.probe_doubted_path();
                     self.send_tally();
                 }
             }
--- a/components/gateway/tests/common/endpoint.rs
+++ b/components/gateway/tests/common/endpoint.rs
@@ -10,6 +10,7 @@
 pub struct Exchange {
     pub head: String,
     stream: TcpStream,
+    is_abandoned: bool,
 }
 
 impl Exchange {
@@ -121,6 +122,11 @@
         &self.stream
     }
 
+    /// Drops the connection, which closes it as its socket options say.
+    pub fn abandon(&mut self) {
+        self.is_abandoned = true;
+    }
+
     /// Closes the connection in both directions.
     pub fn close(&mut self) {
         let _ = self.stream.shutdown(Shutdown::Both);
@@ -181,8 +187,12 @@
         let mut exchange = Exchange {
             head,
             stream: writing,
+            is_abandoned: false,
         };
         serve(number, &mut exchange);
+        if exchange.is_abandoned {
+            return;
+        }
     }
 }
 
--- a/components/reachability/src/paths.rs
+++ b/components/reachability/src/paths.rs
@@ -9,6 +9,8 @@
 const MIN_LOST: usize = 3;
 /// A failed connect is forgotten after this time: the endpoint may be gone.
 const FAILURE_LIFETIME: Duration = Duration::from_secs(10);
+/// Interval between probes of a doubted path that requests need.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// An idle connection is reused without further evidence only for this time after its last answer. On a network path
 /// that drops all packets the connection looks open until the kernel gives up on it, which takes seconds.
 const MAX_UNPROVEN: Duration = Duration::from_secs(1);
@@ -18,12 +20,34 @@
 /// A path is proven by an answer or a completed handshake, and doubted from a failed connect until the next proof.
 #[derive(Debug, Default)]
 pub struct Paths {
-    failed: HashMap<SocketAddr, Duration>,
+    failed: HashMap<SocketAddr, Failure>,
     // Last proof by data hall.
     proven: HashMap<String, Duration>,
     last_proof: Option<Duration>,
 }
 
+// A path whose last connect failed.
+#[derive(Debug)]
+struct Failure {
+    // Data hall of the endpoint.
+    hall: String,
+    at: Duration,
+    tried_at: Duration,
+    // Last request that went another way.
+    relayed_at: Option<Duration>,
+}
+
+impl Failure {
+    fn is_recent(&self, now: Duration) -> bool {
+        now < self.at + FAILURE_LIFETIME
+    }
+
+    fn is_needed(&self, now: Duration) -> bool {
+        let relayed = self.relayed_at;
+        relayed.is_some_and(|at| now < at + FAILURE_LIFETIME)
+    }
+}
+
 impl Paths {
     /// Records a completed handshake with an endpoint in a hall.
     pub fn record_connected(&mut self, now: Duration, hall: &str, endpoint: SocketAddr) {
@@ -42,23 +66,50 @@
         }
     }
 
-    /// Records that an endpoint did not complete or acknowledge anything in time.
-    pub fn record_failed(&mut self, now: Duration, endpoint: SocketAddr) {
-        self.failed.retain(|_, at| now < *at + FAILURE_LIFETIME);
-        self.failed.insert(endpoint, now);
+    /// Records that a connect to an endpoint in a hall failed, or took longer than another way.
+    pub fn record_failed(&mut self, now: Duration, hall: &str, endpoint: SocketAddr) {
+        self.failed.retain(|_, failure| failure.is_recent(now));
+        let failure = self.failed.entry(endpoint).or_insert_with(|| Failure {
+            hall: hall.to_string(),
+            at: now,
+            tried_at: now,
+            relayed_at: None,
+        });
+        failure.at = now;
+        failure.tried_at = now;
+    }
+
+    /// Records that a request to an endpoint goes through another gateway.
+    pub fn record_relayed(&mut self, now: Duration, endpoint: SocketAddr) {
+        if let Some(failure) = self.failed.get_mut(&endpoint) {
+            failure.relayed_at = Some(now);
+        }
     }
 
     /// Whether the last connect to an endpoint failed.
     pub fn is_doubted(&self, now: Duration, endpoint: SocketAddr) -> bool {
         let failed = self.failed.get(&endpoint);
-        failed.is_some_and(|at| now < *at + FAILURE_LIFETIME)
+        failed.is_some_and(|failure| failure.is_recent(now))
+    }
+
+    /// Returns a doubted path whose probe is due, as its endpoint's hall and address. Only paths that requests need are
+    /// probed, so that a request is never the first to find out that one works again.
+    pub fn next_probe(&mut self, now: Duration) -> Option<(String, SocketAddr)> {
+        let failed = self.failed.iter_mut();
+        let due = failed.filter(|(_, failure)| {
+            failure.is_needed(now) && now >= failure.tried_at + PROBE_INTERVAL
+        });
+        let (endpoint, failure) = due.min_by_key(|(_, failure)| failure.tried_at)?;
+        failure.tried_at = now;
+        Some((failure.hall.clone(), *endpoint))
     }
 
     /// Whether the paths to all endpoints seem to be lost: several failed, and no endpoint answered since.
     pub fn are_all_lost(&self, now: Duration) -> bool {
         let failed = self.failed.values();
-        let recent = failed.filter(|at| now < **at + FAILURE_LIFETIME);
-        let unanswered = recent.filter(|at| self.last_proof.is_none_or(|proof| proof < **at));
+        let recent = failed.filter(|failure| failure.is_recent(now));
+        let unanswered =
+            recent.filter(|failure| self.last_proof.is_none_or(|proof| proof < failure.at));
         unanswered.count() >= MIN_LOST
     }
 
--- a/components/reachability/tests/guarantees.rs
+++ b/components/reachability/tests/guarantees.rs
@@ -16,7 +16,7 @@
 #[test]
 fn a_failed_connect_casts_doubt_on_one_path_until_its_next_handshake() {
     let mut paths = Paths::default();
-    paths.record_failed(ms(100), address(1));
+    paths.record_failed(ms(100), "a", address(1));
     assert!(paths.is_doubted(ms(200), address(1)));
     assert!(!paths.is_doubted(ms(200), address(2)));
     paths.record_connected(ms(300), "a", address(1));
@@ -27,11 +27,11 @@
 fn all_paths_are_lost_only_when_several_endpoints_failed_since_the_last_proof() {
     let mut paths = Paths::default();
     paths.record_received(ms(0), "a");
-    paths.record_failed(ms(100), address(1));
-    paths.record_failed(ms(110), address(1));
-    paths.record_failed(ms(120), address(2));
+    paths.record_failed(ms(100), "a", address(1));
+    paths.record_failed(ms(110), "a", address(1));
+    paths.record_failed(ms(120), "a", address(2));
     assert!(!paths.are_all_lost(ms(150)));
-    paths.record_failed(ms(160), address(3));
+    paths.record_failed(ms(160), "a", address(3));
     assert!(paths.are_all_lost(ms(170)));
     // An endpoint of another hall answers: the others have faults of their own.
     paths.record_received(ms(180), "b");
@@ -48,7 +48,7 @@
     paths.record_received(ms(1000), "a");
     assert!(paths.can_reuse(ms(1100), "a", address(1), ms(1100)));
     assert!(!paths.can_reuse(ms(1100), "b", address(9), ms(1100)));
-    paths.record_failed(ms(1100), address(1));
+    paths.record_failed(ms(1100), "a", address(1));
     assert!(!paths.can_reuse(ms(1100), "a", address(1), ms(1100)));
 }
 
@@ -64,3 +64,19 @@
     relays.record_opened(address(2));
     assert_eq!(relays.order(ms(30)), [address(2), address(3), address(1)]);
 }
+
+// Guards against using another gateway for as long as connections through it stay open, after the own path is back.
+#[test]
+fn a_doubted_path_is_probed_each_second_while_requests_go_another_way() {
+    let mut paths = Paths::default();
+    paths.record_failed(ms(0), "a", address(1));
+    assert_eq!(paths.next_probe(ms(1500)), None);
+    paths.record_relayed(ms(1500), address(1));
+    assert_eq!(paths.next_probe(ms(1500)), Some(("a".into(), address(1))));
+    assert_eq!(paths.next_probe(ms(2000)), None);
+    paths.record_failed(ms(2000), "a", address(1));
+    assert_eq!(paths.next_probe(ms(2900)), None);
+    assert!(paths.next_probe(ms(3000)).is_some());
+    paths.record_connected(ms(3100), "a", address(1));
+    assert_eq!(paths.next_probe(ms(4200)), None);
+}
