--- a/components/gateway/src/connecting.rs
+++ b/components/gateway/src/connecting.rs
@@ -264,14 +264,14 @@
         way: Way,
         address: SocketAddr,
     ) {
-        let dialer = self.dialer.clone();
+        let (dialer, own) = (self.dialer.clone(), self.own_ip);
         tried.spawn_local(async move {
             let opened = match way {
                 Way::Own => dialer
                     .dial(address, CONNECT_TIMEOUT)
                     .await
                     .map_err(WayError::Own),
-                Way::Relay(relay) => open_tunnel(relay, address, CONNECT_TIMEOUT)
+                Way::Relay(relay) => open_tunnel(own, relay, address, CONNECT_TIMEOUT)
                     .await
                     .map_err(WayError::Relay),
             };
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -147,6 +147,7 @@
             log: parts.log,
             settings,
             dialer: parts.dialer,
+            own_ip: tunnel_address.ip(),
             tallies,
         };
         let (bound, listening) = flume::bounded(1);
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -1,6 +1,7 @@
 //! The traffic thread: its updates from the control thread, and its tallies for it.
 
 use std::cell::{Cell, RefCell};
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -58,6 +59,8 @@
     pub room: MemoryManager,
     /// Opens connections to endpoints.
     pub dialer: Dialer,
+    /// Address by which other gateways know this one.
+    pub own_ip: IpAddr,
     tallies: flume::Sender<Tally>,
 }
 
@@ -72,6 +75,7 @@
     pub log: Logger,
     pub settings: Arc<GatewaySettings>,
     pub dialer: Dialer,
+    pub own_ip: IpAddr,
     pub tallies: flume::Sender<Tally>,
 }
 
@@ -99,6 +103,7 @@
             pending_limits: RefCell::default(),
             room,
             dialer: parts.dialer,
+            own_ip: parts.own_ip,
             tallies: parts.tallies,
         }
     }
--- a/components/gateway/tests/lost_paths.rs
+++ b/components/gateway/tests/lost_paths.rs
@@ -217,7 +217,7 @@
         exchange.wait_closed();
         noticed.store(true, Ordering::Relaxed);
     });
-    let gateways = start_gateways(2, &store(&[fake.clone()]));
+    let gateways = start_gateways(2, &store(std::slice::from_ref(&fake)));
     gateways[0].paths.set(PathState::Refused);
     let caller = open(gateways[0].setup.address(), &request_text("/once/1", &[]));
     wait_until("the request", || fake.heads().len() == 1);
--- a/components/transport/src/tunnel.rs
+++ b/components/transport/src/tunnel.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,7 +11,7 @@
 use hyper::client::conn::http1::Builder;
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 use crate::connection::set_dead_peer_detection;
 
@@ -38,14 +38,15 @@
 
 impl std::error::Error for TunnelError {}
 
-/// Connects to `relay`, which connects to `address`. Returns a stream whose other end is at `address`. Must be called
-/// inside a `LocalSet`; `timeout` limits the connect to the relay.
+/// Connects to `relay` from `own`, by which the relay knows this gateway, and asks it to connect to `address`. Returns a
+/// stream whose other end is at `address`. Must be called inside a `LocalSet`; `timeout` limits the connect to the relay.
 pub async fn open_tunnel(
+    own: IpAddr,
     relay: SocketAddr,
     address: SocketAddr,
     timeout: Duration,
 ) -> Result<TcpStream, TunnelError> {
-    let connected = tokio::time::timeout(timeout, TcpStream::connect(relay)).await;
+    let connected = tokio::time::timeout(timeout, connect_from(own, relay)).await;
     let connected = connected.map_err(|_| io::Error::from(io::ErrorKind::TimedOut));
     let stream = connected
         .and_then(|connected| connected)
@@ -74,6 +75,17 @@
     }
 }
 
+async fn connect_from(own: IpAddr, to: SocketAddr) -> io::Result<TcpStream> {
+    let socket = match to {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    if !own.is_unspecified() {
+        socket.bind(SocketAddr::new(own, 0))?;
+    }
+    socket.connect(to).await
+}
+
 fn broken(error: impl Into<Box<dyn std::error::Error + Send + Sync>>) -> TunnelError {
     TunnelError::Relay(io::Error::other(error))
 }
