Tell the gateways of a hall which gateways of other halls have paths to the endpoints

Cause: gateways that are no coordinators knew only the coordinators of their own hall as relays, and where these were cut too there was no way; relays that doubted a path themselves tried it for 200 ms again for each request. A relay that doubts its own path to an endpoint answers 503 at once and probes it in the background.

--- a/components/gateway/src/control/control_state.rs
+++ b/components/gateway/src/control/control_state.rs
@@ -78,6 +78,8 @@
     pub echoes: Option<Echoes>,
     pub forwarding: Forwarding,
     pub fleet: GatewayFleet,
+    /// Whether this gateway has lost its own paths to the endpoints.
+    pub has_lost_paths: bool,
     // Whether this gateway keeps long polls open at the store.
     pub reads_store: bool,
     // Shortest time that a store call took.
@@ -138,6 +140,7 @@
             sending: SendState::default(),
             echoes,
             fleet: GatewayFleet::default(),
+            has_lost_paths: false,
             reads_store: false,
             min_store_call_time: None,
             list_refused: false,
--- a/components/gateway/src/control/exchange.rs
+++ b/components/gateway/src/control/exchange.rs
@@ -226,6 +226,7 @@
         state.limits.extend(tally.limits);
         state.team_totals = tally.taken;
         state.loads = tally.loads;
+        state.has_lost_paths = tally.has_lost_paths;
         urgent
     }
 
--- a/components/gateway/src/control/messages.rs
+++ b/components/gateway/src/control/messages.rs
@@ -28,6 +28,8 @@
 const USAGE_EVERY: i64 = 3;
 /// Upper limit of peer addresses in one message.
 const MAX_ADDRESSES: usize = 3;
+/// Upper limit of relays in one message.
+const MAX_RELAYS: usize = 3;
 /// Count of the newest usage windows that are reported.
 const REPORTED_WINDOWS: i64 = 3;
 /// Count of messages in which every total is sent at least once, so that lost messages are compensated.
@@ -175,6 +177,8 @@
                 false => None,
             },
             keeps_accounts: Some(true),
+            has_lost_paths: state.has_lost_paths.then_some(true),
+            relays: (has_state && coordinates).then(|| state.relays_to_send(now)),
             day_ms: has_state.then(|| (now.as_micros() as i64 + state.day.vote_us()) / 1000),
         }
     }
@@ -310,6 +314,13 @@
         }
     }
 
+    // A part of the relays in turn, so that the gateways of a hall without paths don't all ask the same ones.
+    fn relays_to_send(&self, now: Duration) -> Vec<String> {
+        let turn = self.sending.turn();
+        let relays = self.peers.relays_to_report(now, turn, MAX_RELAYS);
+        relays.iter().map(SocketAddr::to_string).collect()
+    }
+
     fn addresses_to_send(&self, now: Duration) -> Vec<String> {
         let turn = self.sending.sequence as usize;
         let addresses = self.peers.coordinator_addresses(now, turn, MAX_ADDRESSES);
--- a/components/gateway/src/gossip.rs
+++ b/components/gateway/src/gossip.rs
@@ -82,6 +82,8 @@
         gateways: gossip.gateways.map(|gateways| gateways.max(0) as usize),
         preferred_coordinator: gossip.asks.clone(),
         keeps_accounts: gossip.keeps_accounts.unwrap_or_default(),
+        has_lost_paths: gossip.has_lost_paths.unwrap_or_default(),
+        relays: parse_addresses(gossip.relays.iter().flatten()),
     }
 }
 
@@ -199,8 +201,11 @@
 
 /// Decodes addresses; invalid ones are skipped.
 pub(crate) fn received_addresses(gossip: &Gossip) -> Vec<SocketAddr> {
-    let addresses = gossip.peers.iter();
-    addresses.filter_map(|text| text.parse().ok()).collect()
+    parse_addresses(gossip.peers.iter())
+}
+
+fn parse_addresses<'a>(texts: impl Iterator<Item = &'a String>) -> Vec<SocketAddr> {
+    texts.filter_map(|text| text.parse().ok()).collect()
 }
 
 /// Encodes a stage for a message.
--- a/components/gateway/src/peers/halls.rs
+++ b/components/gateway/src/peers/halls.rs
@@ -177,7 +177,11 @@
         let gateways = reported.unwrap_or(count.gateways());
         let (near, far) = self.other_hall_deciders(now);
         let deciders = self.deciders(now);
-        let relays = [deciders.clone(), near.clone(), far.clone()].concat();
+        let relays = match self.reported_relays(now) {
+            reported if !reported.is_empty() => reported,
+            // No coordinator of its hall is heard.
+            _ => [near.clone(), far.clone()].concat(),
+        };
         GatewayFleet {
             gateways,
             part: 1.0 / gateways.max(1) as f64,
@@ -318,23 +322,58 @@
         others.chain(own).collect()
     }
 
-    // Live coordinators of all halls: by distance, then in an order that differs between gateways, so that those of a hall
-    // without paths don't all ask the same one.
+    // Live coordinators of all halls that may have paths to the endpoints: by distance, then in an order that differs between
+    // gateways, so that those of a hall without paths don't all ask the same one. Those without paths come last.
     fn live_relays(&self, now: Duration) -> Vec<SocketAddr> {
         let own = weight(RELAY_KEY, &self.own.name);
         let live = self.peers.iter().filter_map(|(name, peer)| {
             let status = peer.recent_status(now)?;
             let address = status.decisions.filter(|_| status.is_coordinator)?;
-            let distance = self.topology.distance(&peer.hall);
-            let is_far = distance == Distance::OtherRegion;
-            Some((
-                (is_far, peer.hall != self.own.hall, weight(own, name)),
-                address,
-            ))
+            let is_far = self.topology.distance(&peer.hall) == Distance::OtherRegion;
+            let is_other_hall = peer.hall != self.own.hall;
+            let preference = (status.has_lost_paths, is_far, is_other_hall);
+            Some((preference, weight(own, name), address))
         });
         let mut live: Vec<_> = live.collect();
         live.sort_unstable();
-        live.into_iter().map(|(_, address)| address).collect()
+        live.into_iter().map(|(_, _, address)| address).collect()
+    }
+
+    /// At most `count` relays that a coordinator reports to the gateways of its hall: those of other halls, starting at a
+    /// position that advances with `turn`. Its own hall's coordinators are known there.
+    pub fn relays_to_report(&self, now: Duration, turn: usize, count: usize) -> Vec<SocketAddr> {
+        let other_halls = self.peers.values().filter(|p| p.hall != self.own.hall);
+        let sound = other_halls.filter_map(|peer| {
+            let status = peer.recent_status(now)?;
+            let is_sound = status.is_coordinator && !status.has_lost_paths;
+            status.decisions.filter(|_| is_sound)
+        });
+        let sound: Vec<SocketAddr> = sound.collect();
+        let first = turn * count;
+        let positions = (0..sound.len().min(count)).map(|i| (first + i) % sound.len());
+        positions.map(|position| sound[position]).collect()
+    }
+
+    // The relays of a gateway that is no coordinator: its coordinators, and those that they report. Those without paths come
+    // last.
+    fn reported_relays(&self, now: Duration) -> Vec<SocketAddr> {
+        let own_hall = self.peers.values().filter(|p| p.hall == self.own.hall);
+        let coordinators = own_hall
+            .filter_map(|peer| peer.recent_status(now))
+            .filter(|status| status.is_coordinator);
+        let mut ranked = BTreeMap::new();
+        for status in coordinators {
+            if let Some(address) = status.decisions {
+                ranked.insert(address, usize::from(status.has_lost_paths) * 2);
+            }
+            for relay in &status.relays {
+                ranked.entry(*relay).or_insert(1);
+            }
+        }
+        let own = weight(RELAY_KEY, &self.own.name);
+        let mut relays: Vec<SocketAddr> = ranked.keys().copied().collect();
+        relays.sort_by_key(|relay| (ranked[relay], weight(own, &relay.to_string())));
+        relays
     }
 
     fn known_addresses(&self) -> BTreeSet<IpAddr> {
--- a/components/gateway/src/peers/peer.rs
+++ b/components/gateway/src/peers/peer.rs
@@ -55,6 +55,10 @@
     pub preferred_coordinator: Option<String>,
     /// Whether it keeps accounts of endpoints with a named limit, if it is a coordinator.
     pub keeps_accounts: bool,
+    /// Whether it has lost its own paths to the endpoints.
+    pub has_lost_paths: bool,
+    /// Gateways that connect to endpoints for others, as a coordinator reports them.
+    pub relays: Vec<SocketAddr>,
 }
 
 #[derive(Clone, Debug)]
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -149,7 +149,7 @@
             if self.freshness.is_stopping() {
                 return Err(StatusCode::SERVICE_UNAVAILABLE);
             }
-            if state.paths.are_all_lost(now) {
+            if state.paths.is_doubted(now, endpoint) || state.paths.are_all_lost(now) {
                 drop(state);
                 tokio::task::spawn_local(Rc::clone(self).probe(hall, endpoint));
                 return Err(StatusCode::SERVICE_UNAVAILABLE);
--- a/components/gateway/src/tally.rs
+++ b/components/gateway/src/tally.rs
@@ -58,6 +58,8 @@
     pub taken: BTreeMap<String, u64>,
     /// Loads of the services that are scaled.
     pub loads: BTreeMap<String, ServiceLoad>,
+    /// Whether the paths to all endpoints seem to be lost.
+    pub has_lost_paths: bool,
     /// Results of requests that are evidence for the roll-outs under way.
     pub rollout_answers: Vec<RolloutAnswer>,
     /// Quarantine observations: contents whose endpoints ended.
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -293,6 +293,7 @@
             .map(|(tenant, quota)| (tenant.clone(), quota.taken()))
             .collect();
         tally.loads = state.loads(now);
+        tally.has_lost_paths = state.paths.are_all_lost(now);
         drop(state);
         match self.tallies.try_send(tally) {
             Ok(()) => {}
--- a/components/gateway/tests/hall_coordinators.rs
+++ b/components/gateway/tests/hall_coordinators.rs
@@ -16,6 +16,7 @@
     sequence: i64,
     is_running: bool,
     is_cut_off: bool,
+    has_lost_paths: bool,
 }
 
 struct Simulation {
@@ -49,6 +50,7 @@
                 sequence: 0,
                 is_running: true,
                 is_cut_off: false,
+                has_lost_paths: false,
             }
         });
         Simulation {
@@ -142,6 +144,11 @@
             gateways: coordinates.then(|| self.peers.count(now).gateways()),
             preferred_coordinator: self.peers.preferred_coordinator(now).map(str::to_string),
             keeps_accounts: true,
+            has_lost_paths: self.has_lost_paths,
+            relays: match coordinates {
+                true => self.peers.relays_to_report(now, self.sequence as usize, 3),
+                false => Vec::new(),
+            },
         };
         (greeting, targets)
     }
@@ -302,3 +309,30 @@
     let first: BTreeSet<SocketAddr> = fleet.fallback_deciders[..3].iter().copied().collect();
     assert_eq!(first, BTreeSet::from(own_hall));
 }
+
+// Guards against a hall whose gateways all lost their paths and know none of another hall that has them, or all ask the
+// same one.
+#[test]
+fn all_gateways_of_a_hall_without_paths_know_different_relays_in_other_halls() {
+    const HALLS: usize = 6;
+    const MIN_DISTINCT: usize = 5;
+    let mut simulation = Simulation::new(HALLS, 55);
+    simulation.run(SETTLE_STEPS);
+    for index in (0..simulation.members.len()).step_by(HALLS) {
+        simulation.members[index].has_lost_paths = true;
+    }
+    simulation.run(2);
+    let mut first = BTreeSet::new();
+    for member in simulation.members.iter().step_by(HALLS) {
+        let fleet = member.peers.fleet(simulation.now);
+        let sound = |relay: &SocketAddr| simulation.by_address[relay] % HALLS != 0;
+        let (name, relays) = (&member.listed.name, &fleet.relays);
+        assert!(relays.first().is_some_and(sound), "{name}: {relays:?}");
+        assert!(
+            relays.iter().filter(|relay| sound(relay)).count() >= 3,
+            "{name}: {relays:?}"
+        );
+        first.insert(relays[0]);
+    }
+    assert!(first.len() >= MIN_DISTINCT, "{first:?}");
+}
--- a/components/gateway/tests/peers.rs
+++ b/components/gateway/tests/peers.rs
@@ -28,6 +28,8 @@
         gateways: None,
         preferred_coordinator: None,
         keeps_accounts: true,
+        has_lost_paths: false,
+        relays: Vec::new(),
     }
 }
 
--- a/components/gateway/tests/store_readers.rs
+++ b/components/gateway/tests/store_readers.rs
@@ -88,6 +88,8 @@
             gateways: None,
             preferred_coordinator: None,
             keeps_accounts: true,
+            has_lost_paths: false,
+            relays: Vec::new(),
         }
     }
 }
--- a/components/schema/src/messages.rs
+++ b/components/schema/src/messages.rs
@@ -2634,6 +2634,10 @@
     pub limits: Option<Vec<LimitReport>>,
     /// Whether the sender keeps accounts of endpoints that name limits.
     pub keeps_accounts: Option<bool>,
+    /// Whether the sender has lost its own paths to the endpoints.
+    pub has_lost_paths: Option<bool>,
+    /// From a coordinator: gateways that connect to endpoints for others, as addresses for placement queries.
+    pub relays: Option<Vec<String>>,
 }
 
 impl Gossip {
@@ -2661,6 +2665,8 @@
         F40,
         F41,
         F42,
+        F43,
+        F44,
     >(
         gateway: String,
         incarnation: i64,
@@ -2694,6 +2700,8 @@
         sights: F40,
         limits: F41,
         keeps_accounts: F42,
+        has_lost_paths: F43,
+        relays: F44,
     ) -> Gossip
     where
         F10: Into<Option<Vec<TopicHead>>>,
@@ -2719,6 +2727,8 @@
         F40: Into<Option<Vec<Sight>>>,
         F41: Into<Option<Vec<LimitReport>>>,
         F42: Into<Option<bool>>,
+        F43: Into<Option<bool>>,
+        F44: Into<Option<Vec<String>>>,
     {
         Gossip {
             gateway,
@@ -2753,6 +2763,8 @@
             sights: sights.into(),
             limits: limits.into(),
             keeps_accounts: keeps_accounts.into(),
+            has_lost_paths: has_lost_paths.into(),
+            relays: relays.into(),
         }
     }
 }
@@ -2792,6 +2804,8 @@
         let mut f_40: Option<Vec<Sight>> = None;
         let mut f_41: Option<Vec<LimitReport>> = None;
         let mut f_42: Option<bool> = None;
+        let mut f_43: Option<bool> = None;
+        let mut f_44: Option<Vec<String>> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -3012,6 +3026,20 @@
                     let val = i_prot.read_bool()?;
                     f_42 = Some(val);
                 }
+                43 => {
+                    let val = i_prot.read_bool()?;
+                    f_43 = Some(val);
+                }
+                44 => {
+                    let list_ident = i_prot.read_list_begin()?;
+                    let mut val: Vec<String> = Vec::with_capacity(list_ident.size as usize);
+                    for _ in 0..list_ident.size {
+                        let list_elem_23 = i_prot.read_string()?;
+                        val.push(list_elem_23);
+                    }
+                    i_prot.read_list_end()?;
+                    f_44 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -3070,6 +3098,8 @@
             sights: f_40,
             limits: f_41,
             keeps_accounts: f_42,
+            has_lost_paths: f_43,
+            relays: f_44,
         };
         Ok(ret)
     }
@@ -3284,6 +3314,20 @@
             o_prot.write_bool(fld_var)?;
             o_prot.write_field_end()?
         }
+        if let Some(fld_var) = self.has_lost_paths {
+            o_prot.write_field_begin(&TFieldIdentifier::new("has_lost_paths", TType::Bool, 43))?;
+            o_prot.write_bool(fld_var)?;
+            o_prot.write_field_end()?
+        }
+        if let Some(ref fld_var) = self.relays {
+            o_prot.write_field_begin(&TFieldIdentifier::new("relays", TType::List, 44))?;
+            o_prot.write_list_begin(&TListIdentifier::new(TType::String, fld_var.len() as i32))?;
+            for e in fld_var {
+                o_prot.write_string(e)?;
+            }
+            o_prot.write_list_end()?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -3570,8 +3614,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<KeptContent> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_23 = KeptContent::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_23);
+                        let list_elem_24 = KeptContent::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_24);
                     }
                     i_prot.read_list_end()?;
                     f_1 = Some(val);
@@ -3742,8 +3786,8 @@
                     let mut val: Vec<OrderedFloat<f64>> =
                         Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_24 = OrderedFloat::from(i_prot.read_double()?);
-                        val.push(list_elem_24);
+                        let list_elem_25 = OrderedFloat::from(i_prot.read_double()?);
+                        val.push(list_elem_25);
                     }
                     i_prot.read_list_end()?;
                     f_2 = Some(val);
@@ -3753,8 +3797,8 @@
                     let mut val: Vec<OrderedFloat<f64>> =
                         Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_25 = OrderedFloat::from(i_prot.read_double()?);
-                        val.push(list_elem_25);
+                        let list_elem_26 = OrderedFloat::from(i_prot.read_double()?);
+                        val.push(list_elem_26);
                     }
                     i_prot.read_list_end()?;
                     f_3 = Some(val);
@@ -3986,9 +4030,9 @@
                     let map_ident = i_prot.read_map_begin()?;
                     let mut val: BTreeMap<i32, i64> = BTreeMap::new();
                     for _ in 0..map_ident.size {
-                        let map_key_26 = i_prot.read_i32()?;
-                        let map_val_27 = i_prot.read_i64()?;
-                        val.insert(map_key_26, map_val_27);
+                        let map_key_27 = i_prot.read_i32()?;
+                        let map_val_28 = i_prot.read_i64()?;
+                        val.insert(map_key_27, map_val_28);
                     }
                     i_prot.read_map_end()?;
                     f_4 = Some(val);
@@ -4093,8 +4137,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<AnswerCounts> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_28 = AnswerCounts::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_28);
+                        let list_elem_29 = AnswerCounts::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_29);
                     }
                     i_prot.read_list_end()?;
                     f_3 = Some(val);
@@ -4622,8 +4666,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<PromptPart> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_29 = PromptPart::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_29);
+                        let list_elem_30 = PromptPart::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_30);
                     }
                     i_prot.read_list_end()?;
                     f_8 = Some(val);
@@ -4632,8 +4676,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_30 = i_prot.read_i64()?;
-                        val.push(list_elem_30);
+                        let list_elem_31 = i_prot.read_i64()?;
+                        val.push(list_elem_31);
                     }
                     i_prot.read_list_end()?;
                     f_9 = Some(val);
@@ -4662,8 +4706,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_31 = i_prot.read_i64()?;
-                        val.push(list_elem_31);
+                        let list_elem_32 = i_prot.read_i64()?;
+                        val.push(list_elem_32);
                     }
                     i_prot.read_list_end()?;
                     f_15 = Some(val);
@@ -4672,8 +4716,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<Sight> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_32 = Sight::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_32);
+                        let list_elem_33 = Sight::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_33);
                     }
                     i_prot.read_list_end()?;
                     f_16 = Some(val);
@@ -4682,8 +4726,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<LimitReport> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_33 = LimitReport::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_33);
+                        let list_elem_34 = LimitReport::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_34);
                     }
                     i_prot.read_list_end()?;
                     f_17 = Some(val);
@@ -5583,8 +5627,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<Sight> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_34 = Sight::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_34);
+                        let list_elem_35 = Sight::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_35);
                     }
                     i_prot.read_list_end()?;
                     f_4 = Some(val);
@@ -5956,8 +6000,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<RowChange> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_35 = RowChange::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_35);
+                        let list_elem_36 = RowChange::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_36);
                     }
                     i_prot.read_list_end()?;
                     f_1 = Some(val);
@@ -6188,9 +6232,9 @@
                     let map_ident = i_prot.read_map_begin()?;
                     let mut val: BTreeMap<String, i64> = BTreeMap::new();
                     for _ in 0..map_ident.size {
-                        let map_key_36 = i_prot.read_string()?;
-                        let map_val_37 = i_prot.read_i64()?;
-                        val.insert(map_key_36, map_val_37);
+                        let map_key_37 = i_prot.read_string()?;
+                        let map_val_38 = i_prot.read_i64()?;
+                        val.insert(map_key_37, map_val_38);
                     }
                     i_prot.read_map_end()?;
                     f_1 = Some(val);
--- a/components/schema/thrift/messages.thrift
+++ b/components/schema/thrift/messages.thrift
@@ -314,6 +314,10 @@
   41: optional list<LimitReport> limits,
   /** Whether the sender keeps accounts of endpoints that name limits. */
   42: optional bool keeps_accounts,
+  /** Whether the sender has lost its own paths to the endpoints. */
+  43: optional bool has_lost_paths,
+  /** From a coordinator: gateways that connect to endpoints for others, as addresses for placement queries. */
+  44: optional list<string> relays,
 }
 
 /** What one gateway saw of the content of a request. */
