Keep fragile endpoints within the refusals that they withstand

What callers would have seen: workers of a service may say (Server-Brittle) that they fall over when they turn more than N requests a second away; gateways read nothing of it, sent what overload made them send, and retried refusals at the next worker, which then falls too. Change: the number is decoded for each answer and kept by service for ten seconds after the last one; meanwhile an endpoint gets no more requests than it has slots, by the gateway's count of what all gateways sent, and one that turned a request away gets none for a second times gateways / N, from the gateway itself and from those whose requests it places. So refusals add up to N a second at most beside what crosses them.

--- a/components/gateway/src/answer_notices.rs
+++ b/components/gateway/src/answer_notices.rs
@@ -51,6 +51,9 @@
             }
         }
         let is_answer = read.id.as_deref() == Some(id.as_str());
+        if is_answer && read.limit != ReportedLimit::OtherProcess {
+            self.apply_fragility(job, placement, read);
+        }
         match read.limit {
             // An answer to another request is older than this request, and a limit may have been stated since.
             ReportedLimit::NoLimit if !is_answer => {}
@@ -93,9 +96,12 @@
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         let part = state.rng.random::<f64>();
+        let notices = state.balancer.notices();
+        let is_fragile = notices.max_refusals_per_s(now, service).is_some();
         NoPlacement {
             cause: match state.balancer.notices().has_exhausted_limit(now, service) {
                 true => "the limits that the endpoints named are used up",
+                false if is_fragile => "the endpoints have no room",
                 false => "the endpoints asked for a pause",
             },
             wait: left.saturating_add(jitter.mul_f64(part)),
@@ -157,6 +163,35 @@
         self.report_limit(limit);
     }
 
+    fn apply_fragility(&self, job: &Job, placement: &Placement, read: &AnswerHead) {
+        let (id, endpoint, service) = (&job.head.id, &placement.endpoint, &job.work.service);
+        let stated = match read.max_refusals_per_s {
+            None => None,
+            Some(Ok(max_refusals)) => Some(max_refusals),
+            Some(Err(fault)) => {
+                warn!(self.log, "fragility passed over; the endpoint has to name requests"; "id" => id,
+                    "endpoint" => endpoint, "cause" => fault.0);
+                return;
+            }
+        };
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let gateways = state.equal_share.gateways().max(state.fleet.gateways);
+        let notices = state.balancer.notices_mut();
+        if notices.record_fragility(now, service, stated) {
+            info!(self.log, "endpoints state how many requests they can turn away"; "id" => id,
+                "endpoint" => endpoint, "service" => service, "per_s" => stated);
+        }
+        if !read.not_run {
+            return;
+        }
+        let pause = notices.record_refusal(now, placement.incarnation, service, gateways);
+        if !pause.is_zero() {
+            info!(self.log, "fragile endpoint has no room"; "id" => id, "endpoint" => endpoint,
+                "gateways" => gateways, "pause_ms" => pause.as_millis() as u64);
+        }
+    }
+
     fn apply_pause(&self, job: &Job, placement: &Placement, pause: Duration) {
         self.metrics.count(Counter::PauseRequested);
         info!(self.log, "endpoint asks for a pause"; "id" => &job.head.id,
--- a/components/gateway/src/ports.rs
+++ b/components/gateway/src/ports.rs
@@ -75,6 +75,9 @@
     pub pause: Option<Result<Duration, HeadFault>>,
     /// Rate limit of the addressed endpoint.
     pub limit: ReportedLimit,
+    /// Number of requests that the addressed endpoint can turn away in a second, from all gateways together, before it
+    /// fails.
+    pub max_refusals_per_s: Option<Result<u32, HeadFault>>,
 }
 
 /// Rate limit that an answer states for its endpoint, for the requests of all gateways together.
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -108,6 +108,7 @@
             keep_alive: None,
             leaving: fields.contains_key("x-leaving"),
             pause: number(fields, "x-pause-ms").map(|ms| Ok(Duration::from_millis(ms))),
+            max_refusals_per_s: number(fields, "x-fragile").map(|number| Ok(number as u32)),
             limit: match text(fields, "x-limit") {
                 None => ReportedLimit::NoLimit,
                 Some(text) => {
--- a/components/gateway/tests/hall_coordinators.rs
+++ b/components/gateway/tests/hall_coordinators.rs
@@ -325,7 +325,7 @@
     let mut first = BTreeSet::new();
     for member in simulation.members.iter().step_by(HALLS) {
         let fleet = member.peers.fleet(simulation.now);
-        let sound = |relay: &SocketAddr| simulation.by_address[relay] % HALLS != 0;
+        let sound = |relay: &SocketAddr| !simulation.by_address[relay].is_multiple_of(HALLS);
         let (name, relays) = (&member.listed.name, &fleet.relays);
         assert!(relays.first().is_some_and(sound), "{name}: {relays:?}");
         assert!(
--- a/components/notices/src/notices.rs
+++ b/components/notices/src/notices.rs
@@ -1,5 +1,6 @@
 //! Storage of notices by endpoint start.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use limits::SendRate;
@@ -13,6 +14,12 @@
 /// no more than this is a duplicate and does not refresh the stored notice.
 const DUPLICATE_TOLERANCE: Duration = Duration::from_millis(100);
 
+/// A service's endpoints count as fragile for this time after an answer that says so: without requests there are no
+/// answers.
+const FRAGILE_TIME: Duration = Duration::from_secs(10);
+/// Period to which the number of refusals refers that a fragile endpoint withstands.
+const REFUSAL_PERIOD: Duration = Duration::from_secs(1);
+
 /// Whether an endpoint accepts requests from this gateway.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Availability {
@@ -24,6 +31,9 @@
     Paused(Duration),
     /// The rate limit of the endpoint is exhausted for this time, for all gateways.
     LimitExhausted(Duration),
+    /// The endpoint turned a request away for want of room, and fails if it has to turn too many away. It gets no requests
+    /// for this time, from no gateway.
+    Full(Duration),
 }
 
 /// An endpoint's notice of the rate at which it accepts requests from all gateways together.
@@ -53,14 +63,26 @@
     service: String,
     is_leaving: bool,
     paused_until: Duration,
+    full_until: Duration,
     limit: Option<Limit>,
 }
 
+// That the endpoints of a service fail if they turn too many requests away.
+#[derive(Clone, Copy, Debug)]
+struct Fragility {
+    max_refusals_per_s: u32,
+    stated_at: Duration,
+}
+
 impl Notice {
     fn availability(&self, now: Duration) -> Availability {
         if self.is_leaving {
             return Availability::Leaving;
         }
+        let full = self.full_until.saturating_sub(now);
+        if !full.is_zero() {
+            return Availability::Full(full);
+        }
         let exhausted_until = self.limit.map_or(Duration::ZERO, |l| l.exhausted_until);
         let paused = self.paused_until.saturating_sub(now);
         match exhausted_until.saturating_sub(now) {
@@ -79,12 +101,15 @@
 #[derive(Debug)]
 pub struct Notices {
     notices: LruCache<u64, Notice>,
+    // By service.
+    fragile: BTreeMap<String, Fragility>,
 }
 
 impl Default for Notices {
     fn default() -> Self {
         Notices {
             notices: LruCache::unbounded(),
+            fragile: BTreeMap::new(),
         }
     }
 }
@@ -104,6 +129,57 @@
         notice.paused_until = notice.paused_until.max(now.saturating_add(pause));
     }
 
+    /// Records how many requests an endpoint of a service withstands turning away in a second, for all gateways together;
+    /// `None` if it states no number. The endpoints of a service state the same. Returns whether that changed.
+    pub fn record_fragility(
+        &mut self,
+        now: Duration,
+        service: &str,
+        max_refusals_per_s: Option<u32>,
+    ) -> bool {
+        let known = self.max_refusals_per_s(now, service);
+        match max_refusals_per_s {
+            Some(max_refusals_per_s) => {
+                let fragility = Fragility {
+                    max_refusals_per_s,
+                    stated_at: now,
+                };
+                self.fragile.insert(service.to_string(), fragility);
+            }
+            None => {
+                self.fragile.remove(service);
+            }
+        }
+        known != max_refusals_per_s
+    }
+
+    /// How many requests an endpoint of a service may turn away in a second before it fails; `None` if any number.
+    pub fn max_refusals_per_s(&self, now: Duration, service: &str) -> Option<u32> {
+        let fragility = self.fragile.get(service)?;
+        (now < fragility.stated_at + FRAGILE_TIME).then_some(fragility.max_refusals_per_s)
+    }
+
+    /// Records that an endpoint of a fragile service turned a request away for want of room. It gets no requests until the
+    /// refusals of all `gateways`, which each cause one in that time, stay within its number a second. Returns that time,
+    /// zero if the service is not fragile.
+    pub fn record_refusal(
+        &mut self,
+        now: Duration,
+        start: u64,
+        service: &str,
+        gateways: usize,
+    ) -> Duration {
+        let Some(max_refusals) = self.max_refusals_per_s(now, service) else {
+            return Duration::ZERO;
+        };
+        let part = gateways as f64 / f64::from(max_refusals.max(1));
+        let pause = REFUSAL_PERIOD.mul_f64(part.max(1.0));
+        self.remove_expired(now);
+        let notice = self.notice(start, service);
+        notice.full_until = notice.full_until.max(now + pause);
+        pause
+    }
+
     /// Records an endpoint's limit notice, unless a later request already brought one. Returns whether the notice was new.
     pub fn record_limit(&mut self, reported: &LimitNotice) -> bool {
         let known = self.notices.peek(&reported.start).and_then(|n| n.limit);
@@ -179,7 +255,9 @@
     pub fn min_time_until_open(&self, now: Duration, service: &str) -> Option<Duration> {
         let of_service = self.notices.iter().filter(|(_, n)| n.service == service);
         let left = of_service.filter_map(|(_, notice)| match notice.availability(now) {
-            Availability::Paused(left) | Availability::LimitExhausted(left) => Some(left),
+            Availability::Paused(left)
+            | Availability::LimitExhausted(left)
+            | Availability::Full(left) => Some(left),
             Availability::Open | Availability::Leaving => None,
         });
         left.min()
@@ -200,6 +278,7 @@
             service: service.to_string(),
             is_leaving: false,
             paused_until: Duration::ZERO,
+            full_until: Duration::ZERO,
             limit: None,
         })
     }
--- a/components/notices/tests/guarantees.rs
+++ b/components/notices/tests/guarantees.rs
@@ -152,3 +152,23 @@
     }
     assert!((0..ENDPOINTS).all(|start| notices.limit(start).is_some()));
 }
+
+// Guards against refusals that add up over all gateways until a fragile endpoint fails.
+#[test]
+fn a_fragile_endpoint_without_room_gets_no_requests_until_the_refusals_of_all_gateways_fit() {
+    let mut notices = Notices::default();
+    assert_eq!(notices.record_refusal(ms(0), 1, S, 9), ms(0));
+    assert_eq!(notices.availability(ms(0), 1), Availability::Open);
+    assert!(notices.record_fragility(ms(0), S, Some(3)));
+    assert!(!notices.record_fragility(ms(10), S, Some(3)));
+    assert_eq!(notices.record_refusal(ms(10), 1, S, 9), ms(3000));
+    assert_eq!(
+        notices.availability(ms(10), 1),
+        Availability::Full(ms(3000))
+    );
+    assert_eq!(notices.availability(ms(3010), 1), Availability::Open);
+    assert_eq!(notices.availability(ms(10), 2), Availability::Open);
+    assert_eq!(notices.record_refusal(ms(10), 2, S, 2), ms(1000));
+    assert!(notices.record_fragility(ms(20), S, None));
+    assert_eq!(notices.max_refusals_per_s(ms(20), S), None);
+}
--- a/components/routing/src/placement/entry.rs
+++ b/components/routing/src/placement/entry.rs
@@ -158,10 +158,19 @@
         now < self.suspected_until
     }
 
-    /// Returns the number of requests expected there now.
+    /// Returns the number of requests expected there now, and forgets those that are expected to have ended.
     pub fn load(&mut self, now: Duration) -> u32 {
         self.peer_requests.retain(|other| other.ends_at > now);
-        let others = self.peer_requests.len() as u32;
+        self.expected_requests(now)
+    }
+
+    /// Returns the number of requests expected there now.
+    pub fn expected_requests(&self, now: Duration) -> u32 {
+        let running = self
+            .peer_requests
+            .iter()
+            .filter(|other| other.ends_at > now);
+        let others = running.count() as u32;
         if self.is_engine {
             return self.own_requests + others;
         }
--- a/components/routing/src/placement/exclusion.rs
+++ b/components/routing/src/placement/exclusion.rs
@@ -30,7 +30,9 @@
         }
         match standing(now, entry, notices) {
             Availability::Open => true,
-            Availability::Leaving | Availability::LimitExhausted(_) => false,
+            Availability::Leaving | Availability::LimitExhausted(_) | Availability::Full(_) => {
+                false
+            }
             Availability::Paused(_) => !self.sent_here,
         }
     }
@@ -64,7 +66,9 @@
         let ready = ready.filter(|entry| entry.spec.is_ready());
         let times = ready.filter_map(|entry| match standing(now, entry, &self.notices) {
             Availability::Open => Some(Duration::ZERO),
-            Availability::Paused(left) | Availability::LimitExhausted(left) => Some(left),
+            Availability::Paused(left)
+            | Availability::LimitExhausted(left)
+            | Availability::Full(left) => Some(left),
             Availability::Leaving => None,
         });
         times.min()
--- a/components/routing/src/placement/service.rs
+++ b/components/routing/src/placement/service.rs
@@ -107,7 +107,8 @@
     }
 
     /// Returns the positions of the endpoints that can take a request. Suspected ones are included
-    /// only if their region has no other.
+    /// only if their region has no other. A fragile endpoint takes a request only if one of its
+    /// slots is expected to be free: how many it lets wait is not known.
     pub fn usable(
         &self,
         now: Duration,
@@ -115,9 +116,14 @@
         versions: Versions,
         notices: &Notices,
     ) -> Vec<usize> {
+        let service = self.entries.first().map(|entry| &entry.spec.service);
+        let is_fragile =
+            service.is_some_and(|service| notices.max_refusals_per_s(now, service).is_some());
         let is_permitted = |entry: &EndpointEntry| {
             let spec = &entry.spec;
+            let has_room = !is_fragile || entry.expected_requests(now) < spec.slots;
             spec.is_ready()
+                && has_room
                 && versions.allows(&spec.version)
                 && exclusion.allows(now, entry, notices)
         };
--- a/components/routing/tests/limits.rs
+++ b/components/routing/tests/limits.rs
@@ -95,3 +95,32 @@
     limit(&mut balancer, "e2", 1e9);
     assert_eq!(balancer.occupancy(ms(10), SERVICE)["z"].limited_milli, 1000);
 }
+
+// Guards against an endpoint that fails because it has to turn away what a gateway knows it has no room for.
+#[test]
+fn a_fragile_endpoint_gets_no_more_requests_than_it_has_slots() {
+    let mut balancer = balancer();
+    let fill = |balancer: &mut Balancer| {
+        let mut sent = 0;
+        let work = Work {
+            service: SERVICE.into(),
+            ..Work::default()
+        };
+        let mut rng = ChaCha8Rng::seed_from_u64(7);
+        while sent < 40 {
+            let placed = balancer.choose(ms(1), &work, &[], Versions::Any, &mut rng);
+            let Some(placement) = placed else {
+                return sent;
+            };
+            balancer.sent(ms(1), &work, &placement);
+            sent += 1;
+        }
+        sent
+    };
+    let notices = balancer.notices_mut();
+    notices.record_fragility(ms(0), SERVICE, Some(3));
+    assert_eq!(fill(&mut balancer), 16);
+    let notices = balancer.notices_mut();
+    notices.record_fragility(ms(0), SERVICE, None);
+    assert_eq!(fill(&mut balancer), 40);
+}
