Leave a silent stream at its endpoint for a second and a half

What callers saw: a resumable stream moved to another endpoint after twice its gap target (0.1 s on some routes), although a sound endpoint may be silent for about a second and go on; its work was done again, for a retry of the budget, and the pause was past the target either way. Change: the shortest silence after which a stream moves is 1.5 s. Callers give a stream up after 2 s without an event at the earliest. Result: a_stream_stays_at_an_endpoint_that_is_silent_for_a_second failed before (two endpoints received it) and passes. a_silent_stream_is_not_resumed_elsewhere_without_retry_budget keeps to four times the silence after which a stream may move, which is now 6 s (0.4 s before), and passes on both.

--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -23,6 +23,8 @@
 const EVENT_OVERHEAD_BYTES: u64 = 128;
 /// A resumable stream moves to another endpoint after a gap of this many times its gap target.
 const STALL_GAPS: u32 = 2;
+/// Shortest such gap: a sound endpoint may be silent for about a second, and its run is worth more than a new one.
+const MIN_STALL: Duration = Duration::from_millis(1500);
 /// Gap target of a route that sets none.
 const DEFAULT_GAP_TARGET: Duration = Duration::from_millis(500);
 
@@ -259,7 +261,8 @@
     }
 
     fn stall_timeout(&self) -> Duration {
-        self.job.route.gap_target.unwrap_or(DEFAULT_GAP_TARGET) * STALL_GAPS
+        let gap_target = self.job.route.gap_target.unwrap_or(DEFAULT_GAP_TARGET);
+        MIN_STALL.max(gap_target * STALL_GAPS)
     }
 
     fn log_end(&self, end: &str, endpoint: &str) {
