Let gateways that are no coordinators open connections for the others of their hall

Cause: only coordinators were asked, since only they know all endpoints. Change: other gateways that are heard are asked after the coordinators with paths, and connect to endpoints on which their own requests were placed within a minute; a coordinator names them to its hall when no coordinator of another hall has paths.

--- a/components/gateway/src/peers/halls.rs
+++ b/components/gateway/src/peers/halls.rs
@@ -59,8 +59,8 @@
     /// Coordinators of all halls that keep accounts of endpoints with a named limit, this gateway included;
     /// empty if this gateway does not decide.
     pub keepers: Vec<AccountKeeper>,
-    /// Gateways that may open connections to endpoints for this one, in the order in which it asks them: coordinators,
-    /// since these know the endpoints; those of its own hall first, those of other regions last.
+    /// Gateways that may open connections to endpoints for this one, in the order in which it asks them: first coordinators,
+    /// since these know the endpoints; those without paths of their own last.
     pub relays: Vec<SocketAddr>,
     /// IP addresses of the other gateways that are heard or listed.
     pub known: BTreeSet<IpAddr>,
@@ -322,36 +322,53 @@
         others.chain(own).collect()
     }
 
-    // Live coordinators of all halls that may have paths to the endpoints: by distance, then in an order that differs between
-    // gateways, so that those of a hall without paths don't all ask the same one. Those without paths come last.
+    // Live gateways that may have paths to the endpoints: coordinators first, since these know all endpoints, by distance, then
+    // in an order that differs between gateways, so that those of a hall without paths don't all ask the same one. Those
+    // without paths come last.
     fn live_relays(&self, now: Duration) -> Vec<SocketAddr> {
         let own = weight(RELAY_KEY, &self.own.name);
         let live = self.peers.iter().filter_map(|(name, peer)| {
             let status = peer.recent_status(now)?;
-            let address = status.decisions.filter(|_| status.is_coordinator)?;
             let is_far = self.topology.distance(&peer.hall) == Distance::OtherRegion;
             let is_other_hall = peer.hall != self.own.hall;
-            let preference = (status.has_lost_paths, is_far, is_other_hall);
-            Some((preference, weight(own, name), address))
+            let preference = (
+                status.has_lost_paths,
+                !status.is_coordinator,
+                is_far,
+                is_other_hall,
+            );
+            Some((preference, weight(own, name), status.decisions?))
         });
         let mut live: Vec<_> = live.collect();
         live.sort_unstable();
         live.into_iter().map(|(_, _, address)| address).collect()
     }
 
-    /// At most `count` relays that a coordinator reports to the gateways of its hall: those of other halls, starting at a
-    /// position that advances with `turn`. Its own hall's coordinators are known there.
+    /// At most `count` relays that a coordinator reports to the gateways of its hall, starting at a position that advances
+    /// with `turn`: coordinators of other halls, or gateways of its hall if none of those has paths. Its own hall's
+    /// coordinators are known there.
     pub fn relays_to_report(&self, now: Duration, turn: usize, count: usize) -> Vec<SocketAddr> {
-        let other_halls = self.peers.values().filter(|p| p.hall != self.own.hall);
-        let sound = other_halls.filter_map(|peer| {
-            let status = peer.recent_status(now)?;
-            let is_sound = status.is_coordinator && !status.has_lost_paths;
-            status.decisions.filter(|_| is_sound)
-        });
-        let sound: Vec<SocketAddr> = sound.collect();
+        let live = self
+            .peers
+            .values()
+            .filter_map(|peer| Some((peer, peer.recent_status(now)?)));
+        let sound = live.filter(|(_, status)| !status.has_lost_paths);
+        let (mut other_halls, mut own_hall) = (Vec::new(), Vec::new());
+        for (peer, status) in sound {
+            let is_own_hall = peer.hall == self.own.hall;
+            match (is_own_hall, status.is_coordinator) {
+                (true, false) => own_hall.extend(status.decisions),
+                (false, true) => other_halls.extend(status.decisions),
+                _ => {}
+            }
+        }
+        let relays = match other_halls.is_empty() {
+            true => own_hall,
+            false => other_halls,
+        };
         let first = turn * count;
-        let positions = (0..sound.len().min(count)).map(|i| (first + i) % sound.len());
-        positions.map(|position| sound[position]).collect()
+        let positions = (0..relays.len().min(count)).map(|i| (first + i) % relays.len());
+        positions.map(|position| relays[position]).collect()
     }
 
     // The relays of a gateway that is no coordinator: its coordinators, and those that they report. Those without paths come
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -144,8 +144,10 @@
             if !state.fleet.known.contains(&from.ip()) {
                 return Err(StatusCode::FORBIDDEN);
             }
-            let hall = state.balancer.hall_at(endpoint).map(str::to_string);
-            let hall = hall.ok_or(StatusCode::NOT_FOUND)?;
+            let hall = state.balancer.hall_at(endpoint);
+            // A gateway that is no coordinator knows the endpoints on which its own requests were placed.
+            let hall = hall.or_else(|| state.placed_endpoints.hall_at(now, endpoint));
+            let hall = hall.map(str::to_string).ok_or(StatusCode::NOT_FOUND)?;
             if self.freshness.is_stopping() {
                 return Err(StatusCode::SERVICE_UNAVAILABLE);
             }
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -12,7 +12,7 @@
 use quarantine::Quarantine;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use reachability::{Paths, Relays};
+use reachability::{Paths, PlacedEndpoints, Relays};
 use routing::placement::{Balancer, Exclusion, Placement, Work};
 use schema::settings::GatewaySettings;
 use topology::Topology;
@@ -37,6 +37,8 @@
     pub paths: Paths,
     /// Gateways through which it reaches endpoints otherwise.
     pub relays: Relays,
+    /// Endpoints on which other gateways placed requests of this one.
+    pub placed_endpoints: PlacedEndpoints,
     pub quotas: BTreeMap<String, SharedQuota>,
     pub retry_budgets: BTreeMap<String, SharedRetryBudget>,
     /// This gateway's equal part of what all gateways share.
@@ -64,6 +66,7 @@
             pool: ConnectionPool::new(ledger),
             paths: Paths::default(),
             relays: Relays::default(),
+            placed_endpoints: PlacedEndpoints::default(),
             quotas: BTreeMap::new(),
             retry_budgets: BTreeMap::new(),
             equal_share: EqualShare::default(),
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -216,6 +216,10 @@
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         let ticket = state.balancer.sent(now, &job.work, placement);
+        if placement.is_placed_by_peer {
+            let (hall, address) = (&placement.hall, placement.address);
+            state.placed_endpoints.record(now, hall, address);
+        }
         // A request placed by a coordinator is reported to the others by that coordinator.
         if !placement.is_placed_by_peer {
             state.tally.sent.push(sent_request(now, placement));
--- a/components/gateway/tests/path_changes.rs
+++ b/components/gateway/tests/path_changes.rs
@@ -19,7 +19,7 @@
 use schema::settings::GatewaySettings;
 use telemetry::Gauge;
 
-/// The fourth and later gateways ask the first three as coordinators.
+/// Three of them are coordinators, which the others ask.
 const GATEWAYS: usize = 5;
 const ENDPOINTS: usize = 4;
 const CALLERS: usize = 6;
@@ -174,7 +174,7 @@
         );
     }
     // All but one gateway are without paths, and all requests are served.
-    let sound = rng.random_range(0..3);
+    let sound = rng.random_range(0..GATEWAYS);
     fleet.set_paths(|number| match number == sound {
         true => PathState::Open,
         false => PathState::Refused,
--- a/components/reachability/tests/guarantees.rs
+++ b/components/reachability/tests/guarantees.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use reachability::{Paths, Relays};
+use reachability::{Paths, PlacedEndpoints, Relays};
 
 fn address(number: u16) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, 1], 1000 + number))
@@ -80,3 +80,13 @@
     paths.record_connected(ms(3100), "a", address(1));
     assert_eq!(paths.next_probe(ms(4200)), None);
 }
+
+#[test]
+fn an_endpoint_is_known_for_a_minute_after_a_request_was_placed_there() {
+    let mut placed = PlacedEndpoints::default();
+    placed.record(ms(0), "a", address(1));
+    placed.record(ms(30_000), "a", address(1));
+    assert_eq!(placed.hall_at(ms(89_999), address(1)), Some("a"));
+    assert_eq!(placed.hall_at(ms(90_000), address(1)), None);
+    assert_eq!(placed.hall_at(ms(0), address(2)), None);
+}
