Keep connections through relays while coordinators name others in turn, and count the bytes of tunnels

Change: connections through a relay are used until it was no candidate for three seconds. Tunnels log the bytes of both directions however they end.

--- a/components/gateway/src/connecting.rs
+++ b/components/gateway/src/connecting.rs
@@ -143,7 +143,7 @@
         let (paths, relays) = (&state.paths, &state.relays);
         let is_doubted = paths.is_doubted(now, placement.address);
         let can_reuse = |relay: Option<SocketAddr>, idle_time| match relay {
-            Some(relay) => is_doubted && relays.is_candidate(relay),
+            Some(relay) => is_doubted && relays.can_reuse(now, relay),
             None => paths.can_reuse(now, &placement.hall, placement.address, idle_time),
         };
         if let Some(reused) = state.pool.take_idle(now, &placement.endpoint, can_reuse) {
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -20,7 +20,7 @@
 use slog::{info, warn};
 use telemetry::Counter;
 use tokio::net::{TcpListener, TcpStream};
-use transport::{pass_bytes, TUNNEL_BUFFER_BYTES};
+use transport::{pass_bytes, TunnelBytes, TUNNEL_BUFFER_BYTES};
 
 use crate::simple_http::{self, ACCEPT_RETRY_DELAY};
 use crate::traffic::Traffic;
@@ -121,14 +121,14 @@
         self.metrics.count(Counter::TunnelsOpened);
         tokio::task::spawn_local(async move {
             let started = self.clock.now();
-            let passed = run_tunnel(request, stream).await;
+            let passed = TunnelBytes::default();
+            let ended = run_tunnel(request, stream, &passed).await;
             drop((memory, counted));
             let elapsed = self.clock.now().saturating_sub(started);
-            let bytes = passed.as_ref().ok();
             info!(self.log, "tunnel ended"; "from" => %from, "to" => %endpoint,
-                "ms" => elapsed.as_millis() as u64, "sent" => bytes.map(|bytes| bytes.sent),
-                "received" => bytes.map(|bytes| bytes.received),
-                "cause" => passed.as_ref().err().map(ToString::to_string));
+                "ms" => elapsed.as_millis() as u64, "sent" => passed.sent.get(),
+                "received" => passed.received.get(),
+                "cause" => ended.err().map(|error| error.to_string()));
         });
         simple_http::answer(StatusCode::OK, Bytes::new())
     }
@@ -179,7 +179,8 @@
 async fn run_tunnel(
     request: Request<Incoming>,
     endpoint: TcpStream,
-) -> std::io::Result<transport::TunnelBytes> {
+    passed: &TunnelBytes,
+) -> std::io::Result<()> {
     let upgraded = hyper::upgrade::on(request).await;
     let upgraded = upgraded.map_err(std::io::Error::other)?;
     let parts = upgraded.downcast::<TokioIo<TcpStream>>();
@@ -188,5 +189,5 @@
         let message = "bytes before the tunnel was open";
         return Err(std::io::Error::other(message));
     }
-    pass_bytes(parts.io.into_inner(), endpoint).await
+    pass_bytes(parts.io.into_inner(), endpoint, passed).await
 }
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -202,10 +202,10 @@
         if fleet.is_counted {
             self.equal_share.record_count(now, fleet.gateways);
         }
-        self.relays.set_candidates(fleet.relays.clone());
+        self.relays.set_candidates(now, fleet.relays.clone());
         let relays = &self.relays;
         self.pool
-            .drop_idle_of_relays(|relay| relays.is_candidate(relay));
+            .drop_idle_of_relays(|relay| relays.can_reuse(now, relay));
         self.fleet = fleet;
         for quota in self.quotas.values_mut() {
             quota.set_part(now, part);
--- a/components/reachability/src/relays.rs
+++ b/components/reachability/src/relays.rs
@@ -6,6 +6,8 @@
 
 /// A relay that failed is tried after all others for this time.
 const FAILURE_LIFETIME: Duration = Duration::from_secs(1);
+/// A relay's open connections are used for this time after it was last a candidate: coordinators name theirs in turn.
+const REUSE_TIME: Duration = Duration::from_secs(3);
 /// Maximum number of relays that are tried for one connection.
 const MAX_TRIED: usize = 5;
 
@@ -13,19 +15,26 @@
 #[derive(Debug, Default)]
 pub struct Relays {
     candidates: Vec<SocketAddr>,
+    // Former candidates, and when they were last in the list.
+    former: HashMap<SocketAddr, Duration>,
     failed: HashMap<SocketAddr, Duration>,
 }
 
 impl Relays {
     /// Replaces the candidates.
-    pub fn set_candidates(&mut self, candidates: Vec<SocketAddr>) {
-        self.failed.retain(|relay, _| candidates.contains(relay));
-        self.candidates = candidates;
+    pub fn set_candidates(&mut self, now: Duration, candidates: Vec<SocketAddr>) {
+        let former = std::mem::replace(&mut self.candidates, candidates);
+        self.former.retain(|_, at| now < *at + REUSE_TIME);
+        self.former
+            .extend(former.into_iter().map(|relay| (relay, now)));
+        self.failed
+            .retain(|_, failed_at| now < *failed_at + FAILURE_LIFETIME);
     }
 
-    /// Whether a gateway is a candidate.
-    pub fn is_candidate(&self, relay: SocketAddr) -> bool {
-        self.candidates.contains(&relay)
+    /// Whether open connections through a gateway may be used: it is a candidate or was one lately.
+    pub fn can_reuse(&self, now: Duration, relay: SocketAddr) -> bool {
+        let former = self.former.get(&relay);
+        self.candidates.contains(&relay) || former.is_some_and(|at| now < *at + REUSE_TIME)
     }
 
     /// Records that a relay opened no connection.
--- a/components/reachability/tests/guarantees.rs
+++ b/components/reachability/tests/guarantees.rs
@@ -55,7 +55,7 @@
 #[test]
 fn relays_that_failed_lately_are_tried_last() {
     let mut relays = Relays::default();
-    relays.set_candidates(vec![address(1), address(2), address(3)]);
+    relays.set_candidates(ms(0), vec![address(1), address(2), address(3)]);
     relays.record_failed(ms(10), address(1));
     relays.record_failed(ms(20), address(2));
     let order = relays.order(ms(30));
@@ -90,3 +90,18 @@
     assert_eq!(placed.hall_at(ms(90_000), address(1)), None);
     assert_eq!(placed.hall_at(ms(0), address(2)), None);
 }
+
+// Guards against closing the connections through a relay each time that a coordinator names others.
+#[test]
+fn connections_through_a_relay_are_used_until_it_was_no_candidate_for_three_seconds() {
+    let mut relays = Relays::default();
+    relays.set_candidates(ms(0), vec![address(1)]);
+    relays.set_candidates(ms(500), vec![address(2)]);
+    assert!(relays.can_reuse(ms(3499), address(1)));
+    assert!(!relays.can_reuse(ms(3500), address(1)));
+    assert!(relays.can_reuse(ms(9000), address(2)));
+    relays.set_candidates(ms(9000), vec![address(1)]);
+    relays.set_candidates(ms(9500), vec![address(1), address(2)]);
+    assert!(relays.can_reuse(ms(60_000), address(1)));
+    assert_eq!(relays.order(ms(9500)), [address(1), address(2)]);
+}
--- a/components/transport/src/tunnel.rs
+++ b/components/transport/src/tunnel.rs
@@ -1,8 +1,12 @@
 //! Tunnels: TCP connections that another gateway opens, by HTTP's CONNECT method (RFC 9110, section 9.3.6).
 
+use std::cell::Cell;
 use std::fmt;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,6 +15,7 @@
 use hyper::client::conn::http1::Builder;
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpSocket, TcpStream};
 
 use crate::connection::set_dead_peer_detection;
@@ -90,28 +95,75 @@
     TunnelError::Relay(io::Error::other(error))
 }
 
-/// Numbers of bytes that passed a tunnel.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+/// Numbers of bytes that passed a tunnel, counted while it is open.
+#[derive(Clone, Debug, Default)]
 pub struct TunnelBytes {
     /// From the gateway to the endpoint.
-    pub sent: u64,
+    pub sent: Rc<Cell<u64>>,
     /// From the endpoint to the gateway.
-    pub received: u64,
+    pub received: Rc<Cell<u64>>,
 }
 
-/// Passes bytes between a gateway and an endpoint until both have finished, or either connection fails.
+// A stream that counts the bytes read from it.
+struct CountedStream {
+    stream: TcpStream,
+    count: Rc<Cell<u64>>,
+}
+
+impl AsyncRead for CountedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let read = buffer.filled().len() - before;
+        self.count.set(self.count.get() + read as u64);
+        polled
+    }
+}
+
+impl AsyncWrite for CountedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
+
+/// Passes bytes between a gateway and an endpoint until both have finished, or either connection fails, and counts them.
 ///
 /// A failed connection resets the other one: an answer that was cut off must not look complete. So does a call that is
 /// dropped.
 pub async fn pass_bytes(
-    mut gateway: TcpStream,
-    mut endpoint: TcpStream,
-) -> io::Result<TunnelBytes> {
+    gateway: TcpStream,
+    endpoint: TcpStream,
+    passed: &TunnelBytes,
+) -> io::Result<()> {
     for stream in [&gateway, &endpoint] {
         set_dead_peer_detection(stream);
         SockRef::from(stream).set_linger(Some(Duration::ZERO))?;
     }
-    let (sent, received) = tokio::io::copy_bidirectional_with_sizes(
+    let mut gateway = CountedStream {
+        stream: gateway,
+        count: Rc::clone(&passed.sent),
+    };
+    let mut endpoint = CountedStream {
+        stream: endpoint,
+        count: Rc::clone(&passed.received),
+    };
+    tokio::io::copy_bidirectional_with_sizes(
         &mut gateway,
         &mut endpoint,
         TUNNEL_BUFFER_BYTES,
@@ -119,8 +171,8 @@
     )
     .await?;
     // Both sides have finished: what the kernel still holds is to be delivered.
-    for stream in [&gateway, &endpoint] {
-        SockRef::from(stream).set_linger(None)?;
+    for counted in [&gateway, &endpoint] {
+        SockRef::from(&counted.stream).set_linger(None)?;
     }
-    Ok(TunnelBytes { sent, received })
+    Ok(())
 }
