Deliver what a gateway sent before its tunnel was open, and keep stopping gateways connected

What callers would have seen: (1) a request through another gateway failed with 502 now and then: the relay drops a tunnel if the request's bytes are read before HTTP is left. Two faults in one commit, since the test of the second found the first.

--- a/components/gateway/src/control/exchange.rs
+++ b/components/gateway/src/control/exchange.rs
@@ -278,7 +278,7 @@
             actions.extend(state.lease.step(now, LeaseEvent::GiveUpReported(epoch)));
         }
         if gossip.stopping {
-            state.peers.remove(&gossip.gateway);
+            state.peers.remove(now, &gossip.gateway);
             if was_alive {
                 info!(self.log, "gateway stops"; "gateway" => &gossip.gateway);
             }
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -5,7 +5,7 @@
 mod regions;
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use routing::rank;
@@ -72,6 +72,8 @@
     peers: BTreeMap<String, Peer>,
     // Addresses from the settings or other gateways with no known gateway, and when they were added.
     addresses: BTreeMap<SocketAddr, Duration>,
+    // IP addresses of gateways that stop or were forgotten, and since when. They may still finish requests.
+    departed: BTreeMap<IpAddr, Duration>,
     // Whether the store's list of gateways is read; where it is read by halls, `lists` holds the progress.
     listed: bool,
     lists: HallLists,
@@ -95,6 +97,7 @@
             own,
             peers: BTreeMap::new(),
             addresses: BTreeMap::new(),
+            departed: BTreeMap::new(),
             listed: false,
             lists: HallLists::default(),
             lease: None,
@@ -207,8 +210,10 @@
     }
 
     /// Removes a gateway that stops.
-    pub fn remove(&mut self, name: &str) {
-        self.peers.remove(name);
+    pub fn remove(&mut self, now: Duration, name: &str) {
+        if let Some(peer) = self.peers.remove(name) {
+            self.departed.insert(peer.address.ip(), now);
+        }
     }
 
     /// Records that another gateway holds the lease under this epoch.
@@ -263,6 +268,7 @@
         });
         self.addresses
             .retain(|_, since| now < *since + ADDRESS_LIFETIME);
+        self.departed.retain(|_, since| now < *since + FORGET_AFTER);
     }
 
     /// Addresses at which no gateway is known yet; messages are sent to them.
--- a/components/gateway/src/peers/halls.rs
+++ b/components/gateway/src/peers/halls.rs
@@ -62,7 +62,7 @@
     /// Gateways that may open connections to endpoints for this one, in the order in which it asks them: first coordinators,
     /// since these know the endpoints; those without paths of their own last.
     pub relays: Vec<SocketAddr>,
-    /// IP addresses of the other gateways that are heard or listed.
+    /// IP addresses of the other gateways that are heard or listed, or stopped lately.
     pub known: BTreeSet<IpAddr>,
 }
 
@@ -394,8 +394,8 @@
     }
 
     fn known_addresses(&self) -> BTreeSet<IpAddr> {
-        let peers = self.peers.values();
-        peers.map(|peer| peer.address.ip()).collect()
+        let peers = self.peers.values().map(|peer| peer.address.ip());
+        peers.chain(self.departed.keys().copied()).collect()
     }
 
     fn deciders(&self, now: Duration) -> Vec<SocketAddr> {
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -185,9 +185,6 @@
     let upgraded = upgraded.map_err(std::io::Error::other)?;
     let parts = upgraded.downcast::<TokioIo<TcpStream>>();
     let parts = parts.map_err(|_| std::io::Error::other("the stream has another type"))?;
-    if !parts.read_buf.is_empty() {
-        let message = "bytes before the tunnel was open";
-        return Err(std::io::Error::other(message));
-    }
-    pass_bytes(parts.io.into_inner(), endpoint, passed).await
+    // The gateway may have sent its request before this side left HTTP.
+    pass_bytes(parts.read_buf, parts.io.into_inner(), endpoint, passed).await
 }
--- a/components/gateway/tests/lost_paths.rs
+++ b/components/gateway/tests/lost_paths.rs
@@ -277,3 +277,38 @@
     gateways[0].paths.set(PathState::Refused);
     assert_eq!(asked(GATEWAY, &connect(known)), 502);
 }
+
+// Guards against failing the requests of a gateway without paths from the moment at which it is asked to stop: others
+// forget it then.
+#[test]
+fn a_stopping_gateway_without_paths_serves_through_another_gateway() {
+    let endpoints = start_endpoints();
+    let gateways = start_gateways(2, &store(&endpoints));
+    gateways[0].paths.set(PathState::Refused);
+    gateways[0].setup.stop();
+    let metrics = gateways[1].setup.gateway.metrics();
+    wait_until("the message that it stops", || {
+        metrics.gauge(Gauge::AlivePeers) == 0
+    });
+    assert_eq!(gateways[0].setup.call("/once/1", &[]).status, 200);
+}
+
+// Guards against dropping a request that arrives at the other gateway right behind the one for the tunnel.
+#[test]
+fn a_tunnel_delivers_what_was_sent_before_it_was_open() {
+    let fake = FakeEndpoint::start(|_, exchange| exchange.answer(200, "x"));
+    let gateways = start_gateways(2, &store(std::slice::from_ref(&fake)));
+    let tunnels = gateways[0].setup.gateway.tunnel_address();
+    let mut stream = TcpStream::connect(tunnels).unwrap();
+    let ask = format!("CONNECT {} HTTP/1.1\r\nhost: h\r\n\r\n", fake.address);
+    let request = request_text("/once/1", &[]);
+    stream.write_all((ask + &request).as_bytes()).unwrap();
+    let mut answers = String::new();
+    while !answers.contains("x-signature") {
+        let mut bytes = [0; 1024];
+        let length = stream.read(&mut bytes).unwrap();
+        assert!(length > 0, "closed after {answers:?}");
+        answers += &String::from_utf8_lossy(&bytes[..length]);
+    }
+    assert_eq!(fake.heads().len(), 1);
+}
--- a/components/reachability/src/relays.rs
+++ b/components/reachability/src/relays.rs
@@ -21,8 +21,12 @@
 }
 
 impl Relays {
-    /// Replaces the candidates.
+    /// Replaces the candidates. An empty list changes nothing: others send no messages to a gateway that stops, but it may
+    /// still have requests to finish.
     pub fn set_candidates(&mut self, now: Duration, candidates: Vec<SocketAddr>) {
+        if candidates.is_empty() {
+            return;
+        }
         let former = std::mem::replace(&mut self.candidates, candidates);
         self.former.retain(|_, at| now < *at + REUSE_TIME);
         self.former
--- a/components/reachability/tests/guarantees.rs
+++ b/components/reachability/tests/guarantees.rs
@@ -105,3 +105,11 @@
     assert!(relays.can_reuse(ms(60_000), address(1)));
     assert_eq!(relays.order(ms(9500)), [address(1), address(2)]);
 }
+
+#[test]
+fn a_gateway_that_hears_no_other_keeps_its_relays() {
+    let mut relays = Relays::default();
+    relays.set_candidates(ms(0), vec![address(1)]);
+    relays.set_candidates(ms(9000), Vec::new());
+    assert_eq!(relays.order(ms(9000)), [address(1)]);
+}
--- a/components/transport/src/tunnel.rs
+++ b/components/transport/src/tunnel.rs
@@ -15,7 +15,7 @@
 use hyper::client::conn::http1::Builder;
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::{TcpSocket, TcpStream};
 
 use crate::connection::set_dead_peer_detection;
@@ -143,10 +143,12 @@
 }
 
 /// Passes bytes between a gateway and an endpoint until both have finished, or either connection fails, and counts them.
+/// `received` was read from the gateway before.
 ///
 /// A failed connection resets the other one: an answer that was cut off must not look complete. So does a call that is
 /// dropped.
 pub async fn pass_bytes(
+    received: Bytes,
     gateway: TcpStream,
     endpoint: TcpStream,
     passed: &TunnelBytes,
@@ -163,6 +165,8 @@
         stream: endpoint,
         count: Rc::clone(&passed.received),
     };
+    endpoint.write_all(&received).await?;
+    passed.sent.set(received.len() as u64);
     tokio::io::copy_bidirectional_with_sizes(
         &mut gateway,
         &mut endpoint,
