Share what a fragile endpoint runs and turns away among the gateways that place requests

Cause: each of three gateways may fill all four slots at the same moment, before it hears what the others placed; the pause after a refusal then lets them come back together. Change: a gateway has at most (slots + N) / deciders requests of its own placing at a fragile endpoint, at least one, those that it places for others among them. So what all place at one moment is no more than it runs and turns away.

--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -206,6 +206,7 @@
         let relays = &self.relays;
         self.pool
             .drop_idle_of_relays(|relay| relays.can_reuse(now, relay));
+        self.balancer.set_deciders(fleet.decider_count);
         self.fleet = fleet;
         for quota in self.quotas.values_mut() {
             quota.set_part(now, part);
--- a/components/routing/src/placement/balancer.rs
+++ b/components/routing/src/placement/balancer.rs
@@ -103,6 +103,8 @@
     pub(super) engines: BTreeMap<String, Engine>,
     pub(super) learners: BTreeMap<String, Learner>,
     pub(super) notices: Notices,
+    // Number of gateways that place requests, this one included.
+    pub(super) deciders: usize,
 }
 
 impl Balancer {
@@ -127,6 +129,7 @@
             engines: BTreeMap::new(),
             learners: BTreeMap::new(),
             notices: Notices::default(),
+            deciders: 1,
         }
     }
 
@@ -138,6 +141,11 @@
             .collect();
     }
 
+    /// Sets the number of gateways that place requests, this one included.
+    pub fn set_deciders(&mut self, deciders: usize) {
+        self.deciders = deciders.max(1);
+    }
+
     /// Adds an endpoint or updates its record.
     pub fn insert(&mut self, now: Duration, endpoint: Endpoint) {
         let known = self.entry_mut(&endpoint.id);
@@ -286,7 +294,7 @@
         let Some(entry) = self.entry_mut(&placement.endpoint) else {
             return;
         };
-        entry.record_peer_request(now, placement.hold);
+        entry.record_placed_for_peer(now, placement.hold);
         if work.prompt_tokens == 0 {
             return;
         }
--- a/components/routing/src/placement/choice.rs
+++ b/components/routing/src/placement/choice.rs
@@ -12,7 +12,7 @@
 use crate::placement::mix::PromptMix;
 use crate::placement::network_cost::OWN_REGION;
 use crate::placement::region_link::{link_bytes, LinkDecision, RegionCosts};
-use crate::placement::service::{ServiceEndpoints, UsableEndpoints};
+use crate::placement::service::{Fragility, ServiceEndpoints, UsableEndpoints};
 use crate::placement::slowdown::SlowdownModel;
 use crate::placement::timings::ServiceTimings;
 use crate::placement::unreported::UnreportedRequests;
@@ -108,7 +108,12 @@
             notices: &self.notices,
         };
         let endpoints = self.services.get_mut(&work.service)?;
-        let usable = endpoints.usable(now, exclusion, versions, &self.notices);
+        let max_refusals = self.notices.max_refusals_per_s(now, &work.service);
+        let fragility = max_refusals.map(|max_refusals| Fragility {
+            max_refusals,
+            deciders: self.deciders,
+        });
+        let usable = endpoints.usable(now, exclusion, versions, &self.notices, fragility);
         let regions = endpoints.by_region(usable, home_region);
         cost_model.has_several_regions = regions.len() > 1;
         let (mut local_best, mut remote_best) = (None, None::<(usize, EndpointCost)>);
--- a/components/routing/src/placement/entry.rs
+++ b/components/routing/src/placement/entry.rs
@@ -40,6 +40,8 @@
 struct PeerRequest {
     sent_at: Duration,
     ends_at: Duration,
+    // Whether this gateway placed it.
+    is_placed_here: bool,
 }
 
 /// One endpoint of the balancer.
@@ -227,6 +229,7 @@
         let continued = PeerRequest {
             sent_at: at.saturating_sub(MAX_TRANSIT),
             ends_at: at + hold / 2,
+            is_placed_here: false,
         };
         let missing = requests.saturating_sub(expected) as usize;
         self.peer_requests
@@ -239,9 +242,26 @@
         self.peer_requests.push(PeerRequest {
             sent_at,
             ends_at: sent_at + hold,
+            is_placed_here: false,
         });
     }
 
+    /// Records a request that this gateway places for another one and that is expected to run for `hold`.
+    pub fn record_placed_for_peer(&mut self, now: Duration, hold: Duration) {
+        self.peer_requests.push(PeerRequest {
+            sent_at: now,
+            ends_at: now + hold,
+            is_placed_here: true,
+        });
+    }
+
+    /// Returns the number of requests that this gateway placed and that are expected to run now.
+    pub fn requests_placed_here(&self, now: Duration) -> u32 {
+        let others = self.peer_requests.iter();
+        let placed = others.filter(|other| other.is_placed_here && other.ends_at > now);
+        self.own_requests + placed.count() as u32
+    }
+
     /// Updates suspicion and the share of faulty answers after a request ended.
     pub fn record_end(&mut self, now: Duration, signal: HealthSignal) {
         match signal {
--- a/components/routing/src/placement/service.rs
+++ b/components/routing/src/placement/service.rs
@@ -22,6 +22,26 @@
     entries: Vec<EndpointEntry>,
 }
 
+/// That endpoints of a service fail if they turn too many requests away.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Fragility {
+    /// Requests that an endpoint can turn away in a second.
+    pub max_refusals: u32,
+    /// Number of gateways that place requests.
+    pub deciders: usize,
+}
+
+impl Fragility {
+    // Whether an endpoint has a free slot, as far as known, and the gateways that place requests, none of which knows what
+    // the others place now, can't together exceed what it runs and turns away. How many it lets wait is not known.
+    fn has_room(self, now: Duration, entry: &EndpointEntry) -> bool {
+        let slots = entry.spec.slots;
+        let part = (slots + self.max_refusals) as usize / self.deciders;
+        let max_placed_here = part.max(1) as u32;
+        entry.expected_requests(now) < slots && entry.requests_placed_here(now) < max_placed_here
+    }
+}
+
 /// Endpoints of a service that can take a request, as positions in the service's order.
 #[derive(Debug)]
 pub(crate) struct UsableEndpoints {
@@ -107,21 +127,19 @@
     }
 
     /// Returns the positions of the endpoints that can take a request. Suspected ones are included
-    /// only if their region has no other. A fragile endpoint takes a request only if one of its
-    /// slots is expected to be free: how many it lets wait is not known.
+    /// only if their region has no other. A fragile endpoint takes a request only if it is expected
+    /// to have room.
     pub fn usable(
         &self,
         now: Duration,
         exclusion: Exclusion,
         versions: Versions,
         notices: &Notices,
+        fragility: Option<Fragility>,
     ) -> Vec<usize> {
-        let service = self.entries.first().map(|entry| &entry.spec.service);
-        let is_fragile =
-            service.is_some_and(|service| notices.max_refusals_per_s(now, service).is_some());
         let is_permitted = |entry: &EndpointEntry| {
             let spec = &entry.spec;
-            let has_room = !is_fragile || entry.expected_requests(now) < spec.slots;
+            let has_room = fragility.is_none_or(|fragility| fragility.has_room(now, entry));
             spec.is_ready()
                 && has_room
                 && versions.allows(&spec.version)
--- a/components/routing/tests/limits.rs
+++ b/components/routing/tests/limits.rs
@@ -124,3 +124,35 @@
     notices.record_fragility(ms(0), SERVICE, None);
     assert_eq!(fill(&mut balancer), 40);
 }
+
+// Guards against gateways that each fill an endpoint's slots at the same moment, so that it turns most of that away.
+#[test]
+fn several_gateways_together_place_no_more_than_a_fragile_endpoint_runs_and_turns_away() {
+    const DECIDERS: usize = 4;
+    const MAX_REFUSALS: u32 = 3;
+    let placed = (0..DECIDERS).map(|seed| {
+        let mut balancer = balancer();
+        balancer.set_deciders(DECIDERS);
+        let notices = balancer.notices_mut();
+        notices.record_fragility(ms(0), SERVICE, Some(MAX_REFUSALS));
+        let work = Work {
+            service: SERVICE.into(),
+            ..Work::default()
+        };
+        let mut rng = ChaCha8Rng::seed_from_u64(seed as u64);
+        let mut sent = 0;
+        while let Some(placement) = balancer.choose(ms(1), &work, &[], Versions::Any, &mut rng) {
+            // Every other request is placed for another gateway.
+            match sent % 2 {
+                0 => drop(balancer.sent(ms(1), &work, &placement)),
+                _ => balancer.placed_for_peer(ms(1), &work, &placement),
+            }
+            sent += 1;
+        }
+        sent
+    });
+    let endpoints = 2;
+    let allowed = endpoints * (8 + MAX_REFUSALS);
+    let placed: u32 = placed.sum();
+    assert!((16..=allowed).contains(&placed), "{placed}");
+}
