--- a/components/gateway/src/placing.rs
+++ b/components/gateway/src/placing.rs
@@ -125,6 +125,7 @@
             "endpoint" => &placement.endpoint, "unread" => placement.unread_tokens,
             "expected_ms" => placement.expected_ms as u64, "weighed" => placement.weighed,
             "slowdown" => placement.slowdown.percent(), "by_coordinator" => placement.is_placed_by_peer, "version" => job.version,
+            "software" => &placement.version,
             "hall" => &placement.hall, "distance" => self.distance(&placement.hall),
             "home_ms" => placement.home_ms.map(|ms| ms as u64));
     }
--- a/components/gateway/src/ports.rs
+++ b/components/gateway/src/ports.rs
@@ -31,6 +31,8 @@
     pub parts: Vec<PromptPart>,
     /// Last event of the stream that the caller has received.
     pub last_event: Option<u64>,
+    /// Id of the caller's attempt that brought the first event of the stream that this one continues.
+    pub resumes: Option<String>,
 }
 
 /// A head that cannot be parsed, with the name of the field or a short reason.
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -44,6 +44,8 @@
     progress: Progress,
     body_parts: mpsc::UnboundedSender<BodyPart>,
     last_event: Option<u64>,
+    // Version of the software that made the first event; `None` if unknown.
+    software: Option<String>,
     forwarded: u64,
     forwarded_at: Duration,
     longest_gap: Duration,
@@ -64,6 +66,7 @@
             progress,
             body_parts,
             last_event: job.head.last_event,
+            software: None,
             forwarded: 0,
             forwarded_at: traffic.clock.now(),
             longest_gap: Duration::ZERO,
@@ -73,6 +76,7 @@
 
     /// Forwards events until the stream ends, the caller disconnects or the deadline passes.
     pub async fn run(mut self, first: Event, events: EndpointStream<D>) {
+        self.software = events.run.placement.version.clone();
         let mut next = Some((first, events));
         while let Some((first, mut events)) = next.take() {
             let end = self.forward_events(first, &mut events).await;
@@ -226,7 +230,8 @@
                 .await?;
             self.progress.sent += 1;
             info!(self.traffic.log, "stream goes on"; "id" => &self.job.head.id, "content" => %self.job.content, "from" => from,
-                "endpoint" => &placement.endpoint, "after" => self.last_event);
+                "from_software" => &self.software, "endpoint" => &placement.endpoint, "software" => &placement.version,
+                "after" => self.last_event);
             let options = SendOptions {
                 last_event: self.last_event,
                 after_unresponsive,
@@ -268,7 +273,7 @@
     fn log_end(&self, end: &str, endpoint: &str) {
         let elapsed = self.traffic.clock.now().saturating_sub(self.job.arrived);
         info!(self.traffic.log, "stream ended"; "id" => &self.job.head.id, "content" => %self.job.content, "end" => end,
-            "endpoint" => endpoint, "events" => self.forwarded, "attempts" => self.progress.sent,
+            "endpoint" => endpoint, "software" => &self.software, "events" => self.forwarded, "attempts" => self.progress.sent,
             "unread_ms" => self.longest_unread.as_millis() as u64,
             "longest_gap_ms" => self.longest_gap.as_millis() as u64,
             "ms" => elapsed.as_millis() as u64);
--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -72,6 +72,7 @@
             answer_guess: None,
             parts: Vec::new(),
             last_event: number(fields, "x-last-event"),
+            resumes: text(fields, "x-resumes"),
         })
     }
 
