--- /dev/null
+++ b/components/gateway/tests/stream_versions.rs
@@ -0,0 +1,140 @@
+//! Streams of a service whose endpoints run several software versions side by side, without a roll-out order.
+
+mod common;
+
+use std::net::SocketAddr;
+
+use common::{
+    configuration, endpoint_with_version, request_text, route, send, settings, wait_until, Answer,
+    FakeEndpoint, FakeStore, Setup,
+};
+use directory::{Execution, Route};
+use schema::settings::GatewaySettings;
+use telemetry::Gauge;
+
+const RESUMABLE: Execution = Execution::Stream { resumable: true };
+const VERSIONS: [&str; 2] = ["v1", "v2"];
+/// Event after which an endpoint breaks a stream off that it began.
+const BREAKS_AFTER: u64 = 2;
+const LAST_EVENT: u64 = 4;
+/// Streams of one test.
+const STREAMS: usize = 40;
+
+/// An endpoint whose events contain its version. It breaks each stream off that it began itself and completes those that
+/// it continues.
+fn versioned_endpoint(version: &'static str) -> FakeEndpoint {
+    FakeEndpoint::start(move |_, exchange| {
+        let after: Option<u64> = exchange
+            .header("x-last-event")
+            .and_then(|id| id.parse().ok());
+        exchange.begin_stream();
+        let last = after.map_or(BREAKS_AFTER, |_| LAST_EVENT);
+        for id in after.unwrap_or_default() + 1..=last {
+            exchange.chunk(&format!("id: {id}\ndata: {version}\n\n"));
+        }
+        match after {
+            Some(_) => exchange.end_stream(),
+            None => exchange.close(),
+        }
+    })
+}
+
+fn store_with(route: Route) -> FakeStore {
+    let store = FakeStore::default();
+    store.put_configuration(configuration(1, vec![route]));
+    for version in VERSIONS {
+        for number in 0..2 {
+            let fake = versioned_endpoint(version);
+            let id = format!("{version}-{number}");
+            store.put_endpoint(endpoint_with_version(version, &id, fake.address));
+        }
+    }
+    store
+}
+
+/// Starts gateways of one data hall that know each other.
+fn start_gateways(store: &FakeStore, count: usize) -> Vec<Setup> {
+    let mut gateways: Vec<Setup> = Vec::new();
+    for number in 0..count {
+        let first = gateways.first();
+        let seeds = first.map(|setup| setup.gateway.peer_address().to_string());
+        let settings = GatewaySettings {
+            name: format!("g{number}"),
+            seeds: seeds.into_iter().collect(),
+            ..settings()
+        };
+        let setup = Setup::start(settings, store.for_other_gateway());
+        wait_until("readiness", || setup.is_ready());
+        gateways.push(setup);
+    }
+    let alive = |setup: &Setup| setup.gateway.metrics().gauge(Gauge::AlivePeers) as usize;
+    wait_until("the gateways to know each other", || {
+        gateways.iter().all(|setup| alive(setup) == count - 1)
+    });
+    gateways
+}
+
+/// Versions in the events of an answer, in order.
+fn versions_in(answer: &Answer) -> Vec<String> {
+    let lines = answer.body.lines();
+    let data = lines.filter_map(|line| line.strip_prefix("data: "));
+    data.map(str::to_string).collect()
+}
+
+fn begin(gateway: SocketAddr, id: &str) -> Answer {
+    send(gateway, &request_text("/a/", &[&format!("x-id: {id}")]))
+}
+
+/// Continues a stream whose first event came with the attempt `first`.
+fn resume(gateway: SocketAddr, id: &str, first: &str, after: usize) -> Answer {
+    let lines = [
+        format!("x-id: {id}"),
+        format!("x-resumes: {first}"),
+        format!("x-last-event: {after}"),
+    ];
+    send(
+        gateway,
+        &request_text("/a/", &lines.each_ref().map(String::as_str)),
+    )
+}
+
+/// Waits until new streams begin at endpoints of all versions.
+fn wait_for_all_versions(gateway: SocketAddr) {
+    let mut seen = Vec::new();
+    wait_until("streams of all versions", || {
+        seen.extend(versions_in(&begin(
+            gateway,
+            &format!("first-{}", seen.len()),
+        )));
+        VERSIONS
+            .iter()
+            .all(|version| seen.iter().any(|known| known == version))
+    });
+}
+
+// Guards against streams that callers continue at another gateway, which hold events of two software versions.
+#[test]
+fn a_stream_that_its_caller_continues_at_another_gateway_goes_on_at_the_version_that_began_it() {
+    let route = Route {
+        // The gateway doesn't resume the stream itself.
+        max_attempts: 1,
+        ..route("/a/", RESUMABLE)
+    };
+    let gateways = start_gateways(&store_with(route), 3);
+    wait_for_all_versions(gateways[0].address());
+    let (mut mixed, mut continued) = (Vec::new(), 0);
+    for number in 0..STREAMS {
+        let id = format!("a{number}");
+        let from = gateways[number % gateways.len()].address();
+        let to = gateways[(number + 1) % gateways.len()].address();
+        let begun = versions_in(&begin(from, &id));
+        let answer = resume(to, &format!("b{number}"), &id, begun.len());
+        continued += usize::from(answer.is_complete);
+        let versions = [begun, versions_in(&answer)].concat();
+        if versions.iter().any(|version| *version != versions[0]) {
+            mixed.push(versions);
+        }
+    }
+    assert!(mixed.is_empty(), "{} of {STREAMS}: {mixed:?}", mixed.len());
+    assert!(continued > STREAMS / 2, "{continued} of {STREAMS} went on");
+}
