Resume a stream within its answer only at the software version that began it

What callers saw: one answer held events of two software versions. Cause: a stream that broke was placed like a new request; the version of its first event was not kept, a query to a coordinator could not name one, and a reply named a version only during a roll-out. Change: the version of the first event binds all later attempts; queries and replies name it; a reply without it (an earlier build) is no placement for such a request; a roll-out's exposure limit and a reverted version still hold. Where no endpoint of the version takes work, the stream is broken off at once.

--- a/components/gateway/src/decisions.rs
+++ b/components/gateway/src/decisions.rs
@@ -15,7 +15,7 @@
 use telemetry::Counter;
 use tokio::net::UdpSocket;
 
-use crate::job::Job;
+use crate::job::{Job, Progress};
 use crate::limit_reports::received_limits;
 use crate::peers::GatewayFleet;
 use crate::pending_replies::PendingReplies;
@@ -99,7 +99,7 @@
     pub async fn request_decision(
         &self,
         job: &Job,
-        tried: &[String],
+        progress: &Progress,
         charged: bool,
     ) -> Option<CoordinatorDecision> {
         let query_order = {
@@ -112,7 +112,7 @@
         };
         let mut starting = None;
         for coordinator in query_order {
-            let query = self.query(job, tried, charged);
+            let query = self.query(job, progress, charged);
             if let Some(reply) = self.send_query(coordinator, query).await {
                 // A coordinator that has just started is alive, so this gateway need not follow all endpoints
                 // itself.
@@ -150,11 +150,11 @@
     pub async fn request_decision_until_ready(
         &self,
         job: &Job,
-        tried: &[String],
+        progress: &Progress,
         charged: bool,
     ) -> Option<CoordinatorDecision> {
         loop {
-            let decided = self.request_decision(job, tried, charged).await;
+            let decided = self.request_decision(job, progress, charged).await;
             let is_starting = decided
                 .as_ref()
                 .is_some_and(|d| matches!(d.outcome, Outcome::Starting));
@@ -223,9 +223,9 @@
         }
     }
 
-    fn query(&self, job: &Job, tried: &[String], charged: bool) -> DecisionQuery {
+    fn query(&self, job: &Job, progress: &Progress, charged: bool) -> DecisionQuery {
         let parts = job.work.parts.iter();
-        let excluded = tried.iter().map(|id| endpoint_hash(id) as i64);
+        let excluded = progress.tried.iter().map(|id| endpoint_hash(id) as i64);
         let traits = job.request_traits();
         DecisionQuery {
             number: self.decision_queries.replies.next_number(),
@@ -250,6 +250,7 @@
             closed: self.reported_closed(&job.work.service),
             sights: self.pending_sights.take(self.clock.now()),
             limits: self.pending_limits.borrow_mut().take(self.clock.now()),
+            software_version: progress.required_version.clone(),
         }
     }
 
@@ -358,6 +359,7 @@
                 .hall
                 .as_deref()
                 .map_or(0, |hall| topology.region_index_of(hall)),
+            required_version: query.software_version.as_deref(),
         };
         let work = work_of(query);
         let closed = query.closed.as_deref().unwrap_or_default();
@@ -375,7 +377,7 @@
         }
         reply.placed = placed
             .as_ref()
-            .map(|placed| self.placed_with_limit(now, placed));
+            .map(|placed| self.placed_with_limit(now, &work.service, placed));
         if is_long {
             self.send_tally();
         }
@@ -397,8 +399,8 @@
     }
 }
 
-/// Encodes a placement for a message.
-pub(crate) fn placed_of(placement: &Placement) -> PlacedAt {
+/// Encodes a placement for a message. `is_evidence` says whether its answer counts as evidence in a roll-out.
+pub(crate) fn placed_of(placement: &Placement, is_evidence: bool) -> PlacedAt {
     PlacedAt {
         endpoint: placement.endpoint.clone(),
         address: placement.address.to_string(),
@@ -407,7 +409,7 @@
         expected_ms: placement.expected_ms as i32,
         hold_ms: placement.hold.as_millis().min(i32::MAX as u128) as i32,
         weighed: placement.weighed as i32,
-        version: placement.version.clone().filter(|_| !placement.is_cold),
+        version: placement.version.clone().filter(|_| is_evidence),
         incarnation: Some(placement.incarnation as i64),
         hall: Some(placement.hall.clone()),
         home_ms: placement
@@ -419,6 +421,7 @@
         },
         limit: None,
         keeper: None,
+        software_version: placement.version.clone(),
     }
 }
 
@@ -451,8 +454,9 @@
         hold: Duration::from_millis(placed.hold_ms.max(0) as u64),
         weighed: placed.weighed.max(0) as usize,
         is_placed_by_peer: true,
-        version: placed.version.clone(),
-        is_cold: false,
+        version: placed.software_version.clone().or(placed.version.clone()),
+        // Set if its answer is no evidence in a roll-out.
+        is_cold: placed.version.is_none(),
         hall: placed.hall.clone().unwrap_or_default(),
         home_ms: placed.home_ms.map(f64::from),
         link_bytes: 0,
--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -97,12 +97,15 @@
         progress: &mut Progress,
     ) -> Result<Option<Placement>, Refusal> {
         let mut placed = None;
-        match Box::pin(self.request_decision_until_ready(job, &[], false)).await {
+        match Box::pin(self.request_decision_until_ready(job, progress, false)).await {
             None => self.charge_here(job)?,
             Some(decided) => {
                 progress.charged_by = Some(decided.coordinator);
                 match decided.outcome {
-                    Outcome::Placed(placement) => placed = Some(placement),
+                    Outcome::Placed(placement) if progress.allows_version_of(&placement) => {
+                        placed = Some(placement)
+                    }
+                    Outcome::Placed(_) => {}
                     Outcome::NoEndpoint | Outcome::LinkFull(_) => {}
                     Outcome::OverLimit(wait) => return Err(limit_refusal(wait)),
                     Outcome::Starting => return Err(starting_refusal()),
--- a/components/gateway/src/job.rs
+++ b/components/gateway/src/job.rs
@@ -7,7 +7,7 @@
 use directory::Route;
 use http::request;
 use quarantine::Fingerprint;
-use routing::placement::Work;
+use routing::placement::{Placement, Work};
 
 use crate::buffers::KeptBody;
 use crate::caller::Caller;
@@ -56,11 +56,12 @@
 
 impl Job {
     /// The request's properties that decide which version runs it.
-    pub fn request_traits(&self) -> RequestTraits {
+    pub fn request_traits(&self) -> RequestTraits<'static> {
         RequestTraits {
             route: route_hash(&self.route.name),
             is_lost_when_cut: is_lost_when_cut(&self.route),
             home_region: 0,
+            required_version: None,
         }
     }
 
@@ -73,6 +74,14 @@
 /// A job shared by the tasks that work on it.
 pub(crate) type SharedJob = Rc<Job>;
 
+impl Progress {
+    /// Whether the request may go to a chosen endpoint. A coordinator of an earlier build does not know which version is
+    /// required.
+    pub fn allows_version_of(&self, placement: &Placement) -> bool {
+        self.required_version.is_none() || self.required_version == placement.version
+    }
+}
+
 /// Attempts of one request so far.
 #[derive(Debug, Default)]
 pub(crate) struct Progress {
@@ -84,6 +93,8 @@
     pub ungranted: usize,
     /// Whether any endpoint may have run the request.
     pub maybe_run: bool,
+    /// Version of endpoint software that began the stream, once an event of it was forwarded; no other may continue it.
+    pub required_version: Option<String>,
     /// Coordinator that charged the tenant; `None` if this gateway did.
     pub charged_by: Option<SocketAddr>,
 }
--- a/components/gateway/src/placing.rs
+++ b/components/gateway/src/placing.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use routing::placement::{link_bytes, Exclusion, Placement, Work};
+use routing::placement::{link_bytes, Exclusion, Placement, Versions, Work};
 use slog::info;
 use telemetry::Counter;
 use topology::Distance;
@@ -11,6 +11,7 @@
 use crate::job::{Job, Progress};
 use crate::sends::Grant;
 use crate::traffic::Traffic;
+use crate::versions::RequestTraits;
 
 /// A request waits for an endpoint to appear for its latency target divided by this.
 const ENDPOINT_WAIT_DIVISOR: u32 = 6;
@@ -19,6 +20,10 @@
 /// Time after which a caller should retry when no endpoint accepts work.
 const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(400);
 
+/// Time after which a caller should retry when no endpoint of the required version accepts work: an endpoint that ended is
+/// replaced within some seconds, if at all.
+const NO_VERSION_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Reason why a request was placed on no endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct NoPlacement {
@@ -41,6 +46,12 @@
         wait: NO_ENDPOINT_RETRY_AFTER,
     };
 
+    /// No endpoint of the version that began the stream takes work.
+    pub const VERSION_GONE: NoPlacement = NoPlacement {
+        cause: "no endpoint of the software version that began the stream takes work",
+        wait: NO_VERSION_RETRY_AFTER,
+    };
+
     fn link_full(wait: Duration) -> Self {
         NoPlacement {
             cause: "no endpoint of this region takes work, and the link to others is full",
@@ -75,16 +86,21 @@
         let wait_deadline = self.endpoint_wait_deadline(job);
         loop {
             // Boxed, so that a running request holds no memory for this future.
-            let asked =
-                Box::pin(self.request_decision_until_ready(job, &progress.tried, true)).await;
+            let asked = Box::pin(self.request_decision_until_ready(job, progress, true)).await;
+            let was_decided = asked.is_some();
             if let Some(decided) = asked {
                 match decided.outcome {
-                    Outcome::Placed(placement) => return Ok(placement),
+                    Outcome::Placed(placement) if progress.allows_version_of(&placement) => {
+                        return Ok(placement)
+                    }
                     Outcome::LinkFull(wait) => return Err(NoPlacement::link_full(wait)),
                     Outcome::Starting => return Err(NoPlacement::STARTING),
-                    Outcome::NoEndpoint | Outcome::OverLimit(_) => {}
+                    Outcome::Placed(_) | Outcome::NoEndpoint | Outcome::OverLimit(_) => {}
                 }
             }
+            if self.is_version_gone(job, progress, was_decided) {
+                return Err(NoPlacement::VERSION_GONE);
+            }
             let now = self.clock.now();
             let (placement, link_wait) = {
                 let mut state = self.state.borrow_mut();
@@ -93,7 +109,11 @@
                     sent_here: true,
                     ..Exclusion::default()
                 };
-                let placement = state.choose(now, &job.work, exclusion, job.request_traits());
+                let traits = RequestTraits {
+                    required_version: progress.required_version.as_deref(),
+                    ..job.request_traits()
+                };
+                let placement = state.choose(now, &job.work, exclusion, traits);
                 (placement, state.balancer.link_wait(now, &job.work))
             };
             if let Some(placement) = placement {
@@ -115,6 +135,18 @@
         }
     }
 
+    // Whether no endpoint of the required version is known to take work. Gateways that do not hold the endpoints rely on the
+    // decision of a coordinator.
+    fn is_version_gone(&self, job: &Job, progress: &Progress, was_decided: bool) -> bool {
+        let Some(version) = &progress.required_version else {
+            return false;
+        };
+        let state = self.state.borrow();
+        let (now, only) = (self.clock.now(), Versions::Only(version));
+        let ready = state.balancer.ready_count(now, &job.work.service, only);
+        ready == 0 && (was_decided || state.endpoints_known)
+    }
+
     /// Time until which a request waits for an endpoint to appear.
     pub fn endpoint_wait_deadline(&self, job: &Job) -> Duration {
         job.arrived + job.route.target / ENDPOINT_WAIT_DIVISOR
--- a/components/gateway/src/sends.rs
+++ b/components/gateway/src/sends.rs
@@ -330,11 +330,18 @@
     }
 
     /// Encodes a placement for a message, with the limit of its endpoint and the keeper that grants sends.
-    pub fn placed_with_limit(&self, now: Duration, placement: &Placement) -> PlacedAt {
+    pub fn placed_with_limit(
+        &self,
+        now: Duration,
+        service: &str,
+        placement: &Placement,
+    ) -> PlacedAt {
         let state = self.state.borrow();
+        let is_evidence = state.gates.under_way(service).is_some() && !placement.is_cold;
+        let placed = placed_of(placement, is_evidence);
         let start = placement.incarnation;
         let Some(limit) = state.balancer.notices().limit_notice(start) else {
-            return placed_of(placement);
+            return placed;
         };
         let keeper = limit
             .rate
@@ -342,7 +349,7 @@
         PlacedAt {
             limit: Some(report_of_limit(now, &limit)),
             keeper: keeper.map(|keeper| keeper.address().to_string()),
-            ..placed_of(placement)
+            ..placed
         }
     }
 }
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -108,12 +108,9 @@
             // Pauses were asked of the gateway that sends the request, not of this one.
             sent_here: false,
         };
-        let mut placement = self.choose(now, work, exclusion, traits)?;
+        let placement = self.choose(now, work, exclusion, traits)?;
         self.balancer.placed_for_peer(now, work, &placement);
         self.tally.sent.push(sent_request(now, &placement));
-        if self.gates.under_way(&work.service).is_none() {
-            placement.version = None;
-        }
         Some(placement)
     }
 
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -44,8 +44,6 @@
     progress: Progress,
     body_parts: mpsc::UnboundedSender<BodyPart>,
     last_event: Option<u64>,
-    // Version of the software that made the first event; `None` if unknown.
-    software: Option<String>,
     forwarded: u64,
     forwarded_at: Duration,
     longest_gap: Duration,
@@ -66,7 +64,6 @@
             progress,
             body_parts,
             last_event: job.head.last_event,
-            software: None,
             forwarded: 0,
             forwarded_at: traffic.clock.now(),
             longest_gap: Duration::ZERO,
@@ -76,7 +73,8 @@
 
     /// Forwards events until the stream ends, the caller disconnects or the deadline passes.
     pub async fn run(mut self, first: Event, events: EndpointStream<D>) {
-        self.software = events.run.placement.version.clone();
+        let began_at = events.run.placement.version.clone();
+        self.progress.required_version = self.progress.required_version.or(began_at);
         let mut next = Some((first, events));
         while let Some((first, mut events)) = next.take() {
             let end = self.forward_events(first, &mut events).await;
@@ -230,7 +228,7 @@
                 .await?;
             self.progress.sent += 1;
             info!(self.traffic.log, "stream goes on"; "id" => &self.job.head.id, "content" => %self.job.content, "from" => from,
-                "from_software" => &self.software, "endpoint" => &placement.endpoint, "software" => &placement.version,
+                "from_software" => &self.progress.required_version, "endpoint" => &placement.endpoint, "software" => &placement.version,
                 "after" => self.last_event);
             let options = SendOptions {
                 last_event: self.last_event,
@@ -261,6 +259,7 @@
         let route = &self.job.route;
         let is_repeatable = route.execution.is_repeatable() && self.job.body.is_kept();
         is_repeatable
+            && self.progress.required_version.is_some()
             && self.progress.sent < route.max_attempts
             && self.traffic.quarantine_allows_retry(&self.job)
     }
@@ -273,7 +272,7 @@
     fn log_end(&self, end: &str, endpoint: &str) {
         let elapsed = self.traffic.clock.now().saturating_sub(self.job.arrived);
         info!(self.traffic.log, "stream ended"; "id" => &self.job.head.id, "content" => %self.job.content, "end" => end,
-            "endpoint" => endpoint, "software" => &self.software, "events" => self.forwarded, "attempts" => self.progress.sent,
+            "endpoint" => endpoint, "software" => &self.progress.required_version, "events" => self.forwarded, "attempts" => self.progress.sent,
             "unread_ms" => self.longest_unread.as_millis() as u64,
             "longest_gap_ms" => self.longest_gap.as_millis() as u64,
             "ms" => elapsed.as_millis() as u64);
--- a/components/gateway/src/versions.rs
+++ b/components/gateway/src/versions.rs
@@ -20,13 +20,15 @@
 
 /// Properties of a request that decide which version runs it.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct RequestTraits {
+pub(crate) struct RequestTraits<'a> {
     /// Hash of its route.
     pub route: u64,
     /// Whether its run is lost if its endpoint ends.
     pub is_lost_when_cut: bool,
     /// Index of the region that it comes from, 0 for the own region.
     pub home_region: usize,
+    /// Version that began the stream which the request continues; no other may run it.
+    pub required_version: Option<&'a str>,
 }
 
 /// Result of a request at an endpoint of a known version, as evidence for a roll-out.
@@ -136,6 +138,9 @@
         exclusion: Exclusion,
         traits: RequestTraits,
     ) -> Option<Placement> {
+        if let Some(version) = traits.required_version {
+            return self.choose_required(now, work, exclusion, traits, version);
+        }
         let lane = self.lane(now, work, exclusion, traits);
         let mut placed = self.choose_in(now, work, exclusion, &lane, traits.home_region);
         if let (None, VersionFilter::Only(version)) = (&placed, &lane) {
@@ -146,11 +151,48 @@
             };
             placed = self.choose_in(now, work, exclusion, &elsewhere, traits.home_region);
         }
-        if let (Some(gate), Some(placement)) = (self.gates.gates.get_mut(&work.service), &placed) {
+        self.record_placement(work, traits, placed.as_ref());
+        placed
+    }
+
+    // Chooses an endpoint for a request that only this version may run.
+    fn choose_required(
+        &mut self,
+        now: Duration,
+        work: &Work,
+        exclusion: Exclusion,
+        traits: RequestTraits,
+        version: &str,
+    ) -> Option<Placement> {
+        let allowance = self.allowance();
+        let gate = self.gates.gates.get(&work.service);
+        if gate.is_some_and(|gate| !gate.allows_continuation(now, allowance, version)) {
+            return None;
+        }
+        let only = VersionFilter::Only(version.to_string());
+        let versions = filter_versions(&only);
+        let rng = &mut self.rng;
+        let region = traits.home_region;
+        let placed = self
+            .balancer
+            .choose_from(region, now, work, exclusion, versions, rng);
+        self.record_placement(work, traits, placed.as_ref());
+        placed
+    }
+
+    fn record_placement(&mut self, work: &Work, traits: RequestTraits, placed: Option<&Placement>) {
+        if let (Some(gate), Some(placement)) = (self.gates.gates.get_mut(&work.service), placed) {
             let is_new = placement.version.as_ref() == Some(&gate.order().version);
             gate.record_placement(traits.route, is_new);
         }
-        placed
+    }
+
+    fn allowance(&self) -> Allowance {
+        Allowance {
+            fraction: f64::from(self.settings.exposure_milli) / 1000.0,
+            extra: f64::from(self.settings.exposure_extra),
+            placing_gateways: self.fleet.decider_count,
+        }
     }
 
     fn choose_in(
@@ -164,8 +206,6 @@
         let under_way = self.gates.under_way(&work.service);
         let is_sampled = under_way.is_some_and(|gate| gate.stage(now) == Some(Stage::Sample));
         let versions = match lane {
-            VersionFilter::Any => Versions::Any,
-            VersionFilter::Not(version) => Versions::Not(version),
             VersionFilter::Only(version) if is_sampled => {
                 let old = self
                     .balancer
@@ -173,7 +213,7 @@
                 let few = (old as f64 * SAMPLED_FRACTION).ceil() as usize;
                 Versions::Few(version, few.max(MIN_SAMPLED))
             }
-            VersionFilter::Only(version) => Versions::Only(version),
+            lane => filter_versions(lane),
         };
         let rng = &mut self.rng;
         self.balancer
@@ -187,11 +227,7 @@
         exclusion: Exclusion,
         traits: RequestTraits,
     ) -> VersionFilter {
-        let allowance = Allowance {
-            fraction: f64::from(self.settings.exposure_milli) / 1000.0,
-            extra: f64::from(self.settings.exposure_extra),
-            placing_gateways: self.fleet.decider_count,
-        };
+        let allowance = self.allowance();
         let Some(gate) = self.gates.gates.get(&work.service) else {
             return VersionFilter::Any;
         };
@@ -209,3 +245,11 @@
         gate.select_versions(now, allowance, request, self.rng.random())
     }
 }
+
+fn filter_versions(filter: &VersionFilter) -> Versions<'_> {
+    match filter {
+        VersionFilter::Any => Versions::Any,
+        VersionFilter::Not(version) => Versions::Not(version),
+        VersionFilter::Only(version) => Versions::Only(version),
+    }
+}
--- a/components/gateway/tests/cold_start.rs
+++ b/components/gateway/tests/cold_start.rs
@@ -95,6 +95,7 @@
         slowdown_percent: None,
         limit: None,
         keeper: None,
+        software_version: None,
     };
     DecisionReply::new(query.number, None, Some(placed), None, None)
 }
--- a/components/gateway/tests/stream_versions.rs
+++ b/components/gateway/tests/stream_versions.rs
@@ -138,3 +138,27 @@
     assert!(mixed.is_empty(), "{} of {STREAMS}: {mixed:?}", mixed.len());
     assert!(continued > STREAMS / 2, "{continued} of {STREAMS} went on");
 }
+
+// Guards against streams that the gateway resumes within one answer at an endpoint of another software version.
+#[test]
+fn a_stream_that_breaks_goes_on_within_its_answer_at_the_version_that_began_it() {
+    // Three of them decide, and the fourth asks them.
+    let gateways = start_gateways(&store_with(route("/a/", RESUMABLE)), 4);
+    for gateway in &gateways {
+        gateway.wait_for_retry_budget();
+        wait_for_all_versions(gateway.address());
+    }
+    let answers = (0..STREAMS).map(|number| {
+        let gateway = gateways[number % gateways.len()].address();
+        begin(gateway, &format!("a{number}"))
+    });
+    let answers: Vec<Answer> = answers.collect();
+    let mixed = answers
+        .iter()
+        .map(versions_in)
+        .filter(|versions| versions.iter().any(|version| *version != versions[0]));
+    let mixed: Vec<_> = mixed.collect();
+    assert!(mixed.is_empty(), "{} of {STREAMS}: {mixed:?}", mixed.len());
+    let whole = answers.iter().filter(|answer| answer.is_complete).count();
+    assert!(whole > STREAMS / 2, "{whole} of {STREAMS} went on");
+}
--- a/components/gateway/tests/version_skew.rs
+++ b/components/gateway/tests/version_skew.rs
@@ -93,6 +93,7 @@
         slowdown_percent: None,
         limit: None,
         keeper: None,
+        software_version: None,
     });
     DecisionReply::new(query.number, None, placed, None, None)
 }
--- a/components/rollout/src/version_selector.rs
+++ b/components/rollout/src/version_selector.rs
@@ -141,6 +141,19 @@
         }
     }
 
+    /// Whether endpoints of a version may continue a stream that this version began. An undecided version stays within the
+    /// exposure limit, and a reverted one gets no more requests.
+    pub fn allows_continuation(&self, now: Duration, allowance: Allowance, version: &str) -> bool {
+        if version != self.order.version {
+            return true;
+        }
+        match self.stage(now) {
+            Some(Stage::Decided(decision)) => decision == Decision::Completed,
+            Some(_) => self.has_exposure_left(allowance, SWITCH_BUDGET_PART),
+            None => false,
+        }
+    }
+
     /// Counts a placed request of a route; `is_new` says whether it went to the new version.
     pub fn record_placement(&mut self, route: u64, is_new: bool) {
         self.placed += 1;
--- a/components/rollout/tests/guarantees.rs
+++ b/components/rollout/tests/guarantees.rs
@@ -222,3 +222,35 @@
     selector.receive(Duration::from_secs(2), 7, Stage::SwitchAll);
     assert_eq!(selector.stage(Duration::from_secs(5)), Some(Stage::Sample));
 }
+
+// Guards against a stream of a version that was reverted going on there, and against streams that exceed the exposure limit of
+// a version that is not decided yet.
+#[test]
+fn a_stream_goes_on_at_the_ordered_version_only_within_its_limit_and_not_after_it_was_reverted() {
+    let now = Duration::from_secs(1);
+    let allowance = Allowance {
+        fraction: EXPOSURE_LIMIT.fraction,
+        extra: EXPOSURE_LIMIT.extra,
+        placing_gateways: 1,
+    };
+    let continues = |selector: &VersionSelector, version: &str| {
+        selector.allows_continuation(now, allowance, version)
+    };
+    let ordered = order(Duration::from_secs(30));
+    let (new, revision) = (ordered.version.clone(), ordered.revision);
+    let mut selector = VersionSelector::new(ordered);
+    assert!(continues(&selector, "old"));
+    assert!(!continues(&selector, &new));
+    selector.receive(now, revision, Stage::Sample);
+    assert!(continues(&selector, &new));
+    for _ in 0..1000 {
+        selector.record_placement(1, true);
+    }
+    assert!(!continues(&selector, &new));
+    let mut completed = selector.clone();
+    completed.receive(now, revision, Stage::Decided(Decision::Completed));
+    assert!(continues(&completed, &new));
+    selector.receive(now, revision, Stage::Decided(Decision::Reverted));
+    assert!(!continues(&selector, &new));
+    assert!(continues(&selector, "old"));
+}
--- a/components/schema/src/messages.rs
+++ b/components/schema/src/messages.rs
@@ -4553,10 +4553,12 @@
     pub sights: Option<Vec<Sight>>,
     /// What endpoints said of their limits since the last query; at most a few.
     pub limits: Option<Vec<LimitReport>>,
+    /// The only version of endpoint software that may run the request; unset if any may.
+    pub software_version: Option<String>,
 }
 
 impl DecisionQuery {
-    pub fn new<F3, F11, F12, F13, F14, F15, F16, F17>(
+    pub fn new<F3, F11, F12, F13, F14, F15, F16, F17, F18>(
         number: i64,
         service_name: String,
         team: F3,
@@ -4574,6 +4576,7 @@
         closed: F15,
         sights: F16,
         limits: F17,
+        software_version: F18,
     ) -> DecisionQuery
     where
         F3: Into<Option<String>>,
@@ -4584,6 +4587,7 @@
         F15: Into<Option<Vec<i64>>>,
         F16: Into<Option<Vec<Sight>>>,
         F17: Into<Option<Vec<LimitReport>>>,
+        F18: Into<Option<String>>,
     {
         DecisionQuery {
             number,
@@ -4603,6 +4607,7 @@
             closed: closed.into(),
             sights: sights.into(),
             limits: limits.into(),
+            software_version: software_version.into(),
         }
     }
 }
@@ -4627,6 +4632,7 @@
         let mut f_15: Option<Vec<i64>> = None;
         let mut f_16: Option<Vec<Sight>> = None;
         let mut f_17: Option<Vec<LimitReport>> = None;
+        let mut f_18: Option<String> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -4732,6 +4738,10 @@
                     i_prot.read_list_end()?;
                     f_17 = Some(val);
                 }
+                18 => {
+                    let val = i_prot.read_string()?;
+                    f_18 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -4775,6 +4785,7 @@
             closed: f_15,
             sights: f_16,
             limits: f_17,
+            software_version: f_18,
         };
         Ok(ret)
     }
@@ -4878,6 +4889,15 @@
             o_prot.write_list_end()?;
             o_prot.write_field_end()?
         }
+        if let Some(ref fld_var) = self.software_version {
+            o_prot.write_field_begin(&TFieldIdentifier::new(
+                "software_version",
+                TType::String,
+                18,
+            ))?;
+            o_prot.write_string(fld_var)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -4917,10 +4937,12 @@
     pub limit: Option<LimitReport>,
     /// Where the account of its limit is kept, IP:PORT; unset if it named none.
     pub keeper: Option<String>,
+    /// Version of the endpoint's software.
+    pub software_version: Option<String>,
 }
 
 impl PlacedAt {
-    pub fn new<F8, F9, F10, F11, F12, F13, F14>(
+    pub fn new<F8, F9, F10, F11, F12, F13, F14, F15>(
         endpoint: String,
         address: String,
         unread_tokens: i32,
@@ -4935,6 +4957,7 @@
         slowdown_percent: F12,
         limit: F13,
         keeper: F14,
+        software_version: F15,
     ) -> PlacedAt
     where
         F8: Into<Option<String>>,
@@ -4944,6 +4967,7 @@
         F12: Into<Option<i32>>,
         F13: Into<Option<LimitReport>>,
         F14: Into<Option<String>>,
+        F15: Into<Option<String>>,
     {
         PlacedAt {
             endpoint,
@@ -4960,6 +4984,7 @@
             slowdown_percent: slowdown_percent.into(),
             limit: limit.into(),
             keeper: keeper.into(),
+            software_version: software_version.into(),
         }
     }
 }
@@ -4981,6 +5006,7 @@
         let mut f_12: Option<i32> = None;
         let mut f_13: Option<LimitReport> = None;
         let mut f_14: Option<String> = None;
+        let mut f_15: Option<String> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -5044,6 +5070,10 @@
                     let val = i_prot.read_string()?;
                     f_14 = Some(val);
                 }
+                15 => {
+                    let val = i_prot.read_string()?;
+                    f_15 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -5080,6 +5110,7 @@
             slowdown_percent: f_12,
             limit: f_13,
             keeper: f_14,
+            software_version: f_15,
         };
         Ok(ret)
     }
@@ -5142,6 +5173,15 @@
             o_prot.write_string(fld_var)?;
             o_prot.write_field_end()?
         }
+        if let Some(ref fld_var) = self.software_version {
+            o_prot.write_field_begin(&TFieldIdentifier::new(
+                "software_version",
+                TType::String,
+                15,
+            ))?;
+            o_prot.write_string(fld_var)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
--- a/components/schema/thrift/messages.thrift
+++ b/components/schema/thrift/messages.thrift
@@ -480,6 +480,8 @@
   16: optional list<Sight> sights,
   /** What endpoints said of their limits since the last query; at most a few. */
   17: optional list<LimitReport> limits,
+  /** The only version of endpoint software that may run the request; unset if any may. */
+  18: optional string software_version,
 }
 
 /** Where a request goes, as a coordinator decided. */
@@ -511,6 +513,8 @@
   13: optional LimitReport limit,
   /** Where the account of its limit is kept, IP:PORT; unset if it named none. */
   14: optional string keeper,
+  /** Version of the endpoint's software. */
+  15: optional string software_version,
 }
 
 /** Answer to a DecisionQuery. */
