Continue a caller's stream only at the software version that began it

What callers saw: a stream that they continued at another gateway, with Last-Event-Id and Resumes, held events of two software versions. Cause: such a try was placed like a new request; no gateway knew which version had begun it. Change: the version of the first event is recorded under a hash of the team and the attempt's id, kept at the gateway and, while several versions may have streams, at the coordinators of its hall and two of other halls. A try asks them. Where one version alone can have begun a stream, as a table kept for the lifetime of streams and confirmed lately shows, nothing is reported or asked. What is not known is refused as not run. An endpoint that restarts under its id with another version makes its open streams ambiguous.

--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -293,6 +293,9 @@
         followed.confirmed = followed.confirmed.max(stamp);
         followed.follower.confirmed(at);
         let in_force = state.configuration.is_some() && state.is_configuration_current;
+        if topic == Topic::Endpoints {
+            self.update(Update::EndpointsConfirmed(at));
+        }
         if topic == Topic::Configuration && in_force {
             // Sent after the configuration that it confirms. Until the traffic thread has applied that one, it
             // uses the previous configuration, whose keys must not count as confirmed.
--- a/components/gateway/src/decisions.rs
+++ b/components/gateway/src/decisions.rs
@@ -118,6 +118,7 @@
                 // itself.
                 self.alone.record_decision(self.clock.now());
                 self.record_placed_limit(&reply);
+                self.record_several_versions(&job.work.service, &reply);
                 match outcome_of(&reply)? {
                     Outcome::Starting => starting = Some(coordinator),
                     outcome => {
@@ -182,7 +183,10 @@
 
     /// Handles the datagrams of the decision port: queries of other gateways, and replies to queries of this
     /// one.
-    pub async fn serve_decisions(self: Rc<Self>, socket: UdpSocket) {
+    pub async fn serve_decisions(self: Rc<Self>, socket: UdpSocket)
+    where
+        D: 'static,
+    {
         let socket = Rc::new(socket);
         *self.decision_queries.socket.borrow_mut() = Some(Rc::clone(&socket));
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
@@ -202,6 +206,15 @@
                 self.apply_give_back(&give_back);
             }
             self.apply_reported_sights(message.sights.as_ref());
+            if let Some(report) = &message.stream_report {
+                self.receive_stream_report(report, from).await;
+            }
+            if let Some(query) = message.stream_query {
+                tokio::task::spawn_local(Rc::clone(&self).answer_stream_query(query, from));
+            }
+            if let Some(reply) = message.stream_reply {
+                self.stream_origins.deliver(reply);
+            }
             if let Some(reply) = message.send_reply {
                 self.send_queries.replies.deliver(reply.number, reply);
             }
@@ -251,6 +264,7 @@
             sights: self.pending_sights.take(self.clock.now()),
             limits: self.pending_limits.borrow_mut().take(self.clock.now()),
             software_version: progress.required_version.clone(),
+            can_continue: Some(job.can_continue()),
         }
     }
 
@@ -360,6 +374,7 @@
                 .as_deref()
                 .map_or(0, |hall| topology.region_index_of(hall)),
             required_version: query.software_version.as_deref(),
+            can_continue: query.can_continue.unwrap_or_default(),
         };
         let work = work_of(query);
         let closed = query.closed.as_deref().unwrap_or_default();
@@ -421,7 +436,8 @@
         },
         limit: None,
         keeper: None,
-        software_version: placement.version.clone(),
+        software_version: None,
+        has_several_versions: None,
     }
 }
 
--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -75,11 +75,11 @@
             .await?;
         let job = self.admit(arrived, parts, head, body, caller)?;
         let job = Rc::new(job);
-        self.log_resumption(&job);
         let mut progress = Progress::default();
         if let Some(refusal) = self.quarantine_refusal(&job, &progress) {
             return Err(refusal);
         }
+        progress.required_version = Box::pin(self.find_required_version(&job)).await?;
         let placed = self.charge(&job, &mut progress).await?;
         let served = self.run_attempts(&job, &mut progress, placed).await;
         if served.is_err() && !progress.maybe_run {
@@ -173,14 +173,6 @@
         }
     }
 
-    fn log_resumption(&self, job: &Job) {
-        let Some(last_event) = job.head.last_event else {
-            return;
-        };
-        info!(self.log, "caller continues a stream"; "id" => &job.head.id, "content" => %job.content, "route" => &job.route.name,
-            "resumes" => &job.head.resumes, "after" => last_event);
-    }
-
     fn log_answer(&self, job: &Job, answer: &Answer) {
         let elapsed = self.clock.now().saturating_sub(job.arrived);
         self.metrics.record_duration(Timer::FirstToken, elapsed);
--- a/components/gateway/src/job.rs
+++ b/components/gateway/src/job.rs
@@ -62,9 +62,16 @@
             is_lost_when_cut: is_lost_when_cut(&self.route),
             home_region: 0,
             required_version: None,
+            can_continue: self.can_continue(),
         }
     }
 
+    /// Whether the answer is a stream that another endpoint may continue.
+    pub fn can_continue(&self) -> bool {
+        let execution = self.route.execution;
+        execution.is_stream() && execution.is_repeatable()
+    }
+
     /// Whether the request has precedence when its tenant's limit is nearly used up.
     pub fn is_urgent(&self) -> bool {
         self.route.priority + 1 < ROUTE_RANKS
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -46,6 +46,7 @@
 mod simple_http;
 mod state;
 mod stream;
+mod stream_origins;
 mod tally;
 mod traffic;
 mod update;
--- a/components/gateway/src/sends.rs
+++ b/components/gateway/src/sends.rs
@@ -338,7 +338,11 @@
     ) -> PlacedAt {
         let state = self.state.borrow();
         let is_evidence = state.gates.under_way(service).is_some() && !placement.is_cold;
-        let placed = placed_of(placement, is_evidence);
+        let placed = PlacedAt {
+            software_version: state.version_of(now, placement),
+            has_several_versions: Some(state.only_version(now, service).is_none()),
+            ..placed_of(placement, is_evidence)
+        };
         let start = placement.incarnation;
         let Some(limit) = state.balancer.notices().limit_notice(start) else {
             return placed;
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -6,9 +6,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use directory::{Configuration, Directory, Tenant};
+use directory::{Configuration, Directory, Endpoint, Tenant};
 use limits::{EqualShare, RateLimit, RetryBudget, RetryTerms, SendAccounts, SharedQuota};
 use memory::Ledger;
+use origins::VersionHistory;
 use quarantine::Quarantine;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -25,6 +26,12 @@
 use crate::tally::{SentRequest, ServiceLoad, Tally};
 use crate::versions::{RequestTraits, RolloutGates};
 
+/// A stream lasts at most this many times the timeout of its route: a caller may spend the timeout of one try and begin another
+/// one, which ends with the caller's own deadline.
+const STREAM_LIFETIME_TIMEOUTS: u32 = 2;
+/// Lifetime of streams of a service that has no route with streams.
+const DEFAULT_STREAM_LIFETIME: Duration = Duration::from_secs(60);
+
 /// State of the traffic thread that its decisions are based on.
 #[derive(Debug)]
 pub(crate) struct State {
@@ -54,6 +61,10 @@
     pub cuts: InterruptedRuns,
     /// Send accounts that this gateway keeps, of endpoints with a stated limit.
     pub accounts: SendAccounts,
+    /// Software versions that served each service lately.
+    pub history: VersionHistory,
+    // Longest time that a stream may last over all tries of its caller, by service.
+    stream_lifetimes: BTreeMap<String, Duration>,
 }
 
 impl State {
@@ -79,6 +90,8 @@
             quarantine: Quarantine::default(),
             cuts: InterruptedRuns::default(),
             accounts: SendAccounts::default(),
+            history: VersionHistory::default(),
+            stream_lifetimes: BTreeMap::new(),
         };
         state.set_link_parts(Duration::ZERO);
         state
@@ -107,6 +120,7 @@
             closed: &closed,
             // Pauses were asked of the gateway that sends the request, not of this one.
             sent_here: false,
+            versions: &[],
         };
         let placement = self.choose(now, work, exclusion, traits)?;
         self.balancer.placed_for_peer(now, work, &placement);
@@ -114,6 +128,54 @@
         Some(placement)
     }
 
+    /// Adds or replaces the record of an endpoint.
+    pub fn insert_endpoint(&mut self, now: Duration, endpoint: Endpoint) {
+        let known = self.balancer.endpoint(&endpoint.id);
+        let owner = |endpoint: &Endpoint| (endpoint.service.clone(), endpoint.version.clone());
+        let (before, after) = (known.map(owner), owner(&endpoint));
+        if before.as_ref() != Some(&after) {
+            if let Some((service, version)) = before {
+                self.history.endpoint_removed(now, &service, &version);
+            }
+            self.history.endpoint_added(now, &after.0, &after.1);
+        }
+        self.balancer.insert(now, endpoint);
+    }
+
+    /// Removes the record of an endpoint.
+    pub fn remove_endpoint(&mut self, now: Duration, id: &str) {
+        if let Some(known) = self.balancer.endpoint(id) {
+            let (service, version) = (known.service.clone(), known.version.clone());
+            self.history.endpoint_removed(now, &service, &version);
+            let lifetime = self.stream_lifetime(&service);
+            self.history.forget_before(now, &service, lifetime);
+        }
+        self.balancer.remove(id);
+    }
+
+    /// Longest time that a stream of a service may last over all tries of its caller.
+    pub fn stream_lifetime(&self, service: &str) -> Duration {
+        let lifetime = self.stream_lifetimes.get(service).copied();
+        lifetime.unwrap_or(DEFAULT_STREAM_LIFETIME)
+    }
+
+    /// The only software version that can have begun a stream of a service, if this gateway knows.
+    pub fn only_version(&self, now: Duration, service: &str) -> Option<&str> {
+        let is_known = self.fleet.decides && self.endpoints_known;
+        let lifetime = self.stream_lifetime(service);
+        let only = self.history.only_version(now, service, lifetime);
+        only.filter(|_| is_known)
+    }
+
+    /// Software version of the endpoint that a request is placed on; `None` if it may have changed: an endpoint that keeps its id
+    /// over restarts, while the table of endpoints is not confirmed.
+    pub fn version_of(&self, now: Duration, placement: &Placement) -> Option<String> {
+        let known = self.balancer.endpoint(&placement.endpoint);
+        let keeps_id = known.is_some_and(|known| known.born_ms.is_some());
+        let may_have_changed = keeps_id && !self.history.is_confirmed(now);
+        placement.version.clone().filter(|_| !may_have_changed)
+    }
+
     // Ids of the known endpoints with these hashes.
     fn ids_of(&self, hashes: &[i64]) -> Vec<String> {
         let hashes = hashes.iter().map(|hash| *hash as u64);
@@ -174,6 +236,7 @@
             quotas.insert(team.name.clone(), quota);
         }
         self.quotas = quotas;
+        self.stream_lifetimes = stream_lifetimes(&configuration);
         self.directory = Some(Rc::new(Directory::new(configuration)));
     }
 
@@ -281,3 +344,16 @@
         hold: placement.hold,
     }
 }
+
+fn stream_lifetimes(configuration: &Configuration) -> BTreeMap<String, Duration> {
+    let mut lifetimes = BTreeMap::new();
+    let streaming = configuration.routes.iter();
+    for route in streaming.filter(|route| route.execution.is_stream()) {
+        let lifetime = route.timeout * STREAM_LIFETIME_TIMEOUTS;
+        for share in &route.split {
+            let longest: &mut Duration = lifetimes.entry(share.service.clone()).or_default();
+            *longest = (*longest).max(lifetime);
+        }
+    }
+    lifetimes
+}
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -33,6 +33,8 @@
     CallerLeft,
     TimedOut,
     Broken,
+    // The endpoint is known to have restarted.
+    Restarted,
     // No event came in time, and a retry was taken from the retry budget; without one the endpoint is waited for.
     Stalled(Rc<RetryPermit>),
 }
@@ -73,8 +75,14 @@
 
     /// Forwards events until the stream ends, the caller disconnects or the deadline passes.
     pub async fn run(mut self, first: Event, events: EndpointStream<D>) {
-        let began_at = events.run.placement.version.clone();
-        self.progress.required_version = self.progress.required_version.or(began_at);
+        let placement = &events.run.placement;
+        if self.progress.required_version.is_none() {
+            let now = self.traffic.clock.now();
+            let state = self.traffic.state.borrow();
+            self.progress.required_version = state.version_of(now, placement);
+        }
+        self.traffic
+            .record_origin(&self.job, self.progress.required_version.clone());
         let mut next = Some((first, events));
         while let Some((first, mut events)) = next.take() {
             let end = self.forward_events(first, &mut events).await;
@@ -89,7 +97,14 @@
                 }
                 StreamEnd::CallerLeft => "caller left",
                 StreamEnd::TimedOut => "out of time",
-                StreamEnd::Broken | StreamEnd::Stalled(_) => {
+                StreamEnd::Broken | StreamEnd::Restarted | StreamEnd::Stalled(_) => {
+                    if matches!(end, StreamEnd::Restarted)
+                        && !self
+                            .traffic
+                            .is_origin_certain(&self.job, &events.run.placement)
+                    {
+                        self.progress.required_version = None;
+                    }
                     let permit = match end {
                         StreamEnd::Stalled(permit) => Some(permit),
                         _ => None,
@@ -131,7 +146,7 @@
             let next = tokio::select! {
                 next = events.next() => next,
                 () = self.body_parts.closed() => return StreamEnd::CallerLeft,
-                () = self.traffic.wait_for_restart(&placement) => return StreamEnd::Broken,
+                () = self.traffic.wait_for_restart(&placement) => return StreamEnd::Restarted,
                 () = clock.sleep_until(expiry) => return StreamEnd::TimedOut,
                 () = tokio::time::sleep(stall_timeout), if self.can_resume() => {
                     if let Some(permit) = self.traffic.take_retry(&self.job) {
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -26,6 +26,7 @@
 use crate::sends::SendQueries;
 use crate::sights::PendingSights;
 use crate::state::{sent_request, State};
+use crate::stream_origins::StreamOrigins;
 use crate::tally::Tally;
 use crate::update::Update;
 
@@ -57,6 +58,7 @@
     pub send_queries: SendQueries,
     pub pending_limits: RefCell<PendingLimits>,
     pub room: MemoryManager,
+    pub stream_origins: StreamOrigins,
     /// Opens connections to endpoints.
     pub dialer: Dialer,
     /// Address by which other gateways know this one.
@@ -102,6 +104,7 @@
             send_queries: SendQueries::default(),
             pending_limits: RefCell::default(),
             room,
+            stream_origins: StreamOrigins::default(),
             dialer: parts.dialer,
             own_ip: parts.own_ip,
             tallies: parts.tallies,
@@ -126,7 +129,7 @@
                 if ended.is_some() || !endpoint.is_ready() {
                     state.pool.drop_idle(&endpoint.id);
                 }
-                state.balancer.insert(now, endpoint);
+                state.insert_endpoint(now, endpoint);
                 drop(state);
                 self.endpoints_changed.notify_waiters();
                 if let Some(incarnation) = ended {
@@ -135,12 +138,17 @@
             }
             Update::EndpointGone(id) => {
                 state.pool.drop_idle(&id);
-                state.balancer.remove(&id);
+                state.remove_endpoint(now, &id);
             }
-            Update::EndpointsKnown => state.endpoints_known = true,
+            Update::EndpointsKnown => {
+                state.endpoints_known = true;
+                state.history.table_completed(now);
+            }
+            Update::EndpointsConfirmed(at) => state.history.table_confirmed(at),
             Update::EndpointsForgotten => {
                 state.endpoints_known = false;
                 state.balancer.remove_all();
+                state.history.table_forgotten();
             }
             Update::Fleet(fleet) => state.set_fleet(now, fleet),
             Update::PeerDispatches(dispatches) => {
@@ -334,6 +342,7 @@
                     self.check_memory();
                     self.probe_doubted_path();
                     self.send_tally();
+                    self.report_streams().await;
                 }
             }
         }
--- a/components/gateway/src/update.rs
+++ b/components/gateway/src/update.rs
@@ -26,6 +26,8 @@
     EndpointGone(String),
     /// All endpoints have been passed once.
     EndpointsKnown,
+    /// The endpoints that were passed were the newest at this time, on the own clock.
+    EndpointsConfirmed(Duration),
     /// The endpoints are no longer followed.
     EndpointsForgotten,
     /// The known gateways, and which of them decide.
--- a/components/gateway/src/versions.rs
+++ b/components/gateway/src/versions.rs
@@ -29,6 +29,8 @@
     pub home_region: usize,
     /// Version that began the stream which the request continues; no other may run it.
     pub required_version: Option<&'a str>,
+    /// Whether the answer is a stream that another endpoint may continue.
+    pub can_continue: bool,
 }
 
 /// Result of a request at an endpoint of a known version, as evidence for a roll-out.
@@ -141,6 +143,30 @@
         if let Some(version) = traits.required_version {
             return self.choose_required(now, work, exclusion, traits, version);
         }
+        if traits.can_continue {
+            let lifetime = self.stream_lifetime(&work.service);
+            let unsettled = self
+                .history
+                .unsettled_versions(now, &work.service, lifetime);
+            let settled = Exclusion {
+                versions: &unsettled,
+                ..exclusion
+            };
+            let placed = self.choose_by_rollout(now, work, settled, traits);
+            if placed.is_some() || unsettled.is_empty() {
+                return placed;
+            }
+        }
+        self.choose_by_rollout(now, work, exclusion, traits)
+    }
+
+    fn choose_by_rollout(
+        &mut self,
+        now: Duration,
+        work: &Work,
+        exclusion: Exclusion,
+        traits: RequestTraits,
+    ) -> Option<Placement> {
         let lane = self.lane(now, work, exclusion, traits);
         let mut placed = self.choose_in(now, work, exclusion, &lane, traits.home_region);
         if let (None, VersionFilter::Only(version)) = (&placed, &lane) {
--- a/components/gateway/tests/cold_start.rs
+++ b/components/gateway/tests/cold_start.rs
@@ -96,6 +96,7 @@
         limit: None,
         keeper: None,
         software_version: None,
+        has_several_versions: None,
     };
     DecisionReply::new(query.number, None, Some(placed), None, None)
 }
--- a/components/gateway/tests/version_skew.rs
+++ b/components/gateway/tests/version_skew.rs
@@ -94,6 +94,7 @@
         limit: None,
         keeper: None,
         software_version: None,
+        has_several_versions: None,
     });
     DecisionReply::new(query.number, None, placed, None, None)
 }
--- a/components/routing/src/placement/exclusion.rs
+++ b/components/routing/src/placement/exclusion.rs
@@ -19,13 +19,16 @@
     /// Whether this gateway sends the request itself and therefore has to respect the pauses that
     /// endpoints asked it for.
     pub sent_here: bool,
+    /// Software versions that must not run it.
+    pub versions: &'a [String],
 }
 
 impl Exclusion<'_> {
     /// Whether this exclusion and the endpoint's notices permit sending the request there.
     pub(crate) fn allows(&self, now: Duration, entry: &EndpointEntry, notices: &Notices) -> bool {
         let id = &entry.spec.id;
-        if self.tried.contains(id) || self.closed.contains(id) {
+        let has_excluded_version = self.versions.contains(&entry.spec.version);
+        if self.tried.contains(id) || self.closed.contains(id) || has_excluded_version {
             return false;
         }
         match standing(now, entry, notices) {
--- a/components/schema/src/messages.rs
+++ b/components/schema/src/messages.rs
@@ -4555,10 +4555,12 @@
     pub limits: Option<Vec<LimitReport>>,
     /// The only version of endpoint software that may run the request; unset if any may.
     pub software_version: Option<String>,
+    /// Whether the answer is a stream that another endpoint may continue.
+    pub can_continue: Option<bool>,
 }
 
 impl DecisionQuery {
-    pub fn new<F3, F11, F12, F13, F14, F15, F16, F17, F18>(
+    pub fn new<F3, F11, F12, F13, F14, F15, F16, F17, F18, F19>(
         number: i64,
         service_name: String,
         team: F3,
@@ -4577,6 +4579,7 @@
         sights: F16,
         limits: F17,
         software_version: F18,
+        can_continue: F19,
     ) -> DecisionQuery
     where
         F3: Into<Option<String>>,
@@ -4588,6 +4591,7 @@
         F16: Into<Option<Vec<Sight>>>,
         F17: Into<Option<Vec<LimitReport>>>,
         F18: Into<Option<String>>,
+        F19: Into<Option<bool>>,
     {
         DecisionQuery {
             number,
@@ -4608,6 +4612,7 @@
             sights: sights.into(),
             limits: limits.into(),
             software_version: software_version.into(),
+            can_continue: can_continue.into(),
         }
     }
 }
@@ -4633,6 +4638,7 @@
         let mut f_16: Option<Vec<Sight>> = None;
         let mut f_17: Option<Vec<LimitReport>> = None;
         let mut f_18: Option<String> = None;
+        let mut f_19: Option<bool> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -4742,6 +4748,10 @@
                     let val = i_prot.read_string()?;
                     f_18 = Some(val);
                 }
+                19 => {
+                    let val = i_prot.read_bool()?;
+                    f_19 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -4786,6 +4796,7 @@
             sights: f_16,
             limits: f_17,
             software_version: f_18,
+            can_continue: f_19,
         };
         Ok(ret)
     }
@@ -4898,6 +4909,11 @@
             o_prot.write_string(fld_var)?;
             o_prot.write_field_end()?
         }
+        if let Some(fld_var) = self.can_continue {
+            o_prot.write_field_begin(&TFieldIdentifier::new("can_continue", TType::Bool, 19))?;
+            o_prot.write_bool(fld_var)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -4939,10 +4955,12 @@
     pub keeper: Option<String>,
     /// Version of the endpoint's software.
     pub software_version: Option<String>,
+    /// Whether several versions may have streams, so that the version which begins one has to be reported.
+    pub has_several_versions: Option<bool>,
 }
 
 impl PlacedAt {
-    pub fn new<F8, F9, F10, F11, F12, F13, F14, F15>(
+    pub fn new<F8, F9, F10, F11, F12, F13, F14, F15, F16>(
         endpoint: String,
         address: String,
         unread_tokens: i32,
@@ -4958,6 +4976,7 @@
         limit: F13,
         keeper: F14,
         software_version: F15,
+        has_several_versions: F16,
     ) -> PlacedAt
     where
         F8: Into<Option<String>>,
@@ -4968,6 +4987,7 @@
         F13: Into<Option<LimitReport>>,
         F14: Into<Option<String>>,
         F15: Into<Option<String>>,
+        F16: Into<Option<bool>>,
     {
         PlacedAt {
             endpoint,
@@ -4985,6 +5005,7 @@
             limit: limit.into(),
             keeper: keeper.into(),
             software_version: software_version.into(),
+            has_several_versions: has_several_versions.into(),
         }
     }
 }
@@ -5007,6 +5028,7 @@
         let mut f_13: Option<LimitReport> = None;
         let mut f_14: Option<String> = None;
         let mut f_15: Option<String> = None;
+        let mut f_16: Option<bool> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -5074,6 +5096,10 @@
                     let val = i_prot.read_string()?;
                     f_15 = Some(val);
                 }
+                16 => {
+                    let val = i_prot.read_bool()?;
+                    f_16 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -5111,6 +5137,7 @@
             limit: f_13,
             keeper: f_14,
             software_version: f_15,
+            has_several_versions: f_16,
         };
         Ok(ret)
     }
@@ -5182,6 +5209,15 @@
             o_prot.write_string(fld_var)?;
             o_prot.write_field_end()?
         }
+        if let Some(fld_var) = self.has_several_versions {
+            o_prot.write_field_begin(&TFieldIdentifier::new(
+                "has_several_versions",
+                TType::Bool,
+                16,
+            ))?;
+            o_prot.write_bool(fld_var)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -5591,6 +5627,392 @@
     }
 }
 
+//
+// StreamRecord
+//
+
+/// The software version that began a stream.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct StreamRecord {
+    /// Hash of the team and of the attempt that brought the first event.
+    pub stream: i64,
+    /// Unset if it cannot be known.
+    pub software_version: Option<String>,
+    /// Time for which the record is kept, in milliseconds.
+    pub left_ms: i32,
+}
+
+impl StreamRecord {
+    pub fn new<F2>(stream: i64, software_version: F2, left_ms: i32) -> StreamRecord
+    where
+        F2: Into<Option<String>>,
+    {
+        StreamRecord {
+            stream,
+            software_version: software_version.into(),
+            left_ms,
+        }
+    }
+}
+
+impl TSerializable for StreamRecord {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<StreamRecord> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<i64> = None;
+        let mut f_2: Option<String> = None;
+        let mut f_3: Option<i32> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = i_prot.read_i64()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = i_prot.read_string()?;
+                    f_2 = Some(val);
+                }
+                3 => {
+                    let val = i_prot.read_i32()?;
+                    f_3 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("StreamRecord.stream", &f_1)?;
+        verify_required_field_exists("StreamRecord.left_ms", &f_3)?;
+        let ret = StreamRecord {
+            stream: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            software_version: f_2,
+            left_ms: f_3
+                .expect("auto-generated code should have checked for presence of required fields"),
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("StreamRecord");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("stream", TType::I64, 1))?;
+        o_prot.write_i64(self.stream)?;
+        o_prot.write_field_end()?;
+        if let Some(ref fld_var) = self.software_version {
+            o_prot.write_field_begin(&TFieldIdentifier::new(
+                "software_version",
+                TType::String,
+                2,
+            ))?;
+            o_prot.write_string(fld_var)?;
+            o_prot.write_field_end()?
+        }
+        o_prot.write_field_begin(&TFieldIdentifier::new("left_ms", TType::I32, 3))?;
+        o_prot.write_i32(self.left_ms)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
+//
+// StreamReport
+//
+
+/// Records of streams for the coordinators that keep them.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct StreamReport {
+    pub records: Vec<StreamRecord>,
+    /// Whether the receiver passes them on to the other keepers.
+    pub passes_on: bool,
+}
+
+impl StreamReport {
+    pub fn new(records: Vec<StreamRecord>, passes_on: bool) -> StreamReport {
+        StreamReport { records, passes_on }
+    }
+}
+
+impl TSerializable for StreamReport {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<StreamReport> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<Vec<StreamRecord>> = None;
+        let mut f_2: Option<bool> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let list_ident = i_prot.read_list_begin()?;
+                    let mut val: Vec<StreamRecord> = Vec::with_capacity(list_ident.size as usize);
+                    for _ in 0..list_ident.size {
+                        let list_elem_35 = StreamRecord::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_35);
+                    }
+                    i_prot.read_list_end()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = i_prot.read_bool()?;
+                    f_2 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("StreamReport.records", &f_1)?;
+        verify_required_field_exists("StreamReport.passes_on", &f_2)?;
+        let ret = StreamReport {
+            records: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            passes_on: f_2
+                .expect("auto-generated code should have checked for presence of required fields"),
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("StreamReport");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("records", TType::List, 1))?;
+        o_prot.write_list_begin(&TListIdentifier::new(
+            TType::Struct,
+            self.records.len() as i32,
+        ))?;
+        for e in &self.records {
+            e.write_to_out_protocol(o_prot)?;
+        }
+        o_prot.write_list_end()?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("passes_on", TType::Bool, 2))?;
+        o_prot.write_bool(self.passes_on)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
+//
+// StreamQuery
+//
+
+/// Asks which software version began a stream.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct StreamQuery {
+    /// Chosen by the sender; the reply echoes it.
+    pub number: i64,
+    pub service_name: String,
+    /// Hash of the team and of the attempt that brought the first event.
+    pub stream: i64,
+    /// Whether the receiver asks the other keepers.
+    pub passes_on: bool,
+}
+
+impl StreamQuery {
+    pub fn new(number: i64, service_name: String, stream: i64, passes_on: bool) -> StreamQuery {
+        StreamQuery {
+            number,
+            service_name,
+            stream,
+            passes_on,
+        }
+    }
+}
+
+impl TSerializable for StreamQuery {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<StreamQuery> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<i64> = None;
+        let mut f_2: Option<String> = None;
+        let mut f_3: Option<i64> = None;
+        let mut f_4: Option<bool> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = i_prot.read_i64()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = i_prot.read_string()?;
+                    f_2 = Some(val);
+                }
+                3 => {
+                    let val = i_prot.read_i64()?;
+                    f_3 = Some(val);
+                }
+                4 => {
+                    let val = i_prot.read_bool()?;
+                    f_4 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("StreamQuery.number", &f_1)?;
+        verify_required_field_exists("StreamQuery.service_name", &f_2)?;
+        verify_required_field_exists("StreamQuery.stream", &f_3)?;
+        verify_required_field_exists("StreamQuery.passes_on", &f_4)?;
+        let ret = StreamQuery {
+            number: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            service_name: f_2
+                .expect("auto-generated code should have checked for presence of required fields"),
+            stream: f_3
+                .expect("auto-generated code should have checked for presence of required fields"),
+            passes_on: f_4
+                .expect("auto-generated code should have checked for presence of required fields"),
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("StreamQuery");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("number", TType::I64, 1))?;
+        o_prot.write_i64(self.number)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("service_name", TType::String, 2))?;
+        o_prot.write_string(&self.service_name)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("stream", TType::I64, 3))?;
+        o_prot.write_i64(self.stream)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("passes_on", TType::Bool, 4))?;
+        o_prot.write_bool(self.passes_on)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
+//
+// StreamReply
+//
+
+/// Answer to a StreamQuery.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct StreamReply {
+    pub number: i64,
+    /// The version that is recorded.
+    pub recorded: Option<String>,
+    /// Whether a record says that the version cannot be known.
+    pub is_ambiguous: Option<bool>,
+    /// The only version that can have begun a stream of the service.
+    pub only_version: Option<String>,
+}
+
+impl StreamReply {
+    pub fn new<F2, F3, F4>(
+        number: i64,
+        recorded: F2,
+        is_ambiguous: F3,
+        only_version: F4,
+    ) -> StreamReply
+    where
+        F2: Into<Option<String>>,
+        F3: Into<Option<bool>>,
+        F4: Into<Option<String>>,
+    {
+        StreamReply {
+            number,
+            recorded: recorded.into(),
+            is_ambiguous: is_ambiguous.into(),
+            only_version: only_version.into(),
+        }
+    }
+}
+
+impl TSerializable for StreamReply {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<StreamReply> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<i64> = None;
+        let mut f_2: Option<String> = None;
+        let mut f_3: Option<bool> = None;
+        let mut f_4: Option<String> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let val = i_prot.read_i64()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = i_prot.read_string()?;
+                    f_2 = Some(val);
+                }
+                3 => {
+                    let val = i_prot.read_bool()?;
+                    f_3 = Some(val);
+                }
+                4 => {
+                    let val = i_prot.read_string()?;
+                    f_4 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("StreamReply.number", &f_1)?;
+        let ret = StreamReply {
+            number: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            recorded: f_2,
+            is_ambiguous: f_3,
+            only_version: f_4,
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("StreamReply");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("number", TType::I64, 1))?;
+        o_prot.write_i64(self.number)?;
+        o_prot.write_field_end()?;
+        if let Some(ref fld_var) = self.recorded {
+            o_prot.write_field_begin(&TFieldIdentifier::new("recorded", TType::String, 2))?;
+            o_prot.write_string(fld_var)?;
+            o_prot.write_field_end()?
+        }
+        if let Some(fld_var) = self.is_ambiguous {
+            o_prot.write_field_begin(&TFieldIdentifier::new("is_ambiguous", TType::Bool, 3))?;
+            o_prot.write_bool(fld_var)?;
+            o_prot.write_field_end()?
+        }
+        if let Some(ref fld_var) = self.only_version {
+            o_prot.write_field_begin(&TFieldIdentifier::new("only_version", TType::String, 4))?;
+            o_prot.write_string(fld_var)?;
+            o_prot.write_field_end()?
+        }
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
 //
 // Decision
 //
@@ -5605,16 +6027,22 @@
     pub sights: Option<Vec<Sight>>,
     pub send_query: Option<SendQuery>,
     pub send_reply: Option<SendReply>,
+    pub stream_report: Option<StreamReport>,
+    pub stream_query: Option<StreamQuery>,
+    pub stream_reply: Option<StreamReply>,
 }
 
 impl Decision {
-    pub fn new<F1, F2, F3, F4, F5, F6>(
+    pub fn new<F1, F2, F3, F4, F5, F6, F7, F8, F9>(
         query: F1,
         reply: F2,
         give_back: F3,
         sights: F4,
         send_query: F5,
         send_reply: F6,
+        stream_report: F7,
+        stream_query: F8,
+        stream_reply: F9,
     ) -> Decision
     where
         F1: Into<Option<DecisionQuery>>,
@@ -5623,6 +6051,9 @@
         F4: Into<Option<Vec<Sight>>>,
         F5: Into<Option<SendQuery>>,
         F6: Into<Option<SendReply>>,
+        F7: Into<Option<StreamReport>>,
+        F8: Into<Option<StreamQuery>>,
+        F9: Into<Option<StreamReply>>,
     {
         Decision {
             query: query.into(),
@@ -5631,6 +6062,9 @@
             sights: sights.into(),
             send_query: send_query.into(),
             send_reply: send_reply.into(),
+            stream_report: stream_report.into(),
+            stream_query: stream_query.into(),
+            stream_reply: stream_reply.into(),
         }
     }
 }
@@ -5644,6 +6078,9 @@
         let mut f_4: Option<Vec<Sight>> = None;
         let mut f_5: Option<SendQuery> = None;
         let mut f_6: Option<SendReply> = None;
+        let mut f_7: Option<StreamReport> = None;
+        let mut f_8: Option<StreamQuery> = None;
+        let mut f_9: Option<StreamReply> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -5667,8 +6104,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<Sight> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_35 = Sight::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_35);
+                        let list_elem_36 = Sight::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_36);
                     }
                     i_prot.read_list_end()?;
                     f_4 = Some(val);
@@ -5681,6 +6118,18 @@
                     let val = SendReply::read_from_in_protocol(i_prot)?;
                     f_6 = Some(val);
                 }
+                7 => {
+                    let val = StreamReport::read_from_in_protocol(i_prot)?;
+                    f_7 = Some(val);
+                }
+                8 => {
+                    let val = StreamQuery::read_from_in_protocol(i_prot)?;
+                    f_8 = Some(val);
+                }
+                9 => {
+                    let val = StreamReply::read_from_in_protocol(i_prot)?;
+                    f_9 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -5695,6 +6144,9 @@
             sights: f_4,
             send_query: f_5,
             send_reply: f_6,
+            stream_report: f_7,
+            stream_query: f_8,
+            stream_reply: f_9,
         };
         Ok(ret)
     }
@@ -5735,6 +6187,21 @@
             fld_var.write_to_out_protocol(o_prot)?;
             o_prot.write_field_end()?
         }
+        if let Some(ref fld_var) = self.stream_report {
+            o_prot.write_field_begin(&TFieldIdentifier::new("stream_report", TType::Struct, 7))?;
+            fld_var.write_to_out_protocol(o_prot)?;
+            o_prot.write_field_end()?
+        }
+        if let Some(ref fld_var) = self.stream_query {
+            o_prot.write_field_begin(&TFieldIdentifier::new("stream_query", TType::Struct, 8))?;
+            fld_var.write_to_out_protocol(o_prot)?;
+            o_prot.write_field_end()?
+        }
+        if let Some(ref fld_var) = self.stream_reply {
+            o_prot.write_field_begin(&TFieldIdentifier::new("stream_reply", TType::Struct, 9))?;
+            fld_var.write_to_out_protocol(o_prot)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -5749,6 +6216,9 @@
             sights: Some(Vec::new()),
             send_query: None,
             send_reply: None,
+            stream_report: None,
+            stream_query: None,
+            stream_reply: None,
         }
     }
 }
@@ -6040,8 +6510,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<RowChange> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_36 = RowChange::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_36);
+                        let list_elem_37 = RowChange::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_37);
                     }
                     i_prot.read_list_end()?;
                     f_1 = Some(val);
@@ -6272,9 +6742,9 @@
                     let map_ident = i_prot.read_map_begin()?;
                     let mut val: BTreeMap<String, i64> = BTreeMap::new();
                     for _ in 0..map_ident.size {
-                        let map_key_37 = i_prot.read_string()?;
-                        let map_val_38 = i_prot.read_i64()?;
-                        val.insert(map_key_37, map_val_38);
+                        let map_key_38 = i_prot.read_string()?;
+                        let map_val_39 = i_prot.read_i64()?;
+                        val.insert(map_key_38, map_val_39);
                     }
                     i_prot.read_map_end()?;
                     f_1 = Some(val);
--- a/components/schema/thrift/messages.thrift
+++ b/components/schema/thrift/messages.thrift
@@ -482,6 +482,8 @@
   17: optional list<LimitReport> limits,
   /** The only version of endpoint software that may run the request; unset if any may. */
   18: optional string software_version,
+  /** Whether the answer is a stream that another endpoint may continue. */
+  19: optional bool can_continue,
 }
 
 /** Where a request goes, as a coordinator decided. */
@@ -515,6 +517,8 @@
   14: optional string keeper,
   /** Version of the endpoint's software. */
   15: optional string software_version,
+  /** Whether several versions may have streams, so that the version which begins one has to be reported. */
+  16: optional bool has_several_versions,
 }
 
 /** Answer to a DecisionQuery. */
@@ -559,6 +563,45 @@
   3: required LimitReport limit,
 }
 
+/** The software version that began a stream. */
+struct StreamRecord {
+  /** Hash of the team and of the attempt that brought the first event. */
+  1: required i64 stream,
+  /** Unset if it cannot be known. */
+  2: optional string software_version,
+  /** Time for which the record is kept, in milliseconds. */
+  3: required i32 left_ms,
+}
+
+/** Records of streams for the coordinators that keep them. */
+struct StreamReport {
+  1: required list<StreamRecord> records,
+  /** Whether the receiver passes them on to the other keepers. */
+  2: required bool passes_on,
+}
+
+/** Asks which software version began a stream. */
+struct StreamQuery {
+  /** Chosen by the sender; the reply echoes it. */
+  1: required i64 number,
+  2: required string service_name,
+  /** Hash of the team and of the attempt that brought the first event. */
+  3: required i64 stream,
+  /** Whether the receiver asks the other keepers. */
+  4: required bool passes_on,
+}
+
+/** Answer to a StreamQuery. */
+struct StreamReply {
+  1: required i64 number,
+  /** The version that is recorded. */
+  2: optional string recorded,
+  /** Whether a record says that the version cannot be known. */
+  3: optional bool is_ambiguous,
+  /** The only version that can have begun a stream of the service. */
+  4: optional string only_version,
+}
+
 /** A datagram to a coordinator, or its answer; one field is set. */
 struct Decision {
   1: optional DecisionQuery query,
@@ -568,6 +611,9 @@
   4: optional list<Sight> sights,
   5: optional SendQuery send_query,
   6: optional SendReply send_reply,
+  7: optional StreamReport stream_report,
+  8: optional StreamQuery stream_query,
+  9: optional StreamReply stream_reply,
 }
 
 /** Asks another gateway for the rows of a topic. */
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -146,6 +146,10 @@
         TunnelsOpened => "tunnel.opened",
         /// Connections that other gateways asked for and this one did not open.
         TunnelsRefused => "tunnel.refused",
+        /// Streams that callers continue and whose software version is known.
+        StreamsContinued => "stream.continued",
+        /// Streams that callers continue, refused because their software version is not known.
+        StreamsOfUnknownVersion => "stream.unknown_version",
     }
 }
 
@@ -172,6 +176,8 @@
         AlivePeers => "gateway.alive_peers",
         /// 1 while the paths to all endpoints seem to be lost, else 0.
         PathsLost => "endpoint.paths_lost",
+        /// Streams whose software version this gateway knows, a count.
+        StreamRecords => "stream.records",
     }
 }
 
