Look for the version of a stream in the other regions when its own region does not know it

What callers saw: streams that they continued in another region of the fleet were refused as of unknown version. Cause: only coordinators of the own region were asked. Change: the second lookup asks the keepers of the other regions too; records stay in the region.

--- a/components/gateway/src/stream_origins.rs
+++ b/components/gateway/src/stream_origins.rs
@@ -23,7 +23,7 @@
 use topology::Distance;
 
 use crate::answer::Refusal;
-use crate::decisions::REPLY_TIMEOUT;
+use crate::decisions::{OTHER_REGION_REPLY_TIMEOUT, REPLY_TIMEOUT};
 use crate::job::Job;
 use crate::peers::AccountKeeper;
 use crate::state::State;
@@ -36,13 +36,16 @@
 const ASKED_KEEPERS: usize = 5;
 /// Number of coordinators that a gateway which does not decide itself uses.
 const USED_COORDINATORS: usize = 2;
-/// Reply timeout of a coordinator that asks others before it replies.
-const FORWARDED_REPLY_TIMEOUT: Duration = Duration::from_millis(100);
-/// Time after which keepers are asked again: records are reported every 100 ms, and a caller may be faster.
+/// Additional reply timeout of a coordinator that asks others before it replies.
+const FORWARDING_TIME: Duration = Duration::from_millis(60);
+/// Time after which keepers are asked again, and those of other regions too: records are reported every 100 ms, and a caller may be
+/// faster.
 const SECOND_LOOKUP_DELAY: Duration = Duration::from_millis(120);
 /// Time after which a caller should retry when the version of its stream is not found.
 const UNKNOWN_VERSION_RETRY_AFTER: Duration = Duration::from_secs(1);
-/// Maximum number of lookups at once. Each takes at most 10 small datagrams.
+/// Index of the own region.
+const OWN_REGION: usize = 0;
+/// Maximum number of lookups at once. Each takes at most some 10 small datagrams for each region.
 const MAX_LOOKUPS: usize = 256;
 /// Maximum number of records in one message. They take some 40 bytes each, so that it stays one small datagram.
 const MAX_RECORDS_PER_MESSAGE: usize = 25;
@@ -90,6 +93,13 @@
     }
 }
 
+// Coordinators that a lookup asks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Scope {
+    OwnRegion,
+    AllRegions,
+}
+
 // Result of a lookup.
 #[derive(Debug, PartialEq, Eq)]
 enum Found {
@@ -148,11 +158,25 @@
     }
 
     // Coordinators that are asked for the record of a stream.
-    fn asked_keepers(&self, key: StreamKey) -> Vec<SocketAddr> {
+    fn asked_keepers(&self, key: StreamKey, scope: Scope) -> Vec<SocketAddr> {
         let own_hall = self.other_keepers().filter(|k| self.is_own_hall(k));
         let ranked = rank_keepers(key, self.other_keepers(), ASKED_KEEPERS);
         let asked = own_hall.map(|k| k.address).chain(ranked);
-        asked.collect::<BTreeSet<_>>().into_iter().collect()
+        let mut asked: BTreeSet<SocketAddr> = asked.collect();
+        if scope == Scope::AllRegions {
+            let topology = self.balancer.network_costs().topology();
+            let mut regions: BTreeMap<usize, Vec<&AccountKeeper>> = BTreeMap::new();
+            for keeper in &self.fleet.keepers {
+                let region = topology.region_index_of(&keeper.hall);
+                regions.entry(region).or_default().push(keeper);
+            }
+            for (region, keepers) in regions {
+                if region != OWN_REGION {
+                    asked.extend(rank_keepers(key, keepers.into_iter(), ASKED_KEEPERS));
+                }
+            }
+        }
+        asked.into_iter().collect()
     }
 
     // Coordinators to which a gateway that does not decide itself reports streams, and which it asks for them.
@@ -217,12 +241,12 @@
             return self.find_only_version(service);
         };
         let key = StreamKey::new(job.tenant.as_deref(), first);
-        let found = self.look_up(service, key).await;
+        let found = self.look_up(service, key, Scope::OwnRegion).await;
         if found != Found::Nothing {
             return found;
         }
         tokio::time::sleep(SECOND_LOOKUP_DELAY).await;
-        self.look_up(service, key).await
+        self.look_up(service, key, Scope::AllRegions).await
     }
 
     fn find_only_version(&self, service: &str) -> Found {
@@ -241,7 +265,7 @@
     }
 
     // Looks a stream up here, then at other coordinators.
-    async fn look_up(&self, service: &str, key: StreamKey) -> Found {
+    async fn look_up(&self, service: &str, key: StreamKey, scope: Scope) -> Found {
         let known = self.find_record(key);
         if known != Found::Nothing {
             return known;
@@ -253,36 +277,34 @@
         let (asked, passes_on) = {
             let state = self.state.borrow();
             match state.fleet.decides {
-                true => (state.asked_keepers(key), false),
+                true => (state.asked_keepers(key, scope), false),
                 false => (state.first_coordinators(), true),
             }
         };
-        self.ask_keepers(service, key, asked, passes_on).await
+        let mut query = StreamQuery::new(
+            self.stream_origins.next_number(),
+            service.to_string(),
+            key.0 as i64,
+            passes_on,
+            None,
+        );
+        query.all_regions = (scope == Scope::AllRegions).then_some(true);
+        self.ask_keepers(query, asked).await
     }
 
-    async fn ask_keepers(
-        &self,
-        service: &str,
-        key: StreamKey,
-        asked: Vec<SocketAddr>,
-        passes_on: bool,
-    ) -> Found {
+    async fn ask_keepers(&self, query: StreamQuery, asked: Vec<SocketAddr>) -> Found {
         if self.stream_origins.lookups.borrow().len() >= MAX_LOOKUPS {
             return Found::Nothing;
         }
-        let number = self.stream_origins.next_number();
+        let timeout = reply_timeout(&query);
+        let number = query.number;
         let (sender, mut replies) = unbounded_channel();
         let lookups = &self.stream_origins.lookups;
         lookups.borrow_mut().insert(number, sender);
-        let query = StreamQuery::new(number, service.to_string(), key.0 as i64, passes_on);
         let message = Decision {
             stream_query: Some(query),
             ..Decision::default()
         };
-        let timeout = match passes_on {
-            true => FORWARDED_REPLY_TIMEOUT,
-            false => REPLY_TIMEOUT,
-        };
         let deadline = Instant::now() + timeout;
         for keeper in &asked {
             self.send_decision(&message, *keeper).await;
@@ -315,7 +337,13 @@
         let key = StreamKey(query.stream as u64);
         let decides = self.state.borrow().fleet.decides;
         let found = match query.passes_on && decides {
-            true => self.look_up(&query.service_name, key).await,
+            true => {
+                let scope = match query.all_regions {
+                    Some(true) => Scope::AllRegions,
+                    _ => Scope::OwnRegion,
+                };
+                self.look_up(&query.service_name, key, scope).await
+            }
             false => match self.find_record(key) {
                 Found::Nothing => self.find_only_version(&query.service_name),
                 found => found,
@@ -494,6 +522,17 @@
     }
 }
 
+fn reply_timeout(query: &StreamQuery) -> Duration {
+    let timeout = match query.all_regions {
+        Some(true) => OTHER_REGION_REPLY_TIMEOUT,
+        _ => REPLY_TIMEOUT,
+    };
+    match query.passes_on {
+        true => timeout + FORWARDING_TIME,
+        false => timeout,
+    }
+}
+
 fn report_of(now: Duration, record: &Unreported) -> StreamRecord {
     let left_ms = record.expires_at.saturating_sub(now).as_millis();
     let version = match &record.origin {
--- a/components/schema/src/messages.rs
+++ b/components/schema/src/messages.rs
@@ -5817,15 +5817,27 @@
     pub stream: i64,
     /// Whether the receiver asks the other keepers.
     pub passes_on: bool,
+    /// Whether it asks those of other regions too.
+    pub all_regions: Option<bool>,
 }
 
 impl StreamQuery {
-    pub fn new(number: i64, service_name: String, stream: i64, passes_on: bool) -> StreamQuery {
+    pub fn new<F5>(
+        number: i64,
+        service_name: String,
+        stream: i64,
+        passes_on: bool,
+        all_regions: F5,
+    ) -> StreamQuery
+    where
+        F5: Into<Option<bool>>,
+    {
         StreamQuery {
             number,
             service_name,
             stream,
             passes_on,
+            all_regions: all_regions.into(),
         }
     }
 }
@@ -5837,6 +5849,7 @@
         let mut f_2: Option<String> = None;
         let mut f_3: Option<i64> = None;
         let mut f_4: Option<bool> = None;
+        let mut f_5: Option<bool> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -5860,6 +5873,10 @@
                     let val = i_prot.read_bool()?;
                     f_4 = Some(val);
                 }
+                5 => {
+                    let val = i_prot.read_bool()?;
+                    f_5 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -5880,6 +5897,7 @@
                 .expect("auto-generated code should have checked for presence of required fields"),
             passes_on: f_4
                 .expect("auto-generated code should have checked for presence of required fields"),
+            all_regions: f_5,
         };
         Ok(ret)
     }
@@ -5898,6 +5916,11 @@
         o_prot.write_field_begin(&TFieldIdentifier::new("passes_on", TType::Bool, 4))?;
         o_prot.write_bool(self.passes_on)?;
         o_prot.write_field_end()?;
+        if let Some(fld_var) = self.all_regions {
+            o_prot.write_field_begin(&TFieldIdentifier::new("all_regions", TType::Bool, 5))?;
+            o_prot.write_bool(fld_var)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
--- a/components/schema/thrift/messages.thrift
+++ b/components/schema/thrift/messages.thrift
@@ -589,6 +589,8 @@
   3: required i64 stream,
   /** Whether the receiver asks the other keepers. */
   4: required bool passes_on,
+  /** Whether it asks those of other regions too. */
+  5: optional bool all_regions,
 }
 
 /** Answer to a StreamQuery. */
