Teach the soak software versions, broken connections and callers that continue streams

Change: endpoints of two versions serve side by side and may change their version under their id; each event contains its version; clients lose one in three connections of resumable streams and continue them, at any gateway. Checks: at most two streams hold two versions; at gateways in touch, while two endpoints of the version serve, the share of streams that go on is at least half of the share that begins.

--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -9,6 +9,7 @@
 mod said;
 mod stops;
 mod times;
+mod versions;
 mod view;
 
 use std::collections::BTreeMap;
@@ -59,6 +60,8 @@
         requests::once,
         requests::refused,
         requests::streams,
+        versions::mixed,
+        versions::going_on,
         times::leaving,
         said::leaving,
         said::pauses,
--- a/soak/src/checks/view.rs
+++ b/soak/src/checks/view.rs
@@ -35,6 +35,8 @@
     pub begun: Vec<(u64, &'a str)>,
     /// An endpoint ended it badly on purpose.
     pub broke_off: bool,
+    /// Its client closed the connection in the middle of the answer.
+    pub lost_connection: bool,
 }
 
 impl Request<'_> {
@@ -170,6 +172,7 @@
                     arrived: Vec::new(),
                     begun: Vec::new(),
                     broke_off: false,
+                    lost_connection: false,
                 };
                 self.requests.insert(id, request);
             }
@@ -190,6 +193,11 @@
                     request.broke_off = true;
                 }
             }
+            Seen::LostConnection { id } => {
+                if let Some(request) = self.requests.get_mut(id.as_str()) {
+                    request.lost_connection = true;
+                }
+            }
             Seen::Configured { version } => self.configured.push((at, *version)),
             Seen::Fault { place, what } => {
                 if what.contains(PAUSE) {
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -85,6 +85,23 @@
     },
     /// A client got none.
     Unanswered { id: String, why: Lack },
+    /// A client is about to continue a stream after an event; `first` is the request that brought its first event.
+    Continues {
+        id: String,
+        first: String,
+        after: u64,
+    },
+    /// A client closed its connection in the middle of a stream.
+    LostConnection { id: String },
+    /// Software versions in the events that a client got in an answer.
+    EventVersions { id: String, versions: Vec<String> },
+    /// An endpoint of a service begins or ends to serve with a software version.
+    Software {
+        endpoint: String,
+        service: String,
+        version: String,
+        serves: bool,
+    },
     /// Bytes came to a client where no answer was due.
     Stray { gateway: usize },
     /// An endpoint begins to run a request.
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -101,6 +101,8 @@
     limits: Vec<Option<NamedLimit>>,
     incarnations: u64,
     version: u64,
+    // Starts of endpoints so far.
+    endpoint_starts: usize,
     configures: u32,
     later: Vec<(u64, Later)>,
     shared: Arc<Shared>,
@@ -156,6 +158,7 @@
             limits: vec![None; plan.endpoints],
             incarnations: 0,
             version: 0,
+            endpoint_starts: 0,
             configures: 1,
             later: Vec::new(),
             shared,
--- a/soak/src/run/acts.rs
+++ b/soak/src/run/acts.rs
@@ -35,6 +35,9 @@
 /// Time, in ms, from a restore until a restored row that its writer had deleted expires.
 const EXPIRY_DELAY: u64 = 3_600;
 
+/// Versions of the endpoints' software.
+const SOFTWARE: [&str; 2] = ["v1", "v2"];
+
 /// What is done later.
 pub(super) enum Later {
     Continue(usize),
@@ -297,7 +300,10 @@
     }
 
     fn start_endpoint_as(&mut self, index: usize, id: &str) -> io::Result<()> {
-        let endpoint = Endpoint::start(id, &self.history)?;
+        self.endpoint_starts += 1;
+        // Several versions serve side by side all the time, and an endpoint may change its version under its id.
+        let software = SOFTWARE[self.endpoint_starts / 2 % SOFTWARE.len()];
+        let endpoint = Endpoint::start(id, service_of(index), software, &self.history)?;
         if let Some(limit) = self.limits[index] {
             endpoint.name_limit(limit);
         }
@@ -321,9 +327,17 @@
     }
 
     fn record_endpoint(&self, index: usize, endpoint: &Endpoint, link: &Link, state: &str) {
-        let service = ["a", "b"][index / 2 % 2];
+        let service = service_of(index);
+        let software = endpoint.software();
         let address = link.address.to_string();
-        let text = entry(service, &address, hall(index), state, endpoint.born);
+        let text = entry(
+            service,
+            &address,
+            hall(index),
+            state,
+            software,
+            endpoint.born,
+        );
         self.store.put("servers", endpoint.id(), Some(&text));
     }
 
@@ -365,3 +379,8 @@
         self.after(SERVES_ON, Later::End(index, endpoint));
     }
 }
+
+/// Service of the endpoint at a position.
+fn service_of(index: usize) -> &'static str {
+    ["a", "b"][index / 2 % 2]
+}
--- a/soak/src/standins/client.rs
+++ b/soak/src/standins/client.rs
@@ -11,9 +11,9 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::body_of;
 use super::endpoint::events_of;
 use super::operator::{HOST, LIMITED_KEY, STEADY_KEY};
+use super::{body_of, hash};
 use crate::history::{Body, History, Kind, Lack, Seen};
 use crate::http::{Connection, Head};
 
@@ -28,6 +28,10 @@
 const SLOW_PAUSE: Duration = Duration::from_millis(25);
 /// A client that leaves does so after that time.
 const LEAVE_AFTER: Duration = Duration::from_millis(25);
+/// One in so many resumable streams loses its client's connection.
+const LOST_CONNECTIONS: u64 = 3;
+/// A client continues a broken stream at most this often.
+const MAX_CONTINUATIONS: u32 = 3;
 /// Bytes of a large request.
 const LARGE: usize = 200_000;
 
@@ -54,13 +58,27 @@
     rng: ChaCha8Rng,
     shared: Arc<Shared>,
     connection: Option<(usize, Connection)>,
+    // A stream that broke, which the client continues next.
+    broken: Option<BrokenStream>,
+}
+
+/// A stream that broke before its end.
+struct BrokenStream {
+    first: String,
+    path: String,
+    after: u64,
+    tries: u32,
 }
 
 struct Asking {
     id: String,
+    /// The request that brought the first event of the stream; itself, unless it continues one.
+    first: String,
     kind: Kind,
     text: Vec<u8>,
     leaves: bool,
+    /// Chunks of a stream after which the client loses its connection.
+    loses_connection_after: Option<usize>,
 }
 
 impl Client {
@@ -74,14 +92,17 @@
             rng: ChaCha8Rng::seed_from_u64(seed ^ (number as u64) << 32),
             shared: Arc::clone(shared),
             connection: None,
+            broken: None,
         }
     }
 
     /// Sends requests until the run is over.
     pub fn run(mut self) {
         while !self.shared.over.load(Ordering::Relaxed) {
-            let pause = self.rng.random_range(10..90);
-            thread::sleep(Duration::from_millis(pause));
+            if self.broken.is_none() {
+                let pause = self.rng.random_range(10..90);
+                thread::sleep(Duration::from_millis(pause));
+            }
             self.ask();
         }
     }
@@ -90,7 +111,11 @@
         let Some((gateway, mut connection)) = self.connected() else {
             return;
         };
-        let asking = self.draw(gateway);
+        let broken = self.broken.take();
+        let asking = match &broken {
+            Some(broken) => self.continue_stream(gateway, broken),
+            None => self.draw(gateway),
+        };
         let id = asking.id.clone();
         if connection.send(&asking.text).is_err() {
             return self.none(id, Lack::Closed);
@@ -104,6 +129,7 @@
             Err(error) => return self.none(id, lack(error.kind())),
         };
         let body = self.body(&mut connection, &head, &asking);
+        self.keep_if_broken(&asking, broken, &body);
         let stays = body != Body::Cut && !head.closes();
         let ended = !matches!(body, Body::Events { ended: false, .. });
         self.shared.history.note(Seen::Answered {
@@ -194,18 +220,81 @@
             key,
             gateway,
         });
+        let loses_connection =
+            kind == Kind::Resumable && hash(&id).is_multiple_of(LOST_CONNECTIONS);
         Asking {
+            first: id.clone(),
             id,
             kind,
             text,
             leaves,
+            loses_connection_after: loses_connection.then_some(2),
+        }
+    }
+
+    fn continue_stream(&mut self, gateway: usize, broken: &BrokenStream) -> Asking {
+        let id = format!("c{}-{}", self.number, self.made);
+        self.made += 1;
+        let BrokenStream {
+            first, path, after, ..
+        } = broken;
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nHost: {HOST}\r\n{}: {id}\r\n{}: {STEADY_KEY}\r\n\
+             {}: {DEADLINE_MS}\r\n{}: {first}\r\nLast-Event-Id: {after}\r\nContent-Length: 0\r\n\r\n",
+            names::ATTEMPT_ID,
+            names::CREDENTIAL,
+            names::DEADLINE_MS,
+            names::RESUMES
+        );
+        self.shared.history.note(Seen::Continues {
+            id: id.clone(),
+            first: first.clone(),
+            after: *after,
+        });
+        self.shared.history.note(Seen::Sent {
+            id: id.clone(),
+            kind: Kind::Resumable,
+            path: path.clone(),
+            key: STEADY_KEY.to_string(),
+            gateway,
+        });
+        Asking {
+            id,
+            first: first.clone(),
+            kind: Kind::Resumable,
+            text: head.into_bytes(),
+            leaves: false,
+            loses_connection_after: None,
+        }
+    }
+
+    // Keeps a resumable stream that broke, to continue it with the next request.
+    fn keep_if_broken(&mut self, asking: &Asking, earlier: Option<BrokenStream>, body: &Body) {
+        let tries = earlier.as_ref().map_or(0, |broken| broken.tries + 1);
+        let Body::Events {
+            numbers,
+            ended: false,
+            ..
+        } = body
+        else {
+            return;
+        };
+        let before = earlier.map_or(0, |broken| broken.after);
+        let after = numbers.last().copied().unwrap_or(before);
+        if asking.kind == Kind::Resumable && after > 0 && tries < MAX_CONTINUATIONS {
+            self.broken = Some(BrokenStream {
+                path: format!("/res/{}", asking.first),
+                first: asking.first.clone(),
+                after,
+                tries,
+            });
         }
     }
 
     fn body(&self, connection: &mut Connection, head: &Head, asking: &Asking) -> Body {
         let is_stream = matches!(asking.kind, Kind::Stream | Kind::Resumable);
         if is_stream && head.is_chunked() && head.word(1) == "200" {
-            return self.events(connection, &asking.id);
+            return self.events(connection, asking);
         }
         let read = match head.is_chunked() {
             true => chunks(connection),
@@ -228,9 +317,16 @@
         Ok(bytes)
     }
 
-    fn events(&self, connection: &mut Connection, id: &str) -> Body {
+    fn events(&self, connection: &mut Connection, asking: &Asking) -> Body {
         let mut text = String::new();
+        let mut left = asking.loses_connection_after;
         let ended = loop {
+            if left == Some(0) {
+                let id = asking.id.clone();
+                self.shared.history.note(Seen::LostConnection { id });
+                break false;
+            }
+            left = left.map(|left| left - 1);
             match connection.chunk() {
                 Ok(bytes) if bytes.is_empty() => break true,
                 Ok(bytes) => text += &String::from_utf8_lossy(&bytes),
@@ -238,19 +334,28 @@
             }
             self.dawdle();
         };
-        let total = events_of(id);
-        let data = format!("data: {id} {total}");
+        let total = events_of(&asking.first);
+        let data = format!("data: {} {total} ", asking.first);
         // Without its empty line an event is not whole.
         let whole: Vec<&str> = text.split_inclusive("\n\n").collect();
         let whole = whole.into_iter().filter(|event| event.ends_with("\n\n"));
         let mut own = true;
+        let mut versions = Vec::new();
         let mut numbers = Vec::new();
         for event in whole {
             let (number, rest) = event.split_once('\n').unwrap_or((event, ""));
             let number = number.strip_prefix("id: ").and_then(|n| n.parse().ok());
             numbers.push(number.unwrap_or(0));
-            own &= rest.trim_end() == data;
+            match rest.trim_end().strip_prefix(&data) {
+                Some(version) => versions.push(version.to_string()),
+                None => own = false,
+            }
         }
+        versions.dedup();
+        let id = asking.id.clone();
+        self.shared
+            .history
+            .note(Seen::EventVersions { id, versions });
         Body::Events {
             numbers,
             own,
--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -597,3 +597,118 @@
     told.records.retain(|record| !is_named(record));
     assert_eq!(told.findings(), Vec::<&str>::new());
 }
+
+/// Streams of clients that lose their connections after two events and continue them, each with its first version and the one
+/// that continues it; `None` if it is refused.
+fn continued_streams(versions: &[(&str, Option<&str>)]) -> Told {
+    let mut told = Told::begin();
+    for (endpoint, version) in [
+        ("e2-1", "v1"),
+        ("e3-2", "v1"),
+        ("e6-3", "v2"),
+        ("e7-4", "v2"),
+    ] {
+        told = told.at(
+            2,
+            Seen::Software {
+                endpoint: endpoint.into(),
+                service: "b".into(),
+                version: version.into(),
+                serves: true,
+            },
+        );
+    }
+    let mut at = 10_000;
+    for (number, (began, continued)) in versions.iter().enumerate() {
+        let (first, second) = (format!("a{number}"), format!("b{number}"));
+        told = told
+            .sent(at, &first, Kind::Resumable, "/res/", "steady")
+            .events(at + 1, &first, began, vec![1, 2], false)
+            .at(
+                at + 2,
+                Seen::Continues {
+                    id: second.clone(),
+                    first,
+                    after: 2,
+                },
+            )
+            .sent(at + 3, &second, Kind::Resumable, "/res/", "steady");
+        told = match continued {
+            Some(version) => told.events(at + 4, &second, version, vec![3, 4], true),
+            None => told.answered(at + 4, &second, 503),
+        };
+        at += 10;
+    }
+    told
+}
+
+impl Told {
+    fn events(self, at: u64, id: &str, version: &str, numbers: Vec<u64>, ended: bool) -> Self {
+        let versions = Seen::EventVersions {
+            id: id.into(),
+            versions: vec![version.into()],
+        };
+        let answered = Seen::Answered {
+            id: id.into(),
+            status: 200,
+            of: Some(id.into()),
+            signed: true,
+            body: Body::Events {
+                numbers,
+                own: true,
+                total: 4,
+                ended,
+            },
+        };
+        self.at(at, versions).at(at, answered)
+    }
+
+    fn findings_of(&self, check: &str) -> usize {
+        let verdicts = all(&self.records, 1);
+        let findings = verdicts.findings.iter();
+        findings.filter(|finding| finding.check == check).count()
+    }
+}
+
+#[test]
+fn streams_that_go_on_at_their_version_are_sound() {
+    let told = continued_streams(&[("v1", Some("v1")), ("v2", Some("v2"))].repeat(8));
+    for check in ["streams", "one version", "streams go on"] {
+        assert_eq!(told.findings_of(check), 0, "{check}");
+    }
+}
+
+#[test]
+fn more_than_two_streams_of_two_versions_are_found() {
+    let mut versions = [("v1", Some("v1"))].repeat(8);
+    versions.extend([("v1", Some("v2"))].repeat(2));
+    assert_eq!(continued_streams(&versions).findings_of("one version"), 0);
+    versions.push(("v2", Some("v1")));
+    assert_eq!(continued_streams(&versions).findings_of("one version"), 3);
+}
+
+#[test]
+fn streams_that_mostly_do_not_go_on_while_new_ones_begin_are_found() {
+    let mut versions = [("v1", Some("v1"))].repeat(6);
+    versions.extend([("v1", None)].repeat(6));
+    assert_eq!(continued_streams(&versions).findings_of("streams go on"), 0);
+    versions.push(("v1", None));
+    assert_eq!(continued_streams(&versions).findings_of("streams go on"), 1);
+}
+
+#[test]
+fn a_continued_stream_that_repeats_an_event_is_found() {
+    let told = continued_streams(&[("v1", Some("v1"))]);
+    let told = told
+        .at(
+            11_000,
+            Seen::Continues {
+                id: "c".into(),
+                first: "a0".into(),
+                after: 2,
+            },
+        )
+        .sent(11_001, "c", Kind::Resumable, "/res/", "steady")
+        .events(11_002, "c", "v1", vec![2, 3, 4], true);
+    assert_eq!(told.findings_of("streams"), 1);
+}
