Keep the record of a stream at one more coordinator of its hall and one of another hall

Cause: at 330 gateways and 4,100 streams a second, records at all coordinators of a hall and two outside are 620 a second a coordinator. Change: one of each, beside the gateway at which the stream began; a lookup asks all coordinators of the hall and the first four of the region. Result: by reckoning 373 records a second at a coordinator of that size; stream_versions passes.

--- a/components/gateway/src/stream_origins.rs
+++ b/components/gateway/src/stream_origins.rs
@@ -25,15 +25,16 @@
 use crate::answer::Refusal;
 use crate::decisions::{OTHER_REGION_REPLY_TIMEOUT, REPLY_TIMEOUT};
 use crate::job::Job;
-use crate::peers::AccountKeeper;
+use crate::peers::{AccountKeeper, COORDINATORS_PER_HALL};
 use crate::state::State;
 use crate::traffic::Traffic;
 
-/// Number of coordinators of other halls that keep the record of a stream.
-const KEEPERS_IN_OTHER_HALLS: usize = 2;
+/// Number of further coordinators of the own hall, and of other halls, that keep the record of a stream.
+const KEEPERS_IN_OWN_HALL: usize = 1;
+const KEEPERS_IN_OTHER_HALLS: usize = 1;
 /// Number of coordinators, over all halls of the region, that are asked for a record, besides those of the own hall. It covers the
-/// keepers chosen in any hall.
-const ASKED_KEEPERS: usize = 5;
+/// keepers in other halls as every hall ranks them, without its own coordinators.
+const ASKED_KEEPERS: usize = COORDINATORS_PER_HALL + KEEPERS_IN_OTHER_HALLS;
 /// Number of coordinators that a gateway which does not decide itself uses.
 const USED_COORDINATORS: usize = 2;
 /// Additional reply timeout of a coordinator that asks others before it replies.
@@ -153,8 +154,9 @@
     fn record_keepers(&self, key: StreamKey) -> Vec<SocketAddr> {
         let own_hall = self.other_keepers().filter(|k| self.is_own_hall(k));
         let others = self.other_keepers().filter(|k| !self.is_own_hall(k));
-        let others = rank_keepers(key, others, KEEPERS_IN_OTHER_HALLS);
-        own_hall.map(|k| k.address).chain(others).collect()
+        let mut keepers = rank_keepers(key, own_hall, KEEPERS_IN_OWN_HALL);
+        keepers.extend(rank_keepers(key, others, KEEPERS_IN_OTHER_HALLS));
+        keepers
     }
 
     // Coordinators that are asked for the record of a stream.
