Take the age of a confirmed table of endpoints from the settings

Cause: 1.5 s was a guess at how often tables are confirmed; in a large fleet confirmations may be older, and endpoints that keep their ids over restarts then had no known version, so their streams were not resumed.

--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -29,6 +29,9 @@
 /// A stream lasts at most this many times the timeout of its route: a caller may spend the timeout of one try and begin another
 /// one, which ends with the caller's own deadline.
 const STREAM_LIFETIME_TIMEOUTS: u32 = 2;
+/// Upper limit of the age of a table of endpoints from which the only version of a service is concluded. New streams wait that long
+/// before they begin at a second version.
+const LONGEST_TABLE_AGE: Duration = Duration::from_secs(4);
 /// Lifetime of streams of a service that has no route with streams.
 const DEFAULT_STREAM_LIFETIME: Duration = Duration::from_secs(60);
 
@@ -94,6 +97,7 @@
             stream_lifetimes: BTreeMap::new(),
         };
         state.set_link_parts(Duration::ZERO);
+        state.set_max_table_age();
         state
     }
 
@@ -279,6 +283,13 @@
         let kbit = self.settings.region_link_kbit.max(0) as u64;
         self.balancer.network_costs_mut().set_link_rate(kbit);
         self.set_link_parts(now);
+        self.set_max_table_age();
+    }
+
+    fn set_max_table_age(&mut self) {
+        let change_due = Duration::from_millis(self.settings.change_due_ms.max(0) as u64);
+        self.history
+            .set_max_table_age(change_due.min(LONGEST_TABLE_AGE));
     }
 
     fn set_link_parts(&mut self, now: Duration) {
