End lookups of streams whose callers leave, and continue streams only where the version of the endpoint is certain

Cause, found in review: a lookup whose caller left was not removed, and 256 of them would have ended all lookups; a required version was taken from the row of an endpoint that keeps its id while the table was not confirmed. Change: a guard removes a lookup when it is dropped; such an endpoint is not chosen. Records that wait are kept by service, so a tick costs by service. Result: stream_versions and version_changes pass; no test brings the first case about.

--- a/components/gateway/src/job.rs
+++ b/components/gateway/src/job.rs
@@ -100,7 +100,8 @@
     pub ungranted: usize,
     /// Whether any endpoint may have run the request.
     pub maybe_run: bool,
-    /// Version of endpoint software that began the stream, once an event of it was forwarded; no other may continue it.
+    /// Version of endpoint software that began the stream, once an event of it was forwarded or if the caller continues it; no
+    /// other may run the request.
     pub required_version: Option<String>,
     /// Coordinator that charged the tenant; `None` if this gateway did.
     pub charged_by: Option<SocketAddr>,
--- a/components/gateway/src/stream_origins.rs
+++ b/components/gateway/src/stream_origins.rs
@@ -50,7 +50,7 @@
 const MAX_LOOKUPS: usize = 256;
 /// Maximum number of records in one message. They take some 40 bytes each, so that it stays one small datagram.
 const MAX_RECORDS_PER_MESSAGE: usize = 25;
-/// Maximum number of records that wait until several versions serve; the oldest are dropped first.
+/// Maximum number of records of a service that wait until several versions serve; the oldest are dropped first.
 const MAX_UNREPORTED: usize = 4096;
 /// Maximum time for which a reported record is kept.
 const MAX_REPORTED_LIFETIME: Duration = Duration::from_secs(600);
@@ -62,7 +62,6 @@
 // A record that was not reported to the keepers yet.
 #[derive(Debug)]
 struct Unreported {
-    service: String,
     key: StreamKey,
     origin: Origin,
     expires_at: Duration,
@@ -72,7 +71,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct StreamOrigins {
     records: RefCell<StreamRecords>,
-    unreported: RefCell<VecDeque<Unreported>>,
+    // By service; those of one service expire in their order.
+    unreported: RefCell<BTreeMap<String, VecDeque<Unreported>>>,
     // Whether several versions of a service may have streams, as a coordinator reported.
     several_versions: RefCell<BTreeMap<String, bool>>,
     lookups: RefCell<HashMap<i64, UnboundedSender<StreamReply>>>,
@@ -94,6 +94,18 @@
     }
 }
 
+// Removes a lookup when it ends, also if its caller leaves.
+struct LookupGuard<'a> {
+    origins: &'a StreamOrigins,
+    number: i64,
+}
+
+impl Drop for LookupGuard<'_> {
+    fn drop(&mut self) {
+        self.origins.lookups.borrow_mut().remove(&self.number);
+    }
+}
+
 // Coordinators that a lookup asks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Scope {
@@ -301,8 +313,9 @@
         let timeout = reply_timeout(&query);
         let number = query.number;
         let (sender, mut replies) = unbounded_channel();
-        let lookups = &self.stream_origins.lookups;
-        lookups.borrow_mut().insert(number, sender);
+        let origins = &self.stream_origins;
+        origins.lookups.borrow_mut().insert(number, sender);
+        let _guard = LookupGuard { origins, number };
         let message = Decision {
             stream_query: Some(query),
             ..Decision::default()
@@ -330,7 +343,6 @@
                 (None, _, None) => {}
             }
         }
-        lookups.borrow_mut().remove(&number);
         found
     }
 
@@ -397,11 +409,11 @@
         let mut records = self.stream_origins.records.borrow_mut();
         records.record(now, key, origin.clone(), lifetime);
         let mut unreported = self.stream_origins.unreported.borrow_mut();
+        let unreported = unreported.entry(service).or_default();
         if unreported.len() >= MAX_UNREPORTED {
             unreported.pop_front();
         }
         unreported.push_back(Unreported {
-            service,
             key,
             origin,
             expires_at: now + lifetime,
@@ -472,14 +484,14 @@
             false => several_versions.get(service).copied().unwrap_or_default(),
         };
         let mut due = Vec::new();
-        let mut unreported = self.stream_origins.unreported.borrow_mut();
-        unreported.retain(|record| {
-            let is_due = has_several(&record.service);
-            if is_due && now < record.expires_at {
-                due.push(report_of(now, record));
+        for (service, waiting) in self.stream_origins.unreported.borrow_mut().iter_mut() {
+            while waiting.front().is_some_and(|first| first.expires_at <= now) {
+                waiting.pop_front();
             }
-            !is_due && now < record.expires_at
-        });
+            if !waiting.is_empty() && has_several(service) {
+                due.extend(waiting.drain(..).map(|record| report_of(now, &record)));
+            }
+        }
         due
     }
 
--- a/components/gateway/src/versions.rs
+++ b/components/gateway/src/versions.rs
@@ -202,6 +202,8 @@
         let placed = self
             .balancer
             .choose_from(region, now, work, exclusion, versions, rng);
+        // The endpoint may run another version by now.
+        let placed = placed.filter(|placed| self.version_of(now, placed).is_some());
         self.record_placement(work, traits, placed.as_ref());
         placed
     }
