Log the prompt parts of placed and cut requests, and how the end of an answer is marked

No decision changes: 'placed' names the prompt's parts, 'endpoint cut an answer off' also the events received, and it and 'stream ended' the body's mark.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -15,8 +15,9 @@
 use telemetry::Counter;
 use transport::{Connection, ConnectionError, FullBody};
 
+use crate::answer_end::BodyEnd;
 use crate::buffers::BufferedBody;
-use crate::endpoint_run::EndpointRun;
+use crate::endpoint_run::{EndpointRun, ReceivedAnswer};
 use crate::events::{Event, EventSplitter};
 use crate::job::{Job, SharedJob};
 use crate::ports::{AnswerHead, AttemptHead, Dialect};
@@ -151,7 +152,8 @@
             outcome = self.attempt(job, placement, options) => return outcome,
             () = self.wait_for_restart(placement) => "the endpoint started again",
         };
-        self.check_after_interruption(job, placement).await;
+        self.check_after_interruption(job, placement, ReceivedAnswer::default())
+            .await;
         AttemptOutcome::Lost(cause)
     }
 
@@ -171,6 +173,7 @@
             is_counted: false,
             has_answer_head: false,
             has_whole_answer: false,
+            received: ReceivedAnswer::default(),
             health: None,
             sent_at: self.clock.now(),
             placement: placement.clone(),
@@ -208,7 +211,8 @@
                 run.set_health(HealthSignal::Unresponsive);
                 info!(self.log, "answer lost"; "id" => &job.head.id,
                     "endpoint" => &placement.endpoint, "cause" => %error);
-                self.check_after_interruption(job, placement).await;
+                self.check_after_interruption(job, placement, run.received)
+                    .await;
                 return AttemptOutcome::Lost(
                     "the endpoint closed the connection without an answer",
                 );
@@ -222,6 +226,7 @@
         run.has_answer_head = true;
         run.record_received();
         let (head, body) = answer.into_parts();
+        run.received.body_end = Some(BodyEnd::of(&head, &body));
         let read = self.dialect.read_answer(head.status, &head.headers);
         self.apply_answer_head(job, placement, run.sent_at, head.status, &read);
         if read.id.as_deref() != Some(job.head.id.as_str()) {
@@ -322,7 +327,8 @@
             .await;
         let Ok(body) = gathered else {
             run.set_health(HealthSignal::Faulty);
-            self.check_after_interruption(job, &run.placement).await;
+            self.check_after_interruption(job, &run.placement, run.received)
+                .await;
             return AttemptOutcome::Lost("the endpoint broke its answer off");
         };
         let failed = head.status.is_server_error();
@@ -380,7 +386,8 @@
             end @ (NextEvent::End | NextEvent::Broken) => {
                 events.run.set_health(HealthSignal::Faulty);
                 if matches!(end, NextEvent::Broken) {
-                    self.check_after_interruption(job, &events.run.placement)
+                    let (placement, received) = (&events.run.placement, events.run.received);
+                    self.check_after_interruption(job, placement, received)
                         .await;
                 }
                 AttemptOutcome::Lost("the stream broke off before its first event")
--- a/components/gateway/src/endpoint_run.rs
+++ b/components/gateway/src/endpoint_run.rs
@@ -9,6 +9,7 @@
 use slog::info;
 use transport::Connection;
 
+use crate::answer_end::BodyEnd;
 use crate::connecting::OpenedConnection;
 use crate::job::SharedJob;
 use crate::traffic::Traffic;
@@ -18,6 +19,15 @@
 /// longer. Without this limit, good versions of a service that answers within 1 ms were reverted in 4 of 8 runs under load.
 const MIN_COMPARED_TIME_S: f64 = 0.02;
 
+/// How much of an answer was received.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ReceivedAnswer {
+    /// Number of complete events.
+    pub events: u32,
+    /// What marks the end of the body; `None` before the head.
+    pub body_end: Option<BodyEnd>,
+}
+
 /// A request in flight at an endpoint. Dropping it without [`finish`](Self::finish) closes the connection.
 pub(crate) struct EndpointRun<D> {
     pub traffic: Rc<Traffic<D>>,
@@ -33,6 +43,7 @@
     pub has_answer_head: bool,
     /// Whether a whole answer was received.
     pub has_whole_answer: bool,
+    pub received: ReceivedAnswer,
     pub health: Option<HealthSignal>,
     pub sent_at: Duration,
     pub placement: Placement,
@@ -81,6 +92,7 @@
 
     /// Records that an event of the stream was received.
     pub fn record_event(&mut self) {
+        self.received.events += 1;
         self.record_received();
         let now = self.traffic.clock.now();
         let mut state = self.traffic.state.borrow_mut();
--- a/components/gateway/src/interrupted.rs
+++ b/components/gateway/src/interrupted.rs
@@ -10,6 +10,8 @@
 use telemetry::Counter;
 use tokio::task::JoinHandle;
 
+use crate::answer_end::BodyEnd;
+use crate::endpoint_run::ReceivedAnswer;
 use crate::job::SharedJob;
 use crate::ports::Dialect;
 use crate::traffic::Traffic;
@@ -94,13 +96,23 @@
 impl<D: Dialect + 'static> Traffic<D> {
     /// Checks whether an endpoint that interrupted an answer has ended. The check runs on if the caller disconnects; the
     /// next attempt waits up to `CHECK_WAIT` for it.
-    pub async fn check_after_interruption(self: &Rc<Self>, job: &SharedJob, placement: &Placement) {
-        let check = self.spawn_check(job, placement);
+    pub async fn check_after_interruption(
+        self: &Rc<Self>,
+        job: &SharedJob,
+        placement: &Placement,
+        received: ReceivedAnswer,
+    ) {
+        let check = self.spawn_check(job, placement, received);
         // A slower check goes on in the background.
         let _ = tokio::time::timeout(CHECK_WAIT, check).await;
     }
 
-    fn spawn_check(self: &Rc<Self>, job: &SharedJob, placement: &Placement) -> JoinHandle<()> {
+    fn spawn_check(
+        self: &Rc<Self>,
+        job: &SharedJob,
+        placement: &Placement,
+        received: ReceivedAnswer,
+    ) -> JoinHandle<()> {
         let (traffic, job, placement) = (Rc::clone(self), Rc::clone(job), placement.clone());
         tokio::task::spawn_local(async move {
             if traffic.was_leaving(&placement) {
@@ -111,6 +123,7 @@
                 false => traffic.refuses_connections(&job, &placement).await,
             };
             info!(traffic.log, "endpoint cut an answer off"; "id" => &job.head.id, "content" => %job.content,
+                "parts" => job.logged_parts(), "events" => received.events, "marked_by" => received.body_end.map(BodyEnd::as_str),
                 "endpoint" => &placement.endpoint, "endpoint_ended" => has_ended);
             if has_ended == Some(true) {
                 return traffic.record_endpoint_end(job.content, placement.incarnation);
--- a/components/gateway/src/job.rs
+++ b/components/gateway/src/job.rs
@@ -17,6 +17,9 @@
 /// Number of route ranks within each rank of a tenant.
 pub(crate) const ROUTE_RANKS: u8 = 3;
 
+/// Upper limit of prompt parts in a log line.
+const MAX_LOGGED_PARTS: usize = 8;
+
 /// A request that was admitted.
 #[derive(Debug)]
 pub(crate) struct Job {
@@ -66,6 +69,13 @@
         }
     }
 
+    /// Ids of the prompt's parts for log lines, the first ones only.
+    pub fn logged_parts(&self) -> String {
+        let parts = self.work.parts.iter().take(MAX_LOGGED_PARTS);
+        let ids: Vec<String> = parts.map(|part| format!("{:x}", part.id)).collect();
+        ids.join(",")
+    }
+
     /// Whether the answer is a stream that another endpoint may continue.
     pub fn can_continue(&self) -> bool {
         let execution = self.route.execution;
--- a/components/gateway/src/placing.rs
+++ b/components/gateway/src/placing.rs
@@ -153,7 +153,7 @@
     }
 
     pub fn log_placed(&self, job: &Job, placement: &Placement) {
-        info!(self.log, "placed"; "id" => &job.head.id, "content" => %job.content, "route" => &job.route.name,
+        info!(self.log, "placed"; "id" => &job.head.id, "content" => %job.content, "parts" => job.logged_parts(), "route" => &job.route.name,
             "endpoint" => &placement.endpoint, "unread" => placement.unread_tokens,
             "expected_ms" => placement.expected_ms as u64, "weighed" => placement.weighed,
             "slowdown" => placement.slowdown.percent(), "by_coordinator" => placement.is_placed_by_peer, "version" => job.version,
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -11,6 +11,7 @@
 use tokio::sync::mpsc;
 
 use crate::answer::BodyPart;
+use crate::answer_end::BodyEnd;
 use crate::attempt::{AttemptOutcome, EndpointAnswer, EndpointStream, NextEvent, SendOptions};
 use crate::buffers::HeldBytes;
 use crate::events::Event;
@@ -87,6 +88,7 @@
         while let Some((first, mut events)) = next.take() {
             let end = self.forward_events(first, &mut events).await;
             let endpoint = events.run.placement.endpoint.clone();
+            let body_end = events.run.received.body_end;
             let cause = match end {
                 StreamEnd::Whole => {
                     events.finish();
@@ -114,6 +116,7 @@
                         self.learn_unread_timeout();
                     }
                     let placement = events.run.placement.clone();
+                    let received = events.run.received;
                     events.run.set_health(match is_stalled {
                         true => HealthSignal::Unresponsive,
                         false => HealthSignal::Faulty,
@@ -121,7 +124,7 @@
                     drop(events);
                     if !is_stalled {
                         self.traffic
-                            .check_after_interruption(&self.job, &placement)
+                            .check_after_interruption(&self.job, &placement, received)
                             .await;
                     }
                     next = self.resume(&endpoint, permit).await;
@@ -131,7 +134,7 @@
                     "broken off"
                 }
             };
-            self.log_end(cause, &endpoint);
+            self.log_end(cause, &endpoint, body_end);
         }
     }
 
@@ -284,9 +287,9 @@
         MIN_STALL.max(gap_target * STALL_GAPS)
     }
 
-    fn log_end(&self, end: &str, endpoint: &str) {
+    fn log_end(&self, end: &str, endpoint: &str, body_end: Option<BodyEnd>) {
         let elapsed = self.traffic.clock.now().saturating_sub(self.job.arrived);
-        info!(self.traffic.log, "stream ended"; "id" => &self.job.head.id, "content" => %self.job.content, "end" => end,
+        info!(self.traffic.log, "stream ended"; "id" => &self.job.head.id, "content" => %self.job.content, "end" => end, "marked_by" => body_end.map(BodyEnd::as_str),
             "endpoint" => endpoint, "software" => &self.progress.required_version, "events" => self.forwarded, "attempts" => self.progress.sent,
             "unread_ms" => self.longest_unread.as_millis() as u64,
             "longest_gap_ms" => self.longest_gap.as_millis() as u64,
