--- a/components/gateway/tests/common/mod.rs
+++ b/components/gateway/tests/common/mod.rs
@@ -22,7 +22,7 @@
 use gateway::{Clock, Gateway, Parts};
 use http::{request, HeaderMap, HeaderValue, StatusCode};
 use limits::SendRate;
-use routing::placement::Slowdown;
+use routing::placement::{PromptPart, Slowdown};
 use schema::settings::GatewaySettings;
 use slog::Logger;
 use telemetry::Gauge;
@@ -60,6 +60,15 @@
     text(fields, name)?.parse().ok()
 }
 
+// Parses hexadecimal ids that are separated by commas.
+fn prompt_parts(list: String) -> Vec<PromptPart> {
+    let part = |id| PromptPart {
+        id: u64::from_str_radix(id, 16).unwrap(),
+        tokens: 100,
+    };
+    list.split(',').map(part).collect()
+}
+
 impl Dialect for PlainDialect {
     fn read_request(&self, head: &request::Parts) -> Result<CallerHead, HeadFault> {
         let fields = &head.headers;
@@ -70,7 +79,7 @@
             key: text(fields, "x-key"),
             tokens,
             answer_guess: None,
-            parts: Vec::new(),
+            parts: text(fields, "x-parts").map_or_else(Vec::new, prompt_parts),
             last_event: number(fields, "x-last-event"),
             resumes: text(fields, "x-resumes"),
         })
--- /dev/null
+++ b/components/gateway/tests/prompt_parts.rs
@@ -0,0 +1,114 @@
+//! Quarantine of prompt parts: a part that several requests share crashes every endpoint that begins to write an answer on
+//! it.
+//!
+//! Guards against repeated crashes and against refusals of sound requests: each request with the part has another content,
+//! so each one crashed endpoints of its own, and requests that have only the other parts in common with it are to be served.
+
+mod common;
+
+use common::crashing::{LastWords, DEADLY_PART};
+use common::{
+    configuration, endpoint, route, settings, wait_until, Answer, CrashingEndpoint, FakeStore,
+    LogLines, Setup,
+};
+use directory::Execution;
+use schema::settings::GatewaySettings;
+
+const ENDPOINTS: usize = 30;
+const DEADLY_REQUESTS: usize = 26;
+/// Endpoints that may end under a part, and requests with it that may be sent later.
+const MAX_ENDED: usize = 5 + 3;
+/// Part that all requests of the route share.
+const COMMON_PART: &str = "c0";
+
+/// Gateways that know each other, their log lines and the endpoints of their store.
+struct Fleet {
+    gateways: Vec<Setup>,
+    lines: Vec<LogLines>,
+    endpoints: Vec<CrashingEndpoint>,
+    sent: usize,
+}
+
+impl Fleet {
+    fn start(gateways: usize, execution: Execution, last_words: LastWords) -> Self {
+        let store = FakeStore::default();
+        store.put_configuration(configuration(1, vec![route("/a/", execution)]));
+        let start = |_| CrashingEndpoint::start_with(last_words);
+        let endpoints: Vec<_> = (0..ENDPOINTS).map(start).collect();
+        for (i, crashing) in endpoints.iter().enumerate() {
+            store.put_endpoint(endpoint(&format!("e{i}"), crashing.address));
+        }
+        let mut fleet = Fleet {
+            gateways: Vec::new(),
+            lines: Vec::new(),
+            endpoints,
+            sent: 0,
+        };
+        for number in 0..gateways {
+            fleet.start_gateway(&format!("g{number}"), store.for_other_gateway());
+        }
+        fleet
+    }
+
+    fn start_gateway(&mut self, name: &str, store: FakeStore) {
+        let first = self.gateways.first();
+        let seeds = first.map(|first| first.gateway.peer_address().to_string());
+        let settings = GatewaySettings {
+            name: name.into(),
+            seeds: seeds.into_iter().collect(),
+            ..settings()
+        };
+        let lines = LogLines::default();
+        let setup = Setup::start_with_log(settings, store, lines.logger());
+        wait_until("readiness", || setup.is_ready());
+        setup.wait_for_retry_budget();
+        self.gateways.push(setup);
+        self.lines.push(lines);
+    }
+
+    /// Sends a request with these parts and one of its own, with a new id, at the gateways in turn.
+    fn send(&mut self, path: &str, parts: &[&str]) -> Answer {
+        self.sent += 1;
+        let own = format!("{:x}", 0xf000 + self.sent);
+        let parts = [parts, &[own.as_str()]].concat().join(",");
+        let gateway = &self.gateways[self.sent % self.gateways.len()];
+        let id = format!("x-id: {}", self.sent);
+        let path = format!("{path}?{}", self.sent);
+        gateway.call(&path, &[&id, &format!("x-parts: {parts}")])
+    }
+
+    fn send_deadly(&mut self) -> Answer {
+        self.send("/a/chat", &[COMMON_PART, DEADLY_PART])
+    }
+
+    fn send_sound(&mut self) -> Answer {
+        self.send("/a/chat", &[COMMON_PART, "50"])
+    }
+
+    fn ended(&self) -> usize {
+        let endpoints = self.endpoints.iter();
+        endpoints.filter(|crashing| crashing.has_stopped()).count()
+    }
+}
+
+// Guards against requests that crash one endpoint after the other, since each of them is a new content: only a part of their
+// prompts is the same.
+#[test]
+fn requests_that_share_a_deadly_part_are_held_back_and_those_with_their_other_parts_are_served() {
+    for execution in [Execution::Repeatable, Execution::Once] {
+        let mut fleet = Fleet::start(3, execution, LastWords::Nothing);
+        for _ in 0..DEADLY_REQUESTS {
+            fleet.send_deadly();
+        }
+        let ended = fleet.ended();
+        assert!(ended <= MAX_ENDED, "{ended} endpoints ended");
+        for _ in 0..20 {
+            let served = fleet.send_sound();
+            assert_eq!(served.status, 200, "{}", served.head);
+        }
+        let refused = fleet.send_deadly();
+        assert_eq!(refused.status, 503, "{}", refused.head);
+        assert!(refused.header("retry-after").is_some(), "{}", refused.head);
+        assert_eq!(fleet.ended(), ended);
+    }
+}
