Let the fake endpoints of the gateway's tests queue more than 128 connections

memory_of_requests_in_flight_matches_the_accounting and a_gateway_of_160_mib_stays_below_120_mib_with_200_callers_that_read_nothing failed now and then with 'timed out waiting for: all requests at the endpoint': on 2 of 6 runs, later 6 of 9. Cause: hundreds of connections are opened at once, and the standard library's listener queues 128; the kernel drops the others, and their requests are given up after four attempts. Each failed run adds 11 to 42 to the kernel's ListenOverflows, no sound one does.

--- a/components/gateway/tests/common/endpoint.rs
+++ b/components/gateway/tests/common/endpoint.rs
@@ -6,6 +6,11 @@
 use std::thread;
 use std::time::Duration;
 
+use socket2::SockRef;
+
+/// Connections that wait to be accepted.
+const LISTEN_BACKLOG: i32 = 4096;
+
 /// A received request and the connection for its answer.
 pub struct Exchange {
     pub head: String,
@@ -150,6 +155,8 @@
     /// Serves each request with `serve`, which gets the index of the request, counted from 0 over all connections.
     pub fn start(serve: impl Fn(usize, &mut Exchange) + Send + Sync + 'static) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        // The standard library's queue of 128 overflows when a test opens hundreds of connections at once.
+        SockRef::from(&listener).listen(LISTEN_BACKLOG).unwrap();
         let address = listener.local_addr().unwrap();
         let heads = Arc::new(Mutex::new(Vec::new()));
         let (seen, serve) = (Arc::clone(&heads), Arc::new(serve));
