--- a/components/gateway/src/admission.rs
+++ b/components/gateway/src/admission.rs
@@ -1,13 +1,14 @@
 //! Admits a request: finds its route, its team, its cost and its deadline.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use directory::{Directory, Lookup, Route, Tenant};
 use errors::Kind;
 use http::request;
-use quarantine::{Content, Fingerprint};
-use routing::placement::Work;
+use quarantine::{prompt_part, Content, Fingerprint};
+use routing::placement::{PromptPart, Work};
 
 use crate::answer::Refusal;
 use crate::buffers::{BufferedBody, KeptBody};
@@ -19,6 +20,8 @@
 
 /// Retry delay when the configuration is not confirmed.
 const UNCONFIRMED_RETRY: Duration = Duration::from_millis(300);
+/// Upper limit of the parts of a prompt by which requests are held back.
+const MAX_SHARED_PARTS: usize = 16;
 /// Rank of the least urgent requests; 0 is the most urgent.
 pub(crate) const LEAST_URGENT_RANK: u8 = 9;
 
@@ -60,6 +63,8 @@
         let content = Fingerprint::of(&request_content(&parts, team, &body.bytes));
         let job = Job {
             content,
+            shared_parts: shared_parts(&service, &head.parts),
+            is_trial: Cell::new(false),
             needs_key,
             work: Work {
                 service: service.clone(),
@@ -86,6 +91,15 @@
     }
 }
 
+fn shared_parts(service: &str, parts: &[PromptPart]) -> Vec<Fingerprint> {
+    let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    let shared = shared.iter().take(MAX_SHARED_PARTS);
+    let mut shared: Vec<_> = shared.map(|part| prompt_part(service, part.id)).collect();
+    shared.sort_unstable();
+    shared.dedup();
+    shared
+}
+
 fn request_content<'a>(
     parts: &'a request::Parts,
     team: Option<&'a str>,
--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -147,12 +147,16 @@
         placement: &Placement,
         options: SendOptions,
     ) -> AttemptOutcome<D> {
+        let received = ReceivedAnswer {
+            sent_at: self.clock.now(),
+            ..ReceivedAnswer::default()
+        };
         let cause = tokio::select! {
             biased;
             outcome = self.attempt(job, placement, options) => return outcome,
             () = self.wait_for_restart(placement) => "the endpoint started again",
         };
-        self.check_after_interruption(job, placement, ReceivedAnswer::default())
+        self.check_after_interruption(job, placement, received)
             .await;
         AttemptOutcome::Lost(cause)
     }
@@ -173,7 +177,8 @@
             is_counted: false,
             has_answer_head: false,
             has_whole_answer: false,
-            received: ReceivedAnswer::default(),
+            events: 0,
+            body_end: None,
             health: None,
             sent_at: self.clock.now(),
             placement: placement.clone(),
@@ -211,7 +216,7 @@
                 run.set_health(HealthSignal::Unresponsive);
                 info!(self.log, "answer lost"; "id" => &job.head.id,
                     "endpoint" => &placement.endpoint, "cause" => %error);
-                self.check_after_interruption(job, placement, run.received)
+                self.check_after_interruption(job, placement, run.received())
                     .await;
                 return AttemptOutcome::Lost(
                     "the endpoint closed the connection without an answer",
@@ -226,7 +231,7 @@
         run.has_answer_head = true;
         run.record_received();
         let (head, body) = answer.into_parts();
-        run.received.body_end = Some(BodyEnd::of(&head, &body));
+        run.body_end = Some(BodyEnd::of(&head, &body));
         let read = self.dialect.read_answer(head.status, &head.headers);
         self.apply_answer_head(job, placement, run.sent_at, head.status, &read);
         if read.id.as_deref() != Some(job.head.id.as_str()) {
@@ -327,7 +332,7 @@
             .await;
         let Ok(body) = gathered else {
             run.set_health(HealthSignal::Faulty);
-            self.check_after_interruption(job, &run.placement, run.received)
+            self.check_after_interruption(job, &run.placement, run.received())
                 .await;
             return AttemptOutcome::Lost("the endpoint broke its answer off");
         };
@@ -386,7 +391,7 @@
             end @ (NextEvent::End | NextEvent::Broken) => {
                 events.run.set_health(HealthSignal::Faulty);
                 if matches!(end, NextEvent::Broken) {
-                    let (placement, received) = (&events.run.placement, events.run.received);
+                    let (placement, received) = (&events.run.placement, events.run.received());
                     self.check_after_interruption(job, placement, received)
                         .await;
                 }
--- a/components/gateway/src/control/messages.rs
+++ b/components/gateway/src/control/messages.rs
@@ -171,6 +171,10 @@
                 true => boxed(state.held_to_send(now)),
                 false => None,
             },
+            held_parts: match has_state {
+                true => boxed(state.held_parts_to_send(now)),
+                false => None,
+            },
             sights: state.sights_to_send(now, content),
             limits: match content.has_requests() {
                 true => state.limits.take(now),
--- a/components/gateway/src/control/quarantine_row.rs
+++ b/components/gateway/src/control/quarantine_row.rs
@@ -5,13 +5,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use quarantine::{Fingerprint, Held};
+use quarantine::{Fingerprint, Held, HeldParts};
 use replica::Revision;
-use schema::messages::{KeptContent, QuarantineRow};
+use schema::messages::{KeptContent, KeptParts, QuarantineRow};
 use slog::{info, warn};
 
 use crate::control::follow::STORE_READERS;
-use crate::control::quarantine::reported_hold_count;
+use crate::control::quarantine::{
+    received_fingerprints, reported_count, reported_fingerprints, reported_hold_count,
+};
 use crate::control::Shared;
 use crate::ports::{Orders, PageQuery, Row, Store, StoreError, Topic};
 
@@ -33,8 +35,28 @@
 pub(crate) struct StoredQuarantine {
     revision: Revision,
     read_at: Duration,
+    kept: Kept,
+}
+
+/// What decides whether the row has to be written.
+#[derive(Debug, PartialEq, Eq)]
+struct Kept {
     // How often each content was quarantined, and whether it is now.
-    kept: BTreeMap<Fingerprint, (u32, bool)>,
+    contents: BTreeMap<Fingerprint, (u32, bool)>,
+    // The same of prompt parts, and the failed trials.
+    parts: BTreeMap<Vec<Fingerprint>, (u32, bool, u32)>,
+}
+
+impl Kept {
+    fn of(held: &[Held], held_parts: &[HeldParts]) -> Self {
+        let parts = held_parts.iter();
+        Kept {
+            contents: held.iter().map(summary_of).collect(),
+            parts: parts
+                .map(|held| (held.parts.clone(), held.summary()))
+                .collect(),
+        }
+    }
 }
 
 impl<S: Store + 'static, O: Orders + 'static> Shared<S, O> {
@@ -117,37 +139,39 @@
         let now = self.clock.now();
         let number = row.as_ref().map_or(0, |row| row.revision.number);
         let revision = Revision::new(store_revision.era, number);
-        let kept = row
-            .as_ref()
-            .map_or_else(Vec::new, |row| self.decode_row(row));
+        let kept = row.as_ref().and_then(|row| self.decode_row(row));
         let mut state = self.state.borrow_mut();
-        let held: Vec<Held> = kept.iter().map(|k| held_content(k, store_now)).collect();
+        let contents = kept.iter().flat_map(|row| &row.held);
+        let held: Vec<Held> = contents.map(|k| held_content(k, store_now)).collect();
+        let parts = kept.iter().flat_map(|row| row.parts.iter().flatten());
+        let held_parts: Vec<HeldParts> = parts.map(|k| held_parts_of(k, store_now)).collect();
         let changed: Vec<Held> = held
             .iter()
             .copied()
             .filter(|held| state.quarantine.merge_held(now, *held))
             .collect();
+        let changed_parts = state.merge_held_parts(now, held_parts.iter().cloned());
         drop(state);
-        if !changed.is_empty() {
-            info!(self.log, "quarantine taken from the store"; "contents" => changed.len());
+        if !changed.is_empty() || !changed_parts.is_empty() {
+            info!(self.log, "quarantine taken from the store"; "contents" => changed.len(), "parts" => changed_parts.len());
             self.urgent.notify_one();
         }
-        self.send_to_traffic(Vec::new(), changed);
+        self.send_to_traffic(Vec::new(), changed, changed_parts);
         StoredQuarantine {
             revision,
             read_at: now,
-            kept: held.iter().map(summary_of).collect(),
+            kept: Kept::of(&held, &held_parts),
         }
     }
 
-    fn decode_row(&self, row: &Row) -> Vec<KeptContent> {
+    fn decode_row(&self, row: &Row) -> Option<QuarantineRow> {
         let value = row.value.as_deref().unwrap_or_default();
         match schema::decode::<QuarantineRow>(value) {
-            Ok(read) => read.held,
+            Ok(read) => Some(read),
             Err(error) => {
                 warn!(self.log, "quarantine row not readable; it will be overwritten"; "cause" => ?error,
                     "revision" => row.revision.number);
-                Vec::new()
+                None
             }
         }
     }
@@ -155,17 +179,22 @@
     // Writes the quarantine if the row differs from it.
     async fn write_if_changed(&self, row: StoredQuarantine) -> Option<StoredQuarantine> {
         let now = self.clock.now();
-        let (held, store_now) = {
+        let (held, held_parts, store_now) = {
             let state = self.state.borrow();
             let held: Vec<Held> = state.quarantine.all_held(now).collect();
-            (held, state.store_clock.time_at(now))
+            let held_parts: Vec<HeldParts> = state.quarantine.parts.all_held(now).collect();
+            (held, held_parts, state.store_clock.time_at(now))
         };
-        let kept: BTreeMap<_, _> = held.iter().map(summary_of).collect();
+        let kept = Kept::of(&held, &held_parts);
         let Some(store_now) = store_now.filter(|_| kept != row.kept) else {
             return Some(row);
         };
         let value = QuarantineRow {
             held: held.iter().map(|h| stored_content(h, store_now)).collect(),
+            parts: (!held_parts.is_empty()).then(|| {
+                let parts = held_parts.iter();
+                parts.map(|held| stored_parts(held, store_now)).collect()
+            }),
         };
         let value = schema::encode(&value).unwrap_or_default();
         let expected = Some(row.revision);
@@ -173,7 +202,7 @@
             .store
             .write(Topic::Quarantine, ROW_KEY, value, expected)
             .await;
-        info!(self.log, "quarantine written"; "contents" => held.len(), "written" => written.is_ok());
+        info!(self.log, "quarantine written"; "contents" => held.len(), "parts" => held_parts.len(), "written" => written.is_ok());
         match written {
             Ok(revision) => Some(StoredQuarantine {
                 revision,
@@ -189,12 +218,35 @@
     }
 }
 
+fn stored_until(remaining: Duration, store_now: Duration) -> i64 {
+    let until = store_now.saturating_add(remaining);
+    until.as_millis().min(i64::MAX as u128) as i64
+}
+
 fn stored_content(held: &Held, store_now: Duration) -> KeptContent {
-    let until = store_now.saturating_add(held.remaining);
-    let until_ms = until.as_millis().min(i64::MAX as u128) as i64;
+    let until_ms = stored_until(held.remaining, store_now);
     KeptContent::new(held.content.0 as i64, until_ms, reported_hold_count(held))
 }
 
+fn stored_parts(held: &HeldParts, store_now: Duration) -> KeptParts {
+    KeptParts {
+        parts: reported_fingerprints(&held.parts),
+        until_ms: stored_until(held.remaining, store_now),
+        times: reported_count(held.hold_count),
+        failed_trials: reported_count(held.failed_trials),
+    }
+}
+
+fn held_parts_of(kept: &KeptParts, store_now: Duration) -> HeldParts {
+    let until = Duration::from_millis(kept.until_ms.max(0) as u64);
+    HeldParts {
+        parts: received_fingerprints(&kept.parts),
+        remaining: until.saturating_sub(store_now),
+        hold_count: kept.times.max(1) as u32,
+        failed_trials: kept.failed_trials.max(0) as u32,
+    }
+}
+
 fn held_content(kept: &KeptContent, store_now: Duration) -> Held {
     let until = Duration::from_millis(kept.until_ms.max(0) as u64);
     Held {
--- a/components/gateway/src/endpoint_run.rs
+++ b/components/gateway/src/endpoint_run.rs
@@ -19,15 +19,27 @@
 /// longer. Without this limit, good versions of a service that answers within 1 ms were reverted in 4 of 8 runs under load.
 const MIN_COMPARED_TIME_S: f64 = 0.02;
 
-/// How much of an answer was received.
+/// Number of events from which an endpoint has gone on after it began to write the answer.
+const EVENTS_OF_BEGUN_ANSWER: u32 = 2;
+
+/// How much of an answer was received, and how.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct ReceivedAnswer {
+    /// When the request was sent.
+    pub sent_at: Duration,
     /// Number of complete events.
     pub events: u32,
     /// What marks the end of the body; `None` before the head.
     pub body_end: Option<BodyEnd>,
 }
 
+impl ReceivedAnswer {
+    /// Whether the endpoint went on after it had begun to write the answer.
+    pub fn has_begun(&self) -> bool {
+        self.events >= EVENTS_OF_BEGUN_ANSWER
+    }
+}
+
 /// A request in flight at an endpoint. Dropping it without [`finish`](Self::finish) closes the connection.
 pub(crate) struct EndpointRun<D> {
     pub traffic: Rc<Traffic<D>>,
@@ -43,7 +55,10 @@
     pub has_answer_head: bool,
     /// Whether a whole answer was received.
     pub has_whole_answer: bool,
-    pub received: ReceivedAnswer,
+    /// Number of complete events that were received.
+    pub events: u32,
+    /// What marks the end of the answer's body; `None` before its head.
+    pub body_end: Option<BodyEnd>,
     pub health: Option<HealthSignal>,
     pub sent_at: Duration,
     pub placement: Placement,
@@ -74,6 +89,15 @@
         }
     }
 
+    /// How much of the answer was received.
+    pub fn received(&self) -> ReceivedAnswer {
+        ReceivedAnswer {
+            sent_at: self.sent_at,
+            events: self.events,
+            body_end: self.body_end,
+        }
+    }
+
     /// Records that bytes of the endpoint arrived, which proves the path.
     pub fn record_received(&self) {
         if self.relay.is_none() {
@@ -92,7 +116,10 @@
 
     /// Records that an event of the stream was received.
     pub fn record_event(&mut self) {
-        self.received.events += 1;
+        self.events += 1;
+        if self.events == EVENTS_OF_BEGUN_ANSWER {
+            self.traffic.record_answer_begun(&self.job);
+        }
         self.record_received();
         let now = self.traffic.clock.now();
         let mut state = self.traffic.state.borrow_mut();
--- a/components/gateway/src/interrupted.rs
+++ b/components/gateway/src/interrupted.rs
@@ -1,16 +1,18 @@
 //! Finds out whether an endpoint ended when it interrupted an answer.
 
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use quarantine::Fingerprint;
+use quarantine::EndedRun;
 use routing::placement::Placement;
 use slog::info;
 use telemetry::Counter;
 use tokio::task::JoinHandle;
 
 use crate::answer_end::BodyEnd;
+use crate::connection_pool::ReserveError;
 use crate::endpoint_run::ReceivedAnswer;
 use crate::job::SharedJob;
 use crate::ports::Dialect;
@@ -33,35 +35,51 @@
     runs: VecDeque<InterruptedRun>,
 }
 
+/// What a check of an endpoint that closed a connection shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EndCheck {
+    /// It refuses connections, or its record shows that it started again.
+    Ended,
+    /// It accepts connections through this gateway; `None` for the gateway's own path.
+    Accepts { relay: Option<SocketAddr> },
+    /// The pool allows no connection now, or this gateway has lost its paths to the endpoints.
+    Unknown,
+}
+
+impl EndCheck {
+    fn has_ended(self) -> Option<bool> {
+        match self {
+            EndCheck::Ended => Some(true),
+            EndCheck::Accepts { .. } => Some(false),
+            EndCheck::Unknown => None,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct InterruptedRun {
-    content: Fingerprint,
-    incarnation: u64,
+    run: EndedRun,
     at: Duration,
 }
 
 impl InterruptedRuns {
-    fn add(&mut self, now: Duration, content: Fingerprint, incarnation: u64) {
+    fn add(&mut self, now: Duration, run: EndedRun) {
         self.runs.retain(|run| now < run.at + RESTART_RECORD_TIME);
         if self.runs.len() >= MAX_RUNS {
             self.runs.pop_front();
         }
-        self.runs.push_back(InterruptedRun {
-            content,
-            incarnation,
-            at: now,
-        });
+        self.runs.push_back(InterruptedRun { run, at: now });
     }
 
-    // Removes the runs of an ended process and returns their contents.
-    fn remove(&mut self, now: Duration, incarnation: u64) -> Vec<Fingerprint> {
-        let is_of_process = |run: &InterruptedRun| {
-            run.incarnation == incarnation && now < run.at + RESTART_RECORD_TIME
+    // Removes and returns the runs of an ended process.
+    fn remove(&mut self, now: Duration, incarnation: u64) -> Vec<EndedRun> {
+        let is_current = |run: &&InterruptedRun| {
+            run.run.endpoint == incarnation && now < run.at + RESTART_RECORD_TIME
         };
-        let found = self.runs.iter().filter(|run| is_of_process(run));
-        let contents = found.map(|run| run.content).collect();
-        self.runs.retain(|run| run.incarnation != incarnation);
-        contents
+        let found = self.runs.iter().filter(is_current);
+        let ended = found.map(|run| run.run.clone()).collect();
+        self.runs.retain(|run| run.run.endpoint != incarnation);
+        ended
     }
 }
 
@@ -70,9 +88,9 @@
     pub fn record_restart(&self, now: Duration, incarnation: u64) {
         self.metrics.count(Counter::EndpointRestarts);
         self.endpoint_restarted.notify_waiters();
-        let contents = self.state.borrow_mut().cuts.remove(now, incarnation);
-        for content in contents {
-            self.record_endpoint_end(content, incarnation);
+        let runs = self.state.borrow_mut().cuts.remove(now, incarnation);
+        for run in runs {
+            self.record_endpoint_end(run);
         }
     }
 
@@ -118,42 +136,66 @@
             if traffic.was_leaving(&placement) {
                 return;
             }
-            let has_ended = match traffic.has_restarted(&placement) {
-                true => Some(true),
-                false => traffic.refuses_connections(&job, &placement).await,
-            };
+            let check = traffic.check_end(&job, &placement).await;
+            let has_ended = check.has_ended();
             info!(traffic.log, "endpoint cut an answer off"; "id" => &job.head.id, "content" => %job.content,
                 "parts" => job.logged_parts(), "events" => received.events, "marked_by" => received.body_end.map(BodyEnd::as_str),
                 "endpoint" => &placement.endpoint, "endpoint_ended" => has_ended);
+            let now = traffic.clock.now();
+            let run = EndedRun {
+                content: job.content,
+                endpoint: placement.incarnation,
+                parts: match received.has_begun() {
+                    true => Vec::new(),
+                    false => job.shared_parts.clone(),
+                },
+                ran_for: now.saturating_sub(received.sent_at),
+                is_trial: job.is_trial.get(),
+            };
             if has_ended == Some(true) {
-                return traffic.record_endpoint_end(job.content, placement.incarnation);
+                return traffic.record_endpoint_end(run);
             }
             // The endpoint may already have restarted.
-            let now = traffic.clock.now();
-            let mut state = traffic.state.borrow_mut();
-            state.cuts.add(now, job.content, placement.incarnation);
+            traffic.state.borrow_mut().cuts.add(now, run);
         })
     }
 
-    // Whether the endpoint accepts no new connection; `None` if the pool allows none, or if this gateway has lost its
-    // paths to the endpoints.
-    async fn refuses_connections(&self, job: &SharedJob, placement: &Placement) -> Option<bool> {
+    async fn check_end(&self, job: &SharedJob, placement: &Placement) -> EndCheck {
+        match self.has_restarted(placement) {
+            true => EndCheck::Ended,
+            false => self.try_connection(job, placement).await,
+        }
+    }
+
+    async fn try_connection(&self, job: &SharedJob, placement: &Placement) -> EndCheck {
         let max = self.max_endpoint_connections(job);
         let endpoint = &placement.endpoint;
         let reserved = self.state.borrow_mut().pool.reserve(endpoint, max);
-        reserved.ok()?;
+        // The endpoint has closed a connection that the pool may still count.
+        let is_counted = match reserved {
+            Ok(_) => true,
+            Err(ReserveError::Full) => false,
+            Err(ReserveError::NoMemory) => return EndCheck::Unknown,
+        };
         let opened = self.open_connection(&job.head.id, placement).await;
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         match opened {
             Ok(opened) => {
-                let keep_alive = Some(CHECK_KEEP_ALIVE);
-                state.pool.put_idle(now, endpoint, opened, keep_alive);
-                Some(false)
+                let (relay, keep_alive) = (opened.relay, Some(CHECK_KEEP_ALIVE));
+                if is_counted {
+                    state.pool.put_idle(now, endpoint, opened, keep_alive);
+                }
+                EndCheck::Accepts { relay }
             }
             Err(unreachable) => {
-                state.pool.record_closed(endpoint);
-                unreachable.is_endpoint_fault.then_some(true)
+                if is_counted {
+                    state.pool.record_closed(endpoint);
+                }
+                match unreachable.is_endpoint_fault {
+                    true => EndCheck::Ended,
+                    false => EndCheck::Unknown,
+                }
             }
         }
     }
--- a/components/gateway/src/job.rs
+++ b/components/gateway/src/job.rs
@@ -1,5 +1,6 @@
 //! An admitted request and its attempts.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -33,6 +34,10 @@
     pub caller: Rc<Caller>,
     /// Fingerprint of the content, the same for each retry by its caller.
     pub content: Fingerprint,
+    /// Fingerprints of the prompt's parts that other requests may share, which are all but the last.
+    pub shared_parts: Vec<Fingerprint>,
+    /// Whether it is sent as a trial of parts that are held back.
+    pub is_trial: Cell<bool>,
     /// Whether the route requires a key.
     pub needs_key: bool,
     /// Route.
--- a/components/gateway/src/retry.rs
+++ b/components/gateway/src/retry.rs
@@ -119,12 +119,12 @@
         })
     }
 
-    /// Whether a job's deadline hasn't passed and its key can be used now. Checked last before the job is sent.
+    /// Whether a job's deadline hasn't passed, its key can be used now and it isn't quarantined. Checked last before the job is sent.
     pub fn can_still_send(&self, job: &Job) -> bool {
         let now = self.clock.now();
         let ages = MaxAges::of(&self.state.borrow().settings);
         let can_use_key = !job.needs_key || self.freshness.allows_keys(now, ages.keys);
-        now < job.expiry && can_use_key
+        now < job.expiry && can_use_key && !self.is_quarantined(job)
     }
 
     // Takes a retry from the budget if a job can be sent again.
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -10,7 +10,7 @@
 use limits::{EqualShare, RateLimit, RetryBudget, RetryTerms, SendAccounts, SharedQuota};
 use memory::Ledger;
 use origins::VersionHistory;
-use quarantine::Quarantine;
+use quarantine::{prompt_part, Quarantine};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use reachability::{Paths, PlacedEndpoints, Relays};
@@ -73,6 +73,7 @@
 impl State {
     /// Initial state, without a configuration or endpoints.
     pub fn new(settings: Arc<GatewaySettings>, ledger: &Ledger) -> Self {
+        let turn = prompt_part(&settings.name, 0).0;
         let mut state = State {
             balancer: balancer_of(&settings),
             endpoints_known: false,
@@ -90,7 +91,7 @@
             rng: ChaCha8Rng::from_rng(&mut rand::rng()),
             settings,
             gates: RolloutGates::default(),
-            quarantine: Quarantine::default(),
+            quarantine: Quarantine::with_turn(turn),
             cuts: InterruptedRuns::default(),
             accounts: SendAccounts::default(),
             history: VersionHistory::default(),
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -88,7 +88,7 @@
         while let Some((first, mut events)) = next.take() {
             let end = self.forward_events(first, &mut events).await;
             let endpoint = events.run.placement.endpoint.clone();
-            let body_end = events.run.received.body_end;
+            let body_end = events.run.body_end;
             let cause = match end {
                 StreamEnd::Whole => {
                     events.finish();
@@ -116,7 +116,7 @@
                         self.learn_unread_timeout();
                     }
                     let placement = events.run.placement.clone();
-                    let received = events.run.received;
+                    let received = events.run.received();
                     events.run.set_health(match is_stalled {
                         true => HealthSignal::Unresponsive,
                         false => HealthSignal::Faulty,
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -191,6 +191,10 @@
                 drop(state);
                 self.merge_held(&held);
             }
+            Update::HeldParts(held) => {
+                drop(state);
+                self.merge_held_parts(&held);
+            }
             Update::Settings(settings) => state.set_settings(now, settings),
             Update::RolloutOrdered {
                 order,
--- a/components/gateway/src/update.rs
+++ b/components/gateway/src/update.rs
@@ -6,7 +6,7 @@
 
 use directory::{Configuration, Endpoint};
 use notices::LimitNotice;
-use quarantine::{Held, Observation};
+use quarantine::{Held, HeldParts, Observation};
 use rollout::{Order, Stage};
 use routing::placement::{PeerDispatch, Sight};
 use schema::settings::GatewaySettings;
@@ -51,10 +51,12 @@
     },
     /// Round trip of a message to a hall and its echo.
     RoundTripMeasured { hall: String, round_trip: Duration },
-    /// Other gateways saw endpoints end while they ran these contents, or complete them.
+    /// Other gateways saw endpoints end while they ran requests, or go on.
     Observations(Vec<Observation>),
     /// Contents that other gateways or the store put into quarantine, or release from it.
     Held(Vec<Held>),
+    /// Prompt parts that other gateways or the store put into quarantine, or release from it.
+    HeldParts(Vec<HeldParts>),
     /// New settings.
     Settings(Arc<GatewaySettings>),
     /// A roll-out was ordered.
--- a/components/gateway/tests/prompt_parts.rs
+++ b/components/gateway/tests/prompt_parts.rs
@@ -6,7 +6,7 @@
 
 mod common;
 
-use common::crashing::{LastWords, DEADLY_PART};
+use common::crashing::{LastWords, DEADLY_PART, OTHER_DEADLY_PART};
 use common::{
     configuration, endpoint, route, settings, wait_until, Answer, CrashingEndpoint, FakeStore,
     LogLines, Setup,
@@ -20,6 +20,8 @@
 const MAX_ENDED: usize = 5 + 3;
 /// Part that all requests of the route share.
 const COMMON_PART: &str = "c0";
+/// Log message of a gateway that starts to hold prompt parts back from all endpoints.
+const PARTS_QUARANTINED: &str = "prompt parts quarantined";
 
 /// Gateways that know each other, their log lines and the endpoints of their store.
 struct Fleet {
@@ -89,6 +91,14 @@
         let endpoints = self.endpoints.iter();
         endpoints.filter(|crashing| crashing.has_stopped()).count()
     }
+
+    fn wait_until_parts_are_quarantined(&self) {
+        wait_until("all gateways to hold the part back", || {
+            self.lines
+                .iter()
+                .all(|lines| lines.count(PARTS_QUARANTINED) > 0)
+        });
+    }
 }
 
 // Guards against requests that crash one endpoint after the other, since each of them is a new content: only a part of their
@@ -112,3 +122,59 @@
         assert_eq!(fleet.ended(), ended);
     }
 }
+
+// Guards against a part that is not held back since requests of several teams or services have it beside other parts.
+#[test]
+fn a_deadly_part_is_held_back_whatever_other_parts_the_requests_have() {
+    let mut fleet = Fleet::start(3, Execution::Repeatable, LastWords::Nothing);
+    for number in 0..DEADLY_REQUESTS {
+        let other = format!("a{}", number % 7);
+        fleet.send("/a/chat", &[&other, DEADLY_PART]);
+    }
+    let ended = fleet.ended();
+    assert!(ended <= MAX_ENDED, "{ended} endpoints ended");
+    for number in 0..7 {
+        let served = fleet.send("/a/chat", &[&format!("a{number}")]);
+        assert_eq!(served.status, 200, "{}", served.head);
+    }
+}
+
+// Guards against sound requests that are refused for good, since two deadly parts made a part that all requests share the
+// best explanation.
+#[test]
+fn a_part_that_requests_with_different_deadly_parts_share_is_not_held_back() {
+    let mut fleet = Fleet::start(3, Execution::Once, LastWords::Nothing);
+    for number in 0..DEADLY_REQUESTS {
+        match number % 2 {
+            0 => fleet.send("/a/chat", &[COMMON_PART, OTHER_DEADLY_PART]),
+            _ => fleet.send_deadly(),
+        };
+    }
+    for _ in 0..fleet.gateways.len() {
+        wait_until("a sound request to be served", || {
+            fleet.send_sound().status == 200
+        });
+    }
+    for _ in 0..20 {
+        let served = fleet.send_sound();
+        assert_eq!(served.status, 200, "{}", served.head);
+    }
+}
+
+// Guards against a part that crashes endpoints again at a gateway that started after it was held back.
+#[test]
+fn a_gateway_that_starts_later_holds_the_part_back() {
+    let mut fleet = Fleet::start(2, Execution::Repeatable, LastWords::Nothing);
+    for _ in 0..DEADLY_REQUESTS {
+        fleet.send_deadly();
+    }
+    fleet.wait_until_parts_are_quarantined();
+    let ended = fleet.ended();
+    let store = fleet.gateways[0].store.for_other_gateway();
+    fleet.start_gateway("late", store);
+    fleet.wait_until_parts_are_quarantined();
+    for _ in 0..6 {
+        assert_eq!(fleet.send_deadly().status, 503);
+    }
+    assert_eq!(fleet.ended(), ended);
+}
--- a/components/quarantine/src/completions.rs
+++ b/components/quarantine/src/completions.rs
@@ -1,4 +1,4 @@
-//! Contents that recently ran to completion.
+//! Contents and prompt parts that recently ran well.
 
 use std::time::Duration;
 
@@ -9,7 +9,7 @@
 /// Number of entries; of contents with the same index, the newest is kept. 24 bytes each.
 const TABLE_SIZE: usize = 1024;
 
-/// A table of fixed size with contents that ran to completion. Content that many callers request completes often enough to
+/// A table of fixed size with contents or prompt parts that ran well. Content that many callers request completes often enough to
 /// be found here, so an endpoint that ends while running it does not make it suspect.
 #[derive(Debug)]
 pub(crate) struct RecentCompletions {
--- a/components/quarantine/src/fingerprint.rs
+++ b/components/quarantine/src/fingerprint.rs
@@ -21,7 +21,7 @@
 }
 
 /// Hash of a request's content, the same at every gateway.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Fingerprint(pub u64);
 
 impl Fingerprint {
@@ -46,6 +46,14 @@
     }
 }
 
+/// Fingerprint of a part of prompts for a service.
+pub fn prompt_part(service: &str, part: u64) -> Fingerprint {
+    let mut hash = Xxh3Default::new();
+    hash.update(service.as_bytes());
+    hash.update(&part.to_le_bytes());
+    Fingerprint(hash.digest())
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}", self.0)
--- a/components/quarantine/src/quarantine.rs
+++ b/components/quarantine/src/quarantine.rs
@@ -6,6 +6,8 @@
 use lru::LruCache;
 
 use crate::completions::RecentCompletions;
+use crate::holds::{hold_duration, NEW_HOLD_PERIOD};
+use crate::part_holds::PartQuarantine;
 use crate::Fingerprint;
 
 /// Number of endpoints that have to end while running a content before it is held back. With two, a single retry by the
@@ -16,33 +18,35 @@
 const MIN_ENDS_TO_STOP_RETRIES: usize = 2;
 /// How long after the last ended endpoint a suspicion expires.
 const SUSPICION_TTL: Duration = Duration::from_secs(600);
-/// Duration of a content's first hold. Long compared with the minutes in which callers retry, and short enough that a
-/// fixed engine soon gets the content again.
-const INITIAL_HOLD: Duration = Duration::from_secs(900);
-/// Factor by which each further hold is longer.
-const HOLD_GROWTH: u32 = 8;
-/// Maximum duration of a hold.
-const MAX_HOLD: Duration = Duration::from_secs(24 * 3600);
 /// Maximum number of suspects; the least recently reported one is evicted. Enough for all requests of 100 endpoints that
 /// run 20 each. About 100 bytes each.
 const MAX_SUSPECTS: usize = 2048;
 /// Maximum number of holds; the one that expires first is evicted.
 const MAX_HOLDS: usize = 256;
-/// How long after its last change a hold counts as new, and is reported before the others.
-const NEW_HOLD_PERIOD: Duration = Duration::from_secs(3);
-
-/// What one gateway observed of a content and reports to the others.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// What one gateway observed of a request and reports to the others.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Observation {
-    /// An endpoint ended while it ran the content.
-    Ended {
-        /// The content.
-        content: Fingerprint,
-        /// Hash that identifies the endpoint and its start.
-        endpoint: u64,
-    },
+    /// An endpoint ended while it ran the request.
+    Ended(EndedRun),
     /// The content ran to completion.
     Completed(Fingerprint),
+    /// An endpoint went on after it had begun to write an answer on these prompt parts.
+    Begun(Vec<Fingerprint>),
+}
+
+/// A run whose endpoint ended.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EndedRun {
+    /// Content of the request.
+    pub content: Fingerprint,
+    /// Hash that identifies the endpoint and its start.
+    pub endpoint: u64,
+    /// Prompt parts on which the endpoint could just have begun to write an answer.
+    pub parts: Vec<Fingerprint>,
+    /// Time from the send of the request to the end.
+    pub ran_for: Duration,
+    /// Whether the request was sent as a trial of parts that are held back.
+    pub is_trial: bool,
 }
 
 /// The hold of a content, as gateways report it and the store keeps it.
@@ -76,6 +80,8 @@
     suspects: LruCache<Fingerprint, Suspect>,
     holds: BTreeMap<Fingerprint, Hold>,
     completions: RecentCompletions,
+    /// The same of prompt parts.
+    pub parts: PartQuarantine,
 }
 
 impl Default for Quarantine {
@@ -84,16 +90,37 @@
             suspects: LruCache::unbounded(),
             holds: BTreeMap::new(),
             completions: RecentCompletions::default(),
+            parts: PartQuarantine::default(),
         }
     }
 }
 
 impl Quarantine {
+    /// A quarantine of a gateway whose turns to try prompt parts follow from this number.
+    pub fn with_turn(turn: u64) -> Self {
+        Quarantine {
+            parts: PartQuarantine::with_turn(turn),
+            ..Quarantine::default()
+        }
+    }
+
     /// Records what this or another gateway observed. Returns whether it was news; duplicates count once.
-    pub fn record(&mut self, now: Duration, observation: Observation) -> bool {
+    pub fn record(&mut self, now: Duration, observation: &Observation) -> bool {
         match observation {
-            Observation::Ended { content, endpoint } => self.record_end(now, content, endpoint),
-            Observation::Completed(content) => self.record_completion(now, content),
+            Observation::Ended(run) => {
+                let EndedRun {
+                    endpoint,
+                    ran_for,
+                    parts,
+                    ..
+                } = run;
+                let of_parts = self
+                    .parts
+                    .record_end(now, *endpoint, *ran_for, parts, run.is_trial);
+                self.record_end(now, run.content, *endpoint) || of_parts
+            }
+            Observation::Completed(content) => self.record_completion(now, *content),
+            Observation::Begun(parts) => self.parts.record_begun(now, parts),
         }
     }
 
@@ -231,9 +258,3 @@
         hold_count: hold.hold_count,
     }
 }
-
-// Duration of a content's hold, given how often it was held back, this time included.
-fn hold_duration(hold_count: u32) -> Duration {
-    let growth = HOLD_GROWTH.saturating_pow(hold_count.saturating_sub(1));
-    INITIAL_HOLD.saturating_mul(growth).min(MAX_HOLD)
-}
--- a/components/quarantine/tests/holds.rs
+++ b/components/quarantine/tests/holds.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use quarantine::{Fingerprint, Held, Observation, Quarantine};
+use quarantine::{EndedRun, Fingerprint, Held, Observation, Quarantine};
 use quickcheck::quickcheck;
 
 const CRASHING: Fingerprint = Fingerprint(7);
@@ -10,13 +10,17 @@
 const HOUR: Duration = Duration::from_secs(3600);
 
 fn ended(content: Fingerprint, endpoint: u64) -> Observation {
-    Observation::Ended { content, endpoint }
+    Observation::Ended(EndedRun {
+        content,
+        endpoint,
+        ..EndedRun::default()
+    })
 }
 
 fn after_ends(endpoints: &[u64]) -> Quarantine {
     let mut quarantine = Quarantine::default();
     for endpoint in endpoints {
-        quarantine.record(NOW, ended(CRASHING, *endpoint));
+        quarantine.record(NOW, &ended(CRASHING, *endpoint));
     }
     quarantine
 }
@@ -46,18 +50,18 @@
 #[test]
 fn a_completed_run_clears_a_content_and_protects_it_for_a_while() {
     let mut quarantine = after_ends(&[1, 2]);
-    assert!(quarantine.record(NOW, Observation::Completed(CRASHING)));
+    assert!(quarantine.record(NOW, &Observation::Completed(CRASHING)));
     assert!(
-        !quarantine.record(NOW, Observation::Completed(CRASHING)),
+        !quarantine.record(NOW, &Observation::Completed(CRASHING)),
         "no news"
     );
     for endpoint in 3..10 {
-        quarantine.record(NOW, ended(CRASHING, endpoint));
+        quarantine.record(NOW, &ended(CRASHING, endpoint));
     }
     assert!(!is_held(&quarantine, NOW));
     let later = NOW + HOUR;
     for endpoint in 10..13 {
-        quarantine.record(later, ended(CRASHING, endpoint));
+        quarantine.record(later, &ended(CRASHING, endpoint));
     }
     assert!(is_held(&quarantine, later));
 }
@@ -66,7 +70,7 @@
 fn a_completed_run_of_a_held_content_ends_its_hold_at_all_gateways() {
     let mut here = after_ends(&[1, 2, 3]);
     let mut there = after_ends(&[1, 2, 3]);
-    assert!(here.record(NOW, Observation::Completed(CRASHING)));
+    assert!(here.record(NOW, &Observation::Completed(CRASHING)));
     assert!(!is_held(&here, NOW));
     for held in here.held_to_report(NOW, 0, 8) {
         there.merge_held(NOW, held);
@@ -84,14 +88,14 @@
     let first = quarantine.remaining_hold(NOW, CRASHING).unwrap();
     let over = NOW + first;
     assert!(!is_held(&quarantine, over));
-    quarantine.record(over, ended(CRASHING, 4));
+    quarantine.record(over, &ended(CRASHING, 4));
     assert!(quarantine.remaining_hold(over, CRASHING).unwrap() > first);
 }
 
 #[test]
 fn a_suspicion_expires() {
     let mut quarantine = after_ends(&[1, 2]);
-    quarantine.record(NOW + HOUR, ended(CRASHING, 3));
+    quarantine.record(NOW + HOUR, &ended(CRASHING, 3));
     assert!(!is_held(&quarantine, NOW + HOUR));
 }
 
@@ -133,7 +137,7 @@
     let mut quarantine = Quarantine::default();
     let hold = |quarantine: &mut Quarantine, now, content| {
         for endpoint in 1..=3 {
-            quarantine.record(now, ended(Fingerprint(content), endpoint));
+            quarantine.record(now, &ended(Fingerprint(content), endpoint));
         }
     };
     for content in 1..=20 {
@@ -173,14 +177,14 @@
 fn many_suspects_and_holds_stay_bounded_and_the_newest_are_kept() {
     let mut quarantine = Quarantine::default();
     for content in 0..20_000 {
-        quarantine.record(NOW, ended(Fingerprint(content), 1));
-        quarantine.record(NOW, ended(Fingerprint(content), 2));
+        quarantine.record(NOW, &ended(Fingerprint(content), 1));
+        quarantine.record(NOW, &ended(Fingerprint(content), 2));
     }
     assert!(quarantine.can_retry(NOW, Fingerprint(0)));
     assert!(!quarantine.can_retry(NOW, Fingerprint(19_999)));
     for content in 0..2_000 {
         for endpoint in 1..=3 {
-            quarantine.record(NOW, ended(Fingerprint(content), endpoint));
+            quarantine.record(NOW, &ended(Fingerprint(content), endpoint));
         }
     }
     assert!(quarantine.all_held(NOW).count() <= 256);
--- a/components/schema/src/messages.rs
+++ b/components/schema/src/messages.rs
@@ -2638,6 +2638,8 @@
     pub has_lost_paths: Option<bool>,
     /// From a coordinator: gateways that connect to endpoints for others, as addresses for placement queries.
     pub relays: Option<Vec<String>>,
+    /// Prompt parts that the sender holds back; at most a few a message, the new ones first.
+    pub held_parts: Option<Vec<Box<HeldParts>>>,
 }
 
 impl Gossip {
@@ -2667,6 +2669,7 @@
         F42,
         F43,
         F44,
+        F45,
     >(
         gateway: String,
         incarnation: i64,
@@ -2702,6 +2705,7 @@
         keeps_accounts: F42,
         has_lost_paths: F43,
         relays: F44,
+        held_parts: F45,
     ) -> Gossip
     where
         F10: Into<Option<Vec<TopicHead>>>,
@@ -2729,6 +2733,7 @@
         F42: Into<Option<bool>>,
         F43: Into<Option<bool>>,
         F44: Into<Option<Vec<String>>>,
+        F45: Into<Option<Vec<Box<HeldParts>>>>,
     {
         Gossip {
             gateway,
@@ -2765,6 +2770,7 @@
             keeps_accounts: keeps_accounts.into(),
             has_lost_paths: has_lost_paths.into(),
             relays: relays.into(),
+            held_parts: held_parts.into(),
         }
     }
 }
@@ -2806,6 +2812,7 @@
         let mut f_42: Option<bool> = None;
         let mut f_43: Option<bool> = None;
         let mut f_44: Option<Vec<String>> = None;
+        let mut f_45: Option<Vec<Box<HeldParts>>> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -3040,6 +3047,16 @@
                     i_prot.read_list_end()?;
                     f_44 = Some(val);
                 }
+                45 => {
+                    let list_ident = i_prot.read_list_begin()?;
+                    let mut val: Vec<Box<HeldParts>> = Vec::with_capacity(list_ident.size as usize);
+                    for _ in 0..list_ident.size {
+                        let list_elem_24 = Box::new(HeldParts::read_from_in_protocol(i_prot)?);
+                        val.push(list_elem_24);
+                    }
+                    i_prot.read_list_end()?;
+                    f_45 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -3100,6 +3117,7 @@
             keeps_accounts: f_42,
             has_lost_paths: f_43,
             relays: f_44,
+            held_parts: f_45,
         };
         Ok(ret)
     }
@@ -3328,6 +3346,15 @@
             o_prot.write_list_end()?;
             o_prot.write_field_end()?
         }
+        if let Some(ref fld_var) = self.held_parts {
+            o_prot.write_field_begin(&TFieldIdentifier::new("held_parts", TType::List, 45))?;
+            o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, fld_var.len() as i32))?;
+            for e in fld_var {
+                e.write_to_out_protocol(o_prot)?;
+            }
+            o_prot.write_list_end()?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -3340,20 +3367,39 @@
 /// What one gateway saw of the content of a request.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct ContentReport {
-    /// Fingerprint of the content.
+    /// Fingerprint of the content; 0 if only the parts were seen.
     pub content: i64,
     /// Hash of the endpoint that ended while it ran it; unset if it ran to its end.
     pub ended: Option<i64>,
+    /// Fingerprints of prompt parts. With 'ended': the endpoint may just have begun to write an answer on them. Without: an
+    /// endpoint went on after that.
+    pub parts: Option<Vec<i64>>,
+    /// Time from the send of the request to the end of the endpoint, in milliseconds.
+    pub ran_ms: Option<i64>,
+    /// Whether the request was a trial of parts that are held back.
+    pub is_trial: Option<bool>,
 }
 
 impl ContentReport {
-    pub fn new<F2>(content: i64, ended: F2) -> ContentReport
+    pub fn new<F2, F3, F4, F5>(
+        content: i64,
+        ended: F2,
+        parts: F3,
+        ran_ms: F4,
+        is_trial: F5,
+    ) -> ContentReport
     where
         F2: Into<Option<i64>>,
+        F3: Into<Option<Vec<i64>>>,
+        F4: Into<Option<i64>>,
+        F5: Into<Option<bool>>,
     {
         ContentReport {
             content,
             ended: ended.into(),
+            parts: parts.into(),
+            ran_ms: ran_ms.into(),
+            is_trial: is_trial.into(),
         }
     }
 }
@@ -3363,6 +3409,9 @@
         i_prot.read_struct_begin()?;
         let mut f_1: Option<i64> = None;
         let mut f_2: Option<i64> = None;
+        let mut f_3: Option<Vec<i64>> = None;
+        let mut f_4: Option<i64> = None;
+        let mut f_5: Option<bool> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -3378,6 +3427,24 @@
                     let val = i_prot.read_i64()?;
                     f_2 = Some(val);
                 }
+                3 => {
+                    let list_ident = i_prot.read_list_begin()?;
+                    let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
+                    for _ in 0..list_ident.size {
+                        let list_elem_25 = i_prot.read_i64()?;
+                        val.push(list_elem_25);
+                    }
+                    i_prot.read_list_end()?;
+                    f_3 = Some(val);
+                }
+                4 => {
+                    let val = i_prot.read_i64()?;
+                    f_4 = Some(val);
+                }
+                5 => {
+                    let val = i_prot.read_bool()?;
+                    f_5 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -3390,6 +3457,9 @@
             content: f_1
                 .expect("auto-generated code should have checked for presence of required fields"),
             ended: f_2,
+            parts: f_3,
+            ran_ms: f_4,
+            is_trial: f_5,
         };
         Ok(ret)
     }
@@ -3404,6 +3474,247 @@
             o_prot.write_i64(fld_var)?;
             o_prot.write_field_end()?
         }
+        if let Some(ref fld_var) = self.parts {
+            o_prot.write_field_begin(&TFieldIdentifier::new("parts", TType::List, 3))?;
+            o_prot.write_list_begin(&TListIdentifier::new(TType::I64, fld_var.len() as i32))?;
+            for e in fld_var {
+                o_prot.write_i64(*e)?;
+            }
+            o_prot.write_list_end()?;
+            o_prot.write_field_end()?
+        }
+        if let Some(fld_var) = self.ran_ms {
+            o_prot.write_field_begin(&TFieldIdentifier::new("ran_ms", TType::I64, 4))?;
+            o_prot.write_i64(fld_var)?;
+            o_prot.write_field_end()?
+        }
+        if let Some(fld_var) = self.is_trial {
+            o_prot.write_field_begin(&TFieldIdentifier::new("is_trial", TType::Bool, 5))?;
+            o_prot.write_bool(fld_var)?;
+            o_prot.write_field_end()?
+        }
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
+//
+// HeldParts
+//
+
+/// Prompt parts: requests that have all of them are sent to no endpoint.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct HeldParts {
+    /// Their fingerprints, in order.
+    pub parts: Vec<i64>,
+    /// Time left in milliseconds, 0 if they were let go.
+    pub left_ms: i64,
+    /// How often they were held back so far.
+    pub times: i32,
+    /// Trials that ended an endpoint.
+    pub failed_trials: i32,
+}
+
+impl HeldParts {
+    pub fn new(parts: Vec<i64>, left_ms: i64, times: i32, failed_trials: i32) -> HeldParts {
+        HeldParts {
+            parts,
+            left_ms,
+            times,
+            failed_trials,
+        }
+    }
+}
+
+impl TSerializable for HeldParts {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<HeldParts> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<Vec<i64>> = None;
+        let mut f_2: Option<i64> = None;
+        let mut f_3: Option<i32> = None;
+        let mut f_4: Option<i32> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let list_ident = i_prot.read_list_begin()?;
+                    let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
+                    for _ in 0..list_ident.size {
+                        let list_elem_26 = i_prot.read_i64()?;
+                        val.push(list_elem_26);
+                    }
+                    i_prot.read_list_end()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = i_prot.read_i64()?;
+                    f_2 = Some(val);
+                }
+                3 => {
+                    let val = i_prot.read_i32()?;
+                    f_3 = Some(val);
+                }
+                4 => {
+                    let val = i_prot.read_i32()?;
+                    f_4 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("HeldParts.parts", &f_1)?;
+        verify_required_field_exists("HeldParts.left_ms", &f_2)?;
+        verify_required_field_exists("HeldParts.times", &f_3)?;
+        verify_required_field_exists("HeldParts.failed_trials", &f_4)?;
+        let ret = HeldParts {
+            parts: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            left_ms: f_2
+                .expect("auto-generated code should have checked for presence of required fields"),
+            times: f_3
+                .expect("auto-generated code should have checked for presence of required fields"),
+            failed_trials: f_4
+                .expect("auto-generated code should have checked for presence of required fields"),
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("HeldParts");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("parts", TType::List, 1))?;
+        o_prot.write_list_begin(&TListIdentifier::new(TType::I64, self.parts.len() as i32))?;
+        for e in &self.parts {
+            o_prot.write_i64(*e)?;
+        }
+        o_prot.write_list_end()?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("left_ms", TType::I64, 2))?;
+        o_prot.write_i64(self.left_ms)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("times", TType::I32, 3))?;
+        o_prot.write_i32(self.times)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("failed_trials", TType::I32, 4))?;
+        o_prot.write_i32(self.failed_trials)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_stop()?;
+        o_prot.write_struct_end()
+    }
+}
+
+//
+// KeptParts
+//
+
+/// The same, as the store keeps it.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct KeptParts {
+    /// Their fingerprints, in order.
+    pub parts: Vec<i64>,
+    /// The store's steady time until which they are held back, in milliseconds.
+    pub until_ms: i64,
+    /// How often they were held back so far.
+    pub times: i32,
+    /// Trials that ended an endpoint.
+    pub failed_trials: i32,
+}
+
+impl KeptParts {
+    pub fn new(parts: Vec<i64>, until_ms: i64, times: i32, failed_trials: i32) -> KeptParts {
+        KeptParts {
+            parts,
+            until_ms,
+            times,
+            failed_trials,
+        }
+    }
+}
+
+impl TSerializable for KeptParts {
+    fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<KeptParts> {
+        i_prot.read_struct_begin()?;
+        let mut f_1: Option<Vec<i64>> = None;
+        let mut f_2: Option<i64> = None;
+        let mut f_3: Option<i32> = None;
+        let mut f_4: Option<i32> = None;
+        loop {
+            let field_ident = i_prot.read_field_begin()?;
+            if field_ident.field_type == TType::Stop {
+                break;
+            }
+            let field_id = field_id(&field_ident)?;
+            match field_id {
+                1 => {
+                    let list_ident = i_prot.read_list_begin()?;
+                    let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
+                    for _ in 0..list_ident.size {
+                        let list_elem_27 = i_prot.read_i64()?;
+                        val.push(list_elem_27);
+                    }
+                    i_prot.read_list_end()?;
+                    f_1 = Some(val);
+                }
+                2 => {
+                    let val = i_prot.read_i64()?;
+                    f_2 = Some(val);
+                }
+                3 => {
+                    let val = i_prot.read_i32()?;
+                    f_3 = Some(val);
+                }
+                4 => {
+                    let val = i_prot.read_i32()?;
+                    f_4 = Some(val);
+                }
+                _ => {
+                    i_prot.skip(field_ident.field_type)?;
+                }
+            };
+            i_prot.read_field_end()?;
+        }
+        i_prot.read_struct_end()?;
+        verify_required_field_exists("KeptParts.parts", &f_1)?;
+        verify_required_field_exists("KeptParts.until_ms", &f_2)?;
+        verify_required_field_exists("KeptParts.times", &f_3)?;
+        verify_required_field_exists("KeptParts.failed_trials", &f_4)?;
+        let ret = KeptParts {
+            parts: f_1
+                .expect("auto-generated code should have checked for presence of required fields"),
+            until_ms: f_2
+                .expect("auto-generated code should have checked for presence of required fields"),
+            times: f_3
+                .expect("auto-generated code should have checked for presence of required fields"),
+            failed_trials: f_4
+                .expect("auto-generated code should have checked for presence of required fields"),
+        };
+        Ok(ret)
+    }
+    fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+        let struct_ident = TStructIdentifier::new("KeptParts");
+        o_prot.write_struct_begin(&struct_ident)?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("parts", TType::List, 1))?;
+        o_prot.write_list_begin(&TListIdentifier::new(TType::I64, self.parts.len() as i32))?;
+        for e in &self.parts {
+            o_prot.write_i64(*e)?;
+        }
+        o_prot.write_list_end()?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("until_ms", TType::I64, 2))?;
+        o_prot.write_i64(self.until_ms)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("times", TType::I32, 3))?;
+        o_prot.write_i32(self.times)?;
+        o_prot.write_field_end()?;
+        o_prot.write_field_begin(&TFieldIdentifier::new("failed_trials", TType::I32, 4))?;
+        o_prot.write_i32(self.failed_trials)?;
+        o_prot.write_field_end()?;
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -3591,11 +3902,18 @@
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct QuarantineRow {
     pub held: Vec<KeptContent>,
+    pub parts: Option<Vec<KeptParts>>,
 }
 
 impl QuarantineRow {
-    pub fn new(held: Vec<KeptContent>) -> QuarantineRow {
-        QuarantineRow { held }
+    pub fn new<F2>(held: Vec<KeptContent>, parts: F2) -> QuarantineRow
+    where
+        F2: Into<Option<Vec<KeptParts>>>,
+    {
+        QuarantineRow {
+            held,
+            parts: parts.into(),
+        }
     }
 }
 
@@ -3603,6 +3921,7 @@
     fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<QuarantineRow> {
         i_prot.read_struct_begin()?;
         let mut f_1: Option<Vec<KeptContent>> = None;
+        let mut f_2: Option<Vec<KeptParts>> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -3614,12 +3933,22 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<KeptContent> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_24 = KeptContent::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_24);
+                        let list_elem_28 = KeptContent::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_28);
                     }
                     i_prot.read_list_end()?;
                     f_1 = Some(val);
                 }
+                2 => {
+                    let list_ident = i_prot.read_list_begin()?;
+                    let mut val: Vec<KeptParts> = Vec::with_capacity(list_ident.size as usize);
+                    for _ in 0..list_ident.size {
+                        let list_elem_29 = KeptParts::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_29);
+                    }
+                    i_prot.read_list_end()?;
+                    f_2 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -3631,6 +3960,7 @@
         let ret = QuarantineRow {
             held: f_1
                 .expect("auto-generated code should have checked for presence of required fields"),
+            parts: f_2,
         };
         Ok(ret)
     }
@@ -3644,6 +3974,15 @@
         }
         o_prot.write_list_end()?;
         o_prot.write_field_end()?;
+        if let Some(ref fld_var) = self.parts {
+            o_prot.write_field_begin(&TFieldIdentifier::new("parts", TType::List, 2))?;
+            o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, fld_var.len() as i32))?;
+            for e in fld_var {
+                e.write_to_out_protocol(o_prot)?;
+            }
+            o_prot.write_list_end()?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -3786,8 +4125,8 @@
                     let mut val: Vec<OrderedFloat<f64>> =
                         Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_25 = OrderedFloat::from(i_prot.read_double()?);
-                        val.push(list_elem_25);
+                        let list_elem_30 = OrderedFloat::from(i_prot.read_double()?);
+                        val.push(list_elem_30);
                     }
                     i_prot.read_list_end()?;
                     f_2 = Some(val);
@@ -3797,8 +4136,8 @@
                     let mut val: Vec<OrderedFloat<f64>> =
                         Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_26 = OrderedFloat::from(i_prot.read_double()?);
-                        val.push(list_elem_26);
+                        let list_elem_31 = OrderedFloat::from(i_prot.read_double()?);
+                        val.push(list_elem_31);
                     }
                     i_prot.read_list_end()?;
                     f_3 = Some(val);
@@ -4030,9 +4369,9 @@
                     let map_ident = i_prot.read_map_begin()?;
                     let mut val: BTreeMap<i32, i64> = BTreeMap::new();
                     for _ in 0..map_ident.size {
-                        let map_key_27 = i_prot.read_i32()?;
-                        let map_val_28 = i_prot.read_i64()?;
-                        val.insert(map_key_27, map_val_28);
+                        let map_key_32 = i_prot.read_i32()?;
+                        let map_val_33 = i_prot.read_i64()?;
+                        val.insert(map_key_32, map_val_33);
                     }
                     i_prot.read_map_end()?;
                     f_4 = Some(val);
@@ -4137,8 +4476,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<AnswerCounts> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_29 = AnswerCounts::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_29);
+                        let list_elem_34 = AnswerCounts::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_34);
                     }
                     i_prot.read_list_end()?;
                     f_3 = Some(val);
@@ -4678,8 +5017,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<PromptPart> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_30 = PromptPart::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_30);
+                        let list_elem_35 = PromptPart::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_35);
                     }
                     i_prot.read_list_end()?;
                     f_8 = Some(val);
@@ -4688,8 +5027,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_31 = i_prot.read_i64()?;
-                        val.push(list_elem_31);
+                        let list_elem_36 = i_prot.read_i64()?;
+                        val.push(list_elem_36);
                     }
                     i_prot.read_list_end()?;
                     f_9 = Some(val);
@@ -4718,8 +5057,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_32 = i_prot.read_i64()?;
-                        val.push(list_elem_32);
+                        let list_elem_37 = i_prot.read_i64()?;
+                        val.push(list_elem_37);
                     }
                     i_prot.read_list_end()?;
                     f_15 = Some(val);
@@ -4728,8 +5067,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<Sight> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_33 = Sight::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_33);
+                        let list_elem_38 = Sight::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_38);
                     }
                     i_prot.read_list_end()?;
                     f_16 = Some(val);
@@ -4738,8 +5077,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<LimitReport> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_34 = LimitReport::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_34);
+                        let list_elem_39 = LimitReport::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_39);
                     }
                     i_prot.read_list_end()?;
                     f_17 = Some(val);
@@ -5755,8 +6094,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<StreamRecord> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_35 = StreamRecord::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_35);
+                        let list_elem_40 = StreamRecord::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_40);
                     }
                     i_prot.read_list_end()?;
                     f_1 = Some(val);
@@ -6127,8 +6466,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<Sight> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_36 = Sight::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_36);
+                        let list_elem_41 = Sight::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_41);
                     }
                     i_prot.read_list_end()?;
                     f_4 = Some(val);
@@ -6533,8 +6872,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<RowChange> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_37 = RowChange::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_37);
+                        let list_elem_42 = RowChange::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_42);
                     }
                     i_prot.read_list_end()?;
                     f_1 = Some(val);
@@ -6765,9 +7104,9 @@
                     let map_ident = i_prot.read_map_begin()?;
                     let mut val: BTreeMap<String, i64> = BTreeMap::new();
                     for _ in 0..map_ident.size {
-                        let map_key_38 = i_prot.read_string()?;
-                        let map_val_39 = i_prot.read_i64()?;
-                        val.insert(map_key_38, map_val_39);
+                        let map_key_43 = i_prot.read_string()?;
+                        let map_val_44 = i_prot.read_i64()?;
+                        val.insert(map_key_43, map_val_44);
                     }
                     i_prot.read_map_end()?;
                     f_1 = Some(val);
--- a/components/schema/thrift/messages.thrift
+++ b/components/schema/thrift/messages.thrift
@@ -318,14 +318,47 @@
   43: optional bool has_lost_paths,
   /** From a coordinator: gateways that connect to endpoints for others, as addresses for placement queries. */
   44: optional list<string> relays,
+  /** Prompt parts that the sender holds back; at most a few a message, the new ones first. */
+  45: optional list<HeldParts> held_parts,
 }
 
 /** What one gateway saw of the content of a request. */
 struct ContentReport {
-  /** Fingerprint of the content. */
+  /** Fingerprint of the content; 0 if only the parts were seen. */
   1: required i64 content,
   /** Hash of the endpoint that ended while it ran it; unset if it ran to its end. */
   2: optional i64 ended,
+  /** Fingerprints of prompt parts. With 'ended': the endpoint may just have begun to write an answer on them. Without: an
+   * endpoint went on after that. */
+  3: optional list<i64> parts,
+  /** Time from the send of the request to the end of the endpoint, in milliseconds. */
+  4: optional i64 ran_ms,
+  /** Whether the request was a trial of parts that are held back. */
+  5: optional bool is_trial,
+}
+
+/** Prompt parts: requests that have all of them are sent to no endpoint. */
+struct HeldParts {
+  /** Their fingerprints, in order. */
+  1: required list<i64> parts,
+  /** Time left in milliseconds, 0 if they were let go. */
+  2: required i64 left_ms,
+  /** How often they were held back so far. */
+  3: required i32 times,
+  /** Trials that ended an endpoint. */
+  4: required i32 failed_trials,
+}
+
+/** The same, as the store keeps it. */
+struct KeptParts {
+  /** Their fingerprints, in order. */
+  1: required list<i64> parts,
+  /** The store's steady time until which they are held back, in milliseconds. */
+  2: required i64 until_ms,
+  /** How often they were held back so far. */
+  3: required i32 times,
+  /** Trials that ended an endpoint. */
+  4: required i32 failed_trials,
 }
 
 /** A content that is sent to no endpoint. */
@@ -351,6 +384,7 @@
 /** Row of everything that is held back. */
 struct QuarantineRow {
   1: required list<KeptContent> held,
+  2: optional list<KeptParts> parts,
 }
 
 /** When a message of another gateway came. */
