Deliver an answer that ends with its connection as whole only while its endpoint runs

What callers saw: an endpoint that ended in the middle of an answer with neither a length nor chunks closed its connection like one whose answer was whole. Callers got truncated answers with 200 and a proper end, and the run cleared the request that had ended the endpoint. Class: the close of a connection taken for a good end.

Now such an end counts only if the endpoint still accepts a connection, by way of the same relay if there was one; the connection of the check is kept for the next request. Otherwise the answer is broken off, like one that ends by a reset. What is not known (no path, no memory) is not taken for whole.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -60,7 +60,7 @@
     Broken,
 }
 
-impl<D> EndpointStream<D> {
+impl<D: Dialect + 'static> EndpointStream<D> {
     /// Waits for the next event. Cancel safe.
     pub async fn next(&mut self) -> NextEvent {
         loop {
@@ -71,8 +71,7 @@
             let frame = match self.body.frame().await {
                 Some(Ok(frame)) => frame,
                 Some(Err(_)) => return NextEvent::Broken,
-                None if self.splitter.has_partial_event() => return NextEvent::Broken,
-                None => return NextEvent::End,
+                None => return self.end().await,
             };
             let Ok(bytes) = frame.into_data() else {
                 continue;
@@ -86,6 +85,19 @@
         }
     }
 
+    async fn end(&self) -> NextEvent {
+        let run = &self.run;
+        let is_whole = !self.splitter.has_partial_event()
+            && run
+                .traffic
+                .is_whole(&run.job, &run.placement, run.received())
+                .await;
+        match is_whole {
+            true => NextEvent::End,
+            false => NextEvent::Broken,
+        }
+    }
+
     /// Records the complete end of the stream and returns its connection to the pool.
     pub fn finish(mut self) {
         self.run.set_health(HealthSignal::Healthy);
@@ -336,6 +348,10 @@
                 .await;
             return AttemptOutcome::Lost("the endpoint broke its answer off");
         };
+        if !self.is_whole(job, &run.placement, run.received()).await {
+            run.set_health(HealthSignal::Faulty);
+            return AttemptOutcome::Lost("nothing shows that the answer is whole");
+        }
         let failed = head.status.is_server_error();
         if read.altered || (head.status.is_success() && !read.signed) {
             run.set_health(HealthSignal::Faulty);
--- a/components/gateway/src/endpoint_run.rs
+++ b/components/gateway/src/endpoint_run.rs
@@ -27,6 +27,8 @@
 pub(crate) struct ReceivedAnswer {
     /// When the request was sent.
     pub sent_at: Duration,
+    /// Gateway through which the connection goes; `None` for the gateway's own path.
+    pub relay: Option<SocketAddr>,
     /// Number of complete events.
     pub events: u32,
     /// What marks the end of the body; `None` before the head.
@@ -93,6 +95,7 @@
     pub fn received(&self) -> ReceivedAnswer {
         ReceivedAnswer {
             sent_at: self.sent_at,
+            relay: self.relay,
             events: self.events,
             body_end: self.body_end,
         }
--- a/components/gateway/src/interrupted.rs
+++ b/components/gateway/src/interrupted.rs
@@ -160,6 +160,34 @@
         })
     }
 
+    /// Whether an answer whose body has ended is whole. The close of its connection shows that only if the endpoint, and the
+    /// gateway through which the connection went, still run: the end of either closes it as well.
+    pub async fn is_whole(
+        self: &Rc<Self>,
+        job: &SharedJob,
+        placement: &Placement,
+        received: ReceivedAnswer,
+    ) -> bool {
+        if received.body_end != Some(BodyEnd::Close) {
+            return true;
+        }
+        let (traffic, job, placement) = (Rc::clone(self), Rc::clone(job), placement.clone());
+        let (checked_job, checked_placement) = (Rc::clone(&job), placement.clone());
+        // A task, since the check counts a connection that it opens, also if the caller leaves meanwhile.
+        let check = tokio::task::spawn_local(async move {
+            traffic.check_end(&checked_job, &checked_placement).await
+        });
+        let is_whole = match check.await {
+            Ok(EndCheck::Accepts { relay }) => received.relay.is_none() || relay == received.relay,
+            _ => false,
+        };
+        if !is_whole {
+            self.check_after_interruption(&job, &placement, received)
+                .await;
+        }
+        is_whole
+    }
+
     async fn check_end(&self, job: &SharedJob, placement: &Placement) -> EndCheck {
         match self.has_restarted(placement) {
             true => EndCheck::Ended,
--- a/components/gateway/tests/prompt_parts.rs
+++ b/components/gateway/tests/prompt_parts.rs
@@ -14,6 +14,7 @@
 use directory::Execution;
 use schema::settings::GatewaySettings;
 
+const STREAM: Execution = Execution::Stream { resumable: false };
 const ENDPOINTS: usize = 30;
 const DEADLY_REQUESTS: usize = 26;
 /// Endpoints that may end under a part, and requests with it that may be sent later.
@@ -161,6 +162,54 @@
     }
 }
 
+// Guards against truncated answers that callers take for whole ones: an endpoint that ends closes the connection of an
+// answer with neither a length nor chunks like one whose answer is whole.
+#[test]
+fn an_answer_without_a_length_that_ends_with_its_endpoint_is_not_passed_off_as_whole() {
+    for last_words in [LastWords::UnmarkedHead, LastWords::UnmarkedBody] {
+        let mut fleet = Fleet::start(3, Execution::Once, last_words);
+        for _ in 0..DEADLY_REQUESTS {
+            let answer = fleet.send_deadly();
+            assert_ne!(answer.status, 200, "{last_words:?}: {}", answer.body);
+        }
+        let ended = fleet.ended();
+        assert!(ended <= MAX_ENDED, "{last_words:?}: {ended} ended");
+    }
+}
+
+// Guards against truncated streams that callers take for whole ones, and that clear the part that ended their endpoints.
+#[test]
+fn a_stream_without_chunks_that_ends_with_its_endpoint_is_not_passed_off_as_whole() {
+    for last_words in [
+        LastWords::UnmarkedHead,
+        LastWords::UnmarkedBody,
+        LastWords::UnmarkedEvent,
+    ] {
+        let mut fleet = Fleet::start(3, STREAM, last_words);
+        for _ in 0..DEADLY_REQUESTS {
+            let answer = fleet.send_deadly();
+            let is_whole = answer.status == 200 && answer.is_complete;
+            assert!(!is_whole, "{last_words:?}: {}", answer.body);
+        }
+        let ended = fleet.ended();
+        assert!(ended <= MAX_ENDED, "{last_words:?}: {ended} ended");
+    }
+}
+
+// Guards against whole answers that are refused, because only the end of their connection marks their end.
+#[test]
+fn a_whole_answer_without_a_length_is_served_while_its_endpoint_runs() {
+    for execution in [Execution::Once, STREAM] {
+        let mut fleet = Fleet::start(1, execution, LastWords::Nothing);
+        for _ in 0..4 {
+            let answer = fleet.send(common::crashing::UNMARKED_PATH, &[COMMON_PART]);
+            assert_eq!(answer.status, 200, "{}", answer.head);
+            assert!(answer.is_complete, "{}", answer.body);
+            assert_eq!(answer.body, common::crashing::UNMARKED_BODY);
+        }
+    }
+}
+
 // Guards against a part that crashes endpoints again at a gateway that started after it was held back.
 #[test]
 fn a_gateway_that_starts_later_holds_the_part_back() {
