Teach the soak deadly prompt parts and answers that end with their connection

All requests of the soak name prompt parts. From second 9 on one caller sends, at any gateway, requests with a deadly part, no two alike; an endpoint ends as it begins to write their answer: before the head, after a head with neither a length nor chunks, after half a body or event, or after one event. One sound answer in six has neither a length nor chunks. An endpoint that ends closes its address before its connections, and a way that is cut resets them, as real ones do.

Two checks are new: 'part held back' (at most three requests after five ends and the time of contact) and 'sound served' (sound requests of the service begin at least half as often as before).

--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -72,6 +72,8 @@
         limits::quotas,
         limits::repeats,
         deadly::held_back,
+        deadly::part_held_back,
+        deadly::sound_served,
         duties::fences,
         duties::reports,
         stops::planned_stops,
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -20,7 +20,7 @@
 use crate::plan::Plan;
 use crate::report::Report;
 use crate::standins::client::{Client, Shared};
-use crate::standins::deadly::ask_deadly;
+use crate::standins::deadly::{ask_deadly, ask_deadly_part};
 use crate::standins::endpoint::{Endpoint, NamedLimit};
 use crate::standins::store::{take_reports, Store};
 use acts::Later;
@@ -183,6 +183,9 @@
         let (shared, seed) = (Arc::clone(&self.shared), self.seed);
         self.clients
             .push(thread::spawn(move || ask_deadly(&shared, seed)));
+        let shared = Arc::clone(&self.shared);
+        self.clients
+            .push(thread::spawn(move || ask_deadly_part(&shared, seed)));
         for number in 0..CLIENTS * self.gateways.len() {
             // One client stays with each gateway, so that each is asked until the end.
             let only = (number % CLIENTS == 0).then_some(number / CLIENTS);
--- a/soak/src/run/acts.rs
+++ b/soak/src/run/acts.rs
@@ -308,6 +308,7 @@
             endpoint.name_limit(limit);
         }
         let link = Link::to(endpoint.address)?;
+        endpoint.set_link(&link);
         self.record_endpoint(index, &endpoint, &link, "ready");
         self.endpoints[index] = Some((endpoint, link));
         Ok(())
--- a/soak/src/standins/client.rs
+++ b/soak/src/standins/client.rs
@@ -11,6 +11,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::deadly::COMMON_PART;
 use super::endpoint::events_of;
 use super::operator::{HOST, LIMITED_KEY, STEADY_KEY};
 use super::{body_of, hash};
@@ -205,11 +206,14 @@
         let leaves = self.rng.random_range(0..40) == 0;
         let head = format!(
             "POST {path} HTTP/1.1\r\nHost: {HOST}\r\n{}: {id}\r\n{}: {key}\r\n{}: forged\r\n\
-             {}: {DEADLINE_MS}\r\nContent-Length: {body}\r\n\r\n",
+             {}: {DEADLINE_MS}\r\n{}: {COMMON_PART}:80,{:x}:20,{:x}:9\r\nContent-Length: {body}\r\n\r\n",
             names::ATTEMPT_ID,
             names::CREDENTIAL,
             names::TENANT,
-            names::DEADLINE_MS
+            names::DEADLINE_MS,
+            names::PROMPT_PREFIX,
+            self.number + 1,
+            hash(&id)
         );
         let mut text = head.into_bytes();
         text.resize(text.len() + body, b'x');
--- a/soak/src/standins/deadly.rs
+++ b/soak/src/standins/deadly.rs
@@ -11,12 +11,19 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::client::Shared;
+use super::hash;
 use super::operator::{HOST, STEADY_KEY};
 use crate::history::{Body, Kind, Lack, Seen};
-use crate::http::Connection;
+use crate::http::{Connection, Head};
 
 /// Path of what is deadly.
 pub(crate) const DEADLY: &str = "/rep/deadly";
+/// A part that is deadly in any prompt for the service.
+pub(crate) const DEADLY_PART: &str = "dead";
+/// A part that all prompts share.
+pub(crate) const COMMON_PART: &str = "c0";
+/// Begin of the ids of requests with the deadly part.
+pub(crate) const DEADLY_PART_ID: &str = "p-";
 /// Its body.
 const BODY: &str = "the same each time";
 /// Time after which the first one is sent: by then all gateways serve.
@@ -27,11 +34,42 @@
 const DEADLINE: Duration = Duration::from_secs(2);
 /// Makes its draw another than that of the clients.
 const SALT: u64 = 0xdead;
+/// The same for requests with a deadly part.
+const PART_SALT: u64 = 0x9a27;
+/// Time after which the first of these is sent.
+const FIRST_PART_AFTER: Duration = Duration::from_secs(9);
 
-/// Asks until the run is over.
+/// Asks for the deadly request until the run is over.
 pub(crate) fn ask_deadly(shared: &Arc<Shared>, seed: u64) {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ SALT);
-    thread::sleep(FIRST_AFTER);
+    ask_in_turn(shared, seed ^ SALT, FIRST_AFTER, |gateway, number| {
+        let id = format!("d-{number}");
+        ask(shared, gateway, &id, Kind::Repeatable, DEADLY, BODY, "");
+    });
+}
+
+/// Sends requests with the deadly part until the run is over, no two alike.
+pub(crate) fn ask_deadly_part(shared: &Arc<Shared>, seed: u64) {
+    let (kind, route) = match seed.is_multiple_of(2) {
+        true => (Kind::Repeatable, "/rep/"),
+        false => (Kind::Stream, "/str/"),
+    };
+    ask_in_turn(
+        shared,
+        seed ^ PART_SALT,
+        FIRST_PART_AFTER,
+        |gateway, number| {
+            let id = format!("{DEADLY_PART_ID}{number}");
+            let parts = format!("{COMMON_PART}:80,{DEADLY_PART}:20,{:x}:9", hash(&id));
+            let header = format!("{}: {parts}\r\n", names::PROMPT_PREFIX);
+            let path = format!("{route}{id}");
+            ask(shared, gateway, &id, kind, &path, &id, &header);
+        },
+    );
+}
+
+fn ask_in_turn(shared: &Arc<Shared>, seed: u64, first_after: Duration, ask: impl Fn(usize, usize)) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    thread::sleep(first_after);
     let mut number = 0;
     while !shared.over.load(Ordering::Relaxed) {
         thread::sleep(PAUSE);
@@ -42,12 +80,20 @@
             continue;
         }
         let gateway = ready[rng.random_range(0..ready.len())];
-        ask(shared, gateway, &format!("d-{number}"));
+        ask(gateway, number);
         number += 1;
     }
 }
 
-fn ask(shared: &Shared, gateway: usize, id: &str) {
+fn ask(
+    shared: &Shared,
+    gateway: usize,
+    id: &str,
+    kind: Kind,
+    path: &str,
+    body: &str,
+    header: &str,
+) {
     let address = shared.gateways[gateway];
     let Ok(stream) = TcpStream::connect_timeout(&address, DEADLINE) else {
         return;
@@ -57,19 +103,19 @@
     }
     shared.history.note(Seen::Sent {
         id: id.to_string(),
-        kind: Kind::Repeatable,
-        path: DEADLY.to_string(),
+        kind,
+        path: path.to_string(),
         key: STEADY_KEY.to_string(),
         gateway,
     });
     let text = format!(
-        "POST {DEADLY} HTTP/1.1\r\nHost: {HOST}\r\n{}: {id}\r\n{}: {STEADY_KEY}\r\n{}: {}\r\n\
-         Connection: close\r\nContent-Length: {}\r\n\r\n{BODY}",
+        "POST {path} HTTP/1.1\r\nHost: {HOST}\r\n{}: {id}\r\n{}: {STEADY_KEY}\r\n{}: {}\r\n\
+         {header}Connection: close\r\nContent-Length: {}\r\n\r\n{body}",
         names::ATTEMPT_ID,
         names::CREDENTIAL,
         names::DEADLINE_MS,
         DEADLINE.as_millis(),
-        BODY.len()
+        body.len()
     );
     let mut connection = Connection::new(stream);
     let sent = connection.send(text.as_bytes());
@@ -79,7 +125,7 @@
             status: head.word(1).parse().unwrap_or(0),
             of: head.field(names::ATTEMPT_ID).map(str::to_string),
             signed: head.field(names::SIGNATURE).is_some(),
-            body: Body::Whole { right: true },
+            body: body_of_answer(&mut connection, &head),
         },
         Err(_) => Seen::Unanswered {
             id: id.to_string(),
@@ -88,3 +134,24 @@
     };
     shared.history.note(seen);
 }
+
+// No success is right: nothing runs to its end.
+fn body_of_answer(connection: &mut Connection, head: &Head) -> Body {
+    if head.word(1) != "200" {
+        return Body::Whole { right: true };
+    }
+    let is_whole = match head.is_chunked() {
+        true => loop {
+            match connection.chunk() {
+                Ok(chunk) if chunk.is_empty() => break true,
+                Ok(_) => {}
+                Err(_) => break false,
+            }
+        },
+        false => connection.bytes(head.length()).is_ok(),
+    };
+    match is_whole {
+        true => Body::Whole { right: false },
+        false => Body::Cut,
+    }
+}
--- a/soak/src/standins/endpoint.rs
+++ b/soak/src/standins/endpoint.rs
@@ -9,14 +9,15 @@
 use std::time::Duration;
 
 use platform::names::{
-    ATTEMPT_ID, CREDENTIAL, EXPECTED_INSTANCE, INSTANCE_LOAD, NOT_EXECUTED, RESUMES,
+    ATTEMPT_ID, CREDENTIAL, EXPECTED_INSTANCE, INSTANCE_LOAD, NOT_EXECUTED, PROMPT_PREFIX, RESUMES,
     SERVER_LEAVING, SERVER_LIMIT, SIGNATURE, TENANT,
 };
 
-use super::deadly::DEADLY;
+use super::deadly::{DEADLY, DEADLY_PART};
 use super::{body_of, hash, listen};
 use crate::history::{History, Seen};
 use crate::http::{Connection, Head};
+use crate::link::Link;
 
 /// Requests at a time; more are turned away.
 const SLOTS: usize = 8;
@@ -24,6 +25,10 @@
 const HANG: Duration = Duration::from_secs(5);
 /// Pause between the events of a stream.
 const EVENT_GAP: Duration = Duration::from_millis(30);
+/// Time from the begin of a deadly request to the end of its endpoint.
+const WORK_BEFORE_END: Duration = Duration::from_millis(40);
+/// One in so many answers has neither a length nor chunks.
+const UNMARKED_ANSWERS: u64 = 6;
 /// An endpoint that reads slowly takes a body in such pieces, with such pauses.
 const SLOW_PIECE: usize = 16 << 10;
 const SLOW_PAUSE: Duration = Duration::from_millis(15);
@@ -85,6 +90,8 @@
     failing_until: AtomicU64,
     limit: Mutex<Option<NamedLimit>>,
     running: Mutex<BTreeSet<String>>,
+    // The way by which gateways reach it.
+    link: Mutex<Option<Link>>,
     open: Mutex<BTreeMap<u64, TcpStream>>,
     opened: AtomicU64,
 }
@@ -138,6 +145,7 @@
             failing_until: AtomicU64::new(0),
             limit: Mutex::default(),
             running: Mutex::default(),
+            link: Mutex::default(),
             open: Mutex::default(),
             opened: AtomicU64::new(0),
         });
@@ -164,6 +172,11 @@
         self.inner.software
     }
 
+    /// Names the way by which gateways reach it. It is closed when the endpoint ends.
+    pub fn set_link(&self, link: &Link) {
+        *lock(&self.inner.link) = Some(link.clone());
+    }
+
     /// Ends it: what it runs breaks off, and it takes nothing more.
     pub fn end(&self) {
         self.inner.end();
@@ -214,6 +227,10 @@
             self.history.note(Seen::BrokeOff { id: id.clone() });
         }
         self.ended.store(true, Ordering::SeqCst);
+        // A process that ends closes its listener no later than its connections.
+        if let Some(link) = lock(&self.link).as_ref() {
+            link.close();
+        }
         for stream in lock(&self.open).values() {
             let _ = stream.shutdown(Shutdown::Both);
         }
@@ -287,6 +304,13 @@
             self.end();
             return Err(std::io::ErrorKind::ConnectionReset.into());
         }
+        if has_deadly_part(head) {
+            // It ends as it begins to write the answer.
+            thread::sleep(WORK_BEFORE_END);
+            let sent = connection.send(last_words(id, is_stream(head)).as_bytes());
+            self.end();
+            return sent.and(Err(std::io::ErrorKind::ConnectionReset.into()));
+        }
         let ran = self.run(connection, head, id, course);
         lock(&self.running).remove(id);
         ran
@@ -385,11 +409,46 @@
                 connection.send(b"half")?;
                 Err(std::io::ErrorKind::ConnectionReset.into())
             }
+            _ if is_unmarked(id) => {
+                let answer = unmarked_head(id, &self.say(id));
+                connection.send(&[answer.as_bytes(), &body_of(id)].concat())?;
+                Err(std::io::ErrorKind::ConnectionAborted.into())
+            }
             _ => plain(connection, 200, id, &self.say(id), &body_of(id)),
         }
     }
 }
 
+fn has_deadly_part(head: &Head) -> bool {
+    let parts = head.field(PROMPT_PREFIX).unwrap_or_default();
+    let mut ids = parts.split(',').filter_map(|part| part.split(':').next());
+    ids.any(|id| id == DEADLY_PART)
+}
+
+// Whether the whole answer to a request has neither a length nor chunks.
+fn is_unmarked(id: &str) -> bool {
+    hash(&format!("{id} unmarked")).is_multiple_of(UNMARKED_ANSWERS)
+}
+
+fn unmarked_head(id: &str, said: &str) -> String {
+    format!(
+        "HTTP/1.1 200 X\r\n{ATTEMPT_ID}: {id}\r\n{said}{SIGNATURE}: s\r\nconnection: close\r\n\r\n"
+    )
+}
+
+// What an endpoint writes of an answer before it ends.
+fn last_words(id: &str, is_stream: bool) -> String {
+    let head = unmarked_head(id, "");
+    let event = format!("id: 1\ndata: {id} {} {}\n\n", events_of(id), "v");
+    match (hash(id) % 4, is_stream) {
+        (0, _) => String::new(),
+        (1, _) => head,
+        (2, true) => head + &event[..event.len() / 2],
+        (_, true) => head + &event,
+        (_, false) => head + "half",
+    }
+}
+
 fn is_stream(head: &Head) -> bool {
     head.word(1).starts_with("/str/") || head.word(1).starts_with("/res/")
 }
@@ -432,20 +491,32 @@
     let from = last.and_then(|text| text.parse().ok()).unwrap_or(0) + 1;
     let first = head.field(RESUMES).unwrap_or(id);
     let total = events_of(first);
-    let begin = format!(
-        "HTTP/1.1 200 X\r\n{ATTEMPT_ID}: {id}\r\n{said}{SIGNATURE}: s\r\n\
-         content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
-    );
+    let is_unmarked = is_unmarked(id);
+    let begin = match is_unmarked {
+        true => unmarked_head(id, said),
+        false => format!(
+            "HTTP/1.1 200 X\r\n{ATTEMPT_ID}: {id}\r\n{said}{SIGNATURE}: s\r\n\
+             content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+        ),
+    };
+    let frame = |event: &str| match is_unmarked {
+        true => event.to_string(),
+        false => format!("{:x}\r\n{event}\r\n", event.len()),
+    };
     connection.send(begin.as_bytes())?;
     for number in from..=total {
         let event = format!("id: {number}\ndata: {first} {total} {software}\n\n");
         if course == Course::BreaksOff && number == from + total / 2 {
             // Partway through an event.
-            connection.send(format!("{:x}\r\n{}", event.len(), &event[..5]).as_bytes())?;
+            let framed = frame(&event);
+            connection.send(&framed.as_bytes()[..framed.len() / 2])?;
             return Err(std::io::ErrorKind::ConnectionReset.into());
         }
-        connection.send(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+        connection.send(frame(&event).as_bytes())?;
         thread::sleep(EVENT_GAP);
     }
-    connection.send(b"0\r\n\r\n")
+    match is_unmarked {
+        true => Err(std::io::ErrorKind::ConnectionAborted.into()),
+        false => connection.send(b"0\r\n\r\n"),
+    }
 }
--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -420,6 +420,51 @@
     })
 }
 
+/// Requests with a deadly part come once a second; the first `reaches` end an endpoint. Of the sound requests that come between
+/// them, `refuses` says which are refused.
+fn deadly_part(reaches: usize, refuses: impl Fn(u64) -> bool) -> Told {
+    let mut told = Told::begin();
+    for number in 0..90 {
+        let (id, at) = (format!("s{number}"), 3_500 + 500 * number);
+        told = told.sent(at, &id, Kind::Repeatable, "/rep/s", "steady");
+        told = match refuses(at) {
+            true => told.answered(at + 2, &id, 503),
+            false => told.began(at + 1, &id, "/rep/s").answered(at + 2, &id, 200),
+        };
+        if at % 1_000 == 0 && at >= 14_000 {
+            let path = format!("/rep/p-{number}");
+            let id = format!("p-{number}");
+            told = told.sent(at + 3, &id, Kind::Repeatable, &path, "steady");
+            let has_reached = (at - 14_000) / 1_000 < reaches as u64;
+            told = match has_reached {
+                true => told.began(at + 4, &id, &path).answered(at + 5, &id, 502),
+                false => told.answered(at + 5, &id, 503),
+            };
+        }
+    }
+    told
+}
+
+#[test]
+fn requests_with_a_deadly_part_that_go_on_ending_endpoints_are_found() {
+    assert!(deadly_part(5, |_| false).findings().is_empty());
+    // The fifth ends one at 18 s; gateways know at 21.3 s.
+    assert!(deadly_part(11, |_| false).findings().is_empty());
+    let found = deadly_part(12, |_| false).findings();
+    assert!(found.iter().all(|check| *check == "part held back"));
+    assert!(!found.is_empty());
+}
+
+#[test]
+fn sound_requests_that_are_refused_while_a_deadly_part_is_held_back_are_found() {
+    // Known for twice the time of contact at 24.3 s.
+    assert!(deadly_part(5, |at| (18_000..24_000).contains(&at))
+        .findings()
+        .is_empty());
+    let refused = deadly_part(5, |at| at >= 24_000 && at % 2_000 != 0);
+    assert_eq!(refused.findings(), ["sound served"]);
+}
+
 #[test]
 fn a_request_that_goes_on_ending_endpoints_is_found() {
     assert!(deadly(3).findings().is_empty());
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -33,6 +33,7 @@
         "pauses",
         "named limits",
         "held back",
+        "part held back",
     ] {
         assert!(report.verdicts.judged.contains_key(check), "{report}");
     }
