Borrow connections to endpoints from gateways whose parts are idle

What callers would see: when the platform hands most new connections to one gateway, its requests are refused although endpoints have room. Cause: a gateway's part of the connections that an endpoint accepts is fixed, the largest number of gateways deep, and the parts of the others stay idle. Class: equal parts that do not follow demand (quotas do).

Now a gateway whose part is in use opens the connection through another one, by the tunnels that lost paths use, and the tunnel counts against the part of the gateway that lends it. A gateway lends three quarters of its part at most and keeps the rest for its own callers, so the sum over all gateways stays what it was. A borrowed connection is closed after its request.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -186,6 +186,7 @@
             connection: None,
             idle_time: None,
             relay: None,
+            borrowed: None,
             is_counted: false,
             has_answer_head: false,
             has_whole_answer: false,
--- a/components/gateway/src/connecting.rs
+++ b/components/gateway/src/connecting.rs
@@ -10,17 +10,19 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use memory::Kind;
 use routing::placement::{HealthSignal, Placement};
 use slog::{info, warn};
 use telemetry::{Counter, Gauge};
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
-use transport::{open_tunnel, Connection, TunnelError};
+use transport::{open_tunnel, Connection, CountedAt, TunnelError};
 
 use crate::attempt::SendOptions;
 use crate::connection_pool::{ReserveError, ReusedConnection};
 use crate::endpoint_run::EndpointRun;
 use crate::job::Job;
+use crate::memory_manager::ENDPOINT_CONNECTION_BYTES;
 use crate::ports::Dialect;
 use crate::traffic::Traffic;
 
@@ -34,8 +36,10 @@
     Idle(ReusedConnection),
     /// A connection can be opened.
     New,
-    /// No connection can be opened now.
+    /// This gateway's part of the endpoint's connections is in use.
     Full,
+    /// There is no memory for a connection.
+    NoMemory,
 }
 
 /// A way to an endpoint.
@@ -102,6 +106,10 @@
                 return true;
             }
             ConnectionSource::Full => {
+                run.set_health(HealthSignal::Inconclusive);
+                return Box::pin(self.borrow_connection(&job.head.id, placement, run)).await;
+            }
+            ConnectionSource::NoMemory => {
                 run.set_health(HealthSignal::Inconclusive);
                 return false;
             }
@@ -161,10 +169,56 @@
             warn!(self.log, "no connection to an endpoint for want of memory"; "id" => &job.head.id,
                 "endpoint" => &placement.endpoint, "held_in_all" => ledger.total(),
                 "budget" => ledger.budget().max_bytes);
+            return ConnectionSource::NoMemory;
         }
         ConnectionSource::Full
     }
 
+    // Opens a connection through another gateway that has a part of the endpoint's connections left, and counts it there.
+    // Returns whether one lent a connection.
+    async fn borrow_connection(
+        &self,
+        id: &str,
+        placement: &Placement,
+        run: &mut EndpointRun<D>,
+    ) -> bool {
+        let account = self.room.ledger().open_account();
+        let mut memory = account.reservation(Kind::Connection);
+        if !memory.grow(ENDPOINT_CONNECTION_BYTES) {
+            return false;
+        }
+        let turn = self
+            .lender_turn
+            .replace(self.lender_turn.get().wrapping_add(1));
+        let lenders = self.state.borrow().relays.lenders(turn);
+        let deadline = self.clock.now() + CONNECT_TIMEOUT;
+        for lender in lenders {
+            let tunnel = open_tunnel(
+                self.own_ip,
+                lender,
+                placement.address,
+                CountedAt::Relay,
+                CONNECT_TIMEOUT,
+            );
+            let Ok(opened) = self.clock.timeout_at(deadline, tunnel).await else {
+                return false;
+            };
+            let Ok(stream) = opened else {
+                continue;
+            };
+            let Ok(connection) = Connection::over(stream).await else {
+                continue;
+            };
+            self.metrics.count(Counter::BorrowedConnections);
+            info!(self.log, "connection borrowed"; "id" => id, "endpoint" => &placement.endpoint, "relay" => %lender);
+            run.connection = Some(connection);
+            run.relay = Some(lender);
+            run.borrowed = Some(memory);
+            return true;
+        }
+        false
+    }
+
     /// Opens a connection to an endpoint, over the gateway's own path or through another gateway.
     pub async fn open_connection(
         &self,
@@ -271,9 +325,11 @@
                     .dial(address, CONNECT_TIMEOUT)
                     .await
                     .map_err(WayError::Own),
-                Way::Relay(relay) => open_tunnel(own, relay, address, CONNECT_TIMEOUT)
-                    .await
-                    .map_err(WayError::Relay),
+                Way::Relay(relay) => {
+                    open_tunnel(own, relay, address, CountedAt::Asker, CONNECT_TIMEOUT)
+                        .await
+                        .map_err(WayError::Relay)
+                }
             };
             (way, opened)
         });
--- a/components/gateway/src/endpoint_run.rs
+++ b/components/gateway/src/endpoint_run.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use memory::Reservation;
 use rollout::Answer;
 use routing::placement::{signal_without_answer, HealthSignal, Placement, Ticket};
 use slog::info;
@@ -51,6 +52,8 @@
     pub idle_time: Option<Duration>,
     /// Gateway through which the connection goes; `None` for the gateway's own path.
     pub relay: Option<SocketAddr>,
+    /// Memory of a connection that counts at the gateway that lent it, not in the pool.
+    pub borrowed: Option<Reservation>,
     /// Whether the connection pool counts a connection for it.
     pub is_counted: bool,
     /// Whether the head of an answer was received.
@@ -75,7 +78,7 @@
 
     /// Returns the connection to the pool after the whole answer was read.
     pub fn finish(mut self, keep_alive: Option<Duration>) {
-        if self.traffic.has_announced_leaving(&self.placement) {
+        if self.borrowed.is_some() || self.traffic.has_announced_leaving(&self.placement) {
             // The drop closes the connection.
             return;
         }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -20,7 +20,7 @@
 use slog::{info, warn};
 use telemetry::Counter;
 use tokio::net::{TcpListener, TcpStream};
-use transport::{pass_bytes, TunnelBytes, TUNNEL_BUFFER_BYTES};
+use transport::{pass_bytes, CountedAt, TunnelBytes, TUNNEL_BUFFER_BYTES};
 
 use crate::simple_http::{self, ACCEPT_RETRY_DELAY};
 use crate::traffic::Traffic;
@@ -32,9 +32,27 @@
 const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum number of connections from other gateways.
 const MAX_TUNNELS: usize = 1024;
+/// Of its part of an endpoint's connections, a gateway keeps one in so many for its own callers.
+const KEPT_FRACTION: u32 = 4;
 /// Memory of a tunnel: a buffer for each direction, and both connections.
 const TUNNEL_BYTES: u64 = 2 * TUNNEL_BUFFER_BYTES as u64 + (8 << 10);
 
+// What a tunnel holds while it is open: its memory, and the connection that it was lent.
+type TunnelHold<D> = (Reservation, Option<LentConnection<D>>);
+
+// Counts a connection of this gateway's part that another gateway uses.
+struct LentConnection<D> {
+    traffic: Rc<Traffic<D>>,
+    endpoint: String,
+}
+
+impl<D> Drop for LentConnection<D> {
+    fn drop(&mut self) {
+        let mut state = self.traffic.state.borrow_mut();
+        state.pool.record_closed(&self.endpoint);
+    }
+}
+
 // Counts a connection from another gateway while it is open.
 struct OpenTunnel(Rc<Cell<usize>>);
 
@@ -105,11 +123,12 @@
         let endpoint = endpoint.and_then(|authority| authority.as_str().parse().ok());
         let opened = match endpoint {
             Some(endpoint) if request.method() == Method::CONNECT => {
-                self.open_for_other(from, endpoint).await
+                let counted_at = CountedAt::of(request.headers());
+                self.open_for_other(from, endpoint, counted_at).await
             }
             _ => Err(StatusCode::BAD_REQUEST),
         };
-        let (stream, memory, endpoint) = match opened {
+        let (stream, held, endpoint) = match opened {
             Ok(opened) => opened,
             Err(status) => {
                 self.metrics.count(Counter::TunnelsRefused);
@@ -123,7 +142,7 @@
             let started = self.clock.now();
             let passed = TunnelBytes::default();
             let ended = run_tunnel(request, stream, &passed).await;
-            drop((memory, counted));
+            drop((held, counted));
             let elapsed = self.clock.now().saturating_sub(started);
             info!(self.log, "tunnel ended"; "from" => %from, "to" => %endpoint,
                 "ms" => elapsed.as_millis() as u64, "sent" => passed.sent.get(),
@@ -137,7 +156,8 @@
         self: &Rc<Self>,
         from: SocketAddr,
         endpoint: SocketAddr,
-    ) -> Result<(TcpStream, Reservation, SocketAddr), StatusCode> {
+        counted_at: CountedAt,
+    ) -> Result<(TcpStream, TunnelHold<D>, SocketAddr), StatusCode> {
         let now = self.clock.now();
         let hall = {
             let state = self.state.borrow();
@@ -166,8 +186,12 @@
         if !memory.grow(TUNNEL_BYTES) {
             return Err(StatusCode::SERVICE_UNAVAILABLE);
         }
+        let lent = match counted_at {
+            CountedAt::Asker => None,
+            CountedAt::Relay => Some(self.lend_connection(endpoint)?),
+        };
         match self.dial_own_path(&hall, endpoint, CONNECT_TIMEOUT).await {
-            Ok(stream) => Ok((stream, memory, endpoint)),
+            Ok(stream) => Ok((stream, (memory, lent), endpoint)),
             Err(error) if error.kind() == std::io::ErrorKind::TimedOut => {
                 Err(StatusCode::GATEWAY_TIMEOUT)
             }
@@ -176,6 +200,38 @@
     }
 }
 
+impl<D: 'static> Traffic<D> {
+    // Counts a connection to an endpoint for another gateway, unless this one may need what is left of its part.
+    fn lend_connection(
+        self: &Rc<Self>,
+        address: SocketAddr,
+    ) -> Result<LentConnection<D>, StatusCode> {
+        let (endpoint, max_connections) = {
+            let state = self.state.borrow();
+            let known = state
+                .balancer
+                .endpoints()
+                .find(|known| known.address == address);
+            let known = known.ok_or(StatusCode::NOT_FOUND)?;
+            let services = state
+                .directory
+                .as_ref()
+                .map(|d| &d.configuration().services);
+            let service = services.and_then(|services| services.get(&known.service));
+            let service = service.ok_or(StatusCode::NOT_FOUND)?;
+            (known.id.clone(), service.max_connections)
+        };
+        let part = self.connection_part(max_connections);
+        let max_lent = part - part.div_ceil(KEPT_FRACTION);
+        let reserved = self.state.borrow_mut().pool.reserve(&endpoint, max_lent);
+        reserved.map_err(|_| StatusCode::TOO_MANY_REQUESTS)?;
+        Ok(LentConnection {
+            traffic: Rc::clone(self),
+            endpoint,
+        })
+    }
+}
+
 async fn run_tunnel(
     request: Request<Incoming>,
     endpoint: TcpStream,
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -53,6 +53,8 @@
     /// Connections from gateways for which this one opens connections to endpoints.
     pub open_tunnels: Rc<Cell<usize>>,
     pub had_lost_paths: Cell<bool>,
+    /// Counts requests for connections that other gateways lend.
+    pub lender_turn: Cell<usize>,
     pub decision_queries: DecisionQueries,
     pub pending_sights: PendingSights,
     pub send_queries: SendQueries,
@@ -99,6 +101,7 @@
             in_flight: Cell::new(0),
             open_tunnels: Rc::default(),
             had_lost_paths: Cell::new(false),
+            lender_turn: Cell::default(),
             decision_queries: DecisionQueries::default(),
             pending_sights: PendingSights::default(),
             send_queries: SendQueries::default(),
@@ -291,10 +294,15 @@
 
     /// Maximum number of connections to one endpoint of a service that this gateway opens.
     pub fn max_endpoint_connections(&self, job: &Job) -> u32 {
+        self.connection_part(job.max_connections)
+    }
+
+    /// This gateway's part of the connections that an endpoint accepts from all gateways together.
+    pub fn connection_part(&self, max_connections: u32) -> u32 {
         let state = self.state.borrow();
         // Gateways that are no longer heard may keep their connections.
         let gateways = state.equal_share.gateways().max(state.fleet.gateways);
-        let part = f64::from(job.max_connections) * CONNECTIONS_USED_FRACTION / gateways as f64;
+        let part = f64::from(max_connections) * CONNECTIONS_USED_FRACTION / gateways as f64;
         (part as u32).max(2)
     }
 
--- a/components/reachability/src/relays.rs
+++ b/components/reachability/src/relays.rs
@@ -51,6 +51,14 @@
         self.failed.remove(&relay);
     }
 
+    /// Relays that may lend a connection: as many as are tried for one, from a different position at each `turn`.
+    pub fn lenders(&self, turn: usize) -> Vec<SocketAddr> {
+        let count = self.candidates.len();
+        let from = turn.checked_rem(count).unwrap_or_default();
+        let candidates = self.candidates.iter().cycle().skip(from);
+        candidates.take(count.min(MAX_TRIED)).copied().collect()
+    }
+
     /// The relays to try for one connection, in order; those that failed lately come last, the longest ago first.
     pub fn order(&self, now: Duration) -> Vec<SocketAddr> {
         let mut order = self.candidates.clone();
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -142,6 +142,8 @@
         UnreadAnswers => "caller.untaken",
         /// Connections to endpoints that were opened through another gateway.
         RelayedConnections => "endpoint.relayed",
+        /// Connections to endpoints that count at another gateway, which has a part of them left.
+        BorrowedConnections => "endpoint.borrowed",
         /// Connections to endpoints that this gateway opened for others.
         TunnelsOpened => "tunnel.opened",
         /// Connections that other gateways asked for and this one did not open.
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -25,7 +25,9 @@
 pub use resume::{issue_resume_token, verify_resume_token, ResumeError};
 pub use service::{call_service, ServiceCall, ServiceReply};
 pub use tcp::{Dialer, Target, TcpStatus};
-pub use tunnel::{open_tunnel, pass_bytes, TunnelBytes, TunnelError, TUNNEL_BUFFER_BYTES};
+pub use tunnel::{
+    open_tunnel, pass_bytes, CountedAt, TunnelBytes, TunnelError, TUNNEL_BUFFER_BYTES,
+};
 pub use wire::{
     CacheEventBody, ChatMessage, ChatRequest, ChunkLine, GenerateBody, LoadBody, OrderBody, Refusal,
 };
--- a/components/transport/src/tunnel.rs
+++ b/components/transport/src/tunnel.rs
@@ -20,6 +20,9 @@
 
 use crate::connection::set_dead_peer_detection;
 
+const COUNTED_AT: http::HeaderName = http::HeaderName::from_static("counted-at");
+const RELAY: &str = "relay";
+
 /// Size of the buffer for the bytes that pass in one direction.
 pub const TUNNEL_BUFFER_BYTES: usize = 16 << 10;
 
@@ -43,12 +46,32 @@
 
 impl std::error::Error for TunnelError {}
 
+/// Which gateway's part of an endpoint's connections a tunnel counts against.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CountedAt {
+    /// The gateway that asks for it.
+    Asker,
+    /// The relay, which lends a connection.
+    Relay,
+}
+
+impl CountedAt {
+    /// Reads it from the head of a request for a tunnel. Earlier builds send and know no such header.
+    pub fn of(headers: &http::HeaderMap) -> Self {
+        match headers.get(COUNTED_AT).is_some_and(|at| at == RELAY) {
+            true => CountedAt::Relay,
+            false => CountedAt::Asker,
+        }
+    }
+}
+
 /// Connects to `relay` from `own`, by which the relay knows this gateway, and asks it to connect to `address`. Returns a
 /// stream whose other end is at `address`. Must be called inside a `LocalSet`; `timeout` limits the connect to the relay.
 pub async fn open_tunnel(
     own: IpAddr,
     relay: SocketAddr,
     address: SocketAddr,
+    counted_at: CountedAt,
     timeout: Duration,
 ) -> Result<TcpStream, TunnelError> {
     let connected = tokio::time::timeout(timeout, connect_from(own, relay)).await;
@@ -66,6 +89,10 @@
     *request.uri_mut() = authority.parse().map_err(broken)?;
     let host = authority.parse().map_err(broken)?;
     request.headers_mut().insert(http::header::HOST, host);
+    if counted_at == CountedAt::Relay {
+        let value = http::HeaderValue::from_static(RELAY);
+        request.headers_mut().insert(COUNTED_AT, value);
+    }
     let answer = sender.send_request(request).await.map_err(broken)?;
     if !answer.status().is_success() {
         return Err(TunnelError::Refused(answer.status()));
