Check an answer that ends with its connection by way of the relay that carried it

A connection that was borrowed, or that went through a relay since the own path was lost, was checked by any way that opened first. The own path then proved nothing about the relay, and a whole answer was broken off. Now the check asks the same relay, which shows that both it and the endpoint run.

an_answer_without_a_length_over_a_borrowed_connection_is_whole failed before and passes.

--- a/components/gateway/src/connecting.rs
+++ b/components/gateway/src/connecting.rs
@@ -219,6 +219,19 @@
         false
     }
 
+    /// Whether another gateway opens a connection to an endpoint for this one; it is closed at once.
+    pub async fn try_tunnel(&self, relay: SocketAddr, address: SocketAddr) -> bool {
+        let tunnel = open_tunnel(
+            self.own_ip,
+            relay,
+            address,
+            CountedAt::Asker,
+            CONNECT_TIMEOUT,
+        );
+        let opened = tokio::time::timeout(CONNECT_TIMEOUT, tunnel).await;
+        matches!(opened, Ok(Ok(_)))
+    }
+
     /// Opens a connection to an endpoint, over the gateway's own path or through another gateway.
     pub async fn open_connection(
         &self,
--- a/components/gateway/src/interrupted.rs
+++ b/components/gateway/src/interrupted.rs
@@ -40,8 +40,8 @@
 enum EndCheck {
     /// It refuses connections, or its record shows that it started again.
     Ended,
-    /// It accepts connections through this gateway; `None` for the gateway's own path.
-    Accepts { relay: Option<SocketAddr> },
+    /// It accepts connections.
+    Accepts,
     /// The pool allows no connection now, or this gateway has lost its paths to the endpoints.
     Unknown,
 }
@@ -50,7 +50,7 @@
     fn has_ended(self) -> Option<bool> {
         match self {
             EndCheck::Ended => Some(true),
-            EndCheck::Accepts { .. } => Some(false),
+            EndCheck::Accepts => Some(false),
             EndCheck::Unknown => None,
         }
     }
@@ -171,18 +171,22 @@
         if received.body_end != Some(BodyEnd::Close) {
             return true;
         }
-        let (traffic, job, placement) = (Rc::clone(self), Rc::clone(job), placement.clone());
-        let (checked_job, checked_placement) = (Rc::clone(&job), placement.clone());
-        // A task, since the check counts a connection that it opens, also if the caller leaves meanwhile.
-        let check = tokio::task::spawn_local(async move {
-            traffic.check_end(&checked_job, &checked_placement).await
-        });
-        let is_whole = match check.await {
-            Ok(EndCheck::Accepts { relay }) => received.relay.is_none() || relay == received.relay,
-            _ => false,
+        let check = match received.relay {
+            Some(relay) => self.check_through(relay, placement).await,
+            None => {
+                let (traffic, job, placement) =
+                    (Rc::clone(self), Rc::clone(job), placement.clone());
+                // A task, since the check counts a connection that it opens, also if the caller leaves meanwhile.
+                let check =
+                    tokio::task::spawn_local(
+                        async move { traffic.check_end(&job, &placement).await },
+                    );
+                check.await.unwrap_or(EndCheck::Unknown)
+            }
         };
+        let is_whole = check == EndCheck::Accepts;
         if !is_whole {
-            self.check_after_interruption(&job, &placement, received)
+            self.check_after_interruption(job, placement, received)
                 .await;
         }
         is_whole
@@ -195,6 +199,17 @@
         }
     }
 
+    // Whether a gateway still opens connections to an endpoint for this one.
+    async fn check_through(&self, relay: SocketAddr, placement: &Placement) -> EndCheck {
+        if self.has_restarted(placement) {
+            return EndCheck::Ended;
+        }
+        match self.try_tunnel(relay, placement.address).await {
+            true => EndCheck::Accepts,
+            false => EndCheck::Unknown,
+        }
+    }
+
     async fn try_connection(&self, job: &SharedJob, placement: &Placement) -> EndCheck {
         let max = self.max_endpoint_connections(job);
         let endpoint = &placement.endpoint;
@@ -210,11 +225,11 @@
         let mut state = self.state.borrow_mut();
         match opened {
             Ok(opened) => {
-                let (relay, keep_alive) = (opened.relay, Some(CHECK_KEEP_ALIVE));
+                let keep_alive = Some(CHECK_KEEP_ALIVE);
                 if is_counted {
                     state.pool.put_idle(now, endpoint, opened, keep_alive);
                 }
-                EndCheck::Accepts { relay }
+                EndCheck::Accepts
             }
             Err(unreachable) => {
                 if is_counted {
--- a/components/gateway/tests/concentrated_callers.rs
+++ b/components/gateway/tests/concentrated_callers.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 use std::io::Read;
 use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use common::{
     configuration, endpoint, open, request_text, route, settings, wait_until, Exchange,
@@ -21,6 +22,7 @@
 const ENDPOINTS: usize = 2;
 /// Four fifths are used: four connections of each endpoint for each gateway.
 const MAX_CONNECTIONS: u32 = 20;
+static ALL_OPEN: AtomicBool = AtomicBool::new(false);
 const STREAM: Execution = Execution::Stream { resumable: false };
 
 struct Fleet {
@@ -30,12 +32,16 @@
 
 impl Fleet {
     fn start() -> Self {
-        let hold = |_: usize, exchange: &mut Exchange| {
+        Self::start_with(|exchange| {
             exchange.begin_stream();
             exchange.event(1);
             exchange.wait_closed();
-        };
-        let endpoints: Vec<_> = (0..ENDPOINTS).map(|_| FakeEndpoint::start(hold)).collect();
+        })
+    }
+
+    fn start_with(serve: fn(&mut Exchange)) -> Self {
+        let serve = move |_: usize, exchange: &mut Exchange| serve(exchange);
+        let endpoints: Vec<_> = (0..ENDPOINTS).map(|_| FakeEndpoint::start(serve)).collect();
         let store = FakeStore::default();
         let mut configuration = configuration(1, vec![route("/a/", STREAM)]);
         let service = configuration.services.get_mut("s").unwrap();
@@ -117,3 +123,31 @@
     // Each gateway kept some connections for its own callers.
     assert!(kept.values().all(|served| !served.is_empty()));
 }
+
+// Guards against whole answers over borrowed connections that are refused, because only the end of their connection marks
+// their end.
+#[test]
+fn an_answer_without_a_length_over_a_borrowed_connection_is_whole() {
+    const STREAMS: usize = 16;
+    let fleet = Fleet::start_with(|exchange| {
+        let id = exchange.header("x-id").unwrap_or_default();
+        exchange.write(&format!(
+            "HTTP/1.1 200 X\r\nx-id: {id}\r\nx-signature: s\r\nconnection: close\r\n\r\n\
+             id: 1\ndata: a\n\n"
+        ));
+        // All streams are open at once, so that some need borrowed connections.
+        wait_until("all streams to be open", || ALL_OPEN.load(Ordering::SeqCst));
+        exchange.write("id: 2\ndata: b\n\n");
+        exchange.close();
+    });
+    let callers = fleet.open_streams(0, STREAMS);
+    assert_eq!(callers.len(), STREAMS);
+    let metrics = fleet.gateways[0].gateway.metrics();
+    assert!(metrics.get(Counter::BorrowedConnections) > 0);
+    ALL_OPEN.store(true, Ordering::SeqCst);
+    for mut caller in callers {
+        let mut rest = String::new();
+        caller.read_to_string(&mut rest).unwrap();
+        assert!(rest.ends_with("0\r\n\r\n"), "{rest}");
+    }
+}
