Tell all gateways which prompt parts are suspect, and weigh those that ran well lately

Coordinators now name the parts with two ends in their messages, and whoever runs one well reports it. A part that ran well at a gateway within the last minute needs five ends instead of three to be held back there, and is tried there without waiting for a turn.

The soak sends nine of ten new connections to one gateway for 5.9 s in every other calm, with the check 'served while concentrated'."

--- a/components/gateway/src/control/messages.rs
+++ b/components/gateway/src/control/messages.rs
@@ -175,6 +175,10 @@
                 true => boxed(state.held_parts_to_send(now)),
                 false => None,
             },
+            suspect_parts: match content {
+                Content::Digest => state.suspect_parts_to_send(),
+                _ => None,
+            },
             sights: state.sights_to_send(now, content),
             limits: match content.has_requests() {
                 true => state.limits.take(now),
--- a/components/gateway/src/control/quarantine.rs
+++ b/components/gateway/src/control/quarantine.rs
@@ -23,6 +23,8 @@
 const MAX_WAITING: usize = 2048;
 /// Upper limit of quarantined contents in one message; each takes some 30 bytes.
 const MAX_HELD: usize = 16;
+/// Upper limit of suspect prompt parts in one message; each takes some 10 bytes.
+const MAX_SUSPECTS: usize = 32;
 /// Upper limit of groups of quarantined prompt parts in one message; each takes 30 to 190 bytes.
 const MAX_HELD_PARTS: usize = 8;
 
@@ -114,7 +116,14 @@
             .collect();
         let held_parts = gossip.held_parts.iter().flatten();
         let changed_parts = state.merge_held_parts(now, held_parts.map(|h| received_held_parts(h)));
+        let suspects = gossip.suspect_parts.as_deref().map(received_fingerprints);
+        if let Some(suspects) = &suspects {
+            state.quarantine.parts.watch(now, suspects);
+        }
         drop(state);
+        if let Some(suspects) = suspects {
+            self.update(Update::SuspectParts(suspects));
+        }
         if is_urgent || !changed.is_empty() || !changed_parts.is_empty() {
             self.urgent.notify_one();
         }
@@ -181,6 +190,12 @@
             .collect()
     }
 
+    /// Prompt parts that this gateway suspects; `None` if there are none.
+    pub fn suspect_parts_to_send(&self) -> Option<Vec<i64>> {
+        let suspects = self.quarantine.parts.suspects(MAX_SUSPECTS);
+        (!suspects.is_empty()).then(|| reported_fingerprints(&suspects))
+    }
+
     /// Report of the quarantined prompt parts; `None` if there are none.
     pub fn held_parts_to_send(&self, now: Duration) -> Option<Vec<messages::HeldParts>> {
         let turn = self.sending.turn();
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -198,6 +198,7 @@
                 drop(state);
                 self.merge_held_parts(&held);
             }
+            Update::SuspectParts(suspects) => state.quarantine.parts.watch(now, &suspects),
             Update::Settings(settings) => state.set_settings(now, settings),
             Update::RolloutOrdered {
                 order,
--- a/components/gateway/src/update.rs
+++ b/components/gateway/src/update.rs
@@ -6,7 +6,7 @@
 
 use directory::{Configuration, Endpoint};
 use notices::LimitNotice;
-use quarantine::{Held, HeldParts, Observation};
+use quarantine::{Fingerprint, Held, HeldParts, Observation};
 use rollout::{Order, Stage};
 use routing::placement::{PeerDispatch, Sight};
 use schema::settings::GatewaySettings;
@@ -57,6 +57,8 @@
     Held(Vec<Held>),
     /// Prompt parts that other gateways or the store put into quarantine, or release from it.
     HeldParts(Vec<HeldParts>),
+    /// Prompt parts that another gateway suspects.
+    SuspectParts(Vec<Fingerprint>),
     /// New settings.
     Settings(Arc<GatewaySettings>),
     /// A roll-out was ordered.
--- a/components/quarantine/src/part_ends.rs
+++ b/components/quarantine/src/part_ends.rs
@@ -79,6 +79,17 @@
         self.runs.iter().any(|run| run.has(part))
     }
 
+    /// All suspect parts, those of the newest ends first.
+    pub fn parts(&self) -> Vec<Fingerprint> {
+        let newest_first = self
+            .runs
+            .iter()
+            .rev()
+            .flat_map(|run| run.parts.iter().copied());
+        let mut known = BTreeSet::new();
+        newest_first.filter(|part| known.insert(*part)).collect()
+    }
+
     /// Number of separate ends of endpoints on a part. Not counted are ends on which one of the `explanations` ran too: groups
     /// of parts that are known to end endpoints.
     pub fn count_ends(&self, part: Fingerprint, explanations: &[Vec<Fingerprint>]) -> usize {
--- a/components/quarantine/src/part_holds.rs
+++ b/components/quarantine/src/part_holds.rs
@@ -10,6 +10,8 @@
 
 /// Number of separate ends of endpoints on a part before it is held back.
 const MIN_ENDS_TO_HOLD: usize = 3;
+/// The same of a part that ran well here lately: other causes are more likely then.
+const MIN_ENDS_TO_HOLD_SOUND: usize = 5;
 /// Number of separate ends from which a gateway does not retry a request with the part.
 const MIN_ENDS_TO_STOP_RETRIES: usize = 2;
 /// Number of trials of all gateways that may end an endpoint, until the hold is not tried again.
@@ -21,10 +23,18 @@
 const TRIAL_TURN: Duration = Duration::from_millis(300);
 /// In each such time of a hold, a trial may have other parts with one more end.
 const SUSPICION_STEP: Duration = Duration::from_secs(2);
+/// Interval of a gateway's trials of parts that ran well there lately; it does not wait for its turn.
+const SOUND_TRIAL_INTERVAL: Duration = Duration::from_secs(1);
 /// Retry delay for callers while a trial may release the parts.
 const TRIAL_RETRY: Duration = Duration::from_secs(1);
 /// A hold that ends at another gateway so much earlier than here was ended on purpose.
 const CLOCK_SLACK: Duration = Duration::from_secs(5);
+/// Number of separate ends from which other gateways are told of a suspect part.
+const MIN_ENDS_TO_REPORT: usize = 2;
+/// How long a part that another gateway suspects is watched: several of its messages.
+const WATCH_TIME: Duration = Duration::from_secs(2);
+/// Maximum number of watched parts.
+const MAX_WATCHED: usize = 256;
 /// Maximum number of holds; the one that ends first is dropped.
 const MAX_HOLDS: usize = 256;
 
@@ -82,14 +92,20 @@
         now < self.until
     }
 
+    fn is_trial_due(&self, now: Duration, interval: Duration) -> bool {
+        let last = self
+            .tried_at
+            .map_or(self.started_at + FIRST_TRIAL_DELAY, |at| at + interval);
+        now >= last
+    }
+
     // Whether it is a gateway's turn to try the parts, and it has not yet.
     fn has_turn(&self, now: Duration, turn: u64, gateways: u64) -> bool {
         let Some(elapsed) = now.checked_sub(self.started_at + FIRST_TRIAL_DELAY) else {
             return false;
         };
         let turns = (elapsed.as_millis() / TRIAL_TURN.as_millis()) as u64;
-        let is_due = self.tried_at.is_none_or(|at| now >= at + TRIAL_TURN);
-        is_due && turns % gateways.max(1) == turn % gateways.max(1)
+        self.is_trial_due(now, TRIAL_TURN) && turns % gateways.max(1) == turn % gateways.max(1)
     }
 
     fn end(&mut self, now: Duration) {
@@ -106,6 +122,8 @@
     holds: BTreeMap<Vec<Fingerprint>, PartHold>,
     change_count: u64,
     sound: RecentCompletions,
+    // Parts that other gateways suspect, and until when they are watched.
+    watched: BTreeMap<Fingerprint, Duration>,
     // Decides when it is this gateway's turn to try parts.
     turn: u64,
 }
@@ -168,7 +186,11 @@
                 self.held_groups(now).map(<[Fingerprint]>::to_vec).collect();
             let is_sound = self.sound.contains(now, part);
             explanations.retain(|explanation| is_sound || explanation.contains(&part));
-            if self.ends.count_ends(part, &explanations) >= MIN_ENDS_TO_HOLD {
+            let min_ends = match is_sound {
+                true => MIN_ENDS_TO_HOLD_SOUND,
+                false => MIN_ENDS_TO_HOLD,
+            };
+            if self.ends.count_ends(part, &explanations) >= min_ends {
                 self.hold(now, group);
             }
         }
@@ -180,16 +202,37 @@
         let mut is_news = false;
         for part in parts {
             self.sound.record(now, *part);
+            is_news |= self.watched.remove(part).is_some();
             is_news |= self.ends.clear(*part);
             is_news |= self.release(now, *part);
         }
         is_news
     }
 
-    /// Whether a part is suspect or held back here.
+    /// Parts that may be held back after further ends, for the gateways that report what runs well.
+    pub fn suspects(&self, max_count: usize) -> Vec<Fingerprint> {
+        let mut suspects = self.ends.parts();
+        suspects.retain(|part| self.ends.count_ends(*part, &[]) >= MIN_ENDS_TO_REPORT);
+        suspects.truncate(max_count);
+        suspects
+    }
+
+    /// Watches parts that another gateway suspects: once one runs well here, that is news.
+    pub fn watch(&mut self, now: Duration, suspects: &[Fingerprint]) {
+        self.watched.retain(|_, until| now < *until);
+        let until = now + WATCH_TIME;
+        let suspects = suspects
+            .iter()
+            .take(MAX_WATCHED - self.watched.len().min(MAX_WATCHED));
+        self.watched.extend(suspects.map(|part| (*part, until)));
+    }
+
+    /// Whether a part is suspect or held back here, or suspect elsewhere.
     pub fn is_of_interest(&self, now: Duration, part: Fingerprint) -> bool {
         let mut active = self.active(now);
-        self.ends.is_suspect(part) || active.any(|(parts, _)| parts.contains(&part))
+        self.watched.get(&part).is_some_and(|until| now < *until)
+            || self.ends.is_suspect(part)
+            || active.any(|(parts, _)| parts.contains(&part))
     }
 
     /// Records that a request with these parts ran well here, which is no news for the other gateways.
@@ -212,11 +255,15 @@
         };
         let is_in_doubt = self.is_in_doubt(&group);
         let can_try = is_in_doubt && !self.has_other_suspect(now, &group, parts);
+        let was_sound = group.iter().all(|part| self.sound.contains(now, *part));
         let turn = self.turn;
         let Some(hold) = self.holds.get_mut(&group) else {
             return PartsVerdict::Allowed;
         };
-        let has_turn = trying_gateways.is_some_and(|count| hold.has_turn(now, turn, count));
+        let has_turn = trying_gateways.is_some_and(|count| match was_sound {
+            true => hold.is_trial_due(now, SOUND_TRIAL_INTERVAL),
+            false => hold.has_turn(now, turn, count),
+        });
         if can_try && has_turn {
             hold.tried_at = Some(now);
             return PartsVerdict::Trial;
--- a/components/quarantine/tests/deadly_parts.rs
+++ b/components/quarantine/tests/deadly_parts.rs
@@ -497,3 +497,19 @@
         broken.join("\n")
     );
 }
+
+// Guards against a deadly part that reaches endpoints more than three times after it is known, while up to half of all requests
+// have one and four or five endpoints run.
+#[test]
+fn deadly_parts_are_held_back_in_time_where_few_endpoints_run() {
+    let broken: Vec<String> = [10428, 10851, 11166]
+        .into_iter()
+        .flat_map(broken_bounds)
+        .collect();
+    assert!(
+        broken.is_empty(),
+        "{} broken:\n{}",
+        broken.len(),
+        broken.join("\n")
+    );
+}
--- a/components/schema/src/messages.rs
+++ b/components/schema/src/messages.rs
@@ -2640,6 +2640,8 @@
     pub relays: Option<Vec<String>>,
     /// Prompt parts that the sender holds back; at most a few a message, the new ones first.
     pub held_parts: Option<Vec<Box<HeldParts>>>,
+    /// Fingerprints of prompt parts that the sender suspects; whoever runs them well reports that.
+    pub suspect_parts: Option<Vec<i64>>,
 }
 
 impl Gossip {
@@ -2670,6 +2672,7 @@
         F43,
         F44,
         F45,
+        F46,
     >(
         gateway: String,
         incarnation: i64,
@@ -2706,6 +2709,7 @@
         has_lost_paths: F43,
         relays: F44,
         held_parts: F45,
+        suspect_parts: F46,
     ) -> Gossip
     where
         F10: Into<Option<Vec<TopicHead>>>,
@@ -2734,6 +2738,7 @@
         F43: Into<Option<bool>>,
         F44: Into<Option<Vec<String>>>,
         F45: Into<Option<Vec<Box<HeldParts>>>>,
+        F46: Into<Option<Vec<i64>>>,
     {
         Gossip {
             gateway,
@@ -2771,6 +2776,7 @@
             has_lost_paths: has_lost_paths.into(),
             relays: relays.into(),
             held_parts: held_parts.into(),
+            suspect_parts: suspect_parts.into(),
         }
     }
 }
@@ -2813,6 +2819,7 @@
         let mut f_43: Option<bool> = None;
         let mut f_44: Option<Vec<String>> = None;
         let mut f_45: Option<Vec<Box<HeldParts>>> = None;
+        let mut f_46: Option<Vec<i64>> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -3057,6 +3064,16 @@
                     i_prot.read_list_end()?;
                     f_45 = Some(val);
                 }
+                46 => {
+                    let list_ident = i_prot.read_list_begin()?;
+                    let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
+                    for _ in 0..list_ident.size {
+                        let list_elem_25 = i_prot.read_i64()?;
+                        val.push(list_elem_25);
+                    }
+                    i_prot.read_list_end()?;
+                    f_46 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -3118,6 +3135,7 @@
             has_lost_paths: f_43,
             relays: f_44,
             held_parts: f_45,
+            suspect_parts: f_46,
         };
         Ok(ret)
     }
@@ -3355,6 +3373,15 @@
             o_prot.write_list_end()?;
             o_prot.write_field_end()?
         }
+        if let Some(ref fld_var) = self.suspect_parts {
+            o_prot.write_field_begin(&TFieldIdentifier::new("suspect_parts", TType::List, 46))?;
+            o_prot.write_list_begin(&TListIdentifier::new(TType::I64, fld_var.len() as i32))?;
+            for e in fld_var {
+                o_prot.write_i64(*e)?;
+            }
+            o_prot.write_list_end()?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -3431,8 +3458,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_25 = i_prot.read_i64()?;
-                        val.push(list_elem_25);
+                        let list_elem_26 = i_prot.read_i64()?;
+                        val.push(list_elem_26);
                     }
                     i_prot.read_list_end()?;
                     f_3 = Some(val);
@@ -3544,8 +3571,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_26 = i_prot.read_i64()?;
-                        val.push(list_elem_26);
+                        let list_elem_27 = i_prot.read_i64()?;
+                        val.push(list_elem_27);
                     }
                     i_prot.read_list_end()?;
                     f_1 = Some(val);
@@ -3655,8 +3682,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_27 = i_prot.read_i64()?;
-                        val.push(list_elem_27);
+                        let list_elem_28 = i_prot.read_i64()?;
+                        val.push(list_elem_28);
                     }
                     i_prot.read_list_end()?;
                     f_1 = Some(val);
@@ -3933,8 +3960,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<KeptContent> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_28 = KeptContent::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_28);
+                        let list_elem_29 = KeptContent::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_29);
                     }
                     i_prot.read_list_end()?;
                     f_1 = Some(val);
@@ -3943,8 +3970,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<KeptParts> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_29 = KeptParts::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_29);
+                        let list_elem_30 = KeptParts::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_30);
                     }
                     i_prot.read_list_end()?;
                     f_2 = Some(val);
@@ -4125,8 +4152,8 @@
                     let mut val: Vec<OrderedFloat<f64>> =
                         Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_30 = OrderedFloat::from(i_prot.read_double()?);
-                        val.push(list_elem_30);
+                        let list_elem_31 = OrderedFloat::from(i_prot.read_double()?);
+                        val.push(list_elem_31);
                     }
                     i_prot.read_list_end()?;
                     f_2 = Some(val);
@@ -4136,8 +4163,8 @@
                     let mut val: Vec<OrderedFloat<f64>> =
                         Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_31 = OrderedFloat::from(i_prot.read_double()?);
-                        val.push(list_elem_31);
+                        let list_elem_32 = OrderedFloat::from(i_prot.read_double()?);
+                        val.push(list_elem_32);
                     }
                     i_prot.read_list_end()?;
                     f_3 = Some(val);
@@ -4369,9 +4396,9 @@
                     let map_ident = i_prot.read_map_begin()?;
                     let mut val: BTreeMap<i32, i64> = BTreeMap::new();
                     for _ in 0..map_ident.size {
-                        let map_key_32 = i_prot.read_i32()?;
-                        let map_val_33 = i_prot.read_i64()?;
-                        val.insert(map_key_32, map_val_33);
+                        let map_key_33 = i_prot.read_i32()?;
+                        let map_val_34 = i_prot.read_i64()?;
+                        val.insert(map_key_33, map_val_34);
                     }
                     i_prot.read_map_end()?;
                     f_4 = Some(val);
@@ -4476,8 +4503,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<AnswerCounts> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_34 = AnswerCounts::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_34);
+                        let list_elem_35 = AnswerCounts::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_35);
                     }
                     i_prot.read_list_end()?;
                     f_3 = Some(val);
@@ -5017,8 +5044,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<PromptPart> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_35 = PromptPart::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_35);
+                        let list_elem_36 = PromptPart::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_36);
                     }
                     i_prot.read_list_end()?;
                     f_8 = Some(val);
@@ -5027,8 +5054,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_36 = i_prot.read_i64()?;
-                        val.push(list_elem_36);
+                        let list_elem_37 = i_prot.read_i64()?;
+                        val.push(list_elem_37);
                     }
                     i_prot.read_list_end()?;
                     f_9 = Some(val);
@@ -5057,8 +5084,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_37 = i_prot.read_i64()?;
-                        val.push(list_elem_37);
+                        let list_elem_38 = i_prot.read_i64()?;
+                        val.push(list_elem_38);
                     }
                     i_prot.read_list_end()?;
                     f_15 = Some(val);
@@ -5067,8 +5094,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<Sight> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_38 = Sight::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_38);
+                        let list_elem_39 = Sight::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_39);
                     }
                     i_prot.read_list_end()?;
                     f_16 = Some(val);
@@ -5077,8 +5104,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<LimitReport> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_39 = LimitReport::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_39);
+                        let list_elem_40 = LimitReport::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_40);
                     }
                     i_prot.read_list_end()?;
                     f_17 = Some(val);
@@ -6094,8 +6121,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<StreamRecord> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_40 = StreamRecord::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_40);
+                        let list_elem_41 = StreamRecord::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_41);
                     }
                     i_prot.read_list_end()?;
                     f_1 = Some(val);
@@ -6466,8 +6493,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<Sight> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_41 = Sight::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_41);
+                        let list_elem_42 = Sight::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_42);
                     }
                     i_prot.read_list_end()?;
                     f_4 = Some(val);
@@ -6872,8 +6899,8 @@
                     let list_ident = i_prot.read_list_begin()?;
                     let mut val: Vec<RowChange> = Vec::with_capacity(list_ident.size as usize);
                     for _ in 0..list_ident.size {
-                        let list_elem_42 = RowChange::read_from_in_protocol(i_prot)?;
-                        val.push(list_elem_42);
+                        let list_elem_43 = RowChange::read_from_in_protocol(i_prot)?;
+                        val.push(list_elem_43);
                     }
                     i_prot.read_list_end()?;
                     f_1 = Some(val);
@@ -7104,9 +7131,9 @@
                     let map_ident = i_prot.read_map_begin()?;
                     let mut val: BTreeMap<String, i64> = BTreeMap::new();
                     for _ in 0..map_ident.size {
-                        let map_key_43 = i_prot.read_string()?;
-                        let map_val_44 = i_prot.read_i64()?;
-                        val.insert(map_key_43, map_val_44);
+                        let map_key_44 = i_prot.read_string()?;
+                        let map_val_45 = i_prot.read_i64()?;
+                        val.insert(map_key_44, map_val_45);
                     }
                     i_prot.read_map_end()?;
                     f_1 = Some(val);
--- a/components/schema/thrift/messages.thrift
+++ b/components/schema/thrift/messages.thrift
@@ -320,6 +320,8 @@
   44: optional list<string> relays,
   /** Prompt parts that the sender holds back; at most a few a message, the new ones first. */
   45: optional list<HeldParts> held_parts,
+  /** Fingerprints of prompt parts that the sender suspects; whoever runs them well reports that. */
+  46: optional list<i64> suspect_parts,
 }
 
 /** What one gateway saw of the content of a request. */
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -1,6 +1,7 @@
 //! What must be true of a history. The checks know nothing but what was written down, and read no
 //! clock. Bounds are those of the users' rules, and stand in the settings that the soak writes.
 
+mod concentration;
 mod deadly;
 mod duties;
 mod limits;
@@ -74,6 +75,7 @@
         deadly::held_back,
         deadly::part_held_back,
         deadly::sound_served,
+        concentration::served,
         duties::fences,
         duties::reports,
         stops::planned_stops,
--- /dev/null
+++ b/soak/src/checks/concentration.rs
@@ -0,0 +1,46 @@
+//! Requests are served also while most new connections go to one gateway.
+
+use super::view::{Request, View, CONTACT, NOTE_SLACK};
+use super::Verdicts;
+
+/// Requests during a concentration and before it, from which their shares are compared.
+const MIN_COMPARED: usize = 20;
+
+/// While most new connections go to one gateway, the requests that gateways in touch read are served at least three quarters as
+/// often as before.
+pub(super) fn served(view: &View<'_>, verdicts: &mut Verdicts) {
+    for (gateway, from, to) in &view.concentrations {
+        let known = from + CONTACT + NOTE_SLACK;
+        let is_concentrated = |at: u64| {
+            let mut all = view.concentrations.iter();
+            all.any(|(_, from, to)| (*from..*to).contains(&at))
+        };
+        let before = shares(view, |at| at < *from && !is_concentrated(at));
+        let during = shares(view, |at| (known..*to).contains(&at));
+        if before.1 < MIN_COMPARED || during.1 < MIN_COMPARED {
+            continue;
+        }
+        let is_good = 4 * during.0 * before.1 >= 3 * before.0 * during.1;
+        verdicts.judge("served while concentrated", is_good, known, || {
+            format!(
+                "most reach g{gateway}: {} of {} served, {} of {} before",
+                during.0, during.1, before.0, before.1
+            )
+        });
+    }
+}
+
+// Requests that were served, and all that count, of those sent at these times.
+fn shares(view: &View<'_>, is_in_time: impl Fn(u64) -> bool) -> (usize, usize) {
+    let counted = |request: &&Request<'_>| {
+        is_in_time(request.sent)
+            && matches!(request.status(), Some(200 | 500 | 502 | 503 | 504))
+            && !request.id.starts_with(['d', 'p'])
+            && view.is_in_touch(request.gateway, request.sent, request.sent)
+    };
+    let requests = view.requests.values().filter(counted);
+    requests.fold((0, 0), |(served, all), request| {
+        let is_served = request.status() == Some(200);
+        (served + usize::from(is_served), all + 1)
+    })
+}
--- a/soak/src/checks/view.rs
+++ b/soak/src/checks/view.rs
@@ -110,6 +110,8 @@
     restarts: Vec<Span>,
     // Times in which a gateway's process stood.
     pauses: Vec<Span>,
+    /// Times in which most new connections went to one gateway.
+    pub concentrations: Vec<(usize, u64, u64)>,
     // Gateways that are of the older build so far.
     older: BTreeSet<usize>,
 }
@@ -127,6 +129,7 @@
             faults: Vec::new(),
             restarts: Vec::new(),
             pauses: Vec::new(),
+            concentrations: Vec::new(),
             older: BTreeSet::new(),
         };
         let mut lives: BTreeMap<usize, usize> = BTreeMap::new();
@@ -198,6 +201,13 @@
                     request.lost_connection = true;
                 }
             }
+            Seen::Concentrated { gateway } => {
+                if let Some((_, _, to)) = self.concentrations.last_mut() {
+                    *to = (*to).min(at);
+                }
+                let concentrations = gateway.map(|gateway| (gateway, at, u64::MAX));
+                self.concentrations.extend(concentrations);
+            }
             Seen::Configured { version } => self.configured.push((at, *version)),
             Seen::Fault { place, what } => {
                 if what.contains(PAUSE) {
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -93,6 +93,8 @@
     },
     /// A client closed its connection in the middle of a stream.
     LostConnection { id: String },
+    /// Most new connections of clients go to one gateway from now on; `None` if to any.
+    Concentrated { gateway: Option<usize> },
     /// Software versions in the events that a client got in an answer.
     EventVersions { id: String, versions: Vec<String> },
     /// An endpoint of a service begins or ends to serve with a software version.
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -58,6 +58,12 @@
 const KILL_GAP: u64 = 40;
 const KILL_DOWNTIME: u64 = 300;
 
+/// Salt of the generator for gateways that most clients reach.
+const CONCENTRATE_SALT: u64 = 0xc09c;
+/// Time into a calm, in ms, and length of such a concentration: past the time until gateways are in touch.
+const CONCENTRATE_IN_CALM: u64 = 300;
+const CONCENTRATE_TIME: u64 = 5_900;
+
 /// One act from outside.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub enum Act {
@@ -99,6 +105,8 @@
     },
     /// For some ms every request fails at all endpoints.
     FailAll { ms: u64 },
+    /// For some ms most new connections of clients go to one gateway.
+    Concentrate { gateway: usize, ms: u64 },
     /// An endpoint ends without a word, and is replaced.
     Crash { endpoint: usize },
     /// A gateway is asked to stop, and its next starts are of the older build or of the one under test.
@@ -200,6 +208,11 @@
             gateways,
             endpoints,
         };
+        let mut concentrations = Draw {
+            rng: ChaCha8Rng::seed_from_u64(seed ^ CONCENTRATE_SALT),
+            gateways,
+            endpoints,
+        };
         let mut steps = Vec::new();
         let mut at = START;
         while at < last {
@@ -209,6 +222,7 @@
             said.said(at, last, &mut steps);
             limits.limits(at, last, &mut steps);
             failures.failures(at, last, &mut steps);
+            concentrations.concentrations(at, last, &mut steps);
             at += BOUT + CALM;
         }
         // A configuration just before: what the store took must be in force when all are back.
@@ -393,6 +407,18 @@
         }
     }
 
+    // In every other calm most clients reach one gateway.
+    fn concentrations(&mut self, from: u64, last: u64, steps: &mut Vec<Step>) {
+        let gateway = self.rng.random_range(0..self.gateways);
+        let is_due = self.rng.random_ratio(1, 2);
+        let at = from + BOUT + CONCENTRATE_IN_CALM;
+        if is_due && at + CONCENTRATE_TIME < last {
+            let ms = CONCENTRATE_TIME;
+            let act = Act::Concentrate { gateway, ms };
+            steps.push(Step { at, act });
+        }
+    }
+
     fn fault(&mut self, longest: u64) -> Act {
         let gateway = self.rng.random_range(0..self.gateways);
         let endpoint = self.rng.random_range(0..self.endpoints);
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -5,7 +5,7 @@
 
 use std::io;
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
@@ -19,7 +19,7 @@
 use crate::link::Link;
 use crate::plan::Plan;
 use crate::report::Report;
-use crate::standins::client::{Client, Shared};
+use crate::standins::client::{Client, Shared, NO_GATEWAY};
 use crate::standins::deadly::{ask_deadly, ask_deadly_part};
 use crate::standins::endpoint::{Endpoint, NamedLimit};
 use crate::standins::store::{take_reports, Store};
@@ -143,6 +143,7 @@
             gateways: gateways.iter().map(|gateway| gateway.callers).collect(),
             ready: Mutex::new(vec![false; plan.gateways]),
             newest: AtomicU64::new(0),
+            most_reached: AtomicUsize::new(NO_GATEWAY),
             over: AtomicBool::new(false),
         });
         let mut soak = Soak {
--- a/soak/src/run/acts.rs
+++ b/soak/src/run/acts.rs
@@ -11,6 +11,7 @@
 use crate::history::{Place, Seen};
 use crate::link::Link;
 use crate::plan::{Act, Mood, Way};
+use crate::standins::client::NO_GATEWAY;
 use crate::standins::endpoint::{Endpoint, NamedLimit};
 use crate::standins::operator::{configuration, entry};
 use crate::standins::store::LostRow;
@@ -48,6 +49,7 @@
     MendEndpoint(usize, Link),
     MendStore,
     TakeBack(usize),
+    Disperse,
     Restore(Duration),
     Rewrite(LostRow),
     End(usize, Endpoint),
@@ -60,6 +62,12 @@
         self.later.push((self.history.now() + ms, later));
     }
 
+    fn concentrate(&self, gateway: Option<usize>) {
+        let reached = gateway.unwrap_or(NO_GATEWAY);
+        self.shared.most_reached.store(reached, Ordering::SeqCst);
+        self.history.note(Seen::Concentrated { gateway });
+    }
+
     fn fault(&self, place: Place, what: impl std::fmt::Debug) {
         let what = format!("{what:?}");
         self.history.note(Seen::Fault { place, what });
@@ -144,6 +152,10 @@
                 milli,
                 ms,
             } => self.name_limit(*endpoint, *milli, *ms),
+            Act::Concentrate { gateway, ms } => {
+                self.concentrate(Some(*gateway));
+                self.after(*ms, Later::Disperse);
+            }
             Act::Crash { endpoint } => self.crash(*endpoint),
         }
         Ok(())
@@ -176,6 +188,7 @@
                 self.gateways[gateway].signal(Signal::KILL)?;
             }
             Later::GraceOver(..) => {}
+            Later::Disperse => self.concentrate(None),
             Later::Mend(gateway) => {
                 self.links[gateway].set(Way::Sound);
                 self.healed(Place::Gateway(gateway), "link");
--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -757,3 +757,33 @@
         .events(11_002, "c", "v1", vec![2, 3, 4], true);
     assert_eq!(told.findings_of("streams"), 1);
 }
+
+/// Requests come twice a second; from 20 s on most go to one gateway, and those that `refuses` names are refused.
+fn concentrated(refuses: impl Fn(u64) -> bool) -> Told {
+    let mut told = Told::begin();
+    for number in 0..120 {
+        let (id, at) = (format!("c{number}"), 4_000 + 500 * number);
+        if at == 20_000 {
+            told = told.at(at, Seen::Concentrated { gateway: Some(0) });
+        }
+        told = told.sent(at, &id, Kind::Repeatable, "/rep/c", "steady");
+        told = match refuses(at) {
+            true => told.answered(at + 2, &id, 503),
+            false => told.began(at + 1, &id, "/rep/c").answered(at + 2, &id, 200),
+        };
+    }
+    told
+}
+
+#[test]
+fn requests_that_are_refused_while_most_connections_reach_one_gateway_are_found() {
+    // Gateways are in touch 3 s after the concentration began.
+    assert!(concentrated(|at| (20_000..23_000).contains(&at))
+        .findings()
+        .is_empty());
+    assert!(concentrated(|at| at >= 23_000 && at % 2_500 == 0)
+        .findings()
+        .is_empty());
+    let found = concentrated(|at| at >= 23_000 && at % 1_500 == 0).findings();
+    assert_eq!(found, ["served while concentrated"]);
+}
