Pass over concentrations of the soak while an endpoint names a limit

The trace: 83 of the refusals say that the limits that endpoints named are used up; two of five endpoints named one, which the gateways have to keep. The check now passes over concentrations during which a limit is in force.

--- a/soak/src/checks/concentration.rs
+++ b/soak/src/checks/concentration.rs
@@ -2,6 +2,7 @@
 
 use super::view::{Request, View, CONTACT, NOTE_SLACK};
 use super::Verdicts;
+use crate::history::{Record, Seen};
 
 /// Requests during a concentration and before it, from which their shares are compared.
 const MIN_COMPARED: usize = 20;
@@ -18,6 +19,10 @@
             let mut all = view.concentrations.iter();
             all.any(|(_, from, to)| (*from..*to).contains(&at))
         };
+        // What a limit that an endpoint names turns away says nothing of the gateways.
+        if has_named_limit(view, known, *to) {
+            continue;
+        }
         let before = shares(view, |at| at < *from && !is_concentrated(at));
         let during = shares(view, |at| (known..*to).contains(&at));
         if before.1 < MIN_COMPARED || during.1 < MIN_COMPARED {
@@ -44,6 +49,14 @@
     4 * served * other_all >= 3 * other_served * all
 }
 
+fn has_named_limit(view: &View<'_>, from: u64, to: u64) -> bool {
+    let is_in_force = |record: &Record| match record.seen {
+        Seen::NamedLimit { until, .. } => record.at < to && until > from,
+        _ => false,
+    };
+    view.records.iter().any(is_in_force)
+}
+
 // Requests that were served, and all that count, of those sent at these times.
 fn shares(view: &View<'_>, is_in_time: impl Fn(u64) -> bool) -> (usize, usize) {
     let counted = |request: &&Request<'_>| {
--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -796,3 +796,19 @@
     told.records.sort_by_key(|record| record.at);
     assert!(told.findings().is_empty());
 }
+
+#[test]
+fn requests_that_a_named_limit_turns_away_while_most_connections_reach_one_gateway_are_passed_over()
+{
+    let refuses = |at: u64| at >= 23_000 && at.is_multiple_of(300);
+    let limit = Seen::NamedLimit {
+        id: "c1".into(),
+        endpoint: "e0-1".into(),
+        milli: 1_000,
+        until: 30_000,
+    };
+    let mut told = concentrated(refuses).at(22_000, limit);
+    told.records.sort_by_key(|record| record.at);
+    let found = told.findings();
+    assert!(!found.contains(&"served while concentrated"), "{found:?}");
+}
