--- a/soak/src/checks/concentration.rs
+++ b/soak/src/checks/concentration.rs
@@ -1,8 +1,10 @@
 //! Requests are served also while most new connections go to one gateway.
 
+use std::collections::BTreeSet;
+
 use super::view::{Request, View, CONTACT, NOTE_SLACK};
 use super::Verdicts;
-use crate::history::{Record, Seen};
+use crate::history::Seen;
 
 /// Requests during a concentration and before it, from which their shares are compared.
 const MIN_COMPARED: usize = 20;
@@ -20,16 +22,15 @@
             all.any(|(_, from, to)| (*from..*to).contains(&at))
         };
         // What a limit that an endpoint names turns away says nothing of the gateways.
-        if has_named_limit(view, known, *to) {
-            continue;
-        }
-        let before = shares(view, |at| at < *from && !is_concentrated(at));
-        let during = shares(view, |at| (known..*to).contains(&at));
+        let limited = limited_services(view, known, *to);
+        let shares = |is_in_time: &dyn Fn(u64) -> bool| shares(view, &limited, is_in_time);
+        let before = shares(&|at| at < *from && !is_concentrated(at));
+        let during = shares(&|at| (known..*to).contains(&at));
         if before.1 < MIN_COMPARED || during.1 < MIN_COMPARED {
             continue;
         }
         // Endpoints that are lost for another reason keep the share low after the concentration as well.
-        let after = shares(view, |at| (*to..to.saturating_add(AFTER)).contains(&at));
+        let after = shares(&|at| (*to..to.saturating_add(AFTER)).contains(&at));
         let has_after = after.1 >= MIN_COMPARED;
         let is_good = is_three_quarters(during, before)
             || (has_after && !is_three_quarters(after, before) && is_three_quarters(during, after));
@@ -49,18 +50,26 @@
     4 * served * other_all >= 3 * other_served * all
 }
 
-fn has_named_limit(view: &View<'_>, from: u64, to: u64) -> bool {
-    let is_in_force = |record: &Record| match record.seen {
-        Seen::NamedLimit { until, .. } => record.at < to && until > from,
-        _ => false,
-    };
-    view.records.iter().any(is_in_force)
+// Services of which an endpoint names a limit at some time.
+fn limited_services(view: &View<'_>, from: u64, to: u64) -> BTreeSet<&'static str> {
+    let limited = view.records.iter().filter_map(|record| match &record.seen {
+        Seen::NamedLimit { id, until, .. } if record.at < to && *until > from => {
+            view.requests.get(id.as_str())
+        }
+        _ => None,
+    });
+    limited.map(Request::service).collect()
 }
 
 // Requests that were served, and all that count, of those sent at these times.
-fn shares(view: &View<'_>, is_in_time: impl Fn(u64) -> bool) -> (usize, usize) {
+fn shares(
+    view: &View<'_>,
+    limited: &BTreeSet<&'static str>,
+    is_in_time: &dyn Fn(u64) -> bool,
+) -> (usize, usize) {
     let counted = |request: &&Request<'_>| {
         is_in_time(request.sent)
+            && !limited.contains(request.service())
             && matches!(request.status(), Some(200 | 500 | 502 | 503 | 504))
             && !request.id.starts_with(['d', 'p'])
             && view.is_in_touch(request.gateway, request.sent, request.sent)
