Count all ends of a prompt part that never ran well, however close together

Ends that are close together speak for another cause only where the part is known to run well, as what many requests share is.

--- a/components/quarantine/src/part_ends.rs
+++ b/components/quarantine/src/part_ends.rs
@@ -13,6 +13,15 @@
 /// Maximum number of runs; the oldest are dropped first. At most 200 bytes each.
 const MAX_RUNS: usize = 1024;
 
+/// Which ends of endpoints on a part are separate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EndSpacing {
+    /// All of different endpoints.
+    Any,
+    /// Those that are [`MIN_END_SPACING`] apart, or of which the later run was sent after the earlier end.
+    Apart,
+}
+
 /// A run whose endpoint ended when it could just have begun to write the answer.
 #[derive(Clone, Debug)]
 struct SuspectRun {
@@ -92,7 +101,12 @@
 
     /// Number of separate ends of endpoints on a part. Not counted are ends on which one of the `explanations` ran too: groups
     /// of parts that are known to end endpoints.
-    pub fn count_ends(&self, part: Fingerprint, explanations: &[Vec<Fingerprint>]) -> usize {
+    pub fn count_ends(
+        &self,
+        part: Fingerprint,
+        spacing: EndSpacing,
+        explanations: &[Vec<Fingerprint>],
+    ) -> usize {
         let is_explained = |run: &SuspectRun| {
             let explains = |group: &Vec<Fingerprint>| group.iter().all(|part| run.has(*part));
             explanations.iter().any(explains)
@@ -106,7 +120,9 @@
                 continue;
             }
             let is_separate = last_end.is_none_or(|last_end| {
-                run.sent_at >= last_end || run.ended_at >= last_end + MIN_END_SPACING
+                spacing == EndSpacing::Any
+                    || run.sent_at >= last_end
+                    || run.ended_at >= last_end + MIN_END_SPACING
             });
             if is_separate {
                 count += 1;
--- a/components/quarantine/src/part_holds.rs
+++ b/components/quarantine/src/part_holds.rs
@@ -5,12 +5,12 @@
 
 use crate::completions::RecentCompletions;
 use crate::holds::{hold_duration, NEW_HOLD_PERIOD};
-use crate::part_ends::PartEnds;
+use crate::part_ends::{EndSpacing, PartEnds};
 use crate::Fingerprint;
 
-/// Number of separate ends of endpoints on a part before it is held back.
+/// Number of ended endpoints on a part from which it is held back.
 const MIN_ENDS_TO_HOLD: usize = 3;
-/// The same of a part that ran well here lately: other causes are more likely then.
+/// Number of separate ends of a part that ran well here lately: other causes are more likely then.
 const MIN_ENDS_TO_HOLD_SOUND: usize = 5;
 /// Number of separate ends from which a gateway does not retry a request with the part.
 const MIN_ENDS_TO_STOP_RETRIES: usize = 2;
@@ -149,7 +149,7 @@
 
     /// Number of separate ends of endpoints on a part that no endpoint has begun to answer since.
     pub fn count_ends(&self, part: Fingerprint) -> usize {
-        self.ends.count_ends(part, &[])
+        self.ends.count_ends(part, EndSpacing::Apart, &[])
     }
 
     /// Records that an endpoint ended when it could just have begun to write an answer on these parts. Returns whether it is
@@ -186,11 +186,12 @@
                 self.held_groups(now).map(<[Fingerprint]>::to_vec).collect();
             let is_sound = self.sound.contains(now, part);
             explanations.retain(|explanation| is_sound || explanation.contains(&part));
-            let min_ends = match is_sound {
-                true => MIN_ENDS_TO_HOLD_SOUND,
-                false => MIN_ENDS_TO_HOLD,
+            // Endpoints that end together for another reason make suspects of what many requests share, which has run well.
+            let (min_ends, spacing) = match is_sound {
+                true => (MIN_ENDS_TO_HOLD_SOUND, EndSpacing::Apart),
+                false => (MIN_ENDS_TO_HOLD, EndSpacing::Any),
             };
-            if self.ends.count_ends(part, &explanations) >= min_ends {
+            if self.ends.count_ends(part, spacing, &explanations) >= min_ends {
                 self.hold(now, group);
             }
         }
@@ -212,7 +213,9 @@
     /// Parts that may be held back after further ends, for the gateways that report what runs well.
     pub fn suspects(&self, max_count: usize) -> Vec<Fingerprint> {
         let mut suspects = self.ends.parts();
-        suspects.retain(|part| self.ends.count_ends(*part, &[]) >= MIN_ENDS_TO_REPORT);
+        suspects.retain(|part| {
+            self.ends.count_ends(*part, EndSpacing::Apart, &[]) >= MIN_ENDS_TO_REPORT
+        });
         suspects.truncate(max_count);
         suspects
     }
@@ -285,7 +288,7 @@
     /// Whether a gateway may retry a request with these parts that was cut off.
     pub fn can_retry(&self, now: Duration, parts: &[Fingerprint]) -> bool {
         let stops = |part: &Fingerprint| {
-            self.ends.count_ends(*part, &[]) >= MIN_ENDS_TO_STOP_RETRIES
+            self.ends.count_ends(*part, EndSpacing::Apart, &[]) >= MIN_ENDS_TO_STOP_RETRIES
                 && is_subset(&self.ends.inseparable(*part), parts)
         };
         !self.is_held(now, parts) && !parts.iter().any(stops)
@@ -380,7 +383,7 @@
         let is_suspect = |part: &Fingerprint| {
             !group.contains(part)
                 && !self.sound.contains(now, *part)
-                && self.ends.count_ends(*part, &[]) as u128 > steps
+                && self.ends.count_ends(*part, EndSpacing::Apart, &[]) as u128 > steps
         };
         let is_other_hold = |(other, _): (&Vec<Fingerprint>, _)| {
             is_subset(other, parts) && !is_subset(group, other)
