--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -50,6 +50,7 @@
 mod stream_origins;
 mod tally;
 mod traffic;
+mod turns;
 mod update;
 mod versions;
 mod wall_clock;
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -26,6 +26,7 @@
 use crate::relay::serve_tunnels;
 use crate::server::{bind, bind_std, serve_callers, serve_metrics, serve_readiness};
 use crate::traffic::{Traffic, TrafficParts};
+use crate::turns::measure_turns;
 use crate::update::Update;
 
 /// Capacity of the channel for tallies. While it is full, counts are added to the next tally.
@@ -301,8 +302,10 @@
         }
     };
     let traffic = Rc::new(Traffic::new(parts));
+    let (metrics, log) = (Arc::clone(&traffic.metrics), traffic.log.clone());
     let local = LocalSet::new();
-    local.block_on(&runtime, serve(traffic, decisions, updates, bound));
+    let tasks = local.run_until(serve(traffic, decisions, updates, bound));
+    runtime.block_on(measure_turns(tasks, &metrics, &log));
 }
 
 struct Listeners {
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -180,6 +180,8 @@
         PathsLost => "endpoint.paths_lost",
         /// Streams whose software version this gateway knows, a count.
         StreamRecords => "stream.records",
+        /// Longest time since the start in which the traffic thread read no sockets, in milliseconds.
+        LongestTurn => "traffic.longest_turn_ms",
     }
 }
 
