Find and remove endpoints without a walk over all of them

Callers saw their closes passed on after up to 1.7 s while thousands of endpoints left (9,998 records, test profile): the traffic thread removed each by a walk over the hashes of all (`id_by_hash.retain`), and adding or removing one moved all entries behind it, some 600 bytes each. Class: a walk over all for each of them. The same walk served each tunnel (`hall_at`, `lend_connection`).

Entries stay in place in a slab, their order is a list of keys, and an index finds an endpoint by id, hash and address.

--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -164,7 +164,8 @@
             if !state.fleet.known.contains(&from.ip()) {
                 return Err(StatusCode::FORBIDDEN);
             }
-            let hall = state.balancer.hall_at(endpoint);
+            let known = state.balancer.endpoint_at(endpoint);
+            let hall = known.map(|known| known.zone.as_str());
             // A gateway that is no coordinator knows the endpoints on which its own requests were placed.
             let hall = hall.or_else(|| state.placed_endpoints.hall_at(now, endpoint));
             let hall = hall.map(str::to_string).ok_or(StatusCode::NOT_FOUND)?;
@@ -208,10 +209,7 @@
     ) -> Result<LentConnection<D>, StatusCode> {
         let (endpoint, max_connections) = {
             let state = self.state.borrow();
-            let known = state
-                .balancer
-                .endpoints()
-                .find(|known| known.address == address);
+            let known = state.balancer.endpoint_at(address);
             let known = known.ok_or(StatusCode::NOT_FOUND)?;
             let services = state
                 .directory
--- a/components/routing/src/placement.rs
+++ b/components/routing/src/placement.rs
@@ -11,6 +11,7 @@
 mod entry;
 mod exclusion;
 mod halls;
+mod index;
 mod mix;
 mod network_cost;
 mod queue;
--- a/components/routing/src/placement/balancer.rs
+++ b/components/routing/src/placement/balancer.rs
@@ -1,6 +1,6 @@
 //! State of all endpoints and of the requests in flight there.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -12,6 +12,7 @@
 use crate::placement::engines::EventWindow;
 use crate::placement::entry::EndpointEntry;
 use crate::placement::exclusion::standing;
+use crate::placement::index::EndpointIndex;
 use crate::placement::mix::PromptMix;
 use crate::placement::network_cost::NetworkCosts;
 use crate::placement::region_link::RegionLinks;
@@ -19,9 +20,7 @@
 use crate::placement::slowdown::{Slowdown, SlowdownModel};
 use crate::placement::timings::ServiceTimings;
 use crate::placement::unreported::UnreportedRequests;
-use crate::placement::{
-    endpoint_hash, incarnation, prefix_hashes, HealthSignal, PeerDispatch, Versions, Work,
-};
+use crate::placement::{incarnation, prefix_hashes, HealthSignal, PeerDispatch, Versions, Work};
 
 /// Endpoint chosen for a request.
 #[derive(Clone, Debug, PartialEq)]
@@ -90,9 +89,7 @@
     // Halls of the endpoints. An entry refers to its hall by the index here.
     pub(super) halls: Vec<String>,
     pub(super) services: BTreeMap<String, ServiceEndpoints>,
-    // Service by endpoint id.
-    pub(super) service_of: HashMap<String, String>,
-    id_by_hash: HashMap<u64, String>,
+    pub(super) index: EndpointIndex,
     timings: BTreeMap<String, ServiceTimings>,
     // Slowdown statistics by service.
     pub(super) slowdown_models: BTreeMap<String, SlowdownModel>,
@@ -120,8 +117,7 @@
             region_links: RegionLinks::default(),
             halls: Vec::new(),
             services: BTreeMap::new(),
-            service_of: HashMap::new(),
-            id_by_hash: HashMap::new(),
+            index: EndpointIndex::default(),
             timings: BTreeMap::new(),
             slowdown_models: BTreeMap::new(),
             mixes: BTreeMap::new(),
@@ -152,7 +148,9 @@
         let mut speed = None;
         if let Some(entry) = known {
             if entry.spec.is_same_start(&endpoint) {
-                entry.spec = endpoint;
+                let (address, id) = (endpoint.address, endpoint.id.clone());
+                let before = std::mem::replace(&mut entry.spec, endpoint).address;
+                self.index.readdress(&id, before, address);
                 return;
             }
             // Requests, cache and health belong to the old process and are dropped. The reading
@@ -161,7 +159,7 @@
             speed = is_same_vm.then_some(entry.speed);
             self.remove(&endpoint.id);
         }
-        let (id, service) = (endpoint.id.clone(), endpoint.service.clone());
+        let service = endpoint.service.clone();
         let engine = self.engines.get(&service);
         let cache_tokens = engine.map_or(u64::MAX, |engine| engine.cache_tokens);
         let mut entry = EndpointEntry::new(now, endpoint, cache_tokens);
@@ -172,49 +170,39 @@
             .network_costs
             .topology()
             .region_index_of(&entry.spec.zone);
-        let hashes = [endpoint_hash(&id), entry.incarnation()];
-        self.id_by_hash
-            .extend(hashes.map(|hash| (hash, id.clone())));
-        self.services
-            .entry(service.clone())
-            .or_default()
-            .insert(entry);
-        self.service_of.insert(id, service);
+        self.index.insert(&entry);
+        self.services.entry(service).or_default().insert(entry);
     }
 
     /// Removes an endpoint.
     pub fn remove(&mut self, id: &str) {
-        let Some(service) = self.service_of.remove(id) else {
-            return;
-        };
-        self.id_by_hash.retain(|_, known| known != id);
-        if let Some(endpoints) = self.services.get_mut(&service) {
-            endpoints.remove(id);
+        let service = self.index.service_of(id);
+        let endpoints = service.and_then(|service| self.services.get_mut(service));
+        if let Some(entry) = endpoints.and_then(|endpoints| endpoints.remove(id)) {
+            self.index.remove(&entry);
         }
     }
 
     /// Removes all endpoints but keeps the statistics of their services.
     pub fn remove_all(&mut self) {
         self.services.clear();
-        self.service_of.clear();
-        self.id_by_hash.clear();
+        self.index = EndpointIndex::default();
     }
 
     /// Returns the record of an endpoint.
     pub fn endpoint(&self, id: &str) -> Option<&Endpoint> {
-        let endpoints = self.services.get(self.service_of.get(id)?)?;
+        let endpoints = self.services.get(self.index.service_of(id)?)?;
         endpoints.get(id).map(|entry| &entry.spec)
     }
 
-    /// Returns the data hall of the endpoint at an address.
-    pub fn hall_at(&self, address: SocketAddr) -> Option<&str> {
-        let endpoint = self.endpoints().find(|known| known.address == address);
-        endpoint.map(|known| known.zone.as_str())
+    /// Returns the record of an endpoint at an address.
+    pub fn endpoint_at(&self, address: SocketAddr) -> Option<&Endpoint> {
+        self.endpoint(self.index.id_at(address)?)
     }
 
     /// Returns the number of endpoints.
     pub fn endpoint_count(&self) -> usize {
-        self.service_of.len()
+        self.index.len()
     }
 
     /// Iterates over the records of all endpoints.
@@ -224,7 +212,7 @@
     }
 
     pub(super) fn entry_mut(&mut self, id: &str) -> Option<&mut EndpointEntry> {
-        let service = self.service_of.get(id)?;
+        let service = self.index.service_of(id)?;
         self.services.get_mut(service)?.get_mut(id)
     }
 
@@ -308,7 +296,7 @@
     /// Returns the id of the endpoint with this hash, either of its id or of its current
     /// incarnation.
     pub fn id_of(&self, hash: u64) -> Option<String> {
-        self.id_by_hash.get(&hash).cloned()
+        self.index.id_of(hash).map(str::to_string)
     }
 
     /// Records that the first token of a request arrived.
--- a/components/routing/src/placement/engines.rs
+++ b/components/routing/src/placement/engines.rs
@@ -163,8 +163,8 @@
     // Returns `None` for endpoints that are unknown or no engines; a gateway that does not follow
     // the list of endpoints knows none.
     fn snapshot(&mut self, now: Duration, endpoint: &str) -> Option<EngineSnapshot> {
-        let service = self.service_of.get(endpoint)?;
-        let model = self.slowdown_models.entry(service.clone()).or_default();
+        let service = self.index.service_of(endpoint)?;
+        let model = self.slowdown_models.entry(service.to_string()).or_default();
         let endpoints = self.services.get_mut(service)?;
         let entry = endpoints
             .get_mut(endpoint)
--- a/components/routing/src/placement/service.rs
+++ b/components/routing/src/placement/service.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use notices::Notices;
+use slab::Slab;
 
 use crate::placement::entry::EndpointEntry;
 use crate::placement::exclusion::Exclusion;
@@ -19,7 +20,16 @@
 /// Endpoints in the order in which they are given light prompts. All gateways use the same order.
 #[derive(Debug, Default)]
 pub(crate) struct ServiceEndpoints {
-    entries: Vec<EndpointEntry>,
+    // Entries are large, so they stay in place when the order changes.
+    entries: Slab<EndpointEntry>,
+    order: Vec<OrderedKey>,
+}
+
+// Key of an entry, with its rank in the order.
+#[derive(Clone, Copy, Debug)]
+struct OrderedKey {
+    group_order: u64,
+    key: usize,
 }
 
 /// That endpoints of a service fail if they turn too many requests away.
@@ -74,56 +84,58 @@
 impl ServiceEndpoints {
     // Returns the position of an endpoint, or the position at which to insert it.
     fn find(&self, id: &str) -> Result<usize, usize> {
-        let wanted = (weight(GROUP_SEED, id), id);
-        let compare =
-            |entry: &EndpointEntry| (entry.group_order, entry.spec.id.as_str()).cmp(&wanted);
-        self.entries.binary_search_by(compare)
+        let wanted = weight(GROUP_SEED, id);
+        self.order.binary_search_by(|ordered| {
+            let by_weight = ordered.group_order.cmp(&wanted);
+            by_weight.then_with(|| self.entries[ordered.key].spec.id.as_str().cmp(id))
+        })
     }
 
     /// Returns the entry of an endpoint.
     pub fn get(&self, id: &str) -> Option<&EndpointEntry> {
-        Some(&self.entries[self.find(id).ok()?])
+        Some(self.at(self.find(id).ok()?))
     }
 
     /// Returns the entry of an endpoint for changes.
     pub fn get_mut(&mut self, id: &str) -> Option<&mut EndpointEntry> {
         let position = self.find(id).ok()?;
-        Some(&mut self.entries[position])
+        Some(self.at_mut(position))
     }
 
     /// Returns the entry at a position.
     pub fn at(&self, position: usize) -> &EndpointEntry {
-        &self.entries[position]
+        &self.entries[self.order[position].key]
     }
 
     /// Returns the entry at a position for changes.
     pub fn at_mut(&mut self, position: usize) -> &mut EndpointEntry {
-        &mut self.entries[position]
+        &mut self.entries[self.order[position].key]
     }
 
     /// Iterates over all entries.
     pub fn iter(&self) -> impl Iterator<Item = &EndpointEntry> {
-        self.entries.iter()
+        self.order.iter().map(|ordered| &self.entries[ordered.key])
     }
 
-    /// Iterates over all entries for changes.
+    /// Iterates over all entries for changes, in no particular order.
     pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut EndpointEntry> {
-        self.entries.iter_mut()
+        self.entries.iter_mut().map(|(_, entry)| entry)
     }
 
     /// Adds an endpoint; one that is already present stays unchanged.
-    pub fn insert(&mut self, mut entry: EndpointEntry) {
-        entry.group_order = weight(GROUP_SEED, &entry.spec.id);
+    pub fn insert(&mut self, entry: EndpointEntry) {
         if let Err(position) = self.find(&entry.spec.id) {
-            self.entries.insert(position, entry);
+            let group_order = weight(GROUP_SEED, &entry.spec.id);
+            let key = self.entries.insert(entry);
+            self.order.insert(position, OrderedKey { group_order, key });
         }
     }
 
-    /// Removes an endpoint.
-    pub fn remove(&mut self, id: &str) {
-        if let Ok(position) = self.find(id) {
-            self.entries.remove(position);
-        }
+    /// Removes an endpoint and returns its entry.
+    pub fn remove(&mut self, id: &str) -> Option<EndpointEntry> {
+        let position = self.find(id).ok()?;
+        let ordered = self.order.remove(position);
+        self.entries.try_remove(ordered.key)
     }
 
     /// Returns the positions of the endpoints that can take a request. Suspected ones are included
@@ -145,13 +157,13 @@
                 && versions.allows(&spec.version)
                 && exclusion.allows(now, entry, notices)
         };
-        let all = self.entries.iter().enumerate();
+        let all = self.iter().enumerate();
         let mut ready: Vec<usize> = all
             .filter(|(_, s)| is_permitted(s))
             .map(|(i, _)| i)
             .collect();
-        let region = |position: &usize| self.entries[*position].region_index;
-        let is_trusted = |position: &usize| !self.entries[*position].is_suspected(now);
+        let region = |position: &usize| self.at(*position).region_index;
+        let is_trusted = |position: &usize| !self.at(*position).is_suspected(now);
         let trusted = ready.iter().filter(|position| is_trusted(position));
         let trusted: BTreeSet<usize> = trusted.map(region).collect();
         ready.retain(|position| is_trusted(position) || !trusted.contains(&region(position)));
@@ -165,7 +177,7 @@
     pub fn by_region(&self, positions: Vec<usize>, home: usize) -> Vec<(usize, Vec<usize>)> {
         let mut regions: BTreeMap<usize, Vec<usize>> = BTreeMap::new();
         for position in positions {
-            let region = self.entries[position].region_index;
+            let region = self.at(position).region_index;
             regions.entry(region).or_default().push(position);
         }
         let mut list: Vec<_> = regions.into_iter().collect();
@@ -202,7 +214,7 @@
         let mut running = 0.0;
         let mut slots = 0.0;
         for position in positions {
-            let entry = &mut self.entries[*position];
+            let entry = self.at_mut(*position);
             running += f64::from(entry.load(now));
             slots += f64::from(entry.spec.slots);
         }
@@ -215,7 +227,7 @@
         if shared_prompt == 0 {
             return None;
         }
-        let weight_at = |position: &usize| weight(shared_prompt, &self.entries[*position].spec.id);
+        let weight_at = |position: &usize| weight(shared_prompt, &self.at(*position).spec.id);
         positions.iter().copied().max_by_key(weight_at)
     }
 }
--- a/components/routing/src/placement/sight.rs
+++ b/components/routing/src/placement/sight.rs
@@ -46,7 +46,7 @@
 
     // Returns whether the reported number of requests differs notably from the expected one.
     fn record_request_count(&mut self, id: &str, at: Duration, requests: u32) -> bool {
-        let Some(service) = self.service_of.get(id) else {
+        let Some(service) = self.index.service_of(id) else {
             return false;
         };
         let hold = Duration::from_secs_f64(self.timings_of(service).hold_ms / 1000.0);
@@ -64,7 +64,7 @@
 
     /// Returns an endpoint's reported slowdowns and its service's model to predict from them.
     pub(super) fn slowdown_state(&self, id: &str) -> (SlowdownModel, Option<SlowdownHistory>) {
-        let Some(service) = self.service_of.get(id) else {
+        let Some(service) = self.index.service_of(id) else {
             return (SlowdownModel::default(), None);
         };
         let entry = self
@@ -80,7 +80,7 @@
     // Returns whether the slowdown differs notably from the expected one. A report older than the
     // latest one is ignored.
     fn record_slowdown(&mut self, id: &str, at: Duration, slowdown: Slowdown) -> bool {
-        let Some(service) = self.service_of.get(id) else {
+        let Some(service) = self.index.service_of(id) else {
             return false;
         };
         let endpoints = self.services.get_mut(service);
@@ -92,7 +92,7 @@
         }) else {
             return false;
         };
-        let model = self.slowdown_models.entry(service.clone()).or_default();
+        let model = self.slowdown_models.entry(service.to_string()).or_default();
         let expected = model.expected(at, entry.slowdown_history);
         entry.record_slowdown(at, slowdown, model);
         slowdown.differs_from(expected)
