See that a caller left behind bytes of its next request, and before each send

A caller that had sent the first line of a next request, or all of it, and then left was never noticed: its endpoint ran on until the route's time was over (10.0 s in the test). Ten callers whose request and close were read at once used up their team's limit of three.

Cause: the server looks for the end of a connection only while it has read no byte behind the current request, and nothing looked before a request was charged, placed or sent.

What the kernel knows of the connection (TCP_INFO, as for endpoints) says that the caller closed it, whatever lies unread before that. It is looked at when the socket has something to read, each 100 ms while that is not read, before a request is charged, and last before each send. A caller that closes only its sending side counts as one that left, as before: HTTP/1.1 has no other sign of a client that no longer waits (RFC 9112, 9.6), and the server took it so where it looked.

Failed before: `a_caller_that_leaves_after_the_first_bytes_of_a_next_request_...` (9,997 ms), `a_caller_that_leaves_after_two_requests_at_once_...` (10.0 s), `a_request_whose_caller_left_before_it_was_read_is_neither_sent_nor_charged` (429 to the next caller).

--- a/components/gateway/src/caller.rs
+++ b/components/gateway/src/caller.rs
@@ -1,6 +1,7 @@
 //! A caller's connection: its memory account and its progress.
 
 use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
@@ -8,11 +9,14 @@
 
 use memory::{Account, Delivery, Reservation};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use transport::{SharedStream, WeakStream};
 
 use crate::clock::Clock;
 
+/// Interval of the checks whether a caller has closed its connection behind bytes that are not read yet.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// A caller's connection, which serves one request at a time.
 #[derive(Debug)]
 pub(crate) struct Caller {
@@ -21,6 +25,7 @@
     /// Notified when the connection is to be closed because memory is short.
     pub close_requested: Notify,
     clock: Clock,
+    stream: RefCell<WeakStream>,
     // Memory of the connection itself.
     _connection: Reservation,
     running: Cell<u32>,
@@ -46,6 +51,7 @@
             account,
             close_requested: Notify::new(),
             clock,
+            stream: RefCell::default(),
             _connection: connection,
             running: Cell::new(0),
             idle_since: Cell::new(now),
@@ -57,6 +63,16 @@
         }
     }
 
+    /// Sets the stream of the connection.
+    pub fn set_stream(&self, stream: WeakStream) {
+        *self.stream.borrow_mut() = stream;
+    }
+
+    /// Whether the caller has closed its connection, or its side of it, so that it waits for no answer.
+    pub fn has_left(&self) -> bool {
+        self.stream.borrow().is_closed()
+    }
+
     /// Sets the request whose head was read, and the deadline of its answer.
     pub fn set_request(&self, id: &str, deadline: Duration) {
         let mut request = self.request.borrow_mut();
@@ -159,10 +175,23 @@
 /// A caller's socket that reports progress to its [`Caller`].
 #[derive(Debug)]
 pub(crate) struct ProgressStream {
-    pub stream: TcpStream,
+    pub stream: SharedStream,
     pub caller: Rc<Caller>,
 }
 
+/// Waits until a caller closes its connection, or its side of it. The server looks for that only while it has read nothing
+/// behind the current request, but the caller may have sent bytes of the next one. Must be polled by the task that serves
+/// the connection.
+pub(crate) async fn wait_for_close(stream: &SharedStream) {
+    loop {
+        let ready = poll_fn(|context| stream.poll_read_ready(context)).await;
+        if ready.is_err() || stream.is_closed_by_peer() {
+            return;
+        }
+        tokio::time::sleep(CLOSE_CHECK_INTERVAL).await;
+    }
+}
+
 impl AsyncRead for ProgressStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -19,6 +19,7 @@
 use crate::job::{Job, Progress, SharedJob};
 use crate::placing::NoPlacement;
 use crate::ports::{CallerHead, Dialect};
+use crate::retry::CALLER_LEFT;
 use crate::stream::Relay;
 use crate::traffic::Traffic;
 
@@ -73,6 +74,10 @@
         let body = self
             .read_body(&parts, &head, body, read_by, &caller)
             .await?;
+        if caller.has_left() {
+            // Its connection may have waited to be accepted until it gave up.
+            return Err(Refusal::not_run(Kind::Overloaded, CALLER_LEFT));
+        }
         let job = self.admit(arrived, parts, head, body, caller)?;
         let job = Rc::new(job);
         let mut progress = Progress::default();
--- a/components/gateway/src/retry.rs
+++ b/components/gateway/src/retry.rs
@@ -18,6 +18,8 @@
 
 /// Retry delay for the caller when endpoints have no room.
 const NO_ROOM_RETRY: Duration = Duration::from_millis(150);
+/// Cause of a refusal that no caller reads.
+pub(crate) const CALLER_LEFT: &str = "the caller has left";
 /// Number of attempts that reach no endpoint after which a request fails.
 const MAX_UNSENT: usize = 4;
 /// An attempt of a repeatable request that has another attempt left times out after this many times the target latency.
@@ -102,12 +104,18 @@
         }
     }
 
-    // Returns the refusal of a job whose deadline has passed or whose key can no longer be used: the VM may have been frozen
+    // Returns the refusal of a job whose caller has left, whose deadline has passed or whose key can no longer be used: the VM may have been frozen
     // or suspended since the job was admitted.
     fn expired_refusal(&self, job: &Job, progress: &Progress) -> Option<Refusal> {
         if self.can_still_send(job) {
             return None;
         }
+        if job.caller.has_left() {
+            return Some(match progress.maybe_run {
+                true => Refusal::maybe_run(Kind::EndpointFailed, CALLER_LEFT),
+                false => Refusal::not_run(Kind::Overloaded, CALLER_LEFT),
+            });
+        }
         Some(match (progress.maybe_run, self.clock.now() >= job.expiry) {
             (true, true) => Refusal::maybe_run(Kind::DeadlinePassed, "late"),
             (true, false) => Refusal::maybe_run(Kind::EndpointFailed, "not sent on"),
@@ -119,8 +127,12 @@
         })
     }
 
-    /// Whether a job's deadline hasn't passed, its key can be used now and it isn't quarantined. Checked last before the job is sent.
+    /// Whether a job's caller still waits for it, its deadline hasn't passed, its key can be used now and it isn't quarantined.
+    /// Checked last before the job is sent.
     pub fn can_still_send(&self, job: &Job) -> bool {
+        if job.caller.has_left() {
+            return false;
+        }
         let now = self.clock.now();
         let ages = MaxAges::of(&self.state.borrow().settings);
         let can_use_key = !job.needs_key || self.freshness.allows_keys(now, ages.keys);
--- a/components/gateway/src/server.rs
+++ b/components/gateway/src/server.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,8 +19,9 @@
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use telemetry::{Counter, Metrics};
 use tokio::net::{TcpListener, TcpStream};
+use transport::SharedStream;
 
-use crate::caller::{Caller, ProgressStream};
+use crate::caller::{wait_for_close, Caller, ProgressStream};
 use crate::ports::Dialect;
 use crate::simple_http;
 use crate::traffic::Traffic;
@@ -131,17 +133,21 @@
         .timer(TokioTimer::new())
         .header_read_timeout(MAX_HEAD_TIME)
         .max_buf_size(max_head_bytes(&traffic));
+    let stream = SharedStream::new(stream);
+    caller.set_stream(stream.downgrade());
     let progress_stream = ProgressStream {
-        stream,
+        stream: stream.clone(),
         caller: Rc::clone(&caller),
     };
     let connection = builder.serve_connection(TokioIo::new(progress_stream), service);
     tokio::pin!(connection);
+    let mut closed = pin!(wait_for_close(&stream));
     let mut check = tokio::time::interval(CONNECTION_CHECK_INTERVAL);
     check.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         tokio::select! {
             _ = connection.as_mut() => return,
+            () = closed.as_mut() => return log_abandoned(&traffic, &caller),
             () = caller.close_requested.notified() => return,
             _ = check.tick() => match due_connection_end(&traffic, &caller) {
                 None => {}
@@ -152,6 +158,14 @@
     }
 }
 
+// Ending the connection aborts the request on it.
+fn log_abandoned<D>(traffic: &Traffic<D>, caller: &Caller) {
+    if caller.idle_time(traffic.clock.now()).is_none() {
+        traffic.metrics.count(Counter::Abandoned);
+        info!(traffic.log, "caller left"; "id" => caller.request_id());
+    }
+}
+
 // The ledger doesn't count the kernel's buffers, so they are kept small. At the 3 ms to callers that the deployments state
 // they carry 20 MB/s; on a network with more latency they only reduce the rate. Accepted connections inherit the sizes.
 fn limit_socket_buffers<D>(traffic: &Traffic<D>, listener: &TcpListener) {
--- a/components/gateway/tests/abandoned_requests.rs
+++ b/components/gateway/tests/abandoned_requests.rs
@@ -5,16 +5,18 @@
 
 mod common;
 
+use std::io::Write;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use common::{
-    configuration, endpoint, open, request_text, route, settings, wait_until, FakeEndpoint,
+    configuration, endpoint, open, request_text, route, settings, tenant, wait_until, FakeEndpoint,
     FakeStore, LogLines, Setup,
 };
-use directory::{Configuration, Endpoint, EndpointState, Execution};
+use directory::{Configuration, Endpoint, EndpointState, Execution, Quota};
+use socket2::SockRef;
 
 /// Time within which the close of a caller has to reach the endpoint that works for it.
 const CLOSE_DUE: Duration = Duration::from_millis(500);
@@ -59,6 +61,11 @@
     }
 }
 
+fn serving(served: Endpoint) -> Setup {
+    let routes = vec![route("/a/", Execution::Repeatable)];
+    Setup::serving(configuration(1, routes), vec![served])
+}
+
 fn serving_with_log(configuration: Configuration, served: Endpoint, log: &LogLines) -> Setup {
     let store = FakeStore::default();
     store.put_configuration(configuration);
@@ -73,6 +80,76 @@
     request_text("/a/1", &[]).replace("connection: close\r\n", "")
 }
 
+// The server looks for the end of a connection only while it has read no byte behind the request that runs.
+#[test]
+fn a_caller_that_leaves_after_the_first_bytes_of_a_next_request_ends_the_one_that_runs() {
+    let busy = BusyEndpoint::start();
+    let setup = serving(endpoint("e1", busy.fake.address));
+    let mut callers: Vec<TcpStream> = (0..CALLERS)
+        .map(|_| open(setup.address(), &keep_alive_request()))
+        .collect();
+    busy.wait_for_requests(CALLERS);
+    for caller in &mut callers {
+        caller.write_all(b"GET /a/2 HTTP/1.1\r\n").unwrap();
+    }
+    drop(callers);
+    let elapsed = busy.time_until_closed(CALLERS);
+    assert!(elapsed < CLOSE_DUE, "passed on after {elapsed:?}");
+}
+
+// The bytes of a whole next request may come in one segment with the first.
+#[test]
+fn a_caller_that_leaves_after_two_requests_at_once_ends_the_one_that_runs() {
+    let busy = BusyEndpoint::start();
+    let setup = serving(endpoint("e1", busy.fake.address));
+    let request = keep_alive_request();
+    let callers: Vec<TcpStream> = (0..CALLERS)
+        .map(|_| open(setup.address(), &(request.clone() + &request)))
+        .collect();
+    busy.wait_for_requests(CALLERS);
+    drop(callers);
+    let elapsed = busy.time_until_closed(CALLERS);
+    assert!(elapsed < CLOSE_DUE, "passed on after {elapsed:?}");
+    assert_eq!(
+        busy.fake.heads().len(),
+        CALLERS,
+        "no second request is sent"
+    );
+}
+
+// Sends the request in one segment with the close, so that the gateway reads both at once.
+fn send_and_leave(address: SocketAddr, request: &str) {
+    let stream = TcpStream::connect(address).unwrap();
+    let socket = SockRef::from(&stream);
+    let sent = socket
+        .send_with_flags(request.as_bytes(), libc::MSG_MORE)
+        .unwrap();
+    assert_eq!(sent, request.len());
+}
+
+// A connection may wait to be accepted until its caller has given up.
+#[test]
+fn a_request_whose_caller_left_before_it_was_read_is_neither_sent_nor_charged() {
+    const BURST: f64 = 3.0;
+    let fake = FakeEndpoint::start(|_, exchange| exchange.answer(200, "x"));
+    let mut configuration = configuration(1, vec![route("/a/", Execution::Repeatable)]);
+    let mut team = tenant("t", "k");
+    team.quota = Some(Quota {
+        rate: 0.001,
+        burst: BURST,
+        default_token_cost: None,
+    });
+    configuration.tenants = vec![team];
+    let setup = Setup::serving(configuration, vec![endpoint("e1", fake.address)]);
+    let request = request_text("/a/1", &["x-key: k"]);
+    for _ in 0..CALLERS {
+        send_and_leave(setup.address(), &request);
+    }
+    // Connections are accepted in order, so the others were read before this one.
+    assert_eq!(setup.call("/a/1", &["x-key: k"]).status, 200);
+    assert_eq!(fake.heads().len(), 1);
+}
+
 // An endpoint that takes no requests, so that they go to the busy one.
 fn unready(index: usize) -> Endpoint {
     Endpoint {
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -24,7 +24,7 @@
 pub use peer::{open_packet, seal_packet, PacketError, ReplayGuard, MAX_DATAGRAM_BYTES};
 pub use resume::{issue_resume_token, verify_resume_token, ResumeError};
 pub use service::{call_service, ServiceCall, ServiceReply};
-pub use tcp::{Dialer, Target, TcpStatus};
+pub use tcp::{Dialer, SharedStream, Target, TcpStatus, WeakStream};
 pub use tunnel::{
     open_tunnel, pass_bytes, CountedAt, TunnelBytes, TunnelError, TUNNEL_BUFFER_BYTES,
 };
--- a/components/transport/src/tcp.rs
+++ b/components/transport/src/tcp.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -72,13 +72,42 @@
 
 /// A stream that can be inspected while another task reads and writes it.
 #[derive(Clone, Debug)]
-pub(crate) struct SharedStream(Rc<RefCell<TcpStream>>);
+pub struct SharedStream(Rc<RefCell<TcpStream>>);
+
+/// A [`SharedStream`] that is not kept open.
+#[derive(Clone, Debug, Default)]
+pub struct WeakStream(Weak<RefCell<TcpStream>>);
+
+impl WeakStream {
+    /// Whether the stream is closed, by this end or by the other one.
+    pub fn is_closed(&self) -> bool {
+        let stream = self.0.upgrade().map(SharedStream);
+        stream.is_none_or(|stream| stream.is_closed_by_peer())
+    }
+}
 
 impl SharedStream {
+    /// Shares a stream among the tasks of a thread.
     pub fn new(stream: TcpStream) -> Self {
         SharedStream(Rc::new(RefCell::new(stream)))
     }
 
+    /// A reference that does not keep the stream open.
+    pub fn downgrade(&self) -> WeakStream {
+        WeakStream(Rc::downgrade(&self.0))
+    }
+
+    /// Whether the other end has closed the connection, or its sending side, also behind bytes that are not read yet. Always
+    /// false where the platform does not report it.
+    pub fn is_closed_by_peer(&self) -> bool {
+        kernel::is_closed_by_peer(&self.0.borrow())
+    }
+
+    /// Polls for bytes to read, or the end of them. The task that reads the stream has to be the one that polls.
+    pub fn poll_read_ready(&self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.0.borrow().poll_read_ready(context)
+    }
+
     /// What the kernel reports of it, where the platform supports that.
     pub fn status(&self) -> Option<TcpStatus> {
         kernel::status(&self.0.borrow())
@@ -151,6 +180,14 @@
         TcpInfoPrefix
     );
 
+    // States of `tcpi_state` in which the other end has sent everything: TIME_WAIT, CLOSE, CLOSE_WAIT, LAST_ACK, CLOSING.
+    const CLOSED_BY_PEER: [u8; 5] = [6, 7, 8, 9, 11];
+
+    pub fn is_closed_by_peer(stream: &TcpStream) -> bool {
+        let info = getsockopt(stream, TcpInfo);
+        info.is_ok_and(|info| CLOSED_BY_PEER.contains(&info[0].to_ne_bytes()[0]))
+    }
+
     pub fn status(stream: &TcpStream) -> Option<TcpStatus> {
         let info = getsockopt(stream, TcpInfo).ok()?;
         Some(TcpStatus {
@@ -169,4 +206,8 @@
     pub fn status(_: &TcpStream) -> Option<TcpStatus> {
         None
     }
+
+    pub fn is_closed_by_peer(_: &TcpStream) -> bool {
+        false
+    }
 }
