End a stream that waits for another endpoint when its caller leaves

A stream whose endpoint had ended waited for another one, for up to a sixth of its route's latency target, without a look whether its caller was still there: ten streams ended 10.0 s after their callers had left. Meanwhile they held their memory and a retry of the budget each. The whole search for the next endpoint is given up with the caller now, not only the attempt there; the retry returns to the budget. What an endpoint's end says of the request is still found out.

`a_stream_that_waits_for_another_endpoint_ends_when_its_caller_leaves` failed before (9,989 ms where 500 are allowed).

--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -127,11 +127,19 @@
                             .check_after_interruption(&self.job, &placement, received)
                             .await;
                     }
-                    next = self.resume(&endpoint, permit).await;
+                    let caller_connection = self.body_parts.clone();
+                    next = tokio::select! {
+                        biased;
+                        () = caller_connection.closed() => None,
+                        resumed = self.resume(&endpoint, permit) => resumed,
+                    };
                     if next.is_some() {
                         continue;
                     }
-                    "broken off"
+                    match caller_connection.is_closed() {
+                        true => "caller left",
+                        false => "broken off",
+                    }
                 }
             };
             self.log_end(cause, &endpoint, body_end);
@@ -257,10 +265,7 @@
             let attempt = self
                 .traffic
                 .attempt_unless_restarted(&self.job, &placement, options);
-            let outcome = tokio::select! {
-                result = clock.timeout_at(expiry, attempt) => result.ok()?,
-                () = self.body_parts.closed() => return None,
-            };
+            let outcome = clock.timeout_at(expiry, attempt).await.ok()?;
             if let AttemptOutcome::Answered(EndpointAnswer::Events { first, events, .. }) = outcome
             {
                 return Some((first, *events));
--- a/components/gateway/tests/abandoned_requests.rs
+++ b/components/gateway/tests/abandoned_requests.rs
@@ -12,11 +12,12 @@
 use std::time::{Duration, Instant};
 
 use common::{
-    configuration, endpoint, open, request_text, route, settings, tenant, wait_until, FakeEndpoint,
-    FakeStore, LogLines, Setup,
+    configuration, endpoint, open, request_text, route, settings, tenant, wait_until, Exchange,
+    FakeEndpoint, FakeStore, LogLines, Setup,
 };
 use directory::{Configuration, Endpoint, EndpointState, Execution, Quota};
 use socket2::SockRef;
+use telemetry::Counter;
 
 /// Time within which the close of a caller has to reach the endpoint that works for it.
 const CLOSE_DUE: Duration = Duration::from_millis(500);
@@ -150,6 +151,35 @@
     assert_eq!(fake.heads().len(), 1);
 }
 
+// A stream whose endpoint had ended waited for another one for up to a sixth of its latency target without a look whether its
+// caller was still there.
+#[test]
+fn a_stream_that_waits_for_another_endpoint_ends_when_its_caller_leaves() {
+    let broken = FakeEndpoint::start(|_, exchange: &mut Exchange| {
+        exchange.begin_stream();
+        exchange.event(1);
+        exchange.close();
+    });
+    let log = LogLines::default();
+    let mut streaming = route("/a/", Execution::Stream { resumable: true });
+    streaming.target = Duration::from_secs(60);
+    let configuration = configuration(1, vec![streaming]);
+    let setup = serving_with_log(configuration, endpoint("e1", broken.address), &log);
+    let callers: Vec<TcpStream> = (0..CALLERS)
+        .map(|_| open(setup.address(), &keep_alive_request()))
+        .collect();
+    let retries = || setup.gateway.metrics().get(Counter::Retries);
+    wait_until("streams to break", || retries() == CALLERS as u64);
+    drop(callers);
+    let left = Instant::now();
+    wait_until("streams to end", || log.count("stream ended") == CALLERS);
+    assert!(
+        left.elapsed() < CLOSE_DUE,
+        "ended after {:?}",
+        left.elapsed()
+    );
+}
+
 // An endpoint that takes no requests, so that they go to the busy one.
 fn unready(index: usize) -> Endpoint {
     Endpoint {
