Say how old the records behind a decision are, and pass over outdated ones

Requests went to an endpoint that had left, through gateways that the store answered, since the coordinator that placed them had not heard of it. Cause: a decision had no age. A coordinator decides from records of any age, and whoever asks it can't tell; for configurations there is a maximum age, for endpoints there was none. Class: what one gateway decides for another from knowledge without an age.

A reply names how long ago its records were known to be current. A gateway that is in touch itself (its configuration is confirmed) names a maximum age, nine tenths of the time within which a leaving has to be in force; a coordinator with older records charges nothing and says so, and the next one is asked. If all are behind, the least outdated one decides: without newer records anywhere the service goes on. The age is looked at again last before the send, and a coordinator whose own records are outdated asks the others. `placed` shows how long a decision is still usable, `coordinator has outdated records` and decision.outdated the rest.

Earlier builds neither name nor ask for an age and decide as before.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -202,8 +202,9 @@
         }
         // While the connection was opened the VM may have been frozen or suspended, and the endpoint may have announced that
         // it takes no more requests, or a limit.
-        let can_send =
-            self.is_accepting_requests(placement) && self.is_granted(placement, options.grant);
+        let can_send = self.is_accepting_requests(placement)
+            && self.is_granted(placement, options.grant)
+            && !self.is_outdated(placement);
         if !self.can_still_send(job) || !can_send {
             run.set_health(HealthSignal::Inconclusive);
             return AttemptOutcome::NotSent;
--- a/components/gateway/src/control/row_transfer.rs
+++ b/components/gateway/src/control/row_transfer.rs
@@ -183,6 +183,7 @@
             known_to: known_to.number as i64,
             more: page.more.then_some(true),
             era: reported_era(known_to.era),
+            read_us: None,
         })
     }
 }
@@ -224,6 +225,7 @@
         most_bytes,
         takes_deflated: Some(true),
         after_era: reported_era(after.era),
+        from_store: None,
     }
 }
 
--- a/components/gateway/src/decisions.rs
+++ b/components/gateway/src/decisions.rs
@@ -15,6 +15,7 @@
 use telemetry::Counter;
 use tokio::net::UdpSocket;
 
+use crate::freshness::MaxAges;
 use crate::job::{Job, Progress};
 use crate::limit_reports::received_limits;
 use crate::peers::GatewayFleet;
@@ -43,6 +44,8 @@
 const MAX_CLOSED: usize = 48;
 /// Maximum number of coordinators asked about one request: the three of the own hall and two of other halls.
 const MAX_COORDINATORS_ASKED: usize = 5;
+/// Maximum number of coordinators that a coordinator with outdated records asks about one request.
+const MAX_COORDINATORS_ASKED_BY_COORDINATOR: usize = 2;
 
 /// Decision queries without a reply yet, and the coordinators that did not reply to earlier ones.
 #[derive(Debug, Default)]
@@ -74,6 +77,25 @@
     OverLimit(Duration),
     /// The coordinator has just started and does not know the configuration or the endpoints yet.
     Starting,
+    /// The coordinator's endpoint records are older than asked for; their age, if it was reported.
+    Outdated(Option<Duration>),
+}
+
+// Coordinators that were asked about one request and did not decide.
+#[derive(Debug, Default)]
+struct Undecided {
+    starting: Option<SocketAddr>,
+    // With the age of its records.
+    least_outdated: Option<(SocketAddr, Duration)>,
+}
+
+impl Undecided {
+    fn record_outdated(&mut self, coordinator: SocketAddr, age: Option<Duration>) {
+        let age = age.unwrap_or(Duration::MAX);
+        if self.least_outdated.is_none_or(|(_, known)| age < known) {
+            self.least_outdated = Some((coordinator, age));
+        }
+    }
 }
 
 impl DecisionQueries {
@@ -87,6 +109,19 @@
         query_order
     }
 
+    // Those of the coordinators that replied recently or were not asked.
+    fn responsive(
+        &self,
+        now: Duration,
+        coordinators: impl Iterator<Item = SocketAddr>,
+    ) -> impl Iterator<Item = SocketAddr> {
+        let unresponsive_until = self.unresponsive_until.borrow().clone();
+        coordinators.filter(move |address| {
+            let until = unresponsive_until.get(address);
+            until.is_none_or(|until| now >= *until)
+        })
+    }
+
     fn mark_unresponsive(&self, now: Duration, coordinator: SocketAddr) {
         let mut unresponsive_until = self.unresponsive_until.borrow_mut();
         unresponsive_until.insert(coordinator, now + UNRESPONSIVE_TIME);
@@ -103,40 +138,45 @@
         progress: &Progress,
         charged: bool,
     ) -> Option<CoordinatorDecision> {
-        let query_order = {
-            let state = self.state.borrow();
-            if state.fleet.decides {
-                return None;
-            }
-            self.decision_queries
-                .query_order(self.clock.now(), &state.fleet)
-        };
-        let mut starting = None;
-        for coordinator in query_order {
-            let query = self.query(job, progress, charged);
-            if let Some(reply) = self.send_query(coordinator, query).await {
-                // A coordinator that has just started is alive, so this gateway need not follow all endpoints
-                // itself.
-                self.alone.record_decision(self.clock.now());
-                self.record_placed_limit(&reply);
-                self.record_several_versions(&job.work.service, &reply);
-                match outcome_of(&reply)? {
-                    Outcome::Starting => starting = Some(coordinator),
-                    outcome => {
-                        return Some(CoordinatorDecision {
-                            coordinator,
-                            outcome,
-                        })
-                    }
-                }
+        let decides = self.state.borrow().fleet.decides;
+        let max_age = self.max_record_age();
+        if decides && !self.has_outdated_records(max_age) {
+            return None;
+        }
+        let mut undecided = Undecided::default();
+        for coordinator in self.query_order() {
+            let query = self.query(job, progress, charged, max_age);
+            let Some(outcome) = self.ask(coordinator, job, query).await else {
                 continue;
+            };
+            match outcome {
+                Outcome::Starting => undecided.starting = Some(coordinator),
+                Outcome::Outdated(age) => {
+                    self.record_outdated(job, coordinator, age);
+                    undecided.record_outdated(coordinator, age);
+                }
+                outcome => {
+                    return Some(CoordinatorDecision {
+                        coordinator,
+                        outcome,
+                    })
+                }
             }
-            self.decision_queries
-                .mark_unresponsive(self.clock.now(), coordinator);
-            self.metrics.count(Counter::PacketsDropped);
-            info!(self.log, "no decision"; "id" => &job.head.id, "coordinator" => %coordinator);
         }
-        if let Some(coordinator) = starting {
+        if decides {
+            return None;
+        }
+        if let Some((coordinator, _)) = undecided.least_outdated {
+            // No gateway that was asked knows newer records.
+            let query = self.query(job, progress, charged, None);
+            if let Some(outcome) = self.ask(coordinator, job, query).await {
+                return Some(CoordinatorDecision {
+                    coordinator,
+                    outcome,
+                });
+            }
+        }
+        if let Some(coordinator) = undecided.starting {
             let outcome = Outcome::Starting;
             return Some(CoordinatorDecision {
                 coordinator,
@@ -147,6 +187,81 @@
         None
     }
 
+    // The coordinators in the order in which they are asked. One that decides itself asks those of all halls.
+    fn query_order(&self) -> Vec<SocketAddr> {
+        let state = self.state.borrow();
+        let fleet = &state.fleet;
+        if !fleet.decides {
+            return self.decision_queries.query_order(self.clock.now(), fleet);
+        }
+        let others = fleet
+            .keepers
+            .iter()
+            .filter(|keeper| keeper.name != state.settings.name);
+        let addresses = others.map(|keeper| keeper.address);
+        self.decision_queries
+            .responsive(self.clock.now(), addresses)
+            .take(MAX_COORDINATORS_ASKED_BY_COORDINATOR)
+            .collect()
+    }
+
+    // Maximum age of the records that a request may be placed from. Any age will do while this gateway is cut off from the store
+    // and from all that reach it: it would find no newer records.
+    fn max_record_age(&self) -> Option<Duration> {
+        let max_age = MaxAges::of(&self.state.borrow().settings).endpoints;
+        let is_in_contact = self.freshness.is_confirmed(self.clock.now(), max_age);
+        is_in_contact.then_some(max_age)
+    }
+
+    fn has_outdated_records(&self, max_age: Option<Duration>) -> bool {
+        let now = self.clock.now();
+        let record_age = self.state.borrow().record_age;
+        max_age.is_some_and(|max_age| record_age.is_outdated(now, max_age))
+    }
+
+    // Sends a query to a coordinator; `None` if there is no valid reply.
+    async fn ask(
+        &self,
+        coordinator: SocketAddr,
+        job: &Job,
+        query: DecisionQuery,
+    ) -> Option<Outcome> {
+        let asked_at = self.clock.now();
+        let max_age = query.max_age_ms.map(received_ms);
+        let Some(reply) = self.send_query(coordinator, query).await else {
+            self.decision_queries
+                .mark_unresponsive(self.clock.now(), coordinator);
+            self.metrics.count(Counter::PacketsDropped);
+            info!(self.log, "no decision"; "id" => &job.head.id, "coordinator" => %coordinator);
+            return None;
+        };
+        // A coordinator that has just started is alive, so this gateway need not follow all endpoints itself.
+        self.alone.record_decision(self.clock.now());
+        self.record_placed_limit(&reply);
+        self.record_several_versions(&job.work.service, &reply);
+        let usable_for = max_age.zip(record_age_of(&reply));
+        let usable_for = usable_for.map(|(max_age, age)| max_age.saturating_sub(age));
+        match outcome_of(&reply)? {
+            Outcome::Placed(placement) => Some(Outcome::Placed(Placement {
+                usable_until: usable_for.map(|time| asked_at + time),
+                ..placement
+            })),
+            outcome => Some(outcome),
+        }
+    }
+
+    fn record_outdated(&self, job: &Job, coordinator: SocketAddr, age: Option<Duration>) {
+        self.metrics.count(Counter::OutdatedDecisions);
+        info!(self.log, "coordinator has outdated records"; "id" => &job.head.id, "coordinator" => %coordinator,
+            "records_ms_ago" => age.map(|age| age.as_millis() as u64));
+    }
+
+    /// Whether the records that a request was placed from have become too old to send it. Checked right before a send.
+    pub fn is_outdated(&self, placement: &Placement) -> bool {
+        let now = self.clock.now();
+        placement.usable_until.is_some_and(|until| now >= until)
+    }
+
     /// Requests a decision, and repeats that while the coordinators are starting, until the deadline for an
     /// endpoint to appear.
     pub async fn request_decision_until_ready(
@@ -239,7 +354,13 @@
         }
     }
 
-    fn query(&self, job: &Job, progress: &Progress, charged: bool) -> DecisionQuery {
+    fn query(
+        &self,
+        job: &Job,
+        progress: &Progress,
+        charged: bool,
+        max_age: Option<Duration>,
+    ) -> DecisionQuery {
         let parts = job.work.parts.iter();
         let excluded = progress.tried.iter().map(|id| endpoint_hash(id) as i64);
         let traits = job.request_traits();
@@ -268,6 +389,7 @@
             limits: self.pending_limits.borrow_mut().take(self.clock.now()),
             software_version: progress.required_version.clone(),
             can_continue: Some(job.can_continue()),
+            max_age_ms: max_age.map(reported_ms),
         }
     }
 
@@ -354,11 +476,24 @@
         if !state.fleet.decides {
             return None;
         }
-        let mut reply = DecisionReply::new(query.number, None, None, None, None);
+        let mut reply = DecisionReply {
+            number: query.number,
+            retry_ms: None,
+            placed: None,
+            link_wait_ms: None,
+            starting: None,
+            age_ms: state.record_age.age(now).map(reported_ms),
+            outdated: None,
+        };
         if state.directory.is_none() || !state.endpoints_known {
             reply.starting = Some(true);
             return Some(reply);
         }
+        let max_age = query.max_age_ms.map(received_ms);
+        if max_age.is_some_and(|max_age| state.record_age.is_outdated(now, max_age)) {
+            reply.outdated = Some(true);
+            return Some(reply);
+        }
         let cost = query.cost.max(0) as u64;
         let quota = query.team.as_ref().and_then(|t| state.quotas.get_mut(t));
         if let Some(Err(wait)) = quota.map(|quota| quota.take(now, cost, query.urgent)) {
@@ -417,6 +552,19 @@
     }
 }
 
+fn reported_ms(time: Duration) -> i32 {
+    time.as_millis().min(i32::MAX as u128) as i32
+}
+
+fn received_ms(ms: i32) -> Duration {
+    Duration::from_millis(ms.max(0) as u64)
+}
+
+// Age of the endpoint records that a coordinator decided from.
+fn record_age_of(reply: &DecisionReply) -> Option<Duration> {
+    reply.age_ms.map(received_ms)
+}
+
 /// Encodes a placement for a message. `is_evidence` says whether its answer counts as evidence in a roll-out.
 pub(crate) fn placed_of(placement: &Placement, is_evidence: bool) -> PlacedAt {
     PlacedAt {
@@ -453,6 +601,9 @@
     if reply.starting == Some(true) {
         return Some(Outcome::Starting);
     }
+    if reply.outdated == Some(true) {
+        return Some(Outcome::Outdated(record_age_of(reply)));
+    }
     if let Some(ms) = reply.link_wait_ms {
         let wait = Duration::from_millis(ms.max(0) as u64);
         return Some(Outcome::LinkFull(wait));
@@ -477,6 +628,7 @@
         // Set if its answer is no evidence in a roll-out.
         is_cold: placed.version.is_none(),
         hall: placed.hall.clone().unwrap_or_default(),
+        usable_until: None,
         home_ms: placed.home_ms.map(f64::from),
         link_bytes: 0,
         is_link_limited: false,
--- a/components/gateway/src/freshness.rs
+++ b/components/gateway/src/freshness.rs
@@ -24,6 +24,9 @@
     pub keys: Option<Duration>,
     /// To answer that a route or a key does not exist.
     pub denials: Duration,
+    /// Of the endpoint records that a request is placed from. The rest of the time within which an endpoint's leaving has to
+    /// be in force is a margin, for the reply and the connect.
+    pub endpoints: Duration,
 }
 
 impl MaxAges {
@@ -31,9 +34,11 @@
     pub fn of(settings: &GatewaySettings) -> Self {
         let millis = |ms: i64| Duration::from_millis(ms.max(0) as u64);
         let keys = Some(millis(settings.credential_age_ms)).filter(|age| !age.is_zero());
+        let change_due = millis(settings.change_due_ms);
         MaxAges {
             keys,
-            denials: keys.unwrap_or(millis(settings.change_due_ms) * DENIAL_CHANGE_DUES),
+            denials: keys.unwrap_or(change_due * DENIAL_CHANGE_DUES),
+            endpoints: change_due.mul_f64(AGE_MARGIN_FRACTION),
         }
     }
 }
--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -114,6 +114,8 @@
                     Outcome::NoEndpoint | Outcome::LinkFull(_) => {}
                     Outcome::OverLimit(wait) => return Err(limit_refusal(wait)),
                     Outcome::Starting => return Err(starting_refusal()),
+                    // Not returned for a decision without a maximum age.
+                    Outcome::Outdated(_) => {}
                 }
             }
         }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 mod pending_replies;
 mod placing;
 pub mod ports;
+mod record_age;
 mod relay;
 mod request_quarantine;
 mod retry;
@@ -65,6 +66,7 @@
     has_started_recently, AccountKeeper, GatewayFleet, HallCount, ListedGateway, PeerCount,
     PeerStatus, Peers, Receipt,
 };
+pub use record_age::RecordAge;
 pub use run::{run, Gateway, GatewayError, Listening, Parts, ReadSettings, Signals};
 pub use turns::{Turn, MAX_TURN_STEPS};
 pub use wall_clock::{WallClockEstimate, WallClockReading};
--- a/components/gateway/src/placing.rs
+++ b/components/gateway/src/placing.rs
@@ -95,7 +95,10 @@
                     }
                     Outcome::LinkFull(wait) => return Err(NoPlacement::link_full(wait)),
                     Outcome::Starting => return Err(NoPlacement::STARTING),
-                    Outcome::Placed(_) | Outcome::NoEndpoint | Outcome::OverLimit(_) => {}
+                    Outcome::Placed(_)
+                    | Outcome::NoEndpoint
+                    | Outcome::OverLimit(_)
+                    | Outcome::Outdated(_) => {}
                 }
             }
             if self.is_version_gone(job, progress, was_decided) {
@@ -159,7 +162,12 @@
             "slowdown" => placement.slowdown.percent(), "by_coordinator" => placement.is_placed_by_peer, "version" => job.version,
             "software" => &placement.version,
             "hall" => &placement.hall, "distance" => self.distance(&placement.hall),
-            "home_ms" => placement.home_ms.map(|ms| ms as u64));
+            "home_ms" => placement.home_ms.map(|ms| ms as u64),
+            "usable_ms" => self.ms_until(placement.usable_until));
+    }
+
+    fn ms_until(&self, at: Option<Duration>) -> Option<u64> {
+        at.map(|at| at.saturating_sub(self.clock.now()).as_millis() as u64)
     }
 
     /// Logs that a placed request did not leave this gateway, so no endpoint received it.
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -22,6 +22,7 @@
 use crate::interrupted::InterruptedRuns;
 use crate::link_parts::link_parts;
 use crate::peers::GatewayFleet;
+use crate::record_age::RecordAge;
 use crate::retry_permit::SharedRetryBudget;
 use crate::tally::{SentRequest, ServiceLoad, Tally};
 use crate::versions::{RequestTraits, RolloutGates};
@@ -66,6 +67,8 @@
     pub accounts: SendAccounts,
     /// Software versions that served each service lately.
     pub history: VersionHistory,
+    /// Age of the balancer's endpoint records.
+    pub record_age: RecordAge,
     // Longest time that a stream may last over all tries of its caller, by service.
     stream_lifetimes: BTreeMap<String, Duration>,
 }
@@ -95,6 +98,7 @@
             cuts: InterruptedRuns::default(),
             accounts: SendAccounts::default(),
             history: VersionHistory::default(),
+            record_age: RecordAge::default(),
             stream_lifetimes: BTreeMap::new(),
         };
         state.set_link_parts(Duration::ZERO);
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -22,6 +22,7 @@
 use crate::job::Job;
 use crate::limit_reports::PendingLimits;
 use crate::memory_manager::MemoryManager;
+use crate::record_age::RecordAge;
 use crate::retry_permit::RetryPermit;
 use crate::sends::SendQueries;
 use crate::sights::PendingSights;
@@ -147,11 +148,15 @@
                 state.endpoints_known = true;
                 state.history.table_completed(now);
             }
-            Update::EndpointsConfirmed(at) => state.history.table_confirmed(at),
+            Update::EndpointsConfirmed(at) => {
+                state.history.table_confirmed(at);
+                state.record_age.confirm(at);
+            }
             Update::EndpointsForgotten => {
                 state.endpoints_known = false;
                 state.balancer.remove_all();
                 state.history.table_forgotten();
+                state.record_age = RecordAge::default();
             }
             Update::Fleet(fleet) => state.set_fleet(now, fleet),
             Update::PeerDispatches(dispatches) => {
--- a/components/gateway/src/versions.rs
+++ b/components/gateway/src/versions.rs
@@ -9,6 +9,7 @@
 use routing::placement::{Exclusion, Placement, Versions, Work};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::freshness::MaxAges;
 use crate::state::State;
 
 /// Minimum number of endpoints of the ordered version that get a sample of the requests: with three, one
@@ -139,6 +140,22 @@
         work: &Work,
         exclusion: Exclusion,
         traits: RequestTraits,
+    ) -> Option<Placement> {
+        let max_age = MaxAges::of(&self.settings).endpoints;
+        let usable_until = self.record_age.usable_until(max_age);
+        let placement = self.choose_by_version(now, work, exclusion, traits)?;
+        Some(Placement {
+            usable_until: usable_until.filter(|until| now < *until),
+            ..placement
+        })
+    }
+
+    fn choose_by_version(
+        &mut self,
+        now: Duration,
+        work: &Work,
+        exclusion: Exclusion,
+        traits: RequestTraits,
     ) -> Option<Placement> {
         if let Some(version) = traits.required_version {
             return self.choose_required(now, work, exclusion, traits, version);
--- a/components/gateway/tests/cold_start.rs
+++ b/components/gateway/tests/cold_start.rs
@@ -68,7 +68,7 @@
         };
         let reply = match knows_endpoints.load(Ordering::SeqCst) {
             true => placed(&query, endpoint),
-            false => DecisionReply::new(query.number, None, None, None, Some(true)),
+            false => DecisionReply::new(query.number, None, None, None, Some(true), None, None),
         };
         let message = Decision {
             reply: Some(reply),
@@ -98,7 +98,7 @@
         software_version: None,
         has_several_versions: None,
     };
-    DecisionReply::new(query.number, None, Some(placed), None, None)
+    DecisionReply::new(query.number, None, Some(placed), None, None, None, None)
 }
 
 /// Starts a small gateway in one of two halls, whose coordinators have just started.
--- a/components/gateway/tests/deflated.rs
+++ b/components/gateway/tests/deflated.rs
@@ -9,7 +9,14 @@
         value: Some(b"{\"path\":\"/a/\",\"timeout\":800}".to_vec()),
         revision: 7,
     };
-    RowsReply::new((0..rows).map(row).collect(), true, known_to, None, None)
+    RowsReply::new(
+        (0..rows).map(row).collect(),
+        true,
+        known_to,
+        None,
+        None,
+        None,
+    )
 }
 
 fn read(encoded: &EncodedReply) -> RowsReply {
--- a/components/gateway/tests/version_skew.rs
+++ b/components/gateway/tests/version_skew.rs
@@ -96,7 +96,7 @@
         software_version: None,
         has_several_versions: None,
     });
-    DecisionReply::new(query.number, None, placed, None, None)
+    DecisionReply::new(query.number, None, placed, None, None, None, None)
 }
 
 /// Starts an earlier coordinator and a gateway of the current version that asks it.
--- a/components/routing/src/placement/balancer.rs
+++ b/components/routing/src/placement/balancer.rs
@@ -52,6 +52,9 @@
     pub is_cold: bool,
     /// Data hall of the endpoint.
     pub hall: String,
+    /// Until when the records it was chosen from are recent enough to send the request; `None` if
+    /// their age is not known, or if no gateway that was asked has newer ones.
+    pub usable_until: Option<Duration>,
     /// Cost of the best endpoint of the own region in milliseconds, for a request that leaves it;
     /// `None` if the request stays or no endpoint there takes work.
     pub home_ms: Option<f64>,
--- a/components/routing/src/placement/choice.rs
+++ b/components/routing/src/placement/choice.rs
@@ -175,6 +175,7 @@
             version: Some(entry.spec.version.clone()),
             is_cold: now < entry.cold_until,
             hall: entry.spec.zone.clone(),
+            usable_until: None,
             home_ms: home_ms.filter(|_| leaves_region),
             link_bytes: if leaves_region { link_bytes(work) } else { 0 },
             is_link_limited: link_decision == LinkDecision::Declined,
--- a/components/schema/src/messages.rs
+++ b/components/schema/src/messages.rs
@@ -4923,10 +4923,12 @@
     pub software_version: Option<String>,
     /// Whether the answer is a stream that another endpoint may continue.
     pub can_continue: Option<bool>,
+    /// Maximum age, in milliseconds, of the endpoint records that are decided from; unset if any age will do.
+    pub max_age_ms: Option<i32>,
 }
 
 impl DecisionQuery {
-    pub fn new<F3, F11, F12, F13, F14, F15, F16, F17, F18, F19>(
+    pub fn new<F3, F11, F12, F13, F14, F15, F16, F17, F18, F19, F20>(
         number: i64,
         service_name: String,
         team: F3,
@@ -4946,6 +4948,7 @@
         limits: F17,
         software_version: F18,
         can_continue: F19,
+        max_age_ms: F20,
     ) -> DecisionQuery
     where
         F3: Into<Option<String>>,
@@ -4958,6 +4961,7 @@
         F17: Into<Option<Vec<LimitReport>>>,
         F18: Into<Option<String>>,
         F19: Into<Option<bool>>,
+        F20: Into<Option<i32>>,
     {
         DecisionQuery {
             number,
@@ -4979,6 +4983,7 @@
             limits: limits.into(),
             software_version: software_version.into(),
             can_continue: can_continue.into(),
+            max_age_ms: max_age_ms.into(),
         }
     }
 }
@@ -5005,6 +5010,7 @@
         let mut f_17: Option<Vec<LimitReport>> = None;
         let mut f_18: Option<String> = None;
         let mut f_19: Option<bool> = None;
+        let mut f_20: Option<i32> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -5118,6 +5124,10 @@
                     let val = i_prot.read_bool()?;
                     f_19 = Some(val);
                 }
+                20 => {
+                    let val = i_prot.read_i32()?;
+                    f_20 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -5163,6 +5173,7 @@
             limits: f_17,
             software_version: f_18,
             can_continue: f_19,
+            max_age_ms: f_20,
         };
         Ok(ret)
     }
@@ -5280,6 +5291,11 @@
             o_prot.write_bool(fld_var)?;
             o_prot.write_field_end()?
         }
+        if let Some(fld_var) = self.max_age_ms {
+            o_prot.write_field_begin(&TFieldIdentifier::new("max_age_ms", TType::I32, 20))?;
+            o_prot.write_i32(fld_var)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -5605,21 +5621,29 @@
     pub link_wait_ms: Option<i64>,
     /// Set where the coordinator does not know the endpoints yet, since it has just begun: nothing was charged.
     pub starting: Option<bool>,
+    /// Milliseconds since the endpoint records that were decided from were last known to be current; unset if never.
+    pub age_ms: Option<i32>,
+    /// Set where these records are older than asked for: nothing was charged.
+    pub outdated: Option<bool>,
 }
 
 impl DecisionReply {
-    pub fn new<F2, F3, F4, F5>(
+    pub fn new<F2, F3, F4, F5, F6, F7>(
         number: i64,
         retry_ms: F2,
         placed: F3,
         link_wait_ms: F4,
         starting: F5,
+        age_ms: F6,
+        outdated: F7,
     ) -> DecisionReply
     where
         F2: Into<Option<i64>>,
         F3: Into<Option<PlacedAt>>,
         F4: Into<Option<i64>>,
         F5: Into<Option<bool>>,
+        F6: Into<Option<i32>>,
+        F7: Into<Option<bool>>,
     {
         DecisionReply {
             number,
@@ -5627,6 +5651,8 @@
             placed: placed.into(),
             link_wait_ms: link_wait_ms.into(),
             starting: starting.into(),
+            age_ms: age_ms.into(),
+            outdated: outdated.into(),
         }
     }
 }
@@ -5639,6 +5665,8 @@
         let mut f_3: Option<PlacedAt> = None;
         let mut f_4: Option<i64> = None;
         let mut f_5: Option<bool> = None;
+        let mut f_6: Option<i32> = None;
+        let mut f_7: Option<bool> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -5666,6 +5694,14 @@
                     let val = i_prot.read_bool()?;
                     f_5 = Some(val);
                 }
+                6 => {
+                    let val = i_prot.read_i32()?;
+                    f_6 = Some(val);
+                }
+                7 => {
+                    let val = i_prot.read_bool()?;
+                    f_7 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -5681,6 +5717,8 @@
             placed: f_3,
             link_wait_ms: f_4,
             starting: f_5,
+            age_ms: f_6,
+            outdated: f_7,
         };
         Ok(ret)
     }
@@ -5710,6 +5748,16 @@
             o_prot.write_bool(fld_var)?;
             o_prot.write_field_end()?
         }
+        if let Some(fld_var) = self.age_ms {
+            o_prot.write_field_begin(&TFieldIdentifier::new("age_ms", TType::I32, 6))?;
+            o_prot.write_i32(fld_var)?;
+            o_prot.write_field_end()?
+        }
+        if let Some(fld_var) = self.outdated {
+            o_prot.write_field_begin(&TFieldIdentifier::new("outdated", TType::Bool, 7))?;
+            o_prot.write_bool(fld_var)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -6630,22 +6678,26 @@
     pub takes_deflated: Option<bool>,
     /// Store era of `after`; 0 if unset.
     pub after_era: Option<i64>,
+    /// Whether the changes are to be read from the store, which does not answer the asking gateway.
+    pub from_store: Option<bool>,
 }
 
 impl RowsQuery {
-    pub fn new<F3, F4, F5, F6>(
+    pub fn new<F3, F4, F5, F6, F7>(
         topic: TopicName,
         after: i64,
         after_key: F3,
         most_bytes: F4,
         takes_deflated: F5,
         after_era: F6,
+        from_store: F7,
     ) -> RowsQuery
     where
         F3: Into<Option<String>>,
         F4: Into<Option<i32>>,
         F5: Into<Option<bool>>,
         F6: Into<Option<i64>>,
+        F7: Into<Option<bool>>,
     {
         RowsQuery {
             topic,
@@ -6654,6 +6706,7 @@
             most_bytes: most_bytes.into(),
             takes_deflated: takes_deflated.into(),
             after_era: after_era.into(),
+            from_store: from_store.into(),
         }
     }
 }
@@ -6667,6 +6720,7 @@
         let mut f_4: Option<i32> = None;
         let mut f_5: Option<bool> = None;
         let mut f_6: Option<i64> = None;
+        let mut f_7: Option<bool> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -6698,6 +6752,10 @@
                     let val = i_prot.read_i64()?;
                     f_6 = Some(val);
                 }
+                7 => {
+                    let val = i_prot.read_bool()?;
+                    f_7 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -6716,6 +6774,7 @@
             most_bytes: f_4,
             takes_deflated: f_5,
             after_era: f_6,
+            from_store: f_7,
         };
         Ok(ret)
     }
@@ -6748,6 +6807,11 @@
             o_prot.write_i64(fld_var)?;
             o_prot.write_field_end()?
         }
+        if let Some(fld_var) = self.from_store {
+            o_prot.write_field_begin(&TFieldIdentifier::new("from_store", TType::Bool, 7))?;
+            o_prot.write_bool(fld_var)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
@@ -6856,19 +6920,23 @@
     pub more: Option<bool>,
     /// Store era of all revisions; 0 if unset.
     pub era: Option<i64>,
+    /// Monotonic time of the store, in microseconds, at which the rows were read from it; unset for known rows.
+    pub read_us: Option<i64>,
 }
 
 impl RowsReply {
-    pub fn new<F4, F5>(
+    pub fn new<F4, F5, F6>(
         rows: Vec<RowChange>,
         whole: bool,
         known_to: i64,
         more: F4,
         era: F5,
+        read_us: F6,
     ) -> RowsReply
     where
         F4: Into<Option<bool>>,
         F5: Into<Option<i64>>,
+        F6: Into<Option<i64>>,
     {
         RowsReply {
             rows,
@@ -6876,6 +6944,7 @@
             known_to,
             more: more.into(),
             era: era.into(),
+            read_us: read_us.into(),
         }
     }
 }
@@ -6888,6 +6957,7 @@
         let mut f_3: Option<i64> = None;
         let mut f_4: Option<bool> = None;
         let mut f_5: Option<i64> = None;
+        let mut f_6: Option<i64> = None;
         loop {
             let field_ident = i_prot.read_field_begin()?;
             if field_ident.field_type == TType::Stop {
@@ -6921,6 +6991,10 @@
                     let val = i_prot.read_i64()?;
                     f_5 = Some(val);
                 }
+                6 => {
+                    let val = i_prot.read_i64()?;
+                    f_6 = Some(val);
+                }
                 _ => {
                     i_prot.skip(field_ident.field_type)?;
                 }
@@ -6940,6 +7014,7 @@
                 .expect("auto-generated code should have checked for presence of required fields"),
             more: f_4,
             era: f_5,
+            read_us: f_6,
         };
         Ok(ret)
     }
@@ -6969,6 +7044,11 @@
             o_prot.write_i64(fld_var)?;
             o_prot.write_field_end()?
         }
+        if let Some(fld_var) = self.read_us {
+            o_prot.write_field_begin(&TFieldIdentifier::new("read_us", TType::I64, 6))?;
+            o_prot.write_i64(fld_var)?;
+            o_prot.write_field_end()?
+        }
         o_prot.write_field_stop()?;
         o_prot.write_struct_end()
     }
--- a/components/schema/thrift/messages.thrift
+++ b/components/schema/thrift/messages.thrift
@@ -520,6 +520,8 @@
   18: optional string software_version,
   /** Whether the answer is a stream that another endpoint may continue. */
   19: optional bool can_continue,
+  /** Maximum age, in milliseconds, of the endpoint records that are decided from; unset if any age will do. */
+  20: optional i32 max_age_ms,
 }
 
 /** Where a request goes, as a coordinator decided. */
@@ -568,6 +570,10 @@
   4: optional i64 link_wait_ms,
   /** Set where the coordinator does not know the endpoints yet, since it has just begun: nothing was charged. */
   5: optional bool starting,
+  /** Milliseconds since the endpoint records that were decided from were last known to be current; unset if never. */
+  6: optional i32 age_ms,
+  /** Set where these records are older than asked for: nothing was charged. */
+  7: optional bool outdated,
 }
 
 /** Units that were charged by a coordinator and not used. */
@@ -667,6 +673,8 @@
   5: optional bool takes_deflated,
   /** Store era of `after`; 0 if unset. */
   6: optional i64 after_era,
+  /** Whether the changes are to be read from the store, which does not answer the asking gateway. */
+  7: optional bool from_store,
 }
 
 /** One row, without a value if it was dropped. */
@@ -687,6 +695,8 @@
   4: optional bool more,
   /** Store era of all revisions; 0 if unset. */
   5: optional i64 era,
+  /** Monotonic time of the store, in microseconds, at which the rows were read from it; unset for known rows. */
+  6: optional i64 read_us,
 }
 
 /** Row of one gateway in the store: where the others reach it. */
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -144,6 +144,8 @@
         RelayedConnections => "endpoint.relayed",
         /// Connections to endpoints that count at another gateway, which has a part of them left.
         BorrowedConnections => "endpoint.borrowed",
+        /// Decisions that a coordinator did not make because its endpoint records were too old.
+        OutdatedDecisions => "decision.outdated",
         /// Connections to endpoints that this gateway opened for others.
         TunnelsOpened => "tunnel.opened",
         /// Connections that other gateways asked for and this one did not open.
