Let coordinators that the store turns away read it through other gateways

While the store refused the three coordinators of four gateways, or never answered them, requests of the fourth, which it answered, went to an endpoint that had left: 786 and 761 in the 1.5 s after the leaving was due. Members don't follow endpoints, so nobody in touch knew of it; rows between gateways come from those that have them.

A coordinator whose rows nobody confirmed for 0.4 of the time that a change may take, while the store did not answer its last call (0.65 whatever the store did), asks a gateway that says that it reaches the store to read the changes for it, and takes the store's time at which they were read as their confirmation. Members first, in an order of its own, the next one after 0.4 s; changes come in the order of their revisions in replies of 256 KB, so any number arrives. One call of the store each 100 ms at most, only while nobody confirms the rows.

--- a/components/gateway/src/control.rs
+++ b/components/gateway/src/control.rs
@@ -13,6 +13,7 @@
 mod messages;
 mod quarantine;
 mod quarantine_row;
+mod relayed_reads;
 mod rollout_execution;
 mod rollouts;
 mod row_transfer;
@@ -201,6 +202,7 @@
     tokio::task::spawn_local(async move { ordering.run_autoscaling().await });
     tokio::task::spawn_local(Rc::clone(&shared).run_rollouts());
     tokio::task::spawn_local(Rc::clone(&shared).run_quarantine_row());
+    tokio::task::spawn_local(Rc::clone(&shared).run_relayed_reads());
     if let Err(error) = spawn_exchange(&shared, sockets, tallies) {
         warn!(shared.log, "sockets for other gateways not usable; raise the limit of file descriptors";
             "cause" => %error);
--- a/components/gateway/src/control/deflate.rs
+++ b/components/gateway/src/control/deflate.rs
@@ -30,20 +30,22 @@
         }
     }
 
-    // A reply that is deflated if it is long enough to be worth the CPU time, and if that makes it shorter.
-    fn deflated(bytes: Vec<u8>) -> Self {
+    /// A reply that is deflated if it is long enough to be worth the CPU time, and if that makes it shorter. `None` if it cannot be
+    /// encoded.
+    pub fn deflated(reply: &RowsReply) -> Option<Self> {
+        let bytes = schema::encode(reply).ok()?;
         if bytes.len() < MIN_DEFLATE_BYTES {
-            return EncodedReply::plain(bytes);
+            return Some(EncodedReply::plain(bytes));
         }
         let mut encoder = ZlibEncoder::new(Vec::new(), Compression::fast());
         let written = encoder.write_all(&bytes).and_then(|()| encoder.finish());
-        match written {
+        Some(match written {
             Ok(deflated) if deflated.len() < bytes.len() => EncodedReply {
                 bytes: deflated.into(),
                 is_deflated: true,
             },
             _ => EncodedReply::plain(bytes),
-        }
+        })
     }
 }
 
@@ -63,7 +65,7 @@
                 return Some(encoded.clone());
             }
         }
-        let encoded = EncodedReply::deflated(schema::encode(&reply).ok()?);
+        let encoded = EncodedReply::deflated(&reply)?;
         if encoded.is_deflated {
             self.last = Some((reply, encoded.clone()));
         }
--- a/components/gateway/src/control/follow.rs
+++ b/components/gateway/src/control/follow.rs
@@ -379,7 +379,8 @@
     }
 }
 
-fn change_of(row: Row) -> Change {
+/// The change that a row of the store stands for.
+pub(crate) fn change_of(row: Row) -> Change {
     Change {
         key: row.key,
         value: row.value,
--- a/components/gateway/src/control/row_transfer.rs
+++ b/components/gateway/src/control/row_transfer.rs
@@ -150,14 +150,14 @@
         let Ok(query) = schema::decode::<RowsQuery>(&bytes) else {
             return simple_http::answer(StatusCode::BAD_REQUEST, Bytes::new());
         };
-        let topic = topic_by_name(query.topic);
-        let reply = topic.and_then(|topic| self.reply_to(topic, &query));
-        let sent = reply.and_then(|reply| match query.takes_deflated {
-            Some(true) => self.reply_cache.borrow_mut().reply(reply),
-            _ => Some(EncodedReply::plain(schema::encode(&reply).ok()?)),
-        });
-        let is_paged = query.most_bytes.is_some();
-        let sent = sent.filter(|sent| is_paged || sent.bytes.len() <= MAX_REPLY_BYTES);
+        let sent = match (topic_by_name(query.topic), query.from_store) {
+            (Some(topic), Some(true)) => {
+                let reply = self.read_for_other(topic, &query).await;
+                reply.and_then(|reply| EncodedReply::deflated(&reply))
+            }
+            (Some(topic), _) => self.encoded_reply(topic, &query),
+            (None, _) => None,
+        };
         let Some(sent) = sent else {
             return simple_http::answer(StatusCode::NOT_FOUND, Bytes::new());
         };
@@ -168,6 +168,16 @@
         answer
     }
 
+    fn encoded_reply(&self, topic: Topic, query: &RowsQuery) -> Option<EncodedReply> {
+        let reply = self.reply_to(topic, query)?;
+        let sent = match query.takes_deflated {
+            Some(true) => self.reply_cache.borrow_mut().reply(reply)?,
+            _ => EncodedReply::plain(schema::encode(&reply).ok()?),
+        };
+        let is_paged = query.most_bytes.is_some();
+        (is_paged || sent.bytes.len() <= MAX_REPLY_BYTES).then_some(sent)
+    }
+
     fn reply_to(&self, topic: Topic, query: &RowsQuery) -> Option<RowsReply> {
         let state = self.state.borrow();
         let table = &state.followed.get(&topic)?.table;
@@ -212,7 +222,8 @@
     })
 }
 
-fn rows_query(
+/// A query for the changes of a topic after a revision.
+pub(super) fn rows_query(
     topic: TopicName,
     after: Revision,
     after_key: Option<String>,
@@ -271,7 +282,11 @@
     None
 }
 
-async fn query_rows(address: SocketAddr, query: &RowsQuery) -> Option<(RowsReply, usize)> {
+/// Sends a query to another gateway. Returns its reply, and how many bytes that took.
+pub(super) async fn query_rows(
+    address: SocketAddr,
+    query: &RowsQuery,
+) -> Option<(RowsReply, usize)> {
     let mut connection = Connection::open(address, CONNECT_TIMEOUT).await.ok()?;
     let mut request = Request::new(FullBody::new(schema::encode(query).ok()?.into()));
     *request.method_mut() = Method::POST;
@@ -291,7 +306,8 @@
     Some((reply.ok()?, bytes.len()))
 }
 
-fn change_of(reported: RowChange, era: u64) -> Change {
+/// Decodes a row.
+pub(super) fn change_of(reported: RowChange, era: u64) -> Change {
     Change {
         key: reported.key,
         value: reported.value,
@@ -299,7 +315,8 @@
     }
 }
 
-fn reported_of(change: Change) -> RowChange {
+/// Encodes a row.
+pub(super) fn reported_of(change: Change) -> RowChange {
     RowChange {
         key: change.key,
         value: change.value,
--- a/components/gateway/src/peers.rs
+++ b/components/gateway/src/peers.rs
@@ -8,7 +8,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
-use routing::rank;
+use routing::{rank, weight};
 use topology::Topology;
 
 pub(crate) use crate::peers::halls::COORDINATORS_PER_HALL;
@@ -21,6 +21,8 @@
 const FORGET_AFTER: Duration = Duration::from_secs(20);
 /// Hash key of the order in which coordinators keep long polls open at the store.
 const READER_RANK_KEY: u64 = 0x7761_7463;
+/// Hash key of the order in which a gateway asks others to read the store for it.
+const STORE_RELAY_KEY: u64 = 0x7374_6f72;
 
 /// Count of other gateways that is assumed while none is known.
 const ASSUMED_GATEWAYS: usize = 100;
@@ -251,6 +253,20 @@
         self.given_up.is_some_and(|(_, at)| now < at + time)
     }
 
+    /// Live gateways that may reach the store, in an order that differs between gateways. Coordinators come last: if they
+    /// reached it, they would have confirmed the rows.
+    pub fn store_relays(&self, now: Duration) -> Vec<SocketAddr> {
+        let own = weight(STORE_RELAY_KEY, &self.own.name);
+        let live = self.peers.iter().filter_map(|(name, peer)| {
+            let status = peer.recent_status(now)?;
+            let order = (status.is_coordinator, weight(own, name), peer.address);
+            status.reaches_store.then_some(order)
+        });
+        let mut live: Vec<_> = live.collect();
+        live.sort_unstable();
+        live.into_iter().map(|(_, _, address)| address).collect()
+    }
+
     /// Whether another live gateway reaches the store.
     pub fn can_others_reach_store(&self, now: Duration) -> bool {
         let mut live = self
--- a/components/replica/src/follower.rs
+++ b/components/replica/src/follower.rs
@@ -16,6 +16,9 @@
 const MAX_BACKOFF: Duration = Duration::from_millis(600);
 /// Upper limit of the backoff of a gateway that delegates its store reads, before it is scaled by the spread.
 const MAX_DELEGATED_BACKOFF: Duration = Duration::from_millis(1200);
+/// The same age while the store does not answer this gateway, whose readers may be refused as well: after it, the store
+/// is read through another gateway.
+const REFUSED_STALENESS_FRACTION: f64 = 0.4;
 /// Range, as a fraction of the same time, over which gateways that delegate their store reads stagger their own calls
 /// after that age. Calls made all at once would fill the link whose load delayed the confirmation.
 const SPREAD_FRACTION: f64 = 0.2;
@@ -78,6 +81,7 @@
     preferred_source: PreferredSource,
     hold: Duration,
     max_staleness: Duration,
+    max_refused_staleness: Duration,
     spread_window: Duration,
     confirmed_at: Option<Duration>,
     newer_reported: Option<Revision>,
@@ -100,6 +104,7 @@
             preferred_source,
             hold: Duration::ZERO,
             max_staleness: Duration::ZERO,
+            max_refused_staleness: Duration::ZERO,
             spread_window: Duration::ZERO,
             confirmed_at: None,
             newer_reported: None,
@@ -119,6 +124,7 @@
     pub fn set_change_due(&mut self, change_due: Duration) {
         self.hold = change_due.mul_f64(HOLD_FRACTION);
         self.max_staleness = change_due.mul_f64(STALENESS_FRACTION);
+        self.max_refused_staleness = change_due.mul_f64(REFUSED_STALENESS_FRACTION);
         self.spread_window = change_due.mul_f64(SPREAD_FRACTION);
     }
 
@@ -269,6 +275,16 @@
         self.pull_failed = false;
     }
 
+    /// Whether the store should be read through another gateway: neither it nor a gateway that reaches it has confirmed
+    /// the rows for too long.
+    pub fn should_read_through_peer(&self, now: Duration) -> bool {
+        let max_age = match self.reaches_store() {
+            true => self.max_staleness,
+            false => self.max_refused_staleness,
+        };
+        self.confirmed_at.is_some_and(|at| now >= at + max_age)
+    }
+
     /// Whether the store answered the last call.
     pub fn reaches_store(&self) -> bool {
         self.store_failures == 0
--- a/components/replica/src/lib.rs
+++ b/components/replica/src/lib.rs
@@ -10,4 +10,4 @@
 
 pub use follower::{Digest, Follower, PreferredSource, Step};
 pub use revision::Revision;
-pub use table::{Change, Table, TablePage};
+pub use table::{Change, FirstChanges, Table, TablePage};
--- a/components/replica/src/table.rs
+++ b/components/replica/src/table.rs
@@ -23,6 +23,41 @@
     }
 }
 
+/// The first changes of a longer list, in the order in which they were made.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FirstChanges {
+    /// The changes.
+    pub changes: Vec<Change>,
+    /// Revision up to which they are all changes; `None` if none was left out.
+    pub complete_to: Option<Revision>,
+}
+
+impl FirstChanges {
+    /// Takes changes of at most `max_bytes` bytes, but at least all of one revision.
+    pub fn take(mut changes: Vec<Change>, max_bytes: usize) -> Self {
+        changes.sort_by_key(|change| change.revision);
+        let mut bytes = 0;
+        let mut complete_to = None;
+        for (at, change) in changes.iter().enumerate() {
+            bytes += change.bytes();
+            let before = at.checked_sub(1).map(|before| changes[before].revision);
+            if let Some(before) = before.filter(|before| *before < change.revision) {
+                if bytes > max_bytes {
+                    complete_to = Some(before);
+                    break;
+                }
+            }
+        }
+        if let Some(last) = complete_to {
+            changes.retain(|change| change.revision <= last);
+        }
+        FirstChanges {
+            changes,
+            complete_to,
+        }
+    }
+}
+
 /// Some rows of a table, in ascending order of their keys.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TablePage {
--- a/components/replica/tests/following.rs
+++ b/components/replica/tests/following.rs
@@ -228,3 +228,22 @@
         "a gateway that does not delegate asks the store"
     );
 }
+
+// Gateways that the store refused confirmed nothing for as long as it refused all of those that read it for others.
+#[test]
+fn the_store_is_read_through_another_gateway_once_it_refuses_and_nobody_confirms_the_rows() {
+    let mut follower = follower(PreferredSource::Peer);
+    assert!(
+        !follower.should_read_through_peer(ms(60_000)),
+        "no rows yet"
+    );
+    follower.confirmed(ms(1000));
+    let due = |follower: &Follower| (1000..).find(|at| follower.should_read_through_peer(ms(*at)));
+    let due_while_silent = due(&follower).unwrap();
+    assert!(due_while_silent < 1000 + CHANGE_DUE.as_millis() as u64);
+    follower.store_failed(ms(1100));
+    let due_once_refused = due(&follower).unwrap();
+    assert!(due_once_refused < due_while_silent);
+    follower.confirmed(ms(due_once_refused));
+    assert!(!follower.should_read_through_peer(ms(due_once_refused)));
+}
--- a/components/replica/tests/tables.rs
+++ b/components/replica/tests/tables.rs
@@ -1,7 +1,7 @@
 //! Copies of the store's rows that gateways pull from each other.
 
 use quickcheck::{Gen, QuickCheck, TestResult};
-use replica::{Change, Revision, Table};
+use replica::{Change, FirstChanges, Revision, Table};
 
 const SEED: u64 = 20261202;
 const CASES: u64 = 2000;
@@ -219,3 +219,33 @@
     let page = table.page(rev(5), None, 1);
     assert!(!page.whole && !page.more && page.rows.is_empty());
 }
+
+// A part that ended within a transaction would claim changes that the reader did not get.
+#[test]
+fn the_first_changes_of_a_list_end_at_a_revision_and_lead_to_the_rest() {
+    for (rows, max_bytes) in [(1_u64, 0), (7, 1), (40, 8), (40, 20), (40, 10_000)] {
+        // Three rows in each transaction, listed by key and not by revision.
+        let in_any_order = (0..rows).map(|row| row * 3 % rows);
+        let all: Vec<Change> = in_any_order
+            .map(|row| change(row as u8, Some(1), row / 3 + 1))
+            .collect();
+        let mut table = Table::default();
+        table.apply_list(Vec::new(), rev(0));
+        loop {
+            let known_to = table.known_to().unwrap();
+            let left = all.iter().filter(|change| change.revision > known_to);
+            let first = FirstChanges::take(left.cloned().collect(), max_bytes);
+            assert!(!first.changes.is_empty());
+            let complete_to = first.complete_to;
+            table.apply_changes(first.changes, complete_to.unwrap_or(rev(100)));
+            let missing = all
+                .iter()
+                .filter(|change| change.revision <= table.known_to().unwrap());
+            missing.for_each(|change| assert_eq!(table.row(&change.key), Some(change)));
+            if complete_to.is_none() {
+                break;
+            }
+        }
+        assert_eq!(table.live_rows().len(), all.len());
+    }
+}
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -146,6 +146,8 @@
         BorrowedConnections => "endpoint.borrowed",
         /// Decisions that a coordinator did not make because its endpoint records were too old.
         OutdatedDecisions => "decision.outdated",
+        /// Reads of the store through another gateway, because the store did not answer this one.
+        RelayedReads => "platform.relayed",
         /// Connections to endpoints that this gateway opened for others.
         TunnelsOpened => "tunnel.opened",
         /// Connections that other gateways asked for and this one did not open.
