Check in the soak that nothing is sent for clients that left

The soak's clients left 25 ms after their request, with nothing behind it, and no check looked at what became of it. `abandoned`: what reaches an endpoint half a second after its client left is found, at gateways in touch.

--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -64,6 +64,7 @@
         versions::mixed,
         versions::going_on,
         times::leaving,
+        times::abandoned,
         said::leaving,
         said::pauses,
         named::limits,
--- a/soak/src/checks/times.rs
+++ b/soak/src/checks/times.rs
@@ -8,6 +8,8 @@
 
 /// Nothing new goes to an endpoint so long after the store took that it leaves, in ms (`drainMs`).
 const LEAVES_AFTER: u64 = 2_000;
+/// Nothing is sent so long after the client closed its connection, in ms.
+const ABANDONED_AFTER: u64 = 500;
 /// A configuration is in force so long after the store took it, in ms (`configApplyMs`).
 const APPLIES_AFTER: u64 = 2_000;
 /// A key that was taken away is not served so long after, in ms (`revokeMs`).
@@ -46,6 +48,27 @@
     }
 }
 
+/// Nothing is sent for a client that left.
+pub(super) fn abandoned(view: &View<'_>, verdicts: &mut Verdicts) {
+    for request in view.requests.values() {
+        let Some(left) = request.abandoned() else {
+            continue;
+        };
+        let due = left + ABANDONED_AFTER + NOTE_SLACK;
+        let last = request.arrived.iter().max();
+        let (at, endpoint) = last.copied().unwrap_or((left, ""));
+        let is_held = |place| !view.is_sound(place, left.saturating_sub(CONTACT), at.max(due));
+        let is_excused = request.is_older || place_of(endpoint).is_some_and(is_held);
+        if is_excused || !view.is_in_touch(request.gateway, left, at.max(due)) {
+            continue;
+        }
+        verdicts.judge("abandoned", at <= due, at, || {
+            let (id, gateway) = (request.id, request.gateway);
+            format!("{id} through g{gateway}: reached {endpoint}, its client left at {left} ms")
+        });
+    }
+}
+
 /// When a gateway showed which versions it may have had, and which those are.
 struct Shown {
     at: u64,
--- a/soak/src/checks/view.rs
+++ b/soak/src/checks/view.rs
@@ -74,6 +74,21 @@
         }
     }
 
+    /// When its client left.
+    pub fn abandoned(&self) -> Option<u64> {
+        let left = |seen: &Seen| {
+            matches!(
+                seen,
+                Seen::Unanswered {
+                    why: Lack::Left,
+                    ..
+                }
+            )
+        };
+        let (at, seen) = self.outcome?;
+        left(seen).then_some(at)
+    }
+
     /// Whether its connection closed before a head came.
     pub fn closed(&self) -> bool {
         let closed = |seen: &Seen| {
--- a/soak/src/standins/client.rs
+++ b/soak/src/standins/client.rs
@@ -27,8 +27,11 @@
 /// A slow client reads such pieces with such pauses.
 const SLOW_PIECE: usize = 32 << 10;
 const SLOW_PAUSE: Duration = Duration::from_millis(25);
-/// A client that leaves does so after that time.
+/// A client that leaves does so after up to so many times this, some before their request is read.
 const LEAVE_AFTER: Duration = Duration::from_millis(25);
+const MAX_LEAVE_TIMES: u64 = 8;
+/// What half of the clients that leave have sent of a next request.
+const NEXT_REQUEST: &[u8] = b"GET /rep/next HTTP/1.1\r\n";
 /// One in so many resumable streams loses its client's connection.
 const LOST_CONNECTIONS: u64 = 3;
 /// A client continues a broken stream at most this often.
@@ -130,8 +133,7 @@
             return self.none(id, Lack::Closed);
         }
         if asking.leaves {
-            thread::sleep(LEAVE_AFTER);
-            return self.none(id, Lack::Left);
+            return self.leave(id, &mut connection);
         }
         let head = match connection.head() {
             Ok(head) => head,
@@ -153,6 +155,17 @@
         }
     }
 
+    // Drawn from the id, so that leaving does not change what a seed draws next.
+    fn leave(&self, id: String, connection: &mut Connection) {
+        let drawn = hash(&id);
+        if drawn.is_multiple_of(2) && connection.send(NEXT_REQUEST).is_err() {
+            return self.none(id, Lack::Closed);
+        }
+        let times = drawn / 2 % MAX_LEAVE_TIMES;
+        thread::sleep(LEAVE_AFTER * times as u32);
+        self.none(id, Lack::Left);
+    }
+
     fn none(&self, id: String, why: Lack) {
         self.shared.history.note(Seen::Unanswered { id, why });
     }
--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -225,6 +225,24 @@
     assert_eq!(leaving(true).findings(), Vec::<&str>::new());
 }
 
+#[test]
+fn a_request_that_reaches_an_endpoint_long_after_its_client_left_is_found() {
+    let left = |reached: u64| {
+        let left = Seen::Unanswered {
+            id: "a".into(),
+            why: Lack::Left,
+        };
+        Told::begin()
+            .once(5_000, "a")
+            .at(5_020, left)
+            .began(reached, "a", "/once/")
+            .once(9_000, "b")
+            .answered(9_010, "b", 503)
+    };
+    assert_eq!(left(5_700).findings(), Vec::<&str>::new());
+    assert_eq!(left(7_000).findings(), ["abandoned"]);
+}
+
 #[test]
 fn a_configuration_that_is_not_in_force_is_found() {
     let told = Told::begin()
