--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -6,6 +6,7 @@
 mod loopback;
 mod overhead;
 mod process;
+mod table;
 mod traces;
 
 use argh::FromArgs;
@@ -23,6 +24,7 @@
     Capacity(capacity::Capacity),
     Decisions(decisions::Decisions),
     Overhead(overhead::Overhead),
+    Table(table::Table),
     Traces(traces::Traces),
 }
 
@@ -32,6 +34,7 @@
         Command::Capacity(args) => capacity::run(&args),
         Command::Decisions(args) => decisions::run(&args),
         Command::Overhead(args) => overhead::run(&args),
+        Command::Table(args) => table::run(&args),
         Command::Traces(args) => traces::run(&args),
     }
 }
