Keep the newest revision of a table instead of searching all rows for it

Every message between gateways names the revision after which a topic did not change, which was found by a walk over all of its rows: 9,998 at each coordinator, up to twelve messages a second. The newest change is kept as it is applied. `the_newest_change_is_that_of_the_newest_row` holds the old definition (it passes before too).

--- a/components/replica/src/table.rs
+++ b/components/replica/src/table.rs
@@ -78,6 +78,8 @@
     rows: BTreeMap<String, Change>,
     // Every change between this revision and `known_to` is known.
     history_start: Revision,
+    // That of the newest known change.
+    newest_change: Revision,
     known_to: Option<Revision>,
     // The store no longer has the changes after `known_to`, so its rows have to be listed.
     needs_list: bool,
@@ -92,8 +94,7 @@
     /// Revision after which nothing changed up to [`Table::known_to`]: that of the newest known change or of the last
     /// list, whichever is later. A list does not show when the rows missing from it were deleted.
     pub fn changed_at(&self) -> Revision {
-        let revisions = self.rows.values().map(|row| row.revision);
-        revisions.max().unwrap_or_default().max(self.history_start)
+        self.newest_change.max(self.history_start)
     }
 
     /// Whether all changes up to a revision are known.
@@ -132,6 +133,7 @@
             .filter(|change| self.is_newer(change))
             .collect();
         for change in &new_changes {
+            self.newest_change = self.newest_change.max(change.revision);
             self.rows.insert(change.key.clone(), change.clone());
         }
         self.advance(known_to);
--- a/components/replica/tests/tables.rs
+++ b/components/replica/tests/tables.rs
@@ -249,3 +249,23 @@
         assert_eq!(table.live_rows().len(), all.len());
     }
 }
+
+// Each message to another gateway names it, so it is not searched among all rows.
+#[test]
+fn the_newest_change_is_that_of_the_newest_row() {
+    let newest_row = |table: &Table| {
+        let rows = table.rows_with_tombstones().into_iter();
+        rows.map(|row| row.revision).max()
+    };
+    let mut table = Table::default();
+    for round in 1..200_u64 {
+        let key = (round * 7 % 11) as u8;
+        let value = (round % 3 > 0).then_some(1);
+        table.apply_changes(vec![change(key, value, round * 2)], rev(round * 2 + 1));
+        assert_eq!(Some(table.changed_at()), newest_row(&table));
+    }
+    table.apply_list(vec![change(1, Some(1), 3)], rev(1000));
+    assert_eq!(table.changed_at(), rev(1000));
+    table.apply_changes(vec![change(2, Some(1), 990)], rev(1001));
+    assert_eq!(table.changed_at(), rev(1000));
+}
