--- a/components/routing/src/placement.rs
+++ b/components/routing/src/placement.rs
@@ -7,6 +7,7 @@
 mod balancer;
 mod cache;
 mod choice;
+mod chunks;
 mod engines;
 mod entry;
 mod exclusion;
--- a/components/routing/src/placement/entry.rs
+++ b/components/routing/src/placement/entry.rs
@@ -52,6 +52,8 @@
     // Hash of the id and start time, kept since it is needed for each endpoint and request once
     // endpoints have sent notices.
     incarnation: u64,
+    /// Position key in the order in which engines are given light prompts.
+    pub group_order: u64,
     /// Index of its region, 0 for the gateway's own one.
     pub region_index: usize,
     /// Index of its hall in the balancer's list.
@@ -86,6 +88,7 @@
         EndpointEntry {
             incarnation: incarnation(&spec.id, spec.born_ms),
             spec,
+            group_order: 0,
             region_index: 0,
             hall_index: 0,
             cache: PromptCache::new(cache_tokens),
--- a/components/routing/src/placement/service.rs
+++ b/components/routing/src/placement/service.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use notices::Notices;
-use slab::Slab;
 
+use crate::placement::chunks::Chunks;
 use crate::placement::entry::EndpointEntry;
 use crate::placement::exclusion::Exclusion;
 use crate::placement::mix::PromptMix;
@@ -20,16 +20,7 @@
 /// Endpoints in the order in which they are given light prompts. All gateways use the same order.
 #[derive(Debug, Default)]
 pub(crate) struct ServiceEndpoints {
-    // Entries are large, so they stay in place when the order changes.
-    entries: Slab<EndpointEntry>,
-    order: Vec<OrderedKey>,
-}
-
-// Key of an entry, with its rank in the order.
-#[derive(Clone, Copy, Debug)]
-struct OrderedKey {
-    group_order: u64,
-    key: usize,
+    entries: Chunks<EndpointEntry>,
 }
 
 /// That endpoints of a service fail if they turn too many requests away.
@@ -84,11 +75,9 @@
 impl ServiceEndpoints {
     // Returns the position of an endpoint, or the position at which to insert it.
     fn find(&self, id: &str) -> Result<usize, usize> {
-        let wanted = weight(GROUP_SEED, id);
-        self.order.binary_search_by(|ordered| {
-            let by_weight = ordered.group_order.cmp(&wanted);
-            by_weight.then_with(|| self.entries[ordered.key].spec.id.as_str().cmp(id))
-        })
+        let wanted = (weight(GROUP_SEED, id), id);
+        self.entries
+            .search(|entry| (entry.group_order, entry.spec.id.as_str()).cmp(&wanted))
     }
 
     /// Returns the entry of an endpoint.
@@ -104,38 +93,36 @@
 
     /// Returns the entry at a position.
     pub fn at(&self, position: usize) -> &EndpointEntry {
-        &self.entries[self.order[position].key]
+        self.entries.at(position)
     }
 
     /// Returns the entry at a position for changes.
     pub fn at_mut(&mut self, position: usize) -> &mut EndpointEntry {
-        &mut self.entries[self.order[position].key]
+        self.entries.at_mut(position)
     }
 
     /// Iterates over all entries.
     pub fn iter(&self) -> impl Iterator<Item = &EndpointEntry> {
-        self.order.iter().map(|ordered| &self.entries[ordered.key])
+        self.entries.iter().map(|(_, entry)| entry)
     }
 
-    /// Iterates over all entries for changes, in no particular order.
+    /// Iterates over all entries for changes.
     pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut EndpointEntry> {
-        self.entries.iter_mut().map(|(_, entry)| entry)
+        self.entries.iter_mut()
     }
 
     /// Adds an endpoint; one that is already present stays unchanged.
-    pub fn insert(&mut self, entry: EndpointEntry) {
+    pub fn insert(&mut self, mut entry: EndpointEntry) {
+        entry.group_order = weight(GROUP_SEED, &entry.spec.id);
         if let Err(position) = self.find(&entry.spec.id) {
-            let group_order = weight(GROUP_SEED, &entry.spec.id);
-            let key = self.entries.insert(entry);
-            self.order.insert(position, OrderedKey { group_order, key });
+            self.entries.insert(position, entry);
         }
     }
 
     /// Removes an endpoint and returns its entry.
     pub fn remove(&mut self, id: &str) -> Option<EndpointEntry> {
         let position = self.find(id).ok()?;
-        let ordered = self.order.remove(position);
-        self.entries.try_remove(ordered.key)
+        Some(self.entries.remove(position))
     }
 
     /// Returns the positions of the endpoints that can take a request. Suspected ones are included
@@ -157,7 +144,7 @@
                 && versions.allows(&spec.version)
                 && exclusion.allows(now, entry, notices)
         };
-        let all = self.iter().enumerate();
+        let all = self.entries.iter();
         let mut ready: Vec<usize> = all
             .filter(|(_, s)| is_permitted(s))
             .map(|(i, _)| i)
