Wait for all gateways in the test of pauses that coordinators were asked for

It waited for the fourth gateway only; a coordinator that isn't ready refuses a request with a 503 of its own, which the test took for the endpoint's, so that one of the three pauses was left for the fourth. It waits for all four, and asserts that the endpoint was reached three times.

--- a/components/gateway/tests/answer_notices.rs
+++ b/components/gateway/tests/answer_notices.rs
@@ -88,8 +88,12 @@
     let second = Setup::start(named("g2", 500, seeds.clone()), store.for_other_gateway());
     let third = Setup::start(named("g3", 500, seeds.clone()), store.for_other_gateway());
     let asking = Setup::start(named("g4", 120, seeds), store.for_other_gateway());
-    wait_until("readiness", || asking.is_ready());
-    (vec![first, second, third], asking)
+    let coordinators = vec![first, second, third];
+    for gateway in coordinators.iter().chain([&asking]) {
+        // One that is not ready refuses requests itself.
+        wait_until("readiness", || gateway.is_ready());
+    }
+    (coordinators, asking)
 }
 
 #[test]
@@ -283,6 +287,7 @@
     for coordinator in &coordinators {
         assert_eq!(coordinator.call("/a/1", &[]).status, 503);
     }
+    assert_eq!(busy.heads().len(), coordinators.len());
     assert_eq!(asking.call("/a/1", &[]).status, 200);
 }
 
