--- a/components/gateway/src/caller.rs
+++ b/components/gateway/src/caller.rs
@@ -188,7 +188,8 @@
         if ready.is_err() || stream.is_closed_by_peer() {
             return;
         }
-        tokio::time::sleep(CLOSE_CHECK_INTERVAL).await;
+        // Boxed, so that other connections hold no memory for it.
+        Box::pin(tokio::time::sleep(CLOSE_CHECK_INTERVAL)).await;
     }
 }
 
