--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,9 @@
+#!/bin/sh
+# Builds the stand-ins of the scripts, which use the standard library only. The program under test is built with the
+# command of deploy/system.toml.
+set -eu
+cd "$(dirname "$0")"
+mkdir -p target
+for name in grace unread; do
+    rustc --edition 2021 -O "standins/$name.rs" -o "target/$name"
+done
