--- a/review/build.sh
+++ b/review/build.sh
@@ -4,6 +4,6 @@
 set -eu
 cd "$(dirname "$0")"
 mkdir -p target
-for name in grace unread; do
+for name in entry unread grace; do
     rustc --edition 2021 -O "standins/$name.rs" -o "target/$name"
 done
--- a/review/standins/lib.rs
+++ b/review/standins/lib.rs
@@ -648,6 +648,12 @@
         Ok(worker)
     }
 
+    /// Its entry with the time of its start, as workers of the whole fleet write it.
+    pub fn entry_with_born(&self, zone: &str, born_ms: u64) -> String {
+        let entry = self.entry(zone, "ready");
+        entry.replacen('{', &format!("{{\"born\":{born_ms},"), 1)
+    }
+
     pub fn entry(&self, zone: &str, state: &str) -> String {
         format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":64,\
