Check the head of an answer before anything of its body is read

Callers got answers as complete whose body was not the endpoint's: the chunk framing was part of the body, or the body of an answer whose length was lost was taken for whole. An answer with a length beside a transfer coding ended the traffic thread of a debug build (an assertion of hyper); in a release build the caller got a length that its body didn't have.

Cause: the gateway took the mere presence of Transfer-Encoding for chunks, while hyper reads a body whose last coding isn't `chunked` up to the close. So the close of a body that nobody framed counted as its last chunk. Where the head said nothing of the length, any close that left the endpoint running counted as the end of the body.

A type `transport::Answer` now can't be made from a head that contradicts itself or doesn't say where its body ends: any coding but a single `chunked` (none is offered in requests; RFC 9112, sections 6.1 and 6.3), a coding over HTTP/1.0 or beside a length, several lengths, and an HTTP/1.1 answer with neither a length nor chunks nor `Connection: close`, which a server that closes has to send (section 9.3). Connection::send makes it, so the gateway, refusals, tunnels, the platform's store and cloud API, and rows from other gateways are covered alike. The gateway's own answer_end.rs is gone.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -6,16 +6,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http::{response, HeaderMap, HeaderName, Request, Response};
+use http::{response, HeaderMap, HeaderName, Request};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use memory::Kind;
 use routing::placement::{HealthSignal, Placement};
 use slog::info;
 use telemetry::Counter;
-use transport::{Connection, ConnectionError, FullBody};
+use transport::{Answer, Connection, ConnectionError, FullBody};
 
-use crate::answer_end::BodyEnd;
 use crate::buffers::BufferedBody;
 use crate::endpoint_run::{EndpointRun, ReceivedAnswer};
 use crate::events::{Event, EventSplitter};
@@ -236,6 +235,14 @@
                     "the endpoint closed the connection without an answer",
                 );
             }
+            Err(ConnectionError::Invalid(fault)) => {
+                permit.inspect(|permit| permit.record_arrived());
+                run.has_answer_head = true;
+                run.set_health(HealthSignal::Faulty);
+                info!(self.log, "answer invalid"; "id" => &job.head.id,
+                    "endpoint" => &placement.endpoint, "cause" => %fault);
+                return AttemptOutcome::Lost("the endpoint's answer is invalid");
+            }
             Err(_) => {
                 permit.inspect(|permit| permit.record_not_sent());
                 return AttemptOutcome::NotSent;
@@ -244,8 +251,12 @@
         permit.inspect(|permit| permit.record_arrived());
         run.has_answer_head = true;
         run.record_received();
-        let (head, body) = answer.into_parts();
-        run.body_end = Some(BodyEnd::of(&head, &body));
+        let Answer {
+            head,
+            body,
+            body_end,
+        } = answer;
+        run.body_end = Some(body_end);
         let read = self.dialect.read_answer(head.status, &head.headers);
         self.apply_answer_head(job, placement, run.sent_at, head.status, &read);
         if read.id.as_deref() != Some(job.head.id.as_str()) {
@@ -259,10 +270,11 @@
             // The request runs and isn't sent again; its answer needs the memory.
             job.body.discard();
         }
+        // Boxed, so that a running request holds no memory for these futures.
         if job.route.execution.is_stream() && head.status.is_success() {
-            return self.first_event(job, run, head, read, body).await;
+            return Box::pin(self.first_event(job, run, head, read, body)).await;
         }
-        self.whole_answer(job, run, head, read, body).await
+        Box::pin(self.whole_answer(job, run, head, read, body)).await
     }
 
     // Sends the request of a job. Returns `None` if the path to the endpoint is lost and the job can be repeated.
@@ -273,7 +285,7 @@
         last_event: Option<u64>,
         relay: Option<SocketAddr>,
         connection: &mut Connection,
-    ) -> Option<Result<Response<Incoming>, ConnectionError>> {
+    ) -> Option<Result<Answer, ConnectionError>> {
         // Pinned in place, since `select` would hold moved futures twice.
         let watched = connection.watch();
         let mut lost_path = pin!(self.wait_for_lost_path(job, placement, relay, watched));
--- a/components/gateway/src/control/row_transfer.rs
+++ b/components/gateway/src/control/row_transfer.rs
@@ -293,11 +293,11 @@
     let host = address.to_string().parse().ok()?;
     request.headers_mut().insert(http::header::HOST, host);
     let answer = connection.send(request).await.ok()?;
-    if answer.status() != StatusCode::OK {
+    if answer.head.status != StatusCode::OK {
         return None;
     }
-    let is_deflated = answer.headers().get(CONTENT_ENCODING) == Some(&DEFLATED);
-    let limited = Limited::new(answer.into_body(), MAX_ENCODED_BYTES);
+    let is_deflated = answer.head.headers.get(CONTENT_ENCODING) == Some(&DEFLATED);
+    let limited = Limited::new(answer.body, MAX_ENCODED_BYTES);
     let bytes = limited.collect().await.ok()?.to_bytes();
     let reply = match is_deflated {
         true => schema::decode(&inflate(&bytes)?),
--- a/components/gateway/src/endpoint_run.rs
+++ b/components/gateway/src/endpoint_run.rs
@@ -8,9 +8,8 @@
 use rollout::Answer;
 use routing::placement::{signal_without_answer, HealthSignal, Placement, Ticket};
 use slog::info;
-use transport::Connection;
+use transport::{BodyEnd, Connection};
 
-use crate::answer_end::BodyEnd;
 use crate::connecting::OpenedConnection;
 use crate::job::SharedJob;
 use crate::traffic::Traffic;
--- a/components/gateway/src/interrupted.rs
+++ b/components/gateway/src/interrupted.rs
@@ -10,8 +10,8 @@
 use slog::info;
 use telemetry::Counter;
 use tokio::task::JoinHandle;
+use transport::BodyEnd;
 
-use crate::answer_end::BodyEnd;
 use crate::connection_pool::ReserveError;
 use crate::endpoint_run::ReceivedAnswer;
 use crate::job::SharedJob;
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -7,7 +7,6 @@
 
 mod admission;
 mod answer;
-mod answer_end;
 mod answer_notices;
 mod attempt;
 mod body;
--- a/components/gateway/src/stream.rs
+++ b/components/gateway/src/stream.rs
@@ -9,9 +9,9 @@
 use slog::info;
 use telemetry::Counter;
 use tokio::sync::mpsc;
+use transport::BodyEnd;
 
 use crate::answer::BodyPart;
-use crate::answer_end::BodyEnd;
 use crate::attempt::{AttemptOutcome, EndpointAnswer, EndpointStream, NextEvent, SendOptions};
 use crate::buffers::HeldBytes;
 use crate::events::Event;
--- /dev/null
+++ b/components/gateway/tests/broken_answers.rs
@@ -0,0 +1,261 @@
+//! Endpoints whose answers are broken: what they send must not reach callers as an answer.
+
+mod common;
+
+use std::thread;
+
+use common::{configuration, endpoint, route, Answer, FakeEndpoint, Setup};
+use directory::{Configuration, Execution};
+
+/// Routes, one for each kind of execution.
+const ROUTES: [(&str, Execution); 4] = [
+    ("/once/", Execution::Once),
+    ("/repeatable/", Execution::Repeatable),
+    ("/stream/", Execution::Stream { resumable: false }),
+    ("/resumable/", Execution::Stream { resumable: true }),
+];
+/// Body that the endpoint would have sent: two events.
+const BODY: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+/// The same body in chunks.
+const CHUNKED_BODY: &str = "f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n";
+
+fn all_routes() -> Configuration {
+    let routes = ROUTES.map(|(prefix, execution)| route(prefix, execution));
+    configuration(1, routes.to_vec())
+}
+
+/// An answer with this status line and these further lines in its head.
+fn answer_text(status_line: &str, lines: &str, body: &str) -> String {
+    format!("{status_line}\r\nx-id: {{id}}\r\nx-signature: s\r\n{lines}\r\n{body}")
+}
+
+fn ok(lines: &str, body: &str) -> String {
+    answer_text("HTTP/1.1 200 OK", lines, body)
+}
+
+/// Starts an endpoint that writes this text, with the id of the request, and closes the connection.
+fn start_endpoint(text: &str) -> FakeEndpoint {
+    let text = text.to_string();
+    FakeEndpoint::start(move |_, exchange| {
+        let id = exchange.header("x-id").unwrap_or_default();
+        exchange.write(&text.replace("{id}", &id));
+        exchange.close();
+    })
+}
+
+/// The answers that a caller gets on each route if the endpoint sends this text.
+fn answers_to(text: &str) -> Vec<(&'static str, Answer)> {
+    let call = |(path, _)| {
+        let fake = start_endpoint(text);
+        let setup = Setup::serving(all_routes(), vec![endpoint("e", fake.address)]);
+        let answer = setup.call(path, &[]);
+        assert_eq!(fake.heads().len(), 1, "{path} {text:?}");
+        (path, answer)
+    };
+    ROUTES.map(call).to_vec()
+}
+
+/// Checks that no caller gets any of these texts as an answer, not even in part as a whole one.
+fn assert_refused(texts: &[String]) {
+    let check = |text: &String| {
+        for (path, answer) in answers_to(text) {
+            let is_cut = answer.status == 200 && !answer.is_complete;
+            let is_stream = !["/once/", "/repeatable/"].contains(&path);
+            let is_refused = answer.status == 502 || (is_stream && is_cut);
+            assert!(is_refused, "{path} {text:?} gave {answer:?}");
+        }
+    };
+    thread::scope(|scope| {
+        for text in texts {
+            scope.spawn(move || check(text));
+        }
+    });
+}
+
+/// Checks that all callers get the whole body although the endpoint sent it in this way.
+fn assert_served(texts: &[String]) {
+    for text in texts {
+        for (path, answer) in answers_to(text) {
+            let got = (answer.status, answer.body.as_str(), answer.is_complete);
+            assert_eq!(got, (200, BODY, true), "{path} {text:?} gave {answer:?}");
+        }
+    }
+}
+
+// Guards against bodies with their chunk framing inside: hyper reads a body whose last coding isn't `chunked` up to the
+// close, which was then taken for the last chunk.
+#[test]
+fn an_answer_with_an_unknown_transfer_coding_is_not_delivered() {
+    let codings = [
+        "chunke",
+        "",
+        "chunked, foo",
+        "identity",
+        "gzip, chunked",
+        "chunked, chunked",
+        "chunked\r\ntransfer-encoding: chunked",
+        "chunked;x=1",
+    ];
+    let text = |coding| ok(&format!("transfer-encoding: {coding}\r\n"), CHUNKED_BODY);
+    assert_refused(&codings.map(text));
+}
+
+// Guards against an answer whose head contradicts itself about where the body ends.
+#[test]
+fn an_answer_with_a_transfer_coding_and_a_length_is_not_delivered() {
+    let length = CHUNKED_BODY.len();
+    let both = format!("transfer-encoding: chunked\r\ncontent-length: {length}\r\n");
+    let old = "HTTP/1.0 200 OK";
+    let texts = [
+        ok(&both, CHUNKED_BODY),
+        answer_text(old, "transfer-encoding: chunked\r\n", CHUNKED_BODY),
+    ];
+    assert_refused(&texts);
+}
+
+// Guards against an answer whose length was lost with the name of its field, and whose close passes for the end of the body.
+#[test]
+fn an_answer_that_keeps_its_connection_open_and_does_not_say_where_its_body_ends_is_not_delivered()
+{
+    let length = BODY.len();
+    let texts = [
+        ok(&format!("content-lengt: {length}\r\n"), BODY),
+        ok(
+            &format!("keep-alive: timeout=10\r\nlength: {length}\r\n"),
+            BODY,
+        ),
+        ok("transfer-encodin: chunked\r\n", CHUNKED_BODY),
+        ok("connection: keep-alive\r\n", BODY),
+    ];
+    assert_refused(&texts);
+}
+
+#[test]
+fn an_answer_with_a_spoilt_length_is_not_delivered() {
+    let length = BODY.len();
+    let lengths = [
+        "x".to_string(),
+        format!("+{length}"),
+        format!("-{length}"),
+        format!("0x{length}"),
+        String::new(),
+        format!("{length} {length}"),
+        format!("{length}, 3"),
+        format!("{length}\r\ncontent-length: 3"),
+        format!("3\r\ncontent-length: {length}"),
+        "18446744073709551615".to_string(),
+        "99999999999999999999".to_string(),
+        (length + 1).to_string(),
+    ];
+    assert_refused(&lengths.map(|length| ok(&format!("content-length: {length}\r\n"), BODY)));
+}
+
+// Guards against heads that are read although one of their lines is no field.
+#[test]
+fn an_answer_with_a_line_that_is_no_field_is_not_delivered() {
+    let lines = [
+        "no colon",
+        "x y: blank in the name",
+        "x : blank before the colon",
+        "x\ty: tab in the name",
+        "x\x01y: control byte in the name",
+        "x\x7fy: control byte in the name",
+        ": no name",
+        " x: blank before the name",
+        "x: NUL in \0 the value",
+        "x: DEL in \x7f the value",
+        "x: CR in \r the value",
+    ];
+    let length = BODY.len();
+    let before = lines.map(|line| ok(&format!("{line}\r\ncontent-length: {length}\r\n"), BODY));
+    assert_refused(&before);
+    let after = lines.map(|line| ok(&format!("content-length: {length}\r\n{line}\r\n"), BODY));
+    assert_refused(&after);
+}
+
+#[test]
+fn an_answer_that_is_cut_off_is_not_delivered() {
+    let chunks = &CHUNKED_BODY[..CHUNKED_BODY.len() - 5];
+    let texts = [
+        ok("transfer-encoding: chunked\r\n", chunks),
+        ok(
+            "transfer-encoding: chunked\r\n",
+            "f\r\nid: 1\ndata: a\n\n\r\nzz\r\n",
+        ),
+        "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signature: s\r\ncontent-length: 0\r\n".to_string(),
+        "id: 1\ndata: a\n\n".to_string(),
+    ];
+    assert_refused(&texts);
+}
+
+// Guards against refusing endpoints that mark the end of a body in any of the ways of the protocol.
+#[test]
+fn a_body_is_delivered_whichever_way_marks_its_end() {
+    let length = BODY.len();
+    let texts = [
+        ok(&format!("content-length: {length}\r\n"), BODY),
+        ok("Transfer-Encoding: Chunked\r\n", CHUNKED_BODY),
+        ok("connection: close\r\n", BODY),
+        ok("connection: x, Close\r\n", BODY),
+        "HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n".to_string()
+            + &ok(&format!("content-length: {length}\r\n"), BODY),
+    ];
+    assert_served(&texts);
+}
+
+// Guards against refusing a whole answer because its endpoint sent another one behind it.
+#[test]
+fn an_answer_is_delivered_although_another_follows_it() {
+    let length = BODY.len();
+    let other = "HTTP/1.1 200 OK\r\nx-id: other\r\ncontent-length: 1\r\n\r\nx";
+    let first = format!("content-length: {length}\r\n");
+    assert_served(&[
+        ok(&first, BODY) + other,
+        ok("transfer-encoding: chunked\r\n", CHUNKED_BODY) + other,
+    ]);
+}
+
+// Guards against failing a request that may be repeated, and against connections that are used again after a broken answer.
+#[test]
+fn a_repeatable_request_whose_answer_is_broken_is_served_by_another_endpoint() {
+    let length = BODY.len();
+    let broken = [
+        ok("transfer-encoding: chunke\r\n", CHUNKED_BODY),
+        ok(&format!("lengt: {length}\r\n"), BODY),
+        ok(&format!("x y: z\r\ncontent-length: {length}\r\n"), BODY),
+    ];
+    for text in broken {
+        let fake = FakeEndpoint::start(move |number, exchange| match number {
+            0 => {
+                let id = exchange.header("x-id").unwrap_or_default();
+                exchange.write(&text.replace("{id}", &id));
+                // The gateway closes the connection, not the endpoint.
+                exchange.wait_closed();
+            }
+            _ => exchange.answer(200, "sound"),
+        });
+        let endpoints = ["e0", "e1"].map(|id| endpoint(id, fake.address));
+        let setup = Setup::serving(all_routes(), endpoints.to_vec());
+        let answer = setup.call("/repeatable/", &[]);
+        assert_eq!((answer.status, answer.body.as_str()), (200, "sound"));
+    }
+}
+
+// Guards against a promise that a request was not run, made from a head that is broken.
+#[test]
+fn a_refusal_with_a_broken_head_does_not_promise_that_the_request_was_not_run() {
+    let heads = [
+        "transfer-encoding: chunke\r\n",
+        "content-lengt: 0\r\n",
+        "content-length: 0\r\nx y: z\r\n",
+        "content-length: 0\r\ncontent-length: 0\r\n",
+    ];
+    for head in heads {
+        let lines = format!("x-not-run: 1\r\n{head}");
+        let fake = start_endpoint(&answer_text("HTTP/1.1 503 X", &lines, ""));
+        let endpoints = ["e0", "e1"].map(|id| endpoint(id, fake.address));
+        let setup = Setup::serving(all_routes(), endpoints.to_vec());
+        assert_eq!(setup.call("/once/", &[]).status, 502, "{head:?}");
+        assert_eq!(fake.heads().len(), 1, "{head:?}");
+    }
+}
--- a/components/transport/src/connection.rs
+++ b/components/transport/src/connection.rs
@@ -5,15 +5,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::Request;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use crate::answer::{Answer, AnswerFault};
 use crate::tcp::{Dialer, SharedStream, TcpStatus};
 
 /// A request body that is held in memory as a whole.
@@ -35,6 +35,8 @@
     NotSent,
     /// The HTTP handshake failed, or the connection failed when the request may have been sent.
     Broken(hyper::Error),
+    /// The request was answered, and the answer is invalid.
+    Invalid(AnswerFault),
 }
 
 impl fmt::Display for ConnectionError {
@@ -43,6 +45,7 @@
             ConnectionError::Unreachable(error) => write!(f, "cannot be reached: {error}"),
             ConnectionError::NotSent => write!(f, "ended before the request was written"),
             ConnectionError::Broken(error) => write!(f, "broke after sending: {error}"),
+            ConnectionError::Invalid(fault) => write!(f, "got an invalid answer: {fault}"),
         }
     }
 }
@@ -110,18 +113,16 @@
         ready.map_err(|_| ConnectionError::NotSent)
     }
 
-    /// Sends a request and returns the head of the answer. Dropping the connection before the body
-    /// is read cuts the body off.
-    pub async fn send(
-        &mut self,
-        request: Request<FullBody>,
-    ) -> Result<Response<Incoming>, ConnectionError> {
+    /// Sends a request and returns the answer, whose head is checked. Dropping the connection before the body is read cuts
+    /// the body off.
+    pub async fn send(&mut self, request: Request<FullBody>) -> Result<Answer, ConnectionError> {
         self.ready().await?;
         let sent = self.sender.try_send_request(request).await;
-        sent.map_err(|mut error| match error.take_message() {
+        let response = sent.map_err(|mut error| match error.take_message() {
             Some(_) => ConnectionError::NotSent,
             None => ConnectionError::Broken(error.into_error()),
-        })
+        })?;
+        Answer::from_response(response).map_err(ConnectionError::Invalid)
     }
 }
 
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -1,6 +1,7 @@
 //! Network transport: HTTP to callers and endpoints, UDP datagrams and TCP frames between nodes, and
 //! the authentication of datagrams, node requests and resume tokens.
 
+mod answer;
 mod auth;
 mod connection;
 mod engine;
@@ -13,6 +14,7 @@
 mod tunnel;
 mod wire;
 
+pub use answer::{Answer, AnswerFault, BodyEnd};
 pub use auth::{sign, verify, Key, TAG_BYTES};
 pub use connection::{Connection, ConnectionError, FullBody, WatchedConnection};
 pub use engine::{
