Refuse answers whose status is not that of a final answer

An endpoint's status 600 or 999 was passed on to callers as an answer, and 101 closed the caller's connection without an answer. Statuses 000 and 099 got 502 before; the test keeps that.

Cause: hyper takes every number from 100 to 999 for a status. RFC 9110, section 15: values outside of 100 to 599 are invalid, and the gateway asks for no upgrade, so 101 is no answer either. The check is part of Answer, which every reader of answers over hyper uses.

Evidence: an_answer_whose_status_is_none_is_not_delivered fails on (600, 999 and 101) and passes now.

--- a/components/gateway/tests/broken_answers.rs
+++ b/components/gateway/tests/broken_answers.rs
@@ -150,6 +150,15 @@
     assert_refused(&lengths.map(|length| ok(&format!("content-length: {length}\r\n"), BODY)));
 }
 
+// Guards against statuses outside of 200 to 599, which are no final answer.
+#[test]
+fn an_answer_whose_status_is_none_is_not_delivered() {
+    let statuses = ["000", "099", "101", "600", "999", "20", "2000", "2x0", ""];
+    let head = format!("content-length: {}\r\n", BODY.len());
+    let text = |status| answer_text(&format!("HTTP/1.1 {status} OK"), &head, BODY);
+    assert_refused(&statuses.map(text));
+}
+
 // Guards against heads that are read although one of their lines is no field.
 #[test]
 fn an_answer_with_a_line_that_is_no_field_is_not_delivered() {
@@ -222,6 +231,7 @@
     let broken = [
         ok("transfer-encoding: chunke\r\n", CHUNKED_BODY),
         ok(&format!("lengt: {length}\r\n"), BODY),
+        answer_text("HTTP/1.1 600 OK", "content-length: 0\r\n", ""),
         ok(&format!("x y: z\r\ncontent-length: {length}\r\n"), BODY),
     ];
     for text in broken {
--- a/components/transport/src/answer.rs
+++ b/components/transport/src/answer.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use http::{header, response, HeaderMap, Response, Version};
+use http::{header, response, HeaderMap, Response, StatusCode, Version};
 use http_body::Body;
 use hyper::body::Incoming;
 
@@ -31,6 +31,8 @@
 /// Why the head of an answer is invalid.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnswerFault {
+    /// The status is not that of a final answer to a request.
+    Status(StatusCode),
     /// A transfer coding other than `chunked` was applied, or one in an HTTP/1.0 answer.
     TransferCoding,
     /// `Content-Length` stands beside `Transfer-Encoding`.
@@ -44,6 +46,7 @@
 impl fmt::Display for AnswerFault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            AnswerFault::Status(status) => write!(f, "{} is no final status", status.as_u16()),
             AnswerFault::TransferCoding => write!(f, "its transfer coding is not supported"),
             AnswerFault::LengthBesideCoding => {
                 write!(f, "it has both a length and a transfer coding")
@@ -60,6 +63,9 @@
     /// Checks the head of a response.
     pub(crate) fn from_response(response: Response<Incoming>) -> Result<Self, AnswerFault> {
         let (head, body) = response.into_parts();
+        if !(200..600).contains(&head.status.as_u16()) {
+            return Err(AnswerFault::Status(head.status));
+        }
         let has_length = body.size_hint().exact().is_some();
         let body_end = BodyEnd::of(head.version, &head.headers, has_length)?;
         Ok(Answer {
