Frame answers to callers anew instead of passing the endpoint's framing on

Callers could take a stream for complete that was cut off: where the endpoint had answered over HTTP/1.0, the stream to the caller ended with its connection, too; and a stream that went on at another endpoint kept the Content-Length of its first one, so the caller stopped reading there.

Cause: version and Content-Length describe the connection to the endpoint, but were part of the head that was passed on. The gateway now speaks its own version (RFC 9110, section 2.5) and drops the length; hyper states it again for whole answers, and streams get chunks. Answers to HEAD keep it, as it is no framing there.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http::{response, HeaderMap, HeaderName, Request};
+use http::{response, HeaderMap, HeaderName, Method, Request, Version};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use memory::Kind;
@@ -381,7 +381,7 @@
             self.record_completed(job);
         }
         run.finish(read.keep_alive);
-        strip_hop_by_hop_headers(&mut head.headers);
+        replace_framing(&mut head, &job.parts.method);
         match failed {
             true => AttemptOutcome::Failed { head, body },
             false => AttemptOutcome::Answered(EndpointAnswer::Whole { head, body }),
@@ -411,7 +411,7 @@
             NextEvent::Event(first) => {
                 events.run.record_first_token();
                 self.record_begun(job, Duration::ZERO);
-                strip_hop_by_hop_headers(&mut head.headers);
+                replace_framing(&mut head, &job.parts.method);
                 AttemptOutcome::Answered(EndpointAnswer::Events {
                     head,
                     first,
@@ -431,6 +431,16 @@
     }
 }
 
+// Removes what the head says of the connection to the endpoint: the answer is framed anew for the caller, and a stream may
+// go on at another endpoint.
+fn replace_framing(head: &mut response::Parts, method: &Method) {
+    strip_hop_by_hop_headers(&mut head.headers);
+    if method != Method::HEAD {
+        head.headers.remove(http::header::CONTENT_LENGTH);
+    }
+    head.version = Version::HTTP_11;
+}
+
 fn strip_hop_by_hop_headers(headers: &mut HeaderMap) {
     let listed: Vec<HeaderName> = headers
         .get_all(http::header::CONNECTION)
--- a/components/gateway/tests/broken_answers.rs
+++ b/components/gateway/tests/broken_answers.rs
@@ -206,6 +206,7 @@
         ok("Transfer-Encoding: Chunked\r\n", CHUNKED_BODY),
         ok("connection: close\r\n", BODY),
         ok("connection: x, Close\r\n", BODY),
+        answer_text("HTTP/1.0 200 OK", "", BODY),
         "HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n".to_string()
             + &ok(&format!("content-length: {length}\r\n"), BODY),
     ];
@@ -224,6 +225,43 @@
     ]);
 }
 
+// Guards against a caller who can't see that a stream was cut off, because the version and so the framing of the endpoint's
+// answer was passed on.
+#[test]
+fn a_stream_of_an_older_protocol_version_that_is_cut_off_does_not_look_complete() {
+    let text = answer_text("HTTP/1.0 200 OK", "", &BODY[..20]);
+    for (path, answer) in answers_to(&text).into_iter().skip(2) {
+        assert_eq!(
+            answer.header("transfer-encoding"),
+            Some("chunked"),
+            "{path}"
+        );
+        assert!(!answer.is_complete, "{path} {answer:?}");
+    }
+}
+
+// Guards against a caller who takes a stream for complete at the wrong length that its first endpoint stated.
+#[test]
+fn a_stream_that_goes_on_elsewhere_does_not_have_the_length_of_its_first_endpoint() {
+    let first = ok("content-length: 20\r\n", BODY);
+    let fake = FakeEndpoint::start(move |number, exchange| match number {
+        0 => {
+            let id = exchange.header("x-id").unwrap_or_default();
+            exchange.write(&first.replace("{id}", &id));
+            exchange.close();
+        }
+        _ => {
+            exchange.begin_stream();
+            exchange.chunk("id: 2\ndata: b\n\n");
+            exchange.end_stream();
+        }
+    });
+    let endpoints = ["e0", "e1"].map(|id| endpoint(id, fake.address));
+    let setup = Setup::serving(all_routes(), endpoints.to_vec());
+    let answer = setup.call("/resumable/", &[]);
+    assert_eq!((answer.body.as_str(), answer.is_complete), (BODY, true));
+}
+
 // Guards against failing a request that may be repeated, and against connections that are used again after a broken answer.
 #[test]
 fn a_repeatable_request_whose_answer_is_broken_is_served_by_another_endpoint() {
