Refuse an answer whose length is too small for its body

An endpoint's answer with a Content-Length of 3 before 30 bytes reached callers as a complete answer of three bytes.

Cause: bytes behind a body were dropped with their connection, unseen. Only one request is under way on a connection, so they show that the length or the answer is wrong. Connection now keeps what hyper had not read when it ended. Behind a last chunk nothing is asked, since the chunks themselves end there.

Bytes that arrive after the body was read can't be told from a late second answer; such an answer is still delivered.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -87,6 +87,7 @@
     async fn end(&self) -> NextEvent {
         let run = &self.run;
         let is_whole = !self.splitter.has_partial_event()
+            && !run.has_wrong_length()
             && run
                 .traffic
                 .is_whole(&run.job, &run.placement, run.received())
@@ -366,6 +367,10 @@
             run.set_health(HealthSignal::Faulty);
             return AttemptOutcome::Lost("nothing shows that the answer is whole");
         }
+        if run.has_wrong_length() {
+            run.set_health(HealthSignal::Faulty);
+            return AttemptOutcome::Lost("the endpoint's answer has a wrong length");
+        }
         let failed = head.status.is_server_error();
         if read.altered || (head.status.is_success() && !read.signed) {
             run.set_health(HealthSignal::Faulty);
--- a/components/gateway/src/endpoint_run.rs
+++ b/components/gateway/src/endpoint_run.rs
@@ -103,6 +103,13 @@
         }
     }
 
+    /// Whether the length of the body, which has been read, seems too small: bytes that are no other answer follow it.
+    pub fn has_wrong_length(&self) -> bool {
+        let connection = self.connection.as_ref();
+        self.body_end == Some(BodyEnd::Length)
+            && connection.is_some_and(Connection::has_stray_bytes)
+    }
+
     /// Records that bytes of the endpoint arrived, which proves the path.
     pub fn record_received(&self) {
         if self.relay.is_none() {
--- a/components/gateway/tests/broken_answers.rs
+++ b/components/gateway/tests/broken_answers.rs
@@ -150,6 +150,23 @@
     assert_refused(&lengths.map(|length| ok(&format!("content-length: {length}\r\n"), BODY)));
 }
 
+// Guards against a body that is cut off by a length that is too small: what follows it shows that the length is wrong.
+#[test]
+fn an_answer_whose_length_is_too_small_for_its_body_is_not_delivered() {
+    let large = "x".repeat(300_000);
+    let large_event = format!("id: 1\ndata: {large}\n\n");
+    for lines in ["", "connection: close\r\n"] {
+        let text = |length, body| ok(&format!("{lines}content-length: {length}\r\n"), body);
+        assert_refused(&[
+            text(0, BODY),
+            text(3, BODY),
+            text(15, BODY),
+            text(200_000, &large),
+            text(large_event.len(), &large_event.repeat(2)),
+        ]);
+    }
+}
+
 // Guards against statuses outside of 200 to 599, which are no final answer.
 #[test]
 fn an_answer_whose_status_is_none_is_not_delivered() {
@@ -269,6 +286,7 @@
     let broken = [
         ok("transfer-encoding: chunke\r\n", CHUNKED_BODY),
         ok(&format!("lengt: {length}\r\n"), BODY),
+        ok("content-length: 3\r\n", BODY),
         answer_text("HTTP/1.1 600 OK", "content-length: 0\r\n", ""),
         ok(&format!("x y: z\r\ncontent-length: {length}\r\n"), BODY),
     ];
--- a/components/transport/src/connection.rs
+++ b/components/transport/src/connection.rs
@@ -1,15 +1,21 @@
 //! A persistent HTTP/1.1 client connection, driven by the Tokio runtime of the calling thread.
 
+use std::cell::RefCell;
 use std::fmt;
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
-use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::client::conn::http1::{self, Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
+use tokio::io::AsyncWrite;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
@@ -21,6 +27,8 @@
 
 /// Maximum size of the read buffer, and so of the head of an answer.
 const MAX_BUFFER_BYTES: usize = 64 << 10;
+/// Beginning of every answer.
+const ANSWER_START: &[u8] = b"HTTP/1.";
 /// A connection is closed once sent bytes stay unacknowledged for this long.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(4);
 /// Idle time before the first TCP keep-alive probe, and interval between probes.
@@ -58,6 +66,36 @@
     stream: SharedStream,
     sender: SendRequest<FullBody>,
     driver: JoinHandle<()>,
+    unread: UnreadBytes,
+}
+
+// What had arrived and was not read as part of an answer when the connection ended.
+type UnreadBytes = Rc<RefCell<Bytes>>;
+
+// Drives the connection to its end. Not an async function, whose future would hold the connection twice.
+struct Driver {
+    connection: Option<http1::Connection<TokioIo<SharedStream>, FullBody>>,
+    unread: UnreadBytes,
+}
+
+impl Future for Driver {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        let Some(connection) = self.connection.as_mut() else {
+            return Poll::Ready(());
+        };
+        let ended = ready!(connection.poll_without_shutdown(context));
+        if let Some(connection) = self.connection.take() {
+            let parts = connection.into_parts();
+            self.unread.replace(parts.read_buf);
+            if ended.is_ok() {
+                // Shutting down a TCP stream doesn't wait. The other end may have closed it already.
+                let _ = Pin::new(&mut parts.io.into_inner()).poll_shutdown(context);
+            }
+        }
+        Poll::Ready(())
+    }
 }
 
 impl Connection {
@@ -77,13 +115,16 @@
             .handshake(TokioIo::new(stream.clone()))
             .await;
         let (sender, connection) = handshake.map_err(ConnectionError::Broken)?;
-        let driver = tokio::task::spawn_local(async move {
-            let _ = connection.await;
+        let unread = UnreadBytes::default();
+        let driver = tokio::task::spawn_local(Driver {
+            connection: Some(connection),
+            unread: Rc::clone(&unread),
         });
         Ok(Connection {
             stream,
             sender,
             driver,
+            unread,
         })
     }
 
@@ -113,6 +154,14 @@
         ready.map_err(|_| ConnectionError::NotSent)
     }
 
+    /// Whether bytes have arrived behind the last answer, whose body has been read, that begin no other answer. Then its
+    /// length may have been wrong. Bytes that arrive later don't count.
+    pub fn has_stray_bytes(&self) -> bool {
+        let unread = self.unread.borrow();
+        let compared = unread.len().min(ANSWER_START.len());
+        unread[..compared] != ANSWER_START[..compared]
+    }
+
     /// Sends a request and returns the answer, whose head is checked. Dropping the connection before the body is read cuts
     /// the body off.
     pub async fn send(&mut self, request: Request<FullBody>) -> Result<Answer, ConnectionError> {
