Refuse chunks that the head of an answer doesn't announce

Where the name of Transfer-Encoding was spoilt in the head of an answer that also said `Connection: close`, callers got the chunk framing as part of the body.

Cause: such a body ends with its connection, as far as its head tells. It now is refused if it begins with a chunk: a line with its length in hexadecimal, and behind the data a line end or nothing. Only answers with neither a length nor chunks are looked at.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -367,7 +367,7 @@
             run.set_health(HealthSignal::Faulty);
             return AttemptOutcome::Lost("nothing shows that the answer is whole");
         }
-        if run.has_wrong_length() {
+        if run.has_wrong_length() || run.has_unannounced_chunks(&body.bytes) {
             run.set_health(HealthSignal::Faulty);
             return AttemptOutcome::Lost("the endpoint's answer has a wrong length");
         }
@@ -413,6 +413,10 @@
             return AttemptOutcome::Lost("the answer is not what the endpoint made");
         }
         match events.next().await {
+            NextEvent::Event(first) if events.run.has_unannounced_chunks(&first.bytes) => {
+                events.run.set_health(HealthSignal::Faulty);
+                AttemptOutcome::Lost("the endpoint's answer has a wrong length")
+            }
             NextEvent::Event(first) => {
                 events.run.record_first_token();
                 self.record_begun(job, Duration::ZERO);
--- a/components/gateway/src/endpoint_run.rs
+++ b/components/gateway/src/endpoint_run.rs
@@ -8,7 +8,7 @@
 use rollout::Answer;
 use routing::placement::{signal_without_answer, HealthSignal, Placement, Ticket};
 use slog::info;
-use transport::{BodyEnd, Connection};
+use transport::{begins_with_chunk, BodyEnd, Connection};
 
 use crate::connecting::OpenedConnection;
 use crate::job::SharedJob;
@@ -110,6 +110,11 @@
             && connection.is_some_and(Connection::has_stray_bytes)
     }
 
+    /// Whether a body that ends with its connection consists of chunks that the head doesn't announce.
+    pub fn has_unannounced_chunks(&self, body_start: &[u8]) -> bool {
+        self.body_end == Some(BodyEnd::Close) && begins_with_chunk(body_start)
+    }
+
     /// Records that bytes of the endpoint arrived, which proves the path.
     pub fn record_received(&self) {
         if self.relay.is_none() {
--- a/components/gateway/tests/broken_answers.rs
+++ b/components/gateway/tests/broken_answers.rs
@@ -130,6 +130,14 @@
     assert_refused(&texts);
 }
 
+// Guards against chunk framing inside a body that ends with its connection.
+#[test]
+fn chunks_that_were_not_announced_are_not_delivered_as_a_body() {
+    let head = "connection: close\r\ntransfer-encodin: chunked\r\n";
+    let upper = CHUNKED_BODY.replace("f\r\n", "00F;x\r\n");
+    assert_refused(&[ok(head, CHUNKED_BODY), ok(head, &upper)]);
+}
+
 #[test]
 fn an_answer_with_a_spoilt_length_is_not_delivered() {
     let length = BODY.len();
--- a/components/transport/src/answer.rs
+++ b/components/transport/src/answer.rs
@@ -132,3 +132,25 @@
         .flat_map(|field| field.split(','))
         .any(|named| named.trim().eq_ignore_ascii_case(option))
 }
+
+/// Whether a body begins with a chunk (RFC 9112, section 7.1), which may be cut off. In a body that ends with its connection
+/// this shows that the announcement of the chunks was lost.
+pub fn begins_with_chunk(body: &[u8]) -> bool {
+    let Some(line_end) = body.windows(2).position(|bytes| bytes == b"\r\n") else {
+        return false;
+    };
+    let Some(length) = parse_chunk_length(&body[..line_end]) else {
+        return false;
+    };
+    let after_data = body[line_end + 2..].get(length..).unwrap_or_default();
+    after_data.is_empty() || after_data.starts_with(b"\r\n")
+}
+
+// Parses a line "LENGTH" or "LENGTH;EXTENSION".
+fn parse_chunk_length(line: &[u8]) -> Option<usize> {
+    let text = std::str::from_utf8(line).ok()?;
+    let digits = text.split(';').next()?.trim_end();
+    // `from_str_radix` accepts a sign.
+    let is_hex = digits.bytes().all(|byte| byte.is_ascii_hexdigit());
+    is_hex.then(|| usize::from_str_radix(digits, 16).ok())?
+}
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -14,7 +14,7 @@
 mod tunnel;
 mod wire;
 
-pub use answer::{Answer, AnswerFault, BodyEnd};
+pub use answer::{begins_with_chunk, Answer, AnswerFault, BodyEnd};
 pub use auth::{sign, verify, Key, TAG_BYTES};
 pub use connection::{Connection, ConnectionError, FullBody, WatchedConnection};
 pub use engine::{
