Refuse chunks behind a status that allows no body

An endpoint's answer with status 204 or 304 before a body in chunks reached callers as a complete answer without its body: one wrong digit of 200 is enough.

Cause: hyper reads no body behind these statuses, but the gateway took the transfer coding for a last chunk that was read, so the bytes behind the head were not looked at. What ends the body of such an answer is its head.

--- a/components/gateway/tests/broken_answers.rs
+++ b/components/gateway/tests/broken_answers.rs
@@ -175,6 +175,20 @@
     }
 }
 
+// Guards against a status that allows no body, before a body.
+#[test]
+fn a_body_behind_a_status_without_a_body_is_not_dropped() {
+    let length = BODY.len();
+    let text =
+        |status, lines: &str, body| answer_text(&format!("HTTP/1.1 {status} X"), lines, body);
+    assert_refused(&[
+        text(204, "transfer-encoding: chunked\r\n", CHUNKED_BODY),
+        text(304, "transfer-encoding: chunked\r\n", CHUNKED_BODY),
+        text(204, &format!("content-length: {length}\r\n"), BODY),
+        text(204, "connection: close\r\n", BODY),
+    ]);
+}
+
 // Guards against statuses outside of 200 to 599, which are no final answer.
 #[test]
 fn an_answer_whose_status_is_none_is_not_delivered() {
--- a/components/transport/src/answer.rs
+++ b/components/transport/src/answer.rs
@@ -87,6 +87,8 @@
                 return Err(AnswerFault::TransferCoding);
             }
             return match lengths {
+                // The status or the method allows no body, so no chunks are read.
+                0 if has_length => Ok(BodyEnd::Length),
                 0 => Ok(BodyEnd::LastChunk),
                 _ => Err(AnswerFault::LengthBesideCoding),
             };
