Read answers of services, engines and the own platform over hyper

`croftpond serve` passed broken answers of services on to callers: lines that are no field were dropped or passed on with their control byte, status 000 was passed on, and bodies that ended early, by a length, a last chunk or a head without its end, looked complete. The same reader let a broken answer of the table count as a row, a commit or a conflict, one of the cloud as a VM bought, and a broken refusal of an engine as proof that nothing had started.

Cause: minreq skips lines without a colon, knows `chunked` by equality alone, takes any number for a status, reports a body that ends early as whole and reads lines of any length. It offers no strict mode.

transport::call makes a blocking call over the same Connection as the gateway, so the checks of its Answer hold here, too, and status line and head are bounded by 64 KiB. A body that ends with its connection counts as whole only if the server still accepts connections. Engines' streams are read over it line by line.

Still read by minreq: the client library and `croftpond config` and `status`, which talk to croftpond's own nodes.

--- a/components/provider/src/cloud.rs
+++ b/components/provider/src/cloud.rs
@@ -1,6 +1,8 @@
 //! Client of the cloud API, which buys and gives back VMs, lists them, and reports reclaim notices.
 
-use crate::http::send;
+use http::Method;
+
+use crate::http::{get, send};
 use crate::wire::{ReclaimNotice, Vm, VmOrder};
 
 /// Calls to the cloud API.
@@ -37,24 +39,24 @@
 
 impl Cloud for HttpCloud {
     fn vms(&self) -> Option<Vec<Vm>> {
-        let response = send(minreq::get(format!("{}/vms", self.url)))?;
-        serde_json::from_slice(response.as_bytes()).ok()
+        let answer = get(&format!("{}/vms", self.url))?;
+        serde_json::from_slice(&answer.body).ok()
     }
 
     fn notices(&self, after: u64) -> Option<Vec<ReclaimNotice>> {
-        let url = format!("{}/notices", self.url);
-        let response = send(minreq::get(url).with_param("after", after.to_string()))?;
-        serde_json::from_slice(response.as_bytes()).ok()
+        let answer = get(&format!("{}/notices?after={after}", self.url))?;
+        serde_json::from_slice(&answer.body).ok()
     }
 
     fn buy(&self, order: &VmOrder) -> Option<bool> {
         let body = serde_json::to_string(order).ok()?;
-        let response = send(minreq::post(format!("{}/vms", self.url)).with_body(body))?;
-        Some(matches!(response.status_code, 200 | 201 | 409))
+        let answer = send(Method::POST, &format!("{}/vms", self.url), body)?;
+        Some(matches!(answer.status.as_u16(), 200 | 201 | 409))
     }
 
     fn give_back(&self, name: &str) -> Option<bool> {
-        let response = send(minreq::delete(format!("{}/vms/{name}", self.url)))?;
-        Some(matches!(response.status_code, 200 | 204 | 404))
+        let url = format!("{}/vms/{name}", self.url);
+        let answer = send(Method::DELETE, &url, String::new())?;
+        Some(matches!(answer.status.as_u16(), 200 | 204 | 404))
     }
 }
--- a/components/provider/src/objects.rs
+++ b/components/provider/src/objects.rs
@@ -1,8 +1,9 @@
 //! Client of the object store, which holds bodies under their hash.
 
+use http::{Method, StatusCode};
 use sha2::{Digest, Sha256};
 
-use crate::http::send;
+use crate::http::{get, send};
 
 /// Key of a body in the object store: its SHA-256 in hexadecimal.
 pub fn body_hash(body: &str) -> String {
@@ -36,13 +37,14 @@
 
 impl ObjectStore for HttpObjectStore {
     fn put(&self, hash: &str, body: &str) -> bool {
-        let request = minreq::put(format!("{}/objects/{hash}", self.url)).with_body(body);
-        send(request).is_some_and(|r| r.status_code == 200)
+        let url = format!("{}/objects/{hash}", self.url);
+        let answer = send(Method::PUT, &url, body.to_string());
+        answer.is_some_and(|answer| answer.status == StatusCode::OK)
     }
 
     fn get(&self, hash: &str) -> Option<String> {
-        let response = send(minreq::get(format!("{}/objects/{hash}", self.url)))?;
-        let body = response.as_str().ok()?;
-        (response.status_code == 200 && body_hash(body) == hash).then(|| body.to_string())
+        let answer = get(&format!("{}/objects/{hash}", self.url))?;
+        let body = std::str::from_utf8(&answer.body).ok()?;
+        (answer.status == StatusCode::OK && body_hash(body) == hash).then(|| body.to_string())
     }
 }
--- a/components/provider/src/table.rs
+++ b/components/provider/src/table.rs
@@ -2,9 +2,10 @@
 
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine as _;
+use http::Method;
 use state::{Reply, Row, TableCall, Write, ABSENT};
 
-use crate::http::{send, TOO_MANY_REQUESTS};
+use crate::http::{get, send, TOO_MANY_REQUESTS};
 use crate::wire::{RowBody, TransactBody, WriteBody};
 
 /// Calls to the transactional table. A call blocks for at most a few seconds.
@@ -29,12 +30,11 @@
     }
 
     fn read(&self, key: &str) -> Reply {
-        let request = minreq::get(format!("{}/row", self.url)).with_param("key", key);
-        let Some(response) = send(request) else {
+        let Some(answer) = get(&format!("{}/row?key={key}", self.url)) else {
             return Reply::Unanswered;
         };
-        match response.status_code {
-            200 => parse_row(response.as_bytes()),
+        match answer.status.as_u16() {
+            200 => parse_row(&answer.body),
             404 => Reply::Row(None),
             TOO_MANY_REQUESTS => Reply::Refused,
             _ => Reply::Unanswered,
@@ -48,8 +48,8 @@
         let Ok(json) = serde_json::to_string(&body) else {
             return Reply::Refused;
         };
-        let request = minreq::post(format!("{}/transact", self.url)).with_body(json);
-        match send(request).map(|r| r.status_code) {
+        let answer = send(Method::POST, &format!("{}/transact", self.url), json);
+        match answer.map(|answer| answer.status.as_u16()) {
             Some(200) => Reply::Committed {
                 version: writes.first().map_or(ABSENT, |write| write.expect + 1),
             },
--- a/components/transport/src/connection.rs
+++ b/components/transport/src/connection.rs
@@ -30,7 +30,7 @@
 /// Beginning of every answer.
 const ANSWER_START: &[u8] = b"HTTP/1.";
 /// A connection is closed once sent bytes stay unacknowledged for this long.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(4);
+pub(crate) const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(4);
 /// Idle time before the first TCP keep-alive probe, and interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
--- a/components/transport/src/engine.rs
+++ b/components/transport/src/engine.rs
@@ -3,14 +3,26 @@
 //! The rest of croftpond uses only the [`Engine`] trait; the protocol of another engine is supported
 //! by another implementation of it.
 
-use std::io::{BufRead, BufReader, ErrorKind, Read};
+use std::time::Duration;
 
+use bytes::{Bytes, BytesMut};
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Method, Request, StatusCode, Uri};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+
+use crate::answer::Answer;
+use crate::blocking::{block_on, call, send, CallError, CallLimits, WholeAnswer};
+use crate::connection::{FullBody, UNACKNOWLEDGED_TIMEOUT};
 use crate::wire::{CacheEventBody, ChunkLine, GenerateBody, LoadBody, OrderBody, Refusal};
 
 /// Longest line of an engine's answer, in bytes.
 const MAX_LINE_BYTES: usize = 64 * 1024;
-/// Timeout of all calls but generations, in seconds.
-const SHORT_CALL_TIMEOUT_SECS: u64 = 2;
+/// Limits of all calls but generations.
+const SHORT_CALL: CallLimits = CallLimits {
+    timeout: Duration::from_secs(2),
+    max_body_bytes: 4 << 20,
+};
 
 /// Request to generate an answer.
 pub type GenerateRequest = GenerateBody;
@@ -94,24 +106,18 @@
         traceparent: Option<&str>,
         receive: &mut dyn FnMut(GenerationEvent) -> bool,
     ) -> AttemptEnd {
-        let body = match serde_json::to_string(request) {
-            Ok(body) => body,
-            Err(_) => return AttemptEnd::NotStarted,
+        let Some(request) = generate_request(request, traceparent) else {
+            return AttemptEnd::NotStarted;
         };
-        let mut post = minreq::post(format!("http://{address}/generate"))
-            .with_header("Content-Type", "application/json")
-            .with_header("Connection", "close")
-            .with_follow_redirects(false)
-            .with_body(body);
-        if let Some(traceparent) = traceparent {
-            post = post.with_header("traceparent", traceparent);
-        }
-        match post.send_lazy() {
-            Ok(response) if !has_status_line(&response.reason_phrase) => AttemptEnd::Broken,
-            Ok(response) if response.status_code == 200 => read_events(response, receive),
-            Ok(response) => end_of_refusal(response),
-            Err(error) => end_of_failed_call(&error),
-        }
+        let generated = block_on(async {
+            // Dropping the connection would cut the answer off.
+            let (_connection, answer) = send(address, request, UNACKNOWLEDGED_TIMEOUT).await?;
+            Ok(match answer.head.status {
+                StatusCode::OK => read_events(answer.body, receive).await,
+                _ => end_of_refusal(answer).await,
+            })
+        });
+        generated.unwrap_or_else(AttemptEnd::from)
     }
 
     fn cancel(&self, address: &str, stream: &str) -> Result<(), EngineError> {
@@ -120,19 +126,13 @@
     }
 
     fn load(&self, address: &str) -> Result<LoadReport, EngineError> {
-        let response = minreq::get(format!("http://{address}/load"))
-            .with_timeout(SHORT_CALL_TIMEOUT_SECS)
-            .send()
-            .map_err(|e| EngineError(e.to_string()))?;
-        serde_json::from_slice(response.as_bytes()).map_err(|e| EngineError(e.to_string()))
+        let answer = get(address, "/load")?;
+        serde_json::from_slice(&answer.body).map_err(|e| EngineError(e.to_string()))
     }
 
     fn cache_events(&self, address: &str, after: u64) -> Result<Vec<CacheEventBody>, EngineError> {
-        let response = minreq::get(format!("http://{address}/cache-events?after={after}"))
-            .with_timeout(SHORT_CALL_TIMEOUT_SECS)
-            .send()
-            .map_err(|e| EngineError(e.to_string()))?;
-        serde_json::from_slice(response.as_bytes()).map_err(|e| EngineError(e.to_string()))
+        let answer = get(address, &format!("/cache-events?after={after}"))?;
+        serde_json::from_slice(&answer.body).map_err(|e| EngineError(e.to_string()))
     }
 
     fn order(&self, address: &str, order: &OrderBody) -> Result<(), EngineError> {
@@ -141,67 +141,74 @@
     }
 }
 
-/// Returns how an attempt ended whose call failed: only a refused connection proves that nothing
-/// started.
-pub(crate) fn end_of_failed_call(error: &minreq::Error) -> AttemptEnd {
-    match error {
-        minreq::Error::IoError(e) if e.kind() == ErrorKind::ConnectionRefused => {
-            AttemptEnd::NotStarted
+impl From<CallError> for AttemptEnd {
+    fn from(error: CallError) -> Self {
+        match error {
+            CallError::NotSent(_) => AttemptEnd::NotStarted,
+            CallError::Failed(_) => AttemptEnd::Broken,
         }
-        _ => AttemptEnd::Broken,
     }
 }
 
-/// Reason phrase that minreq reports, with status 503, if the connection closed without an answer.
-const NO_STATUS_LINE_REASON: &str = "Server did not provide a status line";
+fn generate_request(
+    body: &GenerateRequest,
+    traceparent: Option<&str>,
+) -> Option<Request<FullBody>> {
+    let mut request = json_request("/generate", serde_json::to_string(body).ok()?);
+    if let Some(traceparent) = traceparent {
+        let value = HeaderValue::from_str(traceparent).ok()?;
+        request.headers_mut().insert("traceparent", value);
+    }
+    Some(request)
+}
 
-/// Whether the server sent a status line, judged by the reason phrase that minreq reports.
-///
-/// A lost answer must not be taken for a refusal: the request would be reported as not run, and a
-/// call that must not be repeated would be repeated.
-pub fn has_status_line(reason_phrase: &str) -> bool {
-    reason_phrase != NO_STATUS_LINE_REASON
+fn json_request(path: &'static str, body: String) -> Request<FullBody> {
+    let mut request = Request::new(FullBody::new(Bytes::from(body)));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = Uri::from_static(path);
+    let json = HeaderValue::from_static("application/json");
+    request.headers_mut().insert(CONTENT_TYPE, json);
+    request
 }
 
 // Only the engine's refusal body proves that nothing started: a status alone may come from another
 // server.
-fn end_of_refusal(response: minreq::ResponseLazy) -> AttemptEnd {
-    let mut body = Vec::new();
-    let read = response.take(MAX_LINE_BYTES as u64).read_to_end(&mut body);
-    let refusal = serde_json::from_slice::<Refusal>(&body).ok();
-    match (read, refusal) {
-        (Ok(_), Some(Refusal { started: false })) => AttemptEnd::NotStarted,
+async fn end_of_refusal(answer: Answer) -> AttemptEnd {
+    let limited = Limited::new(answer.body, MAX_LINE_BYTES).collect();
+    let Ok(Ok(read)) = tokio::time::timeout(SHORT_CALL.timeout, limited).await else {
+        return AttemptEnd::Broken;
+    };
+    match serde_json::from_slice::<Refusal>(&read.to_bytes()) {
+        Ok(Refusal { started: false }) => AttemptEnd::NotStarted,
         _ => AttemptEnd::Broken,
     }
 }
 
-fn post(address: &str, path: &str, body: String) -> Result<(), EngineError> {
-    let response = minreq::post(format!("http://{address}{path}"))
-        .with_header("Content-Type", "application/json")
-        .with_timeout(SHORT_CALL_TIMEOUT_SECS)
-        .with_body(body)
-        .send()
-        .map_err(|e| EngineError(e.to_string()))?;
-    match response.status_code {
+fn get(address: &str, path: &str) -> Result<WholeAnswer, EngineError> {
+    let mut request = Request::new(FullBody::default());
+    *request.uri_mut() = Uri::try_from(path).map_err(|e| EngineError(e.to_string()))?;
+    call(address, request, SHORT_CALL).map_err(|e| EngineError(e.to_string()))
+}
+
+fn post(address: &str, path: &'static str, body: String) -> Result<(), EngineError> {
+    let answer = call(address, json_request(path, body), SHORT_CALL);
+    let answer = answer.map_err(|e| EngineError(e.to_string()))?;
+    match answer.status.as_u16() {
         200 | 204 => Ok(()),
         status => Err(EngineError(format!("status {status} on {path}"))),
     }
 }
 
-fn read_events(
-    response: minreq::ResponseLazy,
+async fn read_events(
+    body: Incoming,
     receive: &mut dyn FnMut(GenerationEvent) -> bool,
 ) -> AttemptEnd {
-    let mut reader = BufReader::new(response);
-    let mut line = String::new();
-    loop {
-        line.clear();
-        let limited = &mut std::io::Read::take(&mut reader, MAX_LINE_BYTES as u64);
-        match limited.read_line(&mut line) {
-            Ok(n) if n > 0 && line.ends_with('\n') => {}
-            _ => return AttemptEnd::Broken,
-        }
-        let Ok(parsed) = serde_json::from_str::<ChunkLine>(&line) else {
+    let mut lines = Lines {
+        body,
+        buffer: BytesMut::new(),
+    };
+    while let Some(line) = lines.next().await {
+        let Ok(parsed) = serde_json::from_slice::<ChunkLine>(&line) else {
             return AttemptEnd::Broken;
         };
         let event = match parsed {
@@ -214,4 +221,27 @@
             return AttemptEnd::Complete;
         }
     }
+    AttemptEnd::Broken
+}
+
+// The lines of a body.
+struct Lines {
+    body: Incoming,
+    buffer: BytesMut,
+}
+
+impl Lines {
+    // Waits for the next whole line; `None` if the body ends or a line is too long.
+    async fn next(&mut self) -> Option<Bytes> {
+        loop {
+            if let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') {
+                return Some(self.buffer.split_to(end + 1).freeze());
+            }
+            if self.buffer.len() >= MAX_LINE_BYTES {
+                return None;
+            }
+            let frame = self.body.frame().await?.ok()?;
+            self.buffer.extend_from_slice(&frame.into_data().ok()?);
+        }
+    }
 }
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod answer;
 mod auth;
+mod blocking;
 mod connection;
 mod engine;
 mod fetch;
@@ -16,10 +17,10 @@
 
 pub use answer::{begins_with_chunk, Answer, AnswerFault, BodyEnd};
 pub use auth::{sign, verify, Key, TAG_BYTES};
+pub use blocking::{call, CallError, CallLimits, WholeAnswer};
 pub use connection::{Connection, ConnectionError, FullBody, WatchedConnection};
 pub use engine::{
-    has_status_line, AttemptEnd, Engine, EngineError, GenerateRequest, GenerationEvent, HttpEngine,
-    LoadReport,
+    AttemptEnd, Engine, EngineError, GenerateRequest, GenerationEvent, HttpEngine, LoadReport,
 };
 pub use fetch::{bind_config_listener, fetch_config_body, serve_config_body};
 pub use listener::{bind_http, read_body, BodyError, SocketTimeouts};
--- a/components/transport/src/service.rs
+++ b/components/transport/src/service.rs
@@ -1,9 +1,13 @@
 //! Calls of plain HTTP services: method, path, headers and body are forwarded, and the answer is
 //! returned.
 
-use std::io::Read;
+use std::time::Duration;
 
-use crate::engine::{end_of_failed_call, has_status_line, AttemptEnd};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri};
+
+use crate::blocking::{call as call_blocking, CallLimits};
+use crate::connection::FullBody;
+use crate::engine::AttemptEnd;
 
 /// Headers that apply to one connection and are not forwarded: hop-by-hop headers, and
 /// `content-length`, `host` and `expect`.
@@ -53,44 +57,41 @@
 
 /// Makes the call and reads the whole answer.
 ///
-/// Fails with [`AttemptEnd::NotStarted`] if the connection was refused, otherwise with
-/// [`AttemptEnd::Broken`], also if the answer is larger than `max_answer_bytes`.
+/// Fails with [`AttemptEnd::NotStarted`] if the connection was refused or the call is no HTTP request, otherwise with
+/// [`AttemptEnd::Broken`], also if the answer is larger than `max_answer_bytes` or not valid.
 pub fn call_service(address: &str, call: &ServiceCall) -> Result<ServiceReply, AttemptEnd> {
-    let url = format!("http://{address}{}", call.path);
-    let mut request = minreq::Request::new(minreq::Method::Custom(call.method.clone()), url)
-        .with_follow_redirects(false)
-        .with_timeout(call.timeout_secs.max(1))
-        .with_header("Connection", "close")
-        .with_body(call.body.clone());
+    let request = build_request(call).ok_or(AttemptEnd::NotStarted)?;
+    let limits = CallLimits {
+        timeout: Duration::from_secs(call.timeout_secs.max(1)),
+        max_body_bytes: call.max_answer_bytes,
+    };
+    let answer = call_blocking(address, request, limits)?;
+    let headers = text_headers(&answer.headers).ok_or(AttemptEnd::Broken)?;
+    Ok(ServiceReply {
+        status: answer.status.as_u16(),
+        headers: end_to_end_headers(&headers, &[]).collect(),
+        body: answer.body.into(),
+    })
+}
+
+fn build_request(call: &ServiceCall) -> Option<Request<FullBody>> {
+    let mut request = Request::new(FullBody::new(call.body.clone().into()));
+    *request.method_mut() = Method::from_bytes(call.method.as_bytes()).ok()?;
+    *request.uri_mut() = Uri::try_from(&call.path).ok()?;
     for (name, value) in end_to_end_headers(&call.headers, CROFTPOND_HEADERS) {
-        request = request.with_header(name, value);
-    }
-    let response = request.send_lazy().map_err(|e| end_of_failed_call(&e))?;
-    match has_status_line(&response.reason_phrase) {
-        true => read_reply(response, call.max_answer_bytes),
-        false => Err(AttemptEnd::Broken),
+        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+        let value = HeaderValue::from_str(&value).ok()?;
+        request.headers_mut().append(name, value);
     }
+    Some(request)
 }
 
-fn read_reply(
-    response: minreq::ResponseLazy,
-    max_bytes: usize,
-) -> Result<ServiceReply, AttemptEnd> {
-    let status = response.status_code;
-    let headers: Vec<(String, String)> = end_to_end_headers(&response.headers, &[]).collect();
-    let mut body = Vec::new();
-    response
-        .take(max_bytes as u64 + 1)
-        .read_to_end(&mut body)
-        .map_err(|_| AttemptEnd::Broken)?;
-    if body.len() > max_bytes {
-        return Err(AttemptEnd::Broken);
-    }
-    Ok(ServiceReply {
-        status,
-        headers,
-        body,
-    })
+fn text_headers(headers: &HeaderMap) -> Option<Vec<(String, String)>> {
+    let text = |(name, value): (&HeaderName, &HeaderValue)| {
+        let value = std::str::from_utf8(value.as_bytes()).ok()?;
+        Some((name.to_string(), value.to_string()))
+    };
+    headers.iter().map(text).collect()
 }
 
 // Headers that `Connection` lists apply to one connection too.
