Read answers of nodes over hyper in the client library and operator commands

Client::call_once returned a part of an answer as the service's answer, where a node ended while it wrote it or its head was broken; `croftpond config` and `status` could show a part of a configuration or a report.

Cause: the same as for services and engines: minreq takes what it doesn't understand for something else. Both now use transport::call. The timeout of its limits is optional, since a call that runs once lasts up to its team's deadline, which the node keeps.

ChatStream still reads by minreq. Its events carry offsets and it ends only at `[DONE]`, so a stream that is cut off doesn't look complete.

Evidence: a_call_whose_answer_is_broken_is_repeated_with_its_key fails before (200 with "ma" of "made") and passes now. The operator commands are covered by the tests of the root crate only, which pass.

--- a/components/client/src/call_once.rs
+++ b/components/client/src/call_once.rs
@@ -1,10 +1,19 @@
 //! Calls that must run at most once, retried under an idempotency key.
 
 use errors::{Kind, MaybeRun, Problem};
+use http::header::AUTHORIZATION;
+use http::Request;
+use transport::{call, CallLimits, FullBody, WholeAnswer};
 
 use crate::client::{Client, MAX_ATTEMPTS};
 use crate::error::ClientError;
 
+/// Limits of an attempt. The node ends it at the team's deadline.
+const LIMITS: CallLimits = CallLimits {
+    timeout: None,
+    max_body_bytes: 16 << 20,
+};
+
 /// Answer of the service to a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServiceAnswer {
@@ -46,20 +55,25 @@
         key: &str,
         body: &str,
     ) -> Result<ServiceAnswer, Option<Problem>> {
-        let request = minreq::post(self.url(path)).with_header("Idempotency-Key", key);
-        let request = self.with_credential(request).with_body(body);
-        let response = request.send().map_err(|_| None)?;
-        let body = response.as_str().unwrap_or_default().to_string();
+        let answer = self.post_once(path, key, body).ok_or(None)?;
+        let body = String::from_utf8_lossy(&answer.body).into_owned();
         match Problem::from_json(&body) {
             Some(problem) => Err(Some(problem)),
-            // minreq reports a connection that closed without an answer as an empty 503.
-            None if response.status_code == 503 && body.is_empty() => Err(None),
             None => Ok(ServiceAnswer {
-                status: response.status_code,
+                status: answer.status.as_u16(),
                 body,
             }),
         }
     }
+
+    // Returns `None` if no whole, valid answer came.
+    fn post_once(&self, path: &str, key: &str, body: &str) -> Option<WholeAnswer> {
+        let request = Request::post(path)
+            .header("Idempotency-Key", key)
+            .header(AUTHORIZATION, self.authorization())
+            .body(FullBody::new(body.to_string().into()));
+        call(self.address(), request.ok()?, LIMITS).ok()
+    }
 }
 
 // The idempotency key makes a retry always safe; it is useful only if the first attempt did not run and
--- a/components/client/src/client.rs
+++ b/components/client/src/client.rs
@@ -33,9 +33,14 @@
 
     /// URL of a path at the current address.
     pub(crate) fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.address())
+    }
+
+    /// The current address; empty if there are none.
+    pub(crate) fn address(&self) -> &str {
         let index = self.next.load(Ordering::Relaxed);
         let address = self.addresses.get(index % self.addresses.len().max(1));
-        format!("http://{}{path}", address.map_or("", String::as_str))
+        address.map_or("", String::as_str)
     }
 
     /// Switches to the next address.
@@ -45,7 +50,12 @@
 
     /// Adds the credential to a request.
     pub(crate) fn with_credential(&self, request: minreq::Request) -> minreq::Request {
-        request.with_header("Authorization", format!("Bearer {}", self.credential))
+        request.with_header("Authorization", self.authorization())
+    }
+
+    /// Value of the `Authorization` header.
+    pub(crate) fn authorization(&self) -> String {
+        format!("Bearer {}", self.credential)
     }
 
     /// Blocks before the next attempt, after `attempts` failed ones: for `retry_after_ms` of the answer if it
--- a/components/provider/src/http.rs
+++ b/components/provider/src/http.rs
@@ -7,7 +7,7 @@
 
 /// Limits of a call. Bodies are rows, objects and lists of VMs.
 const LIMITS: CallLimits = CallLimits {
-    timeout: Duration::from_secs(2),
+    timeout: Some(Duration::from_secs(2)),
     max_body_bytes: 16 << 20,
 };
 /// Port of a URL that names none.
--- a/components/transport/src/blocking.rs
+++ b/components/transport/src/blocking.rs
@@ -14,17 +14,23 @@
 use tokio::task::LocalSet;
 
 use crate::answer::{begins_with_chunk, Answer, BodyEnd};
-use crate::connection::{Connection, ConnectionError, FullBody};
+use crate::connection::{Connection, ConnectionError, FullBody, UNACKNOWLEDGED_TIMEOUT};
 
 /// Limits of a call.
 #[derive(Clone, Copy, Debug)]
 pub struct CallLimits {
-    /// Timeout of the whole call.
-    pub timeout: Duration,
+    /// Timeout of the whole call; without one it lasts as long as the server is reachable.
+    pub timeout: Option<Duration>,
     /// Maximum size of the answer's body, in bytes.
     pub max_body_bytes: usize,
 }
 
+impl CallLimits {
+    fn connect_timeout(&self) -> Duration {
+        self.timeout.unwrap_or(UNACKNOWLEDGED_TIMEOUT)
+    }
+}
+
 /// An answer that was read whole.
 #[derive(Clone, Debug)]
 pub struct WholeAnswer {
@@ -66,9 +72,15 @@
     request: Request<FullBody>,
     limits: CallLimits,
 ) -> Result<WholeAnswer, CallError> {
+    let exchange = exchange(address, request, limits);
     block_on(async {
-        let called = tokio::time::timeout(limits.timeout, exchange(address, request, limits));
-        called.await.unwrap_or_else(|late| Err(failed(late)))
+        match limits.timeout {
+            Some(timeout) => {
+                let exchanged = tokio::time::timeout(timeout, exchange).await;
+                exchanged.unwrap_or_else(|late| Err(failed(late)))
+            }
+            None => exchange.await,
+        }
     })
 }
 
@@ -86,7 +98,7 @@
     request: Request<FullBody>,
     limits: CallLimits,
 ) -> Result<WholeAnswer, CallError> {
-    let (connection, answer) = send(address, request, limits.timeout).await?;
+    let (connection, answer) = send(address, request, limits.connect_timeout()).await?;
     let Answer {
         head,
         body,
@@ -98,7 +110,7 @@
         BodyEnd::Length => !connection.has_stray_bytes(),
         BodyEnd::LastChunk => true,
         // The end of the server's process closes the connection as well.
-        BodyEnd::Close => !begins_with_chunk(&body) && accepts_connections(address, limits.timeout),
+        BodyEnd::Close => !begins_with_chunk(&body) && accepts_connections(address, limits),
     };
     match is_whole {
         true => Ok(WholeAnswer {
@@ -144,7 +156,8 @@
     found.ok_or_else(|| io::Error::from(io::ErrorKind::NotFound))
 }
 
-fn accepts_connections(address: &str, timeout: Duration) -> bool {
+fn accepts_connections(address: &str, limits: CallLimits) -> bool {
+    let timeout = limits.connect_timeout();
     let address = resolve(address);
     address.is_ok_and(|address| TcpStream::connect_timeout(&address, timeout).is_ok())
 }
--- a/components/transport/src/engine.rs
+++ b/components/transport/src/engine.rs
@@ -18,9 +18,11 @@
 
 /// Longest line of an engine's answer, in bytes.
 const MAX_LINE_BYTES: usize = 64 * 1024;
+/// Timeout of all calls but generations, and of reading a refusal.
+const SHORT_CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Limits of all calls but generations.
 const SHORT_CALL: CallLimits = CallLimits {
-    timeout: Duration::from_secs(2),
+    timeout: Some(SHORT_CALL_TIMEOUT),
     max_body_bytes: 4 << 20,
 };
 
@@ -175,7 +177,7 @@
 // server.
 async fn end_of_refusal(answer: Answer) -> AttemptEnd {
     let limited = Limited::new(answer.body, MAX_LINE_BYTES).collect();
-    let Ok(Ok(read)) = tokio::time::timeout(SHORT_CALL.timeout, limited).await else {
+    let Ok(Ok(read)) = tokio::time::timeout(SHORT_CALL_TIMEOUT, limited).await else {
         return AttemptEnd::Broken;
     };
     match serde_json::from_slice::<Refusal>(&read.to_bytes()) {
--- a/components/transport/src/service.rs
+++ b/components/transport/src/service.rs
@@ -62,7 +62,7 @@
 pub fn call_service(address: &str, call: &ServiceCall) -> Result<ServiceReply, AttemptEnd> {
     let request = build_request(call).ok_or(AttemptEnd::NotStarted)?;
     let limits = CallLimits {
-        timeout: Duration::from_secs(call.timeout_secs.max(1)),
+        timeout: Some(Duration::from_secs(call.timeout_secs.max(1))),
         max_body_bytes: call.max_answer_bytes,
     };
     let answer = call_blocking(address, request, limits)?;
--- a/src/cmd/operator.rs
+++ b/src/cmd/operator.rs
@@ -1,11 +1,21 @@
 //! Calls of a node's operator interface.
 
+use std::time::Duration;
+
 use error_stack::{Report, ResultExt};
 use errors::Problem;
+use http::header::AUTHORIZATION;
+use http::request::Builder;
+use http::Request;
+use transport::{call, CallLimits, FullBody};
 
 use super::{read_file, CommandError};
 
-const TIMEOUT_SECS: u64 = 30;
+/// Limits of a call. Answers are configurations and reports.
+const LIMITS: CallLimits = CallLimits {
+    timeout: Some(Duration::from_secs(30)),
+    max_body_bytes: 16 << 20,
+};
 const FAILED: CommandError = CommandError("the node did not do what was asked");
 
 /// A node and the key to operate it.
@@ -26,7 +36,7 @@
 
     /// Makes a call and returns its body.
     pub fn get(&self, path: &str) -> Result<String, Report<CommandError>> {
-        let (status, body) = self.send(minreq::get(self.url(path)))?;
+        let (status, body) = self.send(Request::get(operator_path(path)), String::new())?;
         match status {
             200 => Ok(body),
             status => Err(refused(status, &body)),
@@ -40,11 +50,10 @@
         body: String,
         (author, note): (&str, &str),
     ) -> Result<Answer, Report<CommandError>> {
-        let request = minreq::post(self.url(path))
-            .with_header("Croftpond-Author", author)
-            .with_header("Croftpond-Note", note)
-            .with_body(body);
-        let (status, body) = self.send(request)?;
+        let request = Request::post(operator_path(path))
+            .header("Croftpond-Author", author)
+            .header("Croftpond-Note", note);
+        let (status, body) = self.send(request, body)?;
         match status {
             200 => Ok(Answer::Done(body)),
             409 => Ok(Answer::Conflict(said(&body))),
@@ -52,22 +61,23 @@
         }
     }
 
-    fn url(&self, path: &str) -> String {
-        format!("http://{}/operator/{path}", self.address)
-    }
-
-    fn send(&self, request: minreq::Request) -> Result<(u16, String), Report<CommandError>> {
-        let response = request
-            .with_header("Authorization", format!("Bearer {}", self.key))
-            .with_timeout(TIMEOUT_SECS)
-            .send()
+    fn send(&self, request: Builder, body: String) -> Result<(u16, String), Report<CommandError>> {
+        let request = request
+            .header(AUTHORIZATION, format!("Bearer {}", self.key))
+            .body(FullBody::new(body.into()))
+            .change_context(FAILED)?;
+        let answer = call(&self.address, request, LIMITS)
             .change_context(FAILED)
             .attach_with(|| format!("node at {}", self.address))?;
-        let body = response.as_str().change_context(FAILED)?.to_string();
-        Ok((response.status_code, body))
+        let body = std::str::from_utf8(&answer.body).change_context(FAILED)?;
+        Ok((answer.status.as_u16(), body.to_string()))
     }
 }
 
+fn operator_path(path: &str) -> String {
+    format!("/operator/{path}")
+}
+
 /// How an edit was answered.
 pub enum Answer {
     /// It was done.
