--- a/components/transport/tests/broken_answers.rs
+++ b/components/transport/tests/broken_answers.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::time::{Duration, Instant};
+
 use common::RawServer;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -12,6 +14,8 @@
 
 const BODY: &str = "the body of the service";
 const CHUNKED_BODY: &str = "8\r\nthe body\r\nf\r\n of the service\r\n0\r\n\r\n";
+/// Timeout of the calls. No test reaches it.
+const TIMEOUT: Duration = Duration::from_secs(60);
 /// Seed of the mutated answers, and how many of each there are.
 const SEED: u64 = 82;
 const MUTATIONS: usize = 400;
@@ -23,7 +27,7 @@
         headers: Vec::new(),
         body: b"x".to_vec(),
         max_answer_bytes: 1 << 20,
-        timeout_secs: 5,
+        timeout_secs: TIMEOUT.as_secs(),
     };
     call_service(&server.address(), &call)
 }
@@ -239,3 +243,29 @@
     let (end, events) = generate(&server);
     assert_eq!((end, events.len()), (AttemptEnd::Broken, 2));
 }
+
+// Guards against a server that sends without end and takes memory, or the thread of the call, up to the timeout.
+#[test]
+fn an_answer_without_end_is_a_broken_answer() {
+    let starts = [
+        ("HTTP/1.1 ", "2"),
+        ("HTTP/1.1 200 ", "x"),
+        ("HTTP/1.1 200 OK\r\n", "x: y\r\n"),
+        ("HTTP/1.1 200 OK\r\nx: ", "x"),
+        ("", "HTTP/1.1 102 Processing\r\n\r\n"),
+        ("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n", "xxxxxxxx"),
+        (
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+            "1\r\nx\r\n",
+        ),
+        ("HTTP/1.1 503 X\r\nconnection: close\r\n\r\n", "xxxxxxxx"),
+    ];
+    let started = Instant::now();
+    for (start, repeated) in starts {
+        let server = RawServer::start_without_end(start, repeated);
+        assert_eq!(call(&server), Err(AttemptEnd::Broken), "{start:?}");
+        let server = RawServer::start_without_end(start, repeated);
+        assert_eq!(generate(&server).0, AttemptEnd::Broken, "{start:?}");
+    }
+    assert!(started.elapsed() < TIMEOUT);
+}
--- a/components/transport/tests/common/mod.rs
+++ b/components/transport/tests/common/mod.rs
@@ -1,4 +1,4 @@
-//! A server that writes the same raw bytes as the answer to each request.
+//! A server that writes the same raw bytes as the answer to each request, once or without end.
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -18,6 +18,22 @@
         Self::start_with(answer, usize::MAX)
     }
 
+    /// Writes `start` and then `repeated` without end, until the caller closes the connection.
+    pub fn start_without_end(start: &str, repeated: &str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("failed to listen");
+        let address = listener.local_addr().expect("the listener has no address");
+        let block = repeated.repeat((16 << 10) / repeated.len() + 1);
+        let start = start.to_string();
+        thread::spawn(move || {
+            let (mut stream, _) = listener.accept().expect("no connection");
+            if read_request(&mut stream).is_some() && stream.write_all(start.as_bytes()).is_ok() {
+                while stream.write_all(block.as_bytes()).is_ok() {}
+            }
+        });
+        let has_ended = Arc::new(AtomicBool::new(false));
+        RawServer { address, has_ended }
+    }
+
     /// Answers one request and ends: further connections are refused.
     pub fn start_and_end(answer: &[u8]) -> Self {
         Self::start_with(answer, 1)
