Bound the time for the rest of a refusal

An endpoint that refused a request and then paused within the refusal's body held the request up to its deadline, though it was known not to have run: the caller got 504 instead of another endpoint's answer.

Cause: the body is read only so that the connection can be used again, but without a time of its own. The request now waits no longer than opening another connection may take (CONNECT_TIMEOUT); then the connection closes and the request goes on.

Evidence: a_refusal_without_end_does_not_hold_its_request fails before with 504 and passes now, for a body that pauses and for one without end.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -16,6 +16,7 @@
 use transport::{Answer, Connection, ConnectionError, FullBody};
 
 use crate::buffers::BufferedBody;
+use crate::connecting::CONNECT_TIMEOUT;
 use crate::endpoint_run::{EndpointRun, ReceivedAnswer};
 use crate::events::{Event, EventSplitter};
 use crate::job::{Job, SharedJob};
@@ -335,8 +336,10 @@
         body: Incoming,
     ) -> AttemptOutcome<D> {
         run.set_health(HealthSignal::Inconclusive);
-        let limited = Limited::new(body, MAX_REFUSAL_BYTES);
-        if limited.collect().await.is_ok() {
+        let limited = Limited::new(body, MAX_REFUSAL_BYTES).collect();
+        // The request waits no longer for the connection to be free than opening another one may take.
+        let collected = tokio::time::timeout(CONNECT_TIMEOUT, limited).await;
+        if matches!(collected, Ok(Ok(_))) {
             run.finish(read.keep_alive);
         }
         AttemptOutcome::NotRun
--- a/components/gateway/src/connecting.rs
+++ b/components/gateway/src/connecting.rs
@@ -27,7 +27,7 @@
 use crate::traffic::Traffic;
 
 /// Time for opening a connection, whichever way.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time that one way has before the next one is tried as well, without the round trip to another region.
 const HEAD_START: Duration = Duration::from_millis(80);
 
--- a/components/gateway/tests/endless_answers.rs
+++ b/components/gateway/tests/endless_answers.rs
@@ -11,7 +11,7 @@
     configuration, endpoint, open, read_answer, request_text, route, wait_until, Answer, Exchange,
     FakeEndpoint, Setup,
 };
-use directory::Execution;
+use directory::{Execution, Route};
 
 /// Timeout of the routes: what has no other bound ends then.
 const TIMEOUT: Duration = Duration::from_secs(3);
@@ -165,3 +165,30 @@
         assert_eq!((answer.status, answer.is_complete), (200, false), "{path}");
     }
 }
+
+// Guards against a request that waits for the rest of a refusal instead of going to another endpoint.
+#[test]
+fn a_refusal_without_end_does_not_hold_its_request() {
+    let pauses = |exchange: &mut Exchange| exchange.wait_closed();
+    let floods = |exchange: &mut Exchange| write_without_end(exchange, b"xxxxxxxx");
+    for send_body in [pauses as fn(&mut Exchange), floods] {
+        let fake = FakeEndpoint::start(move |number, exchange| {
+            if number > 0 {
+                return exchange.answer(200, "second");
+            }
+            let id = exchange.header("x-id").unwrap_or_default();
+            exchange.write(&format!(
+                "HTTP/1.1 503 X\r\nx-id: {id}\r\nx-not-run: 1\r\ncontent-length: 1000000\r\n\r\n"
+            ));
+            send_body(exchange);
+        });
+        let endpoints = ["e0", "e1"].map(|id| endpoint(id, fake.address));
+        let routes = ROUTES.map(|(prefix, execution)| Route {
+            timeout: TIMEOUT,
+            ..route(prefix, execution)
+        });
+        let setup = Setup::serving(configuration(1, routes.to_vec()), endpoints.to_vec());
+        let answer = setup.call("/once/", &[]);
+        assert_eq!((answer.status, answer.body.as_str()), (200, "second"));
+    }
+}
