Test broken answers over a tunnel, and heads with one wrong byte on all routes

A broken answer that comes through another gateway is judged by the gateway that asked, so the checks hold there too; and 36 heads with one wrong byte (seed 82) yield the whole body, a stream that is cut off, or 502 on each kind of route.

--- a/components/gateway/tests/broken_answers.rs
+++ b/components/gateway/tests/broken_answers.rs
@@ -2,10 +2,18 @@
 
 mod common;
 
+use std::io::Write;
 use std::thread;
 
-use common::{configuration, endpoint, route, Answer, FakeEndpoint, Setup};
+use common::paths::{EndpointPaths, PathState};
+use common::{
+    configuration, endpoint, route, settings, wait_until, Answer, FakeEndpoint, FakeStore, Setup,
+};
 use directory::{Configuration, Execution};
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use schema::settings::GatewaySettings;
+use telemetry::Gauge;
 
 /// Routes, one for each kind of execution.
 const ROUTES: [(&str, Execution); 4] = [
@@ -16,6 +24,9 @@
 ];
 /// Body that the endpoint would have sent: two events.
 const BODY: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+/// Seed of the mutated heads, and their number.
+const SEED: u64 = 82;
+const MUTATIONS: usize = 36;
 /// The same body in chunks.
 const CHUNKED_BODY: &str = "f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n";
 
@@ -347,3 +358,93 @@
         assert_eq!(fake.heads().len(), 1, "{head:?}");
     }
 }
+
+// Guards against a broken answer that is believed because its connection goes through another gateway.
+#[test]
+fn a_broken_answer_behind_another_gateway_is_not_delivered() {
+    let length = BODY.len();
+    let heads = [
+        ("transfer-encoding: chunke\r\n".to_string(), CHUNKED_BODY),
+        (format!("content-lengt: {length}\r\n"), BODY),
+        ("content-length: 3\r\n".to_string(), BODY),
+        (format!("x y: z\r\ncontent-length: {length}\r\n"), BODY),
+        (format!("content-length: {}\r\n", length + 1), BODY),
+    ];
+    for (head, body) in heads {
+        let fake = start_endpoint(&ok(&head, body));
+        let store = FakeStore::default();
+        store.put_configuration(all_routes());
+        store.put_endpoint(endpoint("e", fake.address));
+        let paths = EndpointPaths::default();
+        let discard = telemetry::discard();
+        let cut = Setup::start_with_dialer(settings(), store.clone(), discard, paths.dialer());
+        let other_settings = GatewaySettings {
+            name: "g2".into(),
+            seeds: vec![cut.gateway.peer_address().to_string()],
+            ..settings()
+        };
+        let other = Setup::start(other_settings, store.for_other_gateway());
+        wait_until("the gateways to know each other", || {
+            let knows_other = |setup: &Setup| setup.gateway.metrics().gauge(Gauge::AlivePeers) == 1;
+            [&cut, &other]
+                .into_iter()
+                .all(|setup| setup.is_ready() && knows_other(setup))
+        });
+        paths.set(PathState::Refused);
+        assert_eq!(cut.call("/once/", &[]).status, 502, "{head:?}");
+        assert_eq!(fake.heads().len(), 1, "{head:?}");
+    }
+}
+
+/// Replaces one byte of the head by another one, more likely by one with a meaning in heads.
+fn mutate_head(rng: &mut impl Rng, text: &str) -> Vec<u8> {
+    const MEANINGFUL: &[u8] = b"\r\n :;,0123456789abcdefx\t\0";
+    let head = text.find("\r\n\r\n").expect("the text has no head") + 4;
+    let mut bytes = text.as_bytes().to_vec();
+    bytes[rng.random_range(0..head)] = match rng.random_bool(0.5) {
+        true => MEANINGFUL[rng.random_range(0..MEANINGFUL.len())],
+        false => rng.random(),
+    };
+    bytes
+}
+
+// Guards against any single wrong byte in a head that yields another body, on each kind of route.
+#[test]
+fn an_answer_with_one_wrong_byte_in_its_head_has_its_whole_body_or_is_not_delivered() {
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let sound = [
+        ok(&format!("content-length: {}\r\n", BODY.len()), BODY),
+        ok("transfer-encoding: chunked\r\n", CHUNKED_BODY),
+        ok(
+            "connection: close\r\ntransfer-encoding: chunked\r\n",
+            CHUNKED_BODY,
+        ),
+    ];
+    let sound = sound.map(|text| text.replace("{id}", "1"));
+    let mutated: Vec<Vec<u8>> = (0..MUTATIONS)
+        .map(|number| mutate_head(&mut rng, &sound[number % sound.len()]))
+        .collect();
+    let check = |bytes: &Vec<u8>| {
+        let shown = String::from_utf8_lossy(bytes);
+        for (path, execution) in ROUTES {
+            let sent = bytes.clone();
+            let fake = FakeEndpoint::start(move |_, exchange| {
+                let _ = exchange.stream().write_all(&sent);
+                exchange.close();
+            });
+            let setup = Setup::serving(all_routes(), vec![endpoint("e", fake.address)]);
+            let answer = setup.call(path, &[]);
+            let is_whole = answer.is_complete && answer.body == BODY;
+            let is_cut = execution.is_stream() && !answer.is_complete;
+            assert!(
+                is_whole || is_cut || answer.status == 502,
+                "{path} {shown:?} gave {answer:?}"
+            );
+        }
+    };
+    thread::scope(|scope| {
+        for bytes in &mutated {
+            scope.spawn(move || check(bytes));
+        }
+    });
+}
