Refuse heads with a line feed alone

Where a line feed stood in the place of the first byte of a field, behind `Connection: close`, callers and `serve` got the rest of the head as part of the body.

Cause: hyper takes a line feed alone for the end of a line and, at the beginning of a line, for the end of the head. RFC 9112, section 2.2 allows that to recipients and forbids it to senders; hyper offers no strict mode. The bytes of a head are now followed as they are read, and the read fails at a line that doesn't end with CR and LF. Bodies aren't looked at.

The property uses one listener for all answers now.

--- a/components/gateway/tests/broken_answers.rs
+++ b/components/gateway/tests/broken_answers.rs
@@ -232,6 +232,27 @@
     assert_refused(&after);
 }
 
+// Guards against a head that ends at a line feed that was written over the first byte of a field, so that the other fields
+// become the body.
+#[test]
+fn an_answer_with_a_line_feed_alone_in_its_head_is_not_delivered() {
+    let length = BODY.len();
+    let texts = [
+        ok(
+            &format!("connection: close\r\n\nontent-length: {length}\r\n"),
+            BODY,
+        ),
+        ok("connection: close\n\r\n", BODY),
+        ok(&format!("content-length: {length}\n"), BODY),
+        answer_text(
+            "HTTP/1.1 200 OK\nx: y",
+            &format!("content-length: {length}\r\n"),
+            BODY,
+        ),
+    ];
+    assert_refused(&texts);
+}
+
 #[test]
 fn an_answer_that_is_cut_off_is_not_delivered() {
     let chunks = &CHUNKED_BODY[..CHUNKED_BODY.len() - 5];
--- a/components/transport/src/connection.rs
+++ b/components/transport/src/connection.rs
@@ -23,6 +23,7 @@
 use tokio::task::JoinHandle;
 
 use crate::answer::{Answer, AnswerFault};
+use crate::head_lines::CheckedStream;
 use crate::tcp::{Dialer, SharedStream, TcpStatus};
 
 /// A request body that is held in memory as a whole.
@@ -70,6 +71,7 @@
 #[derive(Debug)]
 pub struct Connection {
     stream: SharedStream,
+    checked: CheckedStream,
     sender: SendRequest<FullBody>,
     driver: JoinHandle<()>,
     unread: UnreadBytes,
@@ -80,7 +82,7 @@
 
 // Drives the connection to its end. Not an async function, whose future would hold the connection twice.
 struct Driver {
-    connection: Option<http1::Connection<TokioIo<SharedStream>, FullBody>>,
+    connection: Option<http1::Connection<TokioIo<CheckedStream>, FullBody>>,
     unread: UnreadBytes,
 }
 
@@ -136,9 +138,10 @@
         set_dead_peer_detection(&stream);
         discard_unsent_bytes_on_close(&stream);
         let stream = SharedStream::new(stream);
+        let checked = CheckedStream::new(stream.clone());
         let handshake = Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
-            .handshake(TokioIo::new(stream.clone()))
+            .handshake(TokioIo::new(checked.clone()))
             .await;
         let (sender, connection) = handshake.map_err(ConnectionError::Broken)?;
         let unread = UnreadBytes::default();
@@ -148,6 +151,7 @@
         });
         Ok(Connection {
             stream,
+            checked,
             sender,
             driver,
             unread,
@@ -195,6 +199,7 @@
         mut request: Request<FullBody>,
     ) -> Result<Answer, ConnectionError> {
         self.ready().await?;
+        self.checked.expect_answer();
         let limit = Arc::new(InformationalLimit::default());
         let counted = Arc::clone(&limit);
         hyper::ext::on_informational(&mut request, move |answer| counted.add(answer.headers()));
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -7,6 +7,7 @@
 mod connection;
 mod engine;
 mod fetch;
+mod head_lines;
 mod listener;
 mod peer;
 mod resume;
--- a/components/transport/tests/broken_answers.rs
+++ b/components/transport/tests/broken_answers.rs
@@ -78,6 +78,9 @@
     ] {
         texts.push(with_length("200", &format!("{line}\r\n")));
     }
+    // A line feed that is written over the first byte of a field ends the head.
+    texts.push(ok("connection: close\r\n\nontent-length: 1\r\n", BODY));
+    texts.push(ok("connection: close\n\r\n", BODY));
     for status in ["000", "099", "101", "600", "999", "20", "2000"] {
         texts.push(with_length(status, ""));
     }
@@ -165,10 +168,11 @@
         chunked,
         ok(closing, CHUNKED_BODY),
     ];
+    let server = RawServer::start(b"");
     for text in &sound {
         for _ in 0..MUTATIONS {
             let mutated = mutate(&mut rng, text);
-            let server = RawServer::start(&mutated);
+            server.set_answer(&mutated);
             let shown = String::from_utf8_lossy(&mutated).into_owned();
             if let Ok(reply) = call(&server) {
                 assert_eq!(reply.body, BODY.as_bytes(), "{shown:?}");
--- a/components/transport/tests/common/mod.rs
+++ b/components/transport/tests/common/mod.rs
@@ -3,12 +3,13 @@
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 
 /// A running server. Dropping it ends it.
 pub struct RawServer {
     address: SocketAddr,
+    answer: Arc<Mutex<Vec<u8>>>,
     has_ended: Arc<AtomicBool>,
 }
 
@@ -30,8 +31,11 @@
                 while stream.write_all(block.as_bytes()).is_ok() {}
             }
         });
-        let has_ended = Arc::new(AtomicBool::new(false));
-        RawServer { address, has_ended }
+        RawServer {
+            address,
+            answer: Arc::default(),
+            has_ended: Arc::default(),
+        }
     }
 
     /// Answers one request and ends: further connections are refused.
@@ -43,7 +47,9 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("failed to listen");
         let address = listener.local_addr().expect("the listener has no address");
         let has_ended = Arc::new(AtomicBool::new(false));
-        let (answer, ended) = (answer.to_vec(), Arc::clone(&has_ended));
+        let answer = Arc::new(Mutex::new(answer.to_vec()));
+        let (shared, ended) = (Arc::clone(&answer), Arc::clone(&has_ended));
+        let current = move || shared.lock().unwrap().clone();
         thread::spawn(move || {
             let mut last = None;
             for stream in listener.incoming().flatten().take(connections) {
@@ -52,13 +58,22 @@
                 }
                 last = Some(stream);
                 if connections > 1 {
-                    serve(last.take(), &answer);
+                    serve(last.take(), &current());
                 }
             }
             drop(listener);
-            serve(last, &answer);
+            serve(last, &current());
         });
-        RawServer { address, has_ended }
+        RawServer {
+            address,
+            answer,
+            has_ended,
+        }
+    }
+
+    /// Writes other bytes as the answer to each further request.
+    pub fn set_answer(&self, answer: &[u8]) {
+        *self.answer.lock().unwrap() = answer.to_vec();
     }
 
     /// Address as `IP:PORT`.
