Keep a planned stop to the grace period of the settings in force

After the settings had named a longer grace period, a planned stop still cut what ran at the end of the one of the start (eight of eight streams, 7.7 s after SIGTERM with 16 s given; LOST).

Cause: the drain computed its end once, from the settings that the gateway was started with.

--- a/components/gateway/src/freshness.rs
+++ b/components/gateway/src/freshness.rs
@@ -17,6 +17,9 @@
 /// two negative readiness answers.
 const STOP_ACCEPT_TIME: Duration = Duration::from_millis(2200);
 
+/// A stop completes this long before the end of the grace period, when the process would be killed.
+const STOP_MARGIN: Duration = Duration::from_millis(700);
+
 /// Maximum ages of the last confirmation of the configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MaxAges {
@@ -99,6 +102,15 @@
         }
     }
 
+    /// Time by which a planned stop completes, `grace` being the time from its request to the kill of the process; `None` unless
+    /// a stop was requested.
+    pub fn drain_deadline(&self, grace: Duration) -> Option<Duration> {
+        match self.stopping_us.load(Ordering::Relaxed) {
+            0 => None,
+            micros => Some(Duration::from_micros(micros) + grace.saturating_sub(STOP_MARGIN)),
+        }
+    }
+
     /// Whether a stop was requested so long ago that new requests are no longer accepted.
     pub fn is_closed(&self, now: Duration) -> bool {
         self.time_since_stop(now)
--- a/components/gateway/src/retry.rs
+++ b/components/gateway/src/retry.rs
@@ -182,6 +182,15 @@
     }
 }
 
+impl<D> Traffic<D> {
+    /// Time until which a planned stop waits for the answers of endpoints; `None` unless a stop was requested.
+    pub fn drain_deadline(&self) -> Option<Duration> {
+        let grace_ms = self.state.borrow().settings.stop_grace_ms;
+        let grace = Duration::from_millis(grace_ms.max(0) as u64);
+        self.freshness.drain_deadline(grace)
+    }
+}
+
 fn no_endpoint_refusal(progress: &Progress, no_placement: NoPlacement) -> Refusal {
     match progress.maybe_run {
         true => Refusal::maybe_run(Kind::EndpointFailed, "no other endpoint takes work"),
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -34,8 +34,6 @@
 /// Interval at which a requested stop and its completion are checked.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(100);
 const NOT_BOUND: &str = "an address could not be bound; free it or change it in the settings";
-/// A stop completes this long before the end of the grace period, when the process would be killed.
-const STOP_MARGIN: Duration = Duration::from_millis(700);
 
 /// A gateway that could not start; attachments give the cause.
 #[derive(Debug)]
@@ -388,20 +386,20 @@
     while !traffic.freshness.is_stopping() {
         tokio::time::sleep(STOP_POLL_INTERVAL).await;
     }
-    drain(&traffic, &settings).await;
+    drain(&traffic).await;
 }
 
-async fn drain<D: Dialect + 'static>(traffic: &Traffic<D>, settings: &GatewaySettings) {
-    let stop_requested_at = traffic.clock.now();
+async fn drain<D: Dialect + 'static>(traffic: &Traffic<D>) {
     info!(traffic.log, "stop asked for"; "in_flight" => traffic.in_flight.get());
-    let grace = Duration::from_millis(settings.stop_grace_ms.max(0) as u64);
-    let drain_deadline = stop_requested_at + grace.saturating_sub(STOP_MARGIN);
     loop {
         tokio::time::sleep(STOP_POLL_INTERVAL).await;
         let now = traffic.clock.now();
         let is_idle = traffic.in_flight.get() == 0 && traffic.open_tunnels.get() == 0;
         let is_drained = is_idle && traffic.freshness.is_closed(now);
-        if is_drained || now >= drain_deadline {
+        let is_over = traffic
+            .drain_deadline()
+            .is_some_and(|deadline| now >= deadline);
+        if is_drained || is_over {
             break;
         }
     }
