Refuse requests that come late in a planned stop, and answer those that still run

Late in a planned stop, a request whose body came slowly or that had waited for an endpoint was passed on however little time was left, and cut with no answer at the end of the grace period, also if it may not be repeated.

Cause: whether a request is accepted was decided when its head arrived. Nothing asked again before it was sent, and at the end of the drain connections closed without a word.

Before a request is sent that hasn't run, a gateway that accepts no more requests now asks whether the request's own time is over before the drain is. If not, it may not get its answer here, and is refused as not run, with the caller sent to another gateway at once; a request that waits for an endpoint is refused as soon as that is known. Retries and streams that go on elsewhere are sent as before: they have run and can't be taken back. What runs at the end of the drain without an answer gets 502 instead of a closed connection.

Other gateways' tunnels are refused from the request of the stop on, as read in relay.rs; a tunnel that is open then and used for another request late is not tried.

--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -46,14 +46,7 @@
         };
         let id = head.id.clone();
         if self.freshness.is_closed(arrived) {
-            let refusal = Refusal::not_run(Kind::Stopping, "the gateway stops");
-            return self.refuse(
-                &id,
-                arrived,
-                refusal
-                    .with_retry_after(STOPPING_RETRY)
-                    .closing_connection(),
-            );
+            return self.refuse(&id, arrived, stopping_refusal());
         }
         match self.serve(arrived, parts, head, body, caller).await {
             Ok(answer) => answer,
@@ -203,6 +196,13 @@
     }
 }
 
+/// The refusal of a request that was not run because the gateway stops.
+pub(crate) fn stopping_refusal() -> Refusal {
+    Refusal::not_run(Kind::Stopping, "the gateway stops")
+        .with_retry_after(STOPPING_RETRY)
+        .closing_connection()
+}
+
 // The coordinators have just started, so nothing was charged and no endpoint chosen.
 fn starting_refusal() -> Refusal {
     let NoPlacement { cause, wait } = NoPlacement::STARTING;
--- a/components/gateway/src/placing.rs
+++ b/components/gateway/src/placing.rs
@@ -130,7 +130,8 @@
             if let Some(left) = pause.filter(|left| now.saturating_add(*left) > wait_deadline) {
                 return Err(self.pause_refusal(&job.work.service, left));
             }
-            if now >= wait_deadline || now >= job.expiry {
+            let is_too_late = self.is_too_late_before_stop(job, progress);
+            if now >= wait_deadline || now >= job.expiry || is_too_late {
                 return Err(NoPlacement::NO_ENDPOINT);
             }
             let changed = self.endpoints_changed.notified();
--- a/components/gateway/src/retry.rs
+++ b/components/gateway/src/retry.rs
@@ -10,6 +10,7 @@
 use crate::answer::Refusal;
 use crate::attempt::{AttemptOutcome, EndpointAnswer, SendOptions};
 use crate::freshness::MaxAges;
+use crate::handler::stopping_refusal;
 use crate::job::{Job, Progress, SharedJob};
 use crate::placing::NoPlacement;
 use crate::ports::Dialect;
@@ -40,6 +41,9 @@
                 Some(placement) => placement,
                 None => match self.find_endpoint(job, progress).await {
                     Ok(placement) => placement,
+                    Err(_) if self.is_too_late_before_stop(job, progress) => {
+                        return Err(stopping_refusal())
+                    }
                     Err(no_placement) => return Err(no_endpoint_refusal(progress, no_placement)),
                 },
             };
@@ -66,7 +70,11 @@
             let expiry = self.attempt_expiry(job, progress);
             progress.sent += 1;
             let attempt = self.attempt_unless_restarted(job, &placement, options.clone());
-            let result = self.clock.timeout_at(expiry, attempt).await;
+            let result = tokio::select! {
+                biased;
+                result = self.clock.timeout_at(expiry, attempt) => result,
+                () = self.drain_ended.notified() => return Err(unfinished_refusal()),
+            };
             progress.tried.push(placement.endpoint.clone());
             let lost_cause = match result {
                 Ok(AttemptOutcome::Answered(answer)) => return Ok(answer),
@@ -107,6 +115,9 @@
     // Returns the refusal of a job whose caller has left, whose deadline has passed or whose key can no longer be used: the VM may have been frozen
     // or suspended since the job was admitted.
     fn expired_refusal(&self, job: &Job, progress: &Progress) -> Option<Refusal> {
+        if self.is_too_late_before_stop(job, progress) {
+            return Some(stopping_refusal());
+        }
         if self.can_still_send(job) {
             return None;
         }
@@ -183,6 +194,16 @@
 }
 
 impl<D> Traffic<D> {
+    /// Whether a job that has not run is left to another gateway: this one stops, accepts no more requests, and may end before
+    /// the job has an answer.
+    pub fn is_too_late_before_stop(&self, job: &Job, progress: &Progress) -> bool {
+        let is_closed = self.freshness.is_closed(self.clock.now());
+        let is_past_end = self
+            .drain_deadline()
+            .is_some_and(|deadline| job.expiry > deadline);
+        is_closed && is_past_end && !progress.maybe_run
+    }
+
     /// Time until which a planned stop waits for the answers of endpoints; `None` unless a stop was requested.
     pub fn drain_deadline(&self) -> Option<Duration> {
         let grace_ms = self.state.borrow().settings.stop_grace_ms;
@@ -191,6 +212,12 @@
     }
 }
 
+// The gateway ends before the endpoint has answered.
+fn unfinished_refusal() -> Refusal {
+    let message = "the gateway stops before the endpoint has answered";
+    Refusal::maybe_run(Kind::EndpointFailed, message).closing_connection()
+}
+
 fn no_endpoint_refusal(progress: &Progress, no_placement: NoPlacement) -> Refusal {
     match progress.maybe_run {
         true => Refusal::maybe_run(Kind::EndpointFailed, "no other endpoint takes work"),
--- a/components/gateway/src/run.rs
+++ b/components/gateway/src/run.rs
@@ -403,6 +403,8 @@
             break;
         }
     }
+    // Requests without an answer get one while the process still runs.
+    traffic.drain_ended.notify_waiters();
     traffic.send_tally();
     tokio::time::sleep(STOP_POLL_INTERVAL).await;
     info!(traffic.log, "stop"; "in_flight" => traffic.in_flight.get());
--- a/components/gateway/src/traffic.rs
+++ b/components/gateway/src/traffic.rs
@@ -51,6 +51,8 @@
     pub state: RefCell<State>,
     pub endpoints_changed: Notify,
     pub endpoint_restarted: Notify,
+    /// Notified when a planned stop waits no longer for answers of endpoints.
+    pub drain_ended: Notify,
     pub in_flight: Cell<usize>,
     /// Connections from gateways for which this one opens connections to endpoints.
     pub open_tunnels: Rc<Cell<usize>>,
@@ -100,6 +102,7 @@
             state: RefCell::new(state),
             endpoints_changed: Notify::new(),
             endpoint_restarted: Notify::new(),
+            drain_ended: Notify::new(),
             in_flight: Cell::new(0),
             open_tunnels: Rc::default(),
             had_lost_paths: Cell::new(false),
