Test that no stream is joined from two versions after all gateways were gone

The report: after a kill of all gateways beside a release, streams that callers took up again were joined from two versions.

The test ends all gateways between the first events and the take-up, with both versions before and after, the old one just gone, one replaced by the other, and a second one that came meanwhile.

--- a/components/gateway/tests/stream_versions.rs
+++ b/components/gateway/tests/stream_versions.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 use common::{
@@ -46,15 +46,37 @@
     let store = FakeStore::default();
     store.put_configuration(configuration(1, vec![route]));
     for version in VERSIONS {
-        for number in 0..2 {
-            let fake = versioned_endpoint(version);
-            let id = format!("{version}-{number}");
-            store.put_endpoint(endpoint_with_version(version, &id, fake.address));
-        }
+        put_endpoints(&store, version);
     }
     store
 }
 
+/// Starts two endpoints of a version.
+fn put_endpoints(store: &FakeStore, version: &'static str) {
+    for number in 0..2 {
+        let fake = versioned_endpoint(version);
+        let id = format!("{version}-{number}");
+        store.put_endpoint(endpoint_with_version(version, &id, fake.address));
+    }
+}
+
+fn delete_endpoints(store: &FakeStore, version: &str) {
+    for number in 0..2 {
+        store.delete_endpoint(&format!("{version}-{number}"));
+    }
+}
+
+/// Ends all gateways and waits until nothing is left of what they knew.
+fn end_all(gateways: Vec<Setup>) {
+    let readiness = |setup: &Setup| setup.gateway.listening().readiness;
+    let addresses: Vec<SocketAddr> = gateways.iter().map(readiness).collect();
+    drop(gateways);
+    wait_until("all gateways to end", || {
+        let has_ended = |address: &SocketAddr| TcpStream::connect(address).is_err();
+        addresses.iter().all(has_ended)
+    });
+}
+
 /// Starts gateways of one data hall that know each other.
 fn start_gateways(store: &FakeStore, count: usize) -> Vec<Setup> {
     let mut gateways: Vec<Setup> = Vec::new();
@@ -227,9 +249,7 @@
     let store = store_with(route);
     let gateways = start_gateways(&store, 1);
     let begun = versions_in(&begin(gateways[0].address(), "a"));
-    for number in 0..2 {
-        store.delete_endpoint(&format!("{}-{number}", begun[0]));
-    }
+    delete_endpoints(&store, &begun[0]);
     wait_until("a refusal", || {
         resume(gateways[0].address(), "b", "a", begun.len()).status == 503
     });
@@ -238,6 +258,54 @@
     assert!(asked.elapsed() < MAX_REFUSAL_TIME);
 }
 
+// Guards against streams that are joined from two versions after all gateways, and with them what they knew of the streams, were
+// gone: the version that is left, or the only one that a new gateway has seen, may not be the one that began them.
+#[test]
+fn no_stream_is_joined_from_two_versions_after_all_gateways_were_gone() {
+    // Versions that serve before and after.
+    let cases: [(&[&'static str], &[&'static str]); 4] = [
+        (&VERSIONS, &VERSIONS),
+        (&VERSIONS, &["v2"]),
+        (&["v1"], &["v2"]),
+        (&["v1"], &VERSIONS),
+    ];
+    let route = Route {
+        max_attempts: 1,
+        ..route("/a/", RESUMABLE)
+    };
+    for (before, after) in cases {
+        let store = FakeStore::default();
+        store.put_configuration(configuration(1, vec![route.clone()]));
+        before
+            .iter()
+            .for_each(|version| put_endpoints(&store, version));
+        let gateways = start_gateways(&store, 2);
+        let begun: Vec<Vec<String>> = (0..STREAMS)
+            .map(|number| {
+                let gateway = gateways[number % gateways.len()].address();
+                versions_in(&begin(gateway, &format!("a{number}")))
+            })
+            .collect();
+        end_all(gateways);
+        for version in VERSIONS {
+            match (before.contains(&version), after.contains(&version)) {
+                (true, false) => delete_endpoints(&store, version),
+                (false, true) => put_endpoints(&store, version),
+                _ => {}
+            }
+        }
+        let gateways = start_gateways(&store, 2);
+        for (number, begun) in begun.iter().enumerate() {
+            let gateway = gateways[number % gateways.len()].address();
+            let (id, first) = (format!("b{number}"), format!("a{number}"));
+            let answer = resume(gateway, &id, &first, begun.len());
+            let versions = [begun.clone(), versions_in(&answer)].concat();
+            let is_joined = versions.iter().any(|version| *version != versions[0]);
+            assert!(!is_joined, "{before:?} {after:?}: {versions:?}");
+        }
+    }
+}
+
 // Guards against streams that the gateway resumes within one answer at an endpoint of another software version.
 #[test]
 fn a_stream_that_breaks_goes_on_within_its_answer_at_the_version_that_began_it() {
