Count the bytes of informational answers where heads are followed

An informational answer with a long reason counted as a few bytes, so that some 3,800 of them, each of up to 64 KiB, could come before the bound was reached.

Cause: hyper tells of an informational answer without its reason. The bytes of heads are followed as they are read anyway; they are counted there now, those of informational answers with those of the head behind them. That needs no callback in each request and no fault of its own.

--- a/components/gateway/tests/endless_answers.rs
+++ b/components/gateway/tests/endless_answers.rs
@@ -104,6 +104,14 @@
         write_without_end(exchange, b"HTTP/1.1 102 Processing\r\nx: y\r\n\r\n");
     });
     assert_eq!(answers, [(502, true); 4]);
+    let long = answers_to(|exchange| {
+        let reason = "x".repeat(30_000);
+        write_without_end(
+            exchange,
+            format!("HTTP/1.1 102 {reason}\r\n\r\n").as_bytes(),
+        );
+    });
+    assert_eq!(long, [(502, true); 4]);
 }
 
 #[test]
--- a/components/transport/src/answer.rs
+++ b/components/transport/src/answer.rs
@@ -41,8 +41,6 @@
     SeveralLengths,
     /// The connection persists, and nothing says where the body ends.
     NoBodyEnd,
-    /// The informational answers before it exceed the maximum size of a head.
-    TooManyInformational,
 }
 
 impl fmt::Display for AnswerFault {
@@ -55,9 +53,6 @@
             }
             AnswerFault::SeveralLengths => write!(f, "it has several lengths"),
             AnswerFault::NoBodyEnd => write!(f, "nothing says where its body ends"),
-            AnswerFault::TooManyInformational => {
-                write!(f, "the informational answers before it are too long")
-            }
         }
     }
 }
--- a/components/transport/src/connection.rs
+++ b/components/transport/src/connection.rs
@@ -6,20 +6,17 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Arc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Request};
+use http::Request;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::AsyncWrite;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
 use crate::answer::{Answer, AnswerFault};
@@ -29,11 +26,8 @@
 /// A request body that is held in memory as a whole.
 pub type FullBody = Full<Bytes>;
 
-/// Maximum size of the read buffer, and so of the head of an answer. The informational answers before it have at most this
-/// size together.
-const MAX_BUFFER_BYTES: usize = 64 << 10;
-/// Size of the shortest head: a status line without a reason, and the empty line.
-const MIN_HEAD_BYTES: usize = "HTTP/1.1 100 \r\n\r\n".len();
+/// Maximum size of the read buffer, and of the head of an answer together with the informational answers before it.
+pub(crate) const MAX_BUFFER_BYTES: usize = 64 << 10;
 /// Beginning of every answer.
 const ANSWER_START: &[u8] = b"HTTP/1.";
 /// A connection is closed once sent bytes stay unacknowledged for this long.
@@ -106,26 +100,6 @@
     }
 }
 
-// Limits the informational answers before an answer, which are read and dropped.
-#[derive(Debug, Default)]
-struct InformationalLimit {
-    received_bytes: AtomicUsize,
-    exceeded: Notify,
-}
-
-impl InformationalLimit {
-    fn add(&self, headers: &HeaderMap) {
-        let fields = headers
-            .iter()
-            .map(|(name, value)| name.as_str().len() + value.len());
-        let bytes = MIN_HEAD_BYTES + fields.sum::<usize>();
-        let before = self.received_bytes.fetch_add(bytes, Ordering::Relaxed);
-        if before + bytes > MAX_BUFFER_BYTES {
-            self.exceeded.notify_one();
-        }
-    }
-}
-
 impl Connection {
     /// Connects to `address`; `timeout` limits the TCP connect. Must be called inside a `LocalSet`.
     pub async fn open(address: SocketAddr, timeout: Duration) -> Result<Self, ConnectionError> {
@@ -194,22 +168,10 @@
 
     /// Sends a request and returns the answer, whose head is checked. Dropping the connection before the body is read cuts
     /// the body off.
-    pub async fn send(
-        &mut self,
-        mut request: Request<FullBody>,
-    ) -> Result<Answer, ConnectionError> {
+    pub async fn send(&mut self, request: Request<FullBody>) -> Result<Answer, ConnectionError> {
         self.ready().await?;
         self.checked.expect_answer();
-        let limit = Arc::new(InformationalLimit::default());
-        let counted = Arc::clone(&limit);
-        hyper::ext::on_informational(&mut request, move |answer| counted.add(answer.headers()));
-        let sent = tokio::select! {
-            biased;
-            () = limit.exceeded.notified() => {
-                return Err(ConnectionError::Invalid(AnswerFault::TooManyInformational));
-            }
-            sent = self.sender.try_send_request(request) => sent,
-        };
+        let sent = self.sender.try_send_request(request).await;
         let response = sent.map_err(|mut error| match error.take_message() {
             Some(_) => ConnectionError::NotSent,
             None => ConnectionError::Broken(error.into_error()),
--- a/components/transport/src/head_lines.rs
+++ b/components/transport/src/head_lines.rs
@@ -1,9 +1,10 @@
-//! Checks the line ends in the heads of answers as they are received.
+//! Checks the heads of answers as they are received: their line ends and their size.
 //!
 //! hyper takes a line feed alone for the end of a line. A line feed that was written over the first byte of a field then ends
-//! the head there, and the other fields become the body.
+//! the head there, and the other fields become the body. And it reads informational answers without a limit.
 
 use std::cell::RefCell;
+use std::fmt;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -11,6 +12,7 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+use crate::connection::MAX_BUFFER_BYTES;
 use crate::tcp::SharedStream;
 
 /// Position of the first digit of the status in a status line.
@@ -27,11 +29,35 @@
     Body,
 }
 
+/// Why the head of an answer isn't read on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum HeadFault {
+    /// A line doesn't end with CR and LF.
+    LineEnd,
+    /// The head and the informational answers before it are too long.
+    TooLong,
+}
+
+impl fmt::Display for HeadFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            HeadFault::LineEnd => write!(f, "a line of the head does not end with CR and LF"),
+            HeadFault::TooLong => write!(
+                f,
+                "the head and the informational answers before it exceed {MAX_BUFFER_BYTES} bytes"
+            ),
+        }
+    }
+}
+
+impl std::error::Error for HeadFault {}
+
 /// Follows the lines of the heads of one answer, the informational ones before it included.
 #[derive(Debug)]
 pub(crate) struct HeadLines {
     position: Position,
     is_informational: bool,
+    received_bytes: usize,
     line_length: usize,
     previous: u8,
 }
@@ -41,6 +67,7 @@
         HeadLines {
             position: Position::StatusLine,
             is_informational: false,
+            received_bytes: 0,
             line_length: 0,
             previous: 0,
         }
@@ -48,22 +75,24 @@
 }
 
 impl HeadLines {
-    /// Follows received bytes. Returns whether all lines of the head end with CR and LF.
-    pub fn follow(&mut self, bytes: &[u8]) -> bool {
+    /// Follows received bytes up to the end of the head.
+    pub fn follow(&mut self, bytes: &[u8]) -> Result<(), HeadFault> {
         for byte in bytes {
             if self.position == Position::Body {
-                return true;
+                break;
             }
-            if *byte != b'\n' {
-                self.follow_line(*byte);
-            } else if self.previous == b'\r' {
-                self.end_line();
-            } else {
-                return false;
+            self.received_bytes += 1;
+            match *byte {
+                b'\n' if self.previous == b'\r' => self.end_line(),
+                b'\n' => return Err(HeadFault::LineEnd),
+                byte => self.follow_line(byte),
             }
             self.previous = *byte;
         }
-        true
+        match self.received_bytes > MAX_BUFFER_BYTES {
+            true => Err(HeadFault::TooLong),
+            false => Ok(()),
+        }
     }
 
     fn follow_line(&mut self, byte: u8) {
@@ -87,7 +116,7 @@
     }
 }
 
-/// A stream whose reads fail at a line of a head that doesn't end with CR and LF.
+/// A stream whose reads fail at a fault in the head of an answer.
 #[derive(Clone, Debug)]
 pub(crate) struct CheckedStream {
     stream: SharedStream,
@@ -117,14 +146,9 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        let is_valid = self.lines.borrow_mut().follow(&buffer.filled()[before..]);
-        Poll::Ready(match is_valid {
-            true => Ok(()),
-            false => Err(io::Error::new(
-                io::ErrorKind::InvalidData,
-                "a line of the head does not end with CR and LF",
-            )),
-        })
+        let followed = self.lines.borrow_mut().follow(&buffer.filled()[before..]);
+        let invalid = |fault| io::Error::new(io::ErrorKind::InvalidData, fault);
+        Poll::Ready(followed.map_err(invalid))
     }
 }
 
