Deliver text that begins with a number and ends with its connection

A whole text such as "42\r\n", sent with neither a length nor chunks, got 502 since the check for chunks that the head doesn't announce: its first line was taken for the length of a chunk that was cut off.

Cause: a body shorter than such a length counted as a chunk. Now the data of the first chunk has to be there, with the line end behind it. In a stream the length line alone decides, as no event has such a line. What this gives up: unannounced chunks that are cut off within the first one can't be told from text.

Evidence: a_text_that_begins_with_a_number_and_ends_with_its_connection_is_delivered fails before (502 for "42\r\n") and passes now, with the other tests of both broken_answers.rs, the property among them.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -416,7 +416,7 @@
             return AttemptOutcome::Lost("the answer is not what the endpoint made");
         }
         match events.next().await {
-            NextEvent::Event(first) if events.run.has_unannounced_chunks(&first.bytes) => {
+            NextEvent::Event(first) if events.run.streams_unannounced_chunks(&first.bytes) => {
                 events.run.set_health(HealthSignal::Faulty);
                 AttemptOutcome::Lost("the endpoint's answer has a wrong length")
             }
--- a/components/gateway/src/endpoint_run.rs
+++ b/components/gateway/src/endpoint_run.rs
@@ -8,7 +8,7 @@
 use rollout::Answer;
 use routing::placement::{signal_without_answer, HealthSignal, Placement, Ticket};
 use slog::info;
-use transport::{begins_with_chunk, BodyEnd, Connection};
+use transport::{begins_with_chunk, begins_with_chunk_length, BodyEnd, Connection};
 
 use crate::connecting::OpenedConnection;
 use crate::job::SharedJob;
@@ -110,9 +110,14 @@
             && connection.is_some_and(Connection::has_stray_bytes)
     }
 
-    /// Whether a body that ends with its connection consists of chunks that the head doesn't announce.
-    pub fn has_unannounced_chunks(&self, body_start: &[u8]) -> bool {
-        self.body_end == Some(BodyEnd::Close) && begins_with_chunk(body_start)
+    /// Whether a whole body that ends with its connection consists of chunks that the head doesn't announce.
+    pub fn has_unannounced_chunks(&self, body: &[u8]) -> bool {
+        self.body_end == Some(BodyEnd::Close) && begins_with_chunk(body)
+    }
+
+    /// Whether a stream that ends with its connection consists of such chunks, as its first event shows.
+    pub fn streams_unannounced_chunks(&self, first_event: &[u8]) -> bool {
+        self.body_end == Some(BodyEnd::Close) && begins_with_chunk_length(first_event)
     }
 
     /// Records that bytes of the endpoint arrived, which proves the path.
--- a/components/gateway/tests/broken_answers.rs
+++ b/components/gateway/tests/broken_answers.rs
@@ -284,6 +284,17 @@
     assert_served(&texts);
 }
 
+// Guards against refusing text whose first line could be the length of a chunk.
+#[test]
+fn a_text_that_begins_with_a_number_and_ends_with_its_connection_is_delivered() {
+    for body in ["42\r\n", "0\r\n", "a\r\n1\r\n2\r\n", "3\r\nabcdef\r\n"] {
+        let fake = start_endpoint(&ok("connection: close\r\n", body));
+        let setup = Setup::serving(all_routes(), vec![endpoint("e", fake.address)]);
+        let answer = setup.call("/once/", &[]);
+        assert_eq!((answer.status, answer.body.as_str()), (200, body));
+    }
+}
+
 // Guards against refusing a whole answer because its endpoint sent another one behind it.
 #[test]
 fn an_answer_is_delivered_although_another_follows_it() {
--- a/components/transport/src/answer.rs
+++ b/components/transport/src/answer.rs
@@ -135,17 +135,22 @@
         .any(|named| named.trim().eq_ignore_ascii_case(option))
 }
 
-/// Whether a body begins with a chunk (RFC 9112, section 7.1), which may be cut off. In a body that ends with its connection
-/// this shows that the announcement of the chunks was lost.
+/// Whether a whole body begins with a chunk (RFC 9112, section 7.1). In a body that ends with its connection this shows that
+/// the announcement of the chunks was lost.
 pub fn begins_with_chunk(body: &[u8]) -> bool {
-    let Some(line_end) = body.windows(2).position(|bytes| bytes == b"\r\n") else {
-        return false;
-    };
-    let Some(length) = parse_chunk_length(&body[..line_end]) else {
-        return false;
-    };
-    let after_data = body[line_end + 2..].get(length..).unwrap_or_default();
-    after_data.is_empty() || after_data.starts_with(b"\r\n")
+    let after_data = split_chunk_length(body).and_then(|(length, rest)| rest.get(length..));
+    after_data.is_some_and(|rest| rest.starts_with(b"\r\n"))
+}
+
+/// Whether the first event of a stream begins with the length of a chunk. No event has such a line.
+pub fn begins_with_chunk_length(event: &[u8]) -> bool {
+    split_chunk_length(event).is_some()
+}
+
+fn split_chunk_length(body: &[u8]) -> Option<(usize, &[u8])> {
+    let line_end = body.windows(2).position(|bytes| bytes == b"\r\n")?;
+    let length = parse_chunk_length(&body[..line_end])?;
+    Some((length, &body[line_end + 2..]))
 }
 
 // Parses a line "LENGTH" or "LENGTH;EXTENSION".
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -16,7 +16,7 @@
 mod tunnel;
 mod wire;
 
-pub use answer::{begins_with_chunk, Answer, AnswerFault, BodyEnd};
+pub use answer::{begins_with_chunk, begins_with_chunk_length, Answer, AnswerFault, BodyEnd};
 pub use auth::{sign, verify, Key, TAG_BYTES};
 pub use blocking::{call, CallError, CallLimits, WholeAnswer};
 pub use connection::{Connection, ConnectionError, FullBody, WatchedConnection};
