--- a/review/cases.rs
+++ b/review/cases.rs
@@ -159,7 +159,7 @@
     const WORKERS: usize = 12;
     const SLOTS: u32 = 32;
     const USERS: usize = 208;
-    const PLAY_MS: u64 = 60_000;
+    const PLAY_MS: u64 = 75_000;
     let rest = "\"timeoutMs\":15000,\"targetLatencyMs\":1200,\"priority\":0,\"maxAttempts\":2,\"stickySessions\":true,\
                 \"streamResumption\":true,\"gapAimMs\":500";
     let routes = [route("chat", "streaming", "chat-llm", rest)];
