--- a/review/cases.rs
+++ b/review/cases.rs
@@ -69,6 +69,8 @@
 /// starts again there, as a new incarnation.
 pub(super) fn stream_of_a_worker_that_starts_again(world: &World, trouble: bool) -> i32 {
     const EVENTS: u32 = 60;
+    const WORKERS: usize = 6;
+    const STREAMS: usize = 36;
     let rest = "\"timeoutMs\":15000,\"targetLatencyMs\":1200,\"priority\":1,\"maxAttempts\":1,\"stickySessions\":true,\
                 \"streamResumption\":false,\"gapAimMs\":500";
     let routes = [route("review", "streaming", "chat-llm", rest)];
@@ -90,6 +92,20 @@
     };
     let address = way.address.to_string();
     world.put_worker(&settings.id, "chat-llm", ZONES[0], &address, 64, "ready");
+    // The other workers, which are left alone.
+    let mut others = Vec::new();
+    for index in 1..WORKERS {
+        let other = WorkerSettings {
+            id: format!("i-7f3a91{index:02x}"),
+            address: format!("{}:9000", world.ip(20 + index)),
+            ..settings.clone()
+        };
+        match Worker::start(&other) {
+            Ok(worker) => others.push(worker),
+            Err(_) => return NOT_RUN,
+        }
+        world.put_worker(&other.id, "chat-llm", ZONES[index % 3], &other.address, 64, "ready");
+    }
     if !world.wait_ready(&gateways, 15) {
         return NOT_RUN;
     }
@@ -100,15 +116,18 @@
             let gateway = &gateways[index % gateways.len()];
             let attempt = world.attempt();
             world.note(&format!("client: sends {attempt} to {}", gateway.name));
+            // Short and long prompts of their own, which go to engines of their own.
+            let prompt = if index % 2 == 0 { 660 } else { 8_660 };
             let fields = format!(
-                "Croftpond-Credential: {KEY}\r\nCroftpond-Model: m\r\nCroftpond-Token-Usage: 1460,300\r\n\
-                 Croftpond-Prompt-Prefix: 5c1e07a2:800,{index:x}1bd3f06:410,e44{index:02x}b7d:250\r\n"
+                "Croftpond-Credential: {KEY}\r\nCroftpond-Model: m\r\nCroftpond-Token-Usage: {prompt},300\r\n\
+                 Croftpond-Prompt-Prefix: 5c1e{index:02x}a2:200,91bd{index:02x}06:{},e44{index:02x}b7d:250\r\n",
+                prompt - 450
             );
             let seen = ask(&gateway.callers, &attempt, "/review/2f", &fields, 15_000);
             note_seen(world, &seen);
             seen
         };
-        let clients: Vec<_> = (0..6).map(|index| scope.spawn(move || ask_one(index))).collect();
+        let clients: Vec<_> = (0..STREAMS).map(|index| scope.spawn(move || ask_one(index))).collect();
         if trouble {
             sleep_ms(1500);
             way.cut(true);
@@ -139,15 +158,22 @@
     let opened = way.opened_in_cut.load(Ordering::SeqCst);
     let resets = way.resets.load(Ordering::SeqCst);
     world.note(&format!("way: {opened} connections opened during the cut, {resets} resets by the worker's side"));
-    if gateways.iter().any(Gateway::has_ended) || opened > 0 || resets > 0 || seen.len() < 6 {
+    if gateways.iter().any(Gateway::has_ended) || opened > 0 || resets > 0 || seen.len() < STREAMS {
         return NOT_RUN;
     }
     let is_short = |seen: &&Seen| seen.events.last().is_none_or(|last| *last < EVENTS);
     let signed = seen.iter().filter(|seen| seen.status == 200 && !seen.signature.is_empty());
     let complete: Vec<&Seen> = signed.filter(|seen| seen.is_whole).collect();
     let short = complete.iter().copied().filter(is_short).count();
-    world.note(&format!("{} of {} streams ended as complete, {short} of them before their last event", complete.len(), seen.len()));
+    let record = fs::read_to_string(&world.record).unwrap_or_default();
+    let at_first = format!("worker {} runs ", settings.id);
+    let at_first = record.lines().filter(|line| line.contains(&at_first)).count();
+    world.note(&format!(
+        "{at_first} streams ran at the worker; {} of all {} ended as complete, {short} of these before their last event",
+        complete.len(), seen.len()
+    ));
     match short {
+        _ if at_first == 0 => NOT_RUN,
         0 if !trouble && complete.len() < seen.len() => NOT_RUN,
         0 => RULE_HELD,
         _ => RULE_BROKEN,
